feat(refusal): one table of errors, and the chat completions wire types

Cause: callers must be told for each refusal whether the request ran. Change: package refusal (code, status, run state, Retry-After), package chat.

--- /dev/null
+++ b/chat/request.go
@@ -0,0 +1,91 @@
+// Package chat holds the wire types of the OpenAI-compatible chat completions
+// API that callers use, and the prompt that a request stands for.
+//
+// Fields that the system does not use are accepted and ignored, as clients of
+// that API send many.
+//
+// # Usage
+//
+//	request, err := chat.ParseRequest(body)
+//	prompt := request.Prompt()
+//	data := chat.AppendChunk(buf, chat.ChunkHead{ID: id, Model: model}, token)
+package chat
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+)
+
+// DefaultMaxTokens bounds an answer whose request does not.
+const DefaultMaxTokens = 2048
+
+// Message is one turn of a conversation.
+type Message struct {
+	Role    string  `json:"role"`
+	Content Content `json:"content"`
+}
+
+// Request asks for a completion.
+type Request struct {
+	Model               string         `json:"model"`
+	Messages            []Message      `json:"messages"`
+	Stream              bool           `json:"stream"`
+	StreamOptions       *StreamOptions `json:"stream_options,omitempty"`
+	MaxTokens           int            `json:"max_tokens,omitempty"`
+	MaxCompletionTokens int            `json:"max_completion_tokens,omitempty"`
+}
+
+// StreamOptions ask for extra events of a stream.
+type StreamOptions struct {
+	IncludeUsage bool `json:"include_usage"`
+}
+
+// ParseRequest decodes and checks a request.
+func ParseRequest(body []byte) (Request, error) {
+	var r Request
+	if err := json.Unmarshal(body, &r); err != nil {
+		return Request{}, fmt.Errorf("decode request: %w", err)
+	}
+
+	if r.Model == "" {
+		return Request{}, errors.New("model is missing")
+	}
+
+	if len(r.Messages) == 0 {
+		return Request{}, errors.New("messages is empty")
+	}
+
+	if r.MaxTokens < 0 || r.MaxCompletionTokens < 0 {
+		return Request{}, errors.New("max_tokens is negative")
+	}
+
+	return r, nil
+}
+
+// Prompt returns the text that the model engine is given.
+func (r Request) Prompt() string {
+	var b strings.Builder
+
+	for _, m := range r.Messages {
+		b.WriteString(m.Role)
+		b.WriteString(": ")
+		b.WriteString(string(m.Content))
+		b.WriteString("\n")
+	}
+
+	return b.String()
+}
+
+// Limit returns the greatest number of tokens of the answer.
+func (r Request) Limit() int {
+	switch {
+	case r.MaxCompletionTokens > 0:
+		return r.MaxCompletionTokens
+	case r.MaxTokens > 0:
+		return r.MaxTokens
+	default:
+		return DefaultMaxTokens
+	}
+}
--- /dev/null
+++ b/refusal/code.go
@@ -0,0 +1,87 @@
+package refusal
+
+import "net/http"
+
+// Code names one kind of refusal.
+type Code string
+
+// The codes of the table.
+const (
+	BadRequest       Code = "badRequest"
+	Unauthorized     Code = "unauthorized"
+	Forbidden        Code = "forbidden"
+	UnknownModel     Code = "unknownModel"
+	UnknownService   Code = "unknownService"
+	UnknownCall      Code = "unknownCall"
+	UnknownAnswer    Code = "unknownAnswer"
+	BodyTooLarge     Code = "bodyTooLarge"
+	KeyRequired      Code = "keyRequired"
+	KeyReused        Code = "keyReused"
+	KeyExpired       Code = "keyExpired"
+	InProgress       Code = "inProgress"
+	AnswerNotKept    Code = "answerNotKept"
+	DeadlineTooShort Code = "deadlineTooShort"
+	DeadlinePassed   Code = "deadlinePassed"
+	LimitExceeded    Code = "limitExceeded"
+	Overloaded       Code = "overloaded"
+	NoServer         Code = "noServer"
+	ServerRefused    Code = "serverRefused"
+	LogUnavailable   Code = "logUnavailable"
+	OutcomeUnknown   Code = "outcomeUnknown"
+	AnswerLost       Code = "answerLost"
+	NotReady         Code = "notReady"
+	ShuttingDown     Code = "shuttingDown"
+)
+
+// row is what a code stands for.
+type row struct {
+	status int
+	run    Run
+}
+
+var table = map[Code]row{
+	BadRequest:       {http.StatusBadRequest, NotRun},
+	Unauthorized:     {http.StatusUnauthorized, NotRun},
+	Forbidden:        {http.StatusForbidden, NotRun},
+	UnknownModel:     {http.StatusNotFound, NotRun},
+	UnknownService:   {http.StatusNotFound, NotRun},
+	UnknownCall:      {http.StatusNotFound, NotRun},
+	UnknownAnswer:    {http.StatusNotFound, Unknown},
+	BodyTooLarge:     {http.StatusRequestEntityTooLarge, NotRun},
+	KeyRequired:      {http.StatusBadRequest, NotRun},
+	KeyReused:        {http.StatusUnprocessableEntity, NotStarted},
+	KeyExpired:       {http.StatusGone, Unknown},
+	InProgress:       {http.StatusConflict, Unknown},
+	AnswerNotKept:    {http.StatusGone, Ran},
+	DeadlineTooShort: {http.StatusServiceUnavailable, NotRun},
+	DeadlinePassed:   {http.StatusGatewayTimeout, Unknown},
+	LimitExceeded:    {http.StatusTooManyRequests, NotRun},
+	Overloaded:       {http.StatusServiceUnavailable, NotRun},
+	NoServer:         {http.StatusServiceUnavailable, NotRun},
+	ServerRefused:    {http.StatusServiceUnavailable, NotRun},
+	LogUnavailable:   {http.StatusServiceUnavailable, NotStarted},
+	OutcomeUnknown:   {http.StatusBadGateway, Unknown},
+	AnswerLost:       {http.StatusBadGateway, Unknown},
+	NotReady:         {http.StatusServiceUnavailable, NotRun},
+	ShuttingDown:     {http.StatusServiceUnavailable, NotRun},
+}
+
+// Codes returns every code of the table.
+func Codes() []Code {
+	codes := make([]Code, 0, len(table))
+	for code := range table {
+		codes = append(codes, code)
+	}
+
+	return codes
+}
+
+// Status returns the HTTP status that the code travels with.
+func (c Code) Status() int {
+	return table[c].status
+}
+
+// Run returns what the code says of the request unless a refusal says otherwise.
+func (c Code) Run() Run {
+	return table[c].run
+}
