chore(build): install the pinned linter by its version

Cause: as a tool dependency of a module the linter's whole module graph is resolved, and one module of it cannot be had. Change: go install at the pinned version into bin/tools. Measured: make lint passes with 0 issues.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,8 @@
 # Targets: build, lint, test, demo, fuzz, proofs, bench.
 GO ?= go
 BIN := bin
-LINT := $(GO) tool -modfile=tools/go.mod golangci-lint
+LINT_VERSION := v2.15.0
+LINT := $(BIN)/tools/golangci-lint-$(LINT_VERSION)
 
 .PHONY: all build lint fmt test demo bench proofs clean
 
@@ -11,11 +12,16 @@
 	$(GO) build ./...
 	$(GO) build -o $(BIN)/ . ./monsoonleverd ./monsoonlever-standins
 
-lint:
+$(LINT):
+	mkdir -p $(BIN)/tools
+	GOBIN=$(CURDIR)/$(BIN)/tools $(GO) install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
+	mv $(BIN)/tools/golangci-lint $(LINT)
+
+lint: $(LINT)
 	$(LINT) fmt --diff
 	$(LINT) run ./...
 
-fmt:
+fmt: $(LINT)
 	$(LINT) fmt
 
 test:
