--- /dev/null
+++ b/gateway/deadline.go
@@ -0,0 +1,49 @@
+package gateway
+
+import (
+	"net/http"
+	"time"
+
+	"monsoonlever/refusal"
+)
+
+// The headers by which a caller bounds its wait.
+const (
+	// HeaderDeadline holds a point in time, RFC 3339.
+	HeaderDeadline = "X-Deadline"
+	// HeaderTimeout holds a duration such as "2s".
+	HeaderTimeout = "X-Timeout"
+)
+
+// deadline returns the earlier of the caller's bounds, or fallback from now.
+func deadline(h http.Header, now time.Time, fallback time.Duration) (time.Time, *refusal.Refusal) {
+	at := now.Add(fallback)
+	bounded := false
+
+	if text := h.Get(HeaderTimeout); text != "" {
+		d, err := time.ParseDuration(text)
+		if err != nil || d <= 0 {
+			return time.Time{}, refusal.New(refusal.BadRequest, "%s must be a positive duration such as 2s", HeaderTimeout)
+		}
+
+		at = now.Add(d)
+		bounded = true
+	}
+
+	if text := h.Get(HeaderDeadline); text != "" {
+		d, err := time.Parse(time.RFC3339Nano, text)
+		if err != nil {
+			return time.Time{}, refusal.New(refusal.BadRequest, "%s must be a time in RFC 3339", HeaderDeadline)
+		}
+
+		if !bounded || d.Before(at) {
+			at = d
+		}
+	}
+
+	if !at.After(now) {
+		return time.Time{}, refusal.New(refusal.DeadlinePassed, "the deadline has passed").WithRun(refusal.NotRun)
+	}
+
+	return at, nil
+}
--- a/refusal/refusal_test.go
+++ b/refusal/refusal_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http/httptest"
+	"os"
+	"strings"
 	"testing"
 	"time"
 )
@@ -45,3 +48,17 @@
 		t.Errorf("body: got %+v, want %+v", got, want)
 	}
 }
+
+func TestReferencePageHoldsTheTable(t *testing.T) {
+	page, err := os.ReadFile("../docs/errors.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	for _, code := range Codes() {
+		want := fmt.Sprintf("| `%s` | %d | `%s` |", code, code.Status(), code.Run())
+		if !strings.Contains(string(page), want) {
+			t.Errorf("docs/errors.md: got no row %q, want one", want)
+		}
+	}
+}
