--- /dev/null
+++ b/backend/event_decoder.go
@@ -0,0 +1,101 @@
+package backend
+
+import (
+	"bytes"
+	"encoding/json"
+	"unicode/utf8"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// maxOffsetDigits keeps a parsed offset within an int of any size.
+const maxOffsetDigits = 9
+
+var (
+	fieldAttempt = []byte(`{"attempt":"`)
+	fieldOffset  = []byte(`","offset":`)
+	fieldToken   = []byte(`,"token":"`)
+	eventEnd     = []byte(`"}`)
+)
+
+// eventDecoder decodes token events. An event with just a token, in the order
+// of fields that TokenEvent has, costs one allocation; the rest goes by
+// encoding/json.
+type eventDecoder struct {
+	attempt AttemptID
+}
+
+func (d eventDecoder) decode(data []byte) (TokenEvent, error) {
+	if event, ok := d.decodeToken(data); ok {
+		return event, nil
+	}
+
+	var event TokenEvent
+	if err := json.Unmarshal(data, &event); err != nil {
+		return TokenEvent{}, merry.Wrap(ErrGarbledEvent, merry.WithCause(err))
+	}
+
+	if event.Attempt == "" || event.Offset < 0 {
+		return TokenEvent{}, merry.Prepend(ErrGarbledEvent, "event lacks its attempt or offset")
+	}
+
+	return event, nil
+}
+
+func (d eventDecoder) decodeToken(data []byte) (TokenEvent, bool) {
+	rest, ok := bytes.CutPrefix(data, fieldAttempt)
+	if !ok || len(rest) < len(d.attempt) || string(rest[:len(d.attempt)]) != string(d.attempt) {
+		return TokenEvent{}, false
+	}
+
+	rest, ok = bytes.CutPrefix(rest[len(d.attempt):], fieldOffset)
+	if !ok {
+		return TokenEvent{}, false
+	}
+
+	offset, rest, ok := cutOffset(rest)
+	if !ok {
+		return TokenEvent{}, false
+	}
+
+	rest, ok = bytes.CutPrefix(rest, fieldToken)
+	if !ok {
+		return TokenEvent{}, false
+	}
+
+	token, ok := bytes.CutSuffix(rest, eventEnd)
+	if !ok || !isPlainText(token) {
+		return TokenEvent{}, false
+	}
+
+	return TokenEvent{Attempt: d.attempt, Offset: offset, Token: string(token)}, true
+}
+
+func cutOffset(data []byte) (int, []byte, bool) {
+	digits := 0
+	offset := 0
+
+	for digits < len(data) && data[digits] >= '0' && data[digits] <= '9' {
+		offset = offset*10 + int(data[digits]-'0')
+		digits++
+
+		if digits > maxOffsetDigits {
+			return 0, nil, false
+		}
+	}
+
+	leadingZero := digits > 1 && data[0] == '0'
+
+	return offset, data[digits:], digits > 0 && !leadingZero
+}
+
+// isPlainText tells whether a JSON string holds its bytes as they are.
+func isPlainText(s []byte) bool {
+	for _, b := range s {
+		if b < ' ' || b == '"' || b == '\\' {
+			return false
+		}
+	}
+
+	return utf8.Valid(s)
+}
--- /dev/null
+++ b/backend/event_stream.go
@@ -0,0 +1,115 @@
+package backend
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+
+	"github.com/ansel1/merry/v2"
+)
+
+const (
+	streamBufferBytes = 4 << 10
+	maxEventBytes     = 64 << 10
+)
+
+var eventDataField = []byte("data:")
+
+// ErrGarbledEvent means that a stream held something that is not an event.
+var ErrGarbledEvent = errors.New("garbled event in the stream")
+
+// eventStream reads server-sent events. It is for one reader at a time; Close
+// may come from another goroutine.
+type eventStream struct {
+	body    io.ReadCloser
+	reader  *bufio.Reader
+	decoder eventDecoder
+	long    []byte
+	err     error
+}
+
+func newEventStream(body io.ReadCloser, attempt AttemptID) *eventStream {
+	return &eventStream{
+		body:    body,
+		reader:  bufio.NewReaderSize(body, streamBufferBytes),
+		decoder: eventDecoder{attempt: attempt},
+	}
+}
+
+// Next returns the next event; its error, once there is one, stays.
+func (s *eventStream) Next() (TokenEvent, error) {
+	if s.err != nil {
+		return TokenEvent{}, s.err
+	}
+
+	event, err := s.next()
+	if err != nil {
+		s.err = err
+
+		return TokenEvent{}, err
+	}
+
+	if event.Finish != "" {
+		s.err = io.EOF
+	}
+
+	return event, nil
+}
+
+func (s *eventStream) next() (TokenEvent, error) {
+	for {
+		line, err := s.line()
+		if errors.Is(err, io.EOF) {
+			return TokenEvent{}, io.ErrUnexpectedEOF
+		}
+
+		if err != nil {
+			return TokenEvent{}, err
+		}
+
+		if data, ok := bytes.CutPrefix(line, eventDataField); ok {
+			return s.decoder.decode(bytes.TrimSpace(data))
+		}
+	}
+}
+
+// line returns the next line in a buffer that the next call uses again.
+func (s *eventStream) line() ([]byte, error) {
+	line, err := s.reader.ReadSlice('\n')
+	if err == nil {
+		return line, nil
+	}
+
+	s.long = s.long[:0]
+
+	for errors.Is(err, bufio.ErrBufferFull) {
+		s.long = append(s.long, line...)
+		if len(s.long) > maxEventBytes {
+			return nil, merry.Prepend(ErrGarbledEvent, "line is too long")
+		}
+
+		line, err = s.reader.ReadSlice('\n')
+	}
+
+	if errors.Is(err, io.EOF) {
+		return nil, io.EOF
+	}
+
+	if err != nil {
+		return nil, merry.Prepend(err, "read event stream")
+	}
+
+	s.long = append(s.long, line...)
+
+	return s.long, nil
+}
+
+// Close ends the stream; the engine sees the connection end.
+func (s *eventStream) Close() error {
+	if err := s.body.Close(); err != nil {
+		return merry.Prepend(err, "close event stream")
+	}
+
+	return nil
+}
--- /dev/null
+++ b/backend/http_engine.go
@@ -0,0 +1,172 @@
+package backend
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// The wire format of a model engine: JSON messages at these paths, and a
+// server-sent event with a TokenEvent for each token of an answer. An order
+// with an old fence is a 409.
+const (
+	GeneratePath    = "/generate"
+	CancelPath      = "/cancel"
+	ExportPath      = "/kv/export"
+	CacheEventsPath = "/cache-events"
+	OrderPath       = "/order"
+	StatePath       = "/state"
+	AfterParam      = "after"
+	EventStreamType = "text/event-stream"
+)
+
+// ErrNotAStream means that an engine answered a generate call with something
+// other than a stream of events.
+var ErrNotAStream = errors.New("answer is not an event stream")
+
+// CancelRequest asks for the end of one attempt.
+type CancelRequest struct {
+	Attempt AttemptID `json:"attempt"`
+}
+
+// ExportRequest asks for a copy of an attempt's KV cache.
+type ExportRequest struct {
+	Attempt AttemptID `json:"attempt"`
+	Target  string    `json:"target"`
+}
+
+// ExportAnswer names the copy on the target.
+type ExportAnswer struct {
+	KV string `json:"kv"`
+}
+
+// HTTPEngine is a client of a model engine on one backend server.
+type HTTPEngine struct {
+	baseURL string
+	sender  sender
+}
+
+var _ Engine = (*HTTPEngine)(nil)
+
+// NewHTTPEngine returns a client of the engine at host:port.
+func NewHTTPEngine(address string, c *http.Client) *HTTPEngine {
+	return &HTTPEngine{baseURL: "http://" + address, sender: newSender(c)}
+}
+
+// Generate starts an attempt, at most once. The stream ends with ctx.
+func (e *HTTPEngine) Generate(ctx context.Context, r GenerateRequest) (TokenStream, error) {
+	body, err := encode(r)
+	if err != nil {
+		return nil, merry.Wrap(ErrNotSent, merry.WithCause(err))
+	}
+
+	req, err := newRequest(ctx, http.MethodPost, e.baseURL+GeneratePath, body)
+	if err != nil {
+		return nil, merry.Wrap(ErrNotSent, merry.WithCause(err))
+	}
+
+	req.Header.Set("Content-Type", "application/json")
+
+	resp, err := e.sender.send(req)
+	if err != nil {
+		return nil, merry.Prepend(err, "start attempt "+string(r.Attempt))
+	}
+
+	if err := checkStream(resp); err != nil {
+		resp.Body.Close() //nolint:errcheck,gosec // the first error is the one to tell
+
+		return nil, merry.Prepend(err, "start attempt "+string(r.Attempt))
+	}
+
+	return newEventStream(resp.Body, r.Attempt), nil
+}
+
+func checkStream(resp *http.Response) error {
+	if resp.StatusCode != http.StatusOK {
+		return errorOf(resp)
+	}
+
+	if resp.Header.Get("Content-Type") != EventStreamType {
+		return merry.Wrap(ErrNotAStream)
+	}
+
+	return nil
+}
+
+// Cancel ends an attempt; one that has ended already stays as it is.
+func (e *HTTPEngine) Cancel(ctx context.Context, id AttemptID) error {
+	if err := e.post(ctx, CancelPath, CancelRequest{Attempt: id}, nil); err != nil {
+		return merry.Prepend(err, "cancel attempt "+string(id))
+	}
+
+	return nil
+}
+
+// ExportKV copies the KV cache of an attempt to the engine at target.
+func (e *HTTPEngine) ExportKV(ctx context.Context, id AttemptID, target string) (string, error) {
+	var answer ExportAnswer
+	if err := e.post(ctx, ExportPath, ExportRequest{Attempt: id, Target: target}, &answer); err != nil {
+		return "", merry.Prepend(err, "export kv cache of attempt "+string(id))
+	}
+
+	return answer.KV, nil
+}
+
+// Load returns what the engine last said of its load.
+func (e *HTTPEngine) Load(ctx context.Context) (LoadReport, error) {
+	var report LoadReport
+	if err := e.get(ctx, LoadPath, &report); err != nil {
+		return LoadReport{}, merry.Prepend(err, "read load of engine")
+	}
+
+	return report, nil
+}
+
+// CacheEvents returns the cache events after a sequence number.
+func (e *HTTPEngine) CacheEvents(ctx context.Context, after uint64) ([]CacheEvent, error) {
+	path := CacheEventsPath + "?" + AfterParam + "=" + strconv.FormatUint(after, 10)
+
+	var events []CacheEvent
+	if err := e.get(ctx, path, &events); err != nil {
+		return nil, merry.Prepend(err, "read cache events of engine")
+	}
+
+	return events, nil
+}
+
+// Order gives an order. The error wraps ErrOldFence if the engine refused it
+// for its fencing number.
+func (e *HTTPEngine) Order(ctx context.Context, o Order) error {
+	err := e.post(ctx, OrderPath, o, nil)
+	if err == nil {
+		return nil
+	}
+
+	var status *StatusError
+	if errors.As(err, &status) && status.Status() == http.StatusConflict {
+		return merry.Prepend(ErrOldFence, "give order", merry.WithCause(err))
+	}
+
+	return merry.Prepend(err, "give order")
+}
+
+// State returns what the engine holds at present.
+func (e *HTTPEngine) State(ctx context.Context) (EngineState, error) {
+	var state EngineState
+	if err := e.get(ctx, StatePath, &state); err != nil {
+		return EngineState{}, merry.Prepend(err, "read state of engine")
+	}
+
+	return state, nil
+}
+
+func (e *HTTPEngine) get(ctx context.Context, path string, answer any) error {
+	return e.sender.exchange(ctx, http.MethodGet, e.baseURL+path, nil, answer)
+}
+
+func (e *HTTPEngine) post(ctx context.Context, path string, message, answer any) error {
+	return e.sender.exchange(ctx, http.MethodPost, e.baseURL+path, message, answer)
+}
