--- /dev/null
+++ b/backend/prefix.go
@@ -0,0 +1,63 @@
+package backend
+
+import (
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"monsoonlever/fleet"
+)
+
+// PrefixBlockWords is how many words of a prompt an engine caches as one block.
+const PrefixBlockWords = 16
+
+// PrefixHasher hashes the prefixes of a prompt block by block, as engines do
+// for their cache events.
+type PrefixHasher struct {
+	digest xxhash.Digest
+	words  int
+}
+
+// NewPrefixHasher returns a hasher at the start of a prompt for a model.
+func NewPrefixHasher(model fleet.Model) *PrefixHasher {
+	h := &PrefixHasher{}
+	h.digest.Reset()
+	h.write(string(model))
+
+	return h
+}
+
+// Add takes the next word. It returns the hash of all words so far, and true,
+// where the word completes a block.
+func (h *PrefixHasher) Add(word string) (uint64, bool) {
+	h.write(word)
+	h.words++
+
+	if h.words%PrefixBlockWords != 0 {
+		return 0, false
+	}
+
+	return h.digest.Sum64(), true
+}
+
+func (h *PrefixHasher) write(s string) {
+	// A digest never returns an error.
+	_, _ = h.digest.WriteString(s)
+	_, _ = h.digest.Write([]byte{0})
+}
+
+// PrefixHashes returns the hash of each prefix of whole blocks of a prompt, the
+// shortest first. CacheEvent.Prefix is one of them.
+func PrefixHashes(model fleet.Model, prompt string) []uint64 {
+	h := NewPrefixHasher(model)
+
+	var hashes []uint64
+
+	for word := range strings.FieldsSeq(prompt) {
+		if hash, ok := h.Add(word); ok {
+			hashes = append(hashes, hash)
+		}
+	}
+
+	return hashes
+}
