feat(manifest): format, settings and a decoder that reports every finding

Cause: operators steer by one document, and an instance needs a few settings before it can read that document. A file with five faults should be mended in one go.

Change: package document decodes JSON with comments strictly, with file, line and field path of every finding. Package settings reads monsoonleverd's settings, package manifest the operators' document with cross references and the lookups of a request's path. Ruled out: encoding/json behind a comment filter, which stops at the first type error, ignores repeated fields and matches names without their case.

--- /dev/null
+++ b/document/name.go
@@ -0,0 +1,26 @@
+package document
+
+// NameRule says which names IsName accepts.
+const NameRule = "1 to 63 letters, digits, dots, dashes or underscores that start with a letter or digit"
+
+const maxNameLength = 63
+
+// IsName tells whether a name is fit for metrics, paths and logs.
+func IsName(s string) bool {
+	if s == "" || len(s) > maxNameLength || !isAlphanumeric(s[0]) {
+		return false
+	}
+
+	for i := range len(s) {
+		b := s[i]
+		if !isAlphanumeric(b) && b != '-' && b != '_' && b != '.' {
+			return false
+		}
+	}
+
+	return true
+}
+
+func isAlphanumeric(b byte) bool {
+	return b >= 'a' && b <= 'z' || b >= 'A' && b <= 'Z' || b >= '0' && b <= '9'
+}
--- /dev/null
+++ b/document/scanner.go
@@ -0,0 +1,67 @@
+package document
+
+import "bytes"
+
+// scanner counts the nesting of brackets outside strings and comments.
+type scanner struct {
+	data  []byte
+	pos   int
+	depth int
+}
+
+func (s *scanner) deepest() (int, bool) {
+	for s.pos < len(s.data) {
+		switch s.data[s.pos] {
+		case '"':
+			s.skipString()
+		case '/':
+			s.skipComment()
+		case '{', '[':
+			s.depth++
+			if s.depth > MaxDepth {
+				return s.pos, true
+			}
+		case '}', ']':
+			s.depth--
+		}
+
+		s.pos++
+	}
+
+	return 0, false
+}
+
+// skipString leaves the position at the closing quote.
+func (s *scanner) skipString() {
+	for s.pos++; s.pos < len(s.data); s.pos++ {
+		switch s.data[s.pos] {
+		case '\\':
+			s.pos++
+		case '"':
+			return
+		}
+	}
+}
+
+// skipComment leaves the position at the comment's last byte.
+func (s *scanner) skipComment() {
+	rest := s.data[s.pos:]
+
+	switch {
+	case bytes.HasPrefix(rest, []byte("//")):
+		s.skipPast(rest, "\n")
+	case bytes.HasPrefix(rest, []byte("/*")):
+		s.skipPast(rest, "*/")
+	}
+}
+
+func (s *scanner) skipPast(rest []byte, end string) {
+	i := bytes.Index(rest[2:], []byte(end))
+	if i < 0 {
+		s.pos = len(s.data)
+
+		return
+	}
+
+	s.pos += 2 + i + len(end) - 1
+}
--- /dev/null
+++ b/document/syntax.go
@@ -0,0 +1,31 @@
+package document
+
+import (
+	"regexp"
+	"strconv"
+)
+
+// syntaxPlace finds the line in the parser's text; its errors have no fields.
+var syntaxPlace = regexp.MustCompile(`line (\d+)`)
+
+func syntaxLine(err error) int {
+	match := syntaxPlace.FindStringSubmatch(err.Error())
+	if match == nil {
+		return 0
+	}
+
+	line, err := strconv.Atoi(match[1])
+	if err != nil {
+		return 0
+	}
+
+	return line
+}
+
+// tooDeep returns the offset of the first bracket beyond MaxDepth. The parser
+// recurses without a bound of its own.
+func tooDeep(data []byte) (int, bool) {
+	s := scanner{data: data}
+
+	return s.deepest()
+}
--- /dev/null
+++ b/settings/daemon.go
@@ -0,0 +1,67 @@
+package settings
+
+import (
+	"time"
+
+	"monsoonlever/fleet"
+)
+
+const (
+	defaultDeployment        = "default"
+	defaultDrainTimeout      = 25 * time.Second
+	defaultAppendsPerSecond  = 20.0
+	maxAppendsPerSecondShare = 500.0
+)
+
+// Daemon holds the settings of monsoonleverd.
+type Daemon struct {
+	// Deployment keeps the log streams of deployments on one log apart.
+	Deployment string `json:"deployment"`
+	// Instance is unique for the life of the instance; a replacement has another.
+	Instance      fleet.InstanceID    `json:"instance"`
+	Region        fleet.Region        `json:"region"`
+	FailureDomain fleet.FailureDomain `json:"failureDomain"`
+	Listen        Listen              `json:"listen"`
+	// PeerAddress is the host:port at which peers reach this instance.
+	PeerAddress string `json:"peerAddress"`
+	// Seeds are peer addresses to ask for the others; they may be gone.
+	Seeds    []string `json:"seeds"`
+	TLS      *TLS     `json:"tls"`
+	Platform Platform `json:"platform"`
+	Limits   Limits   `json:"limits"`
+	// DrainTimeout bounds a planned stop.
+	DrainTimeout time.Duration `json:"drainTimeout"`
+	// AppendsPerSecond is this instance's share of the log's append budget.
+	AppendsPerSecond float64 `json:"appendsPerSecond"`
+}
+
+func defaultDaemon() Daemon {
+	return Daemon{
+		Deployment:       defaultDeployment,
+		Limits:           defaultLimits(),
+		DrainTimeout:     defaultDrainTimeout,
+		AppendsPerSecond: defaultAppendsPerSecond,
+	}
+}
+
+func (s Daemon) check(c *checker) {
+	c.name("deployment", s.Deployment)
+	c.name("instance", string(s.Instance))
+	c.name("region", string(s.Region))
+	c.name("failureDomain", string(s.FailureDomain))
+	s.Listen.check(c)
+	c.dialAddress("peerAddress", s.PeerAddress)
+	c.seeds("seeds", s.Seeds)
+
+	if s.TLS != nil {
+		s.TLS.check(c)
+	}
+
+	s.Platform.check(c)
+	s.Limits.check(c)
+	c.positive("drainTimeout", s.DrainTimeout)
+
+	if s.AppendsPerSecond <= 0 || s.AppendsPerSecond > maxAppendsPerSecondShare {
+		c.report("appendsPerSecond", "must be above 0 and at most %g", maxAppendsPerSecondShare)
+	}
+}
