feat(routing): table of backend servers with pick and feedback

Entry instances need to choose a backend server from news that lags and disagrees. This adds package window, a lock-free sliding counter, and package routing: Table with Pick, Choice with Sent, Done and Failed, and Tick.

This version is naive on purpose in two places, to show that its properties can fail: each source of "leaving" overwrites the one before, and outliers are ejected without a bound.

--- /dev/null
+++ b/routing/choice.go
@@ -0,0 +1,91 @@
+package routing
+
+import (
+	"time"
+
+	"monsoonlever/fleet"
+)
+
+// Choice is a picked server, by which the caller reports back.
+type Choice struct {
+	server  *server
+	table   *Table
+	address string
+	domain  fleet.FailureDomain
+	prefix  uint64
+	probe   bool
+	hinted  bool
+}
+
+// ID returns the instance that was picked.
+func (c Choice) ID() fleet.InstanceID { return c.server.id }
+
+// Address returns the address of the picked server.
+func (c Choice) Address() string { return c.address }
+
+// Domain returns the failure domain of the picked server.
+func (c Choice) Domain() fleet.FailureDomain { return c.domain }
+
+// Probe tells whether the request tries out an ejected server.
+func (c Choice) Probe() bool { return c.probe }
+
+// Hinted tells whether the server was picked for its cached prefix.
+func (c Choice) Hinted() bool { return c.hinted }
+
+// Leaving tells whether the picked server is known to leave by now.
+func (c Choice) Leaving() bool { return c.server.leaving.Load() }
+
+// Sent counts the request as in flight, right before its first byte is sent.
+// It returns false, and counts nothing, if the server began to leave after it
+// was picked; the request must not be sent to it then.
+func (c Choice) Sent(now time.Time) bool {
+	if !c.server.begin(now) {
+		return false
+	}
+
+	if c.prefix != 0 {
+		c.table.prefixes.hold(now, c.prefix, c.server)
+	}
+
+	return true
+}
+
+// Done ends a request that was answered. The latency of an answer with tokens
+// is compared per token.
+func (c Choice) Done(now time.Time, latency time.Duration, tokens int) {
+	c.server.end(now)
+	c.server.suspect.Store(false)
+
+	perToken := latency / time.Duration(max(1, tokens))
+
+	if c.probe {
+		c.server.interval.probeTime.Store(int64(perToken))
+		c.server.interval.probeDone.Add(1)
+
+		return
+	}
+
+	c.server.interval.latency.Add(int64(perToken))
+	c.server.interval.done.Add(1)
+}
+
+// Failed ends a request that was sent and failed.
+func (c Choice) Failed(now time.Time, kind Failure) {
+	c.server.end(now)
+
+	if kind == FailCancelled {
+		return
+	}
+
+	if kind == FailDial {
+		c.server.suspect.Store(true)
+	}
+
+	if c.probe {
+		c.server.interval.probeFailed.Add(1)
+
+		return
+	}
+
+	c.server.interval.failed.Add(1)
+}
--- /dev/null
+++ b/routing/errors.go
@@ -0,0 +1,6 @@
+package routing
+
+import "github.com/ansel1/merry/v2"
+
+// ErrNoServer means that no server can take the request now.
+var ErrNoServer = merry.New("no backend server for the request")
--- /dev/null
+++ b/routing/key.go
@@ -0,0 +1,29 @@
+package routing
+
+import "monsoonlever/fleet"
+
+// Key names the servers that can take the same requests. A plain service has
+// neither model, version nor role.
+type Key struct {
+	service fleet.Service
+	model   fleet.Model
+	version fleet.ModelVersion
+	role    string
+}
+
+// NewKey returns the key of the servers of a service, model, version and role.
+func NewKey(s fleet.Service, m fleet.Model, v fleet.ModelVersion, role string) Key {
+	return Key{service: s, model: m, version: v, role: role}
+}
+
+// Service returns the service of the key.
+func (k Key) Service() fleet.Service { return k.service }
+
+// Model returns the model of the key, empty for a plain service.
+func (k Key) Model() fleet.Model { return k.model }
+
+// Version returns the model version of the key.
+func (k Key) Version() fleet.ModelVersion { return k.version }
+
+// Role returns the engine role of the key.
+func (k Key) Role() string { return k.role }
--- /dev/null
+++ b/routing/leaving_test.go
@@ -0,0 +1,168 @@
+package routing
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"monsoonlever/backend"
+	"monsoonlever/fleet"
+	"monsoonlever/platform"
+)
+
+// leavingModel is a world in which servers leave, and news of it comes from
+// four sources that lag each on its own.
+type leavingModel struct {
+	table  *Table
+	random *rand.PCG
+	now    time.Time
+	size   int
+	// firstNews holds when the table was first told that a server is leaving.
+	firstNews map[fleet.InstanceID]time.Time
+}
+
+func newLeavingModel(t *rapid.T) *leavingModel {
+	m := &leavingModel{
+		random:    rand.NewPCG(rapid.Uint64().Draw(t, "random"), 0),
+		now:       testStart,
+		size:      rapid.IntRange(1, 9).Draw(t, "size"),
+		firstNews: make(map[fleet.InstanceID]time.Time),
+	}
+	m.table = newTestTable(m.size, 4)
+
+	return m
+}
+
+func (m *leavingModel) drawID(t *rapid.T) fleet.InstanceID {
+	return testID(rapid.IntRange(0, m.size-1).Draw(t, "server"))
+}
+
+func (m *leavingModel) learn(id fleet.InstanceID) {
+	if _, ok := m.firstNews[id]; !ok {
+		m.firstNews[id] = m.now
+	}
+}
+
+func (m *leavingModel) advance(t *rapid.T) {
+	m.now = m.now.Add(time.Duration(rapid.IntRange(1, 20_000).Draw(t, "ms")) * time.Millisecond)
+	m.table.Tick(m.now, m.random)
+}
+
+// list shows any mix of live, leaving and missing, as a list that lags does.
+func (m *leavingModel) list(t *rapid.T) {
+	var listings []platform.Listing
+
+	for i := range m.size {
+		l := testListing(i)
+
+		switch rapid.SampledFrom([]string{"live", "live", "leaving", "missing"}).Draw(t, "state") {
+		case "missing":
+			continue
+		case "leaving":
+			l.State = platform.Leaving
+			m.learn(l.ID)
+		}
+
+		listings = append(listings, l)
+	}
+
+	m.table.UpdateList(m.now, listings)
+}
+
+func (m *leavingModel) report(t *rapid.T) {
+	id := m.drawID(t)
+	age := time.Duration(rapid.IntRange(0, 5000).Draw(t, "age")) * time.Millisecond
+	r := backend.LoadReport{At: m.now.Add(-age), Capacity: 4, Leaving: rapid.Bool().Draw(t, "leaving")}
+
+	if r.Leaving {
+		m.learn(id)
+	}
+
+	m.table.Report(m.now, id, r)
+}
+
+func (m *leavingModel) notice(t *rapid.T) {
+	id := m.drawID(t)
+	source := rapid.SampledFrom([]Source{SourceNotice, SourcePeer}).Draw(t, "source")
+
+	m.learn(id)
+	m.table.Leave(m.now, id, source)
+}
+
+func (m *leavingModel) pick(t *rapid.T) {
+	choice, err := m.table.Pick(m.now, m.random, NewRequest(testKey).WithRepeatable().WithPrefix(7))
+	if err != nil || !choice.Sent(m.now) {
+		return
+	}
+
+	if news, ok := m.firstNews[choice.ID()]; ok {
+		t.Fatalf("%s got a request %v after the first news that it leaves", choice.ID(), m.now.Sub(news))
+	}
+
+	if rapid.Bool().Draw(t, "fails") {
+		choice.Failed(m.now, FailDial)
+	} else {
+		choice.Done(m.now, time.Millisecond, 0)
+	}
+}
+
+func TestHoldsNoNewWorkToLeavingServer(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newLeavingModel(t)
+
+		t.Repeat(map[string]func(*rapid.T){
+			"advance": m.advance,
+			"list":    m.list,
+			"report":  m.report,
+			"notice":  m.notice,
+			"pick":    m.pick,
+		})
+	})
+}
+
+// TestLeavingServerGetsNoRequestWhileListLags measures the time from the first
+// news, a reclaim notice, to the last new request.
+func TestLeavingServerGetsNoRequestWhileListLags(t *testing.T) {
+	const (
+		servers = 9
+		lag     = 30 * time.Second
+		step    = 10 * time.Millisecond
+	)
+
+	table := newTestTable(servers, 4)
+	random := newTestRandom()
+	leaving := testID(3)
+	last := time.Duration(-1)
+
+	table.Leave(testStart, leaving, SourceNotice)
+
+	for at := time.Duration(0); at < 2*lag; at += step {
+		now := testStart.Add(at)
+
+		if at%time.Second == 0 {
+			listings := testListings(servers)
+			if at >= lag {
+				listings[3].State = platform.Leaving
+			}
+
+			table.UpdateList(now, listings)
+		}
+
+		choice, err := table.Pick(now, random, NewRequest(testKey))
+		if err != nil || !choice.Sent(now) {
+			t.Fatalf("no server at %v: %v", at, err)
+		}
+
+		if choice.ID() == leaving {
+			last = at
+		}
+
+		choice.Done(now, time.Millisecond, 0)
+	}
+
+	if last >= 0 {
+		t.Errorf("last new request: got %v after the news, want none", last)
+	}
+}
--- /dev/null
+++ b/routing/pick.go
@@ -0,0 +1,113 @@
+package routing
+
+import "time"
+
+// Pick chooses a server for a request. It returns ErrNoServer if none can take
+// it. The caller reports back by the methods of the Choice.
+func (t *Table) Pick(now time.Time, random Random, r Request) (Choice, error) {
+	s := t.current.Load()
+	if s == nil {
+		return Choice{}, ErrNoServer
+	}
+
+	p := s.pools[r.key]
+	if p == nil {
+		t.counters.noServer.Inc()
+
+		return Choice{}, ErrNoServer
+	}
+
+	if m := p.takeProbe(&r); m != nil {
+		t.counters.picksToProbe.Inc()
+
+		return t.choice(m, &r, true, false), nil
+	}
+
+	best := p.draw(random, &r, s.policy.Choices, &s.tieBreak)
+	if best == nil {
+		return t.pickRarely(p, random, &r)
+	}
+
+	if m := t.hinted(now, s, p, &r, best); m != nil {
+		t.counters.picksByHint.Inc()
+
+		return t.choice(m, &r, false, true), nil
+	}
+
+	t.counters.picksByLoad.Inc()
+
+	return t.choice(best, &r, false, false), nil
+}
+
+// pickRarely serves a request for which no draw could be used: most of the pool
+// is excluded, ejected or leaving.
+func (t *Table) pickRarely(p *pool, random Random, r *Request) (Choice, error) {
+	if m := p.scan(random, r, false); m != nil {
+		t.counters.picksByLoad.Inc()
+
+		return t.choice(m, r, false, false), nil
+	}
+
+	// An ejected server may still answer; no server certainly doesn't.
+	if m := p.scan(random, r, true); m != nil {
+		t.counters.picksLast.Inc()
+
+		return t.choice(m, r, false, false), nil
+	}
+
+	t.counters.noServer.Inc()
+
+	return Choice{}, ErrNoServer
+}
+
+// hinted returns the least loaded server that may hold the prefix of the
+// request, if its load is within the bound.
+func (t *Table) hinted(now time.Time, s *snapshot, p *pool, r *Request, best *member) *member {
+	if r.prefix == 0 {
+		return nil
+	}
+
+	var found *member
+
+	set := t.prefixes.set(r.prefix)
+	for i := range set {
+		e := set[i].Load()
+		if e == nil || e.prefix != r.prefix || now.After(e.until) {
+			continue
+		}
+
+		m := e.server.member.Load()
+		if m == nil || m.spec.key != r.key || m.server.suspect.Load() || !m.usable(r) {
+			continue
+		}
+
+		if found == nil || s.tieBreak.better(m, found) {
+			found = m
+		}
+	}
+
+	if found == nil || found == best {
+		return found
+	}
+
+	bound := s.policy.AffinityBound * (p.state.meanUtilisation() + found.share)
+	if found.utilisation() > max(bound, best.utilisation()) {
+		t.counters.hintOver.Inc()
+
+		return nil
+	}
+
+	return found
+}
+
+func (t *Table) choice(m *member, r *Request, probe, hinted bool) Choice {
+	return Choice{
+		server:  m.server,
+		table:   t,
+		address: m.spec.address,
+		domain:  m.spec.domain,
+		prefix:  r.prefix,
+		probe:   probe,
+		hinted:  hinted,
+	}
+}
--- /dev/null
+++ b/routing/rebuild.go
@@ -0,0 +1,83 @@
+package routing
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// rebuild makes the snapshot anew and forgets servers that are long gone.
+func (t *Table) rebuild(now time.Time) {
+	t.forget(now)
+
+	byKey := make(map[Key][]*member)
+
+	for _, s := range t.servers {
+		m := t.newMember(now, s)
+		s.member.Store(m)
+
+		if m != nil {
+			byKey[m.spec.key] = append(byKey[m.spec.key], m)
+		}
+	}
+
+	pools := make(map[Key]*pool, len(byKey))
+
+	for key, members := range byKey {
+		slices.SortFunc(members, func(a, b *member) int {
+			return cmp.Compare(a.server.id, b.server.id)
+		})
+
+		pools[key] = &pool{
+			members: newSampler(members, func(m *member) float64 { return float64(m.spec.capacity) }),
+			state:   t.state(key),
+		}
+	}
+
+	t.current.Store(&snapshot{pools: pools, policy: t.policy, tieBreak: tieBreak{domain: t.Domain}})
+}
+
+// newMember returns nil for a server that takes no requests.
+func (t *Table) newMember(now time.Time, s *server) *member {
+	if s.leaving.Load() || s.spec.loading || s.spec.address == "" || t.lost(now, s) {
+		return nil
+	}
+
+	spec := s.spec
+	spec.price = t.prices[offerKey{class: spec.class, domain: spec.domain}]
+
+	if spec.capacity <= 0 {
+		spec.capacity = t.policy.DefaultCapacity
+	}
+
+	return &member{server: s, spec: spec, share: 1 / float64(spec.capacity)}
+}
+
+// lost tells whether neither the list nor the server itself says that it lives.
+func (t *Table) lost(now time.Time, s *server) bool {
+	return s.absent && now.Sub(s.heard) > t.policy.ReportGrace
+}
+
+func (t *Table) forget(now time.Time) {
+	for id, s := range t.servers {
+		last := s.listed
+		if s.heard.After(last) {
+			last = s.heard
+		}
+
+		if s.absent && now.Sub(last) > t.policy.ForgetAfter {
+			s.member.Store(nil)
+			delete(t.servers, id)
+		}
+	}
+}
+
+func (t *Table) state(key Key) *poolState {
+	s, ok := t.states[key]
+	if !ok {
+		s = &poolState{}
+		t.states[key] = s
+	}
+
+	return s
+}
--- /dev/null
+++ b/routing/server.go
@@ -0,0 +1,80 @@
+package routing
+
+import (
+	"sync/atomic"
+	"time"
+
+	"monsoonlever/fleet"
+	"monsoonlever/window"
+)
+
+const (
+	sentBucketWidth = 64 * time.Millisecond
+	sentBuckets     = 64
+)
+
+// server is one instance for its lifetime. Snapshots share it, so that what is
+// learnt of it is seen through old snapshots as well.
+type server struct {
+	id fleet.InstanceID
+
+	// The fields below are read and written on the path of a request.
+	leaving  atomic.Bool
+	ejected  atomic.Bool
+	suspect  atomic.Bool
+	inFlight atomic.Int64
+	others   atomic.Int64
+	sent     *window.Counter
+	interval interval
+	// member is the server in the newest snapshot, nil if it takes no requests.
+	member atomic.Pointer[member]
+
+	// The fields below belong to the writers of the table.
+	spec       spec
+	reported   time.Time
+	heard      time.Time
+	listed     time.Time
+	absent     bool
+	cacheEvent uint64
+	outcomes   outcomes
+	health     health
+}
+
+func newServer(id fleet.InstanceID) *server {
+	return &server{id: id, sent: window.NewCounter(sentBucketWidth, sentBuckets)}
+}
+
+// load returns how many requests the server holds: what others had there when
+// it last reported, and what this node has there now.
+func (s *server) load() int64 {
+	return s.others.Load() + s.inFlight.Load()
+}
+
+// applyLoad splits a report into the share of others and that of this node.
+// What this node sent or finished since the report's time is not in it.
+func (s *server) applyLoad(now, at time.Time, total int64) {
+	ownThen := s.inFlight.Load() - s.sent.Since(now, at)
+	s.others.Store(max(0, total-max(0, ownThen)))
+}
+
+// begin counts a request, unless the server is leaving. It counts before it
+// looks, so that who marks the server and then sees no request in flight knows
+// that none follows.
+func (s *server) begin(now time.Time) bool {
+	s.inFlight.Add(1)
+
+	if s.leaving.Load() {
+		s.inFlight.Add(-1)
+
+		return false
+	}
+
+	s.sent.Add(now, 1)
+
+	return true
+}
+
+func (s *server) end(now time.Time) {
+	s.inFlight.Add(-1)
+	s.sent.Add(now, -1)
+}
--- /dev/null
+++ b/routing/spec.go
@@ -0,0 +1,18 @@
+package routing
+
+import (
+	"monsoonlever/fleet"
+	"monsoonlever/platform"
+)
+
+// spec is the slowly changing part of a server; it is replaced as a whole.
+type spec struct {
+	key      Key
+	address  string
+	domain   fleet.FailureDomain
+	class    platform.Class
+	price    float64
+	capacity int
+	// loading is set while the engine can't serve its model yet.
+	loading bool
+}
--- /dev/null
+++ b/routing/table.go
@@ -0,0 +1,57 @@
+package routing
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"monsoonlever/fleet"
+	"monsoonlever/platform"
+)
+
+// Table chooses backend servers. Its exported fields are set before its first
+// use. Pick and the methods of Choice take no lock; the steps that bring news
+// may be called from any goroutine and wait for each other.
+type Table struct {
+	// Domain is the failure domain of this entry instance.
+	Domain fleet.FailureDomain
+	// Policy holds the settings; zero fields stand for defaults.
+	Policy Policy
+	// Metrics receives the counters, unless it is nil.
+	Metrics *metrics.Set
+
+	current  atomic.Pointer[snapshot]
+	prefixes *prefixes
+	counters *counters
+
+	mu      sync.Mutex
+	policy  Policy
+	servers map[fleet.InstanceID]*server
+	states  map[Key]*poolState
+	prices  map[offerKey]float64
+}
+
+type offerKey struct {
+	class  platform.Class
+	domain fleet.FailureDomain
+}
+
+// prepare fills what the zero value lacks. Pick reads none of it before the
+// first snapshot is there.
+func (t *Table) prepare() {
+	if t.servers != nil {
+		return
+	}
+
+	if t.Metrics == nil {
+		t.Metrics = metrics.NewSet()
+	}
+
+	t.policy = t.Policy.withDefaults()
+	t.counters = newCounters(t.Metrics)
+	t.prefixes = newPrefixes(t.policy.PrefixMemory, t.policy.PrefixLifetime)
+	t.servers = make(map[fleet.InstanceID]*server)
+	t.states = make(map[Key]*poolState)
+	t.prices = make(map[offerKey]float64)
+}
--- /dev/null
+++ b/routing/update.go
@@ -0,0 +1,163 @@
+package routing
+
+import (
+	"time"
+
+	"monsoonlever/backend"
+	"monsoonlever/fleet"
+	"monsoonlever/platform"
+)
+
+// UpdateList takes the platform's list of instances in. A server that the list
+// lacks is kept while it reports itself, for the list lags.
+func (t *Table) UpdateList(now time.Time, listings []platform.Listing) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.prepare()
+
+	listed := make(map[fleet.InstanceID]bool, len(listings))
+
+	for _, l := range listings {
+		listed[l.ID] = true
+		t.updateListing(now, l)
+	}
+
+	for id, s := range t.servers {
+		s.absent = !listed[id]
+	}
+
+	t.rebuild(now)
+}
+
+func (t *Table) updateListing(now time.Time, l platform.Listing) {
+	s := t.server(now, l.ID)
+	s.listed = now
+	s.spec.key.service = l.Service
+	s.spec.address = l.Address
+	s.spec.domain = l.Domain
+	s.spec.class = l.Class
+	s.leaving.Store(l.State == platform.Leaving)
+}
+
+// UpdateState takes in what an engine holds. A server whose engine isn't ready
+// gets no request.
+func (t *Table) UpdateState(now time.Time, id fleet.InstanceID, state backend.EngineState) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.prepare()
+
+	s := t.server(now, id)
+	s.heard = now
+
+	next := s.spec
+	next.key.model = state.Model
+	next.key.version = state.Version
+	next.key.role = state.Role
+	next.loading = !state.Ready
+
+	if next != s.spec {
+		s.spec = next
+		t.rebuild(now)
+	}
+}
+
+// UpdateOffers takes the present prices in; the lower price of a class counts.
+func (t *Table) UpdateOffers(now time.Time, offers []platform.Offer) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.prepare()
+
+	clear(t.prices)
+
+	for _, o := range offers {
+		key := offerKey{class: o.Class, domain: o.Domain}
+		if price, ok := t.prices[key]; !ok || o.PricePerHour < price {
+			t.prices[key] = o.PricePerHour
+		}
+	}
+
+	t.rebuild(now)
+}
+
+// Report takes in what a server says of its load. An older report than the
+// last changes no load, but is still believed that the server is leaving.
+func (t *Table) Report(now time.Time, id fleet.InstanceID, r backend.LoadReport) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.prepare()
+
+	s := t.server(now, id)
+	s.heard = now
+
+	s.leaving.Store(r.Leaving)
+
+	if !r.At.After(s.reported) {
+		return
+	}
+
+	s.reported = r.At
+	s.applyLoad(now, r.At, int64(r.Running+r.Waiting))
+
+	if r.Capacity != s.spec.capacity {
+		s.spec.capacity = r.Capacity
+		t.rebuild(now)
+	}
+}
+
+// Leave takes in the news that a server is leaving, whether it is known yet or not.
+func (t *Table) Leave(now time.Time, id fleet.InstanceID, source Source) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.prepare()
+
+	t.leave(t.server(now, id), source)
+	t.rebuild(now)
+}
+
+func (t *Table) leave(s *server, source Source) {
+	if s.leaving.Swap(true) {
+		return
+	}
+
+	t.counters.leaving[source].Inc()
+}
+
+// CacheEvents takes in what entered or left the prefix cache of an engine.
+func (t *Table) CacheEvents(now time.Time, id fleet.InstanceID, events []backend.CacheEvent) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.prepare()
+
+	s := t.server(now, id)
+
+	for _, e := range events {
+		if e.Sequence <= s.cacheEvent {
+			continue
+		}
+
+		if e.Sequence != s.cacheEvent+1 {
+			t.counters.eventGaps.Inc()
+		}
+
+		s.cacheEvent = e.Sequence
+
+		if e.Evicted {
+			t.prefixes.drop(e.Prefix, s)
+		} else {
+			t.prefixes.hold(now, e.Prefix, s)
+		}
+	}
+}
+
+// server returns the server with an id, made if it is new.
+func (t *Table) server(now time.Time, id fleet.InstanceID) *server {
+	s, ok := t.servers[id]
+	if !ok {
+		s = newServer(id)
+		s.listed = now
+		s.absent = true
+		t.servers[id] = s
+	}
+
+	return s
+}
