fix(routing): keep leaving for good and bound ejections

Cause: every source overwrote what an earlier one had said, so a lagging list brought a leaving server back; outliers were ejected without a bound, and a pool that shrank kept all its ejected servers.

Ejections stop at the share of the pool, worst first, and a shrinking pool readmits down to it. A server that can't be dialled and can't be ejected is chosen after all others. Ruled out: ordering the sources by time, for the list carries none.

--- a/routing/outlier.go
+++ b/routing/outlier.go
@@ -43,12 +43,21 @@
 	return outlier{server: s, cause: causeNone}
 }
 
-// ejectOutliers ejects the worst servers.
+// maxEjected returns how many servers of a pool may be ejected at once.
+func (t *Table) maxEjected(p *pool) int {
+	return int(t.policy.MaxEjectedShare * float64(len(p.members.items)))
+}
+
+// ejectOutliers ejects the worst servers, as far as the bound of the pool allows.
 func (t *Table) ejectOutliers(now time.Time, random Random, p *pool, typical typical) {
 	var outliers []outlier
 
+	room := t.maxEjected(p)
+
 	for _, m := range p.members.items {
 		if m.server.ejected.Load() {
+			room--
+
 			continue
 		}
 
@@ -61,14 +70,40 @@
 		return cmp.Or(cmp.Compare(a.cause, b.cause), cmp.Compare(b.excess, a.excess))
 	})
 
-	for _, o := range outliers {
+	room = min(max(room, 0), len(outliers))
+
+	for _, o := range outliers[:room] {
 		t.eject(now, random, o)
 	}
+
+	for _, o := range outliers[room:] {
+		t.counters.overBound.Inc()
+		t.keep(now, random, o)
+	}
+}
+
+// keep leaves an outlier in the pool. One that can't be dialled is chosen after
+// all others until it is tried again.
+func (t *Table) keep(now time.Time, random Random, o outlier) {
+	if o.cause != causeDial {
+		return
+	}
+
+	h := &o.server.health
+
+	switch {
+	case h.suspectUntil.IsZero():
+		h.suspectUntil = now.Add(t.backoff(random, 1))
+	case now.After(h.suspectUntil):
+		h.suspectUntil = time.Time{}
+		o.server.suspect.Store(false)
+	}
 }
 
 func (t *Table) eject(now time.Time, random Random, o outlier) {
 	s := o.server
 	s.ejected.Store(true)
+	s.health.suspectUntil = time.Time{}
 	s.health.ejections++
 	s.health.probeAt = now.Add(t.backoff(random, s.health.ejections))
 
--- a/routing/rebuild.go
+++ b/routing/rebuild.go
@@ -32,11 +32,32 @@
 			members: newSampler(members, func(m *member) float64 { return float64(m.spec.capacity) }),
 			state:   t.state(key),
 		}
+		t.readmitOverBound(now, pools[key])
 	}
 
 	t.current.Store(&snapshot{pools: pools, policy: t.policy, tieBreak: tieBreak{domain: t.Domain}})
 }
 
+// readmitOverBound keeps the bound of ejections where a pool has shrunk: servers
+// whose probe is next are readmitted first.
+func (t *Table) readmitOverBound(now time.Time, p *pool) {
+	var ejected []*server
+
+	for _, m := range p.members.items {
+		if m.server.ejected.Load() {
+			ejected = append(ejected, m.server)
+		}
+	}
+
+	slices.SortStableFunc(ejected, func(a, b *server) int {
+		return a.health.probeAt.Compare(b.health.probeAt)
+	})
+
+	for _, s := range ejected[:max(0, len(ejected)-t.maxEjected(p))] {
+		t.readmit(now, s)
+	}
+}
+
 // newMember returns nil for a server that takes no requests.
 func (t *Table) newMember(now time.Time, s *server) *member {
 	if s.leaving.Load() || s.spec.loading || s.spec.address == "" || t.lost(now, s) {
--- a/routing/update.go
+++ b/routing/update.go
@@ -36,7 +36,10 @@
 	s.spec.address = l.Address
 	s.spec.domain = l.Domain
 	s.spec.class = l.Class
-	s.leaving.Store(l.State == platform.Leaving)
+
+	if l.State == platform.Leaving {
+		t.leave(s, SourceList)
+	}
 }
 
 // UpdateState takes in what an engine holds. A server whose engine isn't ready
@@ -89,7 +92,9 @@
 	s := t.server(now, id)
 	s.heard = now
 
-	s.leaving.Store(r.Leaving)
+	if r.Leaving && t.leave(s, SourceServer) {
+		t.rebuild(now)
+	}
 
 	if !r.At.After(s.reported) {
 		return
@@ -110,16 +115,21 @@
 	defer t.mu.Unlock()
 	t.prepare()
 
-	t.leave(t.server(now, id), source)
-	t.rebuild(now)
+	if t.leave(t.server(now, id), source) {
+		t.rebuild(now)
+	}
 }
 
-func (t *Table) leave(s *server, source Source) {
+// leave marks a server and tells whether that is news. Nothing takes the mark
+// away: what says "live" later may be older, and a replacement has another id.
+func (t *Table) leave(s *server, source Source) bool {
 	if s.leaving.Swap(true) {
-		return
+		return false
 	}
 
 	t.counters.leaving[source].Inc()
+
+	return true
 }
 
 // CacheEvents takes in what entered or left the prefix cache of an engine.
