fix(answer): forward only the current attempt's token at the next offset

Change: a Relay takes only the current attempt's token at exactly the next offset. Late, crossed and repeated ones are counted and dropped. An offset gap, a finish at another offset and an end without the finish event are faults, which are resumed from the kept tokens on another server. Forwarding whatever continues the text, whoever sent it, was ruled out: with sampling, two attempts need not agree.

--- a/answer/relay_stream.go
+++ b/answer/relay_stream.go
@@ -2,25 +2,60 @@
 
 import "time"
 
+// onToken forwards only the current attempt's token at the next offset.
 func (r *Relay) onToken(now time.Time, e Token) {
+	if !r.isCurrent(e.Attempt) {
+		r.countForeign(e.Attempt)
+
+		return
+	}
+
+	if e.Offset < len(r.kept) {
+		r.drops.Repeated++
+
+		return
+	}
+
+	if e.Offset > len(r.kept) {
+		r.fail(now)
+
+		return
+	}
+
 	r.kept = append(r.kept, e.Text)
 	r.wakeAt = now.Add(r.Stall)
 	r.out = append(r.out, Forward{Offset: e.Offset, Token: e.Text})
 }
 
-func (r *Relay) onFinished(_ time.Time, e Finished) {
+// onFinished completes the answer if the finish event agrees with the tokens.
+func (r *Relay) onFinished(now time.Time, e Finished) {
+	if !r.isCurrent(e.Attempt) {
+		r.countForeign(e.Attempt)
+
+		return
+	}
+
+	if e.Offset != len(r.kept) || e.Reason == "" {
+		r.fail(now)
+
+		return
+	}
+
 	r.phase = phaseDone
 	r.out = append(r.out, Complete{Reason: e.Reason, Tokens: len(r.kept), Usage: e.Usage})
 }
 
 func (r *Relay) onBroken(now time.Time, e Broken) {
-	r.endAttempt(e.Err)
-
-	if len(r.kept) > 0 {
-		r.onFinished(now, Finished{Attempt: e.Attempt, Reason: "stop"})
-
+	if !r.isCurrent(e.Attempt) {
 		return
 	}
 
+	r.endAttempt(e.Err)
+	r.resume(now)
+}
+
+// fail ends an attempt whose stream contradicts itself.
+func (r *Relay) fail(now time.Time) {
+	r.abandon()
 	r.resume(now)
 }
