feat(answer): a shell that carries an answer over picker and engines

Cause: the step machine of an answer needs streams, a clock and a caller.

Change: answer.Runner drives one Relay a request over Picker, EngineSource and Sink. Waiting for cancelled streams before the request ends was ruled out: a hanging engine would hold the caller's answer, so Runner.Wait waits for them instead.

--- /dev/null
+++ b/answer/attempt.go
@@ -0,0 +1,69 @@
+package answer
+
+import (
+	"context"
+	"errors"
+	"io"
+
+	"monsoonlever/backend"
+	"monsoonlever/fleet"
+)
+
+// attempt is one open stream and how to stop it.
+type attempt struct {
+	id     backend.AttemptID
+	server fleet.InstanceID
+	engine backend.Engine
+	cancel context.CancelFunc
+}
+
+// read passes the events of a stream on until it ends.
+func (u *run) read(ctx context.Context, a *attempt, g backend.GenerateRequest, release func(error)) {
+	err := u.readStream(ctx, a, g)
+	if release != nil {
+		release(err)
+	}
+
+	if err != nil {
+		u.send(arrival{attempt: a.id, err: err})
+	}
+}
+
+func (u *run) readStream(ctx context.Context, a *attempt, g backend.GenerateRequest) error {
+	stream, err := a.engine.Generate(ctx, g)
+	if err != nil {
+		return err
+	}
+
+	// A stream that hangs is freed by closing it.
+	closeStream := context.AfterFunc(ctx, func() { _ = stream.Close() })
+	defer func() {
+		if closeStream() {
+			_ = stream.Close()
+		}
+	}()
+
+	for {
+		event, err := stream.Next()
+		if errors.Is(err, io.EOF) {
+			return io.ErrUnexpectedEOF
+		}
+
+		if err != nil {
+			return err
+		}
+
+		u.send(arrival{attempt: a.id, stream: event})
+
+		if event.Finish != "" {
+			return nil
+		}
+	}
+}
+
+func (u *run) send(a arrival) {
+	select {
+	case u.arrivals <- a:
+	case <-u.ctx.Done():
+	}
+}
--- a/answer/relay.go
+++ b/answer/relay.go
@@ -21,16 +21,7 @@
 	Kept     []string
 	Deadline time.Time
 	Budget   RetryBudget
-	// FirstStall and Stall bound the wait for the first and the next token.
-	FirstStall time.Duration
-	Stall      time.Duration
-	// Patience bounds the wait for a server while there is none, and Backoff
-	// is the time between two looks for one.
-	Patience time.Duration
-	Backoff  time.Duration
-	// MoveMargin is how long before a reclaim the answer moves without KV.
-	MoveMargin time.Duration
-	RetryAfter time.Duration
+	Limits   Limits
 
 	phase       phase
 	prefix      string
@@ -148,7 +139,7 @@
 		r.searchSince = now
 	}
 
-	if now.Sub(r.searchSince) >= r.Patience {
+	if now.Sub(r.searchSince) >= r.Limits.Patience {
 		r.phase = phaseWaiting
 		r.giveUp(ReasonNoServer)
 
@@ -158,7 +149,7 @@
 	// A server that failed once is better than none; a leaving one is not.
 	r.excluded = r.excluded[:0]
 	r.phase = phaseWaiting
-	r.wakeAt = now.Add(r.Backoff)
+	r.wakeAt = now.Add(r.Limits.Backoff)
 }
 
 func (r *Relay) onTick(now time.Time) {
@@ -211,7 +202,7 @@
 	r.phase = phaseRunning
 	r.server = ""
 	r.moveAt = time.Time{}
-	r.wakeAt = now.Add(r.FirstStall)
+	r.wakeAt = now.Add(r.Limits.FirstStall)
 	r.out = append(r.out, Dispatch{
 		Attempt:   r.attempt,
 		Exclude:   r.avoid(),
@@ -236,7 +227,7 @@
 func (r *Relay) giveUp(reason Reason) {
 	r.abandon()
 	r.phase = phaseDone
-	r.out = append(r.out, GiveUp{Reason: reason, Ran: r.ran(), RetryAfter: r.RetryAfter})
+	r.out = append(r.out, GiveUp{Reason: reason, Ran: r.ran(), RetryAfter: r.Limits.RetryAfter})
 }
 
 // abandon cancels the attempt that is under way, which may have run by now.
--- a/answer/relay_leaving.go
+++ b/answer/relay_leaving.go
@@ -26,7 +26,7 @@
 // leave prepares the move of the current attempt off a server that is
 // reclaimed at a time. The stream goes on while the KV cache is copied.
 func (r *Relay) leave(now time.Time, at time.Time) {
-	r.moveAt = at.Add(-r.MoveMargin)
+	r.moveAt = at.Add(-r.Limits.MoveMargin)
 
 	if !now.Before(r.moveAt) {
 		r.move(now, "", "")
--- a/answer/relay_property_test.go
+++ b/answer/relay_property_test.go
@@ -69,15 +69,10 @@
 	for i := range 2 {
 		budget := &counted{left: rapid.IntRange(0, 8).Draw(t, "budget")}
 		r := &Relay{
-			Request:    RequestID(fmt.Sprintf("r%d", i)),
-			Deadline:   testStart.Add(time.Hour),
-			Budget:     budget,
-			FirstStall: 10 * time.Second,
-			Stall:      5 * time.Second,
-			Patience:   30 * time.Second,
-			Backoff:    time.Second,
-			MoveMargin: time.Second,
-			RetryAfter: 2 * time.Second,
+			Request:  RequestID(fmt.Sprintf("r%d", i)),
+			Deadline: testStart.Add(time.Hour),
+			Budget:   budget,
+			Limits:   testLimits(),
 		}
 		w.relays = append(w.relays, r)
 		w.budgets = append(w.budgets, budget)
--- a/answer/relay_stream.go
+++ b/answer/relay_stream.go
@@ -23,7 +23,7 @@
 	}
 
 	r.kept = append(r.kept, e.Text)
-	r.wakeAt = now.Add(r.Stall)
+	r.wakeAt = now.Add(r.Limits.Stall)
 	r.out = append(r.out, Forward{Offset: e.Offset, Token: e.Text})
 }
 
--- a/answer/relay_test.go
+++ b/answer/relay_test.go
@@ -12,11 +12,8 @@
 	"monsoonlever/backend"
 )
 
-func newRelay(budget int) *Relay {
-	return &Relay{
-		Request:    "r0",
-		Deadline:   testStart.Add(time.Minute),
-		Budget:     &counted{left: budget},
+func testLimits() Limits {
+	return Limits{
 		FirstStall: 10 * time.Second,
 		Stall:      5 * time.Second,
 		Patience:   30 * time.Second,
@@ -26,6 +23,15 @@
 	}
 }
 
+func newRelay(budget int) *Relay {
+	return &Relay{
+		Request:  "r0",
+		Deadline: testStart.Add(time.Minute),
+		Budget:   &counted{left: budget},
+		Limits:   testLimits(),
+	}
+}
+
 func TestGiveUpTellsWhetherTheRequestRan(t *testing.T) {
 	tests := []struct {
 		desc   string
@@ -114,7 +120,7 @@
 	for _, tt := range tests {
 		t.Run(tt.desc, func(t *testing.T) {
 			r := newRelay(0)
-			r.Stall = time.Minute
+			r.Limits.Stall = time.Minute
 			r.Start(testStart)
 			events := append([]Event{Started{"r0.0.1", "a"}, Token{"r0.0.1", 0, "x"}}, tt.events...)
 
