feat(peer): typed messages between entry instances over mutual TLS

Cause: entry instances had no way to reach each other.

Change: peer.Node sends typed messages and calls in length-prefixed msgpack frames over TCP; keys makes and loads the deployment's keys. A certificate binds the instance ID, as decisions use the ID and a replacement may take over an address. Ruled out: binding addresses, and TLS session resumption, which would skip a changed CA.

Conclusion: a remote with a wrong or missing key, another deployment or an ID that its key does not prove is refused, counted and logged once.

--- /dev/null
+++ b/keys/deployment.go
@@ -0,0 +1,142 @@
+package keys
+
+import (
+	"crypto/ed25519"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+)
+
+const (
+	validity = 30 * 24 * time.Hour
+	// startSkew lets an instance with a clock that is behind use a new key.
+	startSkew     = time.Hour
+	serialBits    = 128
+	privateMode   = 0o600
+	publicMode    = 0o644
+	directoryMode = 0o700
+)
+
+// authority is a CA that lives as long as one WriteDeployment.
+type authority struct {
+	certificate *x509.Certificate
+	key         ed25519.PrivateKey
+}
+
+// WriteDeployment makes a CA and one key for each name, and writes ca.pem,
+// NAME.pem and NAME.key to dir. The names are instance IDs. The CA's private
+// key is not kept: another run makes a whole new set.
+func WriteDeployment(dir string, names []string, now time.Time) error {
+	if err := os.MkdirAll(dir, directoryMode); err != nil {
+		return merry.Prepend(err, "make directory of keys")
+	}
+
+	ca, err := newAuthority(now)
+	if err != nil {
+		return err
+	}
+
+	if err := writePEM(filepath.Join(dir, "ca.pem"), "CERTIFICATE", ca.certificate.Raw, publicMode); err != nil {
+		return err
+	}
+
+	for _, name := range names {
+		if err := ca.writeInstance(dir, name, now); err != nil {
+			return merry.Prependf(err, "key of %s", name)
+		}
+	}
+
+	return nil
+}
+
+func newAuthority(now time.Time) (*authority, error) {
+	public, private, err := ed25519.GenerateKey(rand.Reader)
+	if err != nil {
+		return nil, merry.Prepend(err, "make CA key")
+	}
+
+	template, err := newTemplate("monsoonlever demo CA", now)
+	if err != nil {
+		return nil, err
+	}
+
+	template.IsCA = true
+	template.BasicConstraintsValid = true
+	template.KeyUsage = x509.KeyUsageCertSign
+
+	der, err := x509.CreateCertificate(rand.Reader, template, template, public, private)
+	if err != nil {
+		return nil, merry.Prepend(err, "sign CA")
+	}
+
+	certificate, err := x509.ParseCertificate(der)
+	if err != nil {
+		return nil, merry.Prepend(err, "parse CA")
+	}
+
+	return &authority{certificate: certificate, key: private}, nil
+}
+
+func newTemplate(name string, now time.Time) (*x509.Certificate, error) {
+	serial, err := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), serialBits))
+	if err != nil {
+		return nil, merry.Prepend(err, "make serial number")
+	}
+
+	return &x509.Certificate{
+		SerialNumber: serial,
+		Subject:      pkix.Name{CommonName: name},
+		NotBefore:    now.Add(-startSkew),
+		NotAfter:     now.Add(validity),
+	}, nil
+}
+
+// writeInstance signs and writes the key of one instance.
+func (a *authority) writeInstance(dir, name string, now time.Time) error {
+	public, private, err := ed25519.GenerateKey(rand.Reader)
+	if err != nil {
+		return err
+	}
+
+	template, err := newTemplate(name, now)
+	if err != nil {
+		return err
+	}
+
+	template.DNSNames = []string{name}
+	template.KeyUsage = x509.KeyUsageDigitalSignature
+	template.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}
+
+	der, err := x509.CreateCertificate(rand.Reader, template, a.certificate, public, a.key)
+	if err != nil {
+		return err
+	}
+
+	pkcs8, err := x509.MarshalPKCS8PrivateKey(private)
+	if err != nil {
+		return err
+	}
+
+	base := filepath.Join(dir, name)
+	if err := writePEM(base+".pem", "CERTIFICATE", der, publicMode); err != nil {
+		return err
+	}
+
+	return writePEM(base+".key", "PRIVATE KEY", pkcs8, privateMode)
+}
+
+func writePEM(path, block string, der []byte, mode os.FileMode) error {
+	data := pem.EncodeToMemory(&pem.Block{Type: block, Bytes: der})
+	if err := os.WriteFile(path, data, mode); err != nil {
+		return merry.Prepend(err, "write key file")
+	}
+
+	return nil
+}
--- /dev/null
+++ b/peer/handle.go
@@ -0,0 +1,129 @@
+package peer
+
+import (
+	"context"
+	"errors"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+type (
+	messageHandler func(from Sender, body []byte) error
+	callHandler    func(ctx context.Context, from Sender, body []byte) ([]byte, error)
+)
+
+// Handle registers f for messages of a kind, before Run. Messages of one
+// connection are handed over in their order; f must not block.
+func Handle[T any](n *Node, kind Kind, f func(from Sender, msg T)) {
+	if n.handlers == nil {
+		n.handlers = make(map[Kind]messageHandler)
+	}
+
+	n.handlers[kind] = func(from Sender, body []byte) error {
+		var msg T
+		if err := msgpack.Unmarshal(body, &msg); err != nil {
+			return &FrameError{fault: FaultBody, value: uint64(kind)}
+		}
+
+		f(from, msg)
+
+		return nil
+	}
+}
+
+// HandleCall registers f for requests of a kind, before Run. Each request has
+// its own goroutine; beyond a bound of running requests the caller gets an
+// error. An error of f reaches the caller as a RemoteError.
+func HandleCall[Req, Resp any](n *Node, kind Kind, f func(ctx context.Context, from Sender, req Req) (Resp, error)) {
+	if n.serving == nil {
+		n.serving = make(map[Kind]callHandler)
+	}
+
+	n.serving[kind] = func(ctx context.Context, from Sender, body []byte) ([]byte, error) {
+		var req Req
+		if err := msgpack.Unmarshal(body, &req); err != nil {
+			countFault(FaultBody)
+
+			return nil, &FrameError{fault: FaultBody, value: uint64(kind)}
+		}
+
+		resp, err := f(ctx, from, req)
+		if err != nil {
+			return nil, err
+		}
+
+		return msgpack.Marshal(&resp)
+	}
+}
+
+// dispatch hands one frame to its handler or its waiting caller.
+func (n *Node) dispatch(ctx context.Context, c *conn, f frame) error {
+	switch f.form {
+	case formResponse, formFailure:
+		n.calls.answer(c.sender.address, f)
+
+		return nil
+	case formRequest:
+		return n.serve(ctx, c.sender, f)
+	default:
+		handler, ok := n.handlers[f.kind]
+		if !ok {
+			return &FrameError{fault: FaultKind, value: uint64(f.kind)}
+		}
+
+		return handler(c.sender, f.body)
+	}
+}
+
+// serve runs the handler of a request beside the reader.
+func (n *Node) serve(ctx context.Context, from Sender, f frame) error {
+	handler, ok := n.serving[f.kind]
+	if !ok {
+		n.answer(from, failure(f, "no handler"))
+
+		return &FrameError{fault: FaultKind, value: uint64(f.kind)}
+	}
+
+	select {
+	case n.running <- struct{}{}:
+	default:
+		n.answer(from, failure(f, "too many running requests"))
+
+		return nil
+	}
+
+	n.tasks.Go(func() {
+		defer func() { <-n.running }()
+
+		body, err := handler(ctx, from, f.body)
+		if err != nil {
+			n.answer(from, failure(f, err.Error()))
+
+			return
+		}
+
+		n.answer(from, frame{form: formResponse, kind: f.kind, call: f.call, body: body})
+	})
+
+	return nil
+}
+
+// answer queues the answer to a request. Where it does not fit the caller
+// finds its timeout.
+func (n *Node) answer(to Sender, f frame) {
+	if err := n.enqueue(to.Target(), f); err != nil {
+		undeliverable.Inc()
+	}
+}
+
+func failure(request frame, message string) frame {
+	return frame{form: formFailure, kind: request.kind, call: request.call, body: []byte(message)}
+}
+
+// noteFault counts a malformed frame.
+func noteFault(err error) {
+	var fault *FrameError
+	if errors.As(err, &fault) {
+		countFault(fault.fault)
+	}
+}
--- /dev/null
+++ b/peer/node.go
@@ -0,0 +1,407 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/sourcegraph/conc"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"monsoonlever/clock"
+	"monsoonlever/fleet"
+)
+
+const (
+	defaultQueueLength = 256
+	defaultIdleTimeout = 15 * time.Minute
+	defaultCallTimeout = 5 * time.Second
+	// handshakeTimeout bounds dialing, the TLS handshake and both hellos.
+	handshakeTimeout = 5 * time.Second
+	// keepAliveIdle keeps the probes of some hundred idle connections small.
+	keepAliveIdle = 2 * time.Minute
+	// maxRunningCalls bounds the handlers of requests that run at once.
+	maxRunningCalls = 256
+)
+
+// Node sends and receives messages for one instance. The exported fields are
+// set, and handlers registered, before Run.
+type Node struct {
+	// ID names the instance; the certificate must carry it as a DNS name.
+	ID fleet.InstanceID
+	// Incarnation counts the starts of the process on this instance.
+	Incarnation fleet.Incarnation
+	// Domain is the failure domain of the instance.
+	Domain fleet.FailureDomain
+	// Deployment names the deployment; remotes of another are refused.
+	Deployment string
+	// Listen is the host:port to listen on. It is unused with a Listener.
+	Listen string
+	// Listener is taken instead of Listen when it is set; Run closes it.
+	Listener net.Listener
+	// Advertise is the host:port at which remotes reach the node.
+	Advertise string
+	// TLS holds the node's key and the CA, as keys.Files.TLS returns them.
+	TLS *tls.Config
+	// Clock drives backoff, idle time and call timeouts.
+	Clock clock.Clock
+	// Droppable lists the kinds whose oldest message gives way in a full queue.
+	Droppable []Kind
+	// QueueLength bounds each of the two queues to a remote; 0 means 256.
+	QueueLength int
+	// MaxBody bounds the body of a frame in bytes; 0 means DefaultMaxBody.
+	MaxBody int
+	// IdleTimeout closes a connection after this time without a message sent;
+	// 0 means 15 minutes.
+	IdleTimeout time.Duration
+	// CallTimeout bounds a Call; 0 means 5 seconds.
+	CallTimeout time.Duration
+
+	handlers map[Kind]messageHandler
+	serving  map[Kind]callHandler
+	refusals refusalLog
+	calls    pendingCalls
+	running  chan struct{}
+
+	mu      sync.Mutex
+	started bool
+	stopped bool
+	links   map[string]*link
+	conns   map[*conn]struct{}
+	tasks   *conc.WaitGroup
+	ctx     context.Context
+}
+
+// Run listens and serves until ctx ends. It returns once every goroutine of
+// the node has ended.
+func (n *Node) Run(ctx context.Context) error {
+	if n.TLS == nil {
+		return ErrNoTLS
+	}
+
+	listener, err := n.listen(ctx)
+	if err != nil {
+		return merry.Prepend(err, "listen for peers")
+	}
+
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+
+	n.running = make(chan struct{}, maxRunningCalls)
+	tasks := conc.NewWaitGroup()
+	n.begin(ctx, tasks)
+
+	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
+	defer stop()
+
+	err = n.accept(ctx, listener)
+
+	cancel()
+	n.end()
+	tasks.Wait()
+
+	return err
+}
+
+func (n *Node) listen(ctx context.Context) (net.Listener, error) {
+	if n.Listener != nil {
+		return n.Listener, nil
+	}
+
+	var config net.ListenConfig
+	config.KeepAliveConfig = keepAlive()
+
+	return config.Listen(ctx, "tcp", n.Listen)
+}
+
+func keepAlive() net.KeepAliveConfig {
+	return net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: 15 * time.Second, Count: 4}
+}
+
+// begin starts the links of messages that were sent before Run.
+func (n *Node) begin(ctx context.Context, tasks *conc.WaitGroup) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	n.ctx = ctx
+	n.tasks = tasks
+	n.started = true
+
+	for _, l := range n.links {
+		n.startLink(l)
+	}
+}
+
+func (n *Node) startLink(l *link) {
+	ctx := n.ctx
+	n.tasks.Go(func() { l.run(ctx) })
+}
+
+// end closes every connection, so that their readers return.
+func (n *Node) end() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	n.stopped = true
+
+	for c := range n.conns {
+		c.close()
+	}
+}
+
+// accept takes connections until the listener is closed.
+func (n *Node) accept(ctx context.Context, listener net.Listener) error {
+	for {
+		raw, err := listener.Accept()
+		if ctx.Err() != nil {
+			if err == nil {
+				_ = raw.Close()
+			}
+
+			return nil
+		}
+
+		if err != nil {
+			return merry.Prepend(err, "accept peer")
+		}
+
+		n.tasks.Go(func() { n.welcome(ctx, raw) })
+	}
+}
+
+// welcome makes the handshake with a remote that connected, and reads from it.
+func (n *Node) welcome(ctx context.Context, raw net.Conn) {
+	c, err := n.handshake(ctx, tls.Server(raw, n.TLS))
+	if err != nil {
+		n.refuse(raw.RemoteAddr().String(), err)
+		_ = raw.Close()
+
+		return
+	}
+
+	if l := n.link(c.sender.address); l != nil {
+		l.attach(c)
+	}
+
+	n.read(ctx, c)
+}
+
+// dial connects to address and starts to read from it.
+func (n *Node) dial(ctx context.Context, address string) (*conn, error) {
+	dialer := net.Dialer{Timeout: handshakeTimeout, KeepAliveConfig: keepAlive()}
+
+	raw, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, merry.Prepend(err, "dial peer")
+	}
+
+	c, err := n.handshake(ctx, tls.Client(raw, n.TLS))
+	if err != nil {
+		n.refuse(address, err)
+		_ = raw.Close()
+
+		return nil, err
+	}
+
+	connects.Inc()
+	n.tasks.Go(func() { n.read(ctx, c) })
+
+	return c, nil
+}
+
+// handshake makes the TLS handshake and exchanges hellos.
+func (n *Node) handshake(ctx context.Context, t *tls.Conn) (*conn, error) {
+	stop := context.AfterFunc(ctx, func() { _ = t.NetConn().Close() })
+	defer stop()
+
+	// The socket's deadline is kept by the kernel against its own clock.
+	if err := t.SetDeadline(time.Now().Add(handshakeTimeout)); err != nil {
+		return nil, err
+	}
+
+	if err := t.HandshakeContext(ctx); err != nil {
+		return nil, asRefusal(err)
+	}
+
+	f, err := n.helloFrame()
+	if err != nil {
+		return nil, merry.Prepend(err, "encode hello")
+	}
+
+	if _, err := t.Write(appendFrame(nil, f)); err != nil {
+		return nil, asRefusal(err)
+	}
+
+	answer, err := readFrame(t, n.maxBody())
+	if err != nil {
+		return nil, asRefusal(err)
+	}
+
+	sender, err := n.checkHello(answer, t.ConnectionState())
+	if err != nil {
+		return nil, err
+	}
+
+	return n.register(&conn{tls: t, sender: sender})
+}
+
+// register keeps the connection for end to close.
+func (n *Node) register(c *conn) (*conn, error) {
+	if err := c.tls.SetDeadline(time.Time{}); err != nil {
+		return nil, err
+	}
+
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	if n.stopped {
+		return nil, ErrStopped
+	}
+
+	if n.conns == nil {
+		n.conns = make(map[*conn]struct{})
+	}
+
+	n.conns[c] = struct{}{}
+
+	return c, nil
+}
+
+// read hands each frame to its handler until the connection breaks.
+func (n *Node) read(ctx context.Context, c *conn) {
+	defer n.drop(c)
+
+	for ctx.Err() == nil {
+		f, err := readFrame(c.tls, n.maxBody())
+		if err != nil {
+			noteFault(err)
+
+			return
+		}
+
+		receivedFrames.Inc()
+		receivedBytes.Add(f.size())
+		noteFault(n.dispatch(ctx, c, f))
+	}
+}
+
+func (n *Node) drop(c *conn) {
+	c.close()
+	n.mu.Lock()
+	delete(n.conns, c)
+	n.mu.Unlock()
+	n.failCalls(c.sender.address)
+}
+
+// Send queues msg for the target and returns at once.
+func (n *Node) Send(to Target, kind Kind, msg any) error {
+	body, err := msgpack.Marshal(msg)
+	if err != nil {
+		return merry.Prepend(err, "encode message")
+	}
+
+	return n.enqueue(to, frame{form: formMessage, kind: kind, body: body})
+}
+
+func (n *Node) enqueue(to Target, f frame) error {
+	if err := n.checkTarget(to, f); err != nil {
+		return err
+	}
+
+	droppable := f.form == formMessage && slices.Contains(n.Droppable, f.kind)
+
+	for {
+		l := n.link(to.Address)
+		if l == nil {
+			return ErrStopped
+		}
+
+		if c := l.current(); to.ID != "" && c != nil && c.sender.id != to.ID {
+			return &RefusalError{reason: ReasonIdentity}
+		}
+
+		if queued, err := l.enqueue(f, droppable); queued {
+			return err
+		}
+	}
+}
+
+func (n *Node) checkTarget(to Target, f frame) error {
+	if to.Address == "" {
+		return ErrNoAddress
+	}
+
+	if to.Address == n.Advertise || to.ID == n.ID {
+		return ErrSelf
+	}
+
+	if len(f.body) > n.maxBody() {
+		return ErrTooLarge
+	}
+
+	return nil
+}
+
+// link returns the link to address, or nil once the node has stopped.
+func (n *Node) link(address string) *link {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	if n.stopped {
+		return nil
+	}
+
+	if l, ok := n.links[address]; ok {
+		return l
+	}
+
+	if n.links == nil {
+		n.links = make(map[string]*link)
+	}
+
+	l := newLink(n, address)
+	n.links[address] = l
+
+	if n.started {
+		n.startLink(l)
+	}
+
+	return l
+}
+
+func (n *Node) forget(l *link) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	if n.links[l.address] == l {
+		delete(n.links, l.address)
+	}
+}
+
+func (n *Node) queueLength() int {
+	return orDefault(n.QueueLength, defaultQueueLength)
+}
+
+func (n *Node) maxBody() int {
+	return orDefault(n.MaxBody, DefaultMaxBody)
+}
+
+func (n *Node) idleTimeout() time.Duration {
+	return orDefault(n.IdleTimeout, defaultIdleTimeout)
+}
+
+func (n *Node) callTimeout() time.Duration {
+	return orDefault(n.CallTimeout, defaultCallTimeout)
+}
+
+func orDefault[T int | time.Duration](value, otherwise T) T {
+	if value == 0 {
+		return otherwise
+	}
+
+	return value
+}
--- /dev/null
+++ b/peer/queue.go
@@ -0,0 +1,39 @@
+package peer
+
+// queue is a bounded FIFO of frames. It is not safe for concurrent use.
+type queue struct {
+	limit  int
+	frames []frame
+}
+
+// push adds f and reports whether it fitted.
+func (q *queue) push(f frame) bool {
+	if len(q.frames) >= q.limit {
+		return false
+	}
+
+	q.frames = append(q.frames, f)
+
+	return true
+}
+
+// displace adds f and reports whether the oldest frame was dropped for it.
+func (q *queue) displace(f frame) bool {
+	full := len(q.frames) >= q.limit
+	if full {
+		q.frames[0] = frame{}
+		q.frames = q.frames[1:]
+	}
+
+	q.frames = append(q.frames, f)
+
+	return full
+}
+
+// take removes and returns all frames.
+func (q *queue) take() []frame {
+	frames := q.frames
+	q.frames = nil
+
+	return frames
+}
