feat(admission): decide to admit, queue or refuse a request

Cause: an entry instance needs one place that limits client accounts and services before work is spent. Change: Controller with its Config, Ticket and Demand digest. Conclusion: the interface is usable; the policies are not final.

--- /dev/null
+++ b/admission/controller.go
@@ -0,0 +1,270 @@
+package admission
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/ansel1/merry/v2"
+	"github.com/cespare/xxhash/v2"
+
+	"monsoonlever/clock"
+	"monsoonlever/fleet"
+)
+
+// Controller decides on the requests of one entry instance. Its fields are set
+// before the first call of Configure.
+type Controller struct {
+	// Instance is this entry instance.
+	Instance fleet.InstanceID
+	// Sharing sets how limits are shared between the entry instances.
+	Sharing Sharing
+	// Seed makes the jitter of Retry-After repeatable.
+	Seed uint64
+	// Clock and TickEvery drive Run; TickEvery has a default.
+	Clock     clock.Clock
+	TickEvery time.Duration
+	// Metrics is where counters are registered; nil is a set of its own.
+	Metrics *metrics.Set
+
+	// newQueue is replaced in tests that compare policies.
+	newQueue func() queue
+
+	table    atomic.Pointer[table]
+	jitter   jitter
+	counters *counters
+
+	mu     sync.Mutex
+	shares shares
+}
+
+const (
+	defaultTickEvery = 10 * time.Millisecond
+	// rebalanceTicks is how many ticks of Run pass between two rebalances.
+	rebalanceTicks = 10
+)
+
+// ErrConfig is wrapped by the errors of Configure.
+var ErrConfig = merry.Sentinel("admission config is not valid")
+
+// Configure puts limits in force. It may be called again at any time, and
+// keeps what was learned of services and accounts that stay.
+func (c *Controller) Configure(now time.Time, config Config) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	c.prepare(now)
+
+	next := &table{
+		services: make(map[fleet.Service]*service, len(config.Services)),
+		accounts: make(map[fleet.Account]*account, len(config.Accounts)),
+	}
+
+	for _, s := range config.Services {
+		if next.services[s.Service] != nil {
+			return merry.Wrap(ErrConfig, merry.AppendMessagef("service %s is listed twice", s.Service))
+		}
+
+		next.addService(c.serviceFor(s))
+	}
+
+	for _, a := range config.Accounts {
+		if next.accounts[a.Account] != nil {
+			return merry.Wrap(ErrConfig, merry.AppendMessagef("account %s is listed twice", a.Account))
+		}
+
+		next.addAccount(c.accountFor(a))
+	}
+
+	old := c.table.Swap(next)
+	c.withdraw(now, old, next)
+	c.rebalance(now, next)
+
+	return nil
+}
+
+func (c *Controller) prepare(now time.Time) {
+	if c.counters != nil {
+		return
+	}
+
+	if c.Metrics == nil {
+		c.Metrics = metrics.NewSet()
+	}
+
+	if c.newQueue == nil {
+		c.newQueue = newFairQueue
+	}
+
+	c.counters = newCounters(c.Metrics)
+	c.jitter.seed = c.Seed
+	c.shares.start(now, c.Sharing.withDefaults())
+}
+
+func (c *Controller) serviceFor(config ServiceConfig) *service {
+	config = config.withDefaults()
+
+	if t := c.table.Load(); t != nil {
+		if s := t.services[config.Service]; s != nil {
+			s.configure(config)
+
+			return s
+		}
+	}
+
+	s := &service{
+		name:     config.Service,
+		jitter:   &c.jitter,
+		counters: c.counters,
+		queue:    c.newQueue(),
+	}
+	s.configure(config)
+
+	return s
+}
+
+func (c *Controller) accountFor(config AccountConfig) *account {
+	config = config.withDefaults()
+
+	if t := c.table.Load(); t != nil {
+		if a := t.accounts[config.Account]; a != nil {
+			a.limits.Store(&limits{account: config, share: a.limits.Load().share})
+
+			return a
+		}
+	}
+
+	a := &account{name: config.Account, hash: xxhash.Sum64String(string(config.Account))}
+	a.limits.Store(&limits{account: config})
+
+	return a
+}
+
+func (c *Controller) withdraw(now time.Time, old, next *table) {
+	if old == nil {
+		return
+	}
+
+	for _, s := range old.serviceList {
+		if next.services[s.name] == nil {
+			s.withdraw(now)
+		}
+	}
+}
+
+// Admit decides on a request, or queues it.
+func (c *Controller) Admit(now time.Time, r Request) *Ticket {
+	t := &Ticket{request: r, arrived: now, place: noPlace}
+	snapshot := c.table.Load()
+
+	if snapshot == nil || snapshot.services[r.Service] == nil {
+		return c.refuse(t, UnknownService, 0)
+	}
+
+	t.service = snapshot.services[r.Service]
+	t.account = snapshot.accounts[r.Account]
+
+	if t.account == nil {
+		return c.refuse(t, UnknownAccount, 0)
+	}
+
+	if !r.Deadline.IsZero() && !now.Before(r.Deadline) {
+		return c.refuse(t, DeadlineTooShort, 0)
+	}
+
+	if got := t.account.take(now, &t.request); got.reason != NoReason {
+		return c.refuse(t, got.reason, got.wait)
+	}
+
+	if t.service.queued.Load() == 0 && t.service.limiter.acquire() {
+		c.counters.admitted.Inc()
+		t.decision = Decision{Verdict: Admitted}
+
+		return t
+	}
+
+	t.giveUp = t.service.giveUpAt(&t.request)
+	t.service.enqueue(now, t)
+
+	return t
+}
+
+// refuse decides a request that took nothing from its account.
+func (c *Controller) refuse(t *Ticket, r Reason, wait time.Duration) *Ticket {
+	if c.counters != nil {
+		c.counters.refused[r].Inc()
+	}
+
+	t.decision = Decision{Verdict: Refused, Reason: r, RetryAfter: c.jitter.retryAfter(wait)}
+
+	return t
+}
+
+// Finish ends a request that was admitted. Only its first call counts.
+func (c *Controller) Finish(now time.Time, t *Ticket, o Outcome) {
+	if d, final := t.Decision(); !final || d.Verdict != Admitted || !t.finished.CompareAndSwap(false, true) {
+		return
+	}
+
+	t.account.finish(now, &t.request, o)
+	t.service.finish(now, t, o)
+}
+
+// Abandon takes a request whose caller has gone out of the queue. It returns
+// false if the request was decided before; if it was admitted, it must still
+// be finished.
+func (c *Controller) Abandon(now time.Time, t *Ticket) bool {
+	if _, final := t.Decision(); final {
+		return false
+	}
+
+	return t.service.abandon(now, t)
+}
+
+// Tick gives up queued requests whose deadline can no longer be met. Run calls it.
+func (c *Controller) Tick(now time.Time) {
+	snapshot := c.table.Load()
+	if snapshot == nil {
+		return
+	}
+
+	for _, s := range snapshot.serviceList {
+		s.tick(now)
+	}
+}
+
+// SetCapacity bounds the concurrency of a service on this instance by its part
+// of the capacity that backend servers report; zero takes the bound away.
+func (c *Controller) SetCapacity(name fleet.Service, concurrent int) {
+	snapshot := c.table.Load()
+	if snapshot == nil || snapshot.services[name] == nil {
+		return
+	}
+
+	snapshot.services[name].limiter.setCap(concurrent)
+}
+
+// Run ticks until ctx ends.
+func (c *Controller) Run(ctx context.Context) error {
+	every := c.TickEvery
+	if every <= 0 {
+		every = defaultTickEvery
+	}
+
+	for n := 1; ; n++ {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-c.Clock.After(every):
+		}
+
+		now := c.Clock.Now()
+		c.Tick(now)
+
+		if n%rebalanceTicks == 0 {
+			c.Rebalance(now)
+		}
+	}
+}
--- /dev/null
+++ b/admission/deadlineheap.go
@@ -0,0 +1,40 @@
+package admission
+
+// deadlineHeap orders queued tickets by the time at which they are given up.
+type deadlineHeap []*Ticket
+
+// Len returns the number of tickets.
+func (h deadlineHeap) Len() int { return len(h) }
+
+// Less orders by time.
+func (h deadlineHeap) Less(i, j int) bool { return h[i].giveUp.Before(h[j].giveUp) }
+
+// Swap exchanges two tickets.
+func (h deadlineHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].place = i
+	h[j].place = j
+}
+
+// Push appends a *Ticket, for container/heap.
+func (h *deadlineHeap) Push(x any) {
+	t, ok := x.(*Ticket)
+	if !ok {
+		return
+	}
+
+	t.place = len(*h)
+	*h = append(*h, t)
+}
+
+// Pop removes the last ticket, for container/heap.
+func (h *deadlineHeap) Pop() any {
+	old := *h
+	last := len(old) - 1
+	t := old[last]
+	old[last] = nil
+	t.place = noPlace
+	*h = old[:last]
+
+	return t
+}
--- /dev/null
+++ b/admission/reason.go
@@ -0,0 +1,58 @@
+package admission
+
+// Reason tells why a request was refused.
+type Reason int
+
+// The reasons.
+const (
+	// NoReason is the reason of a request that was not refused.
+	NoReason Reason = iota
+	// UnknownService means that no manifest in force names the service.
+	UnknownService
+	// UnknownAccount means that no manifest in force names the client account.
+	UnknownAccount
+	// RequestRate means that the account is over its requests per second.
+	RequestRate
+	// TokenRate means that the account is over its tokens per second.
+	TokenRate
+	// Concurrency means that the account has too many requests in progress.
+	Concurrency
+	// QueueFull means that others with a better right fill the queue.
+	QueueFull
+	// DeadlineTooShort means that the deadline cannot be met.
+	DeadlineTooShort
+	// Abandoned means that the caller stopped waiting.
+	Abandoned
+	// Withdrawn means that the service left the manifest while the request was queued.
+	Withdrawn
+
+	reasonCount
+)
+
+// String returns the name of the reason, in camel case as in snapshots.
+func (r Reason) String() string {
+	switch r {
+	case NoReason:
+		return "none"
+	case UnknownService:
+		return "unknownService"
+	case UnknownAccount:
+		return "unknownAccount"
+	case RequestRate:
+		return "requestRate"
+	case TokenRate:
+		return "tokenRate"
+	case Concurrency:
+		return "concurrency"
+	case QueueFull:
+		return "queueFull"
+	case DeadlineTooShort:
+		return "deadlineTooShort"
+	case Abandoned:
+		return "abandoned"
+	case Withdrawn:
+		return "withdrawn"
+	default:
+		return "unknown"
+	}
+}
--- /dev/null
+++ b/admission/service.go
@@ -0,0 +1,218 @@
+package admission
+
+import (
+	"container/heap"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"monsoonlever/fleet"
+)
+
+// service is the state of one service on this instance.
+type service struct {
+	name    fleet.Service
+	limiter limiter
+	// kinds is replaced as a whole and never changed.
+	kinds atomic.Pointer[map[fleet.CallKind]*kind]
+	// queued lets the path of a request see an empty queue without the lock.
+	queued   atomic.Int64
+	jitter   *jitter
+	counters *counters
+
+	mu        sync.Mutex
+	queue     queue
+	deadlines deadlineHeap
+	withdrawn bool
+}
+
+func (s *service) kind(k fleet.CallKind) *kind {
+	return (*s.kinds.Load())[k]
+}
+
+// configure takes new settings and keeps what was learned.
+func (s *service) configure(c ServiceConfig) {
+	s.limiter.configure(c)
+
+	kinds := make(map[fleet.CallKind]*kind, len(c.Kinds))
+
+	for _, k := range c.Kinds {
+		state := &kind{}
+
+		if old := s.kinds.Load(); old != nil && (*old)[k.Kind] != nil {
+			state = (*old)[k.Kind]
+		}
+
+		state.target.Store(int64(k.Target))
+		kinds[k.Kind] = state
+	}
+
+	s.kinds.Store(&kinds)
+
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.queue.configure(c)
+	s.withdrawn = false
+}
+
+// giveUpAt is the last time at which starting r may still meet its deadline.
+func (s *service) giveUpAt(r *Request) time.Time {
+	if r.Deadline.IsZero() {
+		return time.Time{}
+	}
+
+	k := s.kind(r.Kind)
+	if k == nil {
+		return r.Deadline
+	}
+
+	return r.Deadline.Add(-k.expect())
+}
+
+// enqueue queues t, or refuses it in the same step.
+func (s *service) enqueue(now time.Time, t *Ticket) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	if s.withdrawn {
+		s.refuse(now, t, Withdrawn)
+
+		return
+	}
+
+	if s.tooLate(now, t) {
+		s.refuse(now, t, DeadlineTooShort)
+
+		return
+	}
+
+	s.hold(t)
+
+	for _, out := range s.queue.push(t) {
+		s.letGo(out)
+		s.refuse(now, out, QueueFull)
+	}
+
+	// A slot may have been released since the fast path saw none.
+	s.dispatch(now)
+}
+
+func (s *service) tooLate(now time.Time, t *Ticket) bool {
+	if t.giveUp.IsZero() {
+		return false
+	}
+
+	wait := s.limiter.drain(s.queue.ahead(t) + 1)
+
+	return !now.Add(wait).Before(t.giveUp)
+}
+
+// hold counts t as queued.
+func (s *service) hold(t *Ticket) {
+	t.decided = make(chan struct{})
+	t.queued = true
+	s.queued.Add(1)
+
+	if !t.giveUp.IsZero() {
+		heap.Push(&s.deadlines, t)
+	}
+}
+
+// letGo undoes hold.
+func (s *service) letGo(t *Ticket) {
+	t.queued = false
+	s.queued.Add(-1)
+
+	if t.place != noPlace {
+		heap.Remove(&s.deadlines, t.place)
+	}
+}
+
+// dispatch gives up what is too late and starts what there are slots for.
+func (s *service) dispatch(now time.Time) {
+	s.expire(now)
+
+	for s.queue.size() > 0 && s.limiter.acquire() {
+		t := s.queue.pop()
+		s.letGo(t)
+		s.counters.admitted.Inc()
+		t.decide(Decision{Verdict: Admitted, Waited: now.Sub(t.arrived)})
+	}
+}
+
+// expire refuses every queued request whose deadline can no longer be met.
+func (s *service) expire(now time.Time) {
+	for len(s.deadlines) > 0 && !s.deadlines[0].giveUp.After(now) {
+		t := s.deadlines[0]
+		s.queue.remove(t)
+		s.letGo(t)
+		s.refuse(now, t, DeadlineTooShort)
+	}
+}
+
+// refuse decides t, which is not in the queue.
+func (s *service) refuse(now time.Time, t *Ticket, r Reason) {
+	t.account.giveBack(&t.request)
+	s.counters.refused[r].Inc()
+	t.decide(Decision{
+		Verdict:    Refused,
+		Reason:     r,
+		RetryAfter: s.jitter.retryAfter(s.limiter.drain(float64(s.queue.size() + 1))),
+		Waited:     now.Sub(t.arrived),
+	})
+}
+
+// tick is dispatch for a service that no request has touched for a while.
+func (s *service) tick(now time.Time) {
+	if s.queued.Load() == 0 {
+		return
+	}
+
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.dispatch(now)
+}
+
+// abandon takes t out of the queue; it returns false if t was decided before.
+func (s *service) abandon(now time.Time, t *Ticket) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	if !t.queued {
+		return false
+	}
+
+	s.queue.remove(t)
+	s.letGo(t)
+	s.refuse(now, t, Abandoned)
+
+	return true
+}
+
+// withdraw refuses all that is queued, and all that comes later.
+func (s *service) withdraw(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.withdrawn = true
+
+	for _, t := range s.queue.drainAll() {
+		s.letGo(t)
+		s.refuse(now, t, Withdrawn)
+	}
+}
+
+// finish ends a request that ran.
+func (s *service) finish(now time.Time, t *Ticket, o Outcome) {
+	var target time.Duration
+
+	if k := s.kind(t.request.Kind); k != nil {
+		target = time.Duration(k.target.Load())
+		k.learn(o.Whole)
+	}
+
+	s.limiter.release(now, target, o)
+	s.tick(now)
+}
--- /dev/null
+++ b/admission/sharecontrol.go
@@ -0,0 +1,93 @@
+package admission
+
+import (
+	"time"
+
+	"monsoonlever/fleet"
+)
+
+// Join tells of another entry instance, before or after its first digest.
+func (c *Controller) Join(now time.Time, id fleet.InstanceID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	if id != c.Instance {
+		c.shares.join(now, id)
+	}
+}
+
+// Leave tells that another entry instance has stopped admitting requests: it
+// said so itself, or the platform's list says that it is gone.
+func (c *Controller) Leave(id fleet.InstanceID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	c.shares.leave(id)
+}
+
+// Demand makes the digest to send to the other entry instances. What it
+// returns counts as published.
+func (c *Controller) Demand(now time.Time) Demand {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	snapshot := c.table.Load()
+	if snapshot == nil {
+		return Demand{At: now.UnixMilli()}
+	}
+
+	return c.shares.publish(now, snapshot.accountList)
+}
+
+// ApplyDemand takes the digest of another entry instance. Digests may come
+// late, twice and in any order.
+func (c *Controller) ApplyDemand(now time.Time, from fleet.InstanceID, d Demand) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	if from != c.Instance {
+		c.shares.apply(now, from, d)
+	}
+}
+
+// Rebalance computes this instance's share of every limit. Run calls it.
+func (c *Controller) Rebalance(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	if snapshot := c.table.Load(); snapshot != nil {
+		c.rebalance(now, snapshot)
+	}
+}
+
+func (c *Controller) rebalance(now time.Time, snapshot *table) {
+	c.shares.prepare(now)
+
+	for _, a := range snapshot.accountList {
+		old := a.limits.Load()
+		share := c.shares.of(a.hash)
+
+		if share != old.share {
+			a.limits.Store(&limits{account: old.account, share: share})
+		}
+	}
+}
+
+// Share returns the part of an account's limits that this instance may use.
+func (c *Controller) Share(name fleet.Account) float64 {
+	snapshot := c.table.Load()
+	if snapshot == nil || snapshot.accounts[name] == nil {
+		return 0
+	}
+
+	return snapshot.accounts[name].limits.Load().share
+}
+
+// Ready tells whether this instance holds a share of the limits yet. It does
+// once its first digest has had the time to reach the others.
+func (c *Controller) Ready(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	return c.shares.ready(now)
+}
--- /dev/null
+++ b/admission/sharing.go
@@ -0,0 +1,32 @@
+package admission
+
+import "time"
+
+// Sharing sets how the limits of accounts are shared between entry instances.
+type Sharing struct {
+	// Spread is the longest time a digest or a join normally takes to reach
+	// every member, clock skew included. Zero means that this instance is the
+	// only one.
+	Spread time.Duration
+	// Lapse is how long a silent member is counted, at least Spread.
+	Lapse time.Duration
+	// Floor is the part of each limit that is shared evenly, whatever the demand.
+	Floor float64
+}
+
+const (
+	defaultLapse = 10 * time.Second
+	defaultFloor = 0.1
+)
+
+func (s Sharing) withDefaults() Sharing {
+	if s.Lapse < s.Spread {
+		s.Lapse = max(defaultLapse, s.Spread)
+	}
+
+	if s.Floor <= 0 {
+		s.Floor = defaultFloor
+	}
+
+	return s
+}
