--- a/admission/fairqueue.go
+++ b/admission/fairqueue.go
@@ -11,7 +11,15 @@
 
 func (q *fairQueue) configure(s ServiceConfig) { q.config = s }
 
-func (q *fairQueue) ahead(*Ticket) float64 { return float64(len(q.tickets)) }
+func (q *fairQueue) ahead(t *Ticket) float64 {
+	for i, other := range q.tickets {
+		if other == t {
+			return float64(i)
+		}
+	}
+
+	return float64(len(q.tickets))
+}
 
 func (q *fairQueue) push(t *Ticket) []*Ticket {
 	if len(q.tickets) >= q.config.QueueRequests || q.held >= q.config.QueueBytes {
--- /dev/null
+++ b/admission/queue_holds_test.go
@@ -0,0 +1,274 @@
+package admission
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"monsoonlever/fleet"
+)
+
+// queueModel drives one controller with random steps.
+type queueModel struct {
+	c       *Controller
+	now     time.Time
+	bound   ServiceConfig
+	waiting []*Ticket
+	running []*Ticket
+	refused []*Ticket
+}
+
+func newQueueModel(t *rapid.T) *queueModel {
+	config := testConfig(rapid.IntRange(1, 4).Draw(t, "slots"), rapid.IntRange(1, 12).Draw(t, "queue"))
+	config.Services[0].QueueBytes = int64(rapid.IntRange(100, 1000).Draw(t, "bytes"))
+
+	for i := range 4 {
+		config.Accounts = append(config.Accounts, AccountConfig{Account: modelAccount(i), Weight: float64(i + 1)})
+	}
+
+	return &queueModel{c: newController(t, config), now: start, bound: config.Services[0]}
+}
+
+func modelAccount(i int) fleet.Account {
+	return fleet.Account(fmt.Sprintf("wholesale-%d", i))
+}
+
+func (m *queueModel) arrive(t *rapid.T) {
+	r := Request{
+		Service:  testService,
+		Account:  modelAccount(rapid.IntRange(0, 3).Draw(t, "account")),
+		Kind:     testKind,
+		Priority: fleet.Priority(rapid.IntRange(0, 2).Draw(t, "priority")),
+		Bytes:    int64(rapid.IntRange(0, 400).Draw(t, "size")),
+	}
+
+	if rapid.Bool().Draw(t, "hasDeadline") {
+		r.Deadline = m.now.Add(time.Duration(rapid.IntRange(1, 5000).Draw(t, "deadline")) * time.Millisecond)
+	}
+
+	m.waiting = append(m.waiting, m.c.Admit(m.now, r))
+}
+
+func (m *queueModel) finish(t *rapid.T) {
+	if len(m.running) == 0 {
+		return
+	}
+
+	i := rapid.IntRange(0, len(m.running)-1).Draw(t, "finished")
+	took := time.Duration(rapid.IntRange(1, 3000).Draw(t, "took")) * time.Millisecond
+	m.c.Finish(m.now, m.running[i], Outcome{Latency: took, Whole: took})
+	m.running = append(m.running[:i], m.running[i+1:]...)
+}
+
+func (m *queueModel) abandon(t *rapid.T) {
+	if len(m.waiting) > 0 {
+		m.c.Abandon(m.now, m.waiting[rapid.IntRange(0, len(m.waiting)-1).Draw(t, "abandoned")])
+	}
+}
+
+func (m *queueModel) step(t *rapid.T) {
+	switch rapid.IntRange(0, 6).Draw(t, "step") {
+	case 0, 1, 2:
+		m.arrive(t)
+	case 3:
+		m.finish(t)
+	case 4:
+		m.abandon(t)
+	default:
+		m.now = m.now.Add(time.Duration(rapid.IntRange(1, 500).Draw(t, "pass")) * time.Millisecond)
+	}
+
+	m.c.Tick(m.now)
+	m.sort()
+}
+
+// sort moves decided tickets to where they belong.
+func (m *queueModel) sort() {
+	var waiting []*Ticket
+
+	for _, ticket := range m.waiting {
+		d, final := ticket.Decision()
+
+		switch {
+		case !final:
+			waiting = append(waiting, ticket)
+		case d.Verdict == Admitted:
+			m.running = append(m.running, ticket)
+		default:
+			m.refused = append(m.refused, ticket)
+		}
+	}
+
+	m.waiting = waiting
+}
+
+func TestHoldsBoundedQueue(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newQueueModel(t)
+
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			before := len(m.refused)
+			m.step(t)
+
+			var held int64
+			lowest := fleet.Priority(3)
+
+			for _, ticket := range m.waiting {
+				held += ticket.request.Bytes
+				lowest = min(lowest, ticket.request.Priority)
+			}
+
+			if got, want := len(m.waiting), m.bound.QueueRequests; got > want {
+				t.Fatalf("queued requests: got %d, want at most %d", got, want)
+			}
+
+			if got, want := held, m.bound.QueueBytes; got > want {
+				t.Fatalf("queued bytes: got %d, want at most %d", got, want)
+			}
+
+			if got, want := len(m.running), m.bound.MaxConcurrent; got > want {
+				t.Fatalf("running: got %d, want at most %d", got, want)
+			}
+
+			for _, ticket := range m.refused[before:] {
+				if ticket.decision.Reason == QueueFull && ticket.request.Priority > lowest &&
+					ticket.request.Bytes <= m.bound.QueueBytes {
+					t.Fatalf("shed priority %d while priority %d stays queued", ticket.request.Priority, lowest)
+				}
+			}
+		}
+	})
+}
+
+func TestHoldsRefusalAtOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newQueueModel(t)
+		s := m.c.table.Load().services[testService]
+
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			before := len(m.refused)
+			m.step(t)
+
+			for _, ticket := range m.waiting {
+				if ticket.giveUp.IsZero() {
+					continue
+				}
+
+				begin := m.now.Add(s.limiter.drain(s.queue.ahead(ticket)))
+				if !begin.Before(ticket.giveUp) {
+					t.Fatalf("a request that starts at %v at best and is of no use after %v is not refused",
+						begin.Sub(start), ticket.giveUp.Sub(start))
+				}
+			}
+
+			for _, ticket := range m.refused[before:] {
+				if got := ticket.arrived.Add(ticket.decision.Waited); got.After(m.now) {
+					t.Fatalf("decided at %v, in the future of %v", got, m.now)
+				}
+
+				if ticket.decision.RetryAfter <= 0 {
+					t.Fatalf("refused without a time to come back: %+v", ticket.decision)
+				}
+			}
+		}
+	})
+}
+
+// fairModel counts what each account was served while others waited.
+type fairModel struct {
+	*queueModel
+	weights []float64
+	// served[small][other] counts starts of other while small waited without a gap.
+	served [][]float64
+}
+
+func (m *fairModel) index(t *Ticket) int {
+	for i := range m.weights {
+		if modelAccount(i) == t.request.Account {
+			return i
+		}
+	}
+
+	return -1
+}
+
+func (m *fairModel) waitingOf() []int {
+	counts := make([]int, len(m.weights))
+	for _, ticket := range m.waiting {
+		counts[m.index(ticket)]++
+	}
+
+	return counts
+}
+
+func (m *fairModel) check(t *rapid.T, waited []int, started []*Ticket) {
+	for small := range m.weights {
+		if waited[small] == 0 {
+			clear(m.served[small])
+
+			continue
+		}
+
+		for _, ticket := range started {
+			m.served[small][m.index(ticket)]++
+		}
+
+		for other := range m.weights {
+			got := m.served[small][small] / m.weights[small]
+			slack := 1/m.weights[small] + 1/m.weights[other]
+
+			if want := m.served[small][other]/m.weights[other] - slack; got < want-1e-9 {
+				t.Fatalf("account %d was served %.2f by weight, want at least %.2f as account %d had more",
+					small, got, want, other)
+			}
+		}
+	}
+}
+
+func TestHoldsSmallAccountShare(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		accounts := rapid.IntRange(2, 5).Draw(t, "accounts")
+		slots := rapid.IntRange(1, 3).Draw(t, "slots")
+		config := testConfig(slots, rapid.IntRange(accounts, 20).Draw(t, "queue"))
+		m := &fairModel{}
+
+		for i := range accounts {
+			weight := float64(rapid.IntRange(1, 4).Draw(t, "weight"))
+			config.Accounts = append(config.Accounts, AccountConfig{Account: modelAccount(i), Weight: weight})
+			m.weights = append(m.weights, weight)
+			m.served = append(m.served, make([]float64, accounts))
+		}
+
+		m.queueModel = &queueModel{c: newController(t, config), now: start, bound: config.Services[0]}
+
+		for range rapid.IntRange(1, 150).Draw(t, "steps") {
+			waited := m.waitingOf()
+			before := len(m.running)
+
+			if rapid.IntRange(0, 2).Draw(t, "step") == 0 {
+				before = max(before-1, 0)
+				m.finish(t)
+			} else {
+				// Most requests are of account 0, the large one.
+				account := max(0, rapid.IntRange(-4, accounts-1).Draw(t, "account"))
+				m.waiting = append(m.waiting, m.c.Admit(m.now, Request{
+					Service: testService, Account: modelAccount(account), Kind: testKind,
+				}))
+			}
+
+			m.now = m.now.Add(time.Millisecond)
+			refused := len(m.refused)
+			m.sort()
+			m.check(t, waited, m.running[before:])
+
+			for _, ticket := range m.refused[refused:] {
+				i := m.index(ticket)
+				if got, fair := waited[i], m.bound.QueueRequests/accounts; i > 0 && m.weights[i] >= m.weights[0] && got < fair-1 {
+					t.Fatalf("account %d was shed with %d queued, its fair part is %d", i, got, fair)
+				}
+			}
+		}
+	})
+}
--- /dev/null
+++ b/admission/shares_holds_test.go
@@ -0,0 +1,214 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"monsoonlever/fleet"
+)
+
+const (
+	modelStep   = 100 * time.Millisecond
+	modelSpread = time.Second
+	modelLapse  = 5 * time.Second
+	modelSkew   = 50 * time.Millisecond
+	modelLimit  = 100
+)
+
+// modelMember is one entry instance of the model.
+type modelMember struct {
+	c       *Controller
+	id      fleet.InstanceID
+	skew    time.Duration
+	dead    bool
+	paused  time.Time
+	side    int
+	reached []time.Time
+}
+
+// inFlight is a digest or, with join set, the news of a member.
+type inFlight struct {
+	at       time.Time
+	from, to int
+	digest   Demand
+	join     bool
+}
+
+// shareModel is a set of entry instances whose digests are delayed, lost,
+// repeated and reordered.
+type shareModel struct {
+	now      time.Time
+	members  []*modelMember
+	messages []inFlight
+	cut      bool
+}
+
+func (m *shareModel) add(t *rapid.T) {
+	i := len(m.members)
+	skew := time.Duration(rapid.Int64Range(-int64(modelSkew), int64(modelSkew)).Draw(t, "skew"))
+	c := &Controller{
+		Instance: fleet.InstanceID(rune('a' + i)),
+		Sharing:  Sharing{Spread: modelSpread, Lapse: modelLapse},
+	}
+	config := testConfig(1000, 1, AccountConfig{Account: testAccount, RequestsPerSecond: modelLimit})
+
+	if err := c.Configure(m.now.Add(skew), config); err != nil {
+		t.Fatalf("configure: %v", err)
+	}
+
+	member := &modelMember{c: c, id: c.Instance, skew: skew, side: rapid.IntRange(0, 1).Draw(t, "side")}
+	m.members = append(m.members, member)
+
+	for j := range m.members {
+		for _, other := range []int{i, j} {
+			m.members[other].reached = append(m.members[other].reached, m.now)
+		}
+
+		if j != i {
+			delay := time.Duration(rapid.IntRange(0, 8).Draw(t, "joinDelay")) * modelStep
+			m.messages = append(m.messages,
+				inFlight{at: m.now.Add(delay), from: i, to: j, join: true},
+				inFlight{at: m.now, from: j, to: i, join: true})
+		}
+	}
+}
+
+func (m *shareModel) load(t *rapid.T) {
+	for _, member := range m.members {
+		for range rapid.IntRange(0, 12).Draw(t, "offered") {
+			member.c.Finish(m.now.Add(member.skew), member.c.Admit(m.now.Add(member.skew), testRequest()), Outcome{})
+		}
+	}
+}
+
+func (m *shareModel) publish(t *rapid.T) {
+	for i, member := range m.members {
+		if member.dead || m.now.Before(member.paused) || rapid.IntRange(0, 2).Draw(t, "publishes") > 0 {
+			continue
+		}
+
+		digest := member.c.Demand(m.now.Add(member.skew))
+
+		for j := range m.members {
+			m.send(t, i, j, digest)
+		}
+	}
+}
+
+func (m *shareModel) send(t *rapid.T, from, to int, digest Demand) {
+	if from == to || (m.cut && m.members[from].side != m.members[to].side) {
+		return
+	}
+
+	reached := &m.members[from].reached[to]
+	delay := time.Duration(rapid.IntRange(0, 15).Draw(t, "delay")) * modelStep
+
+	// A loss that lasts is a cut, which is drawn apart.
+	if m.now.Sub(*reached) < modelLapse/2 && rapid.IntRange(0, 3).Draw(t, "lost") == 0 {
+		return
+	}
+
+	*reached = m.now
+	for range rapid.IntRange(1, 2).Draw(t, "copies") {
+		m.messages = append(m.messages, inFlight{at: m.now.Add(delay), from: from, to: to, digest: digest})
+	}
+}
+
+func (m *shareModel) deliver() {
+	var kept []inFlight
+
+	for _, msg := range m.messages {
+		if msg.at.After(m.now) {
+			kept = append(kept, msg)
+
+			continue
+		}
+
+		to, from := m.members[msg.to], m.members[msg.from]
+
+		switch {
+		case to.dead:
+		case msg.join:
+			to.c.Join(m.now.Add(to.skew), from.id)
+		default:
+			to.c.ApplyDemand(m.now.Add(to.skew), from.id, msg.digest)
+		}
+	}
+
+	m.messages = kept
+}
+
+func (m *shareModel) upset(t *rapid.T) {
+	member := m.members[rapid.IntRange(0, len(m.members)-1).Draw(t, "upset")]
+
+	switch rapid.IntRange(0, 30).Draw(t, "fault") {
+	case 0:
+		member.dead = true
+	case 1, 2:
+		member.paused = m.now.Add(time.Duration(rapid.IntRange(1, 20).Draw(t, "pause")) * modelStep)
+	case 3:
+		if len(m.members) < 8 {
+			m.add(t)
+		}
+	}
+}
+
+// total is the part of the limit that all living instances hold together.
+func (m *shareModel) total() float64 {
+	sum := 0.0
+
+	for _, member := range m.members {
+		if member.dead {
+			continue
+		}
+
+		if !m.now.Before(member.paused) {
+			member.c.Rebalance(m.now.Add(member.skew))
+		}
+
+		sum += member.c.Share(testAccount)
+	}
+
+	return sum
+}
+
+func (m *shareModel) step(t *rapid.T) {
+	m.now = m.now.Add(modelStep)
+	m.deliver()
+	m.load(t)
+	m.publish(t)
+}
+
+func TestHoldsAccountLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &shareModel{now: start}
+		for range rapid.IntRange(1, 5).Draw(t, "members") {
+			m.add(t)
+		}
+
+		cutAt := -1
+		if rapid.Bool().Draw(t, "isCut") {
+			cutAt = rapid.IntRange(20, 40).Draw(t, "cutAt")
+		}
+
+		want := 1.0
+
+		for i := range 120 {
+			if i == cutAt {
+				m.cut, want = true, 1.5
+			}
+
+			m.step(t)
+
+			if !m.cut {
+				m.upset(t)
+			}
+
+			if got := m.total(); got > want+1e-6 {
+				t.Fatalf("after %v the instances hold %.3f of the limit, want at most %.1f", m.now.Sub(start), got, want)
+			}
+		}
+	})
+}
