--- /dev/null
+++ b/monsoonlever-standins/plain.go
@@ -0,0 +1,28 @@
+package main
+
+import (
+	"context"
+	"time"
+
+	"monsoonlever/clock"
+	"monsoonlever/standin"
+)
+
+// plainCommand runs a plain service.
+type plainCommand struct {
+	listening
+	membership
+
+	ServiceTime time.Duration `help:"Time that a call runs." default:"2ms"`
+}
+
+// Run serves until ctx ends or the service is killed.
+func (c *plainCommand) Run(ctx context.Context) error {
+	p := standin.NewPlainService(clock.System{})
+	p.ServiceTime = c.ServiceTime
+	p.Slots = c.Slots
+	p.Queue = c.Queue
+	p.LoadLag = c.LoadLag
+
+	return c.serve(ctx, c.listening, p.Handler(), p.Faults)
+}
