--- a/standin/engine_kv.go
+++ b/standin/engine_kv.go
@@ -58,6 +58,10 @@
 		return err
 	}
 
+	if e.Faults.LosesAnswer() {
+		return merry.Wrap(ErrNoAnswer)
+	}
+
 	return writeMessage(w, backend.ExportAnswer{KV: name})
 }
 
--- a/standin/faults.go
+++ b/standin/faults.go
@@ -110,6 +110,8 @@
 func (f *Faults) kill() {
 	f.mu.Lock()
 	f.killed = true
+	f.frozen = period{}
+	f.wake()
 	f.mu.Unlock()
 
 	if f.OnKill != nil {
@@ -125,7 +127,11 @@
 	f.streams = nil
 	f.leaving = false
 	f.refuses = false
+	f.wake()
+}
 
+// wake lets those who wait look again whether they still have to.
+func (f *Faults) wake() {
 	close(f.thawed)
 	f.thawed = make(chan struct{})
 }
--- a/standin/server.go
+++ b/standin/server.go
@@ -20,6 +20,7 @@
 type Server struct {
 	listener net.Listener
 	http     *http.Server
+	serving  conc.WaitGroup
 }
 
 // NewServer returns a server that the Kill fault of f kills; f may be nil.
@@ -36,6 +37,26 @@
 	return s
 }
 
+// StartServer serves on a free port of the loopback until Kill; Wait returns
+// once it has ended.
+func StartServer(h http.Handler, f *Faults) (*Server, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0") //nolint:noctx // nothing is to be resolved
+	if err != nil {
+		return nil, merry.Prepend(err, "listen")
+	}
+
+	s := NewServer(l, h, f)
+	// Serve returns when the server is killed, and only then.
+	s.serving.Go(func() { _ = s.http.Serve(l) })
+
+	return s, nil
+}
+
+// Wait returns once a started server has ended.
+func (s *Server) Wait() {
+	s.serving.Wait()
+}
+
 // Address returns the host:port that is listened on.
 func (s *Server) Address() string {
 	return s.listener.Addr().String()
