refactor(httpclient): one place that sends at most once

Cause: platform and backend each told a failed dial apart and read statuses. Change: package httpclient does both; the ports' clients keep the wire format and turn its errors into their own. Reads go out without a body, so that the transport may repeat them. An engine whose load failed loads again with the next order.

--- a/backend/http_engine.go
+++ b/backend/http_engine.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"net/http"
 	"strconv"
 
 	"github.com/ansel1/merry/v2"
+
+	"monsoonlever/httpclient"
 )
 
 // The wire format of a model engine: JSON messages at these paths, and a
@@ -45,34 +48,28 @@
 
 // HTTPEngine is a client of a model engine on one backend server.
 type HTTPEngine struct {
-	baseURL string
-	sender  sender
+	client *httpclient.Client
 }
 
 var _ Engine = (*HTTPEngine)(nil)
 
 // NewHTTPEngine returns a client of the engine at host:port.
 func NewHTTPEngine(address string, c *http.Client) *HTTPEngine {
-	return &HTTPEngine{baseURL: "http://" + address, sender: newSender(c)}
+	return &HTTPEngine{client: httpclient.New("http://"+address, c)}
 }
 
 // Generate starts an attempt, at most once. The stream ends with ctx.
 func (e *HTTPEngine) Generate(ctx context.Context, r GenerateRequest) (TokenStream, error) {
-	body, err := encode(r)
-	if err != nil {
-		return nil, merry.Wrap(ErrNotSent, merry.WithCause(err))
-	}
-
-	req, err := newRequest(ctx, http.MethodPost, e.baseURL+GeneratePath, body)
+	body, err := json.Marshal(r)
 	if err != nil {
 		return nil, merry.Wrap(ErrNotSent, merry.WithCause(err))
 	}
 
-	req.Header.Set("Content-Type", "application/json")
+	header := http.Header{"Content-Type": {"application/json"}}
 
-	resp, err := e.sender.send(req)
+	resp, err := e.client.Send(ctx, http.MethodPost, GeneratePath, header, body)
 	if err != nil {
-		return nil, merry.Prepend(err, "start attempt "+string(r.Attempt))
+		return nil, merry.Prepend(outcomeOf(err), "start attempt "+string(r.Attempt))
 	}
 
 	if err := checkStream(resp); err != nil {
@@ -86,7 +83,7 @@
 
 func checkStream(resp *http.Response) error {
 	if resp.StatusCode != http.StatusOK {
-		return errorOf(resp)
+		return outcomeOf(httpclient.NewStatusError(resp))
 	}
 
 	if resp.Header.Get("Content-Type") != EventStreamType {
@@ -145,7 +142,7 @@
 		return nil
 	}
 
-	var status *StatusError
+	var status *httpclient.StatusError
 	if errors.As(err, &status) && status.Status() == http.StatusConflict {
 		return merry.Prepend(ErrOldFence, "give order", merry.WithCause(err))
 	}
@@ -164,9 +161,9 @@
 }
 
 func (e *HTTPEngine) get(ctx context.Context, path string, answer any) error {
-	return e.sender.exchange(ctx, http.MethodGet, e.baseURL+path, nil, answer)
+	return outcomeOf(e.client.Get(ctx, path, answer))
 }
 
 func (e *HTTPEngine) post(ctx context.Context, path string, message, answer any) error {
-	return e.sender.exchange(ctx, http.MethodPost, e.baseURL+path, message, answer)
+	return outcomeOf(e.client.Post(ctx, path, message, answer))
 }
--- /dev/null
+++ b/backend/outcome.go
@@ -0,0 +1,41 @@
+package backend
+
+import (
+	"errors"
+	"net/http"
+
+	"github.com/ansel1/merry/v2"
+
+	"monsoonlever/httpclient"
+)
+
+const (
+	// ExecutionHeader tells on a 503 or 429 whether the call was started.
+	ExecutionHeader = "X-Execution"
+	// ExecutionNotStarted is its value for a call that was refused before it ran.
+	ExecutionNotStarted = "not-started"
+)
+
+// outcomeOf turns an error of the HTTP client into one of the port's: it wraps
+// ErrNotSent, or ErrRefused only where the backend server said that it did not
+// start.
+func outcomeOf(err error) error {
+	if errors.Is(err, httpclient.ErrNotSent) {
+		return merry.Wrap(ErrNotSent, merry.WithCause(err))
+	}
+
+	var status *httpclient.StatusError
+	if errors.As(err, &status) && isNotStarted(status.Status(), status.Header(ExecutionHeader)) {
+		return merry.Wrap(ErrRefused, merry.WithCause(err))
+	}
+
+	return err
+}
+
+func isNotStarted(status int, execution string) bool {
+	if execution != ExecutionNotStarted {
+		return false
+	}
+
+	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
+}
--- /dev/null
+++ b/httpclient/client.go
@@ -0,0 +1,162 @@
+package httpclient
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+
+	"github.com/ansel1/merry/v2"
+)
+
+const maxAnswerBytes = 64 << 20
+
+var (
+	// ErrNotSent means that no byte of the request left this process.
+	ErrNotSent = errors.New("request was not sent")
+	// ErrAnswerTooLarge means that an answer was longer than its bound.
+	ErrAnswerTooLarge = errors.New("answer is too large")
+)
+
+// Client sends requests to one server.
+type Client struct {
+	baseURL string
+	client  http.Client
+}
+
+// New returns a client of the server at a base URL. It works on a copy of c,
+// which follows no redirect.
+func New(baseURL string, c *http.Client) *Client {
+	client := &Client{baseURL: baseURL, client: *c}
+	client.client.CheckRedirect = func(*http.Request, []*http.Request) error {
+		return http.ErrUseLastResponse
+	}
+
+	return client
+}
+
+// Send sends a request at most once, with whatever status it is answered.
+func (c *Client) Send(
+	ctx context.Context, method, path string, header http.Header, body []byte,
+) (*http.Response, error) {
+	// Without GetBody the transport has no second body to send.
+	once := io.NopCloser(bytes.NewReader(body))
+
+	req, err := http.NewRequestWithContext(ctx, method, c.baseURL+path, once)
+	if err != nil {
+		return nil, merry.Wrap(ErrNotSent, merry.WithCause(err))
+	}
+
+	req.ContentLength = int64(len(body))
+
+	if header != nil {
+		req.Header = header
+	}
+
+	return c.do(req)
+}
+
+// Get decodes the answer to a request that may be sent again.
+func (c *Client) Get(ctx context.Context, path string, answer any) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.baseURL+path, nil)
+	if err != nil {
+		return merry.Wrap(ErrNotSent, merry.WithCause(err))
+	}
+
+	resp, err := c.do(req)
+	if err != nil {
+		return err
+	}
+
+	return decode(resp, answer)
+}
+
+// Post sends a message at most once, and decodes the answer if one is wanted.
+func (c *Client) Post(ctx context.Context, path string, message, answer any) error {
+	body, err := json.Marshal(message)
+	if err != nil {
+		return merry.Wrap(ErrNotSent, merry.WithCause(err))
+	}
+
+	return c.PostBytes(ctx, path, body, answer)
+}
+
+// PostBytes is Post with a body that is encoded already.
+func (c *Client) PostBytes(ctx context.Context, path string, body []byte, answer any) error {
+	resp, err := c.Send(ctx, http.MethodPost, path, nil, body)
+	if err != nil {
+		return err
+	}
+
+	return decode(resp, answer)
+}
+
+func (c *Client) do(req *http.Request) (*http.Response, error) {
+	var connected atomic.Bool
+
+	trace := &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	}
+
+	resp, err := c.client.Do(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
+	if err == nil {
+		return resp, nil
+	}
+
+	// Both signs are asked for: a round tripper of another make may not run the
+	// hooks, and a dial may fail after an earlier connection was written to.
+	if isDialError(err) && !connected.Load() {
+		return nil, merry.Wrap(ErrNotSent, merry.WithCause(err))
+	}
+
+	return nil, merry.Wrap(err)
+}
+
+func isDialError(err error) bool {
+	var op *net.OpError
+
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+// decode reads an answer to its end and closes it.
+func decode(resp *http.Response, answer any) error {
+	defer resp.Body.Close() //nolint:errcheck // nothing is left to be read
+
+	if resp.StatusCode >= http.StatusMultipleChoices {
+		return merry.Wrap(NewStatusError(resp))
+	}
+
+	body, err := ReadBody(resp.Body, maxAnswerBytes)
+	if err != nil {
+		return merry.Prepend(err, "read answer")
+	}
+
+	if answer == nil {
+		return nil
+	}
+
+	if err := json.Unmarshal(body, answer); err != nil {
+		return merry.Prepend(err, "decode answer")
+	}
+
+	return nil
+}
+
+// ReadBody reads up to limit bytes, and fails if there are more.
+func ReadBody(r io.Reader, limit int) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(r, int64(limit)+1))
+	if err != nil {
+		return nil, merry.Wrap(err)
+	}
+
+	if len(body) > limit {
+		return nil, merry.Wrap(ErrAnswerTooLarge)
+	}
+
+	return body, nil
+}
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -65,6 +65,7 @@
 	mu       sync.Mutex
 	state    backend.EngineState
 	changes  int
+	loading  bool
 	attempts *bounded[backend.AttemptID, *attempt]
 	kvs      *bounded[string, kvCache]
 }
--- a/standin/engine_order.go
+++ b/standin/engine_order.go
@@ -45,7 +45,8 @@
 	e.state.Adapter = o.Adapter
 	e.state.Role = o.Role
 
-	if o.Model == e.state.Model && o.Version == e.state.Version {
+	held := o.Model == e.state.Model && o.Version == e.state.Version
+	if held && (e.state.Ready || e.loading) {
 		return nil
 	}
 
@@ -56,22 +57,27 @@
 
 	if e.Weights != nil {
 		change := e.changes
+		e.loading = true
 		e.loads.Go(func() { e.load(o, change) })
 	}
 
 	return nil
 }
 
-// load fetches the weights; a later change of model makes it void.
+// load fetches the weights; a later change of model makes it void. Where it
+// fails, the next order loads again.
 func (e *Engine) load(o backend.Order, change int) {
 	_, err := e.Weights.Fetch(context.Background(), o.Model, o.Version)
 
 	e.mu.Lock()
 	defer e.mu.Unlock()
 
-	if err == nil && change == e.changes {
-		e.state.Ready = true
+	if change != e.changes {
+		return
 	}
+
+	e.loading = false
+	e.state.Ready = err == nil
 }
 
 // Wait returns when no model is being loaded.
--- a/standin/engine_test.go
+++ b/standin/engine_test.go
@@ -169,16 +169,38 @@
 	}
 }
 
+func TestFailedLoadIsMadeGoodByTheNextOrder(t *testing.T) {
+	weights := standin.NewWeights(clock.NewManual(start))
+	apply(t, weights.Faults, standin.FaultOrder{Kind: standin.Down})
+
+	fake := newEngine()
+	fake.Weights = weights
+	engine := clientOf(t, fake)
+
+	for _, want := range []bool{false, true} {
+		if err := engine.Order(t.Context(), backend.Order{Fence: 1, Model: "m2"}); err != nil {
+			t.Fatal(err)
+		}
+
+		fake.Wait()
+
+		if got := fake.State().Ready; got != want {
+			t.Errorf("ready: got %v, want %v", got, want)
+		}
+
+		apply(t, weights.Faults, standin.FaultOrder{Kind: standin.Clear})
+	}
+}
+
 func TestRedoneTokensAreCounted(t *testing.T) {
 	prompt := strings.Repeat("word ", 40)
 	kept := standin.ExpectedAnswer(model, prompt, 8)
 
 	tests := []struct {
-		desc     string
-		request  backend.GenerateRequest
-		export   bool
-		want     standin.UsageTotals
-		ownCache bool
+		desc    string
+		request backend.GenerateRequest
+		export  bool
+		want    standin.UsageTotals
 	}{
 		{
 			desc:    "from the start on another engine",
--- a/standin/faults.go
+++ b/standin/faults.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -46,12 +45,6 @@
 	killed  bool
 }
 
-// streamFault is what happens to one stream.
-type streamFault struct {
-	kind  FaultKind
-	after int
-}
-
 // NewFaults returns a Faults with none.
 func NewFaults(c clock.Clock) *Faults {
 	return &Faults{clock: c, thawed: make(chan struct{})}
@@ -244,46 +237,3 @@
 
 	return next
 }
-
-// sleep waits on a clock.
-func sleep(ctx context.Context, c clock.Clock, d time.Duration) error {
-	if d <= 0 {
-		return nil
-	}
-
-	select {
-	case <-c.After(d):
-		return nil
-	case <-ctx.Done():
-		return merry.Wrap(ctx.Err())
-	}
-}
-
-// lottery decides which answers are lost.
-type lottery struct {
-	count       int
-	probability float64
-	random      *rand.Rand
-}
-
-func newLottery(o FaultOrder) lottery {
-	if o.Probability > 0 {
-		return lottery{probability: o.Probability, random: rand.New(rand.NewPCG(o.Seed, 0))}
-	}
-
-	return lottery{count: max(o.Count, 1)}
-}
-
-func (l *lottery) draw() bool {
-	if l.random != nil {
-		return l.random.Float64() < l.probability
-	}
-
-	if l.count == 0 {
-		return false
-	}
-
-	l.count--
-
-	return true
-}
