feat(gateway): callers' interface for chat completions and plain calls

Cause: nothing spoke to callers. Change: authentication by the manifest, deadlines, priorities, bounded bodies, admission, streamed and whole answers.

--- /dev/null
+++ b/gateway/caller.go
@@ -0,0 +1,100 @@
+package gateway
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"monsoonlever/fleet"
+	"monsoonlever/manifest"
+	"monsoonlever/refusal"
+)
+
+// HeaderPriority lowers or raises the priority of a request, up to the ceiling
+// of the client account.
+const HeaderPriority = "X-Priority"
+
+// comeBackSoon is told where the state that refuses a request is a short one.
+const comeBackSoon = time.Second
+
+// caller is who sent a request, by the manifest that was in force then.
+type caller struct {
+	manifest *manifest.Manifest
+	account  manifest.Account
+}
+
+// authenticate finds the client account of a request.
+func (g *Gateway) authenticate(r *http.Request) (caller, *refusal.Refusal) {
+	if g.stopping.Load() {
+		return caller{}, refusal.New(refusal.ShuttingDown, "this instance is stopping").WithRetryAfter(comeBackSoon)
+	}
+
+	m := g.Manifest()
+	if m == nil {
+		return caller{}, refusal.New(refusal.NotReady, "no manifest is in force here").WithRetryAfter(comeBackSoon)
+	}
+
+	secret, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok {
+		return caller{}, refusal.New(refusal.Unauthorized, "the Authorization header must hold a Bearer key")
+	}
+
+	account, ok := m.AccountByKey(secret)
+	if !ok {
+		return caller{}, refusal.New(refusal.Unauthorized, "the key belongs to no client account")
+	}
+
+	return caller{manifest: m, account: account}, nil
+}
+
+// service returns a service that the caller may use.
+func (c caller) service(name fleet.Service) (manifest.Service, *refusal.Refusal) {
+	service, ok := c.manifest.Service(name)
+	if !ok {
+		return manifest.Service{}, refusal.New(refusal.UnknownService, "there is no service %q", name)
+	}
+
+	if !c.account.Allows(name) {
+		return manifest.Service{}, refusal.New(refusal.Forbidden, "the client account may not use %q", name)
+	}
+
+	return service, nil
+}
+
+// modelService returns the service that serves a model to the caller.
+func (c caller) modelService(model fleet.Model) (manifest.Service, *refusal.Refusal) {
+	refused := refusal.New(refusal.UnknownModel, "no service offers the model %q", model)
+
+	for _, service := range c.manifest.Services() {
+		for _, m := range service.Models() {
+			if m != model {
+				continue
+			}
+
+			if c.account.Allows(service.Name()) {
+				return service, nil
+			}
+
+			refused = refusal.New(refusal.Forbidden, "the client account may not use the model %q", model)
+		}
+	}
+
+	return manifest.Service{}, refused
+}
+
+// priority returns the priority of a call within the caller's ceiling.
+func (c caller) priority(h http.Header, call manifest.Call) (fleet.Priority, *refusal.Refusal) {
+	priority := call.Priority()
+
+	if text := h.Get(HeaderPriority); text != "" {
+		n, err := strconv.Atoi(text)
+		if err != nil || n < 0 {
+			return 0, refusal.New(refusal.BadRequest, "%s must be a whole number of at least 0", HeaderPriority)
+		}
+
+		priority = fleet.Priority(n)
+	}
+
+	return min(priority, c.account.PriorityCeiling()), nil
+}
--- /dev/null
+++ b/gateway/models.go
@@ -0,0 +1,48 @@
+package gateway
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/julienschmidt/httprouter"
+
+	"monsoonlever/fleet"
+)
+
+// modelList is the answer to a request for the models.
+type modelList struct {
+	Object string      `json:"object"`
+	Data   []modelItem `json:"data"`
+}
+
+type modelItem struct {
+	ID      fleet.Model   `json:"id"`
+	Object  string        `json:"object"`
+	OwnedBy fleet.Service `json:"owned_by"`
+}
+
+// models lists the models that the caller may use.
+func (g *Gateway) models(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	who, refused := g.authenticate(r)
+	if refused != nil {
+		refused.Write(w)
+
+		return
+	}
+
+	list := modelList{Object: "list", Data: []modelItem{}}
+
+	for _, service := range who.manifest.Services() {
+		if !who.account.Allows(service.Name()) {
+			continue
+		}
+
+		for _, model := range service.Models() {
+			list.Data = append(list.Data, modelItem{ID: model, Object: "model", OwnedBy: service.Name()})
+		}
+	}
+
+	w.Header().Set("Content-Type", "application/json")
+	// The caller is gone if this fails; there is nobody to tell.
+	_ = json.NewEncoder(w).Encode(list)
+}
--- /dev/null
+++ b/gateway/plain.go
@@ -0,0 +1,207 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"net/textproto"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+
+	"monsoonlever/admission"
+	"monsoonlever/backend"
+	"monsoonlever/fleet"
+	"monsoonlever/manifest"
+	"monsoonlever/refusal"
+)
+
+// HeaderIdempotencyKey names a call, so that it runs at most once however often
+// it is sent.
+const HeaderIdempotencyKey = "Idempotency-Key"
+
+// maxKeyBytes bounds an idempotency key.
+const maxKeyBytes = 256
+
+// plainCall is a parsed and authorised call of a plain service.
+type plainCall struct {
+	service manifest.Service
+	request PlainRequest
+}
+
+func (g *Gateway) plain(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
+	call, refused := g.parsePlain(w, r, params)
+	if refused != nil {
+		refused.Write(w)
+
+		return
+	}
+
+	ticket, refused := g.admitBefore(r.Context(), call.request.Deadline, call.admissionRequest())
+	if refused != nil {
+		refused = call.refusedBeforeClaim(refused)
+		g.observe(call.observation(g.Clock.Now(), refused))
+		refused.Write(w)
+
+		return
+	}
+
+	ctx, cancel := context.WithDeadline(r.Context(), call.request.Deadline)
+	defer cancel()
+
+	reply, refused := g.Plain.Call(ctx, call.request)
+	now := g.Clock.Now()
+	g.Admission.Finish(now, ticket, call.outcome(now, refused))
+	g.observe(call.observation(now, refused))
+
+	if refused != nil {
+		refused.Write(w)
+
+		return
+	}
+
+	writeReply(w, call.request, reply)
+}
+
+func (g *Gateway) parsePlain(
+	w http.ResponseWriter, r *http.Request, params httprouter.Params,
+) (plainCall, *refusal.Refusal) {
+	arrived := g.Clock.Now()
+
+	who, refused := g.authenticate(r)
+	if refused != nil {
+		return plainCall{}, refused
+	}
+
+	service, refused := who.service(fleet.Service(params.ByName("service")))
+	if refused != nil {
+		return plainCall{}, refused
+	}
+
+	path := params.ByName("path")
+
+	kind, ok := service.CallFor(r.Method, path)
+	if !ok {
+		return plainCall{}, refusal.New(refusal.UnknownCall, "%q has no call %s %s", service.Name(), r.Method, path)
+	}
+
+	key, refused := idempotencyKey(r.Header, kind)
+	if refused != nil {
+		return plainCall{}, refused
+	}
+
+	priority, refused := who.priority(r.Header, kind)
+	if refused != nil {
+		return plainCall{}, refused
+	}
+
+	at, refused := deadline(r.Header, arrived, kind.Deadline())
+	if refused != nil {
+		return plainCall{}, refused
+	}
+
+	body, refused := readBody(w, r, g.MaxBodyBytes)
+	if refused != nil {
+		return plainCall{}, refused
+	}
+
+	if r.URL.RawQuery != "" {
+		path += "?" + r.URL.RawQuery
+	}
+
+	return plainCall{service: service, request: PlainRequest{
+		ID:      g.IDs(),
+		Account: who.account.Name(),
+		Service: service.Name(),
+		Kind:    kind,
+		Call: backend.Call{
+			Method: r.Method, Path: path, Header: forwardedHeader(r.Header), Body: body, IdempotencyKey: key,
+		},
+		Priority: priority,
+		Arrived:  arrived,
+		Deadline: at,
+	}}, nil
+}
+
+func idempotencyKey(h http.Header, kind manifest.Call) (string, *refusal.Refusal) {
+	key := h.Get(HeaderIdempotencyKey)
+
+	if len(key) > maxKeyBytes {
+		return "", refusal.New(refusal.BadRequest, "%s is longer than %d bytes", HeaderIdempotencyKey, maxKeyBytes)
+	}
+
+	if key == "" && !kind.Idempotent() {
+		return "", refusal.New(refusal.KeyRequired, "%q may not be repeated and needs %s", kind.Name(), HeaderIdempotencyKey)
+	}
+
+	return key, nil
+}
+
+// forwardedHeaders are the headers of a call that the service gets.
+var forwardedHeaders = []string{"Accept", "Accept-Language", "Content-Type", "Traceparent"}
+
+func forwardedHeader(h http.Header) http.Header {
+	out := http.Header{}
+
+	for _, name := range forwardedHeaders {
+		if values := h.Values(name); len(values) > 0 {
+			out[textproto.CanonicalMIMEHeaderKey(name)] = values
+		}
+	}
+
+	return out
+}
+
+// repliedHeaders are the headers of a reply that the caller gets.
+var repliedHeaders = []string{"Content-Type", "Content-Language", "Etag", "Last-Modified", "Location", "Retry-After"}
+
+func writeReply(w http.ResponseWriter, r PlainRequest, reply backend.Reply) {
+	for _, name := range repliedHeaders {
+		if values := reply.Header.Values(name); len(values) > 0 {
+			w.Header()[name] = values
+		}
+	}
+
+	w.Header().Set("X-Request-Id", string(r.ID))
+	w.WriteHeader(reply.Status)
+	// The caller is gone if this fails; there is nobody to tell.
+	_, _ = w.Write(reply.Body)
+}
+
+func (c plainCall) admissionRequest() admission.Request {
+	return admission.Request{
+		Service:  c.request.Service,
+		Account:  c.request.Account,
+		Kind:     c.request.Kind.Name(),
+		Priority: c.request.Priority,
+		Deadline: c.request.Deadline,
+		Bytes:    int64(len(c.request.Call.Body)),
+	}
+}
+
+// refusedBeforeClaim says of a call that may not be repeated only that this
+// attempt did not start: an earlier one with the same key may have run.
+func (c plainCall) refusedBeforeClaim(r *refusal.Refusal) *refusal.Refusal {
+	if c.request.Kind.Idempotent() {
+		return r
+	}
+
+	return r.WithRun(refusal.NotStarted)
+}
+
+func (c plainCall) outcome(now time.Time, refused *refusal.Refusal) admission.Outcome {
+	return admission.Outcome{
+		Latency:    now.Sub(c.request.Arrived),
+		Whole:      now.Sub(c.request.Arrived),
+		Overloaded: refused != nil && refused.Code() == refusal.ServerRefused,
+	}
+}
+
+func (c plainCall) observation(now time.Time, refused *refusal.Refusal) Observation {
+	return Observation{
+		Account: c.request.Account,
+		Service: c.request.Service,
+		Kind:    c.request.Kind,
+		Whole:   now.Sub(c.request.Arrived),
+		Refused: refused,
+	}
+}
--- /dev/null
+++ b/gateway/sink.go
@@ -0,0 +1,190 @@
+package gateway
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+
+	"monsoonlever/answer"
+	"monsoonlever/chat"
+	"monsoonlever/clock"
+	"monsoonlever/refusal"
+)
+
+// sink writes one model answer to its caller, streamed or whole.
+type sink struct {
+	w       http.ResponseWriter
+	control *http.ResponseController
+	clock   clock.Clock
+	timeout time.Duration
+	call    chatCall
+	id      answer.RequestID
+	chunks  *chat.ChunkWriter
+	buf     []byte
+	text    strings.Builder
+
+	tokens     int
+	firstToken time.Time
+	lastToken  time.Time
+	refused    *refusal.Refusal
+	callerGone bool
+}
+
+var _ answer.Sink = (*sink)(nil)
+
+func (g *Gateway) newSink(w http.ResponseWriter, call chatCall, id answer.RequestID) *sink {
+	return &sink{
+		w:       w,
+		control: http.NewResponseController(w),
+		clock:   g.Clock,
+		timeout: g.WriteTimeout,
+		call:    call,
+		id:      id,
+		chunks:  chat.NewChunkWriter(string(id), call.request.Model, call.arrived.Unix()),
+	}
+}
+
+// Write takes the next token.
+func (s *sink) Write(offset int, token string) error {
+	now := s.clock.Now()
+	if s.tokens == 0 {
+		s.firstToken = now
+	}
+
+	s.lastToken = now
+	s.tokens++
+
+	if !s.call.request.Stream {
+		s.text.WriteString(token)
+
+		return nil
+	}
+
+	if s.tokens == 1 {
+		s.startStream()
+	}
+
+	s.buf = s.chunks.AppendToken(s.buf[:0], offset, token)
+
+	return s.send(now)
+}
+
+// Complete ends a whole answer.
+func (s *sink) Complete(c answer.Complete) error {
+	usage := chat.Usage{
+		PromptTokens:     c.Usage.PromptTokens,
+		CompletionTokens: c.Tokens,
+		TotalTokens:      c.Usage.PromptTokens + c.Tokens,
+	}
+
+	if !s.call.request.Stream {
+		return s.sendWhole(c.Reason, usage)
+	}
+
+	if s.tokens == 0 {
+		s.startStream()
+	}
+
+	var wanted *chat.Usage
+	if o := s.call.request.StreamOptions; o != nil && o.IncludeUsage {
+		wanted = &usage
+	}
+
+	s.buf = s.chunks.AppendFinish(s.buf[:0], c.Reason, wanted)
+
+	return s.send(s.clock.Now())
+}
+
+// GiveUp tells the caller that there will be no whole answer.
+func (s *sink) GiveUp(g answer.GiveUp) error {
+	s.refused = refusalOf(g)
+	s.callerGone = g.Reason == answer.ReasonCallerGone
+
+	if s.callerGone {
+		return nil
+	}
+
+	if !s.call.request.Stream || s.tokens == 0 {
+		s.refused.Write(s.w)
+
+		return nil
+	}
+
+	body, err := json.Marshal(s.refused.Body())
+	if err != nil {
+		return err
+	}
+
+	s.buf = append(s.buf[:0], "data: "...)
+	s.buf = append(s.buf, body...)
+	s.buf = append(s.buf, "\n\n"...)
+
+	return s.send(s.clock.Now())
+}
+
+func (s *sink) startStream() {
+	h := s.w.Header()
+	h.Set("Content-Type", "text/event-stream")
+	h.Set("Cache-Control", "no-store")
+	h.Set("X-Request-Id", string(s.id))
+	s.w.WriteHeader(http.StatusOK)
+}
+
+func (s *sink) send(now time.Time) error {
+	// A writer that knows no deadlines, as in tests, is not bounded.
+	_ = s.control.SetWriteDeadline(now.Add(s.timeout))
+
+	if _, err := s.w.Write(s.buf); err != nil {
+		return err
+	}
+
+	return s.control.Flush()
+}
+
+func (s *sink) sendWhole(finish string, usage chat.Usage) error {
+	response := chat.NewResponse(
+		string(s.id), s.call.request.Model, s.call.arrived.Unix(), s.text.String(), finish, usage,
+	)
+
+	h := s.w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set("X-Request-Id", string(s.id))
+
+	return json.NewEncoder(s.w).Encode(response)
+}
+
+// observation returns what the sink knows of the answer.
+func (s *sink) observation() Observation {
+	o := Observation{Tokens: s.tokens, Refused: s.refused, CallerGone: s.callerGone}
+
+	if s.tokens > 0 {
+		o.FirstToken = s.firstToken.Sub(s.call.arrived)
+	}
+
+	if s.tokens > 1 {
+		o.BetweenTokens = s.lastToken.Sub(s.firstToken) / time.Duration(s.tokens-1)
+	}
+
+	return o
+}
+
+// refusalOf maps the reason an answer was given up to the table of errors.
+func refusalOf(g answer.GiveUp) *refusal.Refusal {
+	run := refusal.Unknown
+	if g.Ran == answer.NotRun {
+		run = refusal.NotRun
+	}
+
+	code := refusal.AnswerLost
+
+	switch {
+	case g.Reason == answer.ReasonDeadline:
+		code = refusal.DeadlinePassed
+	case g.Reason == answer.ReasonNoServer && run == refusal.NotRun:
+		code = refusal.NoServer
+	default:
+	}
+
+	return refusal.New(code, "the answer was given up: %s", g.Reason).WithRun(run).WithRetryAfter(g.RetryAfter)
+}
