feat(dispatch): engines picked for answers, backend servers watched

Cause: the gateway had nothing behind it. Measured: unit tests only; the whole path is not wired yet.

--- a/answer/attempt.go
+++ b/answer/attempt.go
@@ -18,10 +18,10 @@
 }
 
 // read passes the events of a stream on until it ends.
-func (u *run) read(ctx context.Context, a *attempt, g backend.GenerateRequest, release func(error)) {
-	err := u.readStream(ctx, a, g)
+func (u *run) read(ctx context.Context, a *attempt, g backend.GenerateRequest, release func(error, int)) {
+	tokens, err := u.readStream(ctx, a, g)
 	if release != nil {
-		release(err)
+		release(err, tokens)
 	}
 
 	if err != nil {
@@ -29,12 +29,15 @@
 	}
 }
 
-func (u *run) readStream(ctx context.Context, a *attempt, g backend.GenerateRequest) error {
+// readStream returns how many tokens the stream brought.
+func (u *run) readStream(ctx context.Context, a *attempt, g backend.GenerateRequest) (int, error) {
 	stream, err := a.engine.Generate(ctx, g)
 	if err != nil {
-		return err
+		return 0, err
 	}
 
+	tokens := 0
+
 	// A stream that hangs is freed by closing it.
 	closeStream := context.AfterFunc(ctx, func() { _ = stream.Close() })
 	defer func() {
@@ -46,18 +49,20 @@
 	for {
 		event, err := stream.Next()
 		if errors.Is(err, io.EOF) {
-			return io.ErrUnexpectedEOF
+			return tokens, io.ErrUnexpectedEOF
 		}
 
 		if err != nil {
-			return err
+			return tokens, err
 		}
 
 		u.send(arrival{attempt: a.id, stream: event})
 
 		if event.Finish != "" {
-			return nil
+			return tokens, nil
 		}
+
+		tokens++
 	}
 }
 
--- a/answer/picker.go
+++ b/answer/picker.go
@@ -22,6 +22,7 @@
 // Choice is a picked server.
 type Choice struct {
 	Server fleet.InstanceID
-	// Release is called once when the attempt has ended, with its error.
-	Release func(err error)
+	// Release is called once when the attempt has ended, with its error and the
+	// number of tokens that it brought.
+	Release func(err error, tokens int)
 }
--- a/answer/run_commands.go
+++ b/answer/run_commands.go
@@ -79,7 +79,7 @@
 // refuse ends an attempt at a server whose engine is not known any more.
 func (u *run) refuse(d Dispatch, c Choice) {
 	if c.Release != nil {
-		c.Release(backend.ErrNotSent)
+		c.Release(backend.ErrNotSent, 0)
 	}
 
 	u.pending = append(u.pending,
--- /dev/null
+++ b/discovery/watcher.go
@@ -0,0 +1,239 @@
+package discovery
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/sourcegraph/conc"
+	"github.com/sourcegraph/conc/pool"
+	"k8s.io/klog/v2"
+
+	"monsoonlever/answer"
+	"monsoonlever/clock"
+	"monsoonlever/fleet"
+	"monsoonlever/platform"
+	"monsoonlever/routing"
+)
+
+// The defaults of a Watcher.
+const (
+	defaultListEvery   = 500 * time.Millisecond
+	defaultNoticeEvery = 250 * time.Millisecond
+	defaultReportEvery = 500 * time.Millisecond
+	defaultTickEvery   = 250 * time.Millisecond
+	defaultTimeout     = time.Second
+	// maxPolls bounds the backend servers that are asked at a time.
+	maxPolls = 32
+)
+
+// Watcher polls every source of news on backend servers. The exported fields
+// are set before Run; a zero duration stands for its default.
+type Watcher struct {
+	Clock     clock.Clock
+	List      platform.List
+	Cloud     platform.Cloud
+	Directory *Directory
+	Table     *routing.Table
+	Leaving   *answer.Leaving
+	// IsModel tells whether a service of the manifest in force is served by
+	// model engines, and known whether there is such a service.
+	IsModel func(fleet.Service) (model, known bool)
+	// Announced is told of each leaving server the first time; it may be nil.
+	Announced func(id fleet.InstanceID, at time.Time)
+
+	ListEvery   time.Duration
+	NoticeEvery time.Duration
+	ReportEvery time.Duration
+	TickEvery   time.Duration
+	// Timeout bounds one call.
+	Timeout time.Duration
+	Metrics *metrics.Set
+
+	listed    atomic.Bool
+	notice    uint64
+	listDown  atomic.Bool
+	cloudDown atomic.Bool
+}
+
+// Run polls until ctx ends.
+func (w *Watcher) Run(ctx context.Context) {
+	var group conc.WaitGroup
+
+	group.Go(func() { w.every(ctx, w.ListEvery, defaultListEvery, w.pollList) })
+	group.Go(func() { w.every(ctx, w.NoticeEvery, defaultNoticeEvery, w.pollNotices) })
+	group.Go(func() { w.every(ctx, w.ReportEvery, defaultReportEvery, w.pollServers) })
+	group.Go(func() {
+		w.every(ctx, w.TickEvery, defaultTickEvery, func(context.Context) { w.Table.Tick(w.Clock.Now(), Random{}) })
+	})
+	group.Wait()
+}
+
+// Listed tells whether the list was ever read.
+func (w *Watcher) Listed() bool {
+	return w.listed.Load()
+}
+
+func (w *Watcher) every(ctx context.Context, d, fallback time.Duration, step func(context.Context)) {
+	if d <= 0 {
+		d = fallback
+	}
+
+	for ctx.Err() == nil {
+		step(ctx)
+
+		select {
+		case <-ctx.Done():
+		case <-w.Clock.After(d):
+		}
+	}
+}
+
+func (w *Watcher) bounded(ctx context.Context) (context.Context, context.CancelFunc) {
+	timeout := w.Timeout
+	if timeout <= 0 {
+		timeout = defaultTimeout
+	}
+
+	return context.WithTimeout(ctx, timeout)
+}
+
+func (w *Watcher) pollList(parent context.Context) {
+	ctx, cancel := w.bounded(parent)
+	defer cancel()
+
+	listings, err := w.List.Listings(ctx)
+	if !w.heard(&w.listDown, "instance list", err) {
+		return
+	}
+
+	backends := make([]platform.Listing, 0, len(listings))
+
+	for _, l := range listings {
+		if _, known := w.IsModel(l.Service); known {
+			backends = append(backends, l)
+		}
+	}
+
+	w.Directory.update(backends)
+	w.Table.UpdateList(w.Clock.Now(), backends)
+	w.listed.Store(true)
+}
+
+func (w *Watcher) pollNotices(parent context.Context) {
+	ctx, cancel := w.bounded(parent)
+	defer cancel()
+
+	notices, err := w.Cloud.Notices(ctx, w.notice)
+	if !w.heard(&w.cloudDown, "cloud API", err) {
+		return
+	}
+
+	for _, n := range notices {
+		w.notice = max(w.notice, n.Sequence)
+		w.announce(n.Instance, n.At, routing.SourceNotice)
+	}
+}
+
+// announce takes in that a server leaves. What is known already stays.
+func (w *Watcher) announce(id fleet.InstanceID, at time.Time, source routing.Source) {
+	if _, known := w.Leaving.At(id); known {
+		return
+	}
+
+	w.Table.Leave(w.Clock.Now(), id, source)
+	w.Leaving.Announce(id, at)
+	klog.InfoS("backend server is leaving", "instance", id, "source", source, "at", at)
+
+	if w.Announced != nil {
+		w.Announced(id, at)
+	}
+}
+
+func (w *Watcher) pollServers(ctx context.Context) {
+	p := pool.New().WithMaxGoroutines(maxPolls)
+
+	for _, s := range w.Directory.Servers() {
+		p.Go(func() { w.pollServer(ctx, s) })
+	}
+
+	p.Wait()
+}
+
+// pollServer asks one server. A server that does not answer is judged by its
+// requests, not by this call.
+func (w *Watcher) pollServer(parent context.Context, s *Server) {
+	ctx, cancel := w.bounded(parent)
+	defer cancel()
+
+	model, known := w.IsModel(s.Service())
+	if !known {
+		return
+	}
+
+	report, err := s.plain.Load(ctx)
+	if err != nil {
+		return
+	}
+
+	now := w.Clock.Now()
+	w.Table.Report(now, s.ID(), report)
+
+	if report.Leaving {
+		w.announce(s.ID(), now.Add(ownWordNotice), routing.SourceServer)
+	}
+
+	if model {
+		w.pollEngine(ctx, s)
+	}
+}
+
+// ownWordNotice is the time that a server which says itself that it leaves is
+// taken to stay, since its word brings no time.
+const ownWordNotice = 10 * time.Second
+
+func (w *Watcher) pollEngine(ctx context.Context, s *Server) {
+	state, err := s.engine.State(ctx)
+	if err != nil {
+		return
+	}
+
+	w.Table.UpdateState(w.Clock.Now(), s.ID(), state)
+
+	events, err := s.engine.CacheEvents(ctx, s.cacheSequence.Load())
+	if err != nil || len(events) == 0 {
+		return
+	}
+
+	s.cacheSequence.Store(events[len(events)-1].Sequence)
+	w.Table.CacheEvents(w.Clock.Now(), s.ID(), events)
+}
+
+// heard counts the outcome of a poll, and logs when a source goes or comes back.
+func (w *Watcher) heard(down *atomic.Bool, source string, err error) bool {
+	if err == nil {
+		if down.Swap(false) {
+			klog.InfoS("source is back", "source", source)
+		}
+
+		return true
+	}
+
+	w.Metrics.GetOrCreateCounter(`monsoonlever_discovery_errors_total{source="` + source + `"}`).Inc()
+
+	if !down.Swap(true) {
+		klog.InfoS("source is down", "source", source, "err", err)
+	}
+
+	return false
+}
+
+// Random is the process's source of random numbers.
+type Random struct{}
+
+// Uint64 returns a random number.
+func (Random) Uint64() uint64 {
+	return rand.Uint64()
+}
--- a/gateway/caller.go
+++ b/gateway/caller.go
@@ -64,23 +64,16 @@
 
 // modelService returns the service that serves a model to the caller.
 func (c caller) modelService(model fleet.Model) (manifest.Service, *refusal.Refusal) {
-	refused := refusal.New(refusal.UnknownModel, "no service offers the model %q", model)
-
-	for _, service := range c.manifest.Services() {
-		for _, m := range service.Models() {
-			if m != model {
-				continue
-			}
-
-			if c.account.Allows(service.Name()) {
-				return service, nil
-			}
-
-			refused = refusal.New(refusal.Forbidden, "the client account may not use the model %q", model)
-		}
+	service, offered, ok := c.manifest.ServiceOf(model, c.account)
+
+	switch {
+	case ok:
+		return service, nil
+	case offered:
+		return manifest.Service{}, refusal.New(refusal.Forbidden, "the client account may not use the model %q", model)
+	default:
+		return manifest.Service{}, refusal.New(refusal.UnknownModel, "no service offers the model %q", model)
 	}
-
-	return manifest.Service{}, refused
 }
 
 // priority returns the priority of a call within the caller's ceiling.
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -31,14 +31,14 @@
 func (g *Gateway) plain(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
 	call, refused := g.parsePlain(w, r, params)
 	if refused != nil {
-		refused.Write(w)
+		beforeClaim(r.Header, refused).Write(w)
 
 		return
 	}
 
 	ticket, refused := g.admitBefore(r.Context(), call.request.Deadline, call.admissionRequest())
 	if refused != nil {
-		refused = call.refusedBeforeClaim(refused)
+		refused = beforeClaim(r.Header, refused)
 		g.observe(call.observation(g.Clock.Now(), refused))
 		refused.Write(w)
 
@@ -178,10 +178,10 @@
 	}
 }
 
-// refusedBeforeClaim says of a call that may not be repeated only that this
-// attempt did not start: an earlier one with the same key may have run.
-func (c plainCall) refusedBeforeClaim(r *refusal.Refusal) *refusal.Refusal {
-	if c.request.Kind.Idempotent() {
+// beforeClaim says of a call with an idempotency key only that this attempt did
+// not start: an earlier one with the same key may have run.
+func beforeClaim(h http.Header, r *refusal.Refusal) *refusal.Refusal {
+	if r.Run() != refusal.NotRun || h.Get(HeaderIdempotencyKey) == "" {
 		return r
 	}
 
--- a/routing/pick.go
+++ b/routing/pick.go
@@ -17,6 +17,10 @@
 		return Choice{}, ErrNoServer
 	}
 
+	if m := p.preferred(&r); m != nil {
+		return t.choice(m, &r, false, false), nil
+	}
+
 	if m := p.takeProbe(&r); m != nil {
 		t.counters.picksToProbe.Inc()
 
--- /dev/null
+++ b/routing/preferred_test.go
@@ -0,0 +1,61 @@
+package routing
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"monsoonlever/fleet"
+	"monsoonlever/platform"
+)
+
+func TestPreferredServerIsTakenIfItCanBe(t *testing.T) {
+	now := time.Unix(1000, 0)
+	key := NewKey("payrun-api", "", "", "")
+
+	tests := []struct {
+		desc    string
+		prefer  fleet.InstanceID
+		exclude []fleet.InstanceID
+		leaving bool
+		want    bool
+	}{
+		{desc: "taken", prefer: "b", want: true},
+		{desc: "excluded", prefer: "b", exclude: []fleet.InstanceID{"b"}},
+		{desc: "leaving", prefer: "b", leaving: true},
+		{desc: "unknown", prefer: "z"},
+	}
+
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			table := &Table{}
+			table.UpdateList(now, []platform.Listing{
+				{ID: "a", Service: "payrun-api", Address: "a:1", State: platform.Live},
+				{ID: "b", Service: "payrun-api", Address: "b:1", State: platform.Live},
+				{ID: "c", Service: "payrun-api", Address: "c:1", State: platform.Live},
+			})
+
+			if tt.leaving {
+				table.Leave(now, "b", SourceNotice)
+			}
+
+			random := rand.New(rand.NewPCG(1, 1))
+			hits := 0
+
+			for range 30 {
+				choice, err := table.Pick(now, random, NewRequest(key).Preferring(tt.prefer).Excluding(tt.exclude))
+				if err != nil {
+					t.Fatal(err)
+				}
+
+				if choice.ID() == tt.prefer {
+					hits++
+				}
+			}
+
+			if got := hits == 30; got != tt.want {
+				t.Errorf("always preferred: got %v (%d of 30), want %v", got, hits, tt.want)
+			}
+		})
+	}
+}
--- a/routing/request.go
+++ b/routing/request.go
@@ -6,6 +6,7 @@
 type Request struct {
 	key             Key
 	prefix          uint64
+	preferred       fleet.InstanceID
 	repeatable      bool
 	excluded        []fleet.InstanceID
 	excludedDomains []fleet.FailureDomain
@@ -23,6 +24,14 @@
 	return r
 }
 
+// Preferring names the server that is taken if it can be, whatever its load, as
+// one that holds the KV cache of the answer. Empty prefers none.
+func (r Request) Preferring(id fleet.InstanceID) Request {
+	r.preferred = id
+
+	return r
+}
+
 // WithRepeatable allows the request to probe an ejected server.
 func (r Request) WithRepeatable() Request {
 	r.repeatable = true
