feat(lease): roles held by records on the log, and absolute orders that are corrected

Cause: there is no coordination service, and a role such as the controller of a region must have one holder while processes pause, restart and lose answers.

Change: Core grants by log order; an Acquire, Renew or Release counts only if it names the last valid record of its role, and the offset of the grant is the fencing number. The holder counts its term from before the append less the drift margin; the successor waits term and flight from its read plus the margin, and again after a gap in reading, so that an outage of the log changes no holder. Corrector orders the whole state under the fence and reads it back. Ruled out: acting on without the log, since a process that lost only its own way to the log cannot tell that from an outage.

Conclusion: at most one process believes that it holds the role while clocks keep the stated bound.

--- /dev/null
+++ b/lease/config.go
@@ -0,0 +1,66 @@
+package lease
+
+import (
+	"time"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// Config holds the times of a lease. All processes of a deployment use the same
+// drift, and the same flight or a longer one.
+type Config struct {
+	// Term is how long a grant lasts.
+	Term time.Duration
+	// RenewEvery is the time between two records of the holder.
+	RenewEvery time.Duration
+	// Drift bounds how far the rate of a clock is off, as a share of one.
+	Drift float64
+	// Flight is the longest time between the check of an order and its effect
+	// in a process that is not paused.
+	Flight time.Duration
+	// ReadGap is the longest time between two reads to the end of the log after
+	// which a successor starts its wait again. It keeps the holder in place
+	// across an outage of the log.
+	ReadGap time.Duration
+	// Stagger spreads the candidates, so that they do not append all at once.
+	Stagger time.Duration
+}
+
+// DefaultConfig returns times that suit one region.
+func DefaultConfig() Config {
+	return Config{
+		Term:       9 * time.Second,
+		RenewEvery: 3 * time.Second,
+		Drift:      0.001,
+		Flight:     2 * time.Second,
+		ReadGap:    3 * time.Second,
+		Stagger:    2 * time.Second,
+	}
+}
+
+// Validate tells whether the times fit each other.
+func (c Config) Validate() error {
+	if c.Term <= 0 || c.RenewEvery <= 0 || c.Flight < 0 || c.ReadGap <= 0 || c.Stagger < 0 {
+		return merry.New("lease times must be positive")
+	}
+
+	if c.Drift < 0 || c.Drift >= 0.1 {
+		return merry.New("lease drift must be at least 0 and below 0.1")
+	}
+
+	if 2*c.RenewEvery > c.Term {
+		return merry.New("lease must be renewed at least twice a term")
+	}
+
+	return nil
+}
+
+// holdFor is how long a holder may act by its own clock.
+func (c Config) holdFor(term time.Duration) time.Duration {
+	return time.Duration(float64(term) * (1 - c.Drift))
+}
+
+// waitFor is how long a successor waits by its own clock.
+func (c Config) waitFor(d time.Duration) time.Duration {
+	return time.Duration(float64(d)*(1+c.Drift)) + time.Nanosecond
+}
--- /dev/null
+++ b/lease/core.go
@@ -0,0 +1,232 @@
+package lease
+
+import (
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/cespare/xxhash/v2"
+
+	"monsoonlever/platform"
+)
+
+// Core is the state machine of one process for one role.
+type Core struct {
+	config Config
+	self   Holder
+	role   Role
+	ledger *Ledger
+
+	candidate bool
+	releasing bool
+	sequence  uint64
+	// pending holds when records were sent that have not been read yet.
+	pending map[uint64]time.Time
+	sentAt  time.Time
+
+	validUntil time.Time
+	// seenAt is when the last valid record was read.
+	seenAt time.Time
+	// caughtUpAt is when the end of the log was last reached, and readableSince
+	// when that first happened after the last gap.
+	caughtUpAt    time.Time
+	readableSince time.Time
+}
+
+// NewCore returns a candidate for a role.
+func NewCore(config Config, role Role, self Holder) (*Core, error) {
+	if err := config.Validate(); err != nil {
+		return nil, err
+	}
+
+	return &Core{
+		config:    config,
+		self:      self,
+		role:      role,
+		ledger:    NewLedger(role),
+		candidate: true,
+		pending:   make(map[uint64]time.Time),
+	}, nil
+}
+
+// Restore takes the state of the role from a checkpoint if that is newer. The
+// wait of a successor starts at now.
+func (c *Core) Restore(now time.Time, s Snapshot) {
+	if !c.ledger.Restore(s) {
+		return
+	}
+
+	c.seenAt = now
+	c.validUntil = time.Time{}
+}
+
+// Observe takes in one record that was read from the log at now.
+func (c *Core) Observe(now time.Time, offset platform.Offset, r Record) {
+	if !c.ledger.Apply(offset, r) {
+		if r.Holder == c.self && r.Role == c.role {
+			delete(c.pending, r.Sequence)
+		}
+
+		return
+	}
+
+	c.seenAt = now
+
+	if r.Holder != c.self || r.Kind == Release {
+		c.validUntil = time.Time{}
+		c.releasing = false
+		clear(c.pending)
+
+		return
+	}
+
+	c.extend(r)
+}
+
+// CaughtUp says that the end of the log was reached at now.
+func (c *Core) CaughtUp(now time.Time) {
+	if c.caughtUpAt.IsZero() || now.Sub(c.caughtUpAt) > c.config.ReadGap {
+		c.readableSince = now
+	}
+
+	c.caughtUpAt = now
+}
+
+// Step returns the records to append at now.
+func (c *Core) Step(now time.Time) []Command {
+	if !c.sentAt.IsZero() && now.Sub(c.sentAt) < c.config.RenewEvery {
+		return nil
+	}
+
+	if c.ledger.heldBy(c.self) {
+		if c.releasing || !c.candidate {
+			c.releasing = true
+
+			return c.send(now, Release)
+		}
+
+		return c.send(now, Renew)
+	}
+
+	if !c.mayAcquire(now) {
+		return nil
+	}
+
+	return c.send(now, Acquire)
+}
+
+// Check returns the fencing number under which an order may be sent at now. It
+// is called right before every order.
+func (c *Core) Check(now time.Time) (Fence, error) {
+	if c.releasing || !c.ledger.heldBy(c.self) {
+		return 0, merry.Prependf(ErrNotHeld, "role %s", c.role)
+	}
+
+	if !now.Before(c.validUntil) {
+		return 0, merry.Prependf(ErrNotHeld, "term of role %s is over", c.role)
+	}
+
+	return c.ledger.state.Fence, nil
+}
+
+// Release gives the role up: Check fails from now on, and the record that lets
+// a successor in early is returned.
+func (c *Core) Release(now time.Time) []Command {
+	c.candidate = false
+
+	if !c.ledger.heldBy(c.self) {
+		return nil
+	}
+
+	c.releasing = true
+	c.validUntil = time.Time{}
+
+	return c.send(now, Release)
+}
+
+// SetCandidate tells whether this process should try to hold the role. A holder
+// that is no candidate releases it.
+func (c *Core) SetCandidate(candidate bool) {
+	c.candidate = candidate
+}
+
+// Snapshot returns the state of the role for a checkpoint and for status.
+func (c *Core) Snapshot() Snapshot {
+	return c.ledger.Snapshot()
+}
+
+// Role returns the role of the core.
+func (c *Core) Role() Role {
+	return c.role
+}
+
+func (c *Core) extend(r Record) {
+	sent, ok := c.pending[r.Sequence]
+	for sequence := range c.pending {
+		if sequence <= r.Sequence {
+			delete(c.pending, sequence)
+		}
+	}
+
+	if !ok || c.releasing {
+		return
+	}
+
+	until := sent.Add(c.config.holdFor(r.Term))
+	if until.After(c.validUntil) {
+		c.validUntil = until
+	}
+}
+
+func (c *Core) mayAcquire(now time.Time) bool {
+	if !c.candidate || c.caughtUpAt.IsZero() || now.Sub(c.caughtUpAt) > c.config.ReadGap {
+		return false
+	}
+
+	state := c.ledger.state
+	if state.Last == 0 {
+		return true
+	}
+
+	start := c.seenAt
+	if c.readableSince.After(start) {
+		start = c.readableSince
+	}
+
+	wait := c.config.Flight
+	if !state.Released {
+		wait += state.Term
+	}
+
+	return !now.Before(start.Add(c.config.waitFor(wait) + c.stagger()))
+}
+
+// stagger differs by candidate and by grant, so that no process is always first.
+func (c *Core) stagger() time.Duration {
+	if c.config.Stagger == 0 {
+		return 0
+	}
+
+	var seed [8]byte
+	for i := range seed {
+		seed[i] = byte(c.ledger.state.Last >> (8 * i))
+	}
+
+	sum := xxhash.Sum64String(c.self.String() + string(seed[:]))
+
+	return time.Duration(sum % uint64(c.config.Stagger))
+}
+
+func (c *Core) send(now time.Time, kind Kind) []Command {
+	c.sequence++
+	c.sentAt = now
+	c.pending[c.sequence] = now
+
+	return []Command{{Record: Record{
+		Kind:     kind,
+		Role:     c.role,
+		Holder:   c.self,
+		Sequence: c.sequence,
+		Previous: c.ledger.state.Last,
+		Term:     c.config.Term,
+	}}}
+}
--- /dev/null
+++ b/lease/core_test.go
@@ -0,0 +1,170 @@
+package lease_test
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"monsoonlever/fleet"
+	"monsoonlever/lease"
+	"monsoonlever/platform"
+)
+
+const role = lease.Role("controller/dk-east")
+
+var start = time.Date(2026, 3, 2, 8, 0, 0, 0, time.UTC)
+
+func newCore(t *testing.T, name string) *lease.Core {
+	t.Helper()
+
+	config := lease.DefaultConfig()
+	config.Stagger = 0
+
+	c, err := lease.NewCore(config, role, holder(name))
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	return c
+}
+
+func holder(name string) lease.Holder {
+	return lease.Holder{Instance: "entry-1", Incarnation: 1 + incarnations[name]}
+}
+
+var incarnations = map[string]fleet.Incarnation{"a": 0, "b": 1}
+
+func one(t *testing.T, commands []lease.Command) lease.Record {
+	t.Helper()
+
+	if got, want := len(commands), 1; got != want {
+		t.Fatalf("commands: got %d, want %d", got, want)
+	}
+
+	return commands[0].Record
+}
+
+func TestFirstInLogOrderHolds(t *testing.T) {
+	a, b := newCore(t, "a"), newCore(t, "b")
+	a.CaughtUp(start)
+	b.CaughtUp(start)
+
+	ra, rb := one(t, a.Step(start)), one(t, b.Step(start))
+	for _, c := range []*lease.Core{a, b} {
+		c.Observe(start, 7, rb)
+		c.Observe(start, 8, ra)
+	}
+
+	if _, err := a.Check(start); !errors.Is(err, lease.ErrNotHeld) {
+		t.Errorf("loser: got %v, want %v", err, lease.ErrNotHeld)
+	}
+
+	got, err := b.Check(start)
+	if want := lease.Fence(7); err != nil || got != want {
+		t.Errorf("winner: got %d, %v, want %d", got, err, want)
+	}
+}
+
+func TestTermCountsFromBeforeTheAppend(t *testing.T) {
+	a := newCore(t, "a")
+	a.CaughtUp(start)
+	r := one(t, a.Step(start))
+	read := start.Add(8 * time.Second)
+	a.Observe(read, 1, r)
+
+	table := []struct {
+		desc string
+		at   time.Time
+		want error
+	}{
+		{"read late but within the term", read, nil},
+		{"just before the term less drift", start.Add(8990 * time.Millisecond), nil},
+		{"within the drift margin", start.Add(8995 * time.Millisecond), lease.ErrNotHeld},
+	}
+	for _, tt := range table {
+		t.Run(tt.desc, func(t *testing.T) {
+			if _, got := a.Check(tt.at); !errors.Is(got, tt.want) {
+				t.Errorf("got %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
+
+func TestReleaseLetsSuccessorInEarly(t *testing.T) {
+	a, b := newCore(t, "a"), newCore(t, "b")
+	a.CaughtUp(start)
+	grant := one(t, a.Step(start))
+	a.Observe(start, 1, grant)
+	b.Observe(start, 1, grant)
+
+	released := one(t, a.Release(start))
+	if _, err := a.Check(start); !errors.Is(err, lease.ErrNotHeld) {
+		t.Errorf("after release: got %v, want %v", err, lease.ErrNotHeld)
+	}
+
+	b.Observe(start, 2, released)
+	b.CaughtUp(start)
+
+	for _, tt := range []struct {
+		desc string
+		wait time.Duration
+		want int
+	}{
+		{"before the flight of an order", time.Second, 0},
+		{"after the flight of an order", 2100 * time.Millisecond, 1},
+	} {
+		t.Run(tt.desc, func(t *testing.T) {
+			b.CaughtUp(start.Add(tt.wait))
+
+			if got := len(b.Step(start.Add(tt.wait))); got != tt.want {
+				t.Errorf("commands: got %d, want %d", got, tt.want)
+			}
+		})
+	}
+}
+
+func TestHolderStaysAcrossLogOutage(t *testing.T) {
+	a, b := newCore(t, "a"), newCore(t, "b")
+	a.CaughtUp(start)
+	grant := one(t, a.Step(start))
+	a.Observe(start, 1, grant)
+	b.Observe(start, 1, grant)
+	b.CaughtUp(start)
+
+	back := start.Add(time.Hour)
+	if got := len(b.Step(back.Add(-time.Second))); got != 0 {
+		t.Errorf("successor in the outage: got %d commands, want 0", got)
+	}
+
+	b.CaughtUp(back)
+	a.CaughtUp(back)
+
+	if got := len(b.Step(back)); got != 0 {
+		t.Errorf("successor as the log is back: got %d commands, want 0", got)
+	}
+
+	renewal := one(t, a.Step(back))
+	a.Observe(back, 2, renewal)
+
+	got, err := a.Check(back)
+	if want := lease.Fence(1); err != nil || got != want {
+		t.Errorf("holder after the outage: got %d, %v, want %d", got, err, want)
+	}
+}
+
+func TestSnapshotJudgesAsTheWholeLog(t *testing.T) {
+	whole := lease.NewLedger(role)
+	whole.Apply(3, lease.Record{Kind: lease.Acquire, Role: role, Holder: holder("a"), Term: time.Second})
+
+	restored := lease.NewLedger(role)
+	if !restored.Restore(whole.Snapshot()) {
+		t.Fatal("snapshot was not taken")
+	}
+
+	for offset := platform.Offset(4); offset < 6; offset++ {
+		r := lease.Record{Kind: lease.Renew, Role: role, Holder: holder("a"), Previous: 3}
+		if got, want := restored.Apply(offset, r), whole.Apply(offset, r); got != want {
+			t.Errorf("record at %d: got %v, want %v", offset, got, want)
+		}
+	}
+}
--- /dev/null
+++ b/lease/corrector.go
@@ -0,0 +1,122 @@
+package lease
+
+import (
+	"slices"
+	"time"
+
+	"monsoonlever/fleet"
+)
+
+// Corrector keeps targets at the wanted state. It orders the whole state under
+// the fencing number of the holder, reads it back, and orders again where the
+// state differs or is of another holder.
+//
+// It reads each target every ReadEvery for as long as it is wanted, since an
+// engine that ignores the fencing number may take an old order at any time.
+type Corrector[S comparable] struct {
+	// ReadEvery is the time between two reads of one target.
+	ReadEvery time.Duration
+	// Retry is the time after which an unanswered order is sent again.
+	Retry time.Duration
+
+	targets map[fleet.InstanceID]*target[S]
+}
+
+type target[S comparable] struct {
+	wanted  S
+	settled bool
+	orderAt time.Time
+	readAt  time.Time
+	fence   Fence
+}
+
+// Want sets the wanted state of a target.
+func (c *Corrector[S]) Want(id fleet.InstanceID, state S) {
+	if c.targets == nil {
+		c.targets = make(map[fleet.InstanceID]*target[S])
+	}
+
+	t, ok := c.targets[id]
+	if !ok {
+		t = &target[S]{}
+		c.targets[id] = t
+	}
+
+	if ok && t.wanted == state {
+		return
+	}
+
+	t.wanted = state
+	t.settled = false
+	t.orderAt = time.Time{}
+}
+
+// Forget drops a target that is gone.
+func (c *Corrector[S]) Forget(id fleet.InstanceID) {
+	delete(c.targets, id)
+}
+
+// Observe takes in what was read from a target. A target that checks fencing
+// numbers is settled only once it holds that of this holder, since until then
+// it would still take an order of an older one.
+func (c *Corrector[S]) Observe(id fleet.InstanceID, r Readback[S]) {
+	t, ok := c.targets[id]
+	if !ok {
+		return
+	}
+
+	settled := r.State == t.wanted && (!r.ChecksFence || r.Fence == t.fence)
+	if t.settled && !settled {
+		t.orderAt = time.Time{}
+	}
+
+	t.settled = settled
+}
+
+// Step returns what to send at now under the fencing number from Core.Check.
+func (c *Corrector[S]) Step(now time.Time, fence Fence) []Action[S] {
+	var actions []Action[S]
+
+	for _, id := range c.ids() {
+		t := c.targets[id]
+		if t.fence != fence {
+			t.fence = fence
+			t.settled = false
+			t.orderAt = time.Time{}
+		}
+
+		if !t.settled && due(now, t.orderAt, c.Retry) {
+			t.orderAt = now
+			actions = append(actions, Action[S]{Target: id, State: t.wanted, Fence: fence})
+		}
+
+		if due(now, t.readAt, c.ReadEvery) {
+			t.readAt = now
+			actions = append(actions, Action[S]{Target: id, Read: true})
+		}
+	}
+
+	return actions
+}
+
+// Settled tells whether a target was last read at its wanted state.
+func (c *Corrector[S]) Settled(id fleet.InstanceID) bool {
+	t, ok := c.targets[id]
+
+	return ok && t.settled
+}
+
+func (c *Corrector[S]) ids() []fleet.InstanceID {
+	ids := make([]fleet.InstanceID, 0, len(c.targets))
+	for id := range c.targets {
+		ids = append(ids, id)
+	}
+
+	slices.Sort(ids)
+
+	return ids
+}
+
+func due(now, last time.Time, every time.Duration) bool {
+	return last.IsZero() || now.Sub(last) >= every
+}
--- /dev/null
+++ b/lease/drift_test.go
@@ -0,0 +1,51 @@
+package lease_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"monsoonlever/lease"
+)
+
+// TestHoldsLeaseAcrossDrift pauses a holder right after its grant was read, and
+// lets the successor in at the first moment its own clock allows.
+func TestHoldsLeaseAcrossDrift(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		config := lease.DefaultConfig()
+		config.Flight, config.Stagger = 0, 0
+		config.Drift = rapid.Float64Range(0, 0.09).Draw(t, "drift")
+		rates := []float64{1 - config.Drift, 1, 1 + config.Drift}
+		slow := rapid.SampledFrom(rates).Draw(t, "holder")
+		fast := rapid.SampledFrom(rates).Draw(t, "successor")
+		at := func(rate float64, elapsed time.Duration) time.Time {
+			return start.Add(time.Duration(float64(elapsed) * rate))
+		}
+
+		a, _ := lease.NewCore(config, role, holder("a"))
+		b, _ := lease.NewCore(config, role, holder("b"))
+
+		a.CaughtUp(start)
+		b.CaughtUp(start)
+		grant := a.Step(start)[0].Record
+		a.Observe(start, 1, grant)
+		b.Observe(start, 1, grant)
+
+		for elapsed := time.Duration(0); elapsed < 2*config.Term; elapsed += 5 * time.Millisecond {
+			b.CaughtUp(at(fast, elapsed))
+
+			if len(b.Step(at(fast, elapsed))) == 0 {
+				continue
+			}
+
+			if _, err := a.Check(at(slow, elapsed)); err == nil {
+				t.Fatalf("after %s the holder may act and the successor acquires", elapsed)
+			}
+
+			return
+		}
+
+		t.Fatal("the successor never acquired")
+	})
+}
