feat(daemon,cmd): the entry instance and the operators' command line, wired

Cause: nothing ran as a process. Change: daemon wires every part and stops gracefully; cmd holds the operators' commands; demo/run starts a deployment.

--- a/Makefile
+++ b/Makefile
@@ -37,7 +37,7 @@
 	CHECKS=$(CHECKS) SEED=$(SEED) bash .ci/proofs
 
 demo: build
-	$(BIN)/monsoonlever demo
+	bash demo/run
 
 clean:
 	rm -rf $(BIN)
--- /dev/null
+++ b/cmd/status.go
@@ -0,0 +1,85 @@
+package cmd
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+
+	"monsoonlever/daemon"
+)
+
+var errUnreachable = errors.New("an instance did not answer")
+
+// statusCommand shows instances and backend servers.
+type statusCommand struct {
+	instanceFlags
+
+	Servers bool `help:"Show the backend servers too, as the first instance that answers sees them."`
+}
+
+// Run asks every instance.
+func (s *statusCommand) Run(ctx context.Context, c *console) error {
+	results := s.statuses(ctx)
+
+	t := &table{header: []string{"INSTANCE", "DOMAIN", "READY", "MANIFEST", "LOG", "NOTE"}}
+	missing := false
+
+	for _, r := range results {
+		if r.Status == nil {
+			missing = true
+
+			t.add(r.Instance, "-", "-", "-", "-", r.Error)
+
+			continue
+		}
+
+		t.add(instanceRow(r.Status)...)
+	}
+
+	if err := c.print(results, t); err != nil {
+		return err
+	}
+
+	if s.Servers && !c.json {
+		if err := printServers(c, results); err != nil {
+			return err
+		}
+	}
+
+	if missing {
+		return errUnreachable
+	}
+
+	return nil
+}
+
+func instanceRow(s *daemon.Status) []string {
+	log := "up"
+	if !s.Log.Healthy {
+		log = fmt.Sprintf("down for %.0fs", s.Log.ReadAgeSeconds)
+	}
+
+	return []string{
+		string(s.Instance), string(s.FailureDomain), fmt.Sprint(s.Ready),
+		fmt.Sprint(s.Manifest.Version), log, strings.Join(s.Missing, "; "),
+	}
+}
+
+func printServers(c *console, results []InstanceResult) error {
+	for _, r := range results {
+		if r.Status == nil {
+			continue
+		}
+
+		t := &table{header: []string{"SERVER", "SERVICE", "MODEL", "VERSION", "DOMAIN", "STATE", "IN FLIGHT", "LOAD"}}
+		for _, s := range r.Status.Servers {
+			t.add(string(s.ID), string(s.Service), string(s.Model), string(s.Version), string(s.Domain),
+				s.State, fmt.Sprint(s.InFlight), fmt.Sprint(s.Load))
+		}
+
+		return c.print(nil, t)
+	}
+
+	return nil
+}
--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,174 @@
+// Package daemon is an entry instance: it wires every part together, runs it,
+// and stops it without cutting a request.
+//
+// # Usage
+//
+//	d := &daemon.Daemon{Settings: s, Clock: clock.System{}}
+//	err := d.Run(ctx)
+//
+// Run returns after a graceful stop, which begins when ctx ends.
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/sourcegraph/conc"
+	"k8s.io/klog/v2"
+
+	"monsoonlever/clock"
+	"monsoonlever/settings"
+)
+
+// Listeners are the sockets of a daemon. A daemon without them opens those of
+// its settings.
+type Listeners struct {
+	Callers   net.Listener
+	Peers     net.Listener
+	Operators net.Listener
+}
+
+// Daemon is one entry instance. The exported fields are set before Run.
+type Daemon struct {
+	Settings settings.Daemon
+	Clock    clock.Clock
+	// Listeners are optional.
+	Listeners *Listeners
+	// Started is called with the addresses once all sockets listen; it may be nil.
+	Started func(Addresses)
+}
+
+// Addresses tells where a daemon listens.
+type Addresses struct {
+	Callers   string `json:"callers"`
+	Peers     string `json:"peers"`
+	Operators string `json:"operators"`
+}
+
+// Run serves until ctx ends, and then stops gracefully.
+func (d *Daemon) Run(ctx context.Context) error {
+	listeners, err := d.listen()
+	if err != nil {
+		return err
+	}
+
+	p, err := d.build(listeners)
+	if err != nil {
+		listeners.close()
+
+		return err
+	}
+
+	if d.Started != nil {
+		d.Started(listeners.addresses())
+	}
+
+	klog.InfoS("instance started", "instance", d.Settings.Instance, "addresses", listeners.addresses())
+
+	return d.serve(ctx, p, listeners)
+}
+
+// serve runs every part until ctx ends. Control goes on while requests drain.
+func (d *Daemon) serve(ctx context.Context, p *parts, l *Listeners) error {
+	control, stopControl := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopControl()
+
+	var group conc.WaitGroup
+
+	group.Go(func() { p.run(control) })
+
+	failed := make(chan error, 2)
+	callers := p.callersServer()
+	operators := p.operatorsServer()
+
+	group.Go(func() { failed <- serveHTTP(callers, p.limited(l.Callers)) })
+	group.Go(func() { failed <- serveHTTP(operators, l.Operators) })
+
+	var err error
+	select {
+	case <-ctx.Done():
+	case err = <-failed:
+	}
+
+	p.leave(control)
+	d.drain(p, callers)
+	stopControl()
+	_ = operators.Close()
+
+	group.Wait()
+	klog.InfoS("instance stopped", "instance", d.Settings.Instance)
+
+	return err
+}
+
+// drain lets the requests that run come to their end.
+func (d *Daemon) drain(p *parts, callers *http.Server) {
+	p.gateway.Stop()
+
+	ctx, cancel := context.WithTimeout(context.Background(), d.Settings.DrainTimeout)
+	defer cancel()
+
+	if err := callers.Shutdown(ctx); err != nil {
+		klog.InfoS("requests were cut at the end of the drain timeout", "timeout", d.Settings.DrainTimeout, "err", err)
+		_ = callers.Close()
+	}
+
+	p.runner.Wait()
+}
+
+func serveHTTP(s *http.Server, l net.Listener) error {
+	err := s.Serve(l)
+	if merry.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+
+	return merry.Prepend(err, "serve "+l.Addr().String())
+}
+
+func (d *Daemon) listen() (*Listeners, error) {
+	if d.Listeners != nil {
+		return d.Listeners, nil
+	}
+
+	l := &Listeners{}
+	config := net.ListenConfig{KeepAlive: time.Minute}
+
+	for _, s := range []struct {
+		address string
+		into    *net.Listener
+	}{
+		{d.Settings.Listen.Callers, &l.Callers},
+		{d.Settings.Listen.Peers, &l.Peers},
+		{d.Settings.Listen.Operators, &l.Operators},
+	} {
+		opened, err := config.Listen(context.Background(), "tcp", s.address)
+		if err != nil {
+			l.close()
+
+			return nil, merry.Prepend(err, "listen on "+s.address)
+		}
+
+		*s.into = opened
+	}
+
+	return l, nil
+}
+
+func (l *Listeners) close() {
+	for _, opened := range []net.Listener{l.Callers, l.Peers, l.Operators} {
+		if opened != nil {
+			_ = opened.Close()
+		}
+	}
+}
+
+func (l *Listeners) addresses() Addresses {
+	return Addresses{
+		Callers:   l.Callers.Addr().String(),
+		Peers:     l.Peers.Addr().String(),
+		Operators: l.Operators.Addr().String(),
+	}
+}
--- /dev/null
+++ b/dispatch/verdict.go
@@ -0,0 +1,90 @@
+package dispatch
+
+import (
+	"net/http"
+
+	"monsoonlever/backend"
+	"monsoonlever/claim"
+	"monsoonlever/refusal"
+)
+
+// KeptHeaders are the header fields of a reply that are kept with its outcome.
+var KeptHeaders = []string{"Content-Type", "Content-Language", "Location"}
+
+func resultOf(r backend.Reply) claim.Result {
+	fields := make([]claim.Field, 0, len(r.Header))
+
+	for name, values := range r.Header {
+		for _, value := range values {
+			fields = append(fields, claim.Field{Name: name, Value: value})
+		}
+	}
+
+	return claim.NewResult(r.Status, fields, r.Body)
+}
+
+// replyOf turns the verdict on a claimed call into what its caller is told.
+func replyOf(v claim.Verdict) (backend.Reply, *refusal.Refusal) {
+	if v.Run() != claim.Ran {
+		return backend.Reply{}, refusalOf(v)
+	}
+
+	if !v.Kept() {
+		return backend.Reply{}, refusal.New(refusal.AnswerNotKept, "the call ran with status %d", v.Result().Status())
+	}
+
+	header := http.Header{}
+	for _, f := range v.Result().Header() {
+		header.Add(f.Name, f.Value)
+	}
+
+	return backend.Reply{Status: v.Result().Status(), Header: header, Body: v.Result().Body()}, nil
+}
+
+func refusalOf(v claim.Verdict) *refusal.Refusal {
+	code := refusal.OutcomeUnknown
+	run := refusal.Unknown
+
+	switch v.Run() {
+	case claim.NotRun:
+		code, run = codeNotStarted(v.Reason()), refusal.NotRun
+	case claim.NotStarted:
+		code, run = codeNotStarted(v.Reason()), refusal.NotStarted
+	case claim.KeyReused:
+		code, run = refusal.KeyReused, refusal.NotStarted
+	case claim.KeyExpired:
+		code = refusal.KeyExpired
+	case claim.Unknown:
+		code = codeUnknown(v.Reason())
+	case claim.Ran:
+	}
+
+	return refusal.New(code, "%s", v.Reason()).WithRun(run).WithRetryAfter(v.RetryAfter())
+}
+
+// codeNotStarted returns the code of a call that was not sent by this attempt.
+func codeNotStarted(reason claim.Reason) refusal.Code {
+	switch reason {
+	case claim.ReasonDeadline, claim.ReasonCanceled:
+		return refusal.DeadlinePassed
+	case claim.ReasonOverloaded:
+		return refusal.Overloaded
+	case claim.ReasonNotReady:
+		return refusal.NotReady
+	case claim.ReasonDeclined:
+		return refusal.ServerRefused
+	case claim.ReasonVoided:
+		return refusal.InProgress
+	default:
+		return refusal.LogUnavailable
+	}
+}
+
+// codeUnknown returns the code of a call of which it is not known whether it ran.
+func codeUnknown(reason claim.Reason) refusal.Code {
+	if reason == claim.ReasonDeadline {
+		return refusal.InProgress
+	}
+
+	return refusal.OutcomeUnknown
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -99,3 +99,8 @@
 func (g *Gateway) Stop() {
 	g.stopping.Store(true)
 }
+
+// Stopping tells whether Stop was called.
+func (g *Gateway) Stopping() bool {
+	return g.stopping.Load()
+}
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"net/http"
 	"net/textproto"
 	"time"
@@ -45,10 +44,7 @@
 		return
 	}
 
-	ctx, cancel := context.WithDeadline(r.Context(), call.request.Deadline)
-	defer cancel()
-
-	reply, refused := g.Plain.Call(ctx, call.request)
+	reply, refused := g.Plain.Call(r.Context(), call.request)
 	now := g.Clock.Now()
 	g.Admission.Finish(now, ticket, call.outcome(now, refused))
 	g.observe(call.observation(now, refused))
--- /dev/null
+++ b/listener/limit.go
@@ -0,0 +1,81 @@
+// Package listener bounds the open connections of a listener.
+//
+// A connection over the bound gets a short HTTP refusal and is closed, so that
+// the caller learns the reason instead of waiting in a queue.
+//
+// # Usage
+//
+//	l := &listener.Limit{Listener: inner, Max: 4096, Answer: answer}
+//	server.Serve(l)
+package listener
+
+import (
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// refusalTimeout bounds the write of a refusal.
+const refusalTimeout = time.Second
+
+// Limit is a listener with at most Max open connections. The exported fields
+// are set before Accept.
+type Limit struct {
+	net.Listener
+	Max int64
+	// Answer is written to a connection over the bound.
+	Answer []byte
+	// Refused is called for each connection over the bound; it may be nil.
+	Refused func()
+
+	open atomic.Int64
+}
+
+// Open returns the number of open connections.
+func (l *Limit) Open() int64 {
+	return l.open.Load()
+}
+
+// Accept returns the next connection within the bound.
+func (l *Limit) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+
+		if l.open.Add(1) <= l.Max {
+			return &conn{Conn: c, open: &l.open}, nil
+		}
+
+		l.open.Add(-1)
+		l.refuse(c)
+	}
+}
+
+func (l *Limit) refuse(c net.Conn) {
+	if l.Refused != nil {
+		l.Refused()
+	}
+
+	// A caller that does not read its refusal must not hold up the others; the
+	// answer fits into the send buffer of a new connection.
+	_ = c.SetWriteDeadline(time.Now().Add(refusalTimeout))
+	_, _ = c.Write(l.Answer)
+	_ = c.Close()
+}
+
+// conn counts itself out when it is closed.
+type conn struct {
+	net.Conn
+	once sync.Once
+	open *atomic.Int64
+}
+
+// Close closes the connection.
+func (c *conn) Close() error {
+	c.once.Do(func() { c.open.Add(-1) })
+
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/listener/limit_test.go
@@ -0,0 +1,64 @@
+package listener
+
+import (
+	"io"
+	"net"
+	"testing"
+)
+
+func TestLimitRefusesAboveItsBoundAndRecovers(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer inner.Close()
+
+	refused := make(chan struct{}, 1)
+	l := &Limit{
+		Listener: inner, Max: 1, Answer: []byte("busy"),
+		Refused: func() { refused <- struct{}{} },
+	}
+	accepted := make(chan net.Conn, 2)
+
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			accepted <- c
+		}
+	}()
+
+	dial := func() net.Conn {
+		c, err := net.Dial("tcp", inner.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+
+		return c
+	}
+
+	first := dial()
+	defer first.Close()
+	held := <-accepted
+
+	second := dial()
+	defer second.Close()
+	<-refused
+
+	if got, _ := io.ReadAll(second); string(got) != "busy" {
+		t.Errorf("answer over the bound: got %q, want %q", got, "busy")
+	}
+
+	held.Close()
+	held.Close()
+
+	if got, want := l.Open(), int64(0); got != want {
+		t.Errorf("open after close: got %d, want %d", got, want)
+	}
+
+	third := dial()
+	defer third.Close()
+	<-accepted
+}
