--- a/backend/http_test.go
+++ b/backend/http_test.go
@@ -185,6 +185,7 @@
 	}{
 		{desc: "success", status: 200, wantStatus: 200},
 		{desc: "redirect is not followed", status: 307, header: http.Header{"Location": {"/again"}}, wantStatus: 307},
+		{desc: "nor is one that changes the method", status: 303, header: http.Header{"Location": {"/again"}}, wantStatus: 303},
 		{desc: "unmarked 503 is an answer", status: 503, wantStatus: 503},
 		{
 			desc: "503 before the start", status: 503,
--- a/monsoonlever-standins/listening.go
+++ b/monsoonlever-standins/listening.go
@@ -40,8 +40,8 @@
 	line = append(line, '\n')
 
 	if l.ReadyFile != "" {
-		if err := os.WriteFile(l.ReadyFile, line, readyFileMode); err != nil {
-			return merry.Prepend(err, "write ready file")
+		if err := writeWhole(l.ReadyFile, line); err != nil {
+			return err
 		}
 	}
 
@@ -51,3 +51,17 @@
 
 	return nil
 }
+
+// writeWhole makes a file appear with all of its content.
+func writeWhole(path string, content []byte) error {
+	partial := path + ".partial"
+	if err := os.WriteFile(partial, content, readyFileMode); err != nil {
+		return merry.Prepend(err, "write ready file")
+	}
+
+	if err := os.Rename(partial, path); err != nil {
+		return merry.Prepend(err, "rename ready file")
+	}
+
+	return nil
+}
--- a/monsoonlever-standins/membership.go
+++ b/monsoonlever-standins/membership.go
@@ -5,8 +5,8 @@
 	"net/http"
 	"time"
 
-	"github.com/ansel1/merry/v2"
 	"github.com/sourcegraph/conc"
+	"k8s.io/klog/v2"
 
 	"monsoonlever/fleet"
 	"monsoonlever/platform"
@@ -86,13 +86,10 @@
 		return nil
 	}
 
-	return depart(ctx, client, m.Platform, registration.Listing.ID)
-}
-
-// depart takes a stopped server out of the list.
-func depart(ctx context.Context, c *http.Client, platformURL string, id fleet.InstanceID) error {
-	if err := standin.Depart(context.WithoutCancel(ctx), c, platformURL, id); err != nil {
-		return merry.Prepend(err, "leave the platform")
+	// The platform may have been stopped at the same time.
+	err = standin.Depart(context.WithoutCancel(ctx), client, m.Platform, registration.Listing.ID)
+	if err != nil {
+		klog.InfoS("platform was not told of the stop", "err", err)
 	}
 
 	return nil
--- a/standin/engine_test.go
+++ b/standin/engine_test.go
@@ -263,12 +263,7 @@
 	request := backend.GenerateRequest{Attempt: "a", Model: model, Prompt: prompt, MaxTokens: 1}
 
 	for _, want := range []int{0, 32} {
-		events, err := generate(t, engine, request)
-		if !errors.Is(err, io.EOF) {
-			t.Fatal(err)
-		}
-
-		if got := events[len(events)-1].Usage.CachedTokens; got != want {
+		if got := cachedBy(t, engine, request); got != want {
 			t.Errorf("cached: got %d, want %d", got, want)
 		}
 	}
@@ -282,6 +277,10 @@
 	})
 	c.Advance(1)
 
+	if cached := cachedBy(t, engine, request); cached != 0 {
+		t.Errorf("cached after the eviction: got %d, want 0", cached)
+	}
+
 	hashes := backend.PrefixHashes(model, prompt)
 	other := backend.PrefixHashes(model, strings.Repeat("else ", 16))
 	want := []backend.CacheEvent{
@@ -302,6 +301,18 @@
 	}
 }
 
+// cachedBy returns how many tokens the cache spared an attempt.
+func cachedBy(t *testing.T, e backend.Engine, r backend.GenerateRequest) int {
+	t.Helper()
+
+	events, err := generate(t, e, r)
+	if !errors.Is(err, io.EOF) {
+		t.Fatalf("generate: got %v, want %v", err, io.EOF)
+	}
+
+	return events[len(events)-1].Usage.CachedTokens
+}
+
 func TestCancelEndsAnAttempt(t *testing.T) {
 	c := clock.NewManual(start)
 	fake := standin.NewEngine(c)
