--- /dev/null
+++ b/publication/request.go
@@ -0,0 +1,15 @@
+package publication
+
+import "monsoonlever/platform"
+
+// Request asks a Publisher for one publication.
+type Request struct {
+	// Base is the version that the manifest was derived from, 0 for none.
+	Base platform.Offset
+	// File names the manifest in findings.
+	File string
+	// Data is the manifest's text.
+	Data []byte
+	// Operator says who publishes.
+	Operator string
+}
