fix(publication): settle lost answers on the log and start from checkpoints soundly

Cause: the first version told operators "refused" of records that arrived later, let a reader miss what lay between a checkpoint's statement and its place, and showed restarted followers old versions.

Change: a publication whose answer was lost is sent again under its id until the version that it was derived from is no longer in force; whoever changed it decides. To give up, a Fence gives the same manifest a new version, so a copy that arrives later is derived from an old version and void for every reader, also for one that starts from a checkpoint. Ruled out: a fence that voids older ids of its publisher, which every reader would have to remember for as long as an append may be late, and every checkpoint to carry. A checkpoint names the offset through which it holds, and a reader goes on from there or, where records in between are gone, waits for a later one. A follower shows nothing before it has read the log to its end or adopted a peer's checkpoint.

--- a/publication/attempt.go
+++ b/publication/attempt.go
@@ -165,10 +165,6 @@
 		a.verdict = verdictVersionUnknown
 	case !state.Known():
 		return
-	case state.Version() == a.base && a.sent && a.acknowledged == 0:
-		// The log was read to its end, and the record is not there.
-		a.version = state.Version()
-		a.verdict = verdictVoid
 	case state.Version() == a.base:
 		return
 	case !a.sent:
--- a/publication/follower.go
+++ b/publication/follower.go
@@ -153,12 +153,14 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 
-	results, _ := f.reader.apply(q, b)
+	results, atEnd := f.reader.apply(q, b)
 	for _, r := range results {
 		f.observe(r)
 	}
 
-	if f.exposed || f.reader.state.Known() {
+	// Older versions on the way to the end would be a step back for an instance
+	// that was restarted.
+	if f.exposed || atEnd && f.reader.state.Known() {
 		f.expose()
 	}
 
--- a/publication/state.go
+++ b/publication/state.go
@@ -188,6 +188,8 @@
 		return s.finish(result, Disagreeing)
 	case s.known:
 		return s.finish(result, s.compare(c))
+	case c.Through+1 < s.runStart:
+		return s.finish(result, Useless)
 	default:
 		return s.restore(result, c)
 	}
@@ -233,7 +235,7 @@
 		s.current = restored
 	}
 
-	s.next = max(c.Through, result.offset) + 1
+	s.next = c.Through + 1
 	s.runStart = s.next
 	s.known = true
 
