fix(admission): share limits safely, queue fairly, refuse at once

Cause: shares trusted the newest digest of each side, the queue was first come first served with no bound on bytes, and a queued request that had become hopeless stayed until its time to start had passed. The queue is start-time fair queueing over accounts within a priority, the latest of the heaviest account at the lowest priority leaves a full queue, and each tick refuses what can no longer start in time.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -36,6 +36,10 @@
 	jitter   jitter
 	counters *counters
 
+	// sharesUntil is when the shares in force must be computed anew, in Unix
+	// nanoseconds.
+	sharesUntil atomic.Int64
+
 	mu     sync.Mutex
 	shares shares
 }
@@ -174,6 +178,11 @@
 		return c.refuse(t, DeadlineTooShort, 0)
 	}
 
+	if now.UnixNano() > c.sharesUntil.Load() {
+		// This instance was paused; what it held then may be others' now.
+		c.Rebalance(now)
+	}
+
 	if got := t.account.take(now, &t.request); got.reason != NoReason {
 		return c.refuse(t, got.reason, got.wait)
 	}
--- a/admission/fairqueue.go
+++ b/admission/fairqueue.go
@@ -1,62 +1,196 @@
 package admission
 
-// fairQueue is first come, first served.
+import (
+	"slices"
+
+	"monsoonlever/fleet"
+)
+
+// fairQueue serves the highest priority first and the accounts within a
+// priority by their weights. Every lowTurn-th start goes to a lower priority,
+// so that none starves. When it is full, the latest request of the heaviest
+// account at the lowest priority leaves.
 type fairQueue struct {
-	tickets []*Ticket
+	// classes holds the priorities that have requests, the highest first.
+	classes []*class
+	count   int
 	held    int64
 	config  ServiceConfig
+	starts  int
 }
 
+// lowTurn is the share of starts that lower priorities get while they wait.
+const lowTurn = 10
+
 func newFairQueue() queue { return &fairQueue{} }
 
 func (q *fairQueue) configure(s ServiceConfig) { q.config = s }
 
+func (q *fairQueue) size() int { return q.count }
+
+func (q *fairQueue) bytes() int64 { return q.held }
+
+func (q *fairQueue) find(p fleet.Priority) (int, bool) {
+	return slices.BinarySearchFunc(q.classes, p, func(c *class, p fleet.Priority) int {
+		return int(p) - int(c.priority)
+	})
+}
+
 func (q *fairQueue) ahead(t *Ticket) float64 {
-	for i, other := range q.tickets {
-		if other == t {
-			return float64(i)
+	sum := 0.0
+
+	for _, c := range q.classes {
+		if c.priority > t.request.Priority {
+			sum += float64(c.size)
+		}
+
+		if c.priority == t.request.Priority {
+			sum += c.ahead(t, c.place(t))
 		}
 	}
 
-	return float64(len(q.tickets))
+	return sum
 }
 
 func (q *fairQueue) push(t *Ticket) []*Ticket {
-	if len(q.tickets) >= q.config.QueueRequests || q.held >= q.config.QueueBytes {
+	if t.request.Bytes > q.config.QueueBytes {
 		return []*Ticket{t}
 	}
 
-	q.tickets = append(q.tickets, t)
-	q.held += t.request.Bytes
+	var out []*Ticket
+
+	for !q.fits(t) {
+		victim := q.victim(t)
+		out = append(out, victim)
+
+		if victim == t {
+			return out
+		}
+
+		q.remove(victim)
+	}
+
+	q.add(t)
+
+	return out
+}
+
+func (q *fairQueue) fits(t *Ticket) bool {
+	return q.count < q.config.QueueRequests && q.held+t.request.Bytes <= q.config.QueueBytes
+}
+
+// victim chooses who leaves for t, which may be t itself.
+func (q *fairQueue) victim(t *Ticket) *Ticket {
+	lowest := q.classes[len(q.classes)-1]
+
+	if lowest.priority > t.request.Priority {
+		return t
+	}
+
+	if lowest.priority < t.request.Priority {
+		return lowest.heaviestActive().last()
+	}
+
+	f := lowest.heaviest(t)
+	if f.account == t.account {
+		return t
+	}
 
-	return nil
+	return f.last()
+}
+
+func (q *fairQueue) add(t *Ticket) {
+	i, found := q.find(t.request.Priority)
+	if !found {
+		q.classes = slices.Insert(q.classes, i, newClass(t.request.Priority))
+	}
+
+	q.classes[i].push(t)
+	q.count++
+	q.held += t.request.Bytes
 }
 
 func (q *fairQueue) pop() *Ticket {
-	t := q.tickets[0]
-	q.remove(t)
+	q.starts++
+	c := q.classes[0]
+
+	if q.starts%lowTurn == 0 {
+		c = q.longestWaiting()
+	}
+
+	t := c.pop()
+	q.forget(c, t)
 
 	return t
 }
 
+// longestWaiting returns the class below the highest whose next request is
+// the oldest, or the highest if it is the only one.
+func (q *fairQueue) longestWaiting() *class {
+	if len(q.classes) == 1 {
+		return q.classes[0]
+	}
+
+	return slices.MinFunc(q.classes[1:], func(a, b *class) int {
+		return a.oldest().Compare(b.oldest())
+	})
+}
+
 func (q *fairQueue) remove(t *Ticket) {
-	for i, other := range q.tickets {
-		if other == t {
-			q.tickets = append(q.tickets[:i], q.tickets[i+1:]...)
-			q.held -= t.request.Bytes
+	i, found := q.find(t.request.Priority)
+	if !found {
+		return
+	}
 
-			return
-		}
+	c := q.classes[i]
+	c.remove(t)
+	q.forget(c, t)
+}
+
+// forget counts t out, and drops its class when that is empty.
+func (q *fairQueue) forget(c *class, t *Ticket) {
+	q.count--
+	q.held -= t.request.Bytes
+
+	if c.size == 0 {
+		q.classes = slices.DeleteFunc(q.classes, func(other *class) bool { return other == c })
 	}
 }
 
 func (q *fairQueue) drainAll() []*Ticket {
-	all := q.tickets
-	q.tickets, q.held = nil, 0
+	var all []*Ticket
+
+	for q.count > 0 {
+		all = append(all, q.pop())
+	}
 
 	return all
 }
 
-func (q *fairQueue) size() int { return len(q.tickets) }
+// late returns the queued requests for which hopeless is true, given how many
+// requests are ahead of each.
+func (q *fairQueue) late(hopeless func(t *Ticket, ahead float64) bool) []*Ticket {
+	var out []*Ticket
 
-func (q *fairQueue) bytes() int64 { return q.held }
+	above := 0.0
+
+	for _, c := range q.classes {
+		for _, f := range c.active {
+			kept := 0
+
+			for _, t := range f.tickets {
+				if hopeless(t, above+c.ahead(t, kept)) {
+					out = append(out, t)
+
+					continue
+				}
+
+				kept++
+			}
+		}
+
+		above += float64(c.size)
+	}
+
+	return out
+}
--- /dev/null
+++ b/admission/flow.go
@@ -0,0 +1,54 @@
+package admission
+
+import "math"
+
+// flow holds the queued requests of one account at one priority, in order of
+// arrival.
+type flow struct {
+	account *account
+	tickets []*Ticket
+	// start is the virtual time at which the flow's next request starts.
+	start float64
+	// place is the index in the heap of the class, or noPlace.
+	place int
+}
+
+func (f *flow) weight() float64 {
+	return f.account.limits.Load().account.Weight
+}
+
+// load is how much the flow queues for its weight.
+func (f *flow) load() float64 {
+	return float64(len(f.tickets)) / f.weight()
+}
+
+// position returns the index of t, or where it would be added.
+func (f *flow) position(t *Ticket) int {
+	for i, other := range f.tickets {
+		if other == t {
+			return i
+		}
+	}
+
+	return len(f.tickets)
+}
+
+func (f *flow) last() *Ticket {
+	return f.tickets[len(f.tickets)-1]
+}
+
+func (f *flow) remove(t *Ticket) {
+	i := f.position(t)
+	if i == len(f.tickets) {
+		return
+	}
+
+	copy(f.tickets[i:], f.tickets[i+1:])
+	f.tickets[len(f.tickets)-1] = nil
+	f.tickets = f.tickets[:len(f.tickets)-1]
+}
+
+// cost is what a request takes of a flow's virtual time: its tokens, or one.
+func cost(r *Request) float64 {
+	return math.Max(1, float64(r.Tokens))
+}
--- /dev/null
+++ b/admission/flowheap.go
@@ -0,0 +1,46 @@
+package admission
+
+// flowHeap orders the flows that have requests by their virtual start time.
+type flowHeap []*flow
+
+// Len returns the number of flows.
+func (h flowHeap) Len() int { return len(h) }
+
+// Less orders by virtual start time, then by name so that ties are repeatable.
+func (h flowHeap) Less(i, j int) bool {
+	if h[i].start != h[j].start {
+		return h[i].start < h[j].start
+	}
+
+	return h[i].account.name < h[j].account.name
+}
+
+// Swap exchanges two flows.
+func (h flowHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].place = i
+	h[j].place = j
+}
+
+// Push appends a *flow, for container/heap.
+func (h *flowHeap) Push(x any) {
+	f, ok := x.(*flow)
+	if !ok {
+		return
+	}
+
+	f.place = len(*h)
+	*h = append(*h, f)
+}
+
+// Pop removes the last flow, for container/heap.
+func (h *flowHeap) Pop() any {
+	old := *h
+	last := len(old) - 1
+	f := old[last]
+	old[last] = nil
+	f.place = noPlace
+	*h = old[:last]
+
+	return f
+}
--- a/admission/service.go
+++ b/admission/service.go
@@ -81,7 +81,7 @@
 		return
 	}
 
-	if s.tooLate(now, t) {
+	if s.hopeless(now, t, s.queue.ahead(t)) {
 		s.refuse(now, t, DeadlineTooShort)
 
 		return
@@ -98,14 +98,29 @@
 	s.dispatch(now)
 }
 
-func (s *service) tooLate(now time.Time, t *Ticket) bool {
+// hopeless tells whether t would be started too late behind so many others.
+func (s *service) hopeless(now time.Time, t *Ticket, ahead float64) bool {
 	if t.giveUp.IsZero() {
 		return false
 	}
 
-	wait := s.limiter.drain(s.queue.ahead(t) + 1)
+	return !now.Add(s.limiter.drain(ahead)).Before(t.giveUp)
+}
+
+// shed refuses what was feasible on arrival and is not any more, because the
+// service has become slower or others went before it.
+func (s *service) shed(now time.Time) {
+	if len(s.deadlines) == 0 {
+		return
+	}
+
+	late := s.queue.late(func(t *Ticket, ahead float64) bool { return s.hopeless(now, t, ahead) })
 
-	return !now.Add(wait).Before(t.giveUp)
+	for _, t := range late {
+		s.queue.remove(t)
+		s.letGo(t)
+		s.refuse(now, t, DeadlineTooShort)
+	}
 }
 
 // hold counts t as queued.
@@ -141,7 +156,7 @@
 	}
 }
 
-// expire refuses every queued request whose deadline can no longer be met.
+// expire refuses every queued request whose time to start has passed.
 func (s *service) expire(now time.Time) {
 	for len(s.deadlines) > 0 && !s.deadlines[0].giveUp.After(now) {
 		t := s.deadlines[0]
@@ -172,6 +187,19 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
+	s.dispatch(now)
+	s.shed(now)
+}
+
+// next starts what the released slot is for.
+func (s *service) next(now time.Time) {
+	if s.queued.Load() == 0 {
+		return
+	}
+
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
 	s.dispatch(now)
 }
 
@@ -214,5 +242,5 @@
 	}
 
 	s.limiter.release(now, target, o)
-	s.tick(now)
+	s.next(now)
 }
--- a/admission/sharecontrol.go
+++ b/admission/sharecontrol.go
@@ -36,7 +36,10 @@
 		return Demand{At: now.UnixMilli()}
 	}
 
-	return c.shares.publish(now, snapshot.accountList)
+	d := c.shares.publish(now, snapshot.accountList)
+	c.rebalance(now, snapshot)
+
+	return d
 }
 
 // ApplyDemand takes the digest of another entry instance. Digests may come
@@ -62,6 +65,7 @@
 
 func (c *Controller) rebalance(now time.Time, snapshot *table) {
 	c.shares.prepare(now)
+	c.sharesUntil.Store(c.shares.until(now))
 
 	for _, a := range snapshot.accountList {
 		old := a.limits.Load()
