feat(membership): first version with the properties it fails

Cause: a list of members that is agreed needs a proof that it holds under faults, and the proof needs to have been seen failing.

--- /dev/null
+++ b/membership/config.go
@@ -0,0 +1,95 @@
+package membership
+
+import "time"
+
+const (
+	// MaxPayload bounds a member's payload in bytes.
+	MaxPayload = 256
+	// MaxMessage bounds the updates of a sync message in bytes.
+	MaxMessage = 8 << 10
+	// MaxPiggyback bounds the updates of every other message in bytes.
+	MaxPiggyback = 1200
+	// TickInterval is how often the shell calls Tick.
+	TickInterval = 100 * time.Millisecond
+
+	maxHealth    = 4
+	maxRelays    = 64
+	bucketCount  = 64
+	digestSize   = 4
+	leaveFanout  = 4
+	gossipFanout = 2
+	// freezeGap is a time without a Tick after which the node itself was
+	// paused, so that it cannot blame others for what it did not hear.
+	freezeGap = 10 * TickInterval
+)
+
+// Config holds the timing of a Core; zero fields take their default.
+type Config struct {
+	// ProbeInterval is the time between probes; default 1 s.
+	ProbeInterval time.Duration `json:"probeInterval"`
+	// AckTimeout is the wait before indirect probes; default 300 ms.
+	AckTimeout time.Duration `json:"ackTimeout"`
+	// IndirectProbes is how many members probe a silent one; default 3.
+	IndirectProbes int `json:"indirectProbes"`
+	// SuspicionFactor times the probe interval and the logarithm of the
+	// region's size is how long a suspect may refute; default 4.
+	SuspicionFactor int `json:"suspicionFactor"`
+	// GossipInterval is the time between gossip rounds; default 250 ms.
+	GossipInterval time.Duration `json:"gossipInterval"`
+	// GossipRate bounds the bytes of updates sent in a second; default 3000.
+	GossipRate int `json:"gossipRate"`
+	// RetransmitFactor times the natural logarithm of the region's size is how
+	// often an update is sent on; default 2.
+	RetransmitFactor float64 `json:"retransmitFactor"`
+	// SyncInterval is the time between anti-entropy rounds; default 30 s.
+	SyncInterval time.Duration `json:"syncInterval"`
+	// SyncRate bounds the bytes of members sent in anti-entropy rounds in a
+	// second; a burst of sixteen seconds' worth may be saved up; default 2000.
+	SyncRate int `json:"syncRate"`
+	// SeedInterval is the time between contacts to a seed that is no member,
+	// and to a dead member; default 30 s.
+	SeedInterval time.Duration `json:"seedInterval"`
+	// Retention is how long a dead or left member is remembered; default 2 h.
+	Retention time.Duration `json:"retention"`
+	// PayloadRate is how many payloads the fleet as a whole may change in a
+	// second; a member's share shrinks as the fleet grows; default 4.
+	PayloadRate float64 `json:"payloadRate"`
+	// BridgeInterval is the time between probes of a bridge to each other
+	// region; default 1 s.
+	BridgeInterval time.Duration `json:"bridgeInterval"`
+	// RegionInterval is the same for members that are no bridge; default 15 s.
+	RegionInterval time.Duration `json:"regionInterval"`
+	// RegionTimeout is the time without a round trip after which a region is
+	// unreachable; default 60 s.
+	RegionTimeout time.Duration `json:"regionTimeout"`
+}
+
+// withDefaults returns the configuration with every field set.
+func (c Config) withDefaults() Config {
+	return Config{
+		ProbeInterval:    orDefault(c.ProbeInterval, time.Second),
+		AckTimeout:       orDefault(c.AckTimeout, 300*time.Millisecond),
+		IndirectProbes:   orDefault(c.IndirectProbes, 3),
+		SuspicionFactor:  orDefault(c.SuspicionFactor, 4),
+		GossipInterval:   orDefault(c.GossipInterval, 250*time.Millisecond),
+		GossipRate:       orDefault(c.GossipRate, 3000),
+		RetransmitFactor: orDefault(c.RetransmitFactor, 2),
+		SyncInterval:     orDefault(c.SyncInterval, 30*time.Second),
+		SyncRate:         orDefault(c.SyncRate, 2000),
+		SeedInterval:     orDefault(c.SeedInterval, 30*time.Second),
+		Retention:        orDefault(c.Retention, 2*time.Hour),
+		PayloadRate:      orDefault(c.PayloadRate, 4),
+		BridgeInterval:   orDefault(c.BridgeInterval, time.Second),
+		RegionInterval:   orDefault(c.RegionInterval, 15*time.Second),
+		RegionTimeout:    orDefault(c.RegionTimeout, time.Minute),
+	}
+}
+
+func orDefault[T comparable](value, otherwise T) T {
+	var zero T
+	if value == zero {
+		return otherwise
+	}
+
+	return value
+}
--- /dev/null
+++ b/membership/core.go
@@ -0,0 +1,258 @@
+package membership
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"monsoonlever/fleet"
+)
+
+// Core decides for one node. The exported fields are set before the first
+// step. It is not safe for concurrent use.
+type Core struct {
+	// Self is the node's own identity.
+	Self Identity
+	// Config holds the timing.
+	Config Config
+	// Random is the source of every random choice.
+	Random *rand.Rand
+
+	started    bool
+	stopped    bool
+	superseded fleet.Incarnation
+	joined     bool
+	now        time.Time
+	lastTick   time.Time
+	step       Step
+	config     Config
+
+	table      table
+	broadcasts broadcasts
+	bytes      tokenBucket
+	syncBytes  tokenBucket
+	groups     groups
+	regrouping bool
+
+	number      uint32
+	probe       *probe
+	probeAt     time.Time
+	probeTurns  turns
+	gossipTurns turns
+	relays      []relay
+	suspects    []fleet.InstanceID
+	health      int
+	gossipAt    time.Time
+	syncAt      time.Time
+	seedAt      time.Time
+	seeds       []string
+	regions     []*regionState
+	bridgeAt    time.Time
+	bridgeTurn  int
+	crossSyncAt time.Time
+	reapAt      time.Time
+	pending     pendingPayload
+}
+
+// begin opens a step at now.
+func (c *Core) begin(now time.Time) {
+	c.now = now
+	c.step = Step{}
+
+	if c.started {
+		return
+	}
+
+	c.started = true
+	c.config = c.Config.withDefaults()
+	c.lastTick = now
+	c.table.put(&Member{identity: c.Self})
+	c.broadcasts.add(c.Self.ID, partsAll, true)
+	c.regrouping = true
+	c.probeAt = now.Add(c.jitter(c.config.ProbeInterval))
+	c.gossipAt = now.Add(c.jitter(c.config.GossipInterval))
+	c.syncAt = now
+	c.seedAt = now
+	c.bridgeAt = now.Add(c.jitter(c.config.BridgeInterval))
+	c.crossSyncAt = now.Add(c.jitter(c.config.SyncInterval))
+	c.reapAt = now.Add(time.Minute)
+}
+
+// Tick lets time pass. The shell calls it every TickInterval.
+func (c *Core) Tick(now time.Time) Step {
+	c.begin(now)
+
+	if c.stopped {
+		return c.step
+	}
+
+	c.noteFreeze()
+	c.lastTick = now
+	c.expireProbe()
+	c.expireSuspicions()
+	c.expireRegions()
+	c.regroup()
+	c.releasePayload()
+	c.probeNext()
+	c.bridgeNext()
+	c.syncNext()
+	c.gossipNext()
+	c.reap()
+
+	return c.step
+}
+
+// Receive takes a message from a verified source.
+func (c *Core) Receive(now time.Time, from Source, message Message) Step {
+	c.begin(now)
+
+	if c.stopped || from.ID == c.Self.ID {
+		return c.step
+	}
+
+	c.noteFreeze()
+
+	if c.outdated(from) {
+		return c.step
+	}
+
+	c.mergeAll(message)
+	c.regroup()
+	c.handle(from, message)
+
+	return c.step
+}
+
+func (c *Core) handle(from Source, message Message) {
+	switch m := message.(type) {
+	case *Probe:
+		c.answerProbe(from, m)
+	case *Ack:
+		c.noteAck(from, m)
+	case *IndirectProbe:
+		c.relayProbe(from, m)
+	case *SyncRequest:
+		c.answerSync(from, m)
+	case *SyncResponse:
+		c.finishSync(from, m)
+	}
+}
+
+// Discover replaces the addresses to join through: seeds of the settings and
+// the platform's list.
+func (c *Core) Discover(now time.Time, addresses []string) {
+	c.begin(now)
+	c.seeds = slices.Clone(addresses)
+}
+
+// Leave announces that the node drains. It cannot be taken back.
+func (c *Core) Leave(now time.Time) Step {
+	return c.announce(now, Leaving)
+}
+
+// Depart announces that the node ends now.
+func (c *Core) Depart(now time.Time) Step {
+	step := c.announce(now, Left)
+	c.stopped = true
+
+	return step
+}
+
+// announce moves the node's own phase on and tells some members at once.
+func (c *Core) announce(now time.Time, phase Phase) Step {
+	c.begin(now)
+
+	self := c.self()
+	if c.stopped || self.phase >= phase {
+		return c.step
+	}
+
+	changed := *self
+	changed.phase = phase
+	changed.revision++
+	c.replace(&changed, 0, true)
+	c.regroup()
+
+	told := append(c.pick(c.groups.locals, leaveFanout, ""), c.pick(c.groups.bridges, leaveFanout/2, "")...)
+	for _, m := range told {
+		c.send(m, &Gossip{Updates: c.piggyback(m)})
+	}
+
+	return c.step
+}
+
+// Superseded returns the incarnation of a newer process with the node's ID,
+// and whether there is one. Such a core has stopped for good.
+func (c *Core) Superseded() (fleet.Incarnation, bool) {
+	return c.superseded, c.superseded != 0
+}
+
+// Joined reports whether the core has taken over another member's whole list.
+func (c *Core) Joined() bool {
+	return c.joined
+}
+
+func (c *Core) self() *Member {
+	return c.table.get(c.Self.ID).member
+}
+
+func (c *Core) jitter(d time.Duration) time.Duration {
+	return time.Duration(c.Random.Int64N(int64(d)))
+}
+
+// spread returns d give or take a tenth.
+func (c *Core) spread(d time.Duration) time.Duration {
+	return d*9/10 + c.jitter(d/5)
+}
+
+func (c *Core) send(to *Member, message Message) {
+	c.sendTo(Destination{id: to.identity.ID, address: to.identity.Address}, message)
+}
+
+func (c *Core) sendTo(to Destination, message Message) {
+	c.step.messages = append(c.step.messages, Outgoing{to: to, message: message})
+}
+
+func (c *Core) reply(to Source, message Message) {
+	c.sendTo(Destination{id: to.ID, address: to.Address}, message)
+}
+
+// pick returns up to n random members of list other than except.
+func (c *Core) pick(list []*Member, n int, except fleet.InstanceID) []*Member {
+	var picked []*Member
+
+	draws := c.draws(len(list), n)
+	for _, at := range draws {
+		if len(picked) == n {
+			break
+		}
+
+		m := list[at]
+		if m.identity.ID != except && !slices.Contains(picked, m) {
+			picked = append(picked, m)
+		}
+	}
+
+	return picked
+}
+
+// draws returns places in a list of some size: every one where the list is
+// short, and otherwise a few with repeats, which cost less than a shuffle.
+func (c *Core) draws(size, n int) []int {
+	if size <= 4*n {
+		return c.Random.Perm(size)
+	}
+
+	draws := make([]int, 2*n)
+	for i := range draws {
+		draws[i] = c.Random.IntN(size)
+	}
+
+	return draws
+}
+
+// logSize is the natural logarithm of the number of live members of the region.
+func (c *Core) logSize() float64 {
+	return math.Log(float64(len(c.groups.locals) + 2))
+}
--- /dev/null
+++ b/membership/holds_test.go
@@ -0,0 +1,251 @@
+package membership
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"monsoonlever/fleet"
+)
+
+const (
+	// settleBound is the time after the last fault in which all must agree.
+	settleBound = 120 * time.Second
+	// leavingBound is the time in which all must know of a leaving member.
+	leavingBound = 5 * time.Second
+	// rateBound is the most a node may send in a second, over a window.
+	rateBound  = 8 << 10
+	rateWindow = 10 * time.Second
+)
+
+// drawModel boots a few nodes in one or two regions and lets them join.
+func drawModel(t *rapid.T, most int) *model {
+	m := newModel(rapid.Uint64().Draw(t, "seed"))
+	size := rapid.IntRange(3, most).Draw(t, "nodes")
+	regions := rapid.IntRange(1, 2).Draw(t, "regions")
+
+	for i := range size {
+		region := i * regions / size
+		m.add(fleet.Region(fmt.Sprintf("r%d", region)), fleet.FailureDomain(fmt.Sprintf("r%d-%d", region, i%3)))
+	}
+
+	m.seeds = []string{m.nodes[0].identity.Address, m.nodes[size-1].identity.Address}
+	for _, n := range m.nodes {
+		m.boot(n)
+	}
+
+	if _, d := m.settle(settleBound); d != "" {
+		t.Fatalf("joining: %s", d)
+	}
+
+	return m
+}
+
+// fault is one thing that goes wrong, from a time on and for a time.
+type fault struct {
+	kind  faultKind
+	node  int
+	other int
+	from  time.Duration
+	until time.Duration
+}
+
+type faultKind int
+
+const (
+	faultCut faultKind = iota
+	faultIsolation
+	faultFreeze
+	faultRestart
+	faultCrash
+	faultLeave
+	faultKinds
+)
+
+func drawFaults(t *rapid.T, nodes int) []fault {
+	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) fault {
+		from := time.Duration(rapid.IntRange(0, 60).Draw(t, "from")) * time.Second
+
+		return fault{
+			kind:  faultKind(rapid.IntRange(0, int(faultKinds)-1).Draw(t, "kind")),
+			node:  rapid.IntRange(0, nodes-1).Draw(t, "node"),
+			other: rapid.IntRange(0, nodes-1).Draw(t, "other"),
+			from:  from,
+			until: from + time.Duration(rapid.IntRange(1, 40).Draw(t, "seconds"))*time.Second,
+		}
+	}), 0, 8).Draw(t, "faults")
+}
+
+// play runs the faults to the end of the last and heals what they left.
+func (m *model) play(faults []fault) {
+	var cuts []fault
+
+	m.blocked = func(from, to *modelNode) bool {
+		for _, f := range cuts {
+			if f.kind == faultIsolation && (m.nodes[f.node] == from || m.nodes[f.node] == to) {
+				return true
+			}
+
+			if f.kind == faultCut && m.nodes[f.node] == from && m.nodes[f.other] == to {
+				return true
+			}
+		}
+
+		return false
+	}
+
+	for second := range 101 {
+		cuts = cuts[:0]
+
+		for _, f := range faults {
+			m.apply(f, time.Duration(second)*time.Second)
+
+			if inForce(f, time.Duration(second)*time.Second) {
+				cuts = append(cuts, f)
+			}
+		}
+
+		m.run(time.Second)
+	}
+
+	m.blocked = func(_, _ *modelNode) bool { return false }
+}
+
+func inForce(f fault, at time.Duration) bool {
+	return f.from <= at && at < f.until && (f.kind == faultCut || f.kind == faultIsolation)
+}
+
+// apply starts or ends a fault of a process.
+func (m *model) apply(f fault, at time.Duration) {
+	n := m.nodes[f.node]
+
+	switch {
+	case f.kind == faultFreeze && at == f.from && n.running:
+		n.frozen = true
+	case f.kind == faultFreeze && at == f.until:
+		m.thaw(n)
+	case f.kind == faultRestart && at == f.from, f.kind == faultCrash && at == f.from:
+		m.crash(n)
+	case f.kind == faultRestart && at == f.until && !n.running:
+		m.boot(n)
+	case f.kind == faultLeave && at == f.from && n.running && !n.frozen:
+		m.take(n, n.core.Leave(m.now()))
+	case f.kind == faultLeave && at == f.until && n.running && !n.frozen:
+		m.take(n, n.core.Depart(m.now()))
+		m.crash(n)
+	}
+}
+
+// TestHoldsMembershipAgreesAfterFaults: once the faults end, all that run agree
+// on who runs, and on all that each says of itself, within a bounded time.
+func TestHoldsMembershipAgreesAfterFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := drawModel(t, 8)
+		m.loss = rapid.Float64Range(0, 0.3).Draw(t, "loss")
+		m.repeat = rapid.Float64Range(0, 0.2).Draw(t, "repeat")
+		m.maxDelay = rapid.IntRange(1, 60).Draw(t, "delay")
+		faults := drawFaults(t, len(m.nodes))
+
+		for _, n := range m.nodes {
+			step, err := n.core.SetPayload(m.now(), []byte(n.identity.ID+" payload"), Routine)
+			if err != nil {
+				t.Fatal(err)
+			}
+
+			m.take(n, step)
+		}
+
+		m.play(faults)
+		m.loss = 0
+		m.maxDelay = 2
+
+		if _, d := m.settle(settleBound); d != "" {
+			t.Fatalf("not agreed after %v: %s", settleBound, d)
+		}
+	})
+}
+
+// TestHoldsMembershipOrder: no node ever goes back to an older incarnation,
+// revision or status of a member, or to an older payload, whatever arrives late
+// or twice.
+func TestHoldsMembershipOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := drawModel(t, 6)
+		m.loss = 0.1
+		m.repeat = 0.3
+		m.maxDelay = 100
+		m.changed = func(n *modelNode, c Change) {
+			if c.Before() == nil || c.After() == nil {
+				return
+			}
+
+			before, after := c.Before(), c.After()
+			if before.version().newer(after.version()) {
+				t.Fatalf("%s of %s: went back from %+v to %+v", n.identity.ID, after.ID(), before.version(), after.version())
+			}
+
+			if before.Incarnation() == after.Incarnation() && before.payloadVersion > after.payloadVersion {
+				t.Fatalf("%s of %s: payload went back from %d to %d", n.identity.ID, after.ID(), before.payloadVersion, after.payloadVersion)
+			}
+		}
+
+		m.play(drawFaults(t, len(m.nodes)))
+	})
+}
+
+// TestHoldsMembershipLeavingIsKnown: what a member announces of its leaving is
+// known to all others within seconds, over a lossy network.
+func TestHoldsMembershipLeavingIsKnown(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := drawModel(t, 24)
+		m.loss = rapid.Float64Range(0, 0.2).Draw(t, "loss")
+		m.maxDelay = rapid.IntRange(1, 20).Draw(t, "delay")
+		m.run(time.Duration(rapid.IntRange(0, 5000).Draw(t, "wait")) * time.Millisecond)
+
+		leaver := m.nodes[rapid.IntRange(0, len(m.nodes)-1).Draw(t, "leaver")]
+		m.take(leaver, leaver.core.Leave(m.now()))
+		m.run(leavingBound)
+
+		for _, n := range m.nodes {
+			if got, want := n.core.table.get(leaver.identity.ID).member.Phase(), Leaving; got != want {
+				t.Fatalf("%s after %v: got %v, want %v", n.identity.ID, leavingBound, got, want)
+			}
+		}
+	})
+}
+
+// TestHoldsMembershipIsBounded: no message is larger than its bound, and no
+// node sends more than its rate over any window, under all faults.
+func TestHoldsMembershipIsBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := drawModel(t, 8)
+		faults := drawFaults(t, len(m.nodes))
+		before := make([]int64, len(m.nodes))
+		until := m.now()
+		m.changed = func(*modelNode, Change) {
+			if m.now().Before(until) {
+				return
+			}
+
+			until = m.now().Add(rateWindow)
+
+			for i, n := range m.nodes {
+				if got := (n.sent - before[i]) / int64(rateWindow/time.Second); got > rateBound && before[i] > 0 {
+					t.Fatalf("%s: got %d bytes a second, want at most %d", n.identity.ID, got, rateBound)
+				}
+
+				before[i] = n.sent
+			}
+		}
+
+		m.play(faults)
+
+		for _, n := range m.nodes {
+			if got, want := n.worst, MaxMessage+bucketCount*digestSize+2*messageOverhead; got > want {
+				t.Fatalf("%s: largest message: got %d bytes, want at most %d", n.identity.ID, got, want)
+			}
+		}
+	})
+}
--- a/peer/call.go
+++ b/peer/call.go
@@ -80,7 +80,7 @@
 func Call[Req, Resp any](ctx context.Context, n *Node, to Target, kind Kind, req Req) (Resp, error) {
 	var resp Resp
 
-	body, err := msgpack.Marshal(&req)
+	body, err := encode(&req)
 	if err != nil {
 		return resp, merry.Prepend(err, "encode request")
 	}
--- a/peer/handle.go
+++ b/peer/handle.go
@@ -52,7 +52,7 @@
 			return nil, err
 		}
 
-		return msgpack.Marshal(&resp)
+		return encode(&resp)
 	}
 }
 
--- a/peer/hello.go
+++ b/peer/hello.go
@@ -11,7 +11,6 @@
 
 // hello is the first frame of each side of a connection.
 type hello struct {
-	_msgpack    struct{} `msgpack:",as_array"`
 	Deployment  string
 	ID          fleet.InstanceID
 	Incarnation fleet.Incarnation
@@ -20,7 +19,7 @@
 }
 
 func (n *Node) helloFrame() (frame, error) {
-	body, err := msgpack.Marshal(&hello{
+	body, err := encode(&hello{
 		Deployment:  n.Deployment,
 		ID:          n.ID,
 		Incarnation: n.Incarnation,
--- a/peer/link.go
+++ b/peer/link.go
@@ -63,19 +63,13 @@
 }
 
 // attach makes c the connection to write to, unless a working one is there.
-func (l *link) attach(c *conn) bool {
+func (l *link) attach(c *conn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
-	if l.closed {
-		return false
-	}
-
-	if l.conn == nil || l.conn.broken.Load() {
+	if !l.closed && (l.conn == nil || l.conn.broken.Load()) {
 		l.conn = c
 	}
-
-	return true
 }
 
 // current returns the working connection, or nil.
--- a/peer/node.go
+++ b/peer/node.go
@@ -10,7 +10,6 @@
 
 	"github.com/ansel1/merry/v2"
 	"github.com/sourcegraph/conc"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"monsoonlever/clock"
 	"monsoonlever/fleet"
@@ -299,7 +298,7 @@
 
 // Send queues msg for the target and returns at once.
 func (n *Node) Send(to Target, kind Kind, msg any) error {
-	body, err := msgpack.Marshal(msg)
+	body, err := encode(msg)
 	if err != nil {
 		return merry.Prepend(err, "encode message")
 	}
