feat(membership): suspicion, ordered news and bounded load

Cause: in the first version the state heard last won, one silent probe was death, a paused node blamed the others, and every message carried the list.

--- a/membership/config.go
+++ b/membership/config.go
@@ -5,6 +5,8 @@
 const (
 	// MaxPayload bounds a member's payload in bytes.
 	MaxPayload = 256
+	// MaxName bounds an instance ID, region, failure domain or address in bytes.
+	MaxName = 128
 	// MaxMessage bounds the updates of a sync message in bytes.
 	MaxMessage = 8 << 10
 	// MaxPiggyback bounds the updates of every other message in bytes.
--- a/membership/gossip.go
+++ b/membership/gossip.go
@@ -1,6 +1,13 @@
 package membership
 
-import "monsoonlever/fleet"
+import (
+	"math"
+
+	"monsoonlever/fleet"
+)
+
+// burstSeconds is how much of the rate may be saved up for a burst of news.
+const burstSeconds = 4
 
 // gossipNext sends queued updates to a few members, and a bridge sends them
 // to a bridge of each other region.
@@ -11,6 +18,10 @@
 
 	c.gossipAt = c.now.Add(c.config.GossipInterval)
 
+	if c.broadcasts.empty() {
+		return
+	}
+
 	var targets []*Member
 
 	for range min(gossipFanout, len(c.groups.locals)) {
@@ -42,12 +53,44 @@
 	return c.collect(id, "")
 }
 
-func (c *Core) collect(to fleet.InstanceID, _ fleet.Region) []Update {
-	updates, _ := c.accusation(to)
-	for _, e := range c.table.order {
-		updates = append(updates, newUpdate(e.member, partsAll))
+func (c *Core) collect(to fleet.InstanceID, region fleet.Region) []Update {
+	updates, room := c.accusation(to)
+	rate := float64(c.config.GossipRate)
+	c.bytes.refill(c.now, rate, burstSeconds*rate)
+
+	if c.broadcasts.empty() {
+		return updates
 	}
 
+	c.broadcasts.sort()
+	for _, b := range c.broadcasts.queue {
+		e := c.table.get(b.id)
+		if e == nil {
+			b.sent = math.MaxInt
+
+			continue
+		}
+
+		// A region knows its own members first.
+		foreign := region != c.Self.Region && e.member.identity.Region == region
+		if b.id == to || foreign {
+			continue
+		}
+
+		u := newUpdate(e.member, b.parts)
+
+		size := u.size()
+		if size > room || !c.bytes.take(float64(size)) {
+			break
+		}
+
+		room -= size
+		b.sent++
+		updates = append(updates, u)
+	}
+
+	c.broadcasts.trim(int(math.Ceil(c.config.RetransmitFactor * c.logSize())))
+
 	return updates
 }
 
--- a/membership/groups.go
+++ b/membership/groups.go
@@ -61,7 +61,7 @@
 		}
 	}
 
-	slices.SortFunc(g.bridges, func(a, b *Member) int { return compareRank(a, b) })
+	slices.SortFunc(g.bridges, compareRank)
 	c.groups = g
 	c.noteRegions()
 }
--- a/membership/holds_test.go
+++ b/membership/holds_test.go
@@ -216,6 +216,55 @@
 	})
 }
 
+// TestHoldsMembershipFrozenBlamesNobody: a node that was paused, for seconds or
+// minutes, gets none of the others declared dead when it goes on.
+func TestHoldsMembershipFrozenBlamesNobody(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := drawModel(t, 10)
+		frozen := m.nodes[rapid.IntRange(0, len(m.nodes)-1).Draw(t, "frozen")]
+		keep := rapid.Bool().Draw(t, "inbox is kept")
+		m.changed = func(n *modelNode, c Change) {
+			if c.After() != nil && c.After().Status() == Dead && c.After().ID() != frozen.identity.ID {
+				t.Fatalf("%s declared %s dead", n.identity.ID, c.After().ID())
+			}
+		}
+
+		for range rapid.IntRange(1, 3).Draw(t, "times") {
+			frozen.frozen = true
+			m.run(time.Duration(rapid.IntRange(1, 300).Draw(t, "seconds")) * time.Second)
+
+			if !keep {
+				frozen.inbox = nil
+			}
+
+			m.thaw(frozen)
+			m.run(30 * time.Second)
+		}
+
+		if _, d := m.settle(settleBound); d != "" {
+			t.Fatal(d)
+		}
+	})
+}
+
+// TestHoldsMembershipOneWayCutKillsNobody: while one direction between two
+// members stays cut, nobody is declared dead, as others reach both.
+func TestHoldsMembershipOneWayCutKillsNobody(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := drawModel(t, 10)
+		from := rapid.IntRange(0, len(m.nodes)-1).Draw(t, "from")
+		to := rapid.IntRange(0, len(m.nodes)-1).Draw(t, "to")
+		m.blocked = func(a, b *modelNode) bool { return a == m.nodes[from] && b == m.nodes[to] }
+		m.changed = func(n *modelNode, c Change) {
+			if c.After() != nil && c.After().Status() == Dead {
+				t.Fatalf("%s declared %s dead", n.identity.ID, c.After().ID())
+			}
+		}
+
+		m.run(5 * time.Minute)
+	})
+}
+
 // TestHoldsMembershipIsBounded: no message is larger than its bound, and no
 // node sends more than its rate over any window, under all faults.
 func TestHoldsMembershipIsBounded(t *testing.T) {
--- a/membership/merge.go
+++ b/membership/merge.go
@@ -59,7 +59,7 @@
 // mergeState takes over a newer state and returns what must be sent on.
 func mergeState(m *Member, u *Update) parts {
 	fresh := u.Place != nil && (u.Incarnation > m.identity.Incarnation || m.identity.Address == "")
-	if !fresh && u.version() == m.version() {
+	if !fresh && !u.version().newer(m.version()) {
 		return 0
 	}
 
--- /dev/null
+++ b/membership/merge_test.go
@@ -0,0 +1,163 @@
+package membership
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+var testStart = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+
+func newCore() *Core {
+	c := &Core{
+		Self:   Identity{ID: "self", Incarnation: 3, Region: "r", Domain: "d", Address: "10.0.0.1:1"},
+		Random: rand.New(rand.NewPCG(1, 2)),
+	}
+	c.Tick(testStart)
+
+	return c
+}
+
+func gossip(updates ...Update) *Gossip {
+	return &Gossip{Updates: updates}
+}
+
+func TestCoreMergesNewsOfAMember(t *testing.T) {
+	place := &Place{Region: "r", Domain: "d", Address: "10.0.0.2:1"}
+	known := Update{
+		ID: "b", Incarnation: 5, Revision: 2, Status: Suspect, Place: place,
+		Payload: &Payload{Version: 3, Data: "three"},
+	}
+
+	tests := []struct {
+		desc        string
+		update      Update
+		wantVersion version
+		wantPayload string
+	}{
+		{
+			desc:        "older incarnation",
+			update:      Update{ID: "b", Incarnation: 4, Revision: 9, Status: Dead, Place: place, Payload: &Payload{Version: 9}},
+			wantVersion: known.version(), wantPayload: "three",
+		},
+		{
+			desc:        "older revision",
+			update:      Update{ID: "b", Incarnation: 5, Revision: 1, Status: Dead},
+			wantVersion: known.version(), wantPayload: "three",
+		},
+		{
+			desc:        "milder status",
+			update:      Update{ID: "b", Incarnation: 5, Revision: 2, Status: Alive},
+			wantVersion: known.version(), wantPayload: "three",
+		},
+		{
+			desc:        "graver status",
+			update:      Update{ID: "b", Incarnation: 5, Revision: 2, Status: Dead},
+			wantVersion: version{incarnation: 5, revision: 2, status: Dead}, wantPayload: "three",
+		},
+		{
+			desc:        "refutation",
+			update:      Update{ID: "b", Incarnation: 5, Revision: 3, Status: Alive},
+			wantVersion: version{incarnation: 5, revision: 3}, wantPayload: "three",
+		},
+		{
+			desc:        "payload alone",
+			update:      Update{ID: "b", Incarnation: 5, Payload: &Payload{Version: 4, Data: "four"}},
+			wantVersion: known.version(), wantPayload: "four",
+		},
+		{
+			desc:        "newer incarnation without its place",
+			update:      Update{ID: "b", Incarnation: 6},
+			wantVersion: known.version(), wantPayload: "three",
+		},
+		{
+			desc:        "newer incarnation",
+			update:      Update{ID: "b", Incarnation: 6, Place: place},
+			wantVersion: version{incarnation: 6}, wantPayload: "",
+		},
+		{
+			desc:        "invalid status",
+			update:      Update{ID: "b", Incarnation: 7, Status: Dead + 1, Place: place},
+			wantVersion: known.version(), wantPayload: "three",
+		},
+	}
+
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			c := newCore()
+			from := Source{ID: "c", Incarnation: 1, Address: "10.0.0.3:1"}
+			c.Receive(testStart, from, gossip(known))
+			c.Receive(testStart, from, gossip(tt.update))
+
+			got := c.View().Member("b")
+			if got.version() != tt.wantVersion || string(got.Payload()) != tt.wantPayload {
+				t.Errorf("member: got %+v with %q, want %+v with %q", got.version(), got.Payload(), tt.wantVersion, tt.wantPayload)
+			}
+		})
+	}
+}
+
+func TestCoreAnswersNewsOfItself(t *testing.T) {
+	tests := []struct {
+		desc           string
+		update         Update
+		wantRevision   uint32
+		wantSuperseded bool
+	}{
+		{desc: "alive", update: Update{ID: "self", Incarnation: 3}, wantRevision: 0},
+		{desc: "suspect", update: Update{ID: "self", Incarnation: 3, Status: Suspect}, wantRevision: 1},
+		{desc: "dead at a later revision", update: Update{ID: "self", Incarnation: 3, Revision: 4, Status: Dead}, wantRevision: 5},
+		{desc: "an earlier process is dead", update: Update{ID: "self", Incarnation: 2, Revision: 4, Status: Dead}, wantRevision: 0},
+		{desc: "a later process runs", update: Update{ID: "self", Incarnation: 4}, wantSuperseded: true},
+	}
+
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			c := newCore()
+			c.Receive(testStart, Source{ID: "c", Incarnation: 1, Address: "10.0.0.3:1"}, gossip(tt.update))
+
+			if got, want := c.self().revision, tt.wantRevision; got != want {
+				t.Errorf("revision: got %d, want %d", got, want)
+			}
+
+			if _, got := c.Superseded(); got != tt.wantSuperseded {
+				t.Errorf("superseded: got %v, want %v", got, tt.wantSuperseded)
+			}
+		})
+	}
+}
+
+func TestCoreBoundsItsPayloads(t *testing.T) {
+	c := newCore()
+
+	if _, err := c.SetPayload(testStart, make([]byte, MaxPayload+1), Routine); err == nil {
+		t.Error("large payload: got nil, want an error")
+	}
+
+	for i := range 20 {
+		if _, err := c.SetPayload(testStart, []byte{byte(i)}, Routine); err != nil {
+			t.Fatal(err)
+		}
+	}
+
+	if got, want := c.self().PayloadVersion(), uint32(payloadBurst); got != want {
+		t.Errorf("routine payloads at once: got %d, want %d", got, want)
+	}
+
+	c.Tick(testStart.Add(2 * time.Second))
+
+	if got, want := c.self().Payload(), byte(19); len(got) != 1 || got[0] != want {
+		t.Errorf("payload once its turn has come: got %v, want [%d]", got, want)
+	}
+
+	for i := range 20 {
+		if _, err := c.SetPayload(testStart.Add(2*time.Second), []byte{byte(i)}, Urgent); err != nil {
+			t.Fatal(err)
+		}
+	}
+
+	// One routine turn is left over beside the urgent ones.
+	if got, want := c.self().PayloadVersion(), uint32(payloadBurst+1+1+urgentBurst); got != want {
+		t.Errorf("urgent payloads at once: got %d, want %d", got, want)
+	}
+}
--- a/membership/probe.go
+++ b/membership/probe.go
@@ -10,9 +10,11 @@
 
 // probe is the probe under way.
 type probe struct {
-	number   uint32
-	target   fleet.InstanceID
-	deadline time.Time
+	number     uint32
+	target     fleet.InstanceID
+	indirectAt time.Time
+	deadline   time.Time
+	indirect   bool
 }
 
 // relay is a probe made for another member.
@@ -23,8 +25,29 @@
 	deadline time.Time
 }
 
-// noteFreeze does nothing yet.
-func (c *Core) noteFreeze() {}
+// noteFreeze forgives others for the time in which the node itself stood.
+func (c *Core) noteFreeze() {
+	gap := c.now.Sub(c.lastTick)
+	if gap < freezeGap {
+		return
+	}
+
+	c.lastTick = c.now
+	c.probe = nil
+	c.health = maxHealth
+
+	for _, id := range c.suspects {
+		e := c.table.get(id)
+		e.deadline = c.now.Add(c.suspicion())
+	}
+
+	for _, r := range c.regions {
+		r.heard = r.heard.Add(gap)
+	}
+
+	// What the others have agreed on meanwhile comes by the next round.
+	c.syncAt = c.now
+}
 
 func (c *Core) worsenHealth(by int) {
 	c.health = min(maxHealth, c.health+by)
@@ -57,29 +80,67 @@
 	c.probeAt = c.now.Add(c.config.ProbeInterval)
 	c.number++
 	c.probe = &probe{
-		number:   c.number,
-		target:   target.identity.ID,
-		deadline: c.now.Add(c.slowed(c.config.ProbeInterval)),
+		number:     c.number,
+		target:     target.identity.ID,
+		indirectAt: c.now.Add(c.slowed(c.config.AckTimeout)),
+		deadline:   c.now.Add(c.slowed(c.config.ProbeInterval)),
 	}
 	c.send(target, &Probe{Number: c.number, Target: target.identity.ID, Updates: c.piggyback(target)})
 }
 
-// expireProbe declares the target dead when it is silent.
+// expireProbe asks others when the target is silent, and suspects it when
+// they get no answer either.
 func (c *Core) expireProbe() {
 	p := c.probe
-	if p == nil || c.now.Before(p.deadline) {
+	if p == nil {
 		return
 	}
 
-	c.probe = nil
+	e := c.table.get(p.target)
+	if e == nil || !e.member.Live() {
+		c.probe = nil
 
-	if e := c.table.get(p.target); e != nil && e.member.Live() {
-		changed := *e.member
-		changed.status = Dead
-		c.replace(&changed, 0, true)
+		return
+	}
+
+	if !c.now.Before(p.deadline) {
+		c.probe = nil
+		c.worsenHealth(1)
+		c.suspect(e.member)
+
+		return
+	}
+
+	if !p.indirect && !c.now.Before(p.indirectAt) {
+		p.indirect = true
+
+		for _, m := range c.helpers(p.target) {
+			c.send(m, &IndirectProbe{Number: p.number, Target: p.target, Updates: c.piggyback(m)})
+		}
 	}
 }
 
+// helpers picks who probes a silent member: of the region, and of others where
+// the region is too small to go round a cut.
+func (c *Core) helpers(target fleet.InstanceID) []*Member {
+	helpers := c.pick(c.groups.locals, c.config.IndirectProbes, target)
+	if len(c.groups.locals) <= c.config.IndirectProbes {
+		helpers = append(helpers, c.pick(c.groups.bridges, c.config.IndirectProbes, target)...)
+	}
+
+	return helpers
+}
+
+func (c *Core) suspect(m *Member) {
+	if m.status != Alive {
+		return
+	}
+
+	changed := *m
+	changed.status = Suspect
+	c.replace(&changed, 0, true)
+}
+
 // expireSuspicions declares the suspects dead that have not refuted in time.
 func (c *Core) expireSuspicions() {
 	for _, id := range slices.Clone(c.suspects) {
--- a/membership/update.go
+++ b/membership/update.go
@@ -83,6 +83,10 @@
 }
 
 func (u *Update) valid() bool {
-	return u.ID != "" && u.Phase <= Left && u.Status <= Dead &&
-		(u.Payload == nil || len(u.Payload.Data) <= MaxPayload)
+	return u.ID != "" && len(u.ID) <= MaxName && u.Phase <= Left && u.Status <= Dead &&
+		(u.Place == nil || u.Place.valid()) && (u.Payload == nil || len(u.Payload.Data) <= MaxPayload)
+}
+
+func (p *Place) valid() bool {
+	return p.Address != "" && len(p.Region) <= MaxName && len(p.Domain) <= MaxName && len(p.Address) <= MaxName
 }
