--- a/cmd/current.go
+++ b/cmd/current.go
@@ -43,7 +43,7 @@
 	var current Current
 	if snapshot != nil {
 		current = Current{
-			Version: snapshot.Version(), ID: snapshot.ID().String(),
+			Version: snapshot.Version(), ID: string(snapshot.ID()),
 			Operator: snapshot.Operator(), Manifest: string(snapshot.Source()),
 		}
 	}
--- a/cmd/publish.go
+++ b/cmd/publish.go
@@ -58,7 +58,7 @@
 		return err
 	}
 
-	result := PublishResult{Version: receipt.Version(), ID: receipt.ID().String()}
+	result := PublishResult{Version: receipt.Version(), ID: string(receipt.ID())}
 	if p.Wait {
 		result.Behind = p.waitFor(ctx, receipt.Version())
 	}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"time"
@@ -121,7 +122,7 @@
 
 func serveHTTP(s *http.Server, l net.Listener) error {
 	err := s.Serve(l)
-	if merry.Is(err, http.ErrServerClosed) {
+	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
 
--- a/daemon/status.go
+++ b/daemon/status.go
@@ -64,7 +64,7 @@
 
 	if in := p.follower.Snapshot(); in != nil {
 		s.Manifest = ManifestStatus{
-			Version: in.Version(), Name: in.Manifest().Name(), ID: in.ID().String(), Operator: in.Operator(),
+			Version: in.Version(), Name: in.Manifest().Name(), ID: string(in.ID()), Operator: in.Operator(),
 		}
 	}
 
--- a/monsoonlever-standins/engine.go
+++ b/monsoonlever-standins/engine.go
@@ -29,7 +29,20 @@
 }
 
 // Run serves until ctx ends or the engine is killed.
+// Run serves an engine in each failure domain. They share a ledger, so that work
+// which one lost and another did again counts as redone.
 func (c *engineCommand) Run(ctx context.Context) error {
+	ledger := standin.NewWorkLedger()
+
+	return c.serveAll(ctx, c.listening, func() backendServer {
+		e := c.engine()
+		e.Ledger = ledger
+
+		return backendServer{handler: e.Handler(), faults: e.Faults}
+	})
+}
+
+func (c *engineCommand) engine() *standin.Engine {
 	e := standin.NewEngine(clock.System{})
 	e.Model = fleet.Model(c.Model)
 	e.Version = fleet.ModelVersion(c.Version)
@@ -49,5 +62,5 @@
 		e.Weights = platform.NewHTTPWeights(c.Platform, &http.Client{})
 	}
 
-	return c.serve(ctx, c.listening, e.Handler(), e.Faults)
+	return e
 }
--- a/monsoonlever-standins/membership.go
+++ b/monsoonlever-standins/membership.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/sourcegraph/conc"
+	"github.com/sourcegraph/conc/pool"
 	"k8s.io/klog/v2"
 
 	"monsoonlever/fleet"
@@ -13,13 +14,17 @@
 	"monsoonlever/standin"
 )
 
-const platformTimeout = 5 * time.Second
+const (
+	platformTimeout = 5 * time.Second
+	// anyPort is taken where several servers can't share one address.
+	anyPort = "127.0.0.1:0"
+)
 
 // membership holds the flags of a backend server on the platform stand-in.
 type membership struct {
 	ID       string        `help:"Id of the instance; service and address if empty."`
 	Service  string        `help:"Service of the instance list." required:""`
-	Domain   string        `help:"Failure domain." required:""`
+	Domain   []string      `help:"Failure domain; one server is started for each." required:"" sep:"none"`
 	Class    string        `help:"Machine class." default:"standard"`
 	Market   string        `help:"Market of the instance." enum:"reclaimable,onDemand" default:"reclaimable"`
 	Platform string        `help:"Base URL of the platform stand-in; none registers nowhere."`
@@ -28,9 +33,9 @@
 	Queue    int           `help:"Calls that wait." default:"256"`
 }
 
-func (m membership) registration(address string) standin.Registration {
+func (m membership) registration(address, domain string) standin.Registration {
 	id := m.ID
-	if id == "" {
+	if id == "" || len(m.Domain) > 1 {
 		id = m.Service + "-" + address
 	}
 
@@ -40,7 +45,7 @@
 			ID:      fleet.InstanceID(id),
 			Service: fleet.Service(m.Service),
 			Address: address,
-			Domain:  fleet.FailureDomain(m.Domain),
+			Domain:  fleet.FailureDomain(domain),
 			Class:   platform.Class(m.Class),
 			State:   platform.Live,
 		},
@@ -48,14 +53,37 @@
 }
 
 // serve runs a backend server until ctx ends or it is killed.
-func (m membership) serve(ctx context.Context, l listening, h http.Handler, f *standin.Faults) error {
+// backendServer is one server of the process and its faults.
+type backendServer struct {
+	handler http.Handler
+	faults  *standin.Faults
+}
+
+// serveAll runs a server in each failure domain until ctx ends.
+func (m membership) serveAll(ctx context.Context, l listening, newServer func() backendServer) error {
+	if len(m.Domain) > 1 {
+		l.Listen = anyPort
+	}
+
+	group := pool.New().WithContext(ctx).WithCancelOnError()
+
+	for _, domain := range m.Domain {
+		s := newServer()
+
+		group.Go(func(ctx context.Context) error { return m.serve(ctx, l, domain, s) })
+	}
+
+	return group.Wait()
+}
+
+func (m membership) serve(ctx context.Context, l listening, domain string, s backendServer) error {
 	listener, err := l.open()
 	if err != nil {
 		return err
 	}
 
-	server := standin.NewServer(listener, h, f)
-	registration := m.registration(server.Address())
+	server := standin.NewServer(listener, s.handler, s.faults)
+	registration := m.registration(server.Address(), domain)
 	client := &http.Client{Timeout: platformTimeout}
 
 	var wg conc.WaitGroup
@@ -82,7 +110,7 @@
 		return err
 	}
 
-	if m.Platform == "" || f.IsKilled() {
+	if m.Platform == "" || s.faults.IsKilled() {
 		return nil
 	}
 
--- a/monsoonlever-standins/plain.go
+++ b/monsoonlever-standins/plain.go
@@ -17,12 +17,15 @@
 }
 
 // Run serves until ctx ends or the service is killed.
+// Run serves a plain service in each failure domain.
 func (c *plainCommand) Run(ctx context.Context) error {
-	p := standin.NewPlainService(clock.System{})
-	p.ServiceTime = c.ServiceTime
-	p.Slots = c.Slots
-	p.Queue = c.Queue
-	p.LoadLag = c.LoadLag
+	return c.serveAll(ctx, c.listening, func() backendServer {
+		p := standin.NewPlainService(clock.System{})
+		p.ServiceTime = c.ServiceTime
+		p.Slots = c.Slots
+		p.Queue = c.Queue
+		p.LoadLag = c.LoadLag
 
-	return c.serve(ctx, c.listening, p.Handler(), p.Faults)
+		return backendServer{handler: p.Handler(), faults: p.Faults}
+	})
 }
