feat(answer): copies of accepted answers on other entry instances

Cause: an accepted request that lives on one instance is lost with it.

Change: answer.Store, the step machine by which peers keep copies of running answers, its messages, and Replicator, its shell. The properties TestHoldsAcceptedSurvivesReclaim and TestHoldsWholeAnswerAcrossInstances judge it. This first version is the plain one: a request counts as accepted at once, and callers read each token as it is generated.

--- /dev/null
+++ b/answer/follow.go
@@ -0,0 +1,166 @@
+package answer
+
+import (
+	"context"
+
+	"github.com/ansel1/merry/v2"
+
+	"monsoonlever/fleet"
+)
+
+// Caller takes an answer that is followed. Each token comes with the id from
+// which the caller can go on at any instance.
+type Caller interface {
+	Write(id EventID, token string) error
+	End(e Ending) error
+}
+
+// Follow passes an answer on to a caller, from right after an event id to the
+// end. It reads the answer here or, where another instance holds it, there.
+func (r *Replicator) Follow(ctx context.Context, account fleet.Account, after EventID, caller Caller) error {
+	r.init()
+
+	f := &follower{replicator: r, account: account, at: after, caller: caller}
+
+	for {
+		ended, err := f.advance(ctx)
+		if err != nil || ended {
+			return err
+		}
+	}
+}
+
+// follower is one caller who follows an answer.
+type follower struct {
+	replicator *Replicator
+	account    fleet.Account
+	at         EventID
+	caller     Caller
+	unknown    int
+}
+
+// advance passes on what there is and waits for more.
+func (f *follower) advance(ctx context.Context) (bool, error) {
+	reading, changed := f.replicator.read(f.account, f.at)
+	if reading.State() == ReadUnknown {
+		return f.advanceRemote(ctx)
+	}
+
+	ended, err := f.pass(reading)
+	if err != nil || ended {
+		return ended, err
+	}
+
+	select {
+	case <-changed:
+		return false, nil
+	case <-ctx.Done():
+		return false, merry.Wrap(ctx.Err())
+	}
+}
+
+func (f *follower) pass(reading Reading) (bool, error) {
+	if reading.State() == ReadDiffers {
+		return false, merry.Wrap(ErrTextDiffers)
+	}
+
+	f.unknown = 0
+
+	for _, token := range reading.Tokens() {
+		f.at.Offset++
+		f.at.Digest = f.at.Digest.Next(token)
+
+		if err := f.caller.Write(f.at, token); err != nil {
+			return false, merry.Prepend(err, "write to the caller")
+		}
+	}
+
+	end, ok := reading.Ending()
+	if !ok {
+		return false, nil
+	}
+
+	return true, f.caller.End(end)
+}
+
+// advanceRemote asks the likeliest other instance in turn.
+func (f *follower) advanceRemote(ctx context.Context) (bool, error) {
+	reading, err := f.fetch(ctx)
+	if err != nil {
+		return false, err
+	}
+
+	if reading.State() == ReadUnknown {
+		f.unknown++
+		if f.unknown > f.replicator.FetchTries {
+			return false, merry.Wrap(ErrUnknownAnswer)
+		}
+
+		return false, nil
+	}
+
+	return f.pass(reading)
+}
+
+// fetch asks one instance. No reply in time counts as one that does not know.
+func (f *follower) fetch(ctx context.Context) (Reading, error) {
+	r := f.replicator
+	question := Fetch{Account: f.account, After: f.at.String()}
+	ch := make(chan Fetched, 1)
+
+	r.mu.Lock()
+	candidates := r.Store.Candidates(f.at.Request)
+
+	if len(candidates) > 0 {
+		r.fetched[question] = append(r.fetched[question], ch)
+		to := candidates[f.unknown%len(candidates)]
+		r.Sender.Send(to, &Batch{
+			From:    r.Store.Self.ID,
+			Fetches: []Fetch{question},
+		})
+	}
+
+	r.mu.Unlock()
+
+	defer r.forget(question, ch)
+
+	var got Fetched
+
+	waited := r.Clock.After(r.FetchEvery)
+
+	select {
+	case got = <-ch:
+	case <-waited:
+		return Reading{state: ReadUnknown}, nil
+	case <-ctx.Done():
+		return Reading{}, merry.Wrap(ctx.Err())
+	}
+
+	// An answer that has nothing new is not asked for again at once.
+	if len(got.Tokens) == 0 && got.End == nil {
+		<-waited
+	}
+
+	return Reading{state: got.State, tokens: got.Tokens, end: got.End}, nil
+}
+
+func (r *Replicator) forget(question Fetch, ch chan Fetched) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	kept := r.fetched[question][:0]
+
+	for _, c := range r.fetched[question] {
+		if c != ch {
+			kept = append(kept, c)
+		}
+	}
+
+	if len(kept) == 0 {
+		delete(r.fetched, question)
+
+		return
+	}
+
+	r.fetched[question] = kept
+}
--- a/answer/relay.go
+++ b/answer/relay.go
@@ -14,9 +14,9 @@
 // Start. A slice of commands is valid until the next step.
 type Relay struct {
 	Request RequestID
-	// Epoch is the ownership epoch, which sets the attempts of successive
-	// owners of a request apart.
-	Epoch uint64
+	// Epoch is the ownership, which sets the attempts of different owners of a
+	// request apart.
+	Epoch Epoch
 	// Kept holds the tokens that an earlier owner left.
 	Kept     []string
 	Deadline time.Time
@@ -42,7 +42,8 @@
 // Start makes the first attempt.
 func (r *Relay) Start(now time.Time) []Command {
 	r.out = r.out[:0]
-	r.prefix = string(r.Request) + "." + strconv.FormatUint(r.Epoch, 10) + "."
+	number := strconv.FormatUint(r.Epoch.Number, 10)
+	r.prefix = string(r.Request) + "." + number + "." + string(r.Epoch.Owner) + "."
 	r.kept = append(make([]string, 0, len(r.Kept)+1), r.Kept...)
 	r.mayHaveRun = len(r.kept) > 0
 	r.dispatch(now, "", "")
@@ -275,7 +276,7 @@
 }
 
 func (r *Relay) countForeign(id backend.AttemptID) {
-	if strings.HasPrefix(string(id), r.prefix) {
+	if strings.HasPrefix(string(id), string(r.Request)+".") {
 		r.drops.Late++
 
 		return
--- a/answer/relay_test.go
+++ b/answer/relay_test.go
@@ -26,6 +26,7 @@
 func newRelay(budget int) *Relay {
 	return &Relay{
 		Request:  "r0",
+		Epoch:    Epoch{Owner: "e"},
 		Deadline: testStart.Add(time.Minute),
 		Budget:   &counted{left: budget},
 		Limits:   testLimits(),
@@ -40,27 +41,27 @@
 	}{
 		{
 			desc:   "the only attempt was not sent",
-			events: []Event{Started{"r0.0.1", "a"}, Broken{"r0.0.1", merry.Wrap(backend.ErrNotSent)}},
+			events: []Event{Started{"r0.0.e.1", "a"}, Broken{"r0.0.e.1", merry.Wrap(backend.ErrNotSent)}},
 			want:   GiveUp{Reason: ReasonRetryBudget, Ran: NotRun, RetryAfter: 2 * time.Second},
 		},
 		{
 			desc:   "the only attempt was refused",
-			events: []Event{Started{"r0.0.1", "a"}, Broken{"r0.0.1", merry.Wrap(backend.ErrRefused)}},
+			events: []Event{Started{"r0.0.e.1", "a"}, Broken{"r0.0.e.1", merry.Wrap(backend.ErrRefused)}},
 			want:   GiveUp{Reason: ReasonRetryBudget, Ran: NotRun, RetryAfter: 2 * time.Second},
 		},
 		{
 			desc:   "the only attempt broke before its first token",
-			events: []Event{Started{"r0.0.1", "a"}, Broken{"r0.0.1", io.ErrUnexpectedEOF}},
+			events: []Event{Started{"r0.0.e.1", "a"}, Broken{"r0.0.e.1", io.ErrUnexpectedEOF}},
 			want:   GiveUp{Reason: ReasonRetryBudget, Ran: RanUnknown, RetryAfter: 2 * time.Second},
 		},
 		{
 			desc:   "the caller left while an attempt was under way",
-			events: []Event{Started{"r0.0.1", "a"}, CallerGone{}},
+			events: []Event{Started{"r0.0.e.1", "a"}, CallerGone{}},
 			want:   GiveUp{Reason: ReasonCallerGone, Ran: RanUnknown, RetryAfter: 2 * time.Second},
 		},
 		{
 			desc:   "tokens were forwarded",
-			events: []Event{Started{"r0.0.1", "a"}, Token{"r0.0.1", 0, "x"}, Broken{"r0.0.1", io.ErrUnexpectedEOF}},
+			events: []Event{Started{"r0.0.e.1", "a"}, Token{"r0.0.e.1", 0, "x"}, Broken{"r0.0.e.1", io.ErrUnexpectedEOF}},
 			want:   GiveUp{Reason: ReasonRetryBudget, Ran: PartlyRan, RetryAfter: 2 * time.Second},
 		},
 	}
@@ -85,7 +86,7 @@
 }
 
 func TestMoveOffALeavingServer(t *testing.T) {
-	exported := KVExported{"r0.0.1", "b", "kv-1"}
+	exported := KVExported{"r0.0.e.1", "b", "kv-1"}
 
 	tests := []struct {
 		desc   string
@@ -96,24 +97,24 @@
 		{
 			desc:   "with the exported cache",
 			events: []Event{LeavingNotice{"a", testStart.Add(10 * time.Second)}, exported},
-			want:   Dispatch{Attempt: "r0.0.2", KV: "kv-1", Prefer: "b"},
+			want:   Dispatch{Attempt: "r0.0.e.2", KV: "kv-1", Prefer: "b"},
 		},
 		{
 			desc:   "as text when the export did not get through",
-			events: []Event{LeavingNotice{"a", testStart.Add(10 * time.Second)}, ExportFailed{"r0.0.1"}},
+			events: []Event{LeavingNotice{"a", testStart.Add(10 * time.Second)}, ExportFailed{"r0.0.e.1"}},
 			after:  9 * time.Second,
-			want:   Dispatch{Attempt: "r0.0.2"},
+			want:   Dispatch{Attempt: "r0.0.e.2"},
 		},
 		{
 			desc:   "as text when the target is leaving as well",
 			events: []Event{LeavingNotice{"a", testStart.Add(10 * time.Second)}, LeavingNotice{"b", testStart.Add(time.Minute)}, exported},
 			after:  9 * time.Second,
-			want:   Dispatch{Attempt: "r0.0.2"},
+			want:   Dispatch{Attempt: "r0.0.e.2"},
 		},
 		{
 			desc:   "at once when there is no time",
 			events: []Event{LeavingNotice{"a", testStart.Add(time.Second)}},
-			want:   Dispatch{Attempt: "r0.0.2"},
+			want:   Dispatch{Attempt: "r0.0.e.2"},
 		},
 	}
 
@@ -122,7 +123,7 @@
 			r := newRelay(0)
 			r.Limits.Stall = time.Minute
 			r.Start(testStart)
-			events := append([]Event{Started{"r0.0.1", "a"}, Token{"r0.0.1", 0, "x"}}, tt.events...)
+			events := append([]Event{Started{"r0.0.e.1", "a"}, Token{"r0.0.e.1", 0, "x"}}, tt.events...)
 
 			var got Dispatch
 			for _, e := range events {
@@ -155,11 +156,11 @@
 func TestRelayAllocatesAtMostOncePerToken(t *testing.T) {
 	r := newRelay(0)
 	r.Start(testStart)
-	r.Step(testStart, Started{"r0.0.1", "a"})
+	r.Step(testStart, Started{"r0.0.e.1", "a"})
 	offset := 0
 
 	got := testing.AllocsPerRun(10000, func() {
-		r.Step(testStart, Token{"r0.0.1", offset, "x"})
+		r.Step(testStart, Token{"r0.0.e.1", offset, "x"})
 		offset++
 	})
 
@@ -171,11 +172,11 @@
 func BenchmarkRelayToken(b *testing.B) {
 	r := newRelay(0)
 	r.Start(testStart)
-	r.Step(testStart, Started{"r0.0.1", "a"})
+	r.Step(testStart, Started{"r0.0.e.1", "a"})
 	b.ReportAllocs()
 
 	for offset := 0; b.Loop(); offset++ {
-		r.Step(testStart, Token{"r0.0.1", offset, "x"})
+		r.Step(testStart, Token{"r0.0.e.1", offset, "x"})
 	}
 }
 
--- a/answer/runner.go
+++ b/answer/runner.go
@@ -34,12 +34,12 @@
 
 // Run answers a request and returns once the sink has its final answer.
 func (r *Runner) Run(ctx context.Context, request Request, sink Sink) Result {
-	return r.Continue(ctx, request, 0, nil, sink)
+	return r.Continue(ctx, request, Epoch{}, nil, sink)
 }
 
 // Continue answers a request under an ownership epoch, after the tokens that
 // are kept of it.
-func (r *Runner) Continue(ctx context.Context, request Request, epoch uint64, kept []string, sink Sink) Result {
+func (r *Runner) Continue(ctx context.Context, request Request, epoch Epoch, kept []string, sink Sink) Result {
 	attemptsCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	u := &run{
 		runner:  r,
--- /dev/null
+++ b/answer/store_counts.go
@@ -0,0 +1,16 @@
+package answer
+
+// StoreCounts counts what a Store holds and did.
+type StoreCounts struct {
+	// Answers is the number of requests held, owned or copied.
+	Answers int
+	// Takeovers counts requests taken over from an owner that was gone.
+	Takeovers int
+	// Superseded counts requests given up to a newer owner.
+	Superseded int
+	// Unprotected counts tokens shown while there was no copy.
+	Unprotected int
+	// PrefixLost counts requests refused because the copy lacked tokens that a
+	// caller may have seen.
+	PrefixLost int
+}
--- /dev/null
+++ b/answer/store_policy.go
@@ -0,0 +1,38 @@
+package answer
+
+import "time"
+
+// StorePolicy bounds the work of a Store.
+type StorePolicy struct {
+	// Copies is how many peers hold each request.
+	Copies int
+	// Retention is how long an ended answer is kept.
+	Retention time.Duration
+	// FlushAfter and FlushTokens bound how long and how many tokens wait for a
+	// batch.
+	FlushAfter  time.Duration
+	FlushTokens int
+	// SweepEvery is the time between two looks for what got stuck.
+	SweepEvery time.Duration
+	// ResendAfter is when an unanswered batch is sent again, and ReplaceAfter
+	// when another peer takes the place of one that does not answer.
+	ResendAfter  time.Duration
+	ReplaceAfter time.Duration
+	// TakeoverGrace sets the takeovers of several copies apart.
+	TakeoverGrace time.Duration
+}
+
+// DefaultStorePolicy returns a policy for one to two milliseconds between
+// failure domains.
+func DefaultStorePolicy() StorePolicy {
+	return StorePolicy{
+		Copies:        1,
+		Retention:     15 * time.Minute,
+		FlushAfter:    5 * time.Millisecond,
+		FlushTokens:   512,
+		SweepEvery:    100 * time.Millisecond,
+		ResendAfter:   250 * time.Millisecond,
+		ReplaceAfter:  time.Second,
+		TakeoverGrace: 2 * time.Second,
+	}
+}
--- /dev/null
+++ b/answer/store_read.go
@@ -0,0 +1,111 @@
+package answer
+
+import (
+	"slices"
+
+	"monsoonlever/fleet"
+)
+
+// ReadState tells what an instance holds of an answer.
+type ReadState string
+
+// The states of an answer for a reader.
+const (
+	ReadFound   ReadState = "found"
+	ReadUnknown ReadState = "unknown"
+	// ReadDiffers means that the caller has seen another text than the one
+	// that is kept here.
+	ReadDiffers ReadState = "differs"
+)
+
+// Reading is what follows in an answer.
+type Reading struct {
+	state  ReadState
+	tokens []string
+	end    *Ending
+}
+
+// State tells whether there is anything to read.
+func (r Reading) State() ReadState { return r.state }
+
+// Tokens returns the tokens that follow.
+func (r Reading) Tokens() []string { return r.tokens }
+
+// Ending returns the end of the answer if it comes right after the tokens.
+func (r Reading) Ending() (Ending, bool) {
+	if r.end == nil {
+		return Ending{}, false
+	}
+
+	return *r.end, true
+}
+
+// Read returns what an account may read of its answer after an event id.
+func (s *Store) Read(account fleet.Account, after EventID) Reading {
+	a, ok := s.answers[after.Request]
+	if !ok || a.request.Account != account {
+		return Reading{state: ReadUnknown}
+	}
+
+	// A caller that is ahead waits for the copy to catch up with it.
+	if after.Offset > a.visible {
+		return a.readAhead(after)
+	}
+
+	if DigestOf(a.tokens[:after.Offset]) != after.Digest {
+		return Reading{state: ReadDiffers}
+	}
+
+	r := Reading{state: ReadFound, tokens: slices.Clone(a.tokens[after.Offset:a.visible])}
+	if a.end != nil && a.visible == len(a.tokens) && a.endIsSafe() {
+		r.end = a.end
+	}
+
+	return r
+}
+
+// readAhead answers a caller that has more than is visible here.
+func (a *keptAnswer) readAhead(after EventID) Reading {
+	if a.end != nil && a.visible == len(a.tokens) {
+		return Reading{state: ReadDiffers}
+	}
+
+	if after.Offset <= len(a.tokens) && DigestOf(a.tokens[:after.Offset]) != after.Digest {
+		return Reading{state: ReadDiffers}
+	}
+
+	return Reading{state: ReadFound}
+}
+
+// endIsSafe tells whether the end outlives this instance: an owner shows it
+// once its copies have it too.
+func (a *keptAnswer) endIsSafe() bool {
+	if a.role != roleOwner {
+		return true
+	}
+
+	return !slices.ContainsFunc(a.holders, func(h holder) bool { return !h.ended })
+}
+
+// Candidates returns the instances to ask for an answer that is not held here,
+// the likeliest first.
+func (s *Store) Candidates(id RequestID) []fleet.InstanceID {
+	out := make([]fleet.InstanceID, 0, len(s.members))
+	for _, m := range rank(id, s.members) {
+		out = append(out, m.ID)
+	}
+
+	return out
+}
+
+func (s *Store) onFetch(from fleet.InstanceID, m Fetch) {
+	f := Fetched{Account: m.Account, After: m.After, State: ReadUnknown}
+
+	if id, err := ParseEventID(m.After); err == nil {
+		r := s.Read(m.Account, id)
+		f.State, f.Tokens, f.End = r.state, r.tokens, r.end
+	}
+
+	b := s.box.to(from)
+	b.Fetched = append(b.Fetched, f)
+}
