fix(answer): show a token only once every present copy has it

Change: Accepted follows the first acknowledgement of a copy in another failure domain, and a token becomes visible once every present copy has acknowledged it. A copy that takes over therefore never lacks what a caller has seen. To show tokens at once and to start again when the texts differ was ruled out: with sampling, that refuses a caller for each owner that dies.

Conclusion: what a caller has seen is what is kept.

--- a/answer/kept_answer.go
+++ b/answer/kept_answer.go
@@ -75,9 +75,13 @@
 	return &a.holders[i]
 }
 
-// expose shows every token at once, and tells whether there was a new one.
+// expose moves visible to what every copy has acknowledged, and tells whether
+// it moved. Without a copy there is nobody to contradict the owner later.
 func (a *keptAnswer) expose() bool {
 	offset := len(a.tokens)
+	for i := range a.holders {
+		offset = min(offset, a.holders[i].acked)
+	}
 
 	if offset <= a.visible {
 		return false
--- a/answer/store.go
+++ b/answer/store.go
@@ -10,7 +10,8 @@
 // it owns, and copies of those that other instances own. The exported fields
 // are set before the first step.
 //
-// A caller reads each token as soon as it is generated.
+// A caller reads only tokens that every present copy has acknowledged. So a
+// copy that takes over never lacks a token that a caller has seen.
 type Store struct {
 	Self   Member
 	Policy StorePolicy
@@ -29,7 +30,8 @@
 	counts  StoreCounts
 }
 
-// Accept takes a request that this instance answers.
+// Accept takes a request that this instance answers. Accepted follows once a
+// copy in another failure domain has it.
 func (s *Store) Accept(now time.Time, r Request) []StoreCommand {
 	s.begin(now)
 
@@ -42,9 +44,7 @@
 		epoch:   Epoch{Owner: s.Self.ID, Incarnation: s.Self.Incarnation},
 		role:    roleOwner,
 	}
-	a.accepted = true
 	s.add(a)
-	s.emit(Accepted{ID: r.ID})
 	s.recruit(now, a)
 
 	return s.finish()
@@ -161,7 +161,11 @@
 func (s *Store) changed(now time.Time, a *keptAnswer) {
 	s.pending++
 
-	s.expose(a)
+	if len(a.holders) == 0 {
+		s.expose(a)
+
+		return
+	}
 
 	if a.dirty {
 		return
