--- a/admission/config.go
+++ b/admission/config.go
@@ -78,16 +78,6 @@
 	return s
 }
 
-func (s ServiceConfig) target(kind fleet.CallKind) time.Duration {
-	for _, k := range s.Kinds {
-		if k.Kind == kind {
-			return k.Target
-		}
-	}
-
-	return 0
-}
-
 func (a AccountConfig) withDefaults() AccountConfig {
 	if a.Weight <= 0 {
 		a.Weight = 1
--- a/admission/limiter.go
+++ b/admission/limiter.go
@@ -6,15 +6,17 @@
 	"time"
 )
 
-// limiter adapts a concurrency limit to the measured latency: it grows by one
-// a round while latencies meet their target and the limit is in use, and
-// shrinks by a tenth, at most once a round, when they do not.
+// limiter adapts a concurrency limit to the measured latency: it grows by up
+// to one a round while latencies meet their target and the limit is in use,
+// and shrinks by a tenth, at most once a round, when they do not.
 type limiter struct {
 	running atomic.Int64
 	limit   atomic.Uint64
 	// low, high and cap bound the limit; cap is the reported capacity share.
 	low, high atomic.Int64
 	cap       atomic.Int64
+	// used tells that the limit was nearly reached and is still half in use.
+	used atomic.Bool
 	// cutUntil is the end of the round of the last cut, in Unix nanoseconds.
 	cutUntil atomic.Int64
 	// mean is the average time of a request, in nanoseconds.
@@ -24,6 +26,7 @@
 const (
 	cutFactor  = 0.9
 	usedFactor = 0.8
+	idleFactor = 0.5
 	meanWeight = 0.1
 )
 
@@ -71,6 +74,10 @@
 		}
 
 		if l.running.CompareAndSwap(running, running+1) {
+			if float64(running+1) >= usedFactor*float64(allowed) && !l.used.Load() {
+				l.used.Store(true)
+			}
+
 			return true
 		}
 	}
@@ -79,8 +86,13 @@
 // release gives a slot back and learns from how the request went.
 func (l *limiter) release(now time.Time, target time.Duration, o Outcome) {
 	running := l.running.Add(-1) + 1
+	limit := l.current()
 	l.learnMean(o.Whole)
 
+	if float64(running) < idleFactor*limit {
+		l.used.Store(false)
+	}
+
 	late := target > 0 && o.Latency > target
 	if late || o.Overloaded {
 		l.cut(now, max(o.Latency, target))
@@ -88,8 +100,7 @@
 		return
 	}
 
-	limit := l.current()
-	if float64(running) >= usedFactor*limit {
+	if l.used.Load() {
 		l.setLimit(limit + 1/limit)
 	}
 }
