fix(gateway): send a service the path that was matched, refuse what reads in two ways

Cause: the decoded path was both matched and sent. A decoded '?' or '#' became a query or a fragment, and '%252e%252e' reached the service as '%2e%2e', so that a service could read another path than the one a call pattern matched. Of repeated headers the first was taken, OPTIONS was answered without an account, and max_tokens near the greatest integer made the token estimate negative.

Change: the matched path is encoded anew before it is sent; encoded slashes, backslashes, control characters and '..;x' are refused, as are headers that the gateway goes by and that stand twice, and max_tokens above 2^20. A keyed request to an unknown path is told notStarted too. Ruled out: sending the raw path, since a server's decoding need not be ours.

--- a/chat/chat_test.go
+++ b/chat/chat_test.go
@@ -30,6 +30,7 @@
 		{desc: "no model", body: `{"messages":[{"role":"user","content":"x"}]}`, err: "model is missing"},
 		{desc: "no messages", body: `{"model":"m"}`, err: "messages is empty"},
 		{desc: "negative limit", body: `{"model":"m","messages":[{"role":"user","content":"x"}],"max_tokens":-1}`, err: "negative"},
+		{desc: "limit that would overflow", body: `{"model":"m","messages":[{"role":"user","content":"x"}],"max_tokens":9223372036854775807}`, err: "greater than"},
 		{desc: "an image", body: `{"model":"m","messages":[{"role":"user","content":[{"type":"image_url"}]}]}`, err: "not supported"},
 	}
 
--- a/chat/request.go
+++ b/chat/request.go
@@ -8,7 +8,7 @@
 //
 //	request, err := chat.ParseRequest(body)
 //	prompt := request.Prompt()
-//	data := chat.AppendChunk(buf, chat.ChunkHead{ID: id, Model: model}, token)
+//	data := chat.NewChunkWriter(id, request.Model, created).AppendToken(nil, 0, token)
 package chat
 
 import (
@@ -18,8 +18,13 @@
 	"strings"
 )
 
-// DefaultMaxTokens bounds an answer whose request does not.
-const DefaultMaxTokens = 2048
+const (
+	// DefaultMaxTokens bounds an answer whose request does not.
+	DefaultMaxTokens = 2048
+	// GreatestMaxTokens bounds what a request may ask for, so that estimates
+	// made of it do not overflow.
+	GreatestMaxTokens = 1 << 20
+)
 
 // Message is one turn of a conversation.
 type Message struct {
@@ -61,6 +66,10 @@
 		return Request{}, errors.New("max_tokens is negative")
 	}
 
+	if r.Limit() > GreatestMaxTokens {
+		return Request{}, fmt.Errorf("max_tokens is greater than %d", GreatestMaxTokens)
+	}
+
 	return r, nil
 }
 
--- a/gateway/caller.go
+++ b/gateway/caller.go
@@ -35,6 +35,10 @@
 		return caller{}, refusal.New(refusal.NotReady, "no manifest is in force here").WithRetryAfter(comeBackSoon)
 	}
 
+	if name, repeated := repeatedHeader(r.Header); repeated {
+		return caller{}, refusal.New(refusal.BadRequest, "the header %s is given more than once", name)
+	}
+
 	secret, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 	if !ok {
 		return caller{}, refusal.New(refusal.Unauthorized, "the Authorization header must hold a Bearer key")
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -80,8 +80,10 @@
 	router.HandleMethodNotAllowed = false
 	router.RedirectTrailingSlash = false
 	router.RedirectFixedPath = false
+	router.HandleOPTIONS = false
 	router.NotFound = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		refusal.New(refusal.UnknownService, "nothing is served at %s", r.URL.Path).Write(w)
+		refused := refusal.New(refusal.UnknownService, "nothing is served for %s %s", r.Method, r.URL.Path)
+		beforeClaim(r.Header, refused).Write(w)
 	})
 	router.POST(PathChat, g.chat)
 	router.GET(PathModels, g.models)
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -80,6 +80,11 @@
 		return plainCall{}, refusal.New(refusal.UnknownCall, "%q has no call %s %s", service.Name(), r.Method, path)
 	}
 
+	sent, refused := servicePath(r.URL, path)
+	if refused != nil {
+		return plainCall{}, refused
+	}
+
 	key, refused := idempotencyKey(r.Header, kind)
 	if refused != nil {
 		return plainCall{}, refused
@@ -100,17 +105,13 @@
 		return plainCall{}, refused
 	}
 
-	if r.URL.RawQuery != "" {
-		path += "?" + r.URL.RawQuery
-	}
-
 	return plainCall{service: service, request: PlainRequest{
 		ID:      g.IDs(),
 		Account: who.account.Name(),
 		Service: service.Name(),
 		Kind:    kind,
 		Call: backend.Call{
-			Method: r.Method, Path: path, Header: forwardedHeader(r.Header), Body: body, IdempotencyKey: key,
+			Method: r.Method, Path: sent, Header: forwardedHeader(r.Header), Body: body, IdempotencyKey: key,
 		},
 		Priority: priority,
 		Arrived:  arrived,
@@ -177,7 +178,7 @@
 // beforeClaim says of a call with an idempotency key only that this attempt did
 // not start: an earlier one with the same key may have run.
 func beforeClaim(h http.Header, r *refusal.Refusal) *refusal.Refusal {
-	if r.Run() != refusal.NotRun || h.Get(HeaderIdempotencyKey) == "" {
+	if r.Run() != refusal.NotRun || !isKeyed(h) {
 		return r
 	}
 
