feat(daemon): burn report, readiness that waits for claims, tests of the whole path

Cause: the first run of the tests over loopback failed: an instance was ready before it knew the claims and the backend servers (24 of 24 duplicates refused, 0 executions). Two causes: the first read of an empty stream waited a second, and the list was read before a manifest said which services there are. Change: first read without wait; the list is read under a manifest only and at each change of it; claims begin with the first manifest, which gives their window. Ruled out: the claims themselves, their own tests passed.

--- a/cmd/root.go
+++ b/cmd/root.go
@@ -49,6 +49,7 @@
 	Current  currentCommand  `cmd:"" help:"Print the manifest in force on the log and its version."`
 	Publish  publishCommand  `cmd:"" help:"Put a manifest in force."`
 	Status   statusCommand   `cmd:"" help:"Show instances, what is in force where, and backend servers."`
+	Report   reportCommand   `cmd:"" help:"Report on service-level burn, from instances or from load runs."`
 	Keys     keysCommand     `cmd:"" help:"Make the keys with which entry instances know each other."`
 	Trial    trialCommand    `cmd:"" help:"Write settings and keys of a deployment on this machine."`
 }
--- a/daemon/configure.go
+++ b/daemon/configure.go
@@ -10,8 +10,13 @@
 	"monsoonlever/publication"
 )
 
-// configure puts the limits of a manifest in force.
+// configure puts the limits and objectives of a manifest in force.
 func (p *parts) configure(s *publication.Snapshot) {
+	p.claims.begin(s.Manifest())
+	p.recorder.Configure(p.clock.Now(), objectives(s.Manifest()))
+
+	p.watcher.Refresh()
+
 	if err := p.admission.Configure(p.clock.Now(), admissionConfig(s.Manifest())); err != nil {
 		klog.ErrorS(err, "limits of the manifest could not be put in force", "version", s.Version())
 	}
--- /dev/null
+++ b/daemon/deployment_test.go
@@ -0,0 +1,253 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"monsoonlever/clock"
+	"monsoonlever/fleet"
+	"monsoonlever/keys"
+	"monsoonlever/platform"
+	"monsoonlever/publication"
+	"monsoonlever/settings"
+	"monsoonlever/standin"
+)
+
+const (
+	testModel   = "ledger-large"
+	testVersion = "2026.11"
+	testAccount = "demo-key-aalborg-staal"
+	// testPatience bounds every wait of a test; none of them sleeps.
+	testPatience = 30 * time.Second
+)
+
+var testDomains = []fleet.FailureDomain{"ballerup-a", "ballerup-b", "taastrup-1", "taastrup-2"}
+
+// deployment is the example deployment of Kronvig with its daemons and stand-ins
+// in one process, over loopback.
+type deployment struct {
+	t           *testing.T
+	ctx         context.Context
+	group       conc.WaitGroup
+	platform    *standin.Platform
+	platformURL string
+	engines     []*standin.Engine
+	plains      []*standin.PlainService
+	entries     []*entry
+	settings    []settings.Daemon
+}
+
+// entry is one running daemon.
+type entry struct {
+	addresses Addresses
+	stop      context.CancelFunc
+	done      chan error
+}
+
+// newDeployment starts the stand-ins and some entry instances, publishes the
+// manifest, and waits until every entry instance is ready.
+func newDeployment(t *testing.T, entries int) *deployment {
+	t.Helper()
+
+	ctx, cancel := context.WithTimeout(context.Background(), testPatience)
+	d := &deployment{t: t, ctx: ctx, platform: standin.NewPlatform(clock.System{})}
+
+	t.Cleanup(func() {
+		for _, e := range d.entries {
+			e.stop()
+		}
+
+		cancel()
+		d.group.Wait()
+	})
+
+	d.platformURL = "http://" + d.serve(d.platform.Handler(), nil)
+	d.startServers()
+	d.writeSettings(entries)
+
+	for i := range entries {
+		d.start(i)
+	}
+
+	d.publish()
+
+	for _, e := range d.entries {
+		d.waitReady(e)
+	}
+
+	return d
+}
+
+// serve serves a stand-in until the test ends and returns its address.
+func (d *deployment) serve(h http.Handler, f *standin.Faults) string {
+	l := d.listen()
+	server := standin.NewServer(l, h, f)
+	d.group.Go(func() { _ = server.Run(d.ctx) })
+
+	return server.Address()
+}
+
+func (d *deployment) listen() net.Listener {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		d.t.Fatal(err)
+	}
+
+	return l
+}
+
+// startServers starts two engines and one plain server in each failure domain.
+func (d *deployment) startServers() {
+	ledger := standin.NewWorkLedger()
+
+	for i, domain := range append(testDomains, testDomains...) {
+		engine := standin.NewEngine(clock.System{})
+		engine.Model = testModel
+		engine.Version = testVersion
+		engine.Ledger = ledger
+		engine.TokenInterval = time.Millisecond
+		d.engines = append(d.engines, engine)
+		d.register(fmt.Sprintf("engine-%d", i), "ledger-llm", domain, d.serve(engine.Handler(), engine.Faults))
+	}
+
+	for i, domain := range testDomains {
+		plain := standin.NewPlainService(clock.System{})
+		d.plains = append(d.plains, plain)
+		d.register(fmt.Sprintf("plain-%d", i), "payrun-api", domain, d.serve(plain.Handler(), plain.Faults))
+	}
+}
+
+func (d *deployment) register(id string, service fleet.Service, domain fleet.FailureDomain, address string) {
+	d.platform.Register(standin.Registration{Listing: platform.Listing{
+		ID: fleet.InstanceID(id), Service: service, Address: address, Domain: domain, State: platform.Live,
+	}})
+}
+
+func (d *deployment) writeSettings(entries int) {
+	dir := d.t.TempDir()
+
+	var names []string
+	for i := range entries {
+		names = append(names, fmt.Sprintf("entry-%d", i))
+	}
+
+	if err := keys.WriteDeployment(dir, names, time.Now()); err != nil {
+		d.t.Fatal(err)
+	}
+
+	for i, name := range names {
+		d.settings = append(d.settings, settings.Daemon{
+			Deployment:    "kronvig",
+			Instance:      fleet.InstanceID(name),
+			Region:        "dk-east",
+			FailureDomain: testDomains[i%len(testDomains)],
+			TLS: &settings.TLS{
+				CertFile: filepath.Join(dir, name+".pem"),
+				KeyFile:  filepath.Join(dir, name+".key"),
+				CAFile:   filepath.Join(dir, "ca.pem"),
+			},
+			Platform: settings.Platform{
+				Log: d.platformURL, List: d.platformURL, Cloud: d.platformURL, Weights: d.platformURL,
+			},
+			Limits: settings.Limits{
+				MaxBodyBytes: 1 << 20, MaxHeaderBytes: 16 << 10, ReadHeaderTimeout: 5 * time.Second, MaxConnections: 256,
+			},
+			DrainTimeout:     testPatience,
+			AppendsPerSecond: 50,
+		})
+	}
+}
+
+// start runs the daemon with the settings of one entry instance.
+func (d *deployment) start(i int) *entry {
+	listeners := &Listeners{Callers: d.listen(), Peers: d.listen(), Operators: d.listen()}
+	s := d.settings[i]
+	s.PeerAddress = listeners.Peers.Addr().String()
+
+	for _, e := range d.entries {
+		s.Seeds = append(s.Seeds, e.addresses.Peers)
+	}
+
+	ctx, stop := context.WithCancel(d.ctx)
+	started := make(chan Addresses, 1)
+	e := &entry{stop: stop, done: make(chan error, 1)}
+	daemon := &Daemon{
+		Settings: s, Clock: clock.System{}, Listeners: listeners,
+		Started: func(a Addresses) { started <- a },
+	}
+
+	d.group.Go(func() { e.done <- daemon.Run(ctx) })
+
+	select {
+	case e.addresses = <-started:
+	case err := <-e.done:
+		d.t.Fatalf("entry instance %d: %v", i, err)
+	}
+
+	d.entries = append(d.entries, e)
+
+	return e
+}
+
+func (d *deployment) publish() platform.Offset {
+	data, err := os.ReadFile("../examples/kronvig.manifest.jsonc")
+	if err != nil {
+		d.t.Fatal(err)
+	}
+
+	p := &publication.Publisher{
+		Log: d.platform.Log, Stream: publication.StreamOf("kronvig"), Clock: clock.System{},
+		Random: rand.New(rand.NewPCG(1, 1)),
+	}
+
+	receipt, err := p.Publish(d.ctx, publication.Request{File: "kronvig", Data: data, Operator: "test"})
+	if err != nil {
+		d.t.Fatal(err)
+	}
+
+	return receipt.Version()
+}
+
+func (d *deployment) waitReady(e *entry) {
+	d.t.Helper()
+
+	d.eventually("instance is ready", func() bool {
+		r, err := http.Get("http://" + e.addresses.Operators + PathReady)
+		if err != nil {
+			return false
+		}
+		defer r.Body.Close()
+
+		return r.StatusCode == http.StatusNoContent
+	})
+}
+
+// eventually looks until a condition holds. Every look does some I/O, so that
+// the loop does not spin.
+func (d *deployment) eventually(what string, holds func() bool) {
+	d.t.Helper()
+
+	for !holds() {
+		if d.ctx.Err() != nil {
+			d.t.Fatalf("got no end of waiting, want: %s", what)
+		}
+	}
+}
+
+func (d *deployment) executions() int {
+	total := 0
+	for _, p := range d.plains {
+		total += p.Executions().Total
+	}
+
+	return total
+}
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -7,6 +7,8 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/julienschmidt/httprouter"
+
+	"monsoonlever/burn"
 )
 
 // The paths of the operators' interface.
@@ -23,6 +25,7 @@
 	router.GET(PathHealth, p.serveHealth)
 	router.GET(PathReady, p.serveReady)
 	router.GET(PathStatus, p.serveStatus)
+	router.GET(burn.Path, p.serveBurn)
 
 	return &http.Server{Handler: router, ReadHeaderTimeout: 5 * time.Second}
 }
@@ -71,6 +74,11 @@
 		missing = append(missing, "the instance list was not read yet")
 	}
 
+	// Without the log no claim can be read; everything else is served.
+	if p.claims.healthy() && !p.claims.ready() {
+		missing = append(missing, "the claims on the log were not read yet")
+	}
+
 	return missing
 }
 
@@ -78,6 +86,10 @@
 	writeJSON(w, p.status())
 }
 
+func (p *parts) serveBurn(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	writeJSON(w, p.recorder.Snapshot(p.clock.Now()))
+}
+
 func writeJSON(w http.ResponseWriter, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	// The reader is gone if this fails; there is nobody to tell.
--- a/daemon/parts.go
+++ b/daemon/parts.go
@@ -15,6 +15,7 @@
 	"monsoonlever/admission"
 	"monsoonlever/answer"
 	"monsoonlever/backend"
+	"monsoonlever/burn"
 	"monsoonlever/claim"
 	"monsoonlever/clock"
 	"monsoonlever/discovery"
@@ -53,16 +54,18 @@
 	follower    *publication.Follower
 	journal     *journal.Client
 	keeper      *claim.Keeper
+	claims      *claims
 	table       *routing.Table
 	leaving     *answer.Leaving
 	directory   *discovery.Directory
 	watcher     *discovery.Watcher
 	admission   *admission.Controller
+	recorder    *burn.Recorder
 	runner      *answer.Runner
 	gateway     *gateway.Gateway
 }
 
-func (d *Daemon) build(_ *Listeners) (*parts, error) {
+func (d *Daemon) build(l *Listeners) (*parts, error) {
 	p := &parts{
 		settings:    d.Settings,
 		clock:       d.Clock,
@@ -96,7 +99,9 @@
 		Journal: p.journal, Clock: p.clock, KeepHeader: dispatch.KeptHeaders,
 		Config: claim.Config{Self: p.settings.Instance, Incarnation: p.incarnation},
 	}
+	p.claims = newClaims(p.keeper, p.journal)
 	p.journal.Subscribers = []journal.Subscriber{p.keeper}
+	p.recorder = &burn.Recorder{Instance: p.settings.Instance}
 	p.admission = &admission.Controller{Instance: p.settings.Instance, Clock: p.clock, Metrics: p.metrics}
 }
 
@@ -107,8 +112,9 @@
 	p.directory = discovery.NewDirectory(clients{http: newClient()})
 	p.watcher = &discovery.Watcher{
 		Clock: p.clock, Directory: p.directory, Table: p.table, Leaving: p.leaving,
-		List:  platform.NewHTTPList(p.settings.Platform.List, client),
-		Cloud: platform.NewHTTPCloud(p.settings.Platform.Cloud, client),
+		List:    platform.NewHTTPList(p.settings.Platform.List, client),
+		Cloud:   platform.NewHTTPCloud(p.settings.Platform.Cloud, client),
+		InForce: func() bool { return p.manifest() != nil },
 		IsModel: func(service fleet.Service) (bool, bool) {
 			return isModel(p.manifest(), service)
 		},
@@ -133,8 +139,9 @@
 		Admission: p.admission,
 		Models:    &dispatch.Models{Runner: p.runner},
 		Plain: &dispatch.Plain{
-			Clock: p.clock, Table: p.table, Directory: p.directory, Claims: p.keeper, Budget: unlimited{},
+			Clock: p.clock, Table: p.table, Directory: p.directory, Claims: p.claims, Budget: unlimited{},
 		},
+		Observer:     &observer{clock: p.clock, recorder: p.recorder},
 		IDs:          newRequestID,
 		MaxBodyBytes: p.settings.Limits.MaxBodyBytes,
 		WriteTimeout: writeTimeout,
@@ -157,8 +164,7 @@
 	var group conc.WaitGroup
 
 	group.Go(func() { p.follower.Run(ctx) })
-	group.Go(func() { _ = p.journal.Run(ctx) })
-	group.Go(func() { _ = p.keeper.Run(ctx) })
+	group.Go(func() { p.claims.run(ctx) })
 	group.Go(func() { p.watcher.Run(ctx) })
 	group.Go(func() { _ = p.admission.Run(ctx) })
 	group.Wait()
--- a/daemon/status.go
+++ b/daemon/status.go
@@ -58,7 +58,7 @@
 		FailureDomain: p.settings.FailureDomain,
 		Ready:         len(missing) == 0,
 		Missing:       missing,
-		Log:           LogStatus{Healthy: p.journal.Healthy(), ReadAgeSeconds: p.journal.ReadAge().Seconds()},
+		Log:           p.claims.log(),
 		Servers:       p.serverStatuses(),
 	}
 
--- a/discovery/watcher.go
+++ b/discovery/watcher.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -38,6 +39,9 @@
 	Directory *Directory
 	Table     *routing.Table
 	Leaving   *answer.Leaving
+	// InForce tells whether a manifest is in force. Without one nothing is known
+	// of the listed services.
+	InForce func() bool
 	// IsModel tells whether a service of the manifest in force is served by
 	// model engines, and known whether there is such a service.
 	IsModel func(fleet.Service) (model, known bool)
@@ -52,6 +56,8 @@
 	Timeout time.Duration
 	Metrics *metrics.Set
 
+	once      sync.Once
+	wake      chan struct{}
 	listed    atomic.Bool
 	notice    uint64
 	listDown  atomic.Bool
@@ -60,23 +66,41 @@
 
 // Run polls until ctx ends.
 func (w *Watcher) Run(ctx context.Context) {
+	w.init()
+
 	var group conc.WaitGroup
 
-	group.Go(func() { w.every(ctx, w.ListEvery, defaultListEvery, w.pollList) })
-	group.Go(func() { w.every(ctx, w.NoticeEvery, defaultNoticeEvery, w.pollNotices) })
-	group.Go(func() { w.every(ctx, w.ReportEvery, defaultReportEvery, w.pollServers) })
+	group.Go(func() { w.every(ctx, w.wake, w.ListEvery, defaultListEvery, w.pollList) })
+	group.Go(func() { w.every(ctx, nil, w.NoticeEvery, defaultNoticeEvery, w.pollNotices) })
+	group.Go(func() { w.every(ctx, nil, w.ReportEvery, defaultReportEvery, w.pollServers) })
 	group.Go(func() {
-		w.every(ctx, w.TickEvery, defaultTickEvery, func(context.Context) { w.Table.Tick(w.Clock.Now(), Random{}) })
+		w.every(ctx, nil, w.TickEvery, defaultTickEvery, func(context.Context) { w.Table.Tick(w.Clock.Now(), Random{}) })
 	})
 	group.Wait()
 }
 
-// Listed tells whether the list was ever read.
+// Refresh reads the list now, as after a change of the manifest.
+func (w *Watcher) Refresh() {
+	w.init()
+
+	select {
+	case w.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (w *Watcher) init() {
+	w.once.Do(func() { w.wake = make(chan struct{}, 1) })
+}
+
+// Listed tells whether the list was ever read under a manifest.
 func (w *Watcher) Listed() bool {
 	return w.listed.Load()
 }
 
-func (w *Watcher) every(ctx context.Context, d, fallback time.Duration, step func(context.Context)) {
+func (w *Watcher) every(
+	ctx context.Context, wake <-chan struct{}, d, fallback time.Duration, step func(context.Context),
+) {
 	if d <= 0 {
 		d = fallback
 	}
@@ -87,6 +111,7 @@
 		select {
 		case <-ctx.Done():
 		case <-w.Clock.After(d):
+		case <-wake:
 		}
 	}
 }
@@ -101,6 +126,10 @@
 }
 
 func (w *Watcher) pollList(parent context.Context) {
+	if !w.InForce() {
+		return
+	}
+
 	ctx, cancel := w.bounded(parent)
 	defer cancel()
 
--- a/journal/reading.go
+++ b/journal/reading.go
@@ -15,7 +15,13 @@
 	begun := false
 
 	for ctx.Err() == nil {
-		batch, err := c.read(ctx, max(from, 1))
+		wait := c.ReadWait
+		if !begun {
+			// An empty stream must not hold up Ready.
+			wait = 0
+		}
+
+		batch, err := c.read(ctx, max(from, 1), wait)
 		if err != nil {
 			c.counters.readFailures.Inc()
 			c.pauseReader(ctx, c.readerBO.Failed())
@@ -36,11 +42,11 @@
 	}
 }
 
-func (c *Client) read(ctx context.Context, from platform.Offset) (platform.Batch, error) {
-	callCtx, cancel := withTimeout(ctx, c.Clock, c.ReadWait+c.AppendTimeout)
+func (c *Client) read(ctx context.Context, from platform.Offset, wait time.Duration) (platform.Batch, error) {
+	callCtx, cancel := withTimeout(ctx, c.Clock, wait+c.AppendTimeout)
 	defer cancel()
 
-	return c.Log.Read(callCtx, c.Stream, from, c.ReadLimit, c.ReadWait)
+	return c.Log.Read(callCtx, c.Stream, from, c.ReadLimit, wait)
 }
 
 func (c *Client) pauseReader(ctx context.Context, wait time.Duration) {
