feat(evacuation): KV exports from leaving servers, dearest first

Cause: on a reclaim notice of seconds, not every KV cache can leave in time.

Change: evacuation.Plan orders the exports of a server by what is dearest to recompute, within notice, bandwidth and room, towards failure domains that the wave is not likely to hit next. Coordinator plans again at each turn, so that targets that get their own notice are used no more; Desk is its shell. An answer's export ends with its attempt. Exports side by side were ruled out: they share the bandwidth, and all of them are cut off together.

--- a/answer/attempt.go
+++ b/answer/attempt.go
@@ -14,12 +14,13 @@
 	id     backend.AttemptID
 	server fleet.InstanceID
 	engine backend.Engine
+	ctx    context.Context
 	cancel context.CancelFunc
 }
 
 // read passes the events of a stream on until it ends.
-func (u *run) read(ctx context.Context, a *attempt, g backend.GenerateRequest, release func(error)) {
-	err := u.readStream(ctx, a, g)
+func (u *run) read(a *attempt, g backend.GenerateRequest, release func(error)) {
+	err := u.readStream(a, g)
 	if release != nil {
 		release(err)
 	}
@@ -29,14 +30,14 @@
 	}
 }
 
-func (u *run) readStream(ctx context.Context, a *attempt, g backend.GenerateRequest) error {
-	stream, err := a.engine.Generate(ctx, g)
+func (u *run) readStream(a *attempt, g backend.GenerateRequest) error {
+	stream, err := a.engine.Generate(a.ctx, g)
 	if err != nil {
 		return err
 	}
 
 	// A stream that hangs is freed by closing it.
-	closeStream := context.AfterFunc(ctx, func() { _ = stream.Close() })
+	closeStream := context.AfterFunc(a.ctx, func() { _ = stream.Close() })
 	defer func() {
 		if closeStream() {
 			_ = stream.Close()
--- a/answer/run_commands.go
+++ b/answer/run_commands.go
@@ -57,12 +57,12 @@
 	}
 
 	ctx, cancel := context.WithCancel(u.ctx)
-	a := &attempt{id: d.Attempt, server: choice.Server, engine: engine, cancel: cancel}
+	a := &attempt{id: d.Attempt, server: choice.Server, engine: engine, ctx: ctx, cancel: cancel}
 	u.open[a.id] = a
 	u.current = a
 	u.pending = append(u.pending, Started{Attempt: a.id, Server: a.server})
 	u.checkLeaving()
-	u.runner.group.Go(func() { u.read(ctx, a, u.request.generate(d, kv), choice.Release) })
+	u.runner.group.Go(func() { u.read(a, u.request.generate(d, kv), choice.Release) })
 }
 
 func (u *run) query(d Dispatch) Query {
@@ -129,22 +129,26 @@
 func (u *run) exportKV(a *attempt, e ExportKV) Event {
 	failed := ExportFailed{Attempt: e.Attempt}
 
-	target, ok := u.runner.Exports.Target(u.ctx, u.request, e)
+	turn, ok := u.runner.Exports.Target(a.ctx, u.request, e)
 	if !ok {
 		return failed
 	}
 
-	address, ok := u.runner.Engines.Address(target)
+	if turn.Done != nil {
+		defer turn.Done()
+	}
+
+	address, ok := u.runner.Engines.Address(turn.Target)
 	if !ok {
 		return failed
 	}
 
-	name, err := a.engine.ExportKV(u.ctx, a.id, address)
-	if err != nil || u.isLeaving(target) {
+	name, err := a.engine.ExportKV(a.ctx, a.id, address)
+	if err != nil || u.isLeaving(turn.Target) {
 		return failed
 	}
 
-	return KVExported{Attempt: e.Attempt, Target: target, KV: name}
+	return KVExported{Attempt: e.Attempt, Target: turn.Target, KV: name}
 }
 
 func (u *run) isLeaving(server fleet.InstanceID) bool {
--- a/answer/runner_test.go
+++ b/answer/runner_test.go
@@ -124,8 +124,8 @@
 
 func (f *fakeFleet) Address(id fleet.InstanceID) (string, bool) { return string(id), true }
 
-func (f *fakeFleet) Target(context.Context, Request, ExportKV) (fleet.InstanceID, bool) {
-	return f.order[len(f.order)-1], true
+func (f *fakeFleet) Target(context.Context, Request, ExportKV) (ExportTurn, bool) {
+	return ExportTurn{Target: f.order[len(f.order)-1]}, true
 }
 
 type fakeSink struct {
--- /dev/null
+++ b/evacuation/desk.go
@@ -0,0 +1,137 @@
+package evacuation
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"monsoonlever/answer"
+	"monsoonlever/backend"
+	"monsoonlever/clock"
+	"monsoonlever/fleet"
+)
+
+// bytesPerPromptToken estimates the tokens of a prompt from its length.
+const bytesPerPromptToken = 4
+
+// Desk is the shell of a Coordinator: an answer.ExportSource. The exported
+// fields are set before Run.
+type Desk struct {
+	Clock       clock.Clock
+	Coordinator *Coordinator
+	// Targets returns the servers that could take caches at present.
+	Targets func() []Target
+
+	mu      sync.Mutex
+	waiting map[backend.AttemptID]chan fleet.InstanceID
+	wake    chan struct{}
+	once    sync.Once
+}
+
+// Run gives out the turns until the context ends.
+func (d *Desk) Run(ctx context.Context) {
+	d.init()
+
+	for {
+		var timer <-chan time.Time
+		if at, ok := d.turns(); ok {
+			timer = d.Clock.After(at.Sub(d.Clock.Now()))
+		}
+
+		select {
+		case <-ctx.Done():
+			return
+		case <-d.wake:
+		case <-timer:
+		}
+	}
+}
+
+// Notice takes a reclaim notice of a backend server.
+func (d *Desk) Notice(n Notice) {
+	d.do(func(now time.Time) { d.Coordinator.Notice(now, n) })
+}
+
+// Gone forgets a server that has been reclaimed.
+func (d *Desk) Gone(server fleet.InstanceID) {
+	d.do(func(time.Time) { d.Coordinator.Gone(server) })
+}
+
+// Target waits for the turn of an answer.
+func (d *Desk) Target(ctx context.Context, r answer.Request, e answer.ExportKV) (answer.ExportTurn, bool) {
+	turn := make(chan fleet.InstanceID, 1)
+	stream := Stream{
+		Attempt:  e.Attempt,
+		Server:   e.Server,
+		Model:    r.Model,
+		Priority: r.Priority,
+		Tokens:   len(r.Prompt)/bytesPerPromptToken + e.Tokens,
+	}
+
+	d.do(func(now time.Time) {
+		d.waiting[e.Attempt] = turn
+		d.Coordinator.Ask(now, stream, e.By)
+	})
+
+	done := func() {
+		d.do(func(time.Time) {
+			delete(d.waiting, e.Attempt)
+			d.Coordinator.Done(e.Attempt)
+		})
+	}
+
+	select {
+	case target := <-turn:
+		if target != "" {
+			return answer.ExportTurn{Target: target, Done: done}, true
+		}
+	case <-ctx.Done():
+	}
+
+	done()
+
+	return answer.ExportTurn{}, false
+}
+
+func (d *Desk) init() {
+	d.once.Do(func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+
+		d.waiting = make(map[backend.AttemptID]chan fleet.InstanceID)
+		d.wake = make(chan struct{}, 1)
+	})
+}
+
+func (d *Desk) do(step func(now time.Time)) {
+	d.init()
+	d.mu.Lock()
+	step(d.Clock.Now())
+	d.mu.Unlock()
+
+	select {
+	case d.wake <- struct{}{}:
+	default:
+	}
+}
+
+// turns gives out the present turns and returns when there may be more.
+func (d *Desk) turns() (time.Time, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	now := d.Clock.Now()
+
+	if d.Targets != nil {
+		d.Coordinator.Targets(d.Targets())
+	}
+
+	for _, t := range d.Coordinator.Turns(now) {
+		if ch, ok := d.waiting[t.Attempt]; ok {
+			ch <- t.Target
+			delete(d.waiting, t.Attempt)
+		}
+	}
+
+	return d.Coordinator.Wake(now)
+}
--- /dev/null
+++ b/evacuation/desk_test.go
@@ -0,0 +1,77 @@
+package evacuation
+
+import (
+	"context"
+	"reflect"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"monsoonlever/answer"
+	"monsoonlever/backend"
+	"monsoonlever/clock"
+)
+
+// TestDeskExportsOneAtATimeDearestFirst asks in the order of arrival; what
+// does not fit into the notice any more is refused.
+func TestDeskExportsOneAtATimeDearestFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		desk := &Desk{
+			Clock:       clock.System{},
+			Coordinator: &Coordinator{Planner: Planner{Policy: testPolicy()}, Gather: 20 * time.Millisecond},
+			Targets:     func() []Target { return []Target{{Server: "t", Domain: "b1", Room: 9000}} },
+		}
+
+		var loop sync.WaitGroup
+
+		loop.Go(func() { desk.Run(ctx) })
+
+		start := time.Now()
+		by := start.Add(5 * time.Second)
+		desk.Notice(Notice{Server: "s", Domain: "a1", At: by})
+
+		var (
+			mu      sync.Mutex
+			got     []backend.AttemptID
+			refused []backend.AttemptID
+			asks    sync.WaitGroup
+		)
+
+		export := func(id backend.AttemptID, tokens int) {
+			turn, ok := desk.Target(ctx, answer.Request{}, answer.ExportKV{Attempt: id, Server: "s", Tokens: tokens, By: by})
+
+			mu.Lock()
+			defer mu.Unlock()
+
+			if !ok {
+				refused = append(refused, id)
+
+				return
+			}
+
+			got = append(got, id)
+			mu.Unlock()
+			time.Sleep(time.Duration(tokens) * time.Millisecond)
+			mu.Lock()
+			turn.Done()
+		}
+
+		for id, tokens := range map[backend.AttemptID]int{"small": 500, "large": 2000, "medium": 1000, "huge": 3000} {
+			asks.Go(func() { export(id, tokens) })
+		}
+
+		asks.Wait()
+		cancel()
+		loop.Wait()
+
+		if want := []backend.AttemptID{"huge", "small"}; !reflect.DeepEqual(got, want) {
+			t.Errorf("exported: got %v, want %v", got, want)
+		}
+
+		if got, want := len(refused), 2; got != want {
+			t.Errorf("refused: got %d, want %d", got, want)
+		}
+	})
+}
--- /dev/null
+++ b/evacuation/plan.go
@@ -0,0 +1,95 @@
+package evacuation
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"monsoonlever/fleet"
+)
+
+// Planner makes plans from a policy and the present wave.
+type Planner struct {
+	Policy Policy
+	Wave   *Wave
+
+	// order replaces the order of the streams in comparisons.
+	order func(a, b Stream) int
+}
+
+// Plan returns the exports from a leaving server in their order. A stream that
+// is not in it finds no target with room or does not fit into the time.
+func (p Planner) Plan(now time.Time, n Notice, streams []Stream, targets []Target) []Export {
+	ordered := slices.Clone(streams)
+
+	if p.order == nil {
+		slices.SortFunc(ordered, p.dearestFirst)
+	} else {
+		slices.SortStableFunc(ordered, p.order)
+	}
+
+	left := p.safestFirst(now, n, targets)
+	end := n.At.Add(-p.Policy.Margin)
+	at := now
+
+	var plan []Export
+
+	for _, s := range ordered {
+		done := at.Add(p.Policy.duration(s))
+		if done.After(end) {
+			continue
+		}
+
+		i := slices.IndexFunc(left, func(t Target) bool { return t.Model == s.Model && t.Room >= s.Tokens })
+		if i < 0 {
+			continue
+		}
+
+		left[i].Room -= s.Tokens
+		plan = append(plan, Export{Attempt: s.Attempt, Target: left[i].Server, Start: at, Done: done})
+		at = done
+	}
+
+	return plan
+}
+
+func (p Planner) dearestFirst(a, b Stream) int {
+	return cmp.Or(
+		cmp.Compare(p.Policy.worth(b), p.Policy.worth(a)),
+		cmp.Compare(a.Attempt, b.Attempt),
+	)
+}
+
+// safestFirst orders the targets by the risk of their failure domain, then by
+// their room. The leaving server's own domain is left out: it goes as a whole.
+func (p Planner) safestFirst(now time.Time, n Notice, targets []Target) []Target {
+	out := make([]Target, 0, len(targets))
+	risk := make(map[fleet.FailureDomain]float64)
+
+	for _, t := range targets {
+		if t.Domain == n.Domain || t.Server == n.Server {
+			continue
+		}
+
+		out = append(out, t)
+		risk[t.Domain] = p.risk(now, t.Domain)
+	}
+
+	slices.SortFunc(out, func(a, b Target) int {
+		return cmp.Or(
+			cmp.Compare(risk[a.Domain], risk[b.Domain]),
+			cmp.Compare(b.Room, a.Room),
+			cmp.Compare(a.Server, b.Server),
+		)
+	})
+
+	return out
+}
+
+func (p Planner) risk(now time.Time, d fleet.FailureDomain) float64 {
+	if p.Wave == nil {
+		return 0
+	}
+
+	return p.Wave.Risk(now, d)
+}
--- /dev/null
+++ b/evacuation/recompute_test.go
@@ -0,0 +1,376 @@
+package evacuation
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"monsoonlever/backend"
+	"monsoonlever/fleet"
+)
+
+// The shape of the traces: long essays on twelve runners in four failure
+// domains, with caches too large to leave all in time.
+const (
+	traceTick        = 100 * time.Millisecond
+	traceLength      = 6 * time.Minute
+	traceNotice      = 5 * time.Second
+	traceWaveGap     = 20 * time.Second
+	traceDomainBack  = time.Minute
+	traceRunners     = 3
+	traceSlots       = 16
+	traceDecodeRate  = 15
+	tracePrefillRate = 4000
+	traceArrivals    = 2.2
+)
+
+// essay is one answer of a trace.
+type essay struct {
+	id        int
+	prompt    int
+	length    int
+	generated float64
+	runner    *traceRunner
+	exportAt  time.Duration
+	exportTo  *traceRunner
+	exported  int
+}
+
+type traceRunner struct {
+	id     fleet.InstanceID
+	domain fleet.FailureDomain
+	diesAt time.Duration
+	backAt time.Duration
+	essays []*essay
+}
+
+// strategy is a way to treat the answers of a server that is reclaimed.
+type strategy struct {
+	desc    string
+	restart bool
+	export  bool
+	blind   bool
+	order   func(a, b Stream) int
+}
+
+// redone is the work that was done again.
+type redone struct {
+	decoded   int
+	prefilled int
+	exports   int
+	finished  int
+	// better counts the seeds with fewer tokens than the strategy before.
+	better int
+}
+
+func (r redone) tokens() int { return r.decoded + r.prefilled }
+
+func (r redone) engineSeconds() float64 {
+	return float64(r.decoded)/traceDecodeRate + float64(r.prefilled)/tracePrefillRate
+}
+
+type trace struct {
+	strategy strategy
+	rng      *rand.Rand
+	now      time.Duration
+	runners  []*traceRunner
+	queue    []*essay
+	waves    map[time.Duration]fleet.FailureDomain
+	planner  Planner
+	redone   redone
+	born     int
+	due      float64
+}
+
+func newTrace(seed uint64, s strategy) *trace {
+	w := &trace{
+		strategy: s,
+		rng:      rand.New(rand.NewPCG(seed, 1)),
+		waves:    map[time.Duration]fleet.FailureDomain{},
+		planner: Planner{
+			Policy: Policy{
+				BytesPerToken:  320 << 10,
+				BytesPerSecond: 1250 * 1000 * 1000,
+				Setup:          100 * time.Millisecond,
+				Margin:         500 * time.Millisecond,
+			},
+			Wave:  &Wave{HalfLife: time.Minute, Places: map[fleet.FailureDomain]Place{}},
+			order: s.order,
+		},
+	}
+
+	prices := w.rng.Perm(4)
+	for i, price := range prices {
+		d := fleet.FailureDomain(fmt.Sprintf("domain-%d", i))
+		w.planner.Wave.Places[d] = Place{Region: "region", Instances: traceRunners, Price: float64(price)}
+
+		for n := range traceRunners {
+			w.runners = append(w.runners, &traceRunner{id: fleet.InstanceID(fmt.Sprintf("%s-%d", d, n)), domain: d})
+		}
+	}
+
+	w.scheduleWaves(prices)
+
+	return w
+}
+
+// scheduleWaves reclaims two failure domains one after the other, twice. Three
+// of four times the second is the dearest that is left.
+func (w *trace) scheduleWaves(prices []int) {
+	byPrice := []int{0, 1, 2, 3}
+	slices.SortFunc(byPrice, func(a, b int) int { return cmp.Compare(prices[b], prices[a]) })
+
+	for _, at := range []time.Duration{time.Minute, 4 * time.Minute} {
+		first := byPrice[w.rng.IntN(4)]
+		rest := slices.DeleteFunc(slices.Clone(byPrice), func(d int) bool { return d == first })
+		next := rest[0]
+
+		if w.rng.IntN(4) == 0 {
+			next = rest[1+w.rng.IntN(2)]
+		}
+
+		w.waves[at] = fleet.FailureDomain(fmt.Sprintf("domain-%d", first))
+		w.waves[at+traceWaveGap] = fleet.FailureDomain(fmt.Sprintf("domain-%d", next))
+	}
+}
+
+func (w *trace) run() redone {
+	for ; w.now < traceLength; w.now += traceTick {
+		w.arrive()
+		w.notices()
+		w.decode()
+		w.moves()
+		w.deaths()
+		w.place()
+	}
+
+	return w.redone
+}
+
+func (w *trace) arrive() {
+	for w.due += traceArrivals * traceTick.Seconds(); w.due >= 1; w.due-- {
+		w.born++
+		w.queue = append(w.queue, &essay{
+			id:     w.born,
+			prompt: 500 + w.rng.IntN(3000),
+			length: 300 + w.rng.IntN(1200),
+		})
+	}
+}
+
+func (r *traceRunner) up(now time.Duration) bool { return now >= r.backAt && r.diesAt == 0 }
+
+func (w *trace) place() {
+	for len(w.queue) > 0 {
+		best := slices.MinFunc(w.runners, func(a, b *traceRunner) int {
+			if a.up(w.now) != b.up(w.now) {
+				if a.up(w.now) {
+					return -1
+				}
+
+				return 1
+			}
+
+			return cmp.Compare(len(a.essays), len(b.essays))
+		})
+
+		if !best.up(w.now) || len(best.essays) >= traceSlots {
+			return
+		}
+
+		e := w.queue[0]
+		w.queue = w.queue[1:]
+		e.runner = best
+		best.essays = append(best.essays, e)
+	}
+}
+
+func (w *trace) decode() {
+	for _, r := range w.runners {
+		r.essays = slices.DeleteFunc(r.essays, func(e *essay) bool {
+			e.generated += traceDecodeRate * traceTick.Seconds()
+			if e.generated < float64(e.length) {
+				return false
+			}
+
+			w.redone.finished++
+			e.exportTo = nil
+
+			return true
+		})
+	}
+}
+
+func (w *trace) at(d time.Duration) time.Time { return testStart.Add(d) }
+
+func (w *trace) notices() {
+	domain, ok := w.waves[w.now]
+	if !ok {
+		return
+	}
+
+	for range traceRunners {
+		w.planner.Wave.Note(w.at(w.now), domain)
+	}
+
+	for _, r := range w.runners {
+		if r.domain == domain {
+			r.diesAt = w.now + traceNotice
+		}
+	}
+
+	for _, r := range w.runners {
+		if r.domain == domain && w.strategy.export {
+			w.plan(r)
+		}
+	}
+}
+
+func (w *trace) plan(r *traceRunner) {
+	byID := map[backend.AttemptID]*essay{}
+
+	var streams []Stream
+
+	for _, e := range r.essays {
+		id := backend.AttemptID(fmt.Sprintf("%06d", e.id))
+		byID[id] = e
+		streams = append(streams, Stream{Attempt: id, Server: r.id, Tokens: e.prompt + int(e.generated)})
+	}
+
+	notice := Notice{Server: r.id, Domain: r.domain, At: w.at(r.diesAt)}
+
+	planner := w.planner
+	if w.strategy.blind {
+		planner.Wave = nil
+	}
+
+	for _, x := range planner.Plan(w.at(w.now), notice, streams, w.targets()) {
+		e := byID[x.Attempt]
+		e.exportAt = x.Done.Sub(testStart)
+		e.exported = int(e.generated)
+		e.exportTo = w.runners[slices.IndexFunc(w.runners, func(t *traceRunner) bool { return t.id == x.Target })]
+	}
+}
+
+func (w *trace) targets() []Target {
+	var out []Target
+
+	for _, r := range w.runners {
+		if r.up(w.now) {
+			out = append(out, Target{Server: r.id, Domain: r.domain, Room: 4000 * max(0, traceSlots-len(r.essays))})
+		}
+	}
+
+	return out
+}
+
+// moves lets answers go on at their target once their cache is there. What was
+// decoded meanwhile is prefilled again.
+func (w *trace) moves() {
+	for _, r := range w.runners {
+		r.essays = slices.DeleteFunc(r.essays, func(e *essay) bool {
+			if e.exportTo == nil || w.now < e.exportAt || !e.exportTo.up(w.now) {
+				return false
+			}
+
+			w.redone.exports++
+			w.redone.prefilled += int(e.generated) - e.exported
+			e.runner = e.exportTo
+			e.exportTo = nil
+			e.runner.essays = append(e.runner.essays, e)
+
+			return true
+		})
+	}
+}
+
+func (w *trace) deaths() {
+	for _, r := range w.runners {
+		if r.diesAt == 0 || w.now < r.diesAt {
+			continue
+		}
+
+		for _, e := range r.essays {
+			w.lose(e)
+		}
+
+		r.essays = nil
+		r.diesAt = 0
+		r.backAt = w.now + traceDomainBack
+	}
+}
+
+func (w *trace) lose(e *essay) {
+	e.exportTo = nil
+	w.redone.prefilled += e.prompt
+
+	if w.strategy.restart {
+		w.redone.decoded += int(e.generated)
+		e.generated = 0
+	} else {
+		w.redone.prefilled += int(e.generated)
+	}
+
+	w.queue = append([]*essay{e}, w.queue...)
+}
+
+func arrivalOrder(a, b Stream) int { return cmp.Compare(a.Attempt, b.Attempt) }
+
+// TestRecomputedTokens compares the ways to treat answers of reclaimed servers
+// on the same traces, and prints the table of docs/reclaims.md.
+func TestRecomputedTokens(t *testing.T) {
+	strategies := []strategy{
+		{desc: "restart from nothing", restart: true},
+		{desc: "resume from text"},
+		{desc: "KV export, arrival order, blind to the wave", export: true, blind: true, order: arrivalOrder},
+		{desc: "KV export, arrival order", export: true, order: arrivalOrder},
+		{desc: "KV export, dearest first", export: true},
+	}
+	totals := make([]redone, len(strategies))
+
+	const seeds = 20
+
+	for seed := range uint64(seeds) {
+		before := 0
+
+		for i, s := range strategies {
+			r := newTrace(seed+1, s).run()
+			if r.tokens() < before {
+				totals[i].better++
+			}
+
+			before = r.tokens()
+			totals[i].decoded += r.decoded
+			totals[i].prefilled += r.prefilled
+			totals[i].exports += r.exports
+			totals[i].finished += r.finished
+		}
+	}
+
+	var table strings.Builder
+
+	fmt.Fprintf(&table, "%d traces\n| strategy | decoded again | prefilled again | tokens | engine seconds | exports | finished | better with seeds |\n", seeds)
+
+	for i, s := range strategies {
+		r := totals[i]
+		fmt.Fprintf(&table, "| %s | %d | %d | %d | %.0f | %d | %d | %d |\n",
+			s.desc, r.decoded, r.prefilled, r.tokens(), r.engineSeconds(), r.exports, r.finished, r.better)
+	}
+
+	t.Log(table.String())
+
+	// Each way must beat the one before it on what it is meant to save.
+	if got, limit := totals[1].engineSeconds(), totals[0].engineSeconds(); got >= limit {
+		t.Errorf("resume from text: got %.0f engine seconds, want less than %.0f", got, limit)
+	}
+
+	for i := 2; i < len(totals); i++ {
+		if got, limit := totals[i].tokens(), totals[i-1].tokens(); got >= limit {
+			t.Errorf("%s: got %d tokens, want less than %d", strategies[i].desc, got, limit)
+		}
+	}
+}
