feat(membership): measured load at 9 to 410 members, and news in classes

Cause: at 410 members with steadily changing payloads a node sent 8710 bytes a second, over the 8 KB it may; a payload marked urgent had not reached 174 of 4100 members after 10 s, as members passed it on as routine; and in 120 s a member that had three dead ones to try, one of them back, tried it never (one of 2970 checks).

Change: TestScale measures fleets of 9 to 410. Updates have three classes, and an urgent payload stays urgent where it is passed on; routine payloads have a budget in bytes for the fleet; rounds of anti-entropy follow each other at short intervals after a join, a freeze or a split only; dead members and seeds are tried in turn; sizes are counted as encoded.

--- a/membership/broadcast.go
+++ b/membership/broadcast.go
@@ -7,18 +7,31 @@
 	"monsoonlever/fleet"
 )
 
-// urgentSends is how often more than a payload an urgent update is sent on.
-const urgentSends = 6
+// extraSends is how often more than a payload an update is sent on.
+const extraSends = 6
 
 // broadcast is an update that is still being sent on.
 type broadcast struct {
 	id    fleet.InstanceID
 	parts parts
 	sent  int
-	// urgent updates go before those that only carry a payload.
-	urgent bool
+	class class
 }
 
+// class orders updates: of a higher class all go first.
+type class uint8
+
+const (
+	// classPayload updates carry a payload; an anti-entropy round may bring
+	// what was missed.
+	classPayload class = iota
+	// classJoin updates introduce a member.
+	classJoin
+	// classState updates tell of leaving, suspicion, death and refutation, or
+	// of an urgent payload.
+	classState
+)
+
 // broadcasts holds at most one update for each member; a newer one replaces it.
 type broadcasts struct {
 	queue []*broadcast
@@ -26,45 +39,40 @@
 }
 
 // add queues news of a member, merged with what is still queued of it.
-func (b *broadcasts) add(id fleet.InstanceID, p parts, urgent bool) {
+func (b *broadcasts) add(id fleet.InstanceID, p parts, of class) {
 	if b.byID == nil {
 		b.byID = make(map[fleet.InstanceID]*broadcast)
 	}
 
 	if old, ok := b.byID[id]; ok {
 		old.parts |= p
-		old.urgent = old.urgent || urgent
+		old.class = max(old.class, of)
 		old.sent = 0
 
 		return
 	}
 
-	added := &broadcast{id: id, parts: p, urgent: urgent}
+	added := &broadcast{id: id, parts: p, class: of}
 	b.byID[id] = added
 	b.queue = append(b.queue, added)
 }
 
-// sort puts urgent and seldom sent updates first.
+// sort puts higher classes and seldom sent updates first.
 func (b *broadcasts) sort() {
 	slices.SortStableFunc(b.queue, func(x, y *broadcast) int {
-		if x.urgent != y.urgent {
-			if x.urgent {
-				return -1
-			}
-
-			return 1
+		if x.class != y.class {
+			return cmp.Compare(y.class, x.class)
 		}
 
 		return cmp.Compare(x.sent, y.sent)
 	})
 }
 
-// trim removes the updates that were sent limit times, urgent ones a few times
-// more: every member must have them within seconds, while a payload that was
-// missed may wait for an anti-entropy round.
+// trim removes the updates that were sent limit times, and a few times more where
+// they are not of a payload: every member must have those within seconds.
 func (b *broadcasts) trim(limit int) {
 	b.queue = slices.DeleteFunc(b.queue, func(x *broadcast) bool {
-		if x.sent < limit || (x.urgent && x.sent < limit+urgentSends) {
+		if x.sent < limit || (x.class > classPayload && x.sent < limit+extraSends) {
 			return false
 		}
 
--- a/membership/config.go
+++ b/membership/config.go
@@ -41,28 +41,29 @@
 	// GossipRate bounds the bytes of updates sent in a second; default 3000.
 	GossipRate int `json:"gossipRate"`
 	// RetransmitFactor times the natural logarithm of the region's size is how
-	// often an update is sent on; default 2.
+	// often an update is sent on; default 1.5.
 	RetransmitFactor float64 `json:"retransmitFactor"`
 	// SyncInterval is the time between anti-entropy rounds; default 30 s.
 	SyncInterval time.Duration `json:"syncInterval"`
 	// SyncRate bounds the bytes of members sent in anti-entropy rounds in a
 	// second; a burst of sixteen seconds' worth may be saved up; default 2000.
 	SyncRate int `json:"syncRate"`
-	// SeedInterval is the time between contacts to a seed that is no member,
-	// and to a dead member; default 30 s.
+	// SeedInterval is the time between contacts to a seed that is no member;
+	// dead members are contacted three times as often; default 30 s.
 	SeedInterval time.Duration `json:"seedInterval"`
 	// Retention is how long a dead or left member is remembered; default 2 h.
 	Retention time.Duration `json:"retention"`
-	// PayloadRate is how many payloads the fleet as a whole may change in a
-	// second; a member's share shrinks as the fleet grows; default 4.
+	// PayloadRate is how many bytes of updates with payloads the fleet as a
+	// whole may originate in a second; a member's share shrinks as the fleet
+	// grows; default 250.
 	PayloadRate float64 `json:"payloadRate"`
 	// BridgeInterval is the time between probes of a bridge to each other
 	// region; default 1 s.
 	BridgeInterval time.Duration `json:"bridgeInterval"`
-	// RegionInterval is the same for members that are no bridge; default 15 s.
+	// RegionInterval is the same for members that are no bridge; default 20 s.
 	RegionInterval time.Duration `json:"regionInterval"`
 	// RegionTimeout is the time without a round trip after which a region is
-	// unreachable; default 60 s.
+	// unreachable; default 75 s. A bridge takes ten of its intervals.
 	RegionTimeout time.Duration `json:"regionTimeout"`
 }
 
@@ -75,15 +76,15 @@
 		SuspicionFactor:  orDefault(c.SuspicionFactor, 4),
 		GossipInterval:   orDefault(c.GossipInterval, 250*time.Millisecond),
 		GossipRate:       orDefault(c.GossipRate, 3000),
-		RetransmitFactor: orDefault(c.RetransmitFactor, 2),
+		RetransmitFactor: orDefault(c.RetransmitFactor, 1.5),
 		SyncInterval:     orDefault(c.SyncInterval, 30*time.Second),
 		SyncRate:         orDefault(c.SyncRate, 2000),
 		SeedInterval:     orDefault(c.SeedInterval, 30*time.Second),
 		Retention:        orDefault(c.Retention, 2*time.Hour),
-		PayloadRate:      orDefault(c.PayloadRate, 4),
+		PayloadRate:      orDefault(c.PayloadRate, 250),
 		BridgeInterval:   orDefault(c.BridgeInterval, time.Second),
-		RegionInterval:   orDefault(c.RegionInterval, 15*time.Second),
-		RegionTimeout:    orDefault(c.RegionTimeout, time.Minute),
+		RegionInterval:   orDefault(c.RegionInterval, 20*time.Second),
+		RegionTimeout:    orDefault(c.RegionTimeout, 75*time.Second),
 	}
 }
 
--- a/membership/core.go
+++ b/membership/core.go
@@ -46,6 +46,10 @@
 	gossipAt    time.Time
 	syncAt      time.Time
 	seedAt      time.Time
+	seedTurn    int
+	goneAt      time.Time
+	goneTurn    int
+	hurry       int
 	seeds       []string
 	regions     []*regionState
 	bridgeAt    time.Time
@@ -68,12 +72,16 @@
 	c.config = c.Config.withDefaults()
 	c.lastTick = now
 	c.table.put(&Member{identity: c.Self})
-	c.broadcasts.add(c.Self.ID, partsAll, true)
+	c.broadcasts.add(c.Self.ID, partsAll, classJoin)
 	c.regrouping = true
 	c.probeAt = now.Add(c.jitter(c.config.ProbeInterval))
 	c.gossipAt = now.Add(c.jitter(c.config.GossipInterval))
 	c.syncAt = now
 	c.seedAt = now
+	c.goneAt = now.Add(c.jitter(c.config.SeedInterval))
+	c.hurry = maxHurry
+	c.seedTurn = c.Random.IntN(math.MaxInt32)
+	c.goneTurn = c.Random.IntN(math.MaxInt32)
 	c.bridgeAt = now.Add(c.jitter(c.config.BridgeInterval))
 	c.crossSyncAt = now.Add(c.jitter(c.config.SyncInterval))
 	c.reapAt = now.Add(time.Minute)
@@ -171,7 +179,7 @@
 	changed := *self
 	changed.phase = phase
 	changed.revision++
-	c.replace(&changed, 0, true)
+	c.replace(&changed, 0, classState)
 	c.regroup()
 
 	told := append(c.pick(c.groups.locals, leaveFanout, ""), c.pick(c.groups.bridges, leaveFanout/2, "")...)
--- a/membership/groups.go
+++ b/membership/groups.go
@@ -62,6 +62,7 @@
 	}
 
 	slices.SortFunc(g.bridges, compareRank)
+	c.notePromotion(g.bridge)
 	c.groups = g
 	c.noteRegions()
 }
--- a/membership/member.go
+++ b/membership/member.go
@@ -17,6 +17,7 @@
 	status         Status
 	payloadVersion uint32
 	payload        string
+	urgent         bool
 }
 
 // ID returns the instance ID.
--- a/membership/merge.go
+++ b/membership/merge.go
@@ -39,7 +39,18 @@
 	p := mergeState(&changed, u) | mergePayload(&changed, u)
 
 	if changed != *old {
-		c.replace(&changed, p, changed.version() != old.version())
+		c.replace(&changed, p, classOf(old, &changed))
+	}
+}
+
+func classOf(before, after *Member) class {
+	switch {
+	case after.identity.Incarnation != before.identity.Incarnation:
+		return classJoin
+	case after.version() != before.version(), after.urgent:
+		return classState
+	default:
+		return classPayload
 	}
 }
 
@@ -53,7 +64,7 @@
 	m := &Member{identity: Identity{ID: u.ID}}
 	mergeState(m, u)
 	mergePayload(m, u)
-	c.replace(m, partsAll, true)
+	c.replace(m, partsAll, classJoin)
 }
 
 // mergeState takes over a newer state and returns what must be sent on.
@@ -77,6 +88,7 @@
 	m.identity.Address = u.Place.Address
 	m.payloadVersion = 0
 	m.payload = ""
+	m.urgent = false
 
 	return partsAll
 }
@@ -88,6 +100,7 @@
 
 	m.payloadVersion = u.Payload.Version
 	m.payload = u.Payload.Data
+	m.urgent = u.Payload.Urgent
 
 	return partPayload
 }
@@ -110,11 +123,11 @@
 	changed := *self
 	changed.revision = u.Revision + 1
 	c.worsenHealth(1)
-	c.replace(&changed, 0, true)
+	c.replace(&changed, 0, classState)
 }
 
 // replace stores a member, reports the change and sends it on.
-func (c *Core) replace(m *Member, p parts, urgent bool) {
+func (c *Core) replace(m *Member, p parts, of class) {
 	var before *Member
 	if e := c.table.get(m.identity.ID); e != nil {
 		before = e.member
@@ -126,7 +139,7 @@
 
 	// A node that joins hears news that is none to those it would tell.
 	if c.joined || m.identity.ID == c.Self.ID {
-		c.broadcasts.add(m.identity.ID, p, urgent)
+		c.broadcasts.add(m.identity.ID, p, of)
 	}
 
 	if before == nil || before.version() != m.version() {
--- a/membership/payload.go
+++ b/membership/payload.go
@@ -17,15 +17,20 @@
 	// several that wait only the last is spread.
 	Routine Urgency = iota
 	// Urgent payloads, such as news of a reclaim, go at once while the member
-	// has urgent changes left: ten, and another one each six seconds.
+	// has urgent changes left: ten, and another one each six seconds, or each
+	// as many seconds as there are members.
 	Urgent
 )
 
 const (
-	maxPayloadRate = 1
-	payloadBurst   = 2
-	urgentRate     = 1.0 / 6
-	urgentBurst    = 10
+	// maxPayloadShare bounds a member's share of the rate in a small fleet.
+	maxPayloadShare = 200
+	// payloadBurst is how many bytes of routine updates may be saved up.
+	payloadBurst = 2 * (MaxPayload + MaxName)
+	// urgentRate is how many urgent changes accrue to a member in a second; in
+	// a large fleet it is one for all members together.
+	urgentRate  = 1.0 / 6
+	urgentBurst = 10
 )
 
 // pendingPayload is the node's own payload that waits for its turn.
@@ -60,18 +65,21 @@
 		return
 	}
 
-	share := min(maxPayloadRate, c.config.PayloadRate/float64(max(1, c.groups.size)))
+	changed := *c.self()
+	changed.payload = p.data
+	changed.payloadVersion++
+	changed.urgent = p.urgent
+
+	u := newUpdate(&changed, partPayload)
+	share := min(maxPayloadShare, c.config.PayloadRate/float64(max(1, c.groups.size)))
 	p.routine.refill(c.now, share, payloadBurst)
-	p.hurried.refill(c.now, urgentRate, urgentBurst)
+	p.hurried.refill(c.now, min(urgentRate, 1/float64(max(1, c.groups.size))), urgentBurst)
 
-	if !p.routine.take(1) && (!p.urgent || !p.hurried.take(1)) {
+	if !p.routine.take(float64(u.size())) && (!p.urgent || !p.hurried.take(1)) {
 		return
 	}
 
-	changed := *c.self()
-	changed.payload = p.data
-	changed.payloadVersion++
-	c.replace(&changed, partPayload, p.urgent)
+	c.replace(&changed, partPayload, classOf(c.self(), &changed))
 	p.waiting = false
 	p.urgent = false
 }
--- a/membership/probe.go
+++ b/membership/probe.go
@@ -47,6 +47,7 @@
 
 	// What the others have agreed on meanwhile comes by the next round.
 	c.syncAt = c.now
+	c.hurry = maxHurry
 }
 
 func (c *Core) worsenHealth(by int) {
@@ -138,7 +139,7 @@
 
 	changed := *m
 	changed.status = Suspect
-	c.replace(&changed, 0, true)
+	c.replace(&changed, 0, classState)
 }
 
 // expireSuspicions declares the suspects dead that have not refuted in time.
@@ -151,7 +152,7 @@
 
 		changed := *e.member
 		changed.status = Dead
-		c.replace(&changed, 0, true)
+		c.replace(&changed, 0, classState)
 	}
 }
 
--- /dev/null
+++ b/membership/race_off_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package membership
+
+const raceEnabled = false
--- a/membership/region.go
+++ b/membership/region.go
@@ -7,6 +7,10 @@
 	"monsoonlever/fleet"
 )
 
+// bridgeMisses is after how many intervals without an answer a bridge holds a
+// region to be unreachable.
+const bridgeMisses = 10
+
 // regionState is what a node knows of its way to another region.
 type regionState struct {
 	region      fleet.Region
@@ -23,6 +27,20 @@
 	}
 }
 
+// notePromotion gives a member that becomes a bridge, whose timeout is shorter,
+// the time to make its first round trips.
+func (c *Core) notePromotion(bridge bool) {
+	if !bridge || c.groups.bridge {
+		return
+	}
+
+	c.bridgeAt = c.now
+
+	for _, r := range c.regions {
+		r.heard = c.now
+	}
+}
+
 func (c *Core) region(region fleet.Region) *regionState {
 	for _, r := range c.regions {
 		if r.region == region {
@@ -52,13 +70,19 @@
 		c.noteRegionChange()
 		// Both sides have an hour of news for each other.
 		c.crossSyncAt = c.now
+		c.hurry = maxHurry
 	}
 }
 
 // expireRegions marks the regions as unreachable from which no answer came.
 func (c *Core) expireRegions() {
+	timeout := c.config.RegionTimeout
+	if c.groups.bridge {
+		timeout = bridgeMisses * c.config.BridgeInterval
+	}
+
 	for _, r := range c.regions {
-		if !r.unreachable && c.now.Sub(r.heard) > c.config.RegionTimeout {
+		if !r.unreachable && c.now.Sub(r.heard) > timeout {
 			r.unreachable = true
 			c.noteRegionChange()
 		}
--- /dev/null
+++ b/membership/scale_test.go
@@ -0,0 +1,495 @@
+package membership
+
+import (
+	"flag"
+	"fmt"
+	"runtime"
+	"slices"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"monsoonlever/fleet"
+)
+
+var splitTime = flag.Duration("membership.split", 5*time.Minute, "how long TestScale keeps the regions apart")
+
+const (
+	scaleDomains = 5
+	// The bounds that TestScale asserts for every size, for each node.
+	bytesBound    = 8 << 10
+	cpuShareBound = 0.01
+	heapBound     = 4 << 20
+	newsBound     = 5 * time.Second
+	lossBound     = 90 * time.Second
+	healBound     = 90 * time.Second
+	steadyTime    = 2 * time.Minute
+	// payloadPeriod is how often each node asks for another payload.
+	payloadPeriod = 10 * time.Second
+)
+
+// scaleRow is one line of the table.
+type scaleRow struct {
+	nodes    int
+	phase    string
+	sent     float64
+	worst    float64
+	received float64
+	messages float64
+	cpu      time.Duration
+	heap     float64
+	spread   []time.Duration
+	note     string
+}
+
+func (r scaleRow) String() string {
+	spread := "-"
+	if len(r.spread) > 0 {
+		slices.Sort(r.spread)
+		spread = fmt.Sprintf("%.2f/%.2f/%.2f", percentile(r.spread, 50).Seconds(), percentile(r.spread, 99).Seconds(), r.spread[len(r.spread)-1].Seconds())
+	}
+
+	return fmt.Sprintf("| %d | %s | %.0f | %.0f | %.0f | %.1f | %.3f | %.0f | %s | %s |",
+		r.nodes, r.phase, r.sent, r.worst, r.received, r.messages, float64(r.cpu.Microseconds())/1e4, r.heap/1024, spread, r.note)
+}
+
+func percentile(sorted []time.Duration, p int) time.Duration {
+	return sorted[(len(sorted)-1)*p/100]
+}
+
+const scaleHeader = `| nodes | phase | sent B/s | worst node B/s | received B/s | messages/s | CPU, % of a core | heap KiB | seconds to all p50/p99/max | note |
+| ---: | --- | ---: | ---: | ---: | ---: | ---: | ---: | --- | --- |`
+
+// meter measures a phase of a model.
+type meter struct {
+	m        *model
+	sent     []int64
+	received []int64
+	messages []int64
+	cpu      time.Duration
+	at       time.Time
+}
+
+func newMeter(m *model) *meter {
+	p := &meter{m: m, cpu: processorTime(), at: m.now()}
+	for _, n := range m.nodes {
+		p.sent = append(p.sent, n.sent)
+		p.received = append(p.received, n.received)
+		p.messages = append(p.messages, n.messages)
+	}
+
+	return p
+}
+
+// row returns the rates since the meter was made, for a node.
+func (p *meter) row(phase string) scaleRow {
+	row := scaleRow{nodes: len(p.m.nodes), phase: phase}
+	seconds := p.m.now().Sub(p.at).Seconds()
+	cpu := processorTime() - p.cpu
+	size := float64(len(p.m.nodes))
+
+	for i, n := range p.m.nodes {
+		sent := float64(n.sent-p.sent[i]) / seconds
+		row.worst = max(row.worst, sent)
+		row.sent += sent / size
+		row.received += float64(n.received-p.received[i]) / seconds / size
+		row.messages += float64(n.messages-p.messages[i]) / seconds / size
+	}
+
+	row.cpu = time.Duration(float64(cpu) / seconds / size)
+	row.heap = heapInUse() / size
+
+	return row
+}
+
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		return 0
+	}
+
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+func heapInUse() float64 {
+	var stats runtime.MemStats
+
+	runtime.GC()
+	runtime.ReadMemStats(&stats)
+
+	return float64(stats.HeapAlloc)
+}
+
+// newFleet returns a model of size nodes, not booted yet: one region of four
+// failure domains for small ones, else two regions with five.
+func newFleet(size int) *model {
+	m := newModel(1)
+	m.maxDelay = 2
+
+	for i := range size {
+		domain := i % scaleDomains
+		region := domain / 3
+
+		if size < 10 {
+			domain, region = i%4, 0
+		}
+
+		m.add(fleet.Region(fmt.Sprintf("region-%d", region)), fleet.FailureDomain(fmt.Sprintf("domain-%d", domain)))
+	}
+
+	for i := range 6 {
+		m.seeds = append(m.seeds, m.nodes[i].identity.Address)
+	}
+
+	return m
+}
+
+// TestScale measures what a node spends and how long news takes, for fleets of
+// today's size to the one designed for, and asserts the bounds.
+func TestScale(t *testing.T) {
+	sizes := []int{9, 50, 100, 200, 410}
+	if raceEnabled || testing.Short() {
+		sizes = []int{9, 50}
+	}
+
+	var table strings.Builder
+
+	for _, size := range sizes {
+		for _, row := range measureFleet(t, size) {
+			fmt.Fprintln(&table, row)
+		}
+	}
+
+	t.Logf("bytes count 138 a message for frame, TLS, TCP, IP and its acknowledgement; CPU and heap include the model network\n%s\n%s", scaleHeader, table.String())
+}
+
+func measureFleet(t *testing.T, size int) []scaleRow {
+	t.Helper()
+
+	m := newFleet(size)
+	rows := []scaleRow{measureBoot(t, m), measureQuiet(t, m), measureSteady(t, m), measureLeaving(t, m), measurePayload(t, m), measureJoin(t, m), measureDomainLoss(t, m)}
+
+	if size >= 10 {
+		rows = append(rows, measureSplit(t, m)...)
+	}
+
+	return rows
+}
+
+func measureBoot(t *testing.T, m *model) scaleRow {
+	t.Helper()
+
+	p := newMeter(m)
+	for _, n := range m.nodes {
+		m.boot(n)
+	}
+
+	took, d := m.settle(3 * time.Minute)
+	if d != "" {
+		t.Errorf("%d nodes do not agree after all booted: %s", len(m.nodes), d)
+	}
+
+	row := p.row("all boot at once")
+	row.note = fmt.Sprintf("agreed after %v", took)
+
+	return row
+}
+
+func measureQuiet(t *testing.T, m *model) scaleRow {
+	t.Helper()
+	// What the boot has queued goes first.
+	m.run(3 * time.Minute)
+
+	p := newMeter(m)
+	m.run(steadyTime)
+
+	return checkRow(t, p.row("quiet"))
+}
+
+// measureSteady lets every node ask for a payload each payloadPeriod, and one
+// node fail and one restart, which is about a day's share of two minutes.
+func measureSteady(t *testing.T, m *model) scaleRow {
+	t.Helper()
+	m.crash(m.nodes[len(m.nodes)-1])
+
+	p := newMeter(m)
+
+	for second := range int(steadyTime / time.Second) {
+		m.askPayloads(t, second)
+
+		if second == 30 {
+			m.boot(m.nodes[len(m.nodes)-1])
+		}
+
+		m.run(time.Second)
+	}
+
+	return checkRow(t, p.row("payloads change, one restart"))
+}
+
+// askPayloads sets the payload of the nodes whose second it is.
+func (m *model) askPayloads(t *testing.T, second int, except ...*modelNode) {
+	t.Helper()
+
+	period := int(payloadPeriod / time.Second)
+	for i, n := range m.nodes {
+		if !n.running || slices.Contains(except, n) || (second+i)%period != 0 {
+			continue
+		}
+
+		step, err := n.core.SetPayload(m.now(), fmt.Appendf(nil, "%064d", second), Routine)
+		if err != nil {
+			t.Fatal(err)
+		}
+
+		m.take(n, step)
+	}
+}
+
+// checkRow asserts the bounds of a steady phase.
+func checkRow(t *testing.T, row scaleRow) scaleRow {
+	t.Helper()
+
+	if row.worst > bytesBound || row.received > bytesBound {
+		t.Errorf("%d nodes, %s: got %.0f sent and %.0f received bytes a second, want at most %d", row.nodes, row.phase, row.worst, row.received, bytesBound)
+	}
+
+	if got := row.cpu.Seconds(); got > cpuShareBound && !raceEnabled {
+		t.Errorf("%d nodes, %s: got %.4f of a core, want at most %.4f", row.nodes, row.phase, got, cpuShareBound)
+	}
+
+	if row.heap > heapBound {
+		t.Errorf("%d nodes, %s: got %.0f bytes of heap, want at most %d", row.nodes, row.phase, row.heap, heapBound)
+	}
+
+	return row
+}
+
+// measureLeaving takes the time until each node knows of a leaving one, for
+// ten that leave one after the other while payloads change.
+func measureLeaving(t *testing.T, m *model) scaleRow {
+	t.Helper()
+
+	var spread []time.Duration
+
+	p := newMeter(m)
+
+	for i := range min(10, len(m.nodes)/3) {
+		leaver := m.nodes[3*i]
+		begun := m.now()
+		m.changed = func(_ *modelNode, c Change) {
+			if c.After() != nil && c.After().ID() == leaver.identity.ID && c.After().Phase() == Leaving && c.Before().Phase() != Leaving {
+				spread = append(spread, m.now().Sub(begun))
+			}
+		}
+		m.take(leaver, leaver.core.Leave(m.now()))
+
+		for second := range 10 {
+			m.askPayloads(t, second)
+			m.run(time.Second)
+		}
+
+		if got, want := len(spread), (i+1)*len(m.nodes); got != want {
+			t.Errorf("%d nodes: %d know of leaving members after 10 s, want %d", len(m.nodes), got, want)
+		}
+	}
+
+	m.changed = func(*modelNode, Change) {}
+	row := p.row("news that a node leaves")
+	row.spread = spread
+
+	if got := slices.Max(spread); got > newsBound {
+		t.Errorf("%d nodes: news took %v, want at most %v", len(m.nodes), got, newsBound)
+	}
+
+	return row
+}
+
+// measurePayload takes the time until each node has an urgent payload, for ten
+// of them, while routine payloads change.
+func measurePayload(t *testing.T, m *model) scaleRow {
+	t.Helper()
+
+	var spread []time.Duration
+
+	p := newMeter(m)
+
+	for i := range 10 {
+		sender := m.nodes[(7*i+1)%len(m.nodes)]
+		begun := m.now()
+		news := fmt.Sprintf("reclaim %d", i)
+		m.changed = func(_ *modelNode, c Change) {
+			if c.After() != nil && c.After().payload == news && c.Before().payload != news {
+				spread = append(spread, m.now().Sub(begun))
+			}
+		}
+
+		step, err := sender.core.SetPayload(m.now(), []byte(news), Urgent)
+		if err != nil {
+			t.Fatal(err)
+		}
+
+		m.take(sender, step)
+
+		for second := range 10 {
+			m.askPayloads(t, second, sender)
+			m.run(time.Second)
+		}
+	}
+
+	m.changed = func(*modelNode, Change) {}
+	row := p.row("an urgent payload")
+	row.spread = spread
+	row.note = fmt.Sprintf("%d of %d within 10 s", len(spread), 10*len(m.nodes))
+
+	if got, want := float64(len(spread)), 0.999*float64(10*len(m.nodes)); got < want {
+		t.Errorf("%d nodes: %.0f have urgent payloads after 10 s, want %.0f", len(m.nodes), got, want)
+	}
+
+	return row
+}
+
+// measureJoin restarts a node and takes the time until each other knows it.
+func measureJoin(t *testing.T, m *model) scaleRow {
+	t.Helper()
+
+	joiner := m.nodes[len(m.nodes)-1]
+	m.crash(joiner)
+
+	var (
+		spread []time.Duration
+		whole  time.Duration
+	)
+
+	p := newMeter(m)
+	begun := m.now()
+	m.boot(joiner)
+	m.changed = func(n *modelNode, c Change) {
+		if c.After() != nil && c.After().ID() == joiner.identity.ID && c.After().Incarnation() != c.Before().Incarnation() {
+			spread = append(spread, m.now().Sub(begun))
+		}
+
+		if n == joiner && len(n.core.table.order) == len(m.nodes) && whole == 0 {
+			whole = m.now().Sub(begun)
+		}
+	}
+
+	m.run(time.Minute)
+	m.changed = func(*modelNode, Change) {}
+
+	if got, want := len(spread), len(m.nodes)-1; got != want || whole == 0 {
+		t.Errorf("%d nodes: %d know a node that joined, want %d; its list was whole after %v", len(m.nodes), got, want, whole)
+	}
+
+	row := p.row("a node restarts")
+	row.spread = spread
+	row.note = fmt.Sprintf("its list is whole after %v", whole)
+
+	return row
+}
+
+// measureDomainLoss crashes a failure domain and takes the time until each
+// node holds each of its members dead.
+func measureDomainLoss(t *testing.T, m *model) scaleRow {
+	t.Helper()
+
+	domain := m.nodes[1].identity.Domain
+	lost := make(map[fleet.InstanceID]bool)
+
+	for _, n := range m.nodes {
+		if n.identity.Domain == domain {
+			lost[n.identity.ID] = true
+			m.crash(n)
+		}
+	}
+
+	var (
+		spread []time.Duration
+		wrong  int
+	)
+
+	begun := m.now()
+	m.changed = func(_ *modelNode, c Change) {
+		switch {
+		case c.After() == nil || c.After().Status() != Dead:
+		case lost[c.After().ID()]:
+			spread = append(spread, m.now().Sub(begun))
+		default:
+			wrong++
+		}
+	}
+
+	p := newMeter(m)
+	m.ignorePayload = true
+	took, d := m.settle(lossBound)
+	m.changed = func(*modelNode, Change) {}
+
+	if d != "" || wrong > 0 {
+		t.Errorf("%d nodes after a domain was lost: %s, %d wrongly dead", len(m.nodes), d, wrong)
+	}
+
+	row := checkRow(t, p.row("a failure domain is lost"))
+	row.spread = spread
+	row.note = fmt.Sprintf("%d lost, agreed after %v", len(lost), took)
+
+	for _, n := range m.nodes {
+		if lost[n.identity.ID] {
+			m.boot(n)
+		}
+	}
+
+	if _, d := m.settle(3 * time.Minute); d != "" {
+		t.Errorf("%d nodes after a domain came back: %s", len(m.nodes), d)
+	}
+
+	return row
+}
+
+// measureSplit parts the regions, restarts nodes at a day's rate meanwhile, and
+// lets them meet again.
+func measureSplit(t *testing.T, m *model) []scaleRow {
+	t.Helper()
+
+	var dead, restarted int
+
+	m.blocked = func(from, to *modelNode) bool { return from.identity.Region != to.identity.Region }
+	m.changed = func(n *modelNode, c Change) {
+		if c.After() != nil && c.After().Status() == Dead && n.identity.Region != c.After().Region() {
+			dead++
+		}
+	}
+
+	p := newMeter(m)
+
+	for second := range int(*splitTime / time.Second) {
+		if second%120 == 60 {
+			m.boot(m.nodes[(second/120*7)%len(m.nodes)])
+
+			restarted++
+		}
+
+		m.run(time.Second)
+	}
+
+	apart := checkRow(t, p.row("the regions are apart"))
+	apart.note = fmt.Sprintf("%v, %d restarts, %d declared dead across", *splitTime, restarted, dead)
+
+	if dead > 0 {
+		t.Errorf("%d nodes: %d declared dead across regions, want 0", len(m.nodes), dead)
+	}
+
+	m.blocked = func(_, _ *modelNode) bool { return false }
+	m.changed = func(*modelNode, Change) {}
+	p = newMeter(m)
+
+	took, d := m.settle(healBound)
+	if d != "" {
+		t.Errorf("%d nodes after the regions met: %s", len(m.nodes), d)
+	}
+
+	healed := checkRow(t, p.row("the regions meet again"))
+	healed.note = fmt.Sprintf("agreed after %v", took)
+
+	return []scaleRow{apart, healed}
+}
--- a/membership/sync.go
+++ b/membership/sync.go
@@ -6,7 +6,10 @@
 )
 
 const (
-	// hurriedSync is the time between rounds while lists still differ.
+	// maxHurry is how many rounds follow each other at short intervals after a
+	// join, a freeze or a split, as long as lists differ.
+	maxHurry = 60
+	// hurriedSync is the time between such rounds.
 	hurriedSync = 250 * time.Millisecond
 	// syncBurstSeconds is how much of the rate of sync may be saved up.
 	syncBurstSeconds = 16
@@ -29,6 +32,10 @@
 	if !c.now.Before(c.seedAt) {
 		c.seedAt = c.now.Add(c.spread(c.seedInterval()))
 		c.trySeed()
+	}
+
+	if !c.now.Before(c.goneAt) {
+		c.goneAt = c.now.Add(c.spread(c.config.SeedInterval / 3))
 		c.tryGone()
 	}
 }
@@ -55,7 +62,7 @@
 	}
 }
 
-// trySeed contacts a random seed at whose address no live member is known.
+// trySeed contacts the next seed at whose address no live member is known.
 func (c *Core) trySeed() {
 	var unknown []string
 
@@ -66,7 +73,8 @@
 	}
 
 	if len(unknown) > 0 {
-		c.sendTo(Destination{address: unknown[c.Random.IntN(len(unknown))]}, c.syncRequest())
+		c.seedTurn++
+		c.sendTo(Destination{address: unknown[c.seedTurn%len(unknown)]}, c.syncRequest())
 	}
 }
 
@@ -76,8 +84,8 @@
 	})
 }
 
-// tryGone contacts a random dead member of the region, which heals a
-// partition in which both sides declared each other dead.
+// tryGone contacts the next dead member of the region, which heals a partition
+// in which both sides declared each other dead.
 func (c *Core) tryGone() {
 	var gone []*Member
 
@@ -88,7 +96,10 @@
 		}
 	}
 
-	c.requestSync(c.pick(gone, 1, ""))
+	if len(gone) > 0 {
+		c.goneTurn++
+		c.send(gone[c.goneTurn%len(gone)], c.syncRequest())
+	}
 }
 
 // answerSync returns members of the buckets that differ.
@@ -153,13 +164,21 @@
 	return true
 }
 
-// finishSync sends back what the other side lacks, and hurries on while the
-// lists differ.
+// finishSync sends back what the other side lacks, and opens the next round at
+// once when there is much to catch up with.
 func (c *Core) finishSync(from Source, m *SyncResponse) {
-	if m.More {
+	c.hurry--
+
+	switch {
+	case !m.More:
+		c.joined = true
+		c.hurry = 0
+	case c.hurry > 0:
 		c.syncAt = c.now.Add(hurriedSync)
-	} else {
+	default:
+		// Under steady change no round finds the lists equal.
 		c.joined = true
+		c.hurry = 0
 	}
 
 	theirs := make(map[string]*Update, len(m.Updates))
--- a/membership/update.go
+++ b/membership/update.go
@@ -1,12 +1,9 @@
 package membership
 
-import "monsoonlever/fleet"
+import (
+	"math"
 
-// Sizes in bytes, above what msgpack needs, with which a message is packed.
-const (
-	updateOverhead  = 32
-	placeOverhead   = 8
-	payloadOverhead = 10
+	"monsoonlever/fleet"
 )
 
 // Place is the part of an Update that never changes in an incarnation.
@@ -20,6 +17,7 @@
 type Payload struct {
 	Version uint32
 	Data    string
+	Urgent  bool
 }
 
 // Update is news of one member on the wire. Place and Payload are left out
@@ -57,7 +55,7 @@
 	}
 
 	if p&partPayload != 0 && m.payloadVersion > 0 {
-		u.Payload = &Payload{Version: m.payloadVersion, Data: m.payload}
+		u.Payload = &Payload{Version: m.payloadVersion, Data: m.payload, Urgent: m.urgent}
 	}
 
 	return u
@@ -67,21 +65,50 @@
 	return version{incarnation: u.Incarnation, revision: u.Revision, status: u.Status}
 }
 
-// size is an upper bound of the encoded size.
+// size is an upper bound of the encoded size: one byte each for the array, the
+// phase, the status and what is left out, beside the fields.
 func (u *Update) size() int {
-	size := updateOverhead + len(u.ID)
+	size := 5 + textSize(len(u.ID)) + intSize(uint64(u.Incarnation)) + intSize(uint64(u.Revision))
 
 	if u.Place != nil {
-		size += placeOverhead + len(u.Place.Region) + len(u.Place.Domain) + len(u.Place.Address)
+		size += 1 + textSize(len(u.Place.Region)) + textSize(len(u.Place.Domain)) + textSize(len(u.Place.Address))
 	}
 
 	if u.Payload != nil {
-		size += payloadOverhead + len(u.Payload.Data)
+		size += 2 + intSize(uint64(u.Payload.Version)) + textSize(len(u.Payload.Data))
 	}
 
 	return size
 }
 
+// intSize is the encoded size of an integer.
+func intSize(v uint64) int {
+	switch {
+	case v < 1<<7:
+		return 1
+	case v <= math.MaxUint8:
+		return 2
+	case v <= math.MaxUint16:
+		return 3
+	case v <= math.MaxUint32:
+		return 5
+	default:
+		return 9
+	}
+}
+
+// textSize is the encoded size of a string.
+func textSize(length int) int {
+	switch {
+	case length < 1<<5:
+		return 1 + length
+	case length <= math.MaxUint8:
+		return 2 + length
+	default:
+		return 3 + length
+	}
+}
+
 func (u *Update) valid() bool {
 	return u.ID != "" && len(u.ID) <= MaxName && u.Phase <= Left && u.Status <= Dead &&
 		(u.Place == nil || u.Place.valid()) && (u.Payload == nil || len(u.Payload.Data) <= MaxPayload)
