test(placement): properties that the naive planner does not hold

Cause: before the planner is trusted with purchases, its properties should be seen to fail where the obvious design is wrong.

Change: the planner, reconciler and rollout without their protections: a purchase without an answer counts as refused and is made again with a new token; every better price is followed; a rollout takes runners down without regard to how many stay ready. The three properties are as they stay.

--- /dev/null
+++ b/placement/config.go
@@ -0,0 +1,31 @@
+package placement
+
+import "time"
+
+// Config holds the settings of the planner.
+type Config struct {
+	// MoveThreshold is the saving, as a share of the present price, from which
+	// on instances are moved to cheaper cells.
+	MoveThreshold float64
+	// RiskPremium is added to the price of a reclaimable instance, as a share,
+	// for the work that its reclaim costs.
+	RiskPremium float64
+	// AvoidFor is how long a cell is avoided after one refused purchase. After
+	// more in a row it is avoided up to twice as long.
+	AvoidFor time.Duration
+}
+
+// DefaultConfig returns settings that suit a deployment of some dozens of
+// instances.
+func DefaultConfig() Config {
+	return Config{
+		MoveThreshold: 0,
+		RiskPremium:   0.05,
+		AvoidFor:      20 * time.Minute,
+	}
+}
+
+// NewMemory returns a memory that forgets one mark after AvoidFor.
+func (c Config) NewMemory() *Memory {
+	return &Memory{HalfLife: c.AvoidFor / 2}
+}
--- /dev/null
+++ b/placement/flapping_test.go
@@ -0,0 +1,141 @@
+package placement_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"monsoonlever/fleet"
+	"monsoonlever/placement"
+	"monsoonlever/platform"
+)
+
+// changesPerHour bounds the moves of an hour, and as many instances again may be
+// given up and bought back as the noise of the load comes and goes.
+const changesPerHour = 4
+
+// hour is an hour in steps of half a minute.
+const hour = 120
+
+var domains = []fleet.FailureDomain{"ballerup-a", "ballerup-b", "taastrup-1", "taastrup-2"}
+
+func steadyService() placement.Service {
+	return placement.Service{
+		Name:        service,
+		Capacity:    map[platform.Class]placement.Load{"gpu": {TokensPerSecond: 1000}},
+		UrgentShare: 0.8,
+		Min:         2,
+		Max:         20,
+		StartTime:   time.Minute,
+		LoadTime:    time.Minute,
+	}
+}
+
+// market offers one class everywhere at prices that move by more than half.
+func market(t *rapid.T) []platform.Offer {
+	var offers []platform.Offer
+
+	for _, domain := range domains {
+		price := float64(rapid.IntRange(100, 250).Draw(t, "price")) / 100
+		offers = append(offers,
+			platform.Offer{Class: "gpu", Domain: domain, Market: platform.Reclaimable, PricePerHour: price},
+			platform.Offer{Class: "gpu", Domain: domain, Market: platform.OnDemand, PricePerHour: 3})
+	}
+
+	return offers
+}
+
+func TestHoldsNoFlapping(t *testing.T) {
+	most := 0
+
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		w.faults = false
+		w.pace = 30 * second
+		w.targets = nil
+		w.maximum = 20
+
+		for _, c := range w.controllers {
+			c.reconciler.ChangesPerHour = changesPerHour
+		}
+
+		forecaster := placement.NewForecaster(2 * time.Minute)
+		offers := market(t)
+		var bought []int
+
+		for range 2 * hour {
+			w.steadyTick(forecaster, &offers)
+			bought = append(bought, w.purchases)
+		}
+
+		if got, want := len(w.cloud.running), 8; got < want {
+			t.Fatalf("instances at the end: got %d, want at least %d", got, want)
+		}
+
+		// The first half hour fills the empty deployment.
+		for i := hour / 2; i+hour < len(bought); i++ {
+			got := bought[i+hour] - bought[i]
+			most = max(most, got)
+
+			if got > 2*changesPerHour {
+				t.Fatalf("instances bought in the hour from step %d at steady load: got %d, want at most %d", i, got, 2*changesPerHour)
+			}
+		}
+	})
+
+	t.Logf("most instances bought in an hour at steady load: %d", most)
+}
+
+// steadyTick measures a steady load with noise and plans anew.
+func (w *world) steadyTick(forecaster *placement.Forecaster, offers *[]platform.Offer) {
+	noise := float64(rapid.IntRange(-100, 100).Draw(w.t, "noise")) / 1000
+	forecaster.Observe(w.now(), placement.Load{TokensPerSecond: 8000 * (1 + noise)})
+
+	if w.step%10 == 0 {
+		*offers = market(w.t)
+	}
+
+	if w.step%100 == 99 {
+		w.changeController()
+	}
+
+	w.plan(forecaster, *offers)
+	w.tick()
+}
+
+func (w *world) plan(forecaster *placement.Forecaster, offers []platform.Offer) {
+	w.targets, w.limits = nil, nil
+
+	c := w.newest()
+	if !c.reconciler.Synced(c.fence) {
+		return
+	}
+
+	state := placement.State{Config: placement.DefaultConfig(), Offers: offers}
+	state.Services = []placement.ServiceState{{
+		Service: steadyService(), Forecast: forecaster.Forecast(), Have: c.reconciler.Have(service),
+	}}
+	decision := placement.Plan(w.now(), state)
+	w.targets = decision.Targets
+	w.limits = decision.Limits
+}
+
+func (w *world) changeController() {
+	c := w.controllers[w.step/100%len(w.controllers)]
+	w.boot(c)
+	c.reconciler.ChangesPerHour = changesPerHour
+	w.grant(c)
+}
+
+func (w *world) newest() *controller {
+	newest := w.controllers[0]
+
+	for _, c := range w.controllers {
+		if c.fence > newest.fence {
+			newest = c
+		}
+	}
+
+	return newest
+}
--- /dev/null
+++ b/placement/forecaster.go
@@ -0,0 +1,136 @@
+package placement
+
+import "time"
+
+// Forecaster extends the recent trend of a load over the time that a purchase
+// takes. Demand that triples as a payment run closes does so over minutes, and
+// its slope shows before its height does.
+type Forecaster struct {
+	// Lead is how far ahead to look.
+	Lead time.Duration
+	// Window is how far back the trend is taken from.
+	Window time.Duration
+	// HoldDown is how long a need is remembered before capacity is given up.
+	HoldDown time.Duration
+	// Headroom is the share added to the forecast.
+	Headroom float64
+	// MaxGrowth bounds the forecast as a multiple of the present load.
+	MaxGrowth float64
+
+	samples []sample
+	needs   []sample
+}
+
+type sample struct {
+	at   time.Time
+	load Load
+}
+
+// NewForecaster returns a forecaster with settings for a lead time.
+func NewForecaster(lead time.Duration) *Forecaster {
+	return &Forecaster{
+		Lead:      lead,
+		Window:    6 * time.Minute,
+		HoldDown:  15 * time.Minute,
+		Headroom:  0.1,
+		MaxGrowth: 3,
+	}
+}
+
+// Observe takes in one measurement of the load.
+func (f *Forecaster) Observe(now time.Time, load Load) {
+	f.samples = append(dropBefore(f.samples, now.Add(-f.Window)), sample{at: now, load: load})
+	f.needs = append(dropBefore(f.needs, now.Add(-f.HoldDown)), sample{at: now, load: f.need(now)})
+}
+
+// Forecast returns the forecast as of the last measurement.
+func (f *Forecaster) Forecast() Forecast {
+	if len(f.samples) == 0 {
+		return Forecast{}
+	}
+
+	result := Forecast{Now: f.level(), Need: f.needs[len(f.needs)-1].load}
+	for _, n := range f.needs {
+		result.Peak = result.Peak.Max(n.load)
+	}
+
+	return result
+}
+
+func (f *Forecaster) need(now time.Time) Load {
+	level := f.level()
+	if f.samples[len(f.samples)-1].at.Sub(f.samples[0].at) < f.Window/2 {
+		return level.Scale(1 + f.Headroom)
+	}
+
+	ahead := Load{
+		RequestsPerSecond: f.extend(now, Load.requests),
+		TokensPerSecond:   f.extend(now, Load.tokens),
+	}
+	ahead = Load{
+		RequestsPerSecond: min(ahead.RequestsPerSecond, level.RequestsPerSecond*f.MaxGrowth),
+		TokensPerSecond:   min(ahead.TokensPerSecond, level.TokensPerSecond*f.MaxGrowth),
+	}
+
+	return level.Max(ahead).Scale(1 + f.Headroom)
+}
+
+// level is the mean of the newest third of the window, so that one noisy
+// measurement buys nothing.
+func (f *Forecaster) level() Load {
+	newest := f.samples[len(f.samples)-1].at
+	sum, count := Load{}, 0.0
+
+	for _, s := range f.samples {
+		if newest.Sub(s.at) > f.Window/3 {
+			continue
+		}
+
+		sum.RequestsPerSecond += s.load.RequestsPerSecond
+		sum.TokensPerSecond += s.load.TokensPerSecond
+		count++
+	}
+
+	return sum.Scale(1 / count)
+}
+
+// extend fits a line by least squares and reads it at the lead time.
+func (f *Forecaster) extend(now time.Time, rate func(Load) float64) float64 {
+	n := float64(len(f.samples))
+
+	var sumX, sumY, sumXX, sumXY float64
+
+	for _, s := range f.samples {
+		x, y := s.at.Sub(now).Seconds(), rate(s.load)
+		sumX += x
+		sumY += y
+		sumXX += x * x
+		sumXY += x * y
+	}
+
+	spread := n*sumXX - sumX*sumX
+	if spread <= 0 {
+		return sumY / n
+	}
+
+	slope := (n*sumXY - sumX*sumY) / spread
+	level := (sumY - slope*sumX) / n
+
+	return level + slope*f.Lead.Seconds()
+}
+
+func (l Load) requests() float64 { return l.RequestsPerSecond }
+
+func (l Load) tokens() float64 { return l.TokensPerSecond }
+
+func dropBefore(samples []sample, oldest time.Time) []sample {
+	kept := samples[:0]
+
+	for _, s := range samples {
+		if !s.at.Before(oldest) {
+			kept = append(kept, s)
+		}
+	}
+
+	return kept
+}
--- /dev/null
+++ b/placement/ledger.go
@@ -0,0 +1,150 @@
+package placement
+
+import (
+	"slices"
+	"time"
+
+	"monsoonlever/lease"
+)
+
+// Ledger folds grants and intent records, in log order, into the intents that
+// are not closed. Every process that reads the same log has the same ledger.
+type Ledger struct {
+	fence    lease.Fence
+	sequence uint64
+	intents  map[Token]Intent
+	moves    []time.Time
+	givenUp  []time.Time
+}
+
+// NewLedger returns an empty ledger.
+func NewLedger() *Ledger {
+	return &Ledger{intents: make(map[Token]Intent)}
+}
+
+// Grant takes in a grant of the controller role at its place on the log.
+func (l *Ledger) Grant(fence lease.Fence) {
+	if fence <= l.fence {
+		return
+	}
+
+	l.fence = fence
+	l.sequence = 0
+}
+
+// Apply judges one record and tells whether it is valid.
+func (l *Ledger) Apply(r Record) bool {
+	if r.Fence != l.fence || r.Sequence <= l.sequence {
+		return false
+	}
+
+	l.sequence = r.Sequence
+
+	if r.Step == StepBuy {
+		l.noteChange(r)
+		l.intents[r.Token] = Intent{Token: r.Token, Service: r.Service, Cell: r.Cell}
+
+		return true
+	}
+
+	intent, ok := l.intents[r.Token]
+	if !ok {
+		return false
+	}
+
+	switch r.Step {
+	case StepRetire:
+		intent.Retired = true
+		l.intents[r.Token] = intent
+		l.noteChange(r)
+	case StepClose:
+		delete(l.intents, r.Token)
+	default:
+		return false
+	}
+
+	return true
+}
+
+// Intents returns the intents that are not closed, oldest first.
+func (l *Ledger) Intents() []Intent {
+	result := make([]Intent, 0, len(l.intents))
+	for _, intent := range l.intents {
+		result = append(result, intent)
+	}
+
+	slices.SortFunc(result, func(a, b Intent) int { return a.Token.less(b.Token) })
+
+	return result
+}
+
+// Moves counts the purchases without need of the hour before now.
+func (l *Ledger) Moves(now time.Time) int {
+	return lastHour(l.moves, now)
+}
+
+// GivenUp counts the retirements without need of the hour before now.
+func (l *Ledger) GivenUp(now time.Time) int {
+	return lastHour(l.givenUp, now)
+}
+
+func (l *Ledger) noteChange(r Record) {
+	if !r.Voluntary {
+		return
+	}
+
+	if r.Step == StepBuy {
+		l.moves = append(dropOld(l.moves, r.At), r.At)
+
+		return
+	}
+
+	l.givenUp = append(dropOld(l.givenUp, r.At), r.At)
+}
+
+func lastHour(changes []time.Time, now time.Time) int {
+	count := 0
+
+	for _, at := range changes {
+		if now.Sub(at) < time.Hour {
+			count++
+		}
+	}
+
+	return count
+}
+
+func dropOld(changes []time.Time, now time.Time) []time.Time {
+	return slices.DeleteFunc(changes, func(at time.Time) bool {
+		return now.Sub(at) >= time.Hour
+	})
+}
+
+// Fence returns the newest grant that was read.
+func (l *Ledger) Fence() lease.Fence {
+	return l.fence
+}
+
+// Snapshot returns the ledger for a checkpoint.
+func (l *Ledger) Snapshot() Snapshot {
+	return Snapshot{
+		Fence:    l.fence,
+		Sequence: l.sequence,
+		Intents:  l.Intents(),
+		Moves:    slices.Clone(l.moves),
+		GivenUp:  slices.Clone(l.givenUp),
+	}
+}
+
+// Restore replaces the ledger by a checkpoint.
+func (l *Ledger) Restore(s Snapshot) {
+	l.fence = s.Fence
+	l.sequence = s.Sequence
+	l.moves = slices.Clone(s.Moves)
+	l.givenUp = slices.Clone(s.GivenUp)
+	l.intents = make(map[Token]Intent, len(s.Intents))
+
+	for _, intent := range s.Intents {
+		l.intents[intent.Token] = intent
+	}
+}
--- /dev/null
+++ b/placement/memory.go
@@ -0,0 +1,64 @@
+package placement
+
+import (
+	"math"
+	"time"
+)
+
+// Memory remembers in which cells a purchase was refused or an instance was
+// reclaimed. What it remembers loses half its weight every half-life.
+type Memory struct {
+	// HalfLife is the time in which a mark loses half its weight.
+	HalfLife time.Duration
+
+	marks map[Cell]mark
+}
+
+type mark struct {
+	at     time.Time
+	weight float64
+}
+
+// maxWeight bounds how long many marks in a row are remembered.
+const maxWeight = 4
+
+// Note marks a cell.
+func (m *Memory) Note(now time.Time, cell Cell) {
+	if m.marks == nil {
+		m.marks = make(map[Cell]mark)
+	}
+
+	m.marks[cell] = mark{at: now, weight: min(m.Weight(now, cell)+1, maxWeight)}
+}
+
+// Weight returns the weight of a cell at now: 0 where nothing is remembered.
+func (m *Memory) Weight(now time.Time, cell Cell) float64 {
+	if m == nil {
+		return 0
+	}
+
+	last, ok := m.marks[cell]
+	if !ok {
+		return 0
+	}
+
+	halves := now.Sub(last.at).Seconds() / m.HalfLife.Seconds()
+
+	return last.weight * math.Exp2(-halves)
+}
+
+// Since returns when a cell was last marked.
+func (m *Memory) Since(cell Cell) (time.Time, bool) {
+	if m == nil {
+		return time.Time{}, false
+	}
+
+	last, ok := m.marks[cell]
+
+	return last.at, ok
+}
+
+// Forget drops the mark of a cell, as after a purchase that went through.
+func (m *Memory) Forget(cell Cell) {
+	delete(m.marks, cell)
+}
--- /dev/null
+++ b/placement/observed.go
@@ -0,0 +1,32 @@
+package placement
+
+import (
+	"time"
+
+	"monsoonlever/fleet"
+	"monsoonlever/platform"
+)
+
+// Observed is an instance as the controller last saw it, by its token.
+type Observed struct {
+	Instance platform.Instance
+	// Known is set once anything is known of its work.
+	Known bool
+	// Ready tells whether it serves, and Idle whether it has no work left.
+	Ready bool
+	Idle  bool
+	// Leaving is set once a reclaim was announced.
+	Leaving bool
+	// DrainSince is when it was first asked to drain, zero before.
+	DrainSince time.Time
+
+	releasedAt time.Time
+}
+
+// Health is what is known of the work of an instance.
+type Health struct {
+	Instance fleet.InstanceID
+	Ready    bool
+	Idle     bool
+	Leaving  bool
+}
--- /dev/null
+++ b/placement/option.go
@@ -0,0 +1,56 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"monsoonlever/platform"
+)
+
+// option is a cell as one service sees it at present.
+type option struct {
+	cell Cell
+	// price is as offered, and weighed adds the risk of the cell.
+	price   float64
+	weighed float64
+	// capacity is the load one instance carries at the latency target.
+	capacity Load
+	avoided  bool
+}
+
+// avoidWeight is the weight of a refusal from which on a cell is not bought in.
+const avoidWeight = 0.25
+
+// options returns the cells a service can be placed in, by name of the cell.
+func (s State) options(now time.Time, service Service) []option {
+	var result []option
+
+	for _, offer := range s.Offers {
+		capacity, ok := service.Capacity[offer.Class]
+		if !ok {
+			continue
+		}
+
+		result = append(result, s.option(now, offer, capacity))
+	}
+
+	slices.SortFunc(result, func(a, b option) int {
+		return cmp.Compare(a.cell.String(), b.cell.String())
+	})
+
+	return result
+}
+
+func (s State) option(now time.Time, offer platform.Offer, capacity Load) option {
+	cell := Cell{Domain: offer.Domain, Class: offer.Class, Market: offer.Market}
+	o := option{cell: cell, price: offer.PricePerHour, weighed: offer.PricePerHour, capacity: capacity}
+
+	if offer.Market == platform.Reclaimable {
+		o.weighed *= 1 + s.Config.RiskPremium + s.Config.RiskPremium*s.Reclaims.Weight(now, cell)
+	}
+
+	o.avoided = s.Refusals.Weight(now, cell) >= avoidWeight
+
+	return o
+}
--- /dev/null
+++ b/placement/plan.go
@@ -0,0 +1,97 @@
+package placement
+
+import (
+	"fmt"
+	"strings"
+	"time"
+)
+
+// Plan decides how many instances of each class each service should have in
+// which failure domain and market.
+//
+// It grows from what there is until the need is covered, gives up what even the
+// recent peak does not need, and moves to cheaper cells only where that saves
+// the move threshold.
+func Plan(now time.Time, s State) Decision {
+	var d Decision
+
+	for _, service := range s.Services {
+		options := s.options(now, service.Service)
+		chosen, needed, why := choose(s.Config, service, options)
+
+		for i, n := range chosen.counts {
+			if n > 0 || service.Have[options[i].cell] > 0 {
+				d.Targets = append(d.Targets, Target{Service: service.Service.Name, Cell: options[i].cell, Count: n})
+			}
+		}
+
+		d.Limits = append(d.Limits, Limit{Service: service.Service.Name, Max: chosen.maximum, Needed: needed})
+		d.Lines = append(d.Lines, Line{
+			Service: service.Service.Name,
+			Text:    explain(now, s, service, chosen, why),
+		})
+	}
+
+	return d
+}
+
+// choose returns the layout, the count without a move to save money, and why.
+func choose(config Config, s ServiceState, options []option) (*layout, int, string) {
+	chosen := newLayout(options, s.Service, s.Forecast.Need, s.Have, s.Surge)
+	before := chosen.total()
+	chosen = chosen.grown()
+
+	if chosen.total() > before {
+		return chosen, chosen.total(), fmt.Sprintf("grows by %d", chosen.total()-before)
+	}
+
+	peak := newLayout(options, s.Service, s.Forecast.Peak.Max(s.Forecast.Need), s.Have, s.Surge)
+	if !peak.covers() {
+		return chosen, before, "stays"
+	}
+
+	peak.shrink()
+	kept := peak.total()
+
+	if best := peak.ideal(); best != nil && best.price() < peak.price()*(1-config.MoveThreshold) {
+		return best, kept, fmt.Sprintf("moves to save %.2f an hour", peak.price()-best.price())
+	}
+
+	if kept < before {
+		return peak, kept, fmt.Sprintf("gives up %d", before-kept)
+	}
+
+	return peak, kept, "stays"
+}
+
+func explain(now time.Time, s State, service ServiceState, chosen *layout, why string) string {
+	var places []string
+
+	price := 0.0
+
+	for i, n := range chosen.counts {
+		if n > 0 {
+			places = append(places, fmt.Sprintf("%d in %s", n, chosen.options[i].cell))
+			price += float64(n) * chosen.options[i].price
+		}
+	}
+
+	all, left, worst := chosen.carried()
+	text := fmt.Sprintf("%d instances (%s), %s: expects %.1f requests/s and %.0f tokens/s, now %.1f and %.0f; carries %.0f%% of that at the target, %.0f%% without %s (needs %.0f%%); %.2f an hour",
+		chosen.total(), strings.Join(places, ", "), why,
+		service.Forecast.Need.RequestsPerSecond, service.Forecast.Need.TokensPerSecond,
+		service.Forecast.Now.RequestsPerSecond, service.Forecast.Now.TokensPerSecond,
+		100*all, 100*left, worst, 100*chosen.urgent, price)
+
+	if !chosen.covers() {
+		text += fmt.Sprintf("; NOT ENOUGH within the maximum of %d and the offers", chosen.maximum)
+	}
+
+	for _, o := range chosen.options {
+		if at, ok := s.Refusals.Since(o.cell); ok && o.avoided {
+			text += fmt.Sprintf("; avoids %s, refused %s ago", o.cell, now.Sub(at).Round(time.Second))
+		}
+	}
+
+	return text
+}
--- /dev/null
+++ b/placement/reconcile.go
@@ -0,0 +1,320 @@
+package placement
+
+import (
+	"slices"
+	"time"
+
+	"monsoonlever/fleet"
+	"monsoonlever/platform"
+)
+
+// buy asks for every intent that has no instance. A retired intent is asked for
+// as well while an earlier call may still take effect: once its token is known
+// to be used up, no late call can buy with it.
+func (r *Reconciler) buy(now time.Time) []Command {
+	var commands []Command
+
+	for _, intent := range r.ledger.Intents() {
+		if _, ok := r.seen[intent.Token]; ok {
+			continue
+		}
+
+		c := r.call(intent.Token)
+		if c.bought || c.outstanding || r.settled(intent, c) {
+			continue
+		}
+
+		if !c.lastAt.IsZero() && now.Sub(c.lastAt) < r.BuyRetry {
+			continue
+		}
+
+		c.outstanding = true
+		c.lastAt = now
+
+		commands = append(commands, BuyCommand{Token: intent.Token, Purchase: platform.Purchase{
+			Token:  intent.Token.Purchase(r.Owner),
+			Class:  intent.Cell.Class,
+			Domain: intent.Cell.Domain,
+			Market: intent.Cell.Market,
+		}})
+	}
+
+	return commands
+}
+
+// settled tells whether an intent without an instance can never get one: every
+// call with its token was made under this grant and answered by a refusal, or
+// none was made at all and none is wanted.
+func (r *Reconciler) settled(intent Intent, c *call) bool {
+	if c.outstanding {
+		return false
+	}
+
+	return c.refused || intent.Retired
+}
+
+// finish closes intents whose instance is gone or can never be, and drains and
+// releases the retired ones.
+func (r *Reconciler) finish(now time.Time) []Command {
+	var commands []Command
+
+	for _, intent := range r.ledger.Intents() {
+		o, ok := r.seen[intent.Token]
+		if !ok {
+			commands = append(commands, r.close(now, intent)...)
+
+			continue
+		}
+
+		if intent.Retired {
+			commands = append(commands, r.drain(now, o)...)
+		}
+	}
+
+	return commands
+}
+
+func (r *Reconciler) close(now time.Time, intent Intent) []Command {
+	c := r.call(intent.Token)
+	if !c.bought && !r.settled(intent, c) || r.isPending(intent.Token) {
+		return nil
+	}
+
+	return []Command{r.append(now, Record{Step: StepClose, Token: intent.Token})}
+}
+
+func (r *Reconciler) drain(now time.Time, o *Observed) []Command {
+	if o.DrainSince.IsZero() {
+		o.DrainSince = now
+		o.Idle = false
+	}
+
+	if o.Idle || now.Sub(o.DrainSince) >= r.DrainTimeout {
+		return r.release(now, o)
+	}
+
+	return []Command{DrainCommand{Instance: o.Instance.ID}}
+}
+
+func (r *Reconciler) release(now time.Time, o *Observed) []Command {
+	if !o.releasedAt.IsZero() && now.Sub(o.releasedAt) < r.BuyRetry {
+		return nil
+	}
+
+	o.releasedAt = now
+
+	return []Command{ReleaseCommand{Instance: o.Instance.ID}}
+}
+
+// releaseUnknown gives back instances of this owner that no intent accounts
+// for. Those of a newer grant are left alone: this process has not read of it.
+func (r *Reconciler) releaseUnknown(now time.Time) []Command {
+	var commands []Command
+
+	for _, token := range r.seenTokens() {
+		if _, ok := r.ledger.intents[token]; ok || token.Fence > r.fence {
+			continue
+		}
+
+		commands = append(commands, r.release(now, r.seen[token])...)
+	}
+
+	return commands
+}
+
+func (r *Reconciler) seenTokens() []Token {
+	tokens := make([]Token, 0, len(r.seen))
+	for token := range r.seen {
+		tokens = append(tokens, token)
+	}
+
+	slices.SortFunc(tokens, Token.less)
+
+	return tokens
+}
+
+// counts tells whether an intent is or will be of use.
+func (r *Reconciler) counts(intent Intent) bool {
+	if intent.Retired {
+		return false
+	}
+
+	if o, ok := r.seen[intent.Token]; ok {
+		return !o.Leaving
+	}
+
+	c := r.call(intent.Token)
+
+	return !c.bought && !c.refused
+}
+
+// shape opens intents that are missing and retires those that are too many.
+func (r *Reconciler) shape(now time.Time, targets []Target, limits []Limit) []Command {
+	var commands []Command
+
+	for _, limit := range limits {
+		wanted := make(map[Cell]int)
+		total := 0
+
+		for _, t := range targets {
+			if t.Service == limit.Service {
+				wanted[t.Cell] += t.Count
+				total += t.Count
+			}
+		}
+
+		commands = append(commands, r.open(now, limit, targets)...)
+		commands = append(commands, r.retireSurplus(now, limit, wanted, total)...)
+		commands = append(commands, r.retireUseless(now, limit.Service)...)
+	}
+
+	return commands
+}
+
+// open appends intents up to the limit, which counts every intent that is not
+// closed: each may have an instance, or get one. Purchases beyond what is needed
+// wait for a change of the hour.
+func (r *Reconciler) open(now time.Time, limit Limit, targets []Target) []Command {
+	have := r.Have(limit.Service)
+	held := r.held(limit.Service)
+	useful := 0
+
+	for _, n := range have {
+		useful += n
+	}
+
+	var commands []Command
+
+	for _, t := range targets {
+		if t.Service != limit.Service {
+			continue
+		}
+
+		for have[t.Cell] < t.Count && held < limit.Max {
+			voluntary := useful >= limit.Needed
+			have[t.Cell]++
+			held++
+			useful++
+
+			commands = append(commands, r.append(now, Record{
+				Step: StepBuy, Service: t.Service, Cell: t.Cell, Voluntary: voluntary,
+			}))
+		}
+	}
+
+	return commands
+}
+
+func (r *Reconciler) held(service fleet.Service) int {
+	held := 0
+
+	for _, intent := range r.ledger.Intents() {
+		if intent.Service == service {
+			held++
+		}
+	}
+
+	return held
+}
+
+// retireSurplus gives up what is beyond the wanted counts: at once where
+// nothing was bought yet, and else only while the ready instances are enough
+// and the hour's changes are not used up. At the limit, where a replacement
+// cannot come first, one ready instance goes before its replacement comes.
+func (r *Reconciler) retireSurplus(now time.Time, limit Limit, wanted map[Cell]int, total int) []Command {
+	service := limit.Service
+	have := r.Have(service)
+	ready := r.ready(service)
+
+	enough := total
+	if r.held(service) >= limit.Max {
+		enough = total - 1
+	}
+
+
+	var commands []Command
+
+	for _, intent := range r.newestFirst(service) {
+		if !r.counts(intent) || have[intent.Cell] <= wanted[intent.Cell] || r.isPending(intent.Token) {
+			continue
+		}
+
+		o, bought := r.seen[intent.Token]
+		if bought && (!o.Known || o.Ready && ready <= enough) {
+			continue
+		}
+
+		if bought && o.Ready {
+			ready--
+		}
+
+		have[intent.Cell]--
+
+		commands = append(commands, r.append(now, Record{Step: StepRetire, Token: intent.Token, Voluntary: bought}))
+	}
+
+	return commands
+}
+
+// retireUseless retires instances that leave, and intents that were refused
+// while an earlier call may still take effect.
+func (r *Reconciler) retireUseless(now time.Time, service fleet.Service) []Command {
+	var commands []Command
+
+	for _, intent := range r.ledger.Intents() {
+		if intent.Service != service || intent.Retired || r.isPending(intent.Token) || !r.useless(intent) {
+			continue
+		}
+
+		commands = append(commands, r.append(now, Record{Step: StepRetire, Token: intent.Token}))
+	}
+
+	return commands
+}
+
+func (r *Reconciler) useless(intent Intent) bool {
+	if o, ok := r.seen[intent.Token]; ok {
+		return o.Leaving
+	}
+
+	c := r.call(intent.Token)
+
+	return c.refused && !c.bought && !r.settled(intent, c)
+}
+
+func (r *Reconciler) isPending(token Token) bool {
+	for _, record := range r.pending {
+		if record.Token == token {
+			return true
+		}
+	}
+
+	return false
+}
+
+func (r *Reconciler) ready(service fleet.Service) int {
+	ready := 0
+
+	for _, intent := range r.ledger.Intents() {
+		o, ok := r.seen[intent.Token]
+		if ok && intent.Service == service && !intent.Retired && o.Ready && !o.Leaving {
+			ready++
+		}
+	}
+
+	return ready
+}
+
+func (r *Reconciler) newestFirst(service fleet.Service) []Intent {
+	var result []Intent
+
+	for _, intent := range r.ledger.Intents() {
+		if intent.Service == service {
+			result = append(result, intent)
+		}
+	}
+
+	slices.Reverse(result)
+
+	return result
+}
--- /dev/null
+++ b/placement/reconciler.go
@@ -0,0 +1,340 @@
+package placement
+
+import (
+	"slices"
+	"time"
+
+	"monsoonlever/fleet"
+	"monsoonlever/lease"
+	"monsoonlever/platform"
+)
+
+// Reconciler makes the wanted counts true under one holder of the controller
+// role. It starts without knowledge of instances and learns them by a listing.
+type Reconciler struct {
+	// Owner is the prefix of the purchase tokens; instances with another prefix
+	// are left alone.
+	Owner string
+	// ListEvery is the time between two listings.
+	ListEvery time.Duration
+	// BuyRetry is the time between two purchases with one token.
+	BuyRetry time.Duration
+	// AppendRetry is the time after which an unread record is appended again.
+	AppendRetry time.Duration
+	// DrainTimeout is how long an instance may drain before it is released.
+	DrainTimeout time.Duration
+	// ChangesPerHour bounds the instances that are given up or moved without
+	// need. The log keeps the count, so a new holder goes on with it.
+	ChangesPerHour int
+	// Refusals is told of every refused purchase; it may be nil.
+	Refusals *Memory
+
+	ledger   *Ledger
+	fence    lease.Fence
+	sequence uint64
+	pending  map[uint64]Record
+	calls    map[Token]*call
+	seen     map[Token]*Observed
+	listing  listing
+	// appendedAt is when a record was last appended.
+	appendedAt time.Time
+}
+
+// call is what this process knows of its purchases with one token.
+type call struct {
+	outstanding bool
+	// unknown is set once a call was not answered: it may still take effect.
+	unknown bool
+	refused bool
+	lastAt  time.Time
+	// afterList is the last listing that began before the purchase was answered.
+	afterList uint64
+	bought    bool
+}
+
+type listing struct {
+	number uint64
+	done   uint64
+	lastAt time.Time
+}
+
+// NewReconciler returns a reconciler over a ledger, which the caller keeps up
+// to date by Grant and Read.
+func NewReconciler(owner string) *Reconciler {
+	return &Reconciler{
+		Owner:          owner,
+		ListEvery:      5 * time.Second,
+		BuyRetry:       10 * time.Second,
+		AppendRetry:    5 * time.Second,
+		DrainTimeout:   10 * time.Minute,
+		ChangesPerHour: 6,
+		ledger:         NewLedger(),
+		pending:        make(map[uint64]Record),
+		calls:          make(map[Token]*call),
+		seen:           make(map[Token]*Observed),
+	}
+}
+
+// Ledger returns the ledger, for checkpoints and status.
+func (r *Reconciler) Ledger() *Ledger {
+	return r.ledger
+}
+
+// Grant takes in a grant of the controller role at its place on the log.
+func (r *Reconciler) Grant(fence lease.Fence) {
+	r.ledger.Grant(fence)
+	clear(r.pending)
+}
+
+// Read takes in one intent record at its place on the log.
+func (r *Reconciler) Read(record Record) {
+	valid := r.ledger.Apply(record)
+	if record.Fence != r.fence {
+		return
+	}
+
+	// A record that comes after a later one of the same grant does not count.
+	for sequence := range r.pending {
+		if sequence <= record.Sequence {
+			delete(r.pending, sequence)
+		}
+	}
+
+	if valid && record.Step == StepClose {
+		delete(r.calls, record.Token)
+		delete(r.seen, record.Token)
+	}
+}
+
+// Bought takes in the answer to a purchase.
+func (r *Reconciler) Bought(now time.Time, token Token, outcome Outcome, instance platform.Instance) {
+	c, ok := r.calls[token]
+	if !ok {
+		return
+	}
+
+	c.outstanding = false
+
+	switch outcome {
+	case OutcomeBought:
+		c.bought = true
+		c.refused = false
+		c.afterList = r.listing.number
+		r.observe(token, instance)
+		r.forgetRefusal(token)
+	case OutcomeRefused:
+		c.refused = true
+		r.noteRefusal(now, token)
+	case OutcomeUnknown:
+		c.refused = true
+	}
+}
+
+// Listed takes in the answer to a listing.
+func (r *Reconciler) Listed(number uint64, instances []platform.Instance) {
+	if number <= r.listing.done {
+		return
+	}
+
+	r.listing.done = number
+	found := make(map[Token]bool)
+
+	for _, instance := range instances {
+		token, ok := ParseToken(r.Owner, instance.Token)
+		if !ok {
+			continue
+		}
+
+		found[token] = true
+		r.observe(token, instance)
+	}
+
+	for token := range r.seen {
+		if c, ok := r.calls[token]; ok && c.bought && c.afterList >= number {
+			continue
+		}
+
+		if !found[token] {
+			delete(r.seen, token)
+			r.gone(token)
+		}
+	}
+}
+
+// Observe takes in what is known of the work of an instance.
+func (r *Reconciler) Observe(h Health) {
+	for _, o := range r.seen {
+		if o.Instance.ID != h.Instance {
+			continue
+		}
+
+		o.Known = true
+		o.Ready = h.Ready
+		o.Idle = h.Idle
+		o.Leaving = h.Leaving
+	}
+}
+
+// Have counts what each cell of a service holds or is about to, for a plan.
+func (r *Reconciler) Have(service fleet.Service) map[Cell]int {
+	result := make(map[Cell]int)
+
+	for _, intent := range r.ledger.Intents() {
+		if intent.Service == service && r.counts(intent) {
+			result[intent.Cell]++
+		}
+	}
+
+	return result
+}
+
+// Instances returns the instances that belong to intents, oldest first.
+func (r *Reconciler) Instances(service fleet.Service) []Observed {
+	var result []Observed
+
+	for _, intent := range r.ledger.Intents() {
+		if o, ok := r.seen[intent.Token]; ok && intent.Service == service {
+			result = append(result, *o)
+		}
+	}
+
+	return result
+}
+
+// Synced tells whether the log was read up to the grant and the instances were
+// listed under it. A plan made before that takes what there is for missing.
+func (r *Reconciler) Synced(fence lease.Fence) bool {
+	return fence == r.ledger.Fence() && fence == r.fence && r.listing.done > 0
+}
+
+// Step returns what to do at now under the fencing number from lease.Core.Check.
+// Nothing is bought or given up before the first listing under that number. A
+// service without a limit is left as it is.
+func (r *Reconciler) Step(now time.Time, fence lease.Fence, targets []Target, limits []Limit) []Command {
+	if fence != r.ledger.Fence() {
+		return nil
+	}
+
+	if fence != r.fence {
+		r.begin(fence)
+	}
+
+	commands := r.list(now)
+	if r.listing.done == 0 {
+		return commands
+	}
+
+	commands = append(commands, r.buy(now)...)
+
+	// Records in flight are not in the ledger yet, so nothing is decided on it.
+	if len(r.pending) > 0 {
+		return append(commands, r.resend(now)...)
+	}
+
+	commands = append(commands, r.finish(now)...)
+
+	return append(commands, r.shape(now, targets, limits)...)
+}
+
+// begin forgets what an earlier grant of this process knew of its calls: under
+// the new one every earlier call may still be on its way.
+func (r *Reconciler) begin(fence lease.Fence) {
+	r.fence = fence
+	r.sequence = 0
+	r.listing.done = 0
+	r.listing.lastAt = time.Time{}
+	clear(r.pending)
+	clear(r.calls)
+	clear(r.seen)
+}
+
+func (r *Reconciler) list(now time.Time) []Command {
+	if !r.listing.lastAt.IsZero() && now.Sub(r.listing.lastAt) < r.ListEvery {
+		return nil
+	}
+
+	r.listing.lastAt = now
+	r.listing.number++
+
+	return []Command{ListCommand{Number: r.listing.number}}
+}
+
+// observe keeps what is known of an instance when it is seen again.
+func (r *Reconciler) observe(token Token, instance platform.Instance) {
+	if o, ok := r.seen[token]; ok {
+		o.Instance = instance
+
+		return
+	}
+
+	r.seen[token] = &Observed{Instance: instance}
+}
+
+// gone notes that an instance was there and is no more.
+func (r *Reconciler) gone(token Token) {
+	c := r.call(token)
+	c.bought = true
+}
+
+func (r *Reconciler) call(token Token) *call {
+	c, ok := r.calls[token]
+	if !ok {
+		c = &call{}
+		r.calls[token] = c
+	}
+
+	return c
+}
+
+func (r *Reconciler) noteRefusal(now time.Time, token Token) {
+	intent, ok := r.ledger.intents[token]
+	if ok && r.Refusals != nil {
+		r.Refusals.Note(now, intent.Cell)
+	}
+}
+
+func (r *Reconciler) forgetRefusal(token Token) {
+	intent, ok := r.ledger.intents[token]
+	if ok && r.Refusals != nil {
+		r.Refusals.Forget(intent.Cell)
+	}
+}
+
+func (r *Reconciler) append(now time.Time, record Record) Command {
+	r.sequence++
+	r.appendedAt = now
+	record.At = now
+	record.Fence = r.fence
+	record.Sequence = r.sequence
+
+	if record.Step == StepBuy {
+		record.Token = Token{Fence: r.fence, Sequence: r.sequence}
+	}
+
+	r.pending[r.sequence] = record
+
+	return AppendCommand{Record: record}
+}
+
+// resend appends the unread records again, in order; a reader takes each once.
+func (r *Reconciler) resend(now time.Time) []Command {
+	if now.Sub(r.appendedAt) < r.AppendRetry {
+		return nil
+	}
+
+	r.appendedAt = now
+
+	sequences := make([]uint64, 0, len(r.pending))
+	for sequence := range r.pending {
+		sequences = append(sequences, sequence)
+	}
+
+	slices.Sort(sequences)
+
+	commands := make([]Command, 0, len(sequences))
+	for _, sequence := range sequences {
+		commands = append(commands, AppendCommand{Record: r.pending[sequence]})
+	}
+
+	return commands
+}
--- /dev/null
+++ b/placement/record.go
@@ -0,0 +1,26 @@
+package placement
+
+import (
+	"time"
+
+	"monsoonlever/fleet"
+	"monsoonlever/lease"
+)
+
+// Record is the payload of one intent record on the log.
+type Record struct {
+	Step Step `msgpack:"step"`
+	// Fence is the grant under which the record was written. The record is
+	// valid only if no newer grant comes before it on the log.
+	Fence lease.Fence `msgpack:"fence"`
+	// Sequence counts the records under one grant.
+	Sequence uint64 `msgpack:"sequence"`
+	// Token names the intent: the record's own place for StepBuy.
+	Token   Token         `msgpack:"token"`
+	Service fleet.Service `msgpack:"service,omitempty"`
+	Cell    Cell          `msgpack:"cell"`
+	// At is when the record was written, by the writer's clock. Voluntary is set
+	// on a purchase or retirement that counts as one of the changes of the hour.
+	At        time.Time `msgpack:"at"`
+	Voluntary bool      `msgpack:"voluntary,omitempty"`
+}
--- /dev/null
+++ b/placement/rollout.go
@@ -0,0 +1,130 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"monsoonlever/fleet"
+)
+
+// Rollout moves the runners of one service to the wanted holding. It drains a
+// runner before it orders the new version, and takes none down unless another
+// stays ready.
+type Rollout struct {
+	// DrainTimeout is how long a runner may finish its work.
+	DrainTimeout time.Duration
+	// MaxUnavailable is how many runners may be draining or loading at once.
+	MaxUnavailable int
+
+	draining map[fleet.InstanceID]time.Time
+}
+
+// Step returns an assignment for every runner, by instance. Loading of weights
+// is held back for runners that mayLoad does not allow.
+func (r *Rollout) Step(now time.Time, s Service, runners []Runner, mayLoad func(fleet.InstanceID) bool) []Assignment {
+	if r.draining == nil {
+		r.draining = make(map[fleet.InstanceID]time.Time)
+	}
+
+	sorted := slices.Clone(runners)
+	slices.SortFunc(sorted, func(a, b Runner) int { return cmp.Compare(a.Instance, b.Instance) })
+	r.forget(sorted)
+
+	r.pick(now, s, sorted)
+
+	result := make([]Assignment, 0, len(sorted))
+	for _, runner := range sorted {
+		result = append(result, r.assign(now, s, runner, mayLoad))
+	}
+
+	return result
+}
+
+// Surge returns how many runners to buy beyond the plan: one while a rollout has
+// no second runner to keep ready.
+func (r *Rollout) Surge(s Service, runners []Runner) int {
+	old, ready := 0, 0
+
+	for _, runner := range runners {
+		if runner.Leaving {
+			continue
+		}
+
+		if runner.Holding != s.Holding {
+			old++
+		}
+
+		if runner.Ready {
+			ready++
+		}
+	}
+
+	if old > 0 && ready < 2 {
+		return 1
+	}
+
+	return 0
+}
+
+// pick starts to drain runners while enough others stay ready. It waits until
+// every runner is settled: before that an older holder's order may still take
+// another runner down.
+func (r *Rollout) pick(now time.Time, s Service, runners []Runner) {
+	unavailable := 0
+
+	for _, runner := range runners {
+		_, drains := r.draining[runner.Instance]
+		if runner.Ready && !drains && !runner.Leaving {
+			continue
+		}
+
+		if !runner.Leaving {
+			unavailable++
+		}
+	}
+
+	for _, runner := range runners {
+		if unavailable >= max(1, r.MaxUnavailable) {
+			return
+		}
+
+		_, drains := r.draining[runner.Instance]
+		if drains || runner.Leaving || !runner.Ready || runner.Holding == s.Holding {
+			continue
+		}
+
+		r.draining[runner.Instance] = now
+		unavailable++
+	}
+}
+
+func (r *Rollout) assign(now time.Time, s Service, runner Runner, mayLoad func(fleet.InstanceID) bool) Assignment {
+	since, drains := r.draining[runner.Instance]
+
+	switch {
+	case runner.Leaving:
+		return Assignment{Instance: runner.Instance, Holding: runner.Holding, Drain: true, Reason: "leaves"}
+	case runner.Holding == s.Holding:
+		delete(r.draining, runner.Instance)
+
+		return Assignment{Instance: runner.Instance, Holding: s.Holding, Reason: "holds what is wanted"}
+	case runner.Ready && !drains:
+		return Assignment{Instance: runner.Instance, Holding: runner.Holding, Reason: "serves the old version until others are ready"}
+	case runner.Ready && !runner.Idle && now.Sub(since) < r.DrainTimeout:
+		return Assignment{Instance: runner.Instance, Holding: runner.Holding, Drain: true, Reason: "drains the old version"}
+	case !mayLoad(runner.Instance):
+		return Assignment{Instance: runner.Instance, Holding: runner.Holding, Drain: drains, Reason: "waits for the weight store"}
+	default:
+		return Assignment{Instance: runner.Instance, Holding: s.Holding, Drain: drains, Reason: "loads the wanted version"}
+	}
+}
+
+func (r *Rollout) forget(runners []Runner) {
+	for id := range r.draining {
+		found := slices.ContainsFunc(runners, func(runner Runner) bool { return runner.Instance == id })
+		if !found {
+			delete(r.draining, id)
+		}
+	}
+}
--- /dev/null
+++ b/placement/state.go
@@ -0,0 +1,25 @@
+package placement
+
+import "monsoonlever/platform"
+
+// State is what a plan is made from.
+type State struct {
+	Config   Config
+	Services []ServiceState
+	Offers   []platform.Offer
+	// Refusals and Reclaims are remembered by cell; either may be nil.
+	Refusals *Memory
+	Reclaims *Memory
+}
+
+// ServiceState is one service with its load and what it has.
+type ServiceState struct {
+	Service  Service
+	Forecast Forecast
+	// Have counts the instances of each cell that are bought or about to be,
+	// without those that leave or are retired.
+	Have map[Cell]int
+	// Surge asks for that many instances more, as while a version is rolled out
+	// on a service with one runner.
+	Surge int
+}
