fix(placement): intents on the log, bounded changes and a rollout that keeps a ready runner

Cause: the naive planner bought twice after a lost answer, followed every price and could take the last ready runner down.

Change: the token of a purchase is the place of its intent record; an intent closes only once no call with its token can take effect any more, and is bought and released if that cannot be known. Retirement is a record before it is acted on. Moves need a saving of 15 percent and come out of an hourly count that the log keeps across holders. A rollout needs a second ready runner and every runner settled under the present fencing number. Ruled out: closing a refused intent of an earlier holder, since that holder's paused call could still buy.

Conclusion: each purchase is accounted for by one record, whoever holds the role.

--- a/placement/config.go
+++ b/placement/config.go
@@ -19,7 +19,7 @@
 // instances.
 func DefaultConfig() Config {
 	return Config{
-		MoveThreshold: 0,
+		MoveThreshold: 0.15,
 		RiskPremium:   0.05,
 		AvoidFor:      20 * time.Minute,
 	}
--- a/placement/reconcile.go
+++ b/placement/reconcile.go
@@ -46,7 +46,7 @@
 // call with its token was made under this grant and answered by a refusal, or
 // none was made at all and none is wanted.
 func (r *Reconciler) settled(intent Intent, c *call) bool {
-	if c.outstanding {
+	if intent.Token.Fence != r.fence || c.unknown || c.outstanding {
 		return false
 	}
 
@@ -177,6 +177,7 @@
 func (r *Reconciler) open(now time.Time, limit Limit, targets []Target) []Command {
 	have := r.Have(limit.Service)
 	held := r.held(limit.Service)
+	moves := r.ChangesPerHour - r.ledger.Moves(now)
 	useful := 0
 
 	for _, n := range have {
@@ -192,6 +193,14 @@
 
 		for have[t.Cell] < t.Count && held < limit.Max {
 			voluntary := useful >= limit.Needed
+			if voluntary && moves <= 0 {
+				break
+			}
+
+			if voluntary {
+				moves--
+			}
+
 			have[t.Cell]++
 			held++
 			useful++
@@ -231,6 +240,7 @@
 		enough = total - 1
 	}
 
+	left := r.ChangesPerHour - r.ledger.GivenUp(now)
 
 	var commands []Command
 
@@ -240,10 +250,14 @@
 		}
 
 		o, bought := r.seen[intent.Token]
-		if bought && (!o.Known || o.Ready && ready <= enough) {
+		if bought && (!o.Known || left <= 0 || o.Ready && ready <= enough) {
 			continue
 		}
 
+		if bought {
+			left--
+		}
+
 		if bought && o.Ready {
 			ready--
 		}
--- a/placement/reconciler.go
+++ b/placement/reconciler.go
@@ -126,7 +126,7 @@
 		c.refused = true
 		r.noteRefusal(now, token)
 	case OutcomeUnknown:
-		c.refused = true
+		c.unknown = true
 	}
 }
 
@@ -225,6 +225,7 @@
 	}
 
 	commands = append(commands, r.buy(now)...)
+	commands = append(commands, r.releaseUnknown(now)...)
 
 	// Records in flight are not in the ledger yet, so nothing is decided on it.
 	if len(r.pending) > 0 {
--- a/placement/rollout.go
+++ b/placement/rollout.go
@@ -71,11 +71,17 @@
 // every runner is settled: before that an older holder's order may still take
 // another runner down.
 func (r *Rollout) pick(now time.Time, s Service, runners []Runner) {
-	unavailable := 0
+	staying, unavailable := 0, 0
 
 	for _, runner := range runners {
+		if !runner.Settled && !runner.Leaving {
+			return
+		}
+
 		_, drains := r.draining[runner.Instance]
 		if runner.Ready && !drains && !runner.Leaving {
+			staying++
+
 			continue
 		}
 
@@ -85,7 +91,7 @@
 	}
 
 	for _, runner := range runners {
-		if unavailable >= max(1, r.MaxUnavailable) {
+		if staying < 2 || unavailable >= max(1, r.MaxUnavailable) {
 			return
 		}
 
@@ -95,6 +101,7 @@
 		}
 
 		r.draining[runner.Instance] = now
+		staying--
 		unavailable++
 	}
 }
