fix(admission): learn service times without the time in the queue

Cause: the caller's path reports latency from arrival. Queueing then looked like a slow backend server: it cut the concurrency limit and lengthened the estimate that refuses by deadline, which queues even more. Change: Finish takes the time in the queue off. Conclusion: callers may report what they measure.

--- a/admission/controller_test.go
+++ b/admission/controller_test.go
@@ -106,3 +106,22 @@
 		})
 	}
 }
+
+func TestFinishTakesTheQueueOff(t *testing.T) {
+	c := newController(t, testConfig(1, 10, AccountConfig{Account: testAccount}))
+	s := c.table.Load().services[testService]
+	now := start
+
+	first := c.Admit(now, testRequest())
+	second := c.Admit(now, testRequest())
+
+	for _, ticket := range []*Ticket{first, second} {
+		now = now.Add(time.Second)
+		took := now.Sub(ticket.Arrived())
+		c.Finish(now, ticket, Outcome{Latency: took, Whole: took})
+	}
+
+	if got, want := s.limiter.serviceTime(), time.Second; got != want {
+		t.Errorf("service time: got %v, want %v", got, want)
+	}
+}
--- a/admission/goodput_test.go
+++ b/admission/goodput_test.go
@@ -27,7 +27,6 @@
 	ticket   *Ticket
 	deadline time.Time
 	small    bool
-	began    time.Time
 	ends     time.Time
 }
 
@@ -112,7 +111,6 @@
 			waiting = append(waiting, r)
 		case d.Verdict == Admitted:
 			s.ran++
-			r.began = s.now
 			r.ends = s.now.Add(time.Duration(s.random.ExpFloat64() * float64(simService)))
 			s.running = append(s.running, r)
 		default:
@@ -133,7 +131,7 @@
 			continue
 		}
 
-		took := s.now.Sub(r.began)
+		took := s.now.Sub(r.ticket.Arrived())
 		s.c.Finish(s.now, r.ticket, Outcome{Latency: took, Whole: took})
 
 		if !s.now.After(r.deadline) {
--- a/admission/request.go
+++ b/admission/request.go
@@ -21,12 +21,14 @@
 	Tokens int
 }
 
-// Outcome is what Finish is told of a request that ran.
+// Outcome is what Finish is told of a request that ran. Its times count from
+// the arrival of the request; the time in the queue is taken off by Finish, as
+// it says nothing of the backend servers.
 type Outcome struct {
 	// Latency is what the target of the kind of call is about: the time to the
 	// first token of a model call, or the whole time of a plain one.
 	Latency time.Duration
-	// Whole is the time from admission to the end of the answer.
+	// Whole is the time to the end of the answer.
 	Whole time.Duration
 	// Tokens is the real number of prompt and answer tokens.
 	Tokens int
