fix(gateway): bound every write, and tell an answer given up by its true code

Cause: only the events of a stream had a write deadline, so a caller that did not read a whole answer, a reply of a plain service or a refusal held its goroutine for good. A whole answer whose caller was taken for gone wrote nothing, which the server ends as an empty 200. An answer that every server refused before running it was told answerLost. A deadline that passed in the queue named no time to come back.

Change: each response is bounded by the write timeout; an answer given up always gets its refusal; refusals of admission that a change of manifest brings are notReady or unknownService. Ruled out: the server's WriteTimeout, which counts from the request's header and would cut long streams.

--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -20,7 +20,7 @@
 	decision := ticket.Wait(ctx)
 
 	if decision.Verdict == admission.Queued {
-		return g.abandon(ticket)
+		return g.abandon(parent, ticket)
 	}
 
 	if decision.Verdict == admission.Admitted {
@@ -30,10 +30,17 @@
 	return nil, refusedBy(decision)
 }
 
-// abandon takes a request out of the queue whose caller has gone.
-func (g *Gateway) abandon(ticket *admission.Ticket) (*admission.Ticket, *refusal.Refusal) {
+// abandon takes a request out of the queue whose deadline has passed or whose
+// caller has gone.
+func (g *Gateway) abandon(parent context.Context, ticket *admission.Ticket) (*admission.Ticket, *refusal.Refusal) {
 	if g.Admission.Abandon(g.Clock.Now(), ticket) {
-		return nil, refusal.New(refusal.DeadlinePassed, "the caller stopped waiting").WithRun(refusal.NotRun)
+		cause := "the deadline passed in the queue"
+		if parent.Err() != nil {
+			cause = "the caller stopped waiting"
+		}
+
+		return nil, refusal.New(refusal.DeadlinePassed, "%s", cause).
+			WithRun(refusal.NotRun).WithRetryAfter(comeBackSoon)
 	}
 
 	decision, _ := ticket.Decision()
@@ -45,6 +52,10 @@
 }
 
 func refusedBy(d admission.Decision) *refusal.Refusal {
+	if d.Reason == admission.Withdrawn {
+		return refusal.New(refusal.UnknownService, "the service left the manifest")
+	}
+
 	code := refusal.Overloaded
 
 	switch d.Reason {
@@ -52,10 +63,9 @@
 		code = refusal.LimitExceeded
 	case admission.DeadlineTooShort:
 		code = refusal.DeadlineTooShort
-	case admission.UnknownService:
-		code = refusal.UnknownService
-	case admission.UnknownAccount:
-		code = refusal.Unauthorized
+	case admission.UnknownService, admission.UnknownAccount:
+		// The manifest in force knows both, and its limits follow at once.
+		code = refusal.NotReady
 	default:
 	}
 
--- a/gateway/chat.go
+++ b/gateway/chat.go
@@ -37,7 +37,7 @@
 func (g *Gateway) chat(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 	call, refused := g.parseChat(w, r)
 	if refused != nil {
-		refused.Write(w)
+		g.refuse(w, refused)
 
 		return
 	}
@@ -45,7 +45,7 @@
 	ticket, refused := g.admitBefore(r.Context(), call.deadline, call.admissionRequest())
 	if refused != nil {
 		g.observe(call.refusedObservation(g.Clock.Now(), refused))
-		refused.Write(w)
+		g.refuse(w, refused)
 
 		return
 	}
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -54,52 +54,52 @@
 	return paths
 }
 
-func loadManifest(t testing.TB) *manifest.Manifest {
-	t.Helper()
+func loadManifest(tb testing.TB) *manifest.Manifest {
+	tb.Helper()
 
 	data, err := os.ReadFile("../examples/kronvig.manifest.jsonc")
 	if err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
 
 	m, err := manifest.Parse("kronvig.manifest.jsonc", data)
 	if err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
 
 	return m
 }
 
-func newController(t testing.TB, m *manifest.Manifest, accounts ...admission.AccountConfig) *admission.Controller {
-	t.Helper()
+func newController(tb testing.TB, m *manifest.Manifest, accounts ...admission.AccountConfig) *admission.Controller {
+	tb.Helper()
 
 	var config admission.Config
 	for _, s := range m.Services() {
 		config.Services = append(config.Services, admission.ServiceConfig{Service: s.Name()})
 	}
 
-	config.Accounts = append(accounts, admission.AccountConfig{Account: "jysk-fodevarer"})
+	config.Accounts = accounts
 	if len(accounts) == 0 {
-		config.Accounts = append(config.Accounts, admission.AccountConfig{Account: testAccount})
+		config.Accounts = []admission.AccountConfig{{Account: testAccount}}
 	}
 
 	c := &admission.Controller{Instance: "entry-1", Clock: clock.System{}}
 	if err := c.Configure(time.Now(), config); err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
 
 	return c
 }
 
-func newGateway(t testing.TB, accounts ...admission.AccountConfig) *Gateway {
-	t.Helper()
+func newGateway(tb testing.TB, accounts ...admission.AccountConfig) *Gateway {
+	tb.Helper()
 
-	m := loadManifest(t)
+	m := loadManifest(tb)
 
 	return &Gateway{
 		Clock:        clock.System{},
 		Manifest:     func() *manifest.Manifest { return m },
-		Admission:    newController(t, m, accounts...),
+		Admission:    newController(tb, m, accounts...),
 		Plain:        &recordingPlain{},
 		IDs:          func() answer.RequestID { return "request-1" },
 		MaxBodyBytes: 1 << 10,
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -83,7 +83,7 @@
 	router.HandleOPTIONS = false
 	router.NotFound = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		refused := refusal.New(refusal.UnknownService, "nothing is served for %s %s", r.Method, r.URL.Path)
-		beforeClaim(r.Header, refused).Write(w)
+		g.refuse(w, beforeClaim(r.Header, refused))
 	})
 	router.POST(PathChat, g.chat)
 	router.GET(PathModels, g.models)
--- a/gateway/models.go
+++ b/gateway/models.go
@@ -25,7 +25,7 @@
 func (g *Gateway) models(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 	who, refused := g.authenticate(r)
 	if refused != nil {
-		refused.Write(w)
+		g.refuse(w, refused)
 
 		return
 	}
@@ -42,6 +42,7 @@
 		}
 	}
 
+	g.boundWrite(w)
 	w.Header().Set("Content-Type", "application/json")
 	// The caller is gone if this fails; there is nobody to tell.
 	_ = json.NewEncoder(w).Encode(list)
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -30,7 +30,7 @@
 func (g *Gateway) plain(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
 	call, refused := g.parsePlain(w, r, params)
 	if refused != nil {
-		beforeClaim(r.Header, refused).Write(w)
+		g.refuse(w, beforeClaim(r.Header, refused))
 
 		return
 	}
@@ -39,7 +39,7 @@
 	if refused != nil {
 		refused = beforeClaim(r.Header, refused)
 		g.observe(call.observation(g.Clock.Now(), refused))
-		refused.Write(w)
+		g.refuse(w, refused)
 
 		return
 	}
@@ -50,11 +50,12 @@
 	g.observe(call.observation(now, refused))
 
 	if refused != nil {
-		refused.Write(w)
+		g.refuse(w, refused)
 
 		return
 	}
 
+	g.boundWrite(w)
 	writeReply(w, call.request, reply)
 }
 
--- a/gateway/sink.go
+++ b/gateway/sink.go
@@ -101,11 +101,10 @@
 	s.refused = refusalOf(g)
 	s.callerGone = g.Reason == answer.ReasonCallerGone
 
-	if s.callerGone {
-		return nil
-	}
-
+	// A caller who is gone is told as well: were nothing written, the server
+	// would end the response as if it were whole.
 	if !s.call.request.Stream || s.tokens == 0 {
+		s.bound(s.clock.Now())
 		s.refused.Write(s.w)
 
 		return nil
@@ -132,8 +131,7 @@
 }
 
 func (s *sink) send(now time.Time) error {
-	// A writer that knows no deadlines, as in tests, is not bounded.
-	_ = s.control.SetWriteDeadline(now.Add(s.timeout))
+	s.bound(now)
 
 	if _, err := s.w.Write(s.buf); err != nil {
 		return err
@@ -142,11 +140,19 @@
 	return s.control.Flush()
 }
 
+// bound bounds the next write.
+func (s *sink) bound(now time.Time) {
+	// A writer that knows no deadlines, as in tests, is not bounded.
+	_ = s.control.SetWriteDeadline(now.Add(s.timeout))
+}
+
 func (s *sink) sendWhole(finish string, usage chat.Usage) error {
 	response := chat.NewResponse(
 		string(s.id), s.call.request.Model, s.call.arrived.Unix(), s.text.String(), finish, usage,
 	)
 
+	s.bound(s.clock.Now())
+
 	h := s.w.Header()
 	h.Set("Content-Type", "application/json")
 	h.Set("X-Request-Id", string(s.id))
@@ -181,8 +187,11 @@
 	switch {
 	case g.Reason == answer.ReasonDeadline:
 		code = refusal.DeadlinePassed
-	case g.Reason == answer.ReasonNoServer && run == refusal.NotRun:
+	case run != refusal.NotRun:
+	case g.Reason == answer.ReasonNoServer:
 		code = refusal.NoServer
+	case g.Reason == answer.ReasonRetryBudget:
+		code = refusal.ServerRefused
 	default:
 	}
 
--- /dev/null
+++ b/gateway/write.go
@@ -0,0 +1,20 @@
+package gateway
+
+import (
+	"net/http"
+
+	"monsoonlever/refusal"
+)
+
+// boundWrite bounds what is written to a caller from now on. The server lifts
+// the bound at the end of the request.
+func (g *Gateway) boundWrite(w http.ResponseWriter) {
+	// A writer that knows no deadlines, as in tests, is not bounded.
+	_ = http.NewResponseController(w).SetWriteDeadline(g.Clock.Now().Add(g.WriteTimeout))
+}
+
+// refuse writes a refusal as the whole response.
+func (g *Gateway) refuse(w http.ResponseWriter, r *refusal.Refusal) {
+	g.boundWrite(w)
+	r.Write(w)
+}
