feat(claim): naive at-most-once table and the property that refutes it

Cause: the simple rules look right: dispatch once the own claim is durable, free the claims of an instance that has left, and let a void simply free its key.

Change: the step machine with these three rules, its shell, and a state-machine property over several entry instances, a log that loses answers and takes appends late, and a service that counts.

--- /dev/null
+++ b/claim/field.go
@@ -0,0 +1,9 @@
+package claim
+
+// Field is one header field of an answer.
+type Field struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack
+
+	Name  string
+	Value string
+}
--- /dev/null
+++ b/claim/record.go
@@ -0,0 +1,66 @@
+package claim
+
+import (
+	"github.com/ansel1/merry/v2"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"monsoonlever/journal"
+)
+
+// The kinds of this package's records.
+const (
+	KindClaim   = journal.KindFirst
+	KindOutcome = journal.KindFirst + 1
+	KindVoid    = journal.KindFirst + 2
+)
+
+// claimRecord claims a key for its writer.
+type claimRecord struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack
+
+	Key        KeyID
+	Generation uint32
+	Request    RequestID
+	Digest     Digest
+}
+
+// outcomeRecord tells how the claimant's call ended.
+type outcomeRecord struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack
+
+	Key        KeyID
+	Generation uint32
+	Request    RequestID
+	Digest     Digest
+	// Broken is set if the claimant can't tell whether its call ran.
+	Broken bool
+	// Kept is set if Body is the whole body.
+	Kept   bool
+	Status int
+	Header []Field
+	Body   []byte
+}
+
+// voidRecord ends a generation of a key of which the claimant sent nothing.
+type voidRecord struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack
+
+	Key        KeyID
+	Generation uint32
+	Request    RequestID
+	Reason     Reason
+}
+
+// encode returns the payload of a record, whose fields always can be encoded.
+func encode(record any) []byte {
+	data, err := msgpack.Marshal(record)
+	if err != nil {
+		panic(merry.Prepend(err, "encode claim record"))
+	}
+
+	return data
+}
+
+func decode(data []byte, record any) error {
+	return merry.Prepend(msgpack.Unmarshal(data, record), "decode claim record")
+}
--- /dev/null
+++ b/claim/table.go
@@ -0,0 +1,250 @@
+package claim
+
+import (
+	"time"
+
+	"monsoonlever/fleet"
+	"monsoonlever/journal"
+)
+
+// Table decides what becomes of the requests of one entry instance that may
+// not be repeated. Every method is one step: it takes an event and the time
+// and returns what to do. Calls must not overlap.
+type Table struct {
+	config Config
+	self   claimant
+
+	// keys, claimants, logTime and since follow from the records alone.
+	keys      map[KeyID]*keyState
+	aging     agingQueue
+	claimants claimants
+	logTime   time.Time
+	// since is the time from which on the records read are complete.
+	since time.Time
+
+	attempts map[RequestID]*attempt
+	// order holds the attempts in the order of their admission.
+	order []*attempt
+	// pending, owners and joined find attempts by key: the one whose claim is
+	// on its way, the one that won, and those that wait for another.
+	pending map[KeyID]*attempt
+	owners  map[KeyID]*attempt
+	joined  map[KeyID][]*attempt
+
+	started  bool
+	caughtUp bool
+	down     bool
+	badCount int
+}
+
+// NewTable returns a table that has read nothing.
+func NewTable(config Config) *Table {
+	config = config.withDefaults()
+
+	return &Table{
+		config:    config,
+		self:      claimant{id: config.Self, incarnation: config.Incarnation},
+		keys:      make(map[KeyID]*keyState),
+		claimants: newClaimants(),
+		attempts:  make(map[RequestID]*attempt),
+		pending:   make(map[KeyID]*attempt),
+		owners:    make(map[KeyID]*attempt),
+		joined:    make(map[KeyID][]*attempt),
+	}
+}
+
+// Keys returns the number of keys that are remembered.
+func (t *Table) Keys() int { return len(t.keys) }
+
+// Open returns the number of attempts that are not over.
+func (t *Table) Open() int { return len(t.attempts) }
+
+// Undecodable returns the number of records that were skipped.
+func (t *Table) Undecodable() int { return t.badCount }
+
+// CaughtUp says that all records that were on the log at the start were read.
+func (t *Table) CaughtUp() { t.caughtUp = true }
+
+// LogUp says that the log answers again. What is owed is appended by Tick.
+func (t *Table) LogUp() { t.down = false }
+
+// LogDown says that the log doesn't answer. Attempts that can't go on without
+// it get their final verdicts at once.
+func (t *Table) LogDown() []Command {
+	if t.down {
+		return nil
+	}
+
+	t.down = true
+
+	var commands []Command
+
+	for _, a := range t.snapshot() {
+		switch {
+		case a.answered:
+		case a.phase == attemptClaiming:
+			commands = append(commands, t.giveUp(a, ReasonLogDown, t.config.OutageRetry)...)
+		case a.phase == attemptVoiding:
+			commands = append(commands, t.answer(a, refusal(NotStarted, ReasonLogDown, t.config.OutageRetry)))
+		case a.phase == attemptJoined && t.owners[a.key] == nil:
+			commands = append(commands, t.answer(a, refusal(Unknown, ReasonLogDown, t.config.OutageRetry)))
+		}
+	}
+
+	return commands
+}
+
+// InstanceGone says that an incarnation of an entry instance is no longer
+// live. Its claims stand, since it may only be paused.
+func (t *Table) InstanceGone(id fleet.InstanceID, incarnation fleet.Incarnation) []Command {
+	who := claimant{id: id, incarnation: incarnation}
+	if who == t.self {
+		return nil
+	}
+
+	number := t.claimants.leave(who)
+
+	var commands []Command
+
+	for _, a := range t.snapshot() {
+		state := t.keys[a.key]
+		if a.phase != attemptJoined || a.answered || t.owners[a.key] != nil || state == nil {
+			continue
+		}
+
+		if state.phase == keyClaimed && state.claimant == number {
+			state.phase = keyFree
+
+			commands = append(commands, t.answer(a, refusal(Unknown, ReasonClaimantGone, t.config.OutageRetry)))
+		}
+	}
+
+	return commands
+}
+
+// Horizon says that records before since were not read, which is zero if none
+// are missing. Called again, it says that records aged out unread.
+func (t *Table) Horizon(since time.Time) []Command {
+	t.since = since
+
+	if !t.started {
+		t.started = true
+
+		return nil
+	}
+
+	t.keys = make(map[KeyID]*keyState)
+	t.aging = agingQueue{}
+
+	var commands []Command
+
+	for _, a := range t.snapshot() {
+		if a.phase == attemptJoined && !a.answered && t.owners[a.key] == nil && t.pending[a.key] == nil {
+			commands = append(commands, t.answer(a, refusal(Unknown, ReasonUncertain, t.config.RetryAfter)))
+		}
+	}
+
+	return commands
+}
+
+// snapshot returns the attempts in the order of their admission, so that steps
+// are deterministic and may end attempts on the way.
+func (t *Table) snapshot() []*attempt {
+	kept := t.order[:0]
+
+	for _, a := range t.order {
+		if t.attempts[a.id] == a {
+			kept = append(kept, a)
+		}
+	}
+
+	clear(t.order[len(kept):])
+	t.order = kept
+
+	return append([]*attempt(nil), kept...)
+}
+
+// answer gives an attempt its verdict. An attempt that owes nothing to the log
+// is then over.
+func (t *Table) answer(a *attempt, v Verdict) Command {
+	a.answered = true
+
+	if a.phase == attemptClaiming || a.phase == attemptJoined {
+		t.forget(a)
+	}
+
+	return Answer{request: a.id, verdict: v}
+}
+
+// forget removes an attempt that is over.
+func (t *Table) forget(a *attempt) {
+	delete(t.attempts, a.id)
+
+	if t.pending[a.key] == a {
+		delete(t.pending, a.key)
+	}
+
+	if t.owners[a.key] == a {
+		delete(t.owners, a.key)
+	}
+
+	if a.phase == attemptJoined {
+		t.leave(a)
+	}
+}
+
+// leave takes an attempt out of those that wait for its key.
+func (t *Table) leave(a *attempt) {
+	waiting := t.joined[a.key]
+
+	for i, other := range waiting {
+		if other == a {
+			waiting = append(waiting[:i:i], waiting[i+1:]...)
+
+			break
+		}
+	}
+
+	if len(waiting) == 0 {
+		delete(t.joined, a.key)
+
+		return
+	}
+
+	t.joined[a.key] = waiting
+}
+
+func (t *Table) join(a *attempt) {
+	a.phase = attemptJoined
+	t.joined[a.key] = append(t.joined[a.key], a)
+}
+
+// giveUp ends an attempt that has sent nothing. Should its claim turn out to
+// be on the log, reading it makes this instance void it. Attempts that wait
+// for the claim end with it.
+func (t *Table) giveUp(a *attempt, reason Reason, retryAfter time.Duration) []Command {
+	wasPending := t.pending[a.key] == a
+	commands := []Command{t.answer(a, refusal(NotStarted, reason, retryAfter))}
+
+	if wasPending && t.owners[a.key] == nil {
+		commands = append(commands, t.answerJoined(a.key, refusal(NotStarted, reason, retryAfter))...)
+	}
+
+	return commands
+}
+
+// answerJoined gives all attempts that wait for a key the same verdict.
+func (t *Table) answerJoined(key KeyID, v Verdict) []Command {
+	var commands []Command
+
+	for _, a := range append([]*attempt(nil), t.joined[key]...) {
+		commands = append(commands, t.answer(a, v))
+	}
+
+	return commands
+}
+
+// appendOf returns the command to append a record of an attempt.
+func appendOf(kind journal.Kind, id RequestID, record any) Command {
+	return Append{kind: kind, request: id, payload: encode(record)}
+}
