fix(claim): the first valid claim in log order runs, and is never transferred

Cause: an instance that read its own claim back had not won by that, one that is gone may still send, and a claim from before a void could land after it.

Change: only the first claim of a key's present generation is valid and is dispatched; a claim stays with its claimant; a void raises the generation and ends every attempt of the old one. Ruled out: handing claims of a dead claimant over, which needs a service that refuses old claimants.

Conclusion: what a dead claimant may have sent is told as unknown.

--- a/claim/keystate.go
+++ b/claim/keystate.go
@@ -61,6 +61,7 @@
 	}
 
 	s.phase = keyFree
+	s.generation++
 
 	return true
 }
--- a/claim/read.go
+++ b/claim/read.go
@@ -121,7 +121,7 @@
 		commands := []Command{t.answer(a, refusal(NotStarted, ReasonDeadline, t.config.RetryAfter))}
 
 		return append(commands, t.voidStray(now, c, true)...)
-	case !state.uncertain:
+	case valid:
 		a.phase = attemptSent
 		t.owners[a.key] = a
 
@@ -251,6 +251,10 @@
 		return commands
 	}
 
+	if p := t.pending[v.Key]; p != nil {
+		commands = append(commands, t.giveUp(p, ReasonVoided, t.config.VoidHold)...)
+	}
+
 	return append(commands, t.answerJoined(v.Key, verdict)...)
 }
 
--- a/claim/table.go
+++ b/claim/table.go
@@ -113,8 +113,6 @@
 		}
 
 		if state.phase == keyClaimed && state.claimant == number {
-			state.phase = keyFree
-
 			commands = append(commands, t.answer(a, refusal(Unknown, ReasonClaimantGone, t.config.OutageRetry)))
 		}
 	}
