--- a/cmd/root.go
+++ b/cmd/root.go
@@ -50,6 +50,7 @@
 	Publish  publishCommand  `cmd:"" help:"Put a manifest in force."`
 	Status   statusCommand   `cmd:"" help:"Show instances, what is in force where, and backend servers."`
 	Report   reportCommand   `cmd:"" help:"Report on service-level burn, from instances or from load runs."`
+	Load     loadCommand     `cmd:"" help:"Send the load of a mix and check every answer and promise."`
 	Keys     keysCommand     `cmd:"" help:"Make the keys with which entry instances know each other."`
 	Trial    trialCommand    `cmd:"" help:"Write settings and keys of a deployment on this machine."`
 }
@@ -122,6 +123,8 @@
 		return ExitUnresolved
 	case errors.Is(err, errBehind):
 		return ExitBehind
+	case errors.Is(err, errBroken):
+		return ExitBroken
 	default:
 		return ExitFailed
 	}
--- a/monsoonlever-standins/listening.go
+++ b/monsoonlever-standins/listening.go
@@ -19,6 +19,7 @@
 // readyLine is printed once the program listens.
 type readyLine struct {
 	Listen string `json:"listen"`
+	Domain string `json:"domain,omitempty"`
 }
 
 func (l listening) open() (net.Listener, error) {
@@ -31,8 +32,8 @@
 }
 
 // ready tells that the program listens and is registered.
-func (l listening) ready(address string) error {
-	line, err := json.Marshal(readyLine{Listen: address})
+func (l listening) ready(address, domain string) error {
+	line, err := json.Marshal(readyLine{Listen: address, Domain: domain})
 	if err != nil {
 		return merry.Prepend(err, "encode ready line")
 	}
--- a/monsoonlever-standins/membership.go
+++ b/monsoonlever-standins/membership.go
@@ -102,7 +102,7 @@
 		}
 	}
 
-	if err := l.ready(server.Address()); err != nil {
+	if err := l.ready(server.Address(), domain); err != nil {
 		return err
 	}
 
--- a/monsoonlever-standins/platform.go
+++ b/monsoonlever-standins/platform.go
@@ -32,7 +32,7 @@
 	}
 
 	server := standin.NewServer(listener, p.Handler(), nil)
-	if err := c.ready(server.Address()); err != nil {
+	if err := c.ready(server.Address(), ""); err != nil {
 		return err
 	}
 
--- a/standin/plain.go
+++ b/standin/plain.go
@@ -43,14 +43,16 @@
 	// LoadLag is how old a load report is.
 	LoadLag time.Duration
 
+	// Tally may be shared by plain services; see Tally.
+	Tally *Tally
+
 	once  sync.Once
 	slots *slots
-	tally tally
 }
 
 // NewPlainService returns a plain service that answers at once.
 func NewPlainService(c clock.Clock) *PlainService {
-	return &PlainService{Clock: c, Faults: NewFaults(c), Slots: 64, Queue: 256}
+	return &PlainService{Clock: c, Faults: NewFaults(c), Tally: &Tally{}, Slots: 64, Queue: 256}
 }
 
 // Handler serves calls, the load, the executions and fault orders.
@@ -71,7 +73,7 @@
 
 // Executions returns what ran so far.
 func (p *PlainService) Executions() Executions {
-	return p.tally.executions()
+	return p.Tally.executions()
 }
 
 func (p *PlainService) serveCall(w http.ResponseWriter, r *http.Request) {
@@ -107,7 +109,7 @@
 	}
 
 	digest := xxhash.Sum64(body)
-	execution := p.tally.add(r.Header.Get(backend.IdempotencyKeyHeader), digest)
+	execution := p.Tally.add(r.Header.Get(backend.IdempotencyKeyHeader), digest)
 
 	if err := sleep(ctx, p.Clock, p.ServiceTime); err != nil {
 		return err
--- a/standin/tally.go
+++ b/standin/tally.go
@@ -36,8 +36,9 @@
 	return 0
 }
 
-// tally counts executions as they begin.
-type tally struct {
+// Tally counts executions as they begin. Plain services that share one count
+// each other's executions too.
+type Tally struct {
 	mu       sync.Mutex
 	total    int
 	byKey    map[string]int
@@ -45,7 +46,7 @@
 }
 
 // add counts one execution and returns how many there were of this body.
-func (t *tally) add(key string, digest uint64) int {
+func (t *Tally) add(key string, digest uint64) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
@@ -64,7 +65,7 @@
 	return t.byDigest[digest]
 }
 
-func (t *tally) executions() Executions {
+func (t *Tally) executions() Executions {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
