--- a/answer/epoch.go
+++ b/answer/epoch.go
@@ -4,6 +4,8 @@
 
 // Epoch is one ownership of a request. Each takeover has a greater number.
 type Epoch struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
 	Number      uint64            `msgpack:"number"`
 	Owner       fleet.InstanceID  `msgpack:"owner"`
 	Incarnation fleet.Incarnation `msgpack:"incarnation"`
--- a/answer/message.go
+++ b/answer/message.go
@@ -18,6 +18,8 @@
 // Append gives a copy the next tokens. Visible is the offset up to which a
 // caller may have seen the answer.
 type Append struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
 	ID      RequestID `msgpack:"id"`
 	Epoch   Epoch     `msgpack:"epoch"`
 	Offset  int       `msgpack:"offset"`
@@ -51,6 +53,8 @@
 
 // Ack tells the owner what a copy holds.
 type Ack struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
 	ID     RequestID `msgpack:"id"`
 	Epoch  Epoch     `msgpack:"epoch"`
 	Begun  bool      `msgpack:"begun"`
--- a/answer/replicator.go
+++ b/answer/replicator.go
@@ -31,7 +31,7 @@
 	// does not wait for the answer.
 	Continue func(c Continue)
 	// Stop cancels the Runner of an answer that another instance owns now.
-	Stop func(id RequestID)
+	Stop func(c Stop)
 	// FetchEvery is the time between two questions to another instance for an
 	// answer that is not held here, and FetchTries how often none may know it.
 	FetchEvery time.Duration
@@ -193,7 +193,7 @@
 		case Continue:
 			later = append(later, func() { r.Continue(c) })
 		case Stop:
-			later = append(later, func() { r.Stop(c.ID) })
+			later = append(later, func() { r.Stop(c) })
 		case FetchReply:
 			r.passFetched(c.Fetched)
 		}
--- a/answer/run_commands.go
+++ b/answer/run_commands.go
@@ -56,6 +56,10 @@
 		kv = ""
 	}
 
+	if kv != "" {
+		kvImportsTotal.Inc()
+	}
+
 	ctx, cancel := context.WithCancel(u.ctx)
 	a := &attempt{id: d.Attempt, server: choice.Server, engine: engine, ctx: ctx, cancel: cancel}
 	u.open[a.id] = a
--- a/answer/runner.go
+++ b/answer/runner.go
@@ -61,5 +61,8 @@
 	u.loop(ctx.Done())
 	stop()
 
-	return u.result()
+	result := u.result()
+	count(result)
+
+	return result
 }
