--- a/answer/command.go
+++ b/answer/command.go
@@ -49,9 +49,9 @@
 
 // GiveUp ends the request with a refusal, which the caller is told at once.
 type GiveUp struct {
-	Reason     Reason
-	Ran        RanState
-	RetryAfter time.Duration
+	Reason     Reason        `msgpack:"reason"`
+	Ran        RanState      `msgpack:"ran"`
+	RetryAfter time.Duration `msgpack:"retryAfter"`
 }
 
 func (Dispatch) command() {}
--- a/answer/epoch.go
+++ b/answer/epoch.go
@@ -4,7 +4,7 @@
 
 // Epoch is one ownership of a request. Each takeover has a greater number.
 type Epoch struct {
-	_msgpack struct{} `msgpack:",as_array"`
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // the codec looks for it by name
 
 	Number      uint64            `msgpack:"number"`
 	Owner       fleet.InstanceID  `msgpack:"owner"`
--- a/answer/member.go
+++ b/answer/member.go
@@ -13,6 +13,7 @@
 type Member struct {
 	ID          fleet.InstanceID
 	Incarnation fleet.Incarnation
+	Region      fleet.Region
 	Domain      fleet.FailureDomain
 	Leaving     bool
 }
--- a/answer/message.go
+++ b/answer/message.go
@@ -18,7 +18,7 @@
 // Append gives a copy the next tokens. Visible is the offset up to which a
 // caller may have seen the answer.
 type Append struct {
-	_msgpack struct{} `msgpack:",as_array"`
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // the codec looks for it by name
 
 	ID      RequestID `msgpack:"id"`
 	Epoch   Epoch     `msgpack:"epoch"`
@@ -53,7 +53,7 @@
 
 // Ack tells the owner what a copy holds.
 type Ack struct {
-	_msgpack struct{} `msgpack:",as_array"`
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // the codec looks for it by name
 
 	ID     RequestID `msgpack:"id"`
 	Epoch  Epoch     `msgpack:"epoch"`
--- a/answer/store_members.go
+++ b/answer/store_members.go
@@ -238,7 +238,7 @@
 	s.counts.PrefixLost++
 	a.end = &Ending{
 		Tokens:  len(a.tokens),
-		Refusal: &GiveUp{Reason: ReasonPrefix, Ran: PartlyRan},
+		Refusal: &GiveUp{Reason: ReasonPrefix, Ran: PartlyRan, RetryAfter: s.Policy.RetryAfter},
 	}
 	a.endedAt = now
 }
--- a/answer/store_owner.go
+++ b/answer/store_owner.go
@@ -48,26 +48,40 @@
 	return n
 }
 
+// candidate returns the best instance for one more copy: one in this region,
+// since a caller waits for its acknowledgement, and in a failure domain that
+// has no copy yet.
 func (s *Store) candidate(a *keptAnswer) (Member, bool) {
-	var fallback Member
+	var best Member
 
-	found := false
+	bestFit := 0
 
 	for _, m := range rank(a.request.ID, s.members) {
-		if m.Leaving || m.Domain == s.Self.Domain || a.holderOf(m.ID) != nil {
-			continue
+		if fit := s.fit(a, m); fit > bestFit {
+			best, bestFit = m, fit
 		}
+	}
 
-		if !a.holdsIn(m.Domain) {
-			return m, true
-		}
+	return best, bestFit > 0
+}
 
-		if !found {
-			fallback, found = m, true
-		}
+// fit returns how well an instance suits for one more copy; 0 is not at all.
+func (s *Store) fit(a *keptAnswer, m Member) int {
+	if m.Leaving || m.Domain == s.Self.Domain || a.holderOf(m.ID) != nil {
+		return 0
+	}
+
+	fit := 1
+
+	if m.Region == s.Self.Region {
+		fit += 2
+	}
+
+	if !a.holdsIn(m.Domain) {
+		fit++
 	}
 
-	return fallback, found
+	return fit
 }
 
 func (a *keptAnswer) holdsIn(d fleet.FailureDomain) bool {
--- a/answer/store_policy.go
+++ b/answer/store_policy.go
@@ -20,6 +20,8 @@
 	ReplaceAfter time.Duration
 	// TakeoverGrace sets the takeovers of several copies apart.
 	TakeoverGrace time.Duration
+	// RetryAfter is when a caller should come back whose answer was lost.
+	RetryAfter time.Duration
 }
 
 // DefaultStorePolicy returns a policy for one to two milliseconds between
@@ -34,5 +36,6 @@
 		ResendAfter:   250 * time.Millisecond,
 		ReplaceAfter:  time.Second,
 		TakeoverGrace: 2 * time.Second,
+		RetryAfter:    5 * time.Second,
 	}
 }
--- a/answer/store_read.go
+++ b/answer/store_read.go
@@ -88,11 +88,22 @@
 }
 
 // Candidates returns the instances to ask for an answer that is not held here,
-// the likeliest first.
+// the likeliest first: those of this region in the order in which they are
+// chosen for copies.
 func (s *Store) Candidates(id RequestID) []fleet.InstanceID {
 	out := make([]fleet.InstanceID, 0, len(s.members))
-	for _, m := range rank(id, s.members) {
-		out = append(out, m.ID)
+	ranked := rank(id, s.members)
+
+	for _, m := range ranked {
+		if m.Region == s.Self.Region {
+			out = append(out, m.ID)
+		}
+	}
+
+	for _, m := range ranked {
+		if m.Region != s.Self.Region {
+			out = append(out, m.ID)
+		}
 	}
 
 	return out
