feat(retry): retry budgets, hedging and Retry-After

Entry instances need one place that decides whether a failed call goes to another backend server, and when a refused caller comes back. This adds package retry: Policy with Decide, HedgeAt and TakeHedge, Budgets per service and client account, Backoff and Drain.

This version is naive on purpose in two places, to show that its properties can fail: an end of file is taken for a call that did not run, as HTTP clients do for kept connections, and the budget counts retries over the same buckets as requests and checks before it counts.

--- /dev/null
+++ b/retry/policy.go
@@ -0,0 +1,98 @@
+package retry
+
+import (
+	"errors"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"monsoonlever/backend"
+)
+
+// Policy decides about the attempts of calls. Its fields are set before its
+// first use; zero fields but Budgets stand for defaults.
+type Policy struct {
+	Budgets *Budgets
+	Backoff Backoff
+	// Attempts is how often a call is tried at most.
+	Attempts int
+	// HedgeBelow is the utilisation of a service below which it is hedged.
+	HedgeBelow float64
+	// Metrics receives the counters, unless it is nil.
+	Metrics *metrics.Set
+}
+
+const (
+	defaultAttempts   = 3
+	defaultHedgeBelow = 0.7
+)
+
+// Begin counts a call, before its first attempt.
+func (p *Policy) Begin(now time.Time, c *Call) {
+	p.Budgets.Of(c.scope).Request(now)
+}
+
+// Decide takes in that an attempt failed and tells whether there is another.
+func (p *Policy) Decide(now time.Time, random Random, c *Call, err error) Decision {
+	c.note(err)
+	d := p.decide(now, random, c, err)
+	p.count(d)
+
+	return d
+}
+
+func (p *Policy) decide(now time.Time, random Random, c *Call, err error) Decision {
+	if !c.idempotent && c.mayHaveRun {
+		return Decision{reason: MayHaveRun}
+	}
+
+	if c.failed >= orDefault(p.Attempts, defaultAttempts) {
+		return Decision{reason: NoAttemptLeft}
+	}
+
+	unsent := errors.Is(err, backend.ErrNotSent)
+	after := p.wait(random, c, unsent)
+
+	if !c.canFinish(now.Add(after)) {
+		return Decision{reason: TooLate}
+	}
+
+	if !p.take(now, c, unsent) {
+		return Decision{reason: OverBudget}
+	}
+
+	return Decision{after: after}
+}
+
+// wait returns the wait before the next attempt. The first attempt that wasn't
+// sent needs none: the next goes to another server.
+func (p *Policy) wait(random Random, c *Call, unsent bool) time.Duration {
+	if unsent && c.failed == 1 {
+		return 0
+	}
+
+	return p.Backoff.Wait(random, c.failed)
+}
+
+func (p *Policy) take(now time.Time, c *Call, unsent bool) bool {
+	budget := p.Budgets.Of(c.scope)
+	if unsent {
+		return budget.TakeUnsent(now)
+	}
+
+	return budget.Take(now)
+}
+
+func (p *Policy) count(d Decision) {
+	if p.Metrics == nil {
+		return
+	}
+
+	if d.Again() {
+		p.Metrics.GetOrCreateCounter(`monsoonlever_retry_retries_total`).Inc()
+
+		return
+	}
+
+	p.Metrics.GetOrCreateCounter(`monsoonlever_retry_given_up_total{reason="` + d.reason.String() + `"}`).Inc()
+}
--- /dev/null
+++ b/retry/random.go
@@ -0,0 +1,20 @@
+package retry
+
+import "time"
+
+// Random is a source of random numbers, as math/rand/v2 has them.
+type Random interface {
+	Uint64() uint64
+}
+
+const (
+	fractionBits  = 53
+	fractionShift = 64 - fractionBits
+)
+
+// upTo returns a random duration in [0, d).
+func upTo(random Random, d time.Duration) time.Duration {
+	fraction := float64(random.Uint64()>>fractionShift) / (1 << fractionBits)
+
+	return time.Duration(fraction * float64(d))
+}
