fix(retry): treat an end of file as unknown and count retries first

Cause: a connection that ends without an answer was taken for a call that did not run, and the budget counted retries over less than the window and checked before it counted.

Change: only backend.ErrNotSent and backend.ErrRefused say that a call did not run. Retries are counted before the check and taken back if they are too many, over one bucket more than the requests. A queue too long for the bound no longer overflows the estimate of Drain. Ruled out: an exact list of times, for its memory and lock.

--- a/retry/budget.go
+++ b/retry/budget.go
@@ -9,13 +9,18 @@
 // windowBuckets is how many buckets a window has.
 const windowBuckets = 10
 
+const retryBuckets = windowBuckets + 1
+
 // Budget counts the requests and the retries of one scope. It is safe for
 // concurrent use.
 type Budget struct {
 	policy   BudgetPolicy
 	requests *window.Counter
-	sent     *window.Counter
-	unsent   *window.Counter
+	// sent and unsent hold the retries. The newest bucket is not full, so that
+	// they reach back one bucket more than the requests: the requests counted
+	// lie within the window, and no retry within it is left out.
+	sent   *window.Counter
+	unsent *window.Counter
 }
 
 func newBudget(p BudgetPolicy) *Budget {
@@ -24,8 +29,8 @@
 	return &Budget{
 		policy:   p,
 		requests: window.NewCounter(width, windowBuckets),
-		sent:     window.NewCounter(width, windowBuckets),
-		unsent:   window.NewCounter(width, windowBuckets),
+		sent:     window.NewCounter(width, retryBuckets),
+		unsent:   window.NewCounter(width, retryBuckets),
 	}
 }
 
@@ -44,13 +49,18 @@
 	return b.take(now, b.unsent, b.policy.UnsentShare)
 }
 
+// take counts the retry before it looks, and takes it back if it was too much.
+// Two at once may both be refused the last of the budget, never both given it.
 func (b *Budget) take(now time.Time, retries *window.Counter, share float64) bool {
 	limit := int64(share*float64(b.requests.Sum(now, windowBuckets))) + int64(b.policy.Least)
-	if retries.Sum(now, windowBuckets) >= limit {
-		return false
-	}
 
 	retries.Add(now, 1)
 
+	if retries.Sum(now, retryBuckets) > limit {
+		retries.Add(now, -1)
+
+		return false
+	}
+
 	return true
 }
--- a/retry/call.go
+++ b/retry/call.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 	"time"
 
 	"monsoonlever/backend"
@@ -65,6 +64,8 @@
 	}
 }
 
+// certainlyNotRun tells whether an attempt did not run and won't. A connection
+// that ends without an answer doesn't say so: its request may have been read.
 func certainlyNotRun(err error) bool {
-	return errors.Is(err, backend.ErrNotSent) || errors.Is(err, backend.ErrRefused) || errors.Is(err, io.EOF)
+	return errors.Is(err, backend.ErrNotSent) || errors.Is(err, backend.ErrRefused)
 }
--- a/retry/drain.go
+++ b/retry/drain.go
@@ -64,7 +64,11 @@
 		return d.policy.AtMost
 	}
 
-	each := d.policy.Window / time.Duration(finished)
+	// A rate of more than one a nanosecond can't be, and mustn't divide by zero.
+	each := max(1, d.policy.Window/time.Duration(finished))
+	if time.Duration(max(0, excess)) > d.policy.AtMost/each {
+		return d.policy.AtMost
+	}
 
 	for {
 		old := d.promised.Load()
