test(retry): state the check of a second hedge plainly

Cause: the linter takes two equal calls in one condition for a slip. Change: the first hedge is taken in a line of its own, and the second must be refused whatever the first was, which is as strict.

--- a/retry/policy_test.go
+++ b/retry/policy_test.go
@@ -171,7 +171,9 @@
 				t.Errorf("hedge: got %v, want %v", got, tt.want)
 			}
 
-			if got := p.TakeHedge(testStart, c) && p.TakeHedge(testStart, c); got {
+			_ = p.TakeHedge(testStart, c)
+
+			if got := p.TakeHedge(testStart, c); got {
 				t.Errorf("second hedge: got %v, want false", got)
 			}
 		})
