feat(load): see refusals that come late and servers that went

Cause: a trial showed refusals that came 20 s and more after the request, which no figure told, and keyed calls of a reclaimed plain service went unchecked. Change: the time until a refusal is measured per kind of call; executions are asked for during the run, and a server that is gone counts as last seen. Conclusion: promises and late refusals are both to be seen.

--- a/load/fake_test.go
+++ b/load/fake_test.go
@@ -39,8 +39,11 @@
 type fakeServer struct {
 	fault fakeFault
 	took  time.Duration
+	// goneAfter is how often executions can be asked for, if above zero.
+	goneAfter int
 
 	mu      sync.Mutex
+	asked   int
 	ran     map[uint64]int
 	posted  []string
 	headers []http.Header
@@ -70,6 +73,10 @@
 
 	switch {
 	case r.URL.Path == executionsPath:
+		if s.asked++; s.goneAfter > 0 && s.asked > s.goneAfter {
+			return nil, merry.New("connection refused")
+		}
+
 		s.serveExecutions(w)
 	case r.URL.Path == "/faults":
 		s.posted = append(s.posted, string(body))
--- a/load/keyed.go
+++ b/load/keyed.go
@@ -89,22 +89,53 @@
 	return k.finished.run == refusal.NotRun || k.finished.attempts == 1
 }
 
-// executions asks all plain stand-ins. It returns what it got, with an error
-// if one could not be asked.
+// watchKeys asks the plain stand-ins from time to time, so that what one ran is
+// known though it is reclaimed before the end.
+func (r *runner) watchKeys(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.options.Clock.After(r.options.ProgressEvery):
+		}
+
+		for i := range r.plain {
+			// One that cannot be asked stays as it was last seen.
+			_ = r.askPlain(ctx, &r.plain[i])
+		}
+	}
+}
+
+// plainServer is a plain stand-in and what it was last seen to have run.
+type plainServer struct {
+	address string
+	seen    []digestCount
+}
+
+func (r *runner) askPlain(ctx context.Context, p *plainServer) error {
+	e, err := r.executionsOf(ctx, p.address)
+	if err != nil {
+		return err
+	}
+
+	p.seen = e.ByDigest
+
+	return nil
+}
+
+// executions adds up what all plain stand-ins ran. If one could not be asked
+// it is counted as last seen, and the error says so.
 func (r *runner) executions(ctx context.Context) (map[uint64]int, error) {
 	counts := make(map[uint64]int)
 
 	var failed error
 
-	for _, address := range r.options.Plain {
-		e, err := r.executionsOf(ctx, address)
-		if err != nil {
-			failed = merry.Prependf(err, "executions of %s", address)
-
-			continue
+	for i := range r.plain {
+		if err := r.askPlain(ctx, &r.plain[i]); err != nil {
+			failed = merry.Prependf(err, "executions of %s", r.plain[i].address)
 		}
 
-		for _, c := range e.ByDigest {
+		for _, c := range r.plain[i].seen {
 			counts[c.Digest] += c.Count
 		}
 	}
--- a/load/load_test.go
+++ b/load/load_test.go
@@ -194,6 +194,19 @@
 	}
 }
 
+func TestServerThatIsGoneCountsAsLastSeen(t *testing.T) {
+	s := &fakeServer{fault: runTwice, goneAfter: 8}
+	r := runFake(t, s, nil)
+
+	if r.Keys.Checked {
+		t.Error("checked: got true, want false")
+	}
+
+	if r.Keys.Twice == 0 || r.Keys.Twice == r.Keys.Sent {
+		t.Errorf("ran twice: got %d of %d, want those that were seen", r.Keys.Twice, r.Keys.Sent)
+	}
+}
+
 func TestResultRenders(t *testing.T) {
 	var progress bytes.Buffer
 
--- a/load/result.go
+++ b/load/result.go
@@ -45,6 +45,9 @@
 	FirstToken      Latency `json:"firstToken"`
 	BetweenTokens   Latency `json:"betweenTokens"`
 	Whole           Latency `json:"whole"`
+	// UntilRefused is the time until a refusal: a caller whose request is given
+	// up must hear of it at once.
+	UntilRefused Latency `json:"untilRefused"`
 }
 
 // EndingCount counts calls by their ending.
@@ -60,7 +63,7 @@
 	Count uint64       `json:"count"`
 }
 
-// Latency sums up the latency of answered calls, from when they were due.
+// Latency sums up latencies, which count from when the calls were due.
 type Latency struct {
 	Count uint64        `json:"count"`
 	P50   time.Duration `json:"p50"`
--- a/load/runner.go
+++ b/load/runner.go
@@ -20,6 +20,8 @@
 	tallies []*tally
 	burn    *burn.Recorder
 	flying  atomic.Int64
+	// plain belongs to watchKeys while that runs.
+	plain []plainServer
 
 	mu     sync.Mutex
 	keyed  []keyedCall
@@ -44,15 +46,13 @@
 
 	side.Go(func() { r.postFaults(sideCtx) })
 	side.Go(func() { r.showProgress(sideCtx) })
+	side.Go(func() { r.watchKeys(sideCtx) })
 
 	r.send(ctx)
-
-	keys := r.checkKeys(context.WithoutCancel(ctx))
-
 	stop()
 	side.Wait()
 
-	return r.result(keys), nil
+	return r.result(r.checkKeys(context.WithoutCancel(ctx))), nil
 }
 
 func newRunner(o Options) *runner {
@@ -65,6 +65,10 @@
 	}
 	r.burn.Configure(start, objectives(&o.Mix))
 
+	for _, address := range o.Plain {
+		r.plain = append(r.plain, plainServer{address: address})
+	}
+
 	for i := range o.Mix.Calls {
 		r.tallies = append(r.tallies, newTally(&o.Mix.Calls[i]))
 	}
--- a/load/table.go
+++ b/load/table.go
@@ -55,7 +55,7 @@
 		for _, l := range []struct {
 			name    string
 			latency Latency
-		}{{"first token", k.FirstToken}, {"between tokens", k.BetweenTokens}, {"whole", k.Whole}} {
+		}{{"first token", k.FirstToken}, {"between tokens", k.BetweenTokens}, {"whole", k.Whole}, {"until refused", k.UntilRefused}} {
 			if l.latency.Count == 0 {
 				continue
 			}
@@ -81,9 +81,9 @@
 		fmt.Fprintf(b, "\nfault at %s: %s%s %s %s", short(f.At), f.Server, f.Path, f.Body, f.Error)
 	}
 
-	checked := "checked against the plain services"
+	checked := "checked against all plain services"
 	if !r.Keys.Checked {
-		checked = "NOT checked against all plain services"
+		checked = "NOT checked against all plain services (those that are gone count as last seen)"
 	}
 
 	fmt.Fprintf(b, "\nkeyed calls: sent %d, executed %d, confirmed %d, outcome unknown %d, ran twice %d, ran though refused %d; %s\n",
--- a/load/tally.go
+++ b/load/tally.go
@@ -30,6 +30,7 @@
 	firstToken *hdrhistogram.Histogram
 	between    *hdrhistogram.Histogram
 	whole      *hdrhistogram.Histogram
+	refused    *hdrhistogram.Histogram
 }
 
 func newTally(call *CallMix) *tally {
@@ -39,6 +40,7 @@
 		firstToken: newHistogram(),
 		between:    newHistogram(),
 		whole:      newHistogram(),
+		refused:    newHistogram(),
 	}
 }
 
@@ -84,8 +86,12 @@
 		r.countCode(f.code, f.run)
 	}
 
-	if f.ending == Refused && f.retryAfter > 0 {
-		r.ToldWhenToRetry++
+	if f.ending == Refused {
+		record(t.refused, f.whole)
+
+		if f.retryAfter > 0 {
+			r.ToldWhenToRetry++
+		}
 	}
 
 	if f.ending != Answered {
@@ -108,6 +114,7 @@
 	r.FirstToken = latencyOf(t.firstToken)
 	r.BetweenTokens = latencyOf(t.between)
 	r.Whole = latencyOf(t.whole)
+	r.UntilRefused = latencyOf(t.refused)
 
 	slices.SortFunc(r.Endings, func(a, b EndingCount) int { return cmp.Compare(a.Ending, b.Ending) })
 	slices.SortFunc(r.Codes, func(a, b CodeCount) int {
