feat(admission): size of a demand digest by setting

Cause: with hundreds of members, digests of 48 accounts would take more than the bytes a node may spend on control. Change: Sharing.DigestAccounts bounds the accounts of a digest; the others count with their floor on both sides. The property now has two accounts and room for one.

--- a/admission/demand_test.go
+++ b/admission/demand_test.go
@@ -7,6 +7,26 @@
 	"time"
 )
 
+func TestDemandSize(t *testing.T) {
+	for _, accounts := range []int{0, 4, 16, MaxDemandAccounts} {
+		d := Demand{At: start.UnixMilli(), Floor: 0.25}
+		for i := range accounts {
+			d.Accounts = append(d.Accounts, AccountDemand{Account: math.MaxUint64 - uint64(i), Weight: 0.5})
+		}
+
+		b, err := d.Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+
+		t.Logf("%d accounts: %d bytes", accounts, len(b))
+
+		if got, want := len(b), 20+15*accounts; got > want {
+			t.Errorf("%d accounts: got %d bytes, want at most %d", accounts, got, want)
+		}
+	}
+}
+
 func TestDemandFitsItsBound(t *testing.T) {
 	want := Demand{At: math.MaxInt64, Floor: 0.25}
 	for i := range MaxDemandAccounts {
--- a/admission/shares.go
+++ b/admission/shares.go
@@ -100,7 +100,7 @@
 		}
 	}
 
-	wanted = heaviest(wanted)
+	wanted = heaviest(wanted, s.sharing.DigestAccounts)
 
 	for i, w := range wanted {
 		p.weights[w.Account] = float64(wanted[i].Weight)
@@ -124,8 +124,8 @@
 }
 
 // heaviest keeps as many accounts as a digest has room for.
-func heaviest(wanted []AccountDemand) []AccountDemand {
-	if len(wanted) <= MaxDemandAccounts {
+func heaviest(wanted []AccountDemand, room int) []AccountDemand {
+	if len(wanted) <= room {
 		return wanted
 	}
 
@@ -140,7 +140,7 @@
 		}
 	})
 
-	return wanted[:MaxDemandAccounts]
+	return wanted[:room]
 }
 
 // prepare sums the weights of the other members.
--- a/admission/shares_holds_test.go
+++ b/admission/shares_holds_test.go
@@ -15,6 +15,8 @@
 	modelLapse  = 5 * time.Second
 	modelSkew   = 50 * time.Millisecond
 	modelLimit  = 100
+
+	otherAccount = fleet.Account("wholesale-2")
 )
 
 // modelMember is one entry instance of the model.
@@ -50,9 +52,12 @@
 	skew := time.Duration(rapid.Int64Range(-int64(modelSkew), int64(modelSkew)).Draw(t, "skew"))
 	c := &Controller{
 		Instance: fleet.InstanceID(rune('a' + i)),
-		Sharing:  Sharing{Spread: modelSpread, Lapse: modelLapse},
+		// A digest has room for one of the two accounts.
+		Sharing: Sharing{Spread: modelSpread, Lapse: modelLapse, DigestAccounts: 1},
 	}
-	config := testConfig(1000, 1, AccountConfig{Account: testAccount, RequestsPerSecond: modelLimit})
+	config := testConfig(1000, 1,
+		AccountConfig{Account: testAccount, RequestsPerSecond: modelLimit},
+		AccountConfig{Account: otherAccount, RequestsPerSecond: modelLimit})
 
 	if err := c.Configure(m.now.Add(skew), config); err != nil {
 		t.Fatalf("configure: %v", err)
@@ -77,8 +82,15 @@
 
 func (m *shareModel) load(t *rapid.T) {
 	for _, member := range m.members {
-		for range rapid.IntRange(0, 12).Draw(t, "offered") {
-			member.c.Finish(m.now.Add(member.skew), member.c.Admit(m.now.Add(member.skew), testRequest()), Outcome{})
+		now := m.now.Add(member.skew)
+
+		for _, account := range []fleet.Account{testAccount, otherAccount} {
+			r := testRequest()
+			r.Account = account
+
+			for range rapid.IntRange(0, 12).Draw(t, "offered") {
+				member.c.Finish(now, member.c.Admit(now, r), Outcome{})
+			}
 		}
 	}
 }
@@ -155,9 +167,10 @@
 	}
 }
 
-// total is the part of the limit that all living instances hold together.
+// total is the part of a limit that all living instances hold together, for the
+// account of which they hold the most.
 func (m *shareModel) total() float64 {
-	sum := 0.0
+	var first, second float64
 
 	for _, member := range m.members {
 		if member.dead {
@@ -168,10 +181,11 @@
 			member.c.Rebalance(m.now.Add(member.skew))
 		}
 
-		sum += member.c.Share(testAccount)
+		first += member.c.Share(testAccount)
+		second += member.c.Share(otherAccount)
 	}
 
-	return sum
+	return max(first, second)
 }
 
 func (m *shareModel) step(t *rapid.T) {
--- a/admission/sharing.go
+++ b/admission/sharing.go
@@ -12,6 +12,9 @@
 	Lapse time.Duration
 	// Floor is the part of each limit that is shared evenly, whatever the demand.
 	Floor float64
+	// DigestAccounts is how many accounts a digest lists, at most
+	// MaxDemandAccounts. Fewer make smaller digests where there are many members.
+	DigestAccounts int
 }
 
 const (
@@ -28,5 +31,9 @@
 		s.Floor = defaultFloor
 	}
 
+	if s.DigestAccounts <= 0 || s.DigestAccounts > MaxDemandAccounts {
+		s.DigestAccounts = MaxDemandAccounts
+	}
+
 	return s
 }
