feat(gateway): metrics of requests, answers and callers who go

Requests by kind of call and outcome, time to the first token and whole time, tokens, recomputed tokens, resumed attempts, dropped stream events, open requests and callers gone. The counters of a kind of call are found by a struct key; labels are the manifest's words alone, since callers could name without bound. A panic of a server no longer keeps the admitted place of its request.

--- a/gateway/chat.go
+++ b/gateway/chat.go
@@ -35,21 +35,28 @@
 }
 
 func (g *Gateway) chat(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	defer g.instruments.enter()()
+
 	call, refused := g.parseChat(w, r)
 	if refused != nil {
-		g.refuse(w, refused)
+		g.refuseUnknown(w, refused)
 
 		return
 	}
 
 	ticket, refused := g.admitBefore(r.Context(), call.deadline, call.admissionRequest())
 	if refused != nil {
-		g.observe(call.refusedObservation(g.Clock.Now(), refused))
+		o := call.refusedObservation(g.Clock.Now(), refused)
+		o.CallerGone = r.Context().Err() != nil
+		g.observe(o)
 		g.refuse(w, refused)
 
 		return
 	}
 
+	// A panic must not keep the place of the request; Finish counts once.
+	defer func() { g.Admission.Finish(g.Clock.Now(), ticket, admission.Outcome{}) }()
+
 	model := call.modelRequest(g.IDs())
 	out := g.newSink(w, call, model.Answer.ID)
 	result := g.Models.Answer(r.Context(), model, out)
@@ -164,12 +171,14 @@
 	o.Kind = call.kind
 	o.Whole = now.Sub(call.arrived)
 	o.Recomputed = recomputed(result)
+	o.Attempts = result.Attempts()
 
 	g.Admission.Finish(now, ticket, admission.Outcome{
 		Latency: o.FirstToken,
 		Whole:   o.Whole,
 		Tokens:  call.bytes/bytesPerToken + o.Tokens,
 	})
+	g.instruments.dropped(result.Drops())
 	g.observe(o)
 }
 
--- a/gateway/connection_test.go
+++ b/gateway/connection_test.go
@@ -192,6 +192,8 @@
 			if !models.wasGone() {
 				t.Error("caller: got there, want gone after the write timeout")
 			}
+
+			wantMetric(t, g, `monsoonlever_callers_gone_total{cause="writeTimeout"} 1`)
 		})
 	})
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -71,11 +71,14 @@
 	WriteTimeout time.Duration
 	Metrics      *metrics.Set
 
-	stopping atomic.Bool
+	stopping    atomic.Bool
+	instruments *instruments
 }
 
 // Handler returns the handler of the callers' interface.
 func (g *Gateway) Handler() http.Handler {
+	g.instruments = newInstruments(g.Metrics)
+
 	router := httprouter.New()
 	router.HandleMethodNotAllowed = false
 	router.RedirectTrailingSlash = false
@@ -83,7 +86,7 @@
 	router.HandleOPTIONS = false
 	router.NotFound = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		refused := refusal.New(refusal.UnknownService, "nothing is served for %s %s", r.Method, r.URL.Path)
-		g.refuse(w, beforeClaim(r.Header, refused))
+		g.refuseUnknown(w, beforeClaim(r.Header, refused))
 	})
 	router.POST(PathChat, g.chat)
 	router.GET(PathModels, g.models)
--- /dev/null
+++ b/gateway/instruments.go
@@ -0,0 +1,149 @@
+package gateway
+
+import (
+	"fmt"
+	"sync"
+	"sync/atomic"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"monsoonlever/answer"
+	"monsoonlever/fleet"
+)
+
+// instruments are the metrics of a gateway. Those of a kind of call are found
+// once for each request, by a key that is not built from strings.
+type instruments struct {
+	set   *metrics.Set
+	open  atomic.Int64
+	kinds sync.Map // of instrumentKey to *kindInstruments
+
+	disconnected *metrics.Counter
+	writeTimeout *metrics.Counter
+	late         *metrics.Counter
+	crossed      *metrics.Counter
+	repeated     *metrics.Counter
+}
+
+// instrumentKey names a kind of call by the manifest's words, never by those of
+// a caller, which are without bound.
+type instrumentKey struct {
+	service fleet.Service
+	kind    fleet.CallKind
+}
+
+func newInstruments(set *metrics.Set) *instruments {
+	if set == nil {
+		set = metrics.NewSet()
+	}
+
+	i := &instruments{
+		set:          set,
+		disconnected: set.GetOrCreateCounter(`monsoonlever_callers_gone_total{cause="disconnected"}`),
+		writeTimeout: set.GetOrCreateCounter(`monsoonlever_callers_gone_total{cause="writeTimeout"}`),
+		late:         set.GetOrCreateCounter(`monsoonlever_stream_events_dropped_total{cause="late"}`),
+		crossed:      set.GetOrCreateCounter(`monsoonlever_stream_events_dropped_total{cause="crossed"}`),
+		repeated:     set.GetOrCreateCounter(`monsoonlever_stream_events_dropped_total{cause="repeated"}`),
+	}
+	set.GetOrCreateGauge("monsoonlever_requests_open", func() float64 { return float64(i.open.Load()) })
+
+	return i
+}
+
+// enter counts an open request until the returned function is called.
+func (i *instruments) enter() func() {
+	i.open.Add(1)
+
+	return func() { i.open.Add(-1) }
+}
+
+func (i *instruments) kind(key instrumentKey) *kindInstruments {
+	if k, ok := i.kinds.Load(key); ok {
+		return k.(*kindInstruments) //nolint:errcheck,forcetypeassert // nothing else is stored
+	}
+
+	k, _ := i.kinds.LoadOrStore(key, newKindInstruments(i.set, key))
+
+	return k.(*kindInstruments) //nolint:errcheck,forcetypeassert // nothing else is stored
+}
+
+// observe counts a request that ended. One that was refused before its kind of
+// call was known has none.
+func (i *instruments) observe(o Observation) {
+	var key instrumentKey
+	if o.Service != "" {
+		key = instrumentKey{service: o.Service, kind: o.Kind.Name()}
+	}
+
+	i.kind(key).observe(o)
+
+	switch {
+	case o.WriteTimedOut:
+		i.writeTimeout.Inc()
+	case o.CallerGone:
+		i.disconnected.Inc()
+	}
+}
+
+func (i *instruments) dropped(d answer.Drops) {
+	if d == (answer.Drops{}) {
+		return
+	}
+
+	i.late.Add(d.Late)
+	i.crossed.Add(d.Crossed)
+	i.repeated.Add(d.Repeated)
+}
+
+// kindInstruments are the metrics of one kind of call.
+type kindInstruments struct {
+	set        *metrics.Set
+	labels     string
+	firstToken *metrics.Histogram
+	whole      *metrics.Histogram
+	tokens     *metrics.Counter
+	recomputed *metrics.Counter
+	resumed    *metrics.Counter
+	outcomes   sync.Map // of outcome to *metrics.Counter
+}
+
+func newKindInstruments(set *metrics.Set, key instrumentKey) *kindInstruments {
+	labels := fmt.Sprintf("service=%q,kind=%q", string(key.service), string(key.kind))
+
+	return &kindInstruments{
+		set:        set,
+		labels:     labels,
+		firstToken: set.GetOrCreateHistogram("monsoonlever_first_token_seconds{" + labels + "}"),
+		whole:      set.GetOrCreateHistogram("monsoonlever_request_duration_seconds{" + labels + "}"),
+		tokens:     set.GetOrCreateCounter("monsoonlever_tokens_total{" + labels + "}"),
+		recomputed: set.GetOrCreateCounter("monsoonlever_recomputed_tokens_total{" + labels + "}"),
+		resumed:    set.GetOrCreateCounter("monsoonlever_resumed_attempts_total{" + labels + "}"),
+	}
+}
+
+func (k *kindInstruments) observe(o Observation) {
+	k.outcome(outcomeOf(o)).Inc()
+
+	if o.FirstToken > 0 {
+		k.firstToken.Update(o.FirstToken.Seconds())
+	}
+
+	if o.Refused == nil {
+		k.whole.Update(o.Whole.Seconds())
+	}
+
+	k.tokens.Add(o.Tokens)
+	k.recomputed.Add(o.Recomputed)
+	k.resumed.Add(max(o.Attempts-1, 0))
+}
+
+func (k *kindInstruments) outcome(name outcome) *metrics.Counter {
+	if c, ok := k.outcomes.Load(name); ok {
+		return c.(*metrics.Counter) //nolint:errcheck,forcetypeassert // nothing else is stored
+	}
+
+	c := k.set.GetOrCreateCounter(fmt.Sprintf("monsoonlever_requests_total{%s,outcome=%q}", k.labels, string(name)))
+	k.outcomes.Store(name, c)
+
+	return c
+}
--- a/gateway/models.go
+++ b/gateway/models.go
@@ -25,7 +25,7 @@
 func (g *Gateway) models(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 	who, refused := g.authenticate(r)
 	if refused != nil {
-		g.refuse(w, refused)
+		g.refuseUnknown(w, refused)
 
 		return
 	}
--- a/gateway/observation.go
+++ b/gateway/observation.go
@@ -21,13 +21,19 @@
 	Tokens        int
 	// Recomputed counts tokens that were computed again after earlier work was lost.
 	Recomputed int
+	// Attempts counts the attempts at a model answer.
+	Attempts int
 	// Refused is nil for a whole answer.
 	Refused *refusal.Refusal
 	// CallerGone tells that nobody waited for the answer any longer.
 	CallerGone bool
+	// WriteTimedOut tells that the caller was cut because it did not read.
+	WriteTimedOut bool
 }
 
 func (g *Gateway) observe(o Observation) {
+	g.instruments.observe(o)
+
 	if g.Observer != nil {
 		g.Observer.Observe(o)
 	}
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"net/http"
 	"net/textproto"
 	"time"
@@ -28,9 +29,11 @@
 }
 
 func (g *Gateway) plain(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
+	defer g.instruments.enter()()
+
 	call, refused := g.parsePlain(w, r, params)
 	if refused != nil {
-		g.refuse(w, beforeClaim(r.Header, refused))
+		g.refuseUnknown(w, beforeClaim(r.Header, refused))
 
 		return
 	}
@@ -38,16 +41,19 @@
 	ticket, refused := g.admitBefore(r.Context(), call.request.Deadline, call.admissionRequest())
 	if refused != nil {
 		refused = beforeClaim(r.Header, refused)
-		g.observe(call.observation(g.Clock.Now(), refused))
+		g.observe(call.observation(r.Context(), g.Clock.Now(), refused))
 		g.refuse(w, refused)
 
 		return
 	}
 
+	// A panic must not keep the place of the request; Finish counts once.
+	defer func() { g.Admission.Finish(g.Clock.Now(), ticket, admission.Outcome{}) }()
+
 	reply, refused := g.Plain.Call(r.Context(), call.request)
 	now := g.Clock.Now()
 	g.Admission.Finish(now, ticket, call.outcome(now, refused))
-	g.observe(call.observation(now, refused))
+	g.observe(call.observation(r.Context(), now, refused))
 
 	if refused != nil {
 		g.refuse(w, refused)
@@ -194,12 +200,13 @@
 	}
 }
 
-func (c plainCall) observation(now time.Time, refused *refusal.Refusal) Observation {
+func (c plainCall) observation(ctx context.Context, now time.Time, refused *refusal.Refusal) Observation {
 	return Observation{
-		Account: c.request.Account,
-		Service: c.request.Service,
-		Kind:    c.request.Kind,
-		Whole:   now.Sub(c.request.Arrived),
-		Refused: refused,
+		Account:    c.request.Account,
+		Service:    c.request.Service,
+		Kind:       c.request.Kind,
+		Whole:      now.Sub(c.request.Arrived),
+		Refused:    refused,
+		CallerGone: ctx.Err() != nil,
 	}
 }
--- a/gateway/sink.go
+++ b/gateway/sink.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
@@ -29,6 +31,7 @@
 	lastToken  time.Time
 	refused    *refusal.Refusal
 	callerGone bool
+	timedOut   bool
 }
 
 var _ answer.Sink = (*sink)(nil)
@@ -133,11 +136,14 @@
 func (s *sink) send(now time.Time) error {
 	s.bound(now)
 
-	if _, err := s.w.Write(s.buf); err != nil {
-		return err
+	_, err := s.w.Write(s.buf)
+	if err == nil {
+		err = s.control.Flush()
 	}
 
-	return s.control.Flush()
+	s.timedOut = s.timedOut || errors.Is(err, os.ErrDeadlineExceeded)
+
+	return err
 }
 
 // bound bounds the next write.
@@ -162,7 +168,7 @@
 
 // observation returns what the sink knows of the answer.
 func (s *sink) observation() Observation {
-	o := Observation{Tokens: s.tokens, Refused: s.refused, CallerGone: s.callerGone}
+	o := Observation{Tokens: s.tokens, Refused: s.refused, CallerGone: s.callerGone, WriteTimedOut: s.timedOut}
 
 	if s.tokens > 0 {
 		o.FirstToken = s.firstToken.Sub(s.call.arrived)
--- a/gateway/write.go
+++ b/gateway/write.go
@@ -18,3 +18,9 @@
 	g.boundWrite(w)
 	r.Write(w)
 }
+
+// refuseUnknown refuses a request whose kind of call is not known.
+func (g *Gateway) refuseUnknown(w http.ResponseWriter, r *refusal.Refusal) {
+	g.instruments.observe(Observation{Refused: r})
+	g.refuse(w, r)
+}
