--- /dev/null
+++ b/gateway/relay_bench_test.go
@@ -0,0 +1,152 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"monsoonlever/answer"
+	"monsoonlever/backend"
+	"monsoonlever/clock"
+	"monsoonlever/refusal"
+)
+
+// cannedTransport answers a generate call with a stream that costs next to
+// nothing, so that a benchmark measures the relay and not the engine.
+type cannedTransport struct {
+	tokens int
+}
+
+func (c cannedTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	var request backend.GenerateRequest
+	if err := json.NewDecoder(r.Body).Decode(&request); err != nil {
+		return nil, err
+	}
+
+	return &http.Response{
+		StatusCode: http.StatusOK,
+		Header:     http.Header{"Content-Type": {backend.EventStreamType}},
+		Body:       io.NopCloser(&cannedEvents{attempt: string(request.Attempt), tokens: c.tokens}),
+		Request:    r,
+	}, nil
+}
+
+// cannedEvents yields an event with each read.
+type cannedEvents struct {
+	attempt string
+	next    int
+	tokens  int
+}
+
+func (e *cannedEvents) Read(p []byte) (int, error) {
+	if e.next > e.tokens {
+		return 0, io.EOF
+	}
+
+	buf := append(p[:0], `data: {"attempt":"`...)
+	buf = append(buf, e.attempt...)
+	buf = append(buf, `","offset":`...)
+	buf = strconv.AppendInt(buf, int64(e.next), 10)
+
+	if e.next < e.tokens {
+		buf = append(buf, `,"token":" token"}`...)
+	} else {
+		buf = append(buf, `,"token":"","finish":"stop","usage":{}}`...)
+	}
+
+	buf = append(buf, "\n\n"...)
+	e.next++
+
+	return len(buf), nil
+}
+
+// discardWriter is a response that nobody reads.
+type discardWriter struct {
+	header http.Header
+}
+
+func (w *discardWriter) Header() http.Header              { return w.header }
+func (w *discardWriter) Write(p []byte) (int, error)      { return len(p), nil }
+func (w *discardWriter) WriteHeader(int)                  {}
+func (w *discardWriter) Flush()                           {}
+func (w *discardWriter) SetWriteDeadline(time.Time) error { return nil }
+
+// BenchmarkRelayedToken relays a token from an engine's stream to the response;
+// b.N tokens are one answer, so the costs of a request vanish.
+func BenchmarkRelayedToken(b *testing.B) {
+	transport := cannedTransport{tokens: b.N}
+	source := singleEngine{engine: backend.NewHTTPEngine("127.0.0.1:1", &http.Client{Transport: transport})}
+	g := newGateway(b)
+	g.instruments = newInstruments(nil)
+	runner := newRunner(source)
+
+	call := chatCall{arrived: time.Now()}
+	call.request.Model = testModel
+	call.request.Stream = true
+	request := answer.Request{ID: "request-1", Model: testModel, Deadline: time.Now().Add(time.Hour)}
+	out := g.newSink(&discardWriter{header: http.Header{}}, call, request.ID)
+
+	b.ReportAllocs()
+	b.ResetTimer()
+
+	result := runner.Run(b.Context(), request, out)
+
+	if complete, whole := result.Complete(); !whole || complete.Tokens != b.N {
+		b.Fatalf("answer: got %+v, want %d tokens", result, b.N)
+	}
+}
+
+// instantPlain answers at once.
+type instantPlain struct{}
+
+func (instantPlain) Call(context.Context, PlainRequest) (backend.Reply, *refusal.Refusal) {
+	return backend.Reply{Status: http.StatusOK, Body: []byte("ok")}, nil
+}
+
+// BenchmarkPlainRequest is the gateway's own part of a plain call, without
+// sockets and servers.
+func BenchmarkPlainRequest(b *testing.B) {
+	g := newGateway(b)
+	g.Plain = instantPlain{}
+	h := g.Handler()
+
+	b.ReportAllocs()
+
+	for range b.N {
+		r := newRequest(http.MethodGet, "/services/payrun-api/bank-files/1", "")
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, r)
+
+		if w.Code != http.StatusOK {
+			b.Fatalf("status: got %d, want 200", w.Code)
+		}
+	}
+}
+
+// BenchmarkChatRequest is a whole chat request of 100 tokens, without sockets.
+func BenchmarkChatRequest(b *testing.B) {
+	transport := cannedTransport{tokens: 100}
+	source := singleEngine{engine: backend.NewHTTPEngine("127.0.0.1:1", &http.Client{Transport: transport})}
+	g := newGateway(b)
+	g.Clock = clock.System{}
+	g.Models = runnerModels{runner: newRunner(source)}
+	h := g.Handler()
+	body := strings.Replace(streamBody, `"x"`, strconv.Quote(testQuestion), 1)
+
+	b.ReportAllocs()
+
+	for range b.N {
+		w := &discardWriter{header: http.Header{}}
+		h.ServeHTTP(w, newRequest(http.MethodPost, PathChat, body))
+
+		if w.header.Get("Content-Type") != "text/event-stream" {
+			b.Fatalf("answer: got %v, want a stream", w.header)
+		}
+	}
+}
