perf(answer): relay a token with one allocation

Cause: an allocation profile of BenchmarkRelayedToken named two places, the text of the token and the Forward command, which was boxed for each token.

Change: a Relay keeps one Forward and hands out a pointer to it, valid until the next step as the slice of commands is. Ruled out: a pool of commands, which would need to be told when one is done with.

A test bounds it at 1.1.

--- a/answer/command.go
+++ b/answer/command.go
@@ -21,7 +21,8 @@
 	Prefer fleet.InstanceID
 }
 
-// Forward passes one token on to the caller.
+// Forward passes one token on to the caller. A pointer to it is the command, so
+// that a Relay needs no new one for each token; it is valid until the next step.
 type Forward struct {
 	Offset int
 	Token  string
@@ -55,7 +56,7 @@
 }
 
 func (Dispatch) command() {}
-func (Forward) command()  {}
+func (*Forward) command() {}
 func (Cancel) command()   {}
 func (ExportKV) command() {}
 func (Complete) command() {}
--- a/answer/relay.go
+++ b/answer/relay.go
@@ -36,6 +36,7 @@
 	searchSince time.Time
 	mayHaveRun  bool
 	drops       Drops
+	forward     Forward
 	out         []Command
 }
 
--- a/answer/relay_property_test.go
+++ b/answer/relay_property_test.go
@@ -98,8 +98,8 @@
 		switch c := c.(type) {
 		case Dispatch:
 			w.dispatch(t, i, c)
-		case Forward:
-			w.judge(t, i, c)
+		case *Forward:
+			w.judge(t, i, *c)
 		case Complete:
 			w.done[i] = "complete"
 			if got, want := len(w.got[i]), w.length; got != want {
--- a/answer/relay_stream.go
+++ b/answer/relay_stream.go
@@ -24,7 +24,8 @@
 
 	r.kept = append(r.kept, e.Text)
 	r.wakeAt = now.Add(r.Limits.Stall)
-	r.out = append(r.out, Forward{Offset: e.Offset, Token: e.Text})
+	r.forward = Forward{Offset: e.Offset, Token: e.Text}
+	r.out = append(r.out, &r.forward)
 }
 
 // onFinished completes the answer if the finish event agrees with the tokens.
--- a/answer/run_commands.go
+++ b/answer/run_commands.go
@@ -11,7 +11,7 @@
 func (u *run) do(commands []Command) {
 	for _, c := range commands {
 		switch c := c.(type) {
-		case Forward:
+		case *Forward:
 			u.note(u.sink.Write(c.Offset, c.Token))
 		case Dispatch:
 			u.dispatch(c)
--- a/gateway/relay_bench_test.go
+++ b/gateway/relay_bench_test.go
@@ -49,7 +49,8 @@
 		return 0, io.EOF
 	}
 
-	buf := append(p[:0], `data: {"attempt":"`...)
+	buf := p[:0]
+	buf = append(buf, `data: {"attempt":"`...)
 	buf = append(buf, e.attempt...)
 	buf = append(buf, `","offset":`...)
 	buf = strconv.AppendInt(buf, int64(e.next), 10)
@@ -77,14 +78,13 @@
 func (w *discardWriter) Flush()                           {}
 func (w *discardWriter) SetWriteDeadline(time.Time) error { return nil }
 
-// BenchmarkRelayedToken relays a token from an engine's stream to the response;
-// b.N tokens are one answer, so the costs of a request vanish.
-func BenchmarkRelayedToken(b *testing.B) {
-	transport := cannedTransport{tokens: b.N}
-	source := singleEngine{engine: backend.NewHTTPEngine("127.0.0.1:1", &http.Client{Transport: transport})}
-	g := newGateway(b)
-	g.instruments = newInstruments(nil)
-	runner := newRunner(source)
+// relayTokens relays an answer of so many tokens from an engine's stream to a
+// response, and tells whether it is whole.
+func relayTokens(tb testing.TB, g *Gateway, tokens int) bool {
+	tb.Helper()
+
+	client := &http.Client{Transport: cannedTransport{tokens: tokens}}
+	runner := newRunner(singleEngine{engine: backend.NewHTTPEngine("127.0.0.1:1", client)})
 
 	call := chatCall{arrived: time.Now()}
 	call.request.Model = testModel
@@ -92,13 +92,41 @@
 	request := answer.Request{ID: "request-1", Model: testModel, Deadline: time.Now().Add(time.Hour)}
 	out := g.newSink(&discardWriter{header: http.Header{}}, call, request.ID)
 
+	complete, whole := runner.Run(tb.Context(), request, out).Complete()
+
+	return whole && complete.Tokens == tokens
+}
+
+// BenchmarkRelayedToken relays b.N tokens as one answer, so that the costs of a
+// request vanish.
+func BenchmarkRelayedToken(b *testing.B) {
+	g := newGateway(b)
+
 	b.ReportAllocs()
 	b.ResetTimer()
 
-	result := runner.Run(b.Context(), request, out)
+	if !relayTokens(b, g, b.N) {
+		b.Fatalf("answer: got a part, want %d tokens", b.N)
+	}
+}
+
+func TestRelayedTokenCostsOneAllocation(t *testing.T) {
+	const (
+		tokens = 10_000
+		// bound leaves room for what a request costs once.
+		bound = 1.1
+	)
+
+	g := newGateway(t)
+
+	allocations := testing.AllocsPerRun(3, func() {
+		if !relayTokens(t, g, tokens) {
+			t.Fatal("answer: got a part, want the whole")
+		}
+	})
 
-	if complete, whole := result.Complete(); !whole || complete.Tokens != b.N {
-		b.Fatalf("answer: got %+v, want %d tokens", result, b.N)
+	if got := allocations / tokens; got > bound {
+		t.Errorf("allocations for a token: got %.2f, want at most %.1f", got, bound)
 	}
 }
 
