feat(daemon): entry instances joined by peers, answers kept beyond their connection

Cause: each instance stood alone: limits were not shared, a streamed answer ended with its instance, and a start without the log had no manifest. Change: peers (mutual TLS) with membership, demand, news of leaving servers and the manifest in force; streamed and asynchronous answers are kept with a copy in another failure domain; KV exports are planned; a reclaimed instance drains within its notice and hands its answers off.

--- a/admission/shares.go
+++ b/admission/shares.go
@@ -51,11 +51,20 @@
 func (s *shares) start(now time.Time, sharing Sharing) {
 	s.sharing = sharing
 	s.started = now
-	s.members = make(map[fleet.InstanceID]*member)
+
+	// Members may have joined before the first limits are in force.
+	if s.members == nil {
+		s.members = make(map[fleet.InstanceID]*member)
+	}
+
 	s.extras = make(map[uint64]float64)
 }
 
 func (s *shares) join(now time.Time, id fleet.InstanceID) {
+	if s.members == nil {
+		s.members = make(map[fleet.InstanceID]*member)
+	}
+
 	if s.members[id] == nil {
 		s.members[id] = &member{joined: now, heard: now}
 	}
--- a/answer/event_id.go
+++ b/answer/event_id.go
@@ -22,7 +22,7 @@
 
 // String returns the id as "<request>.<offset>.<digest>".
 func (e EventID) String() string {
-	return string(e.Request) + "." + strconv.Itoa(e.Offset) + "." + strconv.FormatUint(uint64(e.Digest), 16)
+	return string(e.Append(nil))
 }
 
 // ParseEventID reads the form of String. "<request>.0" will do for a caller
--- a/chat/chat_test.go
+++ b/chat/chat_test.go
@@ -63,7 +63,7 @@
 func TestChunksAreValidJSONWhateverTheToken(t *testing.T) {
 	for _, token := range []string{"word ", `a "quoted" \ one`, "tab\tnewline\n", "æøå ሀ", ""} {
 		c := NewChunkWriter("id-1", "model", 5)
-		event := c.AppendToken(nil, 3, token)
+		event := c.AppendToken(nil, []byte("id-1.4"), 3, token)
 
 		first, data, found := bytes.Cut(event, []byte("\n"))
 		if !found || string(first) != "id: id-1.4" {
@@ -94,6 +94,6 @@
 	b.ReportAllocs()
 
 	for i := range b.N {
-		buf = c.AppendToken(buf[:0], i, "word ")
+		buf = c.AppendToken(buf[:0], nil, i, "word ")
 	}
 }
--- a/chat/chunk.go
+++ b/chat/chunk.go
@@ -9,7 +9,6 @@
 // what is the same in every event, so that a relayed token costs no encoding
 // of the rest. It is not safe for concurrent use.
 type ChunkWriter struct {
-	id   string
 	head []byte
 }
 
@@ -23,17 +22,18 @@
 	head = appendString(head, model)
 	head = append(head, `,"choices":`...)
 
-	return &ChunkWriter{id: id, head: head}
+	return &ChunkWriter{head: head}
 }
 
-// AppendToken appends the event of one token. Its event id tells a client that
-// comes back how much of the answer it has.
-func (c *ChunkWriter) AppendToken(buf []byte, offset int, token string) []byte {
-	buf = append(buf, "id: "...)
-	buf = append(buf, c.id...)
-	buf = append(buf, '.')
-	buf = strconv.AppendInt(buf, int64(offset)+1, 10)
-	buf = append(buf, '\n')
+// AppendToken appends the event of one token. The event id, if it is not empty,
+// tells a client that comes back how much of the answer it has.
+func (c *ChunkWriter) AppendToken(buf, eventID []byte, offset int, token string) []byte {
+	if len(eventID) > 0 {
+		buf = append(buf, "id: "...)
+		buf = append(buf, eventID...)
+		buf = append(buf, '\n')
+	}
+
 	buf = append(buf, c.head...)
 	buf = append(buf, `[{"index":0,"delta":{`...)
 
--- a/daemon/claims.go
+++ b/daemon/claims.go
@@ -10,6 +10,7 @@
 
 	"monsoonlever/claim"
 	"monsoonlever/dispatch"
+	"monsoonlever/fleet"
 	"monsoonlever/journal"
 	"monsoonlever/manifest"
 )
@@ -117,3 +118,10 @@
 
 	return c.keeper.Do(ctx, a, send)
 }
+
+// instanceGone says that an incarnation of an entry instance is no longer live.
+func (c *claims) instanceGone(id fleet.InstanceID, incarnation fleet.Incarnation) {
+	if c.hasBegun() {
+		c.keeper.InstanceGone(id, incarnation)
+	}
+}
--- a/daemon/configure.go
+++ b/daemon/configure.go
@@ -17,6 +17,10 @@
 
 	p.watcher.Refresh()
 
+	if p.peers != nil {
+		p.peers.publishPayload()
+	}
+
 	if err := p.admission.Configure(p.clock.Now(), admissionConfig(s.Manifest())); err != nil {
 		klog.ErrorS(err, "limits of the manifest could not be put in force", "version", s.Version())
 	}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -72,7 +72,8 @@
 	return d.serve(ctx, p, listeners)
 }
 
-// serve runs every part until ctx ends. Control goes on while requests drain.
+// serve runs every part until ctx ends or this instance is reclaimed. Control
+// goes on while requests drain.
 func (d *Daemon) serve(ctx context.Context, p *parts, l *Listeners) error {
 	control, stopControl := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopControl()
@@ -88,14 +89,17 @@
 	group.Go(func() { failed <- serveHTTP(callers, p.limited(l.Callers)) })
 	group.Go(func() { failed <- serveHTTP(operators, l.Operators) })
 
+	timeout := d.Settings.DrainTimeout
+
 	var err error
 	select {
 	case <-ctx.Done():
 	case err = <-failed:
+	case at := <-p.reclaimed:
+		timeout = min(timeout, at.Sub(d.Clock.Now())-reclaimMargin)
 	}
 
-	p.leave(control)
-	d.drain(p, callers)
+	d.drain(p, callers, timeout)
 	stopControl()
 	_ = operators.Close()
 
@@ -105,19 +109,56 @@
 	return err
 }
 
-// drain lets the requests that run come to their end.
-func (d *Daemon) drain(p *parts, callers *http.Server) {
+const (
+	// reclaimMargin is left of a notice for the hand-off of answers.
+	reclaimMargin = 2 * time.Second
+	// handOffTimeout bounds the hand-off of the answers that outlive this instance.
+	handOffTimeout = 2 * time.Second
+	// handOffEvery is the time between two looks at the hand-off.
+	handOffEvery = 20 * time.Millisecond
+)
+
+// drain lets the requests that run come to their end, and hands off the answers
+// that would take longer.
+func (d *Daemon) drain(p *parts, callers *http.Server, timeout time.Duration) {
 	p.gateway.Stop()
 
-	ctx, cancel := context.WithTimeout(context.Background(), d.Settings.DrainTimeout)
+	if p.peers != nil {
+		p.peers.group.Leave()
+	}
+
+	ctx, cancel := context.WithTimeout(context.Background(), max(timeout, 0))
 	defer cancel()
 
-	if err := callers.Shutdown(ctx); err != nil {
-		klog.InfoS("requests were cut at the end of the drain timeout", "timeout", d.Settings.DrainTimeout, "err", err)
+	err := callers.Shutdown(ctx)
+
+	d.handOff(p)
+
+	if err != nil {
+		klog.InfoS("connections are closed at the end of the drain timeout", "timeout", timeout, "err", err)
 		_ = callers.Close()
 	}
 
 	p.runner.Wait()
+	p.answers.Wait()
+}
+
+// handOff gives the answers that still run to the instances that hold a copy.
+func (d *Daemon) handOff(p *parts) {
+	p.replicator.Leave()
+
+	ctx, cancel := context.WithTimeout(context.Background(), handOffTimeout)
+	defer cancel()
+
+	for !p.replicator.HandedOff() && ctx.Err() == nil {
+		wait(ctx, d.Clock, handOffEvery)
+	}
+
+	if !p.replicator.HandedOff() {
+		klog.InfoS("answers could not be handed off", "kept", p.replicator.Counts().Answers)
+	}
+
+	p.answers.StopAll()
 }
 
 func serveHTTP(s *http.Server, l net.Listener) error {
--- a/daemon/deployment_test.go
+++ b/daemon/deployment_test.go
@@ -25,7 +25,7 @@
 const (
 	testModel   = "ledger-large"
 	testVersion = "2026.11"
-	testAccount = "demo-key-aalborg-staal"
+	testAccount = "demo-key-nordhavn-engros"
 	// testPatience bounds every wait of a test; none of them sleeps.
 	testPatience = 30 * time.Second
 )
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -74,6 +74,10 @@
 		missing = append(missing, "the instance list was not read yet")
 	}
 
+	if !p.admission.Ready(p.clock.Now()) {
+		missing = append(missing, "no share of the limits is held yet")
+	}
+
 	// Without the log no claim can be read; everything else is served.
 	if p.claims.healthy() && !p.claims.ready() {
 		missing = append(missing, "the claims on the log were not read yet")
--- a/daemon/parts.go
+++ b/daemon/parts.go
@@ -9,8 +9,10 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/ansel1/merry/v2"
 	"github.com/google/uuid"
 	"github.com/sourcegraph/conc"
+	"k8s.io/klog/v2"
 
 	"monsoonlever/admission"
 	"monsoonlever/answer"
@@ -20,11 +22,15 @@
 	"monsoonlever/clock"
 	"monsoonlever/discovery"
 	"monsoonlever/dispatch"
+	"monsoonlever/evacuation"
 	"monsoonlever/fleet"
 	"monsoonlever/gateway"
 	"monsoonlever/journal"
+	"monsoonlever/keys"
 	"monsoonlever/listener"
 	"monsoonlever/manifest"
+	"monsoonlever/membership"
+	"monsoonlever/peer"
 	"monsoonlever/platform"
 	"monsoonlever/publication"
 	"monsoonlever/refusal"
@@ -41,6 +47,20 @@
 	cancelTimeout = 2 * time.Second
 	// idleServerConnections is kept open to each backend server.
 	idleServerConnections = 64
+	// demandSpread is the longest time in which the demand of one instance
+	// normally reaches the others; a silent one is counted for demandLapse.
+	demandSpread = 1500 * time.Millisecond
+	demandLapse  = 10 * time.Second
+	// demandFloor is the part of each limit that is shared evenly.
+	demandFloor = 0.1
+	// fetchEvery and fetchTries bound the questions to other instances for an
+	// answer that is not held here.
+	fetchEvery = 100 * time.Millisecond
+	fetchTries = 50
+	// copyTimeout bounds the wait for a copy in another failure domain.
+	copyTimeout = 2 * time.Second
+	// followerGrace is how long a streamed answer goes on without its caller.
+	followerGrace = 5 * time.Second
 	// dialTimeout bounds a connection to a backend server or the platform.
 	dialTimeout = time.Second
 )
@@ -52,8 +72,6 @@
 	incarnation fleet.Incarnation
 	metrics     *metrics.Set
 	follower    *publication.Follower
-	journal     *journal.Client
-	keeper      *claim.Keeper
 	claims      *claims
 	table       *routing.Table
 	leaving     *answer.Leaving
@@ -62,7 +80,15 @@
 	admission   *admission.Controller
 	recorder    *burn.Recorder
 	runner      *answer.Runner
-	gateway     *gateway.Gateway
+	desk        *evacuation.Desk
+	wave        *evacuation.Wave
+	replicator  *answer.Replicator
+	answers     *dispatch.Answers
+	// peers is nil for an instance without keys, which stands alone.
+	peers   *peers
+	gateway *gateway.Gateway
+	// reclaimed gets the time at which this instance itself is reclaimed.
+	reclaimed chan time.Time
 }
 
 func (d *Daemon) build(l *Listeners) (*parts, error) {
@@ -72,37 +98,41 @@
 		incarnation: fleet.Incarnation(d.Clock.Now().UnixNano()),
 		metrics:     metrics.NewSet(),
 		leaving:     &answer.Leaving{},
+		reclaimed:   make(chan time.Time, 1),
 	}
 
 	p.buildControl()
 	p.buildServers()
 	p.buildRequests()
 
-	return p, nil
+	return p, p.buildPeers(l)
 }
 
 // buildControl makes what follows the platform's log.
 func (p *parts) buildControl() {
-	client := newClient()
-	log := platform.NewHTTPLog(p.settings.Platform.Log, client)
+	log := platform.NewHTTPLog(p.settings.Platform.Log, newClient())
 
 	p.follower = &publication.Follower{
 		Log: log, Stream: publication.StreamOf(p.settings.Deployment), Clock: p.clock,
 		Random: newRandom(), OnChange: p.configure,
 	}
-	p.journal = &journal.Client{
+
+	client := &journal.Client{
 		Log: log, Clock: p.clock, Stream: stream(p.settings.Deployment, "claims"),
 		Writer: p.settings.Instance, Incarnation: p.incarnation,
 		AppendsPerSecond: p.settings.AppendsPerSecond, Rand: newRandom(),
 	}
-	p.keeper = &claim.Keeper{
-		Journal: p.journal, Clock: p.clock, KeepHeader: dispatch.KeptHeaders,
+	p.claims = newClaims(&claim.Keeper{
+		Journal: client, Clock: p.clock, KeepHeader: dispatch.KeptHeaders,
 		Config: claim.Config{Self: p.settings.Instance, Incarnation: p.incarnation},
-	}
-	p.claims = newClaims(p.keeper, p.journal)
-	p.journal.Subscribers = []journal.Subscriber{p.keeper}
+	}, client)
+
 	p.recorder = &burn.Recorder{Instance: p.settings.Instance}
 	p.admission = &admission.Controller{Instance: p.settings.Instance, Clock: p.clock, Metrics: p.metrics}
+
+	if p.settings.TLS != nil {
+		p.admission.Sharing = admission.Sharing{Spread: demandSpread, Lapse: demandLapse, Floor: demandFloor}
+	}
 }
 
 // buildServers makes what watches the backend servers.
@@ -110,6 +140,12 @@
 	client := newClient()
 	p.table = &routing.Table{Domain: p.settings.FailureDomain, Metrics: p.metrics}
 	p.directory = discovery.NewDirectory(clients{http: newClient()})
+	p.wave = &evacuation.Wave{HalfLife: waveHalfLife}
+	p.desk = &evacuation.Desk{
+		Clock:       p.clock,
+		Coordinator: newCoordinator(p.wave),
+		Targets:     p.exportTargets,
+	}
 	p.watcher = &discovery.Watcher{
 		Clock: p.clock, Directory: p.directory, Table: p.table, Leaving: p.leaving,
 		List:    platform.NewHTTPList(p.settings.Platform.List, client),
@@ -118,7 +154,8 @@
 		IsModel: func(service fleet.Service) (bool, bool) {
 			return isModel(p.manifest(), service)
 		},
-		Metrics: p.metrics,
+		Announced: p.announced,
+		Metrics:   p.metrics,
 	}
 }
 
@@ -131,8 +168,27 @@
 		Budget:        unlimited{},
 		Limits:        answer.DefaultLimits(),
 		Leaving:       p.leaving,
+		Exports:       p.desk,
 		CancelTimeout: cancelTimeout,
 	}
+	p.replicator = &answer.Replicator{
+		Clock: p.clock,
+		Store: &answer.Store{
+			Self: answer.Member{
+				ID: p.settings.Instance, Incarnation: p.incarnation, Domain: p.settings.FailureDomain,
+			},
+			Policy: answer.DefaultStorePolicy(),
+		},
+		FetchEvery: fetchEvery,
+		FetchTries: fetchTries,
+	}
+	p.answers = &dispatch.Answers{
+		Clock: p.clock, Replicator: p.replicator, Runner: p.runner,
+		CopyTimeout: copyTimeout, Grace: followerGrace,
+	}
+	p.replicator.Continue = p.answers.Continue
+	p.replicator.Stop = p.answers.Stop
+	p.replicator.Sender = noPeers{}
 	p.gateway = &gateway.Gateway{
 		Clock:     p.clock,
 		Manifest:  p.manifest,
@@ -141,6 +197,7 @@
 		Plain: &dispatch.Plain{
 			Clock: p.clock, Table: p.table, Directory: p.directory, Claims: p.claims, Budget: unlimited{},
 		},
+		Kept:         p.answers,
 		Observer:     &observer{clock: p.clock, recorder: p.recorder},
 		IDs:          newRequestID,
 		MaxBodyBytes: p.settings.Limits.MaxBodyBytes,
@@ -149,6 +206,46 @@
 	}
 }
 
+// buildPeers makes what joins this instance with the others.
+func (p *parts) buildPeers(l *Listeners) error {
+	if p.settings.TLS == nil {
+		klog.InfoS("no keys in the settings: this instance stands alone and its answers have no copies")
+
+		return nil
+	}
+
+	files := keys.Files{CA: p.settings.TLS.CAFile, Certificate: p.settings.TLS.CertFile, Key: p.settings.TLS.KeyFile}
+
+	config, err := files.TLS(p.clock)
+	if err != nil {
+		return merry.Prepend(err, "load keys of this instance")
+	}
+
+	node := &peer.Node{
+		ID: p.settings.Instance, Incarnation: p.incarnation, Domain: p.settings.FailureDomain,
+		Deployment: p.settings.Deployment, Listener: l.Peers, Advertise: p.settings.PeerAddress,
+		TLS: config, Clock: p.clock,
+	}
+	p.peers = &peers{
+		clock: p.clock,
+		node:  node,
+		group: &membership.Group{
+			Node: node, Clock: p.clock, Region: p.settings.Region, Seeds: p.settings.Seeds,
+		},
+		admission:  p.admission,
+		replicator: p.replicator,
+		follower:   p.follower,
+		claims:     p.claims,
+		heard:      func(news LeavingNews) { p.watcher.Heard(news.Instance, news.At) },
+		payload: func() Payload {
+			return Payload{Manifest: p.follower.Version(), Operators: l.Operators.Addr().String()}
+		},
+	}
+	p.replicator.Sender = p.peers
+
+	return merry.Prepend(p.peers.register(), "prepare peers")
+}
+
 // manifest returns the manifest in force, or nil.
 func (p *parts) manifest() *manifest.Manifest {
 	s := p.follower.Snapshot()
@@ -167,12 +264,16 @@
 	group.Go(func() { p.claims.run(ctx) })
 	group.Go(func() { p.watcher.Run(ctx) })
 	group.Go(func() { _ = p.admission.Run(ctx) })
+	group.Go(func() { p.desk.Run(ctx) })
+	group.Go(func() { p.replicator.Run(ctx) })
+
+	if p.peers != nil {
+		group.Go(func() { p.peers.run(ctx) })
+	}
+
 	group.Wait()
 }
 
-// leave tells the others that this instance stops.
-func (p *parts) leave(context.Context) {}
-
 func (p *parts) callersServer() *http.Server {
 	return &http.Server{
 		Handler:           p.gateway.Handler(),
--- a/daemon/status.go
+++ b/daemon/status.go
@@ -18,6 +18,18 @@
 	Manifest      ManifestStatus      `json:"manifest"`
 	Log           LogStatus           `json:"log"`
 	Servers       []ServerStatus      `json:"servers"`
+	Members       []MemberStatus      `json:"members,omitempty"`
+}
+
+// MemberStatus tells what an instance knows of another entry instance.
+type MemberStatus struct {
+	ID     fleet.InstanceID    `json:"id"`
+	Domain fleet.FailureDomain `json:"domain"`
+	State  string              `json:"state"`
+	Phase  string              `json:"phase"`
+	// Manifest is the version that the other says it has in force.
+	Manifest  platform.Offset `json:"manifest"`
+	Operators string          `json:"operators"`
 }
 
 // ManifestStatus tells which manifest is in force on an instance.
@@ -60,6 +72,7 @@
 		Missing:       missing,
 		Log:           p.claims.log(),
 		Servers:       p.serverStatuses(),
+		Members:       p.memberStatuses(),
 	}
 
 	if in := p.follower.Snapshot(); in != nil {
@@ -94,3 +107,22 @@
 
 	return servers
 }
+
+func (p *parts) memberStatuses() []MemberStatus {
+	if p.peers == nil {
+		return nil
+	}
+
+	var members []MemberStatus
+
+	for _, m := range p.peers.group.View().Members() {
+		// A member that has said nothing yet is shown without its payload.
+		payload, _ := decodePayload(m.Payload())
+		members = append(members, MemberStatus{
+			ID: m.ID(), Domain: m.Domain(), State: m.Status().String(), Phase: m.Phase().String(),
+			Manifest: payload.Manifest, Operators: payload.Operators,
+		})
+	}
+
+	return members
+}
--- a/discovery/watcher.go
+++ b/discovery/watcher.go
@@ -45,8 +45,8 @@
 	// IsModel tells whether a service of the manifest in force is served by
 	// model engines, and known whether there is such a service.
 	IsModel func(fleet.Service) (model, known bool)
-	// Announced is told of each leaving server the first time; it may be nil.
-	Announced func(id fleet.InstanceID, at time.Time)
+	// Announced is told of each leaving instance the first time; it may be nil.
+	Announced func(id fleet.InstanceID, at time.Time, source routing.Source)
 
 	ListEvery   time.Duration
 	NoticeEvery time.Duration
@@ -166,6 +166,11 @@
 	}
 }
 
+// Heard takes in what another entry instance says of a leaving server.
+func (w *Watcher) Heard(id fleet.InstanceID, at time.Time) {
+	w.announce(id, at, routing.SourcePeer)
+}
+
 // announce takes in that a server leaves. What is known already stays.
 func (w *Watcher) announce(id fleet.InstanceID, at time.Time, source routing.Source) {
 	if _, known := w.Leaving.At(id); known {
@@ -177,7 +182,7 @@
 	klog.InfoS("backend server is leaving", "instance", id, "source", source, "at", at)
 
 	if w.Announced != nil {
-		w.Announced(id, at)
+		w.Announced(id, at, source)
 	}
 }
 
--- /dev/null
+++ b/evacuation/places.go
@@ -0,0 +1,12 @@
+package evacuation
+
+import (
+	"time"
+
+	"monsoonlever/fleet"
+)
+
+// SetPlaces replaces what is known of the failure domains.
+func (d *Desk) SetPlaces(places map[fleet.FailureDomain]Place) {
+	d.do(func(time.Time) { d.Coordinator.Planner.Wave.Places = places })
+}
--- a/gateway/chat.go
+++ b/gateway/chat.go
@@ -44,6 +44,12 @@
 		return
 	}
 
+	if g.Kept != nil && r.Header.Get(HeaderLastEventID) != "" {
+		g.resume(w, r, call)
+
+		return
+	}
+
 	ticket, refused := g.admitBefore(r.Context(), call.deadline, call.admissionRequest())
 	if refused != nil {
 		o := call.refusedObservation(g.Clock.Now(), refused)
@@ -54,6 +60,18 @@
 		return
 	}
 
+	switch {
+	case g.Kept != nil && wantsAsync(r.Header):
+		g.acceptAsync(w, r, ticket, call)
+	case g.Kept != nil && call.request.Stream:
+		g.streamKept(w, r, ticket, call)
+	default:
+		g.answerDirectly(w, r, ticket, call)
+	}
+}
+
+// answerDirectly answers a request whose answer ends with its connection.
+func (g *Gateway) answerDirectly(w http.ResponseWriter, r *http.Request, ticket *admission.Ticket, call chatCall) {
 	// A panic must not keep the place of the request; Finish counts once.
 	defer func() { g.Admission.Finish(g.Clock.Now(), ticket, admission.Outcome{}) }()
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -35,6 +35,7 @@
 const (
 	PathChat     = "/v1/chat/completions"
 	PathModels   = "/v1/models"
+	PathAnswer   = "/v1/answers/:id"
 	PathServices = "/services/:service/*path"
 )
 
@@ -63,7 +64,9 @@
 	Admission *admission.Controller
 	Models    ModelServer
 	Plain     PlainServer
-	Observer  Observer
+	// Kept lets streamed answers outlive their connection; nil lets none.
+	Kept     KeptAnswers
+	Observer Observer
 	// IDs returns a new request ID.
 	IDs          func() answer.RequestID
 	MaxBodyBytes int64
@@ -90,6 +93,7 @@
 	})
 	router.POST(PathChat, g.chat)
 	router.GET(PathModels, g.models)
+	router.GET(PathAnswer, g.keptAnswer)
 
 	for _, method := range []string{
 		http.MethodGet, http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete,
--- a/gateway/sink.go
+++ b/gateway/sink.go
@@ -48,8 +48,14 @@
 	}
 }
 
-// Write takes the next token.
+// Write takes the next token of an answer that ends with its connection.
 func (s *sink) Write(offset int, token string) error {
+	return s.write(nil, offset, token)
+}
+
+// write takes the next token. The event id is empty where the caller cannot come
+// back for the rest.
+func (s *sink) write(eventID []byte, offset int, token string) error {
 	now := s.clock.Now()
 	if s.tokens == 0 {
 		s.firstToken = now
@@ -68,7 +74,7 @@
 		s.startStream()
 	}
 
-	s.buf = s.chunks.AppendToken(s.buf[:0], offset, token)
+	s.buf = s.chunks.AppendToken(s.buf[:0], eventID, offset, token)
 
 	return s.send(now)
 }
@@ -101,9 +107,14 @@
 
 // GiveUp tells the caller that there will be no whole answer.
 func (s *sink) GiveUp(g answer.GiveUp) error {
-	s.refused = refusalOf(g)
 	s.callerGone = g.Reason == answer.ReasonCallerGone
 
+	return s.giveUp(refusalOf(g))
+}
+
+func (s *sink) giveUp(refused *refusal.Refusal) error {
+	s.refused = refused
+
 	// A caller who is gone is told as well: were nothing written, the server
 	// would end the response as if it were whole.
 	if !s.call.request.Stream || s.tokens == 0 {
--- a/refusal/code.go
+++ b/refusal/code.go
@@ -25,6 +25,7 @@
 	LimitExceeded    Code = "limitExceeded"
 	Overloaded       Code = "overloaded"
 	NoServer         Code = "noServer"
+	NoCopy           Code = "noCopy"
 	ServerRefused    Code = "serverRefused"
 	LogUnavailable   Code = "logUnavailable"
 	OutcomeUnknown   Code = "outcomeUnknown"
@@ -57,6 +58,7 @@
 	DeadlinePassed:   {http.StatusGatewayTimeout, Unknown},
 	LimitExceeded:    {http.StatusTooManyRequests, NotRun},
 	Overloaded:       {http.StatusServiceUnavailable, NotRun},
+	NoCopy:           {http.StatusServiceUnavailable, NotRun},
 	NoServer:         {http.StatusServiceUnavailable, NotRun},
 	ServerRefused:    {http.StatusServiceUnavailable, NotRun},
 	LogUnavailable:   {http.StatusServiceUnavailable, NotStarted},
