fix(answer): a copy that was replaced keeps no reader waiting

Cause: a copy that was replaced while it was paused or cut off never heard of it. Callers who read there waited for ever for tokens that never came.

Change: the property judges callers that hang. A copy that has not heard from its owner asks it, and is told to go on, to drop the answer, or of a newer epoch. Until then a stale copy is not read from, and its readers ask the others. A heartbeat for each copy was ruled out: answers that stream have one in their tokens.

Conclusion: a caller gets its answer, or is told that nobody has it.

--- a/answer/kept_answer.go
+++ b/answer/kept_answer.go
@@ -25,6 +25,11 @@
 	former   []fleet.InstanceID
 	accepted bool
 	dirty    bool
+	// heardAt is when the owner last spoke to a copy, and probedAt when the
+	// copy last asked it to. A stale copy is not read from.
+	heardAt  time.Time
+	probedAt time.Time
+	stale    bool
 	// takeoverAt is when a copy takes over whose owner is gone.
 	takeoverAt time.Time
 }
--- a/answer/message.go
+++ b/answer/message.go
@@ -60,6 +60,9 @@
 	Begun  bool      `msgpack:"begun"`
 	Offset int       `msgpack:"offset"`
 	Ended  bool      `msgpack:"ended,omitempty"`
+	// Probe asks for an answer though nothing came: the copy has not heard
+	// from the owner for long.
+	Probe bool `msgpack:"probe,omitempty"`
 }
 
 // Superseded tells an owner that there is a newer one.
--- a/answer/store_copy.go
+++ b/answer/store_copy.go
@@ -154,6 +154,7 @@
 
 	a.floor = max(a.floor, m.Visible)
 	a.takeoverAt = time.Time{}
+	a.heard(now)
 
 	if visible := min(m.Visible, len(a.tokens)); visible > a.visible {
 		a.visible = visible
@@ -173,6 +174,37 @@
 	s.emit(Visible{ID: a.request.ID})
 }
 
+func (a *keptAnswer) heard(now time.Time) {
+	a.heardAt = now
+	a.stale = false
+}
+
+// probe asks an owner that has been silent for long whether this instance is
+// to hold a copy still. A copy that was replaced while it could not be reached
+// would keep its readers waiting for tokens that never come.
+func (s *Store) probe(now time.Time, a *keptAnswer) {
+	silent := now.Sub(a.heardAt)
+	if a.end != nil || silent < s.Policy.ProbeAfter {
+		return
+	}
+
+	if silent >= s.Policy.StaleAfter && !a.stale {
+		a.stale = true
+		s.emit(Visible{ID: a.request.ID})
+	}
+
+	_, live := s.live[a.epoch.Owner]
+	if !live || now.Sub(a.probedAt) < s.Policy.ProbeAfter {
+		return
+	}
+
+	a.probedAt = now
+	b := s.box.to(a.epoch.Owner)
+	b.Acks = append(b.Acks, Ack{
+		ID: a.request.ID, Epoch: a.epoch, Begun: true, Offset: len(a.tokens), Probe: true,
+	})
+}
+
 func (s *Store) setHolders(a *keptAnswer, ids []fleet.InstanceID) {
 	a.holders = a.holders[:0]
 	for _, id := range ids {
--- a/answer/store_members.go
+++ b/answer/store_members.go
@@ -93,7 +93,11 @@
 	case roleCopy:
 		if !a.takeoverAt.IsZero() && !now.Before(a.takeoverAt) {
 			s.takeOver(now, a)
+
+			return
 		}
+
+		s.probe(now, a)
 	}
 }
 
@@ -181,6 +185,7 @@
 	former := append(a.holderIDs(), a.epoch.Owner)
 	a.epoch = Epoch{Number: a.epoch.Number + 1, Owner: s.Self.ID, Incarnation: s.Self.Incarnation}
 	a.role = roleOwner
+	a.stale = false
 	a.takeoverAt = time.Time{}
 	a.holders = nil
 
--- a/answer/store_owner.go
+++ b/answer/store_owner.go
@@ -165,11 +165,15 @@
 func (s *Store) onAck(now time.Time, from fleet.InstanceID, m Ack) {
 	a := s.owned(m.ID, m.Epoch)
 	if a == nil {
+		s.onOldAck(from, m)
+
 		return
 	}
 
 	h := a.holderOf(from)
 	if h == nil {
+		s.tellReleased(a, from)
+
 		return
 	}
 
@@ -195,11 +199,30 @@
 		s.onFirstAck(now, a, h)
 	}
 
+	if m.Probe {
+		s.answerProbe(a, from)
+	}
+
 	s.expose(a)
 	s.release(a)
 	s.tryHandOff(now, a)
 }
 
+// onOldAck tells a copy of an earlier epoch that there is a newer one.
+func (s *Store) onOldAck(from fleet.InstanceID, m Ack) {
+	a, ok := s.answers[m.ID]
+	if ok && m.Probe && a.epoch.Newer(m.Epoch) {
+		s.refuseOld(from, a)
+	}
+}
+
+func (s *Store) answerProbe(a *keptAnswer, to fleet.InstanceID) {
+	b := s.box.to(to)
+	b.Appends = append(b.Appends, Append{
+		ID: a.request.ID, Epoch: a.epoch, Offset: len(a.tokens), Visible: a.floor,
+	})
+}
+
 func (s *Store) onFirstAck(now time.Time, a *keptAnswer, h *holder) {
 	if !a.accepted {
 		a.accepted = true
--- a/answer/store_policy.go
+++ b/answer/store_policy.go
@@ -18,6 +18,10 @@
 	// when another peer takes the place of one that does not answer.
 	ResendAfter  time.Duration
 	ReplaceAfter time.Duration
+	// ProbeAfter is when a copy asks a silent owner whether it is one still,
+	// and StaleAfter when it is not read from any longer.
+	ProbeAfter time.Duration
+	StaleAfter time.Duration
 	// TakeoverGrace sets the takeovers of several copies apart.
 	TakeoverGrace time.Duration
 	// RetryAfter is when a caller should come back whose answer was lost.
@@ -35,6 +39,8 @@
 		SweepEvery:    100 * time.Millisecond,
 		ResendAfter:   250 * time.Millisecond,
 		ReplaceAfter:  time.Second,
+		ProbeAfter:    time.Second,
+		StaleAfter:    3 * time.Second,
 		TakeoverGrace: 2 * time.Second,
 		RetryAfter:    5 * time.Second,
 	}
--- a/answer/store_property_test.go
+++ b/answer/store_property_test.go
@@ -451,9 +451,27 @@
 	}
 }
 
+// judgeLost checks that a caller who waits in vain is told that the answer is
+// not known, wherever it asks: all instances that had it died.
+func (w *entries) judgeLost(t *rapid.T, c *judgedCaller) {
+	if c.outcome != "" {
+		return
+	}
+
+	for _, id := range w.ids() {
+		if !w.up(id) {
+			continue
+		}
+
+		if got, want := w.entries[id].store.Read(testMoney, c.at).State(), ReadUnknown; got != want {
+			t.Fatalf("%s hangs at %s: got %s, want %s", c.at.Request, id, got, want)
+		}
+	}
+}
+
 // TestHoldsWholeAnswerAcrossInstances checks that no caller ever gets a token
 // that does not continue exactly the text that it has, nor an end before the
-// whole text, whatever happens to the entry instances.
+// whole text, nor hangs, whatever happens to the entry instances.
 func TestHoldsWholeAnswerAcrossInstances(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newEntries(t)
@@ -461,6 +479,10 @@
 		maps.Copy(actions, w.faults())
 		t.Repeat(actions)
 		w.settle(t)
+
+		for _, r := range slices.Sorted(maps.Keys(w.callers)) {
+			w.judgeLost(t, w.callers[r])
+		}
 	})
 }
 
