--- a/answer/replicator.go
+++ b/answer/replicator.go
@@ -21,6 +21,11 @@
 	ErrTextDiffers = merry.Sentinel("the caller has another text than is kept")
 )
 
+const (
+	defaultFetchEvery = 50 * time.Millisecond
+	defaultFetchTries = 100
+)
+
 // Replicator is the shell of a Store: it sends its batches, keeps its time and
 // lets callers follow answers. The exported fields are set before Run.
 type Replicator struct {
@@ -33,7 +38,9 @@
 	// Stop cancels the Runner of an answer that another instance owns now.
 	Stop func(c Stop)
 	// FetchEvery is the time between two questions to another instance for an
-	// answer that is not held here, and FetchTries how often none may know it.
+	// answer that is not held here, and FetchTries how often none may know it;
+	// together they should outlast the time until a dead owner is noticed. They
+	// default to 50 ms and 100.
 	FetchEvery time.Duration
 	FetchTries int
 
@@ -131,6 +138,14 @@
 		r.mu.Lock()
 		defer r.mu.Unlock()
 
+		if r.FetchEvery <= 0 {
+			r.FetchEvery = defaultFetchEvery
+		}
+
+		if r.FetchTries <= 0 {
+			r.FetchTries = defaultFetchTries
+		}
+
 		r.changed = make(map[RequestID]chan struct{})
 		r.accepted = make(map[RequestID]chan struct{})
 		r.fetched = make(map[Fetch][]chan Fetched)
