fix(routing): one probe at a time, and judge quiet pools

Cause: while a probe was unanswered, a further one went out at each backoff, so a slow server drowned in the probes of all entry instances. It showed only in trials with a longer half-life, for with 5 s an entry instance of a quiet pool never gathered enough outcomes to judge a server at all.

Change: a server is probed only while it holds no request of this entry instance and no more than the mean load; an unanswered probe puts the next off by a bounded time. The half-life of outcomes is a minute, and at most 50 outcomes are remembered, so that a busy server is still judged by its newest ones.

--- a/routing/health.go
+++ b/routing/health.go
@@ -5,8 +5,12 @@
 	"time"
 )
 
+// maxSamples is how many outcomes are remembered, so that a busy server is found
+// faulty as soon as an idle one.
+const maxSamples = 50
+
 // health is what the outcomes of calls say of a server. Old outcomes fade with
-// a half-life, so that a server which has recovered is seen to have.
+// a half-life and with newer ones.
 type health struct {
 	done    float64
 	failed  float64
@@ -27,9 +31,20 @@
 	}
 
 	h.at = now
-	h.done = h.done*fade + float64(o.done)
-	h.failed = h.failed*fade + float64(o.failed)
-	h.latency = h.latency*fade + float64(o.latency)
+	h.fade(fade)
+	h.done += float64(o.done)
+	h.failed += float64(o.failed)
+	h.latency += float64(o.latency)
+
+	if n := h.samples(); n > maxSamples {
+		h.fade(maxSamples / n)
+	}
+}
+
+func (h *health) fade(part float64) {
+	h.done *= part
+	h.failed *= part
+	h.latency *= part
 }
 
 func (h *health) samples() float64 {
@@ -55,5 +70,5 @@
 
 // clear forgets the outcomes but not how often the server was ejected.
 func (h *health) clear() {
-	h.done, h.failed, h.latency = 0, 0, 0
+	h.fade(0)
 }
--- a/routing/health_test.go
+++ b/routing/health_test.go
@@ -138,3 +138,17 @@
 		t.Errorf("pick: got %v and error %v, want the ejected server", last, err)
 	}
 }
+
+// TestProbesDoNotPileUp gives an ejected server probes that it doesn't answer.
+func TestProbesDoNotPileUp(t *testing.T) {
+	s := &serving{table: newTestTable(9, 4), now: testStart, request: NewRequest(testKey).WithRepeatable(), faulty: testID(4), fault: deaf}
+	s.run(t, 10*time.Second)
+
+	s.got = 0
+	s.fault = func(Choice, time.Time) {}
+	s.run(t, 50*time.Second)
+
+	if want := 1; s.got > want {
+		t.Errorf("probes in flight: got %d, want at most %d", s.got, want)
+	}
+}
--- a/routing/policy.go
+++ b/routing/policy.go
@@ -47,7 +47,7 @@
 	setDefault(&p.AffinityCeiling, 1)
 	setDefault(&p.PrefixMemory, 1<<15)
 	setDefault(&p.PrefixLifetime, 10*time.Minute)
-	setDefault(&p.HalfLife, 5*time.Second)
+	setDefault(&p.HalfLife, time.Minute)
 	setDefault(&p.MinSamples, 5)
 	setDefault(&p.MaxEjectedShare, 0.34)
 	setDefault(&p.LatencyFactor, 2.5)
--- a/routing/probe.go
+++ b/routing/probe.go
@@ -84,7 +84,7 @@
 
 	for _, m := range p.members.items {
 		s := m.server
-		if !s.ejected.Load() || s.health.probeAt.After(now) {
+		if !s.ejected.Load() || s.health.probeAt.After(now) || t.stillProbed(now, m) {
 			continue
 		}
 
@@ -100,6 +100,18 @@
 	return due
 }
 
+// stillProbed tells whether a server has enough to do to show how it is: it
+// still holds a request of this entry instance, or more than its share of the
+// load. Else a slow server would drown in probes. An answer that never comes
+// puts the next probe off for a bounded time only.
+func (t *Table) stillProbed(now time.Time, m *member) bool {
+	if now.Sub(m.server.health.probeAt) >= t.policy.ProbeAtMost {
+		return false
+	}
+
+	return m.server.inFlight.Load() > 0 || m.utilisation() > m.pool.meanUtilisation()+m.share
+}
+
 // forgive lets a server that has behaved since its last ejection be probed
 // sooner after the next.
 func (t *Table) forgive(now time.Time, s *server) {
