--- a/routing/fixture_test.go
+++ b/routing/fixture_test.go
@@ -49,6 +49,8 @@
 		t.Report(testStart, testID(i), backend.LoadReport{At: testStart, Capacity: capacity})
 	}
 
+	t.Tick(testStart, newTestRandom())
+
 	return t
 }
 
--- a/routing/pick_bench_test.go
+++ b/routing/pick_bench_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
+	"monsoonlever/backend"
 	"monsoonlever/fleet"
 )
 
@@ -125,3 +127,47 @@
 		t.Errorf("allocations: got %v, want %v", got, want)
 	}
 }
+
+func BenchmarkReport(b *testing.B) {
+	table := newTestTable(1600, 8)
+	now := testStart
+	i := 0
+
+	for b.Loop() {
+		now = now.Add(time.Millisecond)
+		i = (i + 1) % 1600
+		table.Report(now, testID(i), backend.LoadReport{At: now, Running: 3, Capacity: 8})
+	}
+}
+
+// BenchmarkMemory reports what a table keeps for each server, and its memory of
+// prefixes once that is full.
+func BenchmarkMemory(b *testing.B) {
+	for _, size := range benchSizes {
+		b.Run(fmt.Sprintf("servers=%d", size), func(b *testing.B) {
+			for b.Loop() {
+				before := heapInUse()
+				table := newTestTable(size, 8)
+				withServers := heapInUse()
+
+				for prefix := range uint64(4 * table.policy.PrefixMemory) {
+					table.prefixes.hold(testStart, prefix, table.servers[testID(0)])
+				}
+
+				full := heapInUse()
+				b.ReportMetric(float64(withServers-before)/float64(size), "B/server")
+				b.ReportMetric(float64(full-withServers), "B/prefixes")
+				runtime.KeepAlive(table)
+			}
+		})
+	}
+}
+
+func heapInUse() uint64 {
+	runtime.GC()
+
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+
+	return m.HeapAlloc
+}
--- a/routing/rebuild.go
+++ b/routing/rebuild.go
@@ -8,6 +8,7 @@
 
 // rebuild makes the snapshot anew.
 func (t *Table) rebuild(now time.Time) {
+	t.stale = false
 	byKey := make(map[Key][]*member)
 
 	for _, s := range t.servers {
--- a/routing/table.go
+++ b/routing/table.go
@@ -25,9 +25,11 @@
 	prefixes *prefixes
 	counters *counters
 
-	mu      sync.Mutex
-	policy  Policy
-	peers   int
+	mu     sync.Mutex
+	policy Policy
+	peers  int
+	// stale tells that the snapshot lacks news which can wait for a tick.
+	stale   bool
 	servers map[fleet.InstanceID]*server
 	states  map[Key]*poolState
 	prices  map[offerKey]float64
--- a/routing/tick.go
+++ b/routing/tick.go
@@ -17,7 +17,10 @@
 	defer t.mu.Unlock()
 	t.prepare()
 	t.forget(now)
-	t.dropLost(now)
+
+	if t.stale || t.graceEnded(now) {
+		t.rebuild(now)
+	}
 
 	s := t.current.Load()
 	if s == nil {
@@ -29,15 +32,15 @@
 	}
 }
 
-// dropLost rebuilds the snapshot if the grace of a server has ended.
-func (t *Table) dropLost(now time.Time) {
+// graceEnded tells whether a server of the snapshot is lost by now.
+func (t *Table) graceEnded(now time.Time) bool {
 	for _, s := range t.servers {
 		if s.member.Load() != nil && t.lost(now, s) {
-			t.rebuild(now)
-
-			return
+			return true
 		}
 	}
+
+	return false
 }
 
 func (t *Table) judge(now time.Time, random Random, p *pool) {
--- a/routing/update.go
+++ b/routing/update.go
@@ -138,9 +138,10 @@
 	s.reported = r.At
 	s.applyLoad(now, r.At, int64(r.Running+r.Waiting))
 
+	// The next tick makes the snapshot, once for all reports until then.
 	if r.Capacity != s.spec.capacity {
 		s.spec.capacity = r.Capacity
-		t.rebuild(now)
+		t.stale = true
 	}
 }
 
