fix(routing): remember different holders of a prefix on each entry instance

Cause: all entry instances hear the same cache events and kept the same four newest holders of a common prefix.

Change: each entry instance keeps the holders that come first in an order of its own, a hash of its name and theirs: up to six of a prefix, in sets of eight. Rare prefixes have fewer holders, which all keep.

--- a/routing/comparison/table.go
+++ b/routing/comparison/table.go
@@ -31,7 +31,7 @@
 func TablePolicy(name string, p routing.Policy) Policy {
 	return Policy{Name: name, New: func(s Scenario, random *rand.PCG) Chooser {
 		c := &tableChooser{
-			table:   &routing.Table{Policy: p},
+			table:   &routing.Table{Policy: p, Self: fleet.InstanceID(fmt.Sprint(random.Uint64()))},
 			random:  random,
 			servers: make(map[fleet.InstanceID]int, s.Servers),
 		}
--- a/routing/comparison_test.go
+++ b/routing/comparison_test.go
@@ -20,6 +20,8 @@
 		desc    string
 		servers int
 		grey    int
+		// entries is 9 unless given.
+		entries int
 		// duration and warmUp are shorter where more requests come at once.
 		duration time.Duration
 		warmUp   time.Duration
@@ -32,6 +34,7 @@
 		{desc: "9 servers", servers: 9, duration: 600 * time.Second, warmUp: 60 * time.Second, wait: 1.2, recomputed: 0.5},
 		{desc: "9 servers of which 1 grey", servers: 9, grey: 1, duration: 600 * time.Second, warmUp: 60 * time.Second, wait: 0.5, recomputed: 0.5},
 		{desc: "100 servers of which 3 grey", servers: 100, grey: 3, duration: 120 * time.Second, warmUp: 60 * time.Second, wait: 0.75, recomputed: 0.35},
+		{desc: "400 servers of which 12 grey, 40 entry instances", servers: 400, grey: 12, entries: 40, duration: 90 * time.Second, warmUp: 60 * time.Second, large: true, wait: 1, recomputed: 0.35},
 		{desc: "1600 servers of which 48 grey", servers: 1600, grey: 48, duration: 90 * time.Second, warmUp: 60 * time.Second, large: true, wait: 1, recomputed: 0.35},
 	}
 
@@ -43,7 +46,7 @@
 
 			s := comparison.Scenario{
 				Servers:     tt.servers,
-				Entries:     9,
+				Entries:     max(9, tt.entries),
 				Utilisation: 0.8,
 				Grey:        tt.grey,
 				SlowFactor:  5,
--- a/routing/prefix_test.go
+++ b/routing/prefix_test.go
@@ -8,7 +8,6 @@
 	"pgregory.net/rapid"
 
 	"monsoonlever/backend"
-	"monsoonlever/fleet"
 )
 
 func TestPrefixLeadsToItsHolder(t *testing.T) {
@@ -95,7 +94,7 @@
 
 	p := newPrefixes(size, time.Minute)
 	for prefix := range uint64(10 * size) {
-		p.hold(testStart, prefix, newServer(fleet.InstanceID("server")))
+		p.hold(testStart, prefix, newServer("server", prefix))
 	}
 
 	got := 0
--- a/routing/prefixes.go
+++ b/routing/prefixes.go
@@ -5,7 +5,12 @@
 	"time"
 )
 
-const prefixWays = 4
+const (
+	// prefixWays is how many holders of prefixes share a set.
+	prefixWays = 8
+	// maxHolders is how many holders of one prefix are remembered.
+	maxHolders = 6
+)
 
 // prefixes remembers which servers may hold a prompt prefix in their cache. Its
 // size is fixed: a new prefix takes the place of the oldest of its set. What it
@@ -32,24 +37,43 @@
 	return &p.sets[prefix%uint64(len(p.sets))]
 }
 
-// hold notes that a server has the prefix, or will have it soon.
+// hold notes that a server has the prefix, or will have it soon. Of the holders
+// of one prefix the ones of lowest rank are kept, so that entry instances which
+// hear the same events don't all send to the same few.
 func (p *prefixes) hold(now time.Time, prefix uint64, s *server) {
 	set := p.set(prefix)
-	oldest := 0
-	var oldestUntil time.Time
+	if i := set.place(now, prefix, s); i >= 0 {
+		set[i].Store(&prefixEntry{prefix: prefix, server: s, until: now.Add(p.lifetime)})
+	}
+}
+
+// place returns where the entry of a holder goes, or -1 for nowhere.
+func (set *prefixSet) place(now time.Time, prefix uint64, s *server) int {
+	var (
+		holders, highest, oldest int
+		highestRank              uint64
+		oldestUntil              time.Time
+	)
 
 	for i := range set {
 		e := set[i].Load()
-		if e == nil {
-			oldest = i
 
-			break
+		if e == nil || now.After(e.until) {
+			oldest, oldestUntil = i, time.Time{}
+
+			continue
 		}
 
 		if e.prefix == prefix && e.server == s {
-			oldest = i
+			return i
+		}
 
-			break
+		if e.prefix == prefix {
+			holders++
+
+			if e.server.rank >= highestRank {
+				highest, highestRank = i, e.server.rank
+			}
 		}
 
 		if i == 0 || e.until.Before(oldestUntil) {
@@ -57,7 +81,15 @@
 		}
 	}
 
-	set[oldest].Store(&prefixEntry{prefix: prefix, server: s, until: now.Add(p.lifetime)})
+	if holders < maxHolders {
+		return oldest
+	}
+
+	if s.rank < highestRank {
+		return highest
+	}
+
+	return -1
 }
 
 // drop notes that a server has evicted the prefix.
--- /dev/null
+++ b/routing/rank.go
@@ -0,0 +1,19 @@
+package routing
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"monsoonlever/fleet"
+)
+
+// rank orders servers differently for each entry instance.
+func rank(self, server fleet.InstanceID) uint64 {
+	var d xxhash.Digest
+
+	d.Reset()
+	_, _ = d.WriteString(string(self))
+	_, _ = d.WriteString("/")
+	_, _ = d.WriteString(string(server))
+
+	return d.Sum64()
+}
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -8,7 +8,8 @@
 //
 // # Usage
 //
-//	table := &routing.Table{Domain: "ballerup-a"}
+//	table := &routing.Table{Self: "entry-1", Domain: "ballerup-a"}
+//	table.UpdateEntries(now, 9)
 //	table.UpdateList(now, listings)
 //	table.UpdateState(now, id, state)
 //	table.Report(now, id, report)
--- a/routing/server.go
+++ b/routing/server.go
@@ -17,6 +17,8 @@
 // learnt of it is seen through old snapshots as well.
 type server struct {
 	id fleet.InstanceID
+	// rank orders servers for this entry instance.
+	rank uint64
 
 	// The fields below are read and written on the path of a request.
 	leaving  atomic.Bool
@@ -44,8 +46,8 @@
 	health     health
 }
 
-func newServer(id fleet.InstanceID) *server {
-	return &server{id: id, sent: window.NewCounter(sentBucketWidth, sentBuckets)}
+func newServer(id fleet.InstanceID, rank uint64) *server {
+	return &server{id: id, rank: rank, sent: window.NewCounter(sentBucketWidth, sentBuckets)}
 }
 
 // applyLoad splits a report into the share of others and that of this node.
--- a/routing/table.go
+++ b/routing/table.go
@@ -16,6 +16,9 @@
 type Table struct {
 	// Domain is the failure domain of this entry instance.
 	Domain fleet.FailureDomain
+	// Self names this entry instance; entry instances with different names keep
+	// different holders of a common prefix.
+	Self fleet.InstanceID
 	// Policy holds the settings; zero fields stand for defaults.
 	Policy Policy
 	// Metrics receives the counters, unless it is nil.
--- a/routing/update.go
+++ b/routing/update.go
@@ -199,7 +199,7 @@
 func (t *Table) server(now time.Time, id fleet.InstanceID) *server {
 	s, ok := t.servers[id]
 	if !ok {
-		s = newServer(id)
+		s = newServer(id, rank(t.Self, id))
 		s.listed = now
 		s.absent = true
 		t.servers[id] = s
