--- a/routing/table.go
+++ b/routing/table.go
@@ -16,6 +16,9 @@
 type Table struct {
 	// Domain is the failure domain of this entry instance.
 	Domain fleet.FailureDomain
+	// Self names this entry instance; entry instances with different names keep
+	// different holders of a common prefix.
+	Self fleet.InstanceID
 	// Policy holds the settings; zero fields stand for defaults.
 	Policy Policy
 	// Metrics receives the counters, unless it is nil.
@@ -25,9 +28,11 @@
 	prefixes *prefixes
 	counters *counters
 
-	mu      sync.Mutex
-	policy  Policy
-	peers   int
+	mu     sync.Mutex
+	policy Policy
+	peers  int
+	// stale tells that the snapshot lacks news which can wait for a tick.
+	stale   bool
 	servers map[fleet.InstanceID]*server
 	states  map[Key]*poolState
 	prices  map[offerKey]float64
--- a/routing/update.go
+++ b/routing/update.go
@@ -138,9 +138,10 @@
 	s.reported = r.At
 	s.applyLoad(now, r.At, int64(r.Running+r.Waiting))
 
+	// The next tick makes the snapshot, once for all reports until then.
 	if r.Capacity != s.spec.capacity {
 		s.spec.capacity = r.Capacity
-		t.rebuild(now)
+		t.stale = true
 	}
 }
 
@@ -198,7 +199,7 @@
 func (t *Table) server(now time.Time, id fleet.InstanceID) *server {
 	s, ok := t.servers[id]
 	if !ok {
-		s = newServer(id)
+		s = newServer(id, rank(t.Self, id))
 		s.listed = now
 		s.absent = true
 		t.servers[id] = s
