--- a/claim/keeper_test.go
+++ b/claim/keeper_test.go
@@ -82,6 +82,10 @@
 			runs.Add(1)
 			time.Sleep(200 * time.Millisecond)
 
+			if runs.Load() > 1 {
+				return Result{}, errLost
+			}
+
 			return NewResult(201, []Field{{Name: "Content-Type", Value: "text/plain"}, {Name: "Date", Value: "x"}}, []byte("paid")), nil
 		}
 
--- a/claim/model_test.go
+++ b/claim/model_test.go
@@ -114,7 +114,6 @@
 type modelAppend struct {
 	sequence journal.Sequence
 	command  Append
-	lost     bool
 }
 
 // modelSend is a dispatch on its way to the service.
--- a/claim/table_test.go
+++ b/claim/table_test.go
@@ -119,6 +119,19 @@
 	}
 }
 
+func TestAVoidThatIsNotInEffectIsNotToldAsNotRun(t *testing.T) {
+	b := newBench(t, time.Time{})
+	b.readOwn(b.submit(1, "k"))
+	void := b.table.Declined(b.now, 1)
+
+	// Records aged out unread: the claim may not have been the valid one.
+	b.table.Horizon(b.now)
+
+	if got, want := verdictOf(t, b.readOwn(void)).Run(), NotStarted; got != want {
+		t.Errorf("verdict: got %s, want %s", got, want)
+	}
+}
+
 func TestAttemptsWaitForTheHoldOfAVoid(t *testing.T) {
 	b := newBench(t, time.Time{})
 	b.readOwn(b.submit(1, "k"))
