--- a/claim/submit.go
+++ b/claim/submit.go
@@ -8,7 +8,7 @@
 		id:       r.id,
 		key:      r.key.ID(),
 		digest:   r.digest,
-		deadline: earlier(r.deadline, now.Add(t.config.MaxWait)),
+		deadline: t.deadline(now, r.deadline),
 		claimBy:  now.Add(t.config.ClaimWait),
 		phase:    attemptClaiming,
 	}
@@ -31,6 +31,16 @@
 	return t.enter(now, a)
 }
 
+// deadline bounds the deadline of an attempt; one without gets the longest.
+func (t *Table) deadline(now, told time.Time) time.Time {
+	longest := now.Add(t.config.MaxWait)
+	if told.IsZero() {
+		return longest
+	}
+
+	return earlier(told, longest)
+}
+
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
--- a/journal/client_test.go
+++ b/journal/client_test.go
@@ -154,3 +154,32 @@
 		<-stopped
 	})
 }
+
+func TestClientRecoversFromARefusalWithNothingToAppend(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := newMemoryLog(clock.System{})
+		log.script = []appendFault{faultRefused}
+		client := &Client{Log: log, Clock: clock.System{}, Stream: "test", Writer: "entry-1", Incarnation: 1}
+		ctx, cancel := context.WithCancel(t.Context())
+		stopped := make(chan struct{})
+
+		go func() {
+			defer close(stopped)
+
+			_ = client.Run(ctx)
+		}()
+
+		if _, err := client.Append(KindFirst, []byte("x")).Wait(ctx); !errors.Is(err, ErrRefused) {
+			t.Errorf("append: got %v, want %v", err, ErrRefused)
+		}
+
+		time.Sleep(time.Minute)
+
+		if got, want := client.Healthy(), true; got != want {
+			t.Errorf("healthy a minute after one refusal: got %v, want %v", got, want)
+		}
+
+		cancel()
+		<-stopped
+	})
+}
--- a/journal/outbox.go
+++ b/journal/outbox.go
@@ -42,6 +42,9 @@
 	written     time.Time
 	notBefore   time.Time
 	sending     bool
+	// probing is set after a failure until an append succeeds. Without it a
+	// writer that has nothing to append would never learn that the log is back.
+	probing bool
 }
 
 // parcel is one append to make.
@@ -107,8 +110,13 @@
 	return parcel{first: b.First, data: data}, 0, err
 }
 
-// needsFence tells whether a result can become known only by a later batch.
+// needsFence tells whether a result, or the end of a failure, can become known
+// only by a later batch.
 func (o *outbox) needsFence() bool {
+	if o.probing {
+		return true
+	}
+
 	for _, f := range o.flights {
 		if f.unknown {
 			return true
@@ -151,6 +159,7 @@
 // final: only reading the batch back is.
 func (o *outbox) answered(now time.Time, first Sequence, err error) {
 	o.sending = false
+	o.probing = err != nil
 
 	if err == nil {
 		o.backoff.Succeeded()
