--- a/claim/config.go
+++ b/claim/config.go
@@ -1,6 +1,7 @@
 package claim
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -48,25 +49,16 @@
 	OutageRetry time.Duration
 }
 
-func orElse[T comparable](value, fallback T) T {
-	var zero T
-	if value == zero {
-		return fallback
-	}
-
-	return value
-}
-
 func (c Config) withDefaults() Config {
-	c.Window = orElse(c.Window, DefaultWindow)
-	c.MaxWait = orElse(c.MaxWait, DefaultMaxWait)
-	c.ClaimWait = orElse(c.ClaimWait, DefaultClaimWait)
-	c.VoidHold = orElse(c.VoidHold, DefaultVoidHold)
-	c.MaxSkew = orElse(c.MaxSkew, DefaultMaxSkew)
-	c.KeepBody = orElse(c.KeepBody, DefaultKeepBody)
-	c.MaxOpen = orElse(c.MaxOpen, DefaultMaxOpen)
-	c.RetryAfter = orElse(c.RetryAfter, DefaultRetryAfter)
-	c.OutageRetry = orElse(c.OutageRetry, DefaultOutageRetry)
+	c.Window = cmp.Or(c.Window, DefaultWindow)
+	c.MaxWait = cmp.Or(c.MaxWait, DefaultMaxWait)
+	c.ClaimWait = cmp.Or(c.ClaimWait, DefaultClaimWait)
+	c.VoidHold = cmp.Or(c.VoidHold, DefaultVoidHold)
+	c.MaxSkew = cmp.Or(c.MaxSkew, DefaultMaxSkew)
+	c.KeepBody = cmp.Or(c.KeepBody, DefaultKeepBody)
+	c.MaxOpen = cmp.Or(c.MaxOpen, DefaultMaxOpen)
+	c.RetryAfter = cmp.Or(c.RetryAfter, DefaultRetryAfter)
+	c.OutageRetry = cmp.Or(c.OutageRetry, DefaultOutageRetry)
 
 	return c
 }
--- a/claim/counters.go
+++ b/claim/counters.go
@@ -14,6 +14,8 @@
 	voids      *metrics.Counter
 	outages    *metrics.Counter
 	failed     *metrics.Counter
+	keys       *metrics.Gauge
+	open       *metrics.Gauge
 }
 
 func newCounters() counters {
@@ -23,6 +25,8 @@
 		voids:      metrics.GetOrCreateCounter("monsoonlever_claim_voids_total"),
 		outages:    metrics.GetOrCreateCounter("monsoonlever_claim_outages_total"),
 		failed:     metrics.GetOrCreateCounter("monsoonlever_claim_failed_appends_total"),
+		keys:       metrics.GetOrCreateGauge("monsoonlever_claim_keys", nil),
+		open:       metrics.GetOrCreateGauge("monsoonlever_claim_open_attempts", nil),
 		verdicts:   make(map[Run]*metrics.Counter),
 	}
 
--- a/claim/keeper.go
+++ b/claim/keeper.go
@@ -1,6 +1,7 @@
 package claim
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"sync"
@@ -72,7 +73,7 @@
 		k.table = NewTable(k.Config)
 		k.calls = make(map[RequestID]*call)
 		k.counters = newCounters()
-		k.TickEvery = orElse(k.TickEvery, DefaultTick)
+		k.TickEvery = cmp.Or(k.TickEvery, DefaultTick)
 	})
 }
 
@@ -243,8 +244,11 @@
 	k.step(func(now time.Time) []Command {
 		commands := k.watch(healthy)
 		commands = append(commands, k.failed(now)...)
+		commands = append(commands, k.table.Tick(now)...)
+		k.counters.keys.Set(float64(k.table.Keys()))
+		k.counters.open.Set(float64(k.table.Open()))
 
-		return append(commands, k.table.Tick(now)...)
+		return commands
 	})
 }
 
--- a/journal/client.go
+++ b/journal/client.go
@@ -1,6 +1,7 @@
 package journal
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"sync"
@@ -76,26 +77,17 @@
 	counters      *counters
 }
 
-func orElse[T comparable](value, fallback T) T {
-	var zero T
-	if value == zero {
-		return fallback
-	}
-
-	return value
-}
-
 func (c *Client) init() {
 	c.once.Do(func() {
-		c.AppendsPerSecond = orElse(c.AppendsPerSecond, DefaultAppendsPerSecond)
-		c.Burst = orElse(c.Burst, DefaultBurst)
-		c.MaxBatchBytes = orElse(c.MaxBatchBytes, DefaultMaxBatchBytes)
-		c.MaxQueueBytes = orElse(c.MaxQueueBytes, DefaultMaxQueueBytes)
-		c.AppendTimeout = orElse(c.AppendTimeout, DefaultAppendTimeout)
-		c.ReadWait = orElse(c.ReadWait, DefaultReadWait)
-		c.ReadLimit = orElse(c.ReadLimit, DefaultReadLimit)
-		c.MaxDelay = orElse(c.MaxDelay, DefaultMaxDelay)
-		c.DownAfter = orElse(c.DownAfter, DefaultDownAfter)
+		c.AppendsPerSecond = cmp.Or(c.AppendsPerSecond, DefaultAppendsPerSecond)
+		c.Burst = cmp.Or(c.Burst, DefaultBurst)
+		c.MaxBatchBytes = cmp.Or(c.MaxBatchBytes, DefaultMaxBatchBytes)
+		c.MaxQueueBytes = cmp.Or(c.MaxQueueBytes, DefaultMaxQueueBytes)
+		c.AppendTimeout = cmp.Or(c.AppendTimeout, DefaultAppendTimeout)
+		c.ReadWait = cmp.Or(c.ReadWait, DefaultReadWait)
+		c.ReadLimit = cmp.Or(c.ReadLimit, DefaultReadLimit)
+		c.MaxDelay = cmp.Or(c.MaxDelay, DefaultMaxDelay)
+		c.DownAfter = cmp.Or(c.DownAfter, DefaultDownAfter)
 
 		if c.Rand == nil {
 			c.Rand = rand.New(rand.NewPCG(uint64(c.Incarnation), uint64(len(c.Writer))))
--- a/journal/reading.go
+++ b/journal/reading.go
@@ -1,6 +1,7 @@
 package journal
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -186,7 +187,7 @@
 		return
 	}
 
-	c.goal = max(orElse(c.goal, batch.Next), 1)
+	c.goal = max(cmp.Or(c.goal, batch.Next), 1)
 	if from >= c.goal {
 		c.isReady = true
 		close(c.ready)
