--- a/claim/keeper_test.go
+++ b/claim/keeper_test.go
@@ -232,6 +232,8 @@
 		defer e.stop()
 
 		v, err := e.keepers[0].Do(t.Context(), attemptWith("k", time.Minute), func(context.Context) (Result, error) {
+			// The other instance reads the claim before the log goes away.
+			time.Sleep(time.Second)
 			e.log.set(true, 0)
 			time.Sleep(10 * time.Second)
 
