--- a/publication/attempt.go
+++ b/publication/attempt.go
@@ -78,19 +78,18 @@
 
 // onBatch takes the answer to a read.
 func (a *attempt) onBatch(q request, b platform.Batch) {
-	a.note()
+	a.note(a.reader.state.Snapshot())
 
 	results, atEnd := a.reader.apply(q, b)
 	for _, r := range results {
 		a.observe(r)
+		a.note(r.snapshot)
 
 		if a.verdict != verdictOpen {
 			return
 		}
 	}
 
-	a.note()
-
 	a.atEnd = atEnd
 	if atEnd {
 		a.judgeEnd(b.Next)
@@ -116,9 +115,9 @@
 }
 
 // note remembers the manifest in force at base.
-func (a *attempt) note() {
-	if s := a.reader.state; s.Known() && s.Version() == a.base {
-		a.baseSnapshot = s.Snapshot()
+func (a *attempt) note(s *Snapshot) {
+	if s.version == a.base {
+		a.baseSnapshot = s
 	}
 }
 
@@ -130,6 +129,8 @@
 		}
 	case Restored:
 		a.observeRestored(r)
+	default:
+		// The version stays as it was.
 	}
 }
 
--- a/publication/codec.go
+++ b/publication/codec.go
@@ -13,7 +13,7 @@
 	// format is the first byte of a record. A reader skips formats that it does
 	// not know.
 	format     byte = 1
-	headerSize      = 2
+	headerSize int  = 2
 )
 
 // ErrUndecodable is wrapped by the error of Decode.
--- a/publication/holds_manifest_test.go
+++ b/publication/holds_manifest_test.go
@@ -214,6 +214,8 @@
 		w.inForce[a.target] = a.version
 	case verdictVoid, verdictRefused, verdictVersionUnknown:
 		w.void[a.target] = true
+	default:
+		// Nothing was told that could be wrong.
 	}
 }
 
@@ -287,7 +289,7 @@
 
 	n.schedule.due = testStart
 	w.drawFault(t)
-	_ = n.Follower.checkpoint(context.Background())
+	_ = n.checkpoint(context.Background())
 	w.truth.follow(w.log)
 }
 
--- a/publication/result.go
+++ b/publication/result.go
@@ -15,6 +15,8 @@
 	version platform.Offset
 	id      ID
 	err     error
+	// snapshot is the state's after the record.
+	snapshot *Snapshot
 }
 
 // Outcome tells what the record did.
--- a/publication/state.go
+++ b/publication/state.go
@@ -245,6 +245,7 @@
 func (s *State) finish(r Result, o Outcome) Result {
 	r.outcome = o
 	r.version = s.Version()
+	r.snapshot = s.current
 
 	return r
 }
