fix(publication): give the checkpoint schedule a random source of its own

Cause: the race detector saw the reading goroutine and the schedule draw from one source.

Change: the schedule takes its seed from Random once.

--- a/manifest/parse_test.go
+++ b/manifest/parse_test.go
@@ -9,12 +9,12 @@
 	"monsoonlever/finding"
 )
 
-func kronvig(t testing.TB) string {
-	t.Helper()
+func kronvig(tb testing.TB) string {
+	tb.Helper()
 
 	data, err := os.ReadFile("../examples/kronvig.manifest.jsonc")
 	if err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
 
 	return string(data)
--- a/publication/follower.go
+++ b/publication/follower.go
@@ -203,7 +203,9 @@
 	}
 
 	f.reader = newReader(f.width)
-	f.schedule = &schedule{random: f.Random, retention: DefaultRetention}
+	// The schedule is used under the lock, Random by the reading goroutine.
+	own := rand.New(rand.NewPCG(f.Random.Uint64(), f.Random.Uint64()))
+	f.schedule = &schedule{random: own, retention: DefaultRetention}
 	// Where the log shows no checkpoint soon, this node writes one.
 	f.schedule.reset(f.Clock.Now().Add(-DefaultRetention / 2))
 }
