--- a/publication/holds_manifest_test.go
+++ b/publication/holds_manifest_test.go
@@ -309,7 +309,14 @@
 		t.Fatal(err)
 	}
 
-	data := rapid.SampledFrom([][]byte{invalid, {}, {9, 1, 2}, {format, 77}, {format, byte(kindFence), 0xff}}).Draw(t, "data")
+	base := rapid.SampledFrom(w.truth.at).Draw(t, "base")
+
+	fence, err := Encode(Fence{ID: w.newID(), DerivedFrom: base})
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	data := rapid.SampledFrom([][]byte{fence, invalid, {}, {9, 1, 2}, {format, 77}, {format, byte(kindFence), 0xff}}).Draw(t, "data")
 	w.log.add(data)
 	w.truth.follow(w.log)
 }
--- a/publication/state_test.go
+++ b/publication/state_test.go
@@ -120,3 +120,29 @@
 		})
 	}
 }
+
+func TestAdoptKeepsAGreaterVersionThatIsNoLongerCertain(t *testing.T) {
+	s := NewState()
+	s.Adopt(Checkpoint{Version: 5, Through: 8, ID: "a", Manifest: manifestNumbered(1)})
+	s.SkipTo(20)
+
+	got := s.Adopt(Checkpoint{Version: 2, Through: 3, ID: "b", Manifest: manifestNumbered(2)})
+	if got.Outcome() != Useless || s.Version() != 5 || s.Known() {
+		t.Errorf("adopted: got %v, version %d, known %v, want %v, 5, false", got.Outcome(), s.Version(), s.Known(), Useless)
+	}
+}
+
+func TestACheckpointBeforeMissedRecordsIsUseless(t *testing.T) {
+	s := NewState()
+	s.SkipTo(20)
+
+	early := s.Apply(platform.Record{Offset: 20, Data: encoded(t, Checkpoint{Version: 5, Through: 18, ID: "a", Manifest: manifestNumbered(1)})})
+	if early.Outcome() != Useless || s.Known() {
+		t.Errorf("a record was missed: got %v, known %v, want %v, false", early.Outcome(), s.Known(), Useless)
+	}
+
+	exact := s.Apply(platform.Record{Offset: 21, Data: encoded(t, Checkpoint{Version: 5, Through: 19, ID: "a", Manifest: manifestNumbered(1)})})
+	if exact.Outcome() != Restored || !s.Known() || s.Next() != 20 {
+		t.Errorf("none was missed: got %v, known %v, next %d, want %v, true, 20", exact.Outcome(), s.Known(), s.Next(), Restored)
+	}
+}
