--- a/manifest/check_calls.go
+++ b/manifest/check_calls.go
@@ -85,11 +85,18 @@
 }
 
 func (c *checker) checkCallKeyWindow(at string, call wireCall) {
+	field := document.Child(at, "keyWindow")
+
+	// A key that is forgotten before the deadline lets a second try run.
+	window := keyWindowOf(&call, c.wire.Idempotency.KeyWindow)
+	if !isIdempotent(&call) && window > 0 && window < call.Deadline {
+		c.report(field, "is %v, shorter than the deadline (%v)", window, call.Deadline)
+	}
+
 	if call.KeyWindow == nil {
 		return
 	}
 
-	field := document.Child(at, "keyWindow")
 	c.checkKeyWindow(field, *call.KeyWindow)
 
 	if call.Idempotent == nil || *call.Idempotent {
--- a/manifest/check_regions.go
+++ b/manifest/check_regions.go
@@ -31,6 +31,10 @@
 		c.name(document.Child(at, "name"), string(d.Name))
 		unique(c, c.domains, document.Child(at, "name"), d.Name)
 		c.checkClasses(document.Child(at, "classes"), d.Classes)
+
+		for _, class := range d.Classes {
+			c.sold[sale{domain: d.Name, class: class.Name}] = true
+		}
 	}
 }
 
--- a/manifest/check_services.go
+++ b/manifest/check_services.go
@@ -1,6 +1,8 @@
 package manifest
 
 import (
+	"slices"
+
 	"monsoonlever/document"
 	"monsoonlever/fleet"
 	"monsoonlever/platform"
@@ -47,12 +49,21 @@
 		item := document.Item(document.Child(at, "failureDomains"), i)
 		unique(c, seenDomains, item, domain)
 
-		if !c.domains[domain] {
+		switch {
+		case !c.domains[domain]:
 			c.report(item, "is an unknown failure domain %q", domain)
+		case !c.sellsOne(domain, s.Classes):
+			c.report(item, "has none of the service's classes")
 		}
 	}
 }
 
+func (c *checker) sellsOne(domain fleet.FailureDomain, classes []platform.Class) bool {
+	return slices.ContainsFunc(classes, func(class platform.Class) bool {
+		return c.sold[sale{domain: domain, class: class}]
+	})
+}
+
 func (c *checker) checkKind(at string, s wireService) {
 	models := document.Child(at, "models")
 	concurrency := document.Child(at, "concurrency")
--- a/manifest/checker.go
+++ b/manifest/checker.go
@@ -17,6 +17,12 @@
 
 var currencyCode = regexp.MustCompile(`^[A-Z]{3}$`)
 
+// sale says that a failure domain has a machine class.
+type sale struct {
+	domain fleet.FailureDomain
+	class  platform.Class
+}
+
 // checker reports what is wrong in a decoded manifest.
 type checker struct {
 	document *document.Document
@@ -24,6 +30,7 @@
 	wire     *wireManifest
 
 	domains  map[fleet.FailureDomain]bool
+	sold     map[sale]bool
 	classes  map[platform.Class]int
 	models   map[fleet.Model]bool
 	services map[fleet.Service]Kind
@@ -36,6 +43,7 @@
 		findings: l,
 		wire:     wire,
 		domains:  map[fleet.FailureDomain]bool{},
+		sold:     map[sale]bool{},
 		classes:  map[platform.Class]int{},
 		models:   map[fleet.Model]bool{},
 		services: map[fleet.Service]Kind{},
--- a/publication/follower.go
+++ b/publication/follower.go
@@ -31,7 +31,8 @@
 	Clock  clock.Clock
 	// Random spreads retries and checkpoints; Run alone uses it.
 	Random *rand.Rand
-	// OnChange, if set, is called with each new snapshot, one at a time.
+	// OnChange, if set, is called with each new snapshot, one at a time. It must
+	// return soon and must not call Adopt.
 	OnChange func(*Snapshot)
 
 	view atomic.Pointer[view]
@@ -66,7 +67,8 @@
 	return v.snapshot.version
 }
 
-// Checkpoint returns what a peer that starts without the log may adopt.
+// Checkpoint returns what a peer that starts without the log may adopt. Its bytes
+// are shared and must not be changed.
 func (f *Follower) Checkpoint() (Checkpoint, bool) {
 	v := f.view.Load()
 	if v == nil || !v.known {
--- a/publication/state.go
+++ b/publication/state.go
@@ -119,7 +119,8 @@
 	}
 }
 
-// Checkpoint returns what the state knows, unless it has missed records.
+// Checkpoint returns what the state knows, unless it has missed records. Its
+// bytes are shared and must not be changed.
 func (s *State) Checkpoint() (Checkpoint, bool) {
 	if !s.known {
 		return Checkpoint{}, false
