--- a/publication/follower.go
+++ b/publication/follower.go
@@ -31,7 +31,8 @@
 	Clock  clock.Clock
 	// Random spreads retries and checkpoints; Run alone uses it.
 	Random *rand.Rand
-	// OnChange, if set, is called with each new snapshot, one at a time.
+	// OnChange, if set, is called with each new snapshot, one at a time. It must
+	// return soon and must not call Adopt.
 	OnChange func(*Snapshot)
 
 	view atomic.Pointer[view]
@@ -66,7 +67,8 @@
 	return v.snapshot.version
 }
 
-// Checkpoint returns what a peer that starts without the log may adopt.
+// Checkpoint returns what a peer that starts without the log may adopt. Its bytes
+// are shared and must not be changed.
 func (f *Follower) Checkpoint() (Checkpoint, bool) {
 	v := f.view.Load()
 	if v == nil || !v.known {
@@ -203,7 +205,9 @@
 	}
 
 	f.reader = newReader(f.width)
-	f.schedule = &schedule{random: f.Random, retention: DefaultRetention}
+	// The schedule is used under the lock, Random by the reading goroutine.
+	own := rand.New(rand.NewPCG(f.Random.Uint64(), f.Random.Uint64()))
+	f.schedule = &schedule{random: own, retention: DefaultRetention}
 	// Where the log shows no checkpoint soon, this node writes one.
 	f.schedule.reset(f.Clock.Now().Add(-DefaultRetention / 2))
 }
--- a/publication/holds_manifest_test.go
+++ b/publication/holds_manifest_test.go
@@ -214,6 +214,8 @@
 		w.inForce[a.target] = a.version
 	case verdictVoid, verdictRefused, verdictVersionUnknown:
 		w.void[a.target] = true
+	default:
+		// Nothing was told that could be wrong.
 	}
 }
 
@@ -287,7 +289,7 @@
 
 	n.schedule.due = testStart
 	w.drawFault(t)
-	_ = n.Follower.checkpoint(context.Background())
+	_ = n.checkpoint(context.Background())
 	w.truth.follow(w.log)
 }
 
@@ -307,7 +309,14 @@
 		t.Fatal(err)
 	}
 
-	data := rapid.SampledFrom([][]byte{invalid, {}, {9, 1, 2}, {format, 77}, {format, byte(kindFence), 0xff}}).Draw(t, "data")
+	base := rapid.SampledFrom(w.truth.at).Draw(t, "base")
+
+	fence, err := Encode(Fence{ID: w.newID(), DerivedFrom: base})
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	data := rapid.SampledFrom([][]byte{fence, invalid, {}, {9, 1, 2}, {format, 77}, {format, byte(kindFence), 0xff}}).Draw(t, "data")
 	w.log.add(data)
 	w.truth.follow(w.log)
 }
--- a/publication/state.go
+++ b/publication/state.go
@@ -119,7 +119,8 @@
 	}
 }
 
-// Checkpoint returns what the state knows, unless it has missed records.
+// Checkpoint returns what the state knows, unless it has missed records. Its
+// bytes are shared and must not be changed.
 func (s *State) Checkpoint() (Checkpoint, bool) {
 	if !s.known {
 		return Checkpoint{}, false
@@ -245,6 +246,7 @@
 func (s *State) finish(r Result, o Outcome) Result {
 	r.outcome = o
 	r.version = s.Version()
+	r.snapshot = s.current
 
 	return r
 }
