fix(lease): one outstanding order a target

Two orders of one holder carry the same fencing number, so an older one that was delayed took a runner back to the old version.

Change: Corrector has one order outstanding a target, and another state waits out the flight after a call that ended without an answer. The test drives the Corrector instead of sending by itself. Orders of every earlier holder still land at any time.

Conclusion: the fencing number orders holders, and the Corrector the orders of one holder.

--- a/lease/corrector.go
+++ b/lease/corrector.go
@@ -11,13 +11,20 @@
 // the fencing number of the holder, reads it back, and orders again where the
 // state differs or is of another holder.
 //
+// A target has one order outstanding at most, since the fencing number does not
+// put the orders of one holder in order. The shell reports the end of each by
+// Answered.
+//
 // It reads each target every ReadEvery for as long as it is wanted, since an
 // engine that ignores the fencing number may take an old order at any time.
 type Corrector[S comparable] struct {
 	// ReadEvery is the time between two reads of one target.
 	ReadEvery time.Duration
-	// Retry is the time after which an unanswered order is sent again.
+	// Retry is the time between two orders of the same state to one target.
 	Retry time.Duration
+	// Flight is how long an order may still take effect after its call ended
+	// without an answer. Another state is ordered only after that.
+	Flight time.Duration
 
 	targets map[fleet.InstanceID]*target[S]
 }
@@ -28,6 +35,10 @@
 	orderAt time.Time
 	readAt  time.Time
 	fence   Fence
+	// outstanding is set while a call runs, and ordered is the state it asks for.
+	outstanding bool
+	ordered     S
+	uncertain   time.Time
 }
 
 // Want sets the wanted state of a target.
@@ -73,6 +84,20 @@
 	t.settled = settled
 }
 
+// Answered takes in the end of the call of an order at now: certain if the target
+// took or refused it, and else it may still take effect within Flight.
+func (c *Corrector[S]) Answered(now time.Time, id fleet.InstanceID, certain bool) {
+	t, ok := c.targets[id]
+	if !ok {
+		return
+	}
+
+	t.outstanding = false
+	if !certain {
+		t.uncertain = now.Add(c.Flight)
+	}
+}
+
 // Step returns what to send at now under the fencing number from Core.Check.
 func (c *Corrector[S]) Step(now time.Time, fence Fence) []Action[S] {
 	var actions []Action[S]
@@ -85,8 +110,10 @@
 			t.orderAt = time.Time{}
 		}
 
-		if !t.settled && due(now, t.orderAt, c.Retry) {
+		if t.mayOrder(now, c.Retry) {
 			t.orderAt = now
+			t.outstanding = true
+			t.ordered = t.wanted
 			actions = append(actions, Action[S]{Target: id, State: t.wanted, Fence: fence})
 		}
 
@@ -117,6 +144,14 @@
 	return ids
 }
 
+func (t *target[S]) mayOrder(now time.Time, retry time.Duration) bool {
+	if t.settled || t.outstanding || !due(now, t.orderAt, retry) {
+		return false
+	}
+
+	return t.wanted == t.ordered || !now.Before(t.uncertain)
+}
+
 func due(now, last time.Time, every time.Duration) bool {
 	return last.IsZero() || now.Sub(last) >= every
 }
--- /dev/null
+++ b/lease/corrector_test.go
@@ -0,0 +1,50 @@
+package lease_test
+
+import (
+	"testing"
+	"time"
+
+	"monsoonlever/lease"
+)
+
+func TestCorrectorWaitsOutAnUnansweredOrder(t *testing.T) {
+	for _, tt := range []struct {
+		desc  string
+		state int
+		after time.Duration
+		want  int
+	}{
+		{"the same state again after the retry time", 1, time.Second, 1},
+		{"another state not within the flight", 2, 4 * time.Second, 0},
+		{"another state after the flight", 2, 5 * time.Second, 1},
+	} {
+		t.Run(tt.desc, func(t *testing.T) {
+			c := &lease.Corrector[int]{ReadEvery: time.Hour, Retry: time.Second, Flight: 5 * time.Second}
+			c.Want("runner-1", 1)
+			c.Step(start, 7)
+			c.Answered(start, "runner-1", false)
+			c.Want("runner-1", tt.state)
+
+			if got := len(c.Step(start.Add(tt.after), 7)); got != tt.want {
+				t.Errorf("orders: got %d, want %d", got, tt.want)
+			}
+		})
+	}
+}
+
+func TestCorrectorHasOneOrderOutstanding(t *testing.T) {
+	c := &lease.Corrector[int]{ReadEvery: time.Hour, Retry: time.Second}
+	c.Want("runner-1", 1)
+	c.Step(start, 7)
+	c.Want("runner-1", 2)
+
+	if got, want := len(c.Step(start.Add(time.Minute), 7)), 0; got != want {
+		t.Errorf("orders while one is outstanding: got %d, want %d", got, want)
+	}
+
+	c.Answered(start.Add(time.Minute), "runner-1", true)
+
+	if got, want := len(c.Step(start.Add(time.Minute), 7)), 1; got != want {
+		t.Errorf("orders after the answer: got %d, want %d", got, want)
+	}
+}
--- a/lease/orders_test.go
+++ b/lease/orders_test.go
@@ -6,6 +6,7 @@
 
 	"pgregory.net/rapid"
 
+	"monsoonlever/fleet"
 	"monsoonlever/lease"
 )
 
@@ -32,6 +33,7 @@
 	fence   lease.Fence
 	version int
 	lands   time.Time
+	answer  func(now time.Time)
 }
 
 const (
@@ -55,7 +57,7 @@
 	for now := start; now.Before(until); now = now.Add(100 * time.Millisecond) {
 		if fence == 0 || now.Before(until.Add(-30*time.Second)) && rapid.IntRange(0, 99).Draw(t, "grant") == 0 {
 			fence += lease.Fence(rapid.IntRange(1, 9).Draw(t, "fence"))
-			corrector = &lease.Corrector[int]{ReadEvery: readEvery, Retry: flight}
+			corrector = &lease.Corrector[int]{ReadEvery: readEvery, Retry: flight, Flight: flight}
 			wanted = rapid.IntRange(1, 3).Draw(t, "version")
 			corrector.Want("runner-1", wanted)
 		}
@@ -69,6 +71,8 @@
 				continue
 			}
 
+			o.answer(now)
+
 			if e.take(o.fence, o.version) && o.fence < fence {
 				lastStale = now
 
@@ -99,13 +103,17 @@
 				delay = time.Duration(rapid.IntRange(0, 40).Draw(t, "paused")) * time.Second
 			}
 
-			flying = append(flying, sent{fence: a.Fence, version: a.State, lands: now.Add(delay)})
+			flying = append(flying, sent{fence: a.Fence, version: a.State, lands: now.Add(delay), answer: answered(corrector, a.Target)})
 		}
 	}
 
 	return corrector, lastStale
 }
 
+func answered(c *lease.Corrector[int], id fleet.InstanceID) func(time.Time) {
+	return func(now time.Time) { c.Answered(now, id, true) }
+}
+
 func TestHoldsLeaseOrdersWithCheckingEngine(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		e := &engine{checks: true}
--- a/placement/layout.go
+++ b/placement/layout.go
@@ -14,7 +14,9 @@
 	shares  []float64
 	counts  []int
 	// places is the index of each option's failure domain.
-	places  []int
+	places []int
+	// sums is room to add up the shares of each failure domain.
+	sums    []float64
 	urgent  float64
 	minimum int
 	maximum int
@@ -32,6 +34,7 @@
 	l := &layout{
 		options: options,
 		counts:  make([]int, len(options)),
+		sums:    make([]float64, len(options)),
 		urgent:  service.UrgentShare,
 		minimum: service.Min + surge,
 		maximum: max(service.Max, service.Min+surge),
@@ -69,34 +72,23 @@
 // carried is the share of the demand that all instances carry, and left is what
 // remains after the loss of the worst failure domain, which is returned too.
 func (l *layout) carried() (all, left float64, worst fleet.FailureDomain) {
-	greatest := 0.0
+	clear(l.sums)
 
 	for i, place := range l.places {
-		all += float64(l.counts[i]) * l.shares[i]
-
-		// The first option of a failure domain stands for all of it.
-		if place != i {
-			continue
-		}
-
-		if share := l.domainShare(place); share > greatest {
-			greatest, worst = share, l.options[i].cell.Domain
-		}
+		share := float64(l.counts[i]) * l.shares[i]
+		all += share
+		l.sums[place] += share
 	}
 
-	return all, all - greatest, worst
-}
-
-func (l *layout) domainShare(place int) float64 {
-	share := 0.0
+	greatest := 0.0
 
-	for i, other := range l.places {
-		if other == place {
-			share += float64(l.counts[i]) * l.shares[i]
+	for place, share := range l.sums {
+		if share > greatest {
+			greatest, worst = share, l.options[place].cell.Domain
 		}
 	}
 
-	return share
+	return all, all - greatest, worst
 }
 
 // covers tells whether the demand is carried now, and its urgent share after the
--- a/placement/rollout_test.go
+++ b/placement/rollout_test.go
@@ -43,10 +43,37 @@
 type fleetOfEngines struct {
 	t       *rapid.T
 	engines []*engine
-	flying  []func()
-	lands   []int
+	flying  []event
 	step    int
-	lost    bool
+}
+
+// rolloutHolder is one holder, whose orders may land after the next was granted.
+type rolloutHolder struct {
+	fence     lease.Fence
+	rollout   *placement.Rollout
+	corrector *lease.Corrector[placement.Holding]
+}
+
+func newRolloutHolder(fence lease.Fence) *rolloutHolder {
+	return &rolloutHolder{
+		fence:     fence,
+		rollout:   &placement.Rollout{DrainTimeout: 5 * time.Second, MaxUnavailable: 2},
+		corrector: &lease.Corrector[placement.Holding]{ReadEvery: second, Retry: 2 * second, Flight: 3 * second},
+	}
+}
+
+func (f *fleetOfEngines) now() time.Time {
+	return start.Add(time.Duration(f.step) * second)
+}
+
+func (f *fleetOfEngines) find(id fleet.InstanceID) *engine {
+	for _, e := range f.engines {
+		if e.id == id {
+			return e
+		}
+	}
+
+	return nil
 }
 
 func (f *fleetOfEngines) runners(fence lease.Fence) []placement.Runner {
@@ -60,30 +87,46 @@
 	return result
 }
 
-func (f *fleetOfEngines) send(e *engine, fence lease.Fence, holding placement.Holding) {
+// send delivers an order late if its sender is paused. At times the answer is
+// lost, and the order lands within the flight after its call ended.
+func (f *fleetOfEngines) send(h *rolloutHolder, a lease.Action[placement.Holding]) {
+	e := f.find(a.Target)
 	delay := rapid.IntRange(0, 2).Draw(f.t, "delay")
-	if rapid.IntRange(0, 9).Draw(f.t, "paused") == 0 {
+
+	switch rapid.IntRange(0, 9).Draw(f.t, "fault") {
+	case 0:
 		delay = rapid.IntRange(0, 40).Draw(f.t, "pause")
+	case 1:
+		late := delay + rapid.IntRange(0, 2).Draw(f.t, "late")
+		f.after(delay, func() { h.corrector.Answered(f.now(), a.Target, false) })
+		f.after(late, func() { e.take(a.Fence, a.State) })
+
+		return
 	}
 
-	f.flying = append(f.flying, func() { e.take(fence, holding) })
-	f.lands = append(f.lands, f.step+delay)
+	f.after(delay, func() {
+		e.take(a.Fence, a.State)
+		h.corrector.Answered(f.now(), a.Target, true)
+	})
+}
+
+func (f *fleetOfEngines) after(ticks int, run func()) {
+	f.flying = append(f.flying, event{lands: f.step + ticks, run: run})
 }
 
 func (f *fleetOfEngines) land() {
-	flying, lands := f.flying, f.lands
-	f.flying, f.lands = nil, nil
+	flying := f.flying
+	f.flying = nil
 
-	for i, run := range flying {
-		if lands[i] > f.step {
-			f.flying = append(f.flying, run)
-			f.lands = append(f.lands, lands[i])
+	for _, o := range flying {
+		if o.lands > f.step {
+			f.flying = append(f.flying, o)
 
 			continue
 		}
 
 		before := f.ready()
-		run()
+		o.run()
 
 		if before > 0 && f.ready() == 0 {
 			f.t.Fatalf("step %d: an order took the last ready runner", f.step)
@@ -125,22 +168,19 @@
 		}
 
 		wanted := placement.Service{Name: service, Holding: version("2")}
-		holders := []*placement.Rollout{{DrainTimeout: 5 * time.Second, MaxUnavailable: 2}}
-		fences := []lease.Fence{1}
+		holders := []*rolloutHolder{newRolloutHolder(1)}
 
-		for f.step = 0; f.step < 200; f.step++ {
+		for f.step = 0; f.step < 250; f.step++ {
 			f.land()
 			f.work()
 
-			if f.step < 100 && rapid.IntRange(0, 19).Draw(t, "grant") == 0 {
-				holders = append(holders, &placement.Rollout{DrainTimeout: 5 * time.Second, MaxUnavailable: 2})
-				fences = append(fences, fences[len(fences)-1]+1)
+			if f.step < 100 && rapid.IntRange(0, 9).Draw(t, "grant") == 0 {
+				holders = append(holders, newRolloutHolder(lease.Fence(len(holders)+1)))
 			}
 
-			// The holder before the newest goes on as if it still held the lease.
-			for i := max(0, len(holders)-2); i < len(holders); i++ {
-				f.act(holders[i], fences[i], wanted)
-			}
+			// The lease keeps earlier holders from deciding anything by now, but what
+			// they were paused before sending still lands.
+			f.act(holders[len(holders)-1], wanted)
 		}
 
 		for _, e := range f.engines {
@@ -155,16 +195,26 @@
 	})
 
 	t.Logf("runners moved to the new version in all runs: %d", moved)
+
+	if moved == 0 {
+		t.Error("no runner was moved")
+	}
 }
 
-func (f *fleetOfEngines) act(r *placement.Rollout, fence lease.Fence, wanted placement.Service) {
-	now := start.Add(time.Duration(f.step) * second)
+func (f *fleetOfEngines) act(h *rolloutHolder, wanted placement.Service) {
 	all := func(fleet.InstanceID) bool { return true }
+	for _, a := range h.rollout.Step(f.now(), wanted, f.runners(h.fence), all) {
+		h.corrector.Want(a.Instance, a.Holding)
+	}
 
-	for i, a := range r.Step(now, wanted, f.runners(fence), all) {
-		e := f.engines[i]
-		if e.fence != fence || e.holding != a.Holding {
-			f.send(e, fence, a.Holding)
+	for _, a := range h.corrector.Step(f.now(), h.fence) {
+		if !a.Read {
+			f.send(h, a)
+
+			continue
 		}
+
+		e := f.find(a.Target)
+		h.corrector.Observe(a.Target, lease.Readback[placement.Holding]{State: e.holding, Fence: e.fence, ChecksFence: true})
 	}
 }
