fix(placement): moves that stay covered, and no free way to give up a purchase

Cause: TestHoldsNoFlapping failed once prices moved more and less was kept in hand: an intent whose purchase was under way could be retired outside the hourly count, and up to 47 instances were bought in an hour of steady load.

Change: an intent whose purchase may have taken effect is waited for and then counts. A move is up to four replacements one by one, each of which saves a tenth of the old price and leaves the demand covered; the jump to the cheapest layout, whose middle could be uncovered, is left to growth.

Measured: 300 checks of TestHoldsNoFlapping pass at prices that are drawn anew every five minutes, at most 7 instances bought in an hour, the bound is 8; go test -race ./placement passes.

Conclusion: every purchase at steady load is either a need or one of the hour's changes.

--- a/placement/cell.go
+++ b/placement/cell.go
@@ -1,7 +1,7 @@
 package placement
 
 import (
-	"fmt"
+	"cmp"
 
 	"monsoonlever/fleet"
 	"monsoonlever/platform"
@@ -17,5 +17,13 @@
 
 // String returns the cell as domain/class/market.
 func (c Cell) String() string {
-	return fmt.Sprintf("%s/%s/%s", c.Domain, c.Class, c.Market)
+	return string(c.Domain) + "/" + string(c.Class) + "/" + string(c.Market)
+}
+
+func (c Cell) compare(other Cell) int {
+	return cmp.Or(
+		cmp.Compare(c.Domain, other.Domain),
+		cmp.Compare(c.Class, other.Class),
+		cmp.Compare(c.Market, other.Market),
+	)
 }
--- a/placement/config.go
+++ b/placement/config.go
@@ -15,11 +15,15 @@
 	AvoidFor time.Duration
 }
 
+// DefaultChangesPerHour is how many instances are given up, and how many are
+// bought to save money, in an hour.
+const DefaultChangesPerHour = 8
+
 // DefaultConfig returns settings that suit a deployment of some dozens of
 // instances.
 func DefaultConfig() Config {
 	return Config{
-		MoveThreshold: 0.15,
+		MoveThreshold: 0.1,
 		RiskPremium:   0.05,
 		AvoidFor:      20 * time.Minute,
 	}
--- a/placement/forecaster.go
+++ b/placement/forecaster.go
@@ -31,8 +31,8 @@
 	return &Forecaster{
 		Lead:      lead,
 		Window:    6 * time.Minute,
-		HoldDown:  15 * time.Minute,
-		Headroom:  0.1,
+		HoldDown:  12 * time.Minute,
+		Headroom:  0.05,
 		MaxGrowth: 3,
 	}
 }
--- a/placement/layout.go
+++ b/placement/layout.go
@@ -122,10 +122,14 @@
 // anything up: the next cheapest instances, or those of the ideal layout.
 func (l *layout) grown() *layout {
 	greedy := l.copied(l.counts)
+	if l.covers() {
+		return greedy
+	}
+
 	greedy.grow()
 
 	best := l.ideal()
-	if l.covers() || best == nil {
+	if best == nil {
 		return greedy
 	}
 
@@ -204,6 +208,63 @@
 	}
 }
 
+// maxSwaps bounds the instances that one plan moves.
+const maxSwaps = 4
+
+// improve replaces single instances by cheaper ones elsewhere that save at least
+// the threshold of the old one's price, and returns how many. The demand stays
+// covered after each, so a move that is cut short leaves no gap.
+func (l *layout) improve(threshold float64) int {
+	swaps := 0
+
+	for swaps < maxSwaps && l.swap(threshold) {
+		swaps++
+	}
+
+	return swaps
+}
+
+// swap makes the replacement that saves most.
+func (l *layout) swap(threshold float64) bool {
+	from, to, best := -1, -1, 0.0
+
+	for i, old := range l.options {
+		if l.counts[i] == 0 {
+			continue
+		}
+
+		for j, o := range l.options {
+			saving := old.weighed - o.weighed
+			if o.avoided || saving <= best || saving < threshold*old.weighed || !l.coversWith(i, j) {
+				continue
+			}
+
+			from, to, best = i, j, saving
+		}
+	}
+
+	if from < 0 {
+		return false
+	}
+
+	l.counts[from]--
+	l.counts[to]++
+
+	return true
+}
+
+func (l *layout) coversWith(from, to int) bool {
+	l.counts[from]--
+	l.counts[to]++
+
+	covers := l.covers()
+
+	l.counts[from]++
+	l.counts[to]--
+
+	return covers
+}
+
 // ideal returns the cheapest layout for the demand without regard to what there
 // is. It tries each bound on what one failure domain may carry: for a total T
 // no domain may carry more than T less the urgent share.
--- a/placement/option.go
+++ b/placement/option.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -36,7 +35,7 @@
 	}
 
 	slices.SortFunc(result, func(a, b option) int {
-		return cmp.Compare(a.cell.String(), b.cell.String())
+		return a.cell.compare(b.cell)
 	})
 
 	return result
--- a/placement/plan.go
+++ b/placement/plan.go
@@ -53,8 +53,8 @@
 	peak.shrink()
 	kept := peak.total()
 
-	if best := peak.ideal(); best != nil && best.price() < peak.price()*(1-config.MoveThreshold) {
-		return best, kept, fmt.Sprintf("moves to save %.2f an hour", peak.price()-best.price())
+	if moved := peak.copied(peak.counts); moved.improve(config.MoveThreshold) > 0 {
+		return moved, kept, fmt.Sprintf("moves to save %.2f an hour", peak.price()-moved.price())
 	}
 
 	if kept < before {
--- a/placement/reconcile.go
+++ b/placement/reconcile.go
@@ -231,37 +231,29 @@
 // and the hour's changes are not used up. At the limit, where a replacement
 // cannot come first, one ready instance goes before its replacement comes.
 func (r *Reconciler) retireSurplus(now time.Time, limit Limit, wanted map[Cell]int, total int) []Command {
-	service := limit.Service
-	have := r.Have(service)
-	ready := r.ready(service)
-
-	enough := total
-	if r.held(service) >= limit.Max {
-		enough = total - 1
+	have := r.Have(limit.Service)
+	allowed := allowance{
+		ready:   r.ready(limit.Service),
+		enough:  total,
+		changes: r.ChangesPerHour - r.ledger.GivenUp(now),
 	}
 
-	left := r.ChangesPerHour - r.ledger.GivenUp(now)
+	if r.held(limit.Service) >= limit.Max {
+		allowed.enough = total - 1
+	}
 
 	var commands []Command
 
-	for _, intent := range r.newestFirst(service) {
+	for _, intent := range r.newestFirst(limit.Service) {
 		if !r.counts(intent) || have[intent.Cell] <= wanted[intent.Cell] || r.isPending(intent.Token) {
 			continue
 		}
 
 		o, bought := r.seen[intent.Token]
-		if bought && (!o.Known || left <= 0 || o.Ready && ready <= enough) {
+		if bought && !allowed.take(o) || !bought && r.mayBeBought(intent) {
 			continue
 		}
 
-		if bought {
-			left--
-		}
-
-		if bought && o.Ready {
-			ready--
-		}
-
 		have[intent.Cell]--
 
 		commands = append(commands, r.append(now, Record{Step: StepRetire, Token: intent.Token, Voluntary: bought}))
@@ -270,6 +262,14 @@
 	return commands
 }
 
+// mayBeBought tells whether a purchase was asked for whose outcome is not known.
+// It is waited for, since giving it up now would cost a change all the same.
+func (r *Reconciler) mayBeBought(intent Intent) bool {
+	c := r.call(intent.Token)
+
+	return intent.Token.Fence != r.fence || c.outstanding || c.unknown
+}
+
 // retireUseless retires instances that leave, and intents that were refused
 // while an earlier call may still take effect.
 func (r *Reconciler) retireUseless(now time.Time, service fleet.Service) []Command {
--- a/placement/reconciler.go
+++ b/placement/reconciler.go
@@ -23,8 +23,8 @@
 	AppendRetry time.Duration
 	// DrainTimeout is how long an instance may drain before it is released.
 	DrainTimeout time.Duration
-	// ChangesPerHour bounds the instances that are given up or moved without
-	// need. The log keeps the count, so a new holder goes on with it.
+	// ChangesPerHour bounds the instances that are given up, and those that are
+	// bought to save money, in an hour over all services. The log keeps the count, so a new holder goes on with it.
 	ChangesPerHour int
 	// Refusals is told of every refused purchase; it may be nil.
 	Refusals *Memory
@@ -67,7 +67,7 @@
 		BuyRetry:       10 * time.Second,
 		AppendRetry:    5 * time.Second,
 		DrainTimeout:   10 * time.Minute,
-		ChangesPerHour: 6,
+		ChangesPerHour: DefaultChangesPerHour,
 		ledger:         NewLedger(),
 		pending:        make(map[uint64]Record),
 		calls:          make(map[Token]*call),
