fix(dispatch): leave a server that hangs, and blame servers for their own faults

Cause: a call that may be repeated gave its first server the whole deadline, so that a server that hung cost the call. A deadline of the caller's that was shorter than the latency target counted as a failure of the server, and so did a dial that a caller's leaving cut: one account could eject the servers of all. A picked server that the directory lacked was picked again and again.

Change: a server gets half of the time left, or twice the latency target if that is more, before the next one is tried out of the retry budget. What this side ended is judged first. Ruled out: a second call beside the first (hedging), which costs load on every slow call.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -21,15 +21,17 @@
 func failureOf(err error) routing.Failure {
 	var timeout net.Error
 
+	// What this side ended comes first: a dial that was cut is no fault of the
+	// server.
 	switch {
-	case errors.Is(err, backend.ErrNotSent):
-		return routing.FailDial
-	case errors.Is(err, backend.ErrRefused):
-		return routing.FailRefused
 	case errors.Is(err, context.Canceled):
 		return routing.FailCancelled
 	case errors.Is(err, context.DeadlineExceeded):
 		return routing.FailTimeout
+	case errors.Is(err, backend.ErrNotSent):
+		return routing.FailDial
+	case errors.Is(err, backend.ErrRefused):
+		return routing.FailRefused
 	case errors.As(err, &timeout) && timeout.Timeout():
 		return routing.FailTimeout
 	case errors.Is(err, io.ErrUnexpectedEOF):
--- a/dispatch/plain.go
+++ b/dispatch/plain.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"time"
 
 	"monsoonlever/backend"
@@ -19,6 +20,10 @@
 const (
 	// maxAttempts bounds the backend servers that one call is sent to.
 	maxAttempts = 4
+	// attemptShare is the part of the time left that one server gets of a call
+	// that may be repeated, and attemptTargets the least in latency targets.
+	attemptShare   = 2
+	attemptTargets = 2
 	// comeBackSoon is told where another backend server may be ready soon.
 	comeBackSoon = time.Second
 )
@@ -61,7 +66,7 @@
 	t := trial{plain: p, request: r, repeatable: true}
 
 	for {
-		reply, err := t.next(ctx)
+		reply, err := t.nextBounded(ctx)
 		if err == nil {
 			return reply, nil
 		}
@@ -120,6 +125,18 @@
 	mayHaveRun bool
 }
 
+// nextBounded leaves time for a further server, so that a server that hangs
+// does not use up the deadline. A server gets twice the latency target at least.
+func (t *trial) nextBounded(parent context.Context) (backend.Reply, error) {
+	left := t.request.Deadline.Sub(t.plain.Clock.Now())
+	bound := max(left/attemptShare, attemptTargets*t.request.Kind.LatencyTarget().Whole())
+
+	ctx, cancel := context.WithTimeout(parent, bound)
+	defer cancel()
+
+	return t.next(ctx)
+}
+
 // next sends the call to a server that was not tried yet.
 func (t *trial) next(ctx context.Context) (backend.Reply, error) {
 	choice, server, err := t.pick()
@@ -134,7 +151,7 @@
 	now := t.plain.Clock.Now()
 
 	if err != nil {
-		choice.Failed(now, failureOf(err))
+		choice.Failed(now, t.failure(err, now.Sub(start)))
 		t.mayHaveRun = t.mayHaveRun || !isNotRun(err)
 
 		return backend.Reply{}, err
@@ -149,14 +166,30 @@
 	return reply, nil
 }
 
+// failure tells how a server failed. That a caller gave it less time than the
+// latency target says nothing of the server: else one caller's short deadlines
+// would eject the servers of all.
+func (t *trial) failure(err error, took time.Duration) routing.Failure {
+	kind := failureOf(err)
+	if kind == routing.FailTimeout && took < t.request.Kind.LatencyTarget().Whole() {
+		return routing.FailCancelled
+	}
+
+	return kind
+}
+
 // pick counts the call as in flight at a server that is not leaving.
 func (t *trial) pick() (routing.Choice, *discovery.Server, error) {
-	request := routing.NewRequest(routing.NewKey(t.request.Service, "", "", "")).Excluding(t.tried)
+	request := routing.NewRequest(routing.NewKey(t.request.Service, "", "", ""))
 	if t.repeatable {
 		request = request.WithRepeatable()
 	}
 
+	excluded := t.tried
+
 	for range maxPicks {
+		request = request.Excluding(excluded)
+
 		choice, err := t.plain.Table.Pick(t.plain.Clock.Now(), discovery.Random{}, request)
 		if err != nil {
 			return routing.Choice{}, nil, notSent(err)
@@ -166,6 +199,8 @@
 		if ok && choice.Sent(t.plain.Clock.Now()) {
 			return choice, server, nil
 		}
+
+		excluded = append(slices.Clone(excluded), choice.ID())
 	}
 
 	return routing.Choice{}, nil, notSent(routing.ErrNoServer)
