--- a/gateway/chat.go
+++ b/gateway/chat.go
@@ -178,7 +178,6 @@
 		Whole:   o.Whole,
 		Tokens:  call.bytes/bytesPerToken + o.Tokens,
 	})
-	g.instruments.dropped(result.Drops())
 	g.observe(o)
 }
 
--- a/gateway/instruments.go
+++ b/gateway/instruments.go
@@ -7,7 +7,6 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"monsoonlever/answer"
 	"monsoonlever/fleet"
 )
 
@@ -20,9 +19,6 @@
 
 	disconnected *metrics.Counter
 	writeTimeout *metrics.Counter
-	late         *metrics.Counter
-	crossed      *metrics.Counter
-	repeated     *metrics.Counter
 }
 
 // instrumentKey names a kind of call by the manifest's words, never by those of
@@ -41,9 +37,6 @@
 		set:          set,
 		disconnected: set.GetOrCreateCounter(`monsoonlever_callers_gone_total{cause="disconnected"}`),
 		writeTimeout: set.GetOrCreateCounter(`monsoonlever_callers_gone_total{cause="writeTimeout"}`),
-		late:         set.GetOrCreateCounter(`monsoonlever_stream_events_dropped_total{cause="late"}`),
-		crossed:      set.GetOrCreateCounter(`monsoonlever_stream_events_dropped_total{cause="crossed"}`),
-		repeated:     set.GetOrCreateCounter(`monsoonlever_stream_events_dropped_total{cause="repeated"}`),
 	}
 	set.GetOrCreateGauge("monsoonlever_requests_open", func() float64 { return float64(i.open.Load()) })
 
@@ -85,16 +78,6 @@
 	}
 }
 
-func (i *instruments) dropped(d answer.Drops) {
-	if d == (answer.Drops{}) {
-		return
-	}
-
-	i.late.Add(d.Late)
-	i.crossed.Add(d.Crossed)
-	i.repeated.Add(d.Repeated)
-}
-
 // kindInstruments are the metrics of one kind of call.
 type kindInstruments struct {
 	set        *metrics.Set
