fix(answer): tell routing that an engine stalled, and not that a caller went

Cause: an attempt was released with whatever error its closed stream gave. A stall ended as a cancellation, which routing does not count, so that an engine that froze was never ejected; over HTTP a caller who went could end as a failed read, which it counts.

Change: Cancel names the fault, and an attempt that this side ended is released with it, or as cancelled. Ruled out: to judge by the error of the read, which depends on whether the close or the read comes first.

--- a/answer/attempt.go
+++ b/answer/attempt.go
@@ -15,12 +15,17 @@
 	server fleet.InstanceID
 	engine backend.Engine
 	ctx    context.Context
-	cancel context.CancelFunc
+	cancel context.CancelCauseFunc
 }
 
 // read passes the events of a stream on until it ends.
 func (u *run) read(a *attempt, g backend.GenerateRequest, release func(error, int)) {
 	tokens, err := u.readStream(a, g)
+	if err != nil && a.ctx.Err() != nil {
+		// A stream that this side closed fails in more than one way.
+		err = context.Cause(a.ctx)
+	}
+
 	if release != nil {
 		release(err, tokens)
 	}
--- a/answer/command.go
+++ b/answer/command.go
@@ -31,6 +31,8 @@
 // Cancel stops an attempt of which nothing more is wanted.
 type Cancel struct {
 	Attempt backend.AttemptID
+	// Fault is what the server did wrong, or nil if it is not to blame.
+	Fault error
 }
 
 // ExportKV asks that the KV cache of an attempt leave Server before By.
--- a/answer/relay.go
+++ b/answer/relay.go
@@ -1,6 +1,7 @@
 package answer
 
 import (
+	"context"
 	"errors"
 	"strconv"
 	"strings"
@@ -171,6 +172,7 @@
 		return
 	}
 
+	r.abandonFor(context.DeadlineExceeded)
 	r.resume(now)
 }
 
@@ -234,13 +236,17 @@
 
 // abandon cancels the attempt that is under way, which may have run by now.
 func (r *Relay) abandon() {
+	r.abandonFor(nil)
+}
+
+func (r *Relay) abandonFor(fault error) {
 	if r.phase != phaseRunning || r.server == "" {
 		return
 	}
 
 	r.mayHaveRun = true
 	r.phase = phaseWaiting
-	r.out = append(r.out, Cancel{Attempt: r.attempt})
+	r.out = append(r.out, Cancel{Attempt: r.attempt, Fault: fault})
 }
 
 func (r *Relay) ran() RanState {
--- a/answer/relay_stream.go
+++ b/answer/relay_stream.go
@@ -1,6 +1,10 @@
 package answer
 
-import "time"
+import (
+	"time"
+
+	"monsoonlever/backend"
+)
 
 // onToken forwards only the current attempt's token at the next offset.
 func (r *Relay) onToken(now time.Time, e Token) {
@@ -57,6 +61,6 @@
 
 // fail ends an attempt whose stream contradicts itself.
 func (r *Relay) fail(now time.Time) {
-	r.abandon()
+	r.abandonFor(backend.ErrGarbledEvent)
 	r.resume(now)
 }
--- a/answer/run_commands.go
+++ b/answer/run_commands.go
@@ -60,7 +60,7 @@
 		kvImportsTotal.Inc()
 	}
 
-	ctx, cancel := context.WithCancel(u.ctx)
+	ctx, cancel := context.WithCancelCause(u.ctx)
 	a := &attempt{id: d.Attempt, server: choice.Server, engine: engine, ctx: ctx, cancel: cancel}
 	u.open[a.id] = a
 	u.current = a
@@ -99,7 +99,7 @@
 	}
 
 	delete(u.open, c.Attempt)
-	a.cancel()
+	a.cancel(c.Fault)
 	u.runner.group.Go(func() {
 		ctx, stop := context.WithTimeout(context.WithoutCancel(u.ctx), u.cancelTimeout())
 		defer stop()
