fix(discovery,answer): the earliest time of a reclaim counts

Cause: a server that says itself that it leaves was taken to stay for 10 s, and a platform's notice of 3 s that came after was ignored by the watcher and by the relay. The answer then moved after its server was gone, without its KV cache. Two sources could also announce one server at once.

Change: the earliest time stays, a move that is planned is brought forward, and a server is announced once. The watcher has tests now.

--- a/answer/relay_leaving.go
+++ b/answer/relay_leaving.go
@@ -12,14 +12,33 @@
 		r.leaving = make(map[fleet.InstanceID]time.Time)
 	}
 
-	if _, known := r.leaving[e.Server]; known {
+	known, again := r.leaving[e.Server]
+	if again && !e.At.Before(known) {
 		return
 	}
 
 	r.leaving[e.Server] = e.At
 
-	if r.phase == phaseRunning && r.server == e.Server {
-		r.leave(now, e.At)
+	if r.phase != phaseRunning || r.server != e.Server {
+		return
+	}
+
+	if again {
+		r.hasten(now, e.At)
+
+		return
+	}
+
+	r.leave(now, e.At)
+}
+
+// hasten brings the move of the current attempt forward. Its export was asked
+// for before.
+func (r *Relay) hasten(now time.Time, at time.Time) {
+	r.moveAt = at.Add(-r.Limits.MoveMargin)
+
+	if !now.Before(r.moveAt) {
+		r.move(now, "", "")
 	}
 }
 
--- a/discovery/watcher.go
+++ b/discovery/watcher.go
@@ -56,12 +56,13 @@
 	Timeout time.Duration
 	Metrics *metrics.Set
 
-	once      sync.Once
-	wake      chan struct{}
-	listed    atomic.Bool
-	notice    uint64
-	listDown  atomic.Bool
-	cloudDown atomic.Bool
+	announcing sync.Mutex
+	once       sync.Once
+	wake       chan struct{}
+	listed     atomic.Bool
+	notice     uint64
+	listDown   atomic.Bool
+	cloudDown  atomic.Bool
 }
 
 // Run polls until ctx ends.
@@ -166,9 +167,20 @@
 	}
 }
 
-// announce takes in that a server leaves. What is known already stays.
+// announce takes in that a server leaves. Of several times the earliest stays:
+// a server's own word has none, and the notice that follows may be short.
 func (w *Watcher) announce(id fleet.InstanceID, at time.Time, source routing.Source) {
-	if _, known := w.Leaving.At(id); known {
+	w.announcing.Lock()
+	defer w.announcing.Unlock()
+
+	known, again := w.Leaving.At(id)
+	if again && !at.Before(known) {
+		return
+	}
+
+	if again {
+		w.Leaving.Announce(id, at)
+
 		return
 	}
 
--- /dev/null
+++ b/discovery/watcher_test.go
@@ -0,0 +1,153 @@
+package discovery
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"monsoonlever/answer"
+	"monsoonlever/backend"
+	"monsoonlever/clock"
+	"monsoonlever/fleet"
+	"monsoonlever/platform"
+	"monsoonlever/routing"
+)
+
+const testServer fleet.InstanceID = "server-1"
+
+var errDown = errors.New("down")
+
+// fakeSources are the platform and one plain server.
+type fakeSources struct {
+	platform.Cloud
+	backend.PlainServer
+
+	mu      sync.Mutex
+	down    bool
+	leaving bool
+	notices []platform.Notice
+}
+
+func (f *fakeSources) set(change func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change()
+}
+
+func (f *fakeSources) Listings(context.Context) ([]platform.Listing, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	if f.down {
+		return nil, errDown
+	}
+
+	return []platform.Listing{
+		{ID: testServer, Service: "payrun-api", Address: "10.0.0.1:80", State: platform.Live},
+		{ID: "other", Service: "unheard-of", Address: "10.0.0.2:80", State: platform.Live},
+	}, nil
+}
+
+func (f *fakeSources) Notices(_ context.Context, after uint64) ([]platform.Notice, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	if f.down {
+		return nil, errDown
+	}
+
+	var notices []platform.Notice
+
+	for _, n := range f.notices {
+		if n.Sequence > after {
+			notices = append(notices, n)
+		}
+	}
+
+	return notices, nil
+}
+
+func (f *fakeSources) Load(ctx context.Context) (backend.LoadReport, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	return backend.LoadReport{At: time.Now(), Capacity: 64, Leaving: f.leaving}, ctx.Err()
+}
+
+func (f *fakeSources) Engine(string) backend.Engine     { return nil }
+func (f *fakeSources) Plain(string) backend.PlainServer { return f }
+
+// watch runs a watcher for as long as test does, in a bubble.
+func watch(t *testing.T, test func(f *fakeSources, w *Watcher, announced *int)) {
+	t.Helper()
+
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeSources{}
+		announced := 0
+		w := &Watcher{
+			Clock: clock.System{}, List: f, Cloud: f, Directory: NewDirectory(f), Table: &routing.Table{},
+			Leaving: &answer.Leaving{}, Metrics: metrics.NewSet(), InForce: func() bool { return true },
+			IsModel:   func(s fleet.Service) (bool, bool) { return false, s == "payrun-api" },
+			Announced: func(fleet.InstanceID, time.Time) { announced++ },
+		}
+
+		ctx, cancel := context.WithCancel(t.Context())
+		go w.Run(ctx)
+		time.Sleep(time.Second)
+
+		test(f, w, &announced)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+func TestWatcherKeepsWhatItLastHeard(t *testing.T) {
+	watch(t, func(f *fakeSources, w *Watcher, _ *int) {
+		f.set(func() { f.down = true })
+		time.Sleep(10 * time.Minute)
+
+		if _, ok := w.Directory.Server(testServer); !ok || !w.Listed() {
+			t.Error("server: got gone with the list, want kept")
+		}
+
+		if _, ok := w.Directory.Server("other"); ok {
+			t.Error("server of no service of the manifest: got known, want not")
+		}
+
+		if got := w.Metrics.GetOrCreateCounter(`monsoonlever_discovery_errors_total{source="instance list"}`).Get(); got == 0 {
+			t.Error("errors: got none counted, want some")
+		}
+	})
+}
+
+func TestEarliestWordOfALeavingServerStays(t *testing.T) {
+	watch(t, func(f *fakeSources, w *Watcher, announced *int) {
+		f.set(func() { f.leaving = true })
+		time.Sleep(time.Second)
+
+		if _, ok := w.Leaving.At(testServer); !ok {
+			t.Fatal("server: got staying, want leaving by its own word")
+		}
+
+		at := time.Now().Add(3 * time.Second)
+		f.set(func() { f.notices = append(f.notices, platform.Notice{Sequence: 1, Instance: testServer, At: at}) })
+		time.Sleep(time.Second)
+
+		if got, _ := w.Leaving.At(testServer); !got.Equal(at) {
+			t.Errorf("reclaim: got at %v, want at %v", got, at)
+		}
+
+		if _, err := w.Table.Pick(time.Now(), Random{}, routing.NewRequest(routing.NewKey("payrun-api", "", "", ""))); err == nil {
+			t.Error("pick: got a leaving server, want none")
+		}
+
+		if got, want := *announced, 1; got != want {
+			t.Errorf("announced: got %d times, want %d", got, want)
+		}
+	})
+}
