fix(discovery): forget servers an hour after their reclaim

Cause: reclaim notices were kept for the life of the process, and each new one copies them all.

Change: the watcher drops what is an hour past its reclaim.

--- a/answer/leaving.go
+++ b/answer/leaving.go
@@ -27,9 +27,18 @@
 	l.replace(func(m map[fleet.InstanceID]time.Time) { m[server] = at })
 }
 
-// Forget drops a server that is gone.
-func (l *Leaving) Forget(server fleet.InstanceID) {
-	l.replace(func(m map[fleet.InstanceID]time.Time) { delete(m, server) })
+// ForgetBefore drops the servers whose reclaim was before a time, so that what
+// is held does not grow with the age of the process.
+func (l *Leaving) ForgetBefore(t time.Time) {
+	expired := func(_ fleet.InstanceID, at time.Time) bool { return at.Before(t) }
+
+	for id, at := range l.view().at {
+		if expired(id, at) {
+			l.replace(func(m map[fleet.InstanceID]time.Time) { maps.DeleteFunc(m, expired) })
+
+			return
+		}
+	}
 }
 
 // At returns when a server will be reclaimed, if that was announced.
--- a/discovery/watcher.go
+++ b/discovery/watcher.go
@@ -150,6 +150,7 @@
 	w.Directory.update(backends)
 	w.Table.UpdateList(w.Clock.Now(), backends)
 	w.listed.Store(true)
+	w.Leaving.ForgetBefore(w.Clock.Now().Add(-leavingMemory))
 }
 
 func (w *Watcher) pollNotices(parent context.Context) {
@@ -231,6 +232,10 @@
 	}
 }
 
+// leavingMemory is how long a server is remembered after its reclaim, far longer
+// than one lasts.
+const leavingMemory = time.Hour
+
 // ownWordNotice is the time that a server which says itself that it leaves is
 // taken to stay, since its word brings no time.
 const ownWordNotice = 10 * time.Second
--- a/discovery/watcher_test.go
+++ b/discovery/watcher_test.go
@@ -151,3 +151,20 @@
 		}
 	})
 }
+
+func TestReclaimedServersAreForgotten(t *testing.T) {
+	watch(t, func(f *fakeSources, w *Watcher, _ *int) {
+		f.set(func() { f.notices = []platform.Notice{{Sequence: 1, Instance: "gone", At: time.Now()}} })
+		time.Sleep(time.Second)
+
+		if _, ok := w.Leaving.At("gone"); !ok {
+			t.Fatal("server: got staying, want leaving")
+		}
+
+		time.Sleep(2 * leavingMemory)
+
+		if _, ok := w.Leaving.At("gone"); ok {
+			t.Error("server: got remembered long after its reclaim, want forgotten")
+		}
+	})
+}
