--- a/gateway/connection_test.go
+++ b/gateway/connection_test.go
@@ -271,3 +271,41 @@
 		})
 	})
 }
+
+// outlivingPlain goes on with a call whose caller has gone, as a call that may
+// not be repeated does.
+type outlivingPlain struct {
+	started chan struct{}
+	ended   chan struct{}
+}
+
+func (p outlivingPlain) Call(ctx context.Context, _ PlainRequest) (backend.Reply, *refusal.Refusal) {
+	close(p.started)
+	<-ctx.Done()
+	time.Sleep(time.Minute)
+	close(p.ended)
+
+	return backend.Reply{Status: http.StatusOK}, nil
+}
+
+func TestCallGoesOnToItsOutcomeWithoutItsCaller(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGateway(t)
+		plain := outlivingPlain{started: make(chan struct{}), ended: make(chan struct{})}
+		g.Plain = plain
+
+		servePipes(t, g, func(dial func() net.Conn) {
+			conn := dial()
+			go io.WriteString(conn, "POST /services/payrun-api/bank-files HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "+
+				testSecret+"\r\nIdempotency-Key: key-1\r\nContent-Length: 1\r\n\r\nx")
+
+			<-plain.started
+			conn.Close()
+			<-plain.ended
+			synctest.Wait()
+
+			wantMetric(t, g, `monsoonlever_callers_gone_total{cause="disconnected"} 1`)
+			wantMetric(t, g, `monsoonlever_requests_open 0`)
+		})
+	})
+}
