--- a/discovery/watcher.go
+++ b/discovery/watcher.go
@@ -56,12 +56,13 @@
 	Timeout time.Duration
 	Metrics *metrics.Set
 
-	once      sync.Once
-	wake      chan struct{}
-	listed    atomic.Bool
-	notice    uint64
-	listDown  atomic.Bool
-	cloudDown atomic.Bool
+	announcing sync.Mutex
+	once       sync.Once
+	wake       chan struct{}
+	listed     atomic.Bool
+	notice     uint64
+	listDown   atomic.Bool
+	cloudDown  atomic.Bool
 }
 
 // Run polls until ctx ends.
@@ -149,6 +150,7 @@
 	w.Directory.update(backends)
 	w.Table.UpdateList(w.Clock.Now(), backends)
 	w.listed.Store(true)
+	w.Leaving.ForgetBefore(w.Clock.Now().Add(-leavingMemory))
 }
 
 func (w *Watcher) pollNotices(parent context.Context) {
@@ -166,14 +168,20 @@
 	}
 }
 
-// Heard takes in what another entry instance says of a leaving server.
-func (w *Watcher) Heard(id fleet.InstanceID, at time.Time) {
-	w.announce(id, at, routing.SourcePeer)
-}
-
-// announce takes in that a server leaves. What is known already stays.
+// announce takes in that a server leaves. Of several times the earliest stays:
+// a server's own word has none, and the notice that follows may be short.
 func (w *Watcher) announce(id fleet.InstanceID, at time.Time, source routing.Source) {
-	if _, known := w.Leaving.At(id); known {
+	w.announcing.Lock()
+	defer w.announcing.Unlock()
+
+	known, again := w.Leaving.At(id)
+	if again && !at.Before(known) {
+		return
+	}
+
+	if again {
+		w.Leaving.Announce(id, at)
+
 		return
 	}
 
@@ -224,6 +232,10 @@
 	}
 }
 
+// leavingMemory is how long a server is remembered after its reclaim, far longer
+// than one lasts.
+const leavingMemory = time.Hour
+
 // ownWordNotice is the time that a server which says itself that it leaves is
 // taken to stay, since its word brings no time.
 const ownWordNotice = 10 * time.Second
