--- a/membership/core.go
+++ b/membership/core.go
@@ -70,7 +70,6 @@
 
 	c.started = true
 	c.config = c.Config.withDefaults()
-	c.lastTick = now
 	c.table.put(&Member{identity: c.Self})
 	c.broadcasts.add(c.Self.ID, partsAll, classJoin)
 	c.regrouping = true
--- a/membership/merge.go
+++ b/membership/merge.go
@@ -137,8 +137,8 @@
 	c.track(e, before)
 	c.step.changes = append(c.step.changes, Change{before: before, after: m})
 
-	// A node that joins hears news that is none to those it would tell.
-	if c.joined || m.identity.ID == c.Self.ID {
+	// A node that joins hears of members that all others know.
+	if c.joined || of == classState || m.identity.ID == c.Self.ID {
 		c.broadcasts.add(m.identity.ID, p, of)
 	}
 
--- a/membership/model_test.go
+++ b/membership/model_test.go
@@ -75,7 +75,7 @@
 	return m.start.Add(time.Duration(m.at) * slot)
 }
 
-func (m *model) add(region fleet.Region, domain fleet.FailureDomain) *modelNode {
+func (m *model) add(region fleet.Region, domain fleet.FailureDomain) {
 	i := len(m.nodes)
 	n := &modelNode{identity: Identity{
 		ID:      fleet.InstanceID(fmt.Sprintf("entry-%03d", i)),
@@ -85,8 +85,6 @@
 	}}
 	m.nodes = append(m.nodes, n)
 	m.byAddr[n.identity.Address] = n
-
-	return n
 }
 
 // boot starts a process with the next incarnation.
--- a/membership/probe.go
+++ b/membership/probe.go
@@ -28,7 +28,7 @@
 // noteFreeze forgives others for the time in which the node itself stood.
 func (c *Core) noteFreeze() {
 	gap := c.now.Sub(c.lastTick)
-	if gap < freezeGap {
+	if c.lastTick.IsZero() || gap < freezeGap {
 		return
 	}
 
--- a/membership/sync.go
+++ b/membership/sync.go
@@ -20,8 +20,8 @@
 // they are back.
 func (c *Core) syncNext() {
 	if !c.now.Before(c.syncAt) {
-		c.syncAt = c.now.Add(c.spread(c.config.SyncInterval))
-		c.requestSync(c.pick(c.groups.locals, 1, ""))
+		c.syncAt = c.now.Add(c.spread(c.soon(c.config.SyncInterval)))
+		c.requestSync(c.pick(c.partners(), 1, ""))
 	}
 
 	if c.groups.bridge && !c.now.Before(c.crossSyncAt) {
@@ -30,7 +30,7 @@
 	}
 
 	if !c.now.Before(c.seedAt) {
-		c.seedAt = c.now.Add(c.spread(c.seedInterval()))
+		c.seedAt = c.now.Add(c.spread(c.soon(c.config.SeedInterval)))
 		c.trySeed()
 	}
 
@@ -40,13 +40,23 @@
 	}
 }
 
-// seedInterval is short while the node is alone.
-func (c *Core) seedInterval() time.Duration {
+// soon shortens an interval until the node has joined.
+func (c *Core) soon(interval time.Duration) time.Duration {
 	if c.joined {
-		return c.config.SeedInterval
+		return interval
 	}
 
-	return min(c.config.SeedInterval, c.config.ProbeInterval)
+	return min(interval, c.config.ProbeInterval)
+}
+
+// partners are the members of the region, or the bridges of others for a node
+// that is the first of its region.
+func (c *Core) partners() []*Member {
+	if len(c.groups.locals) > 0 {
+		return c.groups.locals
+	}
+
+	return c.groups.bridges
 }
 
 func (c *Core) requestSync(members []*Member) {
@@ -84,14 +94,15 @@
 	})
 }
 
-// tryGone contacts the next dead member of the region, which heals a partition
-// in which both sides declared each other dead.
+// tryGone contacts the next dead member, which heals a partition in which both
+// sides declared each other dead. Those of other regions are left to bridges.
 func (c *Core) tryGone() {
 	var gone []*Member
 
 	for _, e := range c.table.order {
 		m := e.member
-		if m.status == Dead && m.phase != Left && m.identity.Region == c.Self.Region {
+		near := c.groups.bridge || m.identity.Region == c.Self.Region
+		if near && m.status == Dead && m.phase != Left {
 			gone = append(gone, m)
 		}
 	}
--- a/membership/view.go
+++ b/membership/view.go
@@ -12,11 +12,12 @@
 	self        fleet.InstanceID
 	members     []*Member
 	unreachable []fleet.Region
+	changed     chan struct{}
 }
 
 // View returns the core's present list.
 func (c *Core) View() *View {
-	v := &View{self: c.Self.ID, unreachable: c.unreachable()}
+	v := &View{self: c.Self.ID, unreachable: c.unreachable(), changed: make(chan struct{})}
 
 	v.members = make([]*Member, 0, len(c.table.order))
 	for _, e := range c.table.order {
@@ -31,6 +32,12 @@
 	return v.self
 }
 
+// Changed returns a channel that is closed once a newer view has been
+// published.
+func (v *View) Changed() <-chan struct{} {
+	return v.changed
+}
+
 // Members returns every known member in the order of IDs, with those that are
 // dead or left and not yet forgotten.
 func (v *View) Members() []*Member {
--- /dev/null
+++ b/peer/flush.go
@@ -0,0 +1,41 @@
+package peer
+
+import (
+	"context"
+	"time"
+)
+
+// flushInterval is the time between looks at the queues.
+const flushInterval = 10 * time.Millisecond
+
+// Flush waits until what is queued has been written or dropped, or ctx ends.
+func (n *Node) Flush(ctx context.Context) {
+	for !n.drained() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-n.Clock.After(flushInterval):
+		}
+	}
+}
+
+func (n *Node) drained() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	for _, l := range n.links {
+		if l.pending() {
+			return false
+		}
+	}
+
+	return true
+}
+
+// pending reports whether a message is queued or being written.
+func (l *link) pending() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	return l.writing || len(l.must.frames)+len(l.droppable.frames) > 0
+}
--- a/peer/link.go
+++ b/peer/link.go
@@ -18,6 +18,7 @@
 	must      queue
 	droppable queue
 	conn      *conn
+	writing   bool
 	closed    bool
 }
 
@@ -88,7 +89,17 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
-	return append(l.must.take(), l.droppable.take()...)
+	frames := append(l.must.take(), l.droppable.take()...)
+	l.writing = len(frames) > 0
+
+	return frames
+}
+
+func (l *link) written() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	l.writing = false
 }
 
 // run writes what is queued until ctx ends or the link has been idle.
@@ -117,6 +128,7 @@
 	}
 
 	frames := l.take()
+	defer l.written()
 
 	var buffer []byte
 	for _, f := range frames {
@@ -175,6 +187,7 @@
 // abandon drops what is queued for a remote that cannot be reached.
 func (l *link) abandon() {
 	undeliverable.Add(len(l.take()))
+	l.written()
 	l.node.failCalls(l.address)
 }
 
