test(peer): what a connection costs

Cause: the transport keeps one connection to each member of the region, so its memory and handshake count against the 32 MB and 8 KB a second for control.

Change: TestConnectionCost with a bound of 64 KiB, and BenchmarkMessage.

--- /dev/null
+++ b/peer/cost_test.go
@@ -0,0 +1,123 @@
+package peer
+
+import (
+	"fmt"
+	"net"
+	"runtime"
+	"sync/atomic"
+	"testing"
+)
+
+// connectionBound is the memory that one end of an idle connection may take:
+// 250 of them stay under 16 MB.
+const connectionBound = 64 << 10
+
+// memory returns what heap objects and stacks take.
+func memory() uint64 {
+	var stats runtime.MemStats
+
+	runtime.GC()
+	runtime.GC()
+	runtime.ReadMemStats(&stats)
+
+	return stats.HeapAlloc + stats.StackInuse
+}
+
+// countingListener counts the bytes of all connections, both ways.
+type countingListener struct {
+	net.Listener
+	bytes *atomic.Int64
+}
+
+type countingConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (l countingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+
+	return countingConn{Conn: c, bytes: l.bytes}, err
+}
+
+func (c countingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.bytes.Add(int64(n))
+
+	return n, err
+}
+
+func (c countingConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.bytes.Add(int64(n))
+
+	return n, err
+}
+
+// TestConnectionCost measures what an idle connection with its links,
+// goroutines and TLS state takes at each end, and the bytes that open it.
+func TestConnectionCost(t *testing.T) {
+	const remotes = 60
+
+	names := []string{"hub"}
+	for i := range remotes {
+		names = append(names, fmt.Sprintf("entry-%d", i))
+	}
+
+	dir := deployment(t, names...)
+	arrived := make(chan struct{}, remotes)
+	hub := newNode(t, dir, "hub")
+	start(t, hub)
+
+	var (
+		nodes []*Node
+		bytes atomic.Int64
+	)
+
+	for _, name := range names[1:] {
+		n := newNode(t, dir, name)
+		n.Listener = countingListener{Listener: n.Listener, bytes: &bytes}
+		Handle(n, testKind, func(Sender, note) { arrived <- struct{}{} })
+		start(t, n)
+
+		nodes = append(nodes, n)
+	}
+
+	before := memory()
+
+	for _, n := range nodes {
+		if err := hub.Send(Target{Address: n.Advertise}, testKind, note{Text: "hello"}); err != nil {
+			t.Fatal(err)
+		}
+	}
+
+	for range remotes {
+		<-arrived
+	}
+
+	got := (int64(memory()) - int64(before)) / (2 * remotes)
+	t.Logf("one end of an idle connection takes %d bytes; %d bytes open it and carry one message", got, bytes.Load()/remotes)
+
+	if got > connectionBound {
+		t.Errorf("got %d bytes, want at most %d", got, connectionBound)
+	}
+}
+
+func BenchmarkMessage(b *testing.B) {
+	dir := deployment(b, "a", "b")
+	x, y := newNode(b, dir, "a"), newNode(b, dir, "b")
+	got := make(chan struct{})
+
+	Handle(y, testKind, func(Sender, note) { got <- struct{}{} })
+	start(b, x)
+	start(b, y)
+	b.ReportAllocs()
+
+	for b.Loop() {
+		if err := x.Send(Target{Address: y.Advertise}, testKind, note{Text: "a message of some forty bytes in its body"}); err != nil {
+			b.Fatal(err)
+		}
+
+		<-got
+	}
+}
--- a/peer/helper_test.go
+++ b/peer/helper_test.go
@@ -20,7 +20,7 @@
 }
 
 // deployment writes keys for the names and returns their directory.
-func deployment(t *testing.T, names ...string) string {
+func deployment(t testing.TB, names ...string) string {
 	t.Helper()
 
 	dir := t.TempDir()
@@ -31,7 +31,7 @@
 	return dir
 }
 
-func loadTLS(t *testing.T, dir, name string) *tls.Config {
+func loadTLS(t testing.TB, dir, name string) *tls.Config {
 	t.Helper()
 
 	files := keys.Files{
@@ -49,7 +49,7 @@
 }
 
 // newNode returns a node with a listener; the test runs it with start.
-func newNode(t *testing.T, dir, name string) *Node {
+func newNode(t testing.TB, dir, name string) *Node {
 	t.Helper()
 
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -72,7 +72,7 @@
 }
 
 // start runs the node until the test ends, and checks that Run returns.
-func start(t *testing.T, n *Node) {
+func start(t testing.TB, n *Node) {
 	t.Helper()
 
 	ctx, cancel := context.WithCancel(context.Background())
