--- /dev/null
+++ b/retry/budget.go
@@ -0,0 +1,66 @@
+package retry
+
+import (
+	"time"
+
+	"monsoonlever/window"
+)
+
+// windowBuckets is how many buckets a window has.
+const windowBuckets = 10
+
+const retryBuckets = windowBuckets + 1
+
+// Budget counts the requests and the retries of one scope. It is safe for
+// concurrent use.
+type Budget struct {
+	policy   BudgetPolicy
+	requests *window.Counter
+	// sent and unsent hold the retries. The newest bucket is not full, so that
+	// they reach back one bucket more than the requests: the requests counted
+	// lie within the window, and no retry within it is left out.
+	sent   *window.Counter
+	unsent *window.Counter
+}
+
+func newBudget(p BudgetPolicy) *Budget {
+	width := p.Window / windowBuckets
+
+	return &Budget{
+		policy:   p,
+		requests: window.NewCounter(width, windowBuckets),
+		sent:     window.NewCounter(width, retryBuckets),
+		unsent:   window.NewCounter(width, retryBuckets),
+	}
+}
+
+// Request counts a request, at its first attempt.
+func (b *Budget) Request(now time.Time) {
+	b.requests.Add(now, 1)
+}
+
+// Take takes a retry or hedge out of the budget, if it is there.
+func (b *Budget) Take(now time.Time) bool {
+	return b.take(now, b.sent, b.policy.Share)
+}
+
+// TakeUnsent takes a retry of an attempt that was never sent.
+func (b *Budget) TakeUnsent(now time.Time) bool {
+	return b.take(now, b.unsent, b.policy.UnsentShare)
+}
+
+// take counts the retry before it looks, and takes it back if it was too much.
+// Two at once may both be refused the last of the budget, never both given it.
+func (b *Budget) take(now time.Time, retries *window.Counter, share float64) bool {
+	limit := int64(share*float64(b.requests.Sum(now, windowBuckets))) + int64(b.policy.Least)
+
+	retries.Add(now, 1)
+
+	if retries.Sum(now, retryBuckets) > limit {
+		retries.Add(now, -1)
+
+		return false
+	}
+
+	return true
+}
