test(membership): a race and a collected model in the tests

Cause: a test wrote the address table of its fake network while groups read it, found by the race detector; the last row of TestScale showed 5 KiB of heap, as the model was collected before it was measured.

Change: all groups are made before the first runs; the model is kept alive.

Measured: go test -race -count=20 -run Group ./membership passes.

Conclusion: the code under test is unchanged.

--- a/membership/group_test.go
+++ b/membership/group_test.go
@@ -139,7 +139,7 @@
 		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 		defer cancel()
 
-		other, old := x.newGroup("entry-0", 0, 1), x.newGroup("entry-1", 1, 1)
+		other, old, fresh := x.newGroup("entry-0", 0, 1), x.newGroup("entry-1", 1, 1), x.newGroup("entry-1", 2, 2)
 		old.core.Discover(time.Now(), []string{"10.0.0.0:1"})
 
 		ended := make(chan error, 3)
@@ -150,7 +150,6 @@
 
 		await(t, other, "old process", func(v *View) bool { return v.Member("entry-1") != nil })
 
-		fresh := x.newGroup("entry-1", 2, 2)
 		fresh.core.Discover(time.Now(), []string{"10.0.0.0:1"})
 
 		go func() { ended <- fresh.Run(ctx) }()
--- a/membership/scale_test.go
+++ b/membership/scale_test.go
@@ -99,6 +99,8 @@
 
 	row.cpu = time.Duration(float64(cpu) / seconds / size)
 	row.heap = heapInUse() / size
+	// The model must not be collected before its heap is measured.
+	runtime.KeepAlive(p)
 
 	return row
 }
--- a/peer/helper_test.go
+++ b/peer/helper_test.go
@@ -20,19 +20,19 @@
 }
 
 // deployment writes keys for the names and returns their directory.
-func deployment(t testing.TB, names ...string) string {
-	t.Helper()
+func deployment(tb testing.TB, names ...string) string {
+	tb.Helper()
 
-	dir := t.TempDir()
+	dir := tb.TempDir()
 	if err := keys.WriteDeployment(dir, names, time.Now()); err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
 
 	return dir
 }
 
-func loadTLS(t testing.TB, dir, name string) *tls.Config {
-	t.Helper()
+func loadTLS(tb testing.TB, dir, name string) *tls.Config {
+	tb.Helper()
 
 	files := keys.Files{
 		CA:          filepath.Join(dir, "ca.pem"),
@@ -42,22 +42,22 @@
 
 	config, err := files.TLS(clock.System{})
 	if err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
 
 	return config
 }
 
 // newNode returns a node with a listener; the test runs it with start.
-func newNode(t testing.TB, dir, name string) *Node {
-	t.Helper()
+func newNode(tb testing.TB, dir, name string) *Node {
+	tb.Helper()
 
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
 
-	t.Cleanup(func() { _ = listener.Close() })
+	tb.Cleanup(func() { _ = listener.Close() })
 
 	return &Node{
 		ID:          fleet.InstanceID(name),
@@ -66,25 +66,25 @@
 		Deployment:  "kronvig",
 		Listener:    listener,
 		Advertise:   listener.Addr().String(),
-		TLS:         loadTLS(t, dir, name),
+		TLS:         loadTLS(tb, dir, name),
 		Clock:       clock.System{},
 	}
 }
 
 // start runs the node until the test ends, and checks that Run returns.
-func start(t testing.TB, n *Node) {
-	t.Helper()
+func start(tb testing.TB, n *Node) {
+	tb.Helper()
 
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 
 	go func() { done <- n.Run(ctx) }()
 
-	t.Cleanup(func() {
+	tb.Cleanup(func() {
 		cancel()
 
 		if err := <-done; err != nil {
-			t.Errorf("run: got %v, want nil", err)
+			tb.Errorf("run: got %v, want nil", err)
 		}
 	})
 }
