fix(peer): go on after a connection that could not be accepted

Cause: an instance that was out of files for a moment stopped taking peers.

Conclusion: none of the reasons for which accept fails for a time ends a node.

--- a/peer/counters.go
+++ b/peer/counters.go
@@ -11,6 +11,7 @@
 	displaced      = metrics.GetOrCreateCounter(`monsoonlever_peer_dropped_total{cause="displaced"}`)
 	undeliverable  = metrics.GetOrCreateCounter(`monsoonlever_peer_dropped_total{cause="unreachable"}`)
 	dialFailures   = metrics.GetOrCreateCounter("monsoonlever_peer_dial_failures_total")
+	acceptFailures = metrics.GetOrCreateCounter("monsoonlever_peer_accept_failures_total")
 	connects       = metrics.GetOrCreateCounter("monsoonlever_peer_connects_total")
 )
 
--- a/peer/link.go
+++ b/peer/link.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"sync"
-	"time"
 )
 
 // link holds what waits for one remote address, and the connection to it.
@@ -167,7 +166,7 @@
 
 		dialFailures.Inc()
 
-		if !l.pause(ctx, backoff(attempt, l.random)) {
+		if !l.node.pause(ctx, backoff(attempt, l.random)) {
 			return nil
 		}
 	}
@@ -175,15 +174,6 @@
 	return l.current()
 }
 
-func (l *link) pause(ctx context.Context, wait time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-l.node.Clock.After(wait):
-		return true
-	}
-}
-
 // abandon drops what is queued for a remote that cannot be reached.
 func (l *link) abandon() {
 	undeliverable.Add(len(l.take()))
--- a/peer/node.go
+++ b/peer/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"net"
 	"slices"
 	"sync"
@@ -25,6 +26,8 @@
 	keepAliveIdle = 2 * time.Minute
 	// maxRunningCalls bounds the handlers of requests that run at once.
 	maxRunningCalls = 256
+	// acceptPause is the wait after a connection that could not be accepted.
+	acceptPause = 100 * time.Millisecond
 )
 
 // Node sends and receives messages for one instance. The exported fields are
@@ -152,20 +155,26 @@
 	}
 }
 
-// accept takes connections until the listener is closed.
+// accept takes connections until the listener is closed. Other failures, such
+// as too many open files, pass.
 func (n *Node) accept(ctx context.Context, listener net.Listener) error {
 	for {
 		raw, err := listener.Accept()
-		if ctx.Err() != nil {
+
+		switch {
+		case ctx.Err() != nil:
 			if err == nil {
 				_ = raw.Close()
 			}
 
 			return nil
-		}
-
-		if err != nil {
+		case errors.Is(err, net.ErrClosed):
 			return merry.Prepend(err, "accept peer")
+		case err != nil:
+			acceptFailures.Inc()
+			n.pause(ctx, acceptPause)
+
+			continue
 		}
 
 		n.tasks.Go(func() { n.welcome(ctx, raw) })
@@ -381,6 +390,16 @@
 	}
 }
 
+// pause waits and reports whether ctx is still in force.
+func (n *Node) pause(ctx context.Context, wait time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-n.Clock.After(wait):
+		return true
+	}
+}
+
 func (n *Node) queueLength() int {
 	return orDefault(n.QueueLength, defaultQueueLength)
 }
--- a/peer/node_test.go
+++ b/peer/node_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -172,6 +174,40 @@
 	return e.System.After(0)
 }
 
+// failingListener fails once before it accepts.
+type failingListener struct {
+	net.Listener
+	failed atomic.Bool
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if l.failed.CompareAndSwap(false, true) {
+		return nil, merry.New("too many open files")
+	}
+
+	return l.Listener.Accept()
+}
+
+func TestNodeGoesOnAfterAFailedAccept(t *testing.T) {
+	dir := deployment(t, "a", "b")
+	a, b := newNode(t, dir, "a"), newNode(t, dir, "b")
+	a.Clock = eager{}
+	a.Listener = &failingListener{Listener: a.Listener}
+	got := make(chan note, 1)
+
+	Handle(a, testKind, func(_ Sender, msg note) { got <- msg })
+	start(t, a)
+	start(t, b)
+
+	if err := b.Send(Target{Address: a.Advertise}, testKind, note{Text: "after"}); err != nil {
+		t.Fatal(err)
+	}
+
+	if got, want := (<-got).Text, "after"; got != want {
+		t.Errorf("text: got %q, want %q", got, want)
+	}
+}
+
 func TestCallFailsForARemoteThatCannotBeReached(t *testing.T) {
 	dir := deployment(t, "a", "b")
 	a, b := newNode(t, dir, "a"), newNode(t, dir, "b")
