--- /dev/null
+++ b/peer/connect.go
@@ -0,0 +1,134 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// welcome makes the handshake with a remote that connected, and reads from it.
+func (n *Node) welcome(ctx context.Context, raw net.Conn) {
+	c, err := n.handshake(ctx, tls.Server(raw, n.TLS))
+	if err != nil {
+		n.refuse(raw.RemoteAddr().String(), err)
+		_ = raw.Close()
+
+		return
+	}
+
+	if l := n.link(c.sender.address); l != nil {
+		l.attach(c)
+	}
+
+	n.read(ctx, c)
+}
+
+// dial connects to address and starts to read from it.
+func (n *Node) dial(ctx context.Context, address string) (*conn, error) {
+	dialer := net.Dialer{Timeout: handshakeTimeout, KeepAliveConfig: keepAlive()}
+
+	raw, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, merry.Prepend(err, "dial peer")
+	}
+
+	c, err := n.handshake(ctx, tls.Client(raw, n.TLS))
+	if err != nil {
+		n.refuse(address, err)
+		_ = raw.Close()
+
+		return nil, err
+	}
+
+	connects.Inc()
+	n.tasks.Go(func() { n.read(ctx, c) })
+
+	return c, nil
+}
+
+// handshake makes the TLS handshake and exchanges hellos.
+func (n *Node) handshake(ctx context.Context, t *tls.Conn) (*conn, error) {
+	stop := context.AfterFunc(ctx, func() { _ = t.NetConn().Close() })
+	defer stop()
+
+	// The socket's deadline is kept by the kernel against its own clock.
+	if err := t.SetDeadline(time.Now().Add(handshakeTimeout)); err != nil {
+		return nil, err
+	}
+
+	if err := t.HandshakeContext(ctx); err != nil {
+		return nil, asRefusal(err)
+	}
+
+	f, err := n.helloFrame()
+	if err != nil {
+		return nil, merry.Prepend(err, "encode hello")
+	}
+
+	if _, err := t.Write(appendFrame(nil, f)); err != nil {
+		return nil, asRefusal(err)
+	}
+
+	answer, err := readFrame(t, n.maxBody())
+	if err != nil {
+		return nil, asRefusal(err)
+	}
+
+	sender, err := n.checkHello(answer, t.ConnectionState())
+	if err != nil {
+		return nil, err
+	}
+
+	return n.register(&conn{tls: t, sender: sender})
+}
+
+// register keeps the connection for end to close.
+func (n *Node) register(c *conn) (*conn, error) {
+	if err := c.tls.SetDeadline(time.Time{}); err != nil {
+		return nil, err
+	}
+
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	if n.stopped {
+		return nil, ErrStopped
+	}
+
+	if n.conns == nil {
+		n.conns = make(map[*conn]struct{})
+	}
+
+	n.conns[c] = struct{}{}
+
+	return c, nil
+}
+
+// read hands each frame to its handler until the connection breaks.
+func (n *Node) read(ctx context.Context, c *conn) {
+	defer n.drop(c)
+
+	for ctx.Err() == nil {
+		f, err := readFrame(c.tls, n.maxBody())
+		if err != nil {
+			noteFault(err)
+
+			return
+		}
+
+		receivedFrames.Inc()
+		receivedBytes.Add(f.size())
+		noteFault(n.dispatch(ctx, c, f))
+	}
+}
+
+func (n *Node) drop(c *conn) {
+	c.close()
+	n.mu.Lock()
+	delete(n.conns, c)
+	n.mu.Unlock()
+	n.failCalls(c.sender.address)
+}
