--- a/peer/node.go
+++ b/peer/node.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"net"
-	"slices"
 	"sync"
 	"time"
 
@@ -25,6 +25,8 @@
 	keepAliveIdle = 2 * time.Minute
 	// maxRunningCalls bounds the handlers of requests that run at once.
 	maxRunningCalls = 256
+	// acceptPause is the wait after a connection that could not be accepted.
+	acceptPause = 100 * time.Millisecond
 )
 
 // Node sends and receives messages for one instance. The exported fields are
@@ -152,197 +154,30 @@
 	}
 }
 
-// accept takes connections until the listener is closed.
+// accept takes connections until the listener is closed. Other failures, such
+// as too many open files, pass.
 func (n *Node) accept(ctx context.Context, listener net.Listener) error {
 	for {
 		raw, err := listener.Accept()
-		if ctx.Err() != nil {
+
+		switch {
+		case ctx.Err() != nil:
 			if err == nil {
 				_ = raw.Close()
 			}
 
 			return nil
-		}
-
-		if err != nil {
+		case errors.Is(err, net.ErrClosed):
 			return merry.Prepend(err, "accept peer")
-		}
-
-		n.tasks.Go(func() { n.welcome(ctx, raw) })
-	}
-}
-
-// welcome makes the handshake with a remote that connected, and reads from it.
-func (n *Node) welcome(ctx context.Context, raw net.Conn) {
-	c, err := n.handshake(ctx, tls.Server(raw, n.TLS))
-	if err != nil {
-		n.refuse(raw.RemoteAddr().String(), err)
-		_ = raw.Close()
-
-		return
-	}
-
-	if l := n.link(c.sender.address); l != nil {
-		l.attach(c)
-	}
-
-	n.read(ctx, c)
-}
-
-// dial connects to address and starts to read from it.
-func (n *Node) dial(ctx context.Context, address string) (*conn, error) {
-	dialer := net.Dialer{Timeout: handshakeTimeout, KeepAliveConfig: keepAlive()}
-
-	raw, err := dialer.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return nil, merry.Prepend(err, "dial peer")
-	}
-
-	c, err := n.handshake(ctx, tls.Client(raw, n.TLS))
-	if err != nil {
-		n.refuse(address, err)
-		_ = raw.Close()
-
-		return nil, err
-	}
-
-	connects.Inc()
-	n.tasks.Go(func() { n.read(ctx, c) })
+		case err != nil:
+			acceptFailures.Inc()
+			n.pause(ctx, acceptPause)
 
-	return c, nil
-}
-
-// handshake makes the TLS handshake and exchanges hellos.
-func (n *Node) handshake(ctx context.Context, t *tls.Conn) (*conn, error) {
-	stop := context.AfterFunc(ctx, func() { _ = t.NetConn().Close() })
-	defer stop()
-
-	// The socket's deadline is kept by the kernel against its own clock.
-	if err := t.SetDeadline(time.Now().Add(handshakeTimeout)); err != nil {
-		return nil, err
-	}
-
-	if err := t.HandshakeContext(ctx); err != nil {
-		return nil, asRefusal(err)
-	}
-
-	f, err := n.helloFrame()
-	if err != nil {
-		return nil, merry.Prepend(err, "encode hello")
-	}
-
-	if _, err := t.Write(appendFrame(nil, f)); err != nil {
-		return nil, asRefusal(err)
-	}
-
-	answer, err := readFrame(t, n.maxBody())
-	if err != nil {
-		return nil, asRefusal(err)
-	}
-
-	sender, err := n.checkHello(answer, t.ConnectionState())
-	if err != nil {
-		return nil, err
-	}
-
-	return n.register(&conn{tls: t, sender: sender})
-}
-
-// register keeps the connection for end to close.
-func (n *Node) register(c *conn) (*conn, error) {
-	if err := c.tls.SetDeadline(time.Time{}); err != nil {
-		return nil, err
-	}
-
-	n.mu.Lock()
-	defer n.mu.Unlock()
-
-	if n.stopped {
-		return nil, ErrStopped
-	}
-
-	if n.conns == nil {
-		n.conns = make(map[*conn]struct{})
-	}
-
-	n.conns[c] = struct{}{}
-
-	return c, nil
-}
-
-// read hands each frame to its handler until the connection breaks.
-func (n *Node) read(ctx context.Context, c *conn) {
-	defer n.drop(c)
-
-	for ctx.Err() == nil {
-		f, err := readFrame(c.tls, n.maxBody())
-		if err != nil {
-			noteFault(err)
-
-			return
+			continue
 		}
 
-		receivedFrames.Inc()
-		receivedBytes.Add(f.size())
-		noteFault(n.dispatch(ctx, c, f))
-	}
-}
-
-func (n *Node) drop(c *conn) {
-	c.close()
-	n.mu.Lock()
-	delete(n.conns, c)
-	n.mu.Unlock()
-	n.failCalls(c.sender.address)
-}
-
-// Send queues msg for the target and returns at once.
-func (n *Node) Send(to Target, kind Kind, msg any) error {
-	body, err := encode(msg)
-	if err != nil {
-		return merry.Prepend(err, "encode message")
-	}
-
-	return n.enqueue(to, frame{form: formMessage, kind: kind, body: body})
-}
-
-func (n *Node) enqueue(to Target, f frame) error {
-	if err := n.checkTarget(to, f); err != nil {
-		return err
-	}
-
-	droppable := f.form == formMessage && slices.Contains(n.Droppable, f.kind)
-
-	for {
-		l := n.link(to.Address)
-		if l == nil {
-			return ErrStopped
-		}
-
-		if c := l.current(); to.ID != "" && c != nil && c.sender.id != to.ID {
-			return &RefusalError{reason: ReasonIdentity}
-		}
-
-		if queued, err := l.enqueue(f, droppable); queued {
-			return err
-		}
-	}
-}
-
-func (n *Node) checkTarget(to Target, f frame) error {
-	if to.Address == "" {
-		return ErrNoAddress
-	}
-
-	if to.Address == n.Advertise || to.ID == n.ID {
-		return ErrSelf
-	}
-
-	if len(f.body) > n.maxBody() {
-		return ErrTooLarge
+		n.tasks.Go(func() { n.welcome(ctx, raw) })
 	}
-
-	return nil
 }
 
 // link returns the link to address, or nil once the node has stopped.
@@ -381,26 +216,12 @@
 	}
 }
 
-func (n *Node) queueLength() int {
-	return orDefault(n.QueueLength, defaultQueueLength)
-}
-
-func (n *Node) maxBody() int {
-	return orDefault(n.MaxBody, DefaultMaxBody)
-}
-
-func (n *Node) idleTimeout() time.Duration {
-	return orDefault(n.IdleTimeout, defaultIdleTimeout)
-}
-
-func (n *Node) callTimeout() time.Duration {
-	return orDefault(n.CallTimeout, defaultCallTimeout)
-}
-
-func orDefault[T int | time.Duration](value, otherwise T) T {
-	if value == 0 {
-		return otherwise
+// pause waits and reports whether ctx is still in force.
+func (n *Node) pause(ctx context.Context, wait time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-n.Clock.After(wait):
+		return true
 	}
-
-	return value
 }
