--- a/burn/plot.go
+++ b/burn/plot.go
@@ -2,10 +2,12 @@
 
 import (
 	"bytes"
+	"cmp"
 	"fmt"
 	"html/template"
 	"image/color"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -20,9 +22,11 @@
 const (
 	plotWidth  = 17 * vg.Centimeter
 	plotHeight = 8 * vg.Centimeter
-	barWidth   = 9
-	lineWidth  = 1.5
-	headRoom   = 1.3
+	maxBar     = 9
+	// barRoom is what all bars of a plot and the gaps between them share.
+	barRoom   = 400
+	lineWidth = 1.5
+	headRoom  = 1.3
 )
 
 // palette is told apart without red against green, and dark on light.
@@ -117,6 +121,9 @@
 		p.Legend.Add(string(s.Service), line)
 	}
 
+	// The legend stands below the lines.
+	p.Y.Min = 100 - (100-p.Y.Min)*headRoom
+
 	return svg(p, plotHeight)
 }
 
@@ -226,18 +233,24 @@
 		}
 	}
 
+	slices.SortFunc(s.Reasons, func(a, b ReasonCount) int {
+		return cmp.Or(cmp.Compare(b.Count, a.Count), cmp.Compare(a.Reason, b.Reason))
+	})
+
 	return s.Reasons
 }
 
 func addBars(p *plot.Plot, values plotter.Values, i, groups int, name string) error {
-	bars, err := plotter.NewBarChart(values, vg.Points(barWidth))
+	width := min(maxBar, barRoom/float64((len(values)+1)*(groups+1)))
+
+	bars, err := plotter.NewBarChart(values, vg.Points(width))
 	if err != nil {
 		return merry.Prepend(err, "plot of bars")
 	}
 
 	bars.Color = paint(i)
 	bars.LineStyle.Width = 0
-	bars.Offset = vg.Points(barWidth * (float64(i) - float64(groups-1)/2))
+	bars.Offset = vg.Points(width * (float64(i) - float64(groups-1)/2))
 	p.Add(bars)
 
 	if name != "" {
