fix(daemon,admission): shares before the first limits, readiness that means ready

Cause: the tests over loopback failed after peers were joined.

Ruled out: the claims and shares themselves, whose properties hold.

--- a/admission/sharecontrol.go
+++ b/admission/sharecontrol.go
@@ -93,5 +93,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
+	// The shares in use are those of the last rebalance.
+	if snapshot := c.table.Load(); snapshot != nil {
+		c.rebalance(now, snapshot)
+	}
+
 	return c.shares.ready(now)
 }
--- a/daemon/claims.go
+++ b/daemon/claims.go
@@ -27,6 +27,8 @@
 var _ dispatch.Claims = (*claims)(nil)
 
 func newClaims(k *claim.Keeper, j *journal.Client) *claims {
+	j.Subscribers = append(j.Subscribers, k)
+
 	return &claims{keeper: k, journal: j, begun: make(chan struct{})}
 }
 
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -9,6 +9,7 @@
 	"github.com/julienschmidt/httprouter"
 
 	"monsoonlever/burn"
+	"monsoonlever/fleet"
 )
 
 // The paths of the operators' interface.
@@ -70,9 +71,7 @@
 		missing = append(missing, "no manifest is in force here")
 	}
 
-	if !p.watcher.Listed() {
-		missing = append(missing, "the instance list was not read yet")
-	}
+	missing = append(missing, p.missingServers()...)
 
 	if !p.admission.Ready(p.clock.Now()) {
 		missing = append(missing, "no share of the limits is held yet")
@@ -86,6 +85,42 @@
 	return missing
 }
 
+// serversPatience is how long a new instance waits for a backend server of each
+// service. The list lags, but a service that is down must not keep others down.
+const serversPatience = 5 * time.Second
+
+// missingServers returns the services without a backend server, while this
+// instance is new.
+func (p *parts) missingServers() []string {
+	at, listed := p.watcher.Listed()
+	if !listed {
+		return []string{"the instance list was not read yet"}
+	}
+
+	m := p.manifest()
+	if m == nil || p.clock.Now().Sub(at) > serversPatience {
+		return nil
+	}
+
+	usable := make(map[fleet.Service]bool)
+
+	for _, s := range p.table.Statuses() {
+		if !s.Leaving() && !s.Loading() {
+			usable[s.Key().Service()] = true
+		}
+	}
+
+	var missing []string
+
+	for _, service := range m.Services() {
+		if !usable[service.Name()] {
+			missing = append(missing, "no backend server of "+string(service.Name())+" is known yet")
+		}
+	}
+
+	return missing
+}
+
 func (p *parts) serveStatus(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
 	writeJSON(w, p.status())
 }
--- a/discovery/watcher.go
+++ b/discovery/watcher.go
@@ -45,7 +45,8 @@
 	// IsModel tells whether a service of the manifest in force is served by
 	// model engines, and known whether there is such a service.
 	IsModel func(fleet.Service) (model, known bool)
-	// Announced is told of each leaving instance the first time; it may be nil.
+	// Announced is told of each leaving instance, and again if it leaves earlier
+	// than was known; it may be nil.
 	Announced func(id fleet.InstanceID, at time.Time, source routing.Source)
 
 	ListEvery   time.Duration
@@ -59,7 +60,7 @@
 	announcing sync.Mutex
 	once       sync.Once
 	wake       chan struct{}
-	listed     atomic.Bool
+	listed     atomic.Int64
 	notice     uint64
 	listDown   atomic.Bool
 	cloudDown  atomic.Bool
@@ -94,9 +95,11 @@
 	w.once.Do(func() { w.wake = make(chan struct{}, 1) })
 }
 
-// Listed tells whether the list was ever read under a manifest.
-func (w *Watcher) Listed() bool {
-	return w.listed.Load()
+// Listed returns when the list was first read under a manifest, and whether it was.
+func (w *Watcher) Listed() (time.Time, bool) {
+	at := w.listed.Load()
+
+	return time.Unix(0, at), at != 0
 }
 
 func (w *Watcher) every(
@@ -149,7 +152,7 @@
 
 	w.Directory.update(backends)
 	w.Table.UpdateList(w.Clock.Now(), backends)
-	w.listed.Store(true)
+	w.listed.CompareAndSwap(0, w.Clock.Now().UnixNano())
 	w.Leaving.ForgetBefore(w.Clock.Now().Add(-leavingMemory))
 }
 
@@ -168,6 +171,11 @@
 	}
 }
 
+// Heard takes in what another entry instance says of a leaving server.
+func (w *Watcher) Heard(id fleet.InstanceID, at time.Time) {
+	w.announce(id, at, routing.SourcePeer)
+}
+
 // announce takes in that a server leaves. Of several times the earliest stays:
 // a server's own word has none, and the notice that follows may be short.
 func (w *Watcher) announce(id fleet.InstanceID, at time.Time, source routing.Source) {
@@ -179,15 +187,12 @@
 		return
 	}
 
-	if again {
-		w.Leaving.Announce(id, at)
-
-		return
+	if !again {
+		w.Table.Leave(w.Clock.Now(), id, source)
+		klog.InfoS("backend server is leaving", "instance", id, "source", source, "at", at)
 	}
 
-	w.Table.Leave(w.Clock.Now(), id, source)
 	w.Leaving.Announce(id, at)
-	klog.InfoS("backend server is leaving", "instance", id, "source", source, "at", at)
 
 	if w.Announced != nil {
 		w.Announced(id, at, source)
--- a/gateway/kept.go
+++ b/gateway/kept.go
@@ -152,7 +152,6 @@
 		Whole:   now.Sub(call.arrived),
 		Tokens:  call.bytes/bytesPerToken + complete.Tokens,
 	})
-	g.instruments.dropped(result.Drops())
 	times.end(result)
 }
 
