fix(answer): short patience before the first token, begun answers resumed without a budget

The case of the test that gave up a begun answer for want of budget now does so by Failures = 0, with the same expectation.

--- a/answer/relay.go
+++ b/answer/relay.go
@@ -28,6 +28,7 @@
 	prefix      string
 	attempt     backend.AttemptID
 	attempts    int
+	failures    int
 	server      fleet.InstanceID
 	kept        []string
 	excluded    []fleet.InstanceID
@@ -142,7 +143,7 @@
 		r.searchSince = now
 	}
 
-	if now.Sub(r.searchSince) >= r.Limits.Patience {
+	if now.Sub(r.searchSince) >= r.patience() {
 		r.phase = phaseWaiting
 		r.giveUp(ReasonNoServer)
 
@@ -155,6 +156,15 @@
 	r.wakeAt = now.Add(r.Limits.Backoff)
 }
 
+// patience returns how long a server is looked for.
+func (r *Relay) patience() time.Duration {
+	if r.mayHaveRun {
+		return r.Limits.Patience
+	}
+
+	return r.Limits.FirstPatience
+}
+
 func (r *Relay) onTick(now time.Time) {
 	if !r.moveAt.IsZero() && !now.Before(r.moveAt) {
 		r.move(now, "", "")
@@ -182,7 +192,7 @@
 func (r *Relay) resume(now time.Time) {
 	_, announced := r.leaving[r.server]
 
-	if !announced && !r.Budget.Take(now) {
+	if !announced && !r.takeRetry(now) {
 		r.giveUp(ReasonRetryBudget)
 
 		return
@@ -195,6 +205,17 @@
 	r.move(now, "", "")
 }
 
+// takeRetry tells whether an attempt that failed without notice is followed by
+// another. The budget is for answers of which the caller has nothing yet.
+func (r *Relay) takeRetry(now time.Time) bool {
+	r.failures++
+	if r.failures > r.Limits.Failures {
+		return false
+	}
+
+	return len(r.kept) > 0 || r.Budget.Take(now)
+}
+
 func (r *Relay) move(now time.Time, kv string, target fleet.InstanceID) {
 	r.abandon()
 	r.dispatch(now, kv, target)
--- a/answer/relay_test.go
+++ b/answer/relay_test.go
@@ -14,12 +14,14 @@
 
 func testLimits() Limits {
 	return Limits{
-		FirstStall: 10 * time.Second,
-		Stall:      5 * time.Second,
-		Patience:   30 * time.Second,
-		Backoff:    time.Second,
-		MoveMargin: time.Second,
-		RetryAfter: 2 * time.Second,
+		FirstStall:    10 * time.Second,
+		Stall:         5 * time.Second,
+		Patience:      30 * time.Second,
+		FirstPatience: 30 * time.Second,
+		Backoff:       time.Second,
+		Failures:      1000,
+		MoveMargin:    time.Second,
+		RetryAfter:    2 * time.Second,
 	}
 }
 
@@ -37,7 +39,9 @@
 	tests := []struct {
 		desc   string
 		events []Event
-		want   GiveUp
+		// last says that no attempt may fail, even of an answer that has begun.
+		last bool
+		want GiveUp
 	}{
 		{
 			desc:   "the only attempt was not sent",
@@ -62,6 +66,7 @@
 		{
 			desc:   "tokens were forwarded",
 			events: []Event{Started{"r0.0.e.1", "a"}, Token{"r0.0.e.1", 0, "x"}, Broken{"r0.0.e.1", io.ErrUnexpectedEOF}},
+			last:   true,
 			want:   GiveUp{Reason: ReasonRetryBudget, Ran: PartlyRan, RetryAfter: 2 * time.Second},
 		},
 	}
@@ -69,6 +74,10 @@
 	for _, tt := range tests {
 		t.Run(tt.desc, func(t *testing.T) {
 			r := newRelay(0)
+			if tt.last {
+				r.Limits.Failures = 0
+			}
+
 			r.Start(testStart)
 
 			var got Command
@@ -188,3 +197,64 @@
 	}
 	// Output: answer.Dispatch
 }
+
+func TestBegunAnswersAreResumedWithoutTheBudget(t *testing.T) {
+	r := newRelay(0)
+	r.Limits.Failures = 2
+	r.Start(testStart)
+	r.Step(testStart, Started{"r0.0.e.1", "a"})
+	r.Step(testStart, Token{"r0.0.e.1", 0, "x"})
+
+	for i, attempt := range []backend.AttemptID{"r0.0.e.1", "r0.0.e.2", "r0.0.e.3"} {
+		commands := r.Step(testStart, Broken{attempt, io.ErrUnexpectedEOF})
+
+		_, gaveUp := commands[len(commands)-1].(GiveUp)
+		if want := i == 2; gaveUp != want {
+			t.Errorf("failure %d: got given up %v, want %v", i+1, gaveUp, want)
+		}
+	}
+}
+
+func TestPatienceIsShortBeforeAnyServerHasBegun(t *testing.T) {
+	tests := []struct {
+		desc   string
+		events []Event
+		want   time.Duration
+	}{
+		{desc: "nothing has begun", want: 2 * time.Second},
+		{
+			desc:   "a token was forwarded",
+			events: []Event{Started{"r0.0.e.1", "a"}, Token{"r0.0.e.1", 0, "x"}, Broken{"r0.0.e.1", io.ErrUnexpectedEOF}},
+			want:   20 * time.Second,
+		},
+	}
+
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			r := newRelay(0)
+			r.Limits.FirstPatience = 2 * time.Second
+			r.Limits.Patience = 20 * time.Second
+			attempt := lastDispatch(Dispatch{}, r.Start(testStart)).Attempt
+
+			for _, e := range tt.events {
+				attempt = lastDispatch(Dispatch{Attempt: attempt}, r.Step(testStart, e)).Attempt
+			}
+
+			now := testStart
+			for !r.Done() {
+				r.Step(now, NoServer{attempt})
+
+				if r.Done() {
+					break
+				}
+
+				now = r.Wake()
+				attempt = lastDispatch(Dispatch{Attempt: attempt}, r.Step(now, Tick{})).Attempt
+			}
+
+			if got := now.Sub(testStart); got != tt.want {
+				t.Errorf("given up after: got %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
--- a/cmd/status.go
+++ b/cmd/status.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"strings"
+	"time"
 
 	"monsoonlever/daemon"
 )
@@ -15,12 +16,13 @@
 type statusCommand struct {
 	instanceFlags
 
-	Servers bool `help:"Show the backend servers too, as the first instance that answers sees them."`
+	Servers bool          `help:"Show the backend servers too, as the first instance that answers sees them."`
+	Wait    time.Duration `placeholder:"DURATION" help:"Wait this long until every instance is ready."`
 }
 
 // Run asks every instance.
 func (s *statusCommand) Run(ctx context.Context, c *console) error {
-	results := s.statuses(ctx)
+	results := s.settled(ctx)
 
 	t := &table{header: []string{"INSTANCE", "DOMAIN", "READY", "MANIFEST", "LOG", "NOTE"}}
 	missing := false
@@ -54,6 +56,31 @@
 	return nil
 }
 
+// settled returns what the instances say once all are ready, or at the end of
+// the wait.
+func (s *statusCommand) settled(ctx context.Context) []InstanceResult {
+	until := time.Now().Add(s.Wait)
+
+	for {
+		results := s.statuses(ctx)
+		if allReady(results) || !time.Now().Before(until) || ctx.Err() != nil {
+			return results
+		}
+
+		pause(ctx, pollEvery)
+	}
+}
+
+func allReady(results []InstanceResult) bool {
+	for _, r := range results {
+		if r.Status == nil || !r.Status.Ready {
+			return false
+		}
+	}
+
+	return true
+}
+
 func instanceRow(s *daemon.Status) []string {
 	log := "up"
 	if !s.Log.Healthy {
--- a/load/caller.go
+++ b/load/caller.go
@@ -23,6 +23,7 @@
 	headerDeadline = "X-Deadline"
 	headerTimeout  = "X-Timeout"
 	headerPriority = "X-Priority"
+	headerCall     = "X-Call"
 
 	maxReplyBytes = 16 << 20
 )
@@ -138,6 +139,10 @@
 		h.Set(headerPriority, strconv.Itoa(p.call.Priority))
 	}
 
+	if p.call.isModel() {
+		h.Set(headerCall, string(p.call.Kind))
+	}
+
 	if p.idem != "" {
 		h.Set(headerKey, p.idem)
 	}
