feat(dispatch,manifest): retries by policy and budget, one key window for all instances

Cause: retries had no budget in the daemon; the window for which keys are remembered followed the first manifest an instance saw, so instances could differ, and a voided key that is reused could then run twice. Ruled out: following every change of the manifest, since instances that learn of it at different times disagree meanwhile.

--- a/daemon/claims.go
+++ b/daemon/claims.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync"
-	"time"
 
 	"github.com/sourcegraph/conc"
 	"k8s.io/klog/v2"
@@ -36,11 +35,11 @@
 // effect when an instance starts.
 func (c *claims) begin(m *manifest.Manifest) {
 	c.once.Do(func() {
-		c.keeper.Config.Window = longestKeyWindow(m)
+		c.keeper.Config.Window = m.KeysRememberedFor()
 		c.journal.Retention = m.LogRetention()
 
 		if err := c.keeper.Config.Check(m.LogRetention()); err != nil {
-			klog.ErrorS(err, "calls that may not be repeated are refused: the key window does not fit")
+			klog.ErrorS(err, "calls that may not be repeated are refused: the log keeps its records too short")
 
 			return
 		}
@@ -49,18 +48,6 @@
 	})
 }
 
-func longestKeyWindow(m *manifest.Manifest) (window time.Duration) {
-	window = m.KeyWindow()
-
-	for _, s := range m.Services() {
-		for _, call := range s.Calls() {
-			window = max(window, call.KeyWindow())
-		}
-	}
-
-	return window
-}
-
 // run reads and writes claims until ctx ends.
 func (c *claims) run(ctx context.Context) {
 	select {
--- a/daemon/parts.go
+++ b/daemon/parts.go
@@ -34,6 +34,7 @@
 	"monsoonlever/platform"
 	"monsoonlever/publication"
 	"monsoonlever/refusal"
+	"monsoonlever/retry"
 	"monsoonlever/routing"
 	"monsoonlever/settings"
 )
@@ -61,6 +62,13 @@
 	copyTimeout = 2 * time.Second
 	// followerGrace is how long a streamed answer goes on without its caller.
 	followerGrace = 5 * time.Second
+	// plainAttempts bounds the backend servers that one call is sent to.
+	plainAttempts = 4
+	// answerRetryShare and answerRetryLeast bound the further attempts at answers
+	// of which their callers have nothing yet. The loss of a failure domain
+	// without notice takes a quarter of them at once.
+	answerRetryShare = 0.5
+	answerRetryLeast = 20
 	// dialTimeout bounds a connection to a backend server or the platform.
 	dialTimeout = time.Second
 )
@@ -138,7 +146,7 @@
 // buildServers makes what watches the backend servers.
 func (p *parts) buildServers() {
 	client := newClient()
-	p.table = &routing.Table{Domain: p.settings.FailureDomain, Metrics: p.metrics}
+	p.table = &routing.Table{Self: p.settings.Instance, Domain: p.settings.FailureDomain, Metrics: p.metrics}
 	p.directory = discovery.NewDirectory(clients{http: newClient()})
 	p.wave = &evacuation.Wave{HalfLife: waveHalfLife}
 	p.desk = &evacuation.Desk{
@@ -161,11 +169,14 @@
 
 // buildRequests makes the path of a request.
 func (p *parts) buildRequests() {
+	budgets := retry.NewBudgets(retry.BudgetPolicy{})
+	answers := retry.NewBudgets(retry.BudgetPolicy{Share: answerRetryShare, Least: answerRetryLeast}).Of(retry.Scope{})
+
 	p.runner = &answer.Runner{
 		Clock:         p.clock,
 		Picker:        &dispatch.Picker{Clock: p.clock, Manifest: p.manifest, Table: p.table},
 		Engines:       p.directory,
-		Budget:        unlimited{},
+		Budget:        answers,
 		Limits:        answer.DefaultLimits(),
 		Leaving:       p.leaving,
 		Exports:       p.desk,
@@ -183,9 +194,10 @@
 		FetchTries: fetchTries,
 	}
 	p.answers = &dispatch.Answers{
-		Clock: p.clock, Replicator: p.replicator, Runner: p.runner,
+		Clock: p.clock, Replicator: p.replicator, Runner: p.runner, Budget: answers,
 		CopyTimeout: copyTimeout, Grace: followerGrace,
 	}
+	p.replicator.Register(p.metrics)
 	p.replicator.Continue = p.answers.Continue
 	p.replicator.Stop = p.answers.Stop
 	p.replicator.Sender = noPeers{}
@@ -193,9 +205,10 @@
 		Clock:     p.clock,
 		Manifest:  p.manifest,
 		Admission: p.admission,
-		Models:    &dispatch.Models{Runner: p.runner},
+		Models:    &dispatch.Models{Clock: p.clock, Runner: p.runner, Budget: answers},
 		Plain: &dispatch.Plain{
-			Clock: p.clock, Table: p.table, Directory: p.directory, Claims: p.claims, Budget: unlimited{},
+			Clock: p.clock, Table: p.table, Directory: p.directory, Claims: p.claims,
+			Retry: &retry.Policy{Budgets: budgets, Attempts: plainAttempts, Metrics: p.metrics},
 		},
 		Kept:         p.answers,
 		Observer:     &observer{clock: p.clock, recorder: p.recorder},
@@ -236,6 +249,7 @@
 		replicator: p.replicator,
 		follower:   p.follower,
 		claims:     p.claims,
+		table:      p.table,
 		heard:      func(news LeavingNews) { p.watcher.Heard(news.Instance, news.At) },
 		payload: func() Payload {
 			return Payload{Manifest: p.follower.Version(), Operators: l.Operators.Addr().String()}
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -15,6 +15,7 @@
 	"monsoonlever/membership"
 	"monsoonlever/peer"
 	"monsoonlever/publication"
+	"monsoonlever/routing"
 )
 
 const (
@@ -37,6 +38,7 @@
 	replicator *answer.Replicator
 	follower   *publication.Follower
 	claims     *claims
+	table      *routing.Table
 	// heard takes news of a leaving backend server.
 	heard func(news LeavingNews)
 	// payload returns what this instance says of itself.
--- a/dispatch/answers.go
+++ b/dispatch/answers.go
@@ -11,6 +11,7 @@
 	"monsoonlever/clock"
 	"monsoonlever/fleet"
 	"monsoonlever/gateway"
+	"monsoonlever/retry"
 )
 
 // Answers keeps model answers beyond the connection of their caller: it runs
@@ -20,6 +21,8 @@
 	Clock      clock.Clock
 	Replicator *answer.Replicator
 	Runner     *answer.Runner
+	// Budget counts the requests that the Runner's retries are a share of.
+	Budget *retry.Budget
 	// CopyTimeout bounds the wait for a copy in another failure domain.
 	CopyTimeout time.Duration
 	// Grace is how long an answer goes on without a caller.
@@ -46,6 +49,8 @@
 
 // Keep begins to answer a request.
 func (a *Answers) Keep(ctx context.Context, r gateway.ModelRequest, durable bool, ended func(answer.Result)) error {
+	a.Budget.Request(a.Clock.Now())
+
 	if !durable {
 		a.run(r.Answer, a.Replicator.Keep(r.Answer), nil, false, ended)
 
--- a/dispatch/plain.go
+++ b/dispatch/plain.go
@@ -2,24 +2,19 @@
 
 import (
 	"context"
-	"errors"
-	"net/http"
-	"slices"
 	"time"
 
 	"monsoonlever/backend"
 	"monsoonlever/claim"
 	"monsoonlever/clock"
 	"monsoonlever/discovery"
-	"monsoonlever/fleet"
 	"monsoonlever/gateway"
 	"monsoonlever/refusal"
+	"monsoonlever/retry"
 	"monsoonlever/routing"
 )
 
 const (
-	// maxAttempts bounds the backend servers that one call is sent to.
-	maxAttempts = 4
 	// attemptShare is the part of the time left that one server gets of a call
 	// that may be repeated, and attemptTargets the least in latency targets.
 	attemptShare   = 2
@@ -33,18 +28,13 @@
 	Do(ctx context.Context, a claim.Attempt, send claim.Send) (claim.Verdict, error)
 }
 
-// RetryBudget bounds the extra load that retries bring.
-type RetryBudget interface {
-	Take(now time.Time) bool
-}
-
 // Plain answers calls of plain services. The exported fields are set before Call.
 type Plain struct {
 	Clock     clock.Clock
 	Table     *routing.Table
 	Directory *discovery.Directory
 	Claims    Claims
-	Budget    RetryBudget
+	Retry     *retry.Policy
 }
 
 var _ gateway.PlainServer = (*Plain)(nil)
@@ -58,12 +48,12 @@
 	return p.callOnce(ctx, r)
 }
 
-// callRepeatable tries further servers while the deadline and the budget allow.
+// callRepeatable tries further servers while the retry policy allows.
 func (p *Plain) callRepeatable(parent context.Context, r gateway.PlainRequest) (backend.Reply, *refusal.Refusal) {
 	ctx, cancel := context.WithDeadline(parent, r.Deadline)
 	defer cancel()
 
-	t := trial{plain: p, request: r, repeatable: true}
+	t := p.newTrial(r)
 
 	for {
 		reply, err := t.nextBounded(ctx)
@@ -71,7 +61,7 @@
 			return reply, nil
 		}
 
-		if t.done(ctx, err) || !p.Budget.Take(p.Clock.Now()) {
+		if !t.again(ctx, err) {
 			return backend.Reply{}, t.refusal(ctx, err)
 		}
 	}
@@ -102,7 +92,7 @@
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(parent), r.Deadline)
 	defer cancel()
 
-	t := trial{plain: p, request: r}
+	t := p.newTrial(r)
 
 	for {
 		reply, err := t.next(ctx)
@@ -110,129 +100,8 @@
 			return resultOf(reply), nil
 		}
 
-		if t.mayHaveRun || t.done(ctx, err) {
+		if !t.again(ctx, err) {
 			return claim.Result{}, err
 		}
 	}
 }
-
-// trial sends one call to one server after the other.
-type trial struct {
-	plain      *Plain
-	request    gateway.PlainRequest
-	repeatable bool
-	tried      []fleet.InstanceID
-	mayHaveRun bool
-}
-
-// nextBounded leaves time for a further server, so that a server that hangs
-// does not use up the deadline. A server gets twice the latency target at least.
-func (t *trial) nextBounded(parent context.Context) (backend.Reply, error) {
-	left := t.request.Deadline.Sub(t.plain.Clock.Now())
-	bound := max(left/attemptShare, attemptTargets*t.request.Kind.LatencyTarget().Whole())
-
-	ctx, cancel := context.WithTimeout(parent, bound)
-	defer cancel()
-
-	return t.next(ctx)
-}
-
-// next sends the call to a server that was not tried yet.
-func (t *trial) next(ctx context.Context) (backend.Reply, error) {
-	choice, server, err := t.pick()
-	if err != nil {
-		return backend.Reply{}, err
-	}
-
-	t.tried = append(t.tried, choice.ID())
-	start := t.plain.Clock.Now()
-
-	reply, err := server.Plain().Do(ctx, t.request.Call)
-	now := t.plain.Clock.Now()
-
-	if err != nil {
-		choice.Failed(now, t.failure(err, now.Sub(start)))
-		t.mayHaveRun = t.mayHaveRun || !isNotRun(err)
-
-		return backend.Reply{}, err
-	}
-
-	if reply.Status >= http.StatusInternalServerError {
-		choice.Failed(now, routing.FailServer)
-	} else {
-		choice.Done(now, now.Sub(start), 0)
-	}
-
-	return reply, nil
-}
-
-// failure tells how a server failed. That a caller gave it less time than the
-// latency target says nothing of the server: else one caller's short deadlines
-// would eject the servers of all.
-func (t *trial) failure(err error, took time.Duration) routing.Failure {
-	kind := failureOf(err)
-	if kind == routing.FailTimeout && took < t.request.Kind.LatencyTarget().Whole() {
-		return routing.FailCancelled
-	}
-
-	return kind
-}
-
-// pick counts the call as in flight at a server that is not leaving.
-func (t *trial) pick() (routing.Choice, *discovery.Server, error) {
-	request := routing.NewRequest(routing.NewKey(t.request.Service, "", "", ""))
-	if t.repeatable {
-		request = request.WithRepeatable()
-	}
-
-	excluded := t.tried
-
-	for range maxPicks {
-		request = request.Excluding(excluded)
-
-		choice, err := t.plain.Table.Pick(t.plain.Clock.Now(), discovery.Random{}, request)
-		if err != nil {
-			return routing.Choice{}, nil, notSent(err)
-		}
-
-		server, ok := t.plain.Directory.Server(choice.ID())
-		if ok && choice.Sent(t.plain.Clock.Now()) {
-			return choice, server, nil
-		}
-
-		excluded = append(slices.Clone(excluded), choice.ID())
-	}
-
-	return routing.Choice{}, nil, notSent(routing.ErrNoServer)
-}
-
-// done tells whether no further server is to be tried.
-func (t *trial) done(ctx context.Context, err error) bool {
-	return ctx.Err() != nil || len(t.tried) >= maxAttempts || errors.Is(err, routing.ErrNoServer)
-}
-
-// refusal tells the caller how a repeatable call ended. That it may have run is
-// told too, though it does no harm.
-func (t *trial) refusal(ctx context.Context, err error) *refusal.Refusal {
-	run := refusal.NotRun
-	if t.mayHaveRun {
-		run = refusal.Unknown
-	}
-
-	code := refusal.ServerRefused
-
-	switch {
-	case ctx.Err() != nil:
-		code = refusal.DeadlinePassed
-	case t.mayHaveRun:
-		code = refusal.OutcomeUnknown
-	case errors.Is(err, routing.ErrNoServer):
-		code = refusal.NoServer
-	}
-
-	return refusal.New(code, "%v", err).WithRun(run).WithRetryAfter(comeBackSoon)
-}
-
-func isNotRun(err error) bool {
-	return errors.Is(err, backend.ErrNotSent) || errors.Is(err, backend.ErrRefused)
-}
--- a/manifest/checker.go
+++ b/manifest/checker.go
@@ -82,6 +82,8 @@
 		c.report(field, "must be above 0")
 	case retention > 0 && window > retention:
 		c.report(field, "is %v, longer than the log keeps records (%v)", window, retention)
+	case retention > 0 && window > remembered(retention):
+		c.report(field, "is %v, longer than keys are remembered (%v)", window, remembered(retention))
 	}
 }
 
--- a/manifest/parse_test.go
+++ b/manifest/parse_test.go
@@ -37,6 +37,8 @@
 		{"an account twice", `"name": "amager-papir"`, `"name": "aalborg-staal"`, "accounts[4].name", "duplicate"},
 		{"a key window beyond the log's retention", `"keyWindow": "24h",
         }`, `"keyWindow": "100h" }`, "services[1].calls[0].keyWindow", "longer than the log"},
+		{"a key window beyond what is remembered", `"keyWindow": "24h",
+        }`, `"keyWindow": "30h" }`, "services[1].calls[0].keyWindow", "longer than keys are remembered"},
 		{"a key that is forgotten before the deadline", `"keyWindow": "24h",
         }`, `"keyWindow": "1s" }`, "services[1].calls[0].keyWindow", "shorter than the deadline"},
 		{"a failure domain without the service's classes", `"classes": ["cpu-medium"],`, `"classes": ["cpu-large"], "failureDomains": ["taastrup-2"],`, "services[1].failureDomains[0]", "none of the service's classes"},
