fix(admission): an idle account may burst up to an even share

The share of an account that was idle is a ninth of the limit at three instances, since each allows for what the others may have begun, so two calls in a second were too many. Change: an instance may use three seconds of an even share ahead, where that is more than one second of its own. Ruled out: looser shares (their sum must stay within the limit), queueing over-limit calls (their targets are shorter). The share property is untouched and passes.

--- a/admission/account.go
+++ b/admission/account.go
@@ -7,9 +7,6 @@
 	"monsoonlever/fleet"
 )
 
-// burst is how much of a rate limit may be used at once.
-const burst = time.Second
-
 // account is the state of one client account on this instance.
 type account struct {
 	name fleet.Account
@@ -49,7 +46,7 @@
 	}
 
 	if l.account.RequestsPerSecond > 0 {
-		if wait, ok := a.requests.take(now, 1, l.requests(), burst); !ok {
+		if wait, ok := a.requests.take(now, 1, l.requests(), l.burst()); !ok {
 			a.running.Add(-1)
 
 			return charge{reason: RequestRate, wait: wait}
@@ -57,7 +54,7 @@
 	}
 
 	if l.account.TokensPerSecond > 0 && r.Tokens > 0 {
-		if wait, ok := a.tokens.take(now, float64(r.Tokens), l.tokens(), burst); !ok {
+		if wait, ok := a.tokens.take(now, float64(r.Tokens), l.tokens(), l.burst()); !ok {
 			a.requests.give(1, l.requests())
 			a.running.Add(-1)
 
--- /dev/null
+++ b/admission/burst_test.go
@@ -0,0 +1,89 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	"monsoonlever/fleet"
+)
+
+// TestIdleAccountMayBurst floods three instances at once with calls of an
+// account that was idle: none refuses a small burst, and together they admit no
+// more than the limit and four seconds of it ahead.
+func TestIdleAccountMayBurst(t *testing.T) {
+	const (
+		perSecond = 5
+		flood     = 10 * time.Second
+		step      = 100 * time.Millisecond
+		ahead     = 4 * time.Second
+	)
+
+	ids := []fleet.InstanceID{"entry-1", "entry-2", "entry-3"}
+	controllers := make([]*Controller, len(ids))
+	now := start
+
+	for i, id := range ids {
+		controllers[i] = &Controller{Instance: id, Sharing: Sharing{Spread: time.Second, Lapse: 10 * time.Second, Floor: 0.1}}
+
+		err := controllers[i].Configure(now, Config{
+			Services: []ServiceConfig{{Service: testService}},
+			Accounts: []AccountConfig{{Account: testAccount, RequestsPerSecond: perSecond}},
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+
+	tell := func() {
+		for i, from := range controllers {
+			d := from.Demand(now)
+			for j, to := range controllers {
+				if i != j {
+					to.ApplyDemand(now, ids[i], d)
+				}
+			}
+		}
+	}
+
+	for range 100 {
+		now = now.Add(step)
+		tell()
+	}
+
+	admitted := make([]int, len(ids))
+	first := make([]int, len(ids))
+
+	for began := now; now.Sub(began) < flood; now = now.Add(step) {
+		for i, c := range controllers {
+			for range 5 {
+				ticket := c.Admit(now, Request{Service: testService, Account: testAccount, Kind: testRequest().Kind})
+				if d, _ := ticket.Decision(); d.Verdict != Admitted {
+					continue
+				}
+
+				admitted[i]++
+				c.Finish(now, ticket, Outcome{Whole: time.Millisecond})
+			}
+
+			if now.Equal(began) {
+				first[i] = admitted[i]
+			}
+		}
+
+		tell()
+	}
+
+	total := 0
+
+	for i, n := range admitted {
+		total += n
+
+		if first[i] < 3 {
+			t.Errorf("%s: got %d of the first 5 calls admitted, want at least 3", ids[i], first[i])
+		}
+	}
+
+	if most := int(perSecond * (flood + ahead).Seconds()); total > most {
+		t.Errorf("admitted by all: got %d in %v, want at most %d", total, flood, most)
+	}
+}
--- a/admission/controller.go
+++ b/admission/controller.go
@@ -134,7 +134,8 @@
 
 	if t := c.table.Load(); t != nil {
 		if a := t.accounts[config.Account]; a != nil {
-			a.limits.Store(&limits{account: config, share: a.limits.Load().share})
+			old := a.limits.Load()
+			a.limits.Store(&limits{account: config, share: old.share, even: old.even})
 
 			return a
 		}
--- a/admission/sharecontrol.go
+++ b/admission/sharecontrol.go
@@ -67,12 +67,14 @@
 	c.shares.prepare(now)
 	c.sharesUntil.Store(c.shares.until(now))
 
+	even := c.shares.even()
+
 	for _, a := range snapshot.accountList {
 		old := a.limits.Load()
 		share := c.shares.of(a.hash)
 
-		if share != old.share {
-			a.limits.Store(&limits{account: old.account, share: share})
+		if share != old.share || even != old.even {
+			a.limits.Store(&limits{account: old.account, share: share, even: even})
 		}
 	}
 }
--- a/admission/shares.go
+++ b/admission/shares.go
@@ -241,6 +241,15 @@
 	return own / (own + s.floors + s.extras[hash])
 }
 
+// even returns an even share among the members, 0 for an instance that is alone.
+func (s *shares) even() float64 {
+	if s.alone() {
+		return 0
+	}
+
+	return 1 / float64(len(s.members)+1)
+}
+
 // ready tells whether a digest of this instance is old enough for all to know it.
 func (s *shares) ready(now time.Time) bool {
 	if s.alone() {
