feat(controller): lease, decisions, roll-outs and cost of a region on any entry instance

Cause: the packages lease and placement decide, but nothing ran them: no entry instance held the role of a controller, a published model version reached no runner, and the burn report had no cost.

The holder plans, counts cost once, and rolls versions out through the corrector, with the lease checked right before each order. A runner is drained by an order to the role "drain", to which no request is routed. Ruled out: draining by the news that a server leaves, which cannot be taken back; appending a renewal each step while one is under way, which heaps records up in an outage.

--- a/cmd/status.go
+++ b/cmd/status.go
@@ -16,6 +16,8 @@
 	instanceFlags
 
 	Servers bool `help:"Show the backend servers too, as the first instance that answers sees them."`
+	// Decisions shows what control decided.
+	Decisions bool `help:"Show who controls each region and why each service has what it has."`
 }
 
 // Run asks every instance.
@@ -47,6 +49,12 @@
 		}
 	}
 
+	if s.Decisions && !c.json {
+		if err := printDecisions(c, results); err != nil {
+			return err
+		}
+	}
+
 	if missing {
 		return errUnreachable
 	}
--- /dev/null
+++ b/controller/clock_test.go
@@ -0,0 +1,59 @@
+package controller_test
+
+import (
+	"sync"
+	"time"
+
+	"monsoonlever/clock"
+)
+
+// pausableClock pauses what waits on it, as a process that gets no processor.
+type pausableClock struct {
+	clock.System
+
+	mu     sync.Mutex
+	paused chan struct{}
+}
+
+func newPausableClock() *pausableClock {
+	return &pausableClock{}
+}
+
+// pause holds every wait that ends from now on until resume.
+func (c *pausableClock) pause() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	c.paused = make(chan struct{})
+}
+
+func (c *pausableClock) resume() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	if c.paused != nil {
+		close(c.paused)
+		c.paused = nil
+	}
+}
+
+// After implements clock.Clock.
+func (c *pausableClock) After(d time.Duration) <-chan time.Time {
+	out := make(chan time.Time, 1)
+
+	go func() {
+		at := <-c.System.After(d)
+
+		c.mu.Lock()
+		paused := c.paused
+		c.mu.Unlock()
+
+		if paused != nil {
+			<-paused
+		}
+
+		out <- at
+	}()
+
+	return out
+}
--- /dev/null
+++ b/controller/cost.go
@@ -0,0 +1,104 @@
+package controller
+
+import (
+	"time"
+
+	"monsoonlever/fleet"
+	"monsoonlever/manifest"
+	"monsoonlever/placement"
+	"monsoonlever/platform"
+)
+
+// Costs counts what was spent on a service.
+type Costs interface {
+	AddCost(service fleet.Service, cost float64)
+}
+
+const (
+	// countEvery is the time between two counts of cost.
+	countEvery = time.Second
+	// countAtMost bounds the time that one count covers. A holder that was paused
+	// for longer does not know whether another has counted meanwhile.
+	countAtMost = 5 * time.Second
+)
+
+// count adds the price of the instances since the last count under this grant.
+func (c *Controller) count(v view) {
+	last := c.holding.countedAt
+	if !last.IsZero() && v.now.Sub(last) < countEvery {
+		return
+	}
+
+	c.holding.countedAt = v.now
+
+	if last.IsZero() || !c.holding.listing.known {
+		return
+	}
+
+	hours := min(v.now.Sub(last), countAtMost).Hours()
+
+	for service, perHour := range c.spending(v) {
+		c.Costs.AddCost(service, perHour*hours)
+	}
+}
+
+// spending returns the present price of each service's instances by the hour.
+func (c *Controller) spending(v view) map[fleet.Service]float64 {
+	prices := pricesOf(v.manifest, c.Region)
+	perHour := make(map[fleet.Service]float64)
+
+	for _, instance := range c.holding.listing.instances {
+		if service, ok := c.serviceOf(v, instance); ok {
+			perHour[service] += prices[cellOf(instance)]
+		}
+	}
+
+	return perHour
+}
+
+// serviceOf returns the service that an instance works for: as the instance list
+// says, or as it was bought.
+func (c *Controller) serviceOf(v view, instance platform.Instance) (fleet.Service, bool) {
+	if s, ok := v.server(instance.ID); ok {
+		return s.Service, true
+	}
+
+	intent, ok := c.intentOf(instance)
+
+	return intent.Service, ok
+}
+
+func (c *Controller) intentOf(instance platform.Instance) (placement.Intent, bool) {
+	token, ok := placement.ParseToken(c.owner(), instance.Token)
+	if !ok {
+		return placement.Intent{}, false
+	}
+
+	for _, intent := range c.reconciler.Ledger().Intents() {
+		if intent.Token == token {
+			return intent, true
+		}
+	}
+
+	return placement.Intent{}, false
+}
+
+func cellOf(i platform.Instance) placement.Cell {
+	return placement.Cell{Domain: i.Domain, Class: i.Class, Market: i.Market}
+}
+
+// pricesOf returns the manifest's price of every cell of a region.
+func pricesOf(m *manifest.Manifest, region fleet.Region) map[placement.Cell]float64 {
+	prices := make(map[placement.Cell]float64)
+
+	for name, domain := range domainsOf(m, region) {
+		for _, class := range domain.Classes() {
+			for _, market := range []platform.Market{platform.Reclaimable, platform.OnDemand} {
+				cell := placement.Cell{Domain: name, Class: class.Name(), Market: market}
+				prices[cell] = class.PricePerHour(market)
+			}
+		}
+	}
+
+	return prices
+}
--- /dev/null
+++ b/controller/lease_test.go
@@ -0,0 +1,142 @@
+package controller_test
+
+import (
+	"math"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"monsoonlever/fleet"
+	"monsoonlever/platform"
+	"monsoonlever/standin"
+)
+
+func TestLeaseMovesWhenItsHolderStops(t *testing.T) {
+	tests := []struct {
+		desc string
+		end  func(*candidate)
+		most time.Duration
+	}{
+		{desc: "in order", end: func(c *candidate) { c.stop() }, most: 6 * time.Second},
+		{desc: "paused for good", end: func(c *candidate) { c.clock.pause() }, most: 17 * time.Second},
+	}
+
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newRegion(t)
+				first := r.start("entry-1")
+				r.until("holder", 15*time.Second, func() bool { return first.Status().Holds })
+
+				second := r.start("entry-2")
+				time.Sleep(time.Minute)
+
+				if got := len(holders(first, second)); got != 1 || !first.Status().Holds {
+					t.Fatalf("holders: got %d, want the first alone", got)
+				}
+
+				fence := first.Status().Fence
+				tt.end(first)
+				took := r.until("second holder", tt.most, func() bool { return second.Status().Holds })
+
+				if first.Status().Holds {
+					t.Errorf("first holder after %s: got it still holding, want not", took)
+				}
+
+				if got := second.Status(); got.Fence <= fence || got.Holder != "entry-2" || !got.Until.After(time.Now()) {
+					t.Errorf("status: got %+v, want a greater fence than %d and a time", got, fence)
+				}
+
+				r.end(first, second)
+			})
+		})
+	}
+}
+
+func TestOneHolderAtAnyTimeAcrossAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRegion(t)
+		r.addEngines(true, time.Second, domains...)
+		all := []*candidate{r.start("entry-1"), r.start("entry-2"), r.start("entry-3")}
+		r.until("holder", 15*time.Second, func() bool { return len(holders(all...)) == 1 })
+		time.Sleep(time.Minute)
+
+		before := r.log.Appends()
+		_ = r.log.Faults.Apply(standin.FaultOrder{Kind: standin.Down, Duration: standin.Duration(time.Hour)})
+		r.until("end of the term", 10*time.Second, func() bool { return len(holders(all...)) == 0 })
+		r.publish(oldVersion, newVersion)
+		time.Sleep(time.Hour - 10*time.Second)
+
+		if got := r.count(holds(newVersion)); got != 0 || r.log.Appends() != before {
+			t.Errorf("in the outage: got %d engines ordered and %d appends, want none", got, r.log.Appends()-before)
+		}
+
+		r.until("holder after the outage", 30*time.Second, func() bool { return len(holders(all...)) == 1 })
+
+		for range 600 {
+			if got := len(holders(all...)); got > 1 {
+				t.Fatalf("holders: got %d, want one", got)
+			}
+
+			time.Sleep(100 * time.Millisecond)
+		}
+
+		r.end(all...)
+	})
+}
+
+func TestInstanceStartsFromACheckpoint(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRegion(t)
+		r.log.MaxRecords = 200
+		first := r.start("entry-1")
+		time.Sleep(2 * time.Hour)
+
+		late := r.start("entry-2")
+		time.Sleep(time.Minute)
+
+		if got, want := late.Status().Fence, first.Status().Fence; got != want || !first.Status().Holds {
+			t.Errorf("fence as the late instance reads it: got %d, want %d", got, want)
+		}
+
+		first.clock.pause()
+		r.until("late holder", 17*time.Second, func() bool { return late.Status().Holds })
+		r.end(first, late)
+	})
+}
+
+func TestCostIsCountedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRegion(t)
+		r.addEngines(true, 0, domains...)
+
+		for id, s := range r.servers {
+			r.cloud.Adopt(platform.Instance{ID: id, Class: "gpu-large", Domain: s.domain, Market: platform.Reclaimable})
+		}
+
+		r.cloud.Adopt(platform.Instance{ID: "entry-1", Class: "cpu-medium", Domain: domains[0], Market: platform.OnDemand})
+
+		all := []*candidate{r.start("entry-1"), r.start("entry-2"), r.start("entry-3")}
+		time.Sleep(30 * time.Minute)
+		holders(all...)[0].clock.pause()
+		time.Sleep(30 * time.Minute)
+
+		for _, c := range all {
+			c.clock.resume()
+		}
+
+		time.Sleep(time.Hour)
+
+		// The gap of a change of the holder is not counted; nothing is twice.
+		want := 2 * (92 + 97.5 + 84 + 88.5)
+		if got := r.spent(modelService); got > want || math.Abs(got-want) > 0.01*want {
+			t.Errorf("cost of two hours: got %.2f, want within 1%% below %.2f", got, want)
+		}
+
+		if got := r.spent(fleet.Service("")); got != 0 {
+			t.Errorf("cost of no service: got %.2f, want 0", got)
+		}
+
+		r.end(all...)
+	})
+}
--- a/daemon/parts.go
+++ b/daemon/parts.go
@@ -20,6 +20,7 @@
 	"monsoonlever/burn"
 	"monsoonlever/claim"
 	"monsoonlever/clock"
+	"monsoonlever/controller"
 	"monsoonlever/discovery"
 	"monsoonlever/dispatch"
 	"monsoonlever/evacuation"
@@ -85,8 +86,10 @@
 	replicator  *answer.Replicator
 	answers     *dispatch.Answers
 	// peers is nil for an instance without keys, which stands alone.
-	peers   *peers
-	gateway *gateway.Gateway
+	peers *peers
+	// controller is nil for an instance that takes no part in control.
+	controller *controller.Controller
+	gateway    *gateway.Gateway
 	// reclaimed gets the time at which this instance itself is reclaimed.
 	reclaimed chan time.Time
 }
@@ -104,6 +107,7 @@
 	p.buildControl()
 	p.buildServers()
 	p.buildRequests()
+	p.buildController()
 
 	return p, p.buildPeers(l)
 }
@@ -120,7 +124,7 @@
 	client := &journal.Client{
 		Log: log, Clock: p.clock, Stream: stream(p.settings.Deployment, "claims"),
 		Writer: p.settings.Instance, Incarnation: p.incarnation,
-		AppendsPerSecond: p.settings.AppendsPerSecond, Rand: newRandom(),
+		AppendsPerSecond: p.settings.AppendsPerSecond - p.controlShare(), Rand: newRandom(),
 	}
 	p.claims = newClaims(&claim.Keeper{
 		Journal: client, Clock: p.clock, KeepHeader: dispatch.KeptHeaders,
@@ -267,6 +271,10 @@
 	group.Go(func() { p.desk.Run(ctx) })
 	group.Go(func() { p.replicator.Run(ctx) })
 
+	if p.controller != nil {
+		group.Go(func() { p.runController(ctx) })
+	}
+
 	if p.peers != nil {
 		group.Go(func() { p.peers.run(ctx) })
 	}
--- a/daemon/status.go
+++ b/daemon/status.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"monsoonlever/controller"
 	"monsoonlever/fleet"
 	"monsoonlever/platform"
 )
@@ -19,6 +20,8 @@
 	Log           LogStatus           `json:"log"`
 	Servers       []ServerStatus      `json:"servers"`
 	Members       []MemberStatus      `json:"members,omitempty"`
+	// Control is nil on an instance that takes no part in control.
+	Control *controller.Status `json:"control,omitempty"`
 }
 
 // MemberStatus tells what an instance knows of another entry instance.
@@ -75,6 +78,11 @@
 		Members:       p.memberStatuses(),
 	}
 
+	if p.controller != nil {
+		control := p.controller.Status()
+		s.Control = &control
+	}
+
 	if in := p.follower.Snapshot(); in != nil {
 		s.Manifest = ManifestStatus{
 			Version: in.Version(), Name: in.Manifest().Name(), ID: string(in.ID()), Operator: in.Operator(),
--- a/settings/daemon.go
+++ b/settings/daemon.go
@@ -29,6 +29,7 @@
 	TLS      *TLS     `json:"tls"`
 	Platform Platform `json:"platform"`
 	Limits   Limits   `json:"limits"`
+	Control  Control  `json:"control"`
 	// DrainTimeout bounds a planned stop.
 	DrainTimeout time.Duration `json:"drainTimeout"`
 	// AppendsPerSecond is this instance's share of the log's append budget.
@@ -39,6 +40,7 @@
 	return Daemon{
 		Deployment:       defaultDeployment,
 		Limits:           defaultLimits(),
+		Control:          defaultControl(),
 		DrainTimeout:     defaultDrainTimeout,
 		AppendsPerSecond: defaultAppendsPerSecond,
 	}
@@ -59,6 +61,7 @@
 
 	s.Platform.check(c)
 	s.Limits.check(c)
+	s.Control.check(c)
 	c.positive("drainTimeout", s.DrainTimeout)
 
 	if s.AppendsPerSecond <= 0 || s.AppendsPerSecond > maxAppendsPerSecondShare {
--- a/settings/parse_test.go
+++ b/settings/parse_test.go
@@ -32,6 +32,7 @@
 		{"TLS without a key", `"platform": {`, `"tls": { "certFile": "a", "caFile": "b" }, "platform": {`, "tls.keyFile", "is missing"},
 		{"no drain timeout", `"drainTimeout": "25s"`, `"drainTimeout": "0s"`, "drainTimeout", "above 0"},
 		{"more appends than the log takes", `"appendsPerSecond": 20`, `"appendsPerSecond": 9000`, "appendsPerSecond", "at most"},
+		{"an unknown mode of control", `"platform": {`, `"control": { "mode": "guess" }, "platform": {`, "control.mode", "must be"},
 		{"a body of nothing", `"maxBodyBytes": 8388608`, `"maxBodyBytes": 0`, "limits.maxBodyBytes", "above 0"},
 	}
 
@@ -64,7 +65,7 @@
 		t.Fatal(err)
 	}
 
-	if s.Deployment != defaultDeployment || s.DrainTimeout != defaultDrainTimeout || s.Limits != defaultLimits() {
+	if s.Deployment != defaultDeployment || s.DrainTimeout != defaultDrainTimeout || s.Limits != defaultLimits() || s.Control.Mode != ControlObserve {
 		t.Errorf("defaults: got %+v", s)
 	}
 }
