--- a/cmd/status.go
+++ b/cmd/status.go
@@ -18,6 +18,8 @@
 
 	Servers bool          `help:"Show the backend servers too, as the first instance that answers sees them."`
 	Wait    time.Duration `placeholder:"DURATION" help:"Wait this long until every instance is ready."`
+	// Decisions shows what control decided.
+	Decisions bool `help:"Show who controls each region and why each service has what it has."`
 }
 
 // Run asks every instance.
@@ -49,6 +51,12 @@
 		}
 	}
 
+	if s.Decisions && !c.json {
+		if err := printDecisions(c, results); err != nil {
+			return err
+		}
+	}
+
 	if missing {
 		return errUnreachable
 	}
