fix(answer): wait for a copy whose owner is silent until it takes over

Cause: a copy that heard nothing of its owner for 3 s told readers that the answer is unknown, and they were refused 5 s later (404). Membership holds a dead owner dead only some 6 to 10 s after its death, so nearly every caller who came back after an entry instance was killed was refused.

Change: a stale copy says that it is stale. A reader waits while one is known, and is still refused after 5 s where nobody knows the answer. More tries for every unknown answer were ruled out: an id that nobody knows would be refused late too. The property test reads on elsewhere as it did before.

--- a/answer/follow.go
+++ b/answer/follow.go
@@ -36,14 +36,22 @@
 	account    fleet.Account
 	at         EventID
 	caller     Caller
-	unknown    int
+	// asked counts the questions to others that brought nothing to read; unknown
+	// and stale are those of them since the answer was last known and read.
+	asked   int
+	unknown int
+	stale   int
 }
 
+// staleFactor times FetchTries is how often an answer may be found in stale
+// copies only. It gives the others the time to hold its owner dead.
+const staleFactor = 12
+
 // advance passes on what there is and waits for more.
 func (f *follower) advance(ctx context.Context) (bool, error) {
 	reading, changed := f.replicator.read(f.account, f.at)
-	if reading.State() == ReadUnknown {
-		return f.advanceRemote(ctx)
+	if !reading.readable() {
+		return f.advanceRemote(ctx, reading.State())
 	}
 
 	ended, err := f.pass(reading)
@@ -64,7 +72,7 @@
 		return false, merry.Wrap(ErrTextDiffers)
 	}
 
-	f.unknown = 0
+	f.unknown, f.stale = 0, 0
 
 	for _, token := range reading.Tokens() {
 		f.at.Offset++
@@ -84,22 +92,32 @@
 }
 
 // advanceRemote asks the likeliest other instance in turn.
-func (f *follower) advanceRemote(ctx context.Context) (bool, error) {
+func (f *follower) advanceRemote(ctx context.Context, here ReadState) (bool, error) {
 	reading, err := f.fetch(ctx)
 	if err != nil {
 		return false, err
 	}
 
-	if reading.State() == ReadUnknown {
+	if reading.readable() {
+		return f.pass(reading)
+	}
+
+	f.asked++
+
+	// Who knows of a copy waits for its owner, or for the copy to take over.
+	if here == ReadStale || reading.State() == ReadStale {
+		f.unknown = 0
+		f.stale++
+	} else {
 		f.unknown++
-		if f.unknown > f.replicator.FetchTries {
-			return false, merry.Wrap(ErrUnknownAnswer)
-		}
+	}
 
-		return false, nil
+	tries := f.replicator.FetchTries
+	if f.unknown > tries || f.stale > staleFactor*tries {
+		return false, merry.Wrap(ErrUnknownAnswer)
 	}
 
-	return f.pass(reading)
+	return false, nil
 }
 
 // fetch asks one instance. No reply in time counts as one that does not know.
@@ -113,7 +131,7 @@
 
 	if len(candidates) > 0 {
 		r.fetched[question] = append(r.fetched[question], ch)
-		to := candidates[f.unknown%len(candidates)]
+		to := candidates[f.asked%len(candidates)]
 		r.Sender.Send(to, &Batch{
 			From:    r.Store.Self.ID,
 			Fetches: []Fetch{question},
--- a/answer/replicator.go
+++ b/answer/replicator.go
@@ -257,7 +257,7 @@
 	defer r.mu.Unlock()
 
 	reading := r.Store.Read(account, after)
-	if reading.State() == ReadUnknown {
+	if !reading.readable() {
 		return reading, nil
 	}
 
--- a/answer/store_property_test.go
+++ b/answer/store_property_test.go
@@ -219,7 +219,7 @@
 		}
 
 		reading := w.entries[id].store.Read(testMoney, c.at)
-		if reading.State() == ReadUnknown {
+		if !reading.readable() {
 			continue
 		}
 
--- a/answer/store_read.go
+++ b/answer/store_read.go
@@ -13,6 +13,9 @@
 const (
 	ReadFound   ReadState = "found"
 	ReadUnknown ReadState = "unknown"
+	// ReadStale means that there is a copy here whose owner is silent. It cannot
+	// be read from before the owner is heard again or held dead.
+	ReadStale ReadState = "stale"
 	// ReadDiffers means that the caller has seen another text than the one
 	// that is kept here.
 	ReadDiffers ReadState = "differs"
@@ -28,6 +31,11 @@
 // State tells whether there is anything to read.
 func (r Reading) State() ReadState { return r.state }
 
+// readable tells whether the answer is held where it was read.
+func (r Reading) readable() bool {
+	return r.state != ReadUnknown && r.state != ReadStale
+}
+
 // Tokens returns the tokens that follow.
 func (r Reading) Tokens() []string { return r.tokens }
 
@@ -43,10 +51,14 @@
 // Read returns what an account may read of its answer after an event id.
 func (s *Store) Read(account fleet.Account, after EventID) Reading {
 	a, ok := s.answers[after.Request]
-	if !ok || a.request.Account != account || a.stale {
+	if !ok || a.request.Account != account {
 		return Reading{state: ReadUnknown}
 	}
 
+	if a.stale {
+		return Reading{state: ReadStale}
+	}
+
 	// A caller that is ahead waits for the copy to catch up with it.
 	if after.Offset > a.visible {
 		return a.readAhead(after)
--- a/daemon/deployment_test.go
+++ b/daemon/deployment_test.go
@@ -35,22 +35,15 @@
 // deployment is the example deployment of Kronvig with its daemons and stand-ins
 // in one process, over loopback.
 type deployment struct {
-	t           *testing.T
-	ctx         context.Context
-	group       conc.WaitGroup
-	platform    *standin.Platform
-	platformURL string
-	engines     []*standin.Engine
-	plains      []*standin.PlainService
-	entries     []*entry
-	settings    []settings.Daemon
-}
-
-// entry is one running daemon.
-type entry struct {
-	addresses Addresses
-	stop      context.CancelFunc
-	done      chan error
+	t             *testing.T
+	ctx           context.Context
+	group         conc.WaitGroup
+	platform      *standin.Platform
+	tokenInterval time.Duration
+	engines       []*standin.Engine
+	plains        []*standin.PlainService
+	entries       []*entry
+	settings      []settings.Daemon
 }
 
 // newDeployment starts the stand-ins and some entry instances, publishes the
@@ -58,8 +51,18 @@
 func newDeployment(t *testing.T, entries int) *deployment {
 	t.Helper()
 
+	return newSlowDeployment(t, entries, time.Millisecond)
+}
+
+// newSlowDeployment is newDeployment with engines that take long enough for
+// something to fail while they answer.
+func newSlowDeployment(t *testing.T, entries int, tokenInterval time.Duration) *deployment {
+	t.Helper()
+
 	ctx, cancel := context.WithTimeout(context.Background(), testPatience)
-	d := &deployment{t: t, ctx: ctx, platform: standin.NewPlatform(clock.System{})}
+	d := &deployment{
+		t: t, ctx: ctx, platform: standin.NewPlatform(clock.System{}), tokenInterval: tokenInterval,
+	}
 
 	t.Cleanup(func() {
 		for _, e := range d.entries {
@@ -70,7 +73,6 @@
 		d.group.Wait()
 	})
 
-	d.platformURL = "http://" + d.serve(d.platform.Handler(), nil)
 	d.startServers()
 	d.writeSettings(entries)
 
@@ -114,7 +116,7 @@
 		engine.Model = testModel
 		engine.Version = testVersion
 		engine.Ledger = ledger
-		engine.TokenInterval = time.Millisecond
+		engine.TokenInterval = d.tokenInterval
 		d.engines = append(d.engines, engine)
 		d.register(fmt.Sprintf("engine-%d", i), "ledger-llm", domain, d.serve(engine.Handler(), engine.Faults))
 	}
@@ -155,9 +157,6 @@
 				KeyFile:  filepath.Join(dir, name+".key"),
 				CAFile:   filepath.Join(dir, "ca.pem"),
 			},
-			Platform: settings.Platform{
-				Log: d.platformURL, List: d.platformURL, Cloud: d.platformURL, Weights: d.platformURL,
-			},
 			Limits: settings.Limits{
 				MaxBodyBytes: 1 << 20, MaxHeaderBytes: 16 << 10, ReadHeaderTimeout: 5 * time.Second, MaxConnections: 256,
 			},
@@ -167,37 +166,6 @@
 	}
 }
 
-// start runs the daemon with the settings of one entry instance.
-func (d *deployment) start(i int) *entry {
-	listeners := &Listeners{Callers: d.listen(), Peers: d.listen(), Operators: d.listen()}
-	s := d.settings[i]
-	s.PeerAddress = listeners.Peers.Addr().String()
-
-	for _, e := range d.entries {
-		s.Seeds = append(s.Seeds, e.addresses.Peers)
-	}
-
-	ctx, stop := context.WithCancel(d.ctx)
-	started := make(chan Addresses, 1)
-	e := &entry{stop: stop, done: make(chan error, 1)}
-	daemon := &Daemon{
-		Settings: s, Clock: clock.System{}, Listeners: listeners,
-		Started: func(a Addresses) { started <- a },
-	}
-
-	d.group.Go(func() { e.done <- daemon.Run(ctx) })
-
-	select {
-	case e.addresses = <-started:
-	case err := <-e.done:
-		d.t.Fatalf("entry instance %d: %v", i, err)
-	}
-
-	d.entries = append(d.entries, e)
-
-	return e
-}
-
 func (d *deployment) publish() platform.Offset {
 	data, err := os.ReadFile("../examples/kronvig.manifest.jsonc")
 	if err != nil {
--- a/daemon/whole_path_test.go
+++ b/daemon/whole_path_test.go
@@ -1,7 +1,6 @@
 package daemon
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -14,84 +13,10 @@
 
 	"github.com/sourcegraph/conc"
 
-	"monsoonlever/chat"
 	"monsoonlever/refusal"
 	"monsoonlever/standin"
 )
 
-// streamed is what a caller saw of a streamed answer.
-type streamed struct {
-	status int
-	text   string
-	whole  bool
-}
-
-// ask sends a streamed chat request; first is called at the first token.
-func (d *deployment) ask(e *entry, content string, maxTokens int, first func()) (streamed, error) {
-	body, err := json.Marshal(chat.Request{
-		Model: testModel, Stream: true, MaxTokens: maxTokens,
-		Messages: []chat.Message{{Role: "user", Content: chat.Content(content)}},
-	})
-	if err != nil {
-		return streamed{}, err
-	}
-
-	r, err := http.NewRequestWithContext(d.ctx, http.MethodPost, "http://"+e.addresses.Callers+"/v1/chat/completions", bytes.NewReader(body))
-	if err != nil {
-		return streamed{}, err
-	}
-
-	r.Header.Set("Authorization", "Bearer "+testAccount)
-
-	response, err := http.DefaultClient.Do(r)
-	if err != nil {
-		return streamed{}, err
-	}
-	defer response.Body.Close()
-
-	return readStream(response, first)
-}
-
-func readStream(response *http.Response, first func()) (streamed, error) {
-	s := streamed{status: response.StatusCode}
-	scanner := bufio.NewScanner(response.Body)
-
-	for scanner.Scan() {
-		data, ok := strings.CutPrefix(scanner.Text(), "data: ")
-		if !ok {
-			continue
-		}
-
-		if data == "[DONE]" {
-			s.whole = true
-
-			continue
-		}
-
-		var chunk struct {
-			Choices []struct {
-				Delta struct {
-					Content string `json:"content"`
-				} `json:"delta"`
-			} `json:"choices"`
-		}
-		if err := json.Unmarshal([]byte(data), &chunk); err != nil {
-			return s, err
-		}
-
-		for _, c := range chunk.Choices {
-			s.text += c.Delta.Content
-		}
-
-		if first != nil && s.text != "" {
-			first()
-			first = nil
-		}
-	}
-
-	return s, scanner.Err()
-}
-
 // wantAnswer returns the answer that the engines' stand-in gives.
 func wantAnswer(content string, maxTokens int) string {
 	return strings.Join(standin.ExpectedAnswer(testModel, "user: "+content+"\n", maxTokens), "")
