--- a/placement/main_test.go
+++ b/placement/main_test.go
@@ -1,24 +1,12 @@
-package placement_test
+package placement
 
 import (
-	"flag"
 	"os"
 	"testing"
+
+	"monsoonlever/property"
 )
 
-// TestMain fixes the seed and the number of checks unless the command line does.
 func TestMain(m *testing.M) {
-	flag.Parse()
-
-	defaults := map[string]string{"rapid.seed": "1", "rapid.checks": "50", "rapid.nofailfile": "true"}
-
-	flag.Visit(func(f *flag.Flag) { delete(defaults, f.Name) })
-
-	for name, value := range defaults {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-
-	os.Exit(m.Run())
+	os.Exit(property.Main(m, 50))
 }
--- /dev/null
+++ b/property/property.go
@@ -0,0 +1,62 @@
+// Package property runs the property tests of a package with the same flags on
+// every machine, so that they have one verdict. What the command line gives goes
+// first.
+//
+// # Usage
+//
+//	func TestMain(m *testing.M) {
+//		os.Exit(property.Main(m, 300))
+//	}
+//
+// A longer run gives its own flags:
+//
+//	go test ./claim -rapid.checks=10000 -rapid.seed=0
+package property
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"strconv"
+	"testing"
+
+	// Registers the flags that Main sets.
+	_ "pgregory.net/rapid"
+)
+
+// exitFailed is returned for a flag that could not be set.
+const exitFailed = 2
+
+// Flag is one further flag of a package's property tests.
+type Flag struct {
+	Name  string
+	Value string
+}
+
+// Main runs the tests of a package, each property with a number of checks.
+func Main(m *testing.M, checks int, further ...Flag) int {
+	flag.Parse()
+
+	given := make(map[string]bool)
+	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
+
+	flags := append([]Flag{
+		{Name: "rapid.seed", Value: "1"},
+		{Name: "rapid.checks", Value: strconv.Itoa(checks)},
+		{Name: "rapid.nofailfile", Value: "true"},
+	}, further...)
+
+	for _, f := range flags {
+		if given[f.Name] {
+			continue
+		}
+
+		if err := flag.Set(f.Name, f.Value); err != nil {
+			fmt.Fprintf(os.Stderr, "set flag %s: %v\n", f.Name, err)
+
+			return exitFailed
+		}
+	}
+
+	return m.Run()
+}
