feat(settings): entry instances found through the platform's list too

Cause: seeds in the settings may all be gone after replacements. Change: the list's entry instances serve as seeds, by entryService; the page says that keys are for peers alone. Also a bound of 24 h on a caller's deadline, and a trial of one entry instance writes an empty list of seeds instead of null. Measured: tests of settings, gateway and daemon pass.

--- a/cmd/trial.go
+++ b/cmd/trial.go
@@ -138,7 +138,7 @@
 }
 
 func (v *trialCommand) write(i int, instances []TrialInstance) error {
-	var seeds []string
+	seeds := []string{}
 
 	for j, other := range instances {
 		if j != i {
--- a/daemon/parts.go
+++ b/daemon/parts.go
@@ -248,6 +248,7 @@
 		node:  node,
 		group: &membership.Group{
 			Node: node, Clock: p.clock, Region: p.settings.Region, Seeds: p.settings.Seeds,
+			List: p.watcher.List, Locate: p.locateEntry,
 		},
 		admission:  p.admission,
 		replicator: p.replicator,
@@ -264,6 +265,11 @@
 	return merry.Prepend(p.peers.register(), "prepare peers")
 }
 
+// locateEntry returns the peer address of a listed entry instance.
+func (p *parts) locateEntry(l platform.Listing) (string, bool) {
+	return l.Address, l.Service == p.settings.EntryService
+}
+
 // manifest returns the manifest in force, or nil.
 func (p *parts) manifest() *manifest.Manifest {
 	s := p.follower.Snapshot()
--- a/gateway/deadline.go
+++ b/gateway/deadline.go
@@ -15,6 +15,9 @@
 	HeaderTimeout = "X-Timeout"
 )
 
+// maxDeadline bounds how long a caller may ask an instance to work for it.
+const maxDeadline = 24 * time.Hour
+
 // deadline returns the earlier of the caller's bounds, or fallback from now.
 func deadline(h http.Header, now time.Time, fallback time.Duration) (time.Time, *refusal.Refusal) {
 	at := now.Add(fallback)
@@ -41,6 +44,10 @@
 		}
 	}
 
+	if at.Sub(now) > maxDeadline {
+		return time.Time{}, refusal.New(refusal.BadRequest, "the deadline is more than %v away", maxDeadline)
+	}
+
 	if !at.After(now) {
 		return time.Time{}, refusal.New(refusal.DeadlinePassed, "the deadline has passed").WithRun(refusal.NotRun)
 	}
--- a/gateway/deadline_test.go
+++ b/gateway/deadline_test.go
@@ -22,6 +22,7 @@
 		{desc: "timeout", timeout: "2s", want: now.Add(2 * time.Second)},
 		{desc: "deadline later than the fallback", deadline: "2026-03-01T12:05:00Z", want: now.Add(5 * time.Minute)},
 		{desc: "the earlier of both", timeout: "10m", deadline: "2026-03-01T12:05:00Z", want: now.Add(5 * time.Minute)},
+		{desc: "further away than anybody waits", timeout: "25h", refused: refusal.BadRequest},
 		{desc: "no duration", timeout: "soon", refused: refusal.BadRequest},
 		{desc: "negative duration", timeout: "-1s", refused: refusal.BadRequest},
 		{desc: "no time", deadline: "noon", refused: refusal.BadRequest},
--- a/settings/daemon.go
+++ b/settings/daemon.go
@@ -8,6 +8,7 @@
 
 const (
 	defaultDeployment        = "default"
+	defaultEntryService      = "monsoonlever"
 	defaultDrainTimeout      = 25 * time.Second
 	defaultAppendsPerSecond  = 20.0
 	maxAppendsPerSecondShare = 500.0
@@ -25,11 +26,14 @@
 	// PeerAddress is the host:port at which peers reach this instance.
 	PeerAddress string `json:"peerAddress"`
 	// Seeds are peer addresses to ask for the others; they may be gone.
-	Seeds    []string `json:"seeds"`
-	TLS      *TLS     `json:"tls"`
-	Platform Platform `json:"platform"`
-	Limits   Limits   `json:"limits"`
-	Control  Control  `json:"control"`
+	Seeds []string `json:"seeds"`
+	// EntryService names the entry instances in the platform's list, whose
+	// addresses there are those for peers. They serve as seeds too.
+	EntryService fleet.Service `json:"entryService"`
+	TLS          *TLS          `json:"tls"`
+	Platform     Platform      `json:"platform"`
+	Limits       Limits        `json:"limits"`
+	Control      Control       `json:"control"`
 	// DrainTimeout bounds a planned stop.
 	DrainTimeout time.Duration `json:"drainTimeout"`
 	// AppendsPerSecond is this instance's share of the log's append budget.
@@ -39,6 +43,7 @@
 func defaultDaemon() Daemon {
 	return Daemon{
 		Deployment:       defaultDeployment,
+		EntryService:     defaultEntryService,
 		Limits:           defaultLimits(),
 		Control:          defaultControl(),
 		DrainTimeout:     defaultDrainTimeout,
@@ -54,6 +59,7 @@
 	s.Listen.check(c)
 	c.dialAddress("peerAddress", s.PeerAddress)
 	c.seeds("seeds", s.Seeds)
+	c.name("entryService", string(s.EntryService))
 
 	if s.TLS != nil {
 		s.TLS.check(c)
--- a/settings/tls.go
+++ b/settings/tls.go
@@ -1,6 +1,6 @@
 package settings
 
-// TLS names the files for encrypted connections from callers and peers.
+// TLS names the files for the connections between entry instances.
 type TLS struct {
 	CertFile string `json:"certFile"`
 	KeyFile  string `json:"keyFile"`
