feat(controller): purchases and releases by the plan in act mode

Cause: what the plan wants was shown and not done.

Change: the reconciler's commands are carried out against the cloud API, each after a check of the lease; a call that is not made or not answered is unknown and is asked for again with its token. A retired instance is drained until its own report, made after every entry instance knows, shows no work. Instances that this system did not buy count as capacity but are neither given up nor replaced by cheaper ones.

Conclusion: act mode buys and releases; the time to fill an empty region varies between runs and is looked into next.

--- /dev/null
+++ b/controller/act_test.go
@@ -0,0 +1,173 @@
+package controller_test
+
+import (
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"monsoonlever/fleet"
+	"monsoonlever/platform"
+	"monsoonlever/standin"
+)
+
+// The bounds of the example's manifest, and the load of the tests in runners.
+const (
+	minRunners = 8
+	maxRunners = 18
+	minPlain   = 4
+	load       = 5
+)
+
+// filled tells whether both services have what their manifest asks for at least.
+func (r *region) filled() bool {
+	return r.staying(modelService) >= minRunners && r.staying(plainService) >= minPlain
+}
+
+func TestReclaimedFailureDomainIsReplacedElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newMarket(t)
+		_ = r.cloud.Faults.Apply(standin.FaultOrder{Kind: standin.EffectWithoutAnswer, Probability: 0.3, Seed: 7})
+
+		all := []*candidate{r.start("entry-1", acting(load)), r.start("entry-2", acting(load))}
+		first := r.until("capacity", 10*time.Minute, r.filled)
+		time.Sleep(10 * time.Minute)
+
+		before := r.instances("gpu-large", "")
+		struck := fullest(r)
+		lost := r.instances("gpu-large", struck)
+		r.stock(struck, 0)
+		r.cloud.Reclaim(struck, 30*time.Second)
+
+		replaced := r.until("replacement", 10*time.Minute, func() bool {
+			return r.filled() && r.instances("gpu-large", "")-r.instances("gpu-large", struck) >= before
+		})
+		time.Sleep(time.Hour)
+
+		got := r.instances("gpu-large", "")
+		t.Logf("bought %d runners in %s; lost %d in %s, replaced in %s; %d after an hour", before, first, lost, struck, replaced, got)
+
+		if got > before+1 || lost == 0 {
+			t.Errorf("runners after an hour: got %d, want at most one more than %d; %d lost", got, before, lost)
+		}
+
+		r.end(all...)
+	})
+}
+
+// fullest returns the failure domain with the most runners.
+func fullest(r *region) fleet.FailureDomain {
+	most := domains[0]
+	for _, domain := range domains {
+		if r.instances("gpu-large", domain) > r.instances("gpu-large", most) {
+			most = domain
+		}
+	}
+
+	return most
+}
+
+func TestRefusalsForATimeAreWaitedOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newMarket(t)
+		for _, domain := range domains {
+			r.stock(domain, 0)
+		}
+
+		c := r.start("entry-1", acting(load))
+		time.Sleep(10 * time.Minute)
+
+		if lines := strings.Join(c.Status().Decisions, "\n"); !strings.Contains(lines, "refused") {
+			t.Errorf("decisions while refused: got %q, want why", lines)
+		}
+
+		refused := c.Metrics.GetOrCreateCounter(`monsoonlever_control_purchases_total{outcome="refused"}`).Get()
+		t.Logf("in ten minutes of refusals: %d refused, %d appends", refused, r.log.Appends())
+
+		if most := uint64(200); refused > most {
+			t.Errorf("refused purchases: got %d, want at most %d", refused, most)
+		}
+
+		time.Sleep(20 * time.Minute)
+
+		for _, domain := range domains {
+			r.stock(domain, 20)
+		}
+
+		took := r.until("capacity", time.Hour, r.filled)
+		t.Logf("bought %s after the refusals ended", took)
+		r.end(c)
+	})
+}
+
+func TestOthersInstancesAreLeftAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newMarket(t)
+
+		for i := range minRunners + minPlain {
+			instance := platform.Instance{
+				ID: fleet.InstanceID("given-" + string(rune('a'+i))), Class: "gpu-large",
+				Domain: domains[i%len(domains)], Market: platform.OnDemand,
+			}
+			if i >= minRunners {
+				instance.Class = "cpu-medium"
+			}
+
+			r.cloud.Adopt(instance)
+			r.boot(instance, oldVersion)
+		}
+
+		c := r.start("entry-1", acting(1))
+		time.Sleep(3 * time.Hour)
+
+		if got, want := r.instances("gpu-large", "")+r.instances("cpu-medium", ""), minRunners+minPlain; got != want {
+			t.Errorf("instances: got %d, want the %d given ones", got, want)
+		}
+
+		r.end(c)
+	})
+}
+
+func TestObserverBuysNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newMarket(t)
+		c := r.start("entry-1")
+		time.Sleep(time.Hour)
+
+		if got := r.instances("gpu-large", "") + r.instances("cpu-medium", ""); got != 0 {
+			t.Errorf("instances: got %d, want none", got)
+		}
+
+		if lines := c.Status().Decisions; len(lines) != 2 || !strings.Contains(lines[0], "grows by") {
+			t.Errorf("decisions: got %q, want one line a service", lines)
+		}
+
+		r.end(c)
+	})
+}
+
+func TestNothingIsBoughtOrReleasedWithoutTheLog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newMarket(t)
+		all := []*candidate{r.start("entry-1", acting(load)), r.start("entry-2", acting(load))}
+		r.until("capacity", 10*time.Minute, r.filled)
+		time.Sleep(10 * time.Minute)
+
+		before := r.instances("gpu-large", "")
+		_ = r.log.Faults.Apply(standin.FaultOrder{Kind: standin.Down, Duration: standin.Duration(time.Hour), Silent: true})
+		time.Sleep(10 * time.Second)
+		r.cloud.Reclaim(fullest(r), 30*time.Second)
+		time.Sleep(time.Minute)
+
+		kept := r.instances("gpu-large", "")
+		time.Sleep(50 * time.Minute)
+
+		if got := r.instances("gpu-large", ""); got != kept {
+			t.Errorf("runners in the outage: got %d, want %d", got, kept)
+		}
+
+		took := r.until("replacement", 20*time.Minute, func() bool { return r.instances("gpu-large", "") >= before && r.filled() })
+		t.Logf("replaced %d runners %s after a look ten minutes before the log came back", before-kept, took)
+		r.end(all...)
+	})
+}
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -95,6 +95,8 @@
 	reconciler *placement.Reconciler
 	planner    *planner
 	holding    holding
+	// actedFence is the grant under which the reconciler last took a step.
+	actedFence lease.Fence
 }
 
 func (c *Controller) init() error {
--- /dev/null
+++ b/controller/market_test.go
@@ -0,0 +1,159 @@
+package controller_test
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"testing"
+	"time"
+
+	"monsoonlever/backend"
+	"monsoonlever/clock"
+	"monsoonlever/controller"
+	"monsoonlever/fleet"
+	"monsoonlever/manifest"
+	"monsoonlever/placement"
+	"monsoonlever/platform"
+	"monsoonlever/standin"
+)
+
+// loadTime is how long a runner of the market takes for its weights.
+const loadTime = 20 * time.Second
+
+// plainClient asks a plain server for its load; it takes no orders.
+type plainClient struct {
+	backend.PlainServer
+}
+
+var errNoEngine = errors.New("no model engine")
+
+// Order implements controller.Client.
+func (plainClient) Order(context.Context, backend.Order) error { return errNoEngine }
+
+// State implements controller.Client.
+func (plainClient) State(context.Context) (backend.EngineState, error) {
+	return backend.EngineState{}, errNoEngine
+}
+
+// newMarket returns a region whose cloud starts a server on what is bought, and
+// takes it from the list when it ends.
+func newMarket(t *testing.T) *region {
+	t.Helper()
+
+	r := newRegion(t)
+	r.cloud.Start = func(i platform.Instance) (string, error) {
+		r.boot(i, "")
+
+		return string(i.ID), nil
+	}
+	r.cloud.OnNotice = func(instances []platform.Instance) {
+		for _, i := range instances {
+			r.Leave(i.ID, time.Time{})
+		}
+	}
+	r.cloud.OnEnd = func(instances []platform.Instance) {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+
+		for _, i := range instances {
+			delete(r.servers, i.ID)
+		}
+	}
+
+	for _, domain := range domains {
+		r.stock(domain, 20)
+	}
+
+	return r
+}
+
+// stock sets how many instances of each class and market a failure domain has.
+func (r *region) stock(domain fleet.FailureDomain, n int) {
+	for _, class := range []platform.Class{"gpu-large", "cpu-medium"} {
+		for _, market := range []platform.Market{platform.Reclaimable, platform.OnDemand} {
+			r.cloud.SetOffer(platform.Offer{Class: class, Domain: domain, Market: market, PricePerHour: 1}, n)
+		}
+	}
+}
+
+// boot starts the server of an instance, by its class. An engine without a
+// version holds nothing.
+func (r *region) boot(i platform.Instance, version fleet.ModelVersion) {
+	if i.Class == "gpu-large" {
+		engine := standin.NewEngine(clock.System{})
+		weights := standin.NewWeights(clock.System{})
+		weights.ModelTime = loadTime
+		engine.Weights = weights
+		engine.ChecksFence = true
+
+		if version != "" {
+			engine.Model, engine.Version = model, version
+		}
+
+		r.addEngine(i.ID, i.Domain, engine)
+
+		return
+	}
+
+	plain := standin.NewPlainService(clock.System{})
+	client := &http.Client{Transport: inProcess{handler: plain.Handler()}}
+
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	r.servers[i.ID] = &backendServer{
+		service: plainService, domain: i.Domain,
+		client: plainClient{backend.NewHTTPPlainServer(string(i.ID), client)},
+	}
+}
+
+// acting lets a controller buy for a load of some runners.
+func acting(runners float64) func(*controller.Controller) {
+	return func(c *controller.Controller) {
+		c.Act = true
+		c.Demand = func(m *manifest.Manifest, s manifest.Service) placement.Load {
+			if s.Kind() == manifest.ModelService {
+				load, _ := m.Model(model)
+
+				return placement.Load{TokensPerSecond: runners * load.DecodeTokensPerSecond()}
+			}
+
+			return placement.Load{}
+		}
+	}
+}
+
+// instances counts what is paid for in a failure domain, or in all for "".
+func (r *region) instances(class platform.Class, domain fleet.FailureDomain) int {
+	n := 0
+
+	paid, err := r.cloud.Instances(context.Background())
+	if err != nil {
+		r.t.Fatal(err)
+	}
+
+	for _, i := range paid {
+		if i.Class == class && (domain == "" || i.Domain == domain) {
+			n++
+		}
+	}
+
+	return n
+}
+
+// staying counts the servers of a service that serve and do not leave.
+func (r *region) staying(service fleet.Service) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	n := 0
+
+	for id, s := range r.servers {
+		serving := s.engine == nil || holds(oldVersion)(s.engine.State())
+		if s.service == service && serving && !r.left[id] {
+			n++
+		}
+	}
+
+	return n
+}
--- a/controller/planner.go
+++ b/controller/planner.go
@@ -130,7 +130,7 @@
 
 	for _, instance := range c.holding.listing.instances {
 		s, ok := v.server(instance.ID)
-		if _, drains := c.holding.drains[instance.ID]; !ok || !s.Leaving || drains {
+		if intent, own := c.intentOf(instance); !ok || !s.Leaving || own && intent.Retired {
 			continue
 		}
 
--- a/controller/rollout.go
+++ b/controller/rollout.go
@@ -98,9 +98,9 @@
 		}
 
 		held := one.state.Model
-		stray := !slices.Contains(s.Models(), held)
+		one.stray = !slices.Contains(s.Models(), held)
 
-		if !one.known || held == model || stray && model == s.Models()[0] {
+		if !one.known || held == model || one.stray && model == s.Models()[0] {
 			group = append(group, one)
 		}
 	}
@@ -122,7 +122,11 @@
 	}
 
 	step := r.step(modelKey{service: s.Name(), model: model.Name()})
-	r.surge[s.Name()] = max(r.surge[s.Name()], step.Surge(service, states))
+
+	if canSurge(group) {
+		r.surge[s.Name()] = max(r.surge[s.Name()], step.Surge(service, states))
+	}
+
 	allowed := placement.LoadQueue{AtOnce: loadsAtOnce}.Allowed(r.loads(service.Priority))
 	mayLoad := func(id fleet.InstanceID) bool { return slices.Contains(allowed, id) }
 
@@ -144,12 +148,20 @@
 	}
 }
 
+// canSurge tells whether a further runner would help a roll-out: one is ready, and
+// no other may turn out to be so once it is read.
+func canSurge(group []*runner) bool {
+	unread := func(one *runner) bool { return !one.known }
+
+	return !slices.ContainsFunc(group, unread) && slices.ContainsFunc(group, (*runner).isReady)
+}
+
 // loads returns the runners that take or wait for weights.
 func (r *rollout) loads(priority fleet.Priority) []placement.LoadRequest {
 	var requests []placement.LoadRequest
 
 	for id, one := range r.runners {
-		if !one.known || one.server.Leaving || one.state.Ready && !one.idle {
+		if !one.known || one.server.Leaving || one.isReady() && !one.idle {
 			continue
 		}
 
--- a/controller/runner.go
+++ b/controller/runner.go
@@ -29,6 +29,8 @@
 	// drainedAt is when the engine was first read at the drain role.
 	drainedAt time.Time
 	idle      bool
+	// stray is set on an engine that holds no model of its service.
+	stray bool
 	// ordered is the version that was last asked for.
 	ordered placement.Holding
 }
@@ -38,6 +40,11 @@
 	return placement.Holding{Model: r.state.Model, Version: r.state.Version}
 }
 
+// isReady tells whether the engine serves a model of its service.
+func (r *runner) isReady() bool {
+	return r.known && r.state.Ready && !r.stray
+}
+
 func (r *runner) isLoading() bool {
 	return !r.state.Ready && r.ordered == r.holding()
 }
@@ -68,7 +75,7 @@
 	return placement.Runner{
 		Instance: r.server.ID,
 		Holding:  r.holding(),
-		Ready:    r.known && r.state.Ready,
+		Ready:    r.isReady(),
 		Idle:     r.idle,
 		Leaving:  r.server.Leaving,
 		Settled:  c.Settled(r.server.ID),
@@ -76,9 +83,10 @@
 }
 
 // assign tells the corrector what the engine should hold. One that was not read
-// is left alone: its adapter and role are not known.
+// is left alone, since its adapter and role are not known, and so is one that
+// holds nothing and waits for its turn to load.
 func (r *runner) assign(a placement.Assignment, c *lease.Corrector[placement.Holding]) {
-	if !r.known || r.server.Leaving {
+	if !r.known || r.server.Leaving || a.Holding.Model == "" {
 		c.Forget(r.server.ID)
 
 		return
