perf(discovery): ask for slow news at its own pace

Control of an entry instance took 27 KB a second of bytes sent and received with 9 entry instances and 13 backend servers, against the 8 KB that a node may spend. Cause: every engine was asked for load, state and cache events twice a second, and the whole instance list was read twice a second. State changes with a roll-out, the list lags by itself, and what this instance sent it knows without cache events.

Change: the list is read every 2 s, and the state and cache events of a ready engine every 2 s; one that is not ready is asked with each report, as before. Load is still read twice a second, since routing was measured with that. Reclaim notices, a server's own word and peers tell of a leaving server as soon as before.

Ruled out: a longer time between load reports (routing counts on it); dropping header fields (they are the engines' to choose).

--- a/discovery/watcher.go
+++ b/discovery/watcher.go
@@ -1,6 +1,7 @@
 package discovery
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"sync"
@@ -21,9 +22,10 @@
 
 // The defaults of a Watcher.
 const (
-	defaultListEvery   = 500 * time.Millisecond
+	defaultListEvery   = 2 * time.Second
 	defaultNoticeEvery = 250 * time.Millisecond
 	defaultReportEvery = 500 * time.Millisecond
+	defaultEngineEvery = 2 * time.Second
 	defaultTickEvery   = 250 * time.Millisecond
 	defaultTimeout     = time.Second
 	// maxPolls bounds the backend servers that are asked at a time.
@@ -52,6 +54,10 @@
 	ListEvery   time.Duration
 	NoticeEvery time.Duration
 	ReportEvery time.Duration
+	// EngineEvery is the least time between two questions for the state and the
+	// cache events of a ready engine. Both change rarely against its load; one
+	// that is not ready yet is asked with each report.
+	EngineEvery time.Duration
 	TickEvery   time.Duration
 	// Timeout bounds one call.
 	Timeout time.Duration
@@ -232,7 +238,7 @@
 		w.announce(s.ID(), now.Add(ownWordNotice), routing.SourceServer)
 	}
 
-	if model {
+	if model && s.engineDue(now) {
 		w.pollEngine(ctx, s)
 	}
 }
@@ -251,7 +257,12 @@
 		return
 	}
 
-	w.Table.UpdateState(w.Clock.Now(), s.ID(), state)
+	now := w.Clock.Now()
+	w.Table.UpdateState(now, s.ID(), state)
+
+	if state.Ready {
+		s.askEngineAt(now.Add(cmp.Or(w.EngineEvery, defaultEngineEvery)))
+	}
 
 	events, err := s.engine.CacheEvents(ctx, s.cacheSequence.Load())
 	if err != nil || len(events) == 0 {
