fix(answer,dispatch): callers who move keep their answer, stops do not wait for those who are gone

Causes, each found by a test of the daemon that failed first: - The owner of an answer did not know of a caller who came back at another instance, and gave the answer up 5 s after the old connection broke (answerLost, callerGone). TestCallerWhoMovedIsNotTakenForGone. - A stop waited out the 5 s in which an answer waits for its caller, even once the answer was handed off; a short notice would have been exceeded. TestStopDoesNotWaitForCallersWhoAreGone. - The rig registered its servers without a market, so that no reclaim ever reached them and TestReclaimOfAFailureDomainLosesNoAnswer tested nothing. They are reclaimable now; the test passes as it stands.

Change: a copy that is read from tells the owner once a second, and a question of another instance counts as a reader. The grace period goes on from the last such word, and ends with the work at the answer. Telling the owner at the moment of reconnecting only was ruled out: the owner could not learn that a caller went away for good.

--- a/answer/follow.go
+++ b/answer/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 
@@ -16,7 +17,8 @@
 }
 
 // Follow passes an answer on to a caller, from right after an event id to the
-// end. It reads the answer here or, where another instance holds it, there.
+// end. It reads the answer here or, where another instance holds it, there. It
+// returns ErrNotFoundYet if ctx ends before an instance was found that has it.
 func (r *Replicator) Follow(ctx context.Context, account fleet.Account, after EventID, caller Caller) error {
 	r.init()
 
@@ -24,6 +26,10 @@
 
 	for {
 		ended, err := f.advance(ctx)
+		if err != nil && ctx.Err() != nil && !f.known {
+			return merry.Wrap(ErrNotFoundYet, merry.WithCause(ctx.Err()))
+		}
+
 		if err != nil || ended {
 			return err
 		}
@@ -41,6 +47,8 @@
 	asked   int
 	unknown int
 	stale   int
+	// known tells whether anyone had the answer so far.
+	known bool
 }
 
 // staleFactor times FetchTries is how often an answer may be found in stale
@@ -59,9 +67,17 @@
 		return ended, err
 	}
 
+	// Reading a copy again tells its owner that there is a reader still.
+	var again <-chan time.Time
+	if reading.copied {
+		again = f.replicator.Clock.After(f.replicator.Store.Policy.FollowedEvery)
+	}
+
 	select {
 	case <-changed:
 		return false, nil
+	case <-again:
+		return false, nil
 	case <-ctx.Done():
 		return false, merry.Wrap(ctx.Err())
 	}
@@ -72,6 +88,7 @@
 		return false, merry.Wrap(ErrTextDiffers)
 	}
 
+	f.known = true
 	f.unknown, f.stale = 0, 0
 
 	for _, token := range reading.Tokens() {
@@ -106,6 +123,7 @@
 
 	// Who knows of a copy waits for its owner, or for the copy to take over.
 	if here == ReadStale || reading.State() == ReadStale {
+		f.known = true
 		f.unknown = 0
 		f.stale++
 	} else {
--- a/answer/kept_answer.go
+++ b/answer/kept_answer.go
@@ -30,6 +30,8 @@
 	heardAt  time.Time
 	probedAt time.Time
 	stale    bool
+	// followedAt is when a copy last told the owner of a reader.
+	followedAt time.Time
 	// takeoverAt is when a copy takes over whose owner is gone.
 	takeoverAt time.Time
 }
--- a/answer/message.go
+++ b/answer/message.go
@@ -71,6 +71,11 @@
 	Epoch Epoch     `msgpack:"epoch"`
 }
 
+// Followed tells the owner of an answer that a caller reads it elsewhere.
+type Followed struct {
+	ID RequestID `msgpack:"id"`
+}
+
 // Fetch asks an instance for what follows after an event id.
 type Fetch struct {
 	Account fleet.Account `msgpack:"account"`
@@ -98,4 +103,5 @@
 	Acks       []Ack            `msgpack:"acks,omitempty"`
 	Fetches    []Fetch          `msgpack:"fetches,omitempty"`
 	Fetched    []Fetched        `msgpack:"fetched,omitempty"`
+	Followed   []Followed       `msgpack:"followed,omitempty"`
 }
--- a/answer/replicator.go
+++ b/answer/replicator.go
@@ -17,6 +17,9 @@
 	ErrNoCopy = merry.Sentinel("no copy in another failure domain")
 	// ErrUnknownAnswer means that no instance that was asked has the answer.
 	ErrUnknownAnswer = merry.Sentinel("answer is not known")
+	// ErrNotFoundYet means that the time was over before an instance was found
+	// that has the answer.
+	ErrNotFoundYet = merry.Sentinel("answer was not found yet")
 	// ErrTextDiffers means that the caller has another text than is kept.
 	ErrTextDiffers = merry.Sentinel("the caller has another text than is kept")
 )
@@ -37,6 +40,9 @@
 	Continue func(c Continue)
 	// Stop cancels the Runner of an answer that another instance owns now.
 	Stop func(c Stop)
+	// Followed is told that a caller reads an answer of this instance elsewhere;
+	// it may be nil.
+	Followed func(id RequestID)
 	// FetchEvery is the time between two questions to another instance for an
 	// answer that is not held here, and FetchTries how often none may know it;
 	// together they should outlast the time until a dead owner is noticed. They
@@ -211,6 +217,10 @@
 			later = append(later, func() { r.Stop(c) })
 		case FetchReply:
 			r.passFetched(c.Fetched)
+		case FollowedElsewhere:
+			if r.Followed != nil {
+				later = append(later, func() { r.Followed(c.ID) })
+			}
 		}
 	}
 
@@ -261,5 +271,8 @@
 		return reading, nil
 	}
 
+	// Only batches come of it, which are sent under the lock.
+	_ = r.carryOut(r.Store.Follow(r.Clock.Now(), after.Request))
+
 	return reading, r.changedOf(after.Request)
 }
--- a/answer/store_command.go
+++ b/answer/store_command.go
@@ -41,9 +41,17 @@
 	Fetched Fetched
 }
 
+// FollowedElsewhere says that a caller reads an answer of this owner at another
+// instance.
+type FollowedElsewhere struct {
+	ID RequestID
+}
+
 func (Send) storeCommand()       {}
 func (Accepted) storeCommand()   {}
 func (Visible) storeCommand()    {}
 func (Continue) storeCommand()   {}
 func (Stop) storeCommand()       {}
 func (FetchReply) storeCommand() {}
+
+func (FollowedElsewhere) storeCommand() {}
--- a/answer/store_copy.go
+++ b/answer/store_copy.go
@@ -36,7 +36,11 @@
 	}
 
 	for i := range b.Fetches {
-		s.onFetch(b.From, b.Fetches[i])
+		s.onFetch(now, b.From, b.Fetches[i])
+	}
+
+	for i := range b.Followed {
+		s.onFollowed(b.Followed[i])
 	}
 
 	for i := range b.Fetched {
--- a/answer/store_policy.go
+++ b/answer/store_policy.go
@@ -22,6 +22,9 @@
 	// and StaleAfter when it is not read from any longer.
 	ProbeAfter time.Duration
 	StaleAfter time.Duration
+	// FollowedEvery is the time between two messages by which a copy tells its
+	// owner of a reader.
+	FollowedEvery time.Duration
 	// TakeoverGrace sets the takeovers of several copies apart.
 	TakeoverGrace time.Duration
 	// RetryAfter is when a caller should come back whose answer was lost.
@@ -41,6 +44,7 @@
 		ReplaceAfter:  time.Second,
 		ProbeAfter:    time.Second,
 		StaleAfter:    3 * time.Second,
+		FollowedEvery: time.Second,
 		TakeoverGrace: 2 * time.Second,
 		RetryAfter:    5 * time.Second,
 	}
--- a/answer/store_read.go
+++ b/answer/store_read.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"monsoonlever/fleet"
 )
@@ -26,6 +27,8 @@
 	state  ReadState
 	tokens []string
 	end    *Ending
+	// copied tells that it was read from a copy of another instance's answer.
+	copied bool
 }
 
 // State tells whether there is anything to read.
@@ -61,14 +64,19 @@
 
 	// A caller that is ahead waits for the copy to catch up with it.
 	if after.Offset > a.visible {
-		return a.readAhead(after)
+		r := a.readAhead(after)
+		r.copied = a.role == roleCopy
+
+		return r
 	}
 
 	if DigestOf(a.tokens[:after.Offset]) != after.Digest {
 		return Reading{state: ReadDiffers}
 	}
 
-	r := Reading{state: ReadFound, tokens: slices.Clone(a.tokens[after.Offset:a.visible])}
+	r := Reading{
+		state: ReadFound, tokens: slices.Clone(a.tokens[after.Offset:a.visible]), copied: a.role == roleCopy,
+	}
 	if a.end != nil && a.visible == len(a.tokens) && a.endIsSafe() {
 		r.end = a.end
 	}
@@ -121,12 +129,16 @@
 	return out
 }
 
-func (s *Store) onFetch(from fleet.InstanceID, m Fetch) {
+func (s *Store) onFetch(now time.Time, from fleet.InstanceID, m Fetch) {
 	f := Fetched{Account: m.Account, After: m.After, State: ReadUnknown}
 
 	if id, err := ParseEventID(m.After); err == nil {
 		r := s.Read(m.Account, id)
 		f.State, f.Tokens, f.End = r.state, r.tokens, r.end
+
+		if r.readable() {
+			s.follow(now, id.Request)
+		}
 	}
 
 	b := s.box.to(from)
--- a/daemon/deployment_test.go
+++ b/daemon/deployment_test.go
@@ -59,6 +59,29 @@
 func newSlowDeployment(t *testing.T, entries int, tokenInterval time.Duration) *deployment {
 	t.Helper()
 
+	d := newPlatform(t, tokenInterval)
+	d.writeSettings(entries)
+	d.startAll()
+
+	return d
+}
+
+// newLoneDeployment has one entry instance without keys.
+func newLoneDeployment(t *testing.T) *deployment {
+	t.Helper()
+
+	d := newPlatform(t, time.Millisecond)
+	d.writeSettings(1)
+	d.settings[0].TLS = nil
+	d.startAll()
+
+	return d
+}
+
+// newPlatform starts the stand-ins.
+func newPlatform(t *testing.T, tokenInterval time.Duration) *deployment {
+	t.Helper()
+
 	ctx, cancel := context.WithTimeout(context.Background(), testPatience)
 	d := &deployment{
 		t: t, ctx: ctx, platform: standin.NewPlatform(clock.System{}), tokenInterval: tokenInterval,
@@ -74,9 +97,16 @@
 	})
 
 	d.startServers()
-	d.writeSettings(entries)
 
-	for i := range entries {
+	return d
+}
+
+// startAll starts the entry instances, publishes the manifest, and waits until
+// every instance is ready.
+func (d *deployment) startAll() {
+	d.t.Helper()
+
+	for i := range d.settings {
 		d.start(i)
 	}
 
@@ -85,8 +115,6 @@
 	for _, e := range d.entries {
 		d.waitReady(e)
 	}
-
-	return d
 }
 
 // serve serves a stand-in until the test ends and returns its address.
@@ -131,7 +159,7 @@
 func (d *deployment) register(id string, service fleet.Service, domain fleet.FailureDomain, address string) {
 	d.platform.Register(standin.Registration{Listing: platform.Listing{
 		ID: fleet.InstanceID(id), Service: service, Address: address, Domain: domain, State: platform.Live,
-	}})
+	}, Market: platform.Reclaimable})
 }
 
 func (d *deployment) writeSettings(entries int) {
--- a/daemon/parts.go
+++ b/daemon/parts.go
@@ -204,6 +204,7 @@
 	p.replicator.Register(p.metrics)
 	p.replicator.Continue = p.answers.Continue
 	p.replicator.Stop = p.answers.Stop
+	p.replicator.Followed = p.answers.Followed
 	p.replicator.Sender = noPeers{}
 	p.gateway = &gateway.Gateway{
 		Clock:     p.clock,
--- a/dispatch/answers.go
+++ b/dispatch/answers.go
@@ -39,12 +39,16 @@
 type runningAnswer struct {
 	epoch  answer.Epoch
 	cancel context.CancelFunc
+	// over is closed when the work at it is to end.
+	over <-chan struct{}
 	// async answers need no caller.
 	async     bool
 	followers int
 	// released counts how often the last caller went, so that a later grace
 	// period is not ended by an earlier one.
 	released int
+	// followedAt is when a caller was last known to read it elsewhere.
+	followedAt time.Time
 }
 
 // Keep begins to answer a request.
@@ -111,7 +115,7 @@
 		a.running = make(map[answer.RequestID]*runningAnswer)
 	}
 
-	own := &runningAnswer{epoch: epoch, cancel: cancel, async: async}
+	own := &runningAnswer{epoch: epoch, cancel: cancel, over: ctx.Done(), async: async}
 	a.running[r.ID] = own
 	a.mu.Unlock()
 
@@ -167,20 +171,43 @@
 	a.mu.Unlock()
 
 	a.group.Go(func() {
-		<-a.Clock.After(a.Grace)
-		a.giveUp(id, r, released)
+		for left := a.Grace; left > 0; left = a.giveUp(id, r, released) {
+			select {
+			case <-a.Clock.After(left):
+			case <-r.over:
+				return
+			}
+		}
 	})
 }
 
-func (a *Answers) giveUp(id answer.RequestID, r *runningAnswer, released int) {
+// Followed notes that a caller reads an answer of this instance elsewhere.
+func (a *Answers) Followed(id answer.RequestID) {
 	a.mu.Lock()
+	defer a.mu.Unlock()
+
+	if r, ok := a.running[id]; ok {
+		r.followedAt = a.Clock.Now()
+	}
+}
+
+// giveUp ends the work at an answer that nobody wants. For one that is read
+// elsewhere it returns when to look again.
+func (a *Answers) giveUp(id answer.RequestID, r *runningAnswer, released int) time.Duration {
+	a.mu.Lock()
+	left := r.followedAt.Add(a.Grace).Sub(a.Clock.Now())
 	wanted := a.running[id] != r || r.followers > 0 || r.released != released
 	a.mu.Unlock()
 
-	if wanted {
-		return
+	switch {
+	case wanted:
+		return 0
+	case left > 0:
+		return left
 	}
 
 	a.Replicator.Abandon(id, r.epoch)
 	r.cancel()
+
+	return 0
 }
