fix(gateway): refuse an unknown answer instead of asking to come back for ever

Cause: a question for a kept answer waits 1 s, but an answer that nobody knows was refused only after 5 s of looking for it. So an unknown id, and that of another account, got 202 with each question and was never refused.

Change: the question tells apart that an answer runs from that nobody was found who has it. Without one it looks for 2 s at least, however short the caller's wait, and then refuses. Looking for the whole 5 s was ruled out: it holds each connection for longer and asks no one who was not asked before in a deployment of 20 instances.

--- a/gateway/kept_answer.go
+++ b/gateway/kept_answer.go
@@ -24,6 +24,10 @@
 // defaultAnswerWait is how long a question for a kept answer waits for its end.
 const defaultAnswerWait = time.Second
 
+// answerSearch is how long an answer is looked for at least before it is refused
+// as unknown, however short the question's own wait is.
+const answerSearch = 2 * time.Second
+
 // Progress is the JSON form of a kept answer.
 type Progress struct {
 	ID     answer.RequestID `json:"id"`
@@ -59,21 +63,32 @@
 		return
 	}
 
-	ctx, cancel := context.WithDeadline(r.Context(), until)
-	defer cancel()
-
+	searched := g.Clock.Now().Add(answerSearch)
 	id := answer.RequestID(params.ByName("id"))
 	reader := &progressReader{}
-	err := g.Kept.Follow(ctx, who.account.Name(), answer.EventID{Request: id}, reader)
+
+	err := g.followUntil(r.Context(), until, who, id, reader)
+	if errors.Is(err, answer.ErrNotFoundYet) && until.Before(searched) {
+		err = g.followUntil(r.Context(), searched, who, id, reader)
+	}
 
 	g.writeKept(w, id, reader, err)
 }
 
+func (g *Gateway) followUntil(
+	parent context.Context, until time.Time, who caller, id answer.RequestID, reader *progressReader,
+) error {
+	ctx, cancel := context.WithDeadline(parent, until)
+	defer cancel()
+
+	return g.Kept.Follow(ctx, who.account.Name(), answer.EventID{Request: id}, reader)
+}
+
 func (g *Gateway) writeKept(w http.ResponseWriter, id answer.RequestID, reader *progressReader, err error) {
 	p := Progress{ID: id, Status: StatusRunning, Tokens: reader.tokens}
 
 	switch {
-	case errors.Is(err, context.DeadlineExceeded):
+	case errors.Is(err, context.DeadlineExceeded) && !errors.Is(err, answer.ErrNotFoundYet):
 		w.Header().Set("Retry-After", "1")
 		writeProgress(w, http.StatusAccepted, p)
 	case err != nil:
