--- a/daemon/async_test.go
+++ b/daemon/async_test.go
@@ -43,7 +43,7 @@
 
 	r.Header.Set("Authorization", "Bearer "+secret)
 
-	response, err := http.DefaultClient.Do(r)
+	response, err := caller.Do(r)
 	if err != nil {
 		return 0, err
 	}
--- a/daemon/caller_test.go
+++ b/daemon/caller_test.go
@@ -77,7 +77,7 @@
 	r.Header = header
 	r.Header.Set("Authorization", "Bearer "+testAccount)
 
-	return http.DefaultClient.Do(r)
+	return caller.Do(r)
 }
 
 // readStream adds what a stream brings to what its caller has seen.
--- a/daemon/deployment_test.go
+++ b/daemon/deployment_test.go
@@ -117,6 +117,10 @@
 	}
 }
 
+// caller keeps no connections: a stopping instance closes idle ones, and a call
+// on such a connection would tell nothing of the instance.
+var caller = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+
 // serve serves a stand-in until the test ends and returns its address.
 func (d *deployment) serve(h http.Handler, f *standin.Faults) string {
 	l := d.listen()
@@ -217,7 +221,7 @@
 	d.t.Helper()
 
 	d.eventually("instance is ready", func() bool {
-		r, err := http.Get("http://" + e.addresses.Operators + PathReady)
+		r, err := caller.Get("http://" + e.addresses.Operators + PathReady)
 		if err != nil {
 			return false
 		}
--- a/daemon/whole_path_test.go
+++ b/daemon/whole_path_test.go
@@ -35,7 +35,7 @@
 		r.Header.Set("Idempotency-Key", key)
 	}
 
-	response, err := http.DefaultClient.Do(r)
+	response, err := caller.Do(r)
 	if err != nil {
 		return nil, nil, err
 	}
