fix(publication): an empty log is known at once

Cause: the new test of the command line found that 'current' on a log without a manifest failed after 10 s in place of telling version 0: the first read behind the end of the stream waited 20 s for a record. Change: the first look does not wait. Ruled out: the command's own wait, which would only be longer. Measured: TestFindingsStopAPublication failed before, passes now; the package's properties pass.

--- a/publication/follower.go
+++ b/publication/follower.go
@@ -41,6 +41,7 @@
 	reader   *reader
 	schedule *schedule
 	exposed  bool
+	looked   bool
 	down     bool
 	// width is how many of the newest records to begin with, tailRecords if 0.
 	width platform.Offset
@@ -141,9 +142,11 @@
 	f.mu.Lock()
 	f.init()
 	q := f.reader.next()
+	looked := f.looked
 	f.mu.Unlock()
 
-	if q.locate {
+	// The first look must not wait: an empty stream would seem unreadable.
+	if q.locate || !looked {
 		wait = 0
 	}
 
@@ -155,6 +158,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 
+	f.looked = f.looked || !q.locate
 	results, atEnd := f.reader.apply(q, b)
 	for _, r := range results {
 		f.observe(r)
