--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -10,6 +10,7 @@
 
 	"monsoonlever/burn"
 	"monsoonlever/fleet"
+	"monsoonlever/manifest"
 )
 
 // The paths of the operators' interface.
@@ -105,7 +106,11 @@
 	usable := make(map[fleet.Service]bool)
 
 	for _, s := range p.table.Statuses() {
-		if !s.Leaving() && !s.Loading() {
+		service, known := m.Service(s.Key().Service())
+		// An engine that has not told its model yet gets no request.
+		told := s.Key().Model() != "" || service.Kind() == manifest.PlainService
+
+		if known && told && !s.Leaving() && !s.Loading() {
 			usable[s.Key().Service()] = true
 		}
 	}
