--- a/daemon/entry_test.go
+++ b/daemon/entry_test.go
@@ -24,6 +24,17 @@
 	platform  *standin.Faults
 }
 
+// avoids tells whether every backend server of a failure domain is known to leave.
+func (e *entry) avoids(domain fleet.FailureDomain) bool {
+	for _, s := range e.parts.table.Statuses() {
+		if s.Domain() == domain && !s.Leaving() {
+			return false
+		}
+	}
+
+	return true
+}
+
 // kill ends a daemon the way a dying process does: the platform, its peers and
 // its callers hear nothing more of it. What it still does reaches nobody.
 func (e *entry) kill() {
--- a/daemon/kept_test.go
+++ b/daemon/kept_test.go
@@ -16,7 +16,6 @@
 // streams are answers that run while something fails.
 type streams struct {
 	deployment *deployment
-	maxTokens  int
 	results    []streamed
 	errs       []error
 	group      conc.WaitGroup
@@ -24,15 +23,15 @@
 
 // run asks for n answers, from the entry instances in turn, and returns once
 // each has begun. Callers whose connection breaks go on at the live instances.
-func (d *deployment) run(n, maxTokens int, from, live []*entry) *streams {
-	s := &streams{deployment: d, maxTokens: maxTokens, results: make([]streamed, n), errs: make([]error, n)}
+func (d *deployment) run(n int, from, live []*entry) *streams {
+	s := &streams{deployment: d, results: make([]streamed, n), errs: make([]error, n)}
 	begun := make(chan struct{}, n)
 
 	for i := range n {
 		s.group.Go(func() {
 			content := essay(i)
-			seen := d.askAdmitted(from[i%len(from)], content, maxTokens, func() { begun <- struct{}{} })
-			s.results[i], s.errs[i] = d.goOn(live, content, maxTokens, seen)
+			seen := d.askAdmitted(from[i%len(from)], content, longAnswer, func() { begun <- struct{}{} })
+			s.results[i], s.errs[i] = d.goOn(live, content, longAnswer, seen)
 		})
 	}
 
@@ -79,7 +78,7 @@
 			continue
 		}
 
-		if want := wantAnswer(essay(i), s.maxTokens); got.text != want {
+		if want := wantAnswer(essay(i), longAnswer); got.text != want {
 			s.deployment.t.Errorf("answer %d: got %q, want %q", i, got.text, want)
 		}
 	}
@@ -90,7 +89,7 @@
 
 	d := newSlowDeployment(t, 3, 10*time.Millisecond)
 
-	running := d.run(12, longAnswer, d.entries[:1], d.entries[1:])
+	running := d.run(12, d.entries[:1], d.entries[1:])
 	killed := time.Now()
 
 	d.entries[0].kill()
@@ -109,7 +108,7 @@
 		ID: leaving.id, Domain: "the entry instance alone", Market: platform.Reclaimable,
 	})
 
-	running := d.run(12, longAnswer, d.entries[:1], d.entries[1:])
+	running := d.run(12, d.entries[:1], d.entries[1:])
 	noticed := time.Now()
 
 	d.platform.Cloud.Reclaim("the entry instance alone", notice)
--- a/daemon/waves_test.go
+++ b/daemon/waves_test.go
@@ -67,7 +67,7 @@
 	t.Parallel()
 
 	d := newSlowDeployment(t, 3, 20*time.Millisecond)
-	running := d.run(answers, longAnswer, d.entries, d.entries)
+	running := d.run(answers, d.entries, d.entries)
 	first := d.entries[0].busiest(0)
 
 	d.platform.Cloud.Reclaim(testDomains[0], notice)
@@ -107,7 +107,7 @@
 		d.fault(d.engines[i].Faults, standin.FaultOrder{Kind: kind, Count: 3, AfterTokens: 20})
 	}
 
-	running := d.run(answers, longAnswer, d.entries, d.entries)
+	running := d.run(answers, d.entries, d.entries)
 
 	d.fault(d.engines[6].Faults, standin.FaultOrder{Kind: standin.Freeze})
 	d.fault(d.engines[7].Faults, standin.FaultOrder{Kind: standin.Kill})
