fix(daemon): a stop waits for work in the order in which work begins work

Cause: the race detector found the end of the runner's tasks waited for while a handed-off answer still began one. Change: connections end, then control, then answers, then their calls; handlers of closed connections are waited for.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -103,7 +103,11 @@
 	stopControl()
 	_ = operators.Close()
 
+	// Control may still begin the work at an answer, and that work a call: each is
+	// waited for once nothing is left that could begin another.
 	group.Wait()
+	p.answers.Wait()
+	p.runner.Wait()
 	klog.InfoS("instance stopped", "instance", d.Settings.Instance)
 
 	return err
@@ -114,6 +118,8 @@
 	reclaimMargin = 2 * time.Second
 	// handOffTimeout bounds the hand-off of the answers that outlive this instance.
 	handOffTimeout = 2 * time.Second
+	// handlersTimeout bounds the wait for requests whose connection was closed.
+	handlersTimeout = 5 * time.Second
 	// handOffEvery is the time between two looks at the hand-off.
 	handOffEvery = 20 * time.Millisecond
 )
@@ -139,8 +145,17 @@
 		_ = callers.Close()
 	}
 
-	p.runner.Wait()
-	p.answers.Wait()
+	d.waitHandlers(p)
+}
+
+// waitHandlers waits for the handlers of connections that were closed.
+func (d *Daemon) waitHandlers(p *parts) {
+	ctx, cancel := context.WithTimeout(context.Background(), handlersTimeout)
+	defer cancel()
+
+	for p.gateway.Open() > 0 && ctx.Err() == nil {
+		wait(ctx, d.Clock, handOffEvery)
+	}
 }
 
 // handOff gives the answers that still run to the instances that hold a copy.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -113,3 +113,8 @@
 func (g *Gateway) Stopping() bool {
 	return g.stopping.Load()
 }
+
+// Open returns the number of requests under way.
+func (g *Gateway) Open() int64 {
+	return g.instruments.open.Load()
+}
