fix(routing): avoid a server that has stopped reporting

Cause: a server whose process stands still takes connections and answers nothing. It was picked like any other until enough calls had failed, and each of them waits 15 s for its first token. TestServerThatStopsReportingIsAvoidedUntilItReportsAgain failed with 310 of 1,000 picks for the silent one of 8 servers.

Change: a server that reported before and has not for 2 s loses every comparison against one that reports, as one that cannot be dialled does. Excluding it was ruled out: an instance that cannot reach the reports of any server would serve nothing. In a first try both marks were one, and a silent pool hid which server cannot be dialled (TestFaultyServerIsEjectedAndReadmitted found it).

TestFaultyEnginesLoseNoAnswer still takes 20.7 s: its attempts that wait at an engine which froze less than 2 s before go on waiting.

--- a/routing/pick.go
+++ b/routing/pick.go
@@ -81,7 +81,7 @@
 		}
 
 		m := e.server.member.Load()
-		if m == nil || m.spec.key != r.key || m.server.suspect.Load() || !m.usable(r) {
+		if m == nil || m.spec.key != r.key || m.server.doubtful() || !m.usable(r) {
 			continue
 		}
 
--- a/routing/policy.go
+++ b/routing/policy.go
@@ -34,6 +34,9 @@
 	// ReportGrace is how long a server that the list lacks is kept for its own
 	// reports.
 	ReportGrace time.Duration
+	// SilentAfter is how long after its last report a server is used only where
+	// the others that were drawn are silent too.
+	SilentAfter time.Duration
 	// ForgetAfter is how long a server that the list lacks is remembered, so
 	// that a late list can't bring it back.
 	ForgetAfter time.Duration
@@ -55,6 +58,7 @@
 	setDefault(&p.ProbeAfter, time.Second)
 	setDefault(&p.ProbeAtMost, time.Minute)
 	setDefault(&p.ReportGrace, 5*time.Second)
+	setDefault(&p.SilentAfter, 2*time.Second)
 	setDefault(&p.ForgetAfter, 15*time.Minute)
 	setDefault(&p.DefaultCapacity, 1)
 
--- a/routing/server.go
+++ b/routing/server.go
@@ -21,9 +21,11 @@
 	rank uint64
 
 	// The fields below are read and written on the path of a request.
-	leaving  atomic.Bool
-	ejected  atomic.Bool
-	suspect  atomic.Bool
+	leaving atomic.Bool
+	ejected atomic.Bool
+	suspect atomic.Bool
+	// silent is set while the server, unlike before, does not report.
+	silent   atomic.Bool
 	inFlight atomic.Int64
 	// others and ownThen are the requests of other entry instances and of this
 	// one that the server held when it last reported.
@@ -50,6 +52,11 @@
 	return &server{id: id, rank: rank, sent: window.NewCounter(sentBucketWidth, sentBuckets)}
 }
 
+// doubtful tells whether others are to be preferred.
+func (s *server) doubtful() bool {
+	return s.suspect.Load() || s.silent.Load()
+}
+
 // applyLoad splits a report into the share of others and that of this node.
 // What this node sent or finished since the report's time is not in it.
 func (s *server) applyLoad(now, at time.Time, total int64) {
--- a/routing/tick.go
+++ b/routing/tick.go
@@ -17,6 +17,7 @@
 	defer t.mu.Unlock()
 	t.prepare()
 	t.forget(now)
+	t.markSilent(now)
 
 	if t.stale || t.graceEnded(now) {
 		t.rebuild(now)
@@ -32,6 +33,14 @@
 	}
 }
 
+// markSilent marks the servers that stopped reporting, as a process that stands
+// still does. Its calls fail only after the wait for a first token.
+func (t *Table) markSilent(now time.Time) {
+	for _, s := range t.servers {
+		s.silent.Store(!s.heard.IsZero() && now.Sub(s.heard) > t.policy.SilentAfter)
+	}
+}
+
 // graceEnded tells whether a server of the snapshot is lost by now.
 func (t *Table) graceEnded(now time.Time) bool {
 	for _, s := range t.servers {
