fix(daemon,answer): the last instance does not wait for an heir

Cause: an instance waited 2 s at its stop for someone to take its answers, also where no other instance was there, as with one that stands alone.

Change: it waits while an instance in another failure domain is there that stays.

Measured with the race detector: TestLastInstanceStopsAtOnce failed with 2.0 s and takes 2 ms now.

--- a/answer/replicator.go
+++ b/answer/replicator.go
@@ -126,6 +126,15 @@
 	return r.Store.HandedOff()
 }
 
+// HasHeir tells whether an instance is there that could go on with what this one
+// owns.
+func (r *Replicator) HasHeir() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	return r.Store.HasHeir()
+}
+
 // Counts returns what the Store holds and did.
 func (r *Replicator) Counts() StoreCounts {
 	r.mu.Lock()
--- a/answer/store_members.go
+++ b/answer/store_members.go
@@ -43,6 +43,14 @@
 	return true
 }
 
+// HasHeir tells whether an instance is there that could go on with what this one
+// owns.
+func (s *Store) HasHeir() bool {
+	return slices.ContainsFunc(s.members, func(m Member) bool {
+		return !m.Leaving && m.Domain != s.Self.Domain
+	})
+}
+
 func (s *Store) forAll(f func(*keptAnswer)) {
 	kept := s.order[:0]
 
--- a/daemon/async_test.go
+++ b/daemon/async_test.go
@@ -150,3 +150,29 @@
 		t.Errorf("call with a key: got %v %s, %v, want 200", response, body, err)
 	}
 }
+
+func TestLastInstanceStopsAtOnce(t *testing.T) {
+	t.Parallel()
+
+	d := newLoneDeployment(t)
+	e := d.entries[0]
+
+	if got, err := d.ask(e, essay(0), 20, nil); err != nil || !got.whole {
+		t.Fatalf("answer: got whole %v, %v, want a whole answer", got.whole, err)
+	}
+
+	begun := time.Now()
+
+	e.stop()
+
+	if err := <-e.done; err != nil {
+		t.Errorf("stop: got %v, want none", err)
+	}
+
+	took := time.Since(begun)
+	t.Logf("stopped in %v", took.Round(time.Millisecond))
+
+	if took >= handOffTimeout {
+		t.Errorf("stop: got %v, want less than the %v of a hand-off that nobody takes", took, handOffTimeout)
+	}
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -150,7 +150,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), handOffTimeout)
 	defer cancel()
 
-	for !p.replicator.HandedOff() && ctx.Err() == nil {
+	for !p.replicator.HandedOff() && p.replicator.HasHeir() && ctx.Err() == nil {
 		wait(ctx, d.Clock, handOffEvery)
 	}
 
