fix(daemon): a stopping instance still takes connections for a second

Cause: the callers' listener was closed at the moment of the stop. TestStoppingInstanceRefusesWhoComesLate failed with refused connections.

Change: for 1 s, or a quarter of the time of the stop if that is less, who comes late is refused with shuttingDown. Then the listener is closed as before. Serving these requests instead was ruled out: a stream could outlast the notice.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -110,6 +110,10 @@
 }
 
 const (
+	// lameDuck is how long a stopping instance takes connections and refuses what
+	// they ask; it is at most one part in lameDuckShare of the drain timeout.
+	lameDuck      = time.Second
+	lameDuckShare = 4
 	// reclaimMargin is left of a notice for the hand-off of answers.
 	reclaimMargin = 2 * time.Second
 	// handOffTimeout bounds the hand-off of the answers that outlive this instance.
@@ -130,6 +134,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), max(timeout, 0))
 	defer cancel()
 
+	// The balancer is late: who still comes is told, not cut.
+	wait(ctx, d.Clock, min(lameDuck, timeout/lameDuckShare))
+
 	err := callers.Shutdown(ctx)
 
 	d.handOff(p)
