--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -114,6 +114,10 @@
 }
 
 const (
+	// lameDuck is how long a stopping instance takes connections and refuses what
+	// they ask; it is at most one part in lameDuckShare of the drain timeout.
+	lameDuck      = time.Second
+	lameDuckShare = 4
 	// reclaimMargin is left of a notice for the hand-off of answers.
 	reclaimMargin = 2 * time.Second
 	// handOffTimeout bounds the hand-off of the answers that outlive this instance.
@@ -136,6 +140,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), max(timeout, 0))
 	defer cancel()
 
+	// The balancer is late: who still comes is told, not cut.
+	wait(ctx, d.Clock, min(lameDuck, timeout/lameDuckShare))
+
 	err := callers.Shutdown(ctx)
 
 	d.handOff(p)
@@ -165,7 +172,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), handOffTimeout)
 	defer cancel()
 
-	for !p.replicator.HandedOff() && ctx.Err() == nil {
+	for !p.replicator.HandedOff() && p.replicator.HasHeir() && ctx.Err() == nil {
 		wait(ctx, d.Clock, handOffEvery)
 	}
 
