fix(answer): a copy whose owner stays silent counts as none in the end

Change: LostAfter, 45 s, longer than a death takes to be known; in the property 15 s, since it settles for 20 s. Ruled out: telling 'unknown' at once again, by which callers of a killed instance were refused (10 of 12 in TestKilledEntryInstanceLosesNoStream).

--- a/answer/kept_answer.go
+++ b/answer/kept_answer.go
@@ -26,10 +26,12 @@
 	accepted bool
 	dirty    bool
 	// heardAt is when the owner last spoke to a copy, and probedAt when the
-	// copy last asked it to. A stale copy is not read from.
+	// copy last asked it to. A stale copy is not read from, and a lost one is
+	// told to be none.
 	heardAt  time.Time
 	probedAt time.Time
 	stale    bool
+	lost     bool
 	// followedAt is when a copy last told the owner of a reader.
 	followedAt time.Time
 	// takeoverAt is when a copy takes over whose owner is gone.
--- a/answer/store_copy.go
+++ b/answer/store_copy.go
@@ -181,6 +181,7 @@
 func (a *keptAnswer) heard(now time.Time) {
 	a.heardAt = now
 	a.stale = false
+	a.lost = false
 }
 
 // probe asks an owner that has been silent for long whether this instance is
@@ -197,6 +198,11 @@
 		s.emit(Visible{ID: a.request.ID})
 	}
 
+	if silent >= s.Policy.LostAfter && !a.lost {
+		a.lost = true
+		s.emit(Visible{ID: a.request.ID})
+	}
+
 	_, live := s.live[a.epoch.Owner]
 	if !live || now.Sub(a.probedAt) < s.Policy.ProbeAfter {
 		return
--- a/answer/store_members.go
+++ b/answer/store_members.go
@@ -194,6 +194,7 @@
 	a.epoch = Epoch{Number: a.epoch.Number + 1, Owner: s.Self.ID, Incarnation: s.Self.Incarnation}
 	a.role = roleOwner
 	a.stale = false
+	a.lost = false
 	a.takeoverAt = time.Time{}
 	a.holders = nil
 
--- a/answer/store_policy.go
+++ b/answer/store_policy.go
@@ -22,6 +22,10 @@
 	// and StaleAfter when it is not read from any longer.
 	ProbeAfter time.Duration
 	StaleAfter time.Duration
+	// LostAfter is when a copy whose owner is silent, and which no membership
+	// change has made an owner, counts as no copy. It is longer than the death of
+	// an entry instance takes to be known.
+	LostAfter time.Duration
 	// FollowedEvery is the time between two messages by which a copy tells its
 	// owner of a reader.
 	FollowedEvery time.Duration
@@ -44,6 +48,7 @@
 		ReplaceAfter:  time.Second,
 		ProbeAfter:    time.Second,
 		StaleAfter:    3 * time.Second,
+		LostAfter:     45 * time.Second,
 		FollowedEvery: time.Second,
 		TakeoverGrace: 2 * time.Second,
 		RetryAfter:    5 * time.Second,
--- a/answer/store_property_test.go
+++ b/answer/store_property_test.go
@@ -20,6 +20,7 @@
 
 func testStorePolicy() StorePolicy {
 	p := DefaultStorePolicy()
+	p.LostAfter = 15 * time.Second
 	p.Retention = time.Hour
 
 	return p
--- a/answer/store_read.go
+++ b/answer/store_read.go
@@ -54,7 +54,7 @@
 // Read returns what an account may read of its answer after an event id.
 func (s *Store) Read(account fleet.Account, after EventID) Reading {
 	a, ok := s.answers[after.Request]
-	if !ok || a.request.Account != account {
+	if !ok || a.request.Account != account || a.lost {
 		return Reading{state: ReadUnknown}
 	}
 
