--- a/controller/clock_test.go
+++ b/controller/clock_test.go
@@ -24,7 +24,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
-	c.paused = make(chan struct{})
+	if c.paused == nil {
+		c.paused = make(chan struct{})
+	}
 }
 
 func (c *pausableClock) resume() {
--- a/controller/runner.go
+++ b/controller/runner.go
@@ -45,8 +45,10 @@
 	return r.known && r.state.Ready && !r.stray
 }
 
+// isLoading tells whether the engine was ordered to load and is not done. An order
+// that was not read back yet counts, so that its turn is not given to another.
 func (r *runner) isLoading() bool {
-	return !r.state.Ready && r.ordered == r.holding()
+	return r.ordered.Model != "" && (r.ordered != r.holding() || !r.state.Ready)
 }
 
 // take takes in what was read from the engine and of its load.
