--- a/answer/follow.go
+++ b/answer/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 
@@ -16,7 +17,8 @@
 }
 
 // Follow passes an answer on to a caller, from right after an event id to the
-// end. It reads the answer here or, where another instance holds it, there.
+// end. It reads the answer here or, where another instance holds it, there. It
+// returns ErrNotFoundYet if ctx ends before an instance was found that has it.
 func (r *Replicator) Follow(ctx context.Context, account fleet.Account, after EventID, caller Caller) error {
 	r.init()
 
@@ -24,6 +26,10 @@
 
 	for {
 		ended, err := f.advance(ctx)
+		if err != nil && ctx.Err() != nil && !f.known {
+			return merry.Wrap(ErrNotFoundYet, merry.WithCause(ctx.Err()))
+		}
+
 		if err != nil || ended {
 			return err
 		}
@@ -36,14 +42,24 @@
 	account    fleet.Account
 	at         EventID
 	caller     Caller
-	unknown    int
+	// asked counts the questions to others that brought nothing to read; unknown
+	// and stale are those of them since the answer was last known and read.
+	asked   int
+	unknown int
+	stale   int
+	// known tells whether anyone had the answer so far.
+	known bool
 }
 
+// staleFactor times FetchTries is how often an answer may be found in stale
+// copies only. It gives the others the time to hold its owner dead.
+const staleFactor = 12
+
 // advance passes on what there is and waits for more.
 func (f *follower) advance(ctx context.Context) (bool, error) {
 	reading, changed := f.replicator.read(f.account, f.at)
-	if reading.State() == ReadUnknown {
-		return f.advanceRemote(ctx)
+	if !reading.readable() {
+		return f.advanceRemote(ctx, reading.State())
 	}
 
 	ended, err := f.pass(reading)
@@ -51,9 +67,17 @@
 		return ended, err
 	}
 
+	// Reading a copy again tells its owner that there is a reader still.
+	var again <-chan time.Time
+	if reading.copied {
+		again = f.replicator.Clock.After(f.replicator.Store.Policy.FollowedEvery)
+	}
+
 	select {
 	case <-changed:
 		return false, nil
+	case <-again:
+		return false, nil
 	case <-ctx.Done():
 		return false, merry.Wrap(ctx.Err())
 	}
@@ -64,7 +88,8 @@
 		return false, merry.Wrap(ErrTextDiffers)
 	}
 
-	f.unknown = 0
+	f.known = true
+	f.unknown, f.stale = 0, 0
 
 	for _, token := range reading.Tokens() {
 		f.at.Offset++
@@ -84,22 +109,33 @@
 }
 
 // advanceRemote asks the likeliest other instance in turn.
-func (f *follower) advanceRemote(ctx context.Context) (bool, error) {
+func (f *follower) advanceRemote(ctx context.Context, here ReadState) (bool, error) {
 	reading, err := f.fetch(ctx)
 	if err != nil {
 		return false, err
 	}
 
-	if reading.State() == ReadUnknown {
+	if reading.readable() {
+		return f.pass(reading)
+	}
+
+	f.asked++
+
+	// Who knows of a copy waits for its owner, or for the copy to take over.
+	if here == ReadStale || reading.State() == ReadStale {
+		f.known = true
+		f.unknown = 0
+		f.stale++
+	} else {
 		f.unknown++
-		if f.unknown > f.replicator.FetchTries {
-			return false, merry.Wrap(ErrUnknownAnswer)
-		}
+	}
 
-		return false, nil
+	tries := f.replicator.FetchTries
+	if f.unknown > tries || f.stale > staleFactor*tries {
+		return false, merry.Wrap(ErrUnknownAnswer)
 	}
 
-	return f.pass(reading)
+	return false, nil
 }
 
 // fetch asks one instance. No reply in time counts as one that does not know.
@@ -113,7 +149,7 @@
 
 	if len(candidates) > 0 {
 		r.fetched[question] = append(r.fetched[question], ch)
-		to := candidates[f.unknown%len(candidates)]
+		to := candidates[f.asked%len(candidates)]
 		r.Sender.Send(to, &Batch{
 			From:    r.Store.Self.ID,
 			Fetches: []Fetch{question},
--- a/answer/store_read.go
+++ b/answer/store_read.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"monsoonlever/fleet"
 )
@@ -13,6 +14,9 @@
 const (
 	ReadFound   ReadState = "found"
 	ReadUnknown ReadState = "unknown"
+	// ReadStale means that there is a copy here whose owner is silent. It cannot
+	// be read from before the owner is heard again or held dead.
+	ReadStale ReadState = "stale"
 	// ReadDiffers means that the caller has seen another text than the one
 	// that is kept here.
 	ReadDiffers ReadState = "differs"
@@ -23,11 +27,18 @@
 	state  ReadState
 	tokens []string
 	end    *Ending
+	// copied tells that it was read from a copy of another instance's answer.
+	copied bool
 }
 
 // State tells whether there is anything to read.
 func (r Reading) State() ReadState { return r.state }
 
+// readable tells whether the answer is held where it was read.
+func (r Reading) readable() bool {
+	return r.state != ReadUnknown && r.state != ReadStale
+}
+
 // Tokens returns the tokens that follow.
 func (r Reading) Tokens() []string { return r.tokens }
 
@@ -43,20 +54,29 @@
 // Read returns what an account may read of its answer after an event id.
 func (s *Store) Read(account fleet.Account, after EventID) Reading {
 	a, ok := s.answers[after.Request]
-	if !ok || a.request.Account != account || a.stale {
+	if !ok || a.request.Account != account {
 		return Reading{state: ReadUnknown}
 	}
 
+	if a.stale {
+		return Reading{state: ReadStale}
+	}
+
 	// A caller that is ahead waits for the copy to catch up with it.
 	if after.Offset > a.visible {
-		return a.readAhead(after)
+		r := a.readAhead(after)
+		r.copied = a.role == roleCopy
+
+		return r
 	}
 
 	if DigestOf(a.tokens[:after.Offset]) != after.Digest {
 		return Reading{state: ReadDiffers}
 	}
 
-	r := Reading{state: ReadFound, tokens: slices.Clone(a.tokens[after.Offset:a.visible])}
+	r := Reading{
+		state: ReadFound, tokens: slices.Clone(a.tokens[after.Offset:a.visible]), copied: a.role == roleCopy,
+	}
 	if a.end != nil && a.visible == len(a.tokens) && a.endIsSafe() {
 		r.end = a.end
 	}
@@ -109,12 +129,16 @@
 	return out
 }
 
-func (s *Store) onFetch(from fleet.InstanceID, m Fetch) {
+func (s *Store) onFetch(now time.Time, from fleet.InstanceID, m Fetch) {
 	f := Fetched{Account: m.Account, After: m.After, State: ReadUnknown}
 
 	if id, err := ParseEventID(m.After); err == nil {
 		r := s.Read(m.Account, id)
 		f.State, f.Tokens, f.End = r.state, r.tokens, r.end
+
+		if r.readable() {
+			s.follow(now, id.Request)
+		}
 	}
 
 	b := s.box.to(from)
