fix(discovery): cache events with each report again

The users measure recomputed tokens.

Change: cache events are read with each report again. The state of a ready engine and the list stay at 2 s.

--- a/discovery/server.go
+++ b/discovery/server.go
@@ -16,16 +16,16 @@
 	plain   backend.PlainServer
 	// cacheSequence is the last cache event that was read.
 	cacheSequence atomic.Uint64
-	// askEngine is when the engine is to be asked again, in nanoseconds.
-	askEngine atomic.Int64
+	// askState is when the engine's state is to be asked again, in nanoseconds.
+	askState atomic.Int64
 }
 
-func (s *Server) engineDue(now time.Time) bool {
-	return now.UnixNano() >= s.askEngine.Load()
+func (s *Server) stateDue(now time.Time) bool {
+	return now.UnixNano() >= s.askState.Load()
 }
 
-func (s *Server) askEngineAt(t time.Time) {
-	s.askEngine.Store(t.UnixNano())
+func (s *Server) askStateAt(t time.Time) {
+	s.askState.Store(t.UnixNano())
 }
 
 // ID returns the instance of the server.
--- a/discovery/watcher.go
+++ b/discovery/watcher.go
@@ -25,7 +25,7 @@
 	defaultListEvery   = 2 * time.Second
 	defaultNoticeEvery = 250 * time.Millisecond
 	defaultReportEvery = 500 * time.Millisecond
-	defaultEngineEvery = 2 * time.Second
+	defaultStateEvery  = 2 * time.Second
 	defaultTickEvery   = 250 * time.Millisecond
 	defaultTimeout     = time.Second
 	// maxPolls bounds the backend servers that are asked at a time.
@@ -54,11 +54,11 @@
 	ListEvery   time.Duration
 	NoticeEvery time.Duration
 	ReportEvery time.Duration
-	// EngineEvery is the least time between two questions for the state and the
-	// cache events of a ready engine. Both change rarely against its load; one
-	// that is not ready yet is asked with each report.
-	EngineEvery time.Duration
-	TickEvery   time.Duration
+	// StateEvery is the least time between two questions for the state of a ready
+	// engine, which changes rarely. One that is not ready yet is asked with each
+	// report. Cache events are read with each report: later ones cost tokens.
+	StateEvery time.Duration
+	TickEvery  time.Duration
 	// Timeout bounds one call.
 	Timeout time.Duration
 	Metrics *metrics.Set
@@ -238,9 +238,15 @@
 		w.announce(s.ID(), now.Add(ownWordNotice), routing.SourceServer)
 	}
 
-	if model && s.engineDue(now) {
-		w.pollEngine(ctx, s)
+	if !model {
+		return
+	}
+
+	if s.stateDue(now) {
+		w.pollState(ctx, s)
 	}
+
+	w.pollCacheEvents(ctx, s)
 }
 
 // leavingMemory is how long a server is remembered after its reclaim, far longer
@@ -251,7 +257,7 @@
 // taken to stay, since its word brings no time.
 const ownWordNotice = 10 * time.Second
 
-func (w *Watcher) pollEngine(ctx context.Context, s *Server) {
+func (w *Watcher) pollState(ctx context.Context, s *Server) {
 	state, err := s.engine.State(ctx)
 	if err != nil {
 		return
@@ -261,9 +267,11 @@
 	w.Table.UpdateState(now, s.ID(), state)
 
 	if state.Ready {
-		s.askEngineAt(now.Add(cmp.Or(w.EngineEvery, defaultEngineEvery)))
+		s.askStateAt(now.Add(cmp.Or(w.StateEvery, defaultStateEvery)))
 	}
+}
 
+func (w *Watcher) pollCacheEvents(ctx context.Context, s *Server) {
 	events, err := s.engine.CacheEvents(ctx, s.cacheSequence.Load())
 	if err != nil || len(events) == 0 {
 		return
