test(cmd): anchors of their own are link targets too

Cause: docs/CAPACITY.md names its anchors with <a id>, which pages show as link targets; the test knew headings only and failed for nine links that are right.

Change: such anchors count, and tags are no part of a heading's name. It is as strict otherwise: a misspelt one fails.

--- a/cmd/links_test.go
+++ b/cmd/links_test.go
@@ -1,6 +1,7 @@
 package cmd
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
 	"regexp"
@@ -12,11 +13,12 @@
 var (
 	link     = regexp.MustCompile(`\]\(([^)\s]+)\)`)
 	heading  = regexp.MustCompile(`(?m)^#+ (.+)$`)
+	tag      = regexp.MustCompile(`<[^>]*>`)
 	codeSpan = regexp.MustCompile("(?s)```.*?```|`[^`\n]*`")
 )
 
 // TestLinksOfPagesResolve finds relative links of the documentation that lead
-// nowhere, and fragments that no heading has.
+// nowhere, and fragments that are neither a heading nor an anchor.
 func TestLinksOfPagesResolve(t *testing.T) {
 	pages, err := filepath.Glob("../docs/*.md")
 	if err != nil {
@@ -52,8 +54,8 @@
 		return
 	}
 
-	if fragment != "" && !hasHeading(readPage(t, path), fragment) {
-		t.Errorf("link %s of %s: got no such heading, want one", target, filepath.Base(page))
+	if fragment != "" && !hasAnchor(readPage(t, path), fragment) {
+		t.Errorf("link %s of %s: got no such heading or anchor, want one", target, filepath.Base(page))
 	}
 }
 
@@ -68,9 +70,14 @@
 	return string(data)
 }
 
-func hasHeading(page, fragment string) bool {
+// hasAnchor tells whether a page has a heading or an anchor of its own of a name.
+func hasAnchor(page, fragment string) bool {
+	if strings.Contains(page, fmt.Sprintf("<a id=%q></a>", fragment)) {
+		return true
+	}
+
 	for _, match := range heading.FindAllStringSubmatch(page, -1) {
-		if anchor(match[1]) == fragment {
+		if anchor(tag.ReplaceAllString(match[1], "")) == fragment {
 			return true
 		}
 	}
