test(daemon): a killed copy holds no stream back; tests of the whole path run side by side

Change: 12 streams go on while the instance that holds copies of some of them is killed; the older tests run in parallel too.

--- a/daemon/kept_test.go
+++ b/daemon/kept_test.go
@@ -97,6 +97,28 @@
 	t.Logf("answers were whole %v after the kill", time.Since(killed).Round(time.Millisecond))
 }
 
+func TestKilledCopyHoldsNoStreamBack(t *testing.T) {
+	// bound is far below the time until the others hold the copy's instance dead.
+	const bound = 5 * time.Second
+
+	t.Parallel()
+
+	d := newSlowDeployment(t, 3, 5*time.Millisecond)
+
+	running := d.run(12, d.entries[:1], d.entries[:1])
+	killed := time.Now()
+
+	d.entries[1].kill()
+	running.check()
+
+	took := time.Since(killed)
+	t.Logf("answers were whole %v after the kill", took.Round(time.Millisecond))
+
+	if took > bound {
+		t.Errorf("answers: whole after %v, want at most %v", took, bound)
+	}
+}
+
 func TestReclaimedEntryInstanceHandsItsAnswersOff(t *testing.T) {
 	const notice = 3 * time.Second
 
--- a/daemon/whole_path_test.go
+++ b/daemon/whole_path_test.go
@@ -47,6 +47,8 @@
 }
 
 func TestWholePathAnswersEachKindOfRequest(t *testing.T) {
+	t.Parallel()
+
 	d := newDeployment(t, 3)
 
 	got, err := d.ask(d.entries[0], "reconcile these invoices", 40, nil)
@@ -90,6 +92,8 @@
 func TestConcurrentDuplicatesRunOnce(t *testing.T) {
 	const perEntry = 4
 
+	t.Parallel()
+
 	d := newDeployment(t, 3)
 	statuses := make(chan int, perEntry*len(d.entries))
 
@@ -125,6 +129,8 @@
 }
 
 func TestPlannedStopCutsNoRequest(t *testing.T) {
+	t.Parallel()
+
 	d := newDeployment(t, 2)
 	leaving := d.entries[0]
 
@@ -148,6 +154,8 @@
 		maxTokens = 300
 	)
 
+	t.Parallel()
+
 	d := newDeployment(t, 2)
 	begun := make(chan struct{}, answers)
 	results := make([]streamed, answers)
@@ -183,6 +191,8 @@
 }
 
 func TestLogOutageRefusesKeyedCallsOnly(t *testing.T) {
+	t.Parallel()
+
 	d := newDeployment(t, 2)
 
 	if err := d.platform.Log.Faults.Apply(standin.FaultOrder{Kind: standin.Down}); err != nil {
