fix(settings,refusal,cmd): stops that cut no call, and refusals that claim no more than is known

Ruled out: keeping answers in one piece as streams are, whose callers have no way to come back for them. Measured: tests of settings, refusal, cmd and gateway pass.

--- a/cmd/status.go
+++ b/cmd/status.go
@@ -10,7 +10,10 @@
 	"monsoonlever/daemon"
 )
 
-var errUnreachable = errors.New("an instance did not answer")
+var (
+	errUnreachable = errors.New("an instance did not answer")
+	errNotReady    = errors.New("an instance was not ready at the end of the wait")
+)
 
 // statusCommand shows instances and backend servers.
 type statusCommand struct {
@@ -61,6 +64,10 @@
 		return errUnreachable
 	}
 
+	if s.Wait > 0 && !allReady(results) {
+		return errNotReady
+	}
+
 	return nil
 }
 
@@ -91,7 +98,11 @@
 
 func instanceRow(s *daemon.Status) []string {
 	log := "up"
-	if !s.Log.Healthy {
+
+	switch {
+	case s.Manifest.Version == 0:
+		log = "-"
+	case !s.Log.Healthy:
 		log = fmt.Sprintf("down for %.0fs", s.Log.ReadAgeSeconds)
 	}
 
--- a/refusal/code.go
+++ b/refusal/code.go
@@ -58,7 +58,7 @@
 	DeadlinePassed:   {http.StatusGatewayTimeout, Unknown},
 	LimitExceeded:    {http.StatusTooManyRequests, NotRun},
 	Overloaded:       {http.StatusServiceUnavailable, NotRun},
-	NoCopy:           {http.StatusServiceUnavailable, NotRun},
+	NoCopy:           {http.StatusServiceUnavailable, Unknown},
 	NoServer:         {http.StatusServiceUnavailable, NotRun},
 	ServerRefused:    {http.StatusServiceUnavailable, NotRun},
 	LogUnavailable:   {http.StatusServiceUnavailable, NotStarted},
--- a/settings/daemon.go
+++ b/settings/daemon.go
@@ -7,9 +7,11 @@
 )
 
 const (
-	defaultDeployment        = "default"
-	defaultEntryService      = "monsoonlever"
-	defaultDrainTimeout      = 25 * time.Second
+	defaultDeployment   = "default"
+	defaultEntryService = "monsoonlever"
+	// defaultDrainTimeout is above the deadline of most calls: a planned stop that
+	// cuts no request ends with the last of them.
+	defaultDrainTimeout      = time.Hour
 	defaultAppendsPerSecond  = 20.0
 	maxAppendsPerSecondShare = 500.0
 )
