fix(gateway): a stopping instance asks callers for another connection

Change: while an instance stops, and still takes connections, every response ends its connection, so that none that is in use is left idle to be closed. Ruled out: a longer time before connections are closed, which alone leaves the same gap at its end.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -101,7 +101,9 @@
 		router.Handle(method, PathServices, g.plain)
 	}
 
-	return router
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		router.ServeHTTP(&closingWriter{ResponseWriter: w, gateway: g}, r)
+	})
 }
 
 // Stop refuses requests that come from now on; those that run go on.
