--- /dev/null
+++ b/controller/holds_test.go
@@ -0,0 +1,183 @@
+package controller_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"monsoonlever/controller"
+	"monsoonlever/fleet"
+	"monsoonlever/platform"
+	"monsoonlever/standin"
+)
+
+// The kinds of faults of the property.
+const (
+	pauseOne = iota
+	restartOne
+	logDown
+	cloudDown
+	cloudLosesAnswers
+	reclaimDomain
+	faultKinds
+)
+
+// maxRegions bounds the regions of one run, whatever its number of checks.
+const maxRegions = 500
+
+// fault is one fault of a schedule that is drawn before the region runs.
+type fault struct {
+	after  time.Duration
+	kind   int
+	target int
+	lasts  time.Duration
+}
+
+func drawFaults(t *rapid.T) []fault {
+	var faults []fault
+
+	for range rapid.IntRange(1, 12).Draw(t, "faults") {
+		faults = append(faults, fault{
+			after:  time.Duration(rapid.IntRange(0, 600).Draw(t, "after")) * time.Second,
+			kind:   rapid.IntRange(0, faultKinds-1).Draw(t, "kind"),
+			target: rapid.IntRange(0, len(domains)-1).Draw(t, "target"),
+			lasts:  time.Duration(rapid.IntRange(1, 900).Draw(t, "lasts")) * time.Second,
+		})
+	}
+
+	return faults
+}
+
+// ordeal is a region under a schedule of faults.
+type ordeal struct {
+	*region
+
+	candidates []*candidate
+	violated   string
+}
+
+func newOrdeal(t *testing.T) *ordeal {
+	t.Helper()
+
+	o := &ordeal{region: newMarket(t)}
+	o.cloud.Adopt(platform.Instance{ID: "given", Class: "gpu-large", Domain: domains[0], Market: platform.OnDemand})
+	o.boot(platform.Instance{ID: "given", Class: "gpu-large", Domain: domains[0]}, oldVersion)
+
+	for i := range 3 {
+		o.candidates = append(o.candidates, o.start(fleet.InstanceID(fmt.Sprintf("entry-%d", i)), acting(load)))
+	}
+
+	return o
+}
+
+// lookEvery is the time between two looks at the region.
+const lookEvery = 5 * time.Second
+
+// watch looks at the region for a while.
+func (o *ordeal) watch(d time.Duration) {
+	for range int(d / lookEvery) {
+		time.Sleep(lookEvery)
+		o.look()
+	}
+}
+
+func (o *ordeal) look() {
+	if n := len(holders(o.candidates...)); n > 1 {
+		o.violate("got %d holders, want one at most", n)
+	}
+
+	if n := o.instances(modelService, ""); n > maxRunners {
+		o.violate("got %d runners, want %d at most", n, maxRunners)
+	}
+
+	if n := o.instances(plainService, ""); n > maxPlain {
+		o.violate("got %d plain servers, want %d at most", n, maxPlain)
+	}
+
+	o.mu.Lock()
+	defer o.mu.Unlock()
+
+	if o.servers["given"] == nil || o.left["given"] {
+		o.violate("got the given instance released, want it left alone")
+	}
+}
+
+func (o *ordeal) violate(format string, args ...any) {
+	if o.violated == "" {
+		o.violated = fmt.Sprintf("at %s: ", time.Now().Format(time.TimeOnly)) + fmt.Sprintf(format, args...)
+	}
+}
+
+func (o *ordeal) strike(i int, f fault) {
+	which := f.target % len(o.candidates)
+
+	switch f.kind {
+	case pauseOne:
+		clock := o.candidates[which].clock
+		clock.pause()
+		o.group.Go(func() { time.Sleep(f.lasts); clock.resume() })
+	case restartOne:
+		o.candidates[which].clock.resume()
+		o.candidates[which].stop()
+		<-o.candidates[which].done
+		o.candidates[which] = o.start(fleet.InstanceID(fmt.Sprintf("entry-%d", which)), acting(load),
+			func(c *controller.Controller) { c.Incarnation = fleet.Incarnation(i + 2) })
+	case logDown:
+		_ = o.log.Faults.Apply(standin.FaultOrder{Kind: standin.Down, Duration: standin.Duration(f.lasts), Silent: f.target%2 == 0})
+	case cloudDown:
+		_ = o.cloud.Faults.Apply(standin.FaultOrder{Kind: standin.Down, Duration: standin.Duration(f.lasts), Silent: f.target%2 == 0})
+	case cloudLosesAnswers:
+		_ = o.cloud.Faults.Apply(standin.FaultOrder{Kind: standin.EffectWithoutAnswer, Probability: 0.5, Seed: uint64(i)})
+	case reclaimDomain:
+		domain := domains[f.target]
+		o.stock(domain, 0)
+		o.cloud.Reclaim(domain, 30*time.Second)
+		o.group.Go(func() { time.Sleep(f.lasts); o.stock(domain, 20) })
+	}
+}
+
+// TestHoldsRegionUnderFaults runs candidates through pauses, restarts, outages of
+// the log and the cloud API, lost answers and reclaims. One holds the lease at a
+// time, no service is above its maximum, what the system did not buy stays, and in
+// the end both services have what they need. A check is hours of a region, so a
+// long run ends after maxRegions.
+func TestHoldsRegionUnderFaults(t *testing.T) {
+	regions := 0
+
+	rapid.Check(t, func(rt *rapid.T) {
+		if regions++; regions > maxRegions {
+			return
+		}
+
+		faults := drawFaults(rt)
+		violated := ""
+
+		synctest.Test(t, func(t *testing.T) {
+			o := newOrdeal(t)
+
+			for i, f := range faults {
+				o.watch(f.after)
+				o.strike(i, f)
+			}
+
+			o.watch(20 * time.Minute)
+			_ = o.cloud.Faults.Apply(standin.FaultOrder{Kind: standin.Clear})
+			o.watch(time.Hour)
+
+			if !o.filled() {
+				o.violate("got %d runners and %d plain servers in the end, want %d and %d",
+					o.staying(modelService), o.staying(plainService), minRunners, minPlain)
+			}
+
+			violated = o.violated
+			o.end(o.candidates...)
+		})
+
+		if violated != "" {
+			rt.Fatalf("%s; faults %+v", violated, faults)
+		}
+	})
+}
