--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -103,17 +103,27 @@
 	stopControl()
 	_ = operators.Close()
 
+	// Control may still begin the work at an answer, and that work a call: each is
+	// waited for once nothing is left that could begin another.
 	group.Wait()
+	p.answers.Wait()
+	p.runner.Wait()
 	klog.InfoS("instance stopped", "instance", d.Settings.Instance)
 
 	return err
 }
 
 const (
+	// lameDuck is how long a stopping instance takes connections and refuses what
+	// they ask; it is at most one part in lameDuckShare of the drain timeout.
+	lameDuck      = time.Second
+	lameDuckShare = 4
 	// reclaimMargin is left of a notice for the hand-off of answers.
 	reclaimMargin = 2 * time.Second
 	// handOffTimeout bounds the hand-off of the answers that outlive this instance.
 	handOffTimeout = 2 * time.Second
+	// handlersTimeout bounds the wait for requests whose connection was closed.
+	handlersTimeout = 5 * time.Second
 	// handOffEvery is the time between two looks at the hand-off.
 	handOffEvery = 20 * time.Millisecond
 )
@@ -130,6 +140,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), max(timeout, 0))
 	defer cancel()
 
+	// The balancer is late: who still comes is told, not cut.
+	wait(ctx, d.Clock, min(lameDuck, timeout/lameDuckShare))
+
 	err := callers.Shutdown(ctx)
 
 	d.handOff(p)
@@ -139,8 +152,17 @@
 		_ = callers.Close()
 	}
 
-	p.runner.Wait()
-	p.answers.Wait()
+	d.waitHandlers(p)
+}
+
+// waitHandlers waits for the handlers of connections that were closed.
+func (d *Daemon) waitHandlers(p *parts) {
+	ctx, cancel := context.WithTimeout(context.Background(), handlersTimeout)
+	defer cancel()
+
+	for p.gateway.Open() > 0 && ctx.Err() == nil {
+		wait(ctx, d.Clock, handOffEvery)
+	}
 }
 
 // handOff gives the answers that still run to the instances that hold a copy.
@@ -150,7 +172,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), handOffTimeout)
 	defer cancel()
 
-	for !p.replicator.HandedOff() && ctx.Err() == nil {
+	for !p.replicator.HandedOff() && p.replicator.HasHeir() && ctx.Err() == nil {
 		wait(ctx, d.Clock, handOffEvery)
 	}
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -101,7 +101,9 @@
 		router.Handle(method, PathServices, g.plain)
 	}
 
-	return router
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		router.ServeHTTP(&closingWriter{ResponseWriter: w, gateway: g}, r)
+	})
 }
 
 // Stop refuses requests that come from now on; those that run go on.
@@ -113,3 +115,8 @@
 func (g *Gateway) Stopping() bool {
 	return g.stopping.Load()
 }
+
+// Open returns the number of requests under way.
+func (g *Gateway) Open() int64 {
+	return g.instruments.open.Load()
+}
