fix(admission): what is owed of a limit is kept when the share changes

What an account has taken ahead was held as a time, worked out at the share of that moment; a request taken at a ninth of the limit blocked its account for three times as long as at a third. Change: a change of the share rescales the time, so that the debt itself stays. Ruled out: a longer burst, which would loosen the bound for all. Conclusion: the sum of shares, which the property checks, is untouched.

--- a/admission/account.go
+++ b/admission/account.go
@@ -119,3 +119,13 @@
 
 	a.running.Add(-1)
 }
+
+// rescale keeps what is owed of rate limits when the share of them changes.
+func (a *account) rescale(now time.Time, old, share float64) {
+	if old <= 0 || share <= 0 {
+		return
+	}
+
+	a.requests.rescale(now, share/old)
+	a.tokens.rescale(now, share/old)
+}
--- a/admission/pacer.go
+++ b/admission/pacer.go
@@ -45,3 +45,20 @@
 
 	p.earned.Add(-int64(cost / rate * float64(time.Second)))
 }
+
+// rescale keeps what is owed when the rate changes: in as much as the rate rises
+// by a factor, it is earned in less time.
+func (p *pacer) rescale(now time.Time, factor float64) {
+	at := now.UnixNano()
+
+	for {
+		earned := p.earned.Load()
+		if earned <= at {
+			return
+		}
+
+		if p.earned.CompareAndSwap(earned, at+int64(float64(earned-at)/factor)) {
+			return
+		}
+	}
+}
--- a/admission/sharecontrol.go
+++ b/admission/sharecontrol.go
@@ -75,6 +75,7 @@
 
 		if share != old.share || even != old.even {
 			a.limits.Store(&limits{account: old.account, share: share, even: even})
+			a.rescale(now, old.share, share)
 		}
 	}
 }
