fix(gateway): a stream that is lost is never taken for whole

A kept stream whose answer could not be passed on to its end, with its caller still there, ended in silence: before its first token as an empty 200, later without an error event.

--- a/gateway/kept.go
+++ b/gateway/kept.go
@@ -69,7 +69,7 @@
 
 	err = g.Kept.Follow(r.Context(), model.Answer.Account, answer.EventID{Request: model.Answer.ID}, &keptCaller{sink: out, times: times})
 	if err != nil {
-		g.Kept.Release(model.Answer.ID)
+		g.endFollowed(w, r, out, model.Answer.ID, refusal.New(refusal.AnswerLost, "%v", err).WithRetryAfter(comeBackSoon))
 	}
 
 	g.observeKept(call, out, times, err)
@@ -96,7 +96,8 @@
 	writeProgress(w, http.StatusAccepted, Progress{ID: model.Answer.ID, Status: StatusRunning})
 }
 
-// refuseKept tells that a request could not be kept. Nothing of it runs.
+// refuseKept tells that a request could not be kept. A copy that came late may
+// still go on with it.
 func (g *Gateway) refuseKept(w http.ResponseWriter, ticket *admission.Ticket, call chatCall, err error) {
 	now := g.Clock.Now()
 	g.Admission.Finish(now, ticket, admission.Outcome{})
@@ -119,19 +120,20 @@
 	account := call.caller.account.Name()
 
 	if err := g.Kept.Follow(r.Context(), account, after, &keptCaller{sink: out, times: &keptTimes{}}); err != nil {
-		g.endResumed(w, r, out, after.Request, err)
+		g.endFollowed(w, r, out, after.Request, refusal.New(refusal.UnknownAnswer, "%v", err))
 	}
 }
 
-// endResumed ends a connection whose answer could not be passed on to its end.
-func (g *Gateway) endResumed(w http.ResponseWriter, r *http.Request, out *sink, id answer.RequestID, err error) {
+// endFollowed ends a connection whose answer could not be passed on to its end.
+// A caller who is still there is told; were nothing written, the response would
+// end as if it were whole.
+func (g *Gateway) endFollowed(w http.ResponseWriter, r *http.Request, out *sink, id answer.RequestID, refused *refusal.Refusal) {
 	if r.Context().Err() != nil {
 		g.Kept.Release(id)
 
 		return
 	}
 
-	refused := refusal.New(refusal.UnknownAnswer, "%v", err)
 	if out.tokens == 0 {
 		g.refuse(w, refused)
 
