fix(gateway): a lost stream counts against the service, not as a caller who left

Cause: the observation of a stream that was lost said that its caller had gone, which is outside the objective. Change: that is said only if he had. Measured: tests of the package pass.

--- a/gateway/kept.go
+++ b/gateway/kept.go
@@ -72,7 +72,7 @@
 		g.endFollowed(w, r, out, model.Answer.ID, refusal.New(refusal.AnswerLost, "%v", err).WithRetryAfter(comeBackSoon))
 	}
 
-	g.observeKept(call, out, times, err)
+	g.observeKept(call, out, times, err, r.Context().Err() != nil)
 }
 
 // acceptAsync accepts a request whose answer is fetched later, from any instance.
@@ -158,7 +158,7 @@
 }
 
 // observeKept records a streamed answer as its caller saw it.
-func (g *Gateway) observeKept(call chatCall, out *sink, times *keptTimes, err error) {
+func (g *Gateway) observeKept(call chatCall, out *sink, times *keptTimes, err error, gone bool) {
 	result := times.result()
 	o := out.observation()
 	o.Account = call.caller.account.Name()
@@ -169,8 +169,8 @@
 	o.Attempts = max(result.Attempts(), 1)
 
 	if err != nil {
-		o.CallerGone = true
-		o.Refused = refusal.New(refusal.AnswerLost, "the caller went away: %v", err)
+		o.CallerGone = gone
+		o.Refused = refusal.New(refusal.AnswerLost, "%v", err)
 	}
 
 	g.observe(o)
