refactor(clock): one sleep, and the library's own default

Cause: read once more as a whole, four packages held the same wait for a time or the end of a context, three the same default for a zero value, and the daemon kept a wave of reclaims that only the line beside it used. Change: clock.Sleep and cmp.Or serve all; the wave is made where it is used. The stand-ins keep their own sleep, which tells why it ended. Ruled out: joining the heaps of admission and the headers of the reports, which are alike in shape alone.

--- /dev/null
+++ b/clock/sleep.go
@@ -0,0 +1,14 @@
+package clock
+
+import (
+	"context"
+	"time"
+)
+
+// Sleep returns after d, or once ctx has ended.
+func Sleep(ctx context.Context, c Clock, d time.Duration) {
+	select {
+	case <-c.After(d):
+	case <-ctx.Done():
+	}
+}
--- a/cmd/current.go
+++ b/cmd/current.go
@@ -8,6 +8,7 @@
 
 	"github.com/sourcegraph/conc"
 
+	"monsoonlever/clock"
 	"monsoonlever/platform"
 	"monsoonlever/publication"
 )
@@ -78,15 +79,8 @@
 			return follower.Snapshot(), nil
 		}
 
-		pause(ctx, pollEvery)
+		clock.Sleep(ctx, clock.System{}, pollEvery)
 	}
 
 	return nil, errNotReadable
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
--- a/cmd/publish.go
+++ b/cmd/publish.go
@@ -11,6 +11,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"monsoonlever/clock"
 	"monsoonlever/manifest"
 	"monsoonlever/platform"
 	"monsoonlever/publication"
@@ -106,7 +107,7 @@
 			return behind
 		}
 
-		pause(ctx, pollEvery)
+		clock.Sleep(ctx, clock.System{}, pollEvery)
 	}
 }
 
--- a/cmd/status.go
+++ b/cmd/status.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"monsoonlever/clock"
 	"monsoonlever/daemon"
 )
 
@@ -82,7 +83,7 @@
 			return results
 		}
 
-		pause(ctx, pollEvery)
+		clock.Sleep(ctx, clock.System{}, pollEvery)
 	}
 }
 
--- a/daemon/build_servers.go
+++ b/daemon/build_servers.go
@@ -14,10 +14,9 @@
 	client := newClient()
 	p.table = &routing.Table{Self: p.settings.Instance, Domain: p.settings.FailureDomain, Metrics: p.metrics}
 	p.directory = discovery.NewDirectory(clients{http: newClient()})
-	p.wave = &evacuation.Wave{HalfLife: waveHalfLife}
 	p.desk = &evacuation.Desk{
 		Clock:       p.clock,
-		Coordinator: newCoordinator(p.wave),
+		Coordinator: newCoordinator(),
 		Targets:     p.exportTargets,
 	}
 	p.watcher = &discovery.Watcher{
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -141,7 +141,7 @@
 	defer cancel()
 
 	// The balancer is late: who still comes is told, not cut.
-	wait(ctx, d.Clock, min(lameDuck, timeout/lameDuckShare))
+	clock.Sleep(ctx, d.Clock, min(lameDuck, timeout/lameDuckShare))
 
 	err := callers.Shutdown(ctx)
 
@@ -161,7 +161,7 @@
 	defer cancel()
 
 	for p.gateway.Open() > 0 && ctx.Err() == nil {
-		wait(ctx, d.Clock, handOffEvery)
+		clock.Sleep(ctx, d.Clock, handOffEvery)
 	}
 }
 
@@ -173,7 +173,7 @@
 	defer cancel()
 
 	for !p.replicator.HandedOff() && p.replicator.HasHeir() && ctx.Err() == nil {
-		wait(ctx, d.Clock, handOffEvery)
+		clock.Sleep(ctx, d.Clock, handOffEvery)
 	}
 
 	if !p.replicator.HandedOff() {
--- a/daemon/exports.go
+++ b/daemon/exports.go
@@ -30,11 +30,11 @@
 	priorityFactor = 1.01
 )
 
-func newCoordinator(wave *evacuation.Wave) *evacuation.Coordinator {
+func newCoordinator() *evacuation.Coordinator {
 	return &evacuation.Coordinator{
 		Gather: gatherExports,
 		Planner: evacuation.Planner{
-			Wave: wave,
+			Wave: &evacuation.Wave{HalfLife: waveHalfLife},
 			Policy: evacuation.Policy{
 				BytesPerToken: kvBytesPerToken, BytesPerSecond: kvBytesPerSecond,
 				Setup: exportSetup, Margin: exportMargin, PriorityFactor: priorityFactor,
--- a/daemon/parts.go
+++ b/daemon/parts.go
@@ -39,7 +39,6 @@
 	recorder    *burn.Recorder
 	runner      *answer.Runner
 	desk        *evacuation.Desk
-	wave        *evacuation.Wave
 	replicator  *answer.Replicator
 	answers     *dispatch.Answers
 	// peers is nil for an instance without keys, which stands alone.
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -130,7 +130,7 @@
 func (p *peers) tellDemand(ctx context.Context) {
 	for ctx.Err() == nil {
 		p.tellDemandOnce()
-		wait(ctx, p.clock, demandEvery)
+		clock.Sleep(ctx, p.clock, demandEvery)
 	}
 }
 
@@ -164,7 +164,7 @@
 // here, as when this instance starts while the log is down.
 func (p *peers) adoptManifest(ctx context.Context) {
 	for ctx.Err() == nil {
-		wait(ctx, p.clock, adoptEvery)
+		clock.Sleep(ctx, p.clock, adoptEvery)
 
 		if _, known := p.follower.Checkpoint(); known {
 			return
@@ -221,11 +221,3 @@
 		klog.ErrorS(err, "payload could not be set")
 	}
 }
-
-// wait returns after d, or once ctx has ended.
-func wait(ctx context.Context, c clock.Clock, d time.Duration) {
-	select {
-	case <-c.After(d):
-	case <-ctx.Done():
-	}
-}
--- a/journal/reading.go
+++ b/journal/reading.go
@@ -7,6 +7,7 @@
 
 	"k8s.io/klog/v2"
 
+	"monsoonlever/clock"
 	"monsoonlever/platform"
 )
 
@@ -25,7 +26,7 @@
 		batch, err := c.read(ctx, max(from, 1), wait)
 		if err != nil {
 			c.counters.readFailures.Inc()
-			c.pauseReader(ctx, c.readerBO.Failed())
+			clock.Sleep(ctx, c.Clock, c.readerBO.Failed())
 
 			continue
 		}
@@ -50,13 +51,6 @@
 	return c.Log.Read(callCtx, c.Stream, from, c.ReadLimit, wait)
 }
 
-func (c *Client) pauseReader(ctx context.Context, wait time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-c.Clock.After(wait):
-	}
-}
-
 // horizon tells the subscribers how far back the history is complete.
 func (c *Client) horizon(batch platform.Batch, gap bool) {
 	if gap {
--- a/membership/config.go
+++ b/membership/config.go
@@ -1,6 +1,9 @@
 package membership
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 const (
 	// MaxPayload bounds a member's payload in bytes.
@@ -70,29 +73,20 @@
 // withDefaults returns the configuration with every field set.
 func (c Config) withDefaults() Config {
 	return Config{
-		ProbeInterval:    orDefault(c.ProbeInterval, time.Second),
-		AckTimeout:       orDefault(c.AckTimeout, 300*time.Millisecond),
-		IndirectProbes:   orDefault(c.IndirectProbes, 3),
-		SuspicionFactor:  orDefault(c.SuspicionFactor, 4),
-		GossipInterval:   orDefault(c.GossipInterval, 250*time.Millisecond),
-		GossipRate:       orDefault(c.GossipRate, 3000),
-		RetransmitFactor: orDefault(c.RetransmitFactor, 1.5),
-		SyncInterval:     orDefault(c.SyncInterval, 30*time.Second),
-		SyncRate:         orDefault(c.SyncRate, 2000),
-		SeedInterval:     orDefault(c.SeedInterval, 30*time.Second),
-		Retention:        orDefault(c.Retention, 2*time.Hour),
-		PayloadRate:      orDefault(c.PayloadRate, 250),
-		BridgeInterval:   orDefault(c.BridgeInterval, time.Second),
-		RegionInterval:   orDefault(c.RegionInterval, 20*time.Second),
-		RegionTimeout:    orDefault(c.RegionTimeout, 75*time.Second),
+		ProbeInterval:    cmp.Or(c.ProbeInterval, time.Second),
+		AckTimeout:       cmp.Or(c.AckTimeout, 300*time.Millisecond),
+		IndirectProbes:   cmp.Or(c.IndirectProbes, 3),
+		SuspicionFactor:  cmp.Or(c.SuspicionFactor, 4),
+		GossipInterval:   cmp.Or(c.GossipInterval, 250*time.Millisecond),
+		GossipRate:       cmp.Or(c.GossipRate, 3000),
+		RetransmitFactor: cmp.Or(c.RetransmitFactor, 1.5),
+		SyncInterval:     cmp.Or(c.SyncInterval, 30*time.Second),
+		SyncRate:         cmp.Or(c.SyncRate, 2000),
+		SeedInterval:     cmp.Or(c.SeedInterval, 30*time.Second),
+		Retention:        cmp.Or(c.Retention, 2*time.Hour),
+		PayloadRate:      cmp.Or(c.PayloadRate, 250),
+		BridgeInterval:   cmp.Or(c.BridgeInterval, time.Second),
+		RegionInterval:   cmp.Or(c.RegionInterval, 20*time.Second),
+		RegionTimeout:    cmp.Or(c.RegionTimeout, 75*time.Second),
 	}
 }
-
-func orDefault[T comparable](value, otherwise T) T {
-	var zero T
-	if value == zero {
-		return otherwise
-	}
-
-	return value
-}
--- a/membership/list.go
+++ b/membership/list.go
@@ -1,6 +1,9 @@
 package membership
 
-import "context"
+import (
+	"cmp"
+	"context"
+)
 
 // followList looks at the platform's list from time to time.
 func (g *Group) followList(ctx context.Context) {
@@ -10,7 +13,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-g.Clock.After(orDefault(g.ListInterval, defaultListInterval)):
+		case <-g.Clock.After(cmp.Or(g.ListInterval, defaultListInterval)):
 		}
 	}
 }
--- a/publication/follower.go
+++ b/publication/follower.go
@@ -123,13 +123,13 @@
 
 		readErrors.Inc()
 		f.reportLog(err)
-		sleep(ctx, f.Clock, wait.next())
+		clock.Sleep(ctx, f.Clock, wait.next())
 	}
 }
 
 func (f *Follower) writeCheckpoints(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, f.Clock, checkInterval)
+		clock.Sleep(ctx, f.Clock, checkInterval)
 
 		if err := f.checkpoint(ctx); err != nil {
 			checkpointErrors.Inc()
@@ -298,11 +298,3 @@
 
 	klog.InfoS("manifest stream can be read again")
 }
-
-// sleep returns after d or when the context ends.
-func sleep(ctx context.Context, c clock.Clock, d time.Duration) {
-	select {
-	case <-c.After(d):
-	case <-ctx.Done():
-	}
-}
--- a/publication/publisher.go
+++ b/publication/publisher.go
@@ -125,7 +125,7 @@
 		}
 
 		if err != nil {
-			sleep(ctx, p.Clock, wait.next())
+			clock.Sleep(ctx, p.Clock, wait.next())
 		}
 	}
 
--- a/retry/backoff.go
+++ b/retry/backoff.go
@@ -1,6 +1,9 @@
 package retry
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // maxDoublings keeps the backoff from overflowing.
 const maxDoublings = 16
@@ -15,8 +18,8 @@
 
 // Wait returns the wait after the given number of failed attempts.
 func (b Backoff) Wait(random Random, failed int) time.Duration {
-	first := orDefault(b.First, 20*time.Millisecond)
-	atMost := orDefault(b.AtMost, 2*time.Second)
+	first := cmp.Or(b.First, 20*time.Millisecond)
+	atMost := cmp.Or(b.AtMost, 2*time.Second)
 	doublings := min(max(failed-1, 0), maxDoublings)
 
 	return upTo(random, min(first<<doublings, atMost))
--- a/retry/budgetpolicy.go
+++ b/retry/budgetpolicy.go
@@ -1,6 +1,9 @@
 package retry
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // BudgetPolicy holds the settings of budgets. A zero field stands for its default.
 type BudgetPolicy struct {
@@ -17,10 +20,10 @@
 }
 
 func (p BudgetPolicy) withDefaults() BudgetPolicy {
-	p.Window = orDefault(p.Window, 10*time.Second)
-	p.Share = orDefault(p.Share, 0.1)
-	p.UnsentShare = orDefault(p.UnsentShare, 1)
-	p.Least = orDefault(p.Least, 3)
+	p.Window = cmp.Or(p.Window, 10*time.Second)
+	p.Share = cmp.Or(p.Share, 0.1)
+	p.UnsentShare = cmp.Or(p.UnsentShare, 1)
+	p.Least = cmp.Or(p.Least, 3)
 
 	return p
 }
--- a/retry/drain.go
+++ b/retry/drain.go
@@ -1,6 +1,7 @@
 package retry
 
 import (
+	"cmp"
 	"sync/atomic"
 	"time"
 
@@ -31,9 +32,9 @@
 
 // NewDrain returns a drain that has measured nothing.
 func NewDrain(p DrainPolicy) *Drain {
-	p.Least = orDefault(p.Least, time.Second)
-	p.AtMost = orDefault(p.AtMost, time.Minute)
-	p.Window = orDefault(p.Window, 10*time.Second)
+	p.Least = cmp.Or(p.Least, time.Second)
+	p.AtMost = cmp.Or(p.AtMost, time.Minute)
+	p.Window = cmp.Or(p.Window, 10*time.Second)
 
 	return &Drain{policy: p, finished: window.NewCounter(p.Window/windowBuckets, windowBuckets+1)}
 }
--- a/retry/hedge.go
+++ b/retry/hedge.go
@@ -1,6 +1,9 @@
 package retry
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // HedgeAt returns when a second attempt at a call should begin beside its first,
 // which began at a time and is slower than usual after the given latency. It
@@ -12,7 +15,7 @@
 		return time.Time{}, false
 	}
 
-	if utilisation >= orDefault(p.HedgeBelow, defaultHedgeBelow) {
+	if utilisation >= cmp.Or(p.HedgeBelow, defaultHedgeBelow) {
 		return time.Time{}, false
 	}
 
--- a/retry/policy.go
+++ b/retry/policy.go
@@ -1,6 +1,7 @@
 package retry
 
 import (
+	"cmp"
 	"errors"
 	"time"
 
@@ -46,7 +47,7 @@
 		return Decision{reason: MayHaveRun}
 	}
 
-	if c.failed >= orDefault(p.Attempts, defaultAttempts) {
+	if c.failed >= cmp.Or(p.Attempts, defaultAttempts) {
 		return Decision{reason: NoAttemptLeft}
 	}
 
