--- a/claim/bench_test.go
+++ b/claim/bench_test.go
@@ -6,8 +6,8 @@
 	"testing"
 	"time"
 
-	"monsoonlever/journal"
-	"monsoonlever/platform"
+	"monsoonlever/logstream"
+	"monsoonlever/provider"
 )
 
 // settled returns the payloads of a claim and an outcome of key i.
@@ -26,10 +26,10 @@
 	return claim, outcome
 }
 
-func entryOf(i int, kind journal.Kind, payload []byte) journal.Entry {
-	by := journal.Author{Writer: "entry-1", Incarnation: 1, Sequence: journal.Sequence(i)}
+func entryOf(i int, kind logstream.Kind, payload []byte) logstream.Entry {
+	by := logstream.Author{Writer: "entry-1", Incarnation: 1, Sequence: logstream.Sequence(i)}
 
-	return journal.NewEntry(by, kind, payload, journal.Place{Offset: platform.Offset(i), Time: testStart})
+	return logstream.NewEntry(by, kind, payload, logstream.Place{Offset: provider.Offset(i), Time: testStart})
 }
 
 func BenchmarkClaimStep(b *testing.B) {
@@ -48,19 +48,19 @@
 		k.value = string(binary.BigEndian.AppendUint64(nil, uint64(i)))
 		commands := table.Submit(testStart, NewRequest(RequestID(i), k, Digest{}, testStart.Add(time.Minute)))
 		c := commands[0].(Append)
-		by := journal.Author{Writer: "entry-0", Incarnation: 1, Sequence: journal.Sequence(i)}
-		table.Read(testStart, journal.NewEntry(by, c.kind, c.payload, journal.Place{Time: testStart}))
+		by := logstream.Author{Writer: "entry-0", Incarnation: 1, Sequence: logstream.Sequence(i)}
+		table.Read(testStart, logstream.NewEntry(by, c.kind, c.payload, logstream.Place{Time: testStart}))
 
 		done := table.Done(testStart, RequestID(i), NewResult(200, nil, nil))
 		o := done[len(done)-1].(Append)
-		table.Read(testStart, journal.NewEntry(by, o.kind, o.payload, journal.Place{Time: testStart}))
+		table.Read(testStart, logstream.NewEntry(by, o.kind, o.payload, logstream.Place{Time: testStart}))
 	}
 }
 
 func BenchmarkReplay(b *testing.B) {
 	const pairs = 4096
 
-	var entries []journal.Entry
+	var entries []logstream.Entry
 
 	for i := range pairs {
 		claim, outcome := settled(i)
--- a/claim/command.go
+++ b/claim/command.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"monsoonlever/journal"
+	"monsoonlever/logstream"
 )
 
 // Command is what a Table wants done: Append, Dispatch or Answer.
@@ -12,13 +12,13 @@
 // Append puts a record of a request on the log. If the append ends without
 // taking effect, AppendFailed must be called.
 type Append struct {
-	kind    journal.Kind
+	kind    logstream.Kind
 	request RequestID
 	payload []byte
 }
 
 // Kind returns KindClaim, KindOutcome or KindVoid.
-func (c Append) Kind() journal.Kind { return c.kind }
+func (c Append) Kind() logstream.Kind { return c.kind }
 
 // Request returns the attempt whose record it is.
 func (c Append) Request() RequestID { return c.request }
--- a/claim/finish.go
+++ b/claim/finish.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"monsoonlever/journal"
+	"monsoonlever/logstream"
 )
 
 // Done takes the service's answer to a request that was dispatched.
@@ -87,7 +87,7 @@
 // AppendFailed says that the append of a record ended without its being known
 // to be in effect; dead says that it never will be. Only a claim that is dead
 // may be made again.
-func (t *Table) AppendFailed(now time.Time, kind journal.Kind, id RequestID, dead bool) []Command {
+func (t *Table) AppendFailed(now time.Time, kind logstream.Kind, id RequestID, dead bool) []Command {
 	a := t.attempts[id]
 	if a == nil {
 		return nil
--- a/claim/keeper.go
+++ b/claim/keeper.go
@@ -12,7 +12,7 @@
 	"monsoonlever/backend"
 	"monsoonlever/clock"
 	"monsoonlever/fleet"
-	"monsoonlever/journal"
+	"monsoonlever/logstream"
 )
 
 // DefaultTick is the time between two looks at deadlines and at the log.
@@ -38,7 +38,7 @@
 // exported fields before Run, and add the keeper to Journal.Subscribers before
 // the journal runs.
 type Keeper struct {
-	Journal *journal.Client
+	Journal *logstream.Client
 	Clock   clock.Clock
 	Config  Config
 	// KeepHeader names the header fields that are kept with an outcome.
@@ -65,7 +65,7 @@
 // openAppend is an append whose result is not known.
 type openAppend struct {
 	command Append
-	ticket  *journal.Ticket
+	ticket  *logstream.Ticket
 }
 
 func (k *Keeper) init() {
@@ -197,13 +197,13 @@
 	return kept
 }
 
-// Horizon implements journal.Subscriber.
+// Horizon implements logstream.Subscriber.
 func (k *Keeper) Horizon(since time.Time) {
 	k.step(func(time.Time) []Command { return k.table.Horizon(since) })
 }
 
-// Entries implements journal.Subscriber.
-func (k *Keeper) Entries(entries []journal.Entry) {
+// Entries implements logstream.Subscriber.
+func (k *Keeper) Entries(entries []logstream.Entry) {
 	for _, e := range entries {
 		k.step(func(now time.Time) []Command { return k.table.Read(now, e) })
 	}
@@ -292,7 +292,7 @@
 		if _, err := o.ticket.Result(); err != nil {
 			k.counters.failed.Inc()
 
-			dead := !errors.Is(err, journal.ErrUnresolved)
+			dead := !errors.Is(err, logstream.ErrUnresolved)
 			commands = append(commands, k.table.AppendFailed(now, o.command.kind, o.command.request, dead)...)
 		}
 	}
--- a/claim/keeper_test.go
+++ b/claim/keeper_test.go
@@ -15,7 +15,7 @@
 	"monsoonlever/backend"
 	"monsoonlever/clock"
 	"monsoonlever/fleet"
-	"monsoonlever/journal"
+	"monsoonlever/logstream"
 )
 
 // entries is several entry instances over one log.
@@ -32,7 +32,7 @@
 
 	for i := range count {
 		id := fleet.InstanceID(fmt.Sprintf("entry-%d", i))
-		client := &journal.Client{
+		client := &logstream.Client{
 			Log: e.log, Clock: clock.System{}, Stream: "claims", Writer: id, Incarnation: 1, Retention: 2 * time.Hour,
 		}
 		keeper := &Keeper{
@@ -41,7 +41,7 @@
 			Config:     Config{Self: id, Incarnation: 1},
 			KeepHeader: []string{"Content-Type"},
 		}
-		client.Subscribers = []journal.Subscriber{keeper}
+		client.Subscribers = []logstream.Subscriber{keeper}
 		e.keepers = append(e.keepers, keeper)
 
 		wg.Go(func() { _ = client.Run(ctx) })
--- a/claim/memory_test.go
+++ b/claim/memory_test.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 )
 
 var errLost = errors.New("answer was lost")
@@ -14,7 +14,7 @@
 // memoryLog is a log that several keepers share.
 type memoryLog struct {
 	mu      sync.Mutex
-	records []platform.Record
+	records []provider.Record
 	down    bool
 	// lose is the number of appends that take effect without an answer.
 	lose    int
@@ -25,7 +25,7 @@
 	return &memoryLog{changed: make(chan struct{})}
 }
 
-func (l *memoryLog) Append(_ context.Context, _ platform.Stream, data []byte) (platform.Offset, error) {
+func (l *memoryLog) Append(_ context.Context, _ provider.Stream, data []byte) (provider.Offset, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
@@ -33,8 +33,8 @@
 		return 0, errLost
 	}
 
-	offset := platform.Offset(len(l.records) + 1)
-	l.records = append(l.records, platform.Record{Offset: offset, Time: time.Now(), Data: data})
+	offset := provider.Offset(len(l.records) + 1)
+	l.records = append(l.records, provider.Record{Offset: offset, Time: time.Now(), Data: data})
 	close(l.changed)
 	l.changed = make(chan struct{})
 
@@ -55,7 +55,7 @@
 	l.lose = lose
 }
 
-func (l *memoryLog) Read(ctx context.Context, _ platform.Stream, from platform.Offset, limit int, wait time.Duration) (platform.Batch, error) {
+func (l *memoryLog) Read(ctx context.Context, _ provider.Stream, from provider.Offset, limit int, wait time.Duration) (provider.Batch, error) {
 	l.mu.Lock()
 	changed := l.changed
 	empty := int(from) > len(l.records)
@@ -66,7 +66,7 @@
 		case <-changed:
 		case <-time.After(wait):
 		case <-ctx.Done():
-			return platform.Batch{}, ctx.Err()
+			return provider.Batch{}, ctx.Err()
 		}
 	}
 
@@ -74,10 +74,10 @@
 	defer l.mu.Unlock()
 
 	if l.down {
-		return platform.Batch{}, errLost
+		return provider.Batch{}, errLost
 	}
 
-	b := platform.Batch{First: 1, Next: platform.Offset(len(l.records) + 1)}
+	b := provider.Batch{First: 1, Next: provider.Offset(len(l.records) + 1)}
 	for i := int(from) - 1; i < len(l.records) && len(b.Records) < limit; i++ {
 		b.Records = append(b.Records, l.records[i])
 	}
--- a/claim/model_test.go
+++ b/claim/model_test.go
@@ -9,8 +9,8 @@
 	"pgregory.net/rapid"
 
 	"monsoonlever/fleet"
-	"monsoonlever/journal"
-	"monsoonlever/platform"
+	"monsoonlever/logstream"
+	"monsoonlever/provider"
 )
 
 // modelTimes are the times of one check.
@@ -112,7 +112,7 @@
 
 // modelAppend is an append whose result a process doesn't know.
 type modelAppend struct {
-	sequence journal.Sequence
+	sequence logstream.Sequence
 	command  Append
 }
 
@@ -130,10 +130,10 @@
 	id          fleet.InstanceID
 	incarnation fleet.Incarnation
 	table       *Table
-	filter      journal.Filter
+	filter      logstream.Filter
 	cursor      int
 	goal        int
-	sequence    journal.Sequence
+	sequence    logstream.Sequence
 	written     time.Time
 	queue       []Append
 	open        []modelAppend
@@ -157,7 +157,7 @@
 	// crowd is how many of the latest keys callers use again.
 	crowd     int
 	now       time.Time
-	records   []platform.Record
+	records   []provider.Record
 	first     int
 	late      []lateAppend
 	lateSends []modelSend
@@ -180,7 +180,7 @@
 	p := &modelProcess{
 		id:          id,
 		incarnation: incarnation,
-		filter:      journal.Filter{MaxDelay: m.times.delay},
+		filter:      logstream.Filter{MaxDelay: m.times.delay},
 		cursor:      m.first,
 		goal:        len(m.records),
 		attempts:    make(map[RequestID]*modelAttempt),
@@ -200,9 +200,9 @@
 }
 
 func (m *model) horizon() time.Time {
-	batch := platform.Batch{Records: m.records[m.first:], First: platform.Offset(m.first + 1)}
+	batch := provider.Batch{Records: m.records[m.first:], First: provider.Offset(m.first + 1)}
 
-	return journal.Horizon(batch, m.now, m.times.retention, m.times.delay)
+	return logstream.Horizon(batch, m.now, m.times.retention, m.times.delay)
 }
 
 func (m *model) catchUp(p *modelProcess) {
@@ -212,8 +212,8 @@
 }
 
 func (m *model) land(data []byte) {
-	m.records = append(m.records, platform.Record{
-		Offset: platform.Offset(len(m.records) + 1),
+	m.records = append(m.records, provider.Record{
+		Offset: provider.Offset(len(m.records) + 1),
 		Time:   m.now,
 		Data:   data,
 	})
@@ -360,7 +360,7 @@
 
 // flush makes one append of a process, or a fence if it has open ones only.
 func (m *model) flush(p *modelProcess, fault appendFault) {
-	item := journal.Item{Kind: journal.KindFence}
+	item := logstream.Item{Kind: logstream.KindFence}
 
 	var command Append
 
@@ -368,7 +368,7 @@
 	case len(p.queue) > 0:
 		command = p.queue[0]
 		p.queue = p.queue[1:]
-		item = journal.Item{Kind: command.Kind(), Payload: command.Payload()}
+		item = logstream.Item{Kind: command.Kind(), Payload: command.Payload()}
 	case len(p.open) == 0:
 		return
 	}
@@ -378,9 +378,9 @@
 	}
 
 	p.sequence++
-	data, err := journal.Batch{
+	data, err := logstream.Batch{
 		Writer: p.id, Incarnation: p.incarnation, WrittenMilli: p.written.UnixMilli(),
-		First: p.sequence, Items: []journal.Item{item},
+		First: p.sequence, Items: []logstream.Item{item},
 	}.Encode()
 	if err != nil {
 		m.t.Fatal(err)
@@ -433,9 +433,9 @@
 	m.catchUp(p)
 }
 
-func (m *model) readRecord(p *modelProcess, r platform.Record) {
+func (m *model) readRecord(p *modelProcess, r provider.Record) {
 	b, drop := p.filter.Accept(r)
-	if drop != journal.Kept {
+	if drop != logstream.Kept {
 		return
 	}
 
@@ -444,18 +444,18 @@
 	}
 
 	for i, item := range b.Items {
-		if item.Kind == journal.KindFence {
+		if item.Kind == logstream.KindFence {
 			continue
 		}
 
-		by := journal.Author{Writer: b.Writer, Incarnation: b.Incarnation, Sequence: b.First + journal.Sequence(i)}
-		at := journal.Place{Offset: r.Offset, Time: r.Time}
-		m.run(p, p.table.Read(m.now, journal.NewEntry(by, item.Kind, item.Payload, at)))
+		by := logstream.Author{Writer: b.Writer, Incarnation: b.Incarnation, Sequence: b.First + logstream.Sequence(i)}
+		at := logstream.Place{Offset: r.Offset, Time: r.Time}
+		m.run(p, p.table.Read(m.now, logstream.NewEntry(by, item.Kind, item.Payload, at)))
 	}
 }
 
 // resolve ends the open appends up to a sequence that was read back.
-func (m *model) resolve(p *modelProcess, sequence journal.Sequence) {
+func (m *model) resolve(p *modelProcess, sequence logstream.Sequence) {
 	var dead []Append
 
 	kept := p.open[:0]
--- a/claim/read.go
+++ b/claim/read.go
@@ -3,11 +3,11 @@
 import (
 	"time"
 
-	"monsoonlever/journal"
+	"monsoonlever/logstream"
 )
 
 // Read takes one entry of the log, in the order of the log.
-func (t *Table) Read(now time.Time, e journal.Entry) []Command {
+func (t *Table) Read(now time.Time, e logstream.Entry) []Command {
 	if e.Time().After(t.logTime) {
 		t.logTime = e.Time()
 	}
@@ -81,7 +81,7 @@
 	}
 }
 
-func (t *Table) readClaim(now time.Time, e journal.Entry, who claimant) []Command {
+func (t *Table) readClaim(now time.Time, e logstream.Entry, who claimant) []Command {
 	var c claimRecord
 	if err := decode(e.Payload(), &c); err != nil {
 		t.badCount++
@@ -100,7 +100,7 @@
 }
 
 // readOwnClaim decides on an attempt whose claim is now in effect.
-func (t *Table) readOwnClaim(now time.Time, e journal.Entry, c claimRecord, valid bool, state *keyState) []Command {
+func (t *Table) readOwnClaim(now time.Time, e logstream.Entry, c claimRecord, valid bool, state *keyState) []Command {
 	a := t.attempts[c.Request]
 	if a == nil {
 		return t.voidStray(now, c, valid || state.uncertain)
@@ -180,7 +180,7 @@
 	return append(commands, t.void(now, a)...)
 }
 
-func (t *Table) readOutcome(e journal.Entry, who claimant) []Command {
+func (t *Table) readOutcome(e logstream.Entry, who claimant) []Command {
 	var o outcomeRecord
 	if err := decode(e.Payload(), &o); err != nil {
 		t.badCount++
@@ -219,7 +219,7 @@
 	return commands
 }
 
-func (t *Table) readVoid(now time.Time, e journal.Entry, who claimant) []Command {
+func (t *Table) readVoid(now time.Time, e logstream.Entry, who claimant) []Command {
 	var v voidRecord
 	if err := decode(e.Payload(), &v); err != nil {
 		t.badCount++
--- a/claim/record.go
+++ b/claim/record.go
@@ -4,14 +4,14 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/vmihailenco/msgpack/v5"
 
-	"monsoonlever/journal"
+	"monsoonlever/logstream"
 )
 
 // The kinds of this package's records.
 const (
-	KindClaim   = journal.KindFirst
-	KindOutcome = journal.KindFirst + 1
-	KindVoid    = journal.KindFirst + 2
+	KindClaim   = logstream.KindFirst
+	KindOutcome = logstream.KindFirst + 1
+	KindVoid    = logstream.KindFirst + 2
 )
 
 // claimRecord claims a key for its writer.
--- a/claim/table.go
+++ b/claim/table.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"monsoonlever/fleet"
-	"monsoonlever/journal"
+	"monsoonlever/logstream"
 )
 
 // Table decides what becomes of the requests of one entry instance that may
@@ -243,6 +243,6 @@
 }
 
 // appendOf returns the command to append a record of an attempt.
-func appendOf(kind journal.Kind, id RequestID, record any) Command {
+func appendOf(kind logstream.Kind, id RequestID, record any) Command {
 	return Append{kind: kind, request: id, payload: encode(record)}
 }
--- a/claim/table_test.go
+++ b/claim/table_test.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"monsoonlever/fleet"
-	"monsoonlever/journal"
-	"monsoonlever/platform"
+	"monsoonlever/logstream"
+	"monsoonlever/provider"
 )
 
 var testStart = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -16,7 +16,7 @@
 	t      *testing.T
 	table  *Table
 	now    time.Time
-	offset platform.Offset
+	offset provider.Offset
 }
 
 func newBench(t *testing.T, since time.Time) *bench {
@@ -30,12 +30,12 @@
 }
 
 // read gives the table a record of a writer at the present time.
-func (b *bench) read(writer fleet.InstanceID, kind journal.Kind, payload []byte) []Command {
+func (b *bench) read(writer fleet.InstanceID, kind logstream.Kind, payload []byte) []Command {
 	b.offset++
-	by := journal.Author{Writer: writer, Incarnation: 1, Sequence: journal.Sequence(b.offset)}
-	at := journal.Place{Offset: b.offset, Time: b.now}
+	by := logstream.Author{Writer: writer, Incarnation: 1, Sequence: logstream.Sequence(b.offset)}
+	at := logstream.Place{Offset: b.offset, Time: b.now}
 
-	return b.table.Read(b.now, journal.NewEntry(by, kind, payload, at))
+	return b.table.Read(b.now, logstream.NewEntry(by, kind, payload, at))
 }
 
 // readOwn gives the table back what it appended.
--- a/cmd/current.go
+++ b/cmd/current.go
@@ -9,7 +9,7 @@
 	"github.com/sourcegraph/conc"
 
 	"monsoonlever/clock"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 	"monsoonlever/publication"
 )
 
@@ -28,7 +28,7 @@
 
 // Current is the JSON form of the manifest in force. Version 0 stands for none.
 type Current struct {
-	Version  platform.Offset `json:"version"`
+	Version  provider.Offset `json:"version"`
 	ID       string          `json:"id,omitempty"`
 	Operator string          `json:"operator,omitempty"`
 	Manifest string          `json:"manifest,omitempty"`
--- a/cmd/load.go
+++ b/cmd/load.go
@@ -14,7 +14,7 @@
 	"monsoonlever/clock"
 	"monsoonlever/fleet"
 	"monsoonlever/load"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 	"monsoonlever/standin"
 )
 
@@ -204,6 +204,6 @@
 	return w
 }
 
-func listingsOf(ctx context.Context, url string) ([]platform.Listing, error) {
-	return platform.NewHTTPList(url, http.DefaultClient).Listings(ctx)
+func listingsOf(ctx context.Context, url string) ([]provider.Listing, error) {
+	return provider.NewHTTPList(url, http.DefaultClient).Listings(ctx)
 }
--- a/cmd/logflags.go
+++ b/cmd/logflags.go
@@ -5,7 +5,7 @@
 	"net/http"
 
 	"monsoonlever/clock"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 	"monsoonlever/publication"
 )
 
@@ -15,11 +15,11 @@
 	Deployment string `required:"" placeholder:"NAME" env:"MONSOONLEVER_DEPLOYMENT" help:"Name of the deployment, as in the settings of its instances."`
 }
 
-func (f logFlags) port() platform.Log {
-	return platform.NewHTTPLog(f.Log, &http.Client{})
+func (f logFlags) port() provider.Log {
+	return provider.NewHTTPLog(f.Log, &http.Client{})
 }
 
-func (f logFlags) stream() platform.Stream {
+func (f logFlags) stream() provider.Stream {
 	return publication.StreamOf(f.Deployment)
 }
 
--- a/cmd/publish.go
+++ b/cmd/publish.go
@@ -13,7 +13,7 @@
 
 	"monsoonlever/clock"
 	"monsoonlever/manifest"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 	"monsoonlever/publication"
 )
 
@@ -34,7 +34,7 @@
 
 // PublishResult is the JSON form of a publication.
 type PublishResult struct {
-	Version platform.Offset `json:"version"`
+	Version provider.Offset `json:"version"`
 	ID      string          `json:"id"`
 	// Behind names the instances that don't have the manifest in force.
 	Behind []string `json:"behind,omitempty"`
@@ -51,7 +51,7 @@
 	defer cancel()
 
 	receipt, err := p.publisher().Publish(ctx, publication.Request{
-		Base: platform.Offset(p.DerivedFrom), File: p.File, Data: data, Operator: p.operator(),
+		Base: provider.Offset(p.DerivedFrom), File: p.File, Data: data, Operator: p.operator(),
 	})
 	if err != nil {
 		printConflict(c, err)
@@ -93,7 +93,7 @@
 
 // waitFor returns the instances that do not have a version in force when all
 // have it or ctx ends.
-func (p *publishCommand) waitFor(ctx context.Context, version platform.Offset) []string {
+func (p *publishCommand) waitFor(ctx context.Context, version provider.Offset) []string {
 	for {
 		var behind []string
 
--- a/controller/act_test.go
+++ b/controller/act_test.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"monsoonlever/fleet"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 	"monsoonlever/standin"
 )
 
@@ -110,9 +110,9 @@
 		r := newMarket(t)
 
 		for i := range minRunners + minPlain {
-			instance := platform.Instance{
+			instance := provider.Instance{
 				ID: fleet.InstanceID("given-" + string(rune('a'+i))), Class: "gpu-large",
-				Domain: domains[i%len(domains)], Market: platform.OnDemand,
+				Domain: domains[i%len(domains)], Market: provider.OnDemand,
 			}
 			if i >= minRunners {
 				instance.Class = "cpu-medium"
--- a/controller/checkpoint.go
+++ b/controller/checkpoint.go
@@ -5,13 +5,13 @@
 
 	"monsoonlever/lease"
 	"monsoonlever/placement"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 )
 
 // Checkpoint is the state of a role after the entry at an offset. The holder
 // writes it, so that an instance can start from the retained part of the log.
 type Checkpoint struct {
-	AsOf     platform.Offset    `msgpack:"asOf"`
+	AsOf     provider.Offset    `msgpack:"asOf"`
 	AsOfTime time.Time          `msgpack:"asOfTime"`
 	Lease    lease.Snapshot     `msgpack:"lease"`
 	Intents  placement.Snapshot `msgpack:"intents"`
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -36,11 +36,11 @@
 
 	"monsoonlever/clock"
 	"monsoonlever/fleet"
-	"monsoonlever/journal"
+	"monsoonlever/logstream"
 	"monsoonlever/lease"
 	"monsoonlever/manifest"
 	"monsoonlever/placement"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 )
 
 const (
@@ -63,8 +63,8 @@
 	Region      fleet.Region
 	// Deployment names the stream: the deployment's name and ".control".
 	Deployment string
-	Log        platform.Log
-	Cloud      platform.Cloud
+	Log        provider.Log
+	Cloud      provider.Cloud
 	Clock      clock.Clock
 	// AppendsPerSecond is this instance's share; zero is the default.
 	AppendsPerSecond float64
@@ -88,9 +88,9 @@
 
 	mu         sync.Mutex
 	core       *lease.Core
-	journal    *journal.Client
+	journal    *logstream.Client
 	history    history
-	leaseSent  *journal.Ticket
+	leaseSent  *logstream.Ticket
 	seenAt     time.Time
 	reconciler *placement.Reconciler
 	planner    *planner
@@ -120,10 +120,10 @@
 	c.planner = newPlanner()
 	c.reconciler = placement.NewReconciler(c.owner())
 	c.reconciler.Refusals = c.planner.refusals
-	c.journal = &journal.Client{
+	c.journal = &logstream.Client{
 		Log: c.Log, Clock: c.Clock, Stream: StreamOf(c.Deployment), Writer: c.Instance, Incarnation: c.Incarnation,
 		AppendsPerSecond: cmp.Or(c.AppendsPerSecond, DefaultAppendsPerSecond),
-		Subscribers:      []journal.Subscriber{c},
+		Subscribers:      []logstream.Subscriber{c},
 	}
 
 	return nil
@@ -135,8 +135,8 @@
 }
 
 // StreamOf returns the stream on which the controllers of a deployment write.
-func StreamOf(deployment string) platform.Stream {
-	return platform.Stream(deployment + ".control")
+func StreamOf(deployment string) provider.Stream {
+	return provider.Stream(deployment + ".control")
 }
 
 // owner is the prefix of the purchase tokens. The stream keeps it apart for
@@ -179,7 +179,7 @@
 func (c *Controller) release() {
 	c.mu.Lock()
 
-	var ticket *journal.Ticket
+	var ticket *logstream.Ticket
 	for _, command := range c.core.Release(c.Clock.Now()) {
 		ticket = c.append(kindLease, command.Record)
 	}
@@ -266,7 +266,7 @@
 	}
 }
 
-func isDone(t *journal.Ticket) bool {
+func isDone(t *logstream.Ticket) bool {
 	select {
 	case <-t.Done():
 		return true
--- a/controller/cost.go
+++ b/controller/cost.go
@@ -6,7 +6,7 @@
 	"monsoonlever/fleet"
 	"monsoonlever/manifest"
 	"monsoonlever/placement"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 )
 
 // Costs counts what was spent on a service.
@@ -58,7 +58,7 @@
 
 // serviceOf returns the service that an instance works for: as the instance list
 // says, or as it was bought.
-func (c *Controller) serviceOf(v view, instance platform.Instance) (fleet.Service, bool) {
+func (c *Controller) serviceOf(v view, instance provider.Instance) (fleet.Service, bool) {
 	if s, ok := v.server(instance.ID); ok {
 		return s.Service, true
 	}
@@ -68,7 +68,7 @@
 	return intent.Service, ok
 }
 
-func (c *Controller) intentOf(instance platform.Instance) (placement.Intent, bool) {
+func (c *Controller) intentOf(instance provider.Instance) (placement.Intent, bool) {
 	token, ok := placement.ParseToken(c.owner(), instance.Token)
 	if !ok {
 		return placement.Intent{}, false
@@ -83,7 +83,7 @@
 	return placement.Intent{}, false
 }
 
-func cellOf(i platform.Instance) placement.Cell {
+func cellOf(i provider.Instance) placement.Cell {
 	return placement.Cell{Domain: i.Domain, Class: i.Class, Market: i.Market}
 }
 
@@ -93,7 +93,7 @@
 
 	for name, domain := range domainsOf(m, region) {
 		for _, class := range domain.Classes() {
-			for _, market := range []platform.Market{platform.Reclaimable, platform.OnDemand} {
+			for _, market := range []provider.Market{provider.Reclaimable, provider.OnDemand} {
 				cell := placement.Cell{Domain: name, Class: class.Name(), Market: market}
 				prices[cell] = class.PricePerHour(market)
 			}
--- a/controller/history.go
+++ b/controller/history.go
@@ -6,15 +6,15 @@
 	"github.com/vmihailenco/msgpack/v5"
 	"k8s.io/klog/v2"
 
-	"monsoonlever/journal"
+	"monsoonlever/logstream"
 	"monsoonlever/lease"
 	"monsoonlever/placement"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 )
 
 // The kinds of the entries on the stream.
 const (
-	kindLease = journal.KindFirst + iota
+	kindLease = logstream.KindFirst + iota
 	kindIntent
 	kindCheckpoint
 )
@@ -25,17 +25,17 @@
 	// are kept, because they come after the checkpoint that is waited for.
 	complete bool
 	since    time.Time
-	kept     []journal.Entry
+	kept     []logstream.Entry
 	// asOf and asOfTime are the place of the last entry that was read.
-	asOf     platform.Offset
+	asOf     provider.Offset
 	asOfTime time.Time
 	// checkpointed is when a checkpoint of the role was last read.
 	checkpointed time.Time
 }
 
-var _ journal.Subscriber = (*Controller)(nil)
+var _ logstream.Subscriber = (*Controller)(nil)
 
-// Horizon implements journal.Subscriber. What is older than since is not known,
+// Horizon implements logstream.Subscriber. What is older than since is not known,
 // and a checkpoint is waited for.
 func (c *Controller) Horizon(since time.Time) {
 	c.mu.Lock()
@@ -50,8 +50,8 @@
 	}
 }
 
-// Entries implements journal.Subscriber.
-func (c *Controller) Entries(entries []journal.Entry) {
+// Entries implements logstream.Subscriber.
+func (c *Controller) Entries(entries []logstream.Entry) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
@@ -73,7 +73,7 @@
 }
 
 // apply takes in one entry under a known state.
-func (c *Controller) apply(now time.Time, e journal.Entry) {
+func (c *Controller) apply(now time.Time, e logstream.Entry) {
 	switch e.Kind() { //nolint:exhaustive // fences are no entries
 	case kindLease:
 		var record lease.Record
@@ -94,7 +94,7 @@
 }
 
 // observe passes a record of the lease on, and a grant to the intents.
-func (c *Controller) observe(now time.Time, offset platform.Offset, record lease.Record) {
+func (c *Controller) observe(now time.Time, offset provider.Offset, record lease.Record) {
 	before := c.core.Snapshot()
 	c.core.Observe(now, offset, record)
 	after := c.core.Snapshot()
@@ -110,7 +110,7 @@
 }
 
 // restore starts from a checkpoint if every entry after it was kept.
-func (c *Controller) restore(now time.Time, e journal.Entry) {
+func (c *Controller) restore(now time.Time, e logstream.Entry) {
 	var checkpoint Checkpoint
 	if e.Kind() != kindCheckpoint || !c.decode(e, &checkpoint) {
 		return
@@ -138,7 +138,7 @@
 	}
 }
 
-func (c *Controller) decode(e journal.Entry, into any) bool {
+func (c *Controller) decode(e logstream.Entry, into any) bool {
 	err := msgpack.Unmarshal(e.Payload(), into)
 	if err != nil {
 		c.counters.undecodable.Inc()
@@ -148,7 +148,7 @@
 }
 
 // append encodes a message and queues it for the log.
-func (c *Controller) append(kind journal.Kind, message any) *journal.Ticket {
+func (c *Controller) append(kind logstream.Kind, message any) *logstream.Ticket {
 	payload, err := msgpack.Marshal(message)
 	if err != nil {
 		// The messages are plain structs of this module, which always encode.
--- a/controller/holding.go
+++ b/controller/holding.go
@@ -6,7 +6,7 @@
 	"monsoonlever/fleet"
 	"monsoonlever/lease"
 	"monsoonlever/placement"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 )
 
 // holding is what this instance knows as the holder of one grant.
@@ -30,7 +30,7 @@
 	asked       time.Time
 	outstanding bool
 	known       bool
-	instances   []platform.Instance
+	instances   []provider.Instance
 }
 
 func newHolding(fence lease.Fence) holding {
--- a/controller/holds_test.go
+++ b/controller/holds_test.go
@@ -10,7 +10,7 @@
 
 	"monsoonlever/controller"
 	"monsoonlever/fleet"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 	"monsoonlever/standin"
 )
 
@@ -63,8 +63,8 @@
 	t.Helper()
 
 	o := &ordeal{region: newMarket(t)}
-	o.cloud.Adopt(platform.Instance{ID: "given", Class: "gpu-large", Domain: domains[0], Market: platform.OnDemand})
-	o.boot(platform.Instance{ID: "given", Class: "gpu-large", Domain: domains[0]}, oldVersion)
+	o.cloud.Adopt(provider.Instance{ID: "given", Class: "gpu-large", Domain: domains[0], Market: provider.OnDemand})
+	o.boot(provider.Instance{ID: "given", Class: "gpu-large", Domain: domains[0]}, oldVersion)
 
 	for i := range 3 {
 		o.candidates = append(o.candidates, o.start(fleet.InstanceID(fmt.Sprintf("entry-%d", i)), acting(load)))
--- a/controller/lease_test.go
+++ b/controller/lease_test.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"monsoonlever/fleet"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 	"monsoonlever/standin"
 )
 
@@ -111,10 +111,10 @@
 		r.addEngines(true, 0, domains...)
 
 		for id, s := range r.servers {
-			r.cloud.Adopt(platform.Instance{ID: id, Class: "gpu-large", Domain: s.domain, Market: platform.Reclaimable})
+			r.cloud.Adopt(provider.Instance{ID: id, Class: "gpu-large", Domain: s.domain, Market: provider.Reclaimable})
 		}
 
-		r.cloud.Adopt(platform.Instance{ID: "entry-1", Class: "cpu-medium", Domain: domains[0], Market: platform.OnDemand})
+		r.cloud.Adopt(provider.Instance{ID: "entry-1", Class: "cpu-medium", Domain: domains[0], Market: provider.OnDemand})
 
 		all := []*candidate{r.start("entry-1"), r.start("entry-2"), r.start("entry-3")}
 		time.Sleep(15 * time.Minute)
--- a/controller/listing.go
+++ b/controller/listing.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"monsoonlever/lease"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 )
 
 // listEvery is the time between two listings where none is decided.
@@ -20,11 +20,11 @@
 
 	c.holding.listing.asked = now
 	c.holding.listing.outstanding = true
-	c.callList(ctx, c.holding.fence, func([]platform.Instance) {})
+	c.callList(ctx, c.holding.fence, func([]provider.Instance) {})
 }
 
 // callList lists the instances and tells then of them under the same grant.
-func (c *Controller) callList(ctx context.Context, fence lease.Fence, then func([]platform.Instance)) {
+func (c *Controller) callList(ctx context.Context, fence lease.Fence, then func([]provider.Instance)) {
 	c.calls.Go(func() {
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
--- a/controller/market_test.go
+++ b/controller/market_test.go
@@ -13,7 +13,7 @@
 	"monsoonlever/fleet"
 	"monsoonlever/manifest"
 	"monsoonlever/placement"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 	"monsoonlever/standin"
 )
 
@@ -41,17 +41,17 @@
 	t.Helper()
 
 	r := newRegion(t)
-	r.cloud.Start = func(i platform.Instance) (string, error) {
+	r.cloud.Start = func(i provider.Instance) (string, error) {
 		r.boot(i, "")
 
 		return string(i.ID), nil
 	}
-	r.cloud.OnNotice = func(instances []platform.Instance) {
+	r.cloud.OnNotice = func(instances []provider.Instance) {
 		for _, i := range instances {
 			r.Leave(i.ID, time.Time{})
 		}
 	}
-	r.cloud.OnEnd = func(instances []platform.Instance) {
+	r.cloud.OnEnd = func(instances []provider.Instance) {
 		r.mu.Lock()
 		defer r.mu.Unlock()
 
@@ -69,16 +69,16 @@
 
 // stock sets how many instances of each class and market a failure domain has.
 func (r *region) stock(domain fleet.FailureDomain, n int) {
-	for _, class := range []platform.Class{"gpu-large", "cpu-medium"} {
-		for _, market := range []platform.Market{platform.Reclaimable, platform.OnDemand} {
-			r.cloud.SetOffer(platform.Offer{Class: class, Domain: domain, Market: market, PricePerHour: 1}, n)
+	for _, class := range []provider.Class{"gpu-large", "cpu-medium"} {
+		for _, market := range []provider.Market{provider.Reclaimable, provider.OnDemand} {
+			r.cloud.SetOffer(provider.Offer{Class: class, Domain: domain, Market: market, PricePerHour: 1}, n)
 		}
 	}
 }
 
 // boot starts the server of an instance, by its class. An engine without a
 // version holds nothing.
-func (r *region) boot(i platform.Instance, version fleet.ModelVersion) {
+func (r *region) boot(i provider.Instance, version fleet.ModelVersion) {
 	if i.Class == "gpu-large" {
 		engine := standin.NewEngine(clock.System{})
 		weights := standin.NewWeights(clock.System{})
--- a/controller/purchases.go
+++ b/controller/purchases.go
@@ -8,7 +8,7 @@
 	"monsoonlever/fleet"
 	"monsoonlever/lease"
 	"monsoonlever/placement"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 )
 
 // act makes the plan true by purchases and releases. Without a plan under this
@@ -38,7 +38,7 @@
 	case placement.AppendCommand:
 		c.append(kindIntent, command.Record)
 	case placement.ListCommand:
-		c.callList(ctx, c.holding.fence, func(instances []platform.Instance) {
+		c.callList(ctx, c.holding.fence, func(instances []provider.Instance) {
 			c.reconciler.Listed(command.Number, instances)
 		})
 	case placement.BuyCommand:
@@ -56,7 +56,7 @@
 	c.calls.Go(func() {
 		outcome := placement.OutcomeUnknown
 
-		var instance platform.Instance
+		var instance provider.Instance
 		if c.mayCall(fence) {
 			instance, outcome = c.purchase(ctx, command.Purchase)
 		}
@@ -78,7 +78,7 @@
 	})
 }
 
-func (c *Controller) purchase(ctx context.Context, p platform.Purchase) (platform.Instance, placement.Outcome) {
+func (c *Controller) purchase(ctx context.Context, p provider.Purchase) (provider.Instance, placement.Outcome) {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 
@@ -89,7 +89,7 @@
 		c.counters.bought.Inc()
 
 		return instance, placement.OutcomeBought
-	case errors.Is(err, platform.ErrNoCapacity):
+	case errors.Is(err, provider.ErrNoCapacity):
 		c.counters.refused.Inc()
 
 		return instance, placement.OutcomeRefused
--- a/controller/services.go
+++ b/controller/services.go
@@ -8,7 +8,7 @@
 	"monsoonlever/fleet"
 	"monsoonlever/manifest"
 	"monsoonlever/placement"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 )
 
 const (
@@ -22,7 +22,7 @@
 func serviceOf(m *manifest.Manifest, s manifest.Service) placement.Service {
 	out := placement.Service{
 		Name:      s.Name(),
-		Capacity:  make(map[platform.Class]placement.Load),
+		Capacity:  make(map[provider.Class]placement.Load),
 		Min:       s.Capacity().Min(),
 		Max:       s.Capacity().Max(),
 		StartTime: startTime,
@@ -108,18 +108,18 @@
 }
 
 // offersOf returns the manifest's prices as offers, by cell.
-func offersOf(m *manifest.Manifest, region fleet.Region) []platform.Offer {
-	var offers []platform.Offer
+func offersOf(m *manifest.Manifest, region fleet.Region) []provider.Offer {
+	var offers []provider.Offer
 
 	for cell, price := range pricesOf(m, region) {
 		if price > 0 {
-			offers = append(offers, platform.Offer{
+			offers = append(offers, provider.Offer{
 				Class: cell.Class, Domain: cell.Domain, Market: cell.Market, PricePerHour: price,
 			})
 		}
 	}
 
-	slices.SortFunc(offers, func(a, b platform.Offer) int {
+	slices.SortFunc(offers, func(a, b provider.Offer) int {
 		return cmp.Or(cmp.Compare(a.Domain, b.Domain), cmp.Compare(a.Class, b.Class), cmp.Compare(a.Market, b.Market))
 	})
 
--- a/controller/size_bench_test.go
+++ b/controller/size_bench_test.go
@@ -9,7 +9,7 @@
 
 	"monsoonlever/lease"
 	"monsoonlever/placement"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 )
 
 var sizeStart = time.Date(2026, time.December, 1, 8, 0, 0, 0, time.UTC)
@@ -18,7 +18,7 @@
 // the journal's own bytes.
 func BenchmarkRecordSize(b *testing.B) {
 	holder := lease.Holder{Instance: "entry-410", Incarnation: 1_764_576_000_000_000_000}
-	cell := placement.Cell{Domain: "ballerup-a", Class: "gpu-large", Market: platform.Reclaimable}
+	cell := placement.Cell{Domain: "ballerup-a", Class: "gpu-large", Market: provider.Reclaimable}
 
 	reportSize(b, "lease", lease.Record{
 		Kind: lease.Renew, Role: "control/dk-east", Holder: holder, Sequence: 100_000, Previous: 3_000_000,
--- a/costing/cheapest.go
+++ b/costing/cheapest.go
@@ -2,7 +2,7 @@
 
 import (
 	"monsoonlever/placement"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 )
 
 // plainHeadroom is what the plain baselines add to the measured load.
@@ -42,8 +42,8 @@
 }
 
 // cheapestOffer returns the offer with the least price for its capacity.
-func cheapestOffer(v View, filter offerFilter) (platform.Offer, bool) {
-	var best platform.Offer
+func cheapestOffer(v View, filter offerFilter) (provider.Offer, bool) {
+	var best provider.Offer
 
 	found := false
 
@@ -60,10 +60,10 @@
 	return best, found
 }
 
-func unitPrice(v View, o platform.Offer) float64 {
+func unitPrice(v View, o provider.Offer) float64 {
 	return o.PricePerHour / v.Day.Service.Capacity[o.Class].TokensPerSecond
 }
 
-func cellOf(o platform.Offer) placement.Cell {
+func cellOf(o provider.Offer) placement.Cell {
 	return placement.Cell{Domain: o.Domain, Class: o.Class, Market: o.Market}
 }
--- a/costing/deployment.go
+++ b/costing/deployment.go
@@ -5,7 +5,7 @@
 
 	"monsoonlever/fleet"
 	"monsoonlever/placement"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 )
 
 // Deployment is a set of services in the failure domains of one region.
@@ -30,7 +30,7 @@
 
 // ClassPrice is the price of an on-demand instance by the hour.
 type ClassPrice struct {
-	Class platform.Class
+	Class provider.Class
 	Price float64
 }
 
@@ -69,7 +69,7 @@
 	return ServiceLoad{
 		Service: placement.Service{
 			Name: name,
-			Capacity: map[platform.Class]placement.Load{
+			Capacity: map[provider.Class]placement.Load{
 				"accel-1": {TokensPerSecond: 1000},
 				"accel-2": {TokensPerSecond: 2000},
 			},
@@ -90,7 +90,7 @@
 	return ServiceLoad{
 		Service: placement.Service{
 			Name: name,
-			Capacity: map[platform.Class]placement.Load{
+			Capacity: map[provider.Class]placement.Load{
 				"cpu-4": {TokensPerSecond: 350},
 				"cpu-8": {TokensPerSecond: 700},
 			},
--- a/costing/evaluate.go
+++ b/costing/evaluate.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"monsoonlever/placement"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 )
 
 // loadsPerMinute is how many runners the weight store fills in a minute.
@@ -272,5 +272,5 @@
 }
 
 func (i *instance) reclaimable() bool {
-	return i.cell.Market == platform.Reclaimable
+	return i.cell.Market == provider.Reclaimable
 }
--- a/costing/evenspread.go
+++ b/costing/evenspread.go
@@ -3,7 +3,7 @@
 import (
 	"monsoonlever/fleet"
 	"monsoonlever/placement"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 )
 
 // EvenSpread holds the measured load with some headroom in equal parts in every
@@ -24,11 +24,11 @@
 func (EvenSpread) Plan(v View) placement.Decision {
 	var (
 		d      placement.Decision
-		offers []platform.Offer
+		offers []provider.Offer
 	)
 
 	for _, domain := range domainsOf(v.Offers) {
-		offer, ok := cheapestOffer(v, func(o platform.Offer) bool {
+		offer, ok := cheapestOffer(v, func(o provider.Offer) bool {
 			return o.Domain == domain && reclaimableOffer(o)
 		})
 		if ok {
@@ -50,7 +50,7 @@
 	return d
 }
 
-func domainsOf(offers []platform.Offer) []fleet.FailureDomain {
+func domainsOf(offers []provider.Offer) []fleet.FailureDomain {
 	var domains []fleet.FailureDomain
 
 	seen := make(map[fleet.FailureDomain]bool)
--- a/costing/filter.go
+++ b/costing/filter.go
@@ -1,18 +1,18 @@
 package costing
 
-import "monsoonlever/platform"
+import "monsoonlever/provider"
 
 // offerFilter picks offers.
-type offerFilter func(platform.Offer) bool
+type offerFilter func(provider.Offer) bool
 
-func anyOffer(platform.Offer) bool { return true }
+func anyOffer(provider.Offer) bool { return true }
 
-func onDemandOffer(o platform.Offer) bool { return o.Market == platform.OnDemand }
+func onDemandOffer(o provider.Offer) bool { return o.Market == provider.OnDemand }
 
-func reclaimableOffer(o platform.Offer) bool { return o.Market == platform.Reclaimable }
+func reclaimableOffer(o provider.Offer) bool { return o.Market == provider.Reclaimable }
 
-func (f offerFilter) apply(offers []platform.Offer) []platform.Offer {
-	var result []platform.Offer
+func (f offerFilter) apply(offers []provider.Offer) []provider.Offer {
+	var result []provider.Offer
 
 	for _, o := range offers {
 		if f(o) {
--- a/costing/market.go
+++ b/costing/market.go
@@ -5,12 +5,12 @@
 
 	"monsoonlever/fleet"
 	"monsoonlever/placement"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 )
 
 // Market holds the prices, reclaims and refusals of every minute.
 type Market struct {
-	offers [Minutes][]platform.Offer
+	offers [Minutes][]provider.Offer
 	// struck holds the failure domains that lose their reclaimable instances.
 	struck [Minutes][]fleet.FailureDomain
 	// refusedUntil is the minute up to which purchases in a cell are refused,
@@ -20,7 +20,7 @@
 
 type refusal struct {
 	domain fleet.FailureDomain
-	market platform.Market
+	market provider.Market
 	from   int
 	until  int
 }
@@ -58,8 +58,8 @@
 				}
 
 				m.offers[minute] = append(m.offers[minute],
-					platform.Offer{Class: class.Class, Domain: domain, Market: platform.Reclaimable, PricePerHour: share * class.Price},
-					platform.Offer{Class: class.Class, Domain: domain, Market: platform.OnDemand, PricePerHour: onDemand})
+					provider.Offer{Class: class.Class, Domain: domain, Market: provider.Reclaimable, PricePerHour: share * class.Price},
+					provider.Offer{Class: class.Class, Domain: domain, Market: provider.OnDemand, PricePerHour: onDemand})
 			}
 		}
 	}
@@ -76,10 +76,10 @@
 		for i := range length {
 			domain := domains[(first+i)%len(domains)]
 			m.struck[minute] = append(m.struck[minute], domain)
-			m.refuse(domain, platform.Reclaimable, minute)
+			m.refuse(domain, provider.Reclaimable, minute)
 
 			if random.IntN(shareOfOnDemand) == 0 {
-				m.refuse(domain, platform.OnDemand, minute)
+				m.refuse(domain, provider.OnDemand, minute)
 			}
 
 			minute += waveGapMinutes + random.IntN(waveGapSpread)
@@ -87,7 +87,7 @@
 	}
 }
 
-func (m *Market) refuse(domain fleet.FailureDomain, market platform.Market, minute int) {
+func (m *Market) refuse(domain fleet.FailureDomain, market provider.Market, minute int) {
 	m.refusals = append(m.refusals, refusal{domain: domain, market: market, from: minute, until: minute + refusalMinutes})
 }
 
--- a/costing/planner.go
+++ b/costing/planner.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"monsoonlever/placement"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 )
 
 // View is what a planner sees at one minute.
@@ -14,7 +14,7 @@
 	Day      *ServiceDay
 	Load     placement.Load
 	Have     map[placement.Cell]int
-	Offers   []platform.Offer
+	Offers   []provider.Offer
 	Refusals *placement.Memory
 	Reclaims *placement.Memory
 }
--- a/daemon/build_control.go
+++ b/daemon/build_control.go
@@ -8,8 +8,8 @@
 	"monsoonlever/burn"
 	"monsoonlever/claim"
 	"monsoonlever/dispatch"
-	"monsoonlever/journal"
-	"monsoonlever/platform"
+	"monsoonlever/logstream"
+	"monsoonlever/provider"
 	"monsoonlever/publication"
 )
 
@@ -24,14 +24,14 @@
 
 // buildControl makes what follows the platform's log.
 func (p *parts) buildControl() {
-	log := platform.NewHTTPLog(p.settings.Platform.Log, newClient())
+	log := provider.NewHTTPLog(p.settings.Platform.Log, newClient())
 
 	p.follower = &publication.Follower{
 		Log: log, Stream: publication.StreamOf(p.settings.Deployment), Clock: p.clock,
 		Random: newRandom(), OnChange: p.configure,
 	}
 
-	client := &journal.Client{
+	client := &logstream.Client{
 		Log: log, Clock: p.clock, Stream: stream(p.settings.Deployment, "claims"),
 		Writer: p.settings.Instance, Incarnation: p.incarnation,
 		AppendsPerSecond: p.settings.AppendsPerSecond - p.controlShare(), Rand: newRandom(),
@@ -50,8 +50,8 @@
 }
 
 // stream names a stream of a deployment.
-func stream(deployment, name string) platform.Stream {
-	return platform.Stream(deployment + "." + name)
+func stream(deployment, name string) provider.Stream {
+	return provider.Stream(deployment + "." + name)
 }
 
 func newRandom() *rand.Rand {
--- a/daemon/build_peers.go
+++ b/daemon/build_peers.go
@@ -7,7 +7,7 @@
 	"monsoonlever/keys"
 	"monsoonlever/membership"
 	"monsoonlever/peer"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 )
 
 // buildPeers makes what joins this instance with the others.
@@ -53,6 +53,6 @@
 }
 
 // locateEntry returns the peer address of a listed entry instance.
-func (p *parts) locateEntry(l platform.Listing) (string, bool) {
+func (p *parts) locateEntry(l provider.Listing) (string, bool) {
 	return l.Address, l.Service == p.settings.EntryService
 }
--- a/daemon/build_servers.go
+++ b/daemon/build_servers.go
@@ -5,7 +5,7 @@
 	"monsoonlever/evacuation"
 	"monsoonlever/fleet"
 	"monsoonlever/manifest"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 	"monsoonlever/routing"
 )
 
@@ -21,8 +21,8 @@
 	}
 	p.watcher = &discovery.Watcher{
 		Clock: p.clock, Directory: p.directory, Table: p.table, Leaving: p.leaving,
-		List:    platform.NewHTTPList(p.settings.Platform.List, client),
-		Cloud:   platform.NewHTTPCloud(p.settings.Platform.Cloud, client),
+		List:    provider.NewHTTPList(p.settings.Platform.List, client),
+		Cloud:   provider.NewHTTPCloud(p.settings.Platform.Cloud, client),
 		InForce: func() bool { return p.manifest() != nil },
 		IsModel: func(service fleet.Service) (bool, bool) {
 			return isModel(p.manifest(), service)
--- a/daemon/claims.go
+++ b/daemon/claims.go
@@ -10,7 +10,7 @@
 	"monsoonlever/claim"
 	"monsoonlever/dispatch"
 	"monsoonlever/fleet"
-	"monsoonlever/journal"
+	"monsoonlever/logstream"
 	"monsoonlever/manifest"
 )
 
@@ -18,14 +18,14 @@
 // long keys are remembered and how long the log keeps a record.
 type claims struct {
 	keeper  *claim.Keeper
-	journal *journal.Client
+	journal *logstream.Client
 	once    sync.Once
 	begun   chan struct{}
 }
 
 var _ dispatch.Claims = (*claims)(nil)
 
-func newClaims(k *claim.Keeper, j *journal.Client) *claims {
+func newClaims(k *claim.Keeper, j *logstream.Client) *claims {
 	j.Subscribers = append(j.Subscribers, k)
 
 	return &claims{keeper: k, journal: j, begun: make(chan struct{})}
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -10,7 +10,7 @@
 	"monsoonlever/controller"
 	"monsoonlever/discovery"
 	"monsoonlever/fleet"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 	"monsoonlever/settings"
 )
 
@@ -32,8 +32,8 @@
 	p.controller = &controller.Controller{
 		Instance: p.settings.Instance, Incarnation: p.incarnation,
 		Region: p.settings.Region, Deployment: p.settings.Deployment,
-		Log:              platform.NewHTTPLog(p.settings.Platform.Log, newClient()),
-		Cloud:            platform.NewHTTPCloud(p.settings.Platform.Cloud, newClient()),
+		Log:              provider.NewHTTPLog(p.settings.Platform.Log, newClient()),
+		Cloud:            provider.NewHTTPCloud(p.settings.Platform.Cloud, newClient()),
 		Clock:            p.clock,
 		AppendsPerSecond: p.controlShare(),
 		Manifest:         p.manifest,
--- a/daemon/control_test.go
+++ b/daemon/control_test.go
@@ -15,7 +15,7 @@
 
 	"monsoonlever/clock"
 	"monsoonlever/keys"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 	"monsoonlever/publication"
 	"monsoonlever/refusal"
 	"monsoonlever/settings"
@@ -26,7 +26,7 @@
 const publishWithin = 5 * time.Second
 
 // publishWeight publishes the example with another weight of its first account.
-func (d *deployment) publishWeight(base platform.Offset, weight int, seed uint64) (publication.Receipt, error) {
+func (d *deployment) publishWeight(base provider.Offset, weight int, seed uint64) (publication.Receipt, error) {
 	data, err := os.ReadFile("../examples/kronvig.manifest.jsonc")
 	if err != nil {
 		return publication.Receipt{}, err
@@ -51,7 +51,7 @@
 
 // waitInForce waits until every instance has a version in force and returns how
 // long that took.
-func (d *deployment) waitInForce(entries []*entry, version platform.Offset) time.Duration {
+func (d *deployment) waitInForce(entries []*entry, version provider.Offset) time.Duration {
 	d.t.Helper()
 
 	begun := time.Now()
--- a/daemon/deployment_test.go
+++ b/daemon/deployment_test.go
@@ -16,7 +16,7 @@
 	"monsoonlever/clock"
 	"monsoonlever/fleet"
 	"monsoonlever/keys"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 	"monsoonlever/publication"
 	"monsoonlever/settings"
 	"monsoonlever/standin"
@@ -161,9 +161,9 @@
 }
 
 func (d *deployment) register(id string, service fleet.Service, domain fleet.FailureDomain, address string) {
-	d.platform.Register(standin.Registration{Listing: platform.Listing{
-		ID: fleet.InstanceID(id), Service: service, Address: address, Domain: domain, State: platform.Live,
-	}, Market: platform.Reclaimable})
+	d.platform.Register(standin.Registration{Listing: provider.Listing{
+		ID: fleet.InstanceID(id), Service: service, Address: address, Domain: domain, State: provider.Live,
+	}, Market: provider.Reclaimable})
 }
 
 func (d *deployment) writeSettings(entries int) {
@@ -198,7 +198,7 @@
 	}
 }
 
-func (d *deployment) publish() platform.Offset {
+func (d *deployment) publish() provider.Offset {
 	data, err := os.ReadFile("../examples/kronvig.manifest.jsonc")
 	if err != nil {
 		d.t.Fatal(err)
--- a/daemon/exports.go
+++ b/daemon/exports.go
@@ -8,7 +8,7 @@
 	"monsoonlever/evacuation"
 	"monsoonlever/fleet"
 	"monsoonlever/manifest"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 	"monsoonlever/routing"
 )
 
@@ -111,7 +111,7 @@
 func dearest(d manifest.FailureDomain) float64 {
 	price := 0.0
 	for _, class := range d.Classes() {
-		price = max(price, class.PricePerHour(platform.Reclaimable))
+		price = max(price, class.PricePerHour(provider.Reclaimable))
 	}
 
 	return price
--- a/daemon/kept_test.go
+++ b/daemon/kept_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/sourcegraph/conc"
 
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 	"monsoonlever/standin"
 )
 
@@ -126,8 +126,8 @@
 
 	d := newSlowDeployment(t, 3, 30*time.Millisecond)
 	leaving := d.entries[0]
-	d.platform.Cloud.Adopt(platform.Instance{
-		ID: leaving.id, Domain: "the entry instance alone", Market: platform.Reclaimable,
+	d.platform.Cloud.Adopt(provider.Instance{
+		ID: leaving.id, Domain: "the entry instance alone", Market: provider.Reclaimable,
 	})
 
 	running := d.run(12, d.entries[:1], d.entries[1:])
--- a/daemon/peer_messages.go
+++ b/daemon/peer_messages.go
@@ -7,7 +7,7 @@
 
 	"monsoonlever/fleet"
 	"monsoonlever/peer"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 )
 
 // The kinds of messages between daemons; those below belong to membership.
@@ -40,7 +40,7 @@
 // Payload is what an instance says of itself to all others.
 type Payload struct {
 	// Manifest is the version in force.
-	Manifest platform.Offset `msgpack:"m"`
+	Manifest provider.Offset `msgpack:"m"`
 	// Operators is where operators reach the instance.
 	Operators string `msgpack:"o"`
 }
--- a/daemon/status.go
+++ b/daemon/status.go
@@ -5,7 +5,7 @@
 
 	"monsoonlever/controller"
 	"monsoonlever/fleet"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 )
 
 // Status is what an instance says of itself to operators.
@@ -31,13 +31,13 @@
 	State  string              `json:"state"`
 	Phase  string              `json:"phase"`
 	// Manifest is the version that the other says it has in force.
-	Manifest  platform.Offset `json:"manifest"`
+	Manifest  provider.Offset `json:"manifest"`
 	Operators string          `json:"operators"`
 }
 
 // ManifestStatus tells which manifest is in force on an instance.
 type ManifestStatus struct {
-	Version  platform.Offset `json:"version"`
+	Version  provider.Offset `json:"version"`
 	Name     string          `json:"name,omitempty"`
 	ID       string          `json:"id,omitempty"`
 	Operator string          `json:"operator,omitempty"`
--- a/discovery/directory.go
+++ b/discovery/directory.go
@@ -6,7 +6,7 @@
 
 	"monsoonlever/backend"
 	"monsoonlever/fleet"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 )
 
 // Clients makes the client of a backend server at an address.
@@ -71,7 +71,7 @@
 
 // update makes the directory hold exactly the listed instances. A server whose
 // address stays keeps its client.
-func (d *Directory) update(listings []platform.Listing) {
+func (d *Directory) update(listings []provider.Listing) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 
--- a/discovery/engine_test.go
+++ b/discovery/engine_test.go
@@ -13,13 +13,13 @@
 	"monsoonlever/backend"
 	"monsoonlever/clock"
 	"monsoonlever/fleet"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 	"monsoonlever/routing"
 )
 
 // fakeEngine is the platform and one engine, and counts what it is asked.
 type fakeEngine struct {
-	platform.Cloud
+	provider.Cloud
 	backend.Engine
 
 	mu       sync.Mutex
@@ -30,15 +30,15 @@
 	events   int
 }
 
-func (f *fakeEngine) Listings(context.Context) ([]platform.Listing, error) {
+func (f *fakeEngine) Listings(context.Context) ([]provider.Listing, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.listings++
 
-	return []platform.Listing{{ID: testServer, Service: "ledger-llm", Address: "10.0.0.1:80", State: platform.Live}}, nil
+	return []provider.Listing{{ID: testServer, Service: "ledger-llm", Address: "10.0.0.1:80", State: provider.Live}}, nil
 }
 
-func (f *fakeEngine) Notices(context.Context, uint64) ([]platform.Notice, error) {
+func (f *fakeEngine) Notices(context.Context, uint64) ([]provider.Notice, error) {
 	return nil, nil
 }
 
--- a/discovery/server.go
+++ b/discovery/server.go
@@ -6,12 +6,12 @@
 
 	"monsoonlever/backend"
 	"monsoonlever/fleet"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 )
 
 // Server is one backend server with a client for it.
 type Server struct {
-	listing platform.Listing
+	listing provider.Listing
 	engine  backend.Engine
 	plain   backend.PlainServer
 	// cacheSequence is the last cache event that was read.
--- a/discovery/watcher.go
+++ b/discovery/watcher.go
@@ -16,7 +16,7 @@
 	"monsoonlever/answer"
 	"monsoonlever/clock"
 	"monsoonlever/fleet"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 	"monsoonlever/routing"
 )
 
@@ -36,8 +36,8 @@
 // are set before Run; a zero duration stands for its default.
 type Watcher struct {
 	Clock     clock.Clock
-	List      platform.List
-	Cloud     platform.Cloud
+	List      provider.List
+	Cloud     provider.Cloud
 	Directory *Directory
 	Table     *routing.Table
 	Leaving   *answer.Leaving
@@ -148,7 +148,7 @@
 		return
 	}
 
-	backends := make([]platform.Listing, 0, len(listings))
+	backends := make([]provider.Listing, 0, len(listings))
 
 	for _, l := range listings {
 		if _, known := w.IsModel(l.Service); known {
--- a/discovery/watcher_test.go
+++ b/discovery/watcher_test.go
@@ -15,7 +15,7 @@
 	"monsoonlever/backend"
 	"monsoonlever/clock"
 	"monsoonlever/fleet"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 	"monsoonlever/routing"
 )
 
@@ -25,13 +25,13 @@
 
 // fakeSources are the platform and one plain server.
 type fakeSources struct {
-	platform.Cloud
+	provider.Cloud
 	backend.PlainServer
 
 	mu      sync.Mutex
 	down    bool
 	leaving bool
-	notices []platform.Notice
+	notices []provider.Notice
 }
 
 func (f *fakeSources) set(change func()) {
@@ -40,7 +40,7 @@
 	change()
 }
 
-func (f *fakeSources) Listings(context.Context) ([]platform.Listing, error) {
+func (f *fakeSources) Listings(context.Context) ([]provider.Listing, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 
@@ -48,13 +48,13 @@
 		return nil, errDown
 	}
 
-	return []platform.Listing{
-		{ID: testServer, Service: "payrun-api", Address: "10.0.0.1:80", State: platform.Live},
-		{ID: "other", Service: "unheard-of", Address: "10.0.0.2:80", State: platform.Live},
+	return []provider.Listing{
+		{ID: testServer, Service: "payrun-api", Address: "10.0.0.1:80", State: provider.Live},
+		{ID: "other", Service: "unheard-of", Address: "10.0.0.2:80", State: provider.Live},
 	}, nil
 }
 
-func (f *fakeSources) Notices(_ context.Context, after uint64) ([]platform.Notice, error) {
+func (f *fakeSources) Notices(_ context.Context, after uint64) ([]provider.Notice, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 
@@ -62,7 +62,7 @@
 		return nil, errDown
 	}
 
-	var notices []platform.Notice
+	var notices []provider.Notice
 
 	for _, n := range f.notices {
 		if n.Sequence > after {
@@ -137,7 +137,7 @@
 		}
 
 		at := time.Now().Add(3 * time.Second)
-		f.set(func() { f.notices = append(f.notices, platform.Notice{Sequence: 1, Instance: testServer, At: at}) })
+		f.set(func() { f.notices = append(f.notices, provider.Notice{Sequence: 1, Instance: testServer, At: at}) })
 		time.Sleep(time.Second)
 
 		if got, _ := w.Leaving.At(testServer); !got.Equal(at) {
@@ -157,7 +157,7 @@
 
 func TestReclaimedServersAreForgotten(t *testing.T) {
 	watch(t, func(f *fakeSources, w *Watcher, _ *atomic.Int64) {
-		f.set(func() { f.notices = []platform.Notice{{Sequence: 1, Instance: "gone", At: time.Now()}} })
+		f.set(func() { f.notices = []provider.Notice{{Sequence: 1, Instance: "gone", At: time.Now()}} })
 		time.Sleep(time.Second)
 
 		if _, ok := w.Leaving.At("gone"); !ok {
--- a/dispatch/fixture_test.go
+++ b/dispatch/fixture_test.go
@@ -19,7 +19,7 @@
 	"monsoonlever/fleet"
 	"monsoonlever/gateway"
 	"monsoonlever/manifest"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 	"monsoonlever/retry"
 	"monsoonlever/routing"
 )
@@ -47,7 +47,7 @@
 
 // fakeFleet lists backend servers and makes their clients.
 type fakeFleet struct {
-	platform.Cloud
+	provider.Cloud
 	do func(ctx context.Context, n int) (backend.Reply, error)
 
 	mu    sync.Mutex
@@ -56,14 +56,14 @@
 
 func (f *fakeFleet) Engine(string) backend.Engine                               { return nil }
 func (f *fakeFleet) Plain(string) backend.PlainServer                           { return fakeServer{fleet: f} }
-func (f *fakeFleet) Notices(context.Context, uint64) ([]platform.Notice, error) { return nil, nil }
+func (f *fakeFleet) Notices(context.Context, uint64) ([]provider.Notice, error) { return nil, nil }
 
-func (f *fakeFleet) Listings(context.Context) ([]platform.Listing, error) {
-	listings := make([]platform.Listing, 0, 4)
+func (f *fakeFleet) Listings(context.Context) ([]provider.Listing, error) {
+	listings := make([]provider.Listing, 0, 4)
 	for i := range 4 {
-		listings = append(listings, platform.Listing{
+		listings = append(listings, provider.Listing{
 			ID: fleet.InstanceID("server-" + strconv.Itoa(i)), Service: testService,
-			Address: "10.0.0." + strconv.Itoa(i), Domain: "ballerup-a", State: platform.Live,
+			Address: "10.0.0." + strconv.Itoa(i), Domain: "ballerup-a", State: provider.Live,
 		})
 	}
 
--- a/dispatch/whole_bench_test.go
+++ b/dispatch/whole_bench_test.go
@@ -19,7 +19,7 @@
 	"monsoonlever/fleet"
 	"monsoonlever/gateway"
 	"monsoonlever/manifest"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 	"monsoonlever/routing"
 	"monsoonlever/standin"
 )
@@ -27,7 +27,7 @@
 // benchFleet lists one plain server that is reached over loopback. The third
 // reading of the list tells that the first two were taken in.
 type benchFleet struct {
-	platform.Cloud
+	provider.Cloud
 	address string
 	client  *http.Client
 	reads   int
@@ -40,15 +40,15 @@
 	return backend.NewHTTPPlainServer(address, f.client)
 }
 
-func (f *benchFleet) Notices(context.Context, uint64) ([]platform.Notice, error) { return nil, nil }
+func (f *benchFleet) Notices(context.Context, uint64) ([]provider.Notice, error) { return nil, nil }
 
-func (f *benchFleet) Listings(context.Context) ([]platform.Listing, error) {
+func (f *benchFleet) Listings(context.Context) ([]provider.Listing, error) {
 	f.reads++
 	if f.reads == 3 {
 		close(f.ready)
 	}
 
-	return []platform.Listing{{ID: "server-0", Service: testService, Address: f.address, State: platform.Live}}, nil
+	return []provider.Listing{{ID: "server-0", Service: testService, Address: f.address, State: provider.Live}}, nil
 }
 
 // newBenchGateway returns the path of a request, from the callers' interface to
--- a/lease/core.go
+++ b/lease/core.go
@@ -6,7 +6,7 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/cespare/xxhash/v2"
 
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 )
 
 // Core is the state machine of one process for one role.
@@ -60,7 +60,7 @@
 }
 
 // Observe takes in one record that was read from the log at now.
-func (c *Core) Observe(now time.Time, offset platform.Offset, r Record) {
+func (c *Core) Observe(now time.Time, offset provider.Offset, r Record) {
 	if !c.ledger.Apply(offset, r) {
 		if r.Holder == c.self && r.Role == c.role {
 			delete(c.pending, r.Sequence)
--- a/lease/core_test.go
+++ b/lease/core_test.go
@@ -7,7 +7,7 @@
 
 	"monsoonlever/fleet"
 	"monsoonlever/lease"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 )
 
 const role = lease.Role("controller/dk-east")
@@ -161,7 +161,7 @@
 		t.Fatal("snapshot was not taken")
 	}
 
-	for offset := platform.Offset(4); offset < 6; offset++ {
+	for offset := provider.Offset(4); offset < 6; offset++ {
 		r := lease.Record{Kind: lease.Renew, Role: role, Holder: holder("a"), Previous: 3}
 		if got, want := restored.Apply(offset, r), whole.Apply(offset, r); got != want {
 			t.Errorf("record at %d: got %v, want %v", offset, got, want)
--- a/lease/holds_test.go
+++ b/lease/holds_test.go
@@ -8,7 +8,7 @@
 
 	"monsoonlever/fleet"
 	"monsoonlever/lease"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 )
 
 // tick is the step of true time in the simulated deployment.
@@ -31,7 +31,7 @@
 }
 
 type entry struct {
-	offset platform.Offset
+	offset provider.Offset
 	record lease.Record
 }
 
@@ -107,7 +107,7 @@
 			continue
 		}
 
-		d.log = append(d.log, entry{offset: platform.Offset(len(d.log) + 1), record: f.record})
+		d.log = append(d.log, entry{offset: provider.Offset(len(d.log) + 1), record: f.record})
 	}
 
 	d.flying = kept
--- a/lease/ledger.go
+++ b/lease/ledger.go
@@ -1,6 +1,6 @@
 package lease
 
-import "monsoonlever/platform"
+import "monsoonlever/provider"
 
 // Ledger folds the records of one role into the grant that is in force. Every
 // process that reads the same records comes to the same grant.
@@ -14,7 +14,7 @@
 }
 
 // Apply judges one record and tells whether it is valid.
-func (l *Ledger) Apply(offset platform.Offset, r Record) bool {
+func (l *Ledger) Apply(offset provider.Offset, r Record) bool {
 	if r.Role != l.state.Role || r.Previous != l.state.Last || offset <= l.state.Last {
 		return false
 	}
--- a/lease/record.go
+++ b/lease/record.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 )
 
 // Record is the payload of one lease record on the log.
@@ -15,7 +15,7 @@
 	// new record with its own sequence.
 	Sequence uint64 `msgpack:"sequence"`
 	// Previous is the offset of the last valid record of the role, or 0.
-	Previous platform.Offset `msgpack:"previous"`
+	Previous provider.Offset `msgpack:"previous"`
 	// Term is how long the grant lasts, counted from before the append.
 	Term time.Duration `msgpack:"term"`
 }
--- a/lease/snapshot.go
+++ b/lease/snapshot.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 )
 
 // Snapshot is the state of one role as a checkpoint keeps it, so that a process
@@ -12,7 +12,7 @@
 	Role     Role            `msgpack:"role"`
 	Holder   Holder          `msgpack:"holder"`
 	Fence    Fence           `msgpack:"fence"`
-	Last     platform.Offset `msgpack:"last"`
+	Last     provider.Offset `msgpack:"last"`
 	Term     time.Duration   `msgpack:"term"`
 	Released bool            `msgpack:"released"`
 }
--- a/journal/client.go
+++ b/logstream/client.go
@@ -1,4 +1,4 @@
-package journal
+package logstream
 
 import (
 	"cmp"
@@ -13,7 +13,7 @@
 
 	"monsoonlever/clock"
 	"monsoonlever/fleet"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 )
 
 // The defaults of a client's settings.
@@ -31,13 +31,13 @@
 // Client appends entries of one writer to one stream and reads the stream for
 // its subscribers. Set the exported fields before Run.
 type Client struct {
-	Log         platform.Log
+	Log         provider.Log
 	Clock       clock.Clock
-	Stream      platform.Stream
+	Stream      provider.Stream
 	Writer      fleet.InstanceID
 	Incarnation fleet.Incarnation
 	// From is the offset to read from; zero means the oldest retained.
-	From platform.Offset
+	From provider.Offset
 	// AppendsPerSecond is this writer's share of the log's appends, and Burst
 	// how many may follow each other after silence.
 	AppendsPerSecond float64
@@ -69,7 +69,7 @@
 	wake     chan struct{}
 	ready    chan struct{}
 	isReady  bool
-	goal     platform.Offset
+	goal     provider.Offset
 	started  time.Time
 	lastRead atomic.Int64
 	// appendFailing is when appends began to fail, in nanoseconds, or zero.
@@ -153,7 +153,7 @@
 
 		if err != nil {
 			klog.ErrorS(err, "Journal batch can't be encoded", "stream", c.Stream)
-			c.answered(p.first, platform.ErrRefused)
+			c.answered(p.first, provider.ErrRefused)
 
 			continue
 		}
--- a/journal/counters.go
+++ b/logstream/counters.go
@@ -1,11 +1,11 @@
-package journal
+package logstream
 
 import (
 	"fmt"
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 )
 
 // counters are the metrics of the clients of one stream in this process.
@@ -20,7 +20,7 @@
 	reported bool
 }
 
-func newCounters(stream platform.Stream) *counters {
+func newCounters(stream provider.Stream) *counters {
 	counter := func(name string) *metrics.Counter {
 		return metrics.GetOrCreateCounter(fmt.Sprintf("monsoonlever_journal_%s_total{stream=%q}", name, string(stream)))
 	}
--- a/journal/entry.go
+++ b/logstream/entry.go
@@ -1,10 +1,10 @@
-package journal
+package logstream
 
 import (
 	"time"
 
 	"monsoonlever/fleet"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 )
 
 // Entry is one entry that readers accepted.
@@ -14,7 +14,7 @@
 	sequence    Sequence
 	kind        Kind
 	payload     []byte
-	offset      platform.Offset
+	offset      provider.Offset
 	time        time.Time
 }
 
@@ -41,7 +41,7 @@
 
 // Place tells where and when an entry took effect.
 type Place struct {
-	Offset platform.Offset
+	Offset provider.Offset
 	Time   time.Time
 }
 
@@ -61,7 +61,7 @@
 func (e Entry) Payload() []byte { return e.payload }
 
 // Offset returns the offset of the record that carried the entry.
-func (e Entry) Offset() platform.Offset { return e.offset }
+func (e Entry) Offset() provider.Offset { return e.offset }
 
 // Time returns the time at which the log took the record.
 func (e Entry) Time() time.Time { return e.time }
--- a/journal/filter.go
+++ b/logstream/filter.go
@@ -1,10 +1,10 @@
-package journal
+package logstream
 
 import (
 	"time"
 
 	"monsoonlever/fleet"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 )
 
 // DefaultMaxDelay is the greatest difference between the time an entry was
@@ -46,7 +46,7 @@
 }
 
 // Accept returns the batch of a record and whether it is in effect.
-func (f *Filter) Accept(r platform.Record) (Batch, Drop) {
+func (f *Filter) Accept(r provider.Record) (Batch, Drop) {
 	b, err := DecodeBatch(r.Data)
 	if err != nil {
 		return Batch{}, Undecodable
--- a/journal/holds_test.go
+++ b/logstream/holds_test.go
@@ -1,4 +1,4 @@
-package journal
+package logstream
 
 import (
 	"errors"
@@ -10,7 +10,7 @@
 	"pgregory.net/rapid"
 
 	"monsoonlever/fleet"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 )
 
 // modelWriter is a writer's outbox with its own filter and place in the log.
@@ -27,7 +27,7 @@
 type journalModel struct {
 	now     time.Time
 	writers []*modelWriter
-	records []platform.Record
+	records []provider.Record
 	late    []lateRecord
 	added   int
 }
@@ -60,8 +60,8 @@
 }
 
 func (m *journalModel) land(data []byte) {
-	m.records = append(m.records, platform.Record{
-		Offset: platform.Offset(len(m.records) + 1),
+	m.records = append(m.records, provider.Record{
+		Offset: provider.Offset(len(m.records) + 1),
 		Time:   m.now,
 		Data:   data,
 	})
@@ -83,7 +83,7 @@
 
 	switch fault {
 	case faultRefused:
-		w.outbox.answered(m.now, p.first, platform.ErrRefused)
+		w.outbox.answered(m.now, p.first, provider.ErrRefused)
 	case faultLostAnswer:
 		m.land(p.data)
 		w.outbox.answered(m.now, p.first, errLost)
@@ -191,7 +191,7 @@
 		return
 	}
 
-	first := platform.Batch{Records: m.records[start:], First: platform.Offset(start + 1)}
+	first := provider.Batch{Records: m.records[start:], First: provider.Offset(start + 1)}
 	horizon := Horizon(first, m.now, 0, DefaultMaxDelay)
 
 	var want, got []string
--- a/journal/kind.go
+++ b/logstream/kind.go
@@ -1,4 +1,4 @@
-package journal
+package logstream
 
 // Kind tells what the payload of an entry is.
 type Kind uint16
--- a/journal/journal.go
+++ b/logstream/logstream.go
@@ -1,4 +1,4 @@
-// Package journal keeps this system's own records on the platform's log.
+// Package logstream keeps this system's own records on the platform's log.
 //
 // One append carries a batch of entries of one writer, because the log takes
 // only several hundred appends a second for the whole deployment. Each batch
@@ -21,16 +21,16 @@
 //
 // # Usage
 //
-//	client := &journal.Client{
+//	client := &logstream.Client{
 //		Log:              log,
 //		Clock:            clock.System{},
 //		Stream:           "claims",
 //		Writer:           "entry-1",
 //		Incarnation:      incarnation,
 //		AppendsPerSecond: 20,
-//		Subscribers:      []journal.Subscriber{keeper},
+//		Subscribers:      []logstream.Subscriber{keeper},
 //	}
 //	go client.Run(ctx)
 //	ticket := client.Append(kind, payload)
 //	offset, err := ticket.Wait(ctx)
-package journal
+package logstream
--- a/journal/memory_test.go
+++ b/logstream/memory_test.go
@@ -1,4 +1,4 @@
-package journal
+package logstream
 
 import (
 	"context"
@@ -7,7 +7,7 @@
 	"time"
 
 	"monsoonlever/clock"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 )
 
 var errLost = errors.New("answer was lost")
@@ -17,7 +17,7 @@
 	clock clock.Clock
 
 	mu      sync.Mutex
-	records []platform.Record
+	records []provider.Record
 	script  []appendFault
 	late    [][]byte
 	down    bool
@@ -38,7 +38,7 @@
 	return &memoryLog{clock: c, changed: make(chan struct{})}
 }
 
-func (l *memoryLog) Append(_ context.Context, _ platform.Stream, data []byte) (platform.Offset, error) {
+func (l *memoryLog) Append(_ context.Context, _ provider.Stream, data []byte) (provider.Offset, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
@@ -53,7 +53,7 @@
 
 	switch fault {
 	case faultRefused:
-		return 0, platform.ErrRefused
+		return 0, provider.ErrRefused
 	case faultNeverArrives:
 		return 0, errLost
 	case faultArrivesLate:
@@ -69,9 +69,9 @@
 	}
 }
 
-func (l *memoryLog) add(data []byte) platform.Offset {
-	offset := platform.Offset(len(l.records) + 1)
-	l.records = append(l.records, platform.Record{Offset: offset, Time: l.clock.Now(), Data: data})
+func (l *memoryLog) add(data []byte) provider.Offset {
+	offset := provider.Offset(len(l.records) + 1)
+	l.records = append(l.records, provider.Record{Offset: offset, Time: l.clock.Now(), Data: data})
 	close(l.changed)
 	l.changed = make(chan struct{})
 
@@ -97,7 +97,7 @@
 	l.down = down
 }
 
-func (l *memoryLog) Read(ctx context.Context, _ platform.Stream, from platform.Offset, limit int, wait time.Duration) (platform.Batch, error) {
+func (l *memoryLog) Read(ctx context.Context, _ provider.Stream, from provider.Offset, limit int, wait time.Duration) (provider.Batch, error) {
 	l.mu.Lock()
 	changed := l.changed
 	empty := int(from) > len(l.records)
@@ -108,7 +108,7 @@
 		case <-changed:
 		case <-l.clock.After(wait):
 		case <-ctx.Done():
-			return platform.Batch{}, ctx.Err()
+			return provider.Batch{}, ctx.Err()
 		}
 	}
 
@@ -116,10 +116,10 @@
 	defer l.mu.Unlock()
 
 	if l.down {
-		return platform.Batch{}, errLost
+		return provider.Batch{}, errLost
 	}
 
-	b := platform.Batch{First: 1, Next: platform.Offset(len(l.records) + 1)}
+	b := provider.Batch{First: 1, Next: provider.Offset(len(l.records) + 1)}
 	for i := int(from) - 1; i < len(l.records) && len(b.Records) < limit; i++ {
 		b.Records = append(b.Records, l.records[i])
 	}
--- a/journal/outbox.go
+++ b/logstream/outbox.go
@@ -1,4 +1,4 @@
-package journal
+package logstream
 
 import (
 	"errors"
@@ -7,7 +7,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"monsoonlever/fleet"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 )
 
 // queued is an entry that has not been sent.
@@ -169,7 +169,7 @@
 
 	o.notBefore = now.Add(o.backoff.Failed())
 
-	if errors.Is(err, platform.ErrRefused) {
+	if errors.Is(err, provider.ErrRefused) {
 		o.refused(first, err)
 
 		return
@@ -203,7 +203,7 @@
 
 // accepted takes an own batch that was read and is in effect. All flights
 // before it that are still open can never take effect any more.
-func (o *outbox) accepted(first Sequence, offset platform.Offset) {
+func (o *outbox) accepted(first Sequence, offset provider.Offset) {
 	kept := o.flights[:0]
 
 	for _, f := range o.flights {
@@ -242,7 +242,7 @@
 	o.flights = nil
 }
 
-func settle(f flight, offset platform.Offset, err error) {
+func settle(f flight, offset provider.Offset, err error) {
 	for _, t := range f.tickets {
 		t.resolve(offset, err)
 	}
--- a/journal/overhead_test.go
+++ b/logstream/overhead_test.go
@@ -1,4 +1,4 @@
-package journal
+package logstream
 
 import "testing"
 
--- a/journal/reading.go
+++ b/logstream/reading.go
@@ -1,4 +1,4 @@
-package journal
+package logstream
 
 import (
 	"cmp"
@@ -8,7 +8,7 @@
 	"k8s.io/klog/v2"
 
 	"monsoonlever/clock"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 )
 
 // runReader reads the stream from the start offset on until ctx ends.
@@ -44,7 +44,7 @@
 	}
 }
 
-func (c *Client) read(ctx context.Context, from platform.Offset, wait time.Duration) (platform.Batch, error) {
+func (c *Client) read(ctx context.Context, from provider.Offset, wait time.Duration) (provider.Batch, error) {
 	callCtx, cancel := withTimeout(ctx, c.Clock, wait+c.AppendTimeout)
 	defer cancel()
 
@@ -52,7 +52,7 @@
 }
 
 // horizon tells the subscribers how far back the history is complete.
-func (c *Client) horizon(batch platform.Batch, gap bool) {
+func (c *Client) horizon(batch provider.Batch, gap bool) {
 	if gap {
 		klog.InfoS("Journal records aged out unread", "stream", c.Stream, "first", batch.First)
 		c.mu.Lock()
@@ -71,7 +71,7 @@
 // where that is earlier, the time that the log surely still retains. Twice
 // maxDelay are added, within which records may be judged otherwise by a reader
 // that knows what came before them.
-func Horizon(batch platform.Batch, now time.Time, retention, maxDelay time.Duration) time.Time {
+func Horizon(batch provider.Batch, now time.Time, retention, maxDelay time.Duration) time.Time {
 	if batch.First <= 1 {
 		return time.Time{}
 	}
@@ -90,7 +90,7 @@
 
 // deliver hands the accepted entries of a batch on and returns the offset to
 // read next.
-func (c *Client) deliver(batch platform.Batch, from platform.Offset) platform.Offset {
+func (c *Client) deliver(batch provider.Batch, from provider.Offset) provider.Offset {
 	var entries []Entry
 
 	for _, r := range batch.Records {
@@ -115,7 +115,7 @@
 
 // accept returns the entries of a record that is in effect, and settles the
 // tickets that it decides.
-func (c *Client) accept(r platform.Record) []Entry {
+func (c *Client) accept(r provider.Record) []Entry {
 	b, drop := c.filter.Accept(r)
 	c.counters.dropped(drop)
 
@@ -137,7 +137,7 @@
 	return split(b, r)
 }
 
-func (c *Client) reportUndecodable(r platform.Record) {
+func (c *Client) reportUndecodable(r provider.Record) {
 	if c.counters.reported {
 		return
 	}
@@ -147,7 +147,7 @@
 		"stream", c.Stream, "offset", r.Offset, "bytes", len(r.Data))
 }
 
-func (c *Client) settle(b Batch, drop Drop, r platform.Record) {
+func (c *Client) settle(b Batch, drop Drop, r provider.Record) {
 	c.mu.Lock()
 
 	if drop == Kept {
@@ -160,7 +160,7 @@
 	c.signal()
 }
 
-func split(b Batch, r platform.Record) []Entry {
+func split(b Batch, r provider.Record) []Entry {
 	entries := make([]Entry, 0, len(b.Items))
 
 	for i, item := range b.Items {
@@ -177,7 +177,7 @@
 
 // progress closes Ready once the reader has reached the offset that was next
 // when it started.
-func (c *Client) progress(batch platform.Batch, from platform.Offset) {
+func (c *Client) progress(batch provider.Batch, from provider.Offset) {
 	if c.isReady {
 		return
 	}
--- a/journal/sequence.go
+++ b/logstream/sequence.go
@@ -1,4 +1,4 @@
-package journal
+package logstream
 
 // Sequence numbers the entries of one incarnation of a writer, from 1.
 type Sequence uint64
--- a/manifest/check_regions.go
+++ b/manifest/check_regions.go
@@ -3,7 +3,7 @@
 import (
 	"monsoonlever/document"
 	"monsoonlever/fleet"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 )
 
 func (c *checker) checkRegions() {
@@ -43,7 +43,7 @@
 		c.report(field, "must hold a class")
 	}
 
-	seen := map[platform.Class]bool{}
+	seen := map[provider.Class]bool{}
 
 	for i, class := range classes {
 		at := document.Item(field, i)
--- a/manifest/check_services.go
+++ b/manifest/check_services.go
@@ -5,7 +5,7 @@
 
 	"monsoonlever/document"
 	"monsoonlever/fleet"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 )
 
 func (c *checker) checkServices() {
@@ -32,7 +32,7 @@
 		c.report(classes, "must hold a class")
 	}
 
-	seen := map[platform.Class]bool{}
+	seen := map[provider.Class]bool{}
 
 	for i, class := range s.Classes {
 		item := document.Item(classes, i)
@@ -58,8 +58,8 @@
 	}
 }
 
-func (c *checker) sellsOne(domain fleet.FailureDomain, classes []platform.Class) bool {
-	return slices.ContainsFunc(classes, func(class platform.Class) bool {
+func (c *checker) sellsOne(domain fleet.FailureDomain, classes []provider.Class) bool {
+	return slices.ContainsFunc(classes, func(class provider.Class) bool {
 		return c.sold[sale{domain: domain, class: class}]
 	})
 }
--- a/manifest/checker.go
+++ b/manifest/checker.go
@@ -7,7 +7,7 @@
 	"monsoonlever/document"
 	"monsoonlever/finding"
 	"monsoonlever/fleet"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 )
 
 const (
@@ -20,7 +20,7 @@
 // sale says that a failure domain has a machine class.
 type sale struct {
 	domain fleet.FailureDomain
-	class  platform.Class
+	class  provider.Class
 }
 
 // checker reports what is wrong in a decoded manifest.
@@ -31,7 +31,7 @@
 
 	domains  map[fleet.FailureDomain]bool
 	sold     map[sale]bool
-	classes  map[platform.Class]int
+	classes  map[provider.Class]int
 	models   map[fleet.Model]bool
 	services map[fleet.Service]Kind
 	hashes   map[keyHash]string
@@ -44,7 +44,7 @@
 		wire:     wire,
 		domains:  map[fleet.FailureDomain]bool{},
 		sold:     map[sale]bool{},
-		classes:  map[platform.Class]int{},
+		classes:  map[provider.Class]int{},
 		models:   map[fleet.Model]bool{},
 		services: map[fleet.Service]Kind{},
 		hashes:   map[keyHash]string{},
--- a/manifest/class.go
+++ b/manifest/class.go
@@ -1,6 +1,6 @@
 package manifest
 
-import "monsoonlever/platform"
+import "monsoonlever/provider"
 
 // Class is a machine class at its prices in one failure domain.
 type Class struct {
@@ -8,14 +8,14 @@
 }
 
 // Name returns the name of the class at the cloud API.
-func (c Class) Name() platform.Class { return c.wire.Name }
+func (c Class) Name() provider.Class { return c.wire.Name }
 
 // Accelerators returns the number of accelerators, 0 for a plain machine.
 func (c Class) Accelerators() int { return c.wire.Accelerators }
 
 // PricePerHour returns the price in the manifest's currency.
-func (c Class) PricePerHour(market platform.Market) float64 {
-	if market == platform.OnDemand {
+func (c Class) PricePerHour(market provider.Market) float64 {
+	if market == provider.OnDemand {
 		return c.wire.PricePerHour.OnDemand
 	}
 
--- a/manifest/failure_domain.go
+++ b/manifest/failure_domain.go
@@ -2,7 +2,7 @@
 
 import (
 	"monsoonlever/fleet"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 )
 
 // FailureDomain is a part of a region with its own prices.
@@ -22,7 +22,7 @@
 func (d FailureDomain) Classes() []Class { return clone(d.classes) }
 
 // Class returns the machine class of a name, if it is sold there.
-func (d FailureDomain) Class(name platform.Class) (Class, bool) {
+func (d FailureDomain) Class(name provider.Class) (Class, bool) {
 	for _, c := range d.classes {
 		if c.Name() == name {
 			return c, true
--- a/manifest/service.go
+++ b/manifest/service.go
@@ -2,7 +2,7 @@
 
 import (
 	"monsoonlever/fleet"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 )
 
 // Service is what callers ask for by name.
@@ -23,7 +23,7 @@
 func (s Service) Models() []fleet.Model { return clone(s.wire.Models) }
 
 // Classes returns the machine classes that its backend servers may have.
-func (s Service) Classes() []platform.Class { return clone(s.wire.Classes) }
+func (s Service) Classes() []provider.Class { return clone(s.wire.Classes) }
 
 // FailureDomains returns where its backend servers may stand; none means all.
 func (s Service) FailureDomains() []fleet.FailureDomain { return clone(s.wire.FailureDomains) }
--- a/manifest/wire_region.go
+++ b/manifest/wire_region.go
@@ -2,7 +2,7 @@
 
 import (
 	"monsoonlever/fleet"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 )
 
 type wireRegion struct {
@@ -16,7 +16,7 @@
 }
 
 type wireClass struct {
-	Name         platform.Class `json:"name"`
+	Name         provider.Class `json:"name"`
 	Accelerators int            `json:"accelerators"`
 	PricePerHour wirePrice      `json:"pricePerHour"`
 }
--- a/manifest/wire_service.go
+++ b/manifest/wire_service.go
@@ -4,14 +4,14 @@
 	"time"
 
 	"monsoonlever/fleet"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 )
 
 type wireService struct {
 	Name           fleet.Service         `json:"name"`
 	Kind           Kind                  `json:"kind"`
 	Models         []fleet.Model         `json:"models"`
-	Classes        []platform.Class      `json:"classes"`
+	Classes        []provider.Class      `json:"classes"`
 	FailureDomains []fleet.FailureDomain `json:"failureDomains"`
 	Concurrency    int                   `json:"concurrency"`
 	Calls          []wireCall            `json:"calls"`
--- a/membership/group.go
+++ b/membership/group.go
@@ -13,7 +13,7 @@
 	"monsoonlever/clock"
 	"monsoonlever/fleet"
 	"monsoonlever/peer"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 )
 
 const (
@@ -47,10 +47,10 @@
 	// Seeds are addresses to join through.
 	Seeds []string
 	// List is the platform's list, to join through as well; nil for none.
-	List platform.List
+	List provider.List
 	// Locate returns the peer address of a listed entry instance, and false
 	// for other instances. It is needed with a List.
-	Locate func(platform.Listing) (string, bool)
+	Locate func(provider.Listing) (string, bool)
 	// ListInterval is the time between looks at the list; 0 means 30 s.
 	ListInterval time.Duration
 	// Config holds the timing.
--- a/membership/group_test.go
+++ b/membership/group_test.go
@@ -14,13 +14,13 @@
 	"monsoonlever/fleet"
 	"monsoonlever/keys"
 	"monsoonlever/peer"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 )
 
 // fakeList is a platform's list that lists what it is given.
-type fakeList []platform.Listing
+type fakeList []provider.Listing
 
-func (l fakeList) Listings(context.Context) ([]platform.Listing, error) {
+func (l fakeList) Listings(context.Context) ([]provider.Listing, error) {
 	return l, nil
 }
 
@@ -37,7 +37,7 @@
 		},
 		Clock:  clock.System{},
 		Region: "r",
-		Locate: func(l platform.Listing) (string, bool) { return l.Address, l.Service == "entry" },
+		Locate: func(l provider.Listing) (string, bool) { return l.Address, l.Service == "entry" },
 	}
 	g.prepare()
 
--- a/monsoonlever-standins/engine.go
+++ b/monsoonlever-standins/engine.go
@@ -7,7 +7,7 @@
 
 	"monsoonlever/clock"
 	"monsoonlever/fleet"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 	"monsoonlever/standin"
 )
 
@@ -59,7 +59,7 @@
 	e.LoadLag = c.LoadLag
 
 	if c.Platform != "" {
-		e.Weights = platform.NewHTTPWeights(c.Platform, &http.Client{})
+		e.Weights = provider.NewHTTPWeights(c.Platform, &http.Client{})
 	}
 
 	return e
--- a/monsoonlever-standins/membership.go
+++ b/monsoonlever-standins/membership.go
@@ -10,7 +10,7 @@
 	"k8s.io/klog/v2"
 
 	"monsoonlever/fleet"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 	"monsoonlever/standin"
 )
 
@@ -40,14 +40,14 @@
 	}
 
 	return standin.Registration{
-		Market: platform.Market(m.Market),
-		Listing: platform.Listing{
+		Market: provider.Market(m.Market),
+		Listing: provider.Listing{
 			ID:      fleet.InstanceID(id),
 			Service: fleet.Service(m.Service),
 			Address: address,
 			Domain:  fleet.FailureDomain(domain),
-			Class:   platform.Class(m.Class),
-			State:   platform.Live,
+			Class:   provider.Class(m.Class),
+			State:   provider.Live,
 		},
 	}
 }
--- a/placement/cell.go
+++ b/placement/cell.go
@@ -4,15 +4,15 @@
 	"cmp"
 
 	"monsoonlever/fleet"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 )
 
 // Cell is a place where instances are bought: one failure domain, machine class
 // and market.
 type Cell struct {
 	Domain fleet.FailureDomain `msgpack:"domain"`
-	Class  platform.Class      `msgpack:"class"`
-	Market platform.Market     `msgpack:"market"`
+	Class  provider.Class      `msgpack:"class"`
+	Market provider.Market     `msgpack:"market"`
 }
 
 // String returns the cell as domain/class/market.
--- a/placement/command.go
+++ b/placement/command.go
@@ -2,7 +2,7 @@
 
 import (
 	"monsoonlever/fleet"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 )
 
 // Command is what a Reconciler asks its shell to do.
@@ -19,7 +19,7 @@
 // BuyCommand makes a purchase. The shell answers with Bought once.
 type BuyCommand struct {
 	Token    Token
-	Purchase platform.Purchase
+	Purchase provider.Purchase
 }
 
 // ListCommand lists the instances of the cloud API. The shell answers with
--- a/placement/flapping_test.go
+++ b/placement/flapping_test.go
@@ -8,7 +8,7 @@
 
 	"monsoonlever/fleet"
 	"monsoonlever/placement"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 )
 
 // changesPerHour bounds the moves of an hour, and as many instances again may be
@@ -23,7 +23,7 @@
 func steadyService() placement.Service {
 	return placement.Service{
 		Name:        service,
-		Capacity:    map[platform.Class]placement.Load{"gpu": {TokensPerSecond: 1000}},
+		Capacity:    map[provider.Class]placement.Load{"gpu": {TokensPerSecond: 1000}},
 		UrgentShare: 0.8,
 		Min:         2,
 		Max:         20,
@@ -33,14 +33,14 @@
 }
 
 // market offers one class everywhere at prices that move by more than half.
-func market(t *rapid.T) []platform.Offer {
-	var offers []platform.Offer
+func market(t *rapid.T) []provider.Offer {
+	var offers []provider.Offer
 
 	for _, domain := range domains {
 		price := float64(rapid.IntRange(100, 250).Draw(t, "price")) / 100
 		offers = append(offers,
-			platform.Offer{Class: "gpu", Domain: domain, Market: platform.Reclaimable, PricePerHour: price},
-			platform.Offer{Class: "gpu", Domain: domain, Market: platform.OnDemand, PricePerHour: 3})
+			provider.Offer{Class: "gpu", Domain: domain, Market: provider.Reclaimable, PricePerHour: price},
+			provider.Offer{Class: "gpu", Domain: domain, Market: provider.OnDemand, PricePerHour: 3})
 	}
 
 	return offers
@@ -88,7 +88,7 @@
 }
 
 // steadyTick measures a steady load with noise and plans anew.
-func (w *world) steadyTick(forecaster *placement.Forecaster, offers *[]platform.Offer) {
+func (w *world) steadyTick(forecaster *placement.Forecaster, offers *[]provider.Offer) {
 	noise := float64(rapid.IntRange(-100, 100).Draw(w.t, "noise")) / 1000
 	forecaster.Observe(w.now(), placement.Load{TokensPerSecond: 8000 * (1 + noise)})
 
@@ -104,7 +104,7 @@
 	w.tick()
 }
 
-func (w *world) plan(forecaster *placement.Forecaster, offers []platform.Offer) {
+func (w *world) plan(forecaster *placement.Forecaster, offers []provider.Offer) {
 	w.targets, w.limits = nil, nil
 
 	c := w.newest()
--- a/placement/helpers_test.go
+++ b/placement/helpers_test.go
@@ -5,9 +5,9 @@
 	"slices"
 
 	"monsoonlever/fleet"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 )
 
-func sortedIDs(instances map[fleet.InstanceID]platform.Instance) []fleet.InstanceID {
+func sortedIDs(instances map[fleet.InstanceID]provider.Instance) []fleet.InstanceID {
 	return slices.Sorted(maps.Keys(instances))
 }
--- a/placement/observed.go
+++ b/placement/observed.go
@@ -4,12 +4,12 @@
 	"time"
 
 	"monsoonlever/fleet"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 )
 
 // Observed is an instance as the controller last saw it, by its token.
 type Observed struct {
-	Instance platform.Instance
+	Instance provider.Instance
 	// Known is set once anything is known of its work.
 	Known bool
 	// Ready tells whether it serves, and Idle whether it has no work left.
--- a/placement/option.go
+++ b/placement/option.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 )
 
 // option is a cell as one service sees it at present.
@@ -41,11 +41,11 @@
 	return result
 }
 
-func (s State) option(now time.Time, offer platform.Offer, capacity Load) option {
+func (s State) option(now time.Time, offer provider.Offer, capacity Load) option {
 	cell := Cell{Domain: offer.Domain, Class: offer.Class, Market: offer.Market}
 	o := option{cell: cell, price: offer.PricePerHour, weighed: offer.PricePerHour, capacity: capacity}
 
-	if offer.Market == platform.Reclaimable {
+	if offer.Market == provider.Reclaimable {
 		o.weighed *= 1 + s.Config.RiskPremium + s.Config.RiskPremium*s.Reclaims.Weight(now, cell)
 	}
 
--- a/placement/plan_test.go
+++ b/placement/plan_test.go
@@ -9,7 +9,7 @@
 
 	"monsoonlever/fleet"
 	"monsoonlever/placement"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 )
 
 // remaining returns the tokens per second that a decision leaves without a
@@ -45,7 +45,7 @@
 		have := make(map[placement.Cell]int)
 
 		for _, domain := range domains {
-			place := placement.Cell{Domain: domain, Class: "gpu", Market: platform.Reclaimable}
+			place := placement.Cell{Domain: domain, Class: "gpu", Market: provider.Reclaimable}
 			have[place] = rapid.IntRange(0, 3).Draw(t, "have")
 		}
 
@@ -65,7 +65,7 @@
 }
 
 func TestPlanBuysElsewhereAfterRefusal(t *testing.T) {
-	cheap := placement.Cell{Domain: "ballerup-a", Class: "gpu", Market: platform.Reclaimable}
+	cheap := placement.Cell{Domain: "ballerup-a", Class: "gpu", Market: provider.Reclaimable}
 	s := placement.State{Config: placement.DefaultConfig()}
 	s.Services = []placement.ServiceState{{
 		Service:  steadyService(),
@@ -73,8 +73,8 @@
 	}}
 
 	for i, domain := range domains {
-		s.Offers = append(s.Offers, platform.Offer{
-			Class: "gpu", Domain: domain, Market: platform.Reclaimable, PricePerHour: 1 + float64(i)/10,
+		s.Offers = append(s.Offers, provider.Offer{
+			Class: "gpu", Domain: domain, Market: provider.Reclaimable, PricePerHour: 1 + float64(i)/10,
 		})
 	}
 
--- a/placement/purchases_test.go
+++ b/placement/purchases_test.go
@@ -11,7 +11,7 @@
 	"monsoonlever/fleet"
 	"monsoonlever/lease"
 	"monsoonlever/placement"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 )
 
 const (
@@ -24,27 +24,27 @@
 var start = time.Date(2026, 3, 2, 8, 0, 0, 0, time.UTC)
 
 func cell(domain string) placement.Cell {
-	return placement.Cell{Domain: fleet.FailureDomain(domain), Class: "gpu", Market: platform.Reclaimable}
+	return placement.Cell{Domain: fleet.FailureDomain(domain), Class: "gpu", Market: provider.Reclaimable}
 }
 
 var cells = []placement.Cell{cell("ballerup-a"), cell("ballerup-b"), cell("taastrup-1")}
 
 // cloud is a cloud API that honours purchase tokens.
 type cloud struct {
-	byToken map[string]platform.Instance
-	running map[fleet.InstanceID]platform.Instance
+	byToken map[string]provider.Instance
+	running map[fleet.InstanceID]provider.Instance
 }
 
-func (c *cloud) buy(p platform.Purchase, refuse bool) (platform.Instance, error) {
+func (c *cloud) buy(p provider.Purchase, refuse bool) (provider.Instance, error) {
 	if instance, ok := c.byToken[p.Token]; ok {
 		return instance, nil
 	}
 
 	if refuse {
-		return platform.Instance{}, platform.ErrNoCapacity
+		return provider.Instance{}, provider.ErrNoCapacity
 	}
 
-	instance := platform.Instance{
+	instance := provider.Instance{
 		ID:    fleet.InstanceID("i-" + p.Token),
 		Token: p.Token, Class: p.Class, Domain: p.Domain, Market: p.Market,
 	}
@@ -85,8 +85,8 @@
 
 func newWorld(t *rapid.T) *world {
 	w := &world{t: t, faults: true, pace: second, maximum: maximum, cloud: &cloud{
-		byToken: make(map[string]platform.Instance),
-		running: make(map[fleet.InstanceID]platform.Instance),
+		byToken: make(map[string]provider.Instance),
+		running: make(map[fleet.InstanceID]provider.Instance),
 	}}
 	for range 3 {
 		c := &controller{}
@@ -256,7 +256,7 @@
 		w.performBuy(c, cmd, answer)
 	case placement.ListCommand:
 		w.after(w.delay(), func() {
-			instances := make([]platform.Instance, 0, len(w.cloud.running))
+			instances := make([]provider.Instance, 0, len(w.cloud.running))
 			for instance := range maps.Values(w.cloud.running) {
 				instances = append(instances, instance)
 			}
@@ -275,7 +275,7 @@
 	lost := w.chance(4, "answer lost")
 	if lost {
 		answer(func() {
-			c.reconciler.Bought(w.now(), cmd.Token, placement.OutcomeUnknown, platform.Instance{})
+			c.reconciler.Bought(w.now(), cmd.Token, placement.OutcomeUnknown, provider.Instance{})
 		})
 	}
 
@@ -289,7 +289,7 @@
 		}
 
 		outcome := placement.OutcomeBought
-		if errors.Is(err, platform.ErrNoCapacity) {
+		if errors.Is(err, provider.ErrNoCapacity) {
 			outcome = placement.OutcomeRefused
 		}
 
--- a/placement/reconcile.go
+++ b/placement/reconcile.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"monsoonlever/fleet"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 )
 
 // buy asks for every intent that has no instance. A retired intent is asked for
@@ -31,7 +31,7 @@
 		c.outstanding = true
 		c.lastAt = now
 
-		commands = append(commands, BuyCommand{Token: intent.Token, Purchase: platform.Purchase{
+		commands = append(commands, BuyCommand{Token: intent.Token, Purchase: provider.Purchase{
 			Token:  intent.Token.Purchase(r.Owner),
 			Class:  intent.Cell.Class,
 			Domain: intent.Cell.Domain,
--- a/placement/reconciler.go
+++ b/placement/reconciler.go
@@ -6,7 +6,7 @@
 
 	"monsoonlever/fleet"
 	"monsoonlever/lease"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 )
 
 // Reconciler makes the wanted counts true under one holder of the controller
@@ -107,7 +107,7 @@
 }
 
 // Bought takes in the answer to a purchase.
-func (r *Reconciler) Bought(now time.Time, token Token, outcome Outcome, instance platform.Instance) {
+func (r *Reconciler) Bought(now time.Time, token Token, outcome Outcome, instance provider.Instance) {
 	c, ok := r.calls[token]
 	if !ok {
 		return
@@ -131,7 +131,7 @@
 }
 
 // Listed takes in the answer to a listing.
-func (r *Reconciler) Listed(number uint64, instances []platform.Instance) {
+func (r *Reconciler) Listed(number uint64, instances []provider.Instance) {
 	if number <= r.listing.done {
 		return
 	}
@@ -261,7 +261,7 @@
 }
 
 // observe keeps what is known of an instance when it is seen again.
-func (r *Reconciler) observe(token Token, instance platform.Instance) {
+func (r *Reconciler) observe(token Token, instance provider.Instance) {
 	if o, ok := r.seen[token]; ok {
 		o.Instance = instance
 
--- a/placement/service.go
+++ b/placement/service.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"monsoonlever/fleet"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 )
 
 // Service is what the planner needs to know of one service.
@@ -15,7 +15,7 @@
 	// service.
 	Holding Holding
 	// Capacity is what one instance of a class carries at the latency target.
-	Capacity map[platform.Class]Load
+	Capacity map[provider.Class]Load
 	// UrgentShare is the share of the load that cannot wait until a lost
 	// failure domain is replaced. That share must fit into what remains.
 	UrgentShare float64
--- a/placement/state.go
+++ b/placement/state.go
@@ -1,12 +1,12 @@
 package placement
 
-import "monsoonlever/platform"
+import "monsoonlever/provider"
 
 // State is what a plan is made from.
 type State struct {
 	Config   Config
 	Services []ServiceState
-	Offers   []platform.Offer
+	Offers   []provider.Offer
 	// Refusals and Reclaims are remembered by cell; either may be nil.
 	Refusals *Memory
 	Reclaims *Memory
--- a/platform/http_test.go
+++ b/provider/http_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package provider_test
 
 import (
 	"errors"
@@ -6,7 +6,7 @@
 	"net/http/httptest"
 	"testing"
 
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 )
 
 func TestOnlyAMarkedAnswerIsARefusal(t *testing.T) {
@@ -33,13 +33,13 @@
 			}))
 			defer server.Close()
 
-			_, err := platform.NewHTTPLog(server.URL, server.Client()).Append(t.Context(), "s", nil)
-			if got := errors.Is(err, platform.ErrRefused); err == nil || got != tt.logRefused {
+			_, err := provider.NewHTTPLog(server.URL, server.Client()).Append(t.Context(), "s", nil)
+			if got := errors.Is(err, provider.ErrRefused); err == nil || got != tt.logRefused {
 				t.Errorf("append refused: got %v (%v), want %v", got, err, tt.logRefused)
 			}
 
-			_, err = platform.NewHTTPCloud(server.URL, server.Client()).Buy(t.Context(), platform.Purchase{})
-			if got := errors.Is(err, platform.ErrNoCapacity); err == nil || got != tt.noCapacity {
+			_, err = provider.NewHTTPCloud(server.URL, server.Client()).Buy(t.Context(), provider.Purchase{})
+			if got := errors.Is(err, provider.ErrNoCapacity); err == nil || got != tt.noCapacity {
 				t.Errorf("no capacity: got %v (%v), want %v", got, err, tt.noCapacity)
 			}
 		})
--- a/platform/platform.go
+++ b/provider/provider.go
@@ -1,4 +1,4 @@
-// Package platform holds the ports to the platform's services: the append-only
+// Package provider holds the ports to the platform's services: the append-only
 // log, the cloud API, the instance list and the weight store.
 //
 // Consumers depend on the interfaces here; HTTPLog, HTTPCloud, HTTPList and
@@ -6,6 +6,6 @@
 //
 // # Usage
 //
-//	log := platform.NewHTTPLog("http://127.0.0.1:7001", client)
+//	log := provider.NewHTTPLog("http://127.0.0.1:7001", client)
 //	offset, err := log.Append(ctx, "control", payload)
-package platform
+package provider
--- a/platform/weights.go
+++ b/provider/weights.go
@@ -1,4 +1,4 @@
-package platform
+package provider
 
 import (
 	"context"
--- a/publication/attempt.go
+++ b/publication/attempt.go
@@ -3,7 +3,7 @@
 import (
 	"errors"
 
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 )
 
 // action is what an attempt asks its shell to do next.
@@ -22,7 +22,7 @@
 	reader *reader
 	// target is the id of the publication.
 	target ID
-	base   platform.Offset
+	base   provider.Offset
 	// payload is appended until the version changes: the publication itself, or
 	// a fence to give the publication up.
 	payload []byte
@@ -31,12 +31,12 @@
 	verdict verdict
 	// baseSnapshot is the manifest in force at base, once it was read.
 	baseSnapshot *Snapshot
-	version      platform.Offset
+	version      provider.Offset
 	atEnd        bool
 	// sent tells whether a copy of the payload may be on the log.
 	sent bool
 	// acknowledged is the offset of a copy that certainly is.
-	acknowledged platform.Offset
+	acknowledged provider.Offset
 	refusal      error
 }
 
@@ -55,7 +55,7 @@
 func newResolution(target ID, f Fence, payload []byte) *attempt {
 	return &attempt{
 		// The record that decides may lie before the last checkpoint.
-		reader:  newReader(^platform.Offset(0)),
+		reader:  newReader(^provider.Offset(0)),
 		target:  target,
 		base:    f.DerivedFrom,
 		payload: payload,
@@ -77,7 +77,7 @@
 }
 
 // onBatch takes the answer to a read.
-func (a *attempt) onBatch(q request, b platform.Batch) {
+func (a *attempt) onBatch(q request, b provider.Batch) {
 	a.note(a.reader.state.Snapshot())
 
 	results, atEnd := a.reader.apply(q, b)
@@ -97,17 +97,17 @@
 }
 
 // onAppend takes the answer to an append.
-func (a *attempt) onAppend(offset platform.Offset, err error) {
+func (a *attempt) onAppend(offset provider.Offset, err error) {
 	a.atEnd = false
 
 	switch {
 	case err == nil:
 		a.sent = true
 		a.acknowledged = offset
-	case errors.Is(err, platform.ErrRefused) && !a.sent:
+	case errors.Is(err, provider.ErrRefused) && !a.sent:
 		a.verdict = verdictRefused
 		a.refusal = err
-	case errors.Is(err, platform.ErrRefused):
+	case errors.Is(err, provider.ErrRefused):
 		// An earlier copy may still arrive.
 	default:
 		a.sent = true
@@ -158,7 +158,7 @@
 }
 
 // judgeEnd settles what only the whole log can tell.
-func (a *attempt) judgeEnd(next platform.Offset) {
+func (a *attempt) judgeEnd(next provider.Offset) {
 	state := a.reader.state
 
 	switch {
--- a/publication/bench_test.go
+++ b/publication/bench_test.go
@@ -4,7 +4,7 @@
 	"os"
 	"testing"
 
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 )
 
 func BenchmarkApplyPublished(b *testing.B) {
@@ -23,7 +23,7 @@
 			b.Fatal(err)
 		}
 
-		if got := s.Apply(platform.Record{Offset: s.Next(), Data: data}).Outcome(); got != Applied {
+		if got := s.Apply(provider.Record{Offset: s.Next(), Data: data}).Outcome(); got != Applied {
 			b.Fatalf("outcome: got %v, want %v", got, Applied)
 		}
 	}
--- a/publication/conflict.go
+++ b/publication/conflict.go
@@ -4,15 +4,15 @@
 	"fmt"
 
 	"monsoonlever/manifest"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 )
 
 // Conflict is the error of a publication that took no effect and never will,
 // because another version is in force.
 type Conflict struct {
 	id       ID
-	base     platform.Offset
-	version  platform.Offset
+	base     provider.Offset
+	version  provider.Offset
 	operator string
 	since    []manifest.Change
 	sinceOK  bool
@@ -23,10 +23,10 @@
 func (c *Conflict) ID() ID { return c.id }
 
 // Base returns the version that the publication was derived from.
-func (c *Conflict) Base() platform.Offset { return c.base }
+func (c *Conflict) Base() provider.Offset { return c.base }
 
 // Version returns the version in force.
-func (c *Conflict) Version() platform.Offset { return c.version }
+func (c *Conflict) Version() provider.Offset { return c.version }
 
 // Operator returns who published the manifest in force.
 func (c *Conflict) Operator() string { return c.operator }
--- a/publication/faulty_log_test.go
+++ b/publication/faulty_log_test.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 )
 
 // fault is what goes wrong with one call to the log.
@@ -37,8 +37,8 @@
 // faultyLog is a log whose next call goes wrong as the test says.
 type faultyLog struct {
 	now     time.Time
-	records []platform.Record
-	first   platform.Offset
+	records []provider.Record
+	first   provider.Offset
 	late    [][]byte
 	fault   fault
 	limit   int
@@ -49,13 +49,13 @@
 	return &faultyLog{now: now, first: 1}
 }
 
-func (l *faultyLog) next() platform.Offset {
-	return platform.Offset(len(l.records) + 1)
+func (l *faultyLog) next() provider.Offset {
+	return provider.Offset(len(l.records) + 1)
 }
 
-func (l *faultyLog) add(data []byte) platform.Offset {
+func (l *faultyLog) add(data []byte) provider.Offset {
 	offset := l.next()
-	l.records = append(l.records, platform.Record{Offset: offset, Time: l.now, Data: slices.Clone(data)})
+	l.records = append(l.records, provider.Record{Offset: offset, Time: l.now, Data: slices.Clone(data)})
 
 	return offset
 }
@@ -66,12 +66,12 @@
 	l.late = slices.Delete(l.late, i, i+1)
 }
 
-func (l *faultyLog) Append(_ context.Context, _ platform.Stream, data []byte) (platform.Offset, error) {
+func (l *faultyLog) Append(_ context.Context, _ provider.Stream, data []byte) (provider.Offset, error) {
 	l.appends++
 
 	switch l.fault {
 	case faultRefused:
-		return 0, platform.ErrRefused
+		return 0, provider.ErrRefused
 	case faultLost:
 		return 0, errTimeout
 	case faultAnswerLost:
@@ -92,9 +92,9 @@
 	}
 }
 
-func (l *faultyLog) Read(_ context.Context, _ platform.Stream, from platform.Offset, limit int, _ time.Duration) (platform.Batch, error) {
+func (l *faultyLog) Read(_ context.Context, _ provider.Stream, from provider.Offset, limit int, _ time.Duration) (provider.Batch, error) {
 	if l.fault != faultNone && l.fault != faultTwice {
-		return platform.Batch{}, errTimeout
+		return provider.Batch{}, errTimeout
 	}
 
 	if l.limit > 0 {
@@ -102,7 +102,7 @@
 	}
 
 	from = max(from, l.first)
-	b := platform.Batch{First: l.first, Next: l.next()}
+	b := provider.Batch{First: l.first, Next: l.next()}
 
 	if from < l.next() {
 		end := min(int(from)-1+limit, len(l.records))
--- a/publication/follower.go
+++ b/publication/follower.go
@@ -12,7 +12,7 @@
 	"k8s.io/klog/v2"
 
 	"monsoonlever/clock"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 )
 
 const (
@@ -26,8 +26,8 @@
 // Follower keeps one instance at the manifest in force. Its fields are set
 // before Run. It goes on with the last manifest while the log is down.
 type Follower struct {
-	Log    platform.Log
-	Stream platform.Stream
+	Log    provider.Log
+	Stream provider.Stream
 	Clock  clock.Clock
 	// Random spreads retries and checkpoints; Run alone uses it.
 	Random *rand.Rand
@@ -44,7 +44,7 @@
 	looked   bool
 	down     bool
 	// width is how many of the newest records to begin with, tailRecords if 0.
-	width platform.Offset
+	width provider.Offset
 }
 
 // Snapshot returns the manifest in force, nil as long as there is none or none
@@ -59,7 +59,7 @@
 }
 
 // Version returns the version that the follower has in force, 0 for none.
-func (f *Follower) Version() platform.Offset {
+func (f *Follower) Version() provider.Offset {
 	v := f.view.Load()
 	if v == nil {
 		return 0
--- a/publication/follower_test.go
+++ b/publication/follower_test.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"monsoonlever/clock"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 )
 
 // sharedLog lets goroutines share a faulty log and waits in reads as a log does.
@@ -29,7 +29,7 @@
 	l.changed = make(chan struct{})
 }
 
-func (l *sharedLog) Append(ctx context.Context, s platform.Stream, data []byte) (platform.Offset, error) {
+func (l *sharedLog) Append(ctx context.Context, s provider.Stream, data []byte) (provider.Offset, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	defer l.wake()
@@ -39,7 +39,7 @@
 	return l.log.Append(ctx, s, data)
 }
 
-func (l *sharedLog) Read(ctx context.Context, s platform.Stream, from platform.Offset, limit int, wait time.Duration) (platform.Batch, error) {
+func (l *sharedLog) Read(ctx context.Context, s provider.Stream, from provider.Offset, limit int, wait time.Duration) (provider.Batch, error) {
 	deadline := time.After(wait)
 
 	for {
@@ -77,7 +77,7 @@
 	return l.log.appends
 }
 
-func runFollower(ctx context.Context, l platform.Log, seed uint64) *Follower {
+func runFollower(ctx context.Context, l provider.Log, seed uint64) *Follower {
 	f := &Follower{Log: l, Clock: clock.System{}, Random: rand.New(rand.NewPCG(seed, seed))}
 
 	go f.Run(ctx)
--- a/publication/holds_manifest_test.go
+++ b/publication/holds_manifest_test.go
@@ -10,7 +10,7 @@
 	"pgregory.net/rapid"
 
 	"monsoonlever/clock"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 )
 
 const (
@@ -26,9 +26,9 @@
 type node struct {
 	*Follower
 	// shown is the greatest version that this incarnation has exposed.
-	shown platform.Offset
+	shown provider.Offset
 	// floor is the least version that it may expose.
-	floor platform.Offset
+	floor provider.Offset
 }
 
 // operator is a person with a client, who has one publication at a time.
@@ -50,7 +50,7 @@
 	// trimsAnything drops records that no checkpoint stands for.
 	trimsAnything bool
 	void          map[ID]bool
-	inForce       map[ID]platform.Offset
+	inForce       map[ID]provider.Offset
 	verdicts      map[verdict]int
 }
 
@@ -62,7 +62,7 @@
 		random:        rand.New(rand.NewPCG(1, 2)),
 		trimsAnything: rapid.IntRange(0, 3).Draw(t, "trimsAnything") == 0,
 		void:          map[ID]bool{},
-		inForce:       map[ID]platform.Offset{},
+		inForce:       map[ID]provider.Offset{},
 		verdicts:      map[verdict]int{},
 	}
 
@@ -332,12 +332,12 @@
 		return
 	}
 
-	w.log.first = platform.Offset(rapid.Uint64Range(uint64(w.log.first), uint64(last)).Draw(t, "first"))
+	w.log.first = provider.Offset(rapid.Uint64Range(uint64(w.log.first), uint64(last)).Draw(t, "first"))
 }
 
 // trimmable returns the first offset that must stay so that a new reader finds
 // a checkpoint to start from.
-func (w *world) trimmable() platform.Offset {
+func (w *world) trimmable() provider.Offset {
 	last := w.log.first
 
 	for _, r := range w.log.records[w.log.first-1:] {
--- a/publication/publication.go
+++ b/publication/publication.go
@@ -29,7 +29,7 @@
 //	receipt, err := p.Publish(ctx, publication.Request{Base: version, File: file, Data: data})
 package publication
 
-import "monsoonlever/platform"
+import "monsoonlever/provider"
 
 // DefaultStream is the stream of the manifests of a deployment that names none.
-const DefaultStream platform.Stream = "manifests"
+const DefaultStream provider.Stream = "manifests"
--- a/publication/publisher.go
+++ b/publication/publisher.go
@@ -10,7 +10,7 @@
 
 	"monsoonlever/clock"
 	"monsoonlever/manifest"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 )
 
 const (
@@ -33,8 +33,8 @@
 // Publisher puts manifests on the log for an operator. Its fields are set before
 // use. It needs no Follower.
 type Publisher struct {
-	Log    platform.Log
-	Stream platform.Stream
+	Log    provider.Log
+	Stream provider.Stream
 	Clock  clock.Clock
 	// Random spreads retries.
 	Random *rand.Rand
@@ -79,7 +79,7 @@
 
 // Resolve learns what a publication came to whose answer is unknown. If it has
 // not taken effect it never will once Resolve has returned a *Conflict.
-func (p *Publisher) Resolve(ctx context.Context, id ID, base platform.Offset) (Receipt, error) {
+func (p *Publisher) Resolve(ctx context.Context, id ID, base provider.Offset) (Receipt, error) {
 	fence := Fence{ID: p.newID(), DerivedFrom: base}
 
 	payload, err := Encode(fence)
@@ -159,7 +159,7 @@
 	offset, err := p.Log.Append(ctx, p.Stream, a.payload)
 	a.onAppend(offset, err)
 
-	if err != nil && !errors.Is(err, platform.ErrRefused) {
+	if err != nil && !errors.Is(err, provider.ErrRefused) {
 		publishLostAnswer.Inc()
 	}
 
--- a/publication/publisher_test.go
+++ b/publication/publisher_test.go
@@ -8,10 +8,10 @@
 
 	"monsoonlever/clock"
 	"monsoonlever/finding"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 )
 
-func newTestPublisher(l platform.Log) *Publisher {
+func newTestPublisher(l provider.Log) *Publisher {
 	return &Publisher{Log: l, Clock: clock.NewManual(testStart), Random: rand.New(rand.NewPCG(1, 2))}
 }
 
@@ -87,7 +87,7 @@
 		desc    string
 		fault   fault
 		wantOK  bool
-		wantLog platform.Offset
+		wantLog provider.Offset
 	}{
 		{desc: "the record was there all along", fault: faultAnswerLost, wantOK: true, wantLog: 1},
 		{desc: "the record comes after the fence", fault: faultLate, wantLog: 1},
@@ -119,7 +119,7 @@
 			}
 
 			s := NewState()
-			s.ApplyBatch(platform.Batch{Records: l.records, First: 1, Next: l.next()})
+			s.ApplyBatch(provider.Batch{Records: l.records, First: 1, Next: l.next()})
 
 			if got := s.Version(); got != tt.wantLog {
 				t.Errorf("version in the end: got %d, want %d", got, tt.wantLog)
@@ -131,8 +131,8 @@
 // refusingLog takes no append.
 type refusingLog struct{ *faultyLog }
 
-func (refusingLog) Append(context.Context, platform.Stream, []byte) (platform.Offset, error) {
-	return 0, platform.ErrRefused
+func (refusingLog) Append(context.Context, provider.Stream, []byte) (provider.Offset, error) {
+	return 0, provider.ErrRefused
 }
 
 // fenceFirst adds a fence of another operator before the first record.
@@ -141,7 +141,7 @@
 	t *testing.T
 }
 
-func (l fenceFirst) Append(ctx context.Context, s platform.Stream, data []byte) (platform.Offset, error) {
+func (l fenceFirst) Append(ctx context.Context, s provider.Stream, data []byte) (provider.Offset, error) {
 	if l.appends == 0 {
 		l.add(encoded(l.t, Fence{ID: "other"}))
 	}
@@ -156,7 +156,7 @@
 	fault  fault
 }
 
-func (l cancelAfterAppend) Append(ctx context.Context, s platform.Stream, data []byte) (platform.Offset, error) {
+func (l cancelAfterAppend) Append(ctx context.Context, s provider.Stream, data []byte) (provider.Offset, error) {
 	defer l.cancel()
 
 	l.faultyLog.fault = l.fault
--- a/publication/reader.go
+++ b/publication/reader.go
@@ -1,12 +1,12 @@
 package publication
 
-import "monsoonlever/platform"
+import "monsoonlever/provider"
 
 const (
 	// tailRecords is how many of the newest records a new reader starts with. It
 	// is more than lie between two checkpoints as a rule, so that a start costs
 	// the same however much the log keeps.
-	tailRecords platform.Offset = 2 * recordsPerCheckpoint
+	tailRecords provider.Offset = 2 * recordsPerCheckpoint
 	// tailGrowth widens a tail without a checkpoint.
 	tailGrowth = 8
 	// readRecords bounds the records of one read.
@@ -15,7 +15,7 @@
 
 // request is the next read of the log.
 type request struct {
-	from  platform.Offset
+	from  provider.Offset
 	limit int
 	// locate marks the first read, which is made to learn where the log ends.
 	locate bool
@@ -24,11 +24,11 @@
 // reader feeds a state from the log, at first from the log's tail.
 type reader struct {
 	state   *State
-	width   platform.Offset
+	width   provider.Offset
 	located bool
 }
 
-func newReader(width platform.Offset) *reader {
+func newReader(width provider.Offset) *reader {
 	return &reader{state: NewState(), width: width}
 }
 
@@ -42,7 +42,7 @@
 }
 
 // apply takes the answer to a read and tells whether it reached the log's end.
-func (r *reader) apply(q request, b platform.Batch) ([]Result, bool) {
+func (r *reader) apply(q request, b provider.Batch) ([]Result, bool) {
 	switch {
 	case q.locate:
 		r.locate(b)
@@ -75,7 +75,7 @@
 }
 
 // locate goes to the tail of the log.
-func (r *reader) locate(b platform.Batch) {
+func (r *reader) locate(b provider.Batch) {
 	r.located = true
 
 	from := max(b.First, 1)
--- a/publication/request.go
+++ b/publication/request.go
@@ -1,11 +1,11 @@
 package publication
 
-import "monsoonlever/platform"
+import "monsoonlever/provider"
 
 // Request asks a Publisher for one publication.
 type Request struct {
 	// Base is the version that the manifest was derived from, 0 for none.
-	Base platform.Offset
+	Base provider.Offset
 	// File names the manifest in findings.
 	File string
 	// Data is the manifest's text.
--- a/publication/result.go
+++ b/publication/result.go
@@ -3,16 +3,16 @@
 import (
 	"time"
 
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 )
 
 // Result is what one record did.
 type Result struct {
 	outcome Outcome
-	offset  platform.Offset
+	offset  provider.Offset
 	time    time.Time
-	before  platform.Offset
-	version platform.Offset
+	before  provider.Offset
+	version provider.Offset
 	id      ID
 	err     error
 	// snapshot is the state's after the record.
@@ -23,16 +23,16 @@
 func (r Result) Outcome() Outcome { return r.outcome }
 
 // Offset returns the record's offset, 0 where the log has none for it.
-func (r Result) Offset() platform.Offset { return r.offset }
+func (r Result) Offset() provider.Offset { return r.offset }
 
 // Time returns when the log added the record.
 func (r Result) Time() time.Time { return r.time }
 
 // Before returns the version in force before the record.
-func (r Result) Before() platform.Offset { return r.before }
+func (r Result) Before() provider.Offset { return r.before }
 
 // Version returns the version in force after the record.
-func (r Result) Version() platform.Offset { return r.version }
+func (r Result) Version() provider.Offset { return r.version }
 
 // ID returns the id in the record.
 func (r Result) ID() ID { return r.id }
--- a/publication/snapshot.go
+++ b/publication/snapshot.go
@@ -4,12 +4,12 @@
 	"bytes"
 
 	"monsoonlever/manifest"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 )
 
 // Snapshot is a manifest with its version. It is immutable.
 type Snapshot struct {
-	version  platform.Offset
+	version  provider.Offset
 	id       ID
 	operator string
 	source   []byte
@@ -17,7 +17,7 @@
 }
 
 // Version returns the offset of the record that put the manifest in force.
-func (s *Snapshot) Version() platform.Offset { return s.version }
+func (s *Snapshot) Version() provider.Offset { return s.version }
 
 // ID returns the id of that record.
 func (s *Snapshot) ID() ID { return s.id }
--- a/publication/state.go
+++ b/publication/state.go
@@ -4,7 +4,7 @@
 	"bytes"
 
 	"monsoonlever/manifest"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 )
 
 // sourceName stands for the file in findings of a manifest from the log.
@@ -16,12 +16,12 @@
 	// current is the greatest version that is known to have been in force.
 	current *Snapshot
 	// next is the offset of the record to apply next.
-	next platform.Offset
+	next provider.Offset
 	// known tells whether current was in force just before next.
 	known bool
 	// runStart is the offset after the last gap: all records from there up to
 	// next were seen.
-	runStart platform.Offset
+	runStart provider.Offset
 }
 
 // NewState returns a state that starts at the log's first record ever, before
@@ -31,21 +31,21 @@
 }
 
 // Next returns the offset from which to read.
-func (s *State) Next() platform.Offset { return s.next }
+func (s *State) Next() provider.Offset { return s.next }
 
 // Known tells whether the version is the one in force just before Next. If it is
 // not, a greater one may be.
 func (s *State) Known() bool { return s.known }
 
 // Version returns the greatest version that is known to have been in force.
-func (s *State) Version() platform.Offset { return s.current.version }
+func (s *State) Version() provider.Offset { return s.current.version }
 
 // Snapshot returns that version's manifest.
 func (s *State) Snapshot() *Snapshot { return s.current }
 
 // SkipTo goes on at an offset without the records before it. A state that has
 // missed records needs a checkpoint to know the version in force again.
-func (s *State) SkipTo(offset platform.Offset) {
+func (s *State) SkipTo(offset provider.Offset) {
 	s.next = offset
 	s.runStart = offset
 	s.known = offset == 1 && s.Version() == 0
@@ -54,7 +54,7 @@
 // ApplyBatch applies the records of one read from Next and returns what each of
 // them did. After a Restored the next read starts from an earlier record, so the
 // rest of the batch is left out.
-func (s *State) ApplyBatch(b platform.Batch) []Result {
+func (s *State) ApplyBatch(b provider.Batch) []Result {
 	if b.First > s.next {
 		s.SkipTo(b.First)
 	}
@@ -74,7 +74,7 @@
 }
 
 // Apply applies one record.
-func (s *State) Apply(r platform.Record) Result {
+func (s *State) Apply(r provider.Record) Result {
 	result := Result{offset: r.Offset, time: r.Time, before: s.Version()}
 	if r.Offset < s.next {
 		return s.finish(result, Repeated)
--- a/publication/state_test.go
+++ b/publication/state_test.go
@@ -5,7 +5,7 @@
 	"testing"
 
 	"monsoonlever/finding"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 )
 
 func encoded(t *testing.T, r Record) []byte {
@@ -26,7 +26,7 @@
 		desc        string
 		record      Record
 		want        Outcome
-		wantVersion platform.Offset
+		wantVersion provider.Offset
 	}{
 		{desc: "derived from the version in force", record: Published{ID: "b", DerivedFrom: 1, Manifest: manifestNumbered(2)}, want: Applied, wantVersion: 2},
 		{desc: "derived from an older version", record: Published{ID: "b", Manifest: manifestNumbered(2)}, want: Stale, wantVersion: 1},
@@ -45,9 +45,9 @@
 	for _, tt := range tests {
 		t.Run(tt.desc, func(t *testing.T) {
 			s := NewState()
-			s.Apply(platform.Record{Offset: 1, Data: encoded(t, first)})
+			s.Apply(provider.Record{Offset: 1, Data: encoded(t, first)})
 
-			got := s.Apply(platform.Record{Offset: 2, Data: encoded(t, tt.record)})
+			got := s.Apply(provider.Record{Offset: 2, Data: encoded(t, tt.record)})
 			if got.Outcome() != tt.want || got.Version() != tt.wantVersion {
 				t.Errorf("outcome: got %v with version %d, want %v with %d", got.Outcome(), got.Version(), tt.want, tt.wantVersion)
 			}
@@ -58,7 +58,7 @@
 func TestApplyReportsTheFindingsOfAnInvalidManifest(t *testing.T) {
 	s := NewState()
 
-	r := s.Apply(platform.Record{Offset: 1, Data: encoded(t, Published{ID: "a", Manifest: []byte("{}")})})
+	r := s.Apply(provider.Record{Offset: 1, Data: encoded(t, Published{ID: "a", Manifest: []byte("{}")})})
 
 	var list *finding.Error
 	if !errors.As(r.Err(), &list) || len(list.Items()) == 0 {
@@ -71,11 +71,11 @@
 
 	tests := []struct {
 		desc        string
-		skipTo      platform.Offset
+		skipTo      provider.Offset
 		checkpoint  Checkpoint
 		want        Outcome
-		wantVersion platform.Offset
-		wantNext    platform.Offset
+		wantVersion provider.Offset
+		wantNext    provider.Offset
 	}{
 		{
 			desc:       "a new instance takes what there is",
@@ -136,12 +136,12 @@
 	s := NewState()
 	s.SkipTo(20)
 
-	early := s.Apply(platform.Record{Offset: 20, Data: encoded(t, Checkpoint{Version: 5, Through: 18, ID: "a", Manifest: manifestNumbered(1)})})
+	early := s.Apply(provider.Record{Offset: 20, Data: encoded(t, Checkpoint{Version: 5, Through: 18, ID: "a", Manifest: manifestNumbered(1)})})
 	if early.Outcome() != Useless || s.Known() {
 		t.Errorf("a record was missed: got %v, known %v, want %v, false", early.Outcome(), s.Known(), Useless)
 	}
 
-	exact := s.Apply(platform.Record{Offset: 21, Data: encoded(t, Checkpoint{Version: 5, Through: 19, ID: "a", Manifest: manifestNumbered(1)})})
+	exact := s.Apply(provider.Record{Offset: 21, Data: encoded(t, Checkpoint{Version: 5, Through: 19, ID: "a", Manifest: manifestNumbered(1)})})
 	if exact.Outcome() != Restored || !s.Known() || s.Next() != 20 {
 		t.Errorf("none was missed: got %v, known %v, next %d, want %v, true, 20", exact.Outcome(), s.Known(), s.Next(), Restored)
 	}
--- a/publication/stream.go
+++ b/publication/stream.go
@@ -1,8 +1,8 @@
 package publication
 
-import "monsoonlever/platform"
+import "monsoonlever/provider"
 
 // StreamOf returns the stream of the manifests of a deployment.
-func StreamOf(deployment string) platform.Stream {
-	return platform.Stream(deployment) + "." + DefaultStream
+func StreamOf(deployment string) provider.Stream {
+	return provider.Stream(deployment) + "." + DefaultStream
 }
--- a/publication/truth_test.go
+++ b/publication/truth_test.go
@@ -2,7 +2,7 @@
 
 import (
 	"monsoonlever/manifest"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 )
 
 // version is one that took effect.
@@ -15,20 +15,20 @@
 // plainest form of the rule.
 type truth struct {
 	// at holds the version in force after each offset.
-	at       []platform.Offset
-	versions map[platform.Offset]version
-	ids      map[ID]platform.Offset
+	at       []provider.Offset
+	versions map[provider.Offset]version
+	ids      map[ID]provider.Offset
 }
 
 func newTruth() *truth {
 	return &truth{
-		at:       []platform.Offset{0},
-		versions: map[platform.Offset]version{0: {}},
-		ids:      map[ID]platform.Offset{},
+		at:       []provider.Offset{0},
+		versions: map[provider.Offset]version{0: {}},
+		ids:      map[ID]provider.Offset{},
 	}
 }
 
-func (t *truth) inForce() platform.Offset {
+func (t *truth) inForce() provider.Offset {
 	return t.at[len(t.at)-1]
 }
 
@@ -52,7 +52,7 @@
 	}
 }
 
-func (t *truth) add(offset platform.Offset, id ID, source string) platform.Offset {
+func (t *truth) add(offset provider.Offset, id ID, source string) provider.Offset {
 	t.versions[offset] = version{id: id, source: source}
 	t.ids[id] = offset
 
--- a/publication/unresolved.go
+++ b/publication/unresolved.go
@@ -3,14 +3,14 @@
 import (
 	"fmt"
 
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 )
 
 // Unresolved is the error of a publication that may take effect yet or has
 // already. Resolve learns which, and rules out the first.
 type Unresolved struct {
 	id    ID
-	base  platform.Offset
+	base  provider.Offset
 	gone  bool
 	cause error
 }
@@ -19,7 +19,7 @@
 func (u *Unresolved) ID() ID { return u.id }
 
 // Base returns the version that it was derived from last.
-func (u *Unresolved) Base() platform.Offset { return u.base }
+func (u *Unresolved) Base() provider.Offset { return u.base }
 
 // Gone tells whether the records that would tell are no longer kept. Then the
 // publication can have no effect any more, but it may have had one.
--- a/routing/comparison/table.go
+++ b/routing/comparison/table.go
@@ -7,7 +7,7 @@
 
 	"monsoonlever/backend"
 	"monsoonlever/fleet"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 	"monsoonlever/routing"
 )
 
@@ -36,17 +36,17 @@
 			servers: make(map[fleet.InstanceID]int, s.Servers),
 		}
 
-		var listings []platform.Listing
+		var listings []provider.Listing
 
 		for i := range s.Servers {
 			id := fleet.InstanceID(fmt.Sprintf("server-%04d", i))
 			c.ids = append(c.ids, id)
 			c.servers[id] = i
-			listings = append(listings, platform.Listing{
+			listings = append(listings, provider.Listing{
 				ID:      id,
 				Service: engineKey.Service(),
 				Address: string(id),
-				State:   platform.Live,
+				State:   provider.Live,
 			})
 		}
 
--- a/routing/fixture_test.go
+++ b/routing/fixture_test.go
@@ -7,7 +7,7 @@
 
 	"monsoonlever/backend"
 	"monsoonlever/fleet"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 )
 
 var (
@@ -20,19 +20,19 @@
 	return fleet.InstanceID(fmt.Sprintf("server-%04d", i))
 }
 
-func testListing(i int) platform.Listing {
-	return platform.Listing{
+func testListing(i int) provider.Listing {
+	return provider.Listing{
 		ID:      testID(i),
 		Service: testKey.Service(),
 		Address: fmt.Sprintf("10.0.%d.%d:80", i/250, i%250),
 		Domain:  testDomains[i%len(testDomains)],
 		Class:   "small",
-		State:   platform.Live,
+		State:   provider.Live,
 	}
 }
 
-func testListings(n int) []platform.Listing {
-	listings := make([]platform.Listing, 0, n)
+func testListings(n int) []provider.Listing {
+	listings := make([]provider.Listing, 0, n)
 	for i := range n {
 		listings = append(listings, testListing(i))
 	}
--- a/routing/leaving_test.go
+++ b/routing/leaving_test.go
@@ -9,7 +9,7 @@
 
 	"monsoonlever/backend"
 	"monsoonlever/fleet"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 )
 
 // leavingModel is a world in which servers leave, and news of it comes from
@@ -52,7 +52,7 @@
 
 // list shows any mix of live, leaving and missing, as a list that lags does.
 func (m *leavingModel) list(t *rapid.T) {
-	var listings []platform.Listing
+	var listings []provider.Listing
 
 	for i := range m.size {
 		l := testListing(i)
@@ -61,7 +61,7 @@
 		case "missing":
 			continue
 		case "leaving":
-			l.State = platform.Leaving
+			l.State = provider.Leaving
 			m.learn(l.ID)
 		}
 
@@ -144,7 +144,7 @@
 		if at%time.Second == 0 {
 			listings := testListings(servers)
 			if at >= lag {
-				listings[3].State = platform.Leaving
+				listings[3].State = provider.Leaving
 			}
 
 			table.UpdateList(now, listings)
--- a/routing/preferred_test.go
+++ b/routing/preferred_test.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"monsoonlever/fleet"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 )
 
 func TestPreferredServerIsTakenIfItCanBe(t *testing.T) {
@@ -29,10 +29,10 @@
 	for _, tt := range tests {
 		t.Run(tt.desc, func(t *testing.T) {
 			table := &Table{}
-			table.UpdateList(now, []platform.Listing{
-				{ID: "a", Service: "payrun-api", Address: "a:1", State: platform.Live},
-				{ID: "b", Service: "payrun-api", Address: "b:1", State: platform.Live},
-				{ID: "c", Service: "payrun-api", Address: "c:1", State: platform.Live},
+			table.UpdateList(now, []provider.Listing{
+				{ID: "a", Service: "payrun-api", Address: "a:1", State: provider.Live},
+				{ID: "b", Service: "payrun-api", Address: "b:1", State: provider.Live},
+				{ID: "c", Service: "payrun-api", Address: "c:1", State: provider.Live},
 			})
 
 			if tt.leaving {
--- a/routing/spec.go
+++ b/routing/spec.go
@@ -2,7 +2,7 @@
 
 import (
 	"monsoonlever/fleet"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 )
 
 // spec is the slowly changing part of a server; it is replaced as a whole.
@@ -10,7 +10,7 @@
 	key      Key
 	address  string
 	domain   fleet.FailureDomain
-	class    platform.Class
+	class    provider.Class
 	price    float64
 	capacity int
 	// loading is set while the engine can't serve its model yet.
--- a/routing/table.go
+++ b/routing/table.go
@@ -7,7 +7,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"monsoonlever/fleet"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 )
 
 // Table chooses backend servers. Its exported fields are set before its first
@@ -39,7 +39,7 @@
 }
 
 type offerKey struct {
-	class  platform.Class
+	class  provider.Class
 	domain fleet.FailureDomain
 }
 
--- a/routing/update.go
+++ b/routing/update.go
@@ -6,7 +6,7 @@
 
 	"monsoonlever/backend"
 	"monsoonlever/fleet"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 )
 
 // maxPeers bounds how far the sends of this entry instance are extrapolated to
@@ -15,7 +15,7 @@
 
 // UpdateList takes the platform's list of instances in. A server that the list
 // lacks is kept while it reports itself, for the list lags.
-func (t *Table) UpdateList(now time.Time, listings []platform.Listing) {
+func (t *Table) UpdateList(now time.Time, listings []provider.Listing) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.prepare()
@@ -40,7 +40,7 @@
 }
 
 // updateListing tells whether the entry changed anything.
-func (t *Table) updateListing(now time.Time, l platform.Listing) bool {
+func (t *Table) updateListing(now time.Time, l provider.Listing) bool {
 	s := t.server(now, l.ID)
 	s.listed = now
 
@@ -53,7 +53,7 @@
 	changed := next != s.spec
 	s.spec = next
 
-	if l.State == platform.Leaving && t.leave(s, SourceList) {
+	if l.State == provider.Leaving && t.leave(s, SourceList) {
 		return true
 	}
 
@@ -83,7 +83,7 @@
 }
 
 // UpdateOffers takes the present prices in; the lower price of a class counts.
-func (t *Table) UpdateOffers(now time.Time, offers []platform.Offer) {
+func (t *Table) UpdateOffers(now time.Time, offers []provider.Offer) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.prepare()
--- a/routing/update_test.go
+++ b/routing/update_test.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"monsoonlever/backend"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 )
 
 func TestServerMissingFromListStaysWhileItReports(t *testing.T) {
@@ -71,7 +71,7 @@
 	listings := testListings(4)
 	listings[3].Class = "cheap"
 	table.UpdateList(testStart, listings)
-	table.UpdateOffers(testStart, []platform.Offer{
+	table.UpdateOffers(testStart, []provider.Offer{
 		{Class: "small", Domain: testDomains[0], PricePerHour: 2},
 		{Class: "small", Domain: testDomains[1], PricePerHour: 2},
 		{Class: "small", Domain: testDomains[2], PricePerHour: 2},
--- a/standin/cloud.go
+++ b/standin/cloud.go
@@ -12,7 +12,7 @@
 
 	"monsoonlever/clock"
 	"monsoonlever/fleet"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 )
 
 // Cloud is a fake of the cloud API. Set the exported fields before its use.
@@ -21,37 +21,37 @@
 	Faults *Faults
 	// Start starts what runs on a purchased instance and returns its address;
 	// nil starts nothing.
-	Start func(platform.Instance) (string, error)
+	Start func(provider.Instance) (string, error)
 	// OnNotice is told of instances when their notice goes out.
-	OnNotice func([]platform.Instance)
+	OnNotice func([]provider.Instance)
 	// OnEnd is told of instances that were reclaimed or released; they are dead.
-	OnEnd func([]platform.Instance)
+	OnEnd func([]provider.Instance)
 
 	timers conc.WaitGroup
 
 	mu        sync.Mutex
 	offers    []stock
-	instances []platform.Instance
-	byToken   map[string]platform.Instance
-	notices   []platform.Notice
+	instances []provider.Instance
+	byToken   map[string]provider.Instance
+	notices   []provider.Notice
 	bought    int
 }
 
-var _ platform.Cloud = (*Cloud)(nil)
+var _ provider.Cloud = (*Cloud)(nil)
 
 // stock is an offer and how many instances are left of it.
 type stock struct {
-	offer platform.Offer
+	offer provider.Offer
 	left  int
 }
 
 // NewCloud returns a cloud API without offers.
 func NewCloud(c clock.Clock) *Cloud {
-	return &Cloud{Clock: c, Faults: NewFaults(c), byToken: make(map[string]platform.Instance)}
+	return &Cloud{Clock: c, Faults: NewFaults(c), byToken: make(map[string]provider.Instance)}
 }
 
 // SetOffer sets a price and how many instances are to be had at it.
-func (c *Cloud) SetOffer(offer platform.Offer, left int) {
+func (c *Cloud) SetOffer(offer provider.Offer, left int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
@@ -64,7 +64,7 @@
 	c.offers = append(c.offers, stock{offer: offer, left: left})
 }
 
-func (c *Cloud) find(class platform.Class, domain fleet.FailureDomain, market platform.Market) *stock {
+func (c *Cloud) find(class provider.Class, domain fleet.FailureDomain, market provider.Market) *stock {
 	for i := range c.offers {
 		offer := c.offers[i].offer
 		if offer.Class == class && offer.Domain == domain && offer.Market == market {
@@ -76,7 +76,7 @@
 }
 
 // Offers returns the present prices, also of what is sold out.
-func (c *Cloud) Offers(ctx context.Context) ([]platform.Offer, error) {
+func (c *Cloud) Offers(ctx context.Context) ([]provider.Offer, error) {
 	if err := c.Faults.Enter(ctx); err != nil {
 		return nil, err
 	}
@@ -84,7 +84,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
-	offers := make([]platform.Offer, 0, len(c.offers))
+	offers := make([]provider.Offer, 0, len(c.offers))
 	for _, s := range c.offers {
 		offers = append(offers, s.offer)
 	}
@@ -93,32 +93,32 @@
 }
 
 // Buy makes an instance, or returns the one that its token made before.
-func (c *Cloud) Buy(ctx context.Context, p platform.Purchase) (platform.Instance, error) {
+func (c *Cloud) Buy(ctx context.Context, p provider.Purchase) (provider.Instance, error) {
 	if err := c.Faults.Enter(ctx); err != nil {
-		return platform.Instance{}, err
+		return provider.Instance{}, err
 	}
 
 	instance, made, err := c.take(p)
 	if err != nil {
-		return platform.Instance{}, err
+		return provider.Instance{}, err
 	}
 
 	if made && c.Start != nil {
 		instance, err = c.start(instance)
 		if err != nil {
-			return platform.Instance{}, err
+			return provider.Instance{}, err
 		}
 	}
 
 	if c.Faults.LosesAnswer() {
-		return platform.Instance{}, merry.Prepend(ErrNoAnswer, "buy instance")
+		return provider.Instance{}, merry.Prepend(ErrNoAnswer, "buy instance")
 	}
 
 	return instance, nil
 }
 
 // take returns the instance of a token and whether it was made just now.
-func (c *Cloud) take(p platform.Purchase) (platform.Instance, bool, error) {
+func (c *Cloud) take(p provider.Purchase) (provider.Instance, bool, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
@@ -128,13 +128,13 @@
 
 	s := c.find(p.Class, p.Domain, p.Market)
 	if s == nil || s.left <= 0 {
-		return platform.Instance{}, false, merry.Prepend(platform.ErrNoCapacity, "buy instance")
+		return provider.Instance{}, false, merry.Prepend(provider.ErrNoCapacity, "buy instance")
 	}
 
 	s.left--
 	c.bought++
 
-	instance := platform.Instance{
+	instance := provider.Instance{
 		ID:     fleet.InstanceID(fmt.Sprintf("bought-%d", c.bought)),
 		Token:  p.Token,
 		Class:  p.Class,
@@ -148,10 +148,10 @@
 	return instance, true, nil
 }
 
-func (c *Cloud) start(instance platform.Instance) (platform.Instance, error) {
+func (c *Cloud) start(instance provider.Instance) (provider.Instance, error) {
 	address, err := c.Start(instance)
 	if err != nil {
-		return platform.Instance{}, merry.Prepend(err, "start instance")
+		return provider.Instance{}, merry.Prepend(err, "start instance")
 	}
 
 	instance.Address = address
@@ -161,7 +161,7 @@
 }
 
 // Adopt adds an instance that was not bought here, or replaces the one with its id.
-func (c *Cloud) Adopt(instance platform.Instance) {
+func (c *Cloud) Adopt(instance provider.Instance) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
@@ -169,7 +169,7 @@
 		c.byToken[instance.Token] = instance
 	}
 
-	at := slices.IndexFunc(c.instances, func(o platform.Instance) bool { return o.ID == instance.ID })
+	at := slices.IndexFunc(c.instances, func(o provider.Instance) bool { return o.ID == instance.ID })
 	if at < 0 {
 		c.instances = append(c.instances, instance)
 
@@ -195,7 +195,7 @@
 }
 
 // Instances returns the instances that are paid for.
-func (c *Cloud) Instances(ctx context.Context) ([]platform.Instance, error) {
+func (c *Cloud) Instances(ctx context.Context) ([]provider.Instance, error) {
 	if err := c.Faults.Enter(ctx); err != nil {
 		return nil, err
 	}
@@ -207,7 +207,7 @@
 }
 
 // Notices returns the reclaim notices after a sequence number.
-func (c *Cloud) Notices(ctx context.Context, after uint64) ([]platform.Notice, error) {
+func (c *Cloud) Notices(ctx context.Context, after uint64) ([]provider.Notice, error) {
 	if err := c.Faults.Enter(ctx); err != nil {
 		return nil, err
 	}
@@ -215,7 +215,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
-	at := slices.IndexFunc(c.notices, func(n platform.Notice) bool { return n.Sequence > after })
+	at := slices.IndexFunc(c.notices, func(n provider.Notice) bool { return n.Sequence > after })
 	if at < 0 {
 		return nil, nil
 	}
@@ -245,25 +245,25 @@
 
 func (c *Cloud) giveNotice(
 	domain fleet.FailureDomain, notice time.Duration,
-) ([]platform.Instance, []fleet.InstanceID) {
+) ([]provider.Instance, []fleet.InstanceID) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
 	var (
-		reclaimed []platform.Instance
+		reclaimed []provider.Instance
 		ids       []fleet.InstanceID
 	)
 
 	at := c.Clock.Now().Add(notice)
 
 	for _, instance := range c.instances {
-		if instance.Domain != domain || instance.Market != platform.Reclaimable {
+		if instance.Domain != domain || instance.Market != provider.Reclaimable {
 			continue
 		}
 
 		reclaimed = append(reclaimed, instance)
 		ids = append(ids, instance.ID)
-		c.notices = append(c.notices, platform.Notice{
+		c.notices = append(c.notices, provider.Notice{
 			Sequence: uint64(len(c.notices) + 1),
 			Instance: instance.ID,
 			At:       at,
@@ -281,11 +281,11 @@
 	}
 }
 
-func (c *Cloud) remove(ids []fleet.InstanceID) []platform.Instance {
+func (c *Cloud) remove(ids []fleet.InstanceID) []provider.Instance {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
-	var kept, ended []platform.Instance
+	var kept, ended []provider.Instance
 
 	for _, instance := range c.instances {
 		if slices.Contains(ids, instance.ID) {
--- a/standin/cloud_handler.go
+++ b/standin/cloud_handler.go
@@ -9,7 +9,7 @@
 	"github.com/julienschmidt/httprouter"
 
 	"monsoonlever/fleet"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 )
 
 // The paths by which tests steer the cloud stand-in.
@@ -21,7 +21,7 @@
 
 // StockOrder sets a price and how many instances are left at it.
 type StockOrder struct {
-	Offer platform.Offer `json:"offer"`
+	Offer provider.Offer `json:"offer"`
 	Left  int            `json:"left"`
 }
 
@@ -40,11 +40,11 @@
 }
 
 func (c *Cloud) routes(router *httprouter.Router) {
-	handle(router, http.MethodGet, platform.CloudOffersPath, c.serveOffers)
-	handle(router, http.MethodPost, platform.CloudPurchasesPath, c.serveBuy)
-	handle(router, http.MethodPost, platform.CloudReleasesPath, c.serveRelease)
-	handle(router, http.MethodGet, platform.CloudInstancesPath, c.serveInstances)
-	handle(router, http.MethodGet, platform.CloudNoticesPath, c.serveNotices)
+	handle(router, http.MethodGet, provider.CloudOffersPath, c.serveOffers)
+	handle(router, http.MethodPost, provider.CloudPurchasesPath, c.serveBuy)
+	handle(router, http.MethodPost, provider.CloudReleasesPath, c.serveRelease)
+	handle(router, http.MethodGet, provider.CloudInstancesPath, c.serveInstances)
+	handle(router, http.MethodGet, provider.CloudNoticesPath, c.serveNotices)
 	handle(router, http.MethodPost, CloudStockPath, c.serveStock)
 	handle(router, http.MethodPost, CloudReclaimsPath, c.serveReclaim)
 	handleFaults(router, CloudFaultsPath, c.Faults)
@@ -60,7 +60,7 @@
 }
 
 func (c *Cloud) serveBuy(w http.ResponseWriter, r *http.Request) error {
-	purchase, err := readMessage[platform.Purchase](r)
+	purchase, err := readMessage[provider.Purchase](r)
 	if err != nil {
 		return err
 	}
@@ -74,7 +74,7 @@
 }
 
 func (c *Cloud) serveRelease(w http.ResponseWriter, r *http.Request) error {
-	request, err := readMessage[platform.ReleaseRequest](r)
+	request, err := readMessage[provider.ReleaseRequest](r)
 	if err != nil {
 		return err
 	}
@@ -98,7 +98,7 @@
 }
 
 func (c *Cloud) serveNotices(w http.ResponseWriter, r *http.Request) error {
-	after, err := strconv.ParseUint(r.URL.Query().Get(platform.CloudAfterParam), 10, 64)
+	after, err := strconv.ParseUint(r.URL.Query().Get(provider.CloudAfterParam), 10, 64)
 	if err != nil {
 		return merry.Wrap(errBadRequest, merry.WithCause(err))
 	}
--- a/standin/cloud_test.go
+++ b/standin/cloud_test.go
@@ -9,20 +9,20 @@
 
 	"monsoonlever/backend"
 	"monsoonlever/clock"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 	"monsoonlever/standin"
 )
 
 func TestPurchaseIsIdempotentByToken(t *testing.T) {
 	fake := standin.NewCloud(clock.NewManual(start))
-	fake.SetOffer(platform.Offer{Class: "c", Domain: "a", Market: platform.Reclaimable, PricePerHour: 2}, 1)
+	fake.SetOffer(provider.Offer{Class: "c", Domain: "a", Market: provider.Reclaimable, PricePerHour: 2}, 1)
 
-	cloud := platform.NewHTTPCloud("http://"+serve(t, fake.Handler()), &http.Client{})
-	purchase := platform.Purchase{Token: "t1", Class: "c", Domain: "a", Market: platform.Reclaimable}
+	cloud := provider.NewHTTPCloud("http://"+serve(t, fake.Handler()), &http.Client{})
+	purchase := provider.Purchase{Token: "t1", Class: "c", Domain: "a", Market: provider.Reclaimable}
 
 	apply(t, fake.Faults, standin.FaultOrder{Kind: standin.EffectWithoutAnswer})
 
-	if _, err := cloud.Buy(t.Context(), purchase); err == nil || errors.Is(err, platform.ErrNoCapacity) {
+	if _, err := cloud.Buy(t.Context(), purchase); err == nil || errors.Is(err, provider.ErrNoCapacity) {
 		t.Errorf("purchase with a lost answer: got %v, want an error that leaves it unknown", err)
 	}
 
@@ -32,8 +32,8 @@
 	}
 
 	purchase.Token = "t2"
-	if _, err := cloud.Buy(t.Context(), purchase); !errors.Is(err, platform.ErrNoCapacity) {
-		t.Errorf("sold out: got %v, want %v", err, platform.ErrNoCapacity)
+	if _, err := cloud.Buy(t.Context(), purchase); !errors.Is(err, provider.ErrNoCapacity) {
+		t.Errorf("sold out: got %v, want %v", err, provider.ErrNoCapacity)
 	}
 
 	instances, err := cloud.Instances(t.Context())
@@ -55,9 +55,9 @@
 		p := standin.NewPlatform(clock.System{})
 
 		for _, r := range []standin.Registration{
-			{Market: platform.Reclaimable, Listing: platform.Listing{ID: "a1", Domain: "a", State: platform.Live}},
-			{Market: platform.OnDemand, Listing: platform.Listing{ID: "a2", Domain: "a", State: platform.Live}},
-			{Market: platform.Reclaimable, Listing: platform.Listing{ID: "b1", Domain: "b", State: platform.Live}},
+			{Market: provider.Reclaimable, Listing: provider.Listing{ID: "a1", Domain: "a", State: provider.Live}},
+			{Market: provider.OnDemand, Listing: provider.Listing{ID: "a2", Domain: "a", State: provider.Live}},
+			{Market: provider.Reclaimable, Listing: provider.Listing{ID: "b1", Domain: "b", State: provider.Live}},
 		} {
 			p.Register(r)
 		}
@@ -99,9 +99,9 @@
 	c := clock.NewManual(start)
 	fake := standin.NewList(c)
 	fake.Lag = 3 * time.Second
-	list := platform.NewHTTPList("http://"+serve(t, fake.Handler()), &http.Client{})
+	list := provider.NewHTTPList("http://"+serve(t, fake.Handler()), &http.Client{})
 
-	fake.Set(platform.Listing{ID: "a1", State: platform.Live})
+	fake.Set(provider.Listing{ID: "a1", State: provider.Live})
 
 	for _, want := range []int{0, 0, 0, 1} {
 		listings, err := list.Listings(t.Context())
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -10,7 +10,7 @@
 	"monsoonlever/backend"
 	"monsoonlever/clock"
 	"monsoonlever/fleet"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 )
 
 const (
@@ -28,7 +28,7 @@
 	// Client carries KV caches to other engines.
 	Client *http.Client
 	// Weights is where models are loaded from; nil loads them at once.
-	Weights platform.Weights
+	Weights provider.Weights
 
 	Model   fleet.Model
 	Version fleet.ModelVersion
--- a/standin/http.go
+++ b/standin/http.go
@@ -9,7 +9,7 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/julienschmidt/httprouter"
 
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 )
 
 const maxMessageBytes = 16 << 20
@@ -33,11 +33,11 @@
 	switch {
 	case errors.Is(err, ErrNoAnswer):
 		panic(http.ErrAbortHandler)
-	case errors.Is(err, ErrDown), errors.Is(err, platform.ErrRefused):
-		w.Header().Set(platform.EffectHeader, platform.EffectNone)
+	case errors.Is(err, ErrDown), errors.Is(err, provider.ErrRefused):
+		w.Header().Set(provider.EffectHeader, provider.EffectNone)
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
-	case errors.Is(err, platform.ErrNoCapacity):
-		w.Header().Set(platform.EffectHeader, platform.EffectNone)
+	case errors.Is(err, provider.ErrNoCapacity):
+		w.Header().Set(provider.EffectHeader, provider.EffectNone)
 		http.Error(w, err.Error(), http.StatusConflict)
 	case errors.Is(err, errBadRequest), errors.Is(err, ErrUnknownFault):
 		http.Error(w, err.Error(), http.StatusBadRequest)
--- a/standin/list.go
+++ b/standin/list.go
@@ -11,7 +11,7 @@
 
 	"monsoonlever/clock"
 	"monsoonlever/fleet"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 )
 
 // ListFaultsPath is where the list takes a FaultOrder.
@@ -25,11 +25,11 @@
 	Lag time.Duration
 
 	mu      sync.Mutex
-	present []platform.Listing
-	seen    lagged[[]platform.Listing]
+	present []provider.Listing
+	seen    lagged[[]provider.Listing]
 }
 
-var _ platform.List = (*List)(nil)
+var _ provider.List = (*List)(nil)
 
 // NewList returns an empty list without a lag.
 func NewList(c clock.Clock) *List {
@@ -37,7 +37,7 @@
 }
 
 // Set adds a listing or replaces the one with its id.
-func (l *List) Set(listing platform.Listing) {
+func (l *List) Set(listing provider.Listing) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
@@ -53,7 +53,7 @@
 	present := slices.Clone(l.present)
 	for i := range present {
 		if present[i].ID == id {
-			present[i].State = platform.Leaving
+			present[i].State = provider.Leaving
 		}
 	}
 
@@ -68,13 +68,13 @@
 	l.change(without(l.present, id))
 }
 
-func (l *List) change(present []platform.Listing) {
+func (l *List) change(present []provider.Listing) {
 	l.present = present
 	l.seen.set(l.Clock, l.Lag, present)
 }
 
-func without(listings []platform.Listing, id fleet.InstanceID) []platform.Listing {
-	kept := make([]platform.Listing, 0, len(listings)+1)
+func without(listings []provider.Listing, id fleet.InstanceID) []provider.Listing {
+	kept := make([]provider.Listing, 0, len(listings)+1)
 
 	for _, listing := range listings {
 		if listing.ID != id {
@@ -86,7 +86,7 @@
 }
 
 // Present returns the listings without the lag.
-func (l *List) Present() []platform.Listing {
+func (l *List) Present() []provider.Listing {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
@@ -94,7 +94,7 @@
 }
 
 // Listings returns the list as it was a lag ago.
-func (l *List) Listings(ctx context.Context) ([]platform.Listing, error) {
+func (l *List) Listings(ctx context.Context) ([]provider.Listing, error) {
 	if err := l.Faults.Enter(ctx); err != nil {
 		return nil, err
 	}
@@ -111,7 +111,7 @@
 }
 
 func (l *List) routes(router *httprouter.Router) {
-	handle(router, http.MethodGet, platform.ListListingsPath, l.serveListings)
+	handle(router, http.MethodGet, provider.ListListingsPath, l.serveListings)
 	handleFaults(router, ListFaultsPath, l.Faults)
 }
 
--- a/standin/log.go
+++ b/standin/log.go
@@ -9,7 +9,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"monsoonlever/clock"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 )
 
 // Log is a fake of the log service. Set the exported fields before its use.
@@ -21,27 +21,27 @@
 	MaxRecords int
 
 	mu      sync.Mutex
-	streams map[platform.Stream]*stream
+	streams map[provider.Stream]*stream
 	appends int
 }
 
-var _ platform.Log = (*Log)(nil)
+var _ provider.Log = (*Log)(nil)
 
 // stream holds the retained records of one stream.
 type stream struct {
-	records []platform.Record
-	next    platform.Offset
+	records []provider.Record
+	next    provider.Offset
 	// grown is closed by the next append.
 	grown chan struct{}
 }
 
 // NewLog returns an empty log that retains everything.
 func NewLog(c clock.Clock) *Log {
-	return &Log{Clock: c, Faults: NewFaults(c), streams: make(map[platform.Stream]*stream)}
+	return &Log{Clock: c, Faults: NewFaults(c), streams: make(map[provider.Stream]*stream)}
 }
 
 // Append adds one record.
-func (l *Log) Append(ctx context.Context, name platform.Stream, data []byte) (platform.Offset, error) {
+func (l *Log) Append(ctx context.Context, name provider.Stream, data []byte) (provider.Offset, error) {
 	if err := l.Faults.Enter(ctx); err != nil {
 		return 0, asLogError(err)
 	}
@@ -57,20 +57,20 @@
 // asLogError adds what the port promises of a refused append.
 func asLogError(err error) error {
 	if errors.Is(err, ErrDown) {
-		return merry.Wrap(platform.ErrRefused, merry.WithCause(err))
+		return merry.Wrap(provider.ErrRefused, merry.WithCause(err))
 	}
 
 	return err
 }
 
-func (l *Log) add(name platform.Stream, data []byte) platform.Offset {
+func (l *Log) add(name provider.Stream, data []byte) provider.Offset {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
 	s := l.stream(name)
 	offset := s.next
 	s.next++
-	s.records = append(s.records, platform.Record{
+	s.records = append(s.records, provider.Record{
 		Offset: offset,
 		Time:   l.Clock.Now(),
 		Data:   append([]byte(nil), data...),
@@ -86,10 +86,10 @@
 
 // Read returns the retained records from an offset on and waits for the first.
 func (l *Log) Read(
-	ctx context.Context, name platform.Stream, from platform.Offset, limit int, wait time.Duration,
-) (platform.Batch, error) {
+	ctx context.Context, name provider.Stream, from provider.Offset, limit int, wait time.Duration,
+) (provider.Batch, error) {
 	if err := l.Faults.Enter(ctx); err != nil {
-		return platform.Batch{}, asLogError(err)
+		return provider.Batch{}, asLogError(err)
 	}
 
 	var timeout <-chan time.Time
@@ -108,19 +108,19 @@
 		case <-timeout:
 			wait = 0
 		case <-ctx.Done():
-			return platform.Batch{}, merry.Prepend(ctx.Err(), "read "+string(name))
+			return provider.Batch{}, merry.Prepend(ctx.Err(), "read "+string(name))
 		}
 	}
 }
 
-func (l *Log) batch(name platform.Stream, from platform.Offset, limit int) (platform.Batch, <-chan struct{}) {
+func (l *Log) batch(name provider.Stream, from provider.Offset, limit int) (provider.Batch, <-chan struct{}) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
 	s := l.stream(name)
 	l.retain(s)
 
-	batch := platform.Batch{First: s.next, Next: s.next}
+	batch := provider.Batch{First: s.next, Next: s.next}
 	if len(s.records) > 0 {
 		batch.First = s.records[0].Offset
 	}
@@ -144,7 +144,7 @@
 	return l.appends
 }
 
-func (l *Log) stream(name platform.Stream) *stream {
+func (l *Log) stream(name provider.Stream) *stream {
 	s, ok := l.streams[name]
 	if !ok {
 		s = &stream{next: 1, grown: make(chan struct{})}
--- a/standin/log_handler.go
+++ b/standin/log_handler.go
@@ -9,7 +9,7 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/julienschmidt/httprouter"
 
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 )
 
 // LogFaultsPath is where the log takes a FaultOrder.
@@ -24,8 +24,8 @@
 }
 
 func (l *Log) routes(router *httprouter.Router) {
-	handle(router, http.MethodPost, platform.LogRecordsPath, l.serveAppend)
-	handle(router, http.MethodGet, platform.LogRecordsPath, l.serveRead)
+	handle(router, http.MethodPost, provider.LogRecordsPath, l.serveAppend)
+	handle(router, http.MethodGet, provider.LogRecordsPath, l.serveRead)
 	handleFaults(router, LogFaultsPath, l.Faults)
 }
 
@@ -35,44 +35,44 @@
 		return merry.Wrap(errBadRequest, merry.WithCause(err))
 	}
 
-	stream := platform.Stream(r.URL.Query().Get(platform.LogStreamParam))
+	stream := provider.Stream(r.URL.Query().Get(provider.LogStreamParam))
 
 	offset, err := l.Append(r.Context(), stream, data)
 	if err != nil {
 		return err
 	}
 
-	return writeMessage(w, platform.AppendAnswer{Offset: offset})
+	return writeMessage(w, provider.AppendAnswer{Offset: offset})
 }
 
 func (l *Log) serveRead(w http.ResponseWriter, r *http.Request) error {
 	query := r.URL.Query()
 
-	from, err := strconv.ParseUint(query.Get(platform.LogFromParam), 10, 64)
+	from, err := strconv.ParseUint(query.Get(provider.LogFromParam), 10, 64)
 	if err != nil {
 		return merry.Wrap(errBadRequest, merry.WithCause(err))
 	}
 
-	limit, err := strconv.Atoi(query.Get(platform.LogLimitParam))
+	limit, err := strconv.Atoi(query.Get(provider.LogLimitParam))
 	if err != nil {
 		return merry.Wrap(errBadRequest, merry.WithCause(err))
 	}
 
-	wait, err := time.ParseDuration(query.Get(platform.LogWaitParam))
+	wait, err := time.ParseDuration(query.Get(provider.LogWaitParam))
 	if err != nil {
 		return merry.Wrap(errBadRequest, merry.WithCause(err))
 	}
 
-	stream := platform.Stream(query.Get(platform.LogStreamParam))
+	stream := provider.Stream(query.Get(provider.LogStreamParam))
 
-	batch, err := l.Read(r.Context(), stream, platform.Offset(from), limit, wait)
+	batch, err := l.Read(r.Context(), stream, provider.Offset(from), limit, wait)
 	if err != nil {
 		return err
 	}
 
-	answer := platform.BatchAnswer{First: batch.First, Next: batch.Next}
+	answer := provider.BatchAnswer{First: batch.First, Next: batch.Next}
 	for _, record := range batch.Records {
-		answer.Records = append(answer.Records, platform.RecordAnswer(record))
+		answer.Records = append(answer.Records, provider.RecordAnswer(record))
 	}
 
 	return writeMessage(w, answer)
--- a/standin/log_test.go
+++ b/standin/log_test.go
@@ -12,7 +12,7 @@
 	"pgregory.net/rapid"
 
 	"monsoonlever/clock"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 	"monsoonlever/standin"
 )
 
@@ -36,7 +36,7 @@
 	for _, tt := range tests {
 		t.Run(tt.desc, func(t *testing.T) {
 			fake := standin.NewLog(clock.System{})
-			log := platform.NewHTTPLog("http://"+serve(t, fake.Handler()), &http.Client{})
+			log := provider.NewHTTPLog("http://"+serve(t, fake.Handler()), &http.Client{})
 
 			apply(t, fake.Faults, tt.fault)
 			_, err := log.Append(t.Context(), "s", []byte("x"))
@@ -45,7 +45,7 @@
 				t.Fatal("append: got no error, want one")
 			}
 
-			if got := errors.Is(err, platform.ErrRefused); got != tt.refused {
+			if got := errors.Is(err, provider.ErrRefused); got != tt.refused {
 				t.Errorf("refused: got %v (%v), want %v", got, err, tt.refused)
 			}
 
@@ -67,9 +67,9 @@
 
 	l.Close()
 
-	log := platform.NewHTTPLog("http://"+l.Addr().String(), &http.Client{Transport: &http.Transport{}})
-	if _, err := log.Append(t.Context(), "s", nil); !errors.Is(err, platform.ErrRefused) {
-		t.Errorf("append: got %v, want %v", err, platform.ErrRefused)
+	log := provider.NewHTTPLog("http://"+l.Addr().String(), &http.Client{Transport: &http.Transport{}})
+	if _, err := log.Append(t.Context(), "s", nil); !errors.Is(err, provider.ErrRefused) {
+		t.Errorf("append: got %v, want %v", err, provider.ErrRefused)
 	}
 }
 
@@ -87,7 +87,7 @@
 			}
 
 			offset, err := fake.Append(context.Background(), "s", []byte{byte(i)})
-			if !errors.Is(err, platform.ErrRefused) {
+			if !errors.Is(err, provider.ErrRefused) {
 				want = append(want, byte(i))
 			}
 
@@ -118,17 +118,17 @@
 		desc       string
 		maxAge     time.Duration
 		maxRecords int
-		from       platform.Offset
+		from       provider.Offset
 		limit      int
-		want       []platform.Offset
-		first      platform.Offset
+		want       []provider.Offset
+		first      provider.Offset
 	}{
-		{desc: "all", from: 1, limit: 10, want: []platform.Offset{1, 2, 3, 4}, first: 1},
-		{desc: "from zero", from: 0, limit: 10, want: []platform.Offset{1, 2, 3, 4}, first: 1},
-		{desc: "limited", from: 2, limit: 2, want: []platform.Offset{2, 3}, first: 1},
+		{desc: "all", from: 1, limit: 10, want: []provider.Offset{1, 2, 3, 4}, first: 1},
+		{desc: "from zero", from: 0, limit: 10, want: []provider.Offset{1, 2, 3, 4}, first: 1},
+		{desc: "limited", from: 2, limit: 2, want: []provider.Offset{2, 3}, first: 1},
 		{desc: "beyond the end", from: 9, limit: 2, first: 1},
-		{desc: "by count", maxRecords: 3, from: 1, limit: 10, want: []platform.Offset{2, 3, 4}, first: 2},
-		{desc: "by age", maxAge: 2 * time.Minute, from: 1, limit: 10, want: []platform.Offset{3, 4}, first: 3},
+		{desc: "by count", maxRecords: 3, from: 1, limit: 10, want: []provider.Offset{2, 3, 4}, first: 2},
+		{desc: "by age", maxAge: 2 * time.Minute, from: 1, limit: 10, want: []provider.Offset{3, 4}, first: 3},
 		{desc: "none left", maxAge: time.Second, from: 1, limit: 10, first: 5},
 	}
 
@@ -147,7 +147,7 @@
 				c.Advance(time.Minute)
 			}
 
-			log := platform.NewHTTPLog("http://"+serve(t, fake.Handler()), &http.Client{})
+			log := provider.NewHTTPLog("http://"+serve(t, fake.Handler()), &http.Client{})
 
 			batch, err := log.Read(t.Context(), "s", tt.from, tt.limit, 0)
 			if err != nil {
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -9,7 +9,7 @@
 	"github.com/sourcegraph/conc"
 
 	"monsoonlever/clock"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 )
 
 // The paths by which backend servers join and leave the platform stand-in.
@@ -23,8 +23,8 @@
 
 // Registration adds a backend server to the list and to the cloud's instances.
 type Registration struct {
-	Listing platform.Listing `json:"listing"`
-	Market  platform.Market  `json:"market"`
+	Listing provider.Listing `json:"listing"`
+	Market  provider.Market  `json:"market"`
 }
 
 // Platform is the whole platform on one port. A reclaim marks what is registered
@@ -72,7 +72,7 @@
 // Register adds a backend server to the list and to the cloud's instances.
 func (p *Platform) Register(r Registration) {
 	p.List.Set(r.Listing)
-	p.Cloud.Adopt(platform.Instance{
+	p.Cloud.Adopt(provider.Instance{
 		ID:      r.Listing.ID,
 		Class:   r.Listing.Class,
 		Domain:  r.Listing.Domain,
@@ -95,7 +95,7 @@
 }
 
 func (p *Platform) serveDeparture(w http.ResponseWriter, r *http.Request) error {
-	request, err := readMessage[platform.ReleaseRequest](r)
+	request, err := readMessage[provider.ReleaseRequest](r)
 	if err != nil {
 		return err
 	}
@@ -111,7 +111,7 @@
 	return nil
 }
 
-func (p *Platform) notice(instances []platform.Instance) {
+func (p *Platform) notice(instances []provider.Instance) {
 	for _, instance := range instances {
 		p.List.Leave(instance.ID)
 	}
@@ -119,7 +119,7 @@
 	p.order(instances, FaultOrder{Kind: Leaving})
 }
 
-func (p *Platform) end(instances []platform.Instance) {
+func (p *Platform) end(instances []provider.Instance) {
 	for _, instance := range instances {
 		p.List.Remove(instance.ID)
 	}
@@ -129,7 +129,7 @@
 
 // order gives a fault order to backend servers at the same time. One that
 // cannot be reached is dead already.
-func (p *Platform) order(instances []platform.Instance, o FaultOrder) {
+func (p *Platform) order(instances []provider.Instance, o FaultOrder) {
 	var wg conc.WaitGroup
 
 	for _, instance := range instances {
--- a/standin/remote.go
+++ b/standin/remote.go
@@ -9,7 +9,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"monsoonlever/fleet"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 )
 
 // OrderFault gives a fault order to the backend server stand-in at host:port.
@@ -40,7 +40,7 @@
 
 // Depart takes a backend server out of the platform stand-in.
 func Depart(ctx context.Context, c *http.Client, baseURL string, id fleet.InstanceID) error {
-	return postOrder(ctx, c, baseURL+DeparturesPath, platform.ReleaseRequest{ID: id})
+	return postOrder(ctx, c, baseURL+DeparturesPath, provider.ReleaseRequest{ID: id})
 }
 
 func postOrder(ctx context.Context, c *http.Client, url string, message any) error {
--- a/standin/standin.go
+++ b/standin/standin.go
@@ -2,7 +2,7 @@
 // service, the cloud API, the instance list, the weight store, model engines
 // and plain services.
 //
-// Log, Cloud, List and Weights implement the ports of package platform, so a
+// Log, Cloud, List and Weights implement the ports of package provider, so a
 // test can use them directly; each also has a Handler that speaks the wire
 // format. Engine and PlainService are used through their Handler. All take
 // their faults from a Faults, by Apply or by POST to their fault path.
--- a/standin/weights.go
+++ b/standin/weights.go
@@ -9,7 +9,7 @@
 
 	"monsoonlever/clock"
 	"monsoonlever/fleet"
-	"monsoonlever/platform"
+	"monsoonlever/provider"
 )
 
 // WeightsFaultsPath is where the weight store takes a FaultOrder.
@@ -26,7 +26,7 @@
 	pipe pipe
 }
 
-var _ platform.Weights = (*Weights)(nil)
+var _ provider.Weights = (*Weights)(nil)
 
 // NewWeights returns a weight store that answers at once.
 func NewWeights(c clock.Clock) *Weights {
@@ -53,12 +53,12 @@
 }
 
 func (s *Weights) routes(router *httprouter.Router) {
-	handle(router, http.MethodPost, platform.WeightsFetchesPath, s.serveFetch)
+	handle(router, http.MethodPost, provider.WeightsFetchesPath, s.serveFetch)
 	handleFaults(router, WeightsFaultsPath, s.Faults)
 }
 
 func (s *Weights) serveFetch(w http.ResponseWriter, r *http.Request) error {
-	request, err := readMessage[platform.FetchRequest](r)
+	request, err := readMessage[provider.FetchRequest](r)
 	if err != nil {
 		return err
 	}
@@ -68,5 +68,5 @@
 		return err
 	}
 
-	return writeMessage(w, platform.FetchAnswer{Took: took.String()})
+	return writeMessage(w, provider.FetchAnswer{Took: took.String()})
 }
