refactor(burn,burnpage): the daemon links no plotting

Cause: burn drew its page itself, so an entry instance linked plots and fonts and paid for them in start-up and memory. Change: the page and its plots are the package burnpage, which only the operators' client imports.

--- a/burn/table.go
+++ b/burn/table.go
@@ -22,7 +22,7 @@
 
 	for _, row := range r.Rows {
 		fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%s\t%s\t%s", row.Service, row.Account, row.Kind, row.Requests,
-			percent(row.Objective.Part), percent(row.Attained), percent(row.BudgetLeft))
+			Percent(row.Objective.Part), Percent(row.Attained), Percent(row.BudgetLeft))
 
 		for _, rate := range row.Windows {
 			fmt.Fprintf(t, "\t%.1f", rate.BurnRate)
@@ -49,8 +49,8 @@
 	for _, row := range r.Rows {
 		o := row.Objective
 		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\n", row.Service, row.Account, row.Kind,
-			against(row.FirstToken.P95, o.FirstToken), against(row.BetweenTokens.P95, o.BetweenTokens),
-			short(row.Whole.P50), against(row.Whole.P95, o.Whole), short(row.Whole.P99))
+			Against(row.FirstToken.P95, o.FirstToken), Against(row.BetweenTokens.P95, o.BetweenTokens),
+			Short(row.Whole.P50), Against(row.Whole.P95, o.Whole), Short(row.Whole.P99))
 	}
 }
 
@@ -59,8 +59,8 @@
 
 	for _, s := range r.Services {
 		fmt.Fprintf(t, "%s\t%d\t%d\t%s\t%.2f\t%.4f\t%.4f\t%d\t%d\t%s\n", s.Service, s.Requests, s.Good,
-			percent(s.Attained), s.Cost, s.CostPerThousandAnswers, s.CostPerMillionTokens,
-			s.Tokens, s.RecomputedTokens, percent(s.RecomputedPart))
+			Percent(s.Attained), s.Cost, s.CostPerThousandAnswers, s.CostPerMillionTokens,
+			s.Tokens, s.RecomputedTokens, Percent(s.RecomputedPart))
 	}
 }
 
@@ -87,12 +87,13 @@
 	return strings.Join(parts, ", ")
 }
 
-func percent(part float64) string {
+// Percent formats a part of one.
+func Percent(part float64) string {
 	return fmt.Sprintf("%.2f%%", part*100)
 }
 
-// short rounds a latency to what its buckets can tell.
-func short(d time.Duration) string {
+// Short rounds a latency to what its buckets can tell.
+func Short(d time.Duration) string {
 	switch {
 	case d == 0:
 		return "-"
@@ -103,10 +104,11 @@
 	}
 }
 
-func against(got, target time.Duration) string {
+// Against formats a latency beside its target, if there is one.
+func Against(got, target time.Duration) string {
 	if target <= 0 {
-		return short(got)
+		return Short(got)
 	}
 
-	return short(got) + " (" + short(target) + ")"
+	return Short(got) + " (" + Short(target) + ")"
 }
--- a/burn/window.go
+++ b/burn/window.go
@@ -22,3 +22,13 @@
 	{name: "6h", slot: 15 * time.Minute, slots: 24},
 	{name: "3d", slot: time.Hour, slots: int(budgetTime / time.Hour)},
 }
+
+// WindowNames lists the windows of a row in their order.
+func WindowNames() []string {
+	names := make([]string, 0, len(windowShapes))
+	for _, shape := range windowShapes {
+		names = append(names, shape.name)
+	}
+
+	return names
+}
--- a/burn/html.go
+++ b/burnpage/page.go
@@ -1,4 +1,12 @@
-package burn
+// Package burnpage draws the report on service-level burn as one HTML page.
+//
+// It stands apart from burn so that an entry instance, which only counts, does
+// not link plotting and fonts.
+//
+// # Usage
+//
+//	err := burnpage.Write(w, burn.NewReport(snapshot))
+package burnpage
 
 import (
 	"cmp"
@@ -9,15 +17,17 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+
+	"monsoonlever/burn"
 )
 
 //go:embed report.html
 var pageText string
 
 var page = template.Must(template.New("report").Funcs(template.FuncMap{
-	"percent": percent,
-	"short":   short,
-	"against": against,
+	"percent": burn.Percent,
+	"short":   burn.Short,
+	"against": burn.Against,
 	"stamp":   func(t time.Time) string { return t.Format("2006-01-02 15:04:05 MST") },
 	"number":  func(i int) int { return i + 1 },
 	"over":    func(got, target time.Duration) bool { return target > 0 && got > target },
@@ -28,7 +38,7 @@
 
 // pageData is what the page shows.
 type pageData struct {
-	Report
+	burn.Report
 
 	Windows []string
 	Cut     bool
@@ -36,25 +46,23 @@
 	Plots   []template.HTML
 }
 
-// WriteHTML writes the report as one page that needs no other file.
-func (r Report) WriteHTML(w io.Writer) error {
+// Write writes a report as one page that needs no other file.
+func Write(w io.Writer, r burn.Report) error {
 	r.Rows = slices.Clone(r.Rows)
-	slices.SortStableFunc(r.Rows, func(a, b Row) int { return cmp.Compare(a.BudgetLeft, b.BudgetLeft) })
+	slices.SortStableFunc(r.Rows, func(a, b burn.Row) int { return cmp.Compare(a.BudgetLeft, b.BudgetLeft) })
 
 	shown := r.Rows[:min(len(r.Rows), maxPlotRows)]
 	data := pageData{Report: r, Cut: len(shown) < len(r.Rows), Plotted: len(shown)}
 
-	for _, shape := range windowShapes {
-		data.Windows = append(data.Windows, shape.name)
-	}
+	data.Windows = burn.WindowNames()
 
 	if len(shown) > 0 {
-		plots, err := r.plots(shown)
+		drawn, err := plots(r, shown)
 		if err != nil {
 			return err
 		}
 
-		data.Plots = plots
+		data.Plots = drawn
 	}
 
 	if err := page.Execute(w, data); err != nil {
@@ -64,8 +72,8 @@
 	return nil
 }
 
-func (r Report) plots(shown []Row) ([]template.HTML, error) {
-	var plots []template.HTML
+func plots(r burn.Report, shown []burn.Row) ([]template.HTML, error) {
+	var drawn []template.HTML
 
 	for _, draw := range []func() (template.HTML, error){
 		func() (template.HTML, error) { return attainedPlot(r.Services) },
@@ -79,9 +87,9 @@
 		}
 
 		if one != "" {
-			plots = append(plots, one)
+			drawn = append(drawn, one)
 		}
 	}
 
-	return plots, nil
+	return drawn, nil
 }
--- a/burn/plot.go
+++ b/burnpage/plot.go
@@ -1,13 +1,11 @@
-package burn
+package burnpage
 
 import (
 	"bytes"
-	"cmp"
 	"fmt"
 	"html/template"
 	"image/color"
 	"math"
-	"slices"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -17,6 +15,8 @@
 	"gonum.org/v1/plot/vg"
 	"gonum.org/v1/plot/vg/draw"
 	"gonum.org/v1/plot/vg/vgsvg"
+
+	"monsoonlever/burn"
 )
 
 const (
@@ -88,7 +88,7 @@
 }
 
 // attainedPlot shows over time which part of each service's requests was good.
-func attainedPlot(services []ServiceRow) (template.HTML, error) {
+func attainedPlot(services []burn.ServiceRow) (template.HTML, error) {
 	p := newPlot("Answered within the targets", "% of requests")
 	p.X.Tick.Marker = plot.TimeTicks{Format: "15:04:05"}
 	p.Y.Max = 100
@@ -128,16 +128,17 @@
 }
 
 // burnPlot shows the burn rates of each row by window.
-func burnPlot(rows []Row) (template.HTML, error) {
+func burnPlot(rows []burn.Row) (template.HTML, error) {
 	p := newPlot("Burn rate by window (1 spends the budget in three days)", "burn rate")
 
-	for i, shape := range windowShapes {
+	windows := burn.WindowNames()
+	for i, name := range windows {
 		values := make(plotter.Values, 0, len(rows))
 		for _, row := range rows {
 			values = append(values, row.Windows[i].BurnRate)
 		}
 
-		if err := addBars(p, values, i, len(windowShapes), shape.name); err != nil {
+		if err := addBars(p, values, i, len(windows), name); err != nil {
 			return "", err
 		}
 	}
@@ -154,17 +155,17 @@
 
 // latencyPlot shows the percentiles of the time to the whole answer as a part
 // of the target.
-func latencyPlot(rows []Row) (template.HTML, error) {
+func latencyPlot(rows []burn.Row) (template.HTML, error) {
 	p := newPlot("Latency, 95th percentile as a part of its target", "% of target")
 	kinds := []struct {
 		name string
-		of   func(Row) (time.Duration, time.Duration)
+		of   func(burn.Row) (time.Duration, time.Duration)
 	}{
-		{"first token", func(r Row) (time.Duration, time.Duration) { return r.FirstToken.P95, r.Objective.FirstToken }},
-		{"between tokens", func(r Row) (time.Duration, time.Duration) {
+		{"first token", func(r burn.Row) (time.Duration, time.Duration) { return r.FirstToken.P95, r.Objective.FirstToken }},
+		{"between tokens", func(r burn.Row) (time.Duration, time.Duration) {
 			return r.BetweenTokens.P95, r.Objective.BetweenTokens
 		}},
-		{"whole answer", func(r Row) (time.Duration, time.Duration) { return r.Whole.P95, r.Objective.Whole }},
+		{"whole answer", func(r burn.Row) (time.Duration, time.Duration) { return r.Whole.P95, r.Objective.Whole }},
 	}
 
 	for i, k := range kinds {
@@ -199,8 +200,8 @@
 }
 
 // refusedPlot shows refusals by reason.
-func refusedPlot(rows []Row) (template.HTML, error) {
-	sums := reasonsOf(rows)
+func refusedPlot(rows []burn.Row) (template.HTML, error) {
+	sums := burn.ReasonTotals(rows)
 	if len(sums) == 0 {
 		return "", nil
 	}
@@ -224,22 +225,6 @@
 	return svg(p, plotHeight)
 }
 
-func reasonsOf(rows []Row) []ReasonCount {
-	var s Series
-
-	for _, row := range rows {
-		for _, c := range row.Reasons {
-			s.addReason(c)
-		}
-	}
-
-	slices.SortFunc(s.Reasons, func(a, b ReasonCount) int {
-		return cmp.Or(cmp.Compare(b.Count, a.Count), cmp.Compare(a.Reason, b.Reason))
-	})
-
-	return s.Reasons
-}
-
 func addBars(p *plot.Plot, values plotter.Values, i, groups int, name string) error {
 	width := min(maxBar, barRoom/float64((len(values)+1)*(groups+1)))
 
@@ -274,7 +259,7 @@
 }
 
 // nameRows names the rows under the bars, by their number in the table.
-func nameRows(p *plot.Plot, rows []Row) {
+func nameRows(p *plot.Plot, rows []burn.Row) {
 	names := make([]string, len(rows))
 	for i := range rows {
 		names[i] = fmt.Sprintf("#%d", i+1)
--- a/cmd/report.go
+++ b/cmd/report.go
@@ -10,6 +10,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"monsoonlever/burn"
+	"monsoonlever/burnpage"
 )
 
 var errNothingToReport = errors.New("give --instance or --from")
@@ -86,7 +87,7 @@
 		return merry.Prepend(err, "write report")
 	}
 
-	if err := errors.Join(report.WriteHTML(f), f.Close()); err != nil {
+	if err := errors.Join(burnpage.Write(f, report), f.Close()); err != nil {
 		return fmt.Errorf("write report %s: %w", r.HTML, err)
 	}
 
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -36,8 +36,8 @@
 
 	"monsoonlever/clock"
 	"monsoonlever/fleet"
-	"monsoonlever/logstream"
 	"monsoonlever/lease"
+	"monsoonlever/logstream"
 	"monsoonlever/manifest"
 	"monsoonlever/placement"
 	"monsoonlever/provider"
--- a/controller/history.go
+++ b/controller/history.go
@@ -6,8 +6,8 @@
 	"github.com/vmihailenco/msgpack/v5"
 	"k8s.io/klog/v2"
 
-	"monsoonlever/logstream"
 	"monsoonlever/lease"
+	"monsoonlever/logstream"
 	"monsoonlever/placement"
 	"monsoonlever/provider"
 )
