feat(capacity,entry): orders for reclaimable servers, and usage that is logged

Change: the holder of the duties orders as many reclaimable servers as the arriving prompts need at 0.3 of the measured speed, spread over failure domains, and lets lasting ones go once they have taken over; lasting ones come where a reclaim leaves less than half. The board is written every 2 s instead of 1 s, since words carry what is urgent. Ruled out: counting lasting and reclaimable servers together while the load is unknown (9 became 22); judging a shortage by what is expected instead of by what is there (orders of 3 and 1 in turn, every 3 s).

--- a/board/board.go
+++ b/board/board.go
@@ -32,6 +32,7 @@
 	"monsoonlever/lease"
 	"monsoonlever/provider"
 	"monsoonlever/quota"
+	"monsoonlever/scheduling"
 	"monsoonlever/usage"
 )
 
@@ -45,6 +46,8 @@
 	Leaving bool `msgpack:"q,omitempty"`
 	// Spent is what this instance has spent of the limits of client accounts.
 	Spent []quota.Spent `msgpack:"d,omitempty"`
+	// Work is what this instance measured of services of model engines.
+	Work []scheduling.Work `msgpack:"w,omitempty"`
 	// Usage are this instance's counts of the newest windows.
 	Usage []usage.Count `msgpack:"u,omitempty"`
 	// Lease is the state of the role as this instance knows it, for those that
--- /dev/null
+++ b/capacity/capacity.go
@@ -0,0 +1,299 @@
+// Package capacity decides how many backend servers of a service are ordered in
+// which failure domain.
+//
+// It answers a load of prompts: the work that arrives, in tokens that have to be
+// read, against the speed at which an idle server reads. Reclaimable servers cost
+// a small part of the others, so that they carry the load with room for the loss
+// of a failure domain, and others are ordered only where reclaimable ones are not
+// to be had.
+//
+// Plan is a step: what is known goes in, orders come out. Orders are absolute and
+// given again only if what they ask for has not come about.
+//
+// # Usage
+//
+//	planner := &capacity.Planner{}
+//	for _, order := range planner.Plan(now, state) {
+//		err := cloud.Order(order)
+//		planner.Answered(now, order, err)
+//	}
+package capacity
+
+import (
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"monsoonlever/fleet"
+)
+
+// Order is the wanted number of servers of a service in a failure domain.
+type Order struct {
+	Service     fleet.Service
+	Domain      fleet.FailureDomain
+	Reclaimable bool
+	Servers     int
+}
+
+// Place is one failure domain in which a service may have servers.
+type Place struct {
+	Domain fleet.FailureDomain
+	Price  float64
+	// Lasting and Reclaimable are the servers that take requests.
+	Lasting     int
+	Reclaimable int
+}
+
+// State is what is known of one service.
+type State struct {
+	Service fleet.Service
+	// Least and Most bound the servers of a failure domain, both kinds together.
+	Least, Most int
+	// Boot is the time from an order to the first request.
+	Boot   time.Duration
+	Places []Place
+	// Arriving is the work that arrives in a second, and Speed what an idle server
+	// does in a second. Zero is not known.
+	Arriving float64
+	Speed    float64
+}
+
+const (
+	// target is the part of a server's speed that is used at the usual load. A
+	// prompt waits for half as long as it takes itself at a third of the speed, and
+	// half of the servers may be lost to two reclaims at a time.
+	target = 0.30
+	// memory is how long the highest load counts: two waves of users.
+	memory = 25 * time.Second
+	// settle is added to the boot of servers before an order is given again: the
+	// register and the calls have their delays.
+	settle = 4 * time.Second
+	// refusedFor is how long a failure domain that had none is not asked again.
+	refusedFor = 4 * time.Second
+	// shortFor is how long after such an answer reclaimable servers count as short.
+	shortFor = 8 * time.Second
+	// critical is the part of the wanted servers below which lasting ones are
+	// ordered while no reclaimable ones are to be had.
+	critical = 0.5
+)
+
+// Planner remembers what was ordered. It is not safe for concurrent use.
+type Planner struct {
+	ordered map[key]given
+	// peaks are the highest loads of late, by service.
+	peaks map[fleet.Service]peak
+}
+
+type key struct {
+	service     fleet.Service
+	domain      fleet.FailureDomain
+	reclaimable bool
+}
+
+type given struct {
+	servers int
+	at      time.Time
+	// refusedAt is when no such servers were to be had.
+	refusedAt time.Time
+}
+
+type peak struct {
+	wanted int
+	at     time.Time
+}
+
+// Plan returns the orders to give now for one service.
+func (p *Planner) Plan(now time.Time, s State) []Order {
+	if p.ordered == nil {
+		p.ordered = make(map[key]given)
+		p.peaks = make(map[fleet.Service]peak)
+	}
+
+	places := slices.Clone(s.Places)
+	slices.SortFunc(places, func(a, b Place) int {
+		if a.Price != b.Price {
+			return int(math.Copysign(1, a.Price-b.Price))
+		}
+
+		return strings.Compare(string(a.Domain), string(b.Domain))
+	})
+
+	wanted := p.wanted(now, s)
+	if wanted == 0 {
+		return nil
+	}
+
+	reclaimable := p.spread(now, s, places, wanted)
+	lasting := p.lasting(now, s, places, wanted)
+
+	var orders []Order
+
+	for i, place := range places {
+		orders = p.order(now, s, orders, place.Domain, true, reclaimable[i], place.Reclaimable)
+		orders = p.order(now, s, orders, place.Domain, false, lasting[i], place.Lasting)
+	}
+
+	return orders
+}
+
+// wanted returns the number of servers for the highest load of late.
+func (p *Planner) wanted(now time.Time, s State) int {
+	lasting, reclaimable := 0, 0
+	for _, place := range s.Places {
+		lasting += place.Lasting
+		reclaimable += place.Reclaimable
+	}
+
+	if lasting+reclaimable == 0 && s.Speed == 0 {
+		// The servers that are there at the start have not registered yet.
+		return 0
+	}
+
+	n := len(s.Places) * max(s.Least, 1)
+
+	switch {
+	case s.Speed > 0 && s.Arriving > 0:
+		n = max(n, int(math.Ceil(s.Arriving/(s.Speed*target))))
+	default:
+		// Nothing is known of the load yet: what is there was meant for it. One kind
+		// takes the place of the other, so that their sum is no measure.
+		n = max(n, lasting, reclaimable)
+	}
+
+	n = min(n, len(s.Places)*s.Most)
+
+	if last := p.peaks[s.Service]; last.wanted > n && now.Sub(last.at) < memory {
+		return last.wanted
+	}
+
+	p.peaks[s.Service] = peak{wanted: n, at: now}
+
+	return n
+}
+
+// spread divides the wanted servers over the places that have reclaimable ones,
+// evenly, since all of a place are lost at once.
+func (p *Planner) spread(now time.Time, s State, places []Place, wanted int) []int {
+	counts := make([]int, len(places))
+
+	for left := wanted; left > 0; {
+		given := false
+
+		for i, place := range places {
+			if left == 0 || counts[i] >= s.Most || p.refused(now, s.Service, place) && counts[i] >= place.Reclaimable {
+				continue
+			}
+
+			counts[i]++
+			left--
+			given = true
+		}
+
+		if !given {
+			break
+		}
+	}
+
+	return counts
+}
+
+func (p *Planner) refused(now time.Time, service fleet.Service, place Place) bool {
+	return now.Sub(p.ordered[key{service, place.Domain, true}].refusedAt) < refusedFor
+}
+
+// lasting returns how many servers that are not reclaimable each place keeps: those
+// that are there until reclaimable ones have taken over, and new ones where these
+// are not to be had.
+func (p *Planner) lasting(now time.Time, s State, places []Place, wanted int) []int {
+	present, short := 0, false
+
+	for _, place := range places {
+		present += place.Reclaimable
+		short = short || now.Sub(p.ordered[key{s.Service, place.Domain, true}].refusedAt) < shortFor
+	}
+
+	counts := make([]int, len(places))
+	if present >= wanted {
+		return counts
+	}
+
+	missing := 0
+	if short {
+		missing = int(math.Ceil(critical*float64(wanted))) - present
+	}
+
+	for i, place := range places {
+		counts[i] = max(place.Lasting, p.coming(now, s, place))
+		missing -= counts[i]
+	}
+
+	for missing > 0 {
+		before := missing
+
+		for i, place := range places {
+			if missing > 0 && counts[i]+place.Reclaimable < s.Most {
+				counts[i]++
+				missing--
+			}
+		}
+
+		if missing == before {
+			break
+		}
+	}
+
+	return counts
+}
+
+// coming returns the lasting servers of a place that were ordered and may still
+// start.
+func (p *Planner) coming(now time.Time, s State, place Place) int {
+	last := p.ordered[key{s.Service, place.Domain, false}]
+	if now.Sub(last.at) < s.Boot+settle {
+		return max(last.servers, 0)
+	}
+
+	return 0
+}
+
+// order adds an order where what is wanted is not what was ordered or has not come.
+func (p *Planner) order(
+	now time.Time, s State, orders []Order, domain fleet.FailureDomain, reclaimable bool, wanted, present int,
+) []Order {
+	k := key{s.Service, domain, reclaimable}
+	last, known := p.ordered[k]
+
+	if now.Sub(last.refusedAt) < refusedFor {
+		return orders
+	}
+
+	if !known && wanted == present {
+		return orders
+	}
+
+	if known && last.servers == wanted && (wanted == present || now.Sub(last.at) < s.Boot+settle) {
+		return orders
+	}
+
+	p.ordered[k] = given{servers: wanted, at: now, refusedAt: last.refusedAt}
+
+	return append(orders, Order{Service: s.Service, Domain: domain, Reclaimable: reclaimable, Servers: wanted})
+}
+
+// Answered takes in how an order was answered. none is set where no such servers
+// were to be had; ok is not set where it is not known whether the order took effect.
+func (p *Planner) Answered(now time.Time, o Order, ok, none bool) {
+	k := key{o.Service, o.Domain, o.Reclaimable}
+	one := p.ordered[k]
+
+	switch {
+	case none:
+		one.refusedAt = now
+		one.servers = -1
+	case !ok:
+		one.servers = -1
+	}
+
+	p.ordered[k] = one
+}
--- /dev/null
+++ b/capacity/capacity_test.go
@@ -0,0 +1,203 @@
+package capacity
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"monsoonlever/fleet"
+)
+
+// market is a platform that carries orders out: servers take a time to boot, and at
+// times no reclaimable ones are to be had.
+type market struct {
+	boot    time.Duration
+	dry     bool
+	servers map[key][]time.Time // when each server takes requests
+	orders  int
+	// paid is the price of all servers so far, in seconds of a lasting one.
+	paid float64
+}
+
+const (
+	service = fleet.Service("ledger-llm")
+	tick    = 400 * time.Millisecond
+)
+
+var (
+	begin   = time.Unix(1000, 0)
+	domains = []fleet.FailureDomain{"a", "b", "c", "d"}
+)
+
+func newMarket() *market {
+	m := &market{boot: 4 * time.Second, servers: make(map[key][]time.Time)}
+
+	for i := range 9 {
+		k := key{service, domains[i%4], false}
+		m.servers[k] = append(m.servers[k], begin)
+	}
+
+	return m
+}
+
+func (m *market) ready(now time.Time, k key) int {
+	n := 0
+
+	for _, at := range m.servers[k] {
+		if !at.After(now) {
+			n++
+		}
+	}
+
+	return n
+}
+
+func (m *market) state(now time.Time, arriving float64) State {
+	s := State{Service: service, Least: 1, Most: 6, Boot: m.boot, Arriving: arriving, Speed: 50_000}
+
+	for i, d := range domains {
+		s.Places = append(s.Places, Place{
+			Domain: d, Price: 1 + float64(i)/10,
+			Lasting: m.ready(now, key{service, d, false}), Reclaimable: m.ready(now, key{service, d, true}),
+		})
+	}
+
+	return s
+}
+
+// obey carries an order out and tells whether there were none.
+func (m *market) obey(now time.Time, o Order) (none bool) {
+	m.orders++
+
+	k := key{o.Service, o.Domain, o.Reclaimable}
+	if o.Reclaimable && m.dry && o.Servers > len(m.servers[k]) {
+		return true
+	}
+
+	for len(m.servers[k]) < o.Servers {
+		m.servers[k] = append(m.servers[k], now.Add(m.boot))
+	}
+
+	m.servers[k] = m.servers[k][:o.Servers]
+
+	return false
+}
+
+func (m *market) all(now time.Time) (lasting, reclaimable int) {
+	for k := range m.servers {
+		if k.reclaimable {
+			reclaimable += m.ready(now, k)
+		} else {
+			lasting += m.ready(now, k)
+		}
+	}
+
+	return lasting, reclaimable
+}
+
+// play plans for a span and calls each at every tick.
+func play(m *market, p *Planner, from time.Time, span time.Duration, arriving float64, each func(time.Time)) time.Time {
+	for now := from; now.Before(from.Add(span)); now = now.Add(tick) {
+		for _, o := range p.Plan(now, m.state(now, arriving)) {
+			p.Answered(now, o, true, m.obey(now, o))
+		}
+
+		lasting, reclaimable := m.all(now)
+		m.paid += (float64(lasting) + 0.15*float64(reclaimable)) * tick.Seconds()
+
+		if each != nil {
+			each(now)
+		}
+	}
+
+	return from.Add(span)
+}
+
+func TestReclaimableServersTakeOverWithoutAGap(t *testing.T) {
+	m, p := newMarket(), &Planner{}
+	least := 99
+
+	play(m, p, begin, time.Minute, 130_000, func(now time.Time) {
+		lasting, reclaimable := m.all(now)
+		least = min(least, lasting+reclaimable)
+	})
+
+	lasting, reclaimable := m.all(begin.Add(time.Minute))
+	if lasting != 0 || reclaimable < 9 {
+		t.Errorf("after a minute: got %d lasting and %d reclaimable, want 0 and 9 or more", lasting, reclaimable)
+	}
+
+	if least < 9 {
+		t.Errorf("servers on the way: got %d, want never below 9", least)
+	}
+
+	if all := 9 * 60.0; m.paid > all/3 {
+		t.Errorf("price: got %.0f, want below a third of %.0f for lasting servers alone", m.paid, all)
+	}
+
+	if m.orders > 16 {
+		t.Errorf("orders under a steady load: got %d, want at most 16", m.orders)
+	}
+}
+
+func TestTwoReclaimsWhileNoneAreAvailable(t *testing.T) {
+	m, p := newMarket(), &Planner{}
+	now := play(m, p, begin, 20*time.Second, 150_000, nil)
+
+	m.dry = true
+	delete(m.servers, key{service, "a", true})
+	now = play(m, p, now, 6*time.Second, 150_000, nil)
+	delete(m.servers, key{service, "b", true})
+
+	before := m.orders
+	now = play(m, p, now, 8*time.Second, 150_000, nil)
+
+	lasting, reclaimable := m.all(now)
+	if got, want := lasting+reclaimable, 5; got < want {
+		t.Errorf("8s after the second reclaim: got %d servers, want at least %d", got, want)
+	}
+
+	if got := m.orders - before; got > 16 {
+		t.Errorf("orders in 8s: got %d, want at most 16", got)
+	}
+
+	m.dry = false
+	now = play(m, p, now, 25*time.Second, 150_000, nil)
+
+	if lasting, _ := m.all(now); lasting != 0 {
+		t.Errorf("once reclaimable ones are back: got %d lasting, want 0", lasting)
+	}
+}
+
+func TestAnOrderThatDidNotComeAboutIsGivenAgain(t *testing.T) {
+	m, p := newMarket(), &Planner{}
+	lost := map[string]int{}
+
+	for now := begin; now.Before(begin.Add(30 * time.Second)); now = now.Add(tick) {
+		for _, o := range p.Plan(now, m.state(now, 0)) {
+			name := fmt.Sprint(o.Domain, o.Reclaimable)
+			lost[name]++
+
+			// The first order of each kind has no effect, although it is accepted.
+			if lost[name] > 1 {
+				m.obey(now, o)
+			}
+
+			p.Answered(now, o, true, false)
+		}
+	}
+
+	if lasting, reclaimable := m.all(begin.Add(30 * time.Second)); lasting != 0 || reclaimable != 9 {
+		t.Errorf("got %d lasting and %d reclaimable, want 0 and 9", lasting, reclaimable)
+	}
+}
+
+func TestNothingIsOrderedBeforeServersAreKnown(t *testing.T) {
+	m := &market{servers: make(map[key][]time.Time)}
+	s := m.state(begin, 0)
+	s.Speed = 0
+
+	if got := (&Planner{}).Plan(begin, s); len(got) != 0 {
+		t.Errorf("without servers: got %v, want no orders", got)
+	}
+}
--- a/entry/duties.go
+++ b/entry/duties.go
@@ -4,15 +4,20 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"k8s.io/klog/v2"
 
 	"monsoonlever/board"
+	"monsoonlever/capacity"
 	"monsoonlever/clock"
 	"monsoonlever/fleet"
 	"monsoonlever/lease"
 	"monsoonlever/platform"
+	"monsoonlever/register"
+	"monsoonlever/ruleset"
+	"monsoonlever/scheduling"
 	"monsoonlever/settings"
 	"monsoonlever/usage"
 )
@@ -45,17 +50,22 @@
 	members     *board.Members
 	incarnation fleet.Incarnation
 
+	rules    *atomic.Pointer[ruleset.Ruleset]
+	register *register.Register
+
 	mu     sync.Mutex
 	core   *lease.Core
 	ledger *usage.Ledger
-	// failing keeps a lost dependency from being logged with each call.
-	failing bool
+	// work is what each instance measured last.
+	work    map[fleet.InstanceID][]scheduling.Work
+	planner capacity.Planner
 }
 
 func newDuties(p *parts) *duties {
 	now := p.clock.Now()
 	d := &duties{
-		settings: p.settings, clock: p.clock, members: p.members,
+		settings: p.settings, clock: p.clock, members: p.members, rules: &p.rules, register: p.register,
+		work:        make(map[fleet.InstanceID][]scheduling.Work),
 		cloud:       platform.NewCloud(p.settings.Cloud, p.settings.Instance),
 		incarnation: fleet.Incarnation(now.UnixNano()),
 		ledger: usage.NewLedger(usage.Policy{
@@ -135,6 +145,7 @@
 	}
 
 	d.ledger.Count(time.Now(), r.Instance, r.Incarnation, r.Usage)
+	d.work[r.Instance] = r.Work
 
 	for _, report := range r.Reports {
 		d.ledger.Fix(report)
@@ -147,15 +158,21 @@
 	d.core.CaughtUp(now)
 }
 
-// run sends what is due while this instance holds the role.
+// run makes the calls that are due while this instance holds the role.
 func (d *duties) run(ctx context.Context) {
-	if !d.settings.Has(settings.ReportUsage) {
+	if len(d.settings.Duties) == 0 {
 		return
 	}
 
 	for ctx.Err() == nil {
-		for _, report := range d.toSend() {
-			d.send(ctx, report)
+		if d.settings.Has(settings.ReportUsage) {
+			for _, report := range d.toSend() {
+				d.send(ctx, report)
+			}
+		}
+
+		if d.settings.Has(settings.OrderServers) {
+			d.order(ctx)
 		}
 
 		clock.Sleep(ctx, d.clock, dutyEvery)
@@ -200,8 +217,5 @@
 		klog.InfoS("duties are lost", "fence", fence)
 	}
 
-	if failing := err != nil; failing != d.failing {
-		d.failing = failing
-		klog.InfoS("usage report", "window", report.Window, "fence", fence, "failing", failing, "err", err)
-	}
+	klog.InfoS("usage reported", "window", report.Window, "counts", report.Counts, "fence", fence, "err", err)
 }
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -20,6 +20,7 @@
 		Address:     p.settings.Listen.Peers,
 		Leaving:     p.stopping.Load(),
 		Spent:       p.limits.Spent(),
+		Work:        p.scheduler.Work(now),
 		Usage:       p.counter.Recent(),
 	}
 	p.duties.write(now, &r)
--- a/entry/parts.go
+++ b/entry/parts.go
@@ -31,19 +31,19 @@
 const (
 	// rulesWait is how long one read of the rules waits for news. Each read is also
 	// what confirms that the rules are current, so that it bounds their age.
-	rulesWait = 1200 * time.Millisecond
+	rulesWait = 1600 * time.Millisecond
 	// rulesPause keeps a storm of changes from becoming a storm of reads.
 	rulesPause = 50 * time.Millisecond
 	// registerShare is the part of a leaving server's last service after which the
 	// register is read again.
-	registerShare = 0.35
+	registerShare = 0.5
 	// boardEvery is the time between two records of an instance on the board.
-	boardEvery = time.Second
+	boardEvery = 2 * time.Second
 	// memberLapse is how long a silent instance counts: a few missed records.
-	memberLapse = 4 * time.Second
+	memberLapse = 7 * time.Second
 	// newsSpread is the time in which a record on the board reaches all others:
 	// the pace of two instances and a call each.
-	newsSpread = 2500 * time.Millisecond
+	newsSpread = 4500 * time.Millisecond
 	// lostWords is how many words in a row may be lost before an instance counts as
 	// not heard.
 	lostWords = 3
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -38,7 +38,7 @@
 
 	j.excluded = append(j.excluded, assignment.ID())
 
-	if !assignment.Start() {
+	if !assignment.Start(f.Clock.Now()) {
 		return merry.Wrap(backend.ErrNotSent, merry.WithCause(errLeaving))
 	}
 
--- a/scheduling/assignment.go
+++ b/scheduling/assignment.go
@@ -37,7 +37,10 @@
 	server *server
 	prompt Prompt
 	unread int
+	// meter is nil for requests without a prompt.
+	meter *meter
 
+	startedAt time.Time
 	started   bool
 	answering bool
 	ended     atomic.Bool
@@ -56,14 +59,18 @@
 func (a *Assignment) Leaving() bool { return a.server.leaving.Load() }
 
 // Start counts the attempt, unless the server began to leave.
-func (a *Assignment) Start() bool {
+func (a *Assignment) Start(now time.Time) bool {
 	if a.server.leaving.Load() {
 		return false
 	}
 
 	a.server.running.Add(1)
 	a.server.pending.Add(int64(a.unread))
-	a.started = true
+	a.started, a.startedAt = true, now
+
+	if a.meter != nil {
+		a.meter.arrived(now, a.unread)
+	}
 
 	return true
 }
@@ -77,6 +84,10 @@
 	a.answering = true
 	a.server.pending.Add(-int64(a.unread))
 	a.server.hold(now, a.prompt)
+
+	if a.meter != nil {
+		a.meter.read(a.unread, now.Sub(a.startedAt))
+	}
 }
 
 // End ends the attempt. Only its first call counts.
--- /dev/null
+++ b/scheduling/meter.go
@@ -0,0 +1,122 @@
+package scheduling
+
+import (
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"monsoonlever/fleet"
+)
+
+const (
+	// meterSpan is the time over which arriving work is averaged.
+	meterSpan = 4 * time.Second
+	// speedSamples is how many answers the speed of servers is read from.
+	speedSamples = 48
+	// speedRank is the part of the samples that are slower than the speed that
+	// counts: most prompts wait for others, and only those that do not show it.
+	speedRank = 0.8
+	// minSample is the least work that shows a speed; below it fixed times count.
+	minSample = 1500
+)
+
+// Work is what arrives at a service and what its servers can do, in tokens of
+// prompts a second.
+type Work struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // an option of the codec
+	Service  fleet.Service
+	Arriving float64
+	Speed    float64
+}
+
+// meter measures one service.
+type meter struct {
+	mu      sync.Mutex
+	rate    float64
+	at      time.Time
+	samples []float64
+	next    int
+}
+
+// arrived counts work.
+func (m *meter) arrived(now time.Time, tokens int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.fade(now)
+	m.rate += float64(tokens) / meterSpan.Seconds()
+}
+
+func (m *meter) fade(now time.Time) {
+	if !m.at.IsZero() {
+		m.rate *= math.Exp(-float64(now.Sub(m.at)) / float64(meterSpan))
+	}
+
+	m.at = now
+}
+
+// read takes in how long a server took to read a prompt, waiting included.
+func (m *meter) read(tokens int, took time.Duration) {
+	if tokens < minSample || took <= 0 {
+		return
+	}
+
+	m.mu.Lock()
+	defer m.mu.Unlock()
+
+	speed := float64(tokens) / took.Seconds()
+	if len(m.samples) < speedSamples {
+		m.samples = append(m.samples, speed)
+
+		return
+	}
+
+	m.samples[m.next] = speed
+	m.next = (m.next + 1) % speedSamples
+}
+
+func (m *meter) work(now time.Time, service fleet.Service) Work {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.fade(now)
+
+	w := Work{Service: service, Arriving: m.rate}
+
+	if n := len(m.samples); n > 0 {
+		sorted := slices.Sorted(slices.Values(m.samples))
+		w.Speed = sorted[min(int(float64(n)*speedRank), n-1)]
+	}
+
+	return w
+}
+
+// Work returns what this instance measured of each service.
+func (s *Scheduler) Work(now time.Time) []Work {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	work := make([]Work, 0, len(s.meters))
+	for service, m := range s.meters {
+		work = append(work, m.work(now, service))
+	}
+
+	return work
+}
+
+// meter returns the meter of a service.
+func (s *Scheduler) meter(service fleet.Service) *meter {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	if s.meters == nil {
+		s.meters = make(map[fleet.Service]*meter)
+	}
+
+	m := s.meters[service]
+	if m == nil {
+		m = &meter{}
+		s.meters[service] = m
+	}
+
+	return m
+}
--- a/scheduling/scheduling.go
+++ b/scheduling/scheduling.go
@@ -17,10 +17,10 @@
 //	if err != nil {
 //		return err
 //	}
-//	if !assignment.Start() {
+//	if !assignment.Start(now) {
 //		// The server began to leave after it was picked: pick again.
 //	}
-//	assignment.Answering() // the first event has come
+//	assignment.Answering(now) // the first event has come
 //	assignment.End(now, scheduling.Served)
 package scheduling
 
@@ -69,6 +69,7 @@
 
 	mu      sync.Mutex
 	servers map[fleet.InstanceID]*server
+	meters  map[fleet.Service]*meter
 }
 
 // Update takes in which servers there are. What was learnt of those that stay is
@@ -158,7 +159,12 @@
 		return nil, ErrNoServer
 	}
 
-	return &Assignment{server: best, prompt: r.Prompt, unread: best.unread(now, r.Prompt, best == home)}, nil
+	a := &Assignment{server: best, prompt: r.Prompt, unread: best.unread(now, r.Prompt, best == home)}
+	if r.Prompt.Tokens > 0 {
+		a.meter = s.meter(r.Service)
+	}
+
+	return a, nil
 }
 
 func excluded(ids []fleet.InstanceID, id fleet.InstanceID) bool {
