--- a/capacity/capacity.go
+++ b/capacity/capacity.go
@@ -74,8 +74,9 @@
 	// shortFor is how long after such an answer reclaimable servers count as short.
 	shortFor = 8 * time.Second
 	// critical is the part of the wanted servers below which lasting ones are
-	// ordered while no reclaimable ones are to be had.
-	critical = 0.5
+	// ordered while no reclaimable ones are to be had: one failure domain after the
+	// other may be reclaimed before there are any again.
+	critical = 0.85
 )
 
 // Planner remembers what was ordered. It is not safe for concurrent use.
--- a/scheduling/meter.go
+++ b/scheduling/meter.go
@@ -17,6 +17,8 @@
 	// speedRank is the part of the samples that are slower than the speed that
 	// counts: most prompts wait for others, and only those that do not show it.
 	speedRank = 0.8
+	// speedHalfLife is the time in which a speed that is not seen again counts half.
+	speedHalfLife = 90 * time.Second
 	// minSample is the least work that shows a speed; below it fixed times count.
 	minSample = 1500
 )
@@ -37,6 +39,9 @@
 	at      time.Time
 	samples []float64
 	next    int
+	// speed is the highest speed of late.
+	speed   float64
+	speedAt time.Time
 }
 
 // arrived counts work.
@@ -82,12 +87,26 @@
 
 	w := Work{Service: service, Arriving: m.rate}
 
+	w.Speed = m.newSpeed(now)
+
+	return w
+}
+
+// newSpeed returns the speed of an idle server. It fades slowly: servers that are
+// overloaded show less, and must not be taken for slow ones.
+func (m *meter) newSpeed(now time.Time) float64 {
+	if !m.speedAt.IsZero() {
+		m.speed *= math.Exp2(-float64(now.Sub(m.speedAt)) / float64(speedHalfLife))
+	}
+
+	m.speedAt = now
+
 	if n := len(m.samples); n > 0 {
 		sorted := slices.Sorted(slices.Values(m.samples))
-		w.Speed = sorted[min(int(float64(n)*speedRank), n-1)]
+		m.speed = max(m.speed, sorted[min(int(float64(n)*speedRank), n-1)])
 	}
 
-	return w
+	return m.speed
 }
 
 // Work returns what this instance measured of each service.
