feat(entry,quota,feed): instances serve at once after they start, and know sooner who leaves

Counts of usage died with their instance, and servers that leave were known a second late. Change: reading the whole set confirms it; of an instance that is first heard only what it spent within the window counts, and of records before the start only the newest of each; words carry counts of usage and leaving servers. Ruled out: lost requests around the restart (the store answered all the while).

--- a/entry/duties.go
+++ b/entry/duties.go
@@ -152,6 +152,17 @@
 	}
 }
 
+// count takes the counts of a word in.
+func (d *duties) count(w word) {
+	if len(w.Usage) == 0 {
+		return
+	}
+
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.ledger.Count(time.Now(), w.Instance, w.Incarnation, w.Usage)
+}
+
 func (d *duties) reached(now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -19,7 +19,7 @@
 		Incarnation: p.duties.incarnation,
 		Address:     p.settings.Listen.Peers,
 		Leaving:     p.stopping.Load(),
-		Spent:       p.limits.Spent(),
+		Spent:       p.limits.Spent(now),
 		Work:        p.scheduler.Work(now),
 		Usage:       p.counter.Recent(),
 	}
@@ -32,15 +32,30 @@
 func (p *parts) receiveRecord(now time.Time, r board.Record) {
 	p.members.Heard(now, r)
 
-	if r.Instance != p.self() {
+	p.hearSpent(now, r)
+	p.duties.receive(now, r)
+}
+
+// hearSpent takes in what other instances, and earlier runs of this one, have spent.
+// Of the records that were written before this instance started only the newest of
+// each is true now.
+func (p *parts) hearSpent(now time.Time, r board.Record) {
+	switch {
+	case p.early != nil:
+		p.early[r.Instance] = r
+	case r.Instance != p.self():
 		p.limits.Hear(now, r.Instance, r.Incarnation, r.Spent)
 	}
-
-	p.duties.receive(now, r)
 }
 
 // boardReached is told that all records were taken in.
 func (p *parts) boardReached(now time.Time) {
+	for id, r := range p.early {
+		p.limits.Hear(now, id, r.Incarnation, r.Spent)
+	}
+
+	p.early = nil
+
 	for _, gone := range p.members.Expire(now) {
 		klog.InfoS("entry instance is silent", "instance", gone)
 	}
--- a/entry/parts.go
+++ b/entry/parts.go
@@ -81,6 +81,9 @@
 	counter   *usage.Counter
 	feeds     []*feed.Follower
 
+	// early holds the newest record of each instance until the board was first read
+	// to its end; it is nil from then on.
+	early    map[fleet.InstanceID]board.Record
 	echoes   echoes
 	stopping atomic.Bool
 	open     atomic.Int64
@@ -100,6 +103,7 @@
 		retries:   newRetries(s.Bounds),
 		scheduler: &scheduling.Scheduler{Domain: s.FailureDomain},
 		members:   &board.Members{Lapse: memberLapse},
+		early:     make(map[fleet.InstanceID]board.Record),
 		counter:   &usage.Counter{Width: s.Bounds.UsageWindow, Now: time.Now},
 	}
 	p.bounds.Store(&s.Bounds)
--- a/entry/word.go
+++ b/entry/word.go
@@ -14,6 +14,7 @@
 	"monsoonlever/fleet"
 	"monsoonlever/gossip"
 	"monsoonlever/quota"
+	"monsoonlever/usage"
 )
 
 // word is what an instance tells another several times a second.
@@ -25,6 +26,10 @@
 	At    int64         `msgpack:"t"`
 	Echo  int64         `msgpack:"e"`
 	Spent []quota.Spent `msgpack:"s,omitempty"`
+	// Usage are the sender's counts of the newest windows, so that they outlive it.
+	Usage []usage.Count `msgpack:"u,omitempty"`
+	// Leaving are backend servers that are known to leave.
+	Leaving []fleet.InstanceID `msgpack:"l,omitempty"`
 	// Rules is the version in force at the sender, and ConfirmedAgo how long ago it
 	// asked for the newest; a negative age was never confirmed.
 	Rules        uint64        `msgpack:"r"`
@@ -59,7 +64,8 @@
 func (p *parts) makeWord(now time.Time, to fleet.InstanceID) ([]byte, error) {
 	w := word{
 		Instance: p.self(), Incarnation: p.duties.incarnation, At: now.UnixNano(), Echo: p.echoes.of(to),
-		Spent: p.limits.Spent(), ConfirmedAgo: -1,
+		Spent: p.limits.Spent(now), ConfirmedAgo: -1,
+		Usage: p.counter.Recent(), Leaving: p.leaving(),
 	}
 
 	if rules := p.rules.Load(); rules != nil {
@@ -71,6 +77,22 @@
 	return msgpack.Marshal(&w)
 }
 
+// maxLeaving bounds how many leaving servers are told.
+const maxLeaving = 16
+
+// leaving returns servers that are known to leave.
+func (p *parts) leaving() []fleet.InstanceID {
+	var ids []fleet.InstanceID
+
+	for _, s := range p.register.Servers() {
+		if s.Leaving && len(ids) < maxLeaving {
+			ids = append(ids, s.ID)
+		}
+	}
+
+	return ids
+}
+
 // hearWord takes the word of another instance in.
 func (p *parts) hearWord(now time.Time, data []byte) {
 	var w word
@@ -87,6 +109,12 @@
 	p.echoes.heard(w.Instance, w.At)
 	p.limits.Hear(now, w.Instance, w.Incarnation, w.Spent)
 
+	p.duties.count(w)
+
+	if p.register.Leave(w.Leaving) {
+		p.scheduler.Update(p.register.Servers())
+	}
+
 	if w.Echo == 0 {
 		return
 	}
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -50,8 +50,8 @@
 
 // Source is where the records are.
 type Source interface {
-	// Snapshot returns the newest entry of each key, and a position from which on
-	// all later changes are found.
+	// Snapshot returns the newest entry of each key, no older than the call, and a
+	// position from which on all later changes are found.
 	Snapshot(ctx context.Context) ([]Entry, Position, error)
 	// Changes returns the changes from a position on. Where there is none yet it
 	// waits up to wait for one.
@@ -132,6 +132,7 @@
 
 		f.Apply(entries, true)
 		f.next, f.positioned = next, true
+		f.confirm(asked)
 
 		return true, nil
 	}
@@ -148,13 +149,19 @@
 	f.next = changes.Next
 	more := changes.Next < changes.End
 
-	if !more && f.Confirm != nil {
-		f.Confirm(asked)
+	if !more {
+		f.confirm(asked)
 	}
 
 	return more, nil
 }
 
+func (f *Follower) confirm(asked time.Time) {
+	if f.Confirm != nil {
+		f.Confirm(asked)
+	}
+}
+
 // note logs when the source is lost and regained.
 func (f *Follower) note(err error) {
 	if err == nil {
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -68,9 +68,9 @@
 		t.Errorf("applied: got %s, want %s", got, want)
 	}
 
-	// Neither a read that leaves more behind nor a failed one says that the set is
-	// the newest.
-	if confirmed != 1 {
-		t.Errorf("confirmed: got %d, want 1", confirmed)
+	// Two whole sets and one read to the end say that the set is the newest; neither
+	// a read that leaves more behind nor a failed one does.
+	if confirmed != 3 {
+		t.Errorf("confirmed: got %d, want 3", confirmed)
 	}
 }
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -52,6 +52,8 @@
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // an option of the codec
 	Account  fleet.Account
 	Total    float64
+	// Recent is the part of Total that was spent within the last window.
+	Recent float64
 	// Asked is what callers asked for, granted or not; shares follow it.
 	Asked float64
 }
@@ -255,15 +257,19 @@
 }
 
 // Spent returns what this instance has spent since its start, for the others.
-func (q *Quota) Spent() []Spent {
+func (q *Quota) Spent(now time.Time) []Spent {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 
 	var all []Spent
 
+	window := now.Add(-q.policy.Window)
+
 	for name, a := range q.accounts {
 		if a.ownAsked.total > 0 {
-			all = append(all, Spent{Account: name, Total: a.own.total, Asked: a.ownAsked.total})
+			all = append(all, Spent{
+				Account: name, Total: a.own.total, Recent: a.own.since(window), Asked: a.ownAsked.total,
+			})
 		}
 	}
 
@@ -283,8 +289,10 @@
 
 		o := a.others[id]
 		if o == nil {
+			// Of what was spent before, only the newest part still counts.
 			o = &other{incarnation: incarnation}
-			// What an instance had spent before it was first heard may be recent.
+			o.spent.total = s.Total - s.Recent
+			o.asked.total = s.Asked - s.Recent
 			a.others[id] = o
 		}
 
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -73,13 +73,13 @@
 func (g *group) exchange(now time.Time, tick int) {
 	if g.quick {
 		for i, from := range g.quotas {
-			g.say(now, i, from.Spent())
+			g.say(now, i, from.Spent(now))
 		}
 	}
 
 	for i, q := range g.quotas {
 		if tick%10 == i%10 {
-			g.pending = append(g.pending, news{at: now, from: i, spent: q.Spent()})
+			g.pending = append(g.pending, news{at: now, from: i, spent: q.Spent(now)})
 		}
 	}
 
@@ -233,6 +233,34 @@
 	}
 }
 
+// An instance that starts knows what the others spent lately, and takes nothing
+// that they spent before for recent.
+func TestAnInstanceThatStartsCountsOnlyWhatIsRecent(t *testing.T) {
+	old := New(policy)
+	old.Configure([]Allowance{{Account: "a", Amount: amount, Rate: 36_000}})
+	old.Members([]fleet.InstanceID{"old"})
+
+	now := start
+	for range 60 {
+		old.Reached(now)
+		old.Take(now, "a", 30_000)
+		now = now.Add(time.Second)
+	}
+
+	q := newGroup(1, policy).quotas[0]
+	q.Reached(now)
+	q.Hear(now, "old", 1, old.Spent(now))
+
+	granted := 0.0
+	for q.Take(now, "a", 10_000).Granted {
+		granted += 10_000
+	}
+
+	if granted < 100_000 || granted > amount-200_000 {
+		t.Errorf("granted beside 240,000 that are recent: got %.0f, want the rest of %d", granted, amount)
+	}
+}
+
 func TestARefusalSaysWhenToComeBack(t *testing.T) {
 	g := newGroup(1, policy)
 
--- a/register/register.go
+++ b/register/register.go
@@ -89,6 +89,29 @@
 	r.publish()
 }
 
+// Leave marks servers that are said to leave, and tells whether that is news. What
+// the register itself says of them later stands.
+func (r *Register) Leave(ids []fleet.InstanceID) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	news := false
+
+	for _, id := range ids {
+		if s, ok := r.servers[id]; ok && !s.Leaving {
+			s.Leaving = true
+			r.servers[id] = s
+			news = true
+		}
+	}
+
+	if news {
+		r.publish()
+	}
+
+	return news
+}
+
 func (r *Register) publish() {
 	servers := slices.SortedFunc(maps.Values(r.servers), func(a, b Server) int {
 		return strings.Compare(string(a.ID), string(b.ID))
--- a/usage/usage.go
+++ b/usage/usage.go
@@ -46,7 +46,7 @@
 
 // keptWindows is how many windows are told to others: a count must survive a
 // message that is lost, for as long as its window can still be reported.
-const keptWindows = 3
+const keptWindows = 2
 
 // Counter counts requests as they begin to run.
 type Counter struct {
