--- a/board/members.go
+++ b/board/members.go
@@ -26,6 +26,20 @@
 
 // Heard takes a record of an instance in.
 func (m *Members) Heard(now time.Time, r Record) {
+	if !r.Leaving {
+		m.Met(now, r.Instance, r.Address)
+
+		return
+	}
+
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.heard, r.Instance)
+	delete(m.addresses, r.Instance)
+}
+
+// Met takes in that an instance was heard directly, and where it hears gossip.
+func (m *Members) Met(now time.Time, id fleet.InstanceID, address string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 
@@ -34,17 +48,10 @@
 		m.addresses = make(map[fleet.InstanceID]netip.AddrPort)
 	}
 
-	if r.Leaving {
-		delete(m.heard, r.Instance)
-		delete(m.addresses, r.Instance)
-
-		return
-	}
-
-	m.heard[r.Instance] = now
+	m.heard[id] = now
 
-	if address, err := netip.ParseAddrPort(r.Address); err == nil {
-		m.addresses[r.Instance] = address
+	if a, err := netip.ParseAddrPort(address); err == nil {
+		m.addresses[id] = a
 	}
 }
 
--- a/entry/duties.go
+++ b/entry/duties.go
@@ -32,8 +32,11 @@
 	// termFactor makes the term of the lease longer than the shortest time after
 	// which it may come back to one that lost it.
 	termFactor = 1.6
+	// minTermRounds is the least term in rounds of the board, which carries renewals:
+	// one may be lost.
+	minTermRounds = 3
 	// renewShare is the part of a term after which it is renewed.
-	renewShare = 0.4
+	renewShare = 0.25
 	// usageSettle is the time after the end of a window in which the others' counts
 	// come: the pace of the board, twice, and the difference of clocks.
 	usageSettle = 2500 * time.Millisecond
@@ -76,7 +79,7 @@
 		}, time.Now()),
 	}
 
-	term := time.Duration(float64(p.settings.Bounds.Lease) * termFactor)
+	term := max(time.Duration(float64(p.settings.Bounds.Lease)*termFactor), minTermRounds*boardEvery)
 	config := lease.Config{
 		Term: term, RenewEvery: time.Duration(float64(term) * renewShare),
 		Drift: 0.001, Flight: time.Second, ReadGap: memberLapse, Stagger: boardEvery,
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -76,8 +76,8 @@
 	servers := p.servers()
 	failed := make(chan error, len(servers))
 
-	for i, s := range servers {
-		group.Go(func() { failed <- serve(s, listeners[i]) })
+	for i, l := range listeners {
+		group.Go(func() { failed <- serve(servers[i], l) })
 	}
 
 	klog.InfoS("instance started", "instance", e.Settings.Instance, "failureDomain", e.Settings.FailureDomain,
--- a/entry/parts.go
+++ b/entry/parts.go
@@ -29,9 +29,11 @@
 )
 
 const (
-	// rulesWait is how long one read of the rules waits for news. Each read is also
-	// what confirms that the rules are current, so that it bounds their age.
-	rulesWait = 1600 * time.Millisecond
+	// rulesWait is how long one read of the rules waits for news at most. Each read is
+	// also what confirms that the rules are current: their age lies between one wait
+	// and two, so that a wait is at most rulesShare of the age that is allowed.
+	rulesWait  = 1600 * time.Millisecond
+	rulesShare = 0.32
 	// rulesPause keeps a storm of changes from becoming a storm of reads.
 	rulesPause = 50 * time.Millisecond
 	// registerShare is the part of a leaving server's last service after which the
@@ -39,6 +41,9 @@
 	registerShare = 0.5
 	// boardEvery is the time between two records of an instance on the board.
 	boardEvery = 2 * time.Second
+	// usageKeep is how long after its end the counts of a window are told: three
+	// rounds of the board.
+	usageKeep = 3 * boardEvery
 	// memberLapse is how long a silent instance counts: a few missed records.
 	memberLapse = 7 * time.Second
 	// newsSpread is the time in which a record on the board reaches all others:
@@ -104,7 +109,7 @@
 		scheduler: &scheduling.Scheduler{Domain: s.FailureDomain},
 		members:   &board.Members{Lapse: memberLapse},
 		early:     make(map[fleet.InstanceID]board.Record),
-		counter:   &usage.Counter{Width: s.Bounds.UsageWindow, Now: time.Now},
+		counter:   &usage.Counter{Width: s.Bounds.UsageWindow, Keep: usageKeep, Now: time.Now},
 	}
 	p.bounds.Store(&s.Bounds)
 	p.pool = &upstream.Pool{Clock: e.Clock, Counters: upstream.NewCounters(set)}
@@ -119,9 +124,16 @@
 		Write: p.writeRecord, Receive: p.receiveRecord, Reached: p.boardReached,
 	}
 	p.duties = newDuties(p)
+	set.NewGauge("monsoonlever_entry_members", func() float64 { return float64(p.members.Count()) })
+	set.NewGauge("monsoonlever_entry_rules_age_seconds", func() float64 {
+		age, _ := p.currency.Age()
+
+		return age.Seconds()
+	})
 	p.feeds = []*feed.Follower{
 		{
-			Name: "rules", Source: p.store.Rules(), Clock: e.Clock, Wait: rulesWait, Every: rulesPause,
+			Name: "rules", Source: p.store.Rules(), Clock: e.Clock, Every: rulesPause,
+			Wait:  min(rulesWait, time.Duration(float64(currencyBound(s.Bounds))*rulesShare)),
 			Apply: p.applyRules, Confirm: p.currency.Confirm,
 		},
 		{
--- a/entry/word.go
+++ b/entry/word.go
@@ -21,6 +21,8 @@
 type word struct {
 	Instance    fleet.InstanceID  `msgpack:"i"`
 	Incarnation fleet.Incarnation `msgpack:"n"`
+	// Address is where the sender hears words.
+	Address string `msgpack:"a"`
 	// At is the sender's clock, and Echo the newest At that it has from the receiver:
 	// what this word says was true after Echo, however long the word was on its way.
 	At    int64         `msgpack:"t"`
@@ -63,7 +65,7 @@
 // makeWord makes the newest word for another instance.
 func (p *parts) makeWord(now time.Time, to fleet.InstanceID) ([]byte, error) {
 	w := word{
-		Instance: p.self(), Incarnation: p.duties.incarnation, At: now.UnixNano(), Echo: p.echoes.of(to),
+		Instance: p.self(), Incarnation: p.duties.incarnation, Address: p.settings.Listen.Peers, At: now.UnixNano(), Echo: p.echoes.of(to),
 		Spent: p.limits.Spent(now), ConfirmedAgo: -1,
 		Usage: p.counter.Recent(), Leaving: p.leaving(),
 	}
@@ -106,6 +108,7 @@
 		return
 	}
 
+	p.members.Met(now, w.Instance, w.Address)
 	p.echoes.heard(w.Instance, w.At)
 	p.limits.Hear(now, w.Instance, w.Incarnation, w.Spent)
 
--- a/usage/ledger.go
+++ b/usage/ledger.go
@@ -53,7 +53,7 @@
 		told:   make(map[fleet.InstanceID]time.Time),
 		fixed:  make(map[Window]Report),
 		sent:   make(map[Window]bool),
-		begun:  Of(now, p.Width) - keptWindows,
+		begun:  Of(now, p.Width),
 	}
 }
 
--- a/usage/ledger_test.go
+++ b/usage/ledger_test.go
@@ -77,6 +77,23 @@
 	}
 }
 
+// Windows may be shorter than the pace at which counts are told.
+func TestCountsAreToldForTheirTime(t *testing.T) {
+	now := at(0.5)
+	c := &Counter{Width: time.Second, Keep: 6 * time.Second, Now: func() time.Time { return now }}
+	c.Began("a")
+
+	now = at(6.9)
+	if got := c.Recent(); len(got) != 1 || got[0].Requests != 1 {
+		t.Errorf("6.4s later: got %v, want the count", got)
+	}
+
+	now = at(8)
+	if got := c.Recent(); len(got) != 0 {
+		t.Errorf("7.5s later: got %v, want none", got)
+	}
+}
+
 func TestARestartedInstanceAddsToItsEarlierCounts(t *testing.T) {
 	l := NewLedger(policy, at(0))
 	l.Count(at(1), "entry-1", 1, count(3))
--- a/usage/usage.go
+++ b/usage/usage.go
@@ -9,7 +9,7 @@
 //
 // # Usage
 //
-//	counter := &usage.Counter{Window: 5 * time.Second, Now: time.Now}
+//	counter := &usage.Counter{Width: 5 * time.Second, Keep: 6 * time.Second, Now: time.Now}
 //	counter.Began("wholesale-1")
 //	ledger := usage.NewLedger(policy)
 //	ledger.Count(now, "entry-1", counter.Recent())
@@ -44,14 +44,13 @@
 	Requests int
 }
 
-// keptWindows is how many windows are told to others: a count must survive a
-// message that is lost, for as long as its window can still be reported.
-const keptWindows = 2
-
 // Counter counts requests as they begin to run.
 type Counter struct {
 	// Width is the width of a window.
 	Width time.Duration
+	// Keep is how long after its end a window is told to others: a count must survive
+	// messages that are lost.
+	Keep time.Duration
 	// Now is the time of day, which windows follow.
 	Now func() time.Time
 
@@ -79,7 +78,7 @@
 
 // Recent returns the counts of the newest windows and forgets older ones.
 func (c *Counter) Recent() []Count {
-	oldest := Of(c.Now(), c.Width) - keptWindows + 1
+	oldest := Of(c.Now().Add(-c.Keep), c.Width)
 
 	c.mu.Lock()
 	defer c.mu.Unlock()
