fix(capacity): servers are given back step by step, and none in a shortage

Cause: lasting servers stayed until all wanted reclaimable ones were there again; a planner that took over knew no load and ordered one server a place; during a shortage reclaimable servers that are hard to get were given back.

--- a/capacity/capacity.go
+++ b/capacity/capacity.go
@@ -76,7 +76,7 @@
 	// critical is the part of the wanted servers below which lasting ones are
 	// ordered while no reclaimable ones are to be had: one failure domain after the
 	// other may be reclaimed before there are any again.
-	critical = 0.85
+	critical = 0.6
 )
 
 // Planner remembers what was ordered. It is not safe for concurrent use.
@@ -164,71 +164,89 @@
 
 	n = min(n, len(s.Places)*s.Most)
 
-	if last := p.peaks[s.Service]; last.wanted > n && now.Sub(last.at) < memory {
-		return last.wanted
+	last, known := p.peaks[s.Service]
+	if !known {
+		// A planner that is new knows no load of the time before: what is there was
+		// ordered for it.
+		last = peak{wanted: min(max(n, lasting, reclaimable), len(s.Places)*s.Most), at: now}
 	}
 
-	p.peaks[s.Service] = peak{wanted: n, at: now}
+	if last.wanted <= n || now.Sub(last.at) >= memory {
+		last = peak{wanted: n, at: now}
+	}
 
-	return n
+	p.peaks[s.Service] = last
+
+	return last.wanted
 }
 
 // spread divides the wanted servers over the places that have reclaimable ones,
-// evenly, since all of a place are lost at once.
+// evenly, since all of a place are lost at once. While there are too few, none is
+// given back: it might not be had again.
 func (p *Planner) spread(now time.Time, s State, places []Place, wanted int) []int {
 	counts := make([]int, len(places))
+	left := wanted
+
+	if present(places) < wanted {
+		for i, place := range places {
+			counts[i] = min(place.Reclaimable, s.Most)
+			left -= counts[i]
+		}
+	}
 
-	for left := wanted; left > 0; {
-		given := false
+	for left > 0 {
+		least := -1
 
 		for i, place := range places {
-			if left == 0 || counts[i] >= s.Most || p.refused(now, s.Service, place) && counts[i] >= place.Reclaimable {
+			if counts[i] >= s.Most || p.refused(now, s.Service, place) && counts[i] >= place.Reclaimable {
 				continue
 			}
 
-			counts[i]++
-			left--
-			given = true
+			if least < 0 || counts[i] < counts[least] {
+				least = i
+			}
 		}
 
-		if !given {
+		if least < 0 {
 			break
 		}
+
+		counts[least]++
+		left--
 	}
 
 	return counts
 }
 
+// present returns the reclaimable servers of all places.
+func present(places []Place) int {
+	n := 0
+	for _, place := range places {
+		n += place.Reclaimable
+	}
+
+	return n
+}
+
 func (p *Planner) refused(now time.Time, service fleet.Service, place Place) bool {
 	return now.Sub(p.ordered[key{service, place.Domain, true}].refusedAt) < refusedFor
 }
 
-// lasting returns how many servers that are not reclaimable each place keeps: those
-// that are there until reclaimable ones have taken over, and new ones where these
-// are not to be had.
+// lasting returns how many servers that are not reclaimable each place keeps: no
+// more than what reclaimable ones leave open, and new ones where these are not to be
+// had.
 func (p *Planner) lasting(now time.Time, s State, places []Place, wanted int) []int {
-	present, short := 0, false
-
-	for _, place := range places {
-		present += place.Reclaimable
-		short = short || now.Sub(p.ordered[key{s.Service, place.Domain, true}].refusedAt) < shortFor
-	}
-
 	counts := make([]int, len(places))
-	if present >= wanted {
-		return counts
-	}
-
-	missing := 0
-	if short {
-		missing = int(math.Ceil(critical*float64(wanted))) - present
-	}
+	open := wanted - present(places)
 
+	// The dearest places come last, and give theirs back first.
 	for i, place := range places {
-		counts[i] = max(place.Lasting, p.coming(now, s, place))
-		missing -= counts[i]
+		counts[i] = min(max(place.Lasting, p.coming(now, s, place, false)), max(open, 0))
+		open -= counts[i]
 	}
 
+	missing := p.missing(now, s, places, wanted) - sum(counts)
+
 	for missing > 0 {
 		before := missing
 
@@ -247,10 +265,36 @@
 	return counts
 }
 
-// coming returns the lasting servers of a place that were ordered and may still
-// start.
-func (p *Planner) coming(now time.Time, s State, place Place) int {
-	last := p.ordered[key{s.Service, place.Domain, false}]
+func sum(counts []int) int {
+	n := 0
+	for _, c := range counts {
+		n += c
+	}
+
+	return n
+}
+
+// missing returns how many lasting servers are needed while reclaimable ones are
+// short, those that were ordered and are on their way counted as there.
+func (p *Planner) missing(now time.Time, s State, places []Place, wanted int) int {
+	short := false
+	expected := 0
+
+	for _, place := range places {
+		short = short || now.Sub(p.ordered[key{s.Service, place.Domain, true}].refusedAt) < shortFor
+		expected += max(place.Reclaimable, p.coming(now, s, place, true))
+	}
+
+	if !short {
+		return 0
+	}
+
+	return max(int(math.Ceil(critical*float64(wanted)))-expected, 0)
+}
+
+// coming returns the servers of a place that were ordered and may still start.
+func (p *Planner) coming(now time.Time, s State, place Place, reclaimable bool) int {
+	last := p.ordered[key{s.Service, place.Domain, reclaimable}]
 	if now.Sub(last.at) < s.Boot+settle {
 		return max(last.servers, 0)
 	}
--- a/capacity/capacity_test.go
+++ b/capacity/capacity_test.go
@@ -201,3 +201,34 @@
 		t.Errorf("without servers: got %v, want no orders", got)
 	}
 }
+
+// A holder that takes over, or starts with all others, knows no load yet: it must not
+// give servers back for that.
+func TestAPlannerThatIsNewGivesNothingBack(t *testing.T) {
+	m, p := newMarket(), &Planner{}
+	now := play(m, p, begin, 30*time.Second, 150_000, nil)
+	_, before := m.all(now)
+
+	play(m, &Planner{}, now, 20*time.Second, 10_000, func(now time.Time) {
+		if lasting, reclaimable := m.all(now); lasting+reclaimable < before {
+			t.Fatalf("%v after the change: got %d servers, want %d", now.Sub(begin), lasting+reclaimable, before)
+		}
+	})
+}
+
+// While there are too few, a place that still has reclaimable servers keeps them.
+func TestNothingIsGivenBackInAShortage(t *testing.T) {
+	m, p := newMarket(), &Planner{}
+	now := play(m, p, begin, 20*time.Second, 150_000, nil)
+
+	m.dry = true
+	delete(m.servers, key{service, "a", true})
+	delete(m.servers, key{service, "b", true})
+
+	_, before := m.all(now)
+	play(m, p, now, 20*time.Second, 150_000, func(now time.Time) {
+		if _, got := m.all(now); got < before {
+			t.Fatalf("reclaimable servers: got %d, want the %d that are left", got, before)
+		}
+	})
+}
