fix(quota,lease,entry): limits hold over a start of all instances, and duties change hands sooner

Change: nothing is granted in the first moments before anything was read; records are made before a fifth of an allowance is spent unrecorded, and a new run assumes a quarter; a new process on the holder's own instance need not wait for the term, and whoever may take the role asks for a round of the board. Ruled out: a fixed part on top of what was recorded (the property over a start of all fails: spending comes in bursts).

--- a/board/board.go
+++ b/board/board.go
@@ -20,6 +20,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -82,8 +83,9 @@
 type Board struct {
 	Log   Log
 	Clock clock.Clock
-	// Every is the time between two rounds.
+	// Every is the time between two rounds, and Soon the least.
 	Every time.Duration
+	Soon  func() time.Duration
 	// Write makes the next record.
 	Write func(now time.Time) Record
 	// Receive takes a record in, also those of this instance.
@@ -91,6 +93,8 @@
 	// Reached is told when a round has read to the end.
 	Reached func(now time.Time)
 
+	once    sync.Once
+	nudge   chan struct{}
 	next    feed.Position
 	begun   bool
 	lost    bool
@@ -103,7 +107,33 @@
 		began := b.Clock.Now()
 		err := errors.Join(b.write(ctx), b.read(ctx))
 		b.note(ctx, err)
-		clock.Sleep(ctx, b.Clock, max(b.Every-b.Clock.Now().Sub(began), b.Every/4))
+		b.pause(ctx, began)
+	}
+}
+
+// Nudge asks for the next round to be made soon.
+func (b *Board) Nudge() {
+	select {
+	case b.nudges() <- struct{}{}:
+	default:
+	}
+}
+
+// nudges holds one request for a round, also before Run.
+func (b *Board) nudges() chan struct{} {
+	b.once.Do(func() { b.nudge = make(chan struct{}, 1) })
+
+	return b.nudge
+}
+
+// pause waits for the next round, which is made sooner if it was asked for.
+func (b *Board) pause(ctx context.Context, began time.Time) {
+	clock.Sleep(ctx, b.Clock, b.Soon())
+
+	select {
+	case <-b.Clock.After(max(b.Every-b.Clock.Now().Sub(began), 0)):
+	case <-b.nudges():
+	case <-ctx.Done():
 	}
 }
 
--- a/entry/duties.go
+++ b/entry/duties.go
@@ -27,6 +27,9 @@
 	dutyRole lease.Role = "duties"
 	// dutyEvery is the pace of the holder's work.
 	dutyEvery = 400 * time.Millisecond
+	// dutyFlight is how long after its check a call of the holder may still leave. A
+	// later one is refused for its old fencing token.
+	dutyFlight = 500 * time.Millisecond
 	// dutyTimeout bounds one call to the cloud API.
 	dutyTimeout = 1500 * time.Millisecond
 	// termFactor makes the term of the lease longer than the shortest time after
@@ -34,9 +37,9 @@
 	termFactor = 1.6
 	// minTermRounds is the least term in rounds of the board, which carries renewals:
 	// one may be lost.
-	minTermRounds = 3
+	minTermRounds = 2.2
 	// renewShare is the part of a term after which it is renewed.
-	renewShare = 0.25
+	renewShare = 0.3
 	// usageSettle is the time after the end of a window in which the others' counts
 	// come: the pace of the board, twice, and the difference of clocks.
 	usageSettle = 2500 * time.Millisecond
@@ -53,6 +56,8 @@
 	members     *board.Members
 	incarnation fleet.Incarnation
 
+	// nudge asks for a round of the board.
+	nudge    func()
 	rules    *atomic.Pointer[ruleset.Ruleset]
 	register *register.Register
 
@@ -68,6 +73,7 @@
 	now := p.clock.Now()
 	d := &duties{
 		settings: p.settings, clock: p.clock, members: p.members, rules: &p.rules, register: p.register,
+		nudge:       func() { p.board.Nudge() },
 		work:        make(map[fleet.InstanceID][]scheduling.Work),
 		cloud:       platform.NewCloud(p.settings.Cloud, p.settings.Instance),
 		incarnation: fleet.Incarnation(now.UnixNano()),
@@ -79,10 +85,10 @@
 		}, time.Now()),
 	}
 
-	term := max(time.Duration(float64(p.settings.Bounds.Lease)*termFactor), minTermRounds*boardEvery)
+	term := time.Duration(max(p.settings.Bounds.Lease.Seconds()*termFactor, boardEvery.Seconds()*minTermRounds) * float64(time.Second))
 	config := lease.Config{
 		Term: term, RenewEvery: time.Duration(float64(term) * renewShare),
-		Drift: 0.001, Flight: time.Second, ReadGap: memberLapse, Stagger: boardEvery,
+		Drift: 0.001, Flight: dutyFlight, ReadGap: memberLapse, Stagger: time.Second, OneProcess: true,
 	}
 
 	core, err := lease.NewCore(config, dutyRole, lease.Holder{Instance: p.settings.Instance, Incarnation: d.incarnation})
@@ -189,10 +195,22 @@
 			d.order(ctx)
 		}
 
+		d.claim()
 		clock.Sleep(ctx, d.clock, dutyEvery)
 	}
 }
 
+// claim asks for a round of the board if this instance would take the role in it.
+func (d *duties) claim() {
+	d.mu.Lock()
+	open := d.core.Open(d.clock.Now())
+	d.mu.Unlock()
+
+	if open {
+		d.nudge()
+	}
+}
+
 func (d *duties) toSend() []usage.Report {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -7,6 +7,7 @@
 	"k8s.io/klog/v2"
 
 	"monsoonlever/board"
+	"monsoonlever/quota"
 )
 
 // goodbyeTimeout bounds the last record of an instance that stops.
@@ -19,7 +20,7 @@
 		Incarnation: p.duties.incarnation,
 		Address:     p.settings.Listen.Peers,
 		Leaving:     p.stopping.Load(),
-		Spent:       p.limits.Spent(now),
+		Spent:       p.limits.Record(now),
 		Work:        p.scheduler.Work(now),
 		Usage:       p.counter.Recent(),
 	}
@@ -51,7 +52,7 @@
 // boardReached is told that all records were taken in.
 func (p *parts) boardReached(now time.Time) {
 	for id, r := range p.early {
-		p.limits.Hear(now, id, r.Incarnation, r.Spent)
+		p.limits.Inherit(now, id, r.Incarnation, r.Spent, quota.Untold/float64(len(p.early)))
 	}
 
 	p.early = nil
--- a/entry/parts.go
+++ b/entry/parts.go
@@ -41,6 +41,11 @@
 	registerShare = 0.5
 	// boardEvery is the time between two records of an instance on the board.
 	boardEvery = 2 * time.Second
+	// boardSoonest is the least time between two records of an instance that has
+	// something to tell, and boardWrite what each instance adds to it: three times
+	// what the store takes for an append.
+	boardSoonest = 250 * time.Millisecond
+	boardWrite   = 12 * time.Millisecond
 	// usageKeep is how long after its end the counts of a window are told: three
 	// rounds of the board.
 	usageKeep = 3 * boardEvery
@@ -104,7 +109,6 @@
 		store:     platform.NewStore(s.Store),
 		currency:  &currency.Tracker{Clock: e.Clock, Bound: currencyBound(s.Bounds)},
 		register:  &register.Register{},
-		limits:    quota.New(quota.Policy{Window: s.Bounds.LimitWindow, Spread: newsSpread, Quick: quickSpread}),
 		retries:   newRetries(s.Bounds),
 		scheduler: &scheduling.Scheduler{Domain: s.FailureDomain},
 		members:   &board.Members{Lapse: memberLapse},
@@ -112,6 +116,10 @@
 		counter:   &usage.Counter{Width: s.Bounds.UsageWindow, Keep: usageKeep, Now: time.Now},
 	}
 	p.bounds.Store(&s.Bounds)
+	p.limits = quota.New(quota.Policy{
+		Window: s.Bounds.LimitWindow, Spread: newsSpread, Quick: quickSpread,
+		Tell: func() { p.board.Nudge() },
+	})
 	p.pool = &upstream.Pool{Clock: e.Clock, Counters: upstream.NewCounters(set)}
 	p.forwarder = &forward.Forwarder{
 		Clock: e.Clock, Rules: &p.rules, Currency: p.currency, Limits: p.limits, Retries: p.retries,
@@ -120,7 +128,7 @@
 	}
 	p.handler = &platform.Handler{Clock: e.Clock, Serve: p.serve, BodyBytes: p.bodyBytes}
 	p.board = &board.Board{
-		Log: p.store.Board(), Clock: e.Clock, Every: boardEvery,
+		Log: p.store.Board(), Clock: e.Clock, Every: boardEvery, Soon: p.boardSoon,
 		Write: p.writeRecord, Receive: p.receiveRecord, Reached: p.boardReached,
 	}
 	p.duties = newDuties(p)
@@ -193,6 +201,12 @@
 		p.register.Loaded()
 }
 
+// boardSoon is the least time between two records: all instances together write no
+// more than the topic takes.
+func (p *parts) boardSoon() time.Duration {
+	return max(boardSoonest, time.Duration(p.members.Count())*boardWrite)
+}
+
 // servers returns the servers of the addresses, in their order.
 func (p *parts) servers() []*http.Server {
 	readiness := http.NewServeMux()
--- a/lease/core.go
+++ b/lease/core.go
@@ -177,6 +177,11 @@
 	}
 }
 
+// Open tells whether a candidate would take the role now.
+func (c *Core) Open(now time.Time) bool {
+	return !c.ledger.heldBy(c.self) && c.mayAcquire(now)
+}
+
 func (c *Core) mayAcquire(now time.Time) bool {
 	if !c.candidate || c.caughtUpAt.IsZero() || now.Sub(c.caughtUpAt) > c.config.ReadGap {
 		return false
@@ -192,6 +197,10 @@
 		start = c.readableSince
 	}
 
+	if c.config.OneProcess && state.Holder.Instance == c.self.Instance {
+		return !now.Before(start.Add(c.config.waitFor(c.config.Flight)))
+	}
+
 	wait := c.config.Flight
 	if !state.Released {
 		wait += state.Term
--- a/lease/core_test.go
+++ b/lease/core_test.go
@@ -168,3 +168,38 @@
 		}
 	}
 }
+
+// A process that starts on the instance of the holder knows that the holder has ended.
+func TestANewProcessOfTheHoldersInstanceNeedNotWait(t *testing.T) {
+	for _, tt := range []struct {
+		desc string
+		one  bool
+		self Holder
+		want bool
+	}{
+		{"the same instance", true, Holder{Instance: "entry-1", Incarnation: 2}, true},
+		{"the same instance, which may run two", false, Holder{Instance: "entry-1", Incarnation: 2}, false},
+		{"another instance", true, Holder{Instance: "entry-2", Incarnation: 2}, false},
+	} {
+		config := DefaultConfig()
+		config.OneProcess = tt.one
+
+		core, err := NewCore(config, "duties", tt.self)
+		if err != nil {
+			t.Fatal(err)
+		}
+
+		now := time.Unix(1000, 0)
+		core.Observe(now, 1, Record{
+			Kind: Acquire, Role: "duties", Holder: Holder{Instance: "entry-1", Incarnation: 1}, Term: config.Term,
+		})
+		core.CaughtUp(now)
+
+		later := now.Add(config.Flight + config.Flight/10)
+		core.CaughtUp(later)
+
+		if got := core.Open(later); got != tt.want {
+			t.Errorf("%s: got open %v, want %v", tt.desc, got, tt.want)
+		}
+	}
+}
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -36,8 +36,15 @@
 	// Quick is the same while all members are heard directly, which Heard tells;
 	// zero is never.
 	Quick func(members int) time.Duration
+	// Tell asks for the next record of what was spent to be made soon; nil is not
+	// asked. Together all instances have spent no more than Untold of an allowance,
+	// and one request each, that no record tells.
+	Tell func()
 }
 
+// Untold is the part of an allowance that may be spent before it is recorded.
+const Untold = 0.25
+
 // Allowance is what an account may spend in a window, over all instances.
 type Allowance struct {
 	Account fleet.Account
@@ -70,6 +77,14 @@
 	largePart = 0.25
 	// demandSpan is how far back demand is looked at, in windows.
 	demandSpan = 2
+	// recordPart is the part of Untold at which a record is asked for; the rest is for
+	// what is spent until it is made.
+	recordPart = 0.6
+	// firstRead is how long nothing is granted while nothing was read of the others:
+	// all instances may have started at once, after they had spent the whole.
+	firstRead = 1500 * time.Millisecond
+	// unknownMembers is how many instances are assumed where none is known.
+	unknownMembers = 16
 	// firstRetry and lastRetry bound when a caller is told to come back.
 	firstRetry = 300 * time.Millisecond
 	lastRetry  = 4 * time.Second
@@ -82,6 +97,8 @@
 	mu       sync.Mutex
 	accounts map[fleet.Account]*account
 	members  map[fleet.InstanceID]bool
+	// begun is when the first request came.
+	begun time.Time
 	// reached is when the others' news was last read to its end, and heard the
 	// newest time up to which each other knows what this one spent.
 	reached time.Time
@@ -93,7 +110,9 @@
 	allowance Allowance
 	own       history
 	ownAsked  history
-	others    map[fleet.InstanceID]*other
+	// recorded is the part of own that a record tells.
+	recorded float64
+	others   map[fleet.InstanceID]*other
 }
 
 // other is what another instance told.
@@ -155,9 +174,18 @@
 
 	a.ownAsked.add(now, cost)
 
+	if q.begun.IsZero() {
+		q.begun = now
+	}
+
+	if q.reached.IsZero() && now.Sub(q.begun) < firstRead {
+		return Decision{RetryAfter: firstRetry}
+	}
+
 	rest, part, recent := q.room(now, a)
 	if recent+cost <= part || recent == 0 && cost <= largePart*rest {
 		a.own.add(now, cost)
+		q.tell(a)
 
 		return Decision{Granted: true, Rest: rest, Part: part}
 	}
@@ -165,6 +193,29 @@
 	return Decision{RetryAfter: q.retryAfter(a, recent+cost-part), Rest: rest, Part: part}
 }
 
+func (q *Quota) tell(a *account) {
+	most := recordPart * Untold * a.allowance.Amount / float64(max(len(q.members), 1))
+	if q.policy.Tell != nil && a.own.total-a.recorded > most {
+		q.policy.Tell()
+	}
+}
+
+// Record returns what this instance has spent, for a record that outlives it.
+func (q *Quota) Record(now time.Time) []Spent {
+	spent := q.Spent(now)
+
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	for _, s := range spent {
+		if a := q.accounts[s.Account]; a != nil {
+			a.recorded = s.Total
+		}
+	}
+
+	return spent
+}
+
 // room returns the rest of the allowance, this instance's part of it, and what it
 // has spent of that part.
 func (q *Quota) room(now time.Time, a *account) (rest, part, recent float64) {
@@ -174,8 +225,14 @@
 	window := now.Add(-q.policy.Window)
 
 	if now.Sub(q.reached) > q.policy.Spread && unseen == q.policy.Spread {
-		// Nothing is known of the others: the part of the whole is kept to.
-		return amount, amount * share, a.own.since(window)
+		// Nothing new is known of the others: the part of the whole is kept to.
+		rest = amount
+
+		for _, o := range a.others {
+			rest -= o.spent.since(window)
+		}
+
+		return max(rest, 0), min(amount*share, max(rest, 0)), a.own.since(window)
 	}
 
 	recent = a.own.since(now.Add(-unseen))
@@ -227,7 +284,12 @@
 
 // share is this instance's part: evenly among the members, and by demand.
 func (q *Quota) share(now time.Time, a *account, unseen time.Duration) float64 {
-	even := 1 / float64(max(len(q.members), 1))
+	members := len(q.members)
+	if members == 0 {
+		members = unknownMembers
+	}
+
+	even := 1 / float64(members)
 	since := now.Add(-demandSpan * q.policy.Window)
 	// What the others can't know yet would make the parts add up to more than one.
 	own := a.ownAsked.since(since) - a.ownAsked.since(now.Add(-unseen))
@@ -306,6 +368,25 @@
 	}
 }
 
+// Inherit takes in what an instance had told before this one started. It may have
+// ended since; untold is the part of each allowance that it may have spent after that
+// without telling anybody.
+func (q *Quota) Inherit(
+	now time.Time, id fleet.InstanceID, incarnation fleet.Incarnation, spent []Spent, untold float64,
+) {
+	q.Hear(now, id, incarnation, spent)
+
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	for _, s := range spent {
+		if a := q.accounts[s.Account]; a != nil {
+			o := a.others[id]
+			o.spent.raise(now, o.spent.total+untold*a.allowance.Amount)
+		}
+	}
+}
+
 // Members sets which instances share the allowances, this one among them.
 func (q *Quota) Members(ids []fleet.InstanceID) {
 	q.mu.Lock()
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -30,15 +30,16 @@
 	ids     []fleet.InstanceID
 	pending []news
 	// quick tells that words are passed directly.
-	quick  bool
-	random *rand.Rand
+	quick       bool
+	incarnation fleet.Incarnation
+	random      *rand.Rand
 }
 
 // say passes one word to all others, but for one in ten that is lost.
 func (g *group) say(now time.Time, from int, spent []Spent) {
 	for i, q := range g.quotas {
 		if i != from && g.random.IntN(10) > 0 {
-			q.Hear(now, g.ids[from], 1, spent)
+			q.Hear(now, g.ids[from], g.incarnation, spent)
 			q.Heard(now, g.ids[from])
 		}
 	}
@@ -51,7 +52,7 @@
 }
 
 func newGroup(n int, p Policy) *group {
-	g := &group{quick: p.Quick != nil, random: rand.New(rand.NewPCG(3, uint64(n)))}
+	g := &group{incarnation: 1, quick: p.Quick != nil, random: rand.New(rand.NewPCG(3, uint64(n)))}
 
 	for i := range n {
 		q := New(p)
@@ -90,7 +91,7 @@
 
 		for _, n := range g.pending {
 			if n.from != i && now.Sub(n.at) < 2*time.Second {
-				q.Hear(now, g.ids[n.from], 1, n.spent)
+				q.Hear(now, g.ids[n.from], g.incarnation, n.spent)
 			}
 		}
 
@@ -261,6 +262,95 @@
 	}
 }
 
+// All instances start at the same moment, before any has read what the earlier runs
+// spent: together they must not grant a whole allowance each.
+func TestAnInstanceThatHasReadNothingGrantsNothing(t *testing.T) {
+	q := New(policy)
+	q.Configure([]Allowance{{Account: "a", Amount: amount, Rate: 36_000}})
+
+	if d := q.Take(start, "a", 1000); d.Granted || d.RetryAfter <= 0 {
+		t.Errorf("before anything was read: got %+v, want a refusal with a time", d)
+	}
+
+	// If nothing can be read, a small part of the allowance is granted.
+	granted := 0.0
+	for q.Take(start.Add(2*time.Second), "a", 1000).Granted {
+		granted += 1000
+	}
+
+	if granted == 0 || granted > amount/10 {
+		t.Errorf("2s later: got %.0f, want a small part", granted)
+	}
+}
+
+// All instances are killed at once and start again. What they spent after their last
+// records on the board is known to nobody, and still counts.
+func TestHoldsAllowanceOverAStartOfAll(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const n = 6
+
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		heat := rapid.Float64Range(0.2, 6).Draw(t, "heat")
+		g := newGroup(n, quickPolicy)
+
+		var grants []step
+
+		ask := func(now time.Time) {
+			for range random.IntN(int(2*heat) + 1) {
+				cost := 1000 + random.ExpFloat64()*10_000
+				if g.quotas[random.IntN(n)].Take(now, "a", cost).Granted {
+					grants = append(grants, step{at: now, amount: cost})
+				}
+			}
+		}
+
+		told := make([][]Spent, n)
+		now := start
+
+		// Records are written every two seconds, and soon after one is asked for.
+		asked := make([]bool, n)
+		for i, q := range g.quotas {
+			q.policy.Tell = func() { asked[i] = true }
+		}
+
+		for tick := range 130 {
+			now = start.Add(time.Duration(tick) * 100 * time.Millisecond)
+			g.exchange(now, tick)
+			ask(now)
+
+			for i, q := range g.quotas {
+				if tick%20 == i || asked[i] && tick%3 == 0 {
+					told[i], asked[i] = q.Record(now), false
+				}
+			}
+		}
+
+		next := newGroup(n, quickPolicy)
+
+		for i, q := range next.quotas {
+			for j, spent := range told {
+				q.Inherit(now, next.ids[j], 1, spent, Untold/n)
+			}
+
+			q.Reached(now)
+			next.quotas[i] = q
+		}
+
+		next.incarnation = 2
+		g = next
+
+		for tick := range 130 {
+			later := now.Add(time.Duration(tick+10) * 100 * time.Millisecond)
+			g.exchange(later, tick)
+			ask(later)
+		}
+
+		if got := worst(grants); got > amount {
+			t.Fatalf("granted in a window: got %.0f, want at most %d", got, amount)
+		}
+	})
+}
+
 func TestARefusalSaysWhenToComeBack(t *testing.T) {
 	g := newGroup(1, policy)
 
