--- a/lease/core_test.go
+++ b/lease/core_test.go
@@ -174,24 +174,24 @@
 	for _, tt := range []struct {
 		desc string
 		one  bool
-		self Holder
+		self lease.Holder
 		want bool
 	}{
-		{"the same instance", true, Holder{Instance: "entry-1", Incarnation: 2}, true},
-		{"the same instance, which may run two", false, Holder{Instance: "entry-1", Incarnation: 2}, false},
-		{"another instance", true, Holder{Instance: "entry-2", Incarnation: 2}, false},
+		{"the same instance", true, lease.Holder{Instance: "entry-1", Incarnation: 2}, true},
+		{"the same instance, which may run two", false, lease.Holder{Instance: "entry-1", Incarnation: 2}, false},
+		{"another instance", true, lease.Holder{Instance: "entry-2", Incarnation: 2}, false},
 	} {
-		config := DefaultConfig()
+		config := lease.DefaultConfig()
 		config.OneProcess = tt.one
 
-		core, err := NewCore(config, "duties", tt.self)
+		core, err := lease.NewCore(config, "duties", tt.self)
 		if err != nil {
 			t.Fatal(err)
 		}
 
 		now := time.Unix(1000, 0)
-		core.Observe(now, 1, Record{
-			Kind: Acquire, Role: "duties", Holder: Holder{Instance: "entry-1", Incarnation: 1}, Term: config.Term,
+		core.Observe(now, 1, lease.Record{
+			Kind: lease.Acquire, Role: "duties", Holder: lease.Holder{Instance: "entry-1", Incarnation: 1}, Term: config.Term,
 		})
 		core.CaughtUp(now)
 
