fix(entry,quota,scheduling): ready means that requests can be placed and counted; many instances write less often

Cause: TestFurtherSendsFollowTheKindOfTheRoute failed in 3 of 5 runs beside load: an instance said that it was ready before the scheduler had the servers (503 without an arrival) or before it had read what others spent (429 without an arrival). Change: readiness waits for both, for the second 2 s at most; the pace of records grows with the number of instances, but for the holder of the duties. Ruled out: load alone: the refusals name the missing state.

--- a/entry/parts.go
+++ b/entry/parts.go
@@ -41,6 +41,8 @@
 	registerShare = 0.5
 	// boardEvery is the time between two records of an instance on the board.
 	boardEvery = 2 * time.Second
+	// boardShare is what each instance adds to the time between two records of others.
+	boardShare = 50 * time.Millisecond
 	// boardSoonest is the least time between two records of an instance that has
 	// something to tell, and boardWrite what each instance adds to it: six times
 	// what the store takes for an append.
@@ -51,9 +53,11 @@
 	usageKeep = 3 * boardEvery
 	// memberLapse is how long a silent instance counts: a few missed records.
 	memberLapse = 7 * time.Second
-	// newsSpread is the time in which a record on the board reaches all others:
-	// the pace of two instances and a call each.
-	newsSpread = 4500 * time.Millisecond
+	// newsMargin is what calls add to the time in which a record reaches all others.
+	newsMargin = 500 * time.Millisecond
+	// limitsPatience is how long an instance that starts waits for what the others have
+	// spent: some calls of the store, one of which may have to be made again.
+	limitsPatience = 2 * time.Second
 	// lostWords is how many words in a row may be lost before an instance counts as
 	// not heard.
 	lostWords = 3
@@ -93,8 +97,10 @@
 
 	// early holds the newest record of each instance until the board was first read
 	// to its end; it is nil from then on.
-	early    map[fleet.InstanceID]board.Record
-	echoes   echoes
+	early  map[fleet.InstanceID]board.Record
+	echoes echoes
+	// built is when this instance began to start.
+	built    time.Time
 	stopping atomic.Bool
 	open     atomic.Int64
 }
@@ -105,6 +111,7 @@
 	p := &parts{
 		settings:  s,
 		clock:     e.Clock,
+		built:     e.Clock.Now(),
 		metrics:   set,
 		store:     platform.NewStore(s.Store),
 		currency:  &currency.Tracker{Clock: e.Clock, Bound: currencyBound(s.Bounds)},
@@ -117,7 +124,7 @@
 	}
 	p.bounds.Store(&s.Bounds)
 	p.limits = quota.New(quota.Policy{
-		Window: s.Bounds.LimitWindow, Spread: newsSpread, Quick: quickSpread,
+		Window: s.Bounds.LimitWindow, Spread: newsSpread(1), Quick: quickSpread,
 		Tell: func() { p.board.Nudge() },
 	})
 	p.pool = &upstream.Pool{Clock: e.Clock, Counters: upstream.NewCounters(set)}
@@ -128,7 +135,7 @@
 	}
 	p.handler = &platform.Handler{Clock: e.Clock, Serve: p.serve, BodyBytes: p.bodyBytes}
 	p.board = &board.Board{
-		Log: p.store.Board(), Clock: e.Clock, Every: boardEvery, Soon: p.boardSoon,
+		Log: p.store.Board(), Clock: e.Clock, Every: p.boardPace, Soon: p.boardSoon,
 		Write: p.writeRecord, Receive: p.receiveRecord, Reached: p.boardReached,
 	}
 	p.duties = newDuties(p)
@@ -195,10 +202,27 @@
 	return defaultBodyBytes
 }
 
-// ready tells whether callers may be sent here.
+// ready tells whether callers may be sent here: requests are allowed, placed and
+// counted. Limits are waited for only for a while, since a store may be away in part.
 func (p *parts) ready() bool {
-	return !p.stopping.Load() && p.rules.Load() != nil && p.currency.Current() &&
-		p.register.Loaded()
+	limits := p.limits.Known() || p.clock.Now().Sub(p.built) > limitsPatience
+
+	return !p.stopping.Load() && p.rules.Load() != nil && p.currency.Current() && p.scheduler.Known() && limits
+}
+
+// boardPace is the time between two records. Many instances write less often, so that
+// their records cost each no more than few do; the holder of the duties renews its
+// lease with them and does not.
+func (p *parts) boardPace() time.Duration {
+	if _, held := p.duties.held(); held {
+		return boardEvery
+	}
+
+	return slowPace(p.members.Count())
+}
+
+func slowPace(n int) time.Duration {
+	return max(boardEvery, time.Duration(n)*boardShare)
 }
 
 // boardSoon is the least time between two records: all instances together write no
@@ -246,6 +270,12 @@
 // self is this instance.
 func (p *parts) self() fleet.InstanceID { return p.settings.Instance }
 
+// newsSpread is the time in which a record of n instances on the board reaches all
+// others: the pace of a writer and of a reader.
+func newsSpread(n int) time.Duration {
+	return 2*slowPace(n) + newsMargin
+}
+
 // quickSpread is the time in which the words of n instances reach each other.
 func quickSpread(n int) time.Duration {
 	return lostWords * gossip.Every(n-1)
--- a/entry/rules.go
+++ b/entry/rules.go
@@ -118,7 +118,7 @@
 // that counts entries.
 func (p *parts) serversChanged(before []register.Server) {
 	after := p.register.Servers()
-	if same(before, after) {
+	if same(before, after) && p.scheduler.Known() {
 		return
 	}
 
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -407,6 +407,21 @@
 	}
 }
 
+// Known tells whether the others' news was read at least once.
+func (q *Quota) Known() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	return !q.reached.IsZero()
+}
+
+// SetSpread changes the time in which news reaches all.
+func (q *Quota) SetSpread(d time.Duration) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.policy.Spread = d
+}
+
 // Reached is told that the others' news was read to its end.
 func (q *Quota) Reached(now time.Time) {
 	q.mu.Lock()
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -273,6 +273,10 @@
 	q := New(policy)
 	q.Configure([]Allowance{{Account: "a", Amount: amount, Rate: 36_000}})
 
+	if q.Known() {
+		t.Error("before anything was read: got known, want not")
+	}
+
 	if d := q.Take(start, "a", 1000); d.Granted || d.RetryAfter <= 0 {
 		t.Errorf("before anything was read: got %+v, want a refusal with a time", d)
 	}
--- a/scheduling/scheduling.go
+++ b/scheduling/scheduling.go
@@ -108,6 +108,11 @@
 	s.current.Store(&pools)
 }
 
+// Known tells whether Update was called: requests can be placed.
+func (s *Scheduler) Known() bool {
+	return s.current.Load() != nil
+}
+
 // Leave marks a server that said itself that it is leaving.
 func (s *Scheduler) Leave(id fleet.InstanceID) {
 	s.mu.Lock()
