--- a/board/board.go
+++ b/board/board.go
@@ -9,7 +9,7 @@
 // # Usage
 //
 //	b := &board.Board{
-//		Log: log, Clock: clk, Every: pace, Soon: soonest,
+//		Log: log, Clock: clk, Every: time.Second, Soon: soonest,
 //		Write:   func(now time.Time) board.Record { … },
 //		Receive: func(now time.Time, r board.Record) { … },
 //		Reached: func(now time.Time) { … },
@@ -84,7 +84,7 @@
 	Log   Log
 	Clock clock.Clock
 	// Every is the time between two rounds, and Soon the least.
-	Every func() time.Duration
+	Every time.Duration
 	Soon  func() time.Duration
 	// Write makes the next record.
 	Write func(now time.Time) Record
@@ -131,7 +131,7 @@
 	clock.Sleep(ctx, b.Clock, b.Soon())
 
 	select {
-	case <-b.Clock.After(max(b.Every()-b.Clock.Now().Sub(began), 0)):
+	case <-b.Clock.After(max(b.Every-b.Clock.Now().Sub(began), 0)):
 	case <-b.nudges():
 	case <-ctx.Done():
 	}
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -62,7 +62,6 @@
 	}
 
 	p.limits.Members(p.members.IDs())
-	p.limits.SetSpread(newsSpread(p.members.Count()))
 	p.limits.Reached(now)
 	p.retries.SetLeast(p.bounds.Load().RetryExtra / p.members.Count())
 	p.shareConnections()
--- a/entry/parts.go
+++ b/entry/parts.go
@@ -41,8 +41,6 @@
 	registerShare = 0.5
 	// boardEvery is the time between two records of an instance on the board.
 	boardEvery = 2 * time.Second
-	// boardShare is what each instance adds to the time between two records of others.
-	boardShare = 50 * time.Millisecond
 	// boardSoonest is the least time between two records of an instance that has
 	// something to tell, and boardWrite what each instance adds to it: six times
 	// what the store takes for an append.
@@ -53,8 +51,9 @@
 	usageKeep = 3 * boardEvery
 	// memberLapse is how long a silent instance counts: a few missed records.
 	memberLapse = 7 * time.Second
-	// newsMargin is what calls add to the time in which a record reaches all others.
-	newsMargin = 500 * time.Millisecond
+	// newsSpread is the time in which a record on the board reaches all others: the
+	// pace of two instances and their calls.
+	newsSpread = 2*boardEvery + 500*time.Millisecond
 	// limitsPatience is how long an instance that starts waits for what the others have
 	// spent: some calls of the store, one of which may have to be made again.
 	limitsPatience = 2 * time.Second
@@ -124,7 +123,7 @@
 	}
 	p.bounds.Store(&s.Bounds)
 	p.limits = quota.New(quota.Policy{
-		Window: s.Bounds.LimitWindow, Spread: newsSpread(1), Quick: quickSpread,
+		Window: s.Bounds.LimitWindow, Spread: newsSpread, Quick: quickSpread,
 		Tell: func() { p.board.Nudge() },
 	})
 	p.pool = &upstream.Pool{Clock: e.Clock, Counters: upstream.NewCounters(set)}
@@ -135,7 +134,7 @@
 	}
 	p.handler = &platform.Handler{Clock: e.Clock, Serve: p.serve, BodyBytes: p.bodyBytes}
 	p.board = &board.Board{
-		Log: p.store.Board(), Clock: e.Clock, Every: p.boardPace, Soon: p.boardSoon,
+		Log: p.store.Board(), Clock: e.Clock, Every: boardEvery, Soon: p.boardSoon,
 		Write: p.writeRecord, Receive: p.receiveRecord, Reached: p.boardReached,
 	}
 	p.duties = newDuties(p)
@@ -210,21 +209,6 @@
 	return !p.stopping.Load() && p.rules.Load() != nil && p.currency.Current() && p.scheduler.Known() && limits
 }
 
-// boardPace is the time between two records. Many instances write less often, so that
-// their records cost each no more than few do; the holder of the duties renews its
-// lease with them and does not.
-func (p *parts) boardPace() time.Duration {
-	if _, held := p.duties.held(); held {
-		return boardEvery
-	}
-
-	return slowPace(p.members.Count())
-}
-
-func slowPace(n int) time.Duration {
-	return max(boardEvery, time.Duration(n)*boardShare)
-}
-
 // boardSoon is the least time between two records: all instances together write no
 // more than the topic takes.
 func (p *parts) boardSoon() time.Duration {
@@ -270,12 +254,6 @@
 // self is this instance.
 func (p *parts) self() fleet.InstanceID { return p.settings.Instance }
 
-// newsSpread is the time in which a record of n instances on the board reaches all
-// others: the pace of a writer and of a reader.
-func newsSpread(n int) time.Duration {
-	return 2*slowPace(n) + newsMargin
-}
-
 // quickSpread is the time in which the words of n instances reach each other.
 func quickSpread(n int) time.Duration {
 	return lostWords * gossip.Every(n-1)
--- a/entry/word.go
+++ b/entry/word.go
@@ -76,7 +76,14 @@
 		}
 	}
 
-	return msgpack.Marshal(&w)
+	data, err := msgpack.Marshal(&w)
+	if err == nil && len(data) > gossip.MaxWord {
+		// The board tells the counts too, only later.
+		w.Usage = nil
+		data, err = msgpack.Marshal(&w)
+	}
+
+	return data, err
 }
 
 // maxLeaving bounds how many leaving servers are told.
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -26,9 +26,9 @@
 const (
 	// MaxWord bounds a word to what a datagram holds without being split.
 	MaxWord = 1400
-	// perPeer is the time between two words per peer: 45 datagrams a second leave
-	// an instance, however many there are.
-	perPeer = 22 * time.Millisecond
+	// perPeer is the time between two words per peer: at most 100 datagrams a second
+	// leave an instance, however many there are.
+	perPeer = 10 * time.Millisecond
 	// minEvery keeps few instances from waking each other more often than the news
 	// is worth.
 	minEvery = 150 * time.Millisecond
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -415,13 +415,6 @@
 	return !q.reached.IsZero()
 }
 
-// SetSpread changes the time in which news reaches all.
-func (q *Quota) SetSpread(d time.Duration) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.policy.Spread = d
-}
-
 // Reached is told that the others' news was read to its end.
 func (q *Quota) Reached(now time.Time) {
 	q.mu.Lock()
