--- /dev/null
+++ b/settings/entry_test.go
@@ -0,0 +1,72 @@
+package settings
+
+import (
+	"errors"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"monsoonlever/finding"
+)
+
+const entryExample = "../examples/kronvig.entry.jsonc"
+
+func TestEntryExampleHasNoFinding(t *testing.T) {
+	s, err := LoadEntry(entryExample)
+	if err != nil {
+		t.Fatalf("example has findings:\n%v", err)
+	}
+
+	if got, want := s.Bounds.Revocation, 5*time.Second; got != want {
+		t.Errorf("revocation: got %v, want %v", got, want)
+	}
+
+	if !s.Has(OrderServers) || !s.Has(ReportUsage) {
+		t.Errorf("duties: got %v, want both", s.Duties)
+	}
+}
+
+func TestParseEntryReportsEachFinding(t *testing.T) {
+	data, err := os.ReadFile(entryExample)
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	for _, tt := range []struct {
+		desc, old, new, field, message string
+	}{
+		{"no instance", `"instance": "edge-ballerup-a-1",`, ``, "instance", "is missing"},
+		{"no store", `"store": "127.0.0.1:8225",`, ``, "store", "is missing"},
+		{"a store without a port", `"store": "127.0.0.1:8225"`, `"store": "127.0.0.1"`, "store", "IP number"},
+		{"duties without the API", `"cloud": "127.0.0.1:8226",`, ``, "cloud", "is missing"},
+		{"one address for two", `"readiness": "127.0.0.1:8224"`, `"readiness": "127.0.0.1:8221"`, "listen.readiness", "must differ"},
+		{"no time to stop", `"stop": "8s"`, `"stop": "0s"`, "bounds.stop", "above 0"},
+		{"a share below nothing", `"retryShare": 0.2`, `"retryShare": -1`, "bounds.retryShare", "below 0"},
+		{"too few descriptors", `"fileDescriptors": 4100`, `"fileDescriptors": 8`, "limits.fileDescriptors", "at least"},
+		{"a field that nobody knows", `"region"`, `"regoin"`, "regoin", "unknown"},
+	} {
+		t.Run(tt.desc, func(t *testing.T) {
+			changed := strings.Replace(string(data), tt.old, tt.new, 1)
+			if changed == string(data) {
+				t.Fatalf("%q is not in the example", tt.old)
+			}
+
+			_, err := ParseEntry("entry.jsonc", []byte(changed))
+
+			var findings *finding.Error
+			if !errors.As(err, &findings) {
+				t.Fatalf("got %v, want findings", err)
+			}
+
+			found := false
+			for _, f := range findings.Items() {
+				found = found || f.Field == tt.field && strings.Contains(f.Message, tt.message)
+			}
+
+			if !found {
+				t.Errorf("got %v, want one at %s with %q", err, tt.field, tt.message)
+			}
+		})
+	}
+}
