--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,8 @@
 # Targets: build, lint, test, demo, fuzz, proofs, bench.
 GO ?= go
 BIN := bin
+# What is deployed on the users' platform is built by the line of its deploy file.
+DEPLOYED := $(shell sed -n 's/^build = "\(.*\)"$$/\1/p' deploy/system.toml)
 LINT_VERSION := v2.15.0
 LINT := $(BIN)/tools/golangci-lint-$(LINT_VERSION)
 
@@ -11,6 +13,7 @@
 build:
 	$(GO) build ./...
 	$(GO) build -o $(BIN)/ . ./monsoonleverd ./monsoonlever-standins
+	$(DEPLOYED)
 
 $(LINT):
 	mkdir -p $(BIN)/tools
