feat(quota,gossip,entry): half of what is left of a limit is lent; a new run hides nothing of the one before

Two instances now hold half of the rest of each account and lend it by datagram; the lender counts it as spent.

Traced by the grants of each instance: after a kill of all, the first record of a new run replaced the newest one of the run before, so that its spending was forgotten. It did so before, too; lending made it show. A goodbye now tells what was spent.

Tests that fail first: TestHoldsAllowanceOverAStartOfAll with first records of new runs (693,502 of 500,000 granted), TestLargeRequestsFindRoomAtManyInstances (50 of 140 refused without reserves, 9 with), TestWhatIsInheritedIsAsOldAsItWas. That a lender which is never asked itself told nothing was found by TestHoldsAllowanceOverAllInstances.

--- a/board/board.go
+++ b/board/board.go
@@ -42,6 +42,8 @@
 type Record struct {
 	Instance    fleet.InstanceID  `msgpack:"i"`
 	Incarnation fleet.Incarnation `msgpack:"n"`
+	// Clock is the writer's steady clock, which tells the time between its records.
+	Clock int64 `msgpack:"t"`
 	// Address is where the instance hears gossip.
 	Address string `msgpack:"a"`
 	// Leaving is set in the last record of an instance that stops.
--- a/board/members.go
+++ b/board/members.go
@@ -66,6 +66,16 @@
 	return addresses
 }
 
+// Address returns where an instance hears gossip, if it is known.
+func (m *Members) Address(id fleet.InstanceID) (netip.AddrPort, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+
+	address, ok := m.addresses[id]
+
+	return address, ok
+}
+
 // Expire drops the instances that have been silent for too long. It is called
 // only after the board was read to its end: one that can't be read says nothing of
 // the others.
--- /dev/null
+++ b/entry/datagram.go
@@ -0,0 +1,61 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+	"k8s.io/klog/v2"
+
+	"monsoonlever/fleet"
+	"monsoonlever/quota"
+)
+
+// datagram is one message between instances. One of its fields is set.
+type datagram struct {
+	Word *word `msgpack:"w,omitempty"`
+	// Ask and Reply lend limits of client accounts.
+	Ask   *quota.Ask   `msgpack:"a,omitempty"`
+	Reply *quota.Reply `msgpack:"r,omitempty"`
+}
+
+// receiveDatagram takes any message of another instance in.
+func (p *parts) receiveDatagram(now time.Time, data []byte) {
+	var d datagram
+	if err := msgpack.Unmarshal(data, &d); err != nil {
+		klog.ErrorS(err, "gossip can't be decoded", "bytes", len(data))
+
+		return
+	}
+
+	switch {
+	case d.Word != nil:
+		p.hearWord(now, *d.Word)
+	case d.Ask != nil:
+		reply := p.loans.Lend(*d.Ask)
+		p.sendDatagram(d.Ask.From, datagram{Reply: &reply})
+	case d.Reply != nil:
+		p.loans.Answered(*d.Reply)
+	}
+}
+
+// sendDatagram sends a message at once. What does not arrive is asked of another
+// instance, or refused.
+func (p *parts) sendDatagram(to fleet.InstanceID, d datagram) {
+	e := p.gossip.Load()
+	address, known := p.members.Address(to)
+
+	if e == nil || !known {
+		return
+	}
+
+	data, err := msgpack.Marshal(&d)
+	if err != nil {
+		klog.ErrorS(err, "datagram can't be encoded", "to", to)
+
+		return
+	}
+
+	if err := e.Send(address, data); err != nil {
+		klog.V(1).InfoS("datagram is not sent", "to", to, "err", err.Error())
+	}
+}
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -7,7 +7,6 @@
 	"k8s.io/klog/v2"
 
 	"monsoonlever/board"
-	"monsoonlever/quota"
 )
 
 // goodbyeTimeout bounds the last record of an instance that stops.
@@ -18,6 +17,7 @@
 	r := board.Record{
 		Instance:    p.self(),
 		Incarnation: p.duties.incarnation,
+		Clock:       now.UnixNano(),
 		Address:     p.settings.Listen.Peers,
 		Leaving:     p.stopping.Load(),
 		Spent:       p.limits.Record(now),
@@ -38,12 +38,10 @@
 }
 
 // hearSpent takes in what other instances, and earlier runs of this one, have spent.
-// Of the records that were written before this instance started only the newest of
-// each is true now.
 func (p *parts) hearSpent(now time.Time, r board.Record) {
 	switch {
 	case p.early != nil:
-		p.early[r.Instance] = r
+		p.early.Add(r.Instance, r.Incarnation, time.Unix(0, r.Clock), r.Spent)
 	case r.Instance != p.self():
 		p.limits.Hear(now, r.Instance, r.Incarnation, r.Spent)
 	}
@@ -51,12 +49,11 @@
 
 // boardReached is told that all records were taken in.
 func (p *parts) boardReached(now time.Time) {
-	for id, r := range p.early {
-		p.limits.Inherit(now, id, r.Incarnation, r.Spent, quota.Untold/float64(len(p.early)))
+	if p.early != nil {
+		p.limits.InheritAll(now, p.early)
+		p.early = nil
 	}
 
-	p.early = nil
-
 	for _, gone := range p.members.Expire(now) {
 		klog.InfoS("entry instance is silent", "instance", gone)
 	}
@@ -73,8 +70,12 @@
 	ctx, cancel := context.WithTimeout(context.Background(), goodbyeTimeout)
 	defer cancel()
 
-	r := board.Record{Instance: p.self(), Incarnation: p.duties.incarnation, Leaving: true, Usage: p.counter.Recent()}
-	p.duties.release(p.clock.Now(), &r)
+	now := p.clock.Now()
+	r := board.Record{
+		Instance: p.self(), Incarnation: p.duties.incarnation, Clock: now.UnixNano(), Leaving: true,
+		Spent: p.limits.Record(now), Usage: p.counter.Recent(),
+	}
+	p.duties.release(now, &r)
 
 	if err := p.board.Last(ctx, r); err != nil {
 		klog.InfoS("the others were not told of the stop", "err", err.Error())
--- a/entry/parts.go
+++ b/entry/parts.go
@@ -83,6 +83,7 @@
 	currency  *currency.Tracker
 	register  *register.Register
 	limits    *quota.Quota
+	loans     *quota.Loans
 	retries   *retry.Budgets
 	scheduler *scheduling.Scheduler
 	pool      *upstream.Pool
@@ -92,11 +93,12 @@
 	board     *board.Board
 	duties    *duties
 	counter   *usage.Counter
+	gossip    atomic.Pointer[gossip.Exchange]
 	feeds     []*feed.Follower
 
-	// early holds the newest record of each instance until the board was first read
-	// to its end; it is nil from then on.
-	early  map[fleet.InstanceID]board.Record
+	// early holds what the records say of the time before, until the board was first
+	// read to its end; it is nil from then on.
+	early  *quota.Past
 	echoes echoes
 	// built is when this instance began to start.
 	built    time.Time
@@ -118,17 +120,20 @@
 		retries:   newRetries(s.Bounds),
 		scheduler: &scheduling.Scheduler{Domain: s.FailureDomain},
 		members:   &board.Members{Lapse: memberLapse},
-		early:     make(map[fleet.InstanceID]board.Record),
+		early:     &quota.Past{},
 		counter:   &usage.Counter{Width: s.Bounds.UsageWindow, Keep: usageKeep, Now: time.Now},
 	}
 	p.bounds.Store(&s.Bounds)
 	p.limits = quota.New(quota.Policy{
-		Window: s.Bounds.LimitWindow, Spread: newsSpread, Quick: quickSpread,
+		Self: s.Instance, Window: s.Bounds.LimitWindow, Spread: newsSpread, Quick: quickSpread,
 		Tell: func() { p.board.Nudge() },
 	})
+	p.loans = &quota.Loans{Quota: p.limits, Clock: e.Clock, Self: s.Instance, Send: func(to fleet.InstanceID, ask quota.Ask) {
+		p.sendDatagram(to, datagram{Ask: &ask})
+	}}
 	p.pool = &upstream.Pool{Clock: e.Clock, Counters: upstream.NewCounters(set)}
 	p.forwarder = &forward.Forwarder{
-		Clock: e.Clock, Rules: &p.rules, Currency: p.currency, Limits: p.limits, Retries: p.retries,
+		Clock: e.Clock, Rules: &p.rules, Currency: p.currency, Limits: p.loans, Retries: p.retries,
 		Scheduler: p.scheduler, Pool: p.pool, Protocol: platform.Protocol{}, Usage: p.counter,
 		Counters: forward.NewCounters(set), MaxAnswerBytes: maxAnswerBytes, Observe: e.logOutcome,
 	}
--- a/entry/word.go
+++ b/entry/word.go
@@ -9,7 +9,6 @@
 
 	"github.com/ansel1/merry/v2"
 	"github.com/vmihailenco/msgpack/v5"
-	"k8s.io/klog/v2"
 
 	"monsoonlever/fleet"
 	"monsoonlever/gossip"
@@ -76,11 +75,11 @@
 		}
 	}
 
-	data, err := msgpack.Marshal(&w)
+	data, err := msgpack.Marshal(&datagram{Word: &w})
 	if err == nil && len(data) > gossip.MaxWord {
 		// The board tells the counts too, only later.
 		w.Usage = nil
-		data, err = msgpack.Marshal(&w)
+		data, err = msgpack.Marshal(&datagram{Word: &w})
 	}
 
 	return data, err
@@ -103,14 +102,7 @@
 }
 
 // hearWord takes the word of another instance in.
-func (p *parts) hearWord(now time.Time, data []byte) {
-	var w word
-	if err := msgpack.Unmarshal(data, &w); err != nil {
-		klog.ErrorS(err, "gossip can't be decoded", "bytes", len(data))
-
-		return
-	}
-
+func (p *parts) hearWord(now time.Time, w word) {
 	if w.Instance == p.self() {
 		return
 	}
@@ -156,8 +148,11 @@
 
 // gossips returns the exchange of words over a socket.
 func (p *parts) gossips(conn net.PacketConn) *gossip.Exchange {
-	return &gossip.Exchange{
-		Conn: conn, Clock: p.clock, Word: p.makeWord, Receive: p.hearWord,
+	e := &gossip.Exchange{
+		Conn: conn, Clock: p.clock, Word: p.makeWord, Receive: p.receiveDatagram,
 		Peers: func() map[fleet.InstanceID]netip.AddrPort { return p.members.Addresses(p.self()) },
 	}
+	p.gossip.Store(e)
+
+	return e
 }
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -72,13 +72,20 @@
 	Began(account fleet.Account)
 }
 
+// Limits holds the limits of client accounts.
+type Limits interface {
+	// Take spends cost of an account's limit, if there is room. It may ask other
+	// instances, which takes some milliseconds.
+	Take(ctx context.Context, account fleet.Account, cost float64) quota.Decision
+}
+
 // Forwarder runs the requests of one entry instance. Its exported fields are set
 // before its first use.
 type Forwarder struct {
 	Clock     clock.Clock
 	Rules     *atomic.Pointer[ruleset.Ruleset]
 	Currency  *currency.Tracker
-	Limits    *quota.Quota
+	Limits    Limits
 	Retries   *retry.Budgets
 	Scheduler *scheduling.Scheduler
 	Pool      *upstream.Pool
@@ -110,7 +117,7 @@
 // Serve runs a request to its final answer, which the sink has got when Serve
 // returns. ctx ends when the caller is gone.
 func (f *Forwarder) Serve(ctx context.Context, r *Request, sink Sink) Outcome {
-	j, refusal := f.open(r)
+	j, refusal := f.open(ctx, r)
 	if refusal == nil {
 		refusal = f.run(ctx, j, sink)
 	}
@@ -138,7 +145,7 @@
 }
 
 // open checks what needs no backend server: rules, key, limit.
-func (f *Forwarder) open(r *Request) (*job, *Refusal) {
+func (f *Forwarder) open(ctx context.Context, r *Request) (*job, *Refusal) {
 	rules := f.Rules.Load()
 	if rules == nil {
 		return nil, notRun(NoRules, retryLater)
@@ -164,7 +171,7 @@
 	j.service = route.Target(rand.Float64())
 	f.Retries.Of(retry.NewScope(j.service, "")).Request(f.Clock.Now())
 
-	return j, f.admit(j)
+	return j, f.admit(ctx, j)
 }
 
 func (f *Forwarder) authorize(j *job) *Refusal {
@@ -187,12 +194,12 @@
 }
 
 // admit spends the account's limit.
-func (f *Forwarder) admit(j *job) *Refusal {
+func (f *Forwarder) admit(ctx context.Context, j *job) *Refusal {
 	if j.account == nil || j.account.Rate <= 0 {
 		return nil
 	}
 
-	decision := f.Limits.Take(f.Clock.Now(), j.account.Name, j.cost())
+	decision := f.Limits.Take(ctx, j.account.Name, j.cost())
 	if decision.Granted {
 		return nil
 	}
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -26,9 +26,9 @@
 const (
 	// MaxWord bounds a word to what a datagram holds without being split.
 	MaxWord = 1400
-	// perPeer is the time between two words per peer: at most 100 datagrams a second
-	// leave an instance, however many there are.
-	perPeer = 10 * time.Millisecond
+	// perPeer is the time between two words per peer: at most some 170 datagrams a
+	// second leave an instance, however many there are.
+	perPeer = 6 * time.Millisecond
 	// minEvery keeps few instances from waking each other more often than the news
 	// is worth.
 	minEvery = 150 * time.Millisecond
@@ -71,6 +71,13 @@
 	}
 }
 
+// Send sends one datagram at once. It may be lost like any other.
+func (e *Exchange) Send(to netip.AddrPort, data []byte) error {
+	_, err := e.Conn.WriteTo(data, net.UDPAddrFromAddrPort(to))
+
+	return err
+}
+
 func (e *Exchange) sendAll(peers map[fleet.InstanceID]netip.AddrPort) {
 	for id, address := range peers {
 		word, err := e.Word(e.Clock.Now(), id)
@@ -81,7 +88,7 @@
 		}
 
 		// A peer that is gone or cut off hears the next word or none.
-		_, _ = e.Conn.WriteTo(word, net.UDPAddrFromAddrPort(address))
+		_ = e.Send(address, word)
 	}
 }
 
--- a/quota/history.go
+++ b/quota/history.go
@@ -24,6 +24,11 @@
 
 	h.total += amount
 
+	// Steps are in the order of their times. A time that goes back counts as the newest.
+	if n := len(h.steps); n > 0 && now.Before(h.steps[n-1].at) {
+		now = h.steps[n-1].at
+	}
+
 	if n := len(h.steps); n > 0 && now.Sub(h.steps[n-1].at) < joinSteps {
 		h.steps[n-1].amount += amount
 		h.steps[n-1].at = now
@@ -52,6 +57,23 @@
 	return sum
 }
 
+// ages divides what was added within a window by age, the oldest part first.
+func (h *history) ages(now time.Time, window time.Duration) []uint32 {
+	parts := make([]uint32, ages)
+
+	for i := len(h.steps) - 1; i >= 0; i-- {
+		age := now.Sub(h.steps[i].at)
+		if age >= window {
+			break
+		}
+
+		part := ages - 1 - int(max(age, 0)*ages/window)
+		parts[part] += uint32(h.steps[i].amount)
+	}
+
+	return parts
+}
+
 // trim forgets the steps up to t.
 func (h *history) trim(t time.Time) {
 	n := 0
--- /dev/null
+++ b/quota/loans.go
@@ -0,0 +1,154 @@
+package quota
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"monsoonlever/clock"
+	"monsoonlever/fleet"
+)
+
+const (
+	// loanPatience is how long an answer is waited for: some ten round trips between
+	// failure domains, and little against the objective of a large request.
+	loanPatience = 60 * time.Millisecond
+	// refusedLoan is how long a holder that had too little is not asked for as much
+	// again: accounts far beyond their limit would ask for each request.
+	refusedLoan = 200 * time.Millisecond
+)
+
+// Ask is the question for a loan.
+type Ask struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // an option of the codec
+	From     fleet.InstanceID
+	Number   uint64
+	Account  fleet.Account
+	Cost     float64
+}
+
+// Reply is the answer to an Ask.
+type Reply struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // an option of the codec
+	Number   uint64
+	Granted  bool
+}
+
+// Loans takes from a Quota, and borrows from the holders of reserves what the part of
+// this instance does not cover. A question or answer that is lost costs the lender
+// what it lent until the window is over; nothing is ever spent twice. Its exported
+// fields are set before its first use.
+type Loans struct {
+	Quota *Quota
+	Clock clock.Clock
+	Self  fleet.InstanceID
+	// Send sends a question to another instance.
+	Send func(to fleet.InstanceID, ask Ask)
+
+	mu      sync.Mutex
+	number  uint64
+	waiting map[uint64]chan bool
+	refused map[loanKey]refusedAsk
+}
+
+type loanKey struct {
+	holder  fleet.InstanceID
+	account fleet.Account
+}
+
+type refusedAsk struct {
+	at   time.Time
+	cost float64
+}
+
+// Take spends cost of an account's allowance here or at a holder of its reserve.
+func (l *Loans) Take(ctx context.Context, name fleet.Account, cost float64) Decision {
+	decision := l.Quota.Take(l.Clock.Now(), name, cost)
+	if decision.Granted {
+		return decision
+	}
+
+	for _, holder := range l.Quota.Holders(name) {
+		if l.borrow(ctx, holder, name, cost) {
+			return Decision{Granted: true, Rest: decision.Rest, Part: decision.Part, Lender: holder}
+		}
+	}
+
+	return decision
+}
+
+// Lend answers another instance's question.
+func (l *Loans) Lend(ask Ask) Reply {
+	return Reply{Number: ask.Number, Granted: l.Quota.Lend(l.Clock.Now(), ask.Account, ask.Cost).Granted}
+}
+
+// Answered takes an answer in. One that comes too late is dropped.
+func (l *Loans) Answered(r Reply) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	if answer := l.waiting[r.Number]; answer != nil {
+		delete(l.waiting, r.Number)
+		answer <- r.Granted
+	}
+}
+
+func (l *Loans) borrow(ctx context.Context, holder fleet.InstanceID, name fleet.Account, cost float64) bool {
+	if holder == l.Self {
+		return l.Quota.Lend(l.Clock.Now(), name, cost).Granted
+	}
+
+	key := loanKey{holder: holder, account: name}
+
+	number, answer := l.open(key, cost)
+	if answer == nil {
+		return false
+	}
+
+	l.Send(holder, Ask{From: l.Self, Number: number, Account: name, Cost: cost})
+
+	granted := false
+	select {
+	case granted = <-answer:
+	case <-l.Clock.After(loanPatience):
+	case <-ctx.Done():
+	}
+
+	l.close(number, key, cost, granted)
+
+	return granted
+}
+
+// open begins a question, unless the holder had too little for it a moment ago.
+func (l *Loans) open(key loanKey, cost float64) (uint64, <-chan bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	if last, ok := l.refused[key]; ok && cost >= last.cost && l.Clock.Now().Sub(last.at) < refusedLoan {
+		return 0, nil
+	}
+
+	if l.waiting == nil {
+		l.waiting = make(map[uint64]chan bool)
+		l.refused = make(map[loanKey]refusedAsk)
+	}
+
+	l.number++
+	// The buffer lets an answer go that nobody waits for any more.
+	answer := make(chan bool, 1)
+	l.waiting[l.number] = answer
+
+	return l.number, answer
+}
+
+func (l *Loans) close(number uint64, key loanKey, cost float64, granted bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.waiting, number)
+
+	if granted {
+		delete(l.refused, key)
+	} else {
+		l.refused[key] = refusedAsk{at: l.Clock.Now(), cost: cost}
+	}
+}
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -8,6 +8,9 @@
 // between instances, all together stay within the allowance as long as news
 // spreads in time; while it does not, an instance keeps to its part of the whole.
 //
+// Half of the rest is the reserve of an account. Few instances hold it and lend it to
+// the others (Loans), so that a large request finds enough in one place.
+//
 // Shares of a rate would be simpler, but a prompt of a large request is many times
 // what a share earns in a second: most large requests of an account far below its
 // limit were refused.
@@ -18,6 +21,9 @@
 //	q.Configure(allowances)
 //	q.Hear(now, "entry-2", incarnation, spent)
 //	decision := q.Take(now, "wholesale-1", 12_000)
+//
+//	loans := &quota.Loans{Quota: q, Clock: clk, Self: "entry-1", Send: send}
+//	decision = loans.Take(ctx, "wholesale-1", 54_000)
 package quota
 
 import (
@@ -29,6 +35,8 @@
 
 // Policy sets the spans that count.
 type Policy struct {
+	// Self is this instance, which may hold reserves; without it there are none.
+	Self fleet.InstanceID
 	// Window is the span over which allowances hold.
 	Window time.Duration
 	// Spread is the time in which what an instance has spent is known to all.
@@ -63,8 +71,14 @@
 	Recent float64
 	// Asked is what callers asked for, granted or not; shares follow it.
 	Asked float64
+	// Ages divides Recent by age, the oldest part of the window first. Only records
+	// have it.
+	Ages []uint32
 }
 
+// ages is the number of parts of a window by which Recent is divided.
+const ages = 8
+
 const (
 	// evenPart of what may be spent is divided evenly, so that an account that turns
 	// to another instance is served there at once; the rest follows demand.
@@ -115,6 +129,8 @@
 	// recorded is the part of own that a record tells.
 	recorded float64
 	others   map[fleet.InstanceID]*other
+	// holders are the instances that hold the reserve.
+	holders []fleet.InstanceID
 }
 
 // other is what another instance told.
@@ -151,6 +167,7 @@
 	}
 
 	q.accounts = next
+	q.placeReserves()
 }
 
 // Decision is the answer to Take.
@@ -161,6 +178,8 @@
 	// Rest is what was left of the allowance, and Part what this instance could
 	// spend of it, for logs.
 	Rest, Part float64
+	// Lender is the instance that the allowance was borrowed from, or empty.
+	Lender fleet.InstanceID
 }
 
 // Take spends cost of an account's allowance, if there is room. An account
@@ -185,7 +204,7 @@
 	}
 
 	rest, part, recent := q.room(now, a)
-	if recent+cost <= part || recent == 0 && cost <= q.large()*rest && recent+cost <= rest {
+	if recent+cost <= part || recent == 0 && cost <= q.large(a)*rest && recent+cost <= rest {
 		a.own.add(now, cost)
 		q.tell(a)
 
@@ -197,17 +216,33 @@
 
 // large is the part of the rest that may go to one request of an instance that has
 // spent nothing lately. The more instances there are, the more may do so at once.
-func (q *Quota) large() float64 {
+func (q *Quota) large(a *account) float64 {
+	if len(a.holders) > 0 {
+		// Large requests are for the reserve.
+		return 0
+	}
+
 	return min(largePart, largeTotal/float64(max(len(q.members), 1)))
 }
 
 func (q *Quota) tell(a *account) {
-	most := recordPart * Untold * a.allowance.Amount / float64(max(len(q.members), 1))
-	if q.policy.Tell != nil && a.own.total-a.recorded > most {
+	if q.policy.Tell != nil && a.own.total-a.recorded > recordPart*q.untold(a) {
 		q.policy.Tell()
 	}
 }
 
+// untold is this instance's part of what may be spent before it is recorded.
+func (q *Quota) untold(a *account) float64 {
+	held := q.held(a)
+	part := 1 / float64(max(len(q.members), 1))
+
+	if len(a.holders) > 0 {
+		part = (1-reservePart)*part + held
+	}
+
+	return Untold * a.allowance.Amount * part
+}
+
 // Record returns what this instance has spent, for a record that outlives it.
 func (q *Quota) Record(now time.Time) []Spent {
 	spent := q.Spent(now)
@@ -215,9 +250,10 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 
-	for _, s := range spent {
+	for i, s := range spent {
 		if a := q.accounts[s.Account]; a != nil {
 			a.recorded = s.Total
+			spent[i].Ages = a.own.ages(now, q.policy.Window)
 		}
 	}
 
@@ -309,11 +345,16 @@
 		}
 	}
 
+	divided := 1.0
+	if len(a.holders) > 0 {
+		divided = 1 - reservePart
+	}
+
 	if all <= 0 {
-		return even
+		return divided * even
 	}
 
-	return evenPart*even + (1-evenPart)*own/all
+	return divided * (evenPart*even + (1-evenPart)*own/all)
 }
 
 func (q *Quota) retryAfter(a *account, missing float64) time.Duration {
@@ -336,7 +377,7 @@
 	window := now.Add(-q.policy.Window)
 
 	for name, a := range q.accounts {
-		if a.ownAsked.total > 0 {
+		if a.ownAsked.total > 0 || a.own.total > 0 {
 			all = append(all, Spent{
 				Account: name, Total: a.own.total, Recent: a.own.since(window), Asked: a.ownAsked.total,
 			})
@@ -357,18 +398,13 @@
 			continue
 		}
 
-		o := a.others[id]
-		if o == nil {
+		_, known := a.others[id]
+		o := a.other(id, incarnation)
+
+		if !known {
 			// Of what was spent before, only the newest part still counts.
-			o = &other{incarnation: incarnation}
 			o.spent.total = s.Total - s.Recent
 			o.asked.total = s.Asked - s.Recent
-			a.others[id] = o
-		}
-
-		if o.incarnation != incarnation {
-			o.incarnation = incarnation
-			o.baseSpent, o.baseAsked = o.spent.total, o.asked.total
 		}
 
 		o.spent.raise(now, o.baseSpent+s.Total)
@@ -376,25 +412,6 @@
 	}
 }
 
-// Inherit takes in what an instance had told before this one started. It may have
-// ended since; untold is the part of each allowance that it may have spent after that
-// without telling anybody.
-func (q *Quota) Inherit(
-	now time.Time, id fleet.InstanceID, incarnation fleet.Incarnation, spent []Spent, untold float64,
-) {
-	q.Hear(now, id, incarnation, spent)
-
-	q.mu.Lock()
-	defer q.mu.Unlock()
-
-	for _, s := range spent {
-		if a := q.accounts[s.Account]; a != nil {
-			o := a.others[id]
-			o.spent.raise(now, o.spent.total+untold*a.allowance.Amount)
-		}
-	}
-}
-
 // Members sets which instances share the allowances, this one among them.
 func (q *Quota) Members(ids []fleet.InstanceID) {
 	q.mu.Lock()
@@ -405,6 +422,8 @@
 	for _, id := range ids {
 		q.members[id] = true
 	}
+
+	q.placeReserves()
 }
 
 // Known tells whether the others' news was read at least once.
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -45,20 +46,51 @@
 	}
 }
 
+// take asks one instance, and then the holders of the reserve if there are any.
+func (g *group) take(now time.Time, i int, cost float64) Decision {
+	d := g.quotas[i].Take(now, "a", cost)
+	for _, holder := range g.quotas[i].Holders("a") {
+		if d.Granted {
+			break
+		}
+
+		d.Granted = g.quotas[slices.Index(g.ids, holder)].Lend(now, "a", cost).Granted
+	}
+
+	return d
+}
+
 type news struct {
 	at    time.Time
 	from  int
 	spent []Spent
 }
 
+// newGroup returns n instances without reserves.
 func newGroup(n int, p Policy) *group {
-	g := &group{incarnation: 1, quick: p.Quick != nil, random: rand.New(rand.NewPCG(3, uint64(n)))}
+	return newGroupOf(n, func(fleet.InstanceID) Policy { return p })
+}
+
+// newLendingGroup returns n instances of which some hold reserves.
+func newLendingGroup(n int, p Policy) *group {
+	return newGroupOf(n, func(id fleet.InstanceID) Policy {
+		p.Self = id
+
+		return p
+	})
+}
+
+func newGroupOf(n int, policyOf func(fleet.InstanceID) Policy) *group {
+	g := &group{incarnation: 1, random: rand.New(rand.NewPCG(3, uint64(n)))}
 
 	for i := range n {
+		id := fleet.InstanceID(fmt.Sprint("entry-", i))
+		p := policyOf(id)
 		q := New(p)
 		q.Configure([]Allowance{{Account: "a", Amount: amount, Rate: 36_000}})
+		g.quick = p.Quick != nil
 		g.quotas = append(g.quotas, q)
-		g.ids = append(g.ids, fleet.InstanceID(fmt.Sprint("entry-", i)))
+		g.ids = append(g.ids, id)
 	}
 
 	for _, q := range g.quotas {
@@ -80,7 +112,7 @@
 
 	for i, q := range g.quotas {
 		if tick%10 == i%10 {
-			g.pending = append(g.pending, news{at: now, from: i, spent: q.Spent(now)})
+			g.pending = append(g.pending, news{at: now, from: i, spent: q.Record(now)})
 		}
 	}
 
@@ -131,6 +163,10 @@
 		random := rand.New(rand.NewPCG(seed, 1))
 		g := newGroup(n, policy)
 
+		if rapid.Bool().Draw(t, "reserves are lent") {
+			g = newLendingGroup(n, policy)
+		}
+
 		var grants []step
 
 		favourite := 0
@@ -155,7 +191,7 @@
 				}
 
 				cost := 1000 + random.ExpFloat64()*10_000
-				if g.quotas[i].Take(now, "a", cost).Granted {
+				if g.take(now, i, cost).Granted {
 					grants = append(grants, step{at: now, amount: cost})
 				}
 			}
@@ -300,6 +336,12 @@
 
 		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
 		heat := rapid.Float64Range(0.2, 6).Draw(t, "heat")
+		newGroup := newGroup
+
+		if rapid.Bool().Draw(t, "reserves are lent") {
+			newGroup = newLendingGroup
+		}
+
 		g := newGroup(n, quickPolicy)
 
 		var grants []step
@@ -307,15 +349,16 @@
 		ask := func(now time.Time) {
 			for range random.IntN(int(2*heat) + 1) {
 				cost := 1000 + random.ExpFloat64()*10_000
-				if g.quotas[random.IntN(n)].Take(now, "a", cost).Granted {
+				if g.take(now, random.IntN(n), cost).Granted {
 					grants = append(grants, step{at: now, amount: cost})
 				}
 			}
 		}
 
-		told := make([][]Spent, n)
 		now := start
 
+		var past Past
+
 		// Records are written every two seconds, and soon after one is asked for.
 		asked := make([]bool, n)
 		for i, q := range g.quotas {
@@ -329,20 +372,26 @@
 
 			for i, q := range g.quotas {
 				if tick%20 == i || asked[i] && tick%3 == 0 {
-					told[i], asked[i] = q.Record(now), false
+					past.Add(g.ids[i], 1, now, q.Record(now))
+
+					asked[i] = false
 				}
 			}
 		}
 
 		next := newGroup(n, quickPolicy)
 
-		for i, q := range next.quotas {
-			for j, spent := range told {
-				q.Inherit(now, next.ids[j], 1, spent, Untold/n)
+		for _, q := range next.quotas {
+			// The others started a moment earlier and wrote that they spent nothing yet.
+			past := past
+			past.runs = slices.Clone(past.runs)
+
+			for _, id := range next.ids {
+				past.Add(id, 2, now, nil)
 			}
 
+			q.InheritAll(now, &past)
 			q.Reached(now)
-			next.quotas[i] = q
 		}
 
 		next.incarnation = 2
@@ -372,3 +421,47 @@
 		t.Errorf("over the limit: got %+v, want a refusal with a time between %v and %v", got, firstRetry, lastRetry)
 	}
 }
+
+// What was recorded some time ago leaves the window that much earlier, and what was
+// spent long before its record as well.
+func TestWhatIsInheritedIsAsOldAsItWas(t *testing.T) {
+	at := func(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
+
+	spent := func(total float64, ages ...uint32) []Spent {
+		recent := 0.0
+		for _, part := range ages {
+			recent += float64(part)
+		}
+
+		return []Spent{{Account: "a", Total: total, Recent: recent, Asked: total, Ages: ages}}
+	}
+
+	var past Past
+	// One run ended early, another goes on and shows how long ago that was. Its clock
+	// began at another time.
+	past.Add("entry-2", 1, at(0), spent(900_000, 0, 0, 0, 0, 0, 0, 0, 80_000))
+	past.Add("entry-3", 1, at(5000), spent(0))
+	past.Add("entry-3", 1, at(5004), spent(200_000, 100_000, 0, 0, 0, 0, 0, 0, 100_000))
+
+	q := newGroup(1, policy).quotas[0]
+	q.InheritAll(at(10), &past)
+	q.Reached(at(10))
+
+	for _, tt := range []struct {
+		after float64
+		want  float64
+	}{
+		{0.5, 280_000}, {1.5, 180_000}, {3.5, 180_000}, {4.5, 100_000}, {8.5, 0},
+	} {
+		known := 0.0
+		for _, o := range q.accounts["a"].others {
+			known += o.spent.since(at(10 + tt.after - policy.Window.Seconds()))
+		}
+
+		// Two instances may each have spent their part of what is not recorded.
+		most := tt.want + Untold*amount
+		if known < tt.want || known > most {
+			t.Errorf("known %.1f s later: got %.0f, want %.0f to %.0f", tt.after, known, tt.want, most)
+		}
+	}
+}
--- /dev/null
+++ b/quota/reserve_test.go
@@ -0,0 +1,177 @@
+package quota
+
+import (
+	"context"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"monsoonlever/clock"
+	"monsoonlever/fleet"
+)
+
+// manyPolicy is that of many instances, whose words are slower.
+var manyPolicy = Policy{
+	Window: 8 * time.Second, Spread: 4500 * time.Millisecond,
+	Quick: func(int) time.Duration { return 1500 * time.Millisecond },
+}
+
+// An account that asks many instances for half of its limit, now and then with a
+// fifteenth of the whole at once, finds room for almost all: no instance's part holds as much.
+func TestLargeRequestsFindRoomAtManyInstances(t *testing.T) {
+	const instances = 80
+
+	g := newLendingGroup(instances, manyPolicy)
+	random := rand.New(rand.NewPCG(9, 9))
+	asked, refused, large, largeRefused := 0, 0, 0, 0
+
+	for tick := range 400 {
+		now := start.Add(time.Duration(tick) * 100 * time.Millisecond)
+		g.exchange(now, tick)
+
+		// 3 requests of 10,000 tokens a second are half of the allowance in 8 s.
+		for range random.IntN(2) {
+			if random.IntN(3) > 1 {
+				continue
+			}
+
+			cost := 2000 + random.ExpFloat64()*8_000
+			if random.IntN(15) == 0 {
+				cost = amount / 15
+			}
+
+			granted := g.take(now, random.IntN(instances), cost).Granted
+			asked++
+
+			if !granted {
+				refused++
+			}
+
+			if cost == amount/15 {
+				large++
+
+				if !granted {
+					largeRefused++
+				}
+			}
+		}
+	}
+
+	if most := asked * 10 / 100; refused > most {
+		t.Errorf("refused: got %d of %d, want at most %d", refused, asked, most)
+	}
+
+	if most := large / 4; largeRefused > most {
+		t.Errorf("large requests refused: got %d of %d, want at most %d", largeRefused, large, most)
+	}
+}
+
+func TestAllInstancesNameTheSameHolders(t *testing.T) {
+	g := newLendingGroup(30, manyPolicy)
+	want := g.quotas[0].Holders("a")
+
+	if len(want) != holders {
+		t.Fatalf("holders: got %v, want %d", want, holders)
+	}
+
+	for i, q := range g.quotas {
+		if got := q.Holders("a"); got[0] != want[0] || got[1] != want[1] {
+			t.Errorf("holders by instance %d: got %v, want %v", i, got, want)
+		}
+	}
+
+	var left []fleet.InstanceID
+
+	for _, id := range g.ids {
+		if id != want[0] {
+			left = append(left, id)
+		}
+	}
+
+	g.quotas[3].Members(left)
+
+	if got := g.quotas[3].Holders("a"); got[0] != want[1] {
+		t.Errorf("holders after one has left: got %v, want %v to stay", got, want[1])
+	}
+}
+
+// desks are the loans of two instances, of which the second one lends.
+type desks struct {
+	borrower, lender *Loans
+	asks             int
+	lose             bool
+}
+
+func newDesks(clk clock.Clock) *desks {
+	d := &desks{}
+	quotas := make(map[fleet.InstanceID]*Quota)
+	ids := []fleet.InstanceID{"entry-1", "entry-2", "entry-3", "entry-4", "entry-5"}
+
+	for _, id := range ids {
+		q := New(Policy{Self: id, Window: 8 * time.Second, Spread: 2 * time.Second})
+		q.Configure([]Allowance{{Account: "a", Amount: amount, Rate: 36_000}})
+		q.Members(ids)
+		q.Reached(clk.Now())
+		quotas[id] = q
+	}
+
+	holder := quotas["entry-1"].Holders("a")[0]
+	other := ids[0]
+
+	for _, id := range ids {
+		if id != holder && id != quotas["entry-1"].Holders("a")[1] {
+			other = id
+		}
+	}
+
+	d.lender = &Loans{Quota: quotas[holder], Clock: clk, Self: holder}
+	d.borrower = &Loans{Quota: quotas[other], Clock: clk, Self: other, Send: func(to fleet.InstanceID, ask Ask) {
+		d.asks++
+
+		if to == holder && !d.lose {
+			d.borrower.Answered(d.lender.Lend(ask))
+		}
+	}}
+
+	return d
+}
+
+func TestWhatIsBorrowedIsSpentByTheLender(t *testing.T) {
+	clk := clock.NewSteady()
+	d := newDesks(clk)
+
+	got := d.borrower.Take(context.Background(), "a", amount/5)
+	if !got.Granted || got.Lender != d.lender.Self {
+		t.Fatalf("large request: got %+v, want it borrowed from %s", got, d.lender.Self)
+	}
+
+	if spent := d.lender.Quota.Spent(clk.Now()); len(spent) != 1 || spent[0].Total != amount/5 {
+		t.Errorf("spent by the lender: got %+v, want %d", spent, amount/5)
+	}
+
+	for _, s := range d.borrower.Quota.Spent(clk.Now()) {
+		if s.Total != 0 {
+			t.Errorf("spent by the borrower: got %.0f, want 0", s.Total)
+		}
+	}
+}
+
+func TestALostQuestionIsARefusalWithinItsPatience(t *testing.T) {
+	d := newDesks(clock.NewSteady())
+	d.lose = true
+	begun := time.Now()
+
+	if got := d.borrower.Take(context.Background(), "a", amount/5); got.Granted || got.RetryAfter <= 0 {
+		t.Errorf("nobody answers: got %+v, want a refusal with a time to come back", got)
+	}
+
+	if took, most := time.Since(begun), (holders+1)*loanPatience; took > most {
+		t.Errorf("refused after %v, want at most %v", took, most)
+	}
+
+	asked := d.asks
+
+	if got := d.borrower.Take(context.Background(), "a", amount/5); got.Granted || d.asks != asked {
+		t.Errorf("right after: got %+v and %d questions, want a refusal without one", got, d.asks-asked)
+	}
+}
