--- a/board/board.go
+++ b/board/board.go
@@ -9,7 +9,7 @@
 // # Usage
 //
 //	b := &board.Board{
-//		Log: log, Clock: clk, Every: time.Second, Soon: soonest,
+//		Log: log, Clock: clk, Every: every, Soon: soonest,
 //		Write:   func(now time.Time) board.Record { … },
 //		Receive: func(now time.Time, r board.Record) { … },
 //		Reached: func(now time.Time) { … },
@@ -21,7 +21,6 @@
 	"context"
 	"errors"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -89,8 +88,10 @@
 	Log   Log
 	Clock clock.Clock
 	// Every is the time between two rounds, and Soon the least.
-	Every time.Duration
+	Every func() time.Duration
 	Soon  func() time.Duration
+	// ReadEvery is the least time between two reads; nil reads in each round.
+	ReadEvery func() time.Duration
 	// Write makes the next record.
 	Write func(now time.Time) Record
 	// Receive takes a record in, also those of this instance.
@@ -98,24 +99,34 @@
 	// Reached is told when a round has read to the end.
 	Reached func(now time.Time)
 
-	once    sync.Once
-	nudge   chan struct{}
-	next    feed.Position
-	begun   bool
-	lost    bool
-	reached atomic.Int64
+	once  sync.Once
+	nudge chan struct{}
+	next  feed.Position
+	begun bool
+	lost  bool
+	// readAt is when the board was last read.
+	readAt time.Time
 }
 
 // Run writes and reads until ctx ends.
 func (b *Board) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		began := b.Clock.Now()
-		err := errors.Join(b.write(ctx), b.read(ctx))
+		err := b.write(ctx)
+
+		if b.readDue(began) {
+			err = errors.Join(err, b.read(ctx))
+		}
+
 		b.note(ctx, err)
 		b.pause(ctx, began)
 	}
 }
 
+func (b *Board) readDue(now time.Time) bool {
+	return b.readAt.IsZero() || b.ReadEvery == nil || now.Sub(b.readAt) >= b.ReadEvery()
+}
+
 // Nudge asks for the next round to be made soon.
 func (b *Board) Nudge() {
 	select {
@@ -136,17 +147,12 @@
 	clock.Sleep(ctx, b.Clock, b.Soon())
 
 	select {
-	case <-b.Clock.After(max(b.Every-b.Clock.Now().Sub(began), 0)):
+	case <-b.Clock.After(max(b.Every()-b.Clock.Now().Sub(began), 0)):
 	case <-b.nudges():
 	case <-ctx.Done():
 	}
 }
 
-// Fresh tells whether the board was read to its end within the last age.
-func (b *Board) Fresh(age time.Duration) bool {
-	return b.Clock.Now().UnixNano()-b.reached.Load() < int64(age)
-}
-
 // Last appends one more record, as an instance that stops does.
 func (b *Board) Last(ctx context.Context, r Record) error {
 	return b.append(ctx, r)
@@ -211,7 +217,7 @@
 		return true, nil
 	}
 
-	b.reached.Store(now.UnixNano())
+	b.readAt = now
 	b.Reached(now)
 
 	return false, nil
--- a/board/members.go
+++ b/board/members.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"monsoonlever/fleet"
 )
 
@@ -76,6 +78,29 @@
 	return address, ok
 }
 
+// leaders is how many instances read the store at full pace for all: some may be
+// frozen, cut off from the store or killed at once.
+const leaders = 5
+
+// Leading tells whether an instance is one of the few that keep up with the store for
+// all others. All that know the same members name the same ones; while fewer are known,
+// an instance rather leads than not.
+func (m *Members) Leading(id fleet.InstanceID) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+
+	own := xxhash.Sum64String(string(id))
+	before := 0
+
+	for other := range m.heard {
+		if xxhash.Sum64String(string(other)) > own {
+			before++
+		}
+	}
+
+	return before < leaders
+}
+
 // Expire drops the instances that have been silent for too long. It is called
 // only after the board was read to its end: one that can't be read says nothing of
 // the others.
--- a/entry/datagram.go
+++ b/entry/datagram.go
@@ -13,9 +13,12 @@
 // datagram is one message between instances. One of its fields is set.
 type datagram struct {
 	Word *word `msgpack:"w,omitempty"`
+	Told *told `msgpack:"u,omitempty"`
 	// Ask and Reply lend limits of client accounts.
 	Ask   *quota.Ask   `msgpack:"a,omitempty"`
 	Reply *quota.Reply `msgpack:"r,omitempty"`
+	// Servers are changes of backend servers.
+	Servers []serverNews `msgpack:"s,omitempty"`
 }
 
 // receiveDatagram takes any message of another instance in.
@@ -30,9 +33,13 @@
 	switch {
 	case d.Word != nil:
 		p.hearWord(now, *d.Word)
+	case d.Told != nil:
+		p.duties.count(d.Told)
 	case d.Ask != nil:
 		reply := p.loans.Lend(*d.Ask)
 		p.sendDatagram(d.Ask.From, datagram{Reply: &reply})
+	case len(d.Servers) > 0:
+		p.hearServers(now, d.Servers)
 	case d.Reply != nil:
 		p.loans.Answered(*d.Reply)
 	}
--- a/entry/duties.go
+++ b/entry/duties.go
@@ -117,8 +117,9 @@
 	}
 
 	if !r.Leaving && r.Lease.Holder.Instance != d.settings.Instance {
-		// One that lost the role may hold it again later.
-		d.core.SetCandidate(true)
+		// One that lost the role may hold it again later. Those that read the board
+		// rarely don't know when the role is open.
+		d.core.SetCandidate(d.members.Leading(d.settings.Instance))
 	}
 
 	for _, command := range d.core.Step(now) {
@@ -169,15 +170,11 @@
 	}
 }
 
-// count takes the counts of a word in.
-func (d *duties) count(w word) {
-	if len(w.Usage) == 0 {
-		return
-	}
-
+// count takes counts in that were told directly.
+func (d *duties) count(t *told) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.ledger.Count(time.Now(), w.Instance, w.Incarnation, w.Usage)
+	d.ledger.Count(time.Now(), t.Instance, t.Incarnation, t.Usage)
 }
 
 func (d *duties) reached(now time.Time) {
--- /dev/null
+++ b/entry/freshness.go
@@ -0,0 +1,131 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"monsoonlever/clock"
+	"monsoonlever/feed"
+)
+
+// Few instances (board.Members.Leading) read rules and register at full pace and tell
+// the others; those read for themselves only rarely, or once what they were told is too
+// old. With 86 instances that all read at full pace, two calls a second and instance
+// were a fifth of what a quiet day is worth.
+
+const (
+	// relaxedWait is how long a read of the rules waits for news at an instance that
+	// others keep current; the store answers at once when they change.
+	relaxedWait = 12 * time.Second
+	// relaxedRegister is the pause between reads of the register at such an instance.
+	relaxedRegister = 8 * time.Second
+	// staleShare is the part of the allowed age from which on an instance asks itself.
+	staleShare = 0.6
+	// registerAge is the allowed age of the register, as a share of the time that a
+	// leaving server goes on: others tell of it within registerShare of that time and
+	// the pace of words.
+	registerAge = 0.75
+	// differing is how long the register may differ from that of an instance which
+	// read it later: news on its way takes some milliseconds, and is sent again by
+	// each that reads.
+	differing = 250 * time.Millisecond
+	// watchEvery is the pace at which ages are looked at.
+	watchEvery = 200 * time.Millisecond
+)
+
+// freshness decides when this instance reads rules and register for itself.
+type freshness struct {
+	mu sync.Mutex
+	// differs is since when the register differs from a newer one; zero is not.
+	differs time.Time
+	// asked tells that a read was asked for since the age was good.
+	askedRules, askedRegister bool
+}
+
+// rulesPace is how the rules are read now.
+func (p *parts) rulesPace() feed.Pace {
+	if !p.members.Leading(p.self()) && !p.rulesStale() {
+		return feed.Pace{Wait: relaxedWait, Every: rulesPause}
+	}
+
+	return feed.Pace{
+		Wait:  min(rulesWait, time.Duration(float64(p.currency.Bound)*rulesShare)),
+		Every: rulesPause,
+	}
+}
+
+// registerPace is how the register is read now.
+func (p *parts) registerPace() feed.Pace {
+	if !p.members.Leading(p.self()) && !p.registerStale() {
+		return feed.Pace{Every: relaxedRegister}
+	}
+
+	return feed.Pace{Every: time.Duration(float64(p.settings.Bounds.Drain) * registerShare)}
+}
+
+func (p *parts) rulesStale() bool {
+	age, known := p.currency.Age()
+
+	return !known || float64(age) > staleShare*float64(p.currency.Bound)
+}
+
+func (p *parts) registerStale() bool {
+	return !p.registered.Current()
+}
+
+// watch asks for reads when what this instance believes grows too old.
+func (p *parts) watch(ctx context.Context) {
+	for ctx.Err() == nil {
+		clock.Sleep(ctx, p.clock, watchEvery)
+		p.watchOnce()
+	}
+}
+
+func (p *parts) watchOnce() {
+	f := &p.fresh
+
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	rules := p.rulesStale()
+	if rules && !f.askedRules {
+		p.rulesFeed.Nudge()
+	}
+
+	f.askedRules = rules
+
+	differs := !f.differs.IsZero() && p.clock.Now().Sub(f.differs) > differing
+	stale := p.registerStale() || differs
+
+	if stale && !f.askedRegister {
+		p.registerFeed.Nudge()
+	}
+
+	f.askedRegister = stale
+
+	if differs {
+		f.differs = time.Time{}
+	}
+}
+
+// compareRegister takes in what another instance knew of the register at a time.
+func (p *parts) compareRegister(digest uint64, at time.Time) {
+	f := &p.fresh
+
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	if digest == p.register.Digest() {
+		p.registered.Confirm(at)
+
+		f.differs = time.Time{}
+
+		return
+	}
+
+	age, known := p.registered.Age()
+	if known && f.differs.IsZero() && at.After(p.clock.Now().Add(-age)) {
+		f.differs = p.clock.Now()
+	}
+}
--- a/entry/parts.go
+++ b/entry/parts.go
@@ -41,6 +41,10 @@
 	registerShare = 0.5
 	// boardEvery is the time between two records of an instance on the board.
 	boardEvery = 2 * time.Second
+	// boardRelaxed and boardReadRelaxed are the times between two records and two reads
+	// of an instance that hears all others directly and holds no duty.
+	boardRelaxed     = 5 * time.Second
+	boardReadRelaxed = 10 * time.Second
 	// boardSoonest is the least time between two records of an instance that has
 	// something to tell, and boardWrite what each instance adds to it: six times
 	// what the store takes for an append.
@@ -94,7 +98,11 @@
 	duties    *duties
 	counter   *usage.Counter
 	gossip    atomic.Pointer[gossip.Exchange]
-	feeds     []*feed.Follower
+	// registered tells how old the register is, and fresh when it is read again.
+	registered   *currency.Tracker
+	fresh        freshness
+	rulesFeed    *feed.Follower
+	registerFeed *feed.Follower
 
 	// early holds what the records say of the time before, until the board was first
 	// read to its end; it is nil from then on.
@@ -110,13 +118,16 @@
 	s := e.Settings
 	set := metrics.NewSet()
 	p := &parts{
-		settings:  s,
-		clock:     e.Clock,
-		built:     e.Clock.Now(),
-		metrics:   set,
-		store:     platform.NewStore(s.Store),
-		currency:  &currency.Tracker{Clock: e.Clock, Bound: currencyBound(s.Bounds)},
-		register:  &register.Register{},
+		settings: s,
+		clock:    e.Clock,
+		built:    e.Clock.Now(),
+		metrics:  set,
+		store:    platform.NewStore(s.Store),
+		currency: &currency.Tracker{Clock: e.Clock, Bound: currencyBound(s.Bounds)},
+		register: &register.Register{},
+		registered: &currency.Tracker{
+			Clock: e.Clock, Bound: time.Duration(float64(s.Bounds.Drain) * registerAge),
+		},
 		retries:   newRetries(s.Bounds),
 		scheduler: &scheduling.Scheduler{Domain: s.FailureDomain},
 		members:   &board.Members{Lapse: memberLapse},
@@ -139,7 +150,7 @@
 	}
 	p.handler = &platform.Handler{Clock: e.Clock, Serve: p.serve, BodyBytes: p.bodyBytes}
 	p.board = &board.Board{
-		Log: p.store.Board(), Clock: e.Clock, Every: boardEvery, Soon: p.boardSoon,
+		Log: p.store.Board(), Clock: e.Clock, Every: p.boardPace, Soon: p.boardSoon, ReadEvery: p.boardReads,
 		Write: p.writeRecord, Receive: p.receiveRecord, Reached: p.boardReached,
 	}
 	p.duties = newDuties(p)
@@ -149,16 +160,13 @@
 
 		return age.Seconds()
 	})
-	p.feeds = []*feed.Follower{
-		{
-			Name: "rules", Source: p.store.Rules(), Clock: e.Clock, Every: rulesPause,
-			Wait:  min(rulesWait, time.Duration(float64(currencyBound(s.Bounds))*rulesShare)),
-			Apply: p.applyRules, Confirm: p.currency.Confirm,
-		},
-		{
-			Name: "register", Source: p.store.Register(), Clock: e.Clock,
-			Every: time.Duration(float64(s.Bounds.Drain) * registerShare), Apply: p.applyRegister,
-		},
+	p.rulesFeed = &feed.Follower{
+		Name: "rules", Source: p.store.Rules(), Clock: e.Clock, Pace: p.rulesPace,
+		Apply: p.applyRules, Confirm: p.currency.Confirm,
+	}
+	p.registerFeed = &feed.Follower{
+		Name: "register", Source: p.store.Register(), Clock: e.Clock, Pace: p.registerPace,
+		Apply: p.applyRegister, Confirm: p.registered.Confirm,
 	}
 
 	return p
@@ -182,10 +190,9 @@
 func (p *parts) run(ctx context.Context) {
 	var group conc.WaitGroup
 
-	for _, f := range p.feeds {
-		group.Go(func() { f.Run(ctx) })
-	}
-
+	group.Go(func() { p.rulesFeed.Run(ctx) })
+	group.Go(func() { p.registerFeed.Run(ctx) })
+	group.Go(func() { p.watch(ctx) })
 	group.Go(func() { p.board.Run(ctx) })
 	group.Go(func() { p.duties.run(ctx) })
 	group.Wait()
@@ -214,6 +221,26 @@
 	return !p.stopping.Load() && p.rules.Load() != nil && p.currency.Current() && p.scheduler.Known() && limits
 }
 
+// boardPace is the time between two records. Those that may hold duties renew their
+// lease with them; what others have to say is in their words, and their records only
+// outlive a loss of all.
+func (p *parts) boardPace() time.Duration {
+	if p.members.Leading(p.self()) || !p.limits.Quick(p.clock.Now()) {
+		return boardEvery
+	}
+
+	return boardRelaxed
+}
+
+// boardReads is the time between two reads of the board.
+func (p *parts) boardReads() time.Duration {
+	if p.members.Leading(p.self()) || !p.limits.Quick(p.clock.Now()) {
+		return 0
+	}
+
+	return boardReadRelaxed
+}
+
 // boardSoon is the least time between two records: all instances together write no
 // more than the topic takes.
 func (p *parts) boardSoon() time.Duration {
--- a/entry/rules.go
+++ b/entry/rules.go
@@ -79,15 +79,11 @@
 // applyRegister takes changes of the backend servers in.
 func (p *parts) applyRegister(entries []feed.Entry, whole bool) {
 	now := p.clock.Now()
-
-	var (
-		changes []register.Change
-		servers []register.Server
-	)
+	changes := make([]register.Change, 0, len(entries))
 
 	for _, e := range entries {
 		if len(e.Data) == 0 {
-			changes = append(changes, register.Change{ID: id(e.Key)})
+			changes = append(changes, register.Change{ID: id(e.Key), Version: uint64(e.At)})
 
 			continue
 		}
@@ -99,19 +95,19 @@
 			continue
 		}
 
-		servers = append(servers, s)
-		changes = append(changes, register.Change{ID: s.ID, Server: &s})
+		changes = append(changes, register.Change{ID: s.ID, Version: uint64(e.At), Server: &s})
 	}
 
 	before := p.register.Servers()
 
 	if whole {
-		p.register.Replace(servers)
+		p.register.Replace(changes)
 	} else {
 		p.register.Apply(changes)
 	}
 
 	p.serversChanged(before)
+	p.tellServers(now, before)
 }
 
 // serversChanged tells the scheduler and the pool, if more changed than a number
--- a/entry/word.go
+++ b/entry/word.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -27,16 +28,29 @@
 	At    int64         `msgpack:"t"`
 	Echo  int64         `msgpack:"e"`
 	Spent []quota.Spent `msgpack:"s,omitempty"`
-	// Usage are the sender's counts of the newest windows, so that they outlive it.
-	Usage []usage.Count `msgpack:"u,omitempty"`
 	// Leaving are backend servers that are known to leave.
 	Leaving []fleet.InstanceID `msgpack:"l,omitempty"`
 	// Rules is the version in force at the sender, and ConfirmedAgo how long ago it
 	// asked for the newest; a negative age was never confirmed.
 	Rules        uint64        `msgpack:"r"`
 	ConfirmedAgo time.Duration `msgpack:"c"`
+	// Register names the backend servers that the sender knows, and RegisterAgo is how
+	// long ago they were asked for; a negative age was never confirmed.
+	Register    uint64        `msgpack:"d"`
+	RegisterAgo time.Duration `msgpack:"g"`
 }
 
+// told are an instance's counts of usage in the newest windows, so that they outlive it.
+type told struct {
+	Instance    fleet.InstanceID  `msgpack:"i"`
+	Incarnation fleet.Incarnation `msgpack:"n"`
+	Usage       []usage.Count     `msgpack:"u"`
+}
+
+// countsPerDatagram keeps a datagram with counts below gossip.MaxWord: one takes up to
+// 30 bytes.
+const countsPerDatagram = 40
+
 // echoes holds the newest time of each other instance.
 type echoes struct {
 	mu sync.Mutex
@@ -61,12 +75,43 @@
 	e.at[id] = at
 }
 
+// makeWords makes the newest words for another instance.
+func (p *parts) makeWords(now time.Time, to fleet.InstanceID) ([][]byte, error) {
+	first, err := msgpack.Marshal(&datagram{Word: p.makeWord(now, to)})
+	if err != nil {
+		return nil, err
+	}
+
+	words := [][]byte{first}
+
+	if !p.members.Leading(to) {
+		// Only those that may hold duties count all usage.
+		return words, nil
+	}
+
+	for counts := range slices.Chunk(p.counter.Recent(), countsPerDatagram) {
+		told := &told{Instance: p.self(), Incarnation: p.duties.incarnation, Usage: counts}
+
+		data, err := msgpack.Marshal(&datagram{Told: told})
+		if err != nil {
+			return nil, err
+		}
+
+		words = append(words, data)
+	}
+
+	return words, nil
+}
+
 // makeWord makes the newest word for another instance.
-func (p *parts) makeWord(now time.Time, to fleet.InstanceID) ([]byte, error) {
-	w := word{
+func (p *parts) makeWord(now time.Time, to fleet.InstanceID) *word {
+	w := &word{
 		Instance: p.self(), Incarnation: p.duties.incarnation, Address: p.settings.Listen.Peers, At: now.UnixNano(), Echo: p.echoes.of(to),
-		Spent: p.limits.Spent(now), ConfirmedAgo: -1,
-		Usage: p.counter.Recent(), Leaving: p.leaving(),
+		Spent: p.limits.Spent(now), ConfirmedAgo: -1, RegisterAgo: -1, Leaving: p.leaving(),
+	}
+
+	if age, ok := p.registered.Age(); ok {
+		w.Register, w.RegisterAgo = p.register.Digest(), age
 	}
 
 	if rules := p.rules.Load(); rules != nil {
@@ -75,14 +120,7 @@
 		}
 	}
 
-	data, err := msgpack.Marshal(&datagram{Word: &w})
-	if err == nil && len(data) > gossip.MaxWord {
-		// The board tells the counts too, only later.
-		w.Usage = nil
-		data, err = msgpack.Marshal(&datagram{Word: &w})
-	}
-
-	return data, err
+	return w
 }
 
 // maxLeaving bounds how many leaving servers are told.
@@ -111,8 +149,6 @@
 	p.echoes.heard(w.Instance, w.At)
 	p.limits.Hear(now, w.Instance, w.Incarnation, w.Spent)
 
-	p.duties.count(w)
-
 	if p.register.Leave(w.Leaving) {
 		p.scheduler.Update(p.register.Servers())
 	}
@@ -124,6 +160,10 @@
 	echo := time.Unix(0, w.Echo)
 	p.limits.Heard(echo, w.Instance)
 	p.confirmBy(echo, w)
+
+	if w.RegisterAgo >= 0 {
+		p.compareRegister(w.Register, echo.Add(-w.RegisterAgo))
+	}
 }
 
 // confirmBy takes over another instance's confirmation that the rules in force here
@@ -149,7 +189,7 @@
 // gossips returns the exchange of words over a socket.
 func (p *parts) gossips(conn net.PacketConn) *gossip.Exchange {
 	e := &gossip.Exchange{
-		Conn: conn, Clock: p.clock, Word: p.makeWord, Receive: p.receiveDatagram,
+		Conn: conn, Clock: p.clock, Words: p.makeWords, Receive: p.receiveDatagram,
 		Peers: func() map[fleet.InstanceID]netip.AddrPort { return p.members.Addresses(p.self()) },
 	}
 	p.gossip.Store(e)
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -7,7 +7,8 @@
 // # Usage
 //
 //	f := &feed.Follower{
-//		Source: source, Clock: clk, Wait: time.Second,
+//		Source: source, Clock: clk,
+//		Pace:    func() feed.Pace { return feed.Pace{Wait: time.Second} },
 //		Apply:   func(entries []feed.Entry, whole bool) { … },
 //		Confirm: tracker.Confirm,
 //	}
@@ -17,6 +18,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -68,15 +70,20 @@
 	maxBackoff   = 700 * time.Millisecond
 )
 
+// Pace says how often a source is read.
+type Pace struct {
+	// Wait is how long a read waits for a change, Every the pause between reads.
+	Wait, Every time.Duration
+}
+
 // Follower reads a source. Its exported fields are set before Run.
 type Follower struct {
 	// Name is used in logs.
 	Name   string
 	Source Source
 	Clock  clock.Clock
-	// Wait is how long a read waits for a change, Every the pause between reads.
-	Wait  time.Duration
-	Every time.Duration
+	// Pace is asked before each read; nil is no wait and no pause.
+	Pace func() Pace
 	// Apply takes entries in; whole tells that keys that are not among them are gone.
 	Apply func(entries []Entry, whole bool)
 	// Confirm is told the time before a read that reached the end; it may be nil.
@@ -88,6 +95,11 @@
 	lost       bool
 	// reached is when the last read succeeded, in Unix nanoseconds.
 	reached atomic.Int64
+
+	once sync.Once
+	// nudge holds one request for a read, and nudged that the next one must not wait.
+	nudge  chan struct{}
+	nudged atomic.Bool
 }
 
 // Run follows until ctx ends.
@@ -99,15 +111,71 @@
 		switch {
 		case errors.Is(err, ErrTrimmed):
 			f.positioned = false
+		case f.nudged.Load():
 		case err != nil:
 			f.backoff = min(max(2*f.backoff, firstBackoff), maxBackoff)
 			clock.Sleep(ctx, f.Clock, f.backoff)
 		case !again:
-			clock.Sleep(ctx, f.Clock, f.Every)
+			f.pause(ctx)
 		}
 	}
 }
 
+// Nudge asks for a read at once, in place of a wait or a pause.
+func (f *Follower) Nudge() {
+	select {
+	case f.nudges() <- struct{}{}:
+	default:
+	}
+}
+
+func (f *Follower) nudges() chan struct{} {
+	f.once.Do(func() { f.nudge = make(chan struct{}, 1) })
+
+	return f.nudge
+}
+
+func (f *Follower) pace() Pace {
+	if f.Pace == nil {
+		return Pace{}
+	}
+
+	return f.Pace()
+}
+
+func (f *Follower) pause(ctx context.Context) {
+	select {
+	case <-f.Clock.After(f.pace().Every):
+	case <-f.nudges():
+		f.nudged.Store(true)
+	case <-ctx.Done():
+	}
+}
+
+// call returns the context of one read and how long it waits. A nudge ends the wait.
+func (f *Follower) call(ctx context.Context) (context.Context, context.CancelFunc, time.Duration) {
+	wait := f.pace().Wait
+	if f.nudged.Swap(false) {
+		wait = 0
+	}
+
+	call, cancel := context.WithTimeout(ctx, wait+callMargin)
+	if wait == 0 {
+		return call, cancel, wait
+	}
+
+	go func() {
+		select {
+		case <-f.nudges():
+			f.nudged.Store(true)
+			cancel()
+		case <-call.Done():
+		}
+	}()
+
+	return call, cancel, wait
+}
+
 // Reached returns when the source was last read, or the zero time.
 func (f *Follower) Reached() time.Time {
 	if at := f.reached.Load(); at != 0 {
@@ -119,7 +187,7 @@
 
 // step makes one call and tells whether more is waiting.
 func (f *Follower) step(ctx context.Context) (bool, error) {
-	call, cancel := context.WithTimeout(ctx, f.Wait+callMargin)
+	call, cancel, wait := f.call(ctx)
 	defer cancel()
 
 	asked := f.Clock.Now()
@@ -137,7 +205,7 @@
 		return true, nil
 	}
 
-	changes, err := f.Source.Changes(call, f.next, f.Wait)
+	changes, err := f.Source.Changes(call, f.next, wait)
 	if err != nil {
 		return false, err
 	}
@@ -176,7 +244,7 @@
 		return
 	}
 
-	if !f.lost && !errors.Is(err, context.Canceled) {
+	if !f.lost && !f.nudged.Load() && !errors.Is(err, context.Canceled) {
 		f.lost = true
 		klog.InfoS("dependency lost", "dependency", f.Name, "err", err.Error())
 	}
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -6,7 +6,7 @@
 //
 // # Usage
 //
-//	e := &gossip.Exchange{Conn: conn, Clock: clk, Peers: addresses, Word: word, Receive: receive}
+//	e := &gossip.Exchange{Conn: conn, Clock: clk, Peers: addresses, Words: words, Receive: receive}
 //	e.Run(ctx)
 package gossip
 
@@ -45,8 +45,8 @@
 	Clock clock.Clock
 	// Peers returns the others and where they hear.
 	Peers func() map[fleet.InstanceID]netip.AddrPort
-	// Word returns the newest word for an instance, of at most MaxWord bytes.
-	Word func(now time.Time, to fleet.InstanceID) ([]byte, error)
+	// Words returns the newest words for an instance, of at most MaxWord bytes each.
+	Words func(now time.Time, to fleet.InstanceID) ([][]byte, error)
 	// Receive takes a word in. The bytes are valid until it returns.
 	Receive func(now time.Time, word []byte)
 }
@@ -80,15 +80,23 @@
 
 func (e *Exchange) sendAll(peers map[fleet.InstanceID]netip.AddrPort) {
 	for id, address := range peers {
-		word, err := e.Word(e.Clock.Now(), id)
-		if err != nil || len(word) > MaxWord {
-			klog.ErrorS(err, "word is not sent", "to", id, "bytes", len(word))
+		words, err := e.Words(e.Clock.Now(), id)
+		if err != nil {
+			klog.ErrorS(err, "words are not sent", "to", id)
 
 			continue
 		}
 
-		// A peer that is gone or cut off hears the next word or none.
-		_ = e.Send(address, word)
+		for _, word := range words {
+			if len(word) > MaxWord {
+				klog.ErrorS(nil, "word is not sent: it is too long", "to", id, "bytes", len(word))
+
+				continue
+			}
+
+			// A peer that is gone or cut off hears the next word or none.
+			_ = e.Send(address, word)
+		}
 	}
 }
 
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -298,21 +298,33 @@
 	}
 
 	quick := min(q.policy.Quick(len(q.members)), q.policy.Spread)
+	if !q.allHear(now, quick) {
+		return q.policy.Spread
+	}
+
+	return quick
+}
 
+// allHear tells whether all others have heard this instance within a span.
+func (q *Quota) allHear(now time.Time, span time.Duration) bool {
 	silent := 0
 
 	for id := range q.members {
-		if at, ok := q.heard[id]; !ok || now.Sub(at) > quick {
+		if at, ok := q.heard[id]; !ok || now.Sub(at) > span {
 			silent++
 		}
 	}
 
 	// This instance itself is never heard.
-	if silent > 1 {
-		return q.policy.Spread
-	}
+	return silent <= 1
+}
 
-	return quick
+// Quick tells whether all others hear this instance directly.
+func (q *Quota) Quick(now time.Time) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	return q.policy.Quick != nil && len(q.members) > 1 && q.allHear(now, q.policy.Quick(len(q.members)))
 }
 
 // Heard is told that another instance has heard this one directly, what this one
--- a/register/register.go
+++ b/register/register.go
@@ -22,6 +22,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"monsoonlever/fleet"
 )
 
@@ -43,6 +45,9 @@
 // Change is a new entry of a server, or its removal.
 type Change struct {
 	ID fleet.InstanceID
+	// Version is the place of the change in the order of all. One that is older than
+	// what is known of the server changes nothing.
+	Version uint64
 	// Server is nil where the entry was removed.
 	Server *Server
 }
@@ -51,19 +56,20 @@
 type Register struct {
 	mu      sync.Mutex
 	servers map[fleet.InstanceID]Server
-	current atomic.Pointer[[]Server]
+	// versions are those of the newest changes, also of servers that are gone.
+	versions map[fleet.InstanceID]uint64
+	current  atomic.Pointer[[]Server]
+	digest   atomic.Uint64
 }
 
 // Replace puts a whole set in place of what was known.
-func (r *Register) Replace(servers []Server) {
+func (r *Register) Replace(entries []Change) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 
-	r.servers = make(map[fleet.InstanceID]Server, len(servers))
-	for _, s := range servers {
-		r.servers[s.ID] = s
-	}
-
+	r.servers = make(map[fleet.InstanceID]Server, len(entries))
+	r.versions = make(map[fleet.InstanceID]uint64, len(entries))
+	r.apply(entries)
 	r.publish()
 }
 
@@ -74,9 +80,21 @@
 
 	if r.servers == nil {
 		r.servers = make(map[fleet.InstanceID]Server)
+		r.versions = make(map[fleet.InstanceID]uint64)
 	}
 
+	r.apply(changes)
+	r.publish()
+}
+
+func (r *Register) apply(changes []Change) {
 	for _, c := range changes {
+		if c.Version < r.versions[c.ID] {
+			continue
+		}
+
+		r.versions[c.ID] = c.Version
+
 		if c.Server == nil {
 			delete(r.servers, c.ID)
 
@@ -85,8 +103,6 @@
 
 		r.servers[c.ID] = *c.Server
 	}
-
-	r.publish()
 }
 
 // Leave marks servers that are said to leave, and tells whether that is news. What
@@ -117,6 +133,35 @@
 		return strings.Compare(string(a.ID), string(b.ID))
 	})
 	r.current.Store(&servers)
+	r.digest.Store(digest(servers))
+}
+
+// digest names which servers there are and which of them leave.
+func digest(servers []Server) uint64 {
+	d := xxhash.New()
+
+	for _, s := range servers {
+		_, _ = d.WriteString(string(s.ID)) // it never fails
+
+		if s.Leaving {
+			_, _ = d.WriteString(" leaving")
+		}
+
+		_, _ = d.WriteString("\n")
+	}
+
+	return d.Sum64()
+}
+
+// Digest is the same where the same servers are known, and the same ones to leave.
+func (r *Register) Digest() uint64 { return r.digest.Load() }
+
+// Version returns the place of the newest change of a server that is known.
+func (r *Register) Version(id fleet.InstanceID) uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	return r.versions[id]
 }
 
 // Servers returns the known servers in the order of their ids. The slice must
