--- a/entry/freshness.go
+++ b/entry/freshness.go
@@ -30,6 +30,8 @@
 	// read it later: news on its way takes some milliseconds, and is sent again by
 	// each that reads.
 	differing = 250 * time.Millisecond
+	// many is the number of instances from which on most of them live by what few tell.
+	many = 12
 	// watchEvery is the pace at which ages are looked at.
 	watchEvery = 200 * time.Millisecond
 )
@@ -49,10 +51,13 @@
 		return feed.Pace{Wait: relaxedWait, Every: rulesPause}
 	}
 
-	return feed.Pace{
-		Wait:  min(rulesWait, time.Duration(float64(p.currency.Bound)*rulesShare)),
-		Every: rulesPause,
+	wait := min(rulesWait, time.Duration(float64(p.currency.Bound)*rulesShare))
+	if p.members.Count() > many {
+		// The others' age is this one's and that of a word.
+		wait /= 2
 	}
+
+	return feed.Pace{Wait: wait, Every: rulesPause}
 }
 
 // registerPace is how the register is read now.
--- a/entry/word.go
+++ b/entry/word.go
@@ -38,6 +38,17 @@
 	// long ago they were asked for; a negative age was never confirmed.
 	Register    uint64        `msgpack:"d"`
 	RegisterAgo time.Duration `msgpack:"g"`
+	// Loads are what backend servers told the sender, by their place in the register
+	// that Register names.
+	Loads []serverLoad `msgpack:"b,omitempty"`
+}
+
+// serverLoad is how many requests a backend server had.
+type serverLoad struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // an option of the codec
+	Place    uint16
+	Requests uint16
+	AgeMs    uint16
 }
 
 // told are an instance's counts of usage in the newest windows, so that they outlive it.
@@ -112,6 +123,7 @@
 
 	if age, ok := p.registered.Age(); ok {
 		w.Register, w.RegisterAgo = p.register.Digest(), age
+		w.Loads = p.loads(now)
 	}
 
 	if rules := p.rules.Load(); rules != nil {
@@ -153,6 +165,10 @@
 		p.scheduler.Update(p.register.Servers())
 	}
 
+	if w.Register == p.register.Digest() {
+		p.hearLoads(now, w.Loads)
+	}
+
 	if w.Echo == 0 {
 		return
 	}
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -74,3 +74,59 @@
 		t.Errorf("confirmed: got %d, want 3", confirmed)
 	}
 }
+
+// waiting is a source whose reads wait for their context or for as long as asked.
+type waiting struct {
+	waits chan time.Duration
+}
+
+func (w *waiting) Snapshot(context.Context) ([]Entry, Position, error) { return nil, 1, nil }
+
+func (w *waiting) Changes(ctx context.Context, from Position, wait time.Duration) (Changes, error) {
+	w.waits <- wait
+
+	if wait > 0 {
+		<-ctx.Done()
+
+		return Changes{}, ctx.Err()
+	}
+
+	return Changes{Next: from, End: from}, nil
+}
+
+// A nudge ends a long wait and asks again at once, without a wait.
+func TestANudgeEndsAWait(t *testing.T) {
+	source := &waiting{waits: make(chan time.Duration, 16)}
+	confirmed := make(chan time.Time, 16)
+	f := &Follower{
+		Name: "rules", Source: source, Clock: clock.NewSteady(),
+		Pace:    func() Pace { return Pace{Wait: time.Minute} },
+		Apply:   func([]Entry, bool) {},
+		Confirm: func(asked time.Time) { confirmed <- asked },
+	}
+
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+
+	go func() {
+		defer close(done)
+		f.Run(ctx)
+	}()
+
+	<-confirmed
+
+	for _, want := range []time.Duration{time.Minute, 0, time.Minute} {
+		if got := <-source.waits; got != want {
+			t.Fatalf("wait: got %v, want %v", got, want)
+		}
+
+		if want > 0 {
+			f.Nudge()
+		} else {
+			<-confirmed
+		}
+	}
+
+	cancel()
+	<-done
+}
--- a/scheduling/home.go
+++ b/scheduling/home.go
@@ -44,7 +44,7 @@
 		return nil
 	}
 
-	key := xxhash.Sum64String(affinity)
+	key := affinityKey(affinity)
 
 	var home *server
 
@@ -59,6 +59,8 @@
 	return home
 }
 
+func affinityKey(affinity string) uint64 { return xxhash.Sum64String(affinity) }
+
 // mix spreads the bits of a number; the constants are those of the finalizer of
 // splitmix64.
 func mix(x uint64) uint64 {
--- a/scheduling/scheduling.go
+++ b/scheduling/scheduling.go
@@ -149,7 +149,7 @@
 
 	var bestCost float64
 
-	for _, one := range pool {
+	for _, one := range s.candidates(pool, &r) {
 		if one.leaving.Load() || excluded(r.Excluded, one.entry.ID) {
 			continue
 		}
--- a/scheduling/scheduling_test.go
+++ b/scheduling/scheduling_test.go
@@ -203,3 +203,75 @@
 		t.Errorf("arriving work: got %.0f tokens a second, want about %.0f", got, want)
 	}
 }
+
+// What a server told one instance keeps another one from sending more there.
+func TestLoadsAreHeardOfOtherInstances(t *testing.T) {
+	here, there := engines(2, 4), engines(2, 4)
+	r := Request{Service: "llm", Prompt: Prompt{Tokens: 500}}
+
+	there.Report(now, "i-0", Load{Running: 4, Waiting: 3, Slots: 4})
+
+	reports := there.Reports(now.Add(50*time.Millisecond), time.Second)
+	if len(reports) != 1 || reports[0].Requests != 7 || reports[0].Age != 50*time.Millisecond {
+		t.Fatalf("reports: got %+v, want 7 requests at i-0, 50 ms old", reports)
+	}
+
+	if stale := there.Reports(now.Add(2*time.Second), time.Second); len(stale) != 0 {
+		t.Errorf("reports after 2 s: got %+v, want none", stale)
+	}
+
+	here.Hear(now, reports)
+
+	for range 3 {
+		a := pick(t, here, r)
+		if a.ID() != "i-1" {
+			t.Errorf("placed: got %s, want i-1 beside a full server", a.ID())
+		}
+
+		a.Start(now)
+	}
+
+	// An older report than the newest changes nothing.
+	here.Hear(now, []LoadReport{{Server: "i-0", Requests: 0, Age: time.Second}})
+
+	if a := pick(t, here, r); a.ID() != "i-1" {
+		t.Errorf("after an older report: got %s, want i-1", a.ID())
+	}
+}
+
+// Many instances that know the same loads do not all take the same server.
+func TestInstancesDoNotHerd(t *testing.T) {
+	const instances, servers = 60, 90
+
+	var reports []LoadReport
+	for i := range servers {
+		reports = append(reports, LoadReport{Server: fleet.InstanceID(fmt.Sprint("i-", i)), Requests: i % 12})
+	}
+
+	used := map[fleet.InstanceID]int{}
+
+	for range instances {
+		s := engines(servers, 16)
+		s.Hear(now, reports)
+		used[pick(t, s, Request{Service: "llm", Prompt: Prompt{Tokens: 500}}).ID()]++
+	}
+
+	for id, n := range used {
+		if n > 8 {
+			t.Errorf("%s: got %d of %d requests at once, want at most 8", id, n, instances)
+		}
+	}
+}
+
+// The homes of a common part stay among the few servers that are compared.
+func TestHomesAreAlwaysCompared(t *testing.T) {
+	s := engines(90, 16)
+	r := prompt("session")
+	want := homeOf((*s.current.Load())["llm"], r.Prompt).entry.ID
+
+	for range 50 {
+		if got := pick(t, s, r).ID(); got != want {
+			t.Fatalf("placed: got %s, want the idle home %s", got, want)
+		}
+	}
+}
--- a/scheduling/server.go
+++ b/scheduling/server.go
@@ -17,9 +17,12 @@
 	// prompt: an engine's step grows by some 0.1 ms with each request, and a prompt
 	// of some thousand tokens waits for some ten steps.
 	requestCost = 150
+	// unreadCost is what a token costs that the server has not read, in tokens that
+	// wait there: it delays this request and all that come to the server meanwhile.
+	unreadCost = 1.6
 	// queuedCost is what a request costs that has to wait for a place: about the time
 	// in which an engine with all places taken ends one.
-	queuedCost = 4000
+	queuedCost = 6500
 	// otherDomainCost breaks ties in favour of the instance's own failure domain:
 	// a round trip across domains takes as long as some hundred tokens.
 	otherDomainCost = 100
@@ -62,6 +65,9 @@
 	// others is how many requests of other instances the server last reported.
 	others   float64
 	reported time.Time
+	// told is the newest report that this instance was given itself, for the others.
+	told     int
+	toldAt   time.Time
 	failures float64
 	outcomes float64
 	faded    time.Time
@@ -77,7 +83,7 @@
 // cost estimates, in tokens of a prompt, what stands before the begin of an answer.
 func (s *server) cost(now time.Time, r *Request, home bool, domain fleet.FailureDomain, typical float64) float64 {
 	load := s.load(now)
-	cost := float64(s.pending.Load()) + requestCost*load + float64(s.unread(now, r.Prompt, home))
+	cost := float64(s.pending.Load()) + requestCost*load + unreadCost*float64(s.unread(now, r.Prompt, home))
 
 	if slots := float64(s.entry.Slots); slots > 0 {
 		cost += queuedCost * max(0, load+1-slots)
@@ -114,8 +120,19 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
-	s.others = math.Max(0, float64(load.Running+load.Waiting)-float64(s.running.Load()))
-	s.reported = now
+	s.told, s.toldAt = load.Running+load.Waiting, now
+	s.hear(now, s.told)
+}
+
+// hear takes in how many requests the server had at a time. What this instance has
+// there now is taken for what it had then: reports are young.
+func (s *server) hear(at time.Time, requests int) {
+	if at.Before(s.reported) {
+		return
+	}
+
+	s.others = math.Max(0, float64(requests)-float64(s.running.Load()))
+	s.reported = at
 }
 
 // unread returns the tokens of a prompt that the server has to read.
