feat(quota,entry): those that lead record what all have spent; a word tells of rules that were missed

Five instances now record what all have spent; those that hear all others record nothing of it. A run that was recorded before is heard without counting twice. What is unheard (a quarter of each limit) is no part of records, so that instances that start in series don't add it up.

--- a/board/board.go
+++ b/board/board.go
@@ -49,6 +49,8 @@
 	Leaving bool `msgpack:"q,omitempty"`
 	// Spent is what this instance has spent of the limits of client accounts.
 	Spent []quota.Spent `msgpack:"d,omitempty"`
+	// Known is what all instances have spent, told by those that lead.
+	Known []quota.Known `msgpack:"k,omitempty"`
 	// Work is what this instance measured of services of model engines.
 	Work []scheduling.Work `msgpack:"w,omitempty"`
 	// Usage are this instance's counts of the newest windows.
--- a/board/members.go
+++ b/board/members.go
@@ -89,6 +89,28 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 
+	return m.leading(id)
+}
+
+// Leaders returns the instances that are known to lead.
+func (m *Members) Leaders() []fleet.InstanceID {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+
+	var ids []fleet.InstanceID
+
+	for id := range m.heard {
+		if m.leading(id) {
+			ids = append(ids, id)
+		}
+	}
+
+	slices.Sort(ids)
+
+	return ids
+}
+
+func (m *Members) leading(id fleet.InstanceID) bool {
 	own := xxhash.Sum64String(string(id))
 	before := 0
 
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -14,13 +14,15 @@
 
 // writeRecord makes this instance's next record for the others.
 func (p *parts) writeRecord(now time.Time) board.Record {
+	spent, known := p.limits.Record(now)
 	r := board.Record{
 		Instance:    p.self(),
 		Incarnation: p.duties.incarnation,
 		Clock:       now.UnixNano(),
 		Address:     p.settings.Listen.Peers,
 		Leaving:     p.stopping.Load(),
-		Spent:       p.limits.Record(now),
+		Spent:       spent,
+		Known:       known,
 		Work:        p.scheduler.Work(now),
 		Usage:       p.counter.Recent(),
 	}
@@ -41,7 +43,7 @@
 func (p *parts) hearSpent(now time.Time, r board.Record) {
 	switch {
 	case p.early != nil:
-		p.early.Add(r.Instance, r.Incarnation, time.Unix(0, r.Clock), r.Spent)
+		p.early.Add(r.Instance, r.Incarnation, time.Unix(0, r.Clock), r.Spent, r.Known)
 	case r.Instance != p.self():
 		p.limits.Hear(now, r.Instance, r.Incarnation, r.Spent)
 	}
@@ -58,7 +60,7 @@
 		klog.InfoS("entry instance is silent", "instance", gone)
 	}
 
-	p.limits.Members(p.members.IDs())
+	p.limits.Members(p.members.IDs(), p.members.Leaders())
 	p.limits.Reached(now)
 	p.retries.SetLeast(p.bounds.Load().RetryExtra / p.members.Count())
 	p.shareConnections()
@@ -71,9 +73,10 @@
 	defer cancel()
 
 	now := p.clock.Now()
+	spent, known := p.limits.Record(now)
 	r := board.Record{
 		Instance: p.self(), Incarnation: p.duties.incarnation, Clock: now.UnixNano(), Leaving: true,
-		Spent: p.limits.Record(now), Usage: p.counter.Recent(),
+		Spent: spent, Known: known, Usage: p.counter.Recent(),
 	}
 	p.duties.release(now, &r)
 
--- a/entry/freshness.go
+++ b/entry/freshness.go
@@ -32,6 +32,8 @@
 	differing = 250 * time.Millisecond
 	// many is the number of instances from which on most of them live by what few tell.
 	many = 12
+	// missedAgain is when rules that others have are asked for again.
+	missedAgain = 500 * time.Millisecond
 	// watchEvery is the pace at which ages are looked at.
 	watchEvery = 200 * time.Millisecond
 )
@@ -43,6 +45,10 @@
 	differs time.Time
 	// asked tells that a read was asked for since the age was good.
 	askedRules, askedRegister bool
+	// missed is the newest version of the rules that others have and that was asked
+	// for, and missedAt when.
+	missed   uint64
+	missedAt time.Time
 }
 
 // rulesPace is how the rules are read now.
@@ -114,6 +120,23 @@
 	}
 }
 
+// missedRules asks for rules that another instance has already: a wait for them may hang
+// on a connection that has gone silent.
+func (p *parts) missedRules(version uint64) {
+	f := &p.fresh
+
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	now := p.clock.Now()
+	if version == f.missed && now.Sub(f.missedAt) < missedAgain {
+		return
+	}
+
+	f.missed, f.missedAt = version, now
+	p.rulesFeed.Nudge()
+}
+
 // compareRegister takes in what another instance knew of the register at a time.
 func (p *parts) compareRegister(digest uint64, at time.Time) {
 	f := &p.fresh
--- a/entry/parts.go
+++ b/entry/parts.go
@@ -45,9 +45,6 @@
 	// of an instance that hears all others directly and holds no duty.
 	boardRelaxed     = 5 * time.Second
 	boardReadRelaxed = 10 * time.Second
-	// boardRelaxedSoonest bounds what such an instance spends of a limit before it is
-	// recorded: most of what is left of a limit is lent by those that record at once.
-	boardRelaxedSoonest = 3 * time.Second
 	// boardSoonest is the least time between two records of an instance that has
 	// something to tell, and boardWrite what each instance adds to it: six times
 	// what the store takes for an append.
@@ -247,10 +244,6 @@
 // boardSoon is the least time between two records: all instances together write no
 // more than the topic takes.
 func (p *parts) boardSoon() time.Duration {
-	if p.members.Count() > many && !p.members.Leading(p.self()) {
-		return boardRelaxedSoonest
-	}
-
 	return max(boardSoonest, time.Duration(p.members.Count())*boardWrite)
 }
 
--- a/entry/word.go
+++ b/entry/word.go
@@ -186,7 +186,17 @@
 // are the newest. It goes on so where the store turns only this instance away.
 func (p *parts) confirmBy(echo time.Time, w word) {
 	rules := p.rules.Load()
-	if rules == nil || w.ConfirmedAgo < 0 || w.Rules != rules.Version() {
+	if rules == nil || w.ConfirmedAgo < 0 {
+		return
+	}
+
+	if w.Rules > rules.Version() {
+		p.missedRules(w.Rules)
+
+		return
+	}
+
+	if w.Rules != rules.Version() {
 		return
 	}
 
--- a/quota/past.go
+++ b/quota/past.go
@@ -19,8 +19,15 @@
 	runs []run
 	// elapsed is the time from the first record to the newest.
 	elapsed time.Duration
+	// known is the newest record of what all have spent, and knownAt when that was.
+	known   []Known
+	knownAt time.Duration
 }
 
+// knownLife is the age up to which a record of what all have spent stands for all of
+// it: those that record for all do so every two seconds, and sooner when much is spent.
+const knownLife = 3 * time.Second
+
 // run is one run of an instance.
 type run struct {
 	instance    fleet.InstanceID
@@ -32,7 +39,17 @@
 }
 
 // Add takes a record in that a run made when its clock said at.
-func (p *Past) Add(id fleet.InstanceID, incarnation fleet.Incarnation, at time.Time, spent []Spent) {
+func (p *Past) Add(
+	id fleet.InstanceID, incarnation fleet.Incarnation, at time.Time, spent []Spent, known []Known,
+) {
+	p.addRun(id, incarnation, at, spent)
+
+	if len(known) > 0 {
+		p.known, p.knownAt = known, p.elapsed
+	}
+}
+
+func (p *Past) addRun(id fleet.InstanceID, incarnation fleet.Incarnation, at time.Time, spent []Spent) {
 	for i := range p.runs {
 		r := &p.runs[i]
 		if r.instance != id || r.incarnation != incarnation {
@@ -51,6 +68,12 @@
 // InheritAll takes in what was recorded before this instance started. All instances
 // may have ended since, each with its part of what is spent before it is recorded.
 func (q *Quota) InheritAll(now time.Time, p *Past) {
+	if len(p.known) > 0 && p.elapsed-p.knownAt <= knownLife {
+		q.inheritKnown(now, now.Add(p.knownAt-p.elapsed), p.known, p.runs)
+
+		return
+	}
+
 	instances := make(map[fleet.InstanceID]bool)
 	for _, r := range p.runs {
 		instances[r.instance] = true
@@ -81,8 +104,7 @@
 		total := o.baseSpent + s.Total - s.Recent
 		for i, part := range s.Ages {
 			total += float64(part)
-			// The youngest that this part can be.
-			o.spent.raise(at.Add(-q.policy.Window*time.Duration(len(s.Ages)-1-i)/time.Duration(len(s.Ages))), total)
+			o.spent.raise(q.youngest(at, i, len(s.Ages)), total)
 		}
 
 		o.spent.raise(at, o.baseSpent+s.Total+untold*a.allowance.Amount)
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -27,6 +27,7 @@
 package quota
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -113,6 +114,11 @@
 	mu       sync.Mutex
 	accounts map[fleet.Account]*account
 	members  map[fleet.InstanceID]bool
+	// recorders are the members that record what all have spent.
+	recorders []fleet.InstanceID
+	// covered are runs whose spending before this instance started was inherited from
+	// a record of all.
+	covered map[fleet.InstanceID]fleet.Incarnation
 	// begun is when the first request came.
 	begun time.Time
 	// reached is when the others' news was last read to its end, and heard the
@@ -131,6 +137,13 @@
 	others   map[fleet.InstanceID]*other
 	// holders are the instances that hold the reserve.
 	holders []fleet.InstanceID
+	// inherited is what all had spent before this instance started.
+	inherited history
+	// unheard stands for what others may have spent that no record told.
+	unheard history
+	// known is what all have spent as far as this instance knows, and knownRecorded
+	// the part of it that a record of this instance tells.
+	known, knownRecorded float64
 }
 
 // other is what another instance told.
@@ -205,8 +218,7 @@
 
 	rest, part, recent := q.room(now, a)
 	if recent+cost <= part || recent == 0 && cost <= q.large(a)*rest && recent+cost <= rest {
-		a.own.add(now, cost)
-		q.tell(a)
+		q.spend(now, a, cost)
 
 		return Decision{Granted: true, Rest: rest, Part: part}
 	}
@@ -225,12 +237,32 @@
 	return min(largePart, largeTotal/float64(max(len(q.members), 1)))
 }
 
-func (q *Quota) tell(a *account) {
-	if q.policy.Tell != nil && a.own.total-a.recorded > recordPart*q.untold(a) {
+func (q *Quota) spend(now time.Time, a *account, cost float64) {
+	a.own.add(now, cost)
+	a.known += cost
+	q.tell(now, a)
+}
+
+// tell asks for a record if much was spent that none tells. While others hear this
+// instance, it is enough that those record it who record for all.
+func (q *Quota) tell(now time.Time, a *account) {
+	if q.policy.Tell == nil || !q.recorder() && q.quick(now) {
+		return
+	}
+
+	own := a.own.total-a.recorded > recordPart*q.untold(a)
+	all := a.known-a.knownRecorded > recordPart*Untold*a.allowance.Amount
+
+	if own || all && q.recorder() {
 		q.policy.Tell()
 	}
 }
 
+// recorder tells whether this instance records what all have spent.
+func (q *Quota) recorder() bool {
+	return len(q.recorders) == 0 || slices.Contains(q.recorders, q.policy.Self)
+}
+
 // untold is this instance's part of what may be spent before it is recorded.
 func (q *Quota) untold(a *account) float64 {
 	held := q.held(a)
@@ -243,8 +275,25 @@
 	return Untold * a.allowance.Amount * part
 }
 
-// Record returns what this instance has spent, for a record that outlives it.
-func (q *Quota) Record(now time.Time) []Spent {
+// Record returns what a record that outlives this instance should tell: what this
+// instance has spent, and what all have, as far as it is known here. One that others
+// hear leaves both to those that record for all.
+func (q *Quota) Record(now time.Time) ([]Spent, []Known) {
+	q.mu.Lock()
+	recorder, quick := q.recorder(), q.quick(now)
+	q.mu.Unlock()
+
+	switch {
+	case recorder && len(q.recorders) > 0:
+		return q.recordOwn(now), q.recordAll(now)
+	case quick && !recorder:
+		return nil, nil
+	default:
+		return q.recordOwn(now), nil
+	}
+}
+
+func (q *Quota) recordOwn(now time.Time) []Spent {
 	spent := q.Spent(now)
 
 	q.mu.Lock()
@@ -276,6 +325,8 @@
 			rest -= o.spent.since(window)
 		}
 
+		rest -= a.inherited.since(window) + a.unheard.since(window)
+
 		return max(rest, 0), min(amount*share, max(rest, 0)), a.own.since(window)
 	}
 
@@ -286,6 +337,8 @@
 		known += o.spent.since(window)
 	}
 
+	known += a.inherited.since(window) + a.unheard.since(window)
+
 	rest = max(amount-known, 0)
 
 	return rest, rest * share, recent
@@ -324,6 +377,10 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 
+	return q.quick(now)
+}
+
+func (q *Quota) quick(now time.Time) bool {
 	return q.policy.Quick != nil && len(q.members) > 1 && q.allHear(now, q.policy.Quick(len(q.members)))
 }
 
@@ -413,19 +470,27 @@
 		_, known := a.others[id]
 		o := a.other(id, incarnation)
 
-		if !known {
+		switch covered, ok := q.covered[id]; {
+		case known:
+		case ok && covered == incarnation:
+			// All of it was inherited.
+			o.spent.total, o.asked.total = s.Total, s.Asked
+		default:
 			// Of what was spent before, only the newest part still counts.
 			o.spent.total = s.Total - s.Recent
 			o.asked.total = s.Asked - s.Recent
 		}
 
+		a.known += max(o.baseSpent+s.Total-o.spent.total, 0)
 		o.spent.raise(now, o.baseSpent+s.Total)
+		q.tell(now, a)
 		o.asked.raise(now, o.baseAsked+s.Asked)
 	}
 }
 
-// Members sets which instances share the allowances, this one among them.
-func (q *Quota) Members(ids []fleet.InstanceID) {
+// Members sets which instances share the allowances, this one among them, and which of
+// them record what all have spent. Where none is named, each records its own.
+func (q *Quota) Members(ids, recorders []fleet.InstanceID) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 
@@ -435,6 +500,7 @@
 		q.members[id] = true
 	}
 
+	q.recorders = recorders
 	q.placeReserves()
 }
 
@@ -463,6 +529,8 @@
 	for _, a := range q.accounts {
 		a.own.trim(oldest)
 		a.ownAsked.trim(oldest)
+		a.inherited.trim(oldest)
+		a.unheard.trim(oldest)
 
 		for id, o := range a.others {
 			o.spent.trim(oldest)
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -30,6 +30,8 @@
 	quotas  []*Quota
 	ids     []fleet.InstanceID
 	pending []news
+	// asked are the instances that asked for a record.
+	asked []bool
 	// quick tells that words are passed directly.
 	quick       bool
 	incarnation fleet.Incarnation
@@ -71,13 +73,21 @@
 	return newGroupOf(n, func(fleet.InstanceID) Policy { return p })
 }
 
-// newLendingGroup returns n instances of which some hold reserves.
+// newLendingGroup returns n instances of which five record what all have spent, and
+// hold reserves.
 func newLendingGroup(n int, p Policy) *group {
-	return newGroupOf(n, func(id fleet.InstanceID) Policy {
+	g := newGroupOf(n, func(id fleet.InstanceID) Policy {
 		p.Self = id
 
 		return p
 	})
+
+	for i, q := range g.quotas {
+		q.Members(g.ids, g.ids[:min(5, n)])
+		q.policy.Tell = func() { g.asked[i] = true }
+	}
+
+	return g
 }
 
 func newGroupOf(n int, policyOf func(fleet.InstanceID) Policy) *group {
@@ -91,10 +101,11 @@
 		g.quick = p.Quick != nil
 		g.quotas = append(g.quotas, q)
 		g.ids = append(g.ids, id)
+		g.asked = append(g.asked, false)
 	}
 
 	for _, q := range g.quotas {
-		q.Members(g.ids)
+		q.Members(g.ids, nil)
 		q.Reached(start)
 	}
 
@@ -111,8 +122,10 @@
 	}
 
 	for i, q := range g.quotas {
-		if tick%10 == i%10 {
-			g.pending = append(g.pending, news{at: now, from: i, spent: q.Record(now)})
+		if tick%10 == i%10 || g.asked[i] && tick%3 == 0 {
+			g.asked[i] = false
+			spent, _ := q.Record(now)
+			g.pending = append(g.pending, news{at: now, from: i, spent: spent})
 		}
 	}
 
@@ -280,7 +293,7 @@
 func TestAnInstanceThatStartsCountsOnlyWhatIsRecent(t *testing.T) {
 	old := New(policy)
 	old.Configure([]Allowance{{Account: "a", Amount: amount, Rate: 36_000}})
-	old.Members([]fleet.InstanceID{"old"})
+	old.Members([]fleet.InstanceID{"old"}, nil)
 
 	now := start
 	for range 60 {
@@ -372,7 +385,8 @@
 
 			for i, q := range g.quotas {
 				if tick%20 == i || asked[i] && tick%3 == 0 {
-					past.Add(g.ids[i], 1, now, q.Record(now))
+					spent, known := q.Record(now)
+					past.Add(g.ids[i], 1, now, spent, known)
 
 					asked[i] = false
 				}
@@ -387,7 +401,7 @@
 			past.runs = slices.Clone(past.runs)
 
 			for _, id := range next.ids {
-				past.Add(id, 2, now, nil)
+				past.Add(id, 2, now, nil, nil)
 			}
 
 			q.InheritAll(now, &past)
@@ -439,9 +453,9 @@
 	var past Past
 	// One run ended early, another goes on and shows how long ago that was. Its clock
 	// began at another time.
-	past.Add("entry-2", 1, at(0), spent(900_000, 0, 0, 0, 0, 0, 0, 0, 80_000))
-	past.Add("entry-3", 1, at(5000), spent(0))
-	past.Add("entry-3", 1, at(5004), spent(200_000, 100_000, 0, 0, 0, 0, 0, 0, 100_000))
+	past.Add("entry-2", 1, at(0), spent(900_000, 0, 0, 0, 0, 0, 0, 0, 80_000), nil)
+	past.Add("entry-3", 1, at(5000), spent(0), nil)
+	past.Add("entry-3", 1, at(5004), spent(200_000, 100_000, 0, 0, 0, 0, 0, 0, 100_000), nil)
 
 	q := newGroup(1, policy).quotas[0]
 	q.InheritAll(at(10), &past)
--- a/quota/reserve.go
+++ b/quota/reserve.go
@@ -48,14 +48,20 @@
 	}
 
 	ranks := make([]rank, 0, len(q.members))
+
 	for id := range q.members {
+		// What is lent has to be recorded soon.
+		if len(q.recorders) > 0 && !slices.Contains(q.recorders, id) {
+			continue
+		}
+
 		ranks = append(ranks, rank{id: id, weight: xxhash.Sum64String(string(name) + "\x00" + string(id))})
 	}
 
 	slices.SortFunc(ranks, func(a, b rank) int { return cmp.Compare(b.weight, a.weight) })
 
 	ids := make([]fleet.InstanceID, 0, holders)
-	for _, r := range ranks[:holders] {
+	for _, r := range ranks[:min(holders, len(ranks))] {
 		ids = append(ids, r.id)
 	}
 
@@ -101,13 +107,12 @@
 	}
 
 	if untold := a.own.total - a.recorded; untold > 0 && untold+cost > q.untold(a) {
-		q.tell(a)
+		q.tell(now, a)
 
 		return Decision{RetryAfter: firstRetry, Rest: rest, Part: part}
 	}
 
-	a.own.add(now, cost)
-	q.tell(a)
+	q.spend(now, a, cost)
 
 	return Decision{Granted: true, Rest: rest, Part: part}
 }
--- a/quota/reserve_test.go
+++ b/quota/reserve_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -88,7 +89,8 @@
 		}
 	}
 
-	g.quotas[3].Members(left)
+	recorders := slices.DeleteFunc(slices.Clone(g.ids[:5]), func(id fleet.InstanceID) bool { return id == want[0] })
+	g.quotas[3].Members(left, recorders)
 
 	if got := g.quotas[3].Holders("a"); got[0] != want[1] {
 		t.Errorf("holders after one has left: got %v, want %v to stay", got, want[1])
@@ -110,7 +112,7 @@
 	for _, id := range ids {
 		q := New(Policy{Self: id, Window: 8 * time.Second, Spread: 2 * time.Second})
 		q.Configure([]Allowance{{Account: "a", Amount: amount, Rate: 36_000}})
-		q.Members(ids)
+		q.Members(ids, nil)
 		q.Reached(clk.Now())
 		quotas[id] = q
 	}
