--- a/board/board.go
+++ b/board/board.go
@@ -81,6 +81,9 @@
 const (
 	// callTimeout bounds one call; the store answers in some milliseconds.
 	callTimeout = time.Second
+	// firstTimeout bounds a call until the board was first read to its end: what is
+	// kept takes a second on a slow link, and more while all instances read it.
+	firstTimeout = 5 * time.Second
 	// maxReads bounds the reads of one round.
 	maxReads = 8
 )
@@ -94,6 +97,9 @@
 	Soon  func() time.Duration
 	// ReadEvery is the least time between two reads; nil reads in each round.
 	ReadEvery func() time.Duration
+	// Begin ends before the first round, so that what callers wait for first is not
+	// held up by what is kept of the board; it may be nil.
+	Begin func(ctx context.Context)
 	// Write makes the next record.
 	Write func(now time.Time) Record
 	// Receive takes a record in, also those of this instance.
@@ -112,6 +118,10 @@
 
 // Run writes and reads until ctx ends.
 func (b *Board) Run(ctx context.Context) {
+	if b.Begin != nil {
+		b.Begin(ctx)
+	}
+
 	for ctx.Err() == nil {
 		began := b.Clock.Now()
 		err := b.write(ctx)
@@ -188,7 +198,12 @@
 }
 
 func (b *Board) readOnce(ctx context.Context) (bool, error) {
-	call, cancel := context.WithTimeout(ctx, callTimeout)
+	timeout := callTimeout
+	if b.readAt.IsZero() {
+		timeout = firstTimeout
+	}
+
+	call, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 
 	if !b.begun {
--- a/entry/duties.go
+++ b/entry/duties.go
@@ -110,13 +110,16 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 
-	r.Lease = d.core.Snapshot()
+	state := d.core.Snapshot()
+	if d.members.Leading(d.settings.Instance) {
+		r.Lease = state
+	}
 
 	if len(d.settings.Duties) == 0 {
 		return
 	}
 
-	if !r.Leaving && r.Lease.Holder.Instance != d.settings.Instance {
+	if !r.Leaving && state.Holder.Instance != d.settings.Instance {
 		// One that lost the role may hold it again later. Those that read the board
 		// rarely don't know when the role is open.
 		d.core.SetCandidate(d.members.Leading(d.settings.Instance))
--- a/entry/parts.go
+++ b/entry/parts.go
@@ -39,17 +39,6 @@
 	// registerShare is the part of a leaving server's last service after which the
 	// register is read again.
 	registerShare = 0.5
-	// boardEvery is the time between two records of an instance on the board.
-	boardEvery = 2 * time.Second
-	// boardRelaxed and boardReadRelaxed are the times between two records and two reads
-	// of an instance that hears all others directly and holds no duty.
-	boardRelaxed     = 5 * time.Second
-	boardReadRelaxed = 10 * time.Second
-	// boardSoonest is the least time between two records of an instance that has
-	// something to tell, and boardWrite what each instance adds to it: six times
-	// what the store takes for an append.
-	boardSoonest = 250 * time.Millisecond
-	boardWrite   = 25 * time.Millisecond
 	// usageKeep is how long after its end the counts of a window are told: three
 	// rounds of the board.
 	usageKeep = 3 * boardEvery
@@ -151,6 +140,7 @@
 	p.handler = &platform.Handler{Clock: e.Clock, Serve: p.serve, BodyBytes: p.bodyBytes}
 	p.board = &board.Board{
 		Log: p.store.Board(), Clock: e.Clock, Every: p.boardPace, Soon: p.boardSoon, ReadEvery: p.boardReads,
+		Begin: p.awaitRules,
 		Write: p.writeRecord, Receive: p.receiveRecord, Reached: p.boardReached,
 	}
 	p.duties = newDuties(p)
@@ -221,32 +211,6 @@
 	return !p.stopping.Load() && p.rules.Load() != nil && p.currency.Current() && p.scheduler.Known() && limits
 }
 
-// boardPace is the time between two records. Those that may hold duties renew their
-// lease with them; what others have to say is in their words, and their records only
-// outlive a loss of all.
-func (p *parts) boardPace() time.Duration {
-	if p.members.Leading(p.self()) || !p.limits.Quick(p.clock.Now()) {
-		return boardEvery
-	}
-
-	return boardRelaxed
-}
-
-// boardReads is the time between two reads of the board.
-func (p *parts) boardReads() time.Duration {
-	if p.members.Leading(p.self()) || !p.limits.Quick(p.clock.Now()) {
-		return 0
-	}
-
-	return boardReadRelaxed
-}
-
-// boardSoon is the least time between two records: all instances together write no
-// more than the topic takes.
-func (p *parts) boardSoon() time.Duration {
-	return max(boardSoonest, time.Duration(p.members.Count())*boardWrite)
-}
-
 // servers returns the servers of the addresses, in their order.
 func (p *parts) servers() []*http.Server {
 	readiness := http.NewServeMux()
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -109,6 +109,9 @@
 	maxPriority = 9
 	// accountRank is how many priorities of routes fit into one of accounts.
 	accountRank = 3
+	// retryStart is told to callers of an instance that has no rules yet: it reads them,
+	// and then what the others have spent, in about a second.
+	retryStart = time.Second
 	// retryLater is told to callers who are refused for what may last: the store is
 	// away, no server is there.
 	retryLater = 500 * time.Millisecond
@@ -148,7 +151,7 @@
 func (f *Forwarder) open(ctx context.Context, r *Request) (*job, *Refusal) {
 	rules := f.Rules.Load()
 	if rules == nil {
-		return nil, notRun(NoRules, retryLater)
+		return nil, notRun(NoRules, retryStart)
 	}
 
 	route, ok := rules.Match(r.Host, r.Path)
--- /dev/null
+++ b/quota/hear.go
@@ -0,0 +1,105 @@
+package quota
+
+import (
+	"time"
+
+	"monsoonlever/fleet"
+)
+
+// Heard is told that another instance has heard this one directly, what this one
+// had spent by then included.
+func (q *Quota) Heard(at time.Time, id fleet.InstanceID) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	if at.After(q.heard[id]) {
+		q.heard[id] = at
+	}
+}
+
+// Hear takes in what another instance has spent since its start.
+func (q *Quota) Hear(now time.Time, id fleet.InstanceID, incarnation fleet.Incarnation, spent []Spent) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	for _, s := range spent {
+		a := q.accounts[s.Account]
+		if a == nil {
+			continue
+		}
+
+		_, known := a.others[id]
+		o := a.other(id, incarnation)
+
+		switch covered, ok := q.covered[id]; {
+		case known:
+		case ok && covered == incarnation:
+			// All of it was inherited.
+			o.spent.total, o.asked.total = s.Total, s.Asked
+		default:
+			// Of what was spent before, only the newest part still counts.
+			o.spent.total = s.Total - s.Recent
+			o.asked.total = s.Asked - s.Recent
+		}
+
+		a.known += max(o.baseSpent+s.Total-o.spent.total, 0)
+		o.spent.raise(now, o.baseSpent+s.Total)
+		q.tell(now, a)
+		o.asked.raise(now, o.baseAsked+s.Asked)
+	}
+}
+
+// Members sets which instances share the allowances, this one among them, and which of
+// them record what all have spent. Where none is named, each records its own.
+func (q *Quota) Members(ids, recorders []fleet.InstanceID) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	clear(q.members)
+
+	for _, id := range ids {
+		q.members[id] = true
+	}
+
+	q.recorders = recorders
+	q.placeReserves()
+}
+
+// Known tells whether the others' news was read at least once.
+func (q *Quota) Known() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	return !q.reached.IsZero()
+}
+
+// Reached is told that the others' news was read to its end.
+func (q *Quota) Reached(now time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.reached = now
+
+	for id := range q.heard {
+		if !q.members[id] {
+			delete(q.heard, id)
+		}
+	}
+
+	oldest := now.Add(-demandSpan * q.policy.Window)
+
+	for _, a := range q.accounts {
+		a.own.trim(oldest)
+		a.ownAsked.trim(oldest)
+		a.inherited.trim(oldest)
+		a.unheard.trim(oldest)
+
+		for id, o := range a.others {
+			o.spent.trim(oldest)
+			o.asked.trim(oldest)
+
+			if !q.members[id] && o.asked.empty() {
+				delete(a.others, id)
+			}
+		}
+	}
+}
