refactor(capacity,scheduling): planning by concern; three servers are drawn, also without a home

Cause: where a prompt has no common part, six servers were drawn instead of three, and the bound lay 2.5 deviations above the mean.

capacity.go is split into what is wanted, how it is divided, and the orders; Assignment.Unread had no caller.

--- /dev/null
+++ b/capacity/shares.go
@@ -0,0 +1,133 @@
+package capacity
+
+import (
+	"math"
+	"time"
+
+	"monsoonlever/fleet"
+)
+
+// spread divides the wanted servers over the places that have reclaimable ones,
+// evenly, since all of a place are lost at once. While there are too few, none is
+// given back: it might not be had again.
+func (p *Planner) spread(now time.Time, s State, places []Place, wanted int) []int {
+	counts := make([]int, len(places))
+	left := wanted
+
+	if present(places) < wanted {
+		for i, place := range places {
+			counts[i] = min(place.Reclaimable, s.Most)
+			left -= counts[i]
+		}
+	}
+
+	for left > 0 {
+		least := -1
+
+		for i, place := range places {
+			if counts[i] >= s.Most || p.refused(now, s.Service, place) && counts[i] >= place.Reclaimable {
+				continue
+			}
+
+			if least < 0 || counts[i] < counts[least] {
+				least = i
+			}
+		}
+
+		if least < 0 {
+			break
+		}
+
+		counts[least]++
+		left--
+	}
+
+	return counts
+}
+
+// present returns the reclaimable servers of all places.
+func present(places []Place) int {
+	n := 0
+	for _, place := range places {
+		n += place.Reclaimable
+	}
+
+	return n
+}
+
+func (p *Planner) refused(now time.Time, service fleet.Service, place Place) bool {
+	return now.Sub(p.ordered[key{service, place.Domain, true}].refusedAt) < refusedFor
+}
+
+// lasting returns how many servers that are not reclaimable each place keeps: no
+// more than what reclaimable ones leave open, and new ones where these are not to be
+// had.
+func (p *Planner) lasting(now time.Time, s State, places []Place, wanted int) []int {
+	counts := make([]int, len(places))
+	// While the load is lower than it was, lasting servers are not what is kept for it.
+	open := min(wanted, p.peaksOf(s.Service).highest(now, lately)) - present(places)
+
+	// The dearest places come last, and give theirs back first.
+	for i, place := range places {
+		counts[i] = min(max(place.Lasting, p.coming(now, s, place, false)), max(open, 0))
+		open -= counts[i]
+	}
+
+	missing := p.missing(now, s, places) - sum(counts)
+
+	for missing > 0 {
+		before := missing
+
+		for i, place := range places {
+			if missing > 0 && counts[i]+place.Reclaimable < s.Most {
+				counts[i]++
+				missing--
+			}
+		}
+
+		if missing == before {
+			break
+		}
+	}
+
+	return counts
+}
+
+func sum(counts []int) int {
+	n := 0
+	for _, c := range counts {
+		n += c
+	}
+
+	return n
+}
+
+// missing returns how many lasting servers are needed while reclaimable ones are
+// short, those that were ordered and are on their way counted as there.
+func (p *Planner) missing(now time.Time, s State, places []Place) int {
+	short := false
+	expected := 0
+
+	for _, place := range places {
+		short = short || now.Sub(p.ordered[key{s.Service, place.Domain, true}].refusedAt) < shortFor
+		expected += max(place.Reclaimable, p.coming(now, s, place, true))
+	}
+
+	if !short {
+		return 0
+	}
+
+	wanted := p.peaksOf(s.Service).highest(now, lately)
+
+	return max(int(math.Ceil(critical*float64(wanted)))-expected, 0)
+}
+
+// coming returns the servers of a place that were ordered and may still start.
+func (p *Planner) coming(now time.Time, s State, place Place, reclaimable bool) int {
+	last := p.ordered[key{s.Service, place.Domain, reclaimable}]
+	if now.Sub(last.at) < s.Boot+settle {
+		return max(last.servers, 0)
+	}
+
+	return 0
+}
--- /dev/null
+++ b/capacity/wanted.go
@@ -0,0 +1,90 @@
+package capacity
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"monsoonlever/fleet"
+)
+
+// wanted returns the number of servers for the highest load of late.
+func (p *Planner) wanted(now time.Time, s State) int {
+	lasting, reclaimable := 0, 0
+	for _, place := range s.Places {
+		lasting += place.Lasting
+		reclaimable += place.Reclaimable
+	}
+
+	if lasting+reclaimable == 0 && s.Speed == 0 {
+		// The servers that are there at the start have not registered yet.
+		return 0
+	}
+
+	n := len(s.Places) * max(s.Least, 1)
+
+	switch {
+	case s.Speed > 0 && s.Arriving > 0:
+		n = max(n, int(math.Ceil(s.Arriving/(s.Speed*target))))
+	default:
+		// Nothing is known of the load yet: what is there was meant for it. One kind
+		// takes the place of the other, so that their sum is no measure.
+		n = max(n, lasting, reclaimable)
+	}
+
+	peaks := p.peaksOf(s.Service)
+	if peaks.empty() {
+		// A planner that is new and heard of no plan knows no load of the time before:
+		// what is there was ordered for it.
+		n = max(n, lasting, reclaimable)
+	}
+
+	peaks.add(now, min(n, len(s.Places)*s.Most))
+
+	return min(peaks.highest(now, memory), len(s.Places)*s.Most)
+}
+
+// peaksOf returns the loads of a service.
+func (p *Planner) peaksOf(service fleet.Service) *peaks {
+	if p.peaks == nil {
+		p.peaks = make(map[fleet.Service]*peaks)
+	}
+
+	one := p.peaks[service]
+	if one == nil {
+		one = &peaks{}
+		p.peaks[service] = one
+	}
+
+	return one
+}
+
+// Wanted returns how many servers of a service are wanted, and how many were wanted
+// of late.
+func (p *Planner) Wanted(now time.Time, service fleet.Service) (wanted, ofLate int) {
+	peaks := p.peaksOf(service)
+
+	return peaks.highest(now, memory), peaks.highest(now, lately)
+}
+
+// Plans returns what is wanted at present, for the planner of the next holder.
+func (p *Planner) Plans(now time.Time) []Plan {
+	var plans []Plan
+
+	for _, service := range slices.Sorted(maps.Keys(p.peaks)) {
+		if wanted := p.peaks[service].highest(now, memory); wanted > 0 {
+			plans = append(plans, Plan{Service: service, Wanted: wanted})
+		}
+	}
+
+	return plans
+}
+
+// Follow takes in what another planner wanted. One that takes over after all
+// instances have started anew would else know only the load since then.
+func (p *Planner) Follow(now time.Time, plans []Plan) {
+	for _, plan := range plans {
+		p.peaksOf(plan.Service).add(now, plan.Wanted)
+	}
+}
--- a/scheduling/assignment.go
+++ b/scheduling/assignment.go
@@ -52,9 +52,6 @@
 // Address returns the server's address.
 func (a *Assignment) Address() string { return a.server.entry.Address }
 
-// Unread returns the tokens that the server is expected to read.
-func (a *Assignment) Unread() int { return a.unread }
-
 // Leaving tells whether the server is known to leave by now.
 func (a *Assignment) Leaving() bool { return a.server.leaving.Load() }
 
--- a/scheduling/candidates.go
+++ b/scheduling/candidates.go
@@ -23,6 +23,7 @@
 	}
 
 	chosen := topHomes(pool, r.Prompt)
+	most := len(chosen) + drawn
 
 	for range attempts {
 		one := pool[rand.IntN(len(pool))]
@@ -31,7 +32,7 @@
 		}
 
 		chosen = append(chosen, one)
-		if len(chosen) >= drawn+homes {
+		if len(chosen) == most {
 			break
 		}
 	}
--- a/scheduling/scheduling_test.go
+++ b/scheduling/scheduling_test.go
@@ -241,7 +241,9 @@
 
 // Many instances that know the same loads do not all take the same server.
 func TestInstancesDoNotHerd(t *testing.T) {
-	const instances, servers = 60, 90
+	// Eight servers have no request; each of them is among three drawn ones for some
+	// 20 instances, with a deviation of 4.4.
+	const instances, servers, most = 600, 90, 50
 
 	var reports []LoadReport
 	for i := range servers {
@@ -257,8 +259,8 @@
 	}
 
 	for id, n := range used {
-		if n > 8 {
-			t.Errorf("%s: got %d of %d requests at once, want at most 8", id, n, instances)
+		if n > most {
+			t.Errorf("%s: got %d of %d requests at once, want at most %d", id, n, instances, most)
 		}
 	}
 }
