refactor(feed,board,scheduling,quota,entry,gossip): one nudge, one scan for homes, words once a round

The nudge of a loop stood twice (feed.Follower, board.Board): feed.Nudge. A pick scanned a large pool twice for the home and the three homes: homesOf, of which the first is the home. What others have spent was summed twice in one function (elsewhere). Whether others record was asked with a condition it implies. Servers by id were mapped in three places (byServer).

Echoes are taken before the rest of the word, as before: one that comes later would make news look younger than it is. TestAnEchoIsOlderThanItsWord fails if they are taken when the word is sent.

--- a/board/board.go
+++ b/board/board.go
@@ -20,7 +20,6 @@
 import (
 	"context"
 	"errors"
-	"sync"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -107,8 +106,7 @@
 	// Reached is told when a round has read to the end.
 	Reached func(now time.Time)
 
-	once  sync.Once
-	nudge chan struct{}
+	nudge feed.Nudge
 	next  feed.Position
 	begun bool
 	lost  bool
@@ -140,19 +138,7 @@
 }
 
 // Nudge asks for the next round to be made soon.
-func (b *Board) Nudge() {
-	select {
-	case b.nudges() <- struct{}{}:
-	default:
-	}
-}
-
-// nudges holds one request for a round, also before Run.
-func (b *Board) nudges() chan struct{} {
-	b.once.Do(func() { b.nudge = make(chan struct{}, 1) })
-
-	return b.nudge
-}
+func (b *Board) Nudge() { b.nudge.Send() }
 
 // pause waits for the next round, which is made sooner if it was asked for.
 func (b *Board) pause(ctx context.Context, began time.Time) {
@@ -160,7 +146,7 @@
 
 	select {
 	case <-b.Clock.After(max(b.Every()-b.Clock.Now().Sub(began), 0)):
-	case <-b.nudges():
+	case <-b.nudge.C():
 	case <-ctx.Done():
 	}
 }
--- a/entry/freshness.go
+++ b/entry/freshness.go
@@ -11,8 +11,8 @@
 
 // Few instances (board.Members.Leading) read rules and register at full pace and tell
 // the others; those read for themselves only rarely, or once what they were told is too
-// old. With 86 instances that all read at full pace, two calls a second and instance
-// were a fifth of what a quiet day is worth.
+// old. Where each of many reads at full pace, the
+// calls of the store grow with their number, and all are priced.
 
 const (
 	// relaxedWait is how long a read of the rules waits for news at an instance that
--- a/entry/news.go
+++ b/entry/news.go
@@ -52,16 +52,13 @@
 func (p *parts) newsOf(now time.Time, before []register.Server) []serverNews {
 	var news []serverNews
 
-	old := make(map[fleet.InstanceID]register.Server, len(before))
-	for _, s := range before {
-		old[s.ID] = s
-	}
+	old := byServer(before)
 
 	for _, s := range p.register.Servers() {
 		was, known := old[s.ID]
 		delete(old, s.ID)
 
-		if known && same([]register.Server{was}, []register.Server{s}) {
+		if known && sameServer(was, s) {
 			continue
 		}
 
--- a/entry/rules.go
+++ b/entry/rules.go
@@ -120,13 +120,10 @@
 
 	p.scheduler.Update(after)
 
-	known := make(map[string]bool, len(after))
-	for _, s := range after {
-		known[string(s.ID)] = true
-	}
+	known := byServer(after)
 
 	for _, s := range before {
-		if !known[string(s.ID)] {
+		if _, ok := known[s.ID]; !ok {
 			p.pool.Forget(s.ID)
 			klog.InfoS("backend server is gone", "server", s.ID, "service", s.Service)
 		}
--- a/entry/servers.go
+++ b/entry/servers.go
@@ -17,10 +17,7 @@
 	}
 
 	for i := range a {
-		x, y := a[i], b[i]
-		x.Leaves = y.Leaves
-
-		if x != y {
+		if !sameServer(a[i], b[i]) {
 			return false
 		}
 	}
@@ -28,12 +25,25 @@
 	return true
 }
 
+func sameServer(a, b register.Server) bool {
+	a.Leaves = b.Leaves
+
+	return a == b
+}
+
+// byServer returns servers by their ids.
+func byServer(servers []register.Server) map[fleet.InstanceID]register.Server {
+	known := make(map[fleet.InstanceID]register.Server, len(servers))
+	for _, s := range servers {
+		known[s.ID] = s
+	}
+
+	return known
+}
+
 // logServers logs servers that came or began to leave.
 func logServers(before, after []register.Server) {
-	old := make(map[fleet.InstanceID]register.Server, len(before))
-	for _, s := range before {
-		old[s.ID] = s
-	}
+	old := byServer(before)
 
 	for _, s := range after {
 		was, known := old[s.ID]
--- a/entry/word.go
+++ b/entry/word.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/netip"
 	"slices"
@@ -68,11 +69,12 @@
 	at map[fleet.InstanceID]int64
 }
 
-func (e *echoes) of(id fleet.InstanceID) int64 {
+// all returns the newest times of all.
+func (e *echoes) all() map[fleet.InstanceID]int64 {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 
-	return e.at[id]
+	return maps.Clone(e.at)
 }
 
 func (e *echoes) heard(id fleet.InstanceID, at int64) {
@@ -86,38 +88,54 @@
 	e.at[id] = at
 }
 
-// makeWords makes the newest words for another instance.
-func (p *parts) makeWords(now time.Time, to fleet.InstanceID) ([][]byte, error) {
-	first, err := msgpack.Marshal(&datagram{Word: p.makeWord(now, to)})
-	if err != nil {
-		return nil, err
-	}
+// makeWords prepares the newest words and returns what makes those for one instance.
+// Only the echo differs between instances. Echoes are taken before the rest: what a
+// word says must have been true after its echo, also if this process sleeps meanwhile.
+func (p *parts) makeWords(now time.Time) func(to fleet.InstanceID) ([][]byte, error) {
+	echoes := p.echoes.all()
+	newest := p.makeWord(now)
+	counts, err := p.makeCounts()
+
+	return func(to fleet.InstanceID) ([][]byte, error) {
+		if err != nil {
+			return nil, err
+		}
 
-	words := [][]byte{first}
+		w := newest
+		w.Echo = echoes[to]
 
-	if !p.members.Leading(to) {
-		// Only those that may hold duties count all usage.
-		return words, nil
+		first, err := msgpack.Marshal(&datagram{Word: &w})
+		if err != nil || !p.members.Leading(to) {
+			return [][]byte{first}, err
+		}
+
+		// Those that may hold duties count all usage.
+		return append([][]byte{first}, counts...), nil
 	}
+}
 
-	for counts := range slices.Chunk(p.counter.Recent(), countsPerDatagram) {
-		told := &told{Instance: p.self(), Incarnation: p.duties.incarnation, Usage: counts}
+// makeCounts makes the datagrams with this instance's counts of usage.
+func (p *parts) makeCounts() ([][]byte, error) {
+	var datagrams [][]byte
 
-		data, err := msgpack.Marshal(&datagram{Told: told})
+	for counts := range slices.Chunk(p.counter.Recent(), countsPerDatagram) {
+		data, err := msgpack.Marshal(&datagram{Told: &told{
+			Instance: p.self(), Incarnation: p.duties.incarnation, Usage: counts,
+		}})
 		if err != nil {
 			return nil, err
 		}
 
-		words = append(words, data)
+		datagrams = append(datagrams, data)
 	}
 
-	return words, nil
+	return datagrams, nil
 }
 
-// makeWord makes the newest word for another instance.
-func (p *parts) makeWord(now time.Time, to fleet.InstanceID) *word {
-	w := &word{
-		Instance: p.self(), Incarnation: p.duties.incarnation, Address: p.settings.Listen.Peers, At: now.UnixNano(), Echo: p.echoes.of(to),
+// makeWord makes the newest word, without an echo.
+func (p *parts) makeWord(now time.Time) word {
+	w := word{
+		Instance: p.self(), Incarnation: p.duties.incarnation, Address: p.settings.Listen.Peers, At: now.UnixNano(),
 		Spent: p.limits.Spent(now), ConfirmedAgo: -1, RegisterAgo: -1, Leaving: p.leaving(),
 	}
 
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -18,7 +18,6 @@
 import (
 	"context"
 	"errors"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -96,9 +95,8 @@
 	// reached is when the last read succeeded, in Unix nanoseconds.
 	reached atomic.Int64
 
-	once sync.Once
-	// nudge holds one request for a read, and nudged that the next one must not wait.
-	nudge  chan struct{}
+	nudge Nudge
+	// nudged tells that the next read must not wait.
 	nudged atomic.Bool
 }
 
@@ -122,18 +120,7 @@
 }
 
 // Nudge asks for a read at once, in place of a wait or a pause.
-func (f *Follower) Nudge() {
-	select {
-	case f.nudges() <- struct{}{}:
-	default:
-	}
-}
-
-func (f *Follower) nudges() chan struct{} {
-	f.once.Do(func() { f.nudge = make(chan struct{}, 1) })
-
-	return f.nudge
-}
+func (f *Follower) Nudge() { f.nudge.Send() }
 
 func (f *Follower) pace() Pace {
 	if f.Pace == nil {
@@ -146,7 +133,7 @@
 func (f *Follower) pause(ctx context.Context) {
 	select {
 	case <-f.Clock.After(f.pace().Every):
-	case <-f.nudges():
+	case <-f.nudge.C():
 		f.nudged.Store(true)
 	case <-ctx.Done():
 	}
@@ -166,7 +153,7 @@
 
 	go func() {
 		select {
-		case <-f.nudges():
+		case <-f.nudge.C():
 			f.nudged.Store(true)
 			cancel()
 		case <-call.Done():
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -45,8 +45,9 @@
 	Clock clock.Clock
 	// Peers returns the others and where they hear.
 	Peers func() map[fleet.InstanceID]netip.AddrPort
-	// Words returns the newest words for an instance, of at most MaxWord bytes each.
-	Words func(now time.Time, to fleet.InstanceID) ([][]byte, error)
+	// Words prepares the newest words of a round, and returns what makes those for one
+	// instance, of at most MaxWord bytes each.
+	Words func(now time.Time) func(to fleet.InstanceID) ([][]byte, error)
 	// Receive takes a word in. The bytes are valid until it returns.
 	Receive func(now time.Time, word []byte)
 }
@@ -79,8 +80,10 @@
 }
 
 func (e *Exchange) sendAll(peers map[fleet.InstanceID]netip.AddrPort) {
+	wordsFor := e.Words(e.Clock.Now())
+
 	for id, address := range peers {
-		words, err := e.Words(e.Clock.Now(), id)
+		words, err := wordsFor(id)
 		if err != nil {
 			klog.ErrorS(err, "words are not sent", "to", id)
 
--- a/quota/record.go
+++ b/quota/record.go
@@ -5,6 +5,7 @@
 	"time"
 )
 
+// spend counts cost as spent by this instance.
 func (q *Quota) spend(now time.Time, a *account, cost float64) {
 	a.own.add(now, cost)
 	a.known += cost
@@ -14,7 +15,7 @@
 // tell asks for a record if much was spent that none tells. While others hear this
 // instance, it is enough that those record it who record for all.
 func (q *Quota) tell(now time.Time, a *account) {
-	if q.policy.Tell == nil || !q.recorder() && q.recorded(now) {
+	if q.policy.Tell == nil || q.recorded(now) {
 		return
 	}
 
@@ -74,13 +75,13 @@
 // hear leaves both to those that record for all.
 func (q *Quota) Record(now time.Time) ([]Spent, []Known) {
 	q.mu.Lock()
-	recorder, recorded := q.recorder(), q.recorded(now)
+	forAll, recorded := len(q.recorders) > 0 && q.recorder(), q.recorded(now)
 	q.mu.Unlock()
 
 	switch {
-	case recorder && len(q.recorders) > 0:
+	case forAll:
 		return q.recordOwn(now), q.recordAll(now)
-	case recorded && !recorder:
+	case recorded:
 		return nil, nil
 	default:
 		return q.recordOwn(now), nil
--- a/quota/room.go
+++ b/quota/room.go
@@ -23,29 +23,26 @@
 
 	if now.Sub(q.reached) > q.policy.Spread && unseen == q.policy.Spread {
 		// Nothing new is known of the others: the part of the whole is kept to.
-		rest = amount
+		rest = max(amount-a.elsewhere(window), 0)
 
-		for _, o := range a.others {
-			rest -= o.spent.since(window)
-		}
-
-		rest -= a.inherited.since(window) + a.unheard.since(window)
-
-		return max(rest, 0), min(amount*share, max(rest, 0)), a.own.since(window)
+		return rest, min(amount*share, rest), a.own.since(window)
 	}
 
 	recent = a.own.since(now.Add(-unseen))
-	known := a.own.since(window) - recent
+	rest = max(amount-a.elsewhere(window)-(a.own.since(window)-recent), 0)
 
+	return rest, rest * share, recent
+}
+
+// elsewhere returns what others, and all before this instance started, have spent since
+// a time, as far as it is known or has to be assumed.
+func (a *account) elsewhere(since time.Time) float64 {
+	sum := a.inherited.since(since) + a.unheard.since(since)
 	for _, o := range a.others {
-		known += o.spent.since(window)
+		sum += o.spent.since(since)
 	}
 
-	known += a.inherited.since(window) + a.unheard.since(window)
-
-	rest = max(amount-known, 0)
-
-	return rest, rest * share, recent
+	return sum
 }
 
 // spread returns the time in which what this instance spends is known to all.
--- a/scheduling/home.go
+++ b/scheduling/home.go
@@ -35,32 +35,46 @@
 	}
 }
 
-// homeOf returns the server that every instance prefers for the common part of a
-// prompt: the one with the highest hash of the two. A server that comes or goes
-// moves only the parts that it has.
-func homeOf(pool []*server, p Prompt) *server {
+// homes is how many servers a common part has that take it in their order, so that what
+// overflows from one home is found again at the next.
+const homes = 3
+
+// homesOf returns the servers that every instance prefers for the common part of a
+// prompt, the first one most: those with the highest hashes of the two. A server that
+// comes or goes moves only the parts that it has. Where there are fewer, or no common
+// part, the rest is nil.
+func homesOf(pool []*server, p Prompt) [homes]*server {
+	var (
+		top     [homes]*server
+		weights [homes]uint64
+	)
+
 	affinity := p.affinity()
 	if affinity == "" {
-		return nil
+		return top
 	}
 
-	key := affinityKey(affinity)
+	key := xxhash.Sum64String(affinity)
+
+	for _, one := range pool {
+		weight := mix(key ^ one.hash)
 
-	var home *server
+		for i := range top {
+			if top[i] != nil && weight <= weights[i] {
+				continue
+			}
 
-	var highest uint64
+			copy(top[i+1:], top[i:homes-1])
+			copy(weights[i+1:], weights[i:homes-1])
+			top[i], weights[i] = one, weight
 
-	for _, s := range pool {
-		if weight := mix(key ^ s.hash); home == nil || weight > highest {
-			home, highest = s, weight
+			break
 		}
 	}
 
-	return home
+	return top
 }
 
-func affinityKey(affinity string) uint64 { return xxhash.Sum64String(affinity) }
-
 // mix spreads the bits of a number; the constants are those of the finalizer of
 // splitmix64.
 func mix(x uint64) uint64 {
--- a/scheduling/scheduling.go
+++ b/scheduling/scheduling.go
@@ -142,14 +142,15 @@
 	}
 
 	pool := (*pools)[r.Service]
-	home := homeOf(pool, r.Prompt)
+	preferred := homesOf(pool, r.Prompt)
+	home := preferred[0]
 	typical := typicalFailures(now, pool)
 
 	var best *server
 
 	var bestCost float64
 
-	for _, one := range s.candidates(pool, &r) {
+	for _, one := range candidates(pool, preferred, &r) {
 		if one.leaving.Load() || excluded(r.Excluded, one.entry.ID) {
 			continue
 		}
--- a/scheduling/scheduling_test.go
+++ b/scheduling/scheduling_test.go
@@ -269,7 +269,7 @@
 func TestHomesAreAlwaysCompared(t *testing.T) {
 	s := engines(90, 16)
 	r := prompt("session")
-	want := homeOf((*s.current.Load())["llm"], r.Prompt).entry.ID
+	want := homesOf((*s.current.Load())["llm"], r.Prompt)[0].entry.ID
 
 	for range 50 {
 		if got := pick(t, s, r).ID(); got != want {
