fix(forward): a stream without a length that is cut within an event is not whole; guards of the path

Cause: the error of a cut stream carried io.EOF as its cause, and the end of a stream is told by errors.Is with io.EOF. A stream whose body ends with its connection and stops within an event was taken for complete: not resumed, and ended for the caller as whole.

The path had no test without a network.

--- a/forward/events.go
+++ b/forward/events.go
@@ -61,8 +61,14 @@
 }
 
 func (e *eventReader) broken(err error) error {
-	if errors.Is(err, io.EOF) && len(bytes.TrimSpace(e.event)) == 0 {
-		return io.EOF
+	if errors.Is(err, io.EOF) {
+		if len(bytes.TrimSpace(e.event)) == 0 {
+			return io.EOF
+		}
+
+		// The cause of an error counts as what it is: io.EOF would say that the stream
+		// is whole.
+		err = io.ErrUnexpectedEOF
 	}
 
 	return merry.Prepend(upstream.ErrGarbled, "stream ends within an event", merry.WithCause(err))
--- /dev/null
+++ b/forward/fixture_test.go
@@ -0,0 +1,265 @@
+package forward
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"monsoonlever/clock"
+	"monsoonlever/currency"
+	"monsoonlever/fleet"
+	"monsoonlever/quota"
+	"monsoonlever/register"
+	"monsoonlever/retry"
+	"monsoonlever/ruleset"
+	"monsoonlever/scheduling"
+	"monsoonlever/upstream"
+)
+
+// Headers of the fixture's protocol.
+const (
+	idHeader     = "Id"
+	resumeHeader = "Resume-After"
+	notRunHeader = "Not-Run"
+	signHeader   = "Signed"
+)
+
+// plainProtocol is a protocol with as little as the forwarder needs.
+type plainProtocol struct{}
+
+func (plainProtocol) Encode(r *Request, a Attempt) *upstream.Request {
+	header := http.Header{idHeader: {r.ID}}
+	if a.ResumeAfter != "" {
+		header.Set(resumeHeader, a.ResumeAfter)
+	}
+
+	return &upstream.Request{
+		Method: r.Method, Target: r.Target, Host: r.Host, Header: header, ID: r.ID, IDHeader: idHeader,
+	}
+}
+
+func (plainProtocol) Inspect(_ int, header http.Header) Reading {
+	return Reading{Signed: header.Get(signHeader) != "", NotRun: header.Get(notRunHeader) != ""}
+}
+
+// freeLimits limits nothing.
+type freeLimits struct{}
+
+func (freeLimits) Take(context.Context, fleet.Account, float64) quota.Decision {
+	return quota.Decision{Granted: true}
+}
+
+type countedUsage struct{ began atomic.Int64 }
+
+func (u *countedUsage) Began(fleet.Account) { u.began.Add(1) }
+
+// site is a forwarder whose backend servers are scripts behind pipes: what they see has
+// been sent, without a network.
+type site struct {
+	t     *testing.T
+	clock *clock.Manual
+	rules atomic.Pointer[ruleset.Ruleset]
+	usage countedUsage
+	*Forwarder
+
+	mu sync.Mutex
+	// seen are the requests that reached a server, by its address, in their order.
+	seen []arrival
+	// dialling is called before each connection is made; it may be nil.
+	dialling func(address string)
+	// answer writes a server's answer to its n-th request, from 1, of all servers; a
+	// connection is closed after an answer that is empty.
+	answer func(address string, n int, r *http.Request) string
+}
+
+// arrival is a request that reached a backend server.
+type arrival struct {
+	address string
+	id      string
+	resume  string
+}
+
+const bound = 3 * time.Second
+
+// rulesWith returns rules with a route of each kind and one account with some keys.
+func rulesWith(t *testing.T, version uint64, keys ...string) *ruleset.Ruleset {
+	t.Helper()
+
+	route := func(name string, kind ruleset.Kind, resumable bool) ruleset.Route {
+		service := fleet.Service("api")
+		if kind == ruleset.Streaming {
+			service = "llm"
+		}
+
+		return ruleset.Route{
+			Name: name, Host: "a.example", Prefix: "/" + name + "/", Kind: kind, Timeout: 5 * time.Second,
+			Objective: 500 * time.Millisecond, MaxAttempts: 2, Resumable: resumable,
+			Generative: kind == ruleset.Streaming, Targets: []ruleset.Target{{Service: service, Weight: 1}},
+		}
+	}
+
+	rules, err := ruleset.New(ruleset.Spec{
+		Version: version,
+		Routes: []ruleset.Route{
+			route("safe", ruleset.Safe, false), route("once", ruleset.Unsafe, false),
+			route("talk", ruleset.Streaming, true), route("tell", ruleset.Streaming, false),
+		},
+		Services: []ruleset.Service{{Name: "api"}, {Name: "llm"}},
+		Accounts: []ruleset.Account{{Name: "acme", Keys: keys}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	return rules
+}
+
+// newSite returns a site with two servers of each service and a budget of further sends.
+func newSite(t *testing.T, budget int) *site {
+	t.Helper()
+
+	s := &site{t: t, clock: clock.NewManual(time.Unix(1000, 0))}
+	s.rules.Store(rulesWith(t, 1, "key"))
+
+	tracker := &currency.Tracker{Clock: s.clock, Bound: bound}
+	tracker.Confirm(s.clock.Now())
+
+	scheduler := &scheduling.Scheduler{Domain: "a"}
+
+	var servers []register.Server
+	for _, name := range []string{"api-1", "api-2", "llm-1", "llm-2"} {
+		service, _, _ := strings.Cut(name, "-")
+		servers = append(servers, register.Server{
+			ID: fleet.InstanceID(name), Service: fleet.Service(service), Address: name, Domain: "a", Slots: 8,
+		})
+	}
+
+	scheduler.Update(servers)
+
+	s.Forwarder = &Forwarder{
+		Clock: s.clock, Rules: &s.rules, Currency: tracker, Limits: freeLimits{},
+		Retries:   retry.NewBudgets(retry.BudgetPolicy{Window: 10 * time.Second, Share: 1e-9, Least: budget}),
+		Scheduler: scheduler, Pool: &upstream.Pool{Clock: s.clock, Dial: s.dial}, Protocol: plainProtocol{},
+		Usage: &s.usage, MaxAnswerBytes: 1 << 20,
+	}
+
+	return s
+}
+
+func (s *site) dial(_ context.Context, address string) (net.Conn, error) {
+	if s.dialling != nil {
+		s.dialling(address)
+	}
+
+	near, far := net.Pipe()
+
+	go s.serve(address, far)
+
+	return near, nil
+}
+
+// serve answers requests on one connection by the script.
+func (s *site) serve(address string, conn net.Conn) {
+	defer conn.Close()
+
+	reader := bufio.NewReader(conn)
+
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+
+		s.mu.Lock()
+		s.seen = append(s.seen, arrival{address: address, id: r.Header.Get(idHeader), resume: r.Header.Get(resumeHeader)})
+		n := len(s.seen)
+		s.mu.Unlock()
+
+		text := s.answer(address, n, r)
+		if text == "" {
+			return
+		}
+
+		if _, err := conn.Write([]byte(text)); err != nil || strings.Contains(text, "Connection: close") {
+			return
+		}
+	}
+}
+
+func (s *site) arrivals() []arrival {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return append([]arrival(nil), s.seen...)
+}
+
+// call serves one request of a route and returns its outcome and what the caller got.
+func (s *site) call(route, id string) (Outcome, *caught) {
+	s.t.Helper()
+
+	got := &caught{}
+	outcome := s.Serve(s.t.Context(), &Request{
+		ID: id, Method: http.MethodPost, Host: "a.example", Target: "/" + route + "/x", Path: "/" + route + "/x",
+		Key: "key", Arrived: s.clock.Now(), Prompt: scheduling.Prompt{Tokens: 100},
+	}, got)
+
+	return outcome, got
+}
+
+// caught is what a caller got.
+type caught struct {
+	status   int
+	begun    int
+	events   []string
+	refusals []Refusal
+}
+
+func (c *caught) Answer(status int, _ http.Header, _ []byte) error {
+	c.status = status
+
+	return nil
+}
+
+func (c *caught) Begin(status int, _ http.Header) error {
+	c.status = status
+	c.begun++
+
+	return nil
+}
+
+func (c *caught) Event(event []byte) error {
+	c.events = append(c.events, string(event))
+
+	return nil
+}
+
+func (c *caught) Refuse(r Refusal) { c.refusals = append(c.refusals, r) }
+
+// whole is a signed answer to a request.
+func whole(r *http.Request, status int, header ...string) string {
+	return fmt.Sprintf("HTTP/1.1 %d X\r\n%s: %s\r\n%s: yes\r\nContent-Length: 2\r\n%s\r\nok",
+		status, idHeader, r.Header.Get(idHeader), signHeader, strings.Join(header, ""))
+}
+
+// stream is a signed stream of the events from one to another. One that is cut ends
+// within an event.
+func stream(r *http.Request, from, to int, cut bool) string {
+	var body strings.Builder
+	for id := from; id <= to; id++ {
+		fmt.Fprintf(&body, "id: %d\ndata: x\n\n", id)
+	}
+
+	if cut {
+		fmt.Fprintf(&body, "id: %d\nda", to+1)
+	}
+
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: yes\r\nConnection: close\r\n\r\n%s",
+		idHeader, r.Header.Get(idHeader), signHeader, body.String())
+}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -38,6 +38,8 @@
 	DialTimeout time.Duration
 	// Counters may be nil.
 	Counters *Counters
+	// Dial makes connections; nil makes those of Dialer over TCP.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 
 	mu      sync.Mutex
 	servers map[fleet.InstanceID]*connections
@@ -197,14 +199,7 @@
 }
 
 func (p *Pool) dial(ctx context.Context, s Server) (*connection, error) {
-	timeout := p.DialTimeout
-	if timeout <= 0 {
-		timeout = DefaultDialTimeout
-	}
-
-	dialer := Dialer(timeout)
-
-	conn, err := dialer.DialContext(ctx, "tcp4", s.Address)
+	conn, err := p.connect(ctx, s.Address)
 	if err != nil {
 		p.release(s.ID)
 		p.Counters.dialFailed()
@@ -217,6 +212,19 @@
 	return &connection{Conn: conn, reader: bufio.NewReaderSize(conn, readBuffer)}, nil
 }
 
+func (p *Pool) connect(ctx context.Context, address string) (net.Conn, error) {
+	if p.Dial != nil {
+		return p.Dial(ctx, address)
+	}
+
+	timeout := p.DialTimeout
+	if timeout <= 0 {
+		timeout = DefaultDialTimeout
+	}
+
+	return Dialer(timeout).DialContext(ctx, "tcp4", address)
+}
+
 // put keeps a connection for the next request.
 func (p *Pool) put(id fleet.InstanceID, conn *connection, idle time.Duration) {
 	now := p.Clock.Now()
