--- a/quota/hear.go
+++ b/quota/hear.go
@@ -73,10 +73,18 @@
 	return !q.reached.IsZero()
 }
 
+// Read returns a channel that is closed once the others' news was read.
+func (q *Quota) Read() <-chan struct{} { return q.read }
+
 // Reached is told that the others' news was read to its end.
 func (q *Quota) Reached(now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+
+	if q.reached.IsZero() {
+		close(q.read)
+	}
+
 	q.reached = now
 
 	for id := range q.heard {
--- a/quota/loans.go
+++ b/quota/loans.go
@@ -13,6 +13,10 @@
 	// loanPatience is how long an answer is waited for: some ten round trips between
 	// failure domains, and little against the objective of a large request.
 	loanPatience = 60 * time.Millisecond
+	// readPatience is how long a request waits at an instance that has just started: eight
+	// instances read what was spent within 300 ms, in which 26 of 88 requests were refused
+	// until 1.5 s later.
+	readPatience = 500 * time.Millisecond
 	// refusedLoan is how long a holder that had too little is not asked for as much
 	// again: accounts far beyond their limit would ask for each request.
 	refusedLoan = 200 * time.Millisecond
@@ -63,6 +67,8 @@
 
 // Take spends cost of an account's allowance here or at a holder of its reserve.
 func (l *Loans) Take(ctx context.Context, name fleet.Account, cost float64) Decision {
+	l.awaitRead(ctx)
+
 	decision := l.Quota.Take(l.Clock.Now(), name, cost)
 	if decision.Granted {
 		return decision
@@ -77,6 +83,22 @@
 	return decision
 }
 
+// awaitRead waits for a moment at an instance that has just started and has not read yet
+// what the others have spent.
+func (l *Loans) awaitRead(ctx context.Context) {
+	select {
+	case <-l.Quota.Read():
+		return
+	default:
+	}
+
+	select {
+	case <-l.Quota.Read():
+	case <-l.Clock.After(readPatience):
+	case <-ctx.Done():
+	}
+}
+
 // Lend answers another instance's question.
 func (l *Loans) Lend(ask Ask) Reply {
 	return Reply{Number: ask.Number, Granted: l.Quota.Lend(l.Clock.Now(), ask.Account, ask.Cost).Granted}
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -124,6 +124,8 @@
 	// newest time up to which each other knows what this one spent.
 	reached time.Time
 	heard   map[fleet.InstanceID]time.Time
+	// read is closed once the others' news was read.
+	read chan struct{}
 }
 
 // account is what is known of one account.
@@ -157,7 +159,7 @@
 func New(p Policy) *Quota {
 	return &Quota{
 		policy: p, accounts: make(map[fleet.Account]*account), members: make(map[fleet.InstanceID]bool),
-		heard: make(map[fleet.InstanceID]time.Time),
+		heard: make(map[fleet.InstanceID]time.Time), read: make(chan struct{}),
 	}
 }
 
--- a/quota/reserve_test.go
+++ b/quota/reserve_test.go
@@ -177,3 +177,59 @@
 		t.Errorf("right after: got %+v and %d questions, want a refusal without one", got, d.asks-asked)
 	}
 }
+
+// A request that comes to an instance before it has read what the others have spent
+// waits for that, and is not sent away for seconds.
+func TestARequestWaitsForTheFirstRead(t *testing.T) {
+	clk := clock.NewManual(time.Unix(1000, 0))
+	q := New(Policy{Window: 8 * time.Second, Spread: time.Second})
+	q.Configure([]Allowance{{Account: "acme", Amount: 100_000, Rate: 10_000}})
+
+	loans := &Loans{Quota: q, Clock: clk, Self: "entry-1", Send: func(fleet.InstanceID, Ask) {}}
+	decided := make(chan Decision)
+	take := func() { decided <- loans.Take(t.Context(), "acme", 100) }
+
+	go take()
+
+	select {
+	case d := <-decided:
+		t.Fatalf("before the first read: got %+v, want no decision yet", d)
+	case <-time.After(20 * time.Millisecond):
+	}
+
+	q.Members([]fleet.InstanceID{"entry-1"}, nil)
+	q.Reached(clk.Now())
+
+	if d := <-decided; !d.Granted {
+		t.Errorf("after the first read: got %+v, want it granted", d)
+	}
+}
+
+// A store that does not answer must not hold requests.
+func TestTheWaitForTheFirstReadIsBounded(t *testing.T) {
+	clk := clock.NewManual(time.Unix(1000, 0))
+	q := New(Policy{Window: 8 * time.Second, Spread: time.Second})
+	q.Configure([]Allowance{{Account: "acme", Amount: 100_000, Rate: 10_000}})
+
+	loans := &Loans{Quota: q, Clock: clk, Self: "entry-1", Send: func(fleet.InstanceID, Ask) {}}
+	decided := make(chan Decision, 1)
+
+	go func() { decided <- loans.Take(t.Context(), "acme", 100) }()
+
+	for waited := time.Duration(0); ; waited += readPatience / 10 {
+		select {
+		case d := <-decided:
+			if d.Granted || d.RetryAfter <= 0 {
+				t.Errorf("without a read: got %+v, want it refused with when to come back", d)
+			}
+
+			return
+		case <-time.After(time.Millisecond):
+			clk.Advance(readPatience / 10)
+		}
+
+		if waited > 100*readPatience {
+			t.Fatal("decision: got none, want one after the time to wait")
+		}
+	}
+}
