refactor(scheduling),feat(forward): one ring of samples; requests tell how long they were held

The ring of the newest samples stood twice in the meter. A request's line in the log and a histogram say how long it was held back, so that a late answer is told from a slow server.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -29,7 +29,10 @@
 
 // attempt sends the request to one server and relays what comes.
 func (f *Forwarder) attempt(ctx context.Context, j *job, sink Sink) error {
+	began := f.Clock.Now()
 	assignment, err := f.Scheduler.Place(ctx, f.Clock, j.placing())
+	j.held += f.Clock.Now().Sub(began)
+
 	if err != nil {
 		return err
 	}
--- a/forward/counters.go
+++ b/forward/counters.go
@@ -1,14 +1,20 @@
 package forward
 
 import (
+	"time"
+
 	"github.com/VictoriaMetrics/metrics"
 )
 
+// leastHeld keeps requests that went on at once out of the times of those that did not.
+const leastHeld = 10 * time.Millisecond
+
 // Counters count outcomes. A nil pointer counts nothing.
 type Counters struct {
 	outcomes [reasons]*metrics.Counter
 	resumed  *metrics.Counter
 	took     *metrics.Histogram
+	held     *metrics.Histogram
 }
 
 // NewCounters registers counters in a set.
@@ -16,6 +22,7 @@
 	c := &Counters{
 		resumed: set.NewCounter("monsoonlever_forward_second_sends_total"),
 		took:    set.NewHistogram("monsoonlever_forward_request_seconds"),
+		held:    set.NewHistogram("monsoonlever_forward_held_seconds"),
 	}
 
 	for reason := range reasons {
@@ -33,6 +40,10 @@
 	c.outcomes[o.Reason].Inc()
 	c.took.Update(o.Took.Seconds())
 
+	if o.Held >= leastHeld {
+		c.held.Update(o.Held.Seconds())
+	}
+
 	if len(o.Servers) > 1 {
 		c.resumed.Add(len(o.Servers) - 1)
 	}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -128,7 +128,7 @@
 	outcome := Outcome{Reason: Answered, Took: f.Clock.Now().Sub(r.Arrived)}
 	if j != nil {
 		outcome.Route, outcome.Account, outcome.Servers = j.route.Name, j.accountName(), j.servers
-		outcome.Events, outcome.Rules = j.stream.count, j.rules.Version()
+		outcome.Events, outcome.Rules, outcome.Held = j.stream.count, j.rules.Version(), j.held
 	}
 
 	outcome.RulesAge, _ = f.Currency.Age()
--- a/forward/guards_test.go
+++ b/forward/guards_test.go
@@ -217,6 +217,10 @@
 	}
 
 	outcome := s.await(done)
+	if outcome.Held <= 0 {
+		t.Errorf("held: got %v, want some time", outcome.Held)
+	}
+
 	if outcome.Reason != StaleRules || !outcome.NotRun || len(s.arrivals()) != 0 {
 		t.Errorf("got %+v and arrivals %v, want a refusal that says not run", outcome, s.arrivals())
 	}
--- a/forward/job.go
+++ b/forward/job.go
@@ -35,6 +35,8 @@
 	excluded   []fleet.InstanceID
 	servers    []string
 	stream     relay
+	// held is how long it was held back while servers were busy.
+	held time.Duration
 	// last is the newest answer of a server that failed, kept in case no other is
 	// better.
 	last *wholeAnswer
--- a/forward/outcome.go
+++ b/forward/outcome.go
@@ -73,5 +73,7 @@
 	Servers []string
 	// Events is the number of events that were relayed.
 	Events int
-	Took   time.Duration
+	// Held is how long it was held back while servers were busy.
+	Held time.Duration
+	Took time.Duration
 }
--- a/scheduling/meter.go
+++ b/scheduling/meter.go
@@ -37,16 +37,42 @@
 	Speed    float64
 }
 
+// samples are the newest of some numbers.
+type samples struct {
+	values []float64
+	next   int
+}
+
+func (s *samples) add(x float64) {
+	if len(s.values) < speedSamples {
+		s.values = append(s.values, x)
+
+		return
+	}
+
+	s.values[s.next] = x
+	s.next = (s.next + 1) % speedSamples
+}
+
+// rank returns the number below which a part of the others lies, and whether there are
+// enough of them.
+func (s *samples) rank(part float64) (float64, bool) {
+	n := len(s.values)
+	if n < minSamples {
+		return 0, false
+	}
+
+	return slices.Sorted(slices.Values(s.values))[min(int(float64(n)*part), n-1)], true
+}
+
 // meter measures one service.
 type meter struct {
-	mu      sync.Mutex
-	rate    float64
-	at      time.Time
-	samples []float64
-	next    int
-	// rates are those at which servers read what waited there, in tokens a second.
-	rates    []float64
-	nextRate int
+	mu   sync.Mutex
+	rate float64
+	at   time.Time
+	// speeds are those at which servers read prompts of some size, waiting included, and
+	// reads those at which they read what waited there; both in tokens a second.
+	speeds, reads samples
 	// speed is the highest speed of late.
 	speed   float64
 	speedAt time.Time
@@ -79,15 +105,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 
-	speed := float64(tokens) / took.Seconds()
-	if len(m.samples) < speedSamples {
-		m.samples = append(m.samples, speed)
-
-		return
-	}
-
-	m.samples[m.next] = speed
-	m.next = (m.next + 1) % speedSamples
+	m.speeds.add(float64(tokens) / took.Seconds())
 }
 
 // readAll takes in how long a server took to read a prompt and what waited before it.
@@ -99,15 +117,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 
-	rate := float64(tokens) / took.Seconds()
-	if len(m.rates) < speedSamples {
-		m.rates = append(m.rates, rate)
-
-		return
-	}
-
-	m.rates[m.nextRate] = rate
-	m.nextRate = (m.nextRate + 1) % speedSamples
+	m.reads.add(float64(tokens) / took.Seconds())
 }
 
 // readRate returns the rate at which servers read, as the middle one of late, or zero
@@ -116,12 +126,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 
-	n := len(m.rates)
-	if n < minSamples {
-		return 0
-	}
+	middle, _ := m.reads.rank(0.5)
 
-	return slices.Sorted(slices.Values(m.rates))[n/2]
+	return middle
 }
 
 func (m *meter) work(now time.Time, service fleet.Service) Work {
@@ -145,9 +152,8 @@
 
 	m.speedAt = now
 
-	if n := len(m.samples); n >= minSamples {
-		sorted := slices.Sorted(slices.Values(m.samples))
-		m.speed = max(m.speed, sorted[min(int(float64(n)*speedRank), n-1)])
+	if speed, ok := m.speeds.rank(speedRank); ok {
+		m.speed = max(m.speed, speed)
 	}
 
 	return m.speed
--- a/scheduling/scheduling.go
+++ b/scheduling/scheduling.go
@@ -164,7 +164,7 @@
 	considered := candidates(pool, preferred, &r)
 	home := preferred[0]
 
-	if held(now, considered, r.Prompt) {
+	if anyHolds(now, considered, r.Prompt) {
 		// The home that does not hold the common part is known not to.
 		home = nil
 	}
@@ -197,8 +197,8 @@
 	return a, nil
 }
 
-// held tells whether one of the servers is known to hold the common part of a prompt.
-func held(now time.Time, servers []*server, p Prompt) bool {
+// anyHolds tells whether one of the servers is known to hold the common part of a prompt.
+func anyHolds(now time.Time, servers []*server, p Prompt) bool {
 	shared := p.shared()
 	if shared == 0 {
 		return false
