--- a/capacity/capacity.go
+++ b/capacity/capacity.go
@@ -69,8 +69,9 @@
 const (
 	// target is the part of a server's speed that is used at the usual load. A
 	// prompt waits for half as long as it takes itself at a third of the speed, and
-	// half of the servers may be lost to two reclaims at a time. Measured on the
-	// bench: 0.36 saved a tenth of the price and lost more in the worst seconds.
+	// half of the servers may be lost to two reclaims at a time. Measured on
+	// days with reclaims, 0.36 saved a tenth of the price and lost more in the worst
+	// seconds.
 	target = 0.31
 	// memory is how long the highest load counts: a wave of users. Servers that are
 	// given back too early cost more than those that are kept: they may not be had
--- a/entry/datagram.go
+++ b/entry/datagram.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -49,24 +50,31 @@
 	}
 }
 
-// sendDatagram sends a message at once. What does not arrive is asked of another
-// instance, or refused.
+// sendDatagram sends a message to one instance at once. What does not arrive is asked of
+// another one, or refused.
 func (p *parts) sendDatagram(to fleet.InstanceID, d datagram) {
-	e := p.gossip.Load()
-	address, known := p.members.Address(to)
+	if address, known := p.members.Address(to); known {
+		p.sendAll(map[fleet.InstanceID]netip.AddrPort{to: address}, d)
+	}
+}
 
-	if e == nil || !known {
+// sendAll sends one message to some instances at once.
+func (p *parts) sendAll(peers map[fleet.InstanceID]netip.AddrPort, d datagram) {
+	e := p.gossip.Load()
+	if e == nil {
 		return
 	}
 
 	data, err := msgpack.Marshal(&d)
 	if err != nil {
-		klog.ErrorS(err, "datagram can't be encoded", "to", to)
+		klog.ErrorS(err, "datagram can't be encoded")
 
 		return
 	}
 
-	if err := e.Send(address, data); err != nil {
-		klog.V(1).InfoS("datagram is not sent", "to", to, "err", err.Error())
+	for to, address := range peers {
+		if err := e.Send(address, data); err != nil {
+			klog.V(1).InfoS("datagram is not sent", "to", to, "err", err.Error())
+		}
 	}
 }
--- a/entry/news.go
+++ b/entry/news.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"slices"
 	"time"
 
 	"monsoonlever/fleet"
@@ -36,15 +37,10 @@
 		return
 	}
 
-	news := p.newsOf(now, before)
+	peers := p.members.Addresses(p.self())
 
-	for len(news) > 0 {
-		n := min(len(news), newsPerDatagram)
-		for id := range p.members.Addresses(p.self()) {
-			p.sendDatagram(id, datagram{Servers: news[:n]})
-		}
-
-		news = news[n:]
+	for part := range slices.Chunk(p.newsOf(now, before), newsPerDatagram) {
+		p.sendAll(peers, datagram{Servers: part})
 	}
 }
 
--- a/entry/prompts.go
+++ b/entry/prompts.go
@@ -6,6 +6,7 @@
 
 	"monsoonlever/clock"
 	"monsoonlever/fleet"
+	"monsoonlever/gossip"
 	"monsoonlever/scheduling"
 )
 
@@ -15,10 +16,6 @@
 	News     scheduling.News  `msgpack:"n"`
 }
 
-// promptsPerPeer is the time between two rounds of news per peer, which bounds the
-// datagrams that leave an instance: some 170 a second, however many there are.
-const promptsPerPeer = 6 * time.Millisecond
-
 // backlogsPerDatagram and holdingsPerDatagram keep a datagram below gossip.MaxWord: a
 // backlog takes up to 11 bytes, and a holding up to 30 with five parts.
 const (
@@ -44,12 +41,11 @@
 		peers := p.members.Addresses(p.self())
 
 		for _, part := range splitNews(news) {
-			for id := range peers {
-				p.sendDatagram(id, datagram{Prompts: &promptNews{Instance: p.self(), News: part}})
-			}
+			p.sendAll(peers, datagram{Prompts: &promptNews{Instance: p.self(), News: part}})
 		}
 
-		clock.Sleep(ctx, p.clock, time.Duration(len(peers))*promptsPerPeer)
+		// As words do, news slows down with the number of those it is told to.
+		clock.Sleep(ctx, p.clock, time.Duration(len(peers))*gossip.PerPeer)
 	}
 }
 
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -134,7 +134,7 @@
 }
 
 func (f *Follower) pause(ctx context.Context) {
-	for wait := f.pace().Every; ; wait = f.due() {
+	for wait := f.pace().Every; ; {
 		select {
 		case <-f.Clock.After(wait):
 		case <-f.nudge.C():
@@ -145,7 +145,7 @@
 			return
 		}
 
-		if f.due() <= 0 {
+		if wait = f.due(); wait <= 0 {
 			return
 		}
 	}
--- a/scheduling/assignment.go
+++ b/scheduling/assignment.go
@@ -37,6 +37,8 @@
 	server *server
 	outbox *outbox
 	prompt Prompt
+	// keys are those of the prompt's parts.
+	keys   []Key
 	unread int
 	// backlog are the tokens that waited at the server when it was picked.
 	backlog int64
@@ -70,9 +72,9 @@
 
 	if a.unread > 0 {
 		// The common part is read before what comes after this request.
-		parts := a.prompt.sharedKeys()
-		a.server.hold(now, parts)
-		a.outbox.changed(a.server, parts)
+		shared := a.keys[:max(len(a.keys)-1, 0)]
+		a.server.hold(now, shared)
+		a.outbox.changed(a.server, shared)
 	}
 
 	if a.meter != nil {
@@ -92,9 +94,8 @@
 	a.server.pending.Add(-int64(a.unread))
 
 	if a.unread > 0 {
-		parts := a.prompt.keys()
-		a.server.hold(now, parts)
-		a.outbox.changed(a.server, parts)
+		a.server.hold(now, a.keys)
+		a.outbox.changed(a.server, a.keys)
 	}
 
 	if a.meter != nil {
--- a/scheduling/home.go
+++ b/scheduling/home.go
@@ -33,9 +33,18 @@
 	return keys
 }
 
-// sharedKeys returns the keys of the parts that other requests may have brought.
-func (p Prompt) sharedKeys() []Key {
-	return p.keys()[:max(len(p.Parts)-1, 0)]
+// unread returns the tokens that a server has to read which holds some. home tells that
+// it is the home of the common part, and that no server is known to hold that.
+func (p Prompt) unread(held int, home bool) int {
+	if p.Tokens == 0 {
+		return 0
+	}
+
+	if home {
+		held = max(held, int(homeTrust*float64(p.shared())))
+	}
+
+	return max(p.Tokens-held, 1)
 }
 
 // affinity names what requests with the same home have in common.
--- a/scheduling/news.go
+++ b/scheduling/news.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"monsoonlever/feed"
 	"monsoonlever/fleet"
 )
 
@@ -53,38 +54,36 @@
 	maxHoldings = 256
 )
 
-// outbox collects what is to be told.
+// outbox collects what is to be told. The zero value is empty.
 type outbox struct {
 	mu       sync.Mutex
 	backlogs map[*server]bool
 	holdings []Holding
-	// ready is told, without waiting, that there is something.
-	ready chan struct{}
-}
-
-func newOutbox() *outbox {
-	return &outbox{backlogs: make(map[*server]bool), ready: make(chan struct{}, 1)}
+	// nudge tells that there is something.
+	nudge feed.Nudge
 }
 
 // changed notes that the backlog of a server changed, and parts that it now holds.
 func (o *outbox) changed(s *server, parts []Key) {
 	o.mu.Lock()
+
+	if o.backlogs == nil {
+		o.backlogs = make(map[*server]bool)
+	}
+
 	o.backlogs[s] = true
 
 	if len(parts) > 0 && len(o.holdings) < maxHoldings {
 		o.holdings = append(o.holdings, Holding{Server: s.key, Parts: parts})
 	}
-	o.mu.Unlock()
 
-	select {
-	case o.ready <- struct{}{}:
-	default:
-	}
+	o.mu.Unlock()
+	o.nudge.Send()
 }
 
 // News returns what has changed since the last call.
 func (s *Scheduler) News() News {
-	o := s.box()
+	o := &s.outbox
 
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -102,16 +101,10 @@
 }
 
 // Ready returns a channel that is told when there is news.
-func (s *Scheduler) Ready() <-chan struct{} { return s.box().ready }
+func (s *Scheduler) Ready() <-chan struct{} { return s.outbox.nudge.C() }
 
 func tokens(n int64) uint32 { return uint32(min(max(n, 0), math.MaxUint32)) }
 
-func (s *Scheduler) box() *outbox {
-	s.boxOnce.Do(func() { s.outbox = newOutbox() })
-
-	return s.outbox
-}
-
 // HearNews takes another instance's news in. Servers that are not known here are
 // passed over.
 func (s *Scheduler) HearNews(now time.Time, from fleet.InstanceID, n News) {
--- a/scheduling/news_test.go
+++ b/scheduling/news_test.go
@@ -54,11 +54,11 @@
 		t.Errorf("waiting there: got %d, want %d", got, want)
 	}
 
-	if got, want := server.held(now, r.Prompt), r.Prompt.shared(); got != want {
+	if got, want := server.held(now, r.Prompt.keys(), r.Prompt), r.Prompt.shared(); got != want {
 		t.Errorf("held there while it is being read: got %d, want the common %d", got, want)
 	}
 
-	if got := idle.waiting(now) + int64(idle.held(now, r.Prompt)); got != 0 {
+	if got := idle.waiting(now) + int64(idle.held(now, r.Prompt.keys(), r.Prompt)); got != 0 {
 		t.Errorf("at the other server: got %d tokens waiting and held, want 0", got)
 	}
 
--- a/scheduling/scheduling.go
+++ b/scheduling/scheduling.go
@@ -25,6 +25,7 @@
 package scheduling
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -75,8 +76,7 @@
 	// byKey has the servers that other instances tell of.
 	byKey atomic.Pointer[map[Key]*server]
 
-	boxOnce sync.Once
-	outbox  *outbox
+	outbox outbox
 
 	mu      sync.Mutex
 	servers map[fleet.InstanceID]*server
@@ -162,55 +162,52 @@
 	preferred := homesOf(pool, r.Prompt)
 	typical := typicalFailures(now, pool)
 	considered := candidates(pool, preferred, &r)
+	keys := r.Prompt.keys()
+	held := heldBy(now, considered, keys, r.Prompt)
 	home := preferred[0]
 
-	if anyHolds(now, considered, r.Prompt) {
+	if shared := r.Prompt.shared(); shared > 0 && slices.ContainsFunc(held, func(n int) bool { return n >= shared }) {
 		// The home that does not hold the common part is known not to.
 		home = nil
 	}
 
-	var best *server
+	a := &Assignment{outbox: &s.outbox, prompt: r.Prompt, keys: keys}
 
 	var bestCost float64
 
-	for _, one := range considered {
+	for i, one := range considered {
 		if one.leaving.Load() || excluded(r.Excluded, one.entry.ID) {
 			continue
 		}
 
-		cost := one.cost(now, &r, one == home, s.Domain, typical)
-		if best == nil || cost < bestCost {
-			best, bestCost = one, cost
+		unread := r.Prompt.unread(held[i], one == home)
+
+		cost := one.cost(now, unread, s.Domain, typical)
+		if a.server == nil || cost < bestCost {
+			a.server, a.unread, bestCost = one, unread, cost
 		}
 	}
 
-	if best == nil {
+	if a.server == nil {
 		return nil, ErrNoServer
 	}
 
-	a := &Assignment{server: best, outbox: s.box(), prompt: r.Prompt, unread: best.unread(now, r.Prompt, best == home)}
 	if r.Prompt.Tokens > 0 {
 		a.meter = s.meter(r.Service)
-		a.backlog = best.pending.Load() + best.waiting(now)
+		a.backlog = a.server.pending.Load() + a.server.waiting(now)
 	}
 
 	return a, nil
 }
 
-// anyHolds tells whether one of the servers is known to hold the common part of a prompt.
-func anyHolds(now time.Time, servers []*server, p Prompt) bool {
-	shared := p.shared()
-	if shared == 0 {
-		return false
-	}
-
-	for _, one := range servers {
-		if one.held(now, p) >= shared {
-			return true
-		}
+// heldBy returns the tokens of a prompt that each of some servers is known to have read.
+func heldBy(now time.Time, servers []*server, keys []Key, p Prompt) []int {
+	held := make([]int, len(servers))
+	for i, one := range servers {
+		held[i] = one.held(now, keys, p)
 	}
 
-	return false
+	return held
 }
 
 func excluded(ids []fleet.InstanceID, id fleet.InstanceID) bool {
--- a/scheduling/scheduling_test.go
+++ b/scheduling/scheduling_test.go
@@ -1,6 +1,7 @@
 package scheduling
 
 import (
+	"errors"
 	"fmt"
 	"testing"
 	"time"
@@ -277,3 +278,12 @@
 		}
 	}
 }
+
+// While a service has no server, a prompt with a common part is told so.
+func TestAPromptWithoutServersIsToldSo(t *testing.T) {
+	s := engines(0, 64)
+
+	if _, err := s.Pick(now, prompt("x")); !errors.Is(err, ErrNoServer) {
+		t.Errorf("pick: got %v, want %v", err, ErrNoServer)
+	}
+}
--- a/scheduling/server.go
+++ b/scheduling/server.go
@@ -86,10 +86,11 @@
 	return &server{entry: entry, hash: hash, key: Key(hash), parts: make(map[Key]time.Time)}
 }
 
-// cost estimates, in tokens of a prompt, what stands before the begin of an answer.
-func (s *server) cost(now time.Time, r *Request, home bool, domain fleet.FailureDomain, typical float64) float64 {
+// cost estimates, in tokens of a prompt, what stands before the begin of an answer of
+// which unread tokens have to be read first.
+func (s *server) cost(now time.Time, unread int, domain fleet.FailureDomain, typical float64) float64 {
 	load := s.load(now)
-	cost := float64(s.pending.Load()+s.waiting(now)) + requestCost*load + unreadCost*float64(s.unread(now, r.Prompt, home))
+	cost := float64(s.pending.Load()+s.waiting(now)) + requestCost*load + unreadCost*float64(unread)
 
 	if slots := float64(s.entry.Slots); slots > 0 {
 		cost += queuedCost * max(0, load+1-slots)
@@ -141,34 +142,20 @@
 	s.reported = at
 }
 
-// unread returns the tokens of a prompt that the server has to read. home tells that
-// it is the home of the common part, and that no server is known to hold that.
-func (s *server) unread(now time.Time, p Prompt, home bool) int {
-	if p.Tokens == 0 {
-		return 0
-	}
-
-	held := s.held(now, p)
-	if home {
-		held = max(held, int(homeTrust*float64(p.shared())))
-	}
-
-	return max(p.Tokens-held, 1)
-}
-
-// held returns the tokens of a prompt that the server is known to have read.
-func (s *server) held(now time.Time, p Prompt) int {
+// held returns the tokens of a prompt, whose parts have the keys, that the server is known
+// to have read.
+func (s *server) held(now time.Time, keys []Key, p Prompt) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
 	held := 0
 
-	for _, part := range p.Parts {
-		if at, ok := s.parts[keyOf(part.ID)]; !ok || now.Sub(at) > partLife {
+	for i, key := range keys {
+		if at, ok := s.parts[key]; !ok || now.Sub(at) > partLife {
 			break
 		}
 
-		held += part.Tokens
+		held += p.Parts[i].Tokens
 	}
 
 	return held
