--- a/entry/rules.go
+++ b/entry/rules.go
@@ -70,7 +70,7 @@
 
 		// The slack is counted in what the account's limit is counted in.
 		amount := (a.Rate*b.LimitWindow.Seconds()+a.Burst)*(1+b.LimitOvershoot) + b.LimitSlack
-		all = append(all, quota.Allowance{Account: a.Name, Amount: amount, Rate: a.Rate, Burst: a.Burst})
+		all = append(all, quota.Allowance{Account: a.Name, Amount: amount, Rate: a.Rate})
 	}
 
 	return all
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -58,9 +58,8 @@
 	Account fleet.Account
 	// Amount is in the unit of the account's limit.
 	Amount float64
-	// Rate is what is earned again in a second; it serves Retry-After. Together with
-	// Burst, what may be spent at once, it is the limit without any tolerance.
-	Rate, Burst float64
+	// Rate is what is earned again in a second; it serves Retry-After.
+	Rate float64
 }
 
 // Spent is what one instance has spent of an account's limit since its start.
--- a/quota/room.go
+++ b/quota/room.go
@@ -1,17 +1,6 @@
 package quota
 
-import (
-	"math"
-	"time"
-)
-
-const (
-	// leastSpan is the shortest part of a window in which an excessive account's limit
-	// holds by itself: a large prompt takes up to a third of what it allows.
-	leastSpan = 2 * time.Second
-	// spanRounds is the least span in times in which what was spent is known to all.
-	spanRounds = 2
-)
+import "time"
 
 // large is the part of the rest that may go to one request of an instance that has
 // spent nothing lately. The more instances there are, the more may do so at once.
@@ -42,50 +31,9 @@
 	recent = a.own.since(now.Add(-unseen))
 	rest = max(amount-a.elsewhere(window)-(a.own.since(window)-recent), 0)
 
-	if a.excessive(now, q.policy.Window) {
-		rest = min(rest, q.restOfSpans(now, a, unseen, recent))
-	}
-
 	return rest, rest * share, recent
 }
 
-// restOfSpans returns what is left of the allowance in parts of a window, for an account
-// whose callers ask for more than its limit. If only the whole window counted, such an
-// account would fill the servers for a third of the window and be refused for the rest.
-func (q *Quota) restOfSpans(now time.Time, a *account, unseen time.Duration, recent float64) float64 {
-	least := math.Inf(1)
-
-	for span := q.policy.Window / 2; span >= max(spanRounds*unseen, leastSpan); span /= 2 {
-		since := now.Add(-span)
-		amount := (a.allowance.Amount - a.allowance.Rate*(q.policy.Window-span).Seconds()) * safety
-		// What may have been spent unheard before a start bounds the window alone: when in
-		// the window that was is not known.
-		spent := a.elsewhere(since) - a.unheard.since(since) + max(a.own.since(since)-recent, 0)
-		least = min(least, max(amount-spent, 0))
-	}
-
-	return least
-}
-
-// excessive tells whether the callers of an account ask for more than its limit: in some
-// part of a window, or in all of it, more than the rate and the burst allow.
-func (a *account) excessive(now time.Time, window time.Duration) bool {
-	for span := window; span >= leastSpan; span /= 2 {
-		since := now.Add(-span)
-
-		asked := a.ownAsked.since(since)
-		for _, o := range a.others {
-			asked += o.asked.since(since)
-		}
-
-		if asked > a.allowance.Rate*span.Seconds()+a.allowance.Burst {
-			return true
-		}
-	}
-
-	return false
-}
-
 // elsewhere returns what others, and all before this instance started, have spent since
 // a time, as far as it is known or has to be assumed.
 func (a *account) elsewhere(since time.Time) float64 {
