perf(capacity): lasting servers are ordered one reclaim ahead (try)

Hypothesis: reclaims come in rows while no reclaimable servers are to be had, and lasting ones boot for 4 s; ordered for the loss of the largest domain that is left, they are there when it comes.

--- a/capacity/shares.go
+++ b/capacity/shares.go
@@ -106,13 +106,17 @@
 // short, those that were ordered and are on their way counted as there.
 func (p *Planner) missing(now time.Time, s State, places []Place) int {
 	short := false
-	expected := 0
+	expected, largest := 0, 0
 
 	for _, place := range places {
 		short = short || now.Sub(p.ordered[key{s.Service, place.Domain, true}].refusedAt) < shortFor
 		expected += max(place.Reclaimable, p.coming(now, s, place, true))
+		largest = max(largest, place.Reclaimable)
 	}
 
+	// Another failure domain may be reclaimed while none are to be had.
+	expected -= largest
+
 	if !short {
 		return 0
 	}
