--- a/capacity/shares.go
+++ b/capacity/shares.go
@@ -66,9 +66,6 @@
 	counts := make([]int, len(places))
 	// While the load is lower than it was, lasting servers are not what is kept for it.
 	open := min(wanted, p.peaksOf(s.Service).highest(now, lately)) - present(places)
-	if missing := p.missing(now, s, places); missing > 0 {
-		open = missing
-	}
 
 	// The dearest places come last, and give theirs back first.
 	for i, place := range places {
