--- a/entry/news.go
+++ b/entry/news.go
@@ -13,6 +13,7 @@
 type serverNews struct {
 	_msgpack    struct{} `msgpack:",as_array"` //nolint:unused // an option of the codec
 	ID          fleet.InstanceID
+	Incarnation fleet.Incarnation
 	Version     uint64
 	Gone        bool
 	Service     fleet.Service
@@ -59,8 +60,8 @@
 		}
 
 		one := serverNews{
-			ID: s.ID, Version: p.register.Version(s.ID), Service: s.Service, Address: s.Address, Domain: s.Domain,
-			Slots: s.Slots, Leaving: s.Leaving, Reclaimable: s.Reclaimable,
+			ID: s.ID, Incarnation: s.Incarnation, Version: p.register.Version(s.ID), Service: s.Service,
+			Address: s.Address, Domain: s.Domain, Slots: s.Slots, Leaving: s.Leaving, Reclaimable: s.Reclaimable,
 		}
 		if !s.Leaves.IsZero() {
 			one.LeavesIn = s.Leaves.Sub(now)
@@ -90,8 +91,8 @@
 
 		if !n.Gone {
 			c.Server = &register.Server{
-				ID: n.ID, Service: n.Service, Address: n.Address, Domain: n.Domain, Slots: n.Slots,
-				Leaving: n.Leaving, Reclaimable: n.Reclaimable,
+				ID: n.ID, Incarnation: n.Incarnation, Service: n.Service, Address: n.Address, Domain: n.Domain,
+				Slots: n.Slots, Leaving: n.Leaving, Reclaimable: n.Reclaimable,
 			}
 			if n.LeavesIn != 0 {
 				c.Server.Leaves = now.Add(n.LeavesIn)
--- a/entry/parts.go
+++ b/entry/parts.go
@@ -102,6 +102,8 @@
 	built    time.Time
 	stopping atomic.Bool
 	open     atomic.Int64
+	// unusable counts entries of backend servers that name none.
+	unusable *metrics.Counter
 }
 
 func (e *Entry) build() *parts {
@@ -124,6 +126,7 @@
 		early:     &quota.Past{},
 		counter:   &usage.Counter{Width: s.Bounds.UsageWindow, Keep: usageKeep, Now: time.Now},
 	}
+	p.unusable = set.NewCounter("monsoonlever_entry_unusable_server_entries_total")
 	p.bounds.Store(&s.Bounds)
 	p.limits = quota.New(quota.Policy{
 		Self: s.Instance, Window: s.Bounds.LimitWindow, Spread: newsSpread, Quick: quickSpread,
--- a/entry/rules.go
+++ b/entry/rules.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"log"
+	"time"
 
 	"k8s.io/klog/v2"
 
@@ -82,20 +83,7 @@
 	changes := make([]register.Change, 0, len(entries))
 
 	for _, e := range entries {
-		if len(e.Data) == 0 {
-			changes = append(changes, register.Change{ID: id(e.Key), Version: uint64(e.At)})
-
-			continue
-		}
-
-		s, err := platform.DecodeServer(e.Key, e.Data, now)
-		if err != nil {
-			klog.ErrorS(err, "entry of a backend server is not applied", "offset", e.At)
-
-			continue
-		}
-
-		changes = append(changes, register.Change{ID: s.ID, Version: uint64(e.At), Server: &s})
+		changes = append(changes, p.changeOf(e, now))
 	}
 
 	before := p.register.Servers()
@@ -110,6 +98,29 @@
 	p.tellServers(now, before)
 }
 
+// changeOf decodes the entry of a backend server. One that can't be used is like one
+// that was removed, whether it is read as a change or as part of the whole: all
+// instances know the same servers, and the server's own next entry brings it back.
+func (p *parts) changeOf(e feed.Entry, now time.Time) register.Change {
+	c := register.Change{ID: id(e.Key), Version: uint64(e.At)}
+
+	if len(e.Data) == 0 {
+		return c
+	}
+
+	s, err := platform.DecodeServer(e.Key, e.Data, now)
+	if err != nil {
+		p.unusable.Inc()
+		klog.ErrorS(err, "entry of a backend server is not used", "offset", e.At)
+
+		return c
+	}
+
+	c.Server = &s
+
+	return c
+}
+
 // serversChanged tells the scheduler and the pool, if more changed than a number
 // that counts entries.
 func (p *parts) serversChanged(before []register.Server) {
@@ -123,9 +134,17 @@
 	known := byServer(after)
 
 	for _, s := range before {
-		if _, ok := known[s.ID]; !ok {
+		now, ok := known[s.ID]
+
+		switch {
+		case !ok:
 			p.pool.Forget(s.ID)
 			klog.InfoS("backend server is gone", "server", s.ID, "service", s.Service)
+		case now.Start() != s.Start():
+			// What ran there is lost.
+			p.pool.Cut(s.ID)
+			klog.InfoS("backend server started again", "server", s.ID, "service", s.Service,
+				"incarnation", now.Incarnation, "before", s.Incarnation)
 		}
 	}
 
--- a/entry/word.go
+++ b/entry/word.go
@@ -15,6 +15,7 @@
 	"monsoonlever/fleet"
 	"monsoonlever/gossip"
 	"monsoonlever/quota"
+	"monsoonlever/register"
 	"monsoonlever/usage"
 )
 
@@ -30,7 +31,7 @@
 	Echo  int64         `msgpack:"e"`
 	Spent []quota.Spent `msgpack:"s,omitempty"`
 	// Leaving are backend servers that are known to leave.
-	Leaving []fleet.InstanceID `msgpack:"l,omitempty"`
+	Leaving []register.Start `msgpack:"l,omitempty"`
 	// Rules is the version in force at the sender, and ConfirmedAgo how long ago it
 	// asked for the newest; a negative age was never confirmed.
 	Rules        uint64        `msgpack:"r"`
@@ -157,16 +158,16 @@
 const maxLeaving = 16
 
 // leaving returns servers that are known to leave.
-func (p *parts) leaving() []fleet.InstanceID {
-	var ids []fleet.InstanceID
+func (p *parts) leaving() []register.Start {
+	var starts []register.Start
 
 	for _, s := range p.register.Servers() {
-		if s.Leaving && len(ids) < maxLeaving {
-			ids = append(ids, s.ID)
+		if s.Leaving && len(starts) < maxLeaving {
+			starts = append(starts, s.Start())
 		}
 	}
 
-	return ids
+	return starts
 }
 
 // hearWord takes the word of another instance in.
--- a/register/register.go
+++ b/register/register.go
@@ -1,9 +1,10 @@
 // Package register holds the backend servers as they register themselves.
 //
 // Register is written by one reader of the platform's records and read without a
-// lock by the path of requests. What it holds is as old as the last read; a
-// server that leaves is marked at once and stays marked, since a later start of
-// it has another id.
+// lock by the path of requests. What it holds is as old as the last read.
+//
+// A server may start again under its id. Each start is another Start, and what is
+// known or said of one start says nothing of the next.
 //
 // # Usage
 //
@@ -17,6 +18,7 @@
 import (
 	"maps"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -27,13 +29,23 @@
 	"monsoonlever/fleet"
 )
 
+// Start names one start of a backend server.
+type Start struct {
+	_msgpack    struct{} `msgpack:",as_array"` //nolint:unused // an option of the codec
+	ID          fleet.InstanceID
+	Incarnation fleet.Incarnation
+}
+
 // Server is one start of a backend server.
 type Server struct {
-	ID      fleet.InstanceID
-	Service fleet.Service
-	Address string
-	Domain  fleet.FailureDomain
-	Slots   int
+	ID fleet.InstanceID
+	// Incarnation is when the server started, in Unix milliseconds; zero is not told,
+	// and then the id has one start only.
+	Incarnation fleet.Incarnation
+	Service     fleet.Service
+	Address     string
+	Domain      fleet.FailureDomain
+	Slots       int
 	// Leaving servers finish what they run and take nothing new.
 	Leaving bool
 	// Leaves is when a reclaimed server is gone; zero is not known.
@@ -42,13 +54,16 @@
 	Reclaimable bool
 }
 
+// Start returns which start of the server this is.
+func (s Server) Start() Start { return Start{ID: s.ID, Incarnation: s.Incarnation} }
+
 // Change is a new entry of a server, or its removal.
 type Change struct {
 	ID fleet.InstanceID
 	// Version is the place of the change in the order of all. One that is older than
 	// what is known of the server changes nothing.
 	Version uint64
-	// Server is nil where the entry was removed.
+	// Server is nil where the entry was removed, or names no server that can be used.
 	Server *Server
 }
 
@@ -93,6 +108,11 @@
 			continue
 		}
 
+		if c.Server != nil && c.Server.Incarnation < r.servers[c.ID].Incarnation {
+			// An entry of an earlier start that was long on its way.
+			continue
+		}
+
 		r.versions[c.ID] = c.Version
 
 		if c.Server == nil {
@@ -107,16 +127,16 @@
 
 // Leave marks servers that are said to leave, and tells whether that is news. What
 // the register itself says of them later stands.
-func (r *Register) Leave(ids []fleet.InstanceID) bool {
+func (r *Register) Leave(starts []Start) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 
 	news := false
 
-	for _, id := range ids {
-		if s, ok := r.servers[id]; ok && !s.Leaving {
+	for _, start := range starts {
+		if s, ok := r.servers[start.ID]; ok && !s.Leaving && s.Start() == start {
 			s.Leaving = true
-			r.servers[id] = s
+			r.servers[start.ID] = s
 			news = true
 		}
 	}
@@ -136,13 +156,17 @@
 	r.digest.Store(digest(servers))
 }
 
-// digest names which servers there are and which of them leave.
+// digest names which starts of servers there are and which of them leave.
 func digest(servers []Server) uint64 {
 	d := xxhash.New()
 
 	for _, s := range servers {
 		_, _ = d.WriteString(string(s.ID)) // it never fails
 
+		if s.Incarnation != 0 {
+			_, _ = d.WriteString(" " + strconv.FormatUint(uint64(s.Incarnation), 10))
+		}
+
 		if s.Leaving {
 			_, _ = d.WriteString(" leaving")
 		}
--- a/register/register_test.go
+++ b/register/register_test.go
@@ -38,9 +38,45 @@
 		t.Error("the same servers: got different digests, want the same")
 	}
 
-	one.Leave([]fleet.InstanceID{"i-2"})
+	one.Leave([]Start{{ID: "i-2"}})
 
 	if one.Digest() == other.Digest() {
 		t.Error("one leaves: got the same digest, want another")
 	}
 }
+
+// A server may start again under its id. What was said of the start before says nothing
+// of it, and an entry of that start which comes late does not bring it back.
+func TestAStartEndsWhatWasSaidOfTheOneBefore(t *testing.T) {
+	var r Register
+
+	entry := func(version uint64, incarnation fleet.Incarnation, leaving bool) Change {
+		return Change{ID: "i-1", Version: version, Server: &Server{ID: "i-1", Incarnation: incarnation, Leaving: leaving}}
+	}
+
+	r.Replace([]Change{entry(10, 500, true)})
+	before := r.Digest()
+	r.Apply([]Change{entry(11, 900, false)})
+
+	if got := r.Servers()[0]; got.Leaving || got.Incarnation != 900 {
+		t.Errorf("second start: got %+v, want it ready", got)
+	}
+
+	if r.Digest() == before {
+		t.Error("second start: got the digest of the first, want another")
+	}
+
+	if r.Leave([]Start{{ID: "i-1", Incarnation: 500}}) {
+		t.Error("the first start is said to leave: got news, want none")
+	}
+
+	r.Apply([]Change{entry(12, 500, true)})
+
+	if got := r.Servers()[0]; got.Leaving || got.Incarnation != 900 {
+		t.Errorf("after a late entry of the first start: got %+v, want the second", got)
+	}
+
+	if !r.Leave([]Start{{ID: "i-1", Incarnation: 900}}) {
+		t.Error("the second start is said to leave: got no news, want some")
+	}
+}
--- a/scheduling/assignment.go
+++ b/scheduling/assignment.go
@@ -52,10 +52,10 @@
 }
 
 // ID returns the server's instance.
-func (a *Assignment) ID() fleet.InstanceID { return a.server.entry.ID }
+func (a *Assignment) ID() fleet.InstanceID { return a.server.entry().ID }
 
 // Address returns the server's address.
-func (a *Assignment) Address() string { return a.server.entry.Address }
+func (a *Assignment) Address() string { return a.server.entry().Address }
 
 // Leaving tells whether the server is known to leave by now.
 func (a *Assignment) Leaving() bool { return a.server.leaving.Load() }
--- a/scheduling/candidates.go
+++ b/scheduling/candidates.go
@@ -31,7 +31,7 @@
 
 	for range attempts {
 		one := pool[rand.IntN(len(pool))]
-		if one.leaving.Load() || excluded(r.Excluded, one.entry.ID) {
+		if one.leaving.Load() || excluded(r.Excluded, one.entry().ID) {
 			continue
 		}
 
--- a/scheduling/news.go
+++ b/scheduling/news.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"strconv"
 	"sync"
 	"time"
 
@@ -9,6 +10,7 @@
 
 	"monsoonlever/feed"
 	"monsoonlever/fleet"
+	"monsoonlever/register"
 )
 
 // News is what an instance tells all others of the servers that it sends prompts to.
@@ -46,6 +48,16 @@
 
 func keyOf(id string) Key { return Key(xxhash.Sum64String(id)) }
 
+// keyOfStart differs between the starts of a server, so that news of one is not taken
+// for news of the next.
+func keyOfStart(s register.Start) Key {
+	if s.Incarnation == 0 {
+		return keyOf(string(s.ID))
+	}
+
+	return keyOf(string(s.ID) + " " + strconv.FormatUint(uint64(s.Incarnation), 10))
+}
+
 const (
 	// backlogLife is how long the news of a backlog counts that is not told anew: the
 	// longest prompts are read within it, and the instance may have ended.
--- a/scheduling/reports.go
+++ b/scheduling/reports.go
@@ -28,7 +28,7 @@
 	for _, pool := range *pools {
 		for _, one := range pool {
 			if requests, age, ok := one.newest(now, within); ok {
-				reports = append(reports, LoadReport{Server: one.entry.ID, Requests: requests, Age: age})
+				reports = append(reports, LoadReport{Server: one.entry().ID, Requests: requests, Age: age})
 			}
 		}
 	}
--- a/scheduling/scheduling.go
+++ b/scheduling/scheduling.go
@@ -84,7 +84,7 @@
 }
 
 // Update takes in which servers there are. What was learnt of those that stay is
-// kept.
+// kept; a server that started again holds nothing of what it held before.
 func (s *Scheduler) Update(servers []register.Server) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -94,10 +94,13 @@
 
 	for _, entry := range servers {
 		one := s.servers[entry.ID]
-		if one == nil {
+		if known := one != nil; !known || !one.stays(entry) {
 			one = newServer(entry)
+			one.again = known
 		}
 
+		one.registered.Store(&entry)
+
 		if entry.Leaving {
 			one.leaving.Store(true)
 		}
@@ -110,7 +113,7 @@
 	}
 
 	for id, one := range s.servers {
-		if known[id] == nil {
+		if known[id] != one {
 			one.leaving.Store(true)
 		}
 	}
@@ -165,6 +168,9 @@
 	keys := r.Prompt.keys()
 	held := heldBy(now, considered, keys, r.Prompt)
 	home := preferred[0]
+	if home != nil && home.again {
+		home = nil
+	}
 
 	if shared := r.Prompt.shared(); shared > 0 && slices.ContainsFunc(held, func(n int) bool { return n >= shared }) {
 		// The home that does not hold the common part is known not to.
@@ -176,7 +182,7 @@
 	var bestCost float64
 
 	for i, one := range considered {
-		if one.leaving.Load() || excluded(r.Excluded, one.entry.ID) {
+		if one.leaving.Load() || excluded(r.Excluded, one.entry().ID) {
 			continue
 		}
 
--- a/scheduling/scheduling_test.go
+++ b/scheduling/scheduling_test.go
@@ -112,7 +112,7 @@
 
 	for range 20 {
 		for _, one := range s.servers {
-			one.outcome(now, one.entry.ID == bad)
+			one.outcome(now, one.entry().ID == bad)
 		}
 	}
 
@@ -270,7 +270,7 @@
 func TestHomesAreAlwaysCompared(t *testing.T) {
 	s := engines(90, 16)
 	r := prompt("session")
-	want := homesOf((*s.current.Load())["llm"], r.Prompt)[0].entry.ID
+	want := homesOf((*s.current.Load())["llm"], r.Prompt)[0].entry().ID
 
 	for range 50 {
 		if got := pick(t, s, r).ID(); got != want {
--- a/scheduling/server.go
+++ b/scheduling/server.go
@@ -51,11 +51,15 @@
 	Running, Waiting, Slots int
 }
 
-// server is one backend server for its lifetime; snapshots share it.
+// server is one start of a backend server; snapshots share it.
 type server struct {
-	entry register.Server
-	hash  uint64
-	key   Key
+	// registered is its newest entry. Start, service and address never change.
+	registered atomic.Pointer[register.Server]
+	hash       uint64
+	key        Key
+
+	// again tells that the server started again while it was known: it holds nothing.
+	again bool
 
 	leaving atomic.Bool
 	// running are the requests of this instance in progress, and pending the
@@ -81,9 +85,23 @@
 }
 
 func newServer(entry register.Server) *server {
-	hash := xxhash.Sum64String(string(entry.ID))
+	s := &server{
+		hash: xxhash.Sum64String(string(entry.ID)), key: keyOfStart(entry.Start()), parts: make(map[Key]time.Time),
+	}
+	s.registered.Store(&entry)
+
+	return s
+}
+
+// entry returns the server's newest entry.
+func (s *server) entry() *register.Server { return s.registered.Load() }
+
+// stays tells whether an entry tells of the same start: what was learnt of this one
+// holds for it.
+func (s *server) stays(entry register.Server) bool {
+	own := s.entry()
 
-	return &server{entry: entry, hash: hash, key: Key(hash), parts: make(map[Key]time.Time)}
+	return own.Start() == entry.Start() && own.Address == entry.Address && own.Service == entry.Service
 }
 
 // cost estimates, in tokens of a prompt, what stands before the begin of an answer of
@@ -92,11 +110,11 @@
 	load := s.load(now)
 	cost := float64(s.pending.Load()+s.waiting(now)) + requestCost*load + unreadCost*float64(unread)
 
-	if slots := float64(s.entry.Slots); slots > 0 {
+	if slots := float64(s.entry().Slots); slots > 0 {
 		cost += queuedCost * max(0, load+1-slots)
 	}
 
-	if s.entry.Domain != domain {
+	if s.entry().Domain != domain {
 		cost += otherDomainCost
 	}
 
--- /dev/null
+++ b/scheduling/starts_test.go
@@ -0,0 +1,76 @@
+package scheduling
+
+import (
+	"testing"
+	"time"
+
+	"monsoonlever/fleet"
+	"monsoonlever/register"
+)
+
+func startOf(incarnation fleet.Incarnation) register.Server {
+	return register.Server{ID: "i-1", Incarnation: incarnation, Service: "llm", Address: "10.0.0.1:1", Domain: "a", Slots: 8}
+}
+
+// A server that started again holds no parts, has no backlog, no failures and no load of
+// the start before, and does not leave because that one did.
+func TestAServerThatStartedAgainIsTakenForANewOne(t *testing.T) {
+	s := &Scheduler{Domain: "a"}
+	s.Update([]register.Server{startOf(500)})
+
+	r := Request{Service: "llm", Prompt: Prompt{Tokens: 900, Parts: []Part{{ID: "p", Tokens: 600}, {ID: "q", Tokens: 300}}}}
+	first := pick(t, s, r)
+	first.Start(now)
+	first.Answering(now)
+	s.Report(now, "i-1", Load{Running: 7})
+	s.servers["i-1"].outcome(now, true)
+	s.HearNews(now, "entry-2", News{Backlogs: []Backlog{{Server: s.servers["i-1"].key, Tokens: 9000}}})
+
+	news := s.News()
+
+	s.Leave("i-1")
+	s.Update([]register.Server{startOf(900)})
+
+	if !first.Leaving() {
+		t.Error("an attempt at the first start: got a server that stays, want one that leaves")
+	}
+
+	// What others tell of the first start changes nothing either.
+	s.HearNews(now, "entry-2", news)
+
+	second := pick(t, s, r)
+	one := s.servers["i-1"]
+
+	if second.unread != 900 || second.backlog != 0 || one.load(now) != 0 || one.failureRate(now) != 0 {
+		t.Errorf("second start: got %d unread, backlog %d, load %v, failures %v, want 900 and nothing else",
+			second.unread, second.backlog, one.load(now), one.failureRate(now))
+	}
+
+	if !second.Start(now.Add(time.Second)) {
+		t.Error("start at the second: got false, want true")
+	}
+}
+
+// An entry that changes places or failure domain of the same start is in force, and what
+// was learnt stays.
+func TestANewEntryOfTheSameStartIsInForce(t *testing.T) {
+	s := &Scheduler{Domain: "a"}
+	s.Update([]register.Server{startOf(500)})
+
+	a := pick(t, s, Request{Service: "llm", Prompt: Prompt{Tokens: 100, Parts: []Part{{ID: "p", Tokens: 60}, {ID: "q", Tokens: 40}}}})
+	a.Start(now)
+	a.Answering(now)
+
+	changed := startOf(500)
+	changed.Slots, changed.Domain = 2, "b"
+	s.Update([]register.Server{changed})
+
+	one := s.servers["i-1"]
+	if got := one.entry(); got.Slots != 2 || got.Domain != "b" {
+		t.Errorf("got %d places in %s, want 2 in b", got.Slots, got.Domain)
+	}
+
+	if len(one.parts) != 2 {
+		t.Errorf("parts: got %d, want the 2 that it has read", len(one.parts))
+	}
+}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -47,9 +47,11 @@
 	servers map[fleet.InstanceID]*connections
 }
 
-// connections are those to one backend server.
+// connections are those to one start of a backend server.
 type connections struct {
-	idle  []*connection
+	idle []*connection
+	// busy carry a request.
+	busy  map[*connection]struct{}
 	open  int
 	limit int
 	gone  bool
@@ -58,6 +60,8 @@
 // connection is used by one request at a time.
 type connection struct {
 	net.Conn
+	// owner counts it: the server may have been forgotten, or have started again, since.
+	owner  *connections
 	reader *bufio.Reader
 	// dead is when the connection must not be used any more.
 	dead time.Time
@@ -82,9 +86,29 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
+	p.forget(id)
+}
+
+// Cut closes all connections to a server that started again, those that carry a
+// request included: the start that had it has ended, which a silent connection does
+// not tell.
+func (p *Pool) Cut(id fleet.InstanceID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	if c := p.forget(id); c != nil {
+		for conn := range c.busy {
+			_ = conn.Close()
+		}
+	}
+}
+
+// forget closes the idle connections to a server. Those that carry a request are closed
+// once it has ended.
+func (p *Pool) forget(id fleet.InstanceID) *connections {
 	c := p.servers[id]
 	if c == nil {
-		return
+		return nil
 	}
 
 	for _, conn := range c.idle {
@@ -94,10 +118,9 @@
 	c.open -= len(c.idle)
 	c.idle = nil
 	c.gone = true
+	delete(p.servers, id)
 
-	if c.open == 0 {
-		delete(p.servers, id)
-	}
+	return c
 }
 
 // Open returns how many connections to a server are open.
@@ -119,7 +142,7 @@
 
 	c := p.servers[id]
 	if c == nil {
-		c = &connections{}
+		c = &connections{busy: make(map[*connection]struct{})}
 		p.servers[id] = c
 	}
 
@@ -135,19 +158,19 @@
 			return nil, err
 		}
 
-		if conn == nil {
-			return p.dial(ctx, s)
+		if conn.Conn == nil {
+			return p.dial(ctx, s, conn)
 		}
 
 		if conn.quiet() {
 			return conn, nil
 		}
 
-		p.drop(s.ID, conn)
+		p.drop(conn)
 	}
 }
 
-// reserve takes the connection that was used last, or counts one that the caller
+// reserve takes the connection that was used last, or counts a new one that the caller
 // has to dial.
 func (p *Pool) reserve(id fleet.InstanceID, fresh bool) (*connection, error) {
 	now := p.Clock.Now()
@@ -161,6 +184,7 @@
 		conn := c.idle[n-1]
 		if !fresh || now.Sub(conn.used) <= freshIdle {
 			c.idle = c.idle[:n-1]
+			c.busy[conn] = struct{}{}
 
 			return conn, nil
 		}
@@ -179,7 +203,7 @@
 
 	c.open++
 
-	return nil, nil
+	return &connection{owner: c}, nil
 }
 
 // expire closes the connections whose server may close them soon.
@@ -200,10 +224,10 @@
 	c.idle = kept
 }
 
-func (p *Pool) dial(ctx context.Context, s Server) (*connection, error) {
-	conn, err := p.connect(ctx, s.Address)
+func (p *Pool) dial(ctx context.Context, s Server, conn *connection) (*connection, error) {
+	dialled, err := p.connect(ctx, s.Address)
 	if err != nil {
-		p.release(s.ID)
+		p.release(conn)
 		p.Counters.dialFailed()
 
 		return nil, merry.Prepend(backend.ErrNotSent, "dial "+s.Address, merry.WithCause(err))
@@ -211,7 +235,13 @@
 
 	p.Counters.dialled()
 
-	return &connection{Conn: conn, reader: bufio.NewReaderSize(conn, readBuffer)}, nil
+	conn.Conn, conn.reader = dialled, bufio.NewReaderSize(dialled, readBuffer)
+
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	conn.owner.busy[conn] = struct{}{}
+
+	return conn, nil
 }
 
 func (p *Pool) connect(ctx context.Context, address string) (net.Conn, error) {
@@ -228,7 +258,7 @@
 }
 
 // put keeps a connection for the next request.
-func (p *Pool) put(id fleet.InstanceID, conn *connection, idle time.Duration) {
+func (p *Pool) put(conn *connection, idle time.Duration) {
 	now := p.Clock.Now()
 	conn.kept = true
 	conn.used = now
@@ -237,10 +267,12 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
-	c := p.servers[id]
-	if c == nil || c.gone {
+	c := conn.owner
+	delete(c.busy, conn)
+
+	if c.gone {
 		_ = conn.Close()
-		p.releaseLocked(id)
+		c.open--
 
 		return
 	}
@@ -248,28 +280,16 @@
 	c.idle = append(c.idle, conn)
 }
 
-func (p *Pool) drop(id fleet.InstanceID, conn *connection) {
+func (p *Pool) drop(conn *connection) {
 	_ = conn.Close()
-	p.release(id)
+	p.release(conn)
 }
 
-func (p *Pool) release(id fleet.InstanceID) {
+func (p *Pool) release(conn *connection) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.releaseLocked(id)
-}
-
-func (p *Pool) releaseLocked(id fleet.InstanceID) {
-	c := p.servers[id]
-	if c == nil {
-		return
-	}
-
-	c.open--
-
-	if c.gone && c.open <= 0 {
-		delete(p.servers, id)
-	}
+	delete(conn.owner.busy, conn)
+	conn.owner.open--
 }
 
 // quiet tells whether nothing has come on an idle connection: neither its end nor
--- /dev/null
+++ b/upstream/pool_test.go
@@ -0,0 +1,101 @@
+package upstream
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"monsoonlever/clock"
+)
+
+// silent listens, takes connections and never answers. It counts those that end.
+func silent(t *testing.T) (Server, <-chan struct{}) {
+	t.Helper()
+
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	t.Cleanup(func() { _ = l.Close() })
+
+	ended := make(chan struct{}, 8)
+
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+
+			go func() {
+				_, _ = io.Copy(io.Discard, conn)
+				_ = conn.Close()
+				ended <- struct{}{}
+			}()
+		}
+	}()
+
+	return Server{ID: "i-1", Address: l.Addr().String()}, ended
+}
+
+// A server that started again has lost what it ran: a request that waits there ends at
+// once with an error that leaves open whether it ran.
+func TestACutEndsRequestsThatWait(t *testing.T) {
+	server, ended := silent(t)
+	pool := &Pool{Clock: clock.NewSteady()}
+	failed := make(chan error, 1)
+
+	go func() {
+		_, err := pool.Send(context.Background(), server, &Request{Method: "GET", Target: "/", ID: "r", IDHeader: "Request-Id"})
+		failed <- err
+	}()
+
+	for done := false; !done; {
+		pool.Cut(server.ID)
+
+		select {
+		case err := <-failed:
+			done = true
+
+			if err == nil {
+				t.Error("got an answer, want an error")
+			}
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+
+	<-ended
+}
+
+// The connections to the start before say nothing of how many the next one has.
+func TestConnectionsToTheNextStartAreCountedAnew(t *testing.T) {
+	server, _ := silent(t)
+	pool := &Pool{Clock: clock.NewSteady()}
+
+	before, err := pool.get(context.Background(), server, true)
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	pool.Forget(server.ID)
+	pool.SetLimit(server.ID, 1)
+
+	if got := pool.Open(server.ID); got != 0 {
+		t.Errorf("open to the next start: got %d, want 0", got)
+	}
+
+	next, err := pool.get(context.Background(), server, true)
+	if err != nil {
+		t.Fatalf("first connection to the next start: got %v, want one", err)
+	}
+
+	pool.put(before, time.Second)
+	pool.put(next, time.Second)
+
+	if got := pool.Open(server.ID); got != 1 {
+		t.Errorf("open to the next start: got %d, want the 1 that is kept", got)
+	}
+}
--- a/upstream/send.go
+++ b/upstream/send.go
@@ -44,13 +44,13 @@
 
 	if r.Permit != nil {
 		if err := r.Permit(); err != nil {
-			p.drop(s.ID, conn)
+			p.drop(conn)
 
 			return nil, merry.Prepend(backend.ErrNotSent, "permit", merry.WithCause(err))
 		}
 	}
 
-	a := &Answer{pool: p, server: s, conn: conn}
+	a := &Answer{pool: p, conn: conn}
 	a.stop = context.AfterFunc(ctx, func() { _ = conn.Close() })
 	a.write(message)
 
@@ -69,10 +69,9 @@
 
 // Answer is an answer whose header has come.
 type Answer struct {
-	pool   *Pool
-	server Server
-	conn   *connection
-	stop   func() bool
+	pool *Pool
+	conn *connection
+	stop func() bool
 
 	response *http.Response
 	// written is set once the whole request was handed to the connection.
@@ -185,12 +184,12 @@
 	a.once.Do(func() {
 		// A stop that comes too late means that the connection is being closed.
 		if !a.stop() || !a.reusable() {
-			a.pool.drop(a.server.ID, a.conn)
+			a.pool.drop(a.conn)
 
 			return
 		}
 
-		a.pool.put(a.server.ID, a.conn, idleTime(a.response.Header.Get("Keep-Alive")))
+		a.pool.put(a.conn, idleTime(a.response.Header.Get("Keep-Alive")))
 	})
 }
 
