--- a/quota/reserve_test.go
+++ b/quota/reserve_test.go
@@ -158,6 +158,24 @@
 	}
 }
 
+// One that is cut off and takes no requests itself lends nothing: others may have taken its
+// place.
+func TestALenderThatIsNotCurrentLendsNothing(t *testing.T) {
+	d := newDesks(clock.NewSteady())
+	current := false
+	d.lender.Current = func() bool { return current }
+
+	if got := d.lender.Lend(Ask{From: d.borrower.Self, Account: "a", Cost: 100}); got.Granted {
+		t.Error("while it is not current: got a loan, want none")
+	}
+
+	current = true
+
+	if got := d.lender.Lend(Ask{From: d.borrower.Self, Account: "a", Cost: 100}); !got.Granted {
+		t.Error("once it is current: got no loan, want one")
+	}
+}
+
 func TestALostQuestionIsARefusalWithinItsPatience(t *testing.T) {
 	d := newDesks(clock.NewSteady())
 	d.lose = true
--- /dev/null
+++ b/scheduling/relayed_test.go
@@ -0,0 +1,148 @@
+package scheduling
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"monsoonlever/fleet"
+)
+
+// relayed are schedulers of which two relays tell each other, and members a relay each.
+type relayed struct {
+	relays  map[fleet.InstanceID]*Scheduler
+	members map[fleet.InstanceID]*Scheduler
+	// relayOf is the relay of each member.
+	relayOf map[fleet.InstanceID]fleet.InstanceID
+}
+
+func newRelayed() *relayed {
+	r := &relayed{
+		relays: make(map[fleet.InstanceID]*Scheduler), members: make(map[fleet.InstanceID]*Scheduler),
+		relayOf: map[fleet.InstanceID]fleet.InstanceID{"a-1": "relay-a", "a-2": "relay-a", "b-1": "relay-b"},
+	}
+
+	for member, relay := range r.relayOf {
+		r.members[member], r.relays[relay] = engines(1, 64), engines(1, 64)
+	}
+
+	return r
+}
+
+// exchange passes all news on.
+func (r *relayed) exchange(now time.Time) {
+	for id, member := range r.members {
+		r.relays[r.relayOf[id]].HearNews(now, id, Subscriber, member.News(now, Upstream))
+	}
+
+	for id, relay := range r.relays {
+		news := relay.News(now, Upstream)
+
+		for other, peer := range r.relays {
+			if other != id {
+				peer.HearNews(now, id, Peer, news)
+			}
+		}
+	}
+
+	for id, relay := range r.relays {
+		news := relay.News(now, Downstream)
+
+		for member, s := range r.members {
+			if r.relayOf[member] == id {
+				s.HearNews(now, id, Relay, news)
+			}
+		}
+	}
+}
+
+// Told in sums, each instance knows what all others have waiting, and counts its own once.
+func TestBacklogsToldInSumsCountOnce(t *testing.T) {
+	r := newRelayed()
+	all := []*Scheduler{r.members["a-1"], r.members["a-2"], r.members["b-1"], r.relays["relay-a"], r.relays["relay-b"]}
+	assignments := make([]*Assignment, 0, len(all))
+	sum := int64(0)
+
+	for i, s := range all {
+		a := pick(t, s, Request{Service: "llm", Prompt: Prompt{Tokens: 1000 << i}})
+		a.Start(now)
+		assignments = append(assignments, a)
+		sum += 1000 << i
+	}
+
+	r.exchange(now)
+
+	for i, s := range all {
+		server := s.servers["i-0"]
+		if got := server.pending.Load() + server.waiting(now); got != sum {
+			t.Errorf("instance %d: got %d tokens waiting, want %d", i, got, sum)
+		}
+	}
+
+	for i, a := range assignments {
+		a.Answering(now)
+
+		if i%2 == 0 {
+			r.exchange(now)
+		}
+	}
+
+	r.exchange(now)
+
+	for i, s := range all {
+		if got := s.servers["i-0"].waiting(now); got != 0 {
+			t.Errorf("instance %d after all were read: got %d tokens waiting, want none", i, got)
+		}
+	}
+}
+
+// What a server holds reaches all instances once, and is not told again for a while.
+func TestHoldingsAreToldOnce(t *testing.T) {
+	r := newRelayed()
+	p := prompt("session")
+
+	for range 3 {
+		a := pick(t, r.members["a-1"], p)
+		a.Start(now)
+		a.Answering(now)
+		a.End(now, Served)
+	}
+
+	if got := len(r.members["a-1"].outboxes[Upstream].holdings); got != 2 {
+		t.Errorf("holdings to tell: got %d, want that of the common parts and that of all", got)
+	}
+
+	r.exchange(now)
+
+	keys := p.Prompt.keys()
+
+	for id, s := range r.members {
+		if got := s.servers["i-0"].held(now, keys, p.Prompt); got != p.Prompt.Tokens {
+			t.Errorf("%s: got %d tokens held, want %d", id, got, p.Prompt.Tokens)
+		}
+	}
+
+	again := pick(t, r.members["b-1"], p)
+	again.Start(now)
+	again.Answering(now)
+
+	if got := r.members["b-1"].News(now, Upstream).Holdings; len(got) != 0 {
+		t.Errorf("holdings told again: got %v, want none", got)
+	}
+}
+
+// The load that a server told one instance reaches all.
+func TestLoadsReachAllThroughRelays(t *testing.T) {
+	r := newRelayed()
+	r.members["b-1"].Report(now, "i-0", Load{Running: 5, Waiting: 2})
+	r.exchange(now)
+
+	var got []float64
+	for _, s := range []*Scheduler{r.members["a-1"], r.relays["relay-a"], r.relays["relay-b"]} {
+		got = append(got, s.servers["i-0"].load(now))
+	}
+
+	if want := []float64{7, 7, 7}; !slices.Equal(got, want) {
+		t.Errorf("loads: got %v, want %v", got, want)
+	}
+}
