fix(topology,entry): one that stops is replaced at once; rules are read less often where a relay tells of them

Change: one of many that stops neither relays nor leads from then on and asks the others for limits; those drop it with its first word that says so. Answers to a question go to where it came from, since one that has just started or stops is no member. An instance that does not lead reads rules twice a second at most.

--- a/board/members.go
+++ b/board/members.go
@@ -34,9 +34,7 @@
 		return
 	}
 
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	delete(m.heard, r.Instance)
+	m.Left(r.Instance)
 }
 
 // MemberOf returns an instance as it tells of itself.
@@ -59,6 +57,13 @@
 	m.heard[member.ID] = heardMember{Member: member, at: now}
 }
 
+// Left takes in that an instance stops.
+func (m *Members) Left(id fleet.InstanceID) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.heard, id)
+}
+
 // Seen takes in that an instance that is known has said something.
 func (m *Members) Seen(now time.Time, id fleet.InstanceID) {
 	m.mu.Lock()
--- a/entry/datagram.go
+++ b/entry/datagram.go
@@ -27,7 +27,7 @@
 }
 
 // receiveDatagram takes any message of another instance in.
-func (p *parts) receiveDatagram(now time.Time, data []byte) {
+func (p *parts) receiveDatagram(now time.Time, from netip.AddrPort, data []byte) {
 	var d datagram
 	if err := msgpack.Unmarshal(data, &d); err != nil {
 		klog.ErrorS(err, "gossip can't be decoded", "bytes", len(data))
@@ -47,8 +47,9 @@
 	case d.Told != nil:
 		p.hearCounts(now, d.Told)
 	case d.Ask != nil:
+		// One that has just started, or stops, is no member here.
 		reply := p.loans.Lend(*d.Ask)
-		p.sendDatagram(d.Ask.From, datagram{Reply: &reply})
+		p.sendAll(map[fleet.InstanceID]netip.AddrPort{d.Ask.From: from}, datagram{Reply: &reply})
 	case len(d.Servers) > 0:
 		p.hearServers(now, d.Servers)
 	case d.Prompts != nil:
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -126,6 +126,7 @@
 
 	klog.InfoS("instance stops", "instance", e.Settings.Instance, "open", p.open.Load())
 	p.stopping.Store(true)
+	p.links.Stop()
 	p.handler.Stopping.Store(true)
 	p.sayGoodbye()
 	clock.Sleep(context.Background(), e.Clock, time.Duration(float64(stop)*lameDuckShare))
--- a/entry/freshness.go
+++ b/entry/freshness.go
@@ -18,6 +18,10 @@
 	// relaxedWait is how long a read of the rules waits for news at an instance that
 	// others keep current; the store answers at once when they change.
 	relaxedWait = 20 * time.Second
+	// relaxedPause is the least time between two reads of the rules at such an instance:
+	// of many changes in two seconds each instance read twenty-five, and reads five now.
+	// Operators expect a change to be in force within seconds.
+	relaxedPause = 500 * time.Millisecond
 	// relaxedRegister is the pause between reads of the register at such an instance, and
 	// relaxedShare what each instance adds to it: all together make five such reads a
 	// second, however many they are.
@@ -61,7 +65,7 @@
 // rulesPace is how the rules are read now.
 func (p *parts) rulesPace() feed.Pace {
 	if !p.leads() && !p.rulesStale() {
-		return feed.Pace{Wait: relaxedWait, Every: rulesPause}
+		return feed.Pace{Wait: relaxedWait, Every: relaxedPause}
 	}
 
 	wait := min(rulesWait, time.Duration(float64(p.currency.Bound)*rulesShare))
@@ -161,6 +165,11 @@
 		return
 	}
 
+	if !p.leads() && now.Sub(p.rulesFeed.Reached()) < relaxedPause {
+		// The next word asks again.
+		return
+	}
+
 	f.missed, f.missedAt = version, now
 	p.rulesFeed.Nudge()
 }
--- a/entry/pace.go
+++ b/entry/pace.go
@@ -25,9 +25,11 @@
 	boardWrite = 25 * time.Millisecond
 	// boardShareWrite and boardShareRead are what each instance adds to the time between
 	// two records, and two reads, of one that hears a relay: all together make 13 and 7
-	// such calls a second, however many they are.
+	// such calls a second, however many they are. boardLongest bounds the time between two
+	// records: the platform keeps them for 20 s, in which one that starts looks for others.
 	boardShareWrite = 75 * time.Millisecond
 	boardShareRead  = 150 * time.Millisecond
+	boardLongest    = 15 * time.Second
 	// rulesPatience is how long the board waits for the rules, and rulesLook how often
 	// they are looked for.
 	rulesPatience = 1500 * time.Millisecond
@@ -59,7 +61,7 @@
 	case plan.Few && p.limits.Recorded(now):
 		return boardRelaxed
 	case !plan.Few && p.links.Linked(now):
-		return max(boardRelaxed, p.forEach(boardShareWrite))
+		return p.relayedPace()
 	default:
 		return boardEvery
 	}
@@ -98,5 +100,10 @@
 		return memberLapse
 	}
 
-	return memberLapse + max(boardRelaxed, p.forEach(boardShareWrite)) + max(boardReadRelaxed, p.forEach(boardShareRead))
+	return memberLapse + p.relayedPace() + max(boardReadRelaxed, p.forEach(boardShareRead))
+}
+
+// relayedPace is the time between two records of one that hears a relay.
+func (p *parts) relayedPace() time.Duration {
+	return min(max(boardRelaxed, p.forEach(boardShareWrite)), boardLongest)
 }
--- a/entry/word.go
+++ b/entry/word.go
@@ -159,16 +159,7 @@
 		return
 	}
 
-	member := board.MemberOf(w.Instance, w.Domain, w.Address, w.Cores)
-	p.members.Met(now, member)
-
-	if w.Stopping {
-		p.links.Gone(w.Instance)
-	} else {
-		p.links.Heard(now, member, w.Relation)
-		p.links.Told(now, w.Instance, w.Leaders)
-	}
-
+	p.meet(now, w)
 	p.echoes.heard(w.Instance, w.At)
 	p.hearWork(now, w)
 
@@ -188,6 +179,23 @@
 	}
 }
 
+// meet takes in that another instance was heard. One of many that stops is replaced at once
+// where it relays or leads; one of few shares limits with the others until it has ended.
+func (p *parts) meet(now time.Time, w word) {
+	member := board.MemberOf(w.Instance, w.Domain, w.Address, w.Cores)
+
+	if w.Stopping && !p.plan.Load().Few {
+		p.members.Left(w.Instance)
+		p.links.Gone(w.Instance)
+
+		return
+	}
+
+	p.members.Met(now, member)
+	p.links.Heard(now, member, w.Relation)
+	p.links.Told(now, w.Instance, w.Leaders)
+}
+
 // hearWork takes in what arrives at another instance. What a relay tells those that turned
 // to it is no news of others.
 func (p *parts) hearWork(now time.Time, w word) {
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -48,8 +48,9 @@
 	// Words prepares the newest words of a round, and returns what makes those for one
 	// instance, of at most MaxWord bytes each.
 	Words func(now time.Time) func(to fleet.InstanceID) ([][]byte, error)
-	// Receive takes a word in. The bytes are valid until it returns.
-	Receive func(now time.Time, word []byte)
+	// Receive takes a word in, with where it came from. The bytes are valid until it
+	// returns.
+	Receive func(now time.Time, from netip.AddrPort, word []byte)
 }
 
 // Run sends and receives until ctx ends, and closes the connection.
@@ -103,11 +104,22 @@
 	}
 }
 
+// addressOf returns the address of a datagram's sender; the zero value is not known.
+func addressOf(a net.Addr) netip.AddrPort {
+	if udp, ok := a.(*net.UDPAddr); ok {
+		at := udp.AddrPort()
+
+		return netip.AddrPortFrom(at.Addr().Unmap(), at.Port())
+	}
+
+	return netip.AddrPort{}
+}
+
 func (e *Exchange) receive(ctx context.Context) {
 	buffer := make([]byte, MaxWord)
 
 	for ctx.Err() == nil {
-		n, _, err := e.Conn.ReadFrom(buffer)
+		n, from, err := e.Conn.ReadFrom(buffer)
 		if err != nil {
 			if ctx.Err() == nil {
 				klog.ErrorS(err, "gossip is not received")
@@ -117,6 +129,6 @@
 			continue
 		}
 
-		e.Receive(e.Clock.Now(), buffer[:n])
+		e.Receive(e.Clock.Now(), addressOf(from), buffer[:n])
 	}
 }
--- a/topology/links.go
+++ b/topology/links.go
@@ -98,6 +98,8 @@
 	// told are the leaders as one of them, or the uplink, names them, and when.
 	told   []fleet.InstanceID
 	toldAt time.Time
+	// stopping tells that this instance neither relays nor leads any more.
+	stopping bool
 	// invited is when another relay last told this instance as a relay.
 	invited time.Time
 	// planned is when Plan was last called, and latest when any other was heard.
@@ -150,6 +152,14 @@
 	delete(l.others, id)
 }
 
+// Stop makes this instance neither relay nor lead, so that others take its place while it
+// can still answer.
+func (l *Links) Stop() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.stopping = true
+}
+
 // Told takes in which instances lead as another one knows it: one that leads itself, or
 // the relay that this one turned to.
 func (l *Links) Told(now time.Time, from fleet.InstanceID, leaders []fleet.InstanceID) {
@@ -177,26 +187,36 @@
 	l.init()
 	l.resume(now)
 
-	all := l.ranked(members, func(fleet.InstanceID) bool { return true })
-	few := len(all) <= Few
+	count := 1
+
+	for _, m := range members {
+		if !l.isSelf(m) {
+			count++
+		}
+	}
+
+	few := count <= Few
+	// Few instances go on sharing limits while one of them stops.
+	takesPart := few || !l.stopping
+	all := l.ranked(members, takesPart, func(fleet.InstanceID) bool { return true })
 	answering := all
 
 	if !few {
-		answering = l.ranked(members, func(id fleet.InstanceID) bool { return !l.silent[id] })
+		answering = l.ranked(members, takesPart, func(id fleet.InstanceID) bool { return !l.silent[id] })
 	}
 
 	relays := relaysOf(answering)
-	own := slices.IndexFunc(relays, func(m Member) bool { return m.ID == l.Self.ID })
+	plan := &Plan{Few: few, Count: count}
 	// Others may have found sooner that this instance takes the place of a silent relay.
-	plan := &Plan{Relay: own >= 0 || now.Sub(l.invited) <= subscribed, Few: few, Count: len(all)}
+	plan.Relay = few || slices.ContainsFunc(relays, l.isSelf) || !l.stopping && now.Sub(l.invited) <= subscribed
 	plan.Leaders = l.leaders(now, all, relays)
 
 	switch {
 	case few:
-		plan.Relays = slices.Delete(slices.Clone(relays), own, own+1)
+		plan.Relays = slices.DeleteFunc(slices.Clone(relays), l.isSelf)
 	case plan.Relay:
 		l.uplink = ""
-		plan.Relays = slices.DeleteFunc(slices.Clone(relays), func(m Member) bool { return m.ID == l.Self.ID })
+		plan.Relays = slices.DeleteFunc(slices.Clone(relays), l.isSelf)
 		l.askAll(now, plan.Relays, relayPatience)
 		plan.Relays = append(plan.Relays, l.current(now, l.others, plan.Relays)...)
 	default:
@@ -218,8 +238,8 @@
 	l.planned = now
 }
 
-// ranked returns the members that fit, and this one, in their rank.
-func (l *Links) ranked(members []Member, fits func(fleet.InstanceID) bool) []Member {
+// ranked returns the members that fit, and this one if it takes part, in their rank.
+func (l *Links) ranked(members []Member, self bool, fits func(fleet.InstanceID) bool) []Member {
 	ranked := make([]Member, 0, len(members)+1)
 
 	for _, m := range members {
@@ -228,9 +248,15 @@
 		}
 	}
 
-	return rank(append(ranked, l.Self))
+	if self {
+		ranked = append(ranked, l.Self)
+	}
+
+	return rank(ranked)
 }
 
+func (l *Links) isSelf(m Member) bool { return m.ID == l.Self.ID }
+
 // leaders returns who leads. Those that lead follow the platform's records closely and
 // say who leads with them; they drop one that is silent only once it writes no records
 // either, since what it keeps must not be kept twice. The others go by what they are
--- a/topology/topology_test.go
+++ b/topology/topology_test.go
@@ -137,3 +137,31 @@
 		}
 	}
 }
+
+// One of many that stops neither relays nor leads, while it can still answer; few go on
+// telling each other.
+func TestAnInstanceThatStopsIsReplacedAtOnce(t *testing.T) {
+	members := fleetOf(80, 4)
+	leader := planOf(members[0], members).Leaders[0]
+	self := members[slices.IndexFunc(members, func(m Member) bool { return m.ID == leader })]
+
+	l := &Links{Self: self}
+	l.Stop()
+
+	if plan := l.Plan(begin, members); plan.Relay || plan.Leads(leader) || len(plan.Leaders) != leaders {
+		t.Errorf("while it stops: got relay %t, leaders %v, want others to lead", plan.Relay, plan.Leaders)
+	}
+
+	others := slices.DeleteFunc(slices.Clone(members), func(m Member) bool { return m.ID == leader })
+	if got := planOf(others[0], others).Leaders; slices.Contains(got, leader) || len(got) != leaders {
+		t.Errorf("by others: got %v, want five without %s", got, leader)
+	}
+
+	few := fleetOf(Few, 4)
+	l = &Links{Self: few[0]}
+	l.Stop()
+
+	if plan := l.Plan(begin, few); !plan.Relay || len(plan.Relays) != Few-1 {
+		t.Errorf("one of few that stops: got relay %t with %d others, want all", plan.Relay, len(plan.Relays))
+	}
+}
