--- a/capacity/capacity.go
+++ b/capacity/capacity.go
@@ -67,15 +67,12 @@
 }
 
 const (
-	// afterLosses is the part of a server's speed that is used once two failure domains
-	// were reclaimed: with four of them, 0.31 at the usual load, at which a prompt waits for
-	// half as long as it takes itself. Measured on days with reclaims, 0.72 saved a tenth
-	// of the price and lost more in the worst seconds.
-	afterLosses = 0.62
-	// losses is how many failure domains may be reclaimed at a time, and mostLost the part
-	// of the servers that is planned for where there are few of them.
-	losses   = 2
-	mostLost = 0.5
+	// target is the part of a server's speed that is used at the usual load. A
+	// prompt waits for half as long as it takes itself at a third of the speed, and
+	// half of the servers may be lost to two reclaims at a time. Measured on
+	// days with reclaims, 0.36 saved a tenth of the price and lost more in the worst
+	// seconds.
+	target = 0.31
 	// memory is how long the highest load counts: a wave of users. Servers that are
 	// given back too early cost more than those that are kept: they may not be had
 	// again, and new ones have read nothing.
@@ -87,10 +84,10 @@
 	refusedFor = 4 * time.Second
 	// shortFor is how long after such an answer reclaimable servers count as short.
 	shortFor = 8 * time.Second
-	// shortUse is the part of a server's speed above which lasting ones are ordered while
-	// no reclaimable ones are to be had: one failure domain after the other may be
-	// reclaimed before there are any again.
-	shortUse = 0.47
+	// critical is the part of the servers wanted of late below which lasting ones are
+	// ordered while no reclaimable ones are to be had: one failure domain after the
+	// other may be reclaimed before there are any again.
+	critical = 0.66
 	// lately is the time in which servers count as wanted of late. Lasting servers
 	// cost many times what reclaimable ones cost, and are had at any time.
 	lately = 12 * time.Second
--- a/capacity/capacity_test.go
+++ b/capacity/capacity_test.go
@@ -116,7 +116,7 @@
 
 // needed is how many servers of the market carry a load.
 func needed(arriving float64) int {
-	return int(math.Ceil(arriving / (50_000 * target(len(domains)))))
+	return int(math.Ceil(arriving / (50_000 * target)))
 }
 
 func TestReclaimableServersTakeOverWithoutAGap(t *testing.T) {
--- a/capacity/shares.go
+++ b/capacity/shares.go
@@ -119,9 +119,7 @@
 
 	wanted := p.peaksOf(s.Service).highest(now, lately)
 
-	least := target(len(places)) / shortUse * float64(wanted)
-
-	return max(int(math.Ceil(least))-expected, 0)
+	return max(int(math.Ceil(critical*float64(wanted)))-expected, 0)
 }
 
 // coming returns the servers of a place that were ordered and may still start.
