fix(topology): those that lead give way only to others that lead with them; a start of all

An instance that has just started knows itself and tells that it leads; each that led took the newest list that it was told, and two sets of leaders made each other give way, so that none kept limits. TestLeadersAreAgreedOnAfterAStartOfAll failed first: 1 of 80 leads 8 s after the start.

Change: a list is taken only from one that knows four fifths of the instances known here, one that leads gives way only to another that leads with it, and one that was never heard and is silent is not waited for.

--- a/entry/word.go
+++ b/entry/word.go
@@ -33,6 +33,8 @@
 	Relation topology.Relation `msgpack:"u"`
 	// Leaders are those that lead, as the sender knows it.
 	Leaders []fleet.InstanceID `msgpack:"x,omitempty"`
+	// Members is how many instances the sender knows.
+	Members int `msgpack:"m"`
 	// At is the sender's clock, and Echo the newest At that it has from the receiver:
 	// what this word says was true after Echo, however long the word was on its way.
 	At   int64 `msgpack:"t"`
@@ -110,7 +112,7 @@
 	w := word{
 		Instance: p.self(), Incarnation: p.duties.incarnation, Address: p.settings.Listen.Peers,
 		Domain: p.settings.FailureDomain, Cores: p.settings.Limits.ProcessorCores, Stopping: p.stopping.Load(),
-		Leaders: plan.Leaders, At: now.UnixNano(), ConfirmedAgo: -1, RegisterAgo: -1, Leaving: p.leaving(),
+		Leaders: plan.Leaders, Members: plan.Count, At: now.UnixNano(), ConfirmedAgo: -1, RegisterAgo: -1, Leaving: p.leaving(),
 		Work: p.work.group(now, p.scheduler.Work(now)),
 	}
 
@@ -193,7 +195,7 @@
 
 	p.members.Met(now, member)
 	p.links.Heard(now, member, w.Relation)
-	p.links.Told(now, w.Instance, w.Leaders)
+	p.links.Told(now, w.Instance, w.Leaders, w.Members)
 }
 
 // hearWork takes in what arrives at another instance. What a relay tells those that turned
--- a/topology/links.go
+++ b/topology/links.go
@@ -24,6 +24,9 @@
 	// stoodStill is a pause between two rounds of words after which this instance itself may
 	// have been the silent one.
 	stoodStill = 500 * time.Millisecond
+	// knowsEnough is the part of the instances known here that another has to know to be
+	// believed who leads.
+	knowsEnough = 0.8
 	// toldLife is how long leaders are those that were told: they are told several times a
 	// second, and all that lead may be lost at once.
 	toldLife = 3 * time.Second
@@ -95,9 +98,12 @@
 	subscribers, others map[fleet.InstanceID]heardMember
 	// uplink is the relay that answers this instance where it is none.
 	uplink fleet.InstanceID
-	// told are the leaders as one of them, or the uplink, names them, and when.
-	told   []fleet.InstanceID
-	toldAt time.Time
+	// told are the leaders as one of them, or the uplink, names them, and when. leading are
+	// those of the last plan, and count the instances that it knew.
+	told    []fleet.InstanceID
+	toldAt  time.Time
+	leading []fleet.InstanceID
+	count   int
 	// stopping tells that this instance neither relays nor leads any more.
 	stopping bool
 	// invited is when another relay last told this instance as a relay.
@@ -160,15 +166,23 @@
 	l.stopping = true
 }
 
-// Told takes in which instances lead as another one knows it: one that leads itself, or
-// the relay that this one turned to.
-func (l *Links) Told(now time.Time, from fleet.InstanceID, leaders []fleet.InstanceID) {
+// Told takes in which instances lead as another one knows it, of count that it knows: one
+// that leads itself, or the relay that this one turned to. One that has just started knows
+// few and names itself; it is passed over.
+func (l *Links) Told(now time.Time, from fleet.InstanceID, leaders []fleet.InstanceID, count int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
-	if from == l.uplink || slices.Contains(leaders, from) {
-		l.told, l.toldAt = leaders, now
+	if float64(count) < knowsEnough*float64(l.count) || from != l.uplink && !slices.Contains(leaders, from) {
+		return
 	}
+
+	if slices.Contains(l.leading, l.Self.ID) && (!slices.Contains(l.leading, from) || slices.Contains(leaders, l.Self.ID)) {
+		// One that leads gives way only to another that leads with it.
+		return
+	}
+
+	l.told, l.toldAt = leaders, now
 }
 
 // Linked tells whether this instance hears what others tell.
@@ -198,18 +212,17 @@
 	few := count <= Few
 	// Few instances go on sharing limits while one of them stops.
 	takesPart := few || !l.stopping
-	all := l.ranked(members, takesPart, func(fleet.InstanceID) bool { return true })
-	answering := all
-
-	if !few {
-		answering = l.ranked(members, takesPart, func(id fleet.InstanceID) bool { return !l.silent[id] })
-	}
+	answers := func(id fleet.InstanceID) bool { return few || !l.silent[id] }
+	answering := l.ranked(members, takesPart, answers)
 
 	relays := relaysOf(answering)
 	plan := &Plan{Few: few, Count: count}
 	// Others may have found sooner that this instance takes the place of a silent relay.
 	plan.Relay = few || slices.ContainsFunc(relays, l.isSelf) || !l.stopping && now.Sub(l.invited) <= subscribed
-	plan.Leaders = l.leaders(now, all, relays)
+	plan.Leaders = l.leaders(now, relays, func() []Member {
+		return l.ranked(members, takesPart, func(id fleet.InstanceID) bool { return answers(id) || !l.heard[id].IsZero() })
+	})
+	l.leading, l.count = plan.Leaders, count
 
 	switch {
 	case few:
@@ -258,14 +271,20 @@
 func (l *Links) isSelf(m Member) bool { return m.ID == l.Self.ID }
 
 // leaders returns who leads. Those that lead follow the platform's records closely and
-// say who leads with them; they drop one that is silent only once it writes no records
-// either, since what it keeps must not be kept twice. The others go by what they are
-// told, and by who answers while nobody tells it.
-func (l *Links) leaders(now time.Time, all, answering []Member) []fleet.InstanceID {
+// say who leads with them; one of them that was heard before and is silent now is dropped
+// only once it writes no records either, since what it keeps must not be kept twice. The
+// others go by what they are told, and by who answers while nobody tells it.
+func (l *Links) leaders(now time.Time, answering []Member, known func() []Member) []fleet.InstanceID {
 	told := now.Sub(l.toldAt) <= toldLife && len(l.told) > 0
 
-	if own := leadersOf(relaysOf(all)); slices.Contains(own, l.Self.ID) && (!told || slices.Contains(l.told, l.Self.ID)) {
-		return own
+	if told && !slices.Contains(l.told, l.Self.ID) {
+		return l.told
+	}
+
+	if told || slices.Contains(l.leading, l.Self.ID) {
+		if own := leadersOf(relaysOf(known())); slices.Contains(own, l.Self.ID) {
+			return own
+		}
 	}
 
 	if told {
--- a/topology/model_test.go
+++ b/topology/model_test.go
@@ -50,6 +50,8 @@
 	step    int32
 	// cut tells whether a message between two is cut off.
 	cut func(from, to *modelNode) bool
+	// view returns the members that a node knows.
+	view func(node *modelNode) []Member
 }
 
 func newModel(n, domains int) *model {
@@ -58,6 +60,8 @@
 		now: begin, cut: func(_, _ *modelNode) bool { return false },
 	}
 
+	m.view = func(*modelNode) []Member { return m.members }
+
 	for i, member := range m.members {
 		m.index[member.ID] = i
 		m.nodes = append(m.nodes, &modelNode{
@@ -72,7 +76,12 @@
 func (m *model) send(from *modelNode, to fleet.InstanceID, do func(to *modelNode)) {
 	from.sent++
 
-	node := m.nodes[m.index[to]]
+	i, ok := m.index[to]
+	if !ok {
+		return
+	}
+
+	node := m.nodes[i]
 	if node.dead || m.cut(from, node) || m.random.IntN(100) < lost {
 		return
 	}
@@ -81,13 +90,13 @@
 }
 
 func (m *model) word(node *modelNode) {
-	node.plan = node.links.Plan(m.now, m.members)
+	node.plan = node.links.Plan(m.now, m.view(node))
 	peers := node.plan.Peers()
 
 	for _, peer := range peers {
 		m.send(node, peer.ID, func(to *modelNode) {
 			to.links.Heard(m.now, node.member, node.plan.Relation(peer.ID))
-			to.links.Told(m.now, node.member.ID, node.plan.Leaders)
+			to.links.Told(m.now, node.member.ID, node.plan.Leaders, node.plan.Count)
 		})
 	}
 
@@ -284,3 +293,128 @@
 		})
 	}
 }
+
+// After a start of all, each instance knows only itself until it has read the records, and
+// many believe in some that have ended: the larger ones, which would lead. Within seconds
+// five lead, all know the same ones, and that stays so.
+func TestLeadersAreAgreedOnAfterAStartOfAll(t *testing.T) {
+	for seed := range uint64(4) {
+		m := newModel(80, 5)
+		m.random = rand.New(rand.NewPCG(seed, 3))
+
+		readAt := make(map[fleet.InstanceID]time.Time)
+		believes := make(map[fleet.InstanceID]int)
+		ended := fleetOf(4, 4)
+
+		for i := range ended {
+			ended[i].ID += "-ended"
+			ended[i].Cores = 0.8
+		}
+
+		for _, member := range m.members {
+			readAt[member.ID] = begin.Add(time.Duration(m.random.IntN(1500)) * time.Millisecond)
+			believes[member.ID] = m.random.IntN(len(ended) + 1)
+		}
+
+		m.view = func(node *modelNode) []Member {
+			if m.now.Before(readAt[node.member.ID]) {
+				return []Member{node.member}
+			}
+
+			if node.plan != nil && node.plan.Leads(node.member.ID) && m.now.Sub(begin) > 7*time.Second {
+				// Those that lead follow the records.
+				return m.members
+			}
+
+			return slices.Concat(m.members, ended[:believes[node.member.ID]])
+		}
+
+		m.run(10 * time.Second)
+
+		for range 40 {
+			m.run(100 * time.Millisecond)
+			m.checkLeaders(t, seed, leaders)
+		}
+	}
+}
+
+func (m *model) checkLeaders(t *testing.T, seed uint64, most int) {
+	t.Helper()
+
+	leading := 0
+
+	for _, node := range m.nodes {
+		if node.plan.Leads(node.member.ID) {
+			leading++
+		}
+	}
+
+	if leading < 3 || leading > most {
+		t.Fatalf("seed %d, %v after the start: got %d that lead, want 3 to %d", seed, m.now.Sub(begin), leading, most)
+	}
+
+	for _, node := range m.nodes {
+		known := 0
+
+		for _, id := range node.plan.Leaders {
+			if i, ok := m.index[id]; ok && m.nodes[i].plan.Leads(id) {
+				known++
+			}
+		}
+
+		// While they change, one that answers is enough.
+		least := 3
+		if most > leaders {
+			least = 1
+		}
+
+		if known < least {
+			t.Fatalf("seed %d, %v after the start: %s knows %d of %d that lead, want %d",
+				seed, m.now.Sub(begin), node.member.ID, known, leading, least)
+		}
+	}
+}
+
+// While instances stop and start again in turn, ten at a time, those that lead among them,
+// three of those that lead are there at any time, and all know them.
+func TestLeadersAreThereWhileInstancesAreReplaced(t *testing.T) {
+	m := newModel(80, 5)
+	m.run(2 * time.Second)
+
+	order := m.random.Perm(len(m.nodes))
+	stopped := make(map[int]time.Time)
+	m.view = func(node *modelNode) []Member {
+		return slices.DeleteFunc(slices.Clone(m.members), func(member Member) bool {
+			at, ok := stopped[m.index[member.ID]]
+
+			// One that stops says so to all that it tells.
+			return ok && m.now.Sub(at) > 300*time.Millisecond && node.member.ID != member.ID
+		})
+	}
+
+	for batch := range slices.Chunk(order, 10) {
+		for _, i := range batch {
+			stopped[i] = m.now
+			m.nodes[i].links.Stop()
+		}
+
+		for i := range 20 {
+			m.run(100 * time.Millisecond)
+
+			// Those that give way and those that take their place may lead together at first.
+			most := 2 * leaders
+			if i >= 10 {
+				most = leaders
+			}
+
+			m.checkLeaders(t, 0, most)
+		}
+
+		for _, i := range batch {
+			delete(stopped, i)
+
+			node := m.nodes[i]
+			node.links, node.plan = Links{Self: node.member}, nil
+		}
+	}
+}
