fix(entry): a message without a time or with a part beyond its number no longer ends the process

Cause: FuzzMessagesOfOthers, new, ended the process with a message of four bytes: news of spending whose clock says zero met a set of parts that was not made.

TestHoldsMessagesToTheSizeOfADatagram: with up to 150 accounts and 200 leaving servers every message fits into a datagram, and all is told over some words.

--- /dev/null
+++ b/entry/datagram_test.go
@@ -0,0 +1,192 @@
+package entry
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+	"pgregory.net/rapid"
+
+	"monsoonlever/board"
+	"monsoonlever/clock"
+	"monsoonlever/currency"
+	"monsoonlever/fleet"
+	"monsoonlever/gossip"
+	"monsoonlever/quota"
+	"monsoonlever/register"
+	"monsoonlever/scheduling"
+	"monsoonlever/settings"
+	"monsoonlever/topology"
+	"monsoonlever/usage"
+)
+
+// largeParts are the parts of an instance that knows many accounts and backend servers.
+func largeParts(clk clock.Clock, accounts, leaving int) *parts {
+	p := &parts{
+		settings: settings.Entry{
+			Instance: "edge-ballerup-a-12", FailureDomain: "ballerup-a", Listen: settings.EntryListen{Peers: "10.1.0.14:7600"},
+		},
+		clock:   clk,
+		duties:  &duties{incarnation: 1, ledger: usage.NewLedger(usage.Policy{Width: 5 * time.Second}, clk.Now())},
+		members: &board.Members{}, links: &topology.Links{}, loans: &quota.Loans{Quota: quota.New(quota.Policy{}), Clock: clk},
+		limits:   quota.New(quota.Policy{Window: 8 * time.Second}),
+		counter:  &usage.Counter{Width: 5 * time.Second, Keep: 15 * time.Second, Now: clk.Now},
+		currency: &currency.Tracker{Clock: clk}, registered: &currency.Tracker{Clock: clk},
+		register: &register.Register{}, scheduler: &scheduling.Scheduler{},
+	}
+	p.plan.Store(&topology.Plan{Relay: true, Few: true, Leaders: []fleet.InstanceID{
+		"edge-ballerup-a-1", "edge-ballerup-b-1", "edge-taastrup-1-1", "edge-taastrup-2-1", "edge-hvidovre-1-1",
+	}})
+
+	var allowances []quota.Allowance
+
+	for i := range accounts {
+		allowances = append(allowances, quota.Allowance{Account: fleet.Account(fmt.Sprint("wholesaler-", i)), Amount: 1e6, Rate: 1e4})
+	}
+
+	p.limits.Configure(allowances)
+	p.limits.Members([]fleet.InstanceID{"edge-ballerup-a-12"}, nil)
+	p.limits.Reached(clk.Now())
+
+	for _, a := range allowances {
+		p.limits.Take(clk.Now(), a.Account, 1234)
+		p.counter.Began(a.Account)
+	}
+
+	var changes []register.Change
+
+	for i := range leaving {
+		id := fleet.InstanceID(fmt.Sprintf("i-%010x", i))
+		changes = append(changes, register.Change{ID: id, Version: 1, Server: &register.Server{
+			ID: id, Incarnation: 1_790_000_000_000, Service: "huvo11a", Address: "10.128.100.109:8080", Domain: "ballerup-a", Leaving: true,
+		}})
+	}
+
+	p.register.Replace(changes)
+
+	return p
+}
+
+// Whatever an instance has to tell, each message fits into a datagram and all of it is told.
+func TestHoldsMessagesToTheSizeOfADatagram(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		accounts := rapid.IntRange(0, 150).Draw(t, "accounts")
+		leaving := rapid.IntRange(0, 200).Draw(t, "leaving servers")
+		clk := clock.NewManual(time.Unix(1_790_000_000, 0))
+		p := largeParts(clk, accounts, leaving)
+
+		spent := make(map[fleet.Account]bool)
+		left := make(map[register.Start]bool)
+
+		for range 1 + leaving/10 {
+			words, err := p.makeWords(clk.Now())("edge-ballerup-b-1")
+			if err != nil {
+				t.Fatalf("words: got %v, want some", err)
+			}
+
+			for _, data := range words {
+				d := decodeWord(t, data)
+				if d.Spent != nil {
+					for _, s := range d.Spent.Spent {
+						spent[s.Account] = true
+					}
+				}
+
+				if d.Word != nil {
+					for _, s := range d.Word.Leaving {
+						left[s] = true
+					}
+				}
+			}
+		}
+
+		if len(spent) != accounts || len(left) != leaving {
+			t.Errorf("told: got %d accounts and %d leaving servers, want %d and %d", len(spent), len(left), accounts, leaving)
+		}
+
+		counts := 0
+
+		for _, c := range p.makeCounts() {
+			counts += len(c.Usage)
+			encodeWord(t, datagram{Told: &c})
+		}
+
+		if counts != accounts {
+			t.Errorf("counts told: got %d, want %d", counts, accounts)
+		}
+
+		news := 0
+
+		for _, part := range pack(p.newsOf(clk.Now(), nil), serverNews.size) {
+			news += len(part)
+			encodeWord(t, datagram{Servers: part})
+		}
+
+		if news != leaving {
+			t.Errorf("servers told: got %d, want %d", news, leaving)
+		}
+	})
+}
+
+func encodeWord(t *rapid.T, d datagram) []byte {
+	data, err := msgpack.Marshal(&d)
+	if err != nil || len(data) > gossip.MaxWord {
+		t.Fatalf("message: got %d bytes and %v, want at most %d", len(data), err, gossip.MaxWord)
+	}
+
+	return data
+}
+
+func decodeWord(t *rapid.T, data []byte) datagram {
+	if len(data) > gossip.MaxWord {
+		t.Fatalf("message: got %d bytes, want at most %d", len(data), gossip.MaxWord)
+	}
+
+	var d datagram
+	if err := msgpack.Unmarshal(data, &d); err != nil {
+		t.Fatalf("decode: got %v, want a message", err)
+	}
+
+	return d
+}
+
+// What a keeper of limits has of another is all of it only once each of its messages has
+// come.
+func TestAnEchoOfSpendingNeedsAllItsMessages(t *testing.T) {
+	var seen spentSeen
+
+	seen.heard(spentNews{Instance: "entry-2", At: 5, Part: 0, Parts: 2})
+
+	if got := seen.echoes()["entry-2"]; got != 0 {
+		t.Errorf("after one of two: got an echo of %d, want none", got)
+	}
+
+	seen.heard(spentNews{Instance: "entry-2", At: 6, Part: 1, Parts: 2})
+	seen.heard(spentNews{Instance: "entry-2", At: 6, Part: 1, Parts: 2})
+
+	if got := seen.echoes()["entry-2"]; got != 0 {
+		t.Errorf("after halves of two: got an echo of %d, want none", got)
+	}
+
+	seen.heard(spentNews{Instance: "entry-2", At: 6, Part: 0, Parts: 2})
+
+	if got := seen.echoes()["entry-2"]; got != 6 {
+		t.Errorf("after both: got an echo of %d, want 6", got)
+	}
+}
+
+func FuzzMessagesOfOthers(f *testing.F) {
+	data, err := msgpack.Marshal(&datagram{Word: &word{Instance: "entry-2", Leaders: []fleet.InstanceID{"entry-2"}, Members: 20}})
+	if err != nil {
+		f.Fatal(err)
+	}
+
+	f.Add(data)
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		clk := clock.NewManual(time.Unix(1_790_000_000, 0))
+		p := largeParts(clk, 1, 1)
+		p.board = &board.Board{}
+		p.receiveDatagram(clk.Now(), p.links.Self.Address, data)
+	})
+}
--- a/entry/spent.go
+++ b/entry/spent.go
@@ -85,6 +85,10 @@
 }
 
 func (s *spentSeen) heard(n spentNews) {
+	if n.Part < 0 || n.Part >= n.Parts {
+		return
+	}
+
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
@@ -93,7 +97,7 @@
 	}
 
 	seen := s.of[n.Instance]
-	if seen.at != n.At {
+	if seen.parts == nil || seen.at != n.At {
 		seen = seenNews{at: n.At, parts: make(map[int]bool)}
 	}
 
