refactor(settings,entry): how long the store keeps records is the platform's to say

Cause: the longest time between two records of an instance was a constant of 15 s, made from the 20 s for which one deployment's store keeps them. Change: the settings carry the platform's own figure; three quarters of it bound the pace. Ruled out: leaving the bound away, since one that starts finds others by their records. Test: a store that keeps nothing is a finding of the settings.

--- a/entry/pace.go
+++ b/entry/pace.go
@@ -25,11 +25,12 @@
 	boardWrite = 25 * time.Millisecond
 	// boardShareWrite and boardShareRead are what each instance adds to the time between
 	// two records, and two reads, of one that hears a relay: all together make 13 and 7
-	// such calls a second, however many they are. boardLongest bounds the time between two
-	// records: the platform keeps them for 20 s, in which one that starts looks for others.
+	// such calls a second, however many they are.
 	boardShareWrite = 75 * time.Millisecond
 	boardShareRead  = 150 * time.Millisecond
-	boardLongest    = 15 * time.Second
+	// boardKept bounds the time between two records, as a share of the time for which the
+	// store keeps them: one that starts finds the others by their records.
+	boardKept = 0.75
 	// rulesPatience is how long the board waits for the rules, and rulesLook how often
 	// they are looked for.
 	rulesPatience = 1500 * time.Millisecond
@@ -105,5 +106,7 @@
 
 // relayedPace is the time between two records of one that hears a relay.
 func (p *parts) relayedPace() time.Duration {
-	return min(max(boardRelaxed, p.forEach(boardShareWrite)), boardLongest)
+	longest := time.Duration(boardKept * float64(p.settings.StoreKeeps))
+
+	return min(max(boardRelaxed, p.forEach(boardShareWrite)), longest)
 }
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -18,6 +18,8 @@
 	// Store is the host:port of the platform's store, Cloud that of its API.
 	Store string `json:"store"`
 	Cloud string `json:"cloud"`
+	// StoreKeeps is how long the store keeps records.
+	StoreKeeps time.Duration `json:"storeKeeps"`
 	// Duties are the calls to the cloud API that one instance makes for all.
 	Duties []Duty  `json:"duties"`
 	Limits Machine `json:"limits"`
@@ -93,6 +95,7 @@
 	defaultLease       = 3 * time.Second
 	defaultUsageWindow = 5 * time.Second
 	defaultUsageLate   = 10 * time.Second
+	defaultStoreKeeps  = 20 * time.Second
 	defaultMemory      = 256
 	defaultCores       = 1
 	defaultDescriptors = 1024
@@ -102,6 +105,7 @@
 
 func defaultEntry() Entry {
 	return Entry{
+		StoreKeeps: defaultStoreKeeps,
 		Limits: Machine{
 			MemoryMegabytes: defaultMemory, ProcessorCores: defaultCores, FileDescriptors: defaultDescriptors,
 		},
@@ -138,6 +142,8 @@
 		c.dialAddress("cloud", s.Cloud)
 	}
 
+	c.positive("storeKeeps", s.StoreKeeps)
+
 	if s.Limits.MemoryMegabytes <= 0 {
 		c.report("limits.memoryMegabytes", "must be above 0")
 	}
--- a/settings/entry_test.go
+++ b/settings/entry_test.go
@@ -43,6 +43,7 @@
 		{"one address for two", `"readiness": "127.0.0.1:8224"`, `"readiness": "127.0.0.1:8221"`, "listen.readiness", "must differ"},
 		{"no time to stop", `"stop": "8s"`, `"stop": "0s"`, "bounds.stop", "above 0"},
 		{"a share below nothing", `"retryShare": 0.2`, `"retryShare": -1`, "bounds.retryShare", "below 0"},
+		{"a store that keeps nothing", `"cloud":`, `"storeKeeps": "0s", "cloud":`, "storeKeeps", "above 0"},
 		{"no processor", `"memoryMegabytes"`, `"processorCores": 0, "memoryMegabytes"`, "limits.processorCores", "above 0"},
 		{"too few descriptors", `"fileDescriptors": 4100`, `"fileDescriptors": 8`, "limits.fileDescriptors", "at least"},
 		{"a field that nobody knows", `"region"`, `"regoin"`, "regoin", "unknown"},
