refactor(entry): news of prompts is divided by its bytes alone

Cause: each kind of news was packed by itself and small parts were joined again under counts of their own, whose only reason was the size of a datagram. Change: one splitter fills a datagram with whatever kind comes. All of it is told as before, in fewer datagrams. TestNewsOfPromptsFitsIntoDatagrams holds unchanged; TestLittleNewsTakesOneDatagram is new.

--- a/entry/prompts.go
+++ b/entry/prompts.go
@@ -113,53 +113,50 @@
 
 // splitNews divides news into what one datagram holds.
 func splitNews(news scheduling.News) []scheduling.News {
-	var parts []scheduling.News
+	var s newsSplitter
 
-	for _, backlogs := range pack(news.Backlogs, func(scheduling.Backlog) int { return backlogBytes }) {
-		parts = append(parts, scheduling.News{Backlogs: backlogs})
+	for _, b := range news.Backlogs {
+		s.room(backlogBytes)
+		s.part.Backlogs = append(s.part.Backlogs, b)
 	}
 
-	for _, loads := range pack(news.Loads, func(scheduling.ServerLoad) int { return loadBytes }) {
-		parts = append(parts, scheduling.News{Loads: loads})
+	for _, l := range news.Loads {
+		s.room(loadBytes)
+		s.part.Loads = append(s.part.Loads, l)
 	}
 
-	for i, h := range news.Holdings {
-		news.Holdings[i].Parts = h.Parts[:min(len(h.Parts), maxParts)]
+	for _, h := range news.Holdings {
+		h.Parts = h.Parts[:min(len(h.Parts), maxParts)]
+		s.room(holdingBytes + keyBytes*len(h.Parts))
+		s.part.Holdings = append(s.part.Holdings, h)
 	}
 
-	for _, holdings := range pack(news.Holdings, func(h scheduling.Holding) int { return holdingBytes + keyBytes*len(h.Parts) }) {
-		parts = append(parts, scheduling.News{Holdings: holdings})
-	}
-
-	return joinSmall(parts)
+	return s.end()
 }
 
-// smallNews is how much of each kind fits into one datagram together.
-const smallNews = 20
+// newsSplitter fills one part after the other. The zero value is empty.
+type newsSplitter struct {
+	parts []scheduling.News
+	part  scheduling.News
+	bytes int
+}
 
-// joinSmall puts news of little into one datagram.
-func joinSmall(parts []scheduling.News) []scheduling.News {
-	if len(parts) < 2 || len(parts) > 3 {
-		return parts
+// room begins the next part if this one has no room for so many bytes.
+func (s *newsSplitter) room(bytes int) {
+	if s.bytes+bytes > packBytes {
+		s.end()
 	}
 
-	var all scheduling.News
-
-	keys := 0
-
-	for _, n := range parts {
-		all.Backlogs = append(all.Backlogs, n.Backlogs...)
-		all.Loads = append(all.Loads, n.Loads...)
-		all.Holdings = append(all.Holdings, n.Holdings...)
-	}
+	s.bytes += bytes
+}
 
-	for _, h := range all.Holdings {
-		keys += len(h.Parts)
+// end ends the part that is being filled, and returns all.
+func (s *newsSplitter) end() []scheduling.News {
+	if !s.part.Empty() {
+		s.parts = append(s.parts, s.part)
 	}
 
-	if len(all.Backlogs) > smallNews || len(all.Loads) > smallNews || len(all.Holdings) > smallNews || keys > 3*smallNews {
-		return parts
-	}
+	s.part, s.bytes = scheduling.News{}, 0
 
-	return []scheduling.News{all}
+	return s.parts
 }
--- a/entry/prompts_test.go
+++ b/entry/prompts_test.go
@@ -77,3 +77,24 @@
 		t.Errorf("told upstream of what a subscriber told: got %v, want its 900 tokens", got.Backlogs)
 	}
 }
+
+// News of little takes one datagram, of whatever kinds it is.
+func TestLittleNewsTakesOneDatagram(t *testing.T) {
+	news := scheduling.News{
+		Backlogs: make([]scheduling.Backlog, 30), Loads: make([]scheduling.ServerLoad, 30),
+		Holdings: []scheduling.Holding{{Parts: make([]scheduling.Key, 5)}, {Parts: make([]scheduling.Key, 500)}},
+	}
+
+	parts := splitNews(news)
+	if len(parts) != 2 || len(parts[0].Backlogs) != 30 || len(parts[0].Loads) != 30 || len(parts[0].Holdings) != 1 {
+		t.Fatalf("parts: got %d, want one with all but the long holding", len(parts))
+	}
+
+	if got := len(parts[1].Holdings[0].Parts); got != maxParts {
+		t.Errorf("parts of the long holding: got %d, want the first %d", got, maxParts)
+	}
+
+	if got := splitNews(scheduling.News{}); len(got) != 0 {
+		t.Errorf("no news: got %d parts, want none", len(got))
+	}
+}
