feat(quarantine,forward): the log names what a request asks for, and whether a server that went had said so

Cause: requests are named in the log by their ids, and each attempt of a caller has another, so that one that is sent again and again can't be told from bystanders. A fingerprint of account, method, host, target and body stands in the line of each request. No decision changes.

--- a/entry/rules.go
+++ b/entry/rules.go
@@ -139,7 +139,7 @@
 		switch {
 		case !ok:
 			p.pool.Forget(s.ID)
-			klog.InfoS("backend server is gone", "server", s.ID, "service", s.Service)
+			klog.InfoS("backend server is gone", "server", s.ID, "service", s.Service, "announced", s.Leaving)
 		case now.Start() != s.Start():
 			// What ran there is lost.
 			p.pool.Cut(s.ID)
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -27,6 +27,7 @@
 	"monsoonlever/clock"
 	"monsoonlever/currency"
 	"monsoonlever/fleet"
+	"monsoonlever/quarantine"
 	"monsoonlever/quota"
 	"monsoonlever/retry"
 	"monsoonlever/ruleset"
@@ -129,6 +130,7 @@
 	if j != nil {
 		outcome.Route, outcome.Account, outcome.Servers = j.route.Name, j.accountName(), j.servers
 		outcome.Events, outcome.Rules, outcome.Held = j.stream.count, j.rules.Version(), j.held
+		outcome.Content = j.content
 	}
 
 	outcome.RulesAge, _ = f.Currency.Age()
@@ -171,6 +173,7 @@
 		return j, refusal
 	}
 
+	j.content = quarantine.FingerprintOf(fleet.Account(j.accountName()), r.Method, r.Host, r.Target, r.Body)
 	j.service = route.Target(rand.Float64())
 	f.Retries.Of(retry.NewScope(j.service, "")).Request(f.Clock.Now())
 
--- a/forward/job.go
+++ b/forward/job.go
@@ -9,6 +9,7 @@
 
 	"monsoonlever/backend"
 	"monsoonlever/fleet"
+	"monsoonlever/quarantine"
 	"monsoonlever/retry"
 	"monsoonlever/ruleset"
 	"monsoonlever/scheduling"
@@ -23,6 +24,7 @@
 	route     *ruleset.Route
 	account   *ruleset.Account
 	service   fleet.Service
+	content   quarantine.Fingerprint
 	deadline  time.Time
 
 	// sent counts the servers that got the request, unsent those that took no
--- a/forward/outcome.go
+++ b/forward/outcome.go
@@ -1,6 +1,10 @@
 package forward
 
-import "time"
+import (
+	"time"
+
+	"monsoonlever/quarantine"
+)
 
 // Reason says how a request ended.
 type Reason int
@@ -65,6 +69,9 @@
 	Cause   string
 	Route   string
 	Account string
+	// Content is what the request asks for, alike for all attempts of its caller; zero
+	// where the account was not found.
+	Content quarantine.Fingerprint
 	// Rules is the version that the request was judged by, and RulesAge how long ago it
 	// was confirmed at the end.
 	Rules    uint64
--- /dev/null
+++ b/quarantine/fingerprint_test.go
@@ -0,0 +1,35 @@
+package quarantine
+
+import (
+	"testing"
+
+	"monsoonlever/fleet"
+)
+
+func TestAFingerprintFollowsFromWhatIsAskedFor(t *testing.T) {
+	type asked struct {
+		account, method, host, target, body string
+	}
+
+	of := func(a asked) Fingerprint {
+		return FingerprintOf(fleet.Account(a.account), a.method, a.host, a.target, []byte(a.body))
+	}
+
+	base := asked{"acme", "POST", "a.example", "/talk/1", "hello"}
+	if got, want := of(base), of(base); got != want {
+		t.Errorf("again: got %v, want %v", got, want)
+	}
+
+	for name, other := range map[string]asked{
+		"account":                      {"other", "POST", "a.example", "/talk/1", "hello"},
+		"method":                       {"acme", "PUT", "a.example", "/talk/1", "hello"},
+		"host":                         {"acme", "POST", "b.example", "/talk/1", "hello"},
+		"target":                       {"acme", "POST", "a.example", "/talk/1?x=1", "hello"},
+		"body":                         {"acme", "POST", "a.example", "/talk/1", "hello!"},
+		"the same bytes cut otherwise": {"acme", "POST", "a.example", "/talk/", "1hello"},
+	} {
+		if of(other) == of(base) {
+			t.Errorf("another %s: got the same fingerprint, want another", name)
+		}
+	}
+}
