fix(forward,quarantine,entry): a request that ends the servers which begin it is held off at all instances

Cause: what an instance remembers of a request ends with the attempt, and is named by its id; a caller that sends the same request again has another id and comes to any instance. So each copy ended one more server. Change: a ledger counts by fingerprint the servers that ended under a request. Three hold it off for ten minutes. Instances tell each other at once, through relays where there are many, and record it with the store. Only the end of a server that had not said it would leave counts, found by one refused connection, under a request that was at its begin; a whole answer clears a request everywhere. Ruled out: counting by server or prefix (innocent requests share both); counting broken answers (servers that cut answers and go on would get callers refused); waiting for the register (a lapsed entry goes after 3.2 s).

--- a/board/board.go
+++ b/board/board.go
@@ -31,6 +31,7 @@
 	"monsoonlever/fleet"
 	"monsoonlever/lease"
 	"monsoonlever/provider"
+	"monsoonlever/quarantine"
 	"monsoonlever/quota"
 	"monsoonlever/scheduling"
 	"monsoonlever/usage"
@@ -58,6 +59,9 @@
 	Work []scheduling.Work `msgpack:"w,omitempty"`
 	// Usage are this instance's counts of the newest windows.
 	Usage []usage.Count `msgpack:"u,omitempty"`
+	// Losses are backend servers that ended under requests which are held off, and those
+	// that this instance has just seen.
+	Losses []quarantine.Loss `msgpack:"z,omitempty"`
 	// Lease is the state of the role as this instance knows it, for those that
 	// start later; Leases are new records of the role.
 	Lease  lease.Snapshot `msgpack:"s"`
--- a/entry/datagram.go
+++ b/entry/datagram.go
@@ -9,6 +9,7 @@
 
 	"monsoonlever/fleet"
 	"monsoonlever/gossip"
+	"monsoonlever/quarantine"
 	"monsoonlever/quota"
 )
 
@@ -24,6 +25,8 @@
 	Servers []serverNews `msgpack:"s,omitempty"`
 	// Prompts is what another instance knows of prompts at model engines.
 	Prompts *promptNews `msgpack:"p,omitempty"`
+	// Losses are backend servers that ended under requests.
+	Losses []quarantine.Loss `msgpack:"q,omitempty"`
 }
 
 // receiveDatagram takes any message of another instance in.
@@ -54,6 +57,8 @@
 		p.hearServers(now, d.Servers)
 	case d.Prompts != nil:
 		p.hearPrompts(now, d.Prompts)
+	case len(d.Losses) > 0:
+		p.hearLosses(now, d.Losses)
 	case d.Reply != nil:
 		p.loans.Answered(*d.Reply)
 	}
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -26,6 +26,7 @@
 		Spent:       spent,
 		Known:       known,
 		Usage:       p.counter.Recent(),
+		Losses:      p.quarantine.Record(now),
 	}
 
 	if p.leads() {
@@ -48,6 +49,8 @@
 	}
 
 	p.hearSpent(now, r)
+	// All instances read the board, so that none has to pass its records on.
+	p.quarantine.Hear(now, r.Losses, false)
 	p.duties.receive(now, r)
 }
 
--- /dev/null
+++ b/entry/losses.go
@@ -0,0 +1,40 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"monsoonlever/clock"
+	"monsoonlever/quarantine"
+)
+
+// tellLosses tells the others, at once, which backend servers ended under which requests. A
+// request that ends servers may come at any instance next. Each loss is told a few times at
+// the pace of other news; relays pass on what is news to them. In a model with 2 in 100
+// messages lost all 410 instances know within a second, at the pace of words in 1.2.
+func (p *parts) tellLosses(ctx context.Context) {
+	for ctx.Err() == nil {
+		losses := p.quarantine.News(p.clock.Now())
+		if len(losses) == 0 {
+			select {
+			case <-p.quarantine.Ready():
+			case <-ctx.Done():
+			}
+
+			continue
+		}
+
+		peers := addressesOf(p.plan.Load().Peers())
+		for _, part := range pack(losses, func(quarantine.Loss) int { return quarantine.LossBytes }) {
+			p.sendAll(peers, datagram{Losses: part})
+		}
+
+		clock.Sleep(ctx, p.clock, max(time.Duration(len(peers))*newsPerPeer, newsSoonest))
+	}
+}
+
+// hearLosses takes in what another instance tells.
+func (p *parts) hearLosses(now time.Time, losses []quarantine.Loss) {
+	plan := p.plan.Load()
+	p.quarantine.Hear(now, losses, plan.Relay && !plan.Few)
+}
--- a/entry/parts.go
+++ b/entry/parts.go
@@ -18,6 +18,7 @@
 	"monsoonlever/forward"
 	"monsoonlever/gossip"
 	"monsoonlever/platform"
+	"monsoonlever/quarantine"
 	"monsoonlever/quota"
 	"monsoonlever/register"
 	"monsoonlever/retry"
@@ -82,13 +83,15 @@
 	retries   *retry.Budgets
 	scheduler *scheduling.Scheduler
 	pool      *upstream.Pool
-	forwarder *forward.Forwarder
-	handler   *platform.Handler
-	members   *board.Members
-	board     *board.Board
-	duties    *duties
-	counter   *usage.Counter
-	gossip    atomic.Pointer[gossip.Exchange]
+	// quarantine knows the requests that end backend servers.
+	quarantine *quarantine.Ledger
+	forwarder  *forward.Forwarder
+	handler    *platform.Handler
+	members    *board.Members
+	board      *board.Board
+	duties     *duties
+	counter    *usage.Counter
+	gossip     atomic.Pointer[gossip.Exchange]
 	// links find whom to tell, and plan is the newest answer.
 	links *topology.Links
 	plan  atomic.Pointer[topology.Plan]
@@ -129,11 +132,12 @@
 		registered: &currency.Tracker{
 			Clock: e.Clock, Bound: time.Duration(float64(s.Bounds.Drain) * registerAge),
 		},
-		retries:   newRetries(s.Bounds),
-		scheduler: &scheduling.Scheduler{Domain: s.FailureDomain},
-		members:   &board.Members{},
-		early:     &quota.Past{},
-		counter:   &usage.Counter{Width: s.Bounds.UsageWindow, Keep: usageKeep, Now: time.Now},
+		retries:    newRetries(s.Bounds),
+		scheduler:  &scheduling.Scheduler{Domain: s.FailureDomain},
+		members:    &board.Members{},
+		quarantine: &quarantine.Ledger{},
+		early:      &quota.Past{},
+		counter:    &usage.Counter{Width: s.Bounds.UsageWindow, Keep: usageKeep, Now: time.Now},
 	}
 	p.unusable = set.NewCounter("monsoonlever_entry_unusable_server_entries_total")
 	p.bounds.Store(&s.Bounds)
@@ -151,7 +155,7 @@
 	p.forwarder = &forward.Forwarder{
 		Clock: e.Clock, Rules: &p.rules, Currency: p.currency, Limits: p.loans, Retries: p.retries,
 		Scheduler: p.scheduler, Pool: p.pool, Protocol: platform.Protocol{}, Usage: p.counter,
-		Counters: forward.NewCounters(set), MaxAnswerBytes: maxAnswerBytes, Observe: e.logOutcome,
+		Quarantine: p.quarantine, Counters: forward.NewCounters(set), MaxAnswerBytes: maxAnswerBytes, Observe: e.logOutcome,
 	}
 	p.handler = &platform.Handler{Clock: e.Clock, Serve: p.serve, BodyBytes: p.bodyBytes}
 	p.board = &board.Board{
@@ -164,6 +168,9 @@
 	set.NewGauge("monsoonlever_entry_relay", func() float64 { return gauge(p.plan.Load().Relay) })
 	set.NewGauge("monsoonlever_entry_leads", func() float64 { return gauge(p.leads()) })
 	set.NewGauge("monsoonlever_entry_subscribers", func() float64 { return float64(len(p.plan.Load().Subscribers)) })
+	set.NewGauge("monsoonlever_entry_quarantined_requests", func() float64 {
+		return float64(p.quarantine.Count(p.clock.Now()))
+	})
 	set.NewGauge("monsoonlever_entry_rules_age_seconds", func() float64 {
 		age, _ := p.currency.Age()
 
@@ -214,6 +221,7 @@
 	group.Go(func() { p.tellPrompts(ctx, scheduling.Upstream) })
 	group.Go(func() { p.tellPrompts(ctx, scheduling.Downstream) })
 	group.Go(func() { p.tellCounts(ctx) })
+	group.Go(func() { p.tellLosses(ctx) })
 	group.Go(func() { p.board.Run(ctx) })
 	group.Go(func() { p.duties.run(ctx) })
 	group.Wait()
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -48,6 +48,7 @@
 	answer, err := f.Pool.Send(ctx, server, j.message(assignment))
 	if err != nil {
 		assignment.End(f.Clock.Now(), resultOf(ctx, err))
+		f.lostWith(ctx, j, assignment, err)
 
 		return j.sendFailed(server, err)
 	}
@@ -57,6 +58,7 @@
 	j.servers = append(j.servers, string(server.ID))
 	err = f.receive(ctx, j, assignment, answer, sink)
 	assignment.End(f.Clock.Now(), resultOf(ctx, err))
+	f.lostWith(ctx, j, assignment, err)
 
 	return err
 }
@@ -93,7 +95,8 @@
 		return scheduling.Served
 	case errors.Is(err, backend.ErrRefused):
 		return scheduling.TurnedAway
-	case errors.Is(err, errCallerWrite), errors.Is(err, errRevoked), errors.Is(err, scheduling.ErrNoServer):
+	case errors.Is(err, errCallerWrite), errors.Is(err, errRevoked), errors.Is(err, errQuarantined),
+		errors.Is(err, scheduling.ErrNoServer):
 		return scheduling.Cancelled
 	case errors.Is(err, backend.ErrNotSent) && ctx.Err() == nil:
 		return scheduling.Unreachable
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -24,6 +24,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/sync/singleflight"
+
 	"monsoonlever/clock"
 	"monsoonlever/currency"
 	"monsoonlever/fleet"
@@ -93,10 +95,15 @@
 	Protocol  Protocol
 	Usage     Usage
 	Counters  *Counters
+	// Quarantine knows the requests that end backend servers.
+	Quarantine *quarantine.Ledger
 	// MaxAnswerBytes bounds an answer that is not a stream.
 	MaxAnswerBytes int64
 	// Observe is told each outcome; it may be nil.
 	Observe func(*Request, Outcome)
+
+	// endings are the servers that are being looked at, by their ids.
+	endings singleflight.Group
 }
 
 const (
@@ -174,6 +181,11 @@
 	}
 
 	j.content = quarantine.FingerprintOf(fleet.Account(j.accountName()), r.Method, r.Host, r.Target, r.Body)
+
+	if refusal := f.quarantined(j); refusal != nil {
+		return j, refusal
+	}
+
 	j.service = route.Target(rand.Float64())
 	f.Retries.Of(retry.NewScope(j.service, "")).Request(f.Clock.Now())
 
@@ -199,6 +211,16 @@
 	return nil
 }
 
+// quarantined refuses a request that is held off. It is not sent, and says when it may be
+// tried again.
+func (f *Forwarder) quarantined(j *job) *Refusal {
+	if left, held := f.Quarantine.Held(f.Clock.Now(), j.content); held {
+		return notRun(Quarantined, left)
+	}
+
+	return nil
+}
+
 // admit spends the account's limit.
 func (f *Forwarder) admit(ctx context.Context, j *job) *Refusal {
 	if j.account == nil || j.account.Rate <= 0 {
--- a/forward/job.go
+++ b/forward/job.go
@@ -48,6 +48,9 @@
 // that the request is not allowed any more, while it waited.
 var errRevoked = merry.Sentinel("rules no longer allow the request")
 
+// errQuarantined means that servers have ended under the request while it waited.
+var errQuarantined = merry.Sentinel("backend servers end under the request")
+
 // errLeaving means that the server began to leave after it was picked.
 var errLeaving = merry.Sentinel("server began to leave")
 
@@ -81,6 +84,8 @@
 	for {
 		err := f.attempt(limited, j, sink)
 		if err == nil {
+			f.Quarantine.Answered(f.Clock.Now(), j.content)
+
 			return nil
 		}
 
@@ -113,7 +118,8 @@
 
 // again decides whether another server is tried after an attempt that failed.
 func (j *job) again(err error) bool {
-	if errors.Is(err, errRevoked) || errors.Is(err, scheduling.ErrNoServer) || errors.Is(err, errCallerWrite) {
+	if errors.Is(err, errRevoked) || errors.Is(err, scheduling.ErrNoServer) || errors.Is(err, errCallerWrite) ||
+		errors.Is(err, errQuarantined) {
 		return false
 	}
 
@@ -160,6 +166,10 @@
 		return &Refusal{Reason: Lost, Cause: err.Error()}
 	case errors.Is(err, errRevoked):
 		return &Refusal{Reason: StaleRules, NotRun: true, RetryAfter: retryLater, Cause: err.Error()}
+	case errors.Is(err, errQuarantined):
+		left, _ := j.forwarder.Quarantine.Held(j.forwarder.Clock.Now(), j.content)
+
+		return notRun(Quarantined, left)
 	case errors.As(err, &overload):
 		return &Refusal{Reason: Overloaded, NotRun: true, RetryAfter: overload.RetryAfter, Cause: err.Error()}
 	case errors.Is(err, scheduling.ErrNoServer):
@@ -175,6 +185,10 @@
 		return errLeaving
 	}
 
+	if _, held := j.forwarder.Quarantine.Held(j.forwarder.Clock.Now(), j.content); held {
+		return errQuarantined
+	}
+
 	if j.account == nil {
 		return nil
 	}
--- a/forward/outcome.go
+++ b/forward/outcome.go
@@ -33,6 +33,9 @@
 	Lost
 	// Broken means that a stream ended before its end.
 	Broken
+	// Quarantined means that backend servers have ended under the request, whichever its
+	// id, and that it is held off.
+	Quarantined
 	// CallerGone means that the caller has left.
 	CallerGone
 
@@ -41,7 +44,7 @@
 
 var reasonNames = [reasons]string{
 	"answered", "noRules", "staleRules", "noRoute", "unauthorized", "overLimit", "noServer", "overloaded",
-	"timedOut", "lost", "broken", "callerGone",
+	"timedOut", "lost", "broken", "quarantined", "callerGone",
 }
 
 // String returns the name of the reason in logs and metrics.
--- /dev/null
+++ b/forward/quarantine_test.go
@@ -0,0 +1,272 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"monsoonlever/fleet"
+	"monsoonlever/quarantine"
+	"monsoonlever/register"
+	"monsoonlever/scheduling"
+	"monsoonlever/upstream"
+)
+
+// ends is how many servers have to end under a request before it is held off.
+const ends = 3
+
+// farm is a site of many engines, of which each ends at its first request.
+type farm struct {
+	*site
+	ended map[string]*atomic.Bool
+	// probed are how many connections were tried to servers that had ended.
+	probed atomic.Int64
+	// refusal is what such a connection ends with.
+	refusal error
+}
+
+func newFarm(t *testing.T) *farm {
+	t.Helper()
+
+	f := &farm{site: newSite(t, 100), ended: make(map[string]*atomic.Bool), refusal: unix.ECONNREFUSED}
+
+	var servers []register.Server
+
+	for _, name := range []string{"llm-1", "llm-2", "llm-3", "llm-4", "llm-5", "llm-6", "llm-7", "llm-8"} {
+		f.ended[name] = &atomic.Bool{}
+		servers = append(servers, register.Server{ID: fleet.InstanceID(name), Service: "llm", Address: name, Domain: "a", Slots: 8})
+	}
+
+	f.Scheduler.Update(servers)
+	f.Pool.Dial = f.dial
+	f.answer = func(address string, _ int, r *http.Request) string {
+		f.ended[address].Store(true)
+
+		return stream(r, 1, 0, true)
+	}
+
+	return f
+}
+
+func (f *farm) dial(ctx context.Context, address string) (net.Conn, error) {
+	if f.ended[address].Load() {
+		f.probed.Add(1)
+
+		return nil, f.refusal
+	}
+
+	return f.site.dial(ctx, address)
+}
+
+// content is the fingerprint of what call sends to a route.
+func content(route string) quarantine.Fingerprint {
+	return quarantine.FingerprintOf("acme", http.MethodPost, "a.example", "/"+route+"/x", nil)
+}
+
+// settle lets what looks at ended servers come to its end.
+func (s *site) settle() {
+	for range 20 {
+		s.clock.Advance(endingTime)
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func (s *site) held(route string) bool {
+	_, held := s.Quarantine.Held(s.clock.Now(), content(route))
+
+	return held
+}
+
+func TestARequestThatEndsServersIsHeldOff(t *testing.T) {
+	for _, route := range []string{"tell", "talk"} {
+		f := newFarm(t)
+
+		for range ends {
+			f.call(route, "r")
+			f.settle()
+		}
+
+		before := len(f.arrivals())
+		outcome, got := f.call(route, "r-last")
+
+		if len(f.arrivals()) != before || outcome.Reason != Quarantined || !outcome.NotRun {
+			t.Errorf("%s: got %+v and %d more arrivals, want it held off and not run", route, outcome, len(f.arrivals())-before)
+		}
+
+		if len(got.refusals) != 1 || got.refusals[0].RetryAfter <= 0 {
+			t.Errorf("%s: got %+v, want one refusal with when to come back", route, got.refusals)
+		}
+	}
+}
+
+// A request may wait for a place or a connection while it becomes known what it does.
+func TestNothingIsSentOnceTheRequestIsHeldOff(t *testing.T) {
+	s := newSite(t, 10)
+	s.answer = answerAll
+	s.dialling = func(string) { s.loseWithThree("once") }
+
+	outcome, _ := s.call("once", "r")
+	if len(s.arrivals()) != 0 || outcome.Reason != Quarantined || !outcome.NotRun {
+		t.Errorf("got %+v and %d arrivals, want it held off and none", outcome, len(s.arrivals()))
+	}
+}
+
+func (s *site) loseWithThree(route string) {
+	for i := range ends {
+		s.Quarantine.Lost(s.clock.Now(), content(route), register.Start{ID: "i", Incarnation: fleet.Incarnation(i)})
+	}
+}
+
+// A stream that was broken off says so, whatever became known meanwhile: it may have run.
+func TestAStreamThatHasRunIsNotSaidToBeNotRun(t *testing.T) {
+	f := newFarm(t)
+	f.answer = func(address string, _ int, r *http.Request) string {
+		f.ended[address].Store(true)
+		f.loseWithThree("talk")
+
+		return stream(r, 1, 2, true)
+	}
+
+	outcome, _ := f.call("talk", "r")
+	if outcome.Reason != Broken || outcome.NotRun || len(f.arrivals()) != 1 {
+		t.Errorf("got %+v and %d arrivals, want a broken stream after one", outcome, len(f.arrivals()))
+	}
+}
+
+// A whole answer shows that a request ends no servers: those that ran beside one that does
+// are served, though they were lost with as many servers.
+func TestAnAnswerClearsARequest(t *testing.T) {
+	f := newFarm(t)
+
+	for range ends - 1 {
+		f.call("tell", "r")
+		f.settle()
+	}
+
+	f.answer = func(_ string, _ int, r *http.Request) string { return stream(r, 1, 2, false) }
+
+	if outcome, _ := f.call("tell", "r"); outcome.Reason != Answered {
+		t.Fatalf("got %+v, want it answered", outcome)
+	}
+
+	f.Quarantine.Lost(f.clock.Now(), content("tell"), register.Start{ID: "another"})
+
+	if f.held("tell") {
+		t.Error("a request that was answered since: got it held off, want it served")
+	}
+}
+
+// Servers break answers off, are reclaimed, are cut off, or end under streams that have run
+// for a while: none of that is a request's doing.
+func TestNothingButTheEndOfItsServerCountsAgainstARequest(t *testing.T) {
+	tests := map[string]func(f *farm){
+		"servers that break off and go on": func(f *farm) {
+			f.answer = func(_ string, _ int, r *http.Request) string { return stream(r, 1, 0, true) }
+		},
+		"servers that answer garbage": func(f *farm) {
+			f.answer = func(string, int, *http.Request) string { return "garbage\r\n\r\n" }
+		},
+		"servers that can't be reached": func(f *farm) { f.refusal = errors.New("no route to host") },
+		"servers that had said they would leave": func(f *farm) {
+			f.answer = func(address string, _ int, r *http.Request) string {
+				f.Scheduler.Leave(fleet.InstanceID(address))
+				f.ended[address].Store(true)
+
+				return stream(r, 1, 0, true)
+			}
+		},
+		"servers that say a little later that they leave": func(f *farm) {
+			f.answer = func(address string, _ int, r *http.Request) string {
+				f.ended[address].Store(true)
+				time.AfterFunc(time.Millisecond/2, func() { f.Scheduler.Leave(fleet.InstanceID(address)) })
+
+				return stream(r, 1, 0, true)
+			}
+		},
+	}
+
+	for name, change := range tests {
+		f := newFarm(t)
+		change(f)
+
+		for range ends + 1 {
+			f.call("tell", "r")
+			time.Sleep(2 * time.Millisecond)
+			f.settle()
+		}
+
+		if f.held("tell") {
+			t.Errorf("%s: got the request held off, want it served", name)
+		}
+	}
+}
+
+// Requests that are lost together with a server ask once whether it has ended.
+func TestOneConnectionTellsOfAnEnd(t *testing.T) {
+	const together = 10
+
+	f := newFarm(t)
+	release := make(chan struct{})
+	f.answer = func(_ string, n int, r *http.Request) string {
+		if n == together {
+			for _, ended := range f.ended {
+				ended.Store(true)
+			}
+
+			close(release)
+		}
+
+		<-release
+
+		return stream(r, 1, 0, true)
+	}
+
+	done := make(chan struct{}, together)
+
+	for range together {
+		go func() {
+			f.call("tell", "r")
+
+			done <- struct{}{}
+		}()
+	}
+
+	for range together {
+		<-done
+	}
+
+	f.settle()
+
+	if got, most := int(f.probed.Load()), len(f.ended); got == 0 || got > most {
+		t.Errorf("connections to %d servers: got %d, want one each at most", most, got)
+	}
+}
+
+func TestAStreamThatHasRunForAWhileIsNotWhatEndedItsServer(t *testing.T) {
+	for ran, want := range map[time.Duration]bool{harmfulWithin / 2: true, 2 * harmfulWithin: false} {
+		f := newFarm(t)
+		a, err := f.Scheduler.Pick(f.clock.Now(), scheduling.Request{Service: "llm"})
+		if err != nil {
+			t.Fatal(err)
+		}
+
+		a.Start(f.clock.Now())
+		a.Answering(f.clock.Now())
+		f.clock.Advance(ran)
+		f.ended[a.Address()].Store(true)
+
+		j := &job{forwarder: f.Forwarder, request: &Request{ID: "r"}, content: 1}
+		f.lostWith(t.Context(), j, a, upstream.ErrGarbled)
+		f.settle()
+
+		if got := len(f.Quarantine.Record(f.clock.Now())) == 1; got != want {
+			t.Errorf("ended %v after the first event: got it counted %t, want %t", ran, got, want)
+		}
+	}
+}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -1,8 +1,231 @@
-// Package quarantine names requests by what they ask for, so that one that comes again
-// under another id is known to be the same.
+// Package quarantine keeps requests from backend servers that end each server which
+// begins them.
+//
+// Such a request (a poison message) comes again under another id, at any entry instance,
+// so that neither ids nor one instance's memory tell it from others. A Ledger counts, by
+// Fingerprint, the servers that ended while a request ran there, and exchanges what it
+// counts with the ledgers of the other instances. A request that was lost with three
+// servers is held off.
+//
+// Requests that ran beside it share its time and its servers and are innocent. Nothing
+// counts against a request but the end of a server that had not said it would leave,
+// while the request was at its begin; and one whole answer to it clears it of all that was
+// counted, at all instances.
 //
 // # Usage
 //
+//	var l quarantine.Ledger
 //	f := quarantine.FingerprintOf(account, method, host, target, body)
-//	klog.InfoS("request", "content", f)
+//	if left, held := l.Held(now, f); held {
+//		return refuse(left)
+//	}
+//	// Its server ended under it:
+//	l.Lost(now, f, start)
+//	// Its whole answer came:
+//	l.Answered(now, f)
+//	// What others should know, and what they say:
+//	send(l.News())
+//	l.Hear(now, losses, relay)
 package quarantine
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"monsoonlever/feed"
+	"monsoonlever/register"
+)
+
+const (
+	// heldAfter is how many servers have to end under a request before it is held off:
+	// one end is chance, and two were met by streams that were resumed beside a harmful
+	// request; operators bear three.
+	heldAfter = 3
+	// hold is how long after the newest end a request is held off. A caller that repeats
+	// it is long gone by then, or has been told so for as long; it may then end one more
+	// server before it is held off again.
+	hold = 10 * time.Minute
+	// kept is how long a request is remembered after the newest end under it.
+	kept = 2 * hold
+	// maxSuspects bounds the requests that are remembered, to half a megabyte: with a
+	// server go all requests that run there, some dozens, and each body may be new.
+	maxSuspects = 4096
+	// forgotten is the part of them that goes at once when there are more.
+	forgotten = 4
+	// sweepEvery is how often old suspects are dropped: far less than they are kept.
+	sweepEvery = time.Minute
+)
+
+// Ledger remembers what ended under which request. The zero value is empty; it is safe for
+// concurrent use.
+type Ledger struct {
+	mu       sync.Mutex
+	suspects map[Fingerprint]*suspect
+	outbox   outbox
+	// swept is when old suspects were last dropped.
+	swept time.Time
+
+	// counted is what the path of requests reads, without a lock: until when each suspect
+	// with ends that count is held off, a time.Time by Fingerprint.
+	counted sync.Map
+
+	nudge feed.Nudge
+}
+
+// Held tells whether a request is held off, and for how much longer.
+func (l *Ledger) Held(now time.Time, f Fingerprint) (time.Duration, bool) {
+	value, suspected := l.counted.Load(f)
+	if !suspected {
+		return 0, false
+	}
+
+	until, _ := value.(time.Time)
+
+	return until.Sub(now), until.After(now)
+}
+
+// Count returns how many requests are held off.
+func (l *Ledger) Count(now time.Time) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	n := 0
+
+	for _, one := range l.suspects {
+		if one.heldUntil().After(now) {
+			n++
+		}
+	}
+
+	return n
+}
+
+// Lost takes in that a server ended while a request was at its begin there. The caller of
+// Lost has made sure that the server has ended and had not said that it would.
+func (l *Ledger) Lost(now time.Time, f Fingerprint, s register.Start) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	l.take(now, Loss{Request: f, Server: keyOf(s)}, here)
+}
+
+// Answered takes in that a request was answered as a whole, so that it ends no servers.
+func (l *Ledger) Answered(now time.Time, f Fingerprint) {
+	if _, suspected := l.counted.Load(f); !suspected {
+		return
+	}
+
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	one := l.suspects[f]
+	if one == nil {
+		return
+	}
+
+	for key, e := range one.ends {
+		if !e.cleared {
+			l.take(now, Loss{Request: f, Server: key, Cleared: true}, here)
+		}
+	}
+}
+
+// Hear takes in what another instance tells, or has recorded. What is new is told on if
+// this instance passes news on.
+func (l *Ledger) Hear(now time.Time, losses []Loss, passOn bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	from := heard
+	if passOn {
+		from = relayed
+	}
+
+	for _, loss := range losses {
+		l.take(now, loss, from)
+	}
+}
+
+// origin says how this instance knows of a loss.
+type origin int
+
+const (
+	// heard losses are known to all that have to be told by whoever saw them.
+	heard origin = iota
+	// relayed ones are told on.
+	relayed
+	// here ones were seen by this instance.
+	here
+)
+
+// take takes one loss in.
+func (l *Ledger) take(now time.Time, loss Loss, from origin) {
+	if l.suspects == nil {
+		l.suspects = make(map[Fingerprint]*suspect)
+	}
+
+	one := l.suspects[loss.Request]
+	if one == nil {
+		one = &suspect{}
+		l.suspects[loss.Request] = one
+	}
+
+	if !one.take(now.Add(-loss.ago()), loss, from == here) {
+		return
+	}
+
+	if from != heard {
+		l.outbox.add(loss)
+		l.nudge.Send()
+	}
+
+	l.show(loss.Request, one)
+	l.sweep(now)
+}
+
+// show tells the path of requests of a suspect.
+func (l *Ledger) show(f Fingerprint, one *suspect) {
+	if one.count() == 0 {
+		l.counted.Delete(f)
+	} else {
+		l.counted.Store(f, one.heldUntil())
+	}
+}
+
+// sweep drops suspects that are old or too many.
+func (l *Ledger) sweep(now time.Time) {
+	if now.Sub(l.swept) >= sweepEvery {
+		l.swept = now
+
+		for f, one := range l.suspects {
+			if now.Sub(one.newest) > kept {
+				l.drop(f)
+			}
+		}
+	}
+
+	if len(l.suspects) > maxSuspects {
+		l.forget()
+	}
+}
+
+func (l *Ledger) drop(f Fingerprint) {
+	delete(l.suspects, f)
+	l.counted.Delete(f)
+}
+
+// forget drops those with the fewest ends, the oldest of them first.
+func (l *Ledger) forget() {
+	order := slices.SortedFunc(maps.Keys(l.suspects), func(a, b Fingerprint) int {
+		x, y := l.suspects[a], l.suspects[b]
+
+		return cmp.Or(cmp.Compare(x.count(), y.count()), x.newest.Compare(y.newest))
+	})
+
+	for _, f := range order[:len(order)/forgotten] {
+		l.drop(f)
+	}
+}
--- /dev/null
+++ b/quarantine/quarantine_test.go
@@ -0,0 +1,271 @@
+package quarantine
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+	"pgregory.net/rapid"
+
+	"monsoonlever/fleet"
+	"monsoonlever/register"
+)
+
+var begin = time.Unix(1000, 0)
+
+// start returns the n-th start of a server.
+func start(n int) register.Start {
+	return register.Start{ID: "i-1", Incarnation: fleet.Incarnation(n + 1)}
+}
+
+func held(l *Ledger, now time.Time, f Fingerprint) bool {
+	_, held := l.Held(now, f)
+
+	return held
+}
+
+func TestThreeEndsHoldARequestOff(t *testing.T) {
+	var l Ledger
+
+	for n := range heldAfter {
+		if held(&l, begin, 1) {
+			t.Fatalf("after %d ends: got it held off, want it served", n)
+		}
+
+		l.Lost(begin, 1, start(n))
+		l.Lost(begin, 1, start(n))
+	}
+
+	if left, held := l.Held(begin, 1); !held || left != hold {
+		t.Errorf("after %d ends: got %v left and held off %t, want %v and true", heldAfter, left, held, hold)
+	}
+
+	if held(&l, begin, 2) {
+		t.Error("another request: got it held off, want it served")
+	}
+
+	// It is tried again in the end, and held off again by one more server that ends.
+	later := begin.Add(hold + time.Second)
+	if held(&l, later, 1) {
+		t.Error("after its time: got it held off, want it tried")
+	}
+
+	l.Lost(later, 1, start(9))
+
+	if !held(&l, later, 1) {
+		t.Error("after one more end: got it served, want it held off")
+	}
+}
+
+func TestAnAnswerClearsWhatCountedBefore(t *testing.T) {
+	var l, other Ledger
+
+	for n := range heldAfter {
+		l.Lost(begin, 1, start(n))
+	}
+
+	old := l.Record(begin)
+	l.Answered(begin, 1)
+	other.Hear(begin, l.News(begin), false)
+	// What was told before the answer may come after it.
+	other.Hear(begin.Add(time.Second), old, false)
+	l.Hear(begin.Add(time.Second), old, false)
+
+	for name, one := range map[string]*Ledger{"here": &l, "at another": &other} {
+		if held(one, begin, 1) {
+			t.Errorf("%s: got it held off, want it served", name)
+		}
+
+		one.Lost(begin, 1, start(7))
+
+		if held(one, begin, 1) {
+			t.Errorf("%s, after one more end: got it held off, want it served", name)
+		}
+	}
+}
+
+// What instances count alike, in whatever order they tell each other and how often, they
+// judge alike.
+func TestHoldsVerdictsAlikeWhateverTheOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		losses := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Loss {
+			return Loss{
+				Request: Fingerprint(rapid.IntRange(1, 3).Draw(t, "request")),
+				Server:  ServerKey(rapid.IntRange(1, 6).Draw(t, "server")),
+				Cleared: rapid.IntRange(0, 4).Draw(t, "cleared") == 0,
+				AgeMs:   uint32(rapid.IntRange(0, 5000).Draw(t, "age")),
+			}
+		}), 0, 40).Draw(t, "losses")
+		shuffled := rapid.Permutation(slices.Concat(losses, losses)).Draw(t, "order")
+
+		var a, b Ledger
+
+		a.Hear(begin, losses, false)
+
+		for _, loss := range shuffled {
+			b.Hear(begin, []Loss{loss}, rapid.Bool().Draw(t, "passed on"))
+		}
+
+		for f := range Fingerprint(4) {
+			if held(&a, begin, f) != held(&b, begin, f) {
+				t.Fatalf("request %d: got %t and %t, want the same", f, held(&a, begin, f), held(&b, begin, f))
+			}
+		}
+	})
+}
+
+// Every request that runs on a server that ends is new: memory is bounded, and those under
+// which most ended are kept.
+func TestHoldsMemoryBounded(t *testing.T) {
+	var l Ledger
+
+	for n := range heldAfter {
+		l.Lost(begin, 1, start(n))
+	}
+
+	now := begin
+
+	for n := range 5 * maxSuspects {
+		now = now.Add(time.Millisecond)
+		l.Lost(now, Fingerprint(n+2), start(n))
+		l.Lost(now, 1, start(heldAfter+n))
+
+		if n%100 == 0 {
+			l.News(now)
+		}
+	}
+
+	if got := len(l.suspects); got > maxSuspects {
+		t.Errorf("requests remembered: got %d, want at most %d", got, maxSuspects)
+	}
+
+	if got := len(l.suspects[1].ends); got > maxEnds {
+		t.Errorf("ends of one request: got %d, want at most %d", got, maxEnds)
+	}
+
+	if !held(&l, now, 1) {
+		t.Error("the request under which most ended: got it forgotten, want it held off")
+	}
+
+	if got := len(l.Record(now)); got > maxRecorded {
+		t.Errorf("losses in a record: got %d, want at most %d", got, maxRecorded)
+	}
+
+	l.Lost(now.Add(kept+sweepEvery), 2, start(0))
+
+	shown := 0
+	l.counted.Range(func(any, any) bool {
+		shown++
+
+		return true
+	})
+
+	if len(l.suspects) != 1 || shown != 1 {
+		t.Errorf("after %v: got %d requests remembered and %d shown, want 1", kept, len(l.suspects), shown)
+	}
+}
+
+// A record brings all that is held off back after a loss of all instances, and what one saw
+// to those that hear nothing from it.
+func TestARecordBringsBackWhatIsHeldOff(t *testing.T) {
+	var one, two, next Ledger
+
+	one.Lost(begin, 1, start(0))
+	one.Lost(begin, 1, start(1))
+	two.Hear(begin, one.Record(begin), false)
+	two.Lost(begin, 1, start(2))
+
+	if !held(&two, begin, 1) {
+		t.Error("one that reads records: got it served, want it held off")
+	}
+
+	later := begin.Add(hold / 2)
+	next.Hear(later, two.Record(later), false)
+
+	if left, held := next.Held(later, 1); !held || left != hold/2 {
+		t.Errorf("after a start: got %v left and held off %t, want %v and true", left, held, hold/2)
+	}
+
+	if got := len(one.Record(later)); got != 0 {
+		t.Errorf("losses of a request that is not held off: got %d recorded for good, want 0", got)
+	}
+}
+
+func TestNewsIsToldAFewTimesAndPassedOnOnce(t *testing.T) {
+	var seer, relay, last Ledger
+
+	seer.Lost(begin, 1, start(0))
+
+	for range toldTimes {
+		news := seer.News(begin)
+		if len(news) != 1 {
+			t.Fatalf("news: got %d losses, want 1", len(news))
+		}
+
+		relay.Hear(begin, news, true)
+		last.Hear(begin, news, false)
+	}
+
+	if got := len(seer.News(begin)); got != 0 {
+		t.Errorf("news told %d times: got %d losses more, want none", toldTimes, got)
+	}
+
+	if got := len(relay.News(begin)); got != 1 {
+		t.Errorf("a relay: got %d losses to pass on, want 1", got)
+	}
+
+	if got := len(last.News(begin)); got != 0 {
+		t.Errorf("one that passes nothing on: got %d losses to tell, want none", got)
+	}
+}
+
+func TestALossHasABoundedSize(t *testing.T) {
+	data, err := msgpack.Marshal(Loss{Request: math.MaxUint64, Server: math.MaxUint64, Cleared: true, AgeMs: math.MaxUint32})
+	if err != nil || len(data) > LossBytes {
+		t.Errorf("got %d bytes (%v), want at most %d", len(data), err, LossBytes)
+	}
+}
+
+// A request that is not suspected costs the path of requests one look without a lock.
+// Measured on one core: 24 ns, and 226 ns for its fingerprint with a body of 1 KB; 3.5 µs to
+// take a loss in while as many requests are suspected as are remembered.
+func BenchmarkHeld(b *testing.B) {
+	var l Ledger
+
+	for n := range maxSuspects {
+		l.Lost(begin, Fingerprint(n), start(n))
+	}
+
+	body := make([]byte, 1024)
+
+	b.Run("held", func(b *testing.B) {
+		for b.Loop() {
+			l.Held(begin, math.MaxUint64)
+		}
+	})
+	b.Run("fingerprint", func(b *testing.B) {
+		for b.Loop() {
+			FingerprintOf("acme", "POST", "a.example", "/talk/1", body)
+		}
+	})
+	b.Run("lost", func(b *testing.B) {
+		for n := 0; b.Loop(); n++ {
+			l.Lost(begin, Fingerprint(n), start(n))
+		}
+	})
+}
+
+func ExampleLedger() {
+	var l Ledger
+
+	for n := range 3 {
+		l.Lost(begin, 1, start(n))
+	}
+
+	_, held := l.Held(begin, 1)
+	fmt.Println(held)
+	// Output: true
+}
--- a/scheduling/assignment.go
+++ b/scheduling/assignment.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"monsoonlever/fleet"
+	"monsoonlever/register"
 )
 
 // Result says how an attempt ended.
@@ -48,7 +49,9 @@
 	startedAt time.Time
 	started   bool
 	answering bool
-	ended     atomic.Bool
+	// answeringSince is when the first event came.
+	answeringSince time.Time
+	ended          atomic.Bool
 }
 
 // ID returns the server's instance.
@@ -60,6 +63,18 @@
 // Leaving tells whether the server is known to leave by now.
 func (a *Assignment) Leaving() bool { return a.server.leaving.Load() }
 
+// Server returns the start of the server that the attempt is at.
+func (a *Assignment) Server() register.Start { return a.server.entry().Start() }
+
+// AnsweringFor returns for how long events have come; zero is that none has.
+func (a *Assignment) AnsweringFor(now time.Time) time.Duration {
+	if !a.answering {
+		return 0
+	}
+
+	return now.Sub(a.answeringSince)
+}
+
 // Start counts the attempt, unless the server began to leave.
 func (a *Assignment) Start(now time.Time) bool {
 	if a.server.leaving.Load() {
@@ -89,7 +104,7 @@
 		return
 	}
 
-	a.answering = true
+	a.answering, a.answeringSince = true, now
 	a.server.pending.Add(-int64(a.unread))
 
 	if a.unread > 0 {
