refactor(entry): heartbeats, counts of usage and what is received bear the field's names

word, told, meet, hear… and sayGoodbye become heartbeat, usageCounts, updateMember, receive… and announceStop. Names on the wire and behaviour stay.

--- a/entry/datagram.go
+++ b/entry/datagram.go
@@ -13,11 +13,11 @@
 	"monsoonlever/quota"
 )
 
-// datagram is one message between instances. One of its fields is set, or Word and Spent.
+// datagram is one message between instances. One of its fields is set, or Heartbeat and Spent.
 type datagram struct {
-	Word  *word      `msgpack:"w,omitempty"`
-	Spent *spentNews `msgpack:"d,omitempty"`
-	Told  *told      `msgpack:"u,omitempty"`
+	Heartbeat *heartbeat   `msgpack:"w,omitempty"`
+	Spent     *spentNews   `msgpack:"d,omitempty"`
+	Counts    *usageCounts `msgpack:"u,omitempty"`
 	// Ask and Reply lend limits of client accounts.
 	Ask   *quota.Ask   `msgpack:"a,omitempty"`
 	Reply *quota.Reply `msgpack:"r,omitempty"`
@@ -38,27 +38,27 @@
 		return
 	}
 
-	if d.Word != nil {
-		p.hearWord(now, *d.Word)
+	if d.Heartbeat != nil {
+		p.receiveHeartbeat(now, *d.Heartbeat)
 	}
 
 	if d.Spent != nil {
-		p.hearSpentNews(now, *d.Spent)
+		p.receiveSpentNews(now, *d.Spent)
 	}
 
 	switch {
-	case d.Told != nil:
-		p.hearCounts(now, d.Told)
+	case d.Counts != nil:
+		p.receiveCounts(now, d.Counts)
 	case d.Ask != nil:
 		// One that has just started, or stops, is no member here.
 		reply := p.loans.Lend(*d.Ask)
 		p.sendAll(map[fleet.InstanceID]netip.AddrPort{d.Ask.From: from}, datagram{Reply: &reply})
 	case len(d.Servers) > 0:
-		p.hearServers(now, d.Servers)
+		p.receiveServers(now, d.Servers)
 	case d.Prompts != nil:
-		p.hearPrompts(now, d.Prompts)
+		p.receivePrompts(now, d.Prompts)
 	case len(d.Losses) > 0:
-		p.hearLosses(now, d.Losses)
+		p.receiveLosses(now, d.Losses)
 	case d.Reply != nil:
 		p.loans.Answered(*d.Reply)
 	}
--- a/entry/datagram_test.go
+++ b/entry/datagram_test.go
@@ -82,21 +82,21 @@
 		left := make(map[register.Start]bool)
 
 		for range 1 + leaving/10 {
-			words, err := p.makeWords(clk.Now())("edge-ballerup-b-1")
+			heartbeats, err := p.makeHeartbeats(clk.Now())("edge-ballerup-b-1")
 			if err != nil {
-				t.Fatalf("words: got %v, want some", err)
+				t.Fatalf("heartbeats: got %v, want some", err)
 			}
 
-			for _, data := range words {
-				d := decodeWord(t, data)
+			for _, data := range heartbeats {
+				d := decodeMessage(t, data)
 				if d.Spent != nil {
 					for _, s := range d.Spent.Spent {
 						spent[s.Account] = true
 					}
 				}
 
-				if d.Word != nil {
-					for _, s := range d.Word.Leaving {
+				if d.Heartbeat != nil {
+					for _, s := range d.Heartbeat.Leaving {
 						left[s] = true
 					}
 				}
@@ -111,7 +111,7 @@
 
 		for _, c := range p.makeCounts() {
 			counts += len(c.Usage)
-			encodeWord(t, datagram{Told: &c})
+			encodeMessage(t, datagram{Counts: &c})
 		}
 
 		if counts != accounts {
@@ -122,7 +122,7 @@
 
 		for _, part := range pack(p.newsOf(clk.Now(), nil), serverNews.size) {
 			news += len(part)
-			encodeWord(t, datagram{Servers: part})
+			encodeMessage(t, datagram{Servers: part})
 		}
 
 		if news != leaving {
@@ -138,7 +138,7 @@
 
 		for _, part := range packLosses(p.quarantine.News(clk.Now())) {
 			losses += len(part)
-			encodeWord(t, datagram{Losses: part})
+			encodeMessage(t, datagram{Losses: part})
 		}
 
 		if losses != accounts {
@@ -147,7 +147,7 @@
 	})
 }
 
-func encodeWord(t *rapid.T, d datagram) []byte {
+func encodeMessage(t *rapid.T, d datagram) []byte {
 	data, err := msgpack.Marshal(&d)
 	if err != nil || len(data) > gossip.MaxWord {
 		t.Fatalf("message: got %d bytes and %v, want at most %d", len(data), err, gossip.MaxWord)
@@ -156,7 +156,7 @@
 	return data
 }
 
-func decodeWord(t *rapid.T, data []byte) datagram {
+func decodeMessage(t *rapid.T, data []byte) datagram {
 	if len(data) > gossip.MaxWord {
 		t.Fatalf("message: got %d bytes, want at most %d", len(data), gossip.MaxWord)
 	}
@@ -195,7 +195,7 @@
 }
 
 func FuzzMessagesOfOthers(f *testing.F) {
-	data, err := msgpack.Marshal(&datagram{Word: &word{Instance: "entry-2", Leaders: []fleet.InstanceID{"entry-2"}, Members: 20}})
+	data, err := msgpack.Marshal(&datagram{Heartbeat: &heartbeat{Instance: "entry-2", Leaders: []fleet.InstanceID{"entry-2"}, Members: 20}})
 	if err != nil {
 		f.Fatal(err)
 	}
--- a/entry/duties.go
+++ b/entry/duties.go
@@ -182,7 +182,7 @@
 }
 
 // count takes counts in that were told directly.
-func (d *duties) count(t *told) {
+func (d *duties) count(t *usageCounts) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.ledger.Count(time.Now(), t.Instance, t.Incarnation, t.Usage)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -128,7 +128,7 @@
 	p.stopping.Store(true)
 	p.links.Stop()
 	p.handler.Stopping.Store(true)
-	p.sayGoodbye()
+	p.announceStop()
 	clock.Sleep(context.Background(), e.Clock, time.Duration(float64(stop)*lameDuckShare))
 
 	left := time.Duration(float64(stop)*drainShare) - e.Clock.Now().Sub(begun)
@@ -167,7 +167,7 @@
 }
 
 const (
-	// callerProbe and callerProbes find callers that vanished without a word.
+	// callerProbe and callerProbes find callers that vanished without closing their connection.
 	callerProbe  = 5 * time.Second
 	callerProbes = 3
 )
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -9,8 +9,8 @@
 	"monsoonlever/board"
 )
 
-// goodbyeTimeout bounds the last record of an instance that stops.
-const goodbyeTimeout = 500 * time.Millisecond
+// announceTimeout bounds the last record of an instance that stops.
+const announceTimeout = 500 * time.Millisecond
 
 // writeRecord makes this instance's next record for the others.
 func (p *parts) writeRecord(now time.Time) board.Record {
@@ -48,14 +48,14 @@
 		p.links.Known(r.Instance)
 	}
 
-	p.hearSpent(now, r)
+	p.receiveSpent(now, r)
 	// All instances read the board, so that none has to pass its records on.
 	p.quarantine.Hear(now, r.Losses, false)
 	p.duties.receive(now, r)
 }
 
-// hearSpent takes in what other instances, and earlier runs of this one, have spent.
-func (p *parts) hearSpent(now time.Time, r board.Record) {
+// receiveSpent takes in what other instances, and earlier runs of this one, have spent.
+func (p *parts) receiveSpent(now time.Time, r board.Record) {
 	switch {
 	case p.early != nil:
 		p.early.Add(r.Instance, r.Incarnation, time.Unix(0, r.Clock), r.Spent, r.Known)
@@ -82,9 +82,9 @@
 	p.duties.reached(now)
 }
 
-// sayGoodbye tells the others that this instance stops.
-func (p *parts) sayGoodbye() {
-	ctx, cancel := context.WithTimeout(context.Background(), goodbyeTimeout)
+// announceStop tells the others that this instance stops.
+func (p *parts) announceStop() {
+	ctx, cancel := context.WithTimeout(context.Background(), announceTimeout)
 	defer cancel()
 
 	now := p.clock.Now()
--- a/entry/freshness.go
+++ b/entry/freshness.go
@@ -32,11 +32,11 @@
 	staleShare = 0.6
 	// registerAge is the allowed age of the register, as a share of the time that a
 	// leaving server goes on: others tell of it within registerShare of that time and
-	// the pace of words.
+	// the pace of heartbeats.
 	registerAge = 0.75
 	// registerFirst is the age of the register, as a share of the same time, at which the
 	// first of those that lead reads it, and registerYield that at which the others do: the
-	// word of the first takes up to a sixth. So one reads in place of five, and if it
+	// heartbeat of the first takes up to a sixth. So one reads in place of five, and if it
 	// fails the others do before any instance's register is too old.
 	registerFirst = 0.4
 	registerYield = 0.68
@@ -71,7 +71,7 @@
 
 	wait := min(rulesWait, time.Duration(float64(p.currency.Bound)*rulesShare))
 	if !p.plan.Load().Few {
-		// The others' age is this one's and that of a word.
+		// The others' age is this one's and that of a heartbeat.
 		wait /= 2
 	}
 
@@ -167,7 +167,7 @@
 	}
 
 	if !p.leads() && now.Sub(p.rulesFeed.Reached()) < relaxedPause {
-		// The next word asks again.
+		// The next heartbeat asks again.
 		return
 	}
 
--- a/entry/word.go
+++ b/entry/heartbeat.go
@@ -18,10 +18,10 @@
 	"monsoonlever/topology"
 )
 
-// word is what an instance tells another several times a second.
-type word struct {
+// heartbeat is what an instance tells another several times a second.
+type heartbeat struct {
 	Instance fleet.InstanceID `msgpack:"i"`
-	// Address is where the sender hears words, Domain its failure domain and Cores its
+	// Address is where the sender hears heartbeats, Domain its failure domain and Cores its
 	// share of processor cores.
 	Address string              `msgpack:"a"`
 	Domain  fleet.FailureDomain `msgpack:"f"`
@@ -35,7 +35,7 @@
 	// Members is how many instances the sender knows.
 	Members int `msgpack:"m"`
 	// At is the sender's clock, and Echo the newest At that it has from the receiver:
-	// what this word says was true after Echo, however long the word was on its way.
+	// what this heartbeat says was true after Echo, however long the heartbeat was on its way.
 	At   int64 `msgpack:"t"`
 	Echo int64 `msgpack:"e"`
 	// Leaving are backend servers that are known to leave.
@@ -77,14 +77,14 @@
 	e.at[id] = at
 }
 
-// makeWords prepares the newest words and returns what makes those for one instance.
+// makeHeartbeats prepares the newest heartbeats and returns what makes those for one instance.
 // Only echoes and what the receiver is to this instance differ. Echoes are taken before
-// the rest: what a word says must have been true after its echo, also if this process
+// the rest: what a heartbeat says must have been true after its echo, also if this process
 // sleeps meanwhile.
-func (p *parts) makeWords(now time.Time) func(to fleet.InstanceID) ([][]byte, error) {
+func (p *parts) makeHeartbeats(now time.Time) func(to fleet.InstanceID) ([][]byte, error) {
 	echoes, spentEchoes := p.echoes.all(), p.spentSeen.echoes()
 	plan := p.plan.Load()
-	newest := p.makeWord(now)
+	newest := p.makeHeartbeat(now)
 
 	var spent []spentNews
 	if plan.Few || plan.Leads(p.self()) {
@@ -96,7 +96,7 @@
 		w.Echo = echoes[to]
 		w.Relation = plan.Relation(to)
 
-		d := datagram{Word: &w}
+		d := datagram{Heartbeat: &w}
 		if len(spent) == 0 || !plan.Few && !plan.Leads(to) {
 			return marshalAll(d)
 		}
@@ -105,10 +105,10 @@
 	}
 }
 
-// makeWord makes the newest word, without an echo.
-func (p *parts) makeWord(now time.Time) word {
+// makeHeartbeat makes the newest heartbeat, without an echo.
+func (p *parts) makeHeartbeat(now time.Time) heartbeat {
 	plan := p.plan.Load()
-	w := word{
+	w := heartbeat{
 		Instance: p.self(), Address: p.settings.Listen.Peers,
 		Domain: p.settings.FailureDomain, Cores: p.settings.Limits.ProcessorCores, Stopping: p.stopping.Load(),
 		Leaders: plan.Leaders, Members: plan.Count, At: now.UnixNano(), ConfirmedAgo: -1, RegisterAgo: -1, Leaving: p.leaving(),
@@ -128,15 +128,15 @@
 	return w
 }
 
-// leavingBytes is what leaving servers take of a word at most, and startBytes what one
+// leavingBytes is what leaving servers take of a heartbeat at most, and startBytes what one
 // takes beside its id.
 const (
 	leavingBytes = 400
 	startBytes   = 14
 )
 
-// leaving returns servers that are known to leave. Where they don't fit into one word,
-// the next words tell the others.
+// leaving returns servers that are known to leave. Where they don't fit into one heartbeat,
+// the next heartbeats tell the others.
 func (p *parts) leaving() []register.Start {
 	var starts []register.Start
 
@@ -154,15 +154,15 @@
 	return parts[p.leavingTurn.Add(1)%uint64(len(parts))]
 }
 
-// hearWord takes the word of another instance in.
-func (p *parts) hearWord(now time.Time, w word) {
+// receiveHeartbeat takes the heartbeat of another instance in.
+func (p *parts) receiveHeartbeat(now time.Time, w heartbeat) {
 	if w.Instance == p.self() {
 		return
 	}
 
-	p.meet(now, w)
+	p.updateMember(now, w)
 	p.echoes.heard(w.Instance, w.At)
-	p.hearWork(now, w)
+	p.receiveWork(now, w)
 
 	if p.register.Leave(w.Leaving) {
 		p.scheduler.Update(p.register.Servers())
@@ -180,9 +180,9 @@
 	}
 }
 
-// meet takes in that another instance was heard. One of many that stops is replaced at once
+// updateMember takes in that another instance was heard. One of many that stops is replaced at once
 // where it relays or leads; one of few shares limits with the others until it has ended.
-func (p *parts) meet(now time.Time, w word) {
+func (p *parts) updateMember(now time.Time, w heartbeat) {
 	member := board.MemberOf(w.Instance, w.Domain, w.Address, w.Cores)
 
 	if w.Stopping && !p.plan.Load().Few {
@@ -197,9 +197,9 @@
 	p.links.Told(now, w.Instance, w.Leaders, w.Members)
 }
 
-// hearWork takes in what arrives at another instance. What a relay tells those that turned
+// receiveWork takes in what arrives at another instance. What a relay tells those that turned
 // to it is no news of others.
-func (p *parts) hearWork(now time.Time, w word) {
+func (p *parts) receiveWork(now time.Time, w heartbeat) {
 	if w.Relation != topology.FromRelay {
 		p.work.hear(now, w.Instance, w.Work, w.Relation == topology.ToRelay)
 	}
@@ -207,7 +207,7 @@
 
 // confirmBy takes over another instance's confirmation that the rules in force here
 // are the newest. It goes on so where the store turns only this instance away.
-func (p *parts) confirmBy(echo time.Time, w word) {
+func (p *parts) confirmBy(echo time.Time, w heartbeat) {
 	rules := p.rules.Load()
 	if rules == nil || w.ConfirmedAgo < 0 {
 		return
@@ -226,7 +226,7 @@
 	p.currency.Confirm(echo.Add(-w.ConfirmedAgo))
 }
 
-// openGossip opens the socket for the others' words.
+// openGossip opens the socket for the others' heartbeats.
 func (e *Entry) openGossip(ctx context.Context) (net.PacketConn, error) {
 	var config net.ListenConfig
 
@@ -235,17 +235,17 @@
 	return conn, merry.Prepend(err, "listen on "+e.Settings.Listen.Peers)
 }
 
-// gossips returns the exchange of words over a socket.
+// gossips returns the exchange of heartbeats over a socket.
 func (p *parts) gossips(conn net.PacketConn) *gossip.Exchange {
 	e := &gossip.Exchange{
-		Conn: conn, Clock: p.clock, Words: p.makeWords, Receive: p.receiveDatagram, Peers: p.peers,
+		Conn: conn, Clock: p.clock, Words: p.makeHeartbeats, Receive: p.receiveDatagram, Peers: p.peers,
 	}
 	p.gossip.Store(e)
 
 	return e
 }
 
-// marshalAll encodes a word with what keepers of limits tell each other: in one datagram
+// marshalAll encodes a heartbeat with what keepers of limits tell each other: in one datagram
 // where it fits.
 func marshalAll(first datagram, spent ...spentNews) ([][]byte, error) {
 	if len(spent) == 1 {
--- a/entry/losses.go
+++ b/entry/losses.go
@@ -11,7 +11,7 @@
 // tellLosses tells the others, at once, which backend servers ended under which requests. A
 // request that ends servers may come at any instance next. Each loss is told a few times at
 // the pace of other news; relays pass on what is news to them. In a model with 2 in 100
-// messages lost all 410 instances know within a second, at the pace of words in 1.2.
+// messages lost all 410 instances know within a second, at the pace of heartbeats in 1.2.
 func (p *parts) tellLosses(ctx context.Context) {
 	for ctx.Err() == nil {
 		losses := p.quarantine.News(p.clock.Now())
@@ -37,8 +37,8 @@
 	return pack(losses, func(quarantine.Loss) int { return quarantine.LossBytes })
 }
 
-// hearLosses takes in what another instance tells.
-func (p *parts) hearLosses(now time.Time, losses []quarantine.Loss) {
+// receiveLosses takes in what another instance tells.
+func (p *parts) receiveLosses(now time.Time, losses []quarantine.Loss) {
 	plan := p.plan.Load()
 	p.quarantine.Hear(now, losses, plan.Relay && !plan.Few)
 }
--- a/entry/losses_test.go
+++ b/entry/losses_test.go
@@ -37,7 +37,7 @@
 		clk := clock.NewManual(time.Unix(1_790_000_000, 0))
 		p := largeParts(clk, 1, 0)
 		p.plan.Store(&tt.plan)
-		p.hearLosses(clk.Now(), seen(clk.Now()))
+		p.receiveLosses(clk.Now(), seen(clk.Now()))
 
 		if got := len(p.quarantine.News(clk.Now())); got != tt.want {
 			t.Errorf("%s: got %d losses to pass on, want %d", name, got, tt.want)
@@ -54,7 +54,7 @@
 func TestRecordsHoldWhatIsHeldOff(t *testing.T) {
 	clk := clock.NewManual(time.Unix(1_790_000_000, 0))
 	writer, reader := recording(clk), recording(clk)
-	writer.hearLosses(clk.Now(), seen(clk.Now()))
+	writer.receiveLosses(clk.Now(), seen(clk.Now()))
 	reader.receiveRecord(clk.Now(), writer.writeRecord(clk.Now()))
 
 	if _, held := reader.quarantine.Held(clk.Now(), 1); !held {
--- a/entry/news.go
+++ b/entry/news.go
@@ -29,8 +29,8 @@
 const newsBytes = 60
 
 // tellServers tells others what changed for backend servers: those that lead, which read
-// the register for all, tell all that they tell words to, and relays pass it on to those
-// that turned to them. What is lost on its way is noticed by the digest in the next word.
+// the register for all, tell all that they tell heartbeats to, and relays pass it on to those
+// that turned to them. What is lost on its way is noticed by the digest in the next heartbeat.
 func (p *parts) tellServers(now time.Time, before []register.Server, relayed bool) {
 	plan := p.plan.Load()
 	audience := plan.Subscribers
@@ -88,9 +88,9 @@
 	return news
 }
 
-// hearServers takes another instance's news in. Before the register was read once, a
+// receiveServers takes another instance's news in. Before the register was read once, a
 // few changes would be taken for the whole.
-func (p *parts) hearServers(now time.Time, news []serverNews) {
+func (p *parts) receiveServers(now time.Time, news []serverNews) {
 	if !p.register.Loaded() {
 		return
 	}
--- a/entry/pace.go
+++ b/entry/pace.go
@@ -51,7 +51,7 @@
 }
 
 // boardPace is the time between two records. Those that may hold duties renew their
-// lease with them; what others have to say is in their words, and their records only
+// lease with them; what others have to say is in their heartbeats, and their records only
 // outlive a loss of all.
 func (p *parts) boardPace() time.Duration {
 	now := p.clock.Now()
--- a/entry/parts.go
+++ b/entry/parts.go
@@ -53,9 +53,9 @@
 	// limitsPatience is how long an instance that starts waits for what the others have
 	// spent: some calls of the store, one of which may have to be made again.
 	limitsPatience = 2 * time.Second
-	// lostWords is how many words in a row may be lost before an instance counts as
+	// lostHeartbeats is how many heartbeats in a row may be lost before an instance counts as
 	// not heard.
-	lostWords = 3
+	lostHeartbeats = 3
 	// currencyMargin covers the way of a request to a backend server.
 	currencyMargin = 250 * time.Millisecond
 	// retryMargin keeps second sends below their bound although instances count
@@ -108,7 +108,7 @@
 	echoes echoes
 	// spentSeen are the echoes of news of limits.
 	spentSeen spentSeen
-	// leavingTurn says which of the leaving servers the next word tells.
+	// leavingTurn says which of the leaving servers the next heartbeat tells.
 	leavingTurn atomic.Uint64
 	// built is when this instance began to start.
 	built    time.Time
@@ -290,10 +290,10 @@
 // self is this instance.
 func (p *parts) self() fleet.InstanceID { return p.settings.Instance }
 
-// quickSpread is the time in which the words of n instances that share limits reach each
+// quickSpread is the time in which the heartbeats of n instances that share limits reach each
 // other. Those of relays go to others as well, to about as many at each.
 func (p *parts) quickSpread(n int) time.Duration {
 	peers := len(p.plan.Load().Peers())
 
-	return lostWords * max(gossip.Every(n-1), gossip.Every(peers))
+	return lostHeartbeats * max(gossip.Every(n-1), gossip.Every(peers))
 }
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -13,7 +13,7 @@
 )
 
 // replan finds anew whom this instance tells, and who leads. It is called in each round
-// of words.
+// of heartbeats.
 func (p *parts) replan(now time.Time) *topology.Plan {
 	plan := p.links.Plan(now, p.members.All())
 	before := p.plan.Swap(plan)
@@ -46,7 +46,7 @@
 	}
 }
 
-// peers returns those that this instance sends words to.
+// peers returns those that this instance sends heartbeats to.
 func (p *parts) peers(now time.Time) map[fleet.InstanceID]netip.AddrPort {
 	plan := p.replan(now)
 	peers := addressesOf(plan.Peers())
--- a/entry/prompts.go
+++ b/entry/prompts.go
@@ -56,7 +56,7 @@
 			}})
 		}
 
-		// As words do, news slows down with the number of those it is told to.
+		// As heartbeats do, news slows down with the number of those it is told to.
 		clock.Sleep(ctx, p.clock, max(time.Duration(len(audience))*newsPerPeer, newsSoonest))
 	}
 }
@@ -75,8 +75,8 @@
 	}
 }
 
-// hearPrompts takes another instance's news in.
-func (p *parts) hearPrompts(now time.Time, n *promptNews) {
+// receivePrompts takes another instance's news in.
+func (p *parts) receivePrompts(now time.Time, n *promptNews) {
 	as := scheduling.Peer
 	plan := p.plan.Load()
 	uplink := !plan.Relay && len(plan.Relays) > 0 && plan.Relays[0].ID == n.Instance
--- a/entry/prompts_test.go
+++ b/entry/prompts_test.go
@@ -65,13 +65,13 @@
 	}
 
 	news := there.News(now, scheduling.Upstream)
-	p.hearPrompts(now, &promptNews{Instance: "relay", Subscribes: true, News: news})
+	p.receivePrompts(now, &promptNews{Instance: "relay", Subscribes: true, News: news})
 
 	if got := p.scheduler.News(now, scheduling.Upstream); len(got.Backlogs) != 0 {
 		t.Errorf("told upstream of what the relay told: got %v, want nothing", got.Backlogs)
 	}
 
-	p.hearPrompts(now, &promptNews{Instance: "entry-2", Subscribes: true, News: news})
+	p.receivePrompts(now, &promptNews{Instance: "entry-2", Subscribes: true, News: news})
 
 	if got := p.scheduler.News(now, scheduling.Upstream); len(got.Backlogs) != 1 || got.Backlogs[0].Tokens != 900 {
 		t.Errorf("told upstream of what a subscriber told: got %v, want its 900 tokens", got.Backlogs)
--- a/entry/spent.go
+++ b/entry/spent.go
@@ -57,8 +57,8 @@
 	return echoed
 }
 
-// hearSpentNews takes in what another instance has spent.
-func (p *parts) hearSpentNews(now time.Time, n spentNews) {
+// receiveSpentNews takes in what another instance has spent.
+func (p *parts) receiveSpentNews(now time.Time, n spentNews) {
 	if n.Instance == p.self() {
 		return
 	}
--- a/entry/counts.go
+++ b/entry/usage_counts.go
@@ -10,8 +10,8 @@
 	"monsoonlever/usage"
 )
 
-// told are an instance's counts of usage in the newest windows, so that they outlive it.
-type told struct {
+// usageCounts are an instance's counts of usage in the newest windows, so that they outlive it.
+type usageCounts struct {
 	Instance    fleet.InstanceID  `msgpack:"i"`
 	Incarnation fleet.Incarnation `msgpack:"n"`
 	Usage       []usage.Count     `msgpack:"u"`
@@ -21,14 +21,14 @@
 const countBytes = 18
 
 // tellCounts tells those that may hold duties what this instance has counted, at the pace
-// of words to all instances, so that none hears more of them the more there are. It also
+// of heartbeats to all instances, so that none hears more of them the more there are. It also
 // shows them that the instance lives.
 func (p *parts) tellCounts(ctx context.Context) {
 	for ctx.Err() == nil {
 		leaders := p.leaders(p.plan.Load())
 
 		for _, t := range p.makeCounts() {
-			p.sendAll(leaders, datagram{Told: &t})
+			p.sendAll(leaders, datagram{Counts: &t})
 		}
 
 		clock.Sleep(ctx, p.clock, gossip.Every(p.members.Count()-1))
@@ -36,22 +36,22 @@
 }
 
 // makeCounts makes the messages with this instance's counts, one at least.
-func (p *parts) makeCounts() []told {
+func (p *parts) makeCounts() []usageCounts {
 	parts := pack(p.counter.Recent(), func(c usage.Count) int { return countBytes + len(c.Account) })
 	if len(parts) == 0 {
 		parts = [][]usage.Count{nil}
 	}
 
-	messages := make([]told, 0, len(parts))
+	messages := make([]usageCounts, 0, len(parts))
 	for _, counts := range parts {
-		messages = append(messages, told{Instance: p.self(), Incarnation: p.duties.incarnation, Usage: counts})
+		messages = append(messages, usageCounts{Instance: p.self(), Incarnation: p.duties.incarnation, Usage: counts})
 	}
 
 	return messages
 }
 
-// hearCounts takes another instance's counts in.
-func (p *parts) hearCounts(now time.Time, t *told) {
+// receiveCounts takes another instance's counts in.
+func (p *parts) receiveCounts(now time.Time, t *usageCounts) {
 	p.members.Seen(now, t.Instance)
 	p.duties.count(t)
 }
