fix(settings): bounds and what a machine may use may be fractions

Cause: operators state some figures as a share of those of a larger deployment, so that a bound of further sends came as 35.83; the settings took whole numbers only, and no process started. Change: such figures are decoded as they are; of further sends the whole ones within the bound count.

--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -77,7 +77,7 @@
 
 	p.shareLimits(now)
 	p.limits.Reached(now)
-	p.retries.SetLeast(p.bounds.Load().RetryExtra / p.members.Count())
+	p.retries.SetLeast(p.bounds.Load().Retries() / p.members.Count())
 	p.shareConnections()
 	p.duties.reached(now)
 }
--- a/monsoonleverd/entry.go
+++ b/monsoonleverd/entry.go
@@ -32,7 +32,7 @@
 		return err
 	}
 
-	debug.SetMemoryLimit(int64(float64(s.Limits.MemoryMegabytes<<20) * memoryShare))
+	debug.SetMemoryLimit(int64(float64(s.Limits.MemoryBytes()) * memoryShare))
 
 	clk := clock.NewSteady()
 	pipe := &logpipe.Pipe{Out: os.Stdout, Clock: clk}
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -51,12 +51,15 @@
 
 // Machine is what an instance may use.
 type Machine struct {
-	MemoryMegabytes int64 `json:"memoryMegabytes"`
+	MemoryMegabytes float64 `json:"memoryMegabytes"`
 	// ProcessorCores may be a part of one. Larger instances relay and lead first.
 	ProcessorCores  float64 `json:"processorCores"`
-	FileDescriptors int     `json:"fileDescriptors"`
+	FileDescriptors float64 `json:"fileDescriptors"`
 }
 
+// MemoryBytes returns the memory that an instance may use.
+func (m Machine) MemoryBytes() int64 { return int64(m.MemoryMegabytes * (1 << 20)) }
+
 // Bounds are what operators demand of all instances together.
 type Bounds struct {
 	// Revocation is how long after a change of the rules a key that it took away
@@ -70,7 +73,7 @@
 	// RetryWindow, and RetryExtra more, over all instances.
 	RetryShare  float64       `json:"retryShare"`
 	RetryWindow time.Duration `json:"retryWindow"`
-	RetryExtra  int           `json:"retryExtra"`
+	RetryExtra  float64       `json:"retryExtra"`
 	// Limits of client accounts may be exceeded by LimitOvershoot of what a
 	// LimitWindow holds and by LimitSlack.
 	LimitWindow    time.Duration `json:"limitWindow"`
@@ -85,6 +88,9 @@
 	UsageLate   time.Duration `json:"usageLate"`
 }
 
+// Retries returns RetryExtra in whole further sends.
+func (b Bounds) Retries() int { return int(b.RetryExtra) }
+
 // Defaults of bounds that a deployment does not name.
 const (
 	defaultDrain       = 2 * time.Second
@@ -184,7 +190,7 @@
 		value float64
 	}{
 		{"bounds.retryShare", b.RetryShare},
-		{"bounds.retryExtra", float64(b.RetryExtra)},
+		{"bounds.retryExtra", b.RetryExtra},
 		{"bounds.limitOvershoot", b.LimitOvershoot},
 		{"bounds.limitSlack", b.LimitSlack},
 	} {
--- a/settings/entry_test.go
+++ b/settings/entry_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -12,6 +13,36 @@
 
 const entryExample = "../examples/kronvig.entry.jsonc"
 
+// Operators state bounds and what a machine may use as fractions too: those of a part of a
+// deployment are a share of the whole.
+func TestFiguresMayBeFractions(t *testing.T) {
+	text := `{
+		"instance": "entry-1", "failureDomain": "a", "region": "r",
+		"listen": {"callers": "127.0.0.1:1", "readiness": "127.0.0.1:2", "peers": "127.0.0.1:3"},
+		"store": "127.0.0.1:4",
+		"limits": {"memoryMegabytes": 266.5, "fileDescriptors": 1366.7},
+		"bounds": {"retryExtra": 35.833333333333336, "retryShare": 0.2, "drain": "666.6666666666666ms"},
+	}`
+
+	path := filepath.Join(t.TempDir(), "settings.jsonc")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+
+	s, err := LoadEntry(path)
+	if err != nil {
+		t.Fatalf("got %v, want settings", err)
+	}
+
+	if got, want := s.Bounds.Retries(), 35; got != want {
+		t.Errorf("further sends: got %d, want %d, the most whole ones within the bound", got, want)
+	}
+
+	if got, want := s.Limits.MemoryBytes(), int64(266.5*(1<<20)); got != want {
+		t.Errorf("memory: got %d bytes, want %d", got, want)
+	}
+}
+
 func TestEntryExampleHasNoFinding(t *testing.T) {
 	s, err := LoadEntry(entryExample)
 	if err != nil {
