--- a/forward/quarantine_test.go
+++ b/forward/quarantine_test.go
@@ -72,7 +72,7 @@
 	return quarantine.FingerprintOf("acme", http.MethodPost, "a.example", "/"+route+"/x", nil)
 }
 
-// settle lets what looks at ended servers come to its end.
+// settle lets what looks at ended servers go on for a while.
 func (s *site) settle() {
 	for range 20 {
 		s.clock.Advance(endingTime)
@@ -80,6 +80,17 @@
 	}
 }
 
+// settleTo lets what looks at ended servers go on until so many ends count against requests.
+func (s *site) settleTo(ends int) {
+	s.t.Helper()
+
+	for limit := time.Now().Add(10 * time.Second); len(s.Quarantine.Record(s.clock.Now())) < ends; s.settle() {
+		if time.Now().After(limit) {
+			s.t.Fatalf("ends that count: got %d, want %d", len(s.Quarantine.Record(s.clock.Now())), ends)
+		}
+	}
+}
+
 func (s *site) held(route string) bool {
 	_, held := s.Quarantine.Held(s.clock.Now(), content(route))
 
@@ -90,9 +101,9 @@
 	for _, route := range []string{"tell", "talk"} {
 		f := newFarm(t)
 
-		for range ends {
+		for len(f.arrivals()) < ends {
 			f.call(route, "r")
-			f.settle()
+			f.settleTo(len(f.arrivals()))
 		}
 
 		before := len(f.arrivals())
@@ -173,9 +184,9 @@
 func TestAnAnswerClearsARequest(t *testing.T) {
 	f := newFarm(t)
 
-	for range ends - 1 {
+	for n := range ends - 1 {
 		f.call("tell", "r")
-		f.settle()
+		f.settleTo(n + 1)
 	}
 
 	f.answer = func(_ string, _ int, r *http.Request) string { return stream(r, 1, 2, false) }
@@ -270,7 +281,7 @@
 		<-done
 	}
 
-	f.settle()
+	f.settleTo(1)
 
 	if got, most := int(f.probed.Load()), len(f.ended); got == 0 || got > most {
 		t.Errorf("connections to %d servers: got %d, want one each at most", most, got)
@@ -310,6 +321,7 @@
 		j := &job{forwarder: f.Forwarder, request: &Request{ID: "r"}, content: 1, route: &ruleset.Route{Kind: tt.kind}}
 		f.lostWith(t.Context(), j, a, tt.begun, upstream.ErrGarbled)
 		f.settle()
+		f.settleTo(len(tt.want))
 
 		var got []quarantine.Evidence
 		for _, loss := range f.Quarantine.Record(f.clock.Now()) {
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -4,8 +4,8 @@
 // Such a request (a poison message) comes again under another id, at any entry instance,
 // so that neither ids nor one instance's memory tell it from others. A Ledger counts, by
 // Fingerprint, the servers that ended while a request ran there, and exchanges what it
-// counts with the ledgers of the other instances. A request that was lost with three
-// servers is held off.
+// counts with the ledgers of the other instances. A request under which three servers
+// ended as it began is held off.
 //
 // Requests that ran beside it share its time and its servers and are innocent. Nothing
 // counts against a request but the end of a server that had not said it would leave, and
@@ -24,7 +24,7 @@
 //	// Its whole answer came:
 //	l.Answered(now, f)
 //	// What others should know, and what they say:
-//	send(l.News())
+//	send(l.News(now))
 //	l.Hear(now, losses, relay)
 package quarantine
 
