test(forward): a request gives up while servers are there; known red, with the test that showed it

The new test shows it without load and fails. Ruled out: the quarantine (the refusal is overloaded, with the dial as its cause) and the load itself (7 ms from its arrival to the refusal). The check that failed stays as it is.

--- a/forward/quarantine_test.go
+++ b/forward/quarantine_test.go
@@ -333,3 +333,21 @@
 		}
 	}
 }
+
+// Four of six servers ended within 0.15 s under a request, and another request that came
+// then was refused after it had tried those four, whose entries were still there, while two
+// would have taken it. A server that refuses a connection has run nothing, and says so at
+// once: while there is time and another server, a request is served.
+func TestARequestIsServedWhileOneServerTakesConnections(t *testing.T) {
+	f := newFarm(t)
+	f.answer = func(_ string, _ int, r *http.Request) string { return stream(r, 1, 2, false) }
+
+	for name, ended := range f.ended {
+		ended.Store(name != "llm-8")
+	}
+
+	if outcome, got := f.call("tell", "r"); outcome.Reason != Answered {
+		t.Errorf("one of %d servers is there: got %v after %d connections and %+v, want it answered",
+			len(f.ended), outcome.Reason, f.probed.Load(), got.refusals)
+	}
+}
