fix(monsoonleverd): no signal ends a process that serves, in any phase of its life; a soak of signals

Shown with a real process before the change: TestSignalsCutNothing "hangup while it stops" ended with "signal: hangup" and its stream after 1 of 20 events. The same class: SIGQUIT in every phase (exit status 2), and standard output without a reader (TestALogWithoutAReaderCutsNothing, "signal: broken pipe").

Change: all signals that operators send are taken in first and never given back; SIGQUIT stops like SIGTERM, SIGPIPE is ignored, a stop during the start is an exit with 0. platform/soak and monsoonlever-soak are the first part of a soak of real programs: seeded series of signals that overlap, callers that keep connections until the process is gone.

Ruled out: SIGUSR1, SIGUSR2, SIGALRM and SIGWINCH, which the runtime takes in by itself (green before).

--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 
 build:
 	$(GO) build ./...
-	$(GO) build -o $(BIN)/ . ./monsoonleverd ./monsoonlever-standins
+	$(GO) build -o $(BIN)/ . ./monsoonleverd ./monsoonlever-standins ./platform/monsoonlever-soak
 	$(DEPLOYED)
 
 $(LINT):
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -54,12 +54,19 @@
 
 // Run serves until ctx ends, and then stops gracefully.
 func (e *Entry) Run(ctx context.Context) error {
-	listeners, err := e.listen(ctx)
+	if ctx.Err() != nil {
+		return nil
+	}
+
+	// A stop that comes meanwhile is one of an instance that runs.
+	opening := context.WithoutCancel(ctx)
+
+	listeners, err := e.listen(opening)
 	if err != nil {
 		return err
 	}
 
-	conn, err := e.openGossip(ctx)
+	conn, err := e.openGossip(opening)
 	if err != nil {
 		closeAll(listeners)
 
--- a/monsoonleverd/entry.go
+++ b/monsoonleverd/entry.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 
 	"k8s.io/klog/v2"
 
@@ -26,7 +24,7 @@
 const memoryShare = 0.7
 
 // Run serves until ctx ends.
-func (c *entryCommand) Run(ctx context.Context) error {
+func (c *entryCommand) Run(ctx context.Context, hangups hangups) error {
 	s, err := settings.LoadEntry(c.Settings)
 	if err != nil || c.Check {
 		return err
@@ -40,7 +38,7 @@
 
 	defer stop()
 
-	e := &entry.Entry{Settings: s, Clock: clk, Reload: c.reloads(ctx), Roomy: pipe.Roomy}
+	e := &entry.Entry{Settings: s, Clock: clk, Reload: c.reloads(ctx, hangups), Roomy: pipe.Roomy}
 
 	return e.Run(ctx)
 }
@@ -66,22 +64,17 @@
 	}
 }
 
-// reloads reads the settings again on each SIGHUP. Settings with findings change
-// nothing.
-func (c *entryCommand) reloads(ctx context.Context) <-chan settings.Entry {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-
+// reloads reads the settings again on each hangup, until the instance stops. Settings with
+// findings change nothing.
+func (c *entryCommand) reloads(ctx context.Context, hangups hangups) <-chan settings.Entry {
 	read := make(chan settings.Entry)
 
 	go func() {
-		defer signal.Stop(signals)
+		for range hangups {
+			if ctx.Err() != nil {
+				klog.InfoS("settings are not reloaded, the instance stops")
 
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case <-signals:
+				continue
 			}
 
 			s, err := settings.LoadEntry(c.Settings)
--- a/monsoonleverd/main.go
+++ b/monsoonleverd/main.go
@@ -7,8 +7,8 @@
 //
 // The first form, also written "monsoonleverd serve", runs an instance of a
 // deployment with a manifest; it prints one line of JSON with its addresses once
-// it listens. The second runs one on the users' platform. Both stop gracefully on
-// SIGTERM. Exit codes: 0 stopped, 1 failed, 2 bad settings.
+// it listens. The second runs one on the users' platform, which reads its settings
+// again on SIGHUP. Both stop gracefully on SIGTERM, SIGINT and SIGQUIT. Exit codes: 0 stopped, 1 failed, 2 bad settings.
 package main
 
 import (
@@ -17,9 +17,7 @@
 	"flag"
 	"fmt"
 	"os"
-	"os/signal"
 	"strconv"
-	"syscall"
 
 	"github.com/alecthomas/kong"
 	"k8s.io/klog/v2"
@@ -41,19 +39,19 @@
 }
 
 func main() {
+	ctx, hangups := takeSignals()
+
 	var line arguments
 
 	parsed := kong.Parse(&line, kong.Description("Runs an entry instance of monsoonlever until SIGTERM."))
 	setLogFlags(map[string]string{"v": strconv.Itoa(line.Verbose)})
 
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-
 	parsed.BindTo(ctx, (*context.Context)(nil))
-	err := parsed.Run()
+	parsed.Bind(hangups)
+	code := exitCode(parsed.Run())
 
-	stop()
 	klog.Flush()
-	os.Exit(exitCode(err))
+	os.Exit(code)
 }
 
 // exitCode says what is wrong on standard error and returns the exit code for it.
--- a/monsoonleverd/serve.go
+++ b/monsoonleverd/serve.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"os"
 
+	"k8s.io/klog/v2"
+
 	"monsoonlever/clock"
 	"monsoonlever/daemon"
 	"monsoonlever/settings"
@@ -17,12 +19,18 @@
 }
 
 // Run serves until ctx ends.
-func (c *serveCommand) Run(ctx context.Context) error {
+func (c *serveCommand) Run(ctx context.Context, hangups hangups) error {
 	s, err := settings.Load(c.Settings)
 	if err != nil || c.Check {
 		return err
 	}
 
+	go func() {
+		for range hangups {
+			klog.InfoS("settings are read at the start only, SIGHUP changes nothing")
+		}
+	}()
+
 	d := &daemon.Daemon{Settings: s, Clock: clock.System{}, Started: printAddresses}
 
 	return d.Run(ctx)
--- /dev/null
+++ b/monsoonleverd/signals.go
@@ -0,0 +1,41 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"k8s.io/klog/v2"
+)
+
+// hangups brings each SIGHUP, by which operators ask for the settings to be read again.
+type hangups <-chan os.Signal
+
+// takeSignals takes the signals in that operators send, and returns a context that the
+// first SIGTERM, SIGINT or SIGQUIT ends. None is given back until the process exits: in any
+// phase, the default action of a signal that nobody expects would end the process and cut
+// the requests that it runs. So would SIGPIPE where standard output loses its reader.
+func takeSignals() (context.Context, hangups) {
+	signal.Ignore(syscall.SIGPIPE)
+
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+
+	stops := make(chan os.Signal, 1)
+	signal.Notify(stops, syscall.SIGTERM, syscall.SIGINT, syscall.SIGQUIT)
+
+	ctx, cancel := context.WithCancel(context.Background())
+
+	go func() {
+		got := <-stops
+		klog.InfoS("asked to stop", "signal", got.String())
+		cancel()
+
+		for got := range stops {
+			klog.InfoS("asked to stop again, it goes on stopping", "signal", got.String())
+		}
+	}()
+
+	return ctx, hangups
+}
--- /dev/null
+++ b/monsoonleverd/signals_test.go
@@ -0,0 +1,391 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"monsoonlever/platform/soak"
+)
+
+// asProgram makes this test binary run the program itself, as a process of its own.
+const asProgram = "MONSOONLEVERD_TEST_AS_PROGRAM"
+
+// inTime bounds the wait for what must come about.
+const inTime = 20 * time.Second
+
+func TestMain(m *testing.M) {
+	if os.Getenv(asProgram) != "" {
+		main()
+	}
+
+	os.Exit(m.Run())
+}
+
+// program returns the command that runs the program of this package.
+func program(t *testing.T) soak.Program {
+	t.Helper()
+
+	path, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	return soak.Program{Path: path, Env: []string{asProgram + "=1"}}
+}
+
+// operatorSignals are those that operators and their tools send.
+var operatorSignals = []syscall.Signal{
+	syscall.SIGHUP, syscall.SIGUSR1, syscall.SIGUSR2, syscall.SIGPIPE, syscall.SIGALRM, syscall.SIGWINCH,
+	syscall.SIGTERM, syscall.SIGINT, syscall.SIGQUIT,
+}
+
+func ends(s syscall.Signal) bool {
+	return s == syscall.SIGTERM || s == syscall.SIGINT || s == syscall.SIGQUIT
+}
+
+// Users saw streams cut at an instance that had got SIGTERM and then SIGHUP: while it stopped
+// nothing took that signal in any more, and it ended the process. In no phase of its life may
+// a signal that operators send, once or twice, cut a request or end the process in another
+// way than a stop.
+func TestSignalsCutNothing(t *testing.T) {
+	for _, s := range operatorSignals {
+		for phase, send := range map[string]func(*testing.T, syscall.Signal){
+			"at the start": signalAtStart, "while it runs": signalWhileItRuns,
+			"while it stops": signalWhileItStops, "at the end": signalAtTheEnd,
+		} {
+			t.Run(fmt.Sprint(s, " ", phase), func(t *testing.T) {
+				t.Parallel()
+				send(t, s)
+			})
+		}
+	}
+}
+
+// Standard output may lose its reader in any phase. What can't be written is lost, the
+// requests are not.
+func TestALogWithoutAReaderCutsNothing(t *testing.T) {
+	t.Parallel()
+
+	p := soak.NewPlatform()
+	defer p.Close()
+
+	e := start(t, p)
+	got := stream(t, p, e)
+
+	if err := e.log.Close(); err != nil {
+		t.Fatal(err)
+	}
+
+	e.signal(t, syscall.SIGHUP)
+	e.signal(t, syscall.SIGTERM)
+	e.whole(t, got)
+	e.endsWell(t)
+}
+
+func signalAtStart(t *testing.T, s syscall.Signal) {
+	t.Helper()
+
+	p := soak.NewPlatform()
+	defer p.Close()
+
+	// The process reads its settings from a pipe, and waits there until they are written.
+	fifo := filepath.Join(t.TempDir(), "settings.jsonc")
+	if err := syscall.Mkfifo(fifo, 0o600); err != nil {
+		t.Fatal(err)
+	}
+
+	e := launch(t, p, fifo)
+
+	pipe, err := os.OpenFile(fifo, os.O_WRONLY, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	settings := p.Settings("entry-1", e.addresses)
+	replaced := fifo + ".new"
+
+	if err := os.WriteFile(replaced, settings, 0o600); err != nil {
+		t.Fatal(err)
+	}
+
+	if err := os.Rename(replaced, fifo); err != nil {
+		t.Fatal(err)
+	}
+
+	e.signal(t, s)
+	e.signal(t, s)
+
+	if _, err := pipe.Write(settings); err != nil {
+		t.Fatal(err)
+	}
+
+	if err := pipe.Close(); err != nil {
+		t.Fatal(err)
+	}
+
+	if !ends(s) {
+		e.awaitReady(t, p)
+		e.signal(t, syscall.SIGTERM)
+	}
+
+	e.endsWell(t)
+}
+
+func signalWhileItRuns(t *testing.T, s syscall.Signal) {
+	t.Helper()
+
+	p := soak.NewPlatform()
+	defer p.Close()
+
+	e := start(t, p)
+	got := stream(t, p, e)
+
+	e.signal(t, s)
+	e.signal(t, s)
+	e.whole(t, got)
+
+	if !ends(s) {
+		e.whole(t, stream(t, p, e))
+		e.signal(t, syscall.SIGTERM)
+	}
+
+	e.endsWell(t)
+}
+
+func signalWhileItStops(t *testing.T, s syscall.Signal) {
+	t.Helper()
+
+	p := soak.NewPlatform()
+	defer p.Close()
+
+	e := start(t, p)
+	got := stream(t, p, e)
+
+	e.signal(t, syscall.SIGTERM)
+	e.await(t, "instance stops")
+	e.signal(t, s)
+	e.signal(t, s)
+	e.whole(t, got)
+	e.endsWell(t)
+}
+
+func signalAtTheEnd(t *testing.T, s syscall.Signal) {
+	t.Helper()
+
+	p := soak.NewPlatform()
+	defer p.Close()
+
+	e := start(t, p)
+
+	e.signal(t, syscall.SIGTERM)
+	e.await(t, "instance stopped")
+
+	for e.command.Process.Signal(s) == nil && !e.ended() {
+	}
+
+	e.endsWell(t)
+}
+
+// process is an instance that runs as a process of its own.
+type process struct {
+	addresses soak.Addresses
+	command   *exec.Cmd
+	log       *os.File
+	done      chan error
+
+	mu   sync.Mutex
+	said bytes.Buffer
+	gone bool
+}
+
+// start runs an instance and waits until it is ready.
+func start(t *testing.T, p *soak.Platform) *process {
+	t.Helper()
+
+	e := launch(t, p, filepath.Join(t.TempDir(), "settings.jsonc"))
+	e.awaitReady(t, p)
+
+	return e
+}
+
+// launch starts the process. Settings that are not there yet are written.
+func launch(t *testing.T, p *soak.Platform, settings string) *process {
+	t.Helper()
+
+	e := &process{addresses: soak.FreeAddresses(), done: make(chan error, 1)}
+
+	if _, err := os.Stat(settings); err != nil {
+		if err := os.WriteFile(settings, p.Settings("entry-1", e.addresses), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+
+	reader, writer, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	e.log = reader
+	e.command = program(t).Command(context.Background(), settings)
+	e.command.Stdout, e.command.Stderr = writer, writer
+
+	if err := e.command.Start(); err != nil {
+		t.Fatal(err)
+	}
+
+	_ = writer.Close()
+
+	go e.read()
+
+	go func() {
+		err := e.command.Wait()
+
+		e.mu.Lock()
+		e.gone = true
+		e.mu.Unlock()
+		e.done <- err
+	}()
+
+	t.Cleanup(func() {
+		_ = e.command.Process.Kill()
+		_ = reader.Close()
+
+		if t.Failed() {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			t.Log(e.said.String())
+		}
+	})
+
+	return e
+}
+
+func (e *process) read() {
+	buffer := make([]byte, 4096)
+
+	for {
+		n, err := e.log.Read(buffer)
+
+		e.mu.Lock()
+		e.said.Write(buffer[:n])
+		e.mu.Unlock()
+
+		if err != nil {
+			return
+		}
+	}
+}
+
+func (e *process) ended() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	return e.gone
+}
+
+func (e *process) signal(t *testing.T, s syscall.Signal) {
+	t.Helper()
+
+	if err := e.command.Process.Signal(s); err != nil && !e.ended() {
+		t.Fatalf("%v: got %v, want it sent", s, err)
+	}
+}
+
+// await waits for a line of the log.
+func (e *process) await(t *testing.T, text string) {
+	t.Helper()
+	e.awaitThat(t, text, func() bool {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+
+		return strings.Contains(e.said.String(), text)
+	})
+}
+
+func (e *process) awaitReady(t *testing.T, p *soak.Platform) {
+	t.Helper()
+	e.awaitThat(t, "ready", func() bool { return p.Ready(t.Context(), e.addresses) })
+}
+
+func (e *process) awaitThat(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+
+	tick := time.NewTicker(5 * time.Millisecond)
+	defer tick.Stop()
+
+	for limit := time.After(inTime); !holds(); {
+		select {
+		case <-tick.C:
+		case <-limit:
+			t.Fatalf("%s: got not within %v, want it", what, inTime)
+		}
+	}
+}
+
+// stream begins a stream and returns once it has begun. The channel brings how it ended.
+func stream(t *testing.T, p *soak.Platform, e *process) <-chan error {
+	t.Helper()
+
+	ended, err := p.BeginStream(t.Context(), e.addresses)
+	if err != nil {
+		t.Fatalf("stream: got %v, want it begun", err)
+	}
+
+	return ended
+}
+
+func (e *process) whole(t *testing.T, ended <-chan error) {
+	t.Helper()
+
+	select {
+	case err := <-ended:
+		if err != nil {
+			t.Errorf("stream: got %v, want it whole", err)
+		}
+	case <-time.After(inTime):
+		t.Errorf("stream: got no end within %v, want one", inTime)
+	}
+}
+
+func (e *process) endsWell(t *testing.T) {
+	t.Helper()
+
+	select {
+	case err := <-e.done:
+		if err != nil {
+			t.Errorf("end of the process: got %v, want exit code 0", err)
+		}
+	case <-time.After(inTime):
+		t.Errorf("end of the process: got none within %v, want one", inTime)
+	}
+}
+
+// Processes get series of signals that overlap, under callers that keep their connections
+// until a process is gone.
+func TestASoakOfSignalsBreaksNoPromise(t *testing.T) {
+	t.Parallel()
+
+	s := &soak.Soak{Program: program(t), Dir: t.TempDir(), Seed: 1, Instances: 3, Callers: 4, Span: 10 * time.Second}
+
+	report, err := s.Run(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	if report.Answered == 0 || report.Signals == 0 {
+		t.Errorf("got %d answers and %d signals, want some", report.Answered, report.Signals)
+	}
+
+	for _, breach := range report.Breaches {
+		t.Error(breach)
+	}
+}
