fix(forward,quarantine,scheduling): a request is served while any server can, and late ends count

(1) A request gave up after four servers that took no connection (maxUnsent), in 7 ms, while others were there. (3) FingerprintOf used a hash for which a caller can make collisions.

Time and the servers that are left bound the tries: a request goes on while its caller waits. A server that refused a connection, or was found to have ended, is passed over by all attempts of the instance and told to the others with the news of prompts; where all that were drawn of a large pool are gone, the whole pool is looked at. Every end counts: three at the begin of an answer hold a request off, or five of any kind.

Tests that changed. TestTheEndOfAServerSpeaksAgainstWhatHadJustBegun: its case "a stream that has run for a while" wanted no evidence, which is the fault itself; it wants weak evidence now. TestRequestsBesideAHarmfulOneAreServed counts ends at any time (before only up to 0.5 s), plays late ends too, and bounds the sends after the third end; its wants (0 refused, 4 copies) stand. Pool.Ended keeps nothing of its connection: it left an entry of a forgotten server behind, one for each that ended, and went beyond the instance's share.

--- a/entry/prompts.go
+++ b/entry/prompts.go
@@ -120,6 +120,11 @@
 		s.part.Backlogs = append(s.part.Backlogs, b)
 	}
 
+	for _, key := range news.Ended {
+		s.room(keyBytes)
+		s.part.Ended = append(s.part.Ended, key)
+	}
+
 	for _, l := range news.Loads {
 		s.room(loadBytes)
 		s.part.Loads = append(s.part.Loads, l)
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -6,6 +6,7 @@
 	"net/http"
 
 	"github.com/ansel1/merry/v2"
+	"golang.org/x/sys/unix"
 
 	"monsoonlever/backend"
 	"monsoonlever/ruleset"
@@ -98,6 +99,8 @@
 	case errors.Is(err, errCallerWrite), errors.Is(err, errRevoked), errors.Is(err, errQuarantined),
 		errors.Is(err, scheduling.ErrNoServer):
 		return scheduling.Cancelled
+	case errors.Is(err, unix.ECONNREFUSED):
+		return scheduling.Gone
 	case errors.Is(err, backend.ErrNotSent) && ctx.Err() == nil:
 		return scheduling.Unreachable
 	case ctx.Err() != nil:
--- a/forward/ended.go
+++ b/forward/ended.go
@@ -14,28 +14,22 @@
 	"monsoonlever/upstream"
 )
 
-const (
-	// harmfulWithin is how long after its first event a request may still be what ended
-	// its server. Those that were seen ended theirs before any event was whole, 0.06 to
-	// 0.11 s after they had begun; streams beside them have run for seconds as a rule.
-	harmfulWithin = 500 * time.Millisecond
-	// endingTime is the time from the first connection that a program which ends closes
-	// until it takes no more.
-	endingTime = 20 * time.Millisecond
-)
+// endingTime is the time from the first connection that a program which ends closes until
+// it takes no more.
+const endingTime = 20 * time.Millisecond
 
 // lostWith counts against a request that its server ended under it, if it did. Nothing
 // but the end of a server that had not said it would leave counts: servers that are
-// reclaimed or replaced, or break answers off and go on, say nothing of a request. begun
-// tells that the answer's header had come.
+// reclaimed or replaced, or break answers off and go on, say nothing of a request. An end
+// counts however long the request had been answered: most at the begin of its answer, where
+// few others are with it. begun tells that the answer's header had come.
 func (f *Forwarder) lostWith(ctx context.Context, j *job, a *scheduling.Assignment, begun bool, err error) {
-	events := a.AnsweringFor(f.Clock.Now())
-	if !errors.Is(err, upstream.ErrGarbled) || ctx.Err() != nil || a.Leaving() || events > harmfulWithin {
+	if !errors.Is(err, upstream.ErrGarbled) || ctx.Err() != nil || a.Leaving() {
 		return
 	}
 
 	evidence := quarantine.Weak
-	if j.route.Kind != ruleset.Streaming || begun && events == 0 {
+	if j.route.Kind != ruleset.Streaming || begun && !a.Began() {
 		evidence = quarantine.Strong
 	}
 
@@ -48,6 +42,7 @@
 		}
 
 		now := f.Clock.Now()
+		a.Ended(now)
 		f.Quarantine.Lost(now, content, a.Server(), evidence)
 		_, held := f.Quarantine.Held(now, content)
 		klog.InfoS("backend server ended under a request", "server", a.ID(), "id", id, "content", content,
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -111,8 +111,6 @@
 	defaultTimeout = 30 * time.Second
 	// answerMargin is kept of a timeout to tell the caller the end.
 	answerMargin = 20 * time.Millisecond
-	// maxUnsent is how many servers are tried that take no connection.
-	maxUnsent = 3
 	// maxPriority is the least urgent priority of an engine.
 	maxPriority = 9
 	// accountRank is how many priorities of routes fit into one of accounts.
--- a/forward/job.go
+++ b/forward/job.go
@@ -27,10 +27,8 @@
 	content   quarantine.Fingerprint
 	deadline  time.Time
 
-	// sent counts the servers that got the request, unsent those that took no
-	// connection.
-	sent   int
-	unsent int
+	// sent counts the servers that got the request.
+	sent int
 	// mayHaveRun is set once a server may have run it.
 	mayHaveRun bool
 	began      bool
@@ -129,9 +127,10 @@
 	}
 
 	if errors.Is(err, backend.ErrNotSent) {
-		j.unsent++
-
-		return j.unsent <= maxUnsent
+		// A server that took no connection has run nothing. Another one is tried for as
+		// long as there is one and the caller waits: entries of servers that ended
+		// together stay in the register for seconds.
+		return j.forwarder.Clock.Now().Before(j.waitsUntil())
 	}
 
 	if j.sent >= j.route.Attempts() {
@@ -230,15 +229,24 @@
 	leastGiveUp      = 2 * time.Second
 )
 
+// waitsUntil returns until when the caller waits for the begin of an answer, or for the
+// answer where none is expected sooner.
+func (j *job) waitsUntil() time.Time {
+	if j.route.Objective <= 0 || j.stream.begun {
+		return j.deadline
+	}
+
+	return j.request.Arrived.Add(max(giveUpObjectives*j.route.Objective, leastGiveUp))
+}
+
 // placing returns what the scheduler needs to know. A stream that has begun is not held.
 func (j *job) placing() scheduling.Request {
 	r := scheduling.Request{Service: j.service, Prompt: j.request.Prompt, Excluded: j.excluded}
 
 	if j.route.Objective > 0 && !j.stream.begun {
-		objective, arrived := j.route.Objective, j.request.Arrived
+		arrived := j.request.Arrived
 		hold := time.Duration(holdShare * float64(j.timeout()))
-		r.Due, r.HoldUntil = arrived.Add(objective), arrived.Add(hold)
-		r.GiveUp = arrived.Add(max(giveUpObjectives*objective, leastGiveUp))
+		r.Due, r.HoldUntil, r.GiveUp = arrived.Add(j.route.Objective), arrived.Add(hold), j.waitsUntil()
 	}
 
 	return r
--- a/forward/quarantine_test.go
+++ b/forward/quarantine_test.go
@@ -288,18 +288,20 @@
 	}
 }
 
-// What the end of a server says of a request follows from how far its answer had come.
-func TestTheEndOfAServerSpeaksAgainstWhatHadJustBegun(t *testing.T) {
+// What the end of a server says of a request is most where its answer had just begun, and
+// never nothing: a request may end its server at any event.
+func TestTheEndOfAServerSpeaksMostAgainstWhatHadJustBegun(t *testing.T) {
 	for name, tt := range map[string]struct {
 		kind   ruleset.Kind
 		begun  bool
-		events time.Duration
+		events bool
+		ran    time.Duration
 		want   []quarantine.Evidence
 	}{
 		"a stream that waited":              {kind: ruleset.Streaming, want: []quarantine.Evidence{quarantine.Weak}},
 		"a stream without an event":         {kind: ruleset.Streaming, begun: true, want: []quarantine.Evidence{quarantine.Strong}},
-		"a stream with its first events":    {kind: ruleset.Streaming, begun: true, events: harmfulWithin / 2, want: []quarantine.Evidence{quarantine.Weak}},
-		"a stream that has run for a while": {kind: ruleset.Streaming, begun: true, events: 2 * harmfulWithin},
+		"a stream with its first events":    {kind: ruleset.Streaming, begun: true, events: true, want: []quarantine.Evidence{quarantine.Weak}},
+		"a stream that has run for a while": {kind: ruleset.Streaming, begun: true, events: true, ran: time.Minute, want: []quarantine.Evidence{quarantine.Weak}},
 		"a call":                            {kind: ruleset.Unsafe, want: []quarantine.Evidence{quarantine.Strong}},
 	} {
 		f := newFarm(t)
@@ -311,11 +313,12 @@
 
 		a.Start(f.clock.Now())
 
-		if tt.events > 0 {
+		if tt.events {
 			a.Answering(f.clock.Now())
-			f.clock.Advance(tt.events)
 		}
 
+		f.clock.Advance(tt.ran)
+
 		f.ended[a.Address()].Store(true)
 
 		j := &job{forwarder: f.Forwarder, request: &Request{ID: "r"}, content: 1, route: &ruleset.Route{Kind: tt.kind}}
@@ -351,3 +354,28 @@
 			len(f.ended), outcome.Reason, f.probed.Load(), got.refusals)
 	}
 }
+
+// Servers behind a cut take no connection and refuse none, so that each that is tried takes
+// its time. A request is refused once its caller would leave, not after some count of them.
+func TestARequestGivesUpWhenItsCallerWouldLeave(t *testing.T) {
+	f := newFarm(t)
+	f.answer = func(_ string, _ int, r *http.Request) string { return stream(r, 1, 2, false) }
+
+	const slow = 700 * time.Millisecond
+
+	f.Pool.Dial = func(context.Context, string) (net.Conn, error) {
+		f.clock.Advance(slow)
+
+		return nil, context.DeadlineExceeded
+	}
+
+	outcome, got := f.call("tell", "r")
+	if outcome.Reason != Overloaded || !outcome.NotRun {
+		t.Errorf("no server takes connections: got %v and %+v, want it refused as not run before all were tried",
+			outcome.Reason, got.refusals)
+	}
+
+	if most := max(leastGiveUp, giveUpObjectives*500*time.Millisecond) + slow; outcome.Took > most {
+		t.Errorf("refused: got after %v, want within %v", outcome.Took, most)
+	}
+}
--- a/quarantine/fingerprint.go
+++ b/quarantine/fingerprint.go
@@ -1,11 +1,11 @@
 package quarantine
 
 import (
+	"crypto/sha256"
+	"encoding/binary"
 	"fmt"
 	"strconv"
 
-	"github.com/cespare/xxhash/v2"
-
 	"monsoonlever/fleet"
 )
 
@@ -16,16 +16,16 @@
 // FingerprintOf returns the fingerprint of a request: the same one for the same account,
 // method, host, target and body. The account is empty where callers need no key.
 func FingerprintOf(account fleet.Account, method, host, target string, body []byte) Fingerprint {
-	d := xxhash.New()
+	d := sha256.New()
 
 	for _, field := range []string{string(account), method, host, target} {
 		// The length keeps fields apart. Writing to a hash never fails.
-		_, _ = d.WriteString(strconv.Itoa(len(field)) + ":" + field)
+		_, _ = d.Write([]byte(strconv.Itoa(len(field)) + ":" + field))
 	}
 
 	_, _ = d.Write(body)
 
-	return Fingerprint(d.Sum64())
+	return Fingerprint(binary.BigEndian.Uint64(d.Sum(nil)))
 }
 
 // String returns the fingerprint as it stands in logs.
--- a/quarantine/innocent_test.go
+++ b/quarantine/innocent_test.go
@@ -10,14 +10,17 @@
 )
 
 // The play of requests beside one that ends servers: its step, how long prompts are read,
-// how long the first event takes then and all of a stream, and until how long after its
-// first event the end of its server counts.
+// and how long the first event takes then and all of a stream. A harmful stream ends its
+// server within its first event, or late in the stream.
 const (
-	playStep    = 10 * time.Millisecond
-	reading     = 300 * time.Millisecond
-	firstEvent  = 30 * time.Millisecond
-	streaming   = 3 * time.Second
-	countsUntil = 500 * time.Millisecond
+	playStep   = 10 * time.Millisecond
+	reading    = 300 * time.Millisecond
+	firstEvent = 30 * time.Millisecond
+	streaming  = 3 * time.Second
+	atBegin    = reading + firstEvent/2
+	// told is the time in which all instances know of an end.
+	told = time.Second
+	late = reading + firstEvent + 800*time.Millisecond
 	// sends is how often one stream is sent at most: three servers, and once more when its
 	// caller comes back.
 	sends = 4
@@ -46,6 +49,12 @@
 	// innocent and refused count streams that end no servers, and sends of them that were
 	// refused; ended counts servers that ended under a harmful one.
 	innocent, refused, ended int
+	// harmfulAt is when in its life a harmful stream ends its server.
+	harmfulAt time.Duration
+	// ends are the times at which servers ended under each harmful request, and later counts
+	// its sends after the third.
+	ends  map[Fingerprint][]time.Time
+	later map[Fingerprint]int
 }
 
 func (p *play) start(server int) register.Start {
@@ -66,6 +75,10 @@
 		return false
 	}
 
+	if ends := p.ends[s.content]; len(ends) >= enough && p.now.Sub(ends[enough-1]) > told {
+		p.later[s.content]++
+	}
+
 	s.sent++
 	s.server, s.began = p.random.IntN(p.servers), p.now
 
@@ -85,7 +98,7 @@
 			continue
 		}
 
-		if age := p.now.Sub(s.began); !announced && age <= reading+firstEvent+countsUntil {
+		if age := p.now.Sub(s.began); !announced {
 			evidence := Weak
 			if age >= reading && age < reading+firstEvent {
 				evidence = Strong
@@ -122,14 +135,14 @@
 		perSecond--
 	}
 
-	var harmful []int
+	var harmful []*stream
 
 	kept := p.streams[:0]
 
 	for _, s := range p.streams {
 		switch age := p.now.Sub(s.began); {
-		case s.harmful && age >= reading+firstEvent/2:
-			harmful = append(harmful, s.server)
+		case s.harmful && age >= p.harmfulAt:
+			harmful = append(harmful, s)
 		case age >= reading+streaming:
 			p.ledger.Answered(p.now, s.content)
 
@@ -141,20 +154,42 @@
 
 	p.streams = kept
 
-	for _, server := range harmful {
+	for _, s := range harmful {
 		p.ended++
-		p.end(server, false)
+		p.ends[s.content] = append(p.ends[s.content], p.now)
+		p.end(s.server, false)
 	}
 }
 
-// Beside harmful requests, of which a new one comes every four seconds, and one more copy of
+// Beside harmful requests, of which a new one comes every few seconds, and one more copy of
 // it every 0.7 s, with a fifth of the servers lost at once without notice every ten seconds
-// and a third reclaimed with notice every seven, no other request is refused. Each harmful
-// one ends three servers, or what it had been sent to before the third ended.
+// and a third reclaimed with notice every seven, no other request is refused. A harmful one
+// that ends its servers at its begin ends three, and what it had been sent to before the
+// third ended; whenever it does, it is sent three times more at most once the instances have
+// had a second to tell each other.
 func TestRequestsBesideAHarmfulOneAreServed(t *testing.T) {
+	for name, tt := range map[string]struct {
+		harmfulAt, every time.Duration
+	}{
+		"at its begin":       {harmfulAt: atBegin, every: 4 * time.Second},
+		"late in the stream": {harmfulAt: late, every: 12 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) { playHarmful(t, tt.harmfulAt, tt.every) })
+	}
+}
+
+// playHarmful plays harmful streams that end their servers at a time of their life, with a
+// new one every so often.
+func playHarmful(t *testing.T, harmfulAt, every time.Duration) {
+	t.Helper()
+
 	const (
 		span   = 60 * time.Second
 		perDay = 40.0
+		// mostAtBegin is how often one that ends its servers at its begin is sent, and
+		// mostLater how often any is once told has passed since it ended the third.
+		mostAtBegin = 4
+		mostLater   = 3
 	)
 
 	innocent, refused := 0, 0
@@ -163,14 +198,15 @@
 		for seed := range uint64(5) {
 			p := &play{
 				t: t, random: rand.New(rand.NewPCG(seed, uint64(servers))), now: begin, servers: servers,
-				generation: make([]int, servers), next: 1 << 32,
+				generation: make([]int, servers), next: 1 << 32, harmfulAt: harmfulAt,
+				ends: make(map[Fingerprint][]time.Time), later: make(map[Fingerprint]int),
 			}
 
 			copies := 0
 
 			for at := time.Duration(0); at < span; at += playStep {
 				if at%(700*time.Millisecond) == 0 {
-					s := &stream{content: Fingerprint(at / (4 * time.Second)), harmful: true}
+					s := &stream{content: Fingerprint(at / every), harmful: true}
 					if p.send(s) {
 						copies++
 						p.streams = append(p.streams, s)
@@ -181,10 +217,17 @@
 				p.step(perDay)
 			}
 
-			if most := 4 * int(span/(4*time.Second)); copies > most {
+			if most := mostAtBegin * int(span/every); harmfulAt == atBegin && copies > most {
 				t.Errorf("%d servers, seed %d: got %d sends of harmful requests, want at most %d", servers, seed, copies, most)
 			}
 
+			for content, later := range p.later {
+				if later > mostLater {
+					t.Errorf("%d servers, seed %d, request %v: got %d sends after it had ended three, want at most %d",
+						servers, seed, content, later, mostLater)
+				}
+			}
+
 			innocent, refused = innocent+p.innocent, refused+p.refused
 		}
 	}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -5,7 +5,7 @@
 // so that neither ids nor one instance's memory tell it from others. A Ledger counts, by
 // Fingerprint, the servers that ended while a request ran there, and exchanges what it
 // counts with the ledgers of the other instances. A request under which three servers
-// ended as it began is held off.
+// ended as it began, or five at any time of its answer, is held off.
 //
 // Requests that ran beside it share its time and its servers and are innocent. Nothing
 // counts against a request but the end of a server that had not said it would leave, and
@@ -40,16 +40,12 @@
 )
 
 const (
-	// heldAt is how much has to count against a request before it is held off: three
-	// servers that ended at its begin, as operators bear, or six that ended while it waited
-	// there or had just begun. Streams beside harmful requests are resumed and lose up to
-	// four servers, hardly ever at their begin: where each of three ends held a request off,
-	// 16 of 59,000 such streams were refused, and none so
+	// strongEnds is how many servers have to end at a request's begin before it is held
+	// off, as operators bear, and anyEnds how many at any time of its answer: one more than
+	// a stream beside harmful requests loses, which is resumed and asked for again
 	// (TestRequestsBesideAHarmfulOneAreServed).
-	heldAt = 3 * strongCount
-	// strongCount and weakCount are what one server that ended counts.
-	strongCount = 2
-	weakCount   = 1
+	strongEnds = 3
+	anyEnds    = 5
 	// hold is how long after the newest end a request is held off. A caller that repeats
 	// it is long gone by then, or has been told so for as long; it may then end one more
 	// server before it is held off again.
@@ -205,7 +201,7 @@
 
 // show tells the path of requests of a suspect.
 func (l *Ledger) show(f Fingerprint, one *suspect) {
-	if one.count() == 0 {
+	if all, _ := one.count(); all == 0 {
 		l.counted.Delete(f)
 	} else {
 		l.counted.Store(f, one.heldUntil())
@@ -238,8 +234,10 @@
 func (l *Ledger) forget() {
 	order := slices.SortedFunc(maps.Keys(l.suspects), func(a, b Fingerprint) int {
 		x, y := l.suspects[a], l.suspects[b]
+		ofX, _ := x.count()
+		ofY, _ := y.count()
 
-		return cmp.Or(cmp.Compare(x.count(), y.count()), x.newest.Compare(y.newest))
+		return cmp.Or(cmp.Compare(ofX, ofY), x.newest.Compare(y.newest))
 	})
 
 	for _, f := range order[:len(order)/forgotten] {
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -15,7 +15,7 @@
 )
 
 // enough servers that end at its begin hold a request off.
-const enough = heldAt / strongCount
+const enough = strongEnds
 
 var begin = time.Unix(1000, 0)
 
--- a/quarantine/suspect.go
+++ b/quarantine/suspect.go
@@ -68,26 +68,26 @@
 	return false
 }
 
-// count returns how much counts against the request.
-func (s *suspect) count() int {
-	n := 0
-
+// count returns how many ends count against the request, and how many of them strongly.
+func (s *suspect) count() (all, strong int) {
 	for _, e := range s.ends {
-		switch {
-		case e.cleared:
-		case e.evidence == Strong:
-			n += strongCount
-		default:
-			n += weakCount
+		if e.cleared {
+			continue
+		}
+
+		all++
+
+		if e.evidence == Strong {
+			strong++
 		}
 	}
 
-	return n
+	return all, strong
 }
 
 // heldUntil returns until when the request is held off; zero is not at all.
 func (s *suspect) heldUntil() time.Time {
-	if s.count() < heldAt {
+	if all, strong := s.count(); all < anyEnds && strong < strongEnds {
 		return time.Time{}
 	}
 
--- a/scheduling/assignment.go
+++ b/scheduling/assignment.go
@@ -19,6 +19,8 @@
 	Failed
 	// Unreachable servers took no connection.
 	Unreachable
+	// Gone servers refused a connection: their machine answers and their program has ended.
+	Gone
 	// Turned away attempts were not run, because the server had no room.
 	TurnedAway
 	// Cancelled attempts say nothing of the server.
@@ -49,9 +51,7 @@
 	startedAt time.Time
 	started   bool
 	answering bool
-	// answeringSince is when the first event came.
-	answeringSince time.Time
-	ended          atomic.Bool
+	ended     atomic.Bool
 }
 
 // ID returns the server's instance.
@@ -63,17 +63,14 @@
 // Leaving tells whether the server is known to leave by now.
 func (a *Assignment) Leaving() bool { return a.server.leaving.Load() }
 
+// Ended takes in that the server's program was found to have ended, and has others told.
+func (a *Assignment) Ended(now time.Time) { a.scheduler.ended(now, a.server, true) }
+
 // Server returns the start of the server that the attempt is at.
 func (a *Assignment) Server() register.Start { return a.server.entry().Start() }
 
-// AnsweringFor returns for how long events have come; zero is that none has.
-func (a *Assignment) AnsweringFor(now time.Time) time.Duration {
-	if !a.answering {
-		return 0
-	}
-
-	return now.Sub(a.answeringSince)
-}
+// Began tells whether the first event has come.
+func (a *Assignment) Began() bool { return a.answering }
 
 // Start counts the attempt, unless the server began to leave.
 func (a *Assignment) Start(now time.Time) bool {
@@ -104,7 +101,7 @@
 		return
 	}
 
-	a.answering, a.answeringSince = true, now
+	a.answering = true
 	a.server.pending.Add(-int64(a.unread))
 
 	if a.unread > 0 {
@@ -139,6 +136,9 @@
 	case Unreachable:
 		a.server.outcome(now, true)
 		a.server.avoid(now.Add(avoidUnreachable))
+	case Gone:
+		a.server.outcome(now, true)
+		a.scheduler.ended(now, a.server, true)
 	case TurnedAway:
 		a.server.avoid(now.Add(avoidFull))
 	case Cancelled:
--- a/scheduling/candidates.go
+++ b/scheduling/candidates.go
@@ -1,6 +1,10 @@
 package scheduling
 
-import "math/rand/v2"
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+)
 
 const (
 	// allCandidates is the size up to which all servers of a pool are compared.
@@ -14,7 +18,7 @@
 )
 
 // candidates returns the servers that a request is compared over.
-func candidates(pool []*server, preferred [homes]*server, r *Request) []*server {
+func candidates(now time.Time, pool []*server, preferred [homes]*server, r *Request) []*server {
 	if len(pool) <= allCandidates {
 		return pool
 	}
@@ -31,7 +35,7 @@
 
 	for range attempts {
 		one := pool[rand.IntN(len(pool))]
-		if one.leaving.Load() || excluded(r.Excluded, one.entry().ID) {
+		if !one.fits(r) || one.avoided(now) {
 			continue
 		}
 
@@ -41,5 +45,15 @@
 		}
 	}
 
+	if !slices.ContainsFunc(chosen, func(one *server) bool { return one.fits(r) && !one.avoided(now) }) {
+		// Many servers are gone. Nothing is refused that any server could take.
+		return pool
+	}
+
 	return chosen
 }
+
+// fits tells whether a request may be sent to a server.
+func (s *server) fits(r *Request) bool {
+	return !s.leaving.Load() && !excluded(r.Excluded, s.entry().ID)
+}
--- a/scheduling/news.go
+++ b/scheduling/news.go
@@ -25,10 +25,15 @@
 	Backlogs []Backlog
 	Holdings []Holding
 	Loads    []ServerLoad
+	// Ended are servers that refused a connection: their program has ended, and their
+	// entry in the register outlives it for some seconds.
+	Ended []Key
 }
 
 // Empty tells whether there is nothing to tell.
-func (n News) Empty() bool { return len(n.Backlogs) == 0 && len(n.Holdings) == 0 && len(n.Loads) == 0 }
+func (n News) Empty() bool {
+	return len(n.Backlogs) == 0 && len(n.Holdings) == 0 && len(n.Loads) == 0 && len(n.Ended) == 0
+}
 
 // Audience is whom news is for.
 type Audience int
@@ -112,6 +117,7 @@
 	mu       sync.Mutex
 	backlogs map[*server]bool
 	loads    map[*server]bool
+	gone     map[*server]bool
 	holdings []Holding
 	// nudge tells that there is something.
 	nudge feed.Nudge
@@ -147,30 +153,59 @@
 	o.loads[s] = true
 }
 
+// ended notes that the program of a server has ended.
+func (o *outbox) ended(s *server) {
+	o.mu.Lock()
+
+	if o.gone == nil {
+		o.gone = make(map[*server]bool)
+	}
+
+	o.gone[s] = true
+
+	o.mu.Unlock()
+	o.nudge.Send()
+}
+
+// noted is what an outbox held.
+type noted struct {
+	backlogs, loads, ended []*server
+	holdings               []Holding
+}
+
 // take empties the outbox.
-func (o *outbox) take() (backlogs, loads []*server, holdings []Holding) {
+func (o *outbox) take() noted {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 
-	backlogs, loads = slices.Collect(maps.Keys(o.backlogs)), slices.Collect(maps.Keys(o.loads))
-	holdings, o.holdings = o.holdings, nil
+	all := noted{
+		backlogs: slices.Collect(maps.Keys(o.backlogs)), loads: slices.Collect(maps.Keys(o.loads)),
+		ended: slices.Collect(maps.Keys(o.gone)), holdings: o.holdings,
+	}
 
 	clear(o.backlogs)
 	clear(o.loads)
+	clear(o.gone)
+
+	o.holdings = nil
 
-	return backlogs, loads, holdings
+	return all
 }
 
 // News returns what has changed for an audience since the last call.
 func (s *Scheduler) News(now time.Time, to Audience) News {
-	backlogs, loads, holdings := s.outboxes[to].take()
-	news := News{Holdings: holdings}
+	all := s.outboxes[to].take()
+	news := News{Holdings: all.holdings}
 
-	for _, one := range backlogs {
+	for _, one := range all.ended {
+		news.Ended = append(news.Ended, one.key)
+	}
+
+	for _, one := range all.backlogs {
 		news.Backlogs = append(news.Backlogs, Backlog{Server: one.key, Tokens: tokens(one.backlogFor(now, to))})
 	}
 
-	for _, one := range loads {
+	for _, one := range all.loads {
 		if requests, age, ok := one.newest(now); ok {
 			news.Loads = append(news.Loads, ServerLoad{
 				Server: one.key, Requests: uint16(min(requests, math.MaxUint16)), AgeMs: uint16(age.Milliseconds()),
@@ -207,6 +242,12 @@
 		}
 	}
 
+	for _, key := range n.Ended {
+		if one := (*byKey)[key]; one != nil {
+			s.ended(now, one, as == Subscriber)
+		}
+	}
+
 	for _, l := range n.Loads {
 		if one := (*byKey)[l.Server]; one != nil {
 			one.hear(now.Add(-time.Duration(l.AgeMs)*time.Millisecond), int(l.Requests))
@@ -233,6 +274,20 @@
 	}
 }
 
+// ended keeps requests off a server whose program has ended, and notes that for others
+// that have not been told of late.
+func (s *Scheduler) ended(now time.Time, one *server, up bool) {
+	if !one.end(now) {
+		return
+	}
+
+	s.outboxes[Downstream].ended(one)
+
+	if up {
+		s.outboxes[Upstream].ended(one)
+	}
+}
+
 func (s *Scheduler) loaded(one *server, up bool) {
 	s.outboxes[Downstream].loaded(one)
 
--- a/scheduling/scheduling.go
+++ b/scheduling/scheduling.go
@@ -165,7 +165,7 @@
 	pool := (*pools)[r.Service]
 	preferred := homesOf(pool, r.Prompt)
 	typical := typicalFailures(now, pool)
-	considered := candidates(pool, preferred, &r)
+	considered := candidates(now, pool, preferred, &r)
 	keys := r.Prompt.keys()
 	held := heldBy(now, considered, keys, r.Prompt)
 	home := preferred[0]
@@ -183,7 +183,7 @@
 	var bestCost float64
 
 	for i, one := range considered {
-		if one.leaving.Load() || excluded(r.Excluded, one.entry().ID) {
+		if !one.fits(&r) {
 			continue
 		}
 
--- a/scheduling/server.go
+++ b/scheduling/server.go
@@ -78,6 +78,8 @@
 	faded    time.Time
 	// avoidUntil is when a server that could not be reached is tried again.
 	avoidUntil time.Time
+	// endedAt is when its program was last found to have ended.
+	endedAt time.Time
 	// parts are those that the server has read, and told those that others were told of,
 	// each with its time.
 	parts, told map[Key]time.Time
@@ -301,6 +303,21 @@
 	s.avoidUntil = until
 }
 
+// end takes in that the program of the server has ended, and tells whether that is news.
+func (s *server) end(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	if now.Sub(s.endedAt) < avoidUnreachable {
+		return false
+	}
+
+	s.endedAt = now
+	s.avoidUntil = now.Add(avoidUnreachable)
+
+	return true
+}
+
 func (s *server) avoided(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/upstream/ended.go
+++ b/upstream/ended.go
@@ -8,15 +8,15 @@
 )
 
 // Ended tells whether the program of a server has ended: its machine answers, and nothing
-// takes connections there. One that can't be reached has not shown that it ended. A
-// connection that is made is kept for the next request.
+// takes connections there. One that can't be reached has not shown that it ended. Nothing
+// is kept of the connection: the server may be forgotten by now.
 func (p *Pool) Ended(ctx context.Context, s Server) bool {
-	conn, err := p.dial(ctx, s, p.count(s.ID))
+	conn, err := p.connect(ctx, s.Address)
 	if err != nil {
 		return errors.Is(err, unix.ECONNREFUSED)
 	}
 
-	p.put(conn, defaultIdle)
+	_ = conn.Close() // nothing was sent on it
 
 	return false
 }
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -206,17 +206,6 @@
 	return &connection{owner: c}, nil
 }
 
-// count counts a new connection that the caller has to dial.
-func (p *Pool) count(id fleet.InstanceID) *connection {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-
-	c := p.of(id)
-	c.open++
-
-	return &connection{owner: c}
-}
-
 // expire closes the connections whose server may close them soon.
 func (p *Pool) expire(c *connections, now time.Time) {
 	kept := c.idle[:0]
