fix(arrivals,scheduling,usage,capacity): no instance counts twice in what others are told

Cause: what arrives travelled as sums. Every heartbeat carried the sum of an instance and of all that had turned to it, also to a relay; one that had been a relay went on telling what those said that now told another, and two that took each other for relays added each other's sums at each heartbeat.

The heartbeat is shorter.

A planner whose servers say that most places are free does not order for a load that would fill them at once, and says so in its line.

--- /dev/null
+++ b/arrivals/arrivals.go
@@ -0,0 +1,142 @@
+// Package arrivals adds up what arrives at services of model engines over all entry
+// instances.
+//
+// Each instance says what arrives at it alone, to those that plan for all, and a Table keeps
+// the newest word of each. Sums are made where they are used and never travel: a sum that
+// is passed on and added up again counts instances twice as soon as one of those that pass
+// it on changes its role.
+//
+// # Usage
+//
+//	var t arrivals.Table
+//	t.Hear(now, arrivals.Word{Instance: "entry-2", Incarnation: 7, At: 1, Work: work})
+//	total := t.Total(now, life, ownWork)
+package arrivals
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"monsoonlever/fleet"
+	"monsoonlever/scheduling"
+)
+
+// Word is what one instance says of itself: of all services, or some of them.
+type Word struct {
+	Instance    fleet.InstanceID
+	Incarnation fleet.Incarnation
+	// At is the sender's clock in nanoseconds, which tells the order of its words.
+	At   int64
+	Work []scheduling.Work
+}
+
+// Table holds the newest words of each other instance. The zero value is empty; it is safe
+// for concurrent use.
+type Table struct {
+	mu sync.Mutex
+	of map[fleet.InstanceID]*source
+}
+
+// source is one start of an instance.
+type source struct {
+	incarnation fleet.Incarnation
+	services    map[fleet.Service]entry
+}
+
+// entry is what a source said last of one service.
+type entry struct {
+	work scheduling.Work
+	said int64
+	at   time.Time
+}
+
+// Hear takes a word in. One of an earlier start, or that another has overtaken, changes
+// nothing.
+func (t *Table) Hear(now time.Time, w Word) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	if t.of == nil {
+		t.of = make(map[fleet.InstanceID]*source)
+	}
+
+	from := t.of[w.Instance]
+	if from != nil && w.Incarnation < from.incarnation {
+		return
+	}
+
+	if from == nil || w.Incarnation > from.incarnation {
+		from = &source{incarnation: w.Incarnation, services: make(map[fleet.Service]entry)}
+		t.of[w.Instance] = from
+	}
+
+	for _, work := range w.Work {
+		if w.At >= from.services[work.Service].said {
+			from.services[work.Service] = entry{work: work, said: w.At, at: now}
+		}
+	}
+}
+
+// Total returns what arrives here and at all others, by service. Words that were heard
+// longer than life ago do not count and are forgotten.
+func (t *Table) Total(now time.Time, life time.Duration, own []scheduling.Work) []scheduling.Work {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	all := slices.Clone(own)
+
+	for id, from := range t.of {
+		maps.DeleteFunc(from.services, func(_ fleet.Service, e entry) bool { return now.Sub(e.at) > life })
+
+		if len(from.services) == 0 {
+			delete(t.of, id)
+		}
+
+		for _, e := range from.services {
+			all = append(all, e.work)
+		}
+	}
+
+	return add(all)
+}
+
+// add adds up what arrives by service. Its speed is the middle one: what single instances
+// measured of few answers may lie far off.
+func add(all []scheduling.Work) []scheduling.Work {
+	speeds := make(map[fleet.Service][]float64)
+
+	var sums []scheduling.Work
+
+	for _, w := range all {
+		i := slices.IndexFunc(sums, func(s scheduling.Work) bool { return s.Service == w.Service })
+		if i < 0 {
+			i = len(sums)
+			sums = append(sums, scheduling.Work{Service: w.Service})
+		}
+
+		sums[i].Arriving += w.Arriving
+
+		if w.Speed > 0 {
+			speeds[w.Service] = append(speeds[w.Service], w.Speed)
+		}
+	}
+
+	for i, s := range sums {
+		sums[i].Speed = median(speeds[s.Service])
+	}
+
+	return sums
+}
+
+// median returns the middle one of some numbers, or zero.
+func median(numbers []float64) float64 {
+	if len(numbers) == 0 {
+		return 0
+	}
+
+	slices.Sort(numbers)
+
+	return numbers[len(numbers)/2]
+}
--- a/capacity/capacity.go
+++ b/capacity/capacity.go
@@ -57,6 +57,10 @@
 	// does in a second. Zero is not known.
 	Arriving float64
 	Speed    float64
+	// Taken is the part of the servers' places that is in use or waited for, as most of
+	// them said of late, if TakenKnown.
+	Taken      float64
+	TakenKnown bool
 }
 
 // Plan is the wanted number of servers of a service, in all failure domains.
--- /dev/null
+++ b/capacity/contradiction_test.go
@@ -0,0 +1,47 @@
+package capacity
+
+import (
+	"testing"
+	"time"
+)
+
+// A load that was told many times over is not ordered for while the servers say that most
+// of their places are free. One that fills them is.
+func TestALoadThatTheServersContradictIsNotOrderedFor(t *testing.T) {
+	const load = 4 * 9 * 50_000
+
+	for name, tt := range map[string]struct {
+		taken float64
+		known bool
+		more  bool
+	}{
+		"places are free":      {taken: 0.2, known: true},
+		"places are taken":     {taken: 0.9, known: true, more: true},
+		"servers told nothing": {more: true},
+	} {
+		m := newMarket()
+		p := &Planner{}
+
+		lasting, reclaimable := m.all(begin)
+		before := lasting + reclaimable
+		most := before
+
+		for at := time.Duration(0); at < 20*time.Second; at += tick {
+			now := begin.Add(at)
+			s := m.state(now, load)
+			s.Taken, s.TakenKnown = tt.taken, tt.known
+
+			for _, o := range p.Plan(now, s) {
+				none := m.obey(now, o)
+				p.Answered(now, o, !none, none)
+			}
+
+			wanted, _ := p.Wanted(now, service)
+			most = max(most, wanted)
+		}
+
+		if more := most > before; more != tt.more {
+			t.Errorf("%s: got %d servers wanted of %d, want more: %t", name, most, before, tt.more)
+		}
+	}
+}
--- a/capacity/wanted.go
+++ b/capacity/wanted.go
@@ -34,6 +34,10 @@
 	}
 
 	peaks := p.peaksOf(s.Service)
+	if s.Contradicted() {
+		n = min(n, max(peaks.highest(now, memory), lasting, reclaimable))
+	}
+
 	if peaks.empty() {
 		// A planner that is new and heard of no plan knows no load of the time before:
 		// what is there was ordered for it.
--- a/entry/datagram_test.go
+++ b/entry/datagram_test.go
@@ -70,6 +70,27 @@
 	return p
 }
 
+// measure lets work arrive at some services.
+func measure(t *rapid.T, s *scheduling.Scheduler, now time.Time, services int) {
+	var servers []register.Server
+
+	for i := range services {
+		name := fmt.Sprintf("model-service-%08x", i)
+		servers = append(servers, register.Server{ID: fleet.InstanceID(name), Service: fleet.Service(name), Slots: 1})
+	}
+
+	s.Update(servers)
+
+	for _, server := range servers {
+		a, err := s.Pick(now, scheduling.Request{Service: server.Service, Prompt: scheduling.Prompt{Tokens: 9000}})
+		if err != nil {
+			t.Fatal(err)
+		}
+
+		a.Start(now)
+	}
+}
+
 // Whatever an instance has to tell, each message fits into a datagram and all of it is told.
 func TestHoldsMessagesToTheSizeOfADatagram(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -107,13 +128,21 @@
 			t.Errorf("told: got %d accounts and %d leaving servers, want %d and %d", len(spent), len(left), accounts, leaving)
 		}
 
-		counts := 0
+		services := rapid.IntRange(0, 100).Draw(t, "services")
+		measure(t, p.scheduler, clk.Now(), services)
 
-		for _, c := range p.makeCounts() {
+		counts, work := 0, 0
+
+		for _, c := range p.makeCounts(clk.Now()) {
 			counts += len(c.Usage)
+			work += len(c.Work)
 			encodeMessage(t, datagram{Counts: &c})
 		}
 
+		if work != services {
+			t.Errorf("services whose work is told: got %d, want %d", work, services)
+		}
+
 		if counts != accounts {
 			t.Errorf("counts told: got %d, want %d", counts, accounts)
 		}
--- a/entry/duties.go
+++ b/entry/duties.go
@@ -59,6 +59,8 @@
 	// at all instances.
 	leads func() bool
 	live  func(now time.Time) []scheduling.Work
+	// taken returns the part of a service's places that is in use, if that is known.
+	taken func(now time.Time, service fleet.Service) (float64, bool)
 
 	// nudge asks for a round of the board.
 	nudge    func()
@@ -71,8 +73,8 @@
 	// recorded is what arrived at all as one that leads recorded it.
 	recorded []scheduling.Work
 	planner  capacity.Planner
-	// wanted are the numbers that were logged last, by service.
-	wanted map[fleet.Service][2]int
+	// said is what was logged last, by service.
+	said map[fleet.Service]plan
 }
 
 func newDuties(p *parts) *duties {
@@ -81,8 +83,9 @@
 		settings: p.settings, clock: p.clock, members: p.members, rules: &p.rules, register: p.register,
 		nudge:       func() { p.board.Nudge() },
 		leads:       p.leads,
-		live:        p.workOfAll,
-		wanted:      make(map[fleet.Service][2]int),
+		live:        p.arrivingAtAll,
+		taken:       p.scheduler.Taken,
+		said:        make(map[fleet.Service]plan),
 		cloud:       platform.NewCloud(p.settings.Cloud, p.settings.Instance),
 		incarnation: fleet.Incarnation(now.UnixNano()),
 		ledger: usage.NewLedger(usage.Policy{
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -30,7 +30,7 @@
 	}
 
 	if p.leads() {
-		r.Work = p.workOfAll(now)
+		r.Work = p.arrivingAtAll(now)
 	}
 
 	p.duties.write(now, &r)
--- a/entry/heartbeat.go
+++ b/entry/heartbeat.go
@@ -14,7 +14,6 @@
 	"monsoonlever/fleet"
 	"monsoonlever/gossip"
 	"monsoonlever/register"
-	"monsoonlever/scheduling"
 	"monsoonlever/topology"
 )
 
@@ -48,8 +47,6 @@
 	// long ago they were asked for; a negative age was never confirmed.
 	Register    uint64        `msgpack:"d"`
 	RegisterAgo time.Duration `msgpack:"g"`
-	// Work is what arrives at the sender and at those that turned to it.
-	Work []scheduling.Work `msgpack:"w,omitempty"`
 }
 
 // echoes holds the newest time of each other instance.
@@ -112,7 +109,6 @@
 		Instance: p.self(), Address: p.settings.Listen.Peers,
 		Domain: p.settings.FailureDomain, Cores: p.settings.Limits.ProcessorCores, Stopping: p.stopping.Load(),
 		Leaders: plan.Leaders, Members: plan.Count, At: now.UnixNano(), ConfirmedAgo: -1, RegisterAgo: -1, Leaving: p.leaving(),
-		Work: p.work.group(now, p.scheduler.Work(now)),
 	}
 
 	if age, ok := p.registered.Age(); ok {
@@ -162,7 +158,6 @@
 
 	p.updateMember(now, w)
 	p.echoes.heard(w.Instance, w.At)
-	p.receiveWork(now, w)
 
 	if p.register.Leave(w.Leaving) {
 		p.scheduler.Update(p.register.Servers())
@@ -197,14 +192,6 @@
 	p.links.Told(now, w.Instance, w.Leaders, w.Members)
 }
 
-// receiveWork takes in what arrives at another instance. What a relay tells those that turned
-// to it is no news of others.
-func (p *parts) receiveWork(now time.Time, w heartbeat) {
-	if w.Relation != topology.FromRelay {
-		p.work.hear(now, w.Instance, w.Work, w.Relation == topology.ToRelay)
-	}
-}
-
 // confirmBy takes over another instance's confirmation that the rules in force here
 // are the newest. It goes on so where the store turns only this instance away.
 func (p *parts) confirmBy(echo time.Time, w heartbeat) {
--- a/entry/orders.go
+++ b/entry/orders.go
@@ -52,16 +52,24 @@
 	return orders
 }
 
+// plan is what was logged last of a service.
+type plan struct {
+	wanted, ofLate int
+	contradicted   bool
+}
+
 // logPlan logs how many servers are wanted and for what load, where that changed.
 func (d *duties) logPlan(now time.Time, s capacity.State) {
 	wanted, ofLate := d.planner.Wanted(now, s.Service)
-	if d.wanted[s.Service] == [2]int{wanted, ofLate} {
+	said := plan{wanted: wanted, ofLate: ofLate, contradicted: s.Contradicted()}
+
+	if d.said[s.Service] == said {
 		return
 	}
 
-	d.wanted[s.Service] = [2]int{wanted, ofLate}
+	d.said[s.Service] = said
 	klog.InfoS("servers wanted", "service", s.Service, "servers", wanted, "ofLate", ofLate,
-		"arriving", int(s.Arriving), "speed", int(s.Speed))
+		"arriving", int(s.Arriving), "speed", int(s.Speed), "taken", s.Taken, "contradicted", said.contradicted)
 }
 
 // stateOf gathers what is known of a service.
@@ -92,6 +100,7 @@
 		s.Places = append(s.Places, *places[domain])
 	}
 
+	s.Taken, s.TakenKnown = d.taken(d.clock.Now(), service.Name)
 	work := workOf(d.live(d.clock.Now()), service.Name)
 	before := workOf(d.recorded, service.Name)
 	s.Arriving, s.Speed = work.Arriving, work.Speed
--- a/entry/parts.go
+++ b/entry/parts.go
@@ -10,6 +10,7 @@
 	"github.com/sourcegraph/conc"
 	"k8s.io/klog/v2"
 
+	"monsoonlever/arrivals"
 	"monsoonlever/board"
 	"monsoonlever/clock"
 	"monsoonlever/currency"
@@ -95,7 +96,8 @@
 	// links find whom to tell, and plan is the newest answer.
 	links *topology.Links
 	plan  atomic.Pointer[topology.Plan]
-	work  workTable
+	// arrivals is what others say that arrives at them.
+	arrivals arrivals.Table
 	// registered tells how old the register is, and fresh when it is read again.
 	registered   *currency.Tracker
 	fresh        freshness
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -17,6 +17,7 @@
 func (p *parts) replan(now time.Time) *topology.Plan {
 	plan := p.links.Plan(now, p.members.All())
 	before := p.plan.Swap(plan)
+	p.scheduler.SetRelay(plan.Relay)
 
 	led, leads := before.Leads(p.self()), plan.Leads(p.self())
 	if led != leads || before.Relay != plan.Relay || !slices.Equal(before.Leaders, plan.Leaders) {
--- a/entry/usage_counts.go
+++ b/entry/usage_counts.go
@@ -4,21 +4,34 @@
 	"context"
 	"time"
 
+	"monsoonlever/arrivals"
 	"monsoonlever/clock"
 	"monsoonlever/fleet"
 	"monsoonlever/gossip"
+	"monsoonlever/scheduling"
 	"monsoonlever/usage"
 )
 
-// usageCounts are an instance's counts of usage in the newest windows, so that they outlive it.
+// usageCounts are an instance's counts of usage in the newest windows, so that they outlive
+// it, and what arrives at it, for those that order backend servers.
 type usageCounts struct {
 	Instance    fleet.InstanceID  `msgpack:"i"`
 	Incarnation fleet.Incarnation `msgpack:"n"`
 	Usage       []usage.Count     `msgpack:"u"`
+	// At is the sender's clock. Work is what arrives at this instance alone.
+	At   int64             `msgpack:"t,omitempty"`
+	Work []scheduling.Work `msgpack:"w,omitempty"`
 }
 
-// countBytes is what a count takes beside its account's name.
-const countBytes = 18
+const (
+	// countBytes is what a count takes beside its account's name, and workBytes what
+	// arrives at a service beside that's name.
+	countBytes = 18
+	workBytes  = 22
+	// leastArrivalsLife is the least time for which what an instance said of its work
+	// counts: some words may be lost.
+	leastArrivalsLife = time.Second
+)
 
 // tellCounts tells those that may hold duties what this instance has counted, at the pace
 // of heartbeats to all instances, so that none hears more of them the more there are. It also
@@ -27,24 +40,62 @@
 	for ctx.Err() == nil {
 		leaders := p.leaders(p.plan.Load())
 
-		for _, t := range p.makeCounts() {
+		for _, t := range p.makeCounts(p.clock.Now()) {
 			p.sendAll(leaders, datagram{Counts: &t})
 		}
 
-		clock.Sleep(ctx, p.clock, gossip.Every(p.members.Count()-1))
+		clock.Sleep(ctx, p.clock, p.countsPace())
+	}
+}
+
+// countsPace is the time between two messages of an instance with its counts.
+func (p *parts) countsPace() time.Duration { return gossip.Every(p.members.Count() - 1) }
+
+// counted is a count of usage, or what arrives at a service.
+type counted struct {
+	count usage.Count
+	work  *scheduling.Work
+}
+
+func (c counted) size() int {
+	if c.work != nil {
+		return workBytes + len(c.work.Service)
 	}
+
+	return countBytes + len(c.count.Account)
 }
 
 // makeCounts makes the messages with this instance's counts, one at least.
-func (p *parts) makeCounts() []usageCounts {
-	parts := pack(p.counter.Recent(), func(c usage.Count) int { return countBytes + len(c.Account) })
+func (p *parts) makeCounts(now time.Time) []usageCounts {
+	var all []counted
+
+	for _, w := range p.scheduler.Work(now) {
+		all = append(all, counted{work: &w})
+	}
+
+	for _, c := range p.counter.Recent() {
+		all = append(all, counted{count: c})
+	}
+
+	parts := pack(all, counted.size)
 	if len(parts) == 0 {
-		parts = [][]usage.Count{nil}
+		parts = [][]counted{nil}
 	}
 
 	messages := make([]usageCounts, 0, len(parts))
-	for _, counts := range parts {
-		messages = append(messages, usageCounts{Instance: p.self(), Incarnation: p.duties.incarnation, Usage: counts})
+
+	for _, part := range parts {
+		m := usageCounts{Instance: p.self(), Incarnation: p.duties.incarnation, At: now.UnixNano()}
+
+		for _, one := range part {
+			if one.work != nil {
+				m.Work = append(m.Work, *one.work)
+			} else {
+				m.Usage = append(m.Usage, one.count)
+			}
+		}
+
+		messages = append(messages, m)
 	}
 
 	return messages
@@ -54,4 +105,13 @@
 func (p *parts) receiveCounts(now time.Time, t *usageCounts) {
 	p.members.Seen(now, t.Instance)
 	p.duties.count(t)
+	p.arrivals.Hear(now, arrivals.Word{Instance: t.Instance, Incarnation: t.Incarnation, At: t.At, Work: t.Work})
+}
+
+// arrivingAtAll returns what arrives at all instances, as far as it is known here: at those
+// that lead.
+func (p *parts) arrivingAtAll(now time.Time) []scheduling.Work {
+	life := max(lostHeartbeats*p.countsPace(), leastArrivalsLife)
+
+	return p.arrivals.Total(now, life, p.scheduler.Work(now))
 }
--- a/scheduling/news.go
+++ b/scheduling/news.go
@@ -39,8 +39,8 @@
 type Audience int
 
 const (
-	// Upstream are the relays. They are told what this instance, and those that turned to
-	// it, have sent.
+	// Upstream are the relays. They are told what this instance, and where it is a relay
+	// those that turned to it, have sent.
 	Upstream Audience = iota
 	// Downstream are the instances that turned to this one as their relay. They are told
 	// what all have sent, themselves included.
@@ -202,7 +202,7 @@
 	}
 
 	for _, one := range all.backlogs {
-		news.Backlogs = append(news.Backlogs, Backlog{Server: one.key, Tokens: tokens(one.backlogFor(now, to))})
+		news.Backlogs = append(news.Backlogs, Backlog{Server: one.key, Tokens: tokens(one.backlogFor(now, to, s.relay.Load()))})
 	}
 
 	for _, one := range all.loads {
@@ -216,6 +216,10 @@
 	return news
 }
 
+// SetRelay says whether this instance is a relay: one that is none tells relays of itself
+// alone.
+func (s *Scheduler) SetRelay(relay bool) { s.relay.Store(relay) }
+
 // Ready returns a channel that is told when there is news for an audience.
 func (s *Scheduler) Ready(to Audience) <-chan struct{} { return s.outboxes[to].nudge.C() }
 
--- a/scheduling/relayed_test.go
+++ b/scheduling/relayed_test.go
@@ -24,6 +24,7 @@
 
 	for member, relay := range r.relayOf {
 		r.members[member], r.relays[relay] = engines(1, 64), engines(1, 64)
+		r.relays[relay].SetRelay(true)
 	}
 
 	return r
--- a/scheduling/scheduling.go
+++ b/scheduling/scheduling.go
@@ -77,6 +77,8 @@
 	byKey atomic.Pointer[map[Key]*server]
 
 	outboxes [audiences]outbox
+	// relay tells that this instance is a relay.
+	relay atomic.Bool
 
 	mu      sync.Mutex
 	servers map[fleet.InstanceID]*server
--- a/scheduling/server.go
+++ b/scheduling/server.go
@@ -202,8 +202,10 @@
 	return max(others, all)
 }
 
-// backlogFor returns the unread tokens that an audience is told.
-func (s *server) backlogFor(now time.Time, to Audience) int64 {
+// backlogFor returns the unread tokens that an audience is told. What subscribers said is
+// passed up by a relay alone: two that take each other for relays, or three in a ring, would
+// each add what they are told of themselves, and more with each message.
+func (s *server) backlogFor(now time.Time, to Audience, relay bool) int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
@@ -213,7 +215,11 @@
 		return max(own+s.elsewhere.sum(now, ofOthers), s.elsewhere.sum(now, ofRelay))
 	}
 
-	s.upstream = own + s.elsewhere.sum(now, ofSubscribers)
+	s.upstream = own
+
+	if relay {
+		s.upstream += s.elsewhere.sum(now, ofSubscribers)
+	}
 
 	return s.upstream
 }
--- /dev/null
+++ b/scheduling/taken.go
@@ -0,0 +1,36 @@
+package scheduling
+
+import (
+	"time"
+
+	"monsoonlever/fleet"
+)
+
+// knownShare is the part of a service's servers that have to have told their load of late
+// for all to be judged by it.
+const knownShare = 0.5
+
+// Taken returns the part of the places of a service's servers that is in use or waited for,
+// and whether most of them have told their load of late.
+func (s *Scheduler) Taken(now time.Time, service fleet.Service) (float64, bool) {
+	pools := s.current.Load()
+	if pools == nil {
+		return 0, false
+	}
+
+	pool := (*pools)[service]
+	requests, places, known := 0, 0, 0
+
+	for _, one := range pool {
+		told, _, young := one.newest(now)
+		if slots := one.entry().Slots; young && slots > 0 {
+			requests, places, known = requests+told, places+slots, known+1
+		}
+	}
+
+	if known == 0 || float64(known) < knownShare*float64(len(pool)) {
+		return 0, false
+	}
+
+	return float64(requests) / float64(places), true
+}
--- a/usage/ledger.go
+++ b/usage/ledger.go
@@ -57,7 +57,8 @@
 	}
 }
 
-// Count takes the counts of one instance in, which replace its earlier ones.
+// Count takes the counts of one instance in. They only grow: what is lower was overtaken on
+// its way by what the instance told later.
 func (l *Ledger) Count(
 	now time.Time, id fleet.InstanceID, incarnation fleet.Incarnation, counts []Count,
 ) {
@@ -73,7 +74,8 @@
 			l.counts[c.Window][from] = make(map[fleet.Account]int)
 		}
 
-		l.counts[c.Window][from][c.Account] = c.Requests
+		counts := l.counts[c.Window][from]
+		counts[c.Account] = max(counts[c.Account], c.Requests)
 	}
 }
 
--- a/usage/ledger_test.go
+++ b/usage/ledger_test.go
@@ -77,6 +77,19 @@
 	}
 }
 
+// Counts of a window only grow. What comes late says less than what came before it.
+func TestALateWordTakesNothingBack(t *testing.T) {
+	l := NewLedger(policy, at(0))
+	l.Count(at(6), "entry-1", 1, count(9))
+	l.Count(at(6.1), "entry-1", 1, count(4))
+
+	for _, r := range l.Due(at(8), []fleet.InstanceID{"entry-1"}) {
+		if r.Window == 200 && r.Counts["a"] != 9 {
+			t.Errorf("with an earlier word behind a later one: got %d, want 9", r.Counts["a"])
+		}
+	}
+}
+
 // Windows may be shorter than the pace at which counts are told.
 func TestCountsAreToldForTheirTime(t *testing.T) {
 	now := at(0.5)
