feat(rollout,entry,forward,scheduling,platform): a new version is tried within its budget and decided by its deadline

Package rollout is a step without a network: counts by version and route go in, the share and the verdict come out. Instances send by the newest word of the holder, which lapses; one that hears nobody, or nothing of an order yet, sends to the old version alone.

Not done: one decision with placement/rollout.go, the state of a roll-out in monsoonlever, the way two orders overlap played over the network, streams moved before the old servers stop.

--- a/board/board.go
+++ b/board/board.go
@@ -33,6 +33,7 @@
 	"monsoonlever/provider"
 	"monsoonlever/quarantine"
 	"monsoonlever/quota"
+	"monsoonlever/rollout"
 	"monsoonlever/scheduling"
 	"monsoonlever/usage"
 )
@@ -62,6 +63,8 @@
 	// Losses are backend servers that ended under requests which are held off, and those
 	// that this instance has just seen.
 	Losses []quarantine.Loss `msgpack:"z,omitempty"`
+	// Rollouts is what was decided on new versions, told by those that lead.
+	Rollouts []rollout.State `msgpack:"v,omitempty"`
 	// Lease is the state of the role as this instance knows it, for those that
 	// start later; Leases are new records of the role.
 	Lease  lease.Snapshot `msgpack:"s"`
--- a/entry/datagram.go
+++ b/entry/datagram.go
@@ -25,6 +25,8 @@
 	Servers []serverNews `msgpack:"s,omitempty"`
 	// Prompts is what another instance knows of prompts at model engines.
 	Prompts *promptNews `msgpack:"p,omitempty"`
+	// Trials is what another instance counted while new versions are tried.
+	Trials *trialCounts `msgpack:"v,omitempty"`
 	// Losses are backend servers that ended under requests.
 	Losses []quarantine.Loss `msgpack:"q,omitempty"`
 }
@@ -49,6 +51,8 @@
 	switch {
 	case d.Counts != nil:
 		p.receiveCounts(now, d.Counts)
+	case d.Trials != nil:
+		p.rollouts.table.Hear(d.Trials.Instance, d.Trials.Incarnation, d.Trials.Counts)
 	case d.Ask != nil:
 		// One that has just started, or stops, is no member here.
 		reply := p.loans.Lend(*d.Ask)
--- a/entry/duties.go
+++ b/entry/duties.go
@@ -63,7 +63,11 @@
 	taken func(now time.Time, service fleet.Service) (float64, bool)
 
 	// nudge asks for a round of the board.
-	nudge    func()
+	nudge func()
+	// rollout takes a step of what is ordered for new versions, and inTrial returns the
+	// version of a service that is being tried.
+	rollout  func(ctx context.Context)
+	inTrial  func(service fleet.Service) (fleet.Version, uint64, bool)
 	rules    *atomic.Pointer[ruleset.Ruleset]
 	register *register.Register
 
@@ -83,6 +87,8 @@
 		settings: p.settings, clock: p.clock, members: p.members, rules: &p.rules, register: p.register,
 		nudge:       func() { p.board.Nudge() },
 		leads:       p.leads,
+		rollout:     p.rollouts.step,
+		inTrial:     p.rollouts.gate.InTrial,
 		live:        p.arrivingAtAll,
 		taken:       p.scheduler.Taken,
 		said:        make(map[fleet.Service]plan),
@@ -214,6 +220,7 @@
 			d.order(ctx)
 		}
 
+		d.rollout(ctx)
 		d.claim()
 		clock.Sleep(ctx, d.clock, dutyEvery)
 	}
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -31,6 +31,7 @@
 
 	if p.leads() {
 		r.Work = p.arrivingAtAll(now)
+		r.Rollouts = p.rollouts.gate.States()
 	}
 
 	p.duties.write(now, &r)
@@ -52,6 +53,10 @@
 	// All instances read the board, so that none has to pass its records on.
 	p.quarantine.Hear(now, r.Losses, false)
 	p.duties.receive(now, r)
+
+	for _, s := range r.Rollouts {
+		p.rollouts.gate.Hear(now, s, time.Time{})
+	}
 }
 
 // receiveSpent takes in what other instances, and earlier runs of this one, have spent.
--- a/entry/heartbeat.go
+++ b/entry/heartbeat.go
@@ -14,6 +14,7 @@
 	"monsoonlever/fleet"
 	"monsoonlever/gossip"
 	"monsoonlever/register"
+	"monsoonlever/rollout"
 	"monsoonlever/topology"
 )
 
@@ -47,6 +48,8 @@
 	// long ago they were asked for; a negative age was never confirmed.
 	Register    uint64        `msgpack:"d"`
 	RegisterAgo time.Duration `msgpack:"g"`
+	// Rollouts is what the holder of the duties has decided on new versions.
+	Rollouts []rollout.Word `msgpack:"v,omitempty"`
 }
 
 // echoes holds the newest time of each other instance.
@@ -109,6 +112,7 @@
 		Instance: p.self(), Address: p.settings.Listen.Peers,
 		Domain: p.settings.FailureDomain, Cores: p.settings.Limits.ProcessorCores, Stopping: p.stopping.Load(),
 		Leaders: plan.Leaders, Members: plan.Count, At: now.UnixNano(), ConfirmedAgo: -1, RegisterAgo: -1, Leaving: p.leaving(),
+		Rollouts: p.rollouts.words(now),
 	}
 
 	if age, ok := p.registered.Age(); ok {
@@ -164,10 +168,13 @@
 	}
 
 	if w.Echo == 0 {
+		p.rollouts.hear(now, w.Rollouts, time.Time{})
+
 		return
 	}
 
 	echo := time.Unix(0, w.Echo)
+	p.rollouts.hear(now, w.Rollouts, echo)
 	p.confirmBy(echo, w)
 
 	if w.RegisterAgo >= 0 {
--- a/entry/heartbeat_test.go
+++ b/entry/heartbeat_test.go
@@ -25,7 +25,7 @@
 		clock: clk, duties: &duties{}, limits: quota.New(quota.Policy{}), members: &board.Members{}, links: &topology.Links{},
 		counter:  &usage.Counter{Width: time.Second, Keep: time.Second, Now: clk.Now},
 		currency: &currency.Tracker{Clock: clk}, registered: &currency.Tracker{Clock: clk},
-		register: &register.Register{}, scheduler: &scheduling.Scheduler{},
+		register: &register.Register{}, scheduler: &scheduling.Scheduler{}, rollouts: &rollouts{},
 	}
 
 	p.plan.Store(&topology.Plan{Relay: true, Few: true})
--- a/entry/news.go
+++ b/entry/news.go
@@ -23,6 +23,7 @@
 	Reclaimable bool
 	// LeavesIn is the time that a reclaimed server has left, zero is not known.
 	LeavesIn time.Duration
+	Program  fleet.Version
 }
 
 // newsBytes is what news of a server takes beside its names.
@@ -53,7 +54,7 @@
 }
 
 func (n serverNews) size() int {
-	return newsBytes + len(n.ID) + len(n.Service) + len(n.Address) + len(n.Domain)
+	return newsBytes + len(n.ID) + len(n.Program) + len(n.Service) + len(n.Address) + len(n.Domain)
 }
 
 // newsOf returns what changed since before, but for what only counts entries.
@@ -73,6 +74,7 @@
 		one := serverNews{
 			ID: s.ID, Incarnation: s.Incarnation, Version: p.register.Version(s.ID), Service: s.Service,
 			Address: s.Address, Domain: s.Domain, Slots: s.Slots, Leaving: s.Leaving, Reclaimable: s.Reclaimable,
+			Program: s.Version,
 		}
 		if !s.Leaves.IsZero() {
 			one.LeavesIn = s.Leaves.Sub(now)
@@ -103,7 +105,7 @@
 		if !n.Gone {
 			c.Server = &register.Server{
 				ID: n.ID, Incarnation: n.Incarnation, Service: n.Service, Address: n.Address, Domain: n.Domain,
-				Slots: n.Slots, Leaving: n.Leaving, Reclaimable: n.Reclaimable,
+				Slots: n.Slots, Leaving: n.Leaving, Reclaimable: n.Reclaimable, Version: n.Program,
 			}
 			if n.LeavesIn != 0 {
 				c.Server.Leaves = now.Add(n.LeavesIn)
--- a/entry/orders.go
+++ b/entry/orders.go
@@ -83,9 +83,11 @@
 		places[domain] = &capacity.Place{Domain: domain, Price: price}
 	}
 
+	tried, _, trial := d.inTrial(service.Name)
+
 	for _, server := range d.register.Servers() {
 		place := places[server.Domain]
-		if server.Service != service.Name || server.Leaving || place == nil {
+		if server.Service != service.Name || server.Leaving || place == nil || trial && server.Version == tried {
 			continue
 		}
 
@@ -123,6 +125,25 @@
 	return scheduling.Work{Service: service}
 }
 
+// besides returns the servers that an order must not take away although they are not
+// planned with: those of a version that is being tried.
+func (d *duties) besides(o capacity.Order) int {
+	tried, _, trial := d.inTrial(o.Service)
+	if !trial {
+		return 0
+	}
+
+	n := 0
+
+	for _, s := range d.register.Servers() {
+		if s.Service == o.Service && s.Version == tried && s.Domain == o.Domain && s.Reclaimable == o.Reclaimable && !s.Leaving {
+			n++
+		}
+	}
+
+	return n
+}
+
 // give sends one order.
 func (d *duties) give(ctx context.Context, o capacity.Order) {
 	call, cancel := context.WithTimeout(ctx, dutyTimeout)
@@ -133,7 +154,9 @@
 		return
 	}
 
-	err := d.cloud.OrderServers(call, fence, o)
+	all := o
+	all.Servers += d.besides(o)
+	err := d.cloud.OrderServers(call, fence, all)
 	none := errors.Is(err, platform.ErrNoneAvailable)
 
 	d.mu.Lock()
--- a/entry/parts.go
+++ b/entry/parts.go
@@ -91,6 +91,7 @@
 	members    *board.Members
 	board      *board.Board
 	duties     *duties
+	rollouts   *rollouts
 	counter    *usage.Counter
 	gossip     atomic.Pointer[gossip.Exchange]
 	// links find whom to tell, and plan is the newest answer.
@@ -154,10 +155,12 @@
 	p.loans = &quota.Loans{Quota: p.limits, Clock: e.Clock, Self: s.Instance, Current: p.currency.Current, Send: func(to fleet.InstanceID, ask quota.Ask) {
 		p.sendDatagram(to, datagram{Ask: &ask})
 	}}
+	p.rollouts = newRollouts(p)
 	p.pool = &upstream.Pool{Clock: e.Clock, Counters: upstream.NewCounters(set)}
 	p.forwarder = &forward.Forwarder{
 		Clock: e.Clock, Rules: &p.rules, Currency: p.currency, Limits: p.loans, Retries: p.retries,
 		Scheduler: p.scheduler, Pool: p.pool, Protocol: platform.Protocol{}, Usage: p.counter,
+		Versions: &p.rollouts.gate, Trials: &p.rollouts.counter,
 		Quarantine: p.quarantine, Counters: forward.NewCounters(set), MaxAnswerBytes: maxAnswerBytes, Observe: e.logOutcome,
 	}
 	p.handler = &platform.Handler{Clock: e.Clock, Serve: p.serve, BodyBytes: p.bodyBytes}
@@ -167,6 +170,22 @@
 		Write: p.writeRecord, Receive: p.receiveRecord, Reached: p.boardReached,
 	}
 	p.duties = newDuties(p)
+	p.rollouts.start, p.rollouts.held = p.duties.incarnation, p.duties.held
+	p.gauges(set)
+	p.rulesFeed = &feed.Follower{
+		Name: "rules", Source: p.store.Rules(), Clock: e.Clock, Pace: p.rulesPace,
+		Apply: p.applyRules, Confirm: p.currency.Confirm,
+	}
+	p.registerFeed = &feed.Follower{
+		Name: "register", Source: p.store.Register(), Clock: e.Clock, Pace: p.registerPace, Due: p.registerDue,
+		Apply: p.applyRegister, Confirm: p.registered.Confirm,
+	}
+
+	return p
+}
+
+// gauges adds what this instance is and knows to the metrics.
+func (p *parts) gauges(set *metrics.Set) {
 	set.NewGauge("monsoonlever_entry_members", func() float64 { return float64(p.members.Count()) })
 	set.NewGauge("monsoonlever_entry_relay", func() float64 { return gauge(p.plan.Load().Relay) })
 	set.NewGauge("monsoonlever_entry_leads", func() float64 { return gauge(p.leads()) })
@@ -179,16 +198,7 @@
 
 		return age.Seconds()
 	})
-	p.rulesFeed = &feed.Follower{
-		Name: "rules", Source: p.store.Rules(), Clock: e.Clock, Pace: p.rulesPace,
-		Apply: p.applyRules, Confirm: p.currency.Confirm,
-	}
-	p.registerFeed = &feed.Follower{
-		Name: "register", Source: p.store.Register(), Clock: e.Clock, Pace: p.registerPace, Due: p.registerDue,
-		Apply: p.applyRegister, Confirm: p.registered.Confirm,
-	}
-
-	return p
+	set.NewGauge("monsoonlever_entry_rollouts", func() float64 { return float64(len(p.rollouts.gate.Tasks())) })
 }
 
 // gauge is 1 where something holds.
--- /dev/null
+++ b/entry/rollouts.go
@@ -0,0 +1,282 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"monsoonlever/clock"
+	"monsoonlever/feed"
+	"monsoonlever/fleet"
+	"monsoonlever/lease"
+	"monsoonlever/platform"
+	"monsoonlever/register"
+	"monsoonlever/rollout"
+)
+
+// rollouts is this instance's part in moving services to new versions: it knows the orders
+// and the holder's words, counts, and plans where it holds the duties.
+type rollouts struct {
+	gate    rollout.Gate
+	counter rollout.Counter
+	table   rollout.Table
+
+	policy   rollout.Policy
+	clock    clock.Clock
+	self     fleet.InstanceID
+	start    fleet.Incarnation
+	register *register.Register
+	// told is the time in which the counts of all instances come to those that lead.
+	told func() time.Duration
+	// held returns the fence if this instance holds the duties, and write writes how far a
+	// roll-out is.
+	held  func() (lease.Fence, bool)
+	write func(ctx context.Context, s rollout.State, phase rollout.Phase, fence, number uint64) error
+
+	// The rest is used by the goroutine of the duties alone.
+	planners map[fleet.Service]*rollout.Planner
+	// fence is that under which number writes were made, and written what they said.
+	fence   lease.Fence
+	number  uint64
+	written map[fleet.Service]status
+
+	mu   sync.Mutex
+	turn int
+}
+
+// status is what was written of a service.
+type status struct {
+	place uint64
+	phase rollout.Phase
+}
+
+// trialCounts are what an instance counted while new versions are tried, for those that
+// lead.
+type trialCounts struct {
+	Instance    fleet.InstanceID  `msgpack:"i"`
+	Incarnation fleet.Incarnation `msgpack:"n"`
+	Counts      []rollout.Count   `msgpack:"c"`
+}
+
+const (
+	// trialBytes is what the counts of a route take beside names and paces, and paceBytes
+	// what the count of a pace takes.
+	trialBytes = 64
+	paceBytes  = 7
+	// wordsBytes is what words on roll-outs take of a heartbeat at most, and wordBytes what
+	// one takes beside its names.
+	wordsBytes = 300
+	wordBytes  = 70
+)
+
+// ordered takes the operators' orders in.
+func (r *rollouts) ordered(entries []feed.Entry) {
+	for _, e := range entries {
+		if !platform.IsRollout(e.Key) {
+			continue
+		}
+
+		if len(e.Data) == 0 {
+			klog.InfoS("order for a new version was removed, it goes on", "key", e.Key, "offset", e.At)
+
+			continue
+		}
+
+		order, err := platform.DecodeRollout(e.Key, e.Data, uint64(e.At)+1)
+		if err != nil {
+			klog.ErrorS(err, "order for a new version is not taken", "offset", e.At)
+
+			continue
+		}
+
+		if r.gate.Ordered(r.clock.Now(), order) {
+			klog.InfoS("new version ordered", "service", order.Service, "version", order.Target, "span", order.Span, "offset", e.At)
+		}
+	}
+}
+
+// words returns what the next heartbeat tells. Where not all fits, the next ones tell the
+// rest.
+func (r *rollouts) words(now time.Time) []rollout.Word {
+	parts := packInto(r.gate.Words(now), wordsBytes, func(w rollout.Word) int {
+		n := wordBytes + len(w.State.Service) + len(w.State.Target)
+		for _, v := range w.State.Avoid {
+			n += len(v) + 1
+		}
+
+		return n
+	})
+	if len(parts) == 0 {
+		return nil
+	}
+
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.turn++
+
+	return parts[r.turn%len(parts)]
+}
+
+// hear takes words in that were true after a time; the zero time is not known.
+func (r *rollouts) hear(now time.Time, words []rollout.Word, after time.Time) {
+	for _, w := range words {
+		at := time.Time{}
+		if !after.IsZero() && w.Age >= 0 {
+			at = after.Add(-w.Age)
+		}
+
+		r.gate.Hear(now, w.State, at)
+	}
+}
+
+// counts returns the messages with what this instance counted of versions that are tried.
+func (r *rollouts) counts() []trialCounts {
+	var counts []rollout.Count
+
+	for _, c := range r.counter.Counts() {
+		if _, place, running := r.gate.InTrial(c.Service); running && place == c.Place {
+			counts = append(counts, c)
+		}
+	}
+
+	var messages []trialCounts
+
+	for _, part := range pack(counts, func(c rollout.Count) int {
+		return trialBytes + len(c.Service) + len(c.Route) + paceBytes*(len(c.Old.Paces)+len(c.New.Paces))
+	}) {
+		messages = append(messages, trialCounts{Instance: r.self, Incarnation: r.start, Counts: part})
+	}
+
+	return messages
+}
+
+// step plans what is ordered, if this instance holds the duties.
+func (r *rollouts) step(ctx context.Context) {
+	tasks := r.gate.Tasks()
+	if len(tasks) == 0 {
+		return
+	}
+
+	fence, held := r.held()
+	if !held {
+		// What another holder decides meanwhile is in the gate.
+		clear(r.planners)
+
+		return
+	}
+
+	if fence != r.fence {
+		r.fence, r.number, r.written = fence, 0, make(map[fleet.Service]status)
+	}
+
+	r.table.Hear(r.self, r.start, r.counter.Counts())
+
+	for _, task := range tasks {
+		r.plan(ctx, task)
+	}
+}
+
+// plan takes one step of one order.
+func (r *rollouts) plan(ctx context.Context, task rollout.Task) {
+	now := r.clock.Now()
+	p := r.planner(task)
+	picture := r.picture(task.Order)
+	before := task.State
+
+	state, complete := p.Step(now, uint64(r.fence), picture)
+
+	if complete && r.report(ctx, state, rollout.Completed) {
+		p.Completed(picture.OldVersions)
+		state, _ = p.Step(now, uint64(r.fence), picture)
+	}
+
+	r.gate.Hear(now, state, now)
+
+	if state.Phase != before.Phase || state.Place != before.Place || state.Share != before.Share {
+		klog.InfoS("roll-out", "service", state.Service, "version", state.Target, "phase", state.Phase.String(),
+			"share", state.Share, "requests", state.Reached, "tried", state.Exposed, "oldServers", picture.Old,
+			"newServers", picture.New, "elapsed", state.Elapsed, "why", p.Why(), "fence", r.fence)
+	}
+
+	r.report(ctx, state, state.Phase)
+}
+
+func (r *rollouts) planner(task rollout.Task) *rollout.Planner {
+	p := r.planners[task.Order.Service]
+	if p == nil || p.Order != task.Order {
+		p = &rollout.Planner{Policy: r.policy, Order: task.Order, Begun: task.Begun}
+		p.Resume(task.State)
+		r.planners[task.Order.Service] = p
+	}
+
+	return p
+}
+
+// report writes how far a roll-out is, once, and tells whether that stands.
+func (r *rollouts) report(ctx context.Context, s rollout.State, phase rollout.Phase) bool {
+	said := status{place: s.Place, phase: phase}
+	if r.written[s.Service] == said {
+		return true
+	}
+
+	call, cancel := context.WithTimeout(ctx, dutyTimeout)
+	defer cancel()
+
+	if fence, held := r.held(); !held || fence != r.fence {
+		return false
+	}
+
+	err := r.write(call, s, phase, uint64(r.fence), r.number+1)
+	if err != nil {
+		klog.ErrorS(err, "state of a roll-out is not written", "service", s.Service, "phase", phase.String(),
+			"fenced", errors.Is(err, platform.ErrFenced))
+
+		return false
+	}
+
+	r.number++
+	r.written[s.Service] = said
+
+	return true
+}
+
+// picture gathers what is known of an order.
+func (r *rollouts) picture(o rollout.Order) rollout.Picture {
+	pic := rollout.Picture{Routes: r.table.Routes(o), Told: r.told()}
+	versions := make(map[fleet.Version]bool)
+
+	for _, s := range r.register.Servers() {
+		switch {
+		case s.Service != o.Service || s.Leaving:
+		case s.Version == o.Target:
+			pic.New++
+		default:
+			pic.Old++
+
+			if !versions[s.Version] {
+				versions[s.Version] = true
+				pic.OldVersions = append(pic.OldVersions, s.Version)
+			}
+		}
+	}
+
+	return pic
+}
+
+// newRollouts makes this instance's part. It holds no duty yet.
+func newRollouts(p *parts) *rollouts {
+	b := p.settings.Bounds
+	r := &rollouts{
+		policy: rollout.Policy{Share: b.TrialShare, Slack: b.TrialSlack, Stop: b.TrialStop},
+		clock:  p.clock, self: p.self(), register: p.register,
+		told:     func() time.Duration { return p.countsPace() + dutyEvery },
+		write:    p.store.WriteRollout,
+		planners: make(map[fleet.Service]*rollout.Planner),
+	}
+	r.gate.Life = r.policy.WordLife()
+
+	return r
+}
--- a/entry/rules.go
+++ b/entry/rules.go
@@ -21,6 +21,8 @@
 // applyRules puts the newest rules in force. Rules that are malformed never
 // replace those before.
 func (p *parts) applyRules(entries []feed.Entry, _ bool) {
+	p.rollouts.ordered(entries)
+
 	var newest *feed.Entry
 
 	for i := range entries {
--- a/entry/usage_counts.go
+++ b/entry/usage_counts.go
@@ -44,6 +44,10 @@
 			p.sendAll(leaders, datagram{Counts: &t})
 		}
 
+		for _, t := range p.rollouts.counts() {
+			p.sendAll(leaders, datagram{Trials: &t})
+		}
+
 		clock.Sleep(ctx, p.clock, p.countsPace())
 	}
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -27,6 +27,9 @@
 // Model names a model of the manifest.
 type Model string
 
+// Version names a version of the program of a service's backend servers.
+type Version string
+
 // ModelVersion names a version of a model.
 type ModelVersion string
 
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -45,10 +45,11 @@
 	}
 
 	server := upstream.Server{ID: assignment.ID(), Address: assignment.Address()}
+	j.beginTrial(assignment)
 
 	answer, err := f.Pool.Send(ctx, server, j.message(assignment))
 	if err != nil {
-		assignment.End(f.Clock.Now(), resultOf(ctx, err))
+		f.endAttempt(ctx, j, assignment, err)
 		f.lostWith(ctx, j, assignment, false, err)
 
 		return j.sendFailed(server, err)
@@ -58,12 +59,19 @@
 	j.sent++
 	j.servers = append(j.servers, string(server.ID))
 	err = f.receive(ctx, j, assignment, answer, sink)
-	assignment.End(f.Clock.Now(), resultOf(ctx, err))
+	f.endAttempt(ctx, j, assignment, err)
 	f.lostWith(ctx, j, assignment, true, err)
 
 	return err
 }
 
+// endAttempt tells the scheduler, and whoever tries a new version, how an attempt ended.
+func (f *Forwarder) endAttempt(ctx context.Context, j *job, a *scheduling.Assignment, err error) {
+	now, result := f.Clock.Now(), resultOf(ctx, err)
+	a.End(now, result)
+	j.trial.end(now, result, err)
+}
+
 func (j *job) sendFailed(server upstream.Server, err error) error {
 	if errors.Is(err, backend.ErrNotSent) {
 		return err
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -32,6 +32,7 @@
 	"monsoonlever/quarantine"
 	"monsoonlever/quota"
 	"monsoonlever/retry"
+	"monsoonlever/rollout"
 	"monsoonlever/ruleset"
 	"monsoonlever/scheduling"
 	"monsoonlever/upstream"
@@ -97,6 +98,10 @@
 	Counters  *Counters
 	// Quarantine knows the requests that end backend servers.
 	Quarantine *quarantine.Ledger
+	// Versions says which versions of servers requests go to, and Trials counts what comes
+	// of it while one is tried.
+	Versions *rollout.Gate
+	Trials   *rollout.Counter
 	// MaxAnswerBytes bounds an answer that is not a stream.
 	MaxAnswerBytes int64
 	// Observe is told each outcome; it may be nil.
--- a/forward/job.go
+++ b/forward/job.go
@@ -35,6 +35,9 @@
 	excluded   []fleet.InstanceID
 	servers    []string
 	stream     relay
+	// tried tells that a server was chosen before, and trial is what the attempt counts for.
+	tried bool
+	trial trial
 	// held is how long it was held back while servers were busy.
 	held time.Duration
 	// last is the newest answer of a server that failed, kept in case no other is
@@ -241,7 +244,11 @@
 
 // placing returns what the scheduler needs to know. A stream that has begun is not held.
 func (j *job) placing() scheduling.Request {
-	r := scheduling.Request{Service: j.service, Prompt: j.request.Prompt, Excluded: j.excluded}
+	choice := j.choose()
+	r := scheduling.Request{
+		Service: j.service, Prompt: j.request.Prompt, Excluded: j.excluded,
+		Only: choice.Only, Part: choice.Part, Avoid: choice.Avoid,
+	}
 
 	if j.route.Objective > 0 && !j.stream.begun {
 		arrived := j.request.Arrived
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -61,7 +61,9 @@
 			return err
 		}
 
-		assignment.Answering(f.Clock.Now())
+		now := f.Clock.Now()
+		assignment.Answering(now)
+		j.trial.event(now)
 
 		if err := j.stream.accept(id); err != nil {
 			return err
--- a/register/register.go
+++ b/register/register.go
@@ -43,9 +43,11 @@
 	// and then the id has one start only.
 	Incarnation fleet.Incarnation
 	Service     fleet.Service
-	Address     string
-	Domain      fleet.FailureDomain
-	Slots       int
+	// Version is that of the server's program.
+	Version fleet.Version
+	Address string
+	Domain  fleet.FailureDomain
+	Slots   int
 	// Leaving servers finish what they run and take nothing new.
 	Leaving bool
 	// Leaves is when a reclaimed server is gone; zero is not known.
--- /dev/null
+++ b/rollout/gate.go
@@ -0,0 +1,252 @@
+package rollout
+
+import (
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"monsoonlever/fleet"
+)
+
+// Choice is which versions a request may be sent to. The zero value is all.
+type Choice struct {
+	// Only is the new version, if the request is one of its share; Part is the part of its
+	// servers that take that share, so that each carries what it would carry in the end.
+	Only fleet.Version
+	Part float64
+	// Avoid are versions that it may not be sent to.
+	Avoid []fleet.Version
+}
+
+// Gate says at one instance which versions requests are sent to. The zero value knows no
+// order; it is safe for concurrent use, and Choose takes no lock.
+type Gate struct {
+	// Life is how long a word to send to a new version counts; it is set before the first
+	// use.
+	Life time.Duration
+
+	mu      sync.Mutex
+	current atomic.Pointer[map[fleet.Service]known]
+}
+
+// known is what an instance knows of one service.
+type known struct {
+	order Order
+	// begun is when the order was first seen, here or by another instance.
+	begun time.Time
+	state State
+	// at is when the holder made the word, or before; zero is that it counts for no share.
+	at time.Time
+}
+
+// Ordered takes an order in and tells whether it is news. Until the holder's word comes, the
+// new version gets nothing.
+func (g *Gate) Ordered(now time.Time, o Order) bool {
+	return g.change(o.Service, func(k *known) bool {
+		if o.Place <= k.order.Place {
+			return false
+		}
+
+		k.order, k.begun = o, now
+
+		if k.state.Place == o.Place {
+			k.begun = now.Add(-k.state.Elapsed)
+		}
+
+		return true
+	})
+}
+
+// Hear takes a word in that the holder made at a time, or later, and tells whether it is
+// news of more than its age. One whose age is not known has the zero time.
+func (g *Gate) Hear(now time.Time, s State, at time.Time) bool {
+	news := false
+
+	g.change(s.Service, func(k *known) bool {
+		same := s.Place == k.state.Place && !k.state.Replaces(s) && !s.Replaces(k.state)
+
+		switch {
+		case s.Replaces(k.state):
+			news = true
+			k.state, k.at = s, at
+
+			if begun := now.Add(-s.Elapsed); s.Place == k.order.Place && begun.Before(k.begun) {
+				k.begun = begun
+			}
+		case same && at.After(k.at):
+			k.at = at
+		default:
+			return false
+		}
+
+		return true
+	})
+
+	return news
+}
+
+// change puts a changed picture in place of the one before, and tells whether it changed.
+func (g *Gate) change(service fleet.Service, apply func(*known) bool) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	var all map[fleet.Service]known
+	if p := g.current.Load(); p != nil {
+		all = maps.Clone(*p)
+	} else {
+		all = make(map[fleet.Service]known)
+	}
+
+	k := all[service]
+	if !apply(&k) {
+		return false
+	}
+
+	all[service] = k
+	g.current.Store(&all)
+
+	return true
+}
+
+// of returns what is known of a service.
+func (g *Gate) of(service fleet.Service) (known, bool) {
+	all := g.current.Load()
+	if all == nil {
+		return known{}, false
+	}
+
+	k, ok := (*all)[service]
+
+	return k, ok
+}
+
+// Choose returns which versions a request may be sent to now.
+func (g *Gate) Choose(now time.Time, service fleet.Service) Choice {
+	k, ok := g.of(service)
+	if !ok {
+		return Choice{}
+	}
+
+	if k.order.Place > k.state.Place {
+		// The holder has said nothing of the newest order.
+		return Choice{Avoid: avoided(k.state.Avoid, k.order.Target)}
+	}
+
+	if k.state.Phase == Trial && now.Sub(k.at) < g.Life && rand.Float64() < k.state.Share {
+		return Choice{Only: k.state.Target, Part: k.state.Share}
+	}
+
+	return k.rest()
+}
+
+// Further returns which versions a further send of a request may go to: a request that was
+// tried once is not tried at the new version again.
+func (g *Gate) Further(service fleet.Service) Choice {
+	k, ok := g.of(service)
+	if !ok {
+		return Choice{}
+	}
+
+	return k.rest()
+}
+
+// rest returns the choice of a request that is none of the new version's share.
+func (k known) rest() Choice {
+	if k.order.Place > k.state.Place {
+		return Choice{Avoid: avoided(k.state.Avoid, k.order.Target)}
+	}
+
+	if k.state.Phase == Completed {
+		return Choice{Avoid: k.state.Avoid}
+	}
+
+	return Choice{Avoid: avoided(k.state.Avoid, k.state.Target)}
+}
+
+// InTrial returns the order of a service whose new version is being tried.
+func (g *Gate) InTrial(service fleet.Service) (target fleet.Version, place uint64, trial bool) {
+	k, ok := g.of(service)
+	if !ok {
+		return "", 0, false
+	}
+
+	if k.order.Place > k.state.Place {
+		return k.order.Target, k.order.Place, true
+	}
+
+	return k.state.Target, k.state.Place, k.state.Phase == Trial
+}
+
+// Word is a state and how long ago, at most, the holder made it; negative is not known.
+type Word struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // an option of the codec
+	State    State
+	Age      time.Duration
+}
+
+// Words returns what this instance tells others.
+func (g *Gate) Words(now time.Time) []Word {
+	all := g.current.Load()
+	if all == nil {
+		return nil
+	}
+
+	var words []Word
+
+	for _, service := range slices.Sorted(maps.Keys(*all)) {
+		k := (*all)[service]
+		if k.state.Place == 0 {
+			continue
+		}
+
+		word := Word{State: k.state, Age: -1}
+		if !k.at.IsZero() {
+			word.Age = now.Sub(k.at)
+		}
+
+		words = append(words, word)
+	}
+
+	return words
+}
+
+// States returns the newest states of all services.
+func (g *Gate) States() []State {
+	words := g.Words(time.Time{})
+	states := make([]State, 0, len(words))
+
+	for _, w := range words {
+		states = append(states, w.State)
+	}
+
+	return states
+}
+
+// Task is the newest order of a service, when it was first seen, and the newest state of the
+// service, which may be one of an earlier order.
+type Task struct {
+	Order Order
+	Begun time.Time
+	State State
+}
+
+// Tasks returns the newest orders of all services.
+func (g *Gate) Tasks() []Task {
+	all := g.current.Load()
+	if all == nil {
+		return nil
+	}
+
+	var tasks []Task
+
+	for _, service := range slices.Sorted(maps.Keys(*all)) {
+		if k := (*all)[service]; k.order.Place > 0 {
+			tasks = append(tasks, Task{Order: k.order, Begun: k.begun, State: k.state})
+		}
+	}
+
+	return tasks
+}
--- /dev/null
+++ b/rollout/main_test.go
@@ -0,0 +1,12 @@
+package rollout
+
+import (
+	"os"
+	"testing"
+
+	"monsoonlever/property"
+)
+
+func TestMain(m *testing.M) {
+	os.Exit(property.Main(m, 60))
+}
--- /dev/null
+++ b/rollout/model_test.go
@@ -0,0 +1,366 @@
+package rollout
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"monsoonlever/fleet"
+)
+
+const (
+	service fleet.Service = "llm"
+	target  fleet.Version = "v2"
+	before  fleet.Version = "v1"
+
+	modelStep = 100 * time.Millisecond
+	// planEvery is the pace of the holder's steps.
+	planEvery = 400 * time.Millisecond
+	// answerAfter is how long a server takes to answer.
+	answerAfter = 100 * time.Millisecond
+)
+
+var (
+	begin  = time.Unix(1000, 0)
+	policy = Policy{Share: 0.1, Slack: 50, Stop: 5 * time.Second}
+)
+
+// flaw is what is wrong with a version: the part of its answers that fail or are slow, from
+// a time on, on one route or all, and only where its servers carry a load.
+type flaw struct {
+	rate  float64
+	slow  bool
+	after time.Duration
+	route string
+	// load is the share of the traffic from which on it shows.
+	load float64
+}
+
+// world is a service whose instances try a version.
+type world struct {
+	random   *rand.Rand
+	now      time.Time
+	order    Order
+	flaw     flaw
+	rate     float64
+	lossy    float64
+	told     time.Duration
+	gates    []*Gate
+	counters []*Counter
+	cutOff   map[int]bool
+
+	table   Table
+	planner *Planner
+	fence   uint64
+	// frozen is until when the holder stands still, and orphaned until when there is none.
+	frozen, orphaned time.Time
+	completed        bool
+
+	answers []answering
+	words   []flyingWord
+	// reached and exposed are all requests until the deadline, bad the times of bad answers,
+	// and late how many requests were sent too late after the fiftieth.
+	reached, exposed, late int
+	bad                    []time.Time
+	// lastExposed is the part of the last step's requests that the new version got.
+	lastExposed float64
+}
+
+type answering struct {
+	at                 time.Time
+	instance           int
+	route              string
+	tried, failed, bad bool
+	took               time.Duration
+}
+
+type flyingWord struct {
+	at       time.Time
+	instance int
+	state    State
+	made     time.Time
+}
+
+func newWorld(seed uint64, n int, rate float64, span time.Duration, f flaw) *world {
+	w := &world{
+		random: rand.New(rand.NewPCG(seed, 1)), now: begin, flaw: f, rate: rate, cutOff: make(map[int]bool),
+		order: Order{Service: service, Target: target, Span: span, Place: 7}, fence: 1,
+		told: max(time.Duration(n)*6*time.Millisecond, 150*time.Millisecond),
+	}
+
+	for range n {
+		g := &Gate{Life: policy.WordLife()}
+		g.Ordered(begin, w.order)
+		w.gates = append(w.gates, g)
+		w.counters = append(w.counters, &Counter{})
+	}
+
+	w.planner = &Planner{Policy: policy, Order: w.order, Begun: begin}
+
+	return w
+}
+
+func (w *world) due() time.Time { return begin.Add(w.order.Span) }
+
+// step plays one step of the day.
+func (w *world) step(t fataler) {
+	w.now = w.now.Add(modelStep)
+	w.send()
+	w.answer()
+	w.tell()
+	w.plan()
+	w.hear()
+
+	if !w.now.After(w.due()) {
+		if most := policy.Share*float64(w.reached) + policy.Slack; float64(w.exposed) > most {
+			t.Fatalf("%v after the order: got %d of %d requests at the new version, want at most %.0f",
+				w.now.Sub(begin), w.exposed, w.reached, most)
+		}
+	}
+}
+
+type fataler interface {
+	Fatalf(format string, args ...any)
+}
+
+// send sends the requests of a step at random instances.
+func (w *world) send() {
+	tried, all := 0, 0
+
+	for left := w.rate * modelStep.Seconds(); left > 0 && w.random.Float64() < left; left-- {
+		i := w.random.IntN(len(w.gates))
+		route := fmt.Sprint("r", w.random.IntN(5))
+		choice := w.gates[i].Choose(w.now, service)
+		isNew := choice.Only == target || w.completed && w.gates[i].states()[0].Phase == Completed
+		all++
+
+		if isNew {
+			tried++
+		}
+
+		w.counters[i].Sent(service, w.order.Place, route, isNew)
+		w.serve(i, route, isNew)
+	}
+
+	if all > 0 {
+		w.lastExposed = float64(tried) / float64(all)
+	}
+
+	if w.now.Before(w.due()) {
+		w.reached += all
+		w.exposed += tried
+	}
+
+	if n := 50; tried > 0 && len(w.bad) >= n && w.now.Sub(w.bad[n-1]) > policy.Stop {
+		w.late += tried
+	}
+}
+
+func (g *Gate) states() []State { return append(g.States(), State{}) }
+
+func (w *world) serve(i int, route string, isNew bool) {
+	took := time.Duration(float64(answerAfter) * (0.7 + 0.6*w.random.Float64()))
+	one := answering{at: w.now.Add(answerAfter), instance: i, route: route, tried: isNew, took: took}
+	// One route fails by its nature, whatever the version, and caches are cold at first.
+	one.failed = route == "r0" && w.random.Float64() < 0.14
+
+	if isNew && w.random.Float64() < 0.3 {
+		one.took *= 2
+	}
+
+	shows := w.flaw.rate > 0 && (w.flaw.route == "" || w.flaw.route == route) &&
+		w.now.Sub(begin) >= w.flaw.after && w.lastExposed >= w.flaw.load
+
+	if isNew && shows && w.random.Float64() < w.flaw.rate {
+		one.bad = true
+
+		if w.flaw.slow {
+			one.took *= 8
+		} else {
+			one.failed = true
+		}
+	}
+
+	w.answers = append(w.answers, one)
+}
+
+func (w *world) answer() {
+	kept := w.answers[:0]
+
+	for _, one := range w.answers {
+		if one.at.After(w.now) {
+			kept = append(kept, one)
+
+			continue
+		}
+
+		w.counters[one.instance].Ended(service, w.order.Place, one.route, one.tried, one.failed, one.took)
+
+		if one.bad {
+			w.bad = append(w.bad, one.at)
+		}
+	}
+
+	w.answers = kept
+}
+
+// tell lets some instances tell what they counted.
+func (w *world) tell() {
+	for i, c := range w.counters {
+		due := w.random.Float64() < modelStep.Seconds()/w.told.Seconds()
+		if due && !w.cutOff[i] && w.random.Float64() >= w.lossy {
+			w.table.Hear(fleet.InstanceID(fmt.Sprint("entry-", i)), 1, c.Counts())
+		}
+	}
+}
+
+// plan lets the holder take a step and tell its word to all.
+func (w *world) plan() {
+	if w.now.Sub(begin)%planEvery != 0 || w.now.Before(w.frozen) || w.now.Before(w.orphaned) {
+		return
+	}
+
+	s, complete := w.planner.Step(w.now, w.fence, Picture{
+		Routes: w.table.Routes(w.order), Old: 30, New: 30, Told: w.told + modelStep,
+	})
+
+	if complete {
+		w.planner.Completed([]fleet.Version{before})
+		w.completed = true
+		s, _ = w.planner.Step(w.now, w.fence, Picture{Routes: w.table.Routes(w.order), Old: 30, New: 30, Told: w.told})
+	}
+
+	for i := range w.gates {
+		if !w.cutOff[i] && w.random.Float64() >= w.lossy {
+			delay := modelStep + time.Duration(w.random.Float64()*float64(w.told))
+			w.words = append(w.words, flyingWord{at: w.now.Add(delay), instance: i, state: s, made: w.now})
+		}
+	}
+}
+
+// hear delivers words, which may overtake each other.
+func (w *world) hear() {
+	kept := w.words[:0]
+
+	for _, one := range w.words {
+		if one.at.After(w.now) {
+			kept = append(kept, one)
+
+			continue
+		}
+
+		w.gates[one.instance].Hear(w.now, one.state, one.made)
+	}
+
+	w.words = kept
+}
+
+// newHolder lets the duty go over to another instance, which knows what was recorded.
+func (w *world) newHolder(after time.Duration) {
+	w.fence++
+	w.orphaned = w.now.Add(after)
+	recorded := w.planner.state
+	w.planner = &Planner{Policy: policy, Order: w.order, Begun: begin}
+	w.planner.Resume(recorded)
+}
+
+// Whatever is wrong with a version and whenever it shows, at any number of instances, with
+// messages lost and late, instances cut off and the holder lost or frozen in its step, the
+// new version gets no more than its budget, and nothing later than the time to stop after
+// its fiftieth bad answer.
+func TestHoldsWhatABadVersionGets(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.SampledFrom([]int{1, 9, 80, 195, 410}).Draw(t, "instances")
+		rate := float64(rapid.SampledFrom([]int{5, 50, 400}).Draw(t, "requests a second"))
+		span := time.Duration(rapid.SampledFrom([]int{6, 12, 30}).Draw(t, "span")) * time.Second
+		f := flaw{
+			rate: rapid.SampledFrom([]float64{0, 0.2, 0.5, 1}).Draw(t, "flaw"),
+			slow: rapid.Bool().Draw(t, "slow"), after: time.Duration(rapid.IntRange(0, 30).Draw(t, "after")) * time.Second,
+			load: rapid.SampledFrom([]float64{0, 0.02, 0.2}).Draw(t, "load"),
+		}
+
+		if rapid.Bool().Draw(t, "one route") {
+			f.route = "r3"
+		}
+
+		w := newWorld(rapid.Uint64().Draw(t, "seed"), n, rate, span, f)
+		w.lossy = rapid.SampledFrom([]float64{0, 0.03, 0.3}).Draw(t, "loss")
+		trouble := begin.Add(time.Duration(rapid.IntRange(1, 25).Draw(t, "trouble at")) * time.Second)
+		kind := rapid.IntRange(0, 3).Draw(t, "trouble")
+
+		for !w.now.After(w.due().Add(8 * time.Second)) {
+			if w.now.Equal(trouble) {
+				switch kind {
+				case 1:
+					w.newHolder(time.Duration(rapid.IntRange(1, 6).Draw(t, "without a holder")) * time.Second)
+				case 2:
+					w.frozen = w.now.Add(3 * time.Second)
+				case 3:
+					for i := range w.gates {
+						w.cutOff[i] = rapid.IntRange(0, 3).Draw(t, "cut off") == 0
+					}
+				}
+			}
+
+			w.step(t)
+
+			if w.completed {
+				// What a version does after the deadline is not the roll-out's.
+				if w.now.After(w.due()) {
+					break
+				}
+
+				continue
+			}
+
+			if w.late > 0 {
+				t.Fatalf("%v after the order: got %d requests later than %v after the fiftieth bad answer, want none",
+					w.now.Sub(begin), w.late, policy.Stop)
+			}
+		}
+	})
+}
+
+// versions are those that operators may order, and what becomes of each by its deadline.
+func versions() map[string]struct {
+	flaw flaw
+	want Phase
+} {
+	return map[string]struct {
+		flaw flaw
+		want Phase
+	}{
+		"good":                {want: Completed},
+		"fails at once":       {flaw: flaw{rate: 0.4}, want: Reverted},
+		"fails in part":       {flaw: flaw{rate: 0.2}, want: Reverted},
+		"fails later":         {flaw: flaw{rate: 0.4, after: 8 * time.Second}, want: Reverted},
+		"fails on one route":  {flaw: flaw{rate: 0.5, route: "r3"}, want: Reverted},
+		"slow":                {flaw: flaw{rate: 0.6, slow: true}, want: Reverted},
+		"slow on one route":   {flaw: flaw{rate: 0.8, slow: true, route: "r2"}, want: Reverted},
+		"fails only if tried": {flaw: flaw{rate: 0.5, load: 0.005}, want: Reverted},
+	}
+}
+
+// A good version is completed by its deadline, also where a route fails by its nature and
+// caches are cold, and a bad one is reverted before.
+func TestAVersionIsJudgedByItsDeadline(t *testing.T) {
+	for name, tt := range versions() {
+		for _, n := range []int{9, 80, 195, 410} {
+			for seed := range uint64(3) {
+				w := newWorld(seed, n, 400, 20*time.Second, tt.flaw)
+				w.lossy = 0.03
+
+				for !w.now.After(w.due()) {
+					w.step(t)
+				}
+
+				if got := w.planner.state.Phase; got != tt.want {
+					t.Errorf("%s, %d instances, seed %d: got %v (%s), want %v", name, n, seed, got, w.planner.Why(), tt.want)
+				}
+			}
+		}
+	}
+}
--- /dev/null
+++ b/rollout/order.go
@@ -0,0 +1,52 @@
+// Package rollout moves the traffic of a service to a new version of its backend servers,
+// or back.
+//
+// Operators order it with a deadline. Until it is decided the new version gets a small part
+// of the requests, which all instances together keep within a budget whatever the version
+// is and whenever it turns bad. The holder of the duty plans: counts of answers by version
+// and route go in, the share and in the end the verdict come out. The others send by the
+// newest word they heard, and to the old version alone once that word is too old: an
+// instance that hears nobody tries nothing.
+//
+// # Usage
+//
+//	var gate rollout.Gate // at each instance, on the path of requests
+//	gate.Ordered(order)
+//	choice := gate.Choose(now, service)
+//
+//	p := &rollout.Planner{Policy: policy, Order: order} // at the holder of the duty
+//	state := p.Step(now, picture)
+package rollout
+
+import (
+	"time"
+
+	"monsoonlever/fleet"
+)
+
+// Order is what operators ask for: that the traffic of a service be moved to a version
+// within a time.
+type Order struct {
+	Service fleet.Service
+	Target  fleet.Version
+	Span    time.Duration
+	// Place is that of the order among all; a later one of a service replaces the earlier.
+	Place uint64
+}
+
+// Policy bounds what a new version may get before it is known to be good.
+type Policy struct {
+	// Share and Slack are the part of all requests of the service from the order to its
+	// deadline, and how many more, that a bad version may get over all instances.
+	Share float64
+	Slack float64
+	// Stop is the time after which nobody may send to a version that has shown itself bad.
+	Stop time.Duration
+}
+
+// wordShare is the part of the time to stop for which a word to send to the new version
+// counts. Noticing and telling take the rest.
+const wordShare = 0.5
+
+// WordLife is how long a word to send to the new version counts after it was made.
+func (p Policy) WordLife() time.Duration { return time.Duration(wordShare * float64(p.Stop)) }
--- a/scheduling/assignment.go
+++ b/scheduling/assignment.go
@@ -57,6 +57,9 @@
 // ID returns the server's instance.
 func (a *Assignment) ID() fleet.InstanceID { return a.server.entry().ID }
 
+// Version returns the version of the server's program.
+func (a *Assignment) Version() fleet.Version { return a.server.entry().Version }
+
 // Address returns the server's address.
 func (a *Assignment) Address() string { return a.server.entry().Address }
 
--- a/scheduling/scheduling.go
+++ b/scheduling/scheduling.go
@@ -58,6 +58,12 @@
 	Service  fleet.Service
 	Prompt   Prompt
 	Excluded []fleet.InstanceID
+	// Only is the version of servers that may take it, if it is one of the share that tries
+	// a new one, and Part the part of these servers that take that share. Avoid are
+	// versions that may not.
+	Only  fleet.Version
+	Part  float64
+	Avoid []fleet.Version
 	// Due is when the first event should come; zero is not known, and nothing is held.
 	Due time.Time
 	// HoldUntil is until when a prompt that can't begin by Due may be held back, and
@@ -164,7 +170,7 @@
 		return nil, ErrNoServer
 	}
 
-	pool := (*pools)[r.Service]
+	pool := r.versions((*pools)[r.Service])
 	preferred := homesOf(pool, r.Prompt)
 	typical := typicalFailures(now, pool)
 	considered := candidates(now, pool, preferred, &r)
--- /dev/null
+++ b/scheduling/versions.go
@@ -0,0 +1,35 @@
+package scheduling
+
+import (
+	"cmp"
+	"math"
+	"slices"
+)
+
+// versions returns the servers of a pool whose version may take a request. Of a version
+// that is tried with a part of the requests, such a part of the servers takes them: each
+// then carries what it would if all were sent there.
+func (r *Request) versions(pool []*server) []*server {
+	if r.Only == "" && len(r.Avoid) == 0 {
+		return pool
+	}
+
+	fit := make([]*server, 0, len(pool))
+
+	for _, one := range pool {
+		version := one.entry().Version
+		if r.Only != "" && version != r.Only || slices.Contains(r.Avoid, version) {
+			continue
+		}
+
+		fit = append(fit, one)
+	}
+
+	if r.Only == "" || r.Part >= 1 || len(fit) == 0 {
+		return fit
+	}
+
+	slices.SortFunc(fit, func(a, b *server) int { return cmp.Compare(a.hash, b.hash) })
+
+	return fit[:min(max(int(math.Ceil(r.Part*float64(len(fit)))), 1), len(fit))]
+}
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -79,6 +79,12 @@
 	LimitWindow    time.Duration `json:"limitWindow"`
 	LimitOvershoot float64       `json:"limitOvershoot"`
 	LimitSlack     float64       `json:"limitSlack"`
+	// TrialShare and TrialSlack are the part of a service's requests, from the order of a
+	// new version to its deadline, and how many more, that a bad version may get. TrialStop
+	// is the time after which nobody may send to one that has shown itself bad.
+	TrialShare float64       `json:"trialShare"`
+	TrialSlack float64       `json:"trialSlack"`
+	TrialStop  time.Duration `json:"trialStop"`
 	// Lease is the shortest time after which a role may come back to an instance
 	// that lost it.
 	Lease time.Duration `json:"lease"`
@@ -102,6 +108,8 @@
 	defaultUsageWindow = 5 * time.Second
 	defaultUsageLate   = 10 * time.Second
 	defaultStoreKeeps  = 20 * time.Second
+	defaultTrialShare  = 0.05
+	defaultTrialStop   = 5 * time.Second
 	defaultMemory      = 256
 	defaultCores       = 1
 	defaultDescriptors = 1024
@@ -120,6 +128,7 @@
 			RetryShare: defaultRetryShare, RetryWindow: defaultRetryWindow,
 			LimitWindow: defaultLimitWindow, Lease: defaultLease,
 			UsageWindow: defaultUsageWindow, UsageLate: defaultUsageLate,
+			TrialShare: defaultTrialShare, TrialStop: defaultTrialStop,
 		},
 	}
 }
@@ -177,6 +186,7 @@
 		{"bounds.lease", b.Lease},
 		{"bounds.usageWindow", b.UsageWindow},
 		{"bounds.usageLate", b.UsageLate},
+		{"bounds.trialStop", b.TrialStop},
 	} {
 		c.positive(one.field, one.value)
 	}
@@ -193,6 +203,8 @@
 		{"bounds.retryExtra", b.RetryExtra},
 		{"bounds.limitOvershoot", b.LimitOvershoot},
 		{"bounds.limitSlack", b.LimitSlack},
+		{"bounds.trialShare", b.TrialShare},
+		{"bounds.trialSlack", b.TrialSlack},
 	} {
 		if one.value < 0 {
 			c.report(one.field, "must not be below 0")
