feat(feed,platform,entry,lease,register): a store that comes back from an older copy

Cause: nothing read the store's era. Offsets that are given out again would have let fencing tokens repeat, the register would have lost and revived servers, and a key that was taken away could have been used again.

One place handles eras: the store's client makes a position of era and offset, drops late answers of an earlier era, and tells a rise once. Ways weighed: each reader by itself; positions as pairs; one number with the era in its upper bits (kept).

--- a/board/board.go
+++ b/board/board.go
@@ -42,6 +42,9 @@
 type Record struct {
 	Instance    fleet.InstanceID  `msgpack:"i"`
 	Incarnation fleet.Incarnation `msgpack:"n"`
+	// Era is the era of the store in which the writer wrote it. A record at a position of a
+	// later era is one of the copy from which the store came back.
+	Era uint64 `msgpack:"e,omitempty"`
 	// Clock is the writer's steady clock, which tells the time between its records.
 	Clock int64 `msgpack:"t"`
 	// Address is where the instance hears gossip, Domain its failure domain and Cores its
@@ -74,8 +77,10 @@
 	// Plans are the wanted backend servers, told by the instance that orders them.
 	Plans []capacity.Plan `msgpack:"p,omitempty"`
 
-	// Offset is the place of the record, from 1; it is set by the reader.
+	// Offset is the place of the record, from 1, and Copied tells that it is one of an older
+	// copy; both are set by the reader.
 	Offset provider.Offset `msgpack:"-"`
+	Copied bool            `msgpack:"-"`
 }
 
 // Log is one topic of the platform's log.
@@ -247,6 +252,7 @@
 		}
 
 		r.Offset = provider.Offset(e.At) + 1
+		r.Copied = r.Era < e.At.Era()
 		b.Receive(now, r)
 	}
 }
--- a/entry/datagram_test.go
+++ b/entry/datagram_test.go
@@ -14,6 +14,7 @@
 	"monsoonlever/currency"
 	"monsoonlever/fleet"
 	"monsoonlever/gossip"
+	"monsoonlever/platform"
 	"monsoonlever/quarantine"
 	"monsoonlever/quota"
 	"monsoonlever/register"
@@ -35,7 +36,7 @@
 		limits:   quota.New(quota.Policy{Window: 8 * time.Second}),
 		counter:  &usage.Counter{Width: 5 * time.Second, Keep: 15 * time.Second, Now: clk.Now},
 		currency: &currency.Tracker{Clock: clk}, registered: &currency.Tracker{Clock: clk},
-		register: &register.Register{}, scheduler: &scheduling.Scheduler{}, rollouts: &rollouts{}, quarantine: &quarantine.Ledger{},
+		register: &register.Register{}, scheduler: &scheduling.Scheduler{}, rollouts: &rollouts{}, store: platform.NewStore("127.0.0.1:1", nil), quarantine: &quarantine.Ledger{},
 	}
 	p.plan.Store(&topology.Plan{Relay: true, Few: true, Leaders: []fleet.InstanceID{
 		"edge-ballerup-a-1", "edge-ballerup-b-1", "edge-taastrup-1-1", "edge-taastrup-2-1", "edge-hvidovre-1-1",
--- a/entry/duties.go
+++ b/entry/duties.go
@@ -12,6 +12,7 @@
 	"monsoonlever/board"
 	"monsoonlever/capacity"
 	"monsoonlever/clock"
+	"monsoonlever/feed"
 	"monsoonlever/fleet"
 	"monsoonlever/lease"
 	"monsoonlever/platform"
@@ -71,8 +72,12 @@
 	rules    *atomic.Pointer[ruleset.Ruleset]
 	register *register.Register
 
-	mu     sync.Mutex
-	core   *lease.Core
+	mu   sync.Mutex
+	core *lease.Core
+	// era is the newest era of the store in which the role was lost, and again tells that
+	// fixed reports have to be written again.
+	era    uint64
+	again  bool
 	ledger *usage.Ledger
 	// recorded is what arrived at all as one that leads recorded it.
 	recorded []scheduling.Work
@@ -133,6 +138,11 @@
 		return
 	}
 
+	if d.again && d.leads() {
+		d.again = false
+		r.Reports = d.ledger.Fixed(time.Now())
+	}
+
 	if !r.Leaving && state.Holder.Instance != d.settings.Instance {
 		// One that lost the role may hold it again later. Those that read the board
 		// rarely don't know when the role is open.
@@ -144,7 +154,7 @@
 	}
 
 	if _, err := d.core.Check(now); err == nil {
-		r.Reports = d.ledger.Due(time.Now(), d.members.IDs())
+		r.Reports = append(r.Reports, d.ledger.Due(time.Now(), d.members.IDs())...)
 		r.Plans = d.planner.Plans(now)
 	}
 }
@@ -163,13 +173,8 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 
-	d.core.Restore(now, r.Lease)
-
 	before := d.core.Snapshot()
-
-	for _, l := range r.Leases {
-		d.core.Observe(now, r.Offset, l)
-	}
+	d.receiveLease(now, r)
 
 	if after := d.core.Snapshot(); after.Fence != before.Fence {
 		klog.InfoS("duties are held", "holder", after.Holder.Instance, "fence", after.Fence)
@@ -190,6 +195,36 @@
 	}
 }
 
+// receiveLease takes in what a record says of the role. In the copy from which the store
+// came back nobody's grant is the newest: what it says is passed over, and an instance that
+// finds it at its start waits as long as the others.
+func (d *duties) receiveLease(now time.Time, r board.Record) {
+	if era := feed.Position(r.Offset - 1).Era(); r.Copied {
+		if era > d.era {
+			d.era = era
+			d.core.Lost(now)
+		}
+
+		return
+	}
+
+	d.core.Restore(now, r.Lease)
+
+	for _, l := range r.Leases {
+		d.core.Observe(now, r.Offset, l)
+	}
+}
+
+// lost takes in that the store came back from an older copy. Reports that were fixed are
+// written again, so that whoever reports next says the same.
+func (d *duties) lost(now time.Time, era uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	d.era, d.again = era, true
+	d.core.Lost(now)
+}
+
 // count takes counts in that were told directly.
 func (d *duties) count(t *usageCounts) {
 	d.mu.Lock()
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -18,6 +18,7 @@
 	r := board.Record{
 		Instance:    p.self(),
 		Incarnation: p.duties.incarnation,
+		Era:         p.store.Era(),
 		Clock:       now.UnixNano(),
 		Address:     p.settings.Listen.Peers,
 		Domain:      p.settings.FailureDomain,
@@ -95,7 +96,7 @@
 	now := p.clock.Now()
 	spent, known := p.limits.Record(now)
 	r := board.Record{
-		Instance: p.self(), Incarnation: p.duties.incarnation, Clock: now.UnixNano(), Leaving: true,
+		Instance: p.self(), Incarnation: p.duties.incarnation, Clock: now.UnixNano(), Leaving: true, Era: p.store.Era(),
 		Spent: spent, Known: known, Usage: p.counter.Recent(), Losses: p.quarantine.Record(now),
 	}
 	p.duties.release(now, &r)
--- a/entry/heartbeat.go
+++ b/entry/heartbeat.go
@@ -48,6 +48,8 @@
 	// long ago they were asked for; a negative age was never confirmed.
 	Register    uint64        `msgpack:"d"`
 	RegisterAgo time.Duration `msgpack:"g"`
+	// Era is the newest era of the store that the sender has seen.
+	Era uint64 `msgpack:"b,omitempty"`
 	// Rollouts is what the holder of the duties has decided on new versions.
 	Rollouts []rollout.Word `msgpack:"v,omitempty"`
 }
@@ -112,7 +114,7 @@
 		Instance: p.self(), Address: p.settings.Listen.Peers,
 		Domain: p.settings.FailureDomain, Cores: p.settings.Limits.ProcessorCores, Stopping: p.stopping.Load(),
 		Leaders: plan.Leaders, Members: plan.Count, At: now.UnixNano(), ConfirmedAgo: -1, RegisterAgo: -1, Leaving: p.leaving(),
-		Rollouts: p.rollouts.words(now),
+		Era: p.store.Era(), Rollouts: p.rollouts.words(now),
 	}
 
 	if age, ok := p.registered.Age(); ok {
@@ -162,6 +164,7 @@
 
 	p.updateMember(now, w)
 	p.echoes.heard(w.Instance, w.At)
+	p.hearEra(w.Era)
 
 	if p.register.Leave(w.Leaving) {
 		p.scheduler.Update(p.register.Servers())
@@ -208,6 +211,7 @@
 	}
 
 	if w.Rules > rules.Version() {
+		p.restored.hearVersion(w.Rules)
 		p.missedRules(w.Rules)
 
 		return
--- a/entry/heartbeat_test.go
+++ b/entry/heartbeat_test.go
@@ -10,6 +10,7 @@
 	"monsoonlever/clock"
 	"monsoonlever/currency"
 	"monsoonlever/fleet"
+	"monsoonlever/platform"
 	"monsoonlever/quota"
 	"monsoonlever/register"
 	"monsoonlever/scheduling"
@@ -25,7 +26,7 @@
 		clock: clk, duties: &duties{}, limits: quota.New(quota.Policy{}), members: &board.Members{}, links: &topology.Links{},
 		counter:  &usage.Counter{Width: time.Second, Keep: time.Second, Now: clk.Now},
 		currency: &currency.Tracker{Clock: clk}, registered: &currency.Tracker{Clock: clk},
-		register: &register.Register{}, scheduler: &scheduling.Scheduler{}, rollouts: &rollouts{},
+		register: &register.Register{}, scheduler: &scheduling.Scheduler{}, rollouts: &rollouts{}, store: platform.NewStore("127.0.0.1:1", nil),
 	}
 
 	p.plan.Store(&topology.Plan{Relay: true, Few: true})
--- a/entry/parts.go
+++ b/entry/parts.go
@@ -100,8 +100,10 @@
 	// arrivals is what others say that arrives at them.
 	arrivals arrivals.Table
 	// registered tells how old the register is, and fresh when it is read again.
-	registered   *currency.Tracker
-	fresh        freshness
+	registered *currency.Tracker
+	fresh      freshness
+	// restored is what is known of the newest era of the store.
+	restored     restoration
 	rulesFeed    *feed.Follower
 	registerFeed *feed.Follower
 
@@ -129,7 +131,6 @@
 		clock:    e.Clock,
 		built:    e.Clock.Now(),
 		metrics:  set,
-		store:    platform.NewStore(s.Store),
 		currency: &currency.Tracker{Clock: e.Clock, Bound: currencyBound(s.Bounds)},
 		register: &register.Register{},
 		registered: &currency.Tracker{
@@ -142,6 +143,7 @@
 		early:      &quota.Past{},
 		counter:    &usage.Counter{Width: s.Bounds.UsageWindow, Keep: usageKeep, Now: time.Now},
 	}
+	p.store = platform.NewStore(s.Store, p.eraRose)
 	p.unusable = set.NewCounter("monsoonlever_entry_unusable_server_entries_total")
 	p.quarantine.OnHeld = p.recordHeld
 	p.bounds.Store(&s.Bounds)
@@ -174,7 +176,7 @@
 	p.gauges(set)
 	p.rulesFeed = &feed.Follower{
 		Name: "rules", Source: p.store.Rules(), Clock: e.Clock, Pace: p.rulesPace,
-		Apply: p.applyRules, Confirm: p.currency.Confirm,
+		Apply: p.applyRules, Confirm: p.confirmRules,
 	}
 	p.registerFeed = &feed.Follower{
 		Name: "register", Source: p.store.Register(), Clock: e.Clock, Pace: p.registerPace, Due: p.registerDue,
--- a/entry/rules.go
+++ b/entry/rules.go
@@ -20,7 +20,7 @@
 
 // applyRules puts the newest rules in force. Rules that are malformed never
 // replace those before.
-func (p *parts) applyRules(entries []feed.Entry, _ bool) {
+func (p *parts) applyRules(entries []feed.Entry, whole bool) {
 	p.rollouts.ordered(entries)
 
 	var newest *feed.Entry
@@ -35,6 +35,10 @@
 		return
 	}
 
+	if !whole {
+		p.restored.ruled.Store(true)
+	}
+
 	spec, err := platform.DecodeRules(newest.Data)
 	if err != nil {
 		klog.ErrorS(err, "rules are not applied", "offset", newest.At)
@@ -91,7 +95,7 @@
 	before := p.register.Servers()
 
 	if whole {
-		p.register.Replace(changes)
+		p.replaceRegister(now, changes)
 	} else {
 		p.register.Apply(changes)
 	}
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -30,9 +30,6 @@
 // ErrTrimmed means that the changes asked for have been deleted.
 var ErrTrimmed = merry.Sentinel("changes are no longer kept")
 
-// Position is a place in the order of all changes.
-type Position uint64
-
 // Entry is the newest content under a key.
 type Entry struct {
 	Key string
@@ -99,8 +96,9 @@
 	reached atomic.Int64
 
 	nudge Nudge
-	// nudged tells that the next read must not wait.
-	nudged atomic.Bool
+	// nudged tells that the next read must not wait, and again that it has to be of the
+	// whole set.
+	nudged, again atomic.Bool
 }
 
 // Run follows until ctx ends.
@@ -122,6 +120,12 @@
 	}
 }
 
+// Reread asks for the whole set at once, in place of changes.
+func (f *Follower) Reread() {
+	f.again.Store(true)
+	f.nudge.Send()
+}
+
 // Nudge asks for a read at once, in place of a wait or a pause.
 func (f *Follower) Nudge() { f.nudge.Send() }
 
@@ -201,6 +205,10 @@
 
 	asked := f.Clock.Now()
 
+	if f.again.Swap(false) {
+		f.positioned = false
+	}
+
 	if !f.positioned {
 		entries, next, err := f.Source.Snapshot(call)
 		if err != nil {
--- /dev/null
+++ b/feed/position.go
@@ -0,0 +1,22 @@
+package feed
+
+// Position is a place in the order of all changes: an era of the source and an offset in
+// it. A source that came back from an older copy of itself begins a new era, in which
+// offsets are given out again. Any position of an era comes before any of the next, so that
+// what is ordered or fenced by positions stays so.
+type Position uint64
+
+// offsetBits is the part of a position that holds the offset: a thousand records a second
+// for 35 years.
+const offsetBits = 40
+
+// PositionOf returns the position of an offset in an era.
+func PositionOf(era, offset uint64) Position {
+	return Position(era<<offsetBits | offset&(1<<offsetBits-1))
+}
+
+// Era returns the era of the position.
+func (p Position) Era() uint64 { return uint64(p) >> offsetBits }
+
+// Offset returns the offset of the position in its era.
+func (p Position) Offset() uint64 { return uint64(p) & (1<<offsetBits - 1) }
--- a/lease/core.go
+++ b/lease/core.go
@@ -30,6 +30,8 @@
 	// when that first happened after the last gap.
 	caughtUpAt    time.Time
 	readableSince time.Time
+	// quietUntil is until when nothing is taken after the log lost records.
+	quietUntil time.Time
 }
 
 // NewCore returns a candidate for a role.
@@ -82,6 +84,18 @@
 	c.extend(r)
 }
 
+// Lost says that the log came back at now from an older copy, in which what was written last
+// is missing. What was held is held no more, and nothing is taken for as long as a grant may
+// last that this process never read of.
+func (c *Core) Lost(now time.Time) {
+	c.ledger = NewLedger(c.role)
+	c.validUntil, c.seenAt, c.caughtUpAt, c.readableSince = time.Time{}, time.Time{}, time.Time{}, time.Time{}
+	c.releasing = false
+	c.quietUntil = now.Add(c.config.waitFor(c.config.Term + c.config.Flight))
+
+	clear(c.pending)
+}
+
 // CaughtUp says that the end of the log was reached at now.
 func (c *Core) CaughtUp(now time.Time) {
 	if c.caughtUpAt.IsZero() || now.Sub(c.caughtUpAt) > c.config.ReadGap {
@@ -183,6 +197,10 @@
 }
 
 func (c *Core) mayAcquire(now time.Time) bool {
+	if now.Before(c.quietUntil) {
+		return false
+	}
+
 	if !c.candidate || c.caughtUpAt.IsZero() || now.Sub(c.caughtUpAt) > c.config.ReadGap {
 		return false
 	}
--- a/register/register.go
+++ b/register/register.go
@@ -90,6 +90,35 @@
 	r.publish()
 }
 
+// Restore takes in a whole set from an older copy of the platform's records, in which the
+// newest are missing. Servers that the copy lacks stay until their own next entry or the
+// next whole set; those that leave go on leaving; and those that are known to be gone do
+// not come back by it.
+func (r *Register) Restore(entries []Change) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	if r.servers == nil {
+		r.servers = make(map[fleet.InstanceID]Server)
+		r.versions = make(map[fleet.InstanceID]uint64)
+	}
+
+	for _, c := range entries {
+		known, there := r.servers[c.ID]
+		if _, heard := r.versions[c.ID]; c.Server == nil || heard && !there {
+			continue
+		}
+
+		if there && known.Leaving && known.Start() == c.Server.Start() {
+			continue
+		}
+
+		r.apply([]Change{c})
+	}
+
+	r.publish()
+}
+
 // Apply takes changes in, in their order.
 func (r *Register) Apply(changes []Change) {
 	r.mu.Lock()
--- a/rollout/gate.go
+++ b/rollout/gate.go
@@ -50,6 +50,12 @@
 			return false
 		}
 
+		if o.again(k.order) {
+			k.moveTo(o.Place)
+
+			return true
+		}
+
 		k.order, k.begun = o, now
 
 		if k.state.Place == o.Place {
@@ -60,6 +66,16 @@
 	})
 }
 
+// moveTo puts what is known of an order under the place at which it was written again.
+func (k *known) moveTo(place uint64) {
+	if k.state.Place == k.order.Place {
+		k.state.Place = place
+		k.state.ReachedBefore, k.state.ExposedBefore = k.state.Reached, k.state.Exposed
+	}
+
+	k.order.Place = place
+}
+
 // Hear takes a word in that the holder made at a time, or later, and tells whether it is
 // news of more than its age. One whose age is not known has the zero time.
 func (g *Gate) Hear(now time.Time, s State, at time.Time) bool {
--- a/rollout/order.go
+++ b/rollout/order.go
@@ -21,6 +21,7 @@
 import (
 	"time"
 
+	"monsoonlever/feed"
 	"monsoonlever/fleet"
 )
 
@@ -34,6 +35,13 @@
 	Place uint64
 }
 
+// again tells whether an order is an earlier one that operators wrote again because the
+// platform lost it.
+func (o Order) again(earlier Order) bool {
+	return o.Service == earlier.Service && o.Target == earlier.Target && o.Span == earlier.Span &&
+		feed.Position(o.Place-1).Era() > feed.Position(earlier.Place-1).Era()
+}
+
 // Policy bounds what a new version may get before it is known to be good.
 type Policy struct {
 	// Share and Slack are the part of all requests of the service from the order to its
--- a/rollout/planner.go
+++ b/rollout/planner.go
@@ -135,7 +135,7 @@
 
 // count takes in what the service and the new version have got.
 func (p *Planner) count(now time.Time, pic Picture) {
-	reached, exposed := uint64(0), uint64(0)
+	reached, exposed := p.state.ReachedBefore, p.state.ExposedBefore
 
 	for _, c := range pic.Routes {
 		reached += uint64(c.Old.Sent) + uint64(c.New.Sent)
--- a/rollout/state.go
+++ b/rollout/state.go
@@ -47,6 +47,9 @@
 	// Reached and Exposed are the requests that the service and the new version got until
 	// then, so that the next holder counts on.
 	Reached, Exposed uint64
+	// ReachedBefore and ExposedBefore are those that were counted under another place of the
+	// order.
+	ReachedBefore, ExposedBefore uint64
 }
 
 // Replaces tells whether a state takes the place of another one of the same service.
--- a/usage/ledger.go
+++ b/usage/ledger.go
@@ -86,6 +86,22 @@
 	}
 }
 
+// Fixed returns the reports of which an exact repeat may still be sent, for those that start
+// after the platform lost where they stood.
+func (l *Ledger) Fixed(now time.Time) []Report {
+	var reports []Report
+
+	for w, r := range l.fixed {
+		if now.Before(w.End(l.policy.Width).Add(l.policy.Late)) {
+			reports = append(reports, r)
+		}
+	}
+
+	slices.SortFunc(reports, func(a, b Report) int { return int(a.Window - b.Window) })
+
+	return reports
+}
+
 // Sent takes in that the report of a window was accepted.
 func (l *Ledger) Sent(w Window) {
 	l.sent[w] = true
