refactor(scheduling,entry,register,capacity,quarantine): one text of a server's start; comments give reasons, not figures

Three places wrote the text that tells the starts of a server apart (quarantine.keyOf, scheduling.keyOfStart, the digest of register); it is register.Start.String now. No behaviour changes but the key of a start whose entry names no time.

--- a/capacity/capacity.go
+++ b/capacity/capacity.go
@@ -73,10 +73,7 @@
 const (
 	// afterLosses is the part of a server's speed that is used once two failure domains
 	// were reclaimed. With four of them it makes 0.31 at the usual load, at which a prompt
-	// waits for half as long as it takes itself; 0.36 saved a tenth of the price on days
-	// with reclaims and lost more in the worst seconds. With six it makes 0.41: servers
-	// cost 0.124 of what answers are worth in place of 0.147 while four of six domains are
-	// reclaimed in 15 s.
+	// waits for half as long as it takes itself, and with six 0.41.
 	afterLosses = 0.62
 	// losses is how many failure domains may be reclaimed at a time, and mostLost the part
 	// of the servers that is planned for where there are few of them.
--- a/entry/freshness.go
+++ b/entry/freshness.go
@@ -18,10 +18,9 @@
 	// relaxedWait is how long a read of the rules waits for news at an instance that
 	// others keep current; the store answers at once when they change.
 	relaxedWait = 20 * time.Second
-	// relaxedPause is the least time between two reads of the rules at such an instance:
-	// with 25 changes in two seconds, 195 instances that each read them made 18,435 calls of
-	// the store in a minute, and 14,277 with the pause. Operators expect a change to be in
-	// force within seconds.
+	// relaxedPause is the least time between two reads of the rules at such an instance, so
+	// that a storm of changes does not become one of reads. Operators expect a change to be
+	// in force within seconds.
 	relaxedPause = 500 * time.Millisecond
 	// relaxedRegister is the pause between reads of the register at such an instance, and
 	// relaxedShare what each instance adds to it: all together make five such reads a
--- a/entry/losses.go
+++ b/entry/losses.go
@@ -10,8 +10,7 @@
 
 // tellLosses tells the others, at once, which backend servers ended under which requests. A
 // request that ends servers may come at any instance next. Each loss is told a few times at
-// the pace of other news; relays pass on what is news to them. In a model with 2 in 100
-// messages lost all 410 instances know within a second, at the pace of heartbeats in 1.2.
+// the pace of other news; relays pass on what is news to them.
 func (p *parts) tellLosses(ctx context.Context) {
 	for ctx.Err() == nil {
 		losses := p.quarantine.News(p.clock.Now())
--- a/entry/pace.go
+++ b/entry/pace.go
@@ -17,8 +17,7 @@
 	boardReadRelaxed = 15 * time.Second
 	// boardSoonest is the least time between two records of an instance that has
 	// something to tell. Those that lead renew their lease and record limits with them,
-	// however many others there are; at 195 instances that all kept to boardWrite, a
-	// lease had lapsed whenever it was renewed.
+	// however many others there are: a longer one would let the lease lapse.
 	boardSoonest = 250 * time.Millisecond
 	// boardWrite is what each other instance adds to the least time between two records:
 	// six times what the store takes for an append.
--- a/entry/prompts.go
+++ b/entry/prompts.go
@@ -25,8 +25,8 @@
 	// newsSoonest is the least time between two messages of one instance to another: a
 	// first event is expected in several hundred milliseconds.
 	newsSoonest = 20 * time.Millisecond
-	// newsPerPeer is the time between two messages for each that is told. With 6 ms, news
-	// of 410 instances was 370 ms old at 99 in 100, with 4 ms it stays below 300.
+	// newsPerPeer is the time between two messages for each that is told: a relay of 410
+	// instances tells each of its own several times in the life of a backlog.
 	newsPerPeer = 4 * time.Millisecond
 )
 
--- a/quarantine/loss.go
+++ b/quarantine/loss.go
@@ -1,7 +1,6 @@
 package quarantine
 
 import (
-	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -40,7 +39,7 @@
 type ServerKey uint64
 
 func keyOf(s register.Start) ServerKey {
-	return ServerKey(xxhash.Sum64String(string(s.ID) + " " + strconv.FormatUint(uint64(s.Incarnation), 10)))
+	return ServerKey(xxhash.Sum64String(s.String()))
 }
 
 func (l Loss) ago() time.Duration { return time.Duration(l.AgeMs) * time.Millisecond }
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -52,9 +52,8 @@
 	hold = 10 * time.Minute
 	// kept is how long a request is remembered after the newest end under it.
 	kept = 2 * hold
-	// maxSuspects bounds the requests that are remembered, to 1.5 MB (measured: 3.1 MB for
-	// twice as many with three ends each): with a server go all requests that run there,
-	// some dozens, and each body may be new.
+	// maxSuspects bounds the requests that are remembered, to 1.5 MB: with a server go all
+	// requests that run there, some dozens, and each body may be new.
 	maxSuspects = 2048
 	// forgotten is the part of them that goes at once when there are more.
 	forgotten = 4
--- a/register/register.go
+++ b/register/register.go
@@ -36,6 +36,15 @@
 	Incarnation fleet.Incarnation
 }
 
+// String returns a text that differs between the starts of a server.
+func (s Start) String() string {
+	if s.Incarnation == 0 {
+		return string(s.ID)
+	}
+
+	return string(s.ID) + " " + strconv.FormatUint(uint64(s.Incarnation), 10)
+}
+
 // Server is one start of a backend server.
 type Server struct {
 	ID fleet.InstanceID
@@ -192,11 +201,7 @@
 	d := xxhash.New()
 
 	for _, s := range servers {
-		_, _ = d.WriteString(string(s.ID)) // it never fails
-
-		if s.Incarnation != 0 {
-			_, _ = d.WriteString(" " + strconv.FormatUint(uint64(s.Incarnation), 10))
-		}
+		_, _ = d.WriteString(s.Start().String()) // it never fails
 
 		if s.Leaving {
 			_, _ = d.WriteString(" leaving")
--- a/scheduling/news.go
+++ b/scheduling/news.go
@@ -4,7 +4,6 @@
 	"maps"
 	"math"
 	"slices"
-	"strconv"
 	"sync"
 	"time"
 
@@ -18,8 +17,7 @@
 // News is what an instance tells others of the servers that prompts are sent to. Each of
 // many instances sends a small part of what a server has to read; without the others'
 // parts it sees neither the prompts that wait there nor the parts that the server's cache
-// holds. With eight instances before nine engines, 13 in 1,000 prompts wait for longer
-// than 800 ms instead of 53 (TestNewsOfOthersKeepsPromptsFromWaiting).
+// holds (TestNewsOfOthersKeepsPromptsFromWaiting).
 type News struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // an option of the codec
 	Backlogs []Backlog
@@ -93,13 +91,7 @@
 
 // keyOfStart differs between the starts of a server, so that news of one is not taken
 // for news of the next.
-func keyOfStart(s register.Start) Key {
-	if s.Incarnation == 0 {
-		return keyOf(string(s.ID))
-	}
-
-	return keyOf(string(s.ID) + " " + strconv.FormatUint(uint64(s.Incarnation), 10))
-}
+func keyOfStart(s register.Start) Key { return keyOf(s.String()) }
 
 const (
 	// backlogLife is how long the news of a backlog counts that is not told anew: the
--- a/scheduling/place.go
+++ b/scheduling/place.go
@@ -10,9 +10,7 @@
 
 const (
 	// shortBacklog is the backlog, as the time in which a server reads it, up to which any
-	// prompt is sent there: the server is not idle while news of it is on its way. Twice
-	// and four times as much lost 0.013 and 0.011 of what callers' answers were worth on
-	// four loads with reclaims and bursts, six seeds each.
+	// prompt is sent there: the server is not idle while news of it is on its way.
 	shortBacklog = 100 * time.Millisecond
 	// giveUpMargin is how long before its caller would leave a prompt that was held is
 	// expected to begin: a rate of reading is off by a tenth.
@@ -79,11 +77,6 @@
 // come lets each wait behind all others, and none begins in time. One that is late
 // already loses nothing by letting those go first that are not; if that takes until its
 // caller leaves, it is refused: sent on it would only make others late.
-//
-// With three of four failure domains reclaimed within six seconds, and in bursts of up to
-// six times one account's usual load, holding raised what the two worst seconds of a load
-// were worth from 0.566 to 0.604 of it (six loads, four seeds each), and refusing in place
-// of sending on in the end from 0.571 to 0.593 (four loads, five seeds each).
 func (a *Assignment) judge(now time.Time, r Request) verdict {
 	if a.meter == nil || r.Due.IsZero() {
 		return send
--- a/topology/topology.go
+++ b/topology/topology.go
@@ -40,8 +40,8 @@
 	// relaysPerDomain is the least number of relays of a failure domain: while one is
 	// lost its members turn to the other.
 	relaysPerDomain = 2
-	// membersPerRelay bounds how many members a relay tells. With 32 and 410 instances,
-	// news was 340 ms old at 99 in 100 (TestNewsIsYoungHoweverManyInstances).
+	// membersPerRelay bounds how many members a relay tells: the more they are, the older
+	// is their news (TestNewsIsYoungHoweverManyInstances).
 	membersPerRelay = 20
 	// leaders is how many instances lead: some may be frozen, cut off from the store or
 	// killed at once.
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -21,9 +21,8 @@
 	DefaultDialTimeout = 400 * time.Millisecond
 	// defaultIdle is how long a connection is kept whose server names no timeout.
 	defaultIdle = 4 * time.Second
-	// freshIdle is the idle time up to which a connection counts as in use. At 300 ms a
-	// fifth more connections were made (0.004 of the worth of a load in which they are
-	// dear); kept for as long as servers allow, more calls were lost with dead ones.
+	// freshIdle is the idle time up to which a connection counts as in use: a shorter one
+	// makes more connections, with a longer one more calls are lost with dead ones.
 	freshIdle = 1500 * time.Millisecond
 	// idleShare is the part of a server's idle timeout after which a connection is
 	// not used any more, so that no request crosses its close.
