--- a/entry/eras.go
+++ b/entry/eras.go
@@ -9,6 +9,7 @@
 	"k8s.io/klog/v2"
 
 	"monsoonlever/clock"
+	"monsoonlever/feed"
 	"monsoonlever/register"
 )
 
@@ -33,8 +34,9 @@
 	// of the rules that any instance had.
 	ruled atomic.Bool
 	told  atomic.Uint64
-	// registered is the era of the whole register that was read last, from 1; it is used by
-	// the reader of the register alone.
+	// registered is the era of the whole register that was read last, if it was read; both
+	// are used by the reader of the register alone.
+	read       bool
 	registered uint64
 }
 
@@ -103,12 +105,21 @@
 	p.currency.Confirm(asked)
 }
 
+// eraOf returns the era in which a whole set was read: another call may have seen a later one
+// since.
+func (p *parts) eraOf(entries []feed.Entry) uint64 {
+	if len(entries) > 0 {
+		return entries[0].At.Era()
+	}
+
+	return p.store.Era()
+}
+
 // replaceRegister puts a whole set of backend servers in place of what was known, or, where
 // it is the first of a new era, adds it to that.
-func (p *parts) replaceRegister(now time.Time, changes []register.Change) {
-	era := p.store.Era() + 1
-	risen := p.restored.registered != 0 && era > p.restored.registered
-	p.restored.registered = era
+func (p *parts) replaceRegister(now time.Time, era uint64, changes []register.Change) {
+	risen := p.restored.read && era > p.restored.registered
+	p.restored.read, p.restored.registered = true, era
 
 	if !risen {
 		p.register.Replace(changes)
--- a/entry/eras_test.go
+++ b/entry/eras_test.go
@@ -4,8 +4,13 @@
 	"testing"
 	"time"
 
+	"monsoonlever/board"
 	"monsoonlever/clock"
 	"monsoonlever/currency"
+	"monsoonlever/feed"
+	"monsoonlever/lease"
+	"monsoonlever/provider"
+	"monsoonlever/register"
 	"monsoonlever/ruleset"
 	"monsoonlever/settings"
 )
@@ -80,3 +85,61 @@
 		}
 	}
 }
+
+// A copy may lack the grant of a holder that still acts: what its records say of the role is
+// passed over, and nobody takes it until such a grant is over.
+func TestARoleIsNotTakenByWhatACopySays(t *testing.T) {
+	now := time.Unix(1000, 0)
+	config := lease.Config{Term: 4 * time.Second, RenewEvery: time.Second, ReadGap: time.Second}
+	other := lease.Holder{Instance: "entry-2", Incarnation: 1}
+
+	core, err := lease.NewCore(config, dutyRole, lease.Holder{Instance: "entry-1", Incarnation: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	d := &duties{core: core}
+	at := func(offset uint64) provider.Offset { return provider.Offset(feed.PositionOf(2, offset)) + 1 }
+
+	// Its holder gave it up in what the copy has, and took it again in what it lacks.
+	d.receiveLease(now, board.Record{Offset: at(4), Copied: true, Leases: []lease.Record{
+		{Kind: lease.Acquire, Role: dutyRole, Holder: other, Sequence: 1, Term: config.Term},
+	}})
+	d.core.CaughtUp(now)
+
+	if got := d.core.Snapshot().Holder; got != (lease.Holder{}) {
+		t.Errorf("holder by the copy: got %v, want none", got)
+	}
+
+	if d.core.Open(now.Add(config.Term / 2)) {
+		t.Error("within the term of a lost grant: got the role open, want it not")
+	}
+
+	d.core.CaughtUp(now.Add(config.Term + time.Second))
+
+	if !d.core.Open(now.Add(config.Term + time.Second)) {
+		t.Error("after it: got the role not open, want it open")
+	}
+}
+
+// The first whole set of a new era takes no server away; the next one does.
+func TestServersThatACopyLacksStay(t *testing.T) {
+	clk := clock.NewManual(time.Unix(1000, 0))
+	p := restoredParts(t, clk, 1)
+	p.register = &register.Register{}
+	p.registerFeed = &feed.Follower{}
+	changes := []register.Change{{ID: "i-1", Version: 1, Server: &register.Server{ID: "i-1", Service: "api"}}}
+
+	p.replaceRegister(clk.Now(), 1, changes)
+	p.replaceRegister(clk.Now(), 2, nil)
+
+	if got := len(p.register.Servers()); got != 1 {
+		t.Errorf("after the first whole set of a copy: got %d servers, want 1", got)
+	}
+
+	p.replaceRegister(clk.Now(), 2, nil)
+
+	if got := len(p.register.Servers()); got != 0 {
+		t.Errorf("after the next one: got %d servers, want none", got)
+	}
+}
--- a/entry/rules.go
+++ b/entry/rules.go
@@ -95,7 +95,7 @@
 	before := p.register.Servers()
 
 	if whole {
-		p.replaceRegister(now, changes)
+		p.replaceRegister(now, p.eraOf(entries), changes)
 	} else {
 		p.register.Apply(changes)
 	}
--- /dev/null
+++ b/rollout/gate_test.go
@@ -0,0 +1,98 @@
+package rollout
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"monsoonlever/fleet"
+)
+
+// choices returns whether some of many requests go to the new version alone, and whether all
+// others avoid it.
+func choices(g *Gate, now time.Time) (some, avoided bool) {
+	avoided = true
+
+	for range 400 {
+		c := g.Choose(now, service)
+		some = some || c.Only == target
+		avoided = avoided && (c.Only == target || slices.Contains(c.Avoid, target))
+	}
+
+	return some, avoided
+}
+
+// An instance sends to a new version by the holder's word alone, and for its life only.
+func TestANewVersionGetsNothingWithoutTheHoldersWord(t *testing.T) {
+	const life = 2 * time.Second
+
+	order := Order{Service: service, Target: target, Span: time.Minute, Place: 7}
+	trial := State{Service: service, Target: target, Place: 7, Fence: 1, Step: 1, Share: 0.2}
+
+	for name, tt := range map[string]struct {
+		hear func(g *Gate)
+		at   time.Duration
+		some bool
+	}{
+		"an order without a word": {hear: func(*Gate) {}},
+		"a young word":            {hear: func(g *Gate) { g.Hear(begin, trial, begin) }, at: life / 2, some: true},
+		"a word that has lapsed":  {hear: func(g *Gate) { g.Hear(begin, trial, begin) }, at: life},
+		"a word of unknown age":   {hear: func(g *Gate) { g.Hear(begin, trial, time.Time{}) }},
+		"a word on the order before": {hear: func(g *Gate) {
+			earlier := trial
+			earlier.Place = 6
+			g.Hear(begin, earlier, begin)
+		}},
+		"a revert that a late word follows": {hear: func(g *Gate) {
+			reverted := trial
+			reverted.Phase = Reverted
+			g.Hear(begin, reverted, begin)
+			late := trial
+			late.Step = 9
+			g.Hear(begin, late, begin)
+		}},
+	} {
+		g := &Gate{Life: life}
+		g.Ordered(begin, order)
+		tt.hear(g)
+
+		some, avoided := choices(g, begin.Add(tt.at))
+		if some != tt.some || !avoided {
+			t.Errorf("%s: got some sent to the new version %t, avoided by the rest %t, want %t and true",
+				name, some, avoided, tt.some)
+		}
+	}
+}
+
+// Once it is completed, all may go to the new version and none to those that it replaced.
+func TestACompletedVersionReplacesTheOthers(t *testing.T) {
+	g := &Gate{Life: time.Second}
+	g.Ordered(begin, Order{Service: service, Target: target, Span: time.Minute, Place: 7})
+	g.Hear(begin, State{
+		Service: service, Target: target, Place: 7, Phase: Completed, Avoid: []fleet.Version{before},
+	}, time.Time{})
+
+	c := g.Choose(begin.Add(time.Hour), service)
+	if c.Only != "" || !slices.Equal(c.Avoid, []fleet.Version{before}) {
+		t.Errorf("got %+v, want all but the version before", c)
+	}
+}
+
+// Operators write again what the platform lost: the order is the one before, whatever its
+// place.
+func TestAnOrderThatIsWrittenAgainIsTheSame(t *testing.T) {
+	g := &Gate{Life: time.Second}
+	order := Order{Service: service, Target: target, Span: time.Minute, Place: 7}
+
+	g.Ordered(begin, order)
+	g.Hear(begin, State{Service: service, Target: target, Place: 7, Phase: Completed}, begin)
+
+	again := order
+	again.Place = 1<<40 + 3
+	g.Ordered(begin.Add(time.Minute), again)
+
+	tasks := g.Tasks()
+	if len(tasks) != 1 || tasks[0].State.Phase != Completed || tasks[0].State.Place != again.Place {
+		t.Errorf("got %+v, want it completed at its new place", tasks)
+	}
+}
--- /dev/null
+++ b/scheduling/versions_test.go
@@ -0,0 +1,65 @@
+package scheduling
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"monsoonlever/fleet"
+	"monsoonlever/register"
+)
+
+// Requests go to the versions that may take them, those of a share to a like part of the
+// new version's servers.
+func TestRequestsKeepToTheirVersions(t *testing.T) {
+	const each = 40
+
+	now := time.Unix(1000, 0)
+	s := &Scheduler{}
+
+	var servers []register.Server
+
+	for i := range each {
+		for _, version := range []fleet.Version{"v1", "v2"} {
+			id := fleet.InstanceID(fmt.Sprint(version, "-", i))
+			servers = append(servers, register.Server{ID: id, Service: "llm", Slots: 8, Version: version})
+		}
+	}
+
+	s.Update(servers)
+
+	for name, tt := range map[string]struct {
+		request Request
+		want    fleet.Version
+		most    int
+	}{
+		"all but the new one":          {request: Request{Avoid: []fleet.Version{"v2"}}, want: "v1", most: each},
+		"a tenth at the new one":       {request: Request{Only: "v2", Part: 0.1}, want: "v2", most: each / 10},
+		"hardly any at the new one":    {request: Request{Only: "v2", Part: 0.001}, want: "v2", most: 1},
+		"all at the new one, in trial": {request: Request{Only: "v2", Part: 1}, want: "v2", most: each},
+	} {
+		tt.request.Service = "llm"
+		used := make(map[fleet.InstanceID]bool)
+
+		for range 500 {
+			a, err := s.Pick(now, tt.request)
+			if err != nil {
+				t.Fatalf("%s: got %v, want a server", name, err)
+			}
+
+			if a.Version() != tt.want {
+				t.Fatalf("%s: got %s, want a server of %s", name, a.ID(), tt.want)
+			}
+
+			used[a.ID()] = true
+		}
+
+		if len(used) > tt.most {
+			t.Errorf("%s: got %d servers used, want at most %d", name, len(used), tt.most)
+		}
+	}
+
+	if _, err := s.Pick(now, Request{Service: "llm", Only: "v3"}); err == nil {
+		t.Error("a version that nobody runs: got a server, want none")
+	}
+}
