--- a/entry/datagram_test.go
+++ b/entry/datagram_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -18,6 +19,7 @@
 	"monsoonlever/quarantine"
 	"monsoonlever/quota"
 	"monsoonlever/register"
+	"monsoonlever/rollout"
 	"monsoonlever/scheduling"
 	"monsoonlever/settings"
 	"monsoonlever/topology"
@@ -68,6 +70,15 @@
 
 	p.register.Replace(changes)
 
+	for i := range leaving {
+		p.rollouts.gate.Hear(clk.Now(), rollout.State{
+			Service: fleet.Service(fmt.Sprintf("model-service-%08x", i)), Target: "release-2026-12-03.1", Place: math.MaxUint64,
+			Phase: rollout.Completed, Fence: math.MaxUint64, Step: math.MaxUint32, Share: 0.123, Elapsed: math.MaxInt64,
+			Avoid: slices.Repeat([]fleet.Version{"release-2026-11-30.4"}, 8), Reached: math.MaxUint64, Exposed: math.MaxUint64,
+			ReachedBefore: math.MaxUint64, ExposedBefore: math.MaxUint64,
+		}, clk.Now())
+	}
+
 	return p
 }
 
@@ -102,8 +113,9 @@
 
 		spent := make(map[fleet.Account]bool)
 		left := make(map[register.Start]bool)
+		services := make(map[fleet.Service]bool)
 
-		for range 1 + leaving/10 {
+		for range 1 + leaving {
 			heartbeats, err := p.makeHeartbeats(clk.Now())("edge-ballerup-b-1")
 			if err != nil {
 				t.Fatalf("heartbeats: got %v, want some", err)
@@ -118,6 +130,10 @@
 				}
 
 				if d.Heartbeat != nil {
+					for _, w := range d.Heartbeat.Rollouts {
+						services[w.State.Service] = true
+					}
+
 					for _, s := range d.Heartbeat.Leaving {
 						left[s] = true
 					}
@@ -129,8 +145,12 @@
 			t.Errorf("told: got %d accounts and %d leaving servers, want %d and %d", len(spent), len(left), accounts, leaving)
 		}
 
-		services := rapid.IntRange(0, 100).Draw(t, "services")
-		measure(t, p.scheduler, clk.Now(), services)
+		if len(services) != leaving {
+			t.Errorf("roll-outs told: got %d, want %d", len(services), leaving)
+		}
+
+		measured := rapid.IntRange(0, 100).Draw(t, "services")
+		measure(t, p.scheduler, clk.Now(), measured)
 
 		counts, work := 0, 0
 
@@ -140,8 +160,8 @@
 			encodeMessage(t, datagram{Counts: &c})
 		}
 
-		if work != services {
-			t.Errorf("services whose work is told: got %d, want %d", work, services)
+		if work != measured {
+			t.Errorf("services whose work is told: got %d, want %d", work, measured)
 		}
 
 		if counts != accounts {
--- a/rollout/state.go
+++ b/rollout/state.go
@@ -69,12 +69,21 @@
 	return s.Step > other.Step
 }
 
-// avoided adds a version to those that get nothing.
+// maxAvoid bounds the versions that are remembered as getting nothing: servers of older ones
+// are long gone.
+const maxAvoid = 8
+
+// avoided adds versions to those that get nothing, the newest last.
 func avoided(versions []fleet.Version, more ...fleet.Version) []fleet.Version {
-	all := slices.Concat(versions, more)
-	slices.Sort(all)
+	all := slices.Clone(versions)
+
+	for _, v := range more {
+		if !slices.Contains(all, v) {
+			all = append(all, v)
+		}
+	}
 
-	return slices.Compact(all)
+	return all[max(len(all)-maxAvoid, 0):]
 }
 
 // without takes a version out of those that get nothing.
