--- a/capacity/capacity.go
+++ b/capacity/capacity.go
@@ -83,9 +83,6 @@
 	// given back too early cost more than those that are kept: they may not be had
 	// again, and new ones have read nothing.
 	memory = 45 * time.Second
-	// startMemory is how long what was there when nothing was known yet counts: it was meant
-	// for some load, but nobody saw that load.
-	startMemory = memory / 2
 	// settle is added to the boot of servers before an order is given again: the
 	// register and the calls have their delays.
 	settle = 4 * time.Second
--- a/capacity/capacity_test.go
+++ b/capacity/capacity_test.go
@@ -222,25 +222,6 @@
 	})
 }
 
-// What was there when nothing was known yet was meant for some load. It counts for a while,
-// far shorter than a load that was seen.
-func TestWhatWasThereAtTheStartCountsForAWhile(t *testing.T) {
-	const arriving = 60_000
-
-	m, p := newMarket(), &Planner{}
-	there, _ := m.all(begin)
-
-	now := play(m, p, begin, startMemory-time.Second, arriving, nil)
-	if wanted, _ := p.Wanted(now, service); wanted != there {
-		t.Errorf("before %v: got %d servers wanted, want the %d that were there", startMemory, wanted, there)
-	}
-
-	now = play(m, p, now, 2*time.Second, arriving, nil)
-	if wanted, _ := p.Wanted(now, service); wanted != needed(arriving) {
-		t.Errorf("after %v: got %d servers wanted, want the %d of the load", startMemory, wanted, needed(arriving))
-	}
-}
-
 // While there are too few, a place that still has reclaimable servers keeps them.
 func TestNothingIsGivenBackInAShortage(t *testing.T) {
 	m, p := newMarket(), &Planner{}
--- a/capacity/wanted.go
+++ b/capacity/wanted.go
@@ -41,7 +41,7 @@
 	if peaks.empty() {
 		// A planner that is new and heard of no plan knows no load of the time before:
 		// what is there was ordered for it.
-		peaks.add(now.Add(startMemory-memory), min(max(n, lasting, reclaimable), len(s.Places)*s.Most))
+		n = max(n, lasting, reclaimable)
 	}
 
 	peaks.add(now, min(n, len(s.Places)*s.Most))
