refactor(rollout,arrivals,entry): terms of the field in place of words that are heard

Names only: arrivals.Report and Table.Record, rollout.Update, Gate.AddOrder and Gate.Apply, GrantLife, noteEra, noteVersion. No behaviour changes, and no format: the types travel by the order of their fields.

--- a/arrivals/arrivals.go
+++ b/arrivals/arrivals.go
@@ -2,14 +2,14 @@
 // instances.
 //
 // Each instance says what arrives at it alone, to those that plan for all, and a Table keeps
-// the newest word of each. Sums are made where they are used and never travel: a sum that
+// the newest report of each. Sums are made where they are used and never travel: a sum that
 // is passed on and added up again counts instances twice as soon as one of those that pass
 // it on changes its role.
 //
 // # Usage
 //
 //	var t arrivals.Table
-//	t.Hear(now, arrivals.Word{Instance: "entry-2", Incarnation: 7, At: 1, Work: work})
+//	t.Record(now, arrivals.Report{Instance: "entry-2", Incarnation: 7, At: 1, Work: work})
 //	total := t.Total(now, life, ownWork)
 package arrivals
 
@@ -23,16 +23,16 @@
 	"monsoonlever/scheduling"
 )
 
-// Word is what one instance says of itself: of all services, or some of them.
-type Word struct {
+// Report is what one instance says of itself: of all services, or some of them.
+type Report struct {
 	Instance    fleet.InstanceID
 	Incarnation fleet.Incarnation
-	// At is the sender's clock in nanoseconds, which tells the order of its words.
+	// At is the sender's clock in nanoseconds, which tells the order of its reports.
 	At   int64
 	Work []scheduling.Work
 }
 
-// Table holds the newest words of each other instance. The zero value is empty; it is safe
+// Table holds the newest reports of each other instance. The zero value is empty; it is safe
 // for concurrent use.
 type Table struct {
 	mu sync.Mutex
@@ -45,16 +45,16 @@
 	services    map[fleet.Service]entry
 }
 
-// entry is what a source said last of one service.
+// entry is what a source reported last of one service.
 type entry struct {
 	work scheduling.Work
-	said int64
+	sent int64
 	at   time.Time
 }
 
-// Hear takes a word in. One of an earlier start, or that another has overtaken, changes
+// Record takes a report in. One of an earlier start, or that another has overtaken, changes
 // nothing.
-func (t *Table) Hear(now time.Time, w Word) {
+func (t *Table) Record(now time.Time, r Report) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
@@ -62,24 +62,24 @@
 		t.of = make(map[fleet.InstanceID]*source)
 	}
 
-	from := t.of[w.Instance]
-	if from != nil && w.Incarnation < from.incarnation {
+	from := t.of[r.Instance]
+	if from != nil && r.Incarnation < from.incarnation {
 		return
 	}
 
-	if from == nil || w.Incarnation > from.incarnation {
-		from = &source{incarnation: w.Incarnation, services: make(map[fleet.Service]entry)}
-		t.of[w.Instance] = from
+	if from == nil || r.Incarnation > from.incarnation {
+		from = &source{incarnation: r.Incarnation, services: make(map[fleet.Service]entry)}
+		t.of[r.Instance] = from
 	}
 
-	for _, work := range w.Work {
-		if w.At >= from.services[work.Service].said {
-			from.services[work.Service] = entry{work: work, said: w.At, at: now}
+	for _, work := range r.Work {
+		if r.At >= from.services[work.Service].sent {
+			from.services[work.Service] = entry{work: work, sent: r.At, at: now}
 		}
 	}
 }
 
-// Total returns what arrives here and at all others, by service. Words that were heard
+// Total returns what arrives here and at all others, by service. Reports that came
 // longer than life ago do not count and are forgotten.
 func (t *Table) Total(now time.Time, life time.Duration, own []scheduling.Work) []scheduling.Work {
 	t.mu.Lock()
--- a/arrivals/arrivals_test.go
+++ b/arrivals/arrivals_test.go
@@ -27,8 +27,8 @@
 	return sum
 }
 
-func word(id fleet.InstanceID, incarnation fleet.Incarnation, at int64, rate float64) Word {
-	return Word{
+func report(id fleet.InstanceID, incarnation fleet.Incarnation, at int64, rate float64) Report {
+	return Report{
 		Instance: id, Incarnation: incarnation, At: at,
 		Work: []scheduling.Work{{Service: service, Arriving: rate, Speed: 100}},
 	}
@@ -37,19 +37,19 @@
 func TestEachInstanceCountsOnce(t *testing.T) {
 	var table Table
 
-	table.Hear(begin, word("a", 1, 1, 10))
-	table.Hear(begin, word("b", 1, 1, 20))
-	table.Hear(begin, word("a", 1, 2, 15))
-	table.Hear(begin, word("a", 1, 1, 10))
+	table.Record(begin, report("a", 1, 1, 10))
+	table.Record(begin, report("b", 1, 1, 20))
+	table.Record(begin, report("a", 1, 2, 15))
+	table.Record(begin, report("a", 1, 1, 10))
 
 	if got, want := arriving(table.Total(begin, life, nil)), 35.0; got != want {
-		t.Errorf("newest words: got %v, want %v", got, want)
+		t.Errorf("newest reports: got %v, want %v", got, want)
 	}
 
-	table.Hear(begin, word("a", 2, 1, 1))
-	table.Hear(begin, word("a", 1, 9, 15))
+	table.Record(begin, report("a", 2, 1, 1))
+	table.Record(begin, report("a", 1, 9, 15))
 
-	if got, want := arriving(table.Total(begin, life, word("", 0, 0, 4).Work)), 25.0; got != want {
+	if got, want := arriving(table.Total(begin, life, report("", 0, 0, 4).Work)), 25.0; got != want {
 		t.Errorf("after a start of one, with what arrives here: got %v, want %v", got, want)
 	}
 
@@ -66,9 +66,9 @@
 	var table Table
 
 	for i, speed := range []float64{100, 9000, 0, 110, 90} {
-		w := word(fleet.InstanceID(fmt.Sprint(i)), 1, 1, 1)
+		w := report(fleet.InstanceID(fmt.Sprint(i)), 1, 1, 1)
 		w.Work[0].Speed = speed
-		table.Hear(begin, w)
+		table.Record(begin, w)
 	}
 
 	if got, want := table.Total(begin, life, nil)[0].Speed, 110.0; got != want {
@@ -89,12 +89,12 @@
 }
 
 type flight struct {
-	to   int
-	word Word
+	to     int
+	report Report
 }
 
 // No instance counts for more than the most that it said of late, however often it is told
-// and to whom; and where all words come, each counts for what it said last.
+// and to whom; and where all messages come, each counts for what it said last.
 func TestHoldsNoInstanceCountsTwice(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(1, 8).Draw(t, "instances")
@@ -129,27 +129,27 @@
 
 		for i, rate := range m.rate {
 			m.now = m.now.Add(time.Millisecond)
-			m.tables[0].Hear(m.now, m.say(i))
+			m.tables[0].Record(m.now, m.say(i))
 
 			want += rate
 		}
 
 		for _, late := range m.flying {
-			m.tables[0].Hear(m.now, late.word)
+			m.tables[0].Record(m.now, late.report)
 		}
 
 		if got := arriving(m.tables[0].Total(m.now, life, nil)); got != want {
-			t.Fatalf("after all were heard, late words behind them: got %v, want %v", got, want)
+			t.Fatalf("after all were heard, late messages behind them: got %v, want %v", got, want)
 		}
 	})
 }
 
 // say returns what an instance says now.
-func (m *model) say(i int) Word {
-	return word(fleet.InstanceID(fmt.Sprint("entry-", i)), m.incarnation[i], m.now.UnixNano(), m.rate[i])
+func (m *model) say(i int) Report {
+	return report(fleet.InstanceID(fmt.Sprint("entry-", i)), m.incarnation[i], m.now.UnixNano(), m.rate[i])
 }
 
-// land lets one of the words that are on their way arrive, maybe not for the last time.
+// land lets one of the messages that are on their way arrive, maybe not for the last time.
 func (m *model) land(t *rapid.T) {
 	if len(m.flying) == 0 {
 		return
@@ -157,7 +157,7 @@
 
 	k := rapid.IntRange(0, len(m.flying)-1).Draw(t, "flight")
 	one := m.flying[k]
-	m.tables[one.to].Hear(m.now, one.word)
+	m.tables[one.to].Record(m.now, one.report)
 
 	if !rapid.Bool().Draw(t, "again") {
 		m.flying = append(m.flying[:k], m.flying[k+1:]...)
--- a/entry/datagram.go
+++ b/entry/datagram.go
@@ -52,7 +52,7 @@
 	case d.Counts != nil:
 		p.receiveCounts(now, d.Counts)
 	case d.Trials != nil:
-		p.rollouts.table.Hear(d.Trials.Instance, d.Trials.Incarnation, d.Trials.Counts)
+		p.rollouts.table.Record(d.Trials.Instance, d.Trials.Incarnation, d.Trials.Counts)
 	case d.Ask != nil:
 		// One that has just started, or stops, is no member here.
 		reply := p.loans.Lend(*d.Ask)
--- a/entry/datagram_test.go
+++ b/entry/datagram_test.go
@@ -71,7 +71,7 @@
 	p.register.Replace(changes)
 
 	for i := range leaving {
-		p.rollouts.gate.Hear(clk.Now(), rollout.State{
+		p.rollouts.gate.Apply(clk.Now(), rollout.State{
 			Service: fleet.Service(fmt.Sprintf("model-service-%08x", i)), Target: "release-2026-12-03.1", Place: math.MaxUint64,
 			Phase: rollout.Completed, Fence: math.MaxUint64, Step: math.MaxUint32, Share: 0.123, Elapsed: math.MaxInt64,
 			Avoid: slices.Repeat([]fleet.Version{"release-2026-11-30.4"}, 8), Reached: math.MaxUint64, Exposed: math.MaxUint64,
--- a/entry/eras.go
+++ b/entry/eras.go
@@ -30,10 +30,10 @@
 type restoration struct {
 	// rose is when the era rose, in Unix nanoseconds of the instance's clock; zero is never.
 	rose atomic.Int64
-	// ruled is set once rules were written in the newest era, and told is the newest version
+	// ruled is set once rules were written in the newest era, and newest is the newest version
 	// of the rules that any instance had.
-	ruled atomic.Bool
-	told  atomic.Uint64
+	ruled  atomic.Bool
+	newest atomic.Uint64
 	// registered is the era of the whole register that was read last, if it was read; both
 	// are used by the reader of the register alone.
 	read       bool
@@ -47,11 +47,11 @@
 	return now.Sub(time.Unix(0, rose)), rose != 0
 }
 
-// hearVersion takes in that another instance has rules of a version.
-func (r *restoration) hearVersion(version uint64) {
+// noteVersion takes in that another instance has rules of a version.
+func (r *restoration) noteVersion(version uint64) {
 	for {
-		told := r.told.Load()
-		if version <= told || r.told.CompareAndSwap(told, version) {
+		told := r.newest.Load()
+		if version <= told || r.newest.CompareAndSwap(told, version) {
 			return
 		}
 	}
@@ -81,8 +81,8 @@
 	}()
 }
 
-// hearEra reads the store at once where another instance has seen a later era.
-func (p *parts) hearEra(era uint64) {
+// noteEra reads the store at once where another instance has seen a later era.
+func (p *parts) noteEra(era uint64) {
 	if era > p.store.Era() {
 		p.rulesFeed.Nudge()
 		p.registerFeed.Nudge()
@@ -93,7 +93,7 @@
 // That shows nothing where another instance has newer ones, or where the store has just
 // come back from a copy that may lack the newest.
 func (p *parts) confirmRules(asked time.Time) {
-	if rules := p.rules.Load(); rules != nil && rules.Version() < p.restored.told.Load() {
+	if rules := p.rules.Load(); rules != nil && rules.Version() < p.restored.newest.Load() {
 		return
 	}
 
--- a/entry/eras_test.go
+++ b/entry/eras_test.go
@@ -47,8 +47,8 @@
 	}
 
 	clk.Advance(10 * time.Second)
-	p.restored.hearVersion(7)
-	p.restored.hearVersion(5)
+	p.restored.noteVersion(7)
+	p.restored.noteVersion(5)
 	p.confirmRules(clk.Now())
 
 	if p.currency.Current() {
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -56,7 +56,7 @@
 	p.duties.receive(now, r)
 
 	for _, s := range r.Rollouts {
-		p.rollouts.gate.Hear(now, s, time.Time{})
+		p.rollouts.gate.Apply(now, s, time.Time{})
 	}
 }
 
--- a/entry/heartbeat.go
+++ b/entry/heartbeat.go
@@ -51,7 +51,7 @@
 	// Era is the newest era of the store that the sender has seen.
 	Era uint64 `msgpack:"b,omitempty"`
 	// Rollouts is what the holder of the duties has decided on new versions.
-	Rollouts []rollout.Word `msgpack:"v,omitempty"`
+	Rollouts []rollout.Update `msgpack:"v,omitempty"`
 }
 
 // echoes holds the newest time of each other instance.
@@ -114,7 +114,7 @@
 		Instance: p.self(), Address: p.settings.Listen.Peers,
 		Domain: p.settings.FailureDomain, Cores: p.settings.Limits.ProcessorCores, Stopping: p.stopping.Load(),
 		Leaders: plan.Leaders, Members: plan.Count, At: now.UnixNano(), ConfirmedAgo: -1, RegisterAgo: -1, Leaving: p.leaving(),
-		Era: p.store.Era(), Rollouts: p.rollouts.words(now),
+		Era: p.store.Era(), Rollouts: p.rollouts.updates(now),
 	}
 
 	if age, ok := p.registered.Age(); ok {
@@ -164,20 +164,20 @@
 
 	p.updateMember(now, w)
 	p.echoes.heard(w.Instance, w.At)
-	p.hearEra(w.Era)
+	p.noteEra(w.Era)
 
 	if p.register.Leave(w.Leaving) {
 		p.scheduler.Update(p.register.Servers())
 	}
 
 	if w.Echo == 0 {
-		p.rollouts.hear(now, w.Rollouts, time.Time{})
+		p.rollouts.receive(now, w.Rollouts, time.Time{})
 
 		return
 	}
 
 	echo := time.Unix(0, w.Echo)
-	p.rollouts.hear(now, w.Rollouts, echo)
+	p.rollouts.receive(now, w.Rollouts, echo)
 	p.confirmBy(echo, w)
 
 	if w.RegisterAgo >= 0 {
@@ -211,7 +211,7 @@
 	}
 
 	if w.Rules > rules.Version() {
-		p.restored.hearVersion(w.Rules)
+		p.restored.noteVersion(w.Rules)
 		p.missedRules(w.Rules)
 
 		return
--- a/entry/rollouts.go
+++ b/entry/rollouts.go
@@ -18,7 +18,7 @@
 )
 
 // rollouts is this instance's part in moving services to new versions: it knows the orders
-// and the holder's words, counts, and plans where it holds the duties.
+// and the holder's decisions, counts, and plans where it holds the duties.
 type rollouts struct {
 	gate    rollout.Gate
 	counter rollout.Counter
@@ -66,14 +66,14 @@
 	// what the count of a pace takes.
 	trialBytes = 64
 	paceBytes  = 7
-	// wordsBytes is what words on roll-outs take of a heartbeat at most, and wordBytes what
+	// updatesBytes is what messages on roll-outs take of a heartbeat at most, and updateBytes what
 	// one takes beside its names.
-	wordsBytes = 300
-	wordBytes  = 70
+	updatesBytes = 300
+	updateBytes  = 70
 )
 
-// ordered takes the operators' orders in.
-func (r *rollouts) ordered(entries []feed.Entry) {
+// receiveOrders takes the operators' orders in.
+func (r *rollouts) receiveOrders(entries []feed.Entry) {
 	for _, e := range entries {
 		if !platform.IsRollout(e.Key) {
 			continue
@@ -92,17 +92,17 @@
 			continue
 		}
 
-		if r.gate.Ordered(r.clock.Now(), order) {
+		if r.gate.AddOrder(r.clock.Now(), order) {
 			klog.InfoS("new version ordered", "service", order.Service, "version", order.Target, "span", order.Span, "offset", e.At)
 		}
 	}
 }
 
-// words returns what the next heartbeat tells. Where not all fits, the next ones tell the
+// updates returns what the next heartbeat tells. Where not all fits, the next ones tell the
 // rest.
-func (r *rollouts) words(now time.Time) []rollout.Word {
-	parts := packInto(r.gate.Words(now), wordsBytes, func(w rollout.Word) int {
-		n := wordBytes + len(w.State.Service) + len(w.State.Target)
+func (r *rollouts) updates(now time.Time) []rollout.Update {
+	parts := packInto(r.gate.Updates(now), updatesBytes, func(w rollout.Update) int {
+		n := updateBytes + len(w.State.Service) + len(w.State.Target)
 		for _, v := range w.State.Avoid {
 			n += len(v) + 1
 		}
@@ -120,15 +120,15 @@
 	return parts[r.turn%len(parts)]
 }
 
-// hear takes words in that were true after a time; the zero time is not known.
-func (r *rollouts) hear(now time.Time, words []rollout.Word, after time.Time) {
-	for _, w := range words {
+// receive takes decisions in that were true after a time; the zero time is not known.
+func (r *rollouts) receive(now time.Time, updates []rollout.Update, after time.Time) {
+	for _, w := range updates {
 		at := time.Time{}
 		if !after.IsZero() && w.Age >= 0 {
 			at = after.Add(-w.Age)
 		}
 
-		r.gate.Hear(now, w.State, at)
+		r.gate.Apply(now, w.State, at)
 	}
 }
 
@@ -172,7 +172,7 @@
 		r.fence, r.number, r.written = fence, 0, make(map[fleet.Service]status)
 	}
 
-	r.table.Hear(r.self, r.start, r.counter.Counts())
+	r.table.Record(r.self, r.start, r.counter.Counts())
 
 	for _, task := range tasks {
 		r.plan(ctx, task)
@@ -193,7 +193,7 @@
 		state, _ = p.Step(now, uint64(r.fence), picture)
 	}
 
-	r.gate.Hear(now, state, now)
+	r.gate.Apply(now, state, now)
 
 	if state.Phase != before.Phase || state.Place != before.Place || state.Share != before.Share {
 		klog.InfoS("roll-out", "service", state.Service, "version", state.Target, "phase", state.Phase.String(),
@@ -276,7 +276,7 @@
 		write:    p.store.WriteRollout,
 		planners: make(map[fleet.Service]*rollout.Planner),
 	}
-	r.gate.Life = r.policy.WordLife()
+	r.gate.Life = r.policy.GrantLife()
 
 	return r
 }
--- a/entry/rules.go
+++ b/entry/rules.go
@@ -21,7 +21,7 @@
 // applyRules puts the newest rules in force. Rules that are malformed never
 // replace those before.
 func (p *parts) applyRules(entries []feed.Entry, whole bool) {
-	p.rollouts.ordered(entries)
+	p.rollouts.receiveOrders(entries)
 
 	var newest *feed.Entry
 
--- a/entry/usage_counts.go
+++ b/entry/usage_counts.go
@@ -109,7 +109,7 @@
 func (p *parts) receiveCounts(now time.Time, t *usageCounts) {
 	p.members.Seen(now, t.Instance)
 	p.duties.count(t)
-	p.arrivals.Hear(now, arrivals.Word{Instance: t.Instance, Incarnation: t.Incarnation, At: t.At, Work: t.Work})
+	p.arrivals.Record(now, arrivals.Report{Instance: t.Instance, Incarnation: t.Incarnation, At: t.At, Work: t.Work})
 }
 
 // arrivingAtAll returns what arrives at all instances, as far as it is known here: at those
--- a/rollout/count.go
+++ b/rollout/count.go
@@ -210,9 +210,9 @@
 	place       uint64
 }
 
-// Hear takes counts of an instance in. Counts of an earlier start stay: what it sent was
+// Record takes counts of an instance in. Counts of an earlier start stay: what it sent was
 // sent.
-func (t *Table) Hear(id fleet.InstanceID, incarnation fleet.Incarnation, counts []Count) {
+func (t *Table) Record(id fleet.InstanceID, incarnation fleet.Incarnation, counts []Count) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
--- a/rollout/gate.go
+++ b/rollout/gate.go
@@ -24,7 +24,7 @@
 // Gate says at one instance which versions requests are sent to. The zero value knows no
 // order; it is safe for concurrent use, and Choose takes no lock.
 type Gate struct {
-	// Life is how long a word to send to a new version counts; it is set before the first
+	// Life is how long a decision to send to a new version counts; it is set before the first
 	// use.
 	Life time.Duration
 
@@ -38,13 +38,13 @@
 	// begun is when the order was first seen, here or by another instance.
 	begun time.Time
 	state State
-	// at is when the holder made the word, or before; zero is that it counts for no share.
+	// at is when the holder made the decision, or before; zero is that it counts for no share.
 	at time.Time
 }
 
-// Ordered takes an order in and tells whether it is news. Until the holder's word comes, the
+// AddOrder takes an order in and tells whether it is news. Until the holder's decision comes, the
 // new version gets nothing.
-func (g *Gate) Ordered(now time.Time, o Order) bool {
+func (g *Gate) AddOrder(now time.Time, o Order) bool {
 	return g.change(o.Service, func(k *known) bool {
 		if o.Place <= k.order.Place {
 			return false
@@ -76,9 +76,9 @@
 	k.order.Place = place
 }
 
-// Hear takes a word in that the holder made at a time, or later, and tells whether it is
+// Apply takes a decision in that the holder made at a time, or later, and tells whether it is
 // news of more than its age. One whose age is not known has the zero time.
-func (g *Gate) Hear(now time.Time, s State, at time.Time) bool {
+func (g *Gate) Apply(now time.Time, s State, at time.Time) bool {
 	news := false
 
 	g.change(s.Service, func(k *known) bool {
@@ -196,21 +196,21 @@
 	return k.state.Target, k.state.Place, k.state.Phase == Trial
 }
 
-// Word is a state and how long ago, at most, the holder made it; negative is not known.
-type Word struct {
+// Update is a state and how long ago, at most, the holder made it; negative is not known.
+type Update struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // an option of the codec
 	State    State
 	Age      time.Duration
 }
 
-// Words returns what this instance tells others.
-func (g *Gate) Words(now time.Time) []Word {
+// Updates returns what this instance tells others.
+func (g *Gate) Updates(now time.Time) []Update {
 	all := g.current.Load()
 	if all == nil {
 		return nil
 	}
 
-	var words []Word
+	var updates []Update
 
 	for _, service := range slices.Sorted(maps.Keys(*all)) {
 		k := (*all)[service]
@@ -218,23 +218,23 @@
 			continue
 		}
 
-		word := Word{State: k.state, Age: -1}
+		update := Update{State: k.state, Age: -1}
 		if !k.at.IsZero() {
-			word.Age = now.Sub(k.at)
+			update.Age = now.Sub(k.at)
 		}
 
-		words = append(words, word)
+		updates = append(updates, update)
 	}
 
-	return words
+	return updates
 }
 
 // States returns the newest states of all services.
 func (g *Gate) States() []State {
-	words := g.Words(time.Time{})
-	states := make([]State, 0, len(words))
+	updates := g.Updates(time.Time{})
+	states := make([]State, 0, len(updates))
 
-	for _, w := range words {
+	for _, w := range updates {
 		states = append(states, w.State)
 	}
 
--- a/rollout/gate_test.go
+++ b/rollout/gate_test.go
@@ -22,7 +22,7 @@
 	return some, avoided
 }
 
-// An instance sends to a new version by the holder's word alone, and for its life only.
+// An instance sends to a new version by the holder's decision alone, and for its life only.
 func TestANewVersionGetsNothingWithoutTheHoldersWord(t *testing.T) {
 	const life = 2 * time.Second
 
@@ -34,26 +34,26 @@
 		at   time.Duration
 		some bool
 	}{
-		"an order without a word": {hear: func(*Gate) {}},
-		"a young word":            {hear: func(g *Gate) { g.Hear(begin, trial, begin) }, at: life / 2, some: true},
-		"a word that has lapsed":  {hear: func(g *Gate) { g.Hear(begin, trial, begin) }, at: life},
-		"a word of unknown age":   {hear: func(g *Gate) { g.Hear(begin, trial, time.Time{}) }},
-		"a word on the order before": {hear: func(g *Gate) {
+		"an order without a decision": {hear: func(*Gate) {}},
+		"a young decision":            {hear: func(g *Gate) { g.Apply(begin, trial, begin) }, at: life / 2, some: true},
+		"a decision that has lapsed":  {hear: func(g *Gate) { g.Apply(begin, trial, begin) }, at: life},
+		"a decision of unknown age":   {hear: func(g *Gate) { g.Apply(begin, trial, time.Time{}) }},
+		"a decision on the order before": {hear: func(g *Gate) {
 			earlier := trial
 			earlier.Place = 6
-			g.Hear(begin, earlier, begin)
+			g.Apply(begin, earlier, begin)
 		}},
-		"a revert that a late word follows": {hear: func(g *Gate) {
+		"a revert that a late decision follows": {hear: func(g *Gate) {
 			reverted := trial
 			reverted.Phase = Reverted
-			g.Hear(begin, reverted, begin)
+			g.Apply(begin, reverted, begin)
 			late := trial
 			late.Step = 9
-			g.Hear(begin, late, begin)
+			g.Apply(begin, late, begin)
 		}},
 	} {
 		g := &Gate{Life: life}
-		g.Ordered(begin, order)
+		g.AddOrder(begin, order)
 		tt.hear(g)
 
 		some, avoided := choices(g, begin.Add(tt.at))
@@ -67,8 +67,8 @@
 // Once it is completed, all may go to the new version and none to those that it replaced.
 func TestACompletedVersionReplacesTheOthers(t *testing.T) {
 	g := &Gate{Life: time.Second}
-	g.Ordered(begin, Order{Service: service, Target: target, Span: time.Minute, Place: 7})
-	g.Hear(begin, State{
+	g.AddOrder(begin, Order{Service: service, Target: target, Span: time.Minute, Place: 7})
+	g.Apply(begin, State{
 		Service: service, Target: target, Place: 7, Phase: Completed, Avoid: []fleet.Version{before},
 	}, time.Time{})
 
@@ -84,12 +84,12 @@
 	g := &Gate{Life: time.Second}
 	order := Order{Service: service, Target: target, Span: time.Minute, Place: 7}
 
-	g.Ordered(begin, order)
-	g.Hear(begin, State{Service: service, Target: target, Place: 7, Phase: Completed}, begin)
+	g.AddOrder(begin, order)
+	g.Apply(begin, State{Service: service, Target: target, Place: 7, Phase: Completed}, begin)
 
 	again := order
 	again.Place = 1<<40 + 3
-	g.Ordered(begin.Add(time.Minute), again)
+	g.AddOrder(begin.Add(time.Minute), again)
 
 	tasks := g.Tasks()
 	if len(tasks) != 1 || tasks[0].State.Phase != Completed || tasks[0].State.Place != again.Place {
--- a/rollout/model_test.go
+++ b/rollout/model_test.go
@@ -60,7 +60,7 @@
 	completed        bool
 
 	answers []answering
-	words   []flyingWord
+	updates []flyingUpdate
 	// reached and exposed are all requests until the deadline, bad the times of bad answers,
 	// and late how many requests were sent too late after the fiftieth.
 	reached, exposed, late int
@@ -77,7 +77,7 @@
 	took               time.Duration
 }
 
-type flyingWord struct {
+type flyingUpdate struct {
 	at       time.Time
 	instance int
 	state    State
@@ -92,8 +92,8 @@
 	}
 
 	for range n {
-		g := &Gate{Life: policy.WordLife()}
-		g.Ordered(begin, w.order)
+		g := &Gate{Life: policy.GrantLife()}
+		g.AddOrder(begin, w.order)
 		w.gates = append(w.gates, g)
 		w.counters = append(w.counters, &Counter{})
 	}
@@ -212,12 +212,12 @@
 	for i, c := range w.counters {
 		due := w.random.Float64() < modelStep.Seconds()/w.told.Seconds()
 		if due && !w.cutOff[i] && w.random.Float64() >= w.lossy {
-			w.table.Hear(fleet.InstanceID(fmt.Sprint("entry-", i)), 1, c.Counts())
+			w.table.Record(fleet.InstanceID(fmt.Sprint("entry-", i)), 1, c.Counts())
 		}
 	}
 }
 
-// plan lets the holder take a step and tell its word to all.
+// plan lets the holder take a step and tell its decision to all.
 func (w *world) plan() {
 	if w.now.Sub(begin)%planEvery != 0 || w.now.Before(w.frozen) || w.now.Before(w.orphaned) {
 		return
@@ -236,26 +236,26 @@
 	for i := range w.gates {
 		if !w.cutOff[i] && w.random.Float64() >= w.lossy {
 			delay := modelStep + time.Duration(w.random.Float64()*float64(w.told))
-			w.words = append(w.words, flyingWord{at: w.now.Add(delay), instance: i, state: s, made: w.now})
+			w.updates = append(w.updates, flyingUpdate{at: w.now.Add(delay), instance: i, state: s, made: w.now})
 		}
 	}
 }
 
-// hear delivers words, which may overtake each other.
+// hear delivers messages, which may overtake each other.
 func (w *world) hear() {
-	kept := w.words[:0]
+	kept := w.updates[:0]
 
-	for _, one := range w.words {
+	for _, one := range w.updates {
 		if one.at.After(w.now) {
 			kept = append(kept, one)
 
 			continue
 		}
 
-		w.gates[one.instance].Hear(w.now, one.state, one.made)
+		w.gates[one.instance].Apply(w.now, one.state, one.made)
 	}
 
-	w.words = kept
+	w.updates = kept
 }
 
 // newHolder lets the duty go over to another instance, which knows what was recorded.
--- a/rollout/order.go
+++ b/rollout/order.go
@@ -5,13 +5,13 @@
 // of the requests, which all instances together keep within a budget whatever the version
 // is and whenever it turns bad. The holder of the duty plans: counts of answers by version
 // and route go in, the share and in the end the verdict come out. The others send by the
-// newest word they heard, and to the old version alone once that word is too old: an
+// newest decision they heard, and to the old version alone once that decision is too old: an
 // instance that hears nobody tries nothing.
 //
 // # Usage
 //
 //	var gate rollout.Gate // at each instance, on the path of requests
-//	gate.Ordered(order)
+//	gate.AddOrder(order)
 //	choice := gate.Choose(now, service)
 //
 //	p := &rollout.Planner{Policy: policy, Order: order} // at the holder of the duty
@@ -52,9 +52,9 @@
 	Stop time.Duration
 }
 
-// wordShare is the part of the time to stop for which a word to send to the new version
+// grantShare is the part of the time to stop for which a decision to send to the new version
 // counts. Noticing and telling take the rest.
-const wordShare = 0.5
+const grantShare = 0.5
 
-// WordLife is how long a word to send to the new version counts after it was made.
-func (p Policy) WordLife() time.Duration { return time.Duration(wordShare * float64(p.Stop)) }
+// GrantLife is how long a decision to send to the new version counts after it was made.
+func (p Policy) GrantLife() time.Duration { return time.Duration(grantShare * float64(p.Stop)) }
--- a/rollout/planner.go
+++ b/rollout/planner.go
@@ -200,9 +200,9 @@
 		return 0
 	}
 
-	// Of what is sent now, the counts come after Told, and a word to stop counts at
+	// Of what is sent now, the counts come after Told, and a decision to stop counts at
 	// instances that hear nobody after the life of the last one.
-	ahead := surge * p.rate * (pic.Told + p.Policy.WordLife()).Seconds()
+	ahead := surge * p.rate * (pic.Told + p.Policy.GrantLife()).Seconds()
 	left := p.budget()*trialPart - float64(p.state.Exposed)
 
 	if left <= 0 {
--- a/rollout/state.go
+++ b/rollout/state.go
@@ -33,7 +33,7 @@
 	Target   fleet.Version
 	Place    uint64
 	Phase    Phase
-	// Fence and Step order the words of all holders on one order.
+	// Fence and Step order the messages of all holders on one order.
 	Fence uint64
 	Step  uint32
 	// Share is the part of the requests that the new version gets.
