refactor(rollout,entry,register): one way each to ask, to take turns and to begin

Cause: read once more, the change said three times that the holder had decided nothing of the newest order yet, returned from Gate.Apply what nobody asks, took turns under a lock where heartbeats take them by an atomic, and made the register's maps at two places. Each stands once now.

Ruled out: a change of behaviour: a state that neither replaces the other is of the same order, so the comparison of places went; the tests are unchanged. Result: register, rollout and entry pass with the race detector.

--- a/entry/rollouts.go
+++ b/entry/rollouts.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"errors"
-	"sync"
+	"sync/atomic"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -43,8 +43,8 @@
 	number  uint64
 	written map[fleet.Service]status
 
-	mu   sync.Mutex
-	turn int
+	// turn says which of the updates the next heartbeat tells.
+	turn atomic.Uint64
 }
 
 // status is what was written of a service.
@@ -113,11 +113,7 @@
 		return nil
 	}
 
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.turn++
-
-	return parts[r.turn%len(parts)]
+	return parts[r.turn.Add(1)%uint64(len(parts))]
 }
 
 // receive takes decisions in that were true after a time; the zero time is not known.
--- a/register/register.go
+++ b/register/register.go
@@ -107,11 +107,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 
-	if r.servers == nil {
-		r.servers = make(map[fleet.InstanceID]Server)
-		r.versions = make(map[fleet.InstanceID]uint64)
-	}
-
+	r.init()
 	for _, c := range entries {
 		known, there := r.servers[c.ID]
 		if _, heard := r.versions[c.ID]; c.Server == nil || heard && !there {
@@ -133,13 +129,16 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 
+	r.init()
+	r.apply(changes)
+	r.publish()
+}
+
+func (r *Register) init() {
 	if r.servers == nil {
 		r.servers = make(map[fleet.InstanceID]Server)
 		r.versions = make(map[fleet.InstanceID]uint64)
 	}
-
-	r.apply(changes)
-	r.publish()
 }
 
 func (r *Register) apply(changes []Change) {
--- a/rollout/gate.go
+++ b/rollout/gate.go
@@ -76,23 +76,18 @@
 	k.order.Place = place
 }
 
-// Apply takes a decision in that the holder made at a time, or later, and tells whether it is
-// news of more than its age. One whose age is not known has the zero time.
-func (g *Gate) Apply(now time.Time, s State, at time.Time) bool {
-	news := false
-
+// Apply takes a decision in that the holder made at a time, or later. One whose age is not
+// known has the zero time.
+func (g *Gate) Apply(now time.Time, s State, at time.Time) {
 	g.change(s.Service, func(k *known) bool {
-		same := s.Place == k.state.Place && !k.state.Replaces(s) && !s.Replaces(k.state)
-
 		switch {
 		case s.Replaces(k.state):
-			news = true
 			k.state, k.at = s, at
 
 			if begun := now.Add(-s.Elapsed); s.Place == k.order.Place && begun.Before(k.begun) {
 				k.begun = begun
 			}
-		case same && at.After(k.at):
+		case !k.state.Replaces(s) && at.After(k.at):
 			k.at = at
 		default:
 			return false
@@ -100,8 +95,6 @@
 
 		return true
 	})
-
-	return news
 }
 
 // change puts a changed picture in place of the one before, and tells whether it changed.
@@ -146,12 +139,7 @@
 		return Choice{}
 	}
 
-	if k.order.Place > k.state.Place {
-		// The holder has said nothing of the newest order.
-		return Choice{Avoid: avoided(k.state.Avoid, k.order.Target)}
-	}
-
-	if k.state.Phase == Trial && now.Sub(k.at) < g.Life && rand.Float64() < k.state.Share {
+	if !k.undecided() && k.state.Phase == Trial && now.Sub(k.at) < g.Life && rand.Float64() < k.state.Share {
 		return Choice{Only: k.state.Target, Part: k.state.Share}
 	}
 
@@ -169,9 +157,12 @@
 	return k.rest()
 }
 
+// undecided tells whether the holder has said nothing of the newest order yet.
+func (k known) undecided() bool { return k.order.Place > k.state.Place }
+
 // rest returns the choice of a request that is none of the new version's share.
 func (k known) rest() Choice {
-	if k.order.Place > k.state.Place {
+	if k.undecided() {
 		return Choice{Avoid: avoided(k.state.Avoid, k.order.Target)}
 	}
 
@@ -189,7 +180,7 @@
 		return "", 0, false
 	}
 
-	if k.order.Place > k.state.Place {
+	if k.undecided() {
 		return k.order.Target, k.order.Place, true
 	}
 
