feat(ratelimit,scheduling,platform): limits that backend servers announce are seen in logs and metrics

The adapter decodes the field once; the scheduler keeps the newest announcement by start of a server; an instance logs each change and shows how many servers are limited. Nothing is decided by it yet. Answers overtake each other: a limit is lifted or raised only by the answer to a request that was sent after the limit was last seen.

--- a/entry/parts.go
+++ b/entry/parts.go
@@ -137,7 +137,7 @@
 			Clock: e.Clock, Bound: time.Duration(float64(s.Bounds.Drain) * registerAge),
 		},
 		retries:    newRetries(s.Bounds),
-		scheduler:  &scheduling.Scheduler{Domain: s.FailureDomain},
+		scheduler:  &scheduling.Scheduler{Domain: s.FailureDomain, OnLimit: logLimit},
 		members:    &board.Members{},
 		quarantine: &quarantine.Ledger{},
 		early:      &quota.Past{},
@@ -195,6 +195,7 @@
 	set.NewGauge("monsoonlever_entry_quarantined_requests", func() float64 {
 		return float64(p.quarantine.Count(p.clock.Now()))
 	})
+	set.NewGauge("monsoonlever_entry_limited_servers", func() float64 { return float64(p.scheduler.Limited()) })
 	set.NewGauge("monsoonlever_entry_rules_age_seconds", func() float64 {
 		age, _ := p.currency.Age()
 
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -128,6 +128,10 @@
 		f.Scheduler.Report(f.Clock.Now(), assignment.ID(), *reading.Load)
 	}
 
+	if reading.Limit != nil {
+		assignment.Announced(f.Clock.Now(), *reading.Limit)
+	}
+
 	if reading.Leaving {
 		f.Scheduler.Leave(assignment.ID())
 	}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -31,6 +31,7 @@
 	"monsoonlever/fleet"
 	"monsoonlever/quarantine"
 	"monsoonlever/quota"
+	"monsoonlever/ratelimit"
 	"monsoonlever/retry"
 	"monsoonlever/rollout"
 	"monsoonlever/ruleset"
@@ -69,6 +70,9 @@
 	Leaving bool
 	// Load is nil where the server did not tell it.
 	Load *scheduling.Load
+	// Limit is the rate of requests that the server takes from all instances together,
+	// nil where the answer does not say.
+	Limit *ratelimit.Rate
 }
 
 // Usage counts requests as they begin to run.
--- a/scheduling/scheduling.go
+++ b/scheduling/scheduling.go
@@ -76,6 +76,8 @@
 type Scheduler struct {
 	// Domain is the failure domain of this entry instance.
 	Domain fleet.FailureDomain
+	// OnLimit is called where a server announces another limit than before; it may be nil.
+	OnLimit func(LimitChange)
 
 	current atomic.Pointer[map[fleet.Service][]*server]
 
--- a/scheduling/server.go
+++ b/scheduling/server.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"monsoonlever/fleet"
+	"monsoonlever/ratelimit"
 	"monsoonlever/register"
 )
 
@@ -76,6 +77,8 @@
 	failures float64
 	outcomes float64
 	faded    time.Time
+	// limit is what it announced of the requests that it takes from all instances.
+	limit ratelimit.Announcement
 	// avoidUntil is when a server that could not be reached is tried again.
 	avoidUntil time.Time
 	// endedAt is when its program was last found to have ended.
