refactor(gossip,quota): questions between instances and their replies are a type of their own

Loans of limits matched replies to questions, waited for them and passed over instances that do not reply. The limits that backend servers announce need the same, so that it moves to gossip.Questions, a generic of the reply.

One behaviour differs: a caller that leaves while a holder is asked no longer counts as a refusal by that holder. Tests of it, of a late reply and of silence are new; those of loans stand as before, with the constant in its new place.

--- /dev/null
+++ b/gossip/questions_test.go
@@ -0,0 +1,78 @@
+package gossip
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"monsoonlever/clock"
+)
+
+func TestAQuestionGetsItsReply(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var q Questions[string]
+
+		got, ok := q.Ask(t.Context(), clock.System{}, "entry-2", func(number uint64) {
+			go func() {
+				q.Replied(number+1, "another")
+				q.Replied(number, "yes")
+				q.Replied(number, "again")
+			}()
+		})
+		if !ok || got != "yes" {
+			t.Errorf("got %q, %t, want yes", got, ok)
+		}
+	})
+}
+
+// One that does not reply is waited for once, and then not asked for a while.
+func TestOneThatDoesNotReplyIsPassedOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var q Questions[string]
+
+		asked := 0
+		ask := func() time.Duration {
+			began := time.Now()
+
+			if got, ok := q.Ask(t.Context(), clock.System{}, "entry-2", func(uint64) { asked++ }); ok {
+				t.Errorf("got %q, want no reply", got)
+			}
+
+			return time.Since(began)
+		}
+
+		if got := ask(); got != ReplyPatience {
+			t.Errorf("first wait: got %v, want %v", got, ReplyPatience)
+		}
+
+		if got := ask(); got != 0 || asked != 1 {
+			t.Errorf("next wait: got %v after %d questions, want none after 1", got, asked)
+		}
+
+		time.Sleep(silentSpan)
+		ask()
+
+		if asked != 2 {
+			t.Errorf("questions after a while: got %d, want 2", asked)
+		}
+	})
+}
+
+// A caller that leaves says nothing of the instance that was asked.
+func TestACallerThatLeavesSilencesNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var q Questions[string]
+
+		gone, leave := context.WithCancel(t.Context())
+		leave()
+		q.Ask(gone, clock.System{}, "entry-2", func(uint64) {})
+
+		asked := false
+		q.Ask(t.Context(), clock.System{}, "entry-2", func(uint64) { asked = true })
+
+		if !asked {
+			t.Error("after a caller that left: got no question, want one")
+		}
+	})
+}
--- a/quota/loans.go
+++ b/quota/loans.go
@@ -7,19 +7,14 @@
 
 	"monsoonlever/clock"
 	"monsoonlever/fleet"
+	"monsoonlever/gossip"
 )
 
 const (
-	// loanPatience is how long an answer is waited for: some ten round trips between
-	// failure domains, and little against the objective of a large request.
-	loanPatience = 60 * time.Millisecond
 	// readPatience is how long a request waits at an instance that has just started: eight
 	// instances read what was spent within 300 ms, in which 26 of 88 requests were refused
 	// until 1.5 s later.
 	readPatience = 500 * time.Millisecond
-	// silentHolder is how long a holder that did not answer is passed over: it may be gone,
-	// and each request would wait for it.
-	silentHolder = 300 * time.Millisecond
 	// refusedLoan is how long a holder that had too little is not asked for as much
 	// again: accounts far beyond their limit would ask for each request.
 	refusedLoan = 200 * time.Millisecond
@@ -55,12 +50,10 @@
 	// nothing, since others take its place. Nil is always.
 	Current func() bool
 
+	questions gossip.Questions[bool]
+
 	mu      sync.Mutex
-	number  uint64
-	waiting map[uint64]chan bool
 	refused map[loanKey]refusedAsk
-	// silent are the holders that did not answer, and when.
-	silent map[fleet.InstanceID]time.Time
 }
 
 type loanKey struct {
@@ -117,15 +110,7 @@
 }
 
 // Answered takes an answer in. One that comes too late is dropped.
-func (l *Loans) Answered(r Reply) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-
-	if answer := l.waiting[r.Number]; answer != nil {
-		delete(l.waiting, r.Number)
-		answer <- r.Granted
-	}
-}
+func (l *Loans) Answered(r Reply) { l.questions.Replied(r.Number, r.Granted) }
 
 func (l *Loans) borrow(ctx context.Context, holder fleet.InstanceID, name fleet.Account, cost float64) bool {
 	if holder == l.Self {
@@ -133,69 +118,43 @@
 	}
 
 	key := loanKey{holder: holder, account: name}
-
-	number, answer := l.open(key, cost)
-	if answer == nil {
+	if l.refusedRecently(key, cost) {
 		return false
 	}
 
-	l.Send(holder, Ask{From: l.Self, Number: number, Account: name, Cost: cost})
-
-	granted, answered := false, true
-	select {
-	case granted = <-answer:
-	case <-l.Clock.After(loanPatience):
-		answered = false
-	case <-ctx.Done():
+	granted, answered := l.questions.Ask(ctx, l.Clock, holder, func(number uint64) {
+		l.Send(holder, Ask{From: l.Self, Number: number, Account: name, Cost: cost})
+	})
+	if answered {
+		l.remember(key, cost, granted)
 	}
 
-	l.close(number, key, cost, granted, answered)
-
 	return granted
 }
 
-// open begins a question, unless the holder had too little for it a moment ago.
-func (l *Loans) open(key loanKey, cost float64) (uint64, <-chan bool) {
+// refusedRecently tells whether a holder had too little for as much a moment ago.
+func (l *Loans) refusedRecently(key loanKey, cost float64) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
-	now := l.Clock.Now()
-
-	if last, ok := l.refused[key]; ok && cost >= last.cost && now.Sub(last.at) < refusedLoan {
-		return 0, nil
-	}
-
-	if at, ok := l.silent[key.holder]; ok && now.Sub(at) < silentHolder {
-		return 0, nil
-	}
+	last, ok := l.refused[key]
 
-	if l.waiting == nil {
-		l.waiting = make(map[uint64]chan bool)
-		l.refused = make(map[loanKey]refusedAsk)
-		l.silent = make(map[fleet.InstanceID]time.Time)
-	}
-
-	l.number++
-	// The buffer lets an answer go that nobody waits for any more.
-	answer := make(chan bool, 1)
-	l.waiting[l.number] = answer
-
-	return l.number, answer
+	return ok && cost >= last.cost && l.Clock.Now().Sub(last.at) < refusedLoan
 }
 
-func (l *Loans) close(number uint64, key loanKey, cost float64, granted, answered bool) {
+func (l *Loans) remember(key loanKey, cost float64, granted bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	delete(l.waiting, number)
 
-	switch {
-	case granted:
+	if granted {
 		delete(l.refused, key)
-		delete(l.silent, key.holder)
-	case !answered:
-		l.silent[key.holder] = l.Clock.Now()
-	default:
-		delete(l.silent, key.holder)
-		l.refused[key] = refusedAsk{at: l.Clock.Now(), cost: cost}
+
+		return
+	}
+
+	if l.refused == nil {
+		l.refused = make(map[loanKey]refusedAsk)
 	}
+
+	l.refused[key] = refusedAsk{at: l.Clock.Now(), cost: cost}
 }
--- a/quota/reserve_test.go
+++ b/quota/reserve_test.go
@@ -9,6 +9,7 @@
 
 	"monsoonlever/clock"
 	"monsoonlever/fleet"
+	"monsoonlever/gossip"
 )
 
 // manyPolicy is that of many instances, whose words are slower.
@@ -185,7 +186,7 @@
 		t.Errorf("nobody answers: got %+v, want a refusal with a time to come back", got)
 	}
 
-	if took, most := time.Since(begun), (holders+1)*loanPatience; took > most {
+	if took, most := time.Since(begun), (holders+1)*gossip.ReplyPatience; took > most {
 		t.Errorf("refused after %v, want at most %v", took, most)
 	}
 
