fix(ratelimit,scheduling,entry): a backend server gets no more requests than it announced

Callers saw nothing of it; a server that was in need and had announced 1.4 requests a second got 14 in 4 s where 13 are allowed, from seven instances.

Cause: nothing at an instance read the limit, and nothing that is bounded over all instances knew of servers.

Ruled out: each instance keeping the limit by itself (no reader of it), and further sends (one server in each request).

The mend: one of the instances that lead grants the requests to a limited server out of a token bucket; the others ask it, some milliseconds. A server without room is passed over. Where no other is left, a request waits until its objective at most, or is refused at once with when to come back. Announcements travel with the news of prompts, through relays where there are many.

Why it holds: there is one bucket a server.

--- a/entry/datagram.go
+++ b/entry/datagram.go
@@ -11,6 +11,7 @@
 	"monsoonlever/gossip"
 	"monsoonlever/quarantine"
 	"monsoonlever/quota"
+	"monsoonlever/ratelimit"
 )
 
 // datagram is one message between instances. One of its fields is set, or Heartbeat and Spent.
@@ -21,6 +22,9 @@
 	// Ask and Reply lend limits of client accounts.
 	Ask   *quota.Ask   `msgpack:"a,omitempty"`
 	Reply *quota.Reply `msgpack:"r,omitempty"`
+	// Permit and Permitted grant requests to backend servers that limit them.
+	Permit    *ratelimit.Ask   `msgpack:"l,omitempty"`
+	Permitted *ratelimit.Reply `msgpack:"m,omitempty"`
 	// Servers are changes of backend servers.
 	Servers []serverNews `msgpack:"s,omitempty"`
 	// Prompts is what another instance knows of prompts at model engines.
@@ -57,6 +61,11 @@
 		// One that has just started, or stops, is no member here.
 		reply := p.loans.Lend(*d.Ask)
 		p.sendAll(map[fleet.InstanceID]netip.AddrPort{d.Ask.From: from}, datagram{Reply: &reply})
+	case d.Permit != nil:
+		reply := p.permits.Answer(*d.Permit)
+		p.sendAll(map[fleet.InstanceID]netip.AddrPort{d.Permit.From: from}, datagram{Permitted: &reply})
+	case d.Permitted != nil:
+		p.permits.Replied(*d.Permitted)
 	case len(d.Servers) > 0:
 		p.receiveServers(now, d.Servers)
 	case d.Prompts != nil:
--- a/entry/limits.go
+++ b/entry/limits.go
@@ -3,6 +3,7 @@
 import (
 	"k8s.io/klog/v2"
 
+	"monsoonlever/fleet"
 	"monsoonlever/ratelimit"
 	"monsoonlever/scheduling"
 )
@@ -17,3 +18,12 @@
 
 	klog.InfoS("backend server limits its requests", "server", c.Server, "perSecond", c.After, "before", c.Before)
 }
+
+// newPermits returns what asks for permits of this instance's requests and answers others.
+func newPermits(p *parts) *ratelimit.Asker {
+	return &ratelimit.Asker{
+		Self: p.self(), Clock: p.clock, Known: p.scheduler, Granter: &ratelimit.Granter{Self: p.self()},
+		Leaders: func() []fleet.InstanceID { return p.plan.Load().Leaders },
+		Send:    func(to fleet.InstanceID, ask ratelimit.Ask) { p.sendDatagram(to, datagram{Permit: &ask}) },
+	}
+}
--- a/entry/parts.go
+++ b/entry/parts.go
@@ -21,6 +21,7 @@
 	"monsoonlever/platform"
 	"monsoonlever/quarantine"
 	"monsoonlever/quota"
+	"monsoonlever/ratelimit"
 	"monsoonlever/register"
 	"monsoonlever/retry"
 	"monsoonlever/ruleset"
@@ -72,15 +73,17 @@
 type parts struct {
 	settings settings.Entry
 	// bounds are those of the newest settings.
-	bounds    atomic.Pointer[settings.Bounds]
-	clock     clock.Clock
-	metrics   *metrics.Set
-	store     *platform.Store
-	rules     atomic.Pointer[ruleset.Ruleset]
-	currency  *currency.Tracker
-	register  *register.Register
-	limits    *quota.Quota
-	loans     *quota.Loans
+	bounds   atomic.Pointer[settings.Bounds]
+	clock    clock.Clock
+	metrics  *metrics.Set
+	store    *platform.Store
+	rules    atomic.Pointer[ruleset.Ruleset]
+	currency *currency.Tracker
+	register *register.Register
+	limits   *quota.Quota
+	loans    *quota.Loans
+	// permits grant requests to backend servers that limit them.
+	permits   *ratelimit.Asker
 	retries   *retry.Budgets
 	scheduler *scheduling.Scheduler
 	pool      *upstream.Pool
@@ -157,6 +160,8 @@
 	p.loans = &quota.Loans{Quota: p.limits, Clock: e.Clock, Self: s.Instance, Current: p.currency.Current, Send: func(to fleet.InstanceID, ask quota.Ask) {
 		p.sendDatagram(to, datagram{Ask: &ask})
 	}}
+	p.permits = newPermits(p)
+	p.scheduler.Permits = p.permits
 	p.rollouts = newRollouts(p)
 	p.pool = &upstream.Pool{Clock: e.Clock, Counters: upstream.NewCounters(set)}
 	p.forwarder = &forward.Forwarder{
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -18,6 +18,7 @@
 	plan := p.links.Plan(now, p.members.All())
 	before := p.plan.Swap(plan)
 	p.scheduler.SetRelay(plan.Relay)
+	p.permits.Granter.SetLeaders(now, plan.Leaders)
 
 	led, leads := before.Leads(p.self()), plan.Leads(p.self())
 	if led != leads || before.Relay != plan.Relay || !slices.Equal(before.Leaders, plan.Leaders) {
--- a/entry/prompts.go
+++ b/entry/prompts.go
@@ -107,6 +107,7 @@
 	loadBytes    = 12
 	holdingBytes = 7
 	keyBytes     = 5
+	limitBytes   = 16
 	// maxParts bounds the parts of a holding: the first ones are those that others share.
 	maxParts = 100
 )
@@ -125,6 +126,11 @@
 		s.part.Ended = append(s.part.Ended, key)
 	}
 
+	for _, l := range news.Limits {
+		s.room(limitBytes)
+		s.part.Limits = append(s.part.Limits, l)
+	}
+
 	for _, l := range news.Loads {
 		s.room(loadBytes)
 		s.part.Loads = append(s.part.Loads, l)
--- a/forward/job.go
+++ b/forward/job.go
@@ -124,8 +124,11 @@
 		return false
 	}
 
-	var overload *scheduling.OverloadError
-	if errors.As(err, &overload) {
+	var (
+		overload *scheduling.OverloadError
+		limit    *scheduling.LimitError
+	)
+	if errors.As(err, &overload) || errors.As(err, &limit) {
 		return false
 	}
 
@@ -159,7 +162,10 @@
 		return &Refusal{Reason: CallerGone}
 	}
 
-	var overload *scheduling.OverloadError
+	var (
+		overload *scheduling.OverloadError
+		limit    *scheduling.LimitError
+	)
 
 	switch {
 	case j.stream.begun:
@@ -174,6 +180,8 @@
 		return notRun(Quarantined, left)
 	case errors.As(err, &overload):
 		return &Refusal{Reason: Overloaded, NotRun: true, RetryAfter: overload.RetryAfter, Cause: err.Error()}
+	case errors.As(err, &limit):
+		return &Refusal{Reason: Overloaded, NotRun: true, RetryAfter: limit.RetryAfter, Cause: err.Error()}
 	case errors.Is(err, scheduling.ErrNoServer):
 		return &Refusal{Reason: NoServer, NotRun: true, RetryAfter: retryLater, Cause: err.Error()}
 	default:
@@ -230,6 +238,9 @@
 	// nothing, and leastGiveUp the least of it.
 	giveUpObjectives = 4
 	leastGiveUp      = 2 * time.Second
+	// limitWait is how long a request without an objective, or the rest of a stream, waits
+	// for servers that limit their requests: callers leave a stream after two seconds.
+	limitWait = time.Second
 )
 
 // waitsUntil returns until when the caller waits for the begin of an answer, or for the
@@ -256,6 +267,11 @@
 		r.Due, r.HoldUntil, r.GiveUp = arrived.Add(j.route.Objective), arrived.Add(hold), j.waitsUntil()
 	}
 
+	r.WaitUntil = r.Due
+	if r.Due.IsZero() {
+		r.WaitUntil = j.forwarder.Clock.Now().Add(limitWait)
+	}
+
 	return r
 }
 
--- /dev/null
+++ b/ratelimit/asker.go
@@ -0,0 +1,105 @@
+package ratelimit
+
+import (
+	"context"
+	"time"
+
+	"monsoonlever/clock"
+	"monsoonlever/fleet"
+	"monsoonlever/gossip"
+	"monsoonlever/register"
+)
+
+// retryLater is when a server is tried again for which nobody grants requests now.
+const retryLater = 300 * time.Millisecond
+
+// Ask is the question for a permit.
+type Ask struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // an option of the codec
+	From     fleet.InstanceID
+	Number   uint64
+	Server   register.Start
+	// Rate and Age are what the asker knows of the server's announcement.
+	Rate Rate
+	Age  time.Duration
+	// Patience is how long the request can wait.
+	Patience time.Duration
+}
+
+// Reply is the answer to an Ask.
+type Reply struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // an option of the codec
+	Number   uint64
+	Granted  bool
+	Wait     time.Duration
+	// Rate and Age are what the granter knows of the server's announcement.
+	Rate Rate
+	Age  time.Duration
+}
+
+// Known keeps the newest announcements of servers.
+type Known interface {
+	// Merge takes in what another instance knows of a server and returns the newest.
+	Merge(server register.Start, a Announcement) Announcement
+}
+
+// Asker asks for permits, and answers the questions of others. Its exported fields are set
+// before its first use.
+type Asker struct {
+	Self    fleet.InstanceID
+	Clock   clock.Clock
+	Granter *Granter
+	Known   Known
+	// Leaders returns the instances that lead.
+	Leaders func() []fleet.InstanceID
+	// Send sends a question to another instance.
+	Send func(to fleet.InstanceID, ask Ask)
+
+	questions gossip.Questions[Reply]
+}
+
+// Ask asks for one request to a server that announced a limit. patience is how long the
+// request can wait. Where no granter replies nothing is granted.
+func (a *Asker) Ask(ctx context.Context, server register.Start, limit Announcement, patience time.Duration) Permit {
+	ranked := RankOf(server, a.Leaders())
+
+	for _, granter := range ranked[:min(granters, len(ranked))] {
+		if granter == a.Self {
+			return a.Granter.Grant(a.Clock.Now(), server, limit.Rate, patience)
+		}
+
+		reply, ok := a.questions.Ask(ctx, a.Clock, granter, func(number uint64) {
+			a.Send(granter, Ask{
+				From: a.Self, Number: number, Server: server, Rate: limit.Rate, Age: a.Clock.Now().Sub(limit.At), Patience: patience,
+			})
+		})
+		if ok {
+			a.Known.Merge(server, Announcement{Rate: reply.Rate, At: a.Clock.Now().Add(-reply.Age)})
+
+			return Permit{Granted: reply.Granted, Wait: reply.Wait}
+		}
+
+		if ctx.Err() != nil {
+			break
+		}
+	}
+
+	return Permit{Wait: retryLater}
+}
+
+// Answer answers another instance's question.
+func (a *Asker) Answer(ask Ask) Reply {
+	now := a.Clock.Now()
+	known := a.Known.Merge(ask.Server, Announcement{Rate: ask.Rate, At: now.Add(-ask.Age)})
+	reply := Reply{Number: ask.Number, Granted: true, Rate: known.Rate, Age: now.Sub(known.At)}
+
+	if known.Rate != Unlimited {
+		permit := a.Granter.Grant(now, ask.Server, known.Rate, ask.Patience)
+		reply.Granted, reply.Wait = permit.Granted, permit.Wait
+	}
+
+	return reply
+}
+
+// Replied takes the reply to a question in. One that comes too late is dropped.
+func (a *Asker) Replied(r Reply) { a.questions.Replied(r.Number, r) }
--- a/ratelimit/ratelimit.go
+++ b/ratelimit/ratelimit.go
@@ -1,11 +1,19 @@
 // Package ratelimit keeps what all entry instances together send to a backend server
 // within the rate that the server announced in its answers.
 //
+// One instance grants the requests to a limited server: the first of those that lead, in
+// an order by the hash of server and instance (RankOf). It holds one token bucket a server
+// (Granter). The others ask it for each request (Asker), a few milliseconds. While it does
+// not reply, the second in order grants at a lower rate, so that both together stay within
+// one and a half times the limit. One that comes to be the first grants at that rate too
+// until all can be expected to know so.
+//
 // # Usage
 //
-//	announced := ratelimit.Announcement{Rate: 1.5, At: now}
-//	if current.Admits(announced, sentAt) {
-//		current = announced
+//	asker := &ratelimit.Asker{Self: "entry-1", Clock: clk, Granter: granter, Leaders: leaders, Send: send}
+//	permit := asker.Ask(ctx, server, announcement, patience)
+//	if permit.Granted {
+//		// Send the request after permit.Wait.
 //	}
 package ratelimit
 
@@ -22,24 +30,49 @@
 	Least Rate = 0.25
 )
 
-// Announcement is what a server said that it takes, and when an answer last said so.
+// Announcement is what a server said that it takes. At is when it said so: for a limit no
+// earlier, and for what lifts or raises one no later than that.
 type Announcement struct {
 	Rate Rate
 	At   time.Time
 }
 
-// Admits tells whether an announcement replaces this one. A stricter one does at once. One
-// that lifts or raises the limit does so only if the request which it answers was sent, at
-// a time, after this one was made: answers overtake each other.
-func (a Announcement) Admits(next Announcement, sent time.Time) bool {
-	return next.stricter(a) || sent.After(a.At)
+// Observed returns what is known after an answer that came now to a request sent at a
+// time. Answers overtake each other: one lifts or raises a limit only if its request was
+// sent after the limit was last announced.
+func (a Announcement) Observed(rate Rate, sent, now time.Time) Announcement {
+	next := Announcement{Rate: rate, At: sent}
+	if next.within(a) {
+		next.At = now
+	}
+
+	return a.Newest(next)
+}
+
+// Newest returns the newer of two announcements.
+func (a Announcement) Newest(other Announcement) Announcement {
+	if other.At.After(a.At) {
+		return other
+	}
+
+	return a
 }
 
-// stricter tells whether an announcement allows no more than another one.
-func (a Announcement) stricter(other Announcement) bool {
-	if a.Rate == Unlimited || other.Rate == Unlimited {
-		return a.Rate != Unlimited
+// transit is how much later an announcement may seem than it is, by the way of the
+// messages that bring it. Instances that pass the same one on to each other would else take
+// it for a newer one each time, and hold a limit that was lifted.
+const transit = 50 * time.Millisecond
+
+// Received returns what is known after another instance passed on what it knows.
+func (a Announcement) Received(other Announcement) Announcement {
+	if other.Rate == a.Rate && other.At.Sub(a.At) < transit {
+		return a
 	}
 
-	return a.Rate <= other.Rate
+	return a.Newest(other)
+}
+
+// within tells whether an announcement is a limit that allows no more than another one.
+func (a Announcement) within(other Announcement) bool {
+	return a.Rate != Unlimited && (other.Rate == Unlimited || a.Rate <= other.Rate)
 }
--- a/ratelimit/ratelimit_test.go
+++ b/ratelimit/ratelimit_test.go
@@ -6,27 +6,40 @@
 )
 
 func TestALimitIsLiftedOnlyByALaterRequest(t *testing.T) {
+	const answered = time.Second
+
 	now := time.Unix(1000, 0)
 	limited := Announcement{Rate: 2, At: now}
 
 	for name, tt := range map[string]struct {
-		next Rate
+		rate Rate
 		sent time.Duration
-		want bool
+		want Announcement
 	}{
-		"a stricter limit of an earlier request":  {next: 1, sent: -time.Second, want: true},
-		"the same limit of an earlier request":    {next: 2, sent: -time.Second, want: true},
-		"a wider limit of an earlier request":     {next: 3, sent: -time.Second},
-		"no limit in answer to an earlier one":    {next: Unlimited, sent: -time.Second},
-		"a wider limit of a later request":        {next: 3, sent: time.Millisecond, want: true},
-		"no limit in answer to a later request":   {next: Unlimited, sent: time.Millisecond, want: true},
-		"no limit in answer to one sent together": {next: Unlimited},
+		"a stricter limit of an earlier request":  {rate: 1, sent: -answered, want: Announcement{1, now.Add(answered)}},
+		"the same limit of an earlier request":    {rate: 2, sent: -answered, want: Announcement{2, now.Add(answered)}},
+		"a wider limit of an earlier request":     {rate: 3, sent: -answered, want: limited},
+		"no limit in answer to an earlier one":    {rate: Unlimited, sent: -answered, want: limited},
+		"no limit in answer to one sent together": {rate: Unlimited, want: limited},
+		"a wider limit of a later request":        {rate: 3, sent: time.Millisecond, want: Announcement{3, now.Add(time.Millisecond)}},
+		"no limit in answer to a later request":   {rate: Unlimited, sent: time.Millisecond, want: Announcement{Unlimited, now.Add(time.Millisecond)}},
 	} {
 		t.Run(name, func(t *testing.T) {
-			next := Announcement{Rate: tt.next, At: now.Add(time.Second)}
-			if got := limited.Admits(next, now.Add(tt.sent)); got != tt.want {
-				t.Errorf("got %t, want %t", got, tt.want)
+			if got := limited.Observed(tt.rate, now.Add(tt.sent), now.Add(answered)); got != tt.want {
+				t.Errorf("got %+v, want %+v", got, tt.want)
 			}
 		})
 	}
 }
+
+// An answer without a limit that was under way when another one named it does not hide
+// the limit from an instance that receives it meanwhile.
+func TestAnAnswerUnderWayDoesNotHideALimit(t *testing.T) {
+	now := time.Unix(1000, 0)
+	named := Announcement{Rate: 2, At: now}
+
+	got := Announcement{}.Observed(Unlimited, now.Add(-time.Second), now.Add(time.Second)).Newest(named)
+	if got != named {
+		t.Errorf("got %+v, want %+v", got, named)
+	}
+}
--- a/scheduling/candidates.go
+++ b/scheduling/candidates.go
@@ -4,6 +4,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"monsoonlever/ratelimit"
 )
 
 const (
@@ -35,7 +37,7 @@
 
 	for range attempts {
 		one := pool[rand.IntN(len(pool))]
-		if !one.fits(r) || one.avoided(now) {
+		if !one.fits(now, r) || one.avoided(now) {
 			continue
 		}
 
@@ -45,7 +47,7 @@
 		}
 	}
 
-	if !slices.ContainsFunc(chosen, func(one *server) bool { return one.fits(r) && !one.avoided(now) }) {
+	if !slices.ContainsFunc(chosen, func(one *server) bool { return one.fits(now, r) && !one.avoided(now) }) {
 		// Many servers are gone. Nothing is refused that any server could take.
 		return pool
 	}
@@ -53,7 +55,16 @@
 	return chosen
 }
 
-// fits tells whether a request may be sent to a server.
-func (s *server) fits(r *Request) bool {
+// fits tells whether a request may be sent to a server now.
+func (s *server) fits(now time.Time, r *Request) bool {
+	return s.allowed(r) && !s.full(now)
+}
+
+// allowed tells whether a request may be sent to a server once that has room.
+func (s *server) allowed(r *Request) bool {
+	if r.withoutLimit && s.announced().Rate != ratelimit.Unlimited {
+		return false
+	}
+
 	return !s.leaving.Load() && !excluded(r.Excluded, s.entry().ID)
 }
--- a/scheduling/limit.go
+++ b/scheduling/limit.go
@@ -1,12 +1,128 @@
 package scheduling
 
 import (
+	"context"
+	"math"
+	"math/rand/v2"
+	"slices"
 	"time"
 
+	"monsoonlever/clock"
 	"monsoonlever/ratelimit"
 	"monsoonlever/register"
 )
 
+// Permits grants requests to servers that announce a limit, over all instances.
+type Permits interface {
+	// Ask asks for one request that can wait for some time.
+	Ask(ctx context.Context, server register.Start, limit ratelimit.Announcement, patience time.Duration) ratelimit.Permit
+}
+
+const (
+	// leastComeBack keeps callers that are refused from coming back for the same token.
+	leastComeBack = 300 * time.Millisecond
+	// askedServers bounds how many servers a request asks for room: each takes a round
+	// trip.
+	askedServers = 3
+)
+
+// LimitError means that all servers that could take a request have had as many as they
+// announced.
+type LimitError struct {
+	// RetryAfter is when the first of them may have room.
+	RetryAfter time.Duration
+}
+
+// Error says when there may be room.
+func (e *LimitError) Error() string {
+	return "servers take no more requests than they announced, try again in " + e.RetryAfter.String()
+}
+
+// permitted tells whether a server that was picked may get the request now. One without
+// room is passed over until it may have some.
+func (s *Scheduler) permitted(ctx context.Context, clk clock.Clock, a *Assignment) bool {
+	limit := a.server.announced()
+	if s.Permits == nil || limit.Rate == ratelimit.Unlimited {
+		return true
+	}
+
+	permit := s.Permits.Ask(ctx, a.Server(), limit, 0)
+	if !permit.Granted {
+		a.server.fill(clk.Now().Add(permit.Wait))
+	}
+
+	return permit.Granted
+}
+
+// awaitRoom lets a request wait for room at one of the servers that limit their requests,
+// the first that may have some. It is refused at once if none has room in time.
+func (s *Scheduler) awaitRoom(ctx context.Context, clk clock.Clock, r Request) (*Assignment, error) {
+	limited := s.limitedFor(&r)
+	if len(limited) == 0 {
+		return nil, ErrNoServer
+	}
+
+	for _, one := range limited[:min(len(limited), askedServers)] {
+		now := clk.Now()
+		if one.roomAt().After(r.WaitUntil) {
+			break
+		}
+
+		permit := s.Permits.Ask(ctx, one.entry().Start(), one.announced(), r.WaitUntil.Sub(now))
+		if permit.Granted {
+			clock.Sleep(ctx, clk, permit.Wait)
+
+			return s.assign(clk.Now(), one, r), ctx.Err()
+		}
+
+		one.fill(clk.Now().Add(permit.Wait))
+	}
+
+	return nil, &LimitError{RetryAfter: comeBackAt(clk.Now(), limited)}
+}
+
+// limitedFor returns the servers that could take a request if they had room by their
+// limits, those first that may have it soonest.
+func (s *Scheduler) limitedFor(r *Request) []*server {
+	pools := s.current.Load()
+	if pools == nil || s.Permits == nil {
+		return nil
+	}
+
+	var limited []*server
+
+	for _, one := range r.versions((*pools)[r.Service]) {
+		if one.allowed(r) && one.announced().Rate != ratelimit.Unlimited {
+			limited = append(limited, one)
+		}
+	}
+
+	// Instances that know of no difference spread over the servers.
+	rand.Shuffle(len(limited), func(i, j int) { limited[i], limited[j] = limited[j], limited[i] })
+	slices.SortStableFunc(limited, func(a, b *server) int { return a.roomAt().Compare(b.roomAt()) })
+
+	return limited
+}
+
+// comeBackAt returns when a caller that is refused should come back: once the first of
+// some servers may have room. Those that are refused together come back apart.
+func comeBackAt(now time.Time, limited []*server) time.Duration {
+	first := slices.MinFunc(limited, func(a, b *server) int { return a.roomAt().Compare(b.roomAt()) })
+	wait := max(first.roomAt().Sub(now), leastComeBack)
+
+	return wait + rand.N(wait)
+}
+
+// assign returns the assignment of a request to a server.
+func (s *Scheduler) assign(now time.Time, one *server, r Request) *Assignment {
+	keys := r.Prompt.keys()
+	a := &Assignment{scheduler: s, server: one, prompt: r.Prompt, keys: keys}
+	a.unread = r.Prompt.unread(one.held(now, keys, r.Prompt), false)
+	s.measure(now, a, r)
+
+	return a
+}
+
 // LimitChange says that a server announced another limit than before.
 type LimitChange struct {
 	Server        register.Start
@@ -15,40 +131,130 @@
 
 // Announced takes in which limit, or none, an answer to this attempt announced.
 func (a *Assignment) Announced(now time.Time, rate ratelimit.Rate) {
-	a.scheduler.announce(a.server, ratelimit.Announcement{Rate: rate, At: now}, a.startedAt)
+	if rate == ratelimit.Unlimited && a.server.limited.Load() == nil {
+		return
+	}
+
+	known := a.server.announced()
+	a.scheduler.announce(a.server, known.Observed(rate, a.startedAt, now), true)
 }
 
-// announce takes an announcement in that answers a request sent at a time.
-func (s *Scheduler) announce(one *server, next ratelimit.Announcement, sent time.Time) {
-	before, admitted := one.announce(next, sent)
-	if admitted && before != next.Rate && s.OnLimit != nil {
-		s.OnLimit(LimitChange{Server: one.entry().Start(), Before: before, After: next.Rate})
+// Merge takes in what another instance knows of a server, and returns the newest. Of a
+// server that is not known here it returns what the other knows.
+func (s *Scheduler) Merge(start register.Start, other ratelimit.Announcement) ratelimit.Announcement {
+	byKey := s.byKey.Load()
+	if byKey == nil {
+		return other
 	}
+
+	one := (*byKey)[keyOfStart(start)]
+	if one == nil {
+		return other
+	}
+
+	s.announce(one, one.announced().Received(other), true)
+
+	return one.announced()
 }
 
-// announce returns the rate before, and whether the announcement replaced it.
-func (s *server) announce(next ratelimit.Announcement, sent time.Time) (ratelimit.Rate, bool) {
+// receiveLimit takes in what another instance passed on.
+func (s *Scheduler) receiveLimit(now time.Time, one *server, l ServerLimit, up bool) {
+	at := now.Add(-time.Duration(l.AgeMs) * time.Millisecond)
+	other := ratelimit.Announcement{Rate: ratelimit.Rate(l.Rate), At: at}
+	s.announce(one, one.announced().Received(other), up)
+}
+
+// usable tells whether a message holds a rate.
+func (l ServerLimit) usable() bool {
+	return l.Rate >= 0 && !math.IsInf(float64(l.Rate), 1)
+}
+
+// limitFor returns what others are sent of a server's announcement.
+func (s *server) limitFor(now time.Time) ServerLimit {
+	known := s.announced()
+	age := min(max(now.Sub(known.At), 0).Milliseconds(), math.MaxUint32)
+
+	return ServerLimit{Server: s.key, Rate: float32(known.Rate), AgeMs: uint32(age)}
+}
+
+// announce takes an announcement in, if it is newer than what is known, and notes it for
+// others.
+func (s *Scheduler) announce(one *server, next ratelimit.Announcement, up bool) {
+	before, newer := one.announce(next)
+	if !newer || before.Rate == ratelimit.Unlimited && next.Rate == ratelimit.Unlimited {
+		return
+	}
+
+	changed := before.Rate != next.Rate
+	if changed && s.OnLimit != nil {
+		s.OnLimit(LimitChange{Server: one.entry().Start(), Before: before.Rate, After: next.Rate})
+	}
+
+	s.outboxes[Downstream].limited(one, changed)
+
+	if up {
+		s.outboxes[Upstream].limited(one, changed)
+	}
+}
+
+// limited is what is known of the limit of one server.
+type limited struct {
+	announced ratelimit.Announcement
+	// fullUntil is until when it has no room for a request.
+	fullUntil time.Time
+}
+
+// limit returns what is known of the server's limit.
+func (s *server) limit() limited {
+	if known := s.limited.Load(); known != nil {
+		return *known
+	}
+
+	return limited{}
+}
+
+// announce returns the announcement before, and whether the next one is newer.
+func (s *server) announce(next ratelimit.Announcement) (ratelimit.Announcement, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
-	before := s.limit
-	if !before.Admits(next, sent) {
-		return before.Rate, false
+	before := s.limit()
+	after := limited{announced: before.announced.Newest(next), fullUntil: before.fullUntil}
+
+	if after.announced == before.announced {
+		return before.announced, false
+	}
+
+	if after.announced.Rate == ratelimit.Unlimited {
+		after.fullUntil = time.Time{}
 	}
 
-	s.limit = next
+	s.limited.Store(&after)
 
-	return before.Rate, true
+	return before.announced, true
 }
 
-// rate returns the limit in force.
-func (s *server) rate() ratelimit.Rate {
+// announced returns the newest announcement.
+func (s *server) announced() ratelimit.Announcement { return s.limit().announced }
+
+// fill notes that a server has no room until a time.
+func (s *server) fill(until time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
-	return s.limit.Rate
+	known := s.limit()
+	if known.announced.Rate != ratelimit.Unlimited {
+		known.fullUntil = until
+		s.limited.Store(&known)
+	}
 }
 
+// full tells whether a server is known to have no room by its limit.
+func (s *server) full(now time.Time) bool { return now.Before(s.roomAt()) }
+
+// roomAt returns when a server may have room.
+func (s *server) roomAt() time.Time { return s.limit().fullUntil }
+
 // Limited returns how many servers announce a limit.
 func (s *Scheduler) Limited() int {
 	pools := s.current.Load()
@@ -60,7 +266,7 @@
 
 	for _, pool := range *pools {
 		for _, one := range pool {
-			if one.rate() != ratelimit.Unlimited {
+			if one.announced().Rate != ratelimit.Unlimited {
 				n++
 			}
 		}
--- a/scheduling/news.go
+++ b/scheduling/news.go
@@ -26,11 +26,14 @@
 	// Ended are servers that refused a connection: their program has ended, and their
 	// entry in the register outlives it for some seconds.
 	Ended []Key
+	// Limits are what servers announced of the requests that they take.
+	Limits []ServerLimit
 }
 
 // Empty tells whether there is nothing to tell.
 func (n News) Empty() bool {
-	return len(n.Backlogs) == 0 && len(n.Holdings) == 0 && len(n.Loads) == 0 && len(n.Ended) == 0
+	return len(n.Backlogs) == 0 && len(n.Holdings) == 0 && len(n.Loads) == 0 && len(n.Ended) == 0 &&
+		len(n.Limits) == 0
 }
 
 // Audience is whom news is for.
@@ -83,6 +86,15 @@
 	AgeMs uint16
 }
 
+// ServerLimit is what a server announced; a rate of zero is no limit.
+type ServerLimit struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // an option of the codec
+	Server   Key
+	Rate     float32
+	// AgeMs is how long ago the server said so, in milliseconds.
+	AgeMs uint32
+}
+
 // Key stands for a server or a part of a prompt in news. Two of some thousand parts
 // share one in a day of a thousand, and then a part counts as read that is not.
 type Key uint32
@@ -110,6 +122,7 @@
 	backlogs map[*server]bool
 	loads    map[*server]bool
 	gone     map[*server]bool
+	limits   map[*server]bool
 	holdings []Holding
 	// nudge tells that there is something.
 	nudge feed.Nudge
@@ -159,10 +172,28 @@
 	o.nudge.Send()
 }
 
+// limited notes that a server announced a limit. One that changes nothing is no reason to
+// send a message at once.
+func (o *outbox) limited(s *server, changed bool) {
+	o.mu.Lock()
+
+	if o.limits == nil {
+		o.limits = make(map[*server]bool)
+	}
+
+	o.limits[s] = true
+
+	o.mu.Unlock()
+
+	if changed {
+		o.nudge.Send()
+	}
+}
+
 // noted is what an outbox held.
 type noted struct {
-	backlogs, loads, ended []*server
-	holdings               []Holding
+	backlogs, loads, ended, limits []*server
+	holdings                       []Holding
 }
 
 // take empties the outbox.
@@ -172,12 +203,13 @@
 
 	all := noted{
 		backlogs: slices.Collect(maps.Keys(o.backlogs)), loads: slices.Collect(maps.Keys(o.loads)),
-		ended: slices.Collect(maps.Keys(o.gone)), holdings: o.holdings,
+		ended: slices.Collect(maps.Keys(o.gone)), limits: slices.Collect(maps.Keys(o.limits)), holdings: o.holdings,
 	}
 
 	clear(o.backlogs)
 	clear(o.loads)
 	clear(o.gone)
+	clear(o.limits)
 
 	o.holdings = nil
 
@@ -193,6 +225,10 @@
 		news.Ended = append(news.Ended, one.key)
 	}
 
+	for _, one := range all.limits {
+		news.Limits = append(news.Limits, one.limitFor(now))
+	}
+
 	for _, one := range all.backlogs {
 		news.Backlogs = append(news.Backlogs, Backlog{Server: one.key, Tokens: tokens(one.backlogFor(now, to, s.relay.Load()))})
 	}
@@ -244,6 +280,12 @@
 		}
 	}
 
+	for _, l := range n.Limits {
+		if one := (*byKey)[l.Server]; one != nil && l.usable() {
+			s.receiveLimit(now, one, l, as == Subscriber)
+		}
+	}
+
 	for _, l := range n.Loads {
 		if one := (*byKey)[l.Server]; one != nil {
 			one.hear(now.Add(-time.Duration(l.AgeMs)*time.Millisecond), int(l.Requests))
--- a/scheduling/place.go
+++ b/scheduling/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"time"
 
@@ -46,19 +47,40 @@
 
 // Place chooses a server as Pick does, holds a prompt back that can't begin in time while
 // servers are busy with others that can, and returns an OverloadError once it has to be
-// given up. It waits until ctx ends at most.
+// given up. A server that limits its requests is chosen only with a permit; where no other
+// server is left the request waits for one, or gets a LimitError. Place waits until ctx
+// ends at most.
 func (s *Scheduler) Place(ctx context.Context, clk clock.Clock, r Request) (*Assignment, error) {
+	asked := 0
+
 	for {
 		now := clk.Now()
 
 		a, err := s.Pick(now, r)
+		if errors.Is(err, ErrNoServer) {
+			r.withoutLimit = false
+
+			return s.awaitRoom(ctx, clk, r)
+		}
+
 		if err != nil {
 			return nil, err
 		}
 
 		switch a.judge(now, r) {
 		case send:
-			return a, nil
+			if s.permitted(ctx, clk, a) {
+				return a, nil
+			}
+
+			if ctx.Err() != nil {
+				return nil, ctx.Err()
+			}
+
+			asked++
+			r.withoutLimit = asked >= askedServers
+
+			continue
 		case refuse:
 			return nil, &OverloadError{RetryAfter: a.comeBack()}
 		case hold:
--- a/scheduling/scheduling.go
+++ b/scheduling/scheduling.go
@@ -69,6 +69,13 @@
 	// HoldUntil is until when a prompt that can't begin by Due may be held back, and
 	// GiveUp when its caller leaves if nothing has come.
 	HoldUntil, GiveUp time.Time
+	// WaitUntil is until when it may wait for a server that limits its requests, where no
+	// other server takes it.
+	WaitUntil time.Time
+
+	// withoutLimit is set once a few servers without room were asked: only others are
+	// picked from then on.
+	withoutLimit bool
 }
 
 // Scheduler places the requests of one entry instance. Its exported fields are
@@ -76,6 +83,9 @@
 type Scheduler struct {
 	// Domain is the failure domain of this entry instance.
 	Domain fleet.FailureDomain
+	// Permits grants requests to servers that announce a limit. Without it limits are not
+	// kept.
+	Permits Permits
 	// OnLimit is called where a server announces another limit than before; it may be nil.
 	OnLimit func(LimitChange)
 
@@ -193,7 +203,7 @@
 	var bestCost float64
 
 	for i, one := range considered {
-		if !one.fits(&r) {
+		if !one.fits(now, &r) {
 			continue
 		}
 
@@ -209,12 +219,17 @@
 		return nil, ErrNoServer
 	}
 
+	s.measure(now, a, r)
+
+	return a, nil
+}
+
+// measure notes what an assignment is judged by.
+func (s *Scheduler) measure(now time.Time, a *Assignment, r Request) {
 	if r.Prompt.Tokens > 0 {
 		a.meter = s.meter(r.Service)
 		a.backlog = a.server.pending.Load() + a.server.waiting(now)
 	}
-
-	return a, nil
 }
 
 // heldBy returns the tokens of a prompt that each of some servers is known to have read.
--- a/scheduling/server.go
+++ b/scheduling/server.go
@@ -9,7 +9,6 @@
 	"github.com/cespare/xxhash/v2"
 
 	"monsoonlever/fleet"
-	"monsoonlever/ratelimit"
 	"monsoonlever/register"
 )
 
@@ -63,6 +62,8 @@
 	again bool
 
 	leaving atomic.Bool
+	// limited is nil until the server announces a limit. It is replaced under mu.
+	limited atomic.Pointer[limited]
 	// running are the requests of this instance in progress, and pending the
 	// unread tokens of those whose answer has not begun.
 	running atomic.Int64
@@ -77,8 +78,6 @@
 	failures float64
 	outcomes float64
 	faded    time.Time
-	// limit is what it announced of the requests that it takes from all instances.
-	limit ratelimit.Announcement
 	// avoidUntil is when a server that could not be reached is tried again.
 	avoidUntil time.Time
 	// endedAt is when its program was last found to have ended.
