test(scheduling,forward,ratelimit): permits for each send, waits for room, limits that spread; damaged messages

A rate or an age in a message that is none (negative, not a number, without end) is dropped, and how far ahead requests of others are promised is bounded: a damaged datagram could have set a limit that nothing lifts.

--- a/entry/prompts_test.go
+++ b/entry/prompts_test.go
@@ -22,10 +22,11 @@
 		key := scheduling.Key(math.MaxUint32 - i)
 		news.Backlogs = append(news.Backlogs, scheduling.Backlog{Server: key, Tokens: math.MaxUint32 - i})
 		news.Loads = append(news.Loads, scheduling.ServerLoad{Server: key, Requests: math.MaxUint16, AgeMs: math.MaxUint16})
+		news.Limits = append(news.Limits, scheduling.ServerLimit{Server: key, Rate: math.MaxFloat32, AgeMs: math.MaxUint32})
 		news.Holdings = append(news.Holdings, scheduling.Holding{Server: key, Parts: []scheduling.Key{key, key, key, key, key}})
 	}
 
-	backlogs, holdings, loads := 0, 0, 0
+	backlogs, holdings, loads, limits := 0, 0, 0, 0
 
 	for _, part := range splitNews(news) {
 		data, err := msgpack.Marshal(&datagram{Prompts: &promptNews{Instance: "edge-ballerup-a-12", Subscribes: true, News: part}})
@@ -41,10 +42,11 @@
 		backlogs += len(d.Prompts.News.Backlogs)
 		holdings += len(d.Prompts.News.Holdings)
 		loads += len(d.Prompts.News.Loads)
+		limits += len(d.Prompts.News.Limits)
 	}
 
-	if backlogs != 300 || holdings != 300 || loads != 300 {
-		t.Errorf("told: got %d backlogs, %d holdings and %d loads, want 300 of each", backlogs, holdings, loads)
+	if backlogs != 300 || holdings != 300 || loads != 300 || limits != 300 {
+		t.Errorf("sent: got %d backlogs, %d holdings, %d loads and %d limits, want 300 of each", backlogs, holdings, loads, limits)
 	}
 }
 
--- a/forward/fixture_test.go
+++ b/forward/fixture_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -17,6 +18,7 @@
 	"monsoonlever/fleet"
 	"monsoonlever/quarantine"
 	"monsoonlever/quota"
+	"monsoonlever/ratelimit"
 	"monsoonlever/register"
 	"monsoonlever/retry"
 	"monsoonlever/ruleset"
@@ -30,6 +32,7 @@
 	resumeHeader = "Resume-After"
 	notRunHeader = "Not-Run"
 	signHeader   = "Signed"
+	limitHeader  = "Limit"
 )
 
 // plainProtocol is a protocol with as little as the forwarder needs.
@@ -47,7 +50,14 @@
 }
 
 func (plainProtocol) Inspect(_ int, header http.Header) Reading {
-	return Reading{Signed: header.Get(signHeader) != "", NotRun: header.Get(notRunHeader) != ""}
+	reading := Reading{Signed: header.Get(signHeader) != "", NotRun: header.Get(notRunHeader) != ""}
+
+	if perSecond, err := strconv.ParseFloat(header.Get(limitHeader), 64); err == nil {
+		rate := ratelimit.Rate(perSecond)
+		reading.Limit = &rate
+	}
+
+	return reading
 }
 
 // freeLimits limits nothing.
--- /dev/null
+++ b/forward/limit_test.go
@@ -0,0 +1,122 @@
+package forward
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"monsoonlever/fleet"
+	"monsoonlever/ratelimit"
+	"monsoonlever/register"
+)
+
+// countedPermits grants a number of requests.
+type countedPermits struct {
+	mu    sync.Mutex
+	left  int
+	asked []register.Start
+}
+
+func (p *countedPermits) Ask(_ context.Context, server register.Start, _ ratelimit.Announcement, _ time.Duration) ratelimit.Permit {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	p.asked = append(p.asked, server)
+	p.left--
+
+	return ratelimit.Permit{Granted: p.left >= 0, Wait: time.Minute}
+}
+
+// newLimitedSite returns a site whose servers all announced a limit, and what grants
+// requests to them.
+func newLimitedSite(t *testing.T, grants int) (*site, *countedPermits) {
+	t.Helper()
+
+	s := newSite(t, 10)
+	permits := &countedPermits{left: grants}
+	s.Scheduler.Permits = permits
+	s.answer = answerAll
+
+	for _, id := range []fleet.InstanceID{"api-1", "api-2", "llm-1", "llm-2"} {
+		s.Scheduler.Merge(register.Start{ID: id}, ratelimit.Announcement{Rate: 1, At: s.clock.Now()})
+	}
+
+	return s, permits
+}
+
+// A request that servers can't take by what they announced is refused at once, as not run,
+// with when to come back, and reaches none of them.
+func TestARequestBeyondWhatServersTakeIsRefused(t *testing.T) {
+	s, _ := newLimitedSite(t, 0)
+
+	outcome, got := s.call("once", "r-1")
+
+	if outcome.Reason != Overloaded || !outcome.NotRun || len(got.refusals) != 1 || got.refusals[0].RetryAfter <= 0 {
+		t.Errorf("got %+v and %+v, want one refusal as overloaded, not run, with when to come back", outcome, got)
+	}
+
+	if got := s.arrivals(); len(got) != 0 {
+		t.Errorf("arrivals: got %v, want none", got)
+	}
+}
+
+// A second send and the rest of a stream need a permit as the first send does.
+func TestEachSendToALimitedServerNeedsAPermit(t *testing.T) {
+	t.Run("a server that fails", func(t *testing.T) {
+		s, permits := newLimitedSite(t, 1)
+		s.answer = func(_ string, _ int, r *http.Request) string {
+			return whole(r, http.StatusInternalServerError, limitHeader+": 1\r\n")
+		}
+
+		checkSends(t, s, permits, "safe", 1)
+	})
+
+	t.Run("a stream that breaks off", func(t *testing.T) {
+		s, permits := newLimitedSite(t, 1)
+		s.answer = func(_ string, _ int, r *http.Request) string { return stream(r, 1, 2, true) }
+
+		checkSends(t, s, permits, "talk", 1)
+	})
+}
+
+func checkSends(t *testing.T, s *site, permits *countedPermits, route string, want int) {
+	t.Helper()
+	s.call(route, "r-1")
+
+	if got := len(s.arrivals()); got != want {
+		t.Errorf("sends with %d permits: got %d, want %d", want, got, want)
+	}
+
+	if got := len(permits.asked); got <= want {
+		t.Errorf("permits asked for: got %d, want one more than the %d sends", got, want)
+	}
+}
+
+// What an answer announces holds for the next request.
+func TestAnAnnouncedLimitIsTakenIn(t *testing.T) {
+	s := newSite(t, 10)
+	s.answer = func(_ string, _ int, r *http.Request) string {
+		return whole(r, http.StatusOK, limitHeader+": 1.5\r\n")
+	}
+
+	s.call("safe", "r-1")
+
+	if got := s.Scheduler.Limited(); got != 1 {
+		t.Errorf("limited servers: got %d, want 1", got)
+	}
+
+	s.answer = func(_ string, _ int, r *http.Request) string {
+		return whole(r, http.StatusOK, limitHeader+": 0\r\n")
+	}
+	s.clock.Advance(time.Second)
+
+	for range 4 {
+		s.call("safe", "r-2")
+	}
+
+	if got := s.Scheduler.Limited(); got != 0 {
+		t.Errorf("limited servers after it is lifted: got %d, want none", got)
+	}
+}
--- a/ratelimit/asker.go
+++ b/ratelimit/asker.go
@@ -10,8 +10,12 @@
 	"monsoonlever/register"
 )
 
-// retryLater is when a server is tried again for which nobody grants requests now.
-const retryLater = 300 * time.Millisecond
+const (
+	// retryLater is when a server is tried again for which nobody grants requests now.
+	retryLater = 300 * time.Millisecond
+	// maxPatience bounds how far ahead the requests of others may be promised.
+	maxPatience = 2 * time.Second
+)
 
 // Ask is the question for a permit.
 type Ask struct {
@@ -74,9 +78,9 @@
 			})
 		})
 		if ok {
-			a.Known.Merge(server, Announcement{Rate: reply.Rate, At: a.Clock.Now().Add(-reply.Age)})
+			a.merge(server, reply.Rate, reply.Age)
 
-			return Permit{Granted: reply.Granted, Wait: reply.Wait}
+			return Permit{Granted: reply.Granted, Wait: min(max(reply.Wait, 0), maxPatience)}
 		}
 
 		if ctx.Err() != nil {
@@ -89,17 +93,27 @@
 
 // Answer answers another instance's question.
 func (a *Asker) Answer(ask Ask) Reply {
+	known := a.merge(ask.Server, ask.Rate, ask.Age)
 	now := a.Clock.Now()
-	known := a.Known.Merge(ask.Server, Announcement{Rate: ask.Rate, At: now.Add(-ask.Age)})
 	reply := Reply{Number: ask.Number, Granted: true, Rate: known.Rate, Age: now.Sub(known.At)}
 
 	if known.Rate != Unlimited {
-		permit := a.Granter.Grant(now, ask.Server, known.Rate, ask.Patience)
+		permit := a.Granter.Grant(now, ask.Server, known.Rate, min(ask.Patience, maxPatience))
 		reply.Granted, reply.Wait = permit.Granted, permit.Wait
 	}
 
 	return reply
 }
 
+// merge takes in what another instance knows, unless its message is damaged, and returns
+// the newest.
+func (a *Asker) merge(server register.Start, rate Rate, age time.Duration) Announcement {
+	if !rate.Usable() || age < 0 {
+		return a.Known.Merge(server, Announcement{})
+	}
+
+	return a.Known.Merge(server, Announcement{Rate: rate, At: a.Clock.Now().Add(-age)})
+}
+
 // Replied takes the reply to a question in. One that comes too late is dropped.
 func (a *Asker) Replied(r Reply) { a.questions.Replied(r.Number, r) }
--- a/ratelimit/ratelimit.go
+++ b/ratelimit/ratelimit.go
@@ -17,7 +17,10 @@
 //	}
 package ratelimit
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Rate is a number of requests a second, over all entry instances.
 type Rate float64
@@ -30,6 +33,9 @@
 	Least Rate = 0.25
 )
 
+// Usable tells whether a rate that came in a message is one.
+func (r Rate) Usable() bool { return r >= 0 && !math.IsInf(float64(r), 1) }
+
 // Announcement is what a server said that it takes. At is when it said so: for a limit no
 // earlier, and for what lifts or raises one no later than that.
 type Announcement struct {
--- a/scheduling/limit.go
+++ b/scheduling/limit.go
@@ -164,11 +164,6 @@
 	s.announce(one, one.announced().Received(other), up)
 }
 
-// usable tells whether a message holds a rate.
-func (l ServerLimit) usable() bool {
-	return l.Rate >= 0 && !math.IsInf(float64(l.Rate), 1)
-}
-
 // limitFor returns what others are sent of a server's announcement.
 func (s *server) limitFor(now time.Time) ServerLimit {
 	known := s.announced()
--- a/scheduling/news.go
+++ b/scheduling/news.go
@@ -11,6 +11,7 @@
 
 	"monsoonlever/feed"
 	"monsoonlever/fleet"
+	"monsoonlever/ratelimit"
 	"monsoonlever/register"
 )
 
@@ -281,7 +282,7 @@
 	}
 
 	for _, l := range n.Limits {
-		if one := (*byKey)[l.Server]; one != nil && l.usable() {
+		if one := (*byKey)[l.Server]; one != nil && ratelimit.Rate(l.Rate).Usable() {
 			s.receiveLimit(now, one, l, as == Subscriber)
 		}
 	}
