fix(codec,entry,board): some bytes from another process can't take hundreds of megabytes

What callers would see: an instance that gets one damaged datagram of ten bytes is ended for its memory, with all its requests.

Cause: the decoder makes room for as many elements as a message declares before it reads one, for slices without a bound.

Ruled out: a leak (all memory goes with the message; 145 inputs decoded 20 times each leave 1.5 MB), and the new messages (the fields are older).

The fuzz target's fixture lacked two followers and ended in a nil pointer, which no instance has: its input is kept as a seed.

--- a/admission/demand.go
+++ b/admission/demand.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
+
+	"monsoonlever/codec"
 )
 
 // MaxDemandAccounts bounds the accounts of one digest; MaxDemandBytes bounds
@@ -38,7 +40,7 @@
 // DecodeDemand reads a digest.
 func DecodeDemand(b []byte) (Demand, error) {
 	var d Demand
-	err := msgpack.Unmarshal(b, &d)
+	err := codec.Unmarshal(b, &d)
 
 	return d, err
 }
--- a/board/board.go
+++ b/board/board.go
@@ -27,6 +27,7 @@
 
 	"monsoonlever/capacity"
 	"monsoonlever/clock"
+	"monsoonlever/codec"
 	"monsoonlever/feed"
 	"monsoonlever/fleet"
 	"monsoonlever/lease"
@@ -245,7 +246,7 @@
 func (b *Board) deliver(now time.Time, entries []feed.Entry) {
 	for _, e := range entries {
 		var r Record
-		if err := msgpack.Unmarshal(e.Data, &r); err != nil {
+		if err := codec.Unmarshal(e.Data, &r); err != nil {
 			klog.ErrorS(err, "record of the board can't be decoded", "offset", e.At, "bytes", len(e.Data))
 
 			continue
--- a/claim/record.go
+++ b/claim/record.go
@@ -4,6 +4,7 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"monsoonlever/codec"
 	"monsoonlever/logstream"
 )
 
@@ -62,5 +63,5 @@
 }
 
 func decode(data []byte, record any) error {
-	return merry.Prepend(msgpack.Unmarshal(data, record), "decode claim record")
+	return merry.Prepend(codec.Unmarshal(data, record), "decode claim record")
 }
--- a/controller/history.go
+++ b/controller/history.go
@@ -6,6 +6,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 	"k8s.io/klog/v2"
 
+	"monsoonlever/codec"
 	"monsoonlever/lease"
 	"monsoonlever/logstream"
 	"monsoonlever/placement"
@@ -139,7 +140,7 @@
 }
 
 func (c *Controller) decode(e logstream.Entry, into any) bool {
-	err := msgpack.Unmarshal(e.Payload(), into)
+	err := codec.Unmarshal(e.Payload(), into)
 	if err != nil {
 		c.counters.undecodable.Inc()
 	}
--- a/daemon/peer_messages.go
+++ b/daemon/peer_messages.go
@@ -5,6 +5,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"monsoonlever/codec"
 	"monsoonlever/fleet"
 	"monsoonlever/peer"
 	"monsoonlever/provider"
@@ -51,7 +52,7 @@
 
 func decodePayload(data []byte) (Payload, error) {
 	var p Payload
-	err := msgpack.Unmarshal(data, &p)
+	err := codec.Unmarshal(data, &p)
 
 	return p, err
 }
--- a/entry/datagram.go
+++ b/entry/datagram.go
@@ -7,6 +7,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 	"k8s.io/klog/v2"
 
+	"monsoonlever/codec"
 	"monsoonlever/fleet"
 	"monsoonlever/gossip"
 	"monsoonlever/quarantine"
@@ -38,7 +39,7 @@
 // receiveDatagram takes any message of another instance in.
 func (p *parts) receiveDatagram(now time.Time, from netip.AddrPort, data []byte) {
 	var d datagram
-	if err := msgpack.Unmarshal(data, &d); err != nil {
+	if err := codec.Unmarshal(data, &d); err != nil {
 		klog.ErrorS(err, "gossip can't be decoded", "bytes", len(data))
 
 		return
--- a/entry/datagram_test.go
+++ b/entry/datagram_test.go
@@ -13,11 +13,13 @@
 	"monsoonlever/board"
 	"monsoonlever/clock"
 	"monsoonlever/currency"
+	"monsoonlever/feed"
 	"monsoonlever/fleet"
 	"monsoonlever/gossip"
 	"monsoonlever/platform"
 	"monsoonlever/quarantine"
 	"monsoonlever/quota"
+	"monsoonlever/ratelimit"
 	"monsoonlever/register"
 	"monsoonlever/rollout"
 	"monsoonlever/scheduling"
@@ -40,6 +42,8 @@
 		currency: &currency.Tracker{Clock: clk}, registered: &currency.Tracker{Clock: clk},
 		register: &register.Register{}, scheduler: &scheduling.Scheduler{}, rollouts: &rollouts{}, store: platform.NewStore("127.0.0.1:1", nil), quarantine: &quarantine.Ledger{},
 	}
+	p.permits = newPermits(p)
+	p.rulesFeed, p.registerFeed = &feed.Follower{}, &feed.Follower{}
 	p.plan.Store(&topology.Plan{Relay: true, Few: true, Leaders: []fleet.InstanceID{
 		"edge-ballerup-a-1", "edge-ballerup-b-1", "edge-taastrup-1-1", "edge-taastrup-2-1", "edge-hvidovre-1-1",
 	}})
@@ -251,6 +255,20 @@
 	}
 
 	f.Add(data)
+
+	for _, d := range []datagram{
+		{Permit: &ratelimit.Ask{From: "entry-2", Server: register.Start{ID: "i-0000000000"}, Rate: ratelimit.Rate(math.NaN()), Age: -1}},
+		{Permitted: &ratelimit.Reply{Granted: true, Wait: -1, Rate: -1}},
+		{Prompts: &promptNews{News: scheduling.News{Limits: []scheduling.ServerLimit{{Rate: float32(math.Inf(1))}}}}},
+	} {
+		data, err := msgpack.Marshal(&d)
+		if err != nil {
+			f.Fatal(err)
+		}
+
+		f.Add(data)
+	}
+
 	f.Fuzz(func(_ *testing.T, data []byte) {
 		clk := clock.NewManual(time.Unix(1_790_000_000, 0))
 		p := largeParts(clk, 1, 1)
--- a/logstream/batch.go
+++ b/logstream/batch.go
@@ -6,6 +6,7 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"monsoonlever/codec"
 	"monsoonlever/fleet"
 )
 
@@ -63,7 +64,7 @@
 	}
 
 	var b Batch
-	if err := msgpack.Unmarshal(data[1:], &b); err != nil {
+	if err := codec.Unmarshal(data[1:], &b); err != nil {
 		return Batch{}, merry.Wrap(ErrDecode, merry.AppendMessage(err.Error()))
 	}
 
--- a/peer/call.go
+++ b/peer/call.go
@@ -5,7 +5,8 @@
 	"sync"
 
 	"github.com/ansel1/merry/v2"
-	"github.com/vmihailenco/msgpack/v5"
+
+	"monsoonlever/codec"
 )
 
 // pendingCalls holds the callers that wait for an answer.
@@ -113,7 +114,7 @@
 		return resp, &RemoteError{message: string(f.body)}
 	}
 
-	if err := msgpack.Unmarshal(f.body, &resp); err != nil {
+	if err := codec.Unmarshal(f.body, &resp); err != nil {
 		countFault(FaultBody)
 
 		return resp, &FrameError{fault: FaultBody, value: uint64(f.kind)}
--- a/peer/handle.go
+++ b/peer/handle.go
@@ -4,7 +4,7 @@
 	"context"
 	"errors"
 
-	"github.com/vmihailenco/msgpack/v5"
+	"monsoonlever/codec"
 )
 
 type (
@@ -21,7 +21,7 @@
 
 	n.handlers[kind] = func(from Sender, body []byte) error {
 		var msg T
-		if err := msgpack.Unmarshal(body, &msg); err != nil {
+		if err := codec.Unmarshal(body, &msg); err != nil {
 			return &FrameError{fault: FaultBody, value: uint64(kind)}
 		}
 
@@ -41,7 +41,7 @@
 
 	n.serving[kind] = func(ctx context.Context, from Sender, body []byte) ([]byte, error) {
 		var req Req
-		if err := msgpack.Unmarshal(body, &req); err != nil {
+		if err := codec.Unmarshal(body, &req); err != nil {
 			countFault(FaultBody)
 
 			return nil, &FrameError{fault: FaultBody, value: uint64(kind)}
--- a/peer/hello.go
+++ b/peer/hello.go
@@ -4,8 +4,7 @@
 	"crypto/tls"
 	"slices"
 
-	"github.com/vmihailenco/msgpack/v5"
-
+	"monsoonlever/codec"
 	"monsoonlever/fleet"
 )
 
@@ -37,7 +36,7 @@
 	}
 
 	var h hello
-	if err := msgpack.Unmarshal(f.body, &h); err != nil {
+	if err := codec.Unmarshal(f.body, &h); err != nil {
 		return Sender{}, &RefusalError{reason: ReasonHello, cause: err}
 	}
 
--- a/publication/codec.go
+++ b/publication/codec.go
@@ -7,6 +7,8 @@
 
 	"github.com/ansel1/merry/v2"
 	"github.com/vmihailenco/msgpack/v5"
+
+	"monsoonlever/codec"
 )
 
 const (
@@ -52,6 +54,10 @@
 func decodeBody[T Record](body []byte) (Record, error) {
 	var r T
 
+	if err := codec.Check(body); err != nil {
+		return nil, merry.Prependf(ErrUndecodable, "decode body: %v", err)
+	}
+
 	reader := bytes.NewReader(body)
 	decoder := msgpack.NewDecoder(reader)
 
