feat(ratelimit): questions for permits are counted by their outcome

Operators see how often servers in need have no room, and whether the instances that grant requests answer.

--- a/entry/datagram_test.go
+++ b/entry/datagram_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/vmihailenco/msgpack/v5"
 	"pgregory.net/rapid"
 
@@ -35,6 +36,7 @@
 			Instance: "edge-ballerup-a-12", FailureDomain: "ballerup-a", Listen: settings.EntryListen{Peers: "10.1.0.14:7600"},
 		},
 		clock:   clk,
+		metrics: metrics.NewSet(),
 		duties:  &duties{incarnation: 1, ledger: usage.NewLedger(usage.Policy{Width: 5 * time.Second}, clk.Now())},
 		members: &board.Members{}, links: &topology.Links{}, loans: &quota.Loans{Quota: quota.New(quota.Policy{}), Clock: clk},
 		limits:   quota.New(quota.Policy{Window: 8 * time.Second}),
--- a/entry/limits.go
+++ b/entry/limits.go
@@ -23,7 +23,8 @@
 func newPermits(p *parts) *ratelimit.Asker {
 	return &ratelimit.Asker{
 		Self: p.self(), Clock: p.clock, Known: p.scheduler, Granter: &ratelimit.Granter{Self: p.self()},
-		Leaders: func() []fleet.InstanceID { return p.plan.Load().Leaders },
-		Send:    func(to fleet.InstanceID, ask ratelimit.Ask) { p.sendDatagram(to, datagram{Permit: &ask}) },
+		Counters: ratelimit.NewCounters(p.metrics),
+		Leaders:  func() []fleet.InstanceID { return p.plan.Load().Leaders },
+		Send:     func(to fleet.InstanceID, ask ratelimit.Ask) { p.sendDatagram(to, datagram{Permit: &ask}) },
 	}
 }
--- a/ratelimit/asker.go
+++ b/ratelimit/asker.go
@@ -58,6 +58,8 @@
 	Leaders func() []fleet.InstanceID
 	// Send sends a question to another instance.
 	Send func(to fleet.InstanceID, ask Ask)
+	// Counters count the questions; nil counts none.
+	Counters *Counters
 
 	questions gossip.Questions[Reply]
 }
@@ -65,11 +67,19 @@
 // Ask asks for one request to a server that announced a limit. patience is how long the
 // request can wait. Where no granter replies nothing is granted.
 func (a *Asker) Ask(ctx context.Context, server register.Start, limit Announcement, patience time.Duration) Permit {
+	permit, answered := a.ask(ctx, server, limit, patience)
+	a.Counters.asked(permit, answered)
+
+	return permit
+}
+
+// ask tells beside the permit whether a granter answered.
+func (a *Asker) ask(ctx context.Context, server register.Start, limit Announcement, patience time.Duration) (Permit, bool) {
 	ranked := RankOf(server, a.Leaders())
 
 	for _, granter := range ranked[:min(granters, len(ranked))] {
 		if granter == a.Self {
-			return a.Granter.Grant(a.Clock.Now(), server, limit.Rate, patience)
+			return a.Granter.Grant(a.Clock.Now(), server, limit.Rate, patience), true
 		}
 
 		reply, ok := a.questions.Ask(ctx, a.Clock, granter, func(number uint64) {
@@ -80,7 +90,7 @@
 		if ok {
 			a.merge(server, reply.Rate, reply.Age)
 
-			return Permit{Granted: reply.Granted, Wait: min(max(reply.Wait, 0), maxPatience)}
+			return Permit{Granted: reply.Granted, Wait: min(max(reply.Wait, 0), maxPatience)}, true
 		}
 
 		if ctx.Err() != nil {
@@ -88,7 +98,7 @@
 		}
 	}
 
-	return Permit{Wait: retryLater}
+	return Permit{Wait: retryLater}, false
 }
 
 // Answer answers another instance's question.
--- /dev/null
+++ b/ratelimit/counters.go
@@ -0,0 +1,29 @@
+package ratelimit
+
+import "github.com/VictoriaMetrics/metrics"
+
+// Counters count questions for permits by their outcome. A nil pointer counts nothing.
+type Counters struct {
+	granted, refused, unanswered *metrics.Counter
+}
+
+// NewCounters registers counters in a set.
+func NewCounters(set *metrics.Set) *Counters {
+	return &Counters{
+		granted:    set.NewCounter(`monsoonlever_ratelimit_permits_total{outcome="granted"}`),
+		refused:    set.NewCounter(`monsoonlever_ratelimit_permits_total{outcome="refused"}`),
+		unanswered: set.NewCounter(`monsoonlever_ratelimit_permits_total{outcome="unanswered"}`),
+	}
+}
+
+func (c *Counters) asked(permit Permit, answered bool) {
+	switch {
+	case c == nil:
+	case !answered:
+		c.unanswered.Inc()
+	case permit.Granted:
+		c.granted.Inc()
+	default:
+		c.refused.Inc()
+	}
+}
