--- a/entry/parts.go
+++ b/entry/parts.go
@@ -122,6 +122,8 @@
 	built    time.Time
 	stopping atomic.Bool
 	open     atomic.Int64
+	// answerFields notices fields of answers that nothing reads.
+	answerFields platform.AnswerFields
 	// unusable counts entries of backend servers that name none.
 	unusable *metrics.Counter
 }
@@ -166,7 +168,7 @@
 	p.pool = &upstream.Pool{Clock: e.Clock, Counters: upstream.NewCounters(set)}
 	p.forwarder = &forward.Forwarder{
 		Clock: e.Clock, Rules: &p.rules, Currency: p.currency, Limits: p.loans, Retries: p.retries,
-		Scheduler: p.scheduler, Pool: p.pool, Protocol: platform.Protocol{}, Usage: p.counter,
+		Scheduler: p.scheduler, Pool: p.pool, Protocol: platform.Protocol{Fields: &p.answerFields}, Usage: p.counter,
 		Versions: &p.rollouts.gate, Trials: &p.rollouts.counter,
 		Quarantine: p.quarantine, Counters: forward.NewCounters(set), MaxAnswerBytes: maxAnswerBytes, Observe: e.logOutcome,
 	}
@@ -201,6 +203,7 @@
 		return float64(p.quarantine.Count(p.clock.Now()))
 	})
 	set.NewGauge("monsoonlever_entry_limited_servers", func() float64 { return float64(p.scheduler.Limited()) })
+	set.NewGauge("monsoonlever_entry_unknown_answer_fields", func() float64 { return float64(p.answerFields.Unknown()) })
 	set.NewGauge("monsoonlever_entry_rules_age_seconds", func() float64 {
 		age, _ := p.currency.Age()
 
