fix(scheduling): instances pass a limit on as the number that a server announced

Cause: news carried the rate in 32 bits and questions in 64, so that 1.4 became another rate on its way. Two instances then took each other's figure for a newer announcement again and again, each time some milliseconds younger, and logged a change each time. Evidence: the test of announcements that grow no younger, with 1.4 in place of 1.5, failed with a third change at two instances.

A patience of less than nothing counts as none, so that a request which comes late to a server with room is not refused.

--- a/entry/prompts.go
+++ b/entry/prompts.go
@@ -107,7 +107,7 @@
 	loadBytes    = 12
 	holdingBytes = 7
 	keyBytes     = 5
-	limitBytes   = 16
+	limitBytes   = 20
 	// maxParts bounds the parts of a holding: the first ones are those that others share.
 	maxParts = 100
 )
--- a/entry/prompts_test.go
+++ b/entry/prompts_test.go
@@ -22,7 +22,7 @@
 		key := scheduling.Key(math.MaxUint32 - i)
 		news.Backlogs = append(news.Backlogs, scheduling.Backlog{Server: key, Tokens: math.MaxUint32 - i})
 		news.Loads = append(news.Loads, scheduling.ServerLoad{Server: key, Requests: math.MaxUint16, AgeMs: math.MaxUint16})
-		news.Limits = append(news.Limits, scheduling.ServerLimit{Server: key, Rate: math.MaxFloat32, AgeMs: math.MaxUint32})
+		news.Limits = append(news.Limits, scheduling.ServerLimit{Server: key, Rate: math.MaxFloat64, AgeMs: math.MaxUint32})
 		news.Holdings = append(news.Holdings, scheduling.Holding{Server: key, Parts: []scheduling.Key{key, key, key, key, key}})
 	}
 
--- a/scheduling/limit.go
+++ b/scheduling/limit.go
@@ -51,7 +51,7 @@
 // ask asks for a permit and notes until when a server has no room. A caller that left
 // before the reply came says nothing of that.
 func (s *Scheduler) ask(ctx context.Context, clk clock.Clock, one *server, patience time.Duration) ratelimit.Permit {
-	permit := s.Permits.Ask(ctx, one.entry().Start(), one.announced(), patience)
+	permit := s.Permits.Ask(ctx, one.entry().Start(), one.announced(), max(patience, 0))
 	if !permit.Granted && ctx.Err() == nil {
 		one.fill(clk.Now().Add(permit.Wait))
 	}
@@ -167,7 +167,7 @@
 // receiveLimit takes in what another instance passed on.
 func (s *Scheduler) receiveLimit(now time.Time, one *server, l ServerLimit, up bool) {
 	at := now.Add(-time.Duration(l.AgeMs) * time.Millisecond)
-	other := ratelimit.Announcement{Rate: ratelimit.Rate(l.Rate), At: at}
+	other := ratelimit.Announcement{Rate: l.Rate, At: at}
 	s.announce(one, one.announced().Received(other), up)
 }
 
@@ -176,7 +176,7 @@
 	known := s.announced()
 	age := min(max(now.Sub(known.At), 0).Milliseconds(), math.MaxUint32)
 
-	return ServerLimit{Server: s.key, Rate: float32(known.Rate), AgeMs: uint32(age)}
+	return ServerLimit{Server: s.key, Rate: known.Rate, AgeMs: uint32(age)}
 }
 
 // announce takes an announcement in, if it is newer than what is known, and notes it for
--- a/scheduling/limit_test.go
+++ b/scheduling/limit_test.go
@@ -225,7 +225,12 @@
 	a, b := engines(1, 64), engines(1, 64)
 	at := now
 
-	a.announce(a.servers["i-0"], ratelimit.Announcement{Rate: 1.5, At: at}, true)
+	changes := 0
+	a.OnLimit = func(LimitChange) { changes++ }
+	b.OnLimit = a.OnLimit
+
+	// The rate is none that a number of fewer bits holds.
+	a.announce(a.servers["i-0"], ratelimit.Announcement{Rate: 1.4, At: at}, true)
 
 	for range 200 {
 		news := a.News(at, Upstream)
@@ -239,6 +244,10 @@
 		a.Merge(start, ratelimit.Announcement{Rate: known.Rate, At: at.Add(-age)})
 	}
 
+	if changes != 2 {
+		t.Errorf("changes of the limit: got %d, want one at each of 2 instances", changes)
+	}
+
 	if got, most := a.servers["i-0"].announced().At.Sub(now), 50*time.Millisecond; got > most {
 		t.Errorf("after 200 exchanges: got an announcement %v younger, want at most %v", got, most)
 	}
--- a/scheduling/news.go
+++ b/scheduling/news.go
@@ -91,7 +91,7 @@
 type ServerLimit struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // an option of the codec
 	Server   Key
-	Rate     float32
+	Rate     ratelimit.Rate
 	// AgeMs is how long ago the server said so, in milliseconds.
 	AgeMs uint32
 }
@@ -282,7 +282,7 @@
 	}
 
 	for _, l := range n.Limits {
-		if one := (*byKey)[l.Server]; one != nil && ratelimit.Rate(l.Rate).Usable() {
+		if one := (*byKey)[l.Server]; one != nil && l.Rate.Usable() {
 			s.receiveLimit(now, one, l, as == Subscriber)
 		}
 	}
