--- a/codec/codec.go
+++ b/codec/codec.go
@@ -40,7 +40,7 @@
 	return nil
 }
 
-// whole tells whether a message holds all elements and bytes that it declares.
+// whole reports whether a message holds all elements and bytes that it declares.
 func whole(data []byte) bool {
 	for left := uint64(1); left > 0; left-- {
 		if len(data) == 0 {
--- a/quota/loans.go
+++ b/quota/loans.go
@@ -132,7 +132,7 @@
 	return granted
 }
 
-// refusedRecently tells whether a holder had too little for as much a moment ago.
+// refusedRecently reports whether a holder had too little for as much a moment ago.
 func (l *Loans) refusedRecently(key loanKey, cost float64) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/ratelimit/asker.go
+++ b/ratelimit/asker.go
@@ -73,7 +73,7 @@
 	return permit
 }
 
-// ask tells beside the permit whether a granter answered.
+// ask reports beside the permit whether a granter answered.
 func (a *Asker) ask(ctx context.Context, server register.Start, limit Announcement, patience time.Duration) (Permit, bool) {
 	ranked := RankOf(server, a.Leaders())
 
--- a/ratelimit/asker_test.go
+++ b/ratelimit/asker_test.go
@@ -200,3 +200,55 @@
 		}
 	})
 }
+
+// One that grants beside others promises nothing ahead, and does not count what it saved up
+// before they came: what others promise and save up is not known.
+func TestAStandInNeitherPromisesNorSavesUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d, ranked := newDesks("a", "b", "c", "d")
+		granter := d.askers[ranked[1]].Granter
+		grant := func(patience time.Duration) Permit { return granter.Grant(time.Now(), limited, 10, patience) }
+
+		time.Sleep(2 * settleSpan)
+		grant(0)
+
+		if got := grant(time.Second); got.Granted {
+			t.Errorf("a token that comes: got %+v, want it not promised", got)
+		}
+
+		time.Sleep(time.Second)
+
+		if got := grant(0); !got.Granted {
+			t.Errorf("after a second: got %+v, want it granted", got)
+		}
+
+		time.Sleep(time.Second)
+		granter.SetLeaders(time.Now(), ranked[:3])
+
+		if got := grant(0); got.Granted {
+			t.Errorf("after others came to lead: got %+v, want nothing granted of what was saved up", got)
+		}
+	})
+}
+
+// The first in order promises tokens ahead, in the order of the questions.
+func TestTheFirstPromisesAheadInOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d, ranked := newDesks("a", "b")
+		granter := d.askers[ranked[0]].Granter
+
+		time.Sleep(2 * settleSpan)
+
+		for i := range 4 {
+			want := time.Duration(i+1) * 100 * time.Millisecond
+
+			if got := granter.Grant(time.Now(), limited, 10, 400*time.Millisecond); !got.Granted || got.Wait != want {
+				t.Errorf("question %d: got %+v, want it granted after %v", i, got, want)
+			}
+		}
+
+		if got := granter.Grant(time.Now(), limited, 10, 400*time.Millisecond); got.Granted || got.Wait != 500*time.Millisecond {
+			t.Errorf("one more: got %+v, want a refusal and room after 500ms", got)
+		}
+	})
+}
--- /dev/null
+++ b/ratelimit/bench_test.go
@@ -0,0 +1,44 @@
+package ratelimit
+
+import (
+	"testing"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"monsoonlever/clock"
+	"monsoonlever/codec"
+	"monsoonlever/fleet"
+	"monsoonlever/register"
+)
+
+// BenchmarkAnswer is the cost of one question at the instance that grants, with its
+// message and its reply.
+func BenchmarkAnswer(b *testing.B) {
+	leaders := []fleet.InstanceID{"entry-1", "entry-2", "entry-3", "entry-4", "entry-5"}
+	server := register.Start{ID: "i-0123456789", Incarnation: 1_790_000_000_123}
+	self := RankOf(server, leaders)[0]
+	asker := &Asker{Self: self, Clock: clock.NewSteady(), Known: &notes{}, Granter: &Granter{Self: self}}
+	asker.Granter.SetLeaders(asker.Clock.Now(), leaders)
+
+	question, err := msgpack.Marshal(&Ask{
+		From: "entry-9", Number: 1, Server: server, Rate: 1.5, Age: time.Second, Patience: time.Millisecond,
+	})
+	if err != nil {
+		b.Fatal(err)
+	}
+
+	b.ReportMetric(float64(len(question)), "question-B")
+
+	for b.Loop() {
+		var ask Ask
+		if err := codec.Unmarshal(question, &ask); err != nil {
+			b.Fatal(err)
+		}
+
+		reply := asker.Answer(ask)
+		if _, err := msgpack.Marshal(&reply); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/ratelimit/granter.go
+++ b/ratelimit/granter.go
@@ -145,7 +145,7 @@
 	return 1
 }
 
-// first tells whether an instance is the first in order for a server.
+// first reports whether an instance is the first in order for a server.
 func (v view) first(server register.Start, id fleet.InstanceID) bool {
 	ranked := RankOf(server, v.leaders)
 
--- a/ratelimit/ratelimit.go
+++ b/ratelimit/ratelimit.go
@@ -33,7 +33,7 @@
 	Least Rate = 0.25
 )
 
-// Usable tells whether a rate that came in a message is one.
+// Usable reports whether a rate that came in a message is one.
 func (r Rate) Usable() bool { return r >= 0 && !math.IsInf(float64(r), 1) }
 
 // Announcement is what a server said that it takes. At is when it said so: for a limit no
@@ -78,7 +78,7 @@
 	return a.Newest(other)
 }
 
-// within tells whether an announcement is a limit that allows no more than another one.
+// within reports whether an announcement is a limit that allows no more than another one.
 func (a Announcement) within(other Announcement) bool {
 	return a.Rate != Unlimited && (other.Rate == Unlimited || a.Rate <= other.Rate)
 }
--- a/scheduling/candidates.go
+++ b/scheduling/candidates.go
@@ -55,12 +55,12 @@
 	return chosen
 }
 
-// fits tells whether a request may be sent to a server now.
+// fits reports whether a request may be sent to a server now.
 func (s *server) fits(now time.Time, r *Request) bool {
 	return s.allowed(r) && !s.full(now)
 }
 
-// allowed tells whether a request may be sent to a server once that has room.
+// allowed reports whether a request may be sent to a server once that has room.
 func (s *server) allowed(r *Request) bool {
 	if r.withoutLimit && s.announced().Rate != ratelimit.Unlimited {
 		return false
--- a/scheduling/limit.go
+++ b/scheduling/limit.go
@@ -38,7 +38,7 @@
 	return "servers take no more requests than they announced, try again in " + e.RetryAfter.String()
 }
 
-// permitted tells whether a server that was picked may get the request now. One without
+// permitted reports whether a server that was picked may get the request now. One without
 // room is passed over until it may have some.
 func (s *Scheduler) permitted(ctx context.Context, clk clock.Clock, a *Assignment) bool {
 	if s.Permits == nil || a.server.announced().Rate == ratelimit.Unlimited {
@@ -251,7 +251,7 @@
 	}
 }
 
-// full tells whether a server is known to have no room by its limit.
+// full reports whether a server is known to have no room by its limit.
 func (s *server) full(now time.Time) bool { return now.Before(s.roomAt()) }
 
 // roomAt returns when a server may have room.
