feat(scheduling,platform): what servers announce of leaving and backoff is seen in logs and metrics

An instance logs either announcement, shows how many servers are in that state, and counts sends to them. Nothing is decided by it yet: Reading.Leaving, which nothing set until now, no longer marks the server, so that the hypotheses of the incident can be told apart on the unchanged decisions.

--- a/entry/parts.go
+++ b/entry/parts.go
@@ -141,8 +141,11 @@
 		registered: &currency.Tracker{
 			Clock: e.Clock, Bound: time.Duration(float64(s.Bounds.Drain) * registerAge),
 		},
-		retries:    newRetries(s.Bounds),
-		scheduler:  &scheduling.Scheduler{Domain: s.FailureDomain, OnLimit: logLimit},
+		retries: newRetries(s.Bounds),
+		scheduler: &scheduling.Scheduler{
+			Domain: s.FailureDomain, OnLimit: logLimit, OnLeaving: logLeaving, OnBackoff: logBackoff,
+			Counters: scheduling.NewCounters(set),
+		},
 		members:    &board.Members{},
 		quarantine: &quarantine.Ledger{},
 		early:      &quota.Past{},
@@ -203,6 +206,10 @@
 		return float64(p.quarantine.Count(p.clock.Now()))
 	})
 	set.NewGauge("monsoonlever_entry_limited_servers", func() float64 { return float64(p.scheduler.Limited()) })
+	set.NewGauge("monsoonlever_entry_leaving_servers", func() float64 { return float64(p.scheduler.LeavingServers()) })
+	set.NewGauge("monsoonlever_entry_backoff_servers", func() float64 {
+		return float64(p.scheduler.BackoffServers(p.clock.Now()))
+	})
 	set.NewGauge("monsoonlever_entry_unknown_answer_fields", func() float64 { return float64(p.answerFields.Unknown()) })
 	set.NewGauge("monsoonlever_entry_rules_age_seconds", func() float64 {
 		age, _ := p.currency.Age()
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -133,7 +133,11 @@
 	}
 
 	if reading.Leaving {
-		f.Scheduler.Leave(assignment.ID())
+		assignment.AnnouncedLeaving()
+	}
+
+	if reading.Backoff > 0 {
+		assignment.AskedToBackOff(f.Clock.Now(), reading.Backoff)
 	}
 
 	if reading.NotRun {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -68,6 +68,9 @@
 	NotRun bool
 	// Leaving is set where the server takes no further requests.
 	Leaving bool
+	// Backoff is how long a server that turned the request away wants no further ones from
+	// this instance; zero where it does not say.
+	Backoff time.Duration
 	// Load is nil where the server did not tell it.
 	Load *scheduling.Load
 	// Limit is the rate of requests that the server takes from all instances together,
--- a/scheduling/assignment.go
+++ b/scheduling/assignment.go
@@ -81,6 +81,7 @@
 		return false
 	}
 
+	a.scheduler.noteSend(now, a.server)
 	a.server.running.Add(1)
 	a.server.pending.Add(int64(a.unread))
 	a.started, a.startedAt = true, now
--- a/scheduling/scheduling.go
+++ b/scheduling/scheduling.go
@@ -88,6 +88,12 @@
 	Permits Permits
 	// OnLimit is called where a server announces another limit than before; it may be nil.
 	OnLimit func(LimitChange)
+	// OnLeaving is called once where a server first answers that it leaves, and OnBackoff
+	// where one asks for no requests for some time; both may be nil.
+	OnLeaving func(register.Start)
+	OnBackoff func(server register.Start, backoff time.Duration)
+	// Counters may be nil.
+	Counters *Counters
 
 	current atomic.Pointer[map[fleet.Service][]*server]
 
--- a/scheduling/server.go
+++ b/scheduling/server.go
@@ -62,6 +62,7 @@
 	again bool
 
 	leaving atomic.Bool
+	said    announcements
 	// limited is nil until the server announces a limit. It is replaced under mu.
 	limited atomic.Pointer[limited]
 	// running are the requests of this instance in progress, and pending the
