fix(scheduling,register,entry): a server that announces in an answer that it leaves gets no more requests

Ruled out: requests on their way (held for less than 0.2 ms; the breaches come 2 s later).

Now a leave is final for one start of a server, whoever says so: its answer, its entry, or another instance's heartbeat. An answer marks the server at once for placing, for the check right before the bytes go out and for second sends, and the register, so that orders for servers and the next heartbeats know it too. The register keeps it by start, also over an older entry, a whole set, a copy of the store and an entry that lapses and comes back; the guard in Restore is part of that rule now. What else a start announced is kept over a lapsed entry likewise (departed). Another start under the same id begins anew. Since changes now come from the path of requests too, they take effect one after the other.

TestHoldsLeavingIsFinalForAStart and TestAnAnnouncedLeaveOutlivesTheEntry fail without their guards.

--- a/entry/announcements.go
+++ b/entry/announcements.go
@@ -8,9 +8,26 @@
 	"monsoonlever/register"
 )
 
-// logLeaving logs that a backend server said in an answer that it leaves.
-func logLeaving(server register.Start) {
+// serverAnnouncedLeaving takes in that a backend server said in an answer that it leaves. The
+// next heartbeats pass it on.
+func (p *parts) serverAnnouncedLeaving(server register.Start) {
 	klog.InfoS("backend server announces that it leaves", "server", server)
+	p.markLeaving([]register.Start{server})
+}
+
+// markLeaving takes in which starts of servers leave.
+func (p *parts) markLeaving(starts []register.Start) {
+	if len(starts) == 0 {
+		return
+	}
+
+	p.serversMu.Lock()
+	defer p.serversMu.Unlock()
+
+	before := p.register.Servers()
+	if p.register.Leave(starts) {
+		p.serversChanged(before)
+	}
 }
 
 // logBackoff logs that a backend server turned a request away and asked for no further ones.
--- a/entry/heartbeat.go
+++ b/entry/heartbeat.go
@@ -166,9 +166,7 @@
 	p.echoes.heard(w.Instance, w.At)
 	p.noteEra(w.Era)
 
-	if p.register.Leave(w.Leaving) {
-		p.scheduler.Update(p.register.Servers())
-	}
+	p.markLeaving(w.Leaving)
 
 	if w.Echo == 0 {
 		p.rollouts.receive(now, w.Rollouts, time.Time{})
--- a/entry/news.go
+++ b/entry/news.go
@@ -115,8 +115,6 @@
 		changes = append(changes, c)
 	}
 
-	before := p.register.Servers()
-	p.register.Apply(changes)
-	p.serversChanged(before)
+	before := p.changeServers(func() { p.register.Apply(changes) })
 	p.tellServers(now, before, true)
 }
--- a/entry/parts.go
+++ b/entry/parts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -80,8 +81,10 @@
 	rules    atomic.Pointer[ruleset.Ruleset]
 	currency *currency.Tracker
 	register *register.Register
-	limits   *quota.Quota
-	loans    *quota.Loans
+	// serversMu is held while the register is changed and the change takes effect.
+	serversMu sync.Mutex
+	limits    *quota.Quota
+	loans     *quota.Loans
 	// permits grant requests to backend servers that limit them.
 	permits   *ratelimit.Asker
 	retries   *retry.Budgets
@@ -143,7 +146,7 @@
 		},
 		retries: newRetries(s.Bounds),
 		scheduler: &scheduling.Scheduler{
-			Domain: s.FailureDomain, OnLimit: logLimit, OnLeaving: logLeaving, OnBackoff: logBackoff,
+			Domain: s.FailureDomain, OnLimit: logLimit, OnBackoff: logBackoff,
 			Counters: scheduling.NewCounters(set),
 		},
 		members:    &board.Members{},
@@ -151,6 +154,7 @@
 		early:      &quota.Past{},
 		counter:    &usage.Counter{Width: s.Bounds.UsageWindow, Keep: usageKeep, Now: time.Now},
 	}
+	p.scheduler.OnLeaving = p.serverAnnouncedLeaving
 	p.store = platform.NewStore(s.Store, p.eraRose)
 	p.unusable = set.NewCounter("monsoonlever_entry_unusable_server_entries_total")
 	p.quarantine.OnHeld = p.recordHeld
--- a/entry/rules.go
+++ b/entry/rules.go
@@ -92,16 +92,27 @@
 		changes = append(changes, p.changeOf(e, now))
 	}
 
-	before := p.register.Servers()
+	before := p.changeServers(func() {
+		if whole {
+			p.replaceRegister(now, p.eraOf(entries), changes)
+		} else {
+			p.register.Apply(changes)
+		}
+	})
+	p.tellServers(now, before, false)
+}
 
-	if whole {
-		p.replaceRegister(now, p.eraOf(entries), changes)
-	} else {
-		p.register.Apply(changes)
-	}
+// changeServers changes the register, has the change take effect, and returns the servers
+// before. Changes take effect in their order.
+func (p *parts) changeServers(change func()) []register.Server {
+	p.serversMu.Lock()
+	defer p.serversMu.Unlock()
 
+	before := p.register.Servers()
+	change()
 	p.serversChanged(before)
-	p.tellServers(now, before, false)
+
+	return before
 }
 
 // changeOf decodes the entry of a backend server. One that can't be used is like one
@@ -128,7 +139,7 @@
 }
 
 // serversChanged tells the scheduler and the pool, if more changed than a number
-// that counts entries.
+// that counts entries. serversMu is held.
 func (p *parts) serversChanged(before []register.Server) {
 	after := p.register.Servers()
 	if same(before, after) && p.scheduler.Known() {
--- a/forward/guards_test.go
+++ b/forward/guards_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"monsoonlever/fleet"
+	"monsoonlever/register"
 	"monsoonlever/scheduling"
 )
 
@@ -62,7 +63,7 @@
 	s.dialling = func(address string) {
 		if first == "" {
 			first = address
-			s.Scheduler.Leave(fleet.InstanceID(address))
+			s.Scheduler.Leave(register.Start{ID: fleet.InstanceID(address)})
 		}
 	}
 
--- a/forward/quarantine_test.go
+++ b/forward/quarantine_test.go
@@ -215,7 +215,7 @@
 		"servers that can't be reached": func(f *farm) { f.refusal = errors.New("no route to host") },
 		"servers that had said they would leave": func(f *farm) {
 			f.answer = func(address string, _ int, r *http.Request) string {
-				f.Scheduler.Leave(fleet.InstanceID(address))
+				f.Scheduler.Leave(register.Start{ID: fleet.InstanceID(address)})
 				f.ended[address].Store(true)
 
 				return stream(r, 1, 0, true)
@@ -224,7 +224,7 @@
 		"servers that say a little later that they leave": func(f *farm) {
 			f.answer = func(address string, _ int, r *http.Request) string {
 				f.ended[address].Store(true)
-				time.AfterFunc(time.Millisecond/2, func() { f.Scheduler.Leave(fleet.InstanceID(address)) })
+				time.AfterFunc(time.Millisecond/2, func() { f.Scheduler.Leave(register.Start{ID: fleet.InstanceID(address)}) })
 
 				return stream(r, 1, 0, true)
 			}
--- /dev/null
+++ b/register/leaving_test.go
@@ -0,0 +1,69 @@
+package register
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"monsoonlever/fleet"
+)
+
+// Guards against a server that leaves being taken for ready again by an older entry, a whole
+// set, or an entry that lapsed and came back.
+func TestHoldsLeavingIsFinalForAStart(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var r Register
+
+		left := make(map[Start]bool)
+		version := uint64(0)
+		change := func() Change {
+			version++
+
+			c := Change{ID: rapid.SampledFrom([]fleet.InstanceID{"i-1", "i-2"}).Draw(t, "id"), Version: version}
+			if rapid.Bool().Draw(t, "there") {
+				c.Server = &Server{
+					ID: c.ID, Incarnation: fleet.Incarnation(rapid.IntRange(1, 3).Draw(t, "start")),
+					Leaving: rapid.Bool().Draw(t, "leaving"),
+				}
+			}
+
+			return c
+		}
+
+		t.Repeat(map[string]func(*rapid.T){
+			"entry":     func(*rapid.T) { r.Apply([]Change{change()}) },
+			"whole set": func(*rapid.T) { r.Replace([]Change{change()}) },
+			"old copy":  func(*rapid.T) { r.Restore([]Change{change()}) },
+			"announced": func(*rapid.T) {
+				start := Start{
+					ID:          rapid.SampledFrom([]fleet.InstanceID{"i-1", "i-2"}).Draw(t, "who"),
+					Incarnation: fleet.Incarnation(rapid.IntRange(1, 3).Draw(t, "which")),
+				}
+				r.Leave([]Start{start})
+				left[start] = true
+			},
+			"": func(t *rapid.T) {
+				for _, s := range r.Servers() {
+					if left[s.Start()] && !s.Leaving {
+						t.Errorf("%v: got it ready, want it to leave as it said", s.Start())
+					}
+
+					left[s.Start()] = left[s.Start()] || s.Leaving
+				}
+			},
+		})
+	})
+}
+
+// Guards against what leaves piling up without a bound.
+func TestFewStartsAreRememberedToLeave(t *testing.T) {
+	var r Register
+
+	for i := range 2 * maxLeaving {
+		r.Leave([]Start{{ID: "i-1", Incarnation: fleet.Incarnation(i + 1)}})
+	}
+
+	if got := r.leaving.known.Len(); got != maxLeaving {
+		t.Errorf("remembered: got %d, want %d", got, maxLeaving)
+	}
+}
--- a/register/register.go
+++ b/register/register.go
@@ -84,6 +84,7 @@
 	servers map[fleet.InstanceID]Server
 	// versions are those of the newest changes, also of servers that are gone.
 	versions map[fleet.InstanceID]uint64
+	leaving  leavingStarts
 	current  atomic.Pointer[[]Server]
 	digest   atomic.Uint64
 }
@@ -101,20 +102,15 @@
 
 // Restore takes in a whole set from an older copy of the platform's records, in which the
 // newest are missing. Servers that the copy lacks stay until their own next entry or the
-// next whole set; those that leave go on leaving; and those that are known to be gone do
-// not come back by it.
+// next whole set, and those that are known to be gone do not come back by it.
 func (r *Register) Restore(entries []Change) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 
 	r.init()
 	for _, c := range entries {
-		known, there := r.servers[c.ID]
-		if _, heard := r.versions[c.ID]; c.Server == nil || heard && !there {
-			continue
-		}
-
-		if there && known.Leaving && known.Start() == c.Server.Start() {
+		_, there := r.servers[c.ID]
+		if _, known := r.versions[c.ID]; c.Server == nil || known && !there {
 			continue
 		}
 
@@ -160,12 +156,19 @@
 			continue
 		}
 
-		r.servers[c.ID] = *c.Server
+		s := *c.Server
+		if s.Leaving {
+			r.leaving.add(s.Start())
+		}
+
+		s.Leaving = r.leaving.has(s.Start())
+		r.servers[c.ID] = s
 	}
 }
 
-// Leave marks servers that are said to leave, and tells whether that is news. What
-// the register itself says of them later stands.
+// Leave marks starts of servers that are known to leave, and reports whether that changes
+// a server. It is final: a server announces it in its answers while its entry can't be
+// written, and an older entry of the same start does not take it back.
 func (r *Register) Leave(starts []Start) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -173,6 +176,8 @@
 	news := false
 
 	for _, start := range starts {
+		r.leaving.add(start)
+
 		if s, ok := r.servers[start.ID]; ok && !s.Leaving && s.Start() == start {
 			s.Leaving = true
 			r.servers[start.ID] = s
--- /dev/null
+++ b/scheduling/announcements_test.go
@@ -0,0 +1,58 @@
+package scheduling
+
+import (
+	"errors"
+	"testing"
+
+	"monsoonlever/register"
+)
+
+// Guards against sends to a server that announced that it leaves, once its entry has lapsed
+// and come back as ready.
+func TestAnAnnouncedLeaveOutlivesTheEntry(t *testing.T) {
+	s := &Scheduler{Domain: "a"}
+	s.Update([]register.Server{startOf(500)})
+
+	before := pick(t, s, Request{Service: "llm"})
+	waiting := pick(t, s, Request{Service: "llm"})
+	before.Start(now)
+	before.AnnouncedLeaving()
+
+	if waiting.Start(now) {
+		t.Error("a request that was placed before: got it started, want it placed anew")
+	}
+
+	for _, step := range []struct {
+		desc    string
+		servers []register.Server
+	}{
+		{desc: "its entry says ready", servers: []register.Server{startOf(500)}},
+		{desc: "its entry lapsed"},
+		{desc: "its entry is back", servers: []register.Server{startOf(500)}},
+	} {
+		s.Update(step.servers)
+
+		if a, err := s.Pick(now, Request{Service: "llm"}); !errors.Is(err, ErrNoServer) {
+			t.Errorf("%s: got %v, %v, want no server", step.desc, a, err)
+		}
+	}
+
+	s.Update([]register.Server{startOf(900)})
+	pick(t, s, Request{Service: "llm"})
+}
+
+// Guards against a log line and a change of the register for each answer of a server that leaves.
+func TestALeaveIsNotedOnce(t *testing.T) {
+	var got []register.Start
+
+	s := &Scheduler{Domain: "a", OnLeaving: func(start register.Start) { got = append(got, start) }}
+	s.Update([]register.Server{startOf(500)})
+
+	first, second := pick(t, s, Request{Service: "llm"}), pick(t, s, Request{Service: "llm"})
+	first.AnnouncedLeaving()
+	second.AnnouncedLeaving()
+
+	if len(got) != 1 || got[0] != startOf(500).Start() {
+		t.Errorf("noted: got %v, want the server once", got)
+	}
+}
--- a/scheduling/assignment.go
+++ b/scheduling/assignment.go
@@ -64,7 +64,7 @@
 func (a *Assignment) Address() string { return a.server.entry().Address }
 
 // Leaving tells whether the server is known to leave by now.
-func (a *Assignment) Leaving() bool { return a.server.leaving.Load() }
+func (a *Assignment) Leaving() bool { return a.server.leaves() }
 
 // Ended takes in that the server's program was found to have ended, and has others told.
 func (a *Assignment) Ended(now time.Time) { a.scheduler.ended(now, a.server, true) }
@@ -77,7 +77,7 @@
 
 // Start counts the attempt, unless the server began to leave.
 func (a *Assignment) Start(now time.Time) bool {
-	if a.server.leaving.Load() {
+	if a.server.leaves() {
 		return false
 	}
 
--- a/scheduling/candidates.go
+++ b/scheduling/candidates.go
@@ -66,5 +66,5 @@
 		return false
 	}
 
-	return !s.leaving.Load() && !excluded(r.Excluded, s.entry().ID)
+	return !s.leaves() && !excluded(r.Excluded, s.entry().ID)
 }
--- /dev/null
+++ b/scheduling/departed.go
@@ -0,0 +1,38 @@
+package scheduling
+
+import (
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
+	"monsoonlever/register"
+)
+
+// maxDeparted bounds how many servers are remembered whose entry is not there.
+const maxDeparted = 1024
+
+// departed is what servers announced whose entry is not there. Entries lapse while the
+// platform's store is away, and come back with it: what the same start announced before holds
+// then. The zero value is empty.
+type departed struct {
+	said *simplelru.LRU[register.Start, *announcements]
+}
+
+func (d *departed) add(start register.Start, said *announcements) {
+	if d.said == nil {
+		// It fails for a size that is not positive only.
+		d.said, _ = simplelru.NewLRU[register.Start, *announcements](maxDeparted, nil)
+	}
+
+	d.said.Add(start, said)
+}
+
+// take returns what a start announced before, or nil, and forgets it.
+func (d *departed) take(start register.Start) *announcements {
+	if d.said == nil {
+		return nil
+	}
+
+	said, _ := d.said.Peek(start)
+	d.said.Remove(start)
+
+	return said
+}
--- a/scheduling/scheduling.go
+++ b/scheduling/scheduling.go
@@ -106,7 +106,9 @@
 
 	mu      sync.Mutex
 	servers map[fleet.InstanceID]*server
-	meters  map[fleet.Service]*meter
+	// departed is what servers announced whose entry is not there.
+	departed departed
+	meters   map[fleet.Service]*meter
 }
 
 // Update takes in which servers there are. What was learnt of those that stay is
@@ -121,26 +123,27 @@
 	for _, entry := range servers {
 		one := s.servers[entry.ID]
 		if known := one != nil; !known || !one.stays(entry) {
-			one = newServer(entry)
+			one = newServer(entry, s.departed.take(entry.Start()))
 			one.again = known
 		}
 
 		one.registered.Store(&entry)
 
 		if entry.Leaving {
-			one.leaving.Store(true)
+			one.said.leaving.Store(true)
 		}
 
 		known[entry.ID] = one
 
-		if !one.leaving.Load() {
+		if !one.leaves() {
 			pools[entry.Service] = append(pools[entry.Service], one)
 		}
 	}
 
 	for id, one := range s.servers {
 		if known[id] != one {
-			one.leaving.Store(true)
+			one.gone.Store(true)
+			s.departed.add(one.entry().Start(), one.said)
 		}
 	}
 
@@ -159,13 +162,13 @@
 	return s.current.Load() != nil
 }
 
-// Leave marks a server that said itself that it is leaving.
-func (s *Scheduler) Leave(id fleet.InstanceID) {
+// Leave marks a start of a server that is known to leave.
+func (s *Scheduler) Leave(start register.Start) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
-	if one := s.servers[id]; one != nil {
-		one.leaving.Store(true)
+	if one := s.servers[start.ID]; one != nil && one.entry().Start() == start {
+		one.said.leaving.Store(true)
 	}
 }
 
--- a/scheduling/server.go
+++ b/scheduling/server.go
@@ -61,8 +61,9 @@
 	// again tells that the server started again while it was known: it holds nothing.
 	again bool
 
-	leaving atomic.Bool
-	said    announcements
+	// gone is set once the register has no entry of this start.
+	gone atomic.Bool
+	said *announcements
 	// limited is nil until the server announces a limit. It is replaced under mu.
 	limited atomic.Pointer[limited]
 	// running are the requests of this instance in progress, and pending the
@@ -92,8 +93,13 @@
 	upstream  int64
 }
 
-func newServer(entry register.Server) *server {
+func newServer(entry register.Server, said *announcements) *server {
+	if said == nil {
+		said = &announcements{}
+	}
+
 	s := &server{
+		said: said,
 		hash: xxhash.Sum64String(string(entry.ID)), key: keyOfStart(entry.Start()), parts: make(map[Key]time.Time),
 		told: make(map[Key]time.Time),
 	}
@@ -105,6 +111,9 @@
 // entry returns the server's newest entry.
 func (s *server) entry() *register.Server { return s.registered.Load() }
 
+// leaves reports whether the server takes nothing new.
+func (s *server) leaves() bool { return s.gone.Load() || s.said.leaving.Load() }
+
 // stays tells whether an entry tells of the same start: what was learnt of this one
 // holds for it.
 func (s *server) stays(entry register.Server) bool {
--- a/scheduling/starts_test.go
+++ b/scheduling/starts_test.go
@@ -28,7 +28,7 @@
 
 	news := s.News(now, Upstream)
 
-	s.Leave("i-1")
+	s.Leave(startOf(500).Start())
 	s.Update([]register.Server{startOf(900)})
 
 	if !first.Leaving() {
