fix(scheduling,forward): a server that asks for backoff gets no requests from that instance until it is over

Cause: Retry-After was on the list of known fields of answers, and nothing read it. Any refusal kept requests away for 250 ms by its cost alone; after that a server with nothing to do looked like the best choice.

Now 503 and 429 with Retry-After keep all requests of the instance away until that time is over: at placing, when an attempt starts, and right before its bytes go out. The latest end counts, since each answer binds by itself; it belongs to one start of the server, also over a lapsed entry. Such a server has not failed: a request that meets it is placed anew. Where no other server is left, a request waits if the first of them takes requests again within its objective, and is refused at once if not, with when that is. NoRoomError stands for limits and backoff alike.

TestHoldsNoSendWithinABackoff and the tests of placing and sending fail without their guards.

--- /dev/null
+++ b/forward/announcements_test.go
@@ -0,0 +1,92 @@
+package forward
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"monsoonlever/fleet"
+	"monsoonlever/scheduling"
+)
+
+// Guards against callers of a service whose servers all asked for backoff being told to come
+// back before these take requests again, and against a server that is blamed for it.
+func TestARequestThatAllServersTurnAwayComesBackAfterTheirBackoff(t *testing.T) {
+	const backoff = 3 * time.Second
+
+	s := newSite(t, 10)
+	s.answer = func(_ string, _ int, r *http.Request) string {
+		return whole(r, http.StatusServiceUnavailable, notRunHeader+": 1\r\n", backoffHeader+": 3s\r\n")
+	}
+
+	for _, id := range []string{"r-1", "r-2"} {
+		outcome, got := s.call("once", id)
+		if outcome.Reason != Overloaded || !outcome.NotRun || len(got.refusals) != 1 || got.refusals[0].RetryAfter < backoff {
+			t.Errorf("%s: got %+v and %+v, want it refused, to come back after %v", id, outcome, got, backoff)
+		}
+	}
+
+	if got := s.arrivals(); len(got) != 2 {
+		t.Errorf("arrivals: got %d, want one at each server", len(got))
+	}
+}
+
+// Guards against sends to a server that announced, while a request waited for its connection,
+// that it leaves or that it wants none for now.
+func TestARequestIsNotSentAfterItsServerAnnouncedThatItTakesNone(t *testing.T) {
+	for name, announce := range map[string]func(s *site, a *scheduling.Assignment){
+		"leaving": func(_ *site, a *scheduling.Assignment) { a.AnnouncedLeaving() },
+		"backoff": func(s *site, a *scheduling.Assignment) { a.AskedToBackOff(s.clock.Now(), time.Second) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t, 10)
+			s.answer = answerAll
+			first := ""
+
+			s.dialling = func(address string) {
+				if first != "" {
+					return
+				}
+
+				first = address
+				other := map[string]fleet.InstanceID{"api-1": "api-2", "api-2": "api-1"}[address]
+
+				a, err := s.Scheduler.Pick(s.clock.Now(), scheduling.Request{Service: "api", Excluded: []fleet.InstanceID{other}})
+				if err != nil {
+					t.Error(err)
+
+					return
+				}
+
+				announce(s, a)
+			}
+
+			outcome, _ := s.call("once", "r")
+			seen := s.arrivals()
+
+			if outcome.Reason != Answered || len(seen) != 1 || seen[0].address == first {
+				t.Errorf("got %+v and arrivals %v, want one at the other server than %s", outcome, seen, first)
+			}
+		})
+	}
+}
+
+// Guards against a resumed stream going to a server that asked for backoff.
+func TestAStreamIsResumedWhereServersTakeRequests(t *testing.T) {
+	s := newSite(t, 10)
+	s.answer = func(_ string, n int, r *http.Request) string {
+		switch n {
+		case 1:
+			return whole(r, http.StatusServiceUnavailable, notRunHeader+": 1\r\n", backoffHeader+": 3s\r\n")
+		default:
+			return stream(r, 1, 2, n == 2)
+		}
+	}
+
+	outcome, _ := s.call("talk", "r")
+	seen := s.arrivals()
+
+	if len(seen) != 2 || seen[0].address == seen[1].address {
+		t.Errorf("arrivals: got %v, want the one that was turned away and one at the other server; %+v", seen, outcome)
+	}
+}
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -41,7 +41,7 @@
 	j.excluded = append(j.excluded, assignment.ID())
 
 	if !assignment.Start(f.Clock.Now()) {
-		return merry.Wrap(backend.ErrNotSent, merry.WithCause(errLeaving))
+		return merry.Wrap(backend.ErrNotSent, merry.WithCause(errBlocked))
 	}
 
 	server := upstream.Server{ID: assignment.ID(), Address: assignment.Address()}
@@ -105,7 +105,7 @@
 	case errors.Is(err, backend.ErrRefused):
 		return scheduling.TurnedAway
 	case errors.Is(err, errCallerWrite), errors.Is(err, errRevoked), errors.Is(err, errQuarantined),
-		errors.Is(err, scheduling.ErrNoServer):
+		errors.Is(err, errBlocked), errors.Is(err, scheduling.ErrNoServer):
 		return scheduling.Cancelled
 	case errors.Is(err, unix.ECONNREFUSED):
 		return scheduling.Gone
--- a/forward/fixture_test.go
+++ b/forward/fixture_test.go
@@ -33,6 +33,9 @@
 	notRunHeader = "Not-Run"
 	signHeader   = "Signed"
 	limitHeader  = "Limit"
+	// leavingHeader and backoffHeader hold what a server announced; the latter a duration.
+	leavingHeader = "Leaving"
+	backoffHeader = "Backoff"
 )
 
 // plainProtocol is a protocol with as little as the forwarder needs.
@@ -57,6 +60,9 @@
 		reading.Limit = &rate
 	}
 
+	reading.Leaving = header.Get(leavingHeader) != ""
+	reading.Backoff, _ = time.ParseDuration(header.Get(backoffHeader)) // none where it is not there
+
 	return reading
 }
 
--- a/forward/job.go
+++ b/forward/job.go
@@ -52,8 +52,8 @@
 // errQuarantined means that servers have ended under the request while it waited.
 var errQuarantined = merry.Sentinel("backend servers end under the request")
 
-// errLeaving means that the server began to leave after it was picked.
-var errLeaving = merry.Sentinel("server began to leave")
+// errBlocked means that the server announced after it was picked that it takes no requests.
+var errBlocked = merry.Sentinel("server takes no requests any more")
 
 func (j *job) timeout() time.Duration {
 	timeout := j.route.Timeout
@@ -126,9 +126,9 @@
 
 	var (
 		overload *scheduling.OverloadError
-		limit    *scheduling.LimitError
+		noRoom   *scheduling.NoRoomError
 	)
-	if errors.As(err, &overload) || errors.As(err, &limit) {
+	if errors.As(err, &overload) || errors.As(err, &noRoom) {
 		return false
 	}
 
@@ -164,7 +164,7 @@
 
 	var (
 		overload *scheduling.OverloadError
-		limit    *scheduling.LimitError
+		noRoom   *scheduling.NoRoomError
 	)
 
 	switch {
@@ -180,19 +180,28 @@
 		return notRun(Quarantined, left)
 	case errors.As(err, &overload):
 		return &Refusal{Reason: Overloaded, NotRun: true, RetryAfter: overload.RetryAfter, Cause: err.Error()}
-	case errors.As(err, &limit):
-		return &Refusal{Reason: Overloaded, NotRun: true, RetryAfter: limit.RetryAfter, Cause: err.Error()}
+	case errors.As(err, &noRoom):
+		return &Refusal{Reason: Overloaded, NotRun: true, RetryAfter: noRoom.RetryAfter, Cause: err.Error()}
 	case errors.Is(err, scheduling.ErrNoServer):
 		return &Refusal{Reason: NoServer, NotRun: true, RetryAfter: retryLater, Cause: err.Error()}
 	default:
-		return &Refusal{Reason: Overloaded, NotRun: true, RetryAfter: retryLater, Cause: err.Error()}
+		return &Refusal{Reason: Overloaded, NotRun: true, RetryAfter: j.comeBack(), Cause: err.Error()}
 	}
 }
 
+// comeBack returns when a caller that servers turned away should come back.
+func (j *job) comeBack() time.Duration {
+	if wait, full := j.forwarder.Scheduler.ComeBack(j.forwarder.Clock.Now(), j.service); full {
+		return wait
+	}
+
+	return retryLater
+}
+
 // permit is asked right before the request leaves, after every wait.
 func (j *job) permit(a *scheduling.Assignment) error {
-	if a.Leaving() {
-		return errLeaving
+	if a.Blocked(j.forwarder.Clock.Now()) {
+		return errBlocked
 	}
 
 	if _, held := j.forwarder.Quarantine.Held(j.forwarder.Clock.Now(), j.content); held {
--- a/scheduling/announcements.go
+++ b/scheduling/announcements.go
@@ -30,6 +30,10 @@
 	}
 }
 
+// backoffUntil returns until when the server wants no requests; a time long ago where it
+// never asked.
+func (a *announcements) backoffUntil() time.Time { return time.Unix(0, a.backoff.Load()) }
+
 // inBackoff reports whether the server wants no requests now.
 func (a *announcements) inBackoff(now time.Time) bool {
 	return now.UnixNano() < a.backoff.Load()
--- a/scheduling/assignment.go
+++ b/scheduling/assignment.go
@@ -63,6 +63,12 @@
 // Address returns the server's address.
 func (a *Assignment) Address() string { return a.server.entry().Address }
 
+// Blocked reports whether the server takes no requests now, by what it announced since it was
+// picked.
+func (a *Assignment) Blocked(now time.Time) bool {
+	return a.server.leaves() || a.server.said.inBackoff(now)
+}
+
 // Leaving tells whether the server is known to leave by now.
 func (a *Assignment) Leaving() bool { return a.server.leaves() }
 
@@ -75,9 +81,9 @@
 // Began tells whether the first event has come.
 func (a *Assignment) Began() bool { return a.answering }
 
-// Start counts the attempt, unless the server began to leave.
+// Start counts the attempt, unless the server takes no requests by now.
 func (a *Assignment) Start(now time.Time) bool {
-	if a.server.leaves() {
+	if a.Blocked(now) {
 		return false
 	}
 
--- /dev/null
+++ b/scheduling/backoff_test.go
@@ -0,0 +1,151 @@
+package scheduling
+
+import (
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"monsoonlever/clock"
+	"monsoonlever/fleet"
+	"monsoonlever/register"
+)
+
+// Guards against sends to a server within the time for which it asked for none, whatever
+// comes between: shorter requests for backoff, entries that lapse, other starts.
+func TestHoldsNoSendWithinABackoff(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		at := now
+		s := &Scheduler{Domain: "a"}
+		ids := []fleet.InstanceID{"i-1", "i-2", "i-3"}
+		starts := map[fleet.InstanceID]fleet.Incarnation{"i-1": 1, "i-2": 1, "i-3": 1}
+		ends := make(map[register.Start]time.Time)
+
+		update := func(without fleet.InstanceID) {
+			var servers []register.Server
+
+			for _, id := range ids {
+				if id != without {
+					servers = append(servers, register.Server{ID: id, Incarnation: starts[id], Service: "llm", Domain: "a", Slots: 8})
+				}
+			}
+
+			s.Update(servers)
+		}
+		update("")
+
+		send := func(t *rapid.T) *Assignment {
+			a, err := s.Pick(at, Request{Service: "llm"})
+			if err != nil {
+				return nil
+			}
+
+			if ends[a.Server()].After(at) {
+				t.Errorf("%v: got it picked %v before its backoff ends, want it left alone", a.Server(), ends[a.Server()].Sub(at))
+			}
+
+			return a
+		}
+
+		var waiting []*Assignment
+
+		t.Repeat(map[string]func(*rapid.T){
+			"refused": func(t *rapid.T) {
+				a := send(t)
+				if a == nil || !a.Start(at) {
+					return
+				}
+
+				backoff := time.Duration(rapid.IntRange(1, 5000).Draw(t, "backoff")) * time.Millisecond
+				a.AskedToBackOff(at, backoff)
+				a.End(at, TurnedAway)
+
+				if end := at.Add(backoff); end.After(ends[a.Server()]) {
+					ends[a.Server()] = end
+				}
+			},
+			"placed": func(t *rapid.T) {
+				if a := send(t); a != nil {
+					waiting = append(waiting, a)
+				}
+			},
+			"sent": func(t *rapid.T) {
+				if len(waiting) == 0 {
+					return
+				}
+
+				a := waiting[0]
+				waiting = waiting[1:]
+
+				if a.Start(at) {
+					if ends[a.Server()].After(at) {
+						t.Errorf("%v: got a request sent that was placed before, want it placed anew", a.Server())
+					}
+
+					a.End(at, Served)
+				}
+			},
+			"later":     func(t *rapid.T) { at = at.Add(time.Duration(rapid.IntRange(1, 2000).Draw(t, "ms")) * time.Millisecond) },
+			"lapsed":    func(t *rapid.T) { update(rapid.SampledFrom(ids).Draw(t, "id")) },
+			"all there": func(*rapid.T) { update("") },
+			"started again": func(t *rapid.T) {
+				starts[rapid.SampledFrom(ids).Draw(t, "id")]++
+				update("")
+			},
+			"": func(*rapid.T) {},
+		})
+	})
+}
+
+// Guards against callers that wait in vain, or come back too soon, where all servers asked
+// for backoff.
+func TestARequestIsRefusedAtOnceWhereAllServersAskedForBackoff(t *testing.T) {
+	const backoff = 3 * time.Second
+
+	for name, excluded := range map[string][]fleet.InstanceID{
+		"not tried": nil, "one tried": {"i-0"}, "both tried": {"i-0", "i-1"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := engines(2, 64)
+				askBackoff(t, s, backoff, "i-0", "i-1")
+
+				began := time.Now()
+				_, err := place(t, s, Request{Service: "llm", Excluded: excluded, WaitUntil: began.Add(time.Second)})
+
+				var noRoom *NoRoomError
+				if !errors.As(err, &noRoom) || time.Since(began) > 0 || noRoom.RetryAfter < backoff {
+					t.Errorf("got %v after %v, want it refused at once, to come back after %v", err, time.Since(began), backoff)
+				}
+			})
+		})
+	}
+}
+
+// Guards against refusals where the first server takes requests again in time.
+func TestARequestWaitsForAShortBackoff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := engines(2, 64)
+		askBackoff(t, s, 3*time.Second, "i-0")
+		askBackoff(t, s, 200*time.Millisecond, "i-1")
+
+		began := time.Now()
+
+		a, err := place(t, s, Request{Service: "llm", WaitUntil: began.Add(time.Second)})
+		if err != nil || a.ID() != "i-1" || time.Since(began) < 200*time.Millisecond {
+			t.Errorf("got %v, %v after %v, want i-1 once its backoff is over", a, err, time.Since(began))
+		}
+	})
+}
+
+// askBackoff has servers turn a request away now and ask for backoff.
+func askBackoff(t *testing.T, s *Scheduler, backoff time.Duration, ids ...fleet.InstanceID) {
+	t.Helper()
+
+	for _, id := range ids {
+		a := &Assignment{scheduler: s, server: s.servers[id]}
+		a.AskedToBackOff(clock.System{}.Now(), backoff)
+	}
+}
--- a/scheduling/limit.go
+++ b/scheduling/limit.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"monsoonlever/clock"
+	"monsoonlever/fleet"
 	"monsoonlever/ratelimit"
 	"monsoonlever/register"
 )
@@ -26,18 +27,6 @@
 	askedServers = 3
 )
 
-// LimitError means that all servers that could take a request have had as many as they
-// announced.
-type LimitError struct {
-	// RetryAfter is when the first of them may have room.
-	RetryAfter time.Duration
-}
-
-// Error says when there may be room.
-func (e *LimitError) Error() string {
-	return "servers take no more requests than they announced, try again in " + e.RetryAfter.String()
-}
-
 // permitted reports whether a server that was picked may get the request now. One without
 // room is passed over until it may have some.
 func (s *Scheduler) permitted(ctx context.Context, clk clock.Clock, a *Assignment) bool {
@@ -59,20 +48,27 @@
 	return permit
 }
 
-// awaitRoom lets a request wait for room at one of the servers that limit their requests,
-// the first that may have some. It is refused at once if none has room in time.
+// awaitRoom lets a request wait for room at one of the servers that announced that they take
+// none for now, the first that may have some. It is refused at once if none has room in time.
+// Without an assignment and an error there may be room by now.
 func (s *Scheduler) awaitRoom(ctx context.Context, clk clock.Clock, r Request) (*Assignment, error) {
-	limited := s.limitedFor(&r)
-	if len(limited) == 0 {
-		return nil, ErrNoServer
+	blocked := s.blockedFor(clk.Now(), &r)
+	if len(blocked) == 0 {
+		return nil, s.noServer(clk.Now(), r)
 	}
 
-	for _, one := range limited[:min(len(limited), askedServers)] {
+	for _, one := range blocked[:min(len(blocked), askedServers)] {
 		now := clk.Now()
 		if one.roomAt().After(r.WaitUntil) {
 			break
 		}
 
+		if one.said.inBackoff(now) {
+			clock.Sleep(ctx, clk, one.roomAt().Sub(now))
+
+			return nil, ctx.Err()
+		}
+
 		permit := s.ask(ctx, clk, one, r.WaitUntil.Sub(now))
 		if permit.Granted {
 			clock.Sleep(ctx, clk, permit.Wait)
@@ -85,36 +81,69 @@
 		}
 	}
 
-	return nil, &LimitError{RetryAfter: comeBackAt(clk.Now(), limited)}
+	return nil, &NoRoomError{RetryAfter: comeBackAt(clk.Now(), blocked)}
+}
+
+// blockedFor returns the servers that could take a request if they had room by what they
+// announced, those first that may have it soonest.
+func (s *Scheduler) blockedFor(now time.Time, r *Request) []*server {
+	blocked := s.serversFor(r, func(one *server) bool {
+		limited := s.Permits != nil && one.announced().Rate != ratelimit.Unlimited
+
+		return one.allowed(r) && (limited || one.said.inBackoff(now))
+	})
+
+	// Instances that know of no difference spread over the servers.
+	rand.Shuffle(len(blocked), func(i, j int) { blocked[i], blocked[j] = blocked[j], blocked[i] })
+	slices.SortStableFunc(blocked, func(a, b *server) int { return a.roomAt().Compare(b.roomAt()) })
+
+	return blocked
 }
 
-// limitedFor returns the servers that could take a request if they had room by their
-// limits, those first that may have it soonest.
-func (s *Scheduler) limitedFor(r *Request) []*server {
+// serversFor returns the servers whose version may take a request and that fit.
+func (s *Scheduler) serversFor(r *Request, fits func(*server) bool) []*server {
 	pools := s.current.Load()
-	if pools == nil || s.Permits == nil {
+	if pools == nil {
 		return nil
 	}
 
-	var limited []*server
+	var servers []*server
 
 	for _, one := range r.versions((*pools)[r.Service]) {
-		if one.allowed(r) && one.announced().Rate != ratelimit.Unlimited {
-			limited = append(limited, one)
+		if fits(one) {
+			servers = append(servers, one)
 		}
 	}
 
-	// Instances that know of no difference spread over the servers.
-	rand.Shuffle(len(limited), func(i, j int) { limited[i], limited[j] = limited[j], limited[i] })
-	slices.SortStableFunc(limited, func(a, b *server) int { return a.roomAt().Compare(b.roomAt()) })
+	return servers
+}
 
-	return limited
+// noServer returns the error of a request that no server is left for. Where servers that had
+// it asked for backoff, it says when the first of them takes requests again.
+func (s *Scheduler) noServer(now time.Time, r Request) error {
+	backoff := s.serversFor(&r, func(one *server) bool { return !one.leaves() && one.said.inBackoff(now) })
+	if len(backoff) == 0 {
+		return ErrNoServer
+	}
+
+	return &NoRoomError{RetryAfter: comeBackAt(now, backoff)}
+}
+
+// ComeBack returns when a caller of a service should come back if none of its servers takes a
+// request now by what they announced, and whether that is so.
+func (s *Scheduler) ComeBack(now time.Time, service fleet.Service) (time.Duration, bool) {
+	servers := s.serversFor(&Request{Service: service}, func(one *server) bool { return !one.leaves() })
+	if len(servers) == 0 || slices.ContainsFunc(servers, func(one *server) bool { return !one.full(now) }) {
+		return 0, false
+	}
+
+	return comeBackAt(now, servers), true
 }
 
 // comeBackAt returns when a caller that is refused should come back: once the first of
 // some servers may have room. Those that are refused together come back apart.
-func comeBackAt(now time.Time, limited []*server) time.Duration {
-	first := slices.MinFunc(limited, func(a, b *server) int { return a.roomAt().Compare(b.roomAt()) })
+func comeBackAt(now time.Time, blocked []*server) time.Duration {
+	first := slices.MinFunc(blocked, func(a, b *server) int { return a.roomAt().Compare(b.roomAt()) })
 	wait := max(first.roomAt().Sub(now), leastComeBack)
 
 	return wait + rand.N(wait)
@@ -251,11 +280,18 @@
 	}
 }
 
-// full reports whether a server is known to have no room by its limit.
+// full reports whether a server is known to have no room by what it announced.
 func (s *server) full(now time.Time) bool { return now.Before(s.roomAt()) }
 
 // roomAt returns when a server may have room.
-func (s *server) roomAt() time.Time { return s.limit().fullUntil }
+func (s *server) roomAt() time.Time {
+	full, backoff := s.limit().fullUntil, s.said.backoffUntil()
+	if backoff.After(full) {
+		return backoff
+	}
+
+	return full
+}
 
 // Limited returns how many servers announce a limit.
 func (s *Scheduler) Limited() int {
--- a/scheduling/limit_test.go
+++ b/scheduling/limit_test.go
@@ -113,9 +113,9 @@
 					return
 				}
 
-				var limit *LimitError
+				var limit *NoRoomError
 				if !errors.As(err, &limit) || limit.RetryAfter < room || took != 0 {
-					t.Errorf("got %v after %v, want a LimitError at once, to come back after %v", err, took, room)
+					t.Errorf("got %v after %v, want a NoRoomError at once, to come back after %v", err, took, room)
 				}
 
 				if got, want := len(p.asked), 2; got != want {
--- a/scheduling/place.go
+++ b/scheduling/place.go
@@ -48,7 +48,7 @@
 // Place chooses a server as Pick does, holds a prompt back that can't begin in time while
 // servers are busy with others that can, and returns an OverloadError once it has to be
 // given up. A server that limits its requests is chosen only with a permit; where no other
-// server is left the request waits for one, or gets a LimitError. Place waits until ctx
+// server is left the request waits for one, or gets a NoRoomError. Place waits until ctx
 // ends at most.
 func (s *Scheduler) Place(ctx context.Context, clk clock.Clock, r Request) (*Assignment, error) {
 	asked := 0
@@ -60,7 +60,11 @@
 		if errors.Is(err, ErrNoServer) {
 			r.withoutLimit = false
 
-			return s.awaitRoom(ctx, clk, r)
+			if a, err := s.awaitRoom(ctx, clk, r); a != nil || err != nil {
+				return a, err
+			}
+
+			continue
 		}
 
 		if err != nil {
