fix(forward): a request that is lost after the end of its server is known asks for no second connection

Callers saw nothing of it.

Cause: requests that were lost together shared the answer only while the first of them asked. One that was noticed a millisecond after that asked again, 20 ms and a connection more. In the test the manual clock moves on before all have begun to ask; on a busy instance the scheduler does the same.

The end is noted with the answer, and who comes later takes that.

--- a/forward/ended.go
+++ b/forward/ended.go
@@ -42,7 +42,6 @@
 		}
 
 		now := f.Clock.Now()
-		a.Ended(now)
 		f.Quarantine.Lost(now, content, a.Server(), evidence)
 		_, held := f.Quarantine.Held(now, content)
 		klog.InfoS("backend server ended under a request", "server", a.ID(), "id", id, "content", content,
@@ -50,15 +49,25 @@
 	}()
 }
 
-// ended tells whether a server has ended without having said that it would. Requests that
-// were lost together share the answer.
+// ended reports whether a server has ended without having said that it would. Requests that
+// were lost together share the answer, also one that is noticed after the others have it.
 func (f *Forwarder) ended(ctx context.Context, a *scheduling.Assignment) bool {
 	server := upstream.Server{ID: a.ID(), Address: a.Address()}
 
 	ended, _, _ := f.endings.Do(string(server.ID), func() (any, error) {
+		if a.KnownEnded(f.Clock.Now()) {
+			return !a.Leaving(), nil
+		}
+
 		clock.Sleep(ctx, f.Clock, endingTime)
 
-		return !a.Leaving() && f.Pool.Ended(ctx, server) && !a.Leaving(), nil
+		if a.Leaving() || !f.Pool.Ended(ctx, server) || a.Leaving() {
+			return false, nil
+		}
+
+		a.Ended(f.Clock.Now())
+
+		return true, nil
 	})
 
 	return ended == true
--- a/forward/quarantine_test.go
+++ b/forward/quarantine_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -288,6 +289,47 @@
 	}
 }
 
+// Guards against another connection for each request that is lost after the end is known.
+func TestALateLossTakesNoSecondConnection(t *testing.T) {
+	f := newFarm(t)
+	f.Scheduler.Update([]register.Server{{ID: "llm-1", Service: "llm", Address: "llm-1", Domain: "a", Slots: 8}})
+
+	var arrived sync.WaitGroup
+
+	arrived.Add(2)
+
+	release := [2]chan struct{}{make(chan struct{}), make(chan struct{})}
+	f.answer = func(_ string, n int, r *http.Request) string {
+		arrived.Done()
+		<-release[n-1]
+
+		return stream(r, 1, 0, true)
+	}
+
+	done := make(chan struct{}, 2)
+
+	for _, id := range []string{"first", "second"} {
+		go func() {
+			f.call("tell", id)
+
+			done <- struct{}{}
+		}()
+	}
+
+	arrived.Wait()
+	f.ended["llm-1"].Store(true)
+
+	for i := range release {
+		close(release[i])
+		<-done
+		f.settle()
+	}
+
+	if got := f.probed.Load(); got != 1 {
+		t.Errorf("connections to a server that ended: got %d, want one", got)
+	}
+}
+
 // What the end of a server says of a request is most where its answer had just begun, and
 // never nothing: a request may end its server at any event.
 func TestTheEndOfAServerSpeaksMostAgainstWhatHadJustBegun(t *testing.T) {
--- a/scheduling/server.go
+++ b/scheduling/server.go
@@ -326,7 +326,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
-	if now.Sub(s.endedAt) < avoidUnreachable {
+	if s.hasEndedLocked(now) {
 		return false
 	}
 
@@ -336,6 +336,16 @@
 	return true
 }
 
+// hasEnded reports whether the program of the server was found to have ended a moment ago.
+func (s *server) hasEnded(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.hasEndedLocked(now)
+}
+
+func (s *server) hasEndedLocked(now time.Time) bool { return now.Sub(s.endedAt) < avoidUnreachable }
+
 func (s *server) avoided(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
