feat(scheduling): requests return apart, and one at a time, to a server whose backoff is over

Baseline: all instances return when the backoff ends. What binds: a server that turned nine instances away at one moment gets all of them back at one moment and turns them away again; a request that goes to one server only is refused to find that out.

Hypothesis: spread over a part of the backoff, one request at a time until the server has taken one, and for a second none that could not go elsewhere.

--- a/entry/parts.go
+++ b/entry/parts.go
@@ -147,7 +147,7 @@
 		retries: newRetries(s.Bounds),
 		scheduler: &scheduling.Scheduler{
 			Domain: s.FailureDomain, OnLimit: logLimit, OnBackoff: logBackoff,
-			Counters: scheduling.NewCounters(set),
+			Return: scheduling.DefaultReturn, Counters: scheduling.NewCounters(set),
 		},
 		members:    &board.Members{},
 		quarantine: &quarantine.Ledger{},
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -140,6 +140,10 @@
 		assignment.AskedToBackOff(f.Clock.Now(), reading.Backoff)
 	}
 
+	if !reading.NotRun && reading.Backoff == 0 {
+		assignment.Accepted()
+	}
+
 	if reading.NotRun {
 		// The body says nothing more, but reading it keeps the connection.
 		_, _ = answer.ReadAll(f.MaxAnswerBytes)
--- a/scheduling/announcements.go
+++ b/scheduling/announcements.go
@@ -10,33 +10,38 @@
 type announcements struct {
 	// leaving is final.
 	leaving atomic.Bool
-	// backoff is when the server takes requests of this instance again, in Unix
-	// nanoseconds; zero where it never asked.
-	backoff atomic.Int64
+	// backoff is nil where the server never asked for one, or has taken a request since.
+	backoff atomic.Pointer[backoff]
 }
 
-// askBackoff takes in until when the server wants no requests. The latest time counts: each
-// answer binds by itself. It reports whether no earlier one was still in force.
-func (a *announcements) askBackoff(now, until time.Time) bool {
+// askBackoff takes in that the server wants no requests for some time. The latest end counts:
+// each answer binds by itself. It reports whether no earlier one was still in force.
+func (a *announcements) askBackoff(now time.Time, length time.Duration, policy ReturnPolicy) bool {
+	next := newBackoff(now.Add(length), length, policy)
+
 	for {
 		known := a.backoff.Load()
-		if until.UnixNano() <= known {
+		if known != nil && !next.until.After(known.until) {
 			return false
 		}
 
-		if a.backoff.CompareAndSwap(known, until.UnixNano()) {
-			return now.UnixNano() >= known
+		if a.backoff.CompareAndSwap(known, next) {
+			return !known.active(now)
 		}
 	}
 }
 
-// backoffUntil returns until when the server wants no requests; a time long ago where it
-// never asked.
-func (a *announcements) backoffUntil() time.Time { return time.Unix(0, a.backoff.Load()) }
-
 // inBackoff reports whether the server wants no requests now.
-func (a *announcements) inBackoff(now time.Time) bool {
-	return now.UnixNano() < a.backoff.Load()
+func (a *announcements) inBackoff(now time.Time) bool { return a.backoff.Load().active(now) }
+
+// returns is when requests are sent to the server again; zero where it never asked for
+// backoff, or has taken a request since.
+func (a *announcements) returns() time.Time {
+	if b := a.backoff.Load(); b != nil {
+		return b.returns
+	}
+
+	return time.Time{}
 }
 
 // AnnouncedLeaving takes in that an answer to this attempt said that the server leaves.
@@ -51,11 +56,19 @@
 // the server wants no further requests from this instance.
 func (a *Assignment) AskedToBackOff(now time.Time, backoff time.Duration) {
 	s := a.scheduler
-	if a.server.said.askBackoff(now, now.Add(backoff)) && s.OnBackoff != nil {
+	if a.server.said.askBackoff(now, backoff, s.Return) && s.OnBackoff != nil {
 		s.OnBackoff(a.Server(), backoff)
 	}
 }
 
+// Accepted takes in that the server took the request: requests are no longer held back where
+// this one was to show that.
+func (a *Assignment) Accepted() {
+	if a.trial != nil {
+		a.server.said.backoff.CompareAndSwap(a.trial, nil)
+	}
+}
+
 // countServers returns how many known servers have a property.
 func (s *Scheduler) countServers(has func(*server) bool) int {
 	servers := s.byKey.Load()
--- a/scheduling/assignment.go
+++ b/scheduling/assignment.go
@@ -48,6 +48,9 @@
 	// meter is nil for requests without a prompt.
 	meter *meter
 
+	// trial is the backoff whose end this attempt shows, or nil.
+	trial *backoff
+
 	startedAt time.Time
 	started   bool
 	answering bool
@@ -90,6 +93,13 @@
 		return false
 	}
 
+	b := a.server.said.backoff.Load()
+	if !b.begin(now) {
+		return false
+	}
+
+	a.trial = b
+
 	a.scheduler.noteSend(now, a.server)
 	a.server.running.Add(1)
 	a.server.pending.Add(int64(a.unread))
@@ -136,6 +146,10 @@
 
 	a.server.running.Add(-1)
 
+	if a.trial != nil {
+		a.trial.trial.Store(false)
+	}
+
 	if !a.answering && a.unread > 0 {
 		a.server.pending.Add(-int64(a.unread))
 		a.scheduler.changed(a.server, nil, true)
--- /dev/null
+++ b/scheduling/backoff.go
@@ -0,0 +1,71 @@
+package scheduling
+
+import (
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+)
+
+// ReturnPolicy says how an instance returns to a server whose backoff is over. All instances
+// that it turned away at one moment would return at one moment, and find it overloaded again.
+type ReturnPolicy struct {
+	// Spread is the part of a backoff over which instances return, drawn by each for itself.
+	Spread float64
+	// HalfOpen sends one request at a time until the server has taken one.
+	HalfOpen bool
+	// Spare keeps requests that can't be sent to another server from being that one for some
+	// time, as long as others can take them.
+	Spare time.Duration
+}
+
+// DefaultReturn is the policy of entry instances.
+var DefaultReturn = ReturnPolicy{Spread: 0.2, HalfOpen: true, Spare: time.Second}
+
+// backoff is the newest time for which a server asked for no requests. It is half-open from
+// returns on, until the server has taken a request.
+type backoff struct {
+	until   time.Time
+	returns time.Time
+	policy  ReturnPolicy
+	// trial is set while a request is under way that shows whether the server takes some.
+	trial atomic.Bool
+}
+
+func newBackoff(until time.Time, length time.Duration, policy ReturnPolicy) *backoff {
+	b := &backoff{until: until, returns: until, policy: policy}
+	if spread := time.Duration(policy.Spread * float64(length)); spread > 0 {
+		b.returns = until.Add(rand.N(spread))
+	}
+
+	return b
+}
+
+// active reports whether no request is sent now.
+func (b *backoff) active(now time.Time) bool { return b != nil && now.Before(b.returns) }
+
+// blocks reports whether a request that may be sent to other servers waits for a trial, or
+// for the end of the backoff.
+func (b *backoff) blocks(now time.Time, r *Request) bool {
+	if b == nil {
+		return false
+	}
+
+	if b.active(now) || b.trial.Load() {
+		return true
+	}
+
+	return r.Final && !r.tries && now.Before(b.returns.Add(b.policy.Spare))
+}
+
+// begin counts a request that is sent, and reports whether it may be.
+func (b *backoff) begin(now time.Time) bool {
+	if b == nil {
+		return true
+	}
+
+	if b.active(now) {
+		return false
+	}
+
+	return !b.policy.HalfOpen || b.trial.CompareAndSwap(false, true)
+}
--- a/scheduling/backoff_test.go
+++ b/scheduling/backoff_test.go
@@ -143,9 +143,122 @@
 // askBackoff has servers turn a request away now and ask for backoff.
 func askBackoff(t *testing.T, s *Scheduler, backoff time.Duration, ids ...fleet.InstanceID) {
 	t.Helper()
+	askBackoffAt(t, s, clock.System{}.Now(), backoff, ids...)
+}
+
+// Guards against a server that is flooded when its backoff ends.
+func TestOneRequestAtATimeIsSentUntilAServerTakesOne(t *testing.T) {
+	s := engines(1, 64)
+	s.Return = ReturnPolicy{HalfOpen: true}
+	askBackoffAt(t, s, now, time.Second, "i-0")
+
+	at := now.Add(time.Second)
+	first, second := pickAt(t, s, at, Request{Service: "llm"}), pickAt(t, s, at, Request{Service: "llm"})
+
+	if !first.Start(at) || second.Start(at) {
+		t.Fatal("two requests at the end of a backoff: got the first held back or the second sent, want the first alone sent")
+	}
+
+	first.End(at, Failed)
+
+	third := pickAt(t, s, at, Request{Service: "llm"})
+	if !third.Start(at) {
+		t.Fatal("after the first failed: got the next held back, want it sent")
+	}
+
+	if _, err := s.Pick(at, Request{Service: "llm"}); !errors.Is(err, ErrNoServer) {
+		t.Errorf("while it is under way: got %v, want no server", err)
+	}
+
+	third.Accepted()
+
+	for range 2 {
+		if !pickAt(t, s, at, Request{Service: "llm"}).Start(at) {
+			t.Error("after the server took one: got a request held back, want it sent")
+		}
+	}
+}
+
+// Guards against callers whose requests go to one server only being refused to find out
+// whether a server takes requests again.
+func TestAFinalRequestIsNoTrialWhereOthersHaveRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := engines(2, 64)
+		s.Return = ReturnPolicy{HalfOpen: true, Spare: time.Second}
+		askBackoff(t, s, time.Second, "i-0")
+		time.Sleep(time.Second)
+
+		final := Request{Service: "llm", Final: true}
+
+		for range 8 {
+			if a, err := place(t, s, final); err != nil || a.ID() != "i-1" {
+				t.Fatalf("got %v, %v, want the server that takes requests", a, err)
+			}
+		}
+
+		final.Excluded = []fleet.InstanceID{"i-1"}
+
+		if a, err := place(t, s, final); err != nil || a.ID() != "i-0" {
+			t.Errorf("no other server is left: got %v, %v, want the trial", a, err)
+		}
+
+		time.Sleep(time.Second)
+
+		final.Excluded = nil
+		s.servers["i-1"].running.Add(60)
+
+		if a, err := place(t, s, final); err != nil || a.ID() != "i-0" {
+			t.Errorf("after it was spared for a second: got %v, %v, want the idle server", a, err)
+		}
+	})
+}
+
+// Guards against waits for a trial that are longer than their request's objective.
+func TestARequestWaitsForATrialWithinItsObjective(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := engines(1, 64)
+		s.Return = ReturnPolicy{HalfOpen: true}
+		askBackoff(t, s, time.Second, "i-0")
+		time.Sleep(time.Second)
+
+		trial := pickAt(t, s, time.Now(), Request{Service: "llm"})
+		trial.Start(time.Now())
+
+		began := time.Now()
+
+		var noRoom *NoRoomError
+		if _, err := place(t, s, Request{Service: "llm", WaitUntil: began.Add(500 * time.Millisecond)}); !errors.As(err, &noRoom) {
+			t.Errorf("got %v, want it refused for want of room", err)
+		}
+
+		if took := time.Since(began); took > 500*time.Millisecond {
+			t.Errorf("refused after %v, want within the objective", took)
+		}
+
+		time.AfterFunc(100*time.Millisecond, trial.Accepted)
+
+		if _, err := place(t, s, Request{Service: "llm", WaitUntil: time.Now().Add(500 * time.Millisecond)}); err != nil {
+			t.Errorf("the server takes requests again: got %v, want the request placed", err)
+		}
+	})
+}
+
+func pickAt(t *testing.T, s *Scheduler, at time.Time, r Request) *Assignment {
+	t.Helper()
+
+	a, err := s.Pick(at, r)
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	return a
+}
+
+func askBackoffAt(t *testing.T, s *Scheduler, at time.Time, backoff time.Duration, ids ...fleet.InstanceID) {
+	t.Helper()
 
 	for _, id := range ids {
 		a := &Assignment{scheduler: s, server: s.servers[id]}
-		a.AskedToBackOff(clock.System{}.Now(), backoff)
+		a.AskedToBackOff(at, backoff)
 	}
 }
--- a/scheduling/limit.go
+++ b/scheduling/limit.go
@@ -59,16 +59,21 @@
 
 	for _, one := range blocked[:min(len(blocked), askedServers)] {
 		now := clk.Now()
-		if one.roomAt().After(r.WaitUntil) {
-			break
-		}
+		if one.said.backoff.Load().blocks(now, &r) {
+			wait := max(one.roomAt().Sub(now), holdEvery)
+			if now.Add(wait).After(r.WaitUntil) {
+				break
+			}
 
-		if one.said.inBackoff(now) {
-			clock.Sleep(ctx, clk, one.roomAt().Sub(now))
+			clock.Sleep(ctx, clk, wait)
 
 			return nil, ctx.Err()
 		}
 
+		if one.roomAt().After(r.WaitUntil) {
+			break
+		}
+
 		permit := s.ask(ctx, clk, one, r.WaitUntil.Sub(now))
 		if permit.Granted {
 			clock.Sleep(ctx, clk, permit.Wait)
@@ -90,7 +95,7 @@
 	blocked := s.serversFor(r, func(one *server) bool {
 		limited := s.Permits != nil && one.announced().Rate != ratelimit.Unlimited
 
-		return one.allowed(r) && (limited || one.said.inBackoff(now))
+		return one.allowed(r) && (limited || one.said.backoff.Load().blocks(now, r))
 	})
 
 	// Instances that know of no difference spread over the servers.
@@ -121,7 +126,7 @@
 // noServer returns the error of a request that no server is left for. Where servers that had
 // it asked for backoff, it says when the first of them takes requests again.
 func (s *Scheduler) noServer(now time.Time, r Request) error {
-	backoff := s.serversFor(&r, func(one *server) bool { return !one.leaves() && one.said.inBackoff(now) })
+	backoff := s.serversFor(&r, func(one *server) bool { return !one.leaves() && one.said.backoff.Load().blocks(now, &r) })
 	if len(backoff) == 0 {
 		return ErrNoServer
 	}
@@ -285,7 +290,7 @@
 
 // roomAt returns when a server may have room.
 func (s *server) roomAt() time.Time {
-	full, backoff := s.limit().fullUntil, s.said.backoffUntil()
+	full, backoff := s.limit().fullUntil, s.said.returns()
 	if backoff.After(full) {
 		return backoff
 	}
--- a/scheduling/place.go
+++ b/scheduling/place.go
@@ -58,6 +58,12 @@
 
 		a, err := s.Pick(now, r)
 		if errors.Is(err, ErrNoServer) {
+			if r.Final && !r.tries {
+				r.tries = true
+
+				continue
+			}
+
 			r.withoutLimit = false
 
 			if a, err := s.awaitRoom(ctx, clk, r); a != nil || err != nil {
--- a/scheduling/scheduling.go
+++ b/scheduling/scheduling.go
@@ -73,6 +73,12 @@
 	// other server takes it.
 	WaitUntil time.Time
 
+	// Final requests are sent to no other server if this one turns them away.
+	Final bool
+
+	// tries is set once no other server is left: a final request may be the one that shows
+	// whether a server takes requests again.
+	tries bool
 	// withoutLimit is set once a few servers without room were asked: only others are
 	// picked from then on.
 	withoutLimit bool
@@ -92,6 +98,8 @@
 	// where one asks for no requests for some time; both may be nil.
 	OnLeaving func(register.Start)
 	OnBackoff func(server register.Start, backoff time.Duration)
+	// Return says how requests return to a server that asked for backoff.
+	Return ReturnPolicy
 	// Counters may be nil.
 	Counters *Counters
 
