fix(scheduling): a limit that a server announced outlives an entry that lapses

Entries lapse while the store is away and come back with it; until the server announced its limit again, to an instance that sent it something, it got what it had said it can't take.

The limit belongs to the announcements of a start now, beside leaving and backoff. TestALimitAndABackoffOutliveTheEntry failed before (no limit, 1.5 wanted).

--- a/scheduling/announcements.go
+++ b/scheduling/announcements.go
@@ -1,17 +1,21 @@
 package scheduling
 
 import (
+	"sync"
 	"sync/atomic"
 	"time"
 )
 
-// announcements are what one start of a backend server said of itself in its answers to
-// this instance. They hold for that start alone, and for as long as it runs.
+// announcements are what one start of a backend server said of itself in its answers. They hold for that start alone, and for as long as it runs.
 type announcements struct {
 	// leaving is final.
 	leaving atomic.Bool
 	// backoff is nil where the server never asked for one, or has taken a request since.
 	backoff atomic.Pointer[backoff]
+
+	mu sync.Mutex
+	// limited is nil until the server announces a limit. It is replaced under mu.
+	limited atomic.Pointer[limited]
 }
 
 // askBackoff takes in that the server wants no requests for some time. The latest end counts:
--- a/scheduling/announcements_test.go
+++ b/scheduling/announcements_test.go
@@ -3,7 +3,9 @@
 import (
 	"errors"
 	"testing"
+	"time"
 
+	"monsoonlever/ratelimit"
 	"monsoonlever/register"
 )
 
@@ -41,6 +43,34 @@
 	pick(t, s, Request{Service: "llm"})
 }
 
+// Guards against a limit, and a backoff, that are forgotten while the entry of their server
+// lapses.
+func TestALimitAndABackoffOutliveTheEntry(t *testing.T) {
+	s := &Scheduler{Domain: "a"}
+	s.Update([]register.Server{startOf(500)})
+
+	a := pick(t, s, Request{Service: "llm"})
+	a.Start(now)
+	a.Announced(now, 1.5)
+	a.AskedToBackOff(now, 3*time.Second)
+	a.End(now, TurnedAway)
+
+	s.Update(nil)
+	s.Update([]register.Server{startOf(500)})
+
+	one := s.servers["i-1"]
+	if got := one.announced().Rate; got != 1.5 || !one.said.inBackoff(now) {
+		t.Errorf("after the entry came back: got limit %v and backoff %t, want 1.5 and true", got, one.said.inBackoff(now))
+	}
+
+	s.Update([]register.Server{startOf(900)})
+
+	one = s.servers["i-1"]
+	if got := one.announced().Rate; got != ratelimit.Unlimited || one.said.inBackoff(now) {
+		t.Errorf("another start: got limit %v and backoff %t, want neither", got, one.said.inBackoff(now))
+	}
+}
+
 // Guards against a log line and a change of the register for each answer of a server that leaves.
 func TestALeaveIsNotedOnce(t *testing.T) {
 	var got []register.Start
--- a/scheduling/limit.go
+++ b/scheduling/limit.go
@@ -172,7 +172,7 @@
 
 // Announced takes in which limit, or none, an answer to this attempt announced.
 func (a *Assignment) Announced(now time.Time, rate ratelimit.Rate) {
-	if rate == ratelimit.Unlimited && a.server.limited.Load() == nil {
+	if rate == ratelimit.Unlimited && a.server.said.limited.Load() == nil {
 		return
 	}
 
@@ -242,7 +242,7 @@
 
 // limit returns what is known of the server's limit.
 func (s *server) limit() limited {
-	if known := s.limited.Load(); known != nil {
+	if known := s.said.limited.Load(); known != nil {
 		return *known
 	}
 
@@ -251,8 +251,8 @@
 
 // announce returns the announcement before, and whether the next one is newer.
 func (s *server) announce(next ratelimit.Announcement) (ratelimit.Announcement, bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.said.mu.Lock()
+	defer s.said.mu.Unlock()
 
 	before := s.limit()
 	after := limited{announced: before.announced.Newest(next), fullUntil: before.fullUntil}
@@ -265,7 +265,7 @@
 		after.fullUntil = time.Time{}
 	}
 
-	s.limited.Store(&after)
+	s.said.limited.Store(&after)
 
 	return before.announced, true
 }
@@ -275,13 +275,13 @@
 
 // fill notes that a server has no room until a time.
 func (s *server) fill(until time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.said.mu.Lock()
+	defer s.said.mu.Unlock()
 
 	known := s.limit()
 	if known.announced.Rate != ratelimit.Unlimited {
 		known.fullUntil = until
-		s.limited.Store(&known)
+		s.said.limited.Store(&known)
 	}
 }
 
--- a/scheduling/server.go
+++ b/scheduling/server.go
@@ -64,8 +64,6 @@
 	// gone is set once the register has no entry of this start.
 	gone atomic.Bool
 	said *announcements
-	// limited is nil until the server announces a limit. It is replaced under mu.
-	limited atomic.Pointer[limited]
 	// running are the requests of this instance in progress, and pending the
 	// unread tokens of those whose answer has not begun.
 	running atomic.Int64
