--- a/entry/parts.go
+++ b/entry/parts.go
@@ -125,8 +125,8 @@
 	built    time.Time
 	stopping atomic.Bool
 	open     atomic.Int64
-	// answerFields notices fields of answers that nothing reads.
-	answerFields platform.AnswerFields
+	// unknownFields notices fields that others write and nothing reads.
+	unknownFields platform.UnknownFields
 	// unusable counts entries of backend servers that name none.
 	unusable *metrics.Counter
 }
@@ -175,7 +175,7 @@
 	p.pool = &upstream.Pool{Clock: e.Clock, Counters: upstream.NewCounters(set)}
 	p.forwarder = &forward.Forwarder{
 		Clock: e.Clock, Rules: &p.rules, Currency: p.currency, Limits: p.loans, Retries: p.retries,
-		Scheduler: p.scheduler, Pool: p.pool, Protocol: platform.Protocol{Fields: &p.answerFields}, Usage: p.counter,
+		Scheduler: p.scheduler, Pool: p.pool, Protocol: platform.Protocol{Fields: &p.unknownFields}, Usage: p.counter,
 		Versions: &p.rollouts.gate, Trials: &p.rollouts.counter,
 		Quarantine: p.quarantine, Counters: forward.NewCounters(set), MaxAnswerBytes: maxAnswerBytes, Observe: e.logOutcome,
 	}
@@ -214,7 +214,7 @@
 	set.NewGauge("monsoonlever_entry_backoff_servers", func() float64 {
 		return float64(p.scheduler.BackoffServers(p.clock.Now()))
 	})
-	set.NewGauge("monsoonlever_entry_unknown_answer_fields", func() float64 { return float64(p.answerFields.Unknown()) })
+	set.NewGauge("monsoonlever_entry_unknown_fields", func() float64 { return float64(p.unknownFields.Count()) })
 	set.NewGauge("monsoonlever_entry_rules_age_seconds", func() float64 {
 		age, _ := p.currency.Age()
 
--- a/entry/rules.go
+++ b/entry/rules.go
@@ -57,12 +57,27 @@
 		return
 	}
 
+	p.checkRules(newest.Data, rules.Limits())
 	p.limits.Configure(p.allowances(rules))
 	p.rules.Store(rules)
 	p.shareConnections()
 	klog.InfoS("rules in force", "version", rules.Version(), "offset", newest.At)
 }
 
+// checkRules logs what the operators' rules say that this instance does not follow. Fields are
+// looked at in the first rules alone: rules may be large, and new fields come with a change of
+// the platform.
+func (p *parts) checkRules(data []byte, limits ruleset.Limits) {
+	if p.rules.Load() == nil {
+		p.unknownFields.CheckRules(data)
+	}
+
+	if limits.HeaderBytes > maxHeaderBytes || limits.HeaderTimeout > headerTimeout || limits.IdleTimeout > idleTimeout {
+		klog.InfoS("rules allow callers more than this instance does", "headerBytes", limits.HeaderBytes,
+			"headerTimeout", limits.HeaderTimeout, "idleTimeout", limits.IdleTimeout)
+	}
+}
+
 // allowances maps the limits of client accounts to what operators allow within
 // their window, its tolerance included.
 func (p *parts) allowances(rules *ruleset.Ruleset) []quota.Allowance {
@@ -125,7 +140,7 @@
 		return c
 	}
 
-	s, err := platform.DecodeServer(e.Key, e.Data, now)
+	s, err := platform.DecodeServer(e.Key, e.Data, now, &p.unknownFields)
 	if err != nil {
 		p.unusable.Inc()
 		klog.ErrorS(err, "entry of a backend server is not used", "offset", e.At)
