fix(scheduling): a request is placed anew where a backoff ends while it is being refused

By reading, not seen: between the look that finds no server and the one that says when to come back, a backoff may end or the one request that tests a server may be accepted. The second look then found no server in backoff and none to wait for, and the caller was refused as if there were no server. It looks again now. TestARequestIsPlacedAnewWhereAServerTakesRequestsAgain failed before.

What a server announced is called announcements throughout, in place of said.

--- a/scheduling/announcements.go
+++ b/scheduling/announcements.go
@@ -6,7 +6,8 @@
 	"time"
 )
 
-// announcements are what one start of a backend server said of itself in its answers. They hold for that start alone, and for as long as it runs.
+// announcements are what one start of a backend server announced in its answers. They hold
+// for that start alone, and for as long as it runs.
 type announcements struct {
 	// leaving is final.
 	leaving atomic.Bool
@@ -48,10 +49,10 @@
 	return time.Time{}
 }
 
-// AnnouncedLeaving takes in that an answer to this attempt said that the server leaves.
+// AnnouncedLeaving takes in that an answer to this attempt announced that the server leaves.
 func (a *Assignment) AnnouncedLeaving() {
 	s := a.scheduler
-	if !a.server.said.leaving.Swap(true) && s.OnLeaving != nil {
+	if !a.server.announcements.leaving.Swap(true) && s.OnLeaving != nil {
 		s.OnLeaving(a.Server())
 	}
 }
@@ -60,7 +61,7 @@
 // the server wants no further requests from this instance.
 func (a *Assignment) AskedToBackOff(now time.Time, backoff time.Duration) {
 	s := a.scheduler
-	if a.server.said.askBackoff(now, backoff, s.Return) && s.OnBackoff != nil {
+	if a.server.announcements.askBackoff(now, backoff, s.Return) && s.OnBackoff != nil {
 		s.OnBackoff(a.Server(), backoff)
 	}
 }
@@ -69,7 +70,7 @@
 // this one was to show that.
 func (a *Assignment) Accepted() {
 	if a.trial != nil {
-		a.server.said.backoff.CompareAndSwap(a.trial, nil)
+		a.server.announcements.backoff.CompareAndSwap(a.trial, nil)
 	}
 }
 
@@ -93,21 +94,21 @@
 
 // LeavingServers returns how many known servers announced in an answer that they leave.
 func (s *Scheduler) LeavingServers() int {
-	return s.countServers(func(one *server) bool { return one.said.leaving.Load() })
+	return s.countServers(func(one *server) bool { return one.announcements.leaving.Load() })
 }
 
 // BackoffServers returns how many known servers want no requests of this instance now.
 func (s *Scheduler) BackoffServers(now time.Time) int {
-	return s.countServers(func(one *server) bool { return one.said.inBackoff(now) })
+	return s.countServers(func(one *server) bool { return one.announcements.inBackoff(now) })
 }
 
 // noteSend counts a send that the server announced it does not want.
 func (s *Scheduler) noteSend(now time.Time, one *server) {
-	if one.said.leaving.Load() {
+	if one.announcements.leaving.Load() {
 		s.Counters.sentToLeaving()
 	}
 
-	if one.said.inBackoff(now) {
+	if one.announcements.inBackoff(now) {
 		s.Counters.sentInBackoff()
 	}
 }
--- a/scheduling/assignment.go
+++ b/scheduling/assignment.go
@@ -69,7 +69,7 @@
 // Blocked reports whether the server takes no requests now, by what it announced since it was
 // picked.
 func (a *Assignment) Blocked(now time.Time) bool {
-	return a.server.leaves() || a.server.said.inBackoff(now)
+	return a.server.leaves() || a.server.announcements.inBackoff(now)
 }
 
 // Leaving tells whether the server is known to leave by now.
@@ -93,7 +93,7 @@
 		return false
 	}
 
-	b := a.server.said.backoff.Load()
+	b := a.server.announcements.backoff.Load()
 	if !b.begin(now) {
 		return false
 	}
--- a/scheduling/backoff.go
+++ b/scheduling/backoff.go
@@ -18,7 +18,8 @@
 	Spare time.Duration
 }
 
-// DefaultReturn is the policy of entry instances.
+// DefaultReturn is the policy of entry instances: it spreads them over a part of the backoff
+// that callers hardly notice, and leaves a second for a request that can go elsewhere.
 var DefaultReturn = ReturnPolicy{Spread: 0.2, HalfOpen: true, Spare: time.Second}
 
 // backoff is the newest time for which a server asked for no requests. It is half-open from
@@ -54,7 +55,7 @@
 		return true
 	}
 
-	return r.Final && !r.tries && now.Before(b.returns.Add(b.policy.Spare))
+	return r.Final && !r.mayTest && now.Before(b.returns.Add(b.policy.Spare))
 }
 
 // begin counts a request that is sent, and reports whether it may be.
--- a/scheduling/backoff_test.go
+++ b/scheduling/backoff_test.go
@@ -262,3 +262,12 @@
 		a.AskedToBackOff(at, backoff)
 	}
 }
+
+// Guards against a refusal where a backoff ends between two looks at the servers.
+func TestARequestIsPlacedAnewWhereAServerTakesRequestsAgain(t *testing.T) {
+	s := engines(1, 64)
+
+	if a, err := s.awaitRoom(t.Context(), clock.System{}, Request{Service: "llm"}); a != nil || err != nil {
+		t.Errorf("a server takes requests by now: got %v, %v, want neither, to look again", a, err)
+	}
+}
--- a/scheduling/candidates.go
+++ b/scheduling/candidates.go
@@ -57,7 +57,7 @@
 
 // fits reports whether a request may be sent to a server now.
 func (s *server) fits(now time.Time, r *Request) bool {
-	return s.allowed(r) && !s.full(now) && !s.said.backoff.Load().blocks(now, r)
+	return s.allowed(r) && !s.full(now) && !s.announcements.backoff.Load().blocks(now, r)
 }
 
 // allowed reports whether a request may be sent to a server once that has room.
--- a/scheduling/departed.go
+++ b/scheduling/departed.go
@@ -13,26 +13,26 @@
 // platform's store is away, and come back with it: what the same start announced before holds
 // then. The zero value is empty.
 type departed struct {
-	said *simplelru.LRU[register.Start, *announcements]
+	known *simplelru.LRU[register.Start, *announcements]
 }
 
-func (d *departed) add(start register.Start, said *announcements) {
-	if d.said == nil {
+func (d *departed) add(start register.Start, a *announcements) {
+	if d.known == nil {
 		// It fails for a size that is not positive only.
-		d.said, _ = simplelru.NewLRU[register.Start, *announcements](maxDeparted, nil)
+		d.known, _ = simplelru.NewLRU[register.Start, *announcements](maxDeparted, nil)
 	}
 
-	d.said.Add(start, said)
+	d.known.Add(start, a)
 }
 
 // take returns what a start announced before, or nil, and forgets it.
 func (d *departed) take(start register.Start) *announcements {
-	if d.said == nil {
+	if d.known == nil {
 		return nil
 	}
 
-	said, _ := d.said.Peek(start)
-	d.said.Remove(start)
+	a, _ := d.known.Peek(start)
+	d.known.Remove(start)
 
-	return said
+	return a
 }
--- a/scheduling/limit.go
+++ b/scheduling/limit.go
@@ -54,12 +54,12 @@
 func (s *Scheduler) awaitRoom(ctx context.Context, clk clock.Clock, r Request) (*Assignment, error) {
 	blocked := s.blockedFor(clk.Now(), &r)
 	if len(blocked) == 0 {
-		return nil, s.noServer(clk.Now(), r)
+		return nil, s.noServer(clk.Now(), &r)
 	}
 
 	for _, one := range blocked[:min(len(blocked), askedServers)] {
 		now := clk.Now()
-		if one.said.backoff.Load().blocks(now, &r) {
+		if one.announcements.backoff.Load().blocks(now, &r) {
 			wait := max(one.roomAt().Sub(now), holdEvery)
 			if now.Add(wait).After(r.WaitUntil) {
 				break
@@ -95,7 +95,7 @@
 	blocked := s.serversFor(r, func(one *server) bool {
 		limited := s.Permits != nil && one.announced().Rate != ratelimit.Unlimited
 
-		return one.allowed(r) && (limited || one.said.backoff.Load().blocks(now, r))
+		return one.allowed(r) && (limited || one.announcements.backoff.Load().blocks(now, r))
 	})
 
 	// Instances that know of no difference spread over the servers.
@@ -124,9 +124,14 @@
 }
 
 // noServer returns the error of a request that no server is left for. Where servers that had
-// it asked for backoff, it says when the first of them takes requests again.
-func (s *Scheduler) noServer(now time.Time, r Request) error {
-	backoff := s.serversFor(&r, func(one *server) bool { return !one.leaves() && one.said.backoff.Load().blocks(now, &r) })
+// it asked for backoff, it says when the first of them takes requests again; it is nil where
+// one takes them by now.
+func (s *Scheduler) noServer(now time.Time, r *Request) error {
+	if len(s.serversFor(r, func(one *server) bool { return one.fits(now, r) })) > 0 {
+		return nil
+	}
+
+	backoff := s.serversFor(r, func(one *server) bool { return !one.leaves() && one.announcements.backoff.Load().blocks(now, r) })
 	if len(backoff) == 0 {
 		return ErrNoServer
 	}
@@ -172,7 +177,7 @@
 
 // Announced takes in which limit, or none, an answer to this attempt announced.
 func (a *Assignment) Announced(now time.Time, rate ratelimit.Rate) {
-	if rate == ratelimit.Unlimited && a.server.said.limited.Load() == nil {
+	if rate == ratelimit.Unlimited && a.server.announcements.limited.Load() == nil {
 		return
 	}
 
@@ -242,7 +247,7 @@
 
 // limit returns what is known of the server's limit.
 func (s *server) limit() limited {
-	if known := s.said.limited.Load(); known != nil {
+	if known := s.announcements.limited.Load(); known != nil {
 		return *known
 	}
 
@@ -251,8 +256,8 @@
 
 // announce returns the announcement before, and whether the next one is newer.
 func (s *server) announce(next ratelimit.Announcement) (ratelimit.Announcement, bool) {
-	s.said.mu.Lock()
-	defer s.said.mu.Unlock()
+	s.announcements.mu.Lock()
+	defer s.announcements.mu.Unlock()
 
 	before := s.limit()
 	after := limited{announced: before.announced.Newest(next), fullUntil: before.fullUntil}
@@ -265,7 +270,7 @@
 		after.fullUntil = time.Time{}
 	}
 
-	s.said.limited.Store(&after)
+	s.announcements.limited.Store(&after)
 
 	return before.announced, true
 }
@@ -275,13 +280,13 @@
 
 // fill notes that a server has no room until a time.
 func (s *server) fill(until time.Time) {
-	s.said.mu.Lock()
-	defer s.said.mu.Unlock()
+	s.announcements.mu.Lock()
+	defer s.announcements.mu.Unlock()
 
 	known := s.limit()
 	if known.announced.Rate != ratelimit.Unlimited {
 		known.fullUntil = until
-		s.said.limited.Store(&known)
+		s.announcements.limited.Store(&known)
 	}
 }
 
@@ -290,7 +295,7 @@
 
 // roomAt returns when a server may have room.
 func (s *server) roomAt() time.Time {
-	full, backoff := s.limit().fullUntil, s.said.returns()
+	full, backoff := s.limit().fullUntil, s.announcements.returns()
 	if backoff.After(full) {
 		return backoff
 	}
--- a/scheduling/place.go
+++ b/scheduling/place.go
@@ -58,8 +58,8 @@
 
 		a, err := s.Pick(now, r)
 		if errors.Is(err, ErrNoServer) {
-			if r.Final && !r.tries {
-				r.tries = true
+			if r.Final && !r.mayTest {
+				r.mayTest = true
 
 				continue
 			}
--- a/scheduling/scheduling.go
+++ b/scheduling/scheduling.go
@@ -76,9 +76,9 @@
 	// Final requests are sent to no other server if this one turns them away.
 	Final bool
 
-	// tries is set once no other server is left: a final request may be the one that shows
+	// mayTest is set once no other server is left: a final request may be the one that shows
 	// whether a server takes requests again.
-	tries bool
+	mayTest bool
 	// withoutLimit is set once a few servers without room were asked: only others are
 	// picked from then on.
 	withoutLimit bool
@@ -138,7 +138,7 @@
 		one.registered.Store(&entry)
 
 		if entry.Leaving {
-			one.said.leaving.Store(true)
+			one.announcements.leaving.Store(true)
 		}
 
 		known[entry.ID] = one
@@ -151,7 +151,7 @@
 	for id, one := range s.servers {
 		if known[id] != one {
 			one.gone.Store(true)
-			s.departed.add(one.entry().Start(), one.said)
+			s.departed.add(one.entry().Start(), one.announcements)
 		}
 	}
 
@@ -176,7 +176,7 @@
 	defer s.mu.Unlock()
 
 	if one := s.servers[start.ID]; one != nil && one.entry().Start() == start {
-		one.said.leaving.Store(true)
+		one.announcements.leaving.Store(true)
 	}
 }
 
--- a/scheduling/server.go
+++ b/scheduling/server.go
@@ -62,8 +62,8 @@
 	again bool
 
 	// gone is set once the register has no entry of this start.
-	gone atomic.Bool
-	said *announcements
+	gone          atomic.Bool
+	announcements *announcements
 	// running are the requests of this instance in progress, and pending the
 	// unread tokens of those whose answer has not begun.
 	running atomic.Int64
@@ -91,14 +91,14 @@
 	upstream  int64
 }
 
-func newServer(entry register.Server, said *announcements) *server {
-	if said == nil {
-		said = &announcements{}
+func newServer(entry register.Server, known *announcements) *server {
+	if known == nil {
+		known = &announcements{}
 	}
 
 	s := &server{
-		said: said,
-		hash: xxhash.Sum64String(string(entry.ID)), key: keyOfStart(entry.Start()), parts: make(map[Key]time.Time),
+		announcements: known,
+		hash:          xxhash.Sum64String(string(entry.ID)), key: keyOfStart(entry.Start()), parts: make(map[Key]time.Time),
 		told: make(map[Key]time.Time),
 	}
 	s.registered.Store(&entry)
@@ -110,7 +110,7 @@
 func (s *server) entry() *register.Server { return s.registered.Load() }
 
 // leaves reports whether the server takes nothing new.
-func (s *server) leaves() bool { return s.gone.Load() || s.said.leaving.Load() }
+func (s *server) leaves() bool { return s.gone.Load() || s.announcements.leaving.Load() }
 
 // stays tells whether an entry tells of the same start: what was learnt of this one
 // holds for it.
