--- a/ratelimit/asker_test.go
+++ b/ratelimit/asker_test.go
@@ -132,8 +132,39 @@
 
 		time.Sleep(2 * settleSpan)
 
-		if got := d.askers[ranked[2]].Granter.Grant(time.Now(), limited, 10, time.Second); got.Granted || got.Wait <= 0 {
-			t.Errorf("the third: got %+v, want a refusal with when to ask again", got)
+		// A bucket would have tokens by the second question.
+		for range 10 {
+			if got := d.askers[ranked[2]].Granter.Grant(time.Now(), limited, 10, time.Second); got.Granted || got.Wait <= 0 {
+				t.Errorf("the third: got %+v, want a refusal with when to ask again", got)
+			}
+
+			time.Sleep(time.Second)
+		}
+	})
+}
+
+// Guards against a granter that begins with the whole rate while the one before it may still
+// grant.
+func TestOneThatBeginsGrantsNoMoreThanAStandIn(t *testing.T) {
+	const (
+		rate = 10
+		pace = 10 * time.Millisecond
+	)
+
+	synctest.Test(t, func(t *testing.T) {
+		g := &Granter{Self: "a"}
+		g.SetLeaders(time.Now(), []fleet.InstanceID{"a"})
+
+		granted := 0
+
+		for began := time.Now(); time.Since(began) < settleSpan; time.Sleep(pace) {
+			if g.Grant(time.Now(), limited, rate, 0).Granted {
+				granted++
+			}
+		}
+
+		if most := int(standInShare*rate*settleSpan.Seconds()) + 1; granted == 0 || granted > most {
+			t.Errorf("granted while it settles: got %d, want 1 to %d", granted, most)
 		}
 	})
 }
--- a/scheduling/backoff_test.go
+++ b/scheduling/backoff_test.go
@@ -49,15 +49,17 @@
 			return a
 		}
 
-		var waiting []*Assignment
+		// waiting are placed and not sent, underWay are sent and not answered.
+		var waiting, underWay []*Assignment
 
 		t.Repeat(map[string]func(*rapid.T){
 			"refused": func(t *rapid.T) {
-				a := send(t)
-				if a == nil || !a.Start(at) {
+				if len(underWay) == 0 {
 					return
 				}
 
+				a := underWay[0]
+				underWay = underWay[1:]
 				backoff := time.Duration(rapid.IntRange(1, 5000).Draw(t, "backoff")) * time.Millisecond
 				a.AskedToBackOff(at, backoff)
 				a.End(at, TurnedAway)
@@ -84,9 +86,19 @@
 						t.Errorf("%v: got a request sent that was placed before, want it placed anew", a.Server())
 					}
 
-					a.End(at, Served)
+					underWay = append(underWay, a)
 				}
 			},
+			"accepted": func(*rapid.T) {
+				if len(underWay) == 0 {
+					return
+				}
+
+				a := underWay[0]
+				underWay = underWay[1:]
+				a.Accepted()
+				a.End(at, Served)
+			},
 			"later":     func(t *rapid.T) { at = at.Add(time.Duration(rapid.IntRange(1, 2000).Draw(t, "ms")) * time.Millisecond) },
 			"lapsed":    func(t *rapid.T) { update(rapid.SampledFrom(ids).Draw(t, "id")) },
 			"all there": func(*rapid.T) { update("") },
@@ -99,6 +111,21 @@
 	})
 }
 
+// Guards against an answer that asks for less ending what one before it asked for.
+func TestAShorterBackoffDoesNotEndALongerOne(t *testing.T) {
+	s := engines(1, 64)
+	askBackoffAt(t, s, now, 3*time.Second, "i-0")
+	askBackoffAt(t, s, now, time.Second, "i-0")
+
+	for _, after := range []time.Duration{time.Second, 3*time.Second - 1} {
+		if a, err := s.Pick(now.Add(after), Request{Service: "llm"}); !errors.Is(err, ErrNoServer) {
+			t.Errorf("after %v: got %v, %v, want no server", after, a, err)
+		}
+	}
+
+	pickAt(t, s, now.Add(3*time.Second), Request{Service: "llm"})
+}
+
 // Guards against callers that wait in vain, or come back too soon, where all servers asked
 // for backoff.
 func TestARequestIsRefusedAtOnceWhereAllServersAskedForBackoff(t *testing.T) {
