--- a/scheduling/place.go
+++ b/scheduling/place.go
@@ -58,15 +58,7 @@
 
 		a, err := s.Pick(now, r)
 		if errors.Is(err, ErrNoServer) {
-			if r.Final && !r.mayTest {
-				r.mayTest = true
-
-				continue
-			}
-
-			r.withoutLimit = false
-
-			if a, err := s.awaitRoom(ctx, clk, r); a != nil || err != nil {
+			if a, err := s.placeLast(ctx, clk, &r); a != nil || err != nil {
 				return a, err
 			}
 
@@ -104,6 +96,21 @@
 	}
 }
 
+// placeLast places a request that no server is left for at first: at one that it was to spare,
+// or at one that may have room in time. Without an assignment and an error the request is to
+// be placed anew.
+func (s *Scheduler) placeLast(ctx context.Context, clk clock.Clock, r *Request) (*Assignment, error) {
+	if r.Final && !r.mayTest {
+		r.mayTest = true
+
+		return nil, nil
+	}
+
+	r.withoutLimit = false
+
+	return s.awaitRoom(ctx, clk, *r)
+}
+
 // judge decides what becomes of a prompt whose best server is that of the assignment. It
 // answers an overload, in which an engine that reads prompts in the order in which they
 // come lets each wait behind all others, and none begins in time. One that is late
--- a/scheduling/return_model_test.go
+++ b/scheduling/return_model_test.go
@@ -223,7 +223,8 @@
 // plays many instances and other ways.
 func TestFewerCallersAreRefusedWhereInstancesReturnApart(t *testing.T) {
 	loads := []shedding{
-		{instances: 9, servers: 10, sheds: 3, load: 0.5}, {instances: 9, servers: 10, sheds: 3, load: 0.65},
+		{instances: 9, servers: 10, sheds: 3, load: 0.5},
+		{instances: 9, servers: 10, sheds: 3, load: 0.65},
 		{instances: 9, servers: 10, load: 0.9},
 	}
 	ways := map[string]ReturnPolicy{"all at its end": {}, "default": DefaultReturn}
