fix(scheduling): what a server announced outlives an entry of its start with another address

The announcements go with the start there too, by the same way as over a lapsed entry. TestAnnouncementsOutliveAnotherAddress failed before (a server was picked within its backoff).

--- a/scheduling/announcements_test.go
+++ b/scheduling/announcements_test.go
@@ -71,6 +71,25 @@
 	}
 }
 
+// Guards against what a server announced being forgotten where its entry names another address.
+func TestAnnouncementsOutliveAnotherAddress(t *testing.T) {
+	s := &Scheduler{Domain: "a"}
+	s.Update([]register.Server{startOf(500)})
+
+	a := pick(t, s, Request{Service: "llm"})
+	a.Start(now)
+	a.AskedToBackOff(now, 3*time.Second)
+	a.End(now, TurnedAway)
+
+	moved := startOf(500)
+	moved.Address = "10.0.0.9:1"
+	s.Update([]register.Server{moved})
+
+	if got, err := s.Pick(now, Request{Service: "llm"}); !errors.Is(err, ErrNoServer) {
+		t.Errorf("got %v, %v, want no server within the backoff", got, err)
+	}
+}
+
 // Guards against a log line and a change of the register for each answer of a server that leaves.
 func TestALeaveIsNotedOnce(t *testing.T) {
 	var got []register.Start
--- a/scheduling/scheduling.go
+++ b/scheduling/scheduling.go
@@ -131,6 +131,10 @@
 	for _, entry := range servers {
 		one := s.servers[entry.ID]
 		if known := one != nil; !known || !one.stays(entry) {
+			if known {
+				s.departed.add(one.entry().Start(), one.announcements)
+			}
+
 			one = newServer(entry, s.departed.take(entry.Start()))
 			one.again = known
 		}
@@ -149,8 +153,13 @@
 	}
 
 	for id, one := range s.servers {
-		if known[id] != one {
-			one.gone.Store(true)
+		if known[id] == one {
+			continue
+		}
+
+		one.gone.Store(true)
+
+		if known[id] == nil {
 			s.departed.add(one.entry().Start(), one.announcements)
 		}
 	}
