refactor(scheduling): one way each to count servers, to look at a backoff and to announce

Scheduler.Leave was called by tests alone; they announce by an attempt, as answers do. Limited counts as its neighbours do. An attempt that starts looked at the backoff twice. Comments of topology and of a test say what happens in the field's terms.

--- a/forward/announcements_test.go
+++ b/forward/announcements_test.go
@@ -5,12 +5,10 @@
 	"testing"
 	"time"
 
-	"monsoonlever/fleet"
 	"monsoonlever/scheduling"
 )
 
-// Guards against callers of a service whose servers all asked for backoff being told to come
-// back before these take requests again, and against a server that is blamed for it.
+// Guards against a Retry-After that ends before any server of the service takes requests again.
 func TestARequestThatAllServersTurnAwayComesBackAfterTheirBackoff(t *testing.T) {
 	const backoff = 3 * time.Second
 
@@ -49,16 +47,7 @@
 				}
 
 				first = address
-				other := map[string]fleet.InstanceID{"api-1": "api-2", "api-2": "api-1"}[address]
-
-				a, err := s.Scheduler.Pick(s.clock.Now(), scheduling.Request{Service: "api", Excluded: []fleet.InstanceID{other}})
-				if err != nil {
-					t.Error(err)
-
-					return
-				}
-
-				announce(s, a)
+				announce(s, s.attemptAt("api", address))
 			}
 
 			outcome, _ := s.call("once", "r")
--- a/forward/fixture_test.go
+++ b/forward/fixture_test.go
@@ -223,6 +223,35 @@
 	}
 }
 
+// attemptAt returns an attempt at one server of a service, to announce something by.
+func (s *site) attemptAt(service fleet.Service, address string) *scheduling.Assignment {
+	var others []fleet.InstanceID
+
+	for range 16 {
+		a, err := s.Scheduler.Pick(s.clock.Now(), scheduling.Request{Service: service, Excluded: others})
+		if err != nil {
+			s.t.Errorf("attempt at %s: got %v, want one", address, err)
+
+			return nil
+		}
+
+		if a.Address() == address {
+			return a
+		}
+
+		others = append(others, a.ID())
+	}
+
+	return nil
+}
+
+// leave has a server announce that it leaves.
+func (s *site) leave(service fleet.Service, address string) {
+	if a := s.attemptAt(service, address); a != nil {
+		a.AnnouncedLeaving()
+	}
+}
+
 func (s *site) arrivals() []arrival {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/forward/guards_test.go
+++ b/forward/guards_test.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"monsoonlever/fleet"
-	"monsoonlever/register"
 	"monsoonlever/scheduling"
 )
 
@@ -63,7 +62,7 @@
 	s.dialling = func(address string) {
 		if first == "" {
 			first = address
-			s.Scheduler.Leave(register.Start{ID: fleet.InstanceID(address)})
+			s.leave("api", address)
 		}
 	}
 
--- a/forward/quarantine_test.go
+++ b/forward/quarantine_test.go
@@ -216,7 +216,7 @@
 		"servers that can't be reached": func(f *farm) { f.refusal = errors.New("no route to host") },
 		"servers that had said they would leave": func(f *farm) {
 			f.answer = func(address string, _ int, r *http.Request) string {
-				f.Scheduler.Leave(register.Start{ID: fleet.InstanceID(address)})
+				f.leave("llm", address)
 				f.ended[address].Store(true)
 
 				return stream(r, 1, 0, true)
@@ -225,7 +225,7 @@
 		"servers that say a little later that they leave": func(f *farm) {
 			f.answer = func(address string, _ int, r *http.Request) string {
 				f.ended[address].Store(true)
-				time.AfterFunc(time.Millisecond/2, func() { f.Scheduler.Leave(register.Start{ID: fleet.InstanceID(address)}) })
+				time.AfterFunc(time.Millisecond/2, func() { f.leave("llm", address) })
 
 				return stream(r, 1, 0, true)
 			}
--- a/scheduling/assignment.go
+++ b/scheduling/assignment.go
@@ -89,12 +89,8 @@
 
 // Start counts the attempt, unless the server takes no requests by now.
 func (a *Assignment) Start(now time.Time) bool {
-	if a.Blocked(now) {
-		return false
-	}
-
 	b := a.server.announcements.backoff.Load()
-	if !b.begin(now) {
+	if a.server.leaves() || !b.begin(now) {
 		return false
 	}
 
--- a/scheduling/limit.go
+++ b/scheduling/limit.go
@@ -305,20 +305,7 @@
 
 // Limited returns how many servers announce a limit.
 func (s *Scheduler) Limited() int {
-	pools := s.current.Load()
-	if pools == nil {
-		return 0
-	}
-
-	n := 0
-
-	for _, pool := range *pools {
-		for _, one := range pool {
-			if one.announced().Rate != ratelimit.Unlimited {
-				n++
-			}
-		}
-	}
-
-	return n
+	return s.countServers(func(one *server) bool {
+		return !one.leaves() && one.announced().Rate != ratelimit.Unlimited
+	})
 }
--- a/scheduling/scheduling.go
+++ b/scheduling/scheduling.go
@@ -179,16 +179,6 @@
 	return s.current.Load() != nil
 }
 
-// Leave marks a start of a server that is known to leave.
-func (s *Scheduler) Leave(start register.Start) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-
-	if one := s.servers[start.ID]; one != nil && one.entry().Start() == start {
-		one.announcements.leaving.Store(true)
-	}
-}
-
 // Report takes in what a server said of its load.
 func (s *Scheduler) Report(now time.Time, id fleet.InstanceID, load Load) {
 	s.mu.Lock()
--- a/scheduling/scheduling_test.go
+++ b/scheduling/scheduling_test.go
@@ -138,7 +138,7 @@
 func TestAServerThatLeavesIsNotPickedNorStarted(t *testing.T) {
 	s := engines(2, 64)
 	first := pick(t, s, prompt("x"))
-	s.Leave(first.Server())
+	first.AnnouncedLeaving()
 
 	if first.Start(now) {
 		t.Error("start at a server that leaves: got true, want false")
--- a/scheduling/starts_test.go
+++ b/scheduling/starts_test.go
@@ -28,7 +28,7 @@
 
 	news := s.News(now, Upstream)
 
-	s.Leave(startOf(500).Start())
+	first.AnnouncedLeaving()
 	s.Update([]register.Server{startOf(900)})
 
 	if !first.Leaving() {
--- a/topology/links.go
+++ b/topology/links.go
@@ -299,9 +299,9 @@
 func (l *Links) isSelf(m Member) bool { return m.ID == l.Self.ID }
 
 // leaders returns who leads, as the first in rank of those that lead names them: instances
-// learn at different times which members come and go, and if each believed whoever spoke
-// last, opinions would go round. One that turned to a relay goes by that alone, and where
-// nobody is heard who answers counts.
+// learn at different times which members come and go, and by the newest view alone each would
+// take those of two leaders in turn. One that turned to a relay goes by that alone. Without any
+// view the relays that answer lead.
 func (l *Links) leaders(now time.Time, members, answering []Member, known func() []Member) []fleet.InstanceID {
 	maps.DeleteFunc(l.views, func(_ fleet.InstanceID, v view) bool { return now.Sub(v.at) > viewLife })
 
