fix(topology): an instance that stops neither leads nor grants among few

Callers saw: for up to seven seconds after two of few instances stopped, a backend server that limits its requests got none, so that a service whose servers all limit theirs refused every request.

Cause: of few instances all stay members while one stops, and until its membership lapses after its end; all members could lead, and those that lead grant requests to limited servers. Where both granters of a server had stopped, nobody granted.

A stopping instance still shares limits until it has ended, as TestAStoppingInstanceOfFewLeadsNoLonger holds.

--- a/entry/heartbeat.go
+++ b/entry/heartbeat.go
@@ -183,15 +183,20 @@
 	}
 }
 
-// updateMember takes in that another instance was heard. One of many that stops is replaced at once
+// updateMember takes in that another instance was heard. One that stops is replaced at once
 // where it relays or leads; one of few shares limits with the others until it has ended.
 func (p *parts) updateMember(now time.Time, w heartbeat) {
 	member := board.MemberOf(w.Instance, w.Domain, w.Address, w.Cores)
 
-	if w.Stopping && !p.plan.Load().Few {
-		p.members.Left(w.Instance)
+	if w.Stopping {
 		p.links.Gone(w.Instance)
 
+		if p.plan.Load().Few {
+			p.members.Met(now, member)
+		} else {
+			p.members.Left(w.Instance)
+		}
+
 		return
 	}
 
--- a/topology/links.go
+++ b/topology/links.go
@@ -220,17 +220,25 @@
 	}
 
 	few := count <= Few
-	// Few instances go on sharing limits while one of them stops.
-	takesPart := few || !l.stopping
-	answers := func(id fleet.InstanceID) bool { return few || !l.silent[id] }
-	answering := l.ranked(members, takesPart, answers)
+	answers := func(id fleet.InstanceID) bool { return !l.silent[id] }
+	answering := relaysOf(l.ranked(members, !l.stopping, answers))
+	if len(answering) == 0 {
+		answering = []Member{l.Self}
+	}
+
+	relays := answering
+	if few {
+		// Few instances go on sharing limits while one of them stops.
+		relays = l.ranked(members, true, func(fleet.InstanceID) bool { return true })
+	}
 
-	relays := relaysOf(answering)
 	plan := &Plan{Few: few, Count: count}
 	// Others may have found sooner that this instance takes the place of a silent relay.
 	plan.Relay = few || slices.ContainsFunc(relays, l.isSelf) || !l.stopping && now.Sub(l.invited) <= subscribed
-	plan.Leaders = l.leaders(now, members, relays, func() []Member {
-		return l.ranked(members, takesPart, func(id fleet.InstanceID) bool { return answers(id) || !l.heard[id].IsZero() })
+	plan.Leaders = l.leaders(now, members, answering, func() []Member {
+		return l.ranked(members, !l.stopping, func(id fleet.InstanceID) bool {
+			return answers(id) || !few && !l.heard[id].IsZero()
+		})
 	})
 	l.leading, l.count = plan.Leaders, count
 
--- a/topology/topology_test.go
+++ b/topology/topology_test.go
@@ -143,6 +143,22 @@
 	}
 }
 
+// Among few instances one that stops still shares limits, and must neither lead nor grant.
+func TestAStoppingInstanceOfFewLeadsNoLonger(t *testing.T) {
+	few := fleetOf(4, 2)
+	leading := planOf(few[0], few).Leaders[0]
+	other := few[slices.IndexFunc(few, func(m Member) bool { return m.ID != leading })]
+
+	l := &Links{Self: other}
+	l.Plan(begin, few)
+	l.Gone(leading)
+
+	plan := l.Plan(begin, few)
+	if plan.Leads(leading) || len(plan.Relays) != len(few)-1 {
+		t.Errorf("got leaders %v and %d others, want %s to share and not to lead", plan.Leaders, len(plan.Relays), leading)
+	}
+}
+
 // Instances are replaced for as long as one runs: what it remembers of those that are gone
 // does not grow.
 func TestLinksForgetThoseThatAreGone(t *testing.T) {
