feat(replica): instances read the records of a feed from each other

A feed's reader asks its origin, or another instance that has read it, over one connection; positions are the origin's everywhere, so that it goes on from the same place whoever it asks next. A log keeps the newest entry of each key and bounded changes; entries that say nothing new are not passed on. Answers come in frames of some 64 KB, each with its own time-out: a slow link is no reason to begin anew.

The follower waits for a source without counting that as a failure, returns apart after failures, and gives a whole set 15 s where sources bound its parts.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -18,6 +18,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -30,6 +31,10 @@
 // ErrTrimmed means that the changes asked for have been deleted.
 var ErrTrimmed = merry.Sentinel("changes are no longer kept")
 
+// ErrNoSource means that it is not known yet where to read from. The next Nudge ends the
+// pause after it.
+var ErrNoSource = merry.Sentinel("no source to read from")
+
 // Entry is the newest content under a key.
 type Entry struct {
 	Key string
@@ -59,6 +64,9 @@
 const (
 	// callMargin is what a call may take beyond the wait that was asked for.
 	callMargin = 1500 * time.Millisecond
+	// snapshotTimeout bounds the reading of a whole set: sources bound each of its parts by
+	// themselves, so that a slow link is no reason to begin anew.
+	snapshotTimeout = 15 * time.Second
 	// firstBackoff and maxBackoff bound the pause after a failed call: each call
 	// has its price, also a refused one, and the store's return must be noticed
 	// well within the bound on the age of the rules.
@@ -70,6 +78,9 @@
 type Pace struct {
 	// Wait is how long a read waits for a change, Every the pause between reads.
 	Wait, Every time.Duration
+	// MaxBackoff bounds the pause after failed reads where it is longer than the default: many
+	// that read one source wait longer, so that all together do not ask more often.
+	MaxBackoff time.Duration
 }
 
 // Follower reads a source. Its exported fields are set before Run.
@@ -111,9 +122,12 @@
 		case errors.Is(err, ErrTrimmed):
 			f.positioned = false
 		case f.nudged.Load():
+		case errors.Is(err, ErrNoSource):
+			f.await(ctx, maxBackoff)
 		case err != nil:
-			f.backoff = min(max(2*f.backoff, firstBackoff), maxBackoff)
-			clock.Sleep(ctx, f.Clock, f.backoff)
+			f.backoff = min(max(2*f.backoff, firstBackoff), max(maxBackoff, f.pace().MaxBackoff))
+			// Readers that failed together return apart.
+			clock.Sleep(ctx, f.Clock, f.backoff/2+rand.N(f.backoff/2))
 		case !again:
 			f.pause(ctx)
 		}
@@ -138,23 +152,27 @@
 }
 
 func (f *Follower) pause(ctx context.Context) {
-	for wait := f.pace().Every; ; {
-		select {
-		case <-f.Clock.After(wait):
-		case <-f.nudge.C():
-			f.nudged.Store(true)
-
-			return
-		case <-ctx.Done():
-			return
-		}
-
+	for wait := f.pace().Every; f.await(ctx, wait); {
 		if wait = f.due(); wait <= 0 {
 			return
 		}
 	}
 }
 
+// await waits for some time and reports whether it passed without a nudge.
+func (f *Follower) await(ctx context.Context, wait time.Duration) bool {
+	select {
+	case <-f.Clock.After(wait):
+		return ctx.Err() == nil
+	case <-f.nudge.C():
+		f.nudged.Store(true)
+
+		return false
+	case <-ctx.Done():
+		return false
+	}
+}
+
 func (f *Follower) due() time.Duration {
 	if f.Due == nil {
 		return 0
@@ -172,7 +190,12 @@
 		wait = 0
 	}
 
-	call, cancel := context.WithTimeout(ctx, wait+callMargin)
+	timeout := wait + callMargin
+	if !f.positioned || f.again.Load() {
+		wait, timeout = 0, snapshotTimeout
+	}
+
+	call, cancel := context.WithTimeout(ctx, timeout)
 	if wait == 0 {
 		return call, cancel, wait
 	}
@@ -261,7 +284,7 @@
 		return
 	}
 
-	if !f.lost && !f.nudged.Load() && !errors.Is(err, context.Canceled) {
+	if !f.lost && !f.nudged.Load() && !errors.Is(err, context.Canceled) && !errors.Is(err, ErrNoSource) {
 		f.lost = true
 		klog.InfoS("dependency lost", "dependency", f.Name, "err", err.Error())
 	}
--- /dev/null
+++ b/replica/log.go
@@ -0,0 +1,227 @@
+package replica
+
+import (
+	"bytes"
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"monsoonlever/clock"
+	"monsoonlever/feed"
+)
+
+// ErrUnavailable means that an instance has nothing of a feed yet.
+var ErrUnavailable = merry.Sentinel("feed was not read yet")
+
+// maxChangesBytes bounds the changes that are kept for instances that read on; one that has
+// missed older changes reads the whole set.
+const maxChangesBytes = 4 << 20
+
+// entryBytes is what an entry takes beside its key and data.
+const entryBytes = 64
+
+// Log keeps the newest entry of each key of a feed and its recent changes. It is a
+// feed.Source. Its exported fields are set before its first use; it is safe for concurrent
+// use.
+type Log struct {
+	Clock clock.Clock
+	// Same tells whether an entry says nothing that the one before did not say. Such an
+	// entry is not passed on; nil passes all on.
+	Same func(before, after feed.Entry) bool
+
+	mu      sync.Mutex
+	loaded  bool
+	newest  map[string]feed.Entry
+	changes []feed.Entry
+	bytes   int
+	// first is from where on all changes are kept, and next where the log ends.
+	first, next feed.Position
+	// grown is closed and replaced with each change.
+	grown chan struct{}
+}
+
+// Replace puts a whole set in place of what was known. Changes are found from next on.
+func (l *Log) Replace(entries []feed.Entry, next feed.Position) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	if !l.loaded || next.Era() != l.next.Era() || next < l.next {
+		// No position of before leads to this set.
+		l.newest, l.changes, l.bytes = make(map[string]feed.Entry, len(entries)), nil, 0
+		l.first = next
+	}
+
+	removed := make(map[string]bool, len(l.newest))
+	for key := range l.newest {
+		removed[key] = true
+	}
+
+	for _, e := range entries {
+		delete(removed, e.Key)
+		l.add(e)
+	}
+
+	for key := range removed {
+		l.add(feed.Entry{Key: key, At: next - 1})
+	}
+
+	// Readers go on from the position of a change: changes stay in their order.
+	slices.SortStableFunc(l.changes, func(a, b feed.Entry) int { return cmp.Compare(a.At, b.At) })
+
+	l.loaded = true
+	l.extend(next)
+}
+
+// Clear forgets all. The log has nothing until the next Replace.
+func (l *Log) Clear() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	if l.loaded {
+		l.loaded, l.newest, l.changes, l.bytes = false, nil, nil, 0
+	}
+}
+
+// Loaded tells whether the log has the feed.
+func (l *Log) Loaded() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	return l.loaded
+}
+
+// Append adds changes up to next.
+func (l *Log) Append(entries []feed.Entry, next feed.Position) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	if !l.loaded {
+		return
+	}
+
+	for _, e := range entries {
+		l.add(e)
+	}
+
+	l.extend(next)
+}
+
+// add takes one entry in; the log is locked.
+func (l *Log) add(e feed.Entry) {
+	before, known := l.newest[e.Key]
+	if known && e.At <= before.At && len(e.Data) > 0 || !known && len(e.Data) == 0 {
+		return
+	}
+
+	if known && l.Same != nil && len(e.Data) > 0 && l.Same(before, e) {
+		return
+	}
+
+	// The data may be a part of a much larger answer.
+	e.Data = bytes.Clone(e.Data)
+
+	if len(e.Data) == 0 {
+		delete(l.newest, e.Key)
+	} else {
+		l.newest[e.Key] = e
+	}
+
+	l.changes = append(l.changes, e)
+	l.bytes += sizeOf(e)
+}
+
+// extend ends a change of the log at next and wakes those that wait for it; the log is locked.
+func (l *Log) extend(next feed.Position) {
+	l.next = max(l.next, next)
+	if l.next.Era() != next.Era() {
+		l.next = next
+	}
+
+	drop := 0
+	for l.bytes > maxChangesBytes {
+		l.bytes -= sizeOf(l.changes[drop])
+		l.first = l.changes[drop].At + 1
+		drop++
+	}
+
+	l.changes = slices.Delete(l.changes, 0, drop)
+
+	if l.grown != nil {
+		close(l.grown)
+	}
+
+	l.grown = make(chan struct{})
+}
+
+func sizeOf(e feed.Entry) int { return entryBytes + len(e.Key) + len(e.Data) }
+
+// Snapshot returns the newest entry of each key in the order of the keys.
+func (l *Log) Snapshot(context.Context) ([]feed.Entry, feed.Position, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	if !l.loaded {
+		return nil, 0, ErrUnavailable
+	}
+
+	entries := make([]feed.Entry, 0, len(l.newest))
+	for _, e := range l.newest {
+		entries = append(entries, e)
+	}
+
+	slices.SortFunc(entries, func(a, b feed.Entry) int { return cmp.Compare(a.Key, b.Key) })
+
+	return entries, l.next, nil
+}
+
+// End returns where the log ends.
+func (l *Log) End() feed.Position {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	return l.next
+}
+
+// Changes returns the changes from a position on, or waits for one. A reader that is ahead
+// of this log gets none until the log has caught up.
+func (l *Log) Changes(ctx context.Context, from feed.Position, wait time.Duration) (feed.Changes, error) {
+	over := l.Clock.After(wait)
+
+	for {
+		changes, grown, err := l.since(from)
+		if err != nil || len(changes.Entries) > 0 || wait <= 0 {
+			return changes, err
+		}
+
+		select {
+		case <-grown:
+		case <-over:
+			wait = 0
+		case <-ctx.Done():
+			return feed.Changes{}, ctx.Err()
+		}
+	}
+}
+
+// since returns what is kept from a position on, and what is closed with the next change.
+func (l *Log) since(from feed.Position) (feed.Changes, <-chan struct{}, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	if !l.loaded {
+		return feed.Changes{}, nil, ErrUnavailable
+	}
+
+	if from < l.first {
+		return feed.Changes{}, nil, feed.ErrTrimmed
+	}
+
+	at, _ := slices.BinarySearchFunc(l.changes, from, func(e feed.Entry, from feed.Position) int { return cmp.Compare(e.At, from) })
+	end := max(from, l.next)
+
+	return feed.Changes{Entries: slices.Clone(l.changes[at:]), Next: end, End: end}, l.grown, nil
+}
--- /dev/null
+++ b/replica/replica.go
@@ -0,0 +1,145 @@
+// Package replica passes the records of feeds on from instance to instance.
+//
+// A few instances read a feed at its origin, and each of the others reads it from one
+// instance that has it, so that the load of the origin does not grow with their number.
+// Positions are those of the origin everywhere: an instance goes on where it stopped,
+// whichever instance it reads from next.
+//
+// A Log keeps what one instance has of a feed, a Server answers the reads of others, and a
+// Source reads from the origin or from another instance. Between two instances a read is a
+// request and a sequence of frames over TCP, each of which is a length of four bytes and a
+// msgpack message.
+//
+// # Usage
+//
+//	log := &replica.Log{}
+//	source := &replica.Source{Feed: "rules", Origin: store, Log: log, Upstream: upstream, Clock: clk}
+//	follower := &feed.Follower{Source: source, …}
+//
+//	server := &replica.Server{Clock: clk, Feeds: map[string]*replica.Log{"rules": log}}
+//	server.Run(ctx, listener)
+package replica
+
+import (
+	"encoding/binary"
+	"io"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"monsoonlever/codec"
+	"monsoonlever/feed"
+)
+
+const (
+	// lengthBytes is the size of the length before each message.
+	lengthBytes = 4
+	// maxFrame bounds a message, and frameBytes is the size of entries from which on a
+	// message is sent: a slow link shows progress several times a second.
+	maxFrame   = 4 << 20
+	frameBytes = 64 << 10
+)
+
+// ErrFrame means that what another instance sent is no message.
+var ErrFrame = merry.Sentinel("replica frame is malformed")
+
+// outcome is how a read ended.
+type outcome int
+
+const (
+	// partial frames are followed by others of the same read.
+	partial outcome = iota
+	complete
+	// trimmed means that the changes asked for are no longer kept.
+	trimmed
+	// unavailable means that the instance has nothing of the feed yet.
+	unavailable
+)
+
+// request asks for the changes of a feed from a position on, or for the whole set.
+type request struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // an option of the codec
+	Feed     string
+	Whole    bool
+	From     feed.Position
+	// WaitMilliseconds is how long a read without changes waits for one.
+	WaitMilliseconds int64
+}
+
+// frame is a part of the answer.
+type frame struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // an option of the codec
+	Outcome  outcome
+	Entries  []entry
+	// Next is where to read on once the answer is complete.
+	Next feed.Position
+}
+
+// entry is a feed.Entry.
+type entry struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // an option of the codec
+	Key      string
+	Data     []byte
+	At       feed.Position
+}
+
+func writeMessage(w io.Writer, message any) error {
+	data, err := msgpack.Marshal(message)
+	if err != nil {
+		return err
+	}
+
+	_, err = w.Write(append(binary.BigEndian.AppendUint32(make([]byte, 0, lengthBytes+len(data)), uint32(len(data))), data...))
+
+	return err
+}
+
+func readMessage(r io.Reader, into any) error {
+	var length [lengthBytes]byte
+	if _, err := io.ReadFull(r, length[:]); err != nil {
+		return err
+	}
+
+	n := binary.BigEndian.Uint32(length[:])
+	if n > maxFrame {
+		return merry.Prependf(ErrFrame, "%d bytes", n)
+	}
+
+	data := make([]byte, n)
+	if _, err := io.ReadFull(r, data); err != nil {
+		return err
+	}
+
+	return codec.Unmarshal(data, into)
+}
+
+// framesOf divides entries into frames of about frameBytes, the last of which completes
+// the answer.
+func framesOf(entries []feed.Entry, next feed.Position) []frame {
+	frames := []frame{{}}
+	bytes := 0
+
+	for _, e := range entries {
+		if bytes > frameBytes {
+			frames, bytes = append(frames, frame{}), 0
+		}
+
+		last := &frames[len(frames)-1]
+		last.Entries = append(last.Entries, entry{Key: e.Key, Data: e.Data, At: e.At})
+		bytes += len(e.Key) + len(e.Data)
+	}
+
+	last := &frames[len(frames)-1]
+	last.Outcome, last.Next = complete, next
+
+	return frames
+}
+
+func entriesOf(frames []entry) []feed.Entry {
+	entries := make([]feed.Entry, 0, len(frames))
+	for _, e := range frames {
+		entries = append(entries, feed.Entry{Key: e.Key, Data: e.Data, At: e.At})
+	}
+
+	return entries
+}
--- /dev/null
+++ b/replica/server.go
@@ -0,0 +1,175 @@
+package replica
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"k8s.io/klog/v2"
+
+	"monsoonlever/clock"
+	"monsoonlever/feed"
+)
+
+const (
+	// maxConnections bounds the connections of others: three feeds for each member of a
+	// relay, where the relay stands in for several others.
+	maxConnections = 600
+	// maxWait bounds how long one read waits for a change.
+	maxWait = 30 * time.Second
+	// idleTimeout is how long a connection without a request is kept, and writeTimeout bounds
+	// the writing of one frame.
+	idleTimeout  = time.Minute
+	writeTimeout = 3 * time.Second
+	// acceptPause follows a failure to accept a connection.
+	acceptPause = 100 * time.Millisecond
+)
+
+// Server answers the reads of other instances from logs. Its fields are set before Run.
+type Server struct {
+	Clock clock.Clock
+	Feeds map[string]*Log
+
+	mu    sync.Mutex
+	conns map[net.Conn]struct{}
+}
+
+// Run serves until ctx ends, and closes the listener and all connections.
+func (s *Server) Run(ctx context.Context, l net.Listener) {
+	stop := context.AfterFunc(ctx, func() {
+		_ = l.Close()
+		s.closeAll()
+	})
+	defer stop()
+
+	var group conc.WaitGroup
+	defer group.Wait()
+
+	for ctx.Err() == nil {
+		conn, err := l.Accept()
+		if err != nil {
+			if ctx.Err() == nil {
+				klog.ErrorS(err, "connections of other instances are not accepted")
+				clock.Sleep(ctx, s.Clock, acceptPause)
+			}
+
+			continue
+		}
+
+		if !s.open(ctx, conn) {
+			_ = conn.Close() // the other instance reads elsewhere
+
+			continue
+		}
+
+		group.Go(func() {
+			defer s.close(conn)
+
+			s.serve(ctx, conn)
+		})
+	}
+}
+
+func (s *Server) open(ctx context.Context, conn net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	if len(s.conns) >= maxConnections || ctx.Err() != nil {
+		return false
+	}
+
+	if s.conns == nil {
+		s.conns = make(map[net.Conn]struct{})
+	}
+
+	s.conns[conn] = struct{}{}
+
+	return true
+}
+
+func (s *Server) close(conn net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	delete(s.conns, conn)
+
+	_ = conn.Close() // nothing is left to be said
+}
+
+func (s *Server) closeAll() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	for conn := range s.conns {
+		_ = conn.Close() // the other side sees the end
+	}
+}
+
+// serve answers the requests of one connection until it ends.
+func (s *Server) serve(ctx context.Context, conn net.Conn) {
+	reader := bufio.NewReader(conn)
+
+	for ctx.Err() == nil {
+		if err := conn.SetReadDeadline(time.Now().Add(idleTimeout)); err != nil {
+			return
+		}
+
+		var r request
+		if err := readMessage(reader, &r); err != nil {
+			return
+		}
+
+		if err := s.answer(ctx, conn, r); err != nil {
+			klog.V(1).InfoS("read of another instance ended", "feed", r.Feed, "err", err.Error())
+
+			return
+		}
+	}
+}
+
+func (s *Server) answer(ctx context.Context, conn net.Conn, r request) error {
+	for _, f := range s.read(ctx, r) {
+		if err := conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+			return err
+		}
+
+		if err := writeMessage(conn, &f); err != nil {
+			return err
+		}
+	}
+
+	return nil
+}
+
+// read returns the frames of the answer to a request.
+func (s *Server) read(ctx context.Context, r request) []frame {
+	log := s.Feeds[r.Feed]
+	if log == nil {
+		return []frame{{Outcome: unavailable}}
+	}
+
+	if r.Whole {
+		entries, next, err := log.Snapshot(ctx)
+		if err != nil {
+			return []frame{{Outcome: unavailable}}
+		}
+
+		return framesOf(entries, next)
+	}
+
+	wait := min(max(time.Duration(r.WaitMilliseconds)*time.Millisecond, 0), maxWait)
+	changes, err := log.Changes(ctx, r.From, wait)
+
+	switch {
+	case errors.Is(err, feed.ErrTrimmed):
+		return []frame{{Outcome: trimmed}}
+	case err != nil:
+		return []frame{{Outcome: unavailable}}
+	default:
+		return framesOf(changes.Entries, changes.Next)
+	}
+}
--- /dev/null
+++ b/replica/source.go
@@ -0,0 +1,206 @@
+package replica
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"monsoonlever/feed"
+)
+
+// frameTimeout bounds the time until the next frame of an answer, beyond the wait that was
+// asked for. The whole answer may take longer on a slow link.
+const frameTimeout = 3 * time.Second
+
+// Upstream is where a feed is read from.
+type Upstream struct {
+	// Origin tells that the feed is read from its origin.
+	Origin bool
+	// Address is the instance to read from otherwise; the zero value is none.
+	Address netip.AddrPort
+}
+
+// Source reads a feed from its origin or from another instance, and keeps what it has read in
+// a log for others. It is a feed.Source for one reader. Its fields are set before its first use.
+type Source struct {
+	// Feed names the feed to other instances.
+	Feed   string
+	Origin feed.Source
+	Log    *Log
+	// Upstream is asked before each read.
+	Upstream func() Upstream
+	// Kept tells whether others read from this instance; without it the log stays empty. Nil is
+	// always.
+	Kept   func() bool
+	Dialer *net.Dialer
+
+	relayed atomic.Bool
+	address netip.AddrPort
+	conn    net.Conn
+	reader  *bufio.Reader
+}
+
+// Relayed tells whether the newest read went to another instance. Such a read does not show
+// that its content is the newest of the origin.
+func (s *Source) Relayed() bool { return s.relayed.Load() }
+
+// Snapshot returns the newest entry of each key.
+func (s *Source) Snapshot(ctx context.Context) ([]feed.Entry, feed.Position, error) {
+	up := s.Upstream()
+	s.relayed.Store(!up.Origin)
+
+	var (
+		entries []feed.Entry
+		next    feed.Position
+		err     error
+	)
+
+	if up.Origin {
+		entries, next, err = s.Origin.Snapshot(ctx)
+	} else {
+		entries, next, err = s.ask(ctx, up.Address, request{Feed: s.Feed, Whole: true})
+	}
+
+	if err != nil {
+		return nil, 0, err
+	}
+
+	if s.kept() {
+		s.Log.Replace(entries, next)
+	}
+
+	return entries, next, nil
+}
+
+// Changes returns the changes from a position on, or waits for one.
+func (s *Source) Changes(ctx context.Context, from feed.Position, wait time.Duration) (feed.Changes, error) {
+	up := s.Upstream()
+	s.relayed.Store(!up.Origin)
+
+	var (
+		changes feed.Changes
+		err     error
+	)
+
+	if up.Origin {
+		changes, err = s.Origin.Changes(ctx, from, wait)
+	} else {
+		changes.Entries, changes.Next, err = s.ask(ctx, up.Address, request{
+			Feed: s.Feed, From: from, WaitMilliseconds: wait.Milliseconds(),
+		})
+		changes.End = changes.Next
+	}
+
+	if err != nil {
+		return feed.Changes{}, err
+	}
+
+	if s.kept() {
+		s.Log.Append(changes.Entries, changes.Next)
+	}
+
+	return changes, nil
+}
+
+// kept tells whether the log is kept, and empties it otherwise. A log that is kept again has to
+// begin with a whole set.
+func (s *Source) kept() bool {
+	if s.Kept == nil || s.Kept() {
+		return true
+	}
+
+	s.Log.Clear()
+
+	return false
+}
+
+// ask sends one request to another instance and collects its answer.
+func (s *Source) ask(ctx context.Context, to netip.AddrPort, r request) ([]feed.Entry, feed.Position, error) {
+	if !to.IsValid() {
+		return nil, 0, feed.ErrNoSource
+	}
+
+	entries, next, err := s.exchange(ctx, to, r)
+	if err != nil && !errors.Is(err, feed.ErrTrimmed) && !errors.Is(err, ErrUnavailable) {
+		// What else comes on the connection belongs to this read.
+		s.hangUp()
+	}
+
+	return entries, next, merry.Prependf(err, "read %s from %s", s.Feed, to)
+}
+
+func (s *Source) exchange(ctx context.Context, to netip.AddrPort, r request) ([]feed.Entry, feed.Position, error) {
+	if err := s.connect(ctx, to); err != nil {
+		return nil, 0, err
+	}
+
+	conn := s.conn
+
+	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+
+	timeout := frameTimeout + time.Duration(r.WaitMilliseconds)*time.Millisecond
+	if err := conn.SetDeadline(time.Now().Add(timeout)); err != nil {
+		return nil, 0, err
+	}
+
+	if err := writeMessage(conn, &r); err != nil {
+		return nil, 0, err
+	}
+
+	var entries []feed.Entry
+
+	for {
+		var f frame
+		if err := readMessage(s.reader, &f); err != nil {
+			return nil, 0, err
+		}
+
+		entries = append(entries, entriesOf(f.Entries)...)
+
+		switch f.Outcome {
+		case partial:
+		case complete:
+			return entries, f.Next, ctx.Err()
+		case trimmed:
+			return nil, 0, feed.ErrTrimmed
+		default:
+			return nil, 0, ErrUnavailable
+		}
+
+		if err := errors.Join(conn.SetDeadline(time.Now().Add(frameTimeout)), ctx.Err()); err != nil {
+			return nil, 0, err
+		}
+	}
+}
+
+// connect opens a connection to an instance unless there is one.
+func (s *Source) connect(ctx context.Context, to netip.AddrPort) error {
+	if s.conn != nil && s.address == to {
+		return nil
+	}
+
+	s.hangUp()
+
+	conn, err := s.Dialer.DialContext(ctx, "tcp4", to.String())
+	if err != nil {
+		return err
+	}
+
+	s.conn, s.address, s.reader = conn, to, bufio.NewReader(conn)
+
+	return nil
+}
+
+func (s *Source) hangUp() {
+	if s.conn != nil {
+		_ = s.conn.Close() // it is not used again
+		s.conn = nil
+	}
+}
--- /dev/null
+++ b/replica/source_test.go
@@ -0,0 +1,181 @@
+package replica
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"monsoonlever/clock"
+	"monsoonlever/feed"
+)
+
+// serveLog answers reads of a log on loopback until the test ends.
+func serveLog(t *testing.T, l *Log) netip.AddrPort {
+	t.Helper()
+
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	server := &Server{Clock: clock.NewSteady(), Feeds: map[string]*Log{"rules": l}}
+
+	go func() {
+		defer close(done)
+
+		server.Run(ctx, listener)
+	}()
+
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+
+	return netip.MustParseAddrPort(listener.Addr().String())
+}
+
+// counted is an origin that counts the reads of it.
+type counted struct {
+	*Log
+
+	reads atomic.Int64
+}
+
+func (c *counted) Snapshot(ctx context.Context) ([]feed.Entry, feed.Position, error) {
+	c.reads.Add(1)
+
+	return c.Log.Snapshot(ctx)
+}
+
+func newLog(entries ...feed.Entry) *Log {
+	l := &Log{Clock: clock.NewSteady()}
+	l.Replace(entries, feed.PositionOf(1, uint64(len(entries))))
+
+	return l
+}
+
+func TestASourceReadsFromAnotherInstance(t *testing.T) {
+	above := newLog(change("a", "x", 0))
+	origin := &counted{Log: newLog()}
+	up := Upstream{Address: serveLog(t, above)}
+	own := &Log{Clock: clock.NewSteady()}
+	s := &Source{Feed: "rules", Origin: origin, Log: own, Upstream: func() Upstream { return up }, Dialer: &net.Dialer{}}
+
+	entries, next, err := s.Snapshot(t.Context())
+	if err != nil || len(entries) != 1 || !s.Relayed() {
+		t.Fatalf("whole: got %v, %v, relayed %t, want one entry of the other instance", entries, err, s.Relayed())
+	}
+
+	go above.Append([]feed.Entry{change("b", "y", 1)}, feed.PositionOf(1, 2))
+
+	changes, err := s.Changes(t.Context(), next, 5*time.Second)
+	if err != nil || len(changes.Entries) != 1 || changes.Next != feed.PositionOf(1, 2) {
+		t.Fatalf("changes: got %v, %v, want b", changes, err)
+	}
+
+	if all, _ := readAll(t, own); all["a"] != "x" || all["b"] != "y" {
+		t.Errorf("kept for others: got %v, want both", all)
+	}
+
+	if n := origin.reads.Load(); n != 0 {
+		t.Errorf("reads of the origin: got %d, want none", n)
+	}
+
+	up = Upstream{Origin: true}
+
+	if _, _, err := s.Snapshot(t.Context()); err != nil || s.Relayed() || origin.reads.Load() != 1 {
+		t.Errorf("from the origin: got %v, relayed %t, %d reads, want one", err, s.Relayed(), origin.reads.Load())
+	}
+}
+
+func TestALargeSetComesInParts(t *testing.T) {
+	const n = 3000
+
+	var entries []feed.Entry
+	for i := range uint64(n) {
+		entries = append(entries, feed.Entry{Key: string(rune('A' + i)), Data: make([]byte, 200), At: feed.PositionOf(1, i)})
+	}
+
+	if frames := framesOf(entries, 0); len(frames) < 5 {
+		t.Errorf("frames: got %d, want several", len(frames))
+	}
+
+	address := serveLog(t, newLog(entries...))
+	s := &Source{
+		Feed: "rules", Log: &Log{Clock: clock.NewSteady()}, Dialer: &net.Dialer{},
+		Upstream: func() Upstream { return Upstream{Address: address} },
+	}
+
+	if got, _, err := s.Snapshot(t.Context()); err != nil || len(got) != n {
+		t.Errorf("got %d entries, %v, want %d", len(got), err, n)
+	}
+}
+
+func TestReadsFailWithoutAnUpstream(t *testing.T) {
+	s := &Source{Feed: "rules", Log: &Log{Clock: clock.NewSteady()}, Upstream: func() Upstream { return Upstream{} }}
+	if _, _, err := s.Snapshot(t.Context()); !errors.Is(err, feed.ErrNoSource) {
+		t.Errorf("no upstream: got %v, want ErrNoSource", err)
+	}
+
+	address := serveLog(t, &Log{Clock: clock.NewSteady()})
+
+	for _, name := range []string{"rules", "unknown"} {
+		s := &Source{
+			Feed: name, Log: &Log{Clock: clock.NewSteady()}, Dialer: &net.Dialer{},
+			Upstream: func() Upstream { return Upstream{Address: address} },
+		}
+		if _, _, err := s.Snapshot(t.Context()); !errors.Is(err, ErrUnavailable) {
+			t.Errorf("feed %s that the other has not read: got %v, want ErrUnavailable", name, err)
+		}
+	}
+}
+
+func TestAnInstanceThatNobodyReadsFromKeepsNothing(t *testing.T) {
+	above := newLog(change("a", "x", 0))
+	own := &Log{Clock: clock.NewSteady()}
+	kept := true
+	s := &Source{
+		Feed: "rules", Origin: above, Log: own, Dialer: &net.Dialer{}, Kept: func() bool { return kept },
+		Upstream: func() Upstream { return Upstream{Origin: true} },
+	}
+
+	for _, kept = range []bool{true, false, true} {
+		if _, _, err := s.Snapshot(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+
+		if own.Loaded() != kept {
+			t.Errorf("kept %t: got %t", kept, own.Loaded())
+		}
+	}
+}
+
+// An instance that ended a wait early must not get the rest of it as the answer to its next read.
+func TestACancelledWaitIsNotAnsweredLater(t *testing.T) {
+	above := newLog(change("a", "x", 0))
+	address := serveLog(t, above)
+	s := &Source{
+		Feed: "rules", Log: newLog(change("a", "x", 0)), Dialer: &net.Dialer{},
+		Upstream: func() Upstream { return Upstream{Address: address} },
+	}
+
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+
+	if _, err := s.Changes(ctx, feed.PositionOf(1, 1), 10*time.Second); err == nil {
+		t.Error("cancelled wait: got no error, want one")
+	}
+
+	above.Append([]feed.Entry{change("b", "y", 1), change("c", "z", 2)}, feed.PositionOf(1, 3))
+
+	got, err := s.Changes(t.Context(), feed.PositionOf(1, 2), 0)
+	if err != nil || len(got.Entries) != 1 || got.Entries[0].Key != "c" {
+		t.Errorf("next read: got %v, %v, want c alone", got.Entries, err)
+	}
+}
