feat(directory,topology): relays among many instances are named by a directory

What each instance had to know to find the relays was every other instance. A directory is one small record with the relays and the number of instances.

TestTheFirstDirectoryHasEnoughRelaysInEachDomain (13 to 2,000 instances), TestADirectoryGrowsWithTheFleet, TestSilentRelaysAreReplaced.

--- /dev/null
+++ b/directory/keeper_test.go
@@ -0,0 +1,231 @@
+package directory
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"monsoonlever/fleet"
+	"monsoonlever/topology"
+)
+
+var begin = time.Unix(1_000_000, 0)
+
+func member(domain, i int, cores float64) topology.Member {
+	return topology.Member{
+		ID: fleet.InstanceID(fmt.Sprint("entry-", domain, "-", i)), Domain: fleet.FailureDomain(fmt.Sprint("domain-", domain)), Cores: cores,
+		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(domain), byte(i >> 8), byte(i)}), 7600),
+	}
+}
+
+// fleetOf returns n members in some failure domains, of which every sixteenth has more cores.
+func fleetOf(n, domains int) []topology.Member {
+	members := make([]topology.Member, 0, n)
+
+	for i := range n {
+		cores := 0.2
+		if i/domains%16 == 0 {
+			cores = 0.8
+		}
+
+		members = append(members, member(i%domains, i, cores))
+	}
+
+	return members
+}
+
+// reportsOf has each member turn to a relay of its domain, or to any where it has none, and
+// returns what the relays report.
+func reportsOf(relays, members []topology.Member) []Report {
+	reports := make([]Report, len(relays))
+	for i, r := range relays {
+		reports[i] = Report{Relay: r, Sizes: map[fleet.FailureDomain]int{r.Domain: 1}}
+	}
+
+	turn := 0
+
+	for _, m := range members {
+		if slices.Contains(relays, m) {
+			continue
+		}
+
+		chosen := turn % len(relays)
+
+		for range relays {
+			if relays[chosen].Domain == m.Domain {
+				break
+			}
+
+			chosen = (chosen + 1) % len(relays)
+		}
+
+		turn++
+		reports[chosen].Sizes[m.Domain]++
+
+		if len(reports[chosen].Candidates) < 8 {
+			reports[chosen].Candidates = append(reports[chosen].Candidates, m)
+		}
+	}
+
+	return reports
+}
+
+// settle has a keeper decide until nothing changes, and returns the directory and after how
+// many changes.
+func settle(t *testing.T, current *Directory, members []topology.Member) (*Directory, int) {
+	t.Helper()
+
+	var keeper Keeper
+
+	changes := 0
+
+	for round := range 30 {
+		now := begin.Add(time.Duration(round) * time.Second)
+
+		for _, r := range reportsOf(current.Relays, members) {
+			r.Candidates = topology.Rank(r.Candidates)
+			keeper.Report(now, r)
+		}
+
+		if next, changed := keeper.Next(now, current); changed {
+			current = next
+			changes++
+		}
+	}
+
+	return current, changes
+}
+
+func TestTheFirstDirectoryHasEnoughRelaysInEachDomain(t *testing.T) {
+	for _, n := range []int{13, 30, 80, 195, 410, 986, 2000} {
+		members := fleetOf(n, 6)
+		first := members[0]
+		sizes := make(map[fleet.FailureDomain]int)
+
+		for _, m := range members {
+			sizes[m.Domain]++
+		}
+
+		var keeper Keeper
+
+		keeper.Report(begin, Report{Relay: first, Sizes: sizes, Candidates: members[1:]})
+
+		got, changed := keeper.Next(begin, &Directory{Relays: []topology.Member{first}, Count: 1, Forming: true})
+		if !changed || got.Forming || got.Count != n {
+			t.Errorf("%d instances: got %d, forming %t, want all of them", n, got.Count, got.Forming)
+		}
+
+		for domain, size := range sizes {
+			relays := 0
+
+			for _, m := range got.Relays {
+				if m.Domain == domain {
+					relays++
+				}
+			}
+
+			if want := topology.RelaysWanted(size, len(sizes)); relays != min(want, size) {
+				t.Errorf("%d instances, %s: got %d relays, want %d", n, domain, relays, want)
+			}
+		}
+
+		if large := got.Relays[0].Cores; large != 0.8 {
+			t.Errorf("%d instances: got a first relay of %.1f cores, want the largest", n, large)
+		}
+	}
+}
+
+func TestFewInstancesNeedNoRelays(t *testing.T) {
+	var keeper Keeper
+
+	keeper.Report(begin, Report{Relay: member(0, 0, 1), Sizes: map[fleet.FailureDomain]int{"domain-0": 6}})
+
+	got, changed := keeper.Next(begin, &Directory{Count: 1, Forming: true})
+	if !changed || !got.Few() || len(got.Relays) != 0 {
+		t.Errorf("got %+v, changed %t, want few without relays", got, changed)
+	}
+}
+
+func TestADirectoryGrowsWithTheFleet(t *testing.T) {
+	members := fleetOf(986, 6)
+	few := members[:100]
+
+	small, _ := settle(t, &Directory{Relays: topology.RelaysOf(topology.Rank(few)), Count: len(few)}, few)
+
+	large, changes := settle(t, small, members)
+	if got, want := len(large.Relays), 6*topology.RelaysWanted(986/6, 6); got < want || large.Count != len(members) {
+		t.Errorf("after growth: got %d relays of %d instances, want %d of %d", got, large.Count, want, len(members))
+	}
+
+	if changes > 5 {
+		t.Errorf("changes: got %d, want few", changes)
+	}
+}
+
+func TestSilentRelaysAreReplaced(t *testing.T) {
+	members := fleetOf(195, 6)
+	current, _ := settle(t, &Directory{Relays: topology.RelaysOf(topology.Rank(members)), Count: len(members)}, members)
+
+	lost := current.Relays[0]
+	left := slices.DeleteFunc(slices.Clone(members), func(m topology.Member) bool { return m == lost })
+
+	var keeper Keeper
+
+	for round := range 20 {
+		now := begin.Add(time.Duration(round) * time.Second)
+
+		others := slices.DeleteFunc(slices.Clone(current.Relays), func(m topology.Member) bool { return m == lost })
+		for _, r := range reportsOf(others, left) {
+			keeper.Report(now, r)
+		}
+
+		next, changed := keeper.Next(now, current)
+		if changed {
+			current = next
+		}
+
+		if now.Sub(begin) < silentAfter && !current.Has(lost.ID) {
+			t.Fatalf("after %v: got the relay replaced, want it kept for %v", now.Sub(begin), silentAfter)
+		}
+	}
+
+	if current.Has(lost.ID) {
+		t.Error("a silent relay: got it kept, want it replaced")
+	}
+}
+
+// An instance that has just begun to lead knows few reports, and must not take that for a loss.
+func TestANewLeaderDropsNobodyBeforeItCouldHear(t *testing.T) {
+	members := fleetOf(986, 6)
+	current, _ := settle(t, &Directory{Relays: topology.RelaysOf(topology.Rank(members)), Count: len(members)}, members)
+
+	var keeper Keeper
+
+	for _, after := range []time.Duration{0, time.Second, silentAfter - time.Millisecond} {
+		if next, changed := keeper.Next(begin.Add(after), current); changed {
+			t.Errorf("after %v without reports: got %d instances and %d relays, want nothing changed", after, next.Count, len(next.Relays))
+		}
+	}
+}
+
+func TestADirectoryIsDecodedAsItWasEncoded(t *testing.T) {
+	want := &Directory{Relays: fleetOf(20, 3), Count: 400, Forming: true}
+
+	data, err := want.Marshal()
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	got, err := Unmarshal(data)
+	if err != nil || got.Count != want.Count || !got.Forming || !slices.Equal(got.Relays, want.Relays) {
+		t.Errorf("got %+v, %v, want %+v", got, err, want)
+	}
+
+	for _, damaged := range [][]byte{nil, data[:len(data)/2], []byte("\xff")} {
+		if _, err := Unmarshal(damaged); err == nil {
+			t.Errorf("damaged record %x: got no error, want one", damaged)
+		}
+	}
+}
--- a/topology/links.go
+++ b/topology/links.go
@@ -22,6 +22,8 @@
 	subscribed = 1500 * time.Millisecond
 	// tried is how many relays a member turns to while none has answered.
 	tried = 3
+	// askAgain is how long an assigned relay that did not answer is passed over.
+	askAgain = 3 * time.Second
 	// stoodStill is a pause between two rounds of words after which this instance itself may
 	// have been the silent one.
 	stoodStill = 500 * time.Millisecond
@@ -83,6 +85,9 @@
 // Leads tells whether an instance leads.
 func (p *Plan) Leads(id fleet.InstanceID) bool { return slices.Contains(p.Leaders, id) }
 
+// Rank returns the place of an instance among those that lead, or -1.
+func (p *Plan) Rank(id fleet.InstanceID) int { return slices.Index(p.Leaders, id) }
+
 // First tells whether an instance is the first of those that lead.
 func (p *Plan) First(id fleet.InstanceID) bool { return len(p.Leaders) > 0 && p.Leaders[0] == id }
 
@@ -95,18 +100,27 @@
 	// heard is when each was last heard, and asked since when it has been told without
 	// being heard.
 	heard, asked map[fleet.InstanceID]time.Time
-	// silent are those that did not answer; they are heard of again, or forgotten.
-	silent map[fleet.InstanceID]bool
+	// silent are those that did not answer, and since when; they are heard of again, or
+	// forgotten. gone are those that have announced their stop.
+	silent map[fleet.InstanceID]time.Time
+	gone   map[fleet.InstanceID]bool
 	// subscribers are the members that turned to this instance, and others those that told
 	// it as one relay tells another, with when they last did.
 	subscribers, others map[fleet.InstanceID]heardMember
-	// uplink is the relay that answers this instance where it is none.
-	uplink fleet.InstanceID
+	// uplink is the relay that answers this instance where it is none, and uplinkCount how
+	// many instances it knows of.
+	uplink      fleet.InstanceID
+	uplinkCount int
 	// views are the leaders as those that lead, and the uplink, name them. leading are those
 	// of the last plan, and count the instances that it knew.
 	views   map[fleet.InstanceID]view
 	leading []fleet.InstanceID
 	count   int
+	// assigned are the relays as a directory names them; nil means that they follow from the
+	// members.
+	assigned []Member
+	// sizes are how many instances other relays stand for, themselves included.
+	sizes map[fleet.InstanceID]int
 	// stopping tells that this instance neither relays nor leads any more.
 	stopping bool
 	// invited is when another relay last told this instance as a relay.
@@ -135,6 +149,7 @@
 	l.heard[m.ID], l.latest = now, now
 	delete(l.asked, m.ID)
 	delete(l.silent, m.ID)
+	delete(l.gone, m.ID)
 
 	delete(l.subscribers, m.ID)
 	delete(l.others, m.ID)
@@ -153,6 +168,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	delete(l.silent, id)
+	delete(l.gone, id)
 }
 
 // Gone takes in that a member stops.
@@ -161,11 +177,12 @@
 	defer l.mu.Unlock()
 	l.init()
 
-	l.silent[id] = true
+	l.gone[id] = true
 
 	delete(l.subscribers, id)
 	delete(l.others, id)
 	delete(l.views, id)
+	delete(l.sizes, id)
 }
 
 // Stop makes this instance neither relay nor lead, so that others take its place while it
@@ -176,6 +193,21 @@
 	l.stopping = true
 }
 
+// Assign sets the relays that a directory names. Without any, they follow from the members.
+func (l *Links) Assign(relays []Member) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.assigned = relays
+}
+
+// Sized takes in how many instances another relay stands for, itself included.
+func (l *Links) Sized(from fleet.InstanceID, size int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.init()
+	l.sizes[from] = size
+}
+
 // Told takes in which instances lead as another one knows it, of count that it knows: one
 // that leads itself, or the relay that this one turned to. One that has just started knows
 // few and names itself; it is passed over.
@@ -185,6 +217,10 @@
 
 	l.init()
 
+	if from == l.uplink {
+		l.uplinkCount = count
+	}
+
 	if float64(count) < knowsEnough*float64(l.count) || from != l.uplink && !slices.Contains(leaders, from) {
 		delete(l.views, from)
 
@@ -194,6 +230,16 @@
 	l.views[from] = view{leaders: leaders, at: now}
 }
 
+// Hears tells whether a relay was heard lately.
+func (l *Links) Hears(now time.Time, id fleet.InstanceID) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	at, ok := l.heard[id]
+
+	return ok && now.Sub(at) <= relayPatience
+}
+
 // Linked tells whether this instance hears what others tell.
 func (l *Links) Linked(now time.Time) bool {
 	l.mu.Lock()
@@ -209,20 +255,21 @@
 	defer l.mu.Unlock()
 	l.init()
 	l.resume(now)
-	l.forget(members)
-
-	count := 1
 
-	for _, m := range members {
-		if !l.isSelf(m) {
-			count++
-		}
+	if l.assigned != nil {
+		members = l.assigned
+		l.forgive(now)
 	}
 
-	few := count <= Few
-	answers := func(id fleet.InstanceID) bool { return !l.silent[id] }
-	answering := relaysOf(l.ranked(members, !l.stopping, answers))
-	if len(answering) == 0 {
+	l.forget(members)
+
+	count := l.countOf(members)
+	few := l.assigned == nil && count <= Few
+	takesPart := !l.stopping && (l.assigned == nil || slices.ContainsFunc(l.assigned, l.isSelf))
+	answers := func(id fleet.InstanceID) bool { return l.silent[id].IsZero() && !l.gone[id] }
+	answering := l.relaysAmong(l.ranked(members, takesPart, answers))
+
+	if len(answering) == 0 && l.assigned == nil {
 		answering = []Member{l.Self}
 	}
 
@@ -236,8 +283,8 @@
 	// Others may have found sooner that this instance takes the place of a silent relay.
 	plan.Relay = few || slices.ContainsFunc(relays, l.isSelf) || !l.stopping && now.Sub(l.invited) <= subscribed
 	plan.Leaders = l.leaders(now, members, answering, func() []Member {
-		return l.ranked(members, !l.stopping, func(id fleet.InstanceID) bool {
-			return answers(id) || !few && !l.heard[id].IsZero()
+		return l.ranked(members, takesPart, func(id fleet.InstanceID) bool {
+			return answers(id) || !few && !l.heard[id].IsZero() && !l.gone[id]
 		})
 	})
 	l.leading, l.count = plan.Leaders, count
@@ -259,6 +306,57 @@
 	return plan
 }
 
+// countOf returns how many instances there are: those that are known where an instance knows
+// them all, and otherwise what the relays stand for.
+func (l *Links) countOf(members []Member) int {
+	count := 1
+
+	if l.assigned != nil {
+		if l.uplink != "" {
+			return max(l.uplinkCount, count)
+		}
+
+		count += len(l.subscribers)
+	}
+
+	for _, m := range members {
+		switch {
+		case l.isSelf(m):
+		case l.assigned == nil:
+			count++
+		case l.silent[m.ID].IsZero() && !l.gone[m.ID]:
+			count += max(l.sizes[m.ID], 1)
+		}
+	}
+
+	return count
+}
+
+// relaysAmong returns the relays among ranked members.
+func (l *Links) relaysAmong(ranked []Member) []Member {
+	if l.assigned != nil {
+		return ranked
+	}
+
+	return RelaysOf(ranked)
+}
+
+// Size returns how many instances this one stands for as a relay, by failure domain, and
+// those among them that turned to it.
+func (l *Links) Size(now time.Time) (map[fleet.FailureDomain]int, []Member) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	subscribers := l.current(now, l.subscribers, nil)
+	sizes := map[fleet.FailureDomain]int{l.Self.Domain: 1}
+
+	for _, m := range subscribers {
+		sizes[m.Domain]++
+	}
+
+	return sizes, subscribers
+}
+
 // resume forgives all who did not answer where this instance itself told nobody for a
 // while, as after it stood still.
 func (l *Links) resume(now time.Time) {
@@ -269,10 +367,20 @@
 	l.planned = now
 }
 
+// forgive has relays asked again that did not answer for a while, or all of them where none
+// answers: no record of an assigned relay shows that it may answer again.
+func (l *Links) forgive(now time.Time) {
+	none := !slices.ContainsFunc(l.assigned, func(m Member) bool {
+		return !l.isSelf(m) && l.silent[m.ID].IsZero() && !l.gone[m.ID]
+	})
+
+	maps.DeleteFunc(l.silent, func(_ fleet.InstanceID, since time.Time) bool { return none || now.Sub(since) > askAgain })
+}
+
 // forget drops what is remembered of instances that are no members, once that is more
 // than of those that are: instances are replaced for as long as this one runs.
 func (l *Links) forget(members []Member) {
-	if len(l.heard)+len(l.silent) <= rememberedPerMember*(len(members)+1) {
+	if len(l.heard)+len(l.silent)+len(l.gone) <= rememberedPerMember*(len(members)+1) {
 		return
 	}
 
@@ -283,8 +391,10 @@
 
 	maps.DeleteFunc(l.heard, func(id fleet.InstanceID, _ time.Time) bool { return !known[id] })
 	maps.DeleteFunc(l.asked, func(id fleet.InstanceID, _ time.Time) bool { return !known[id] })
-	maps.DeleteFunc(l.silent, func(id fleet.InstanceID, _ bool) bool { return !known[id] })
+	maps.DeleteFunc(l.silent, func(id fleet.InstanceID, _ time.Time) bool { return !known[id] })
+	maps.DeleteFunc(l.gone, func(id fleet.InstanceID, _ bool) bool { return !known[id] })
 	maps.DeleteFunc(l.views, func(id fleet.InstanceID, _ view) bool { return !known[id] })
+	maps.DeleteFunc(l.sizes, func(id fleet.InstanceID, _ int) bool { return !known[id] })
 }
 
 // ranked returns the members that fit, and this one if it takes part, in their rank.
@@ -301,7 +411,7 @@
 		ranked = append(ranked, l.Self)
 	}
 
-	return rank(ranked)
+	return Rank(ranked)
 }
 
 func (l *Links) isSelf(m Member) bool { return m.ID == l.Self.ID }
@@ -331,7 +441,7 @@
 	}
 
 	if len(named) > 0 {
-		if first := rank(named)[0]; first.ID != l.Self.ID {
+		if first := Rank(named)[0]; first.ID != l.Self.ID {
 			return l.views[first.ID].leaders
 		}
 
@@ -355,7 +465,7 @@
 		return nil
 	}
 
-	own := leadersOf(relaysOf(known()))
+	own := leadersOf(l.relaysAmong(known()))
 	if !slices.Contains(own, l.Self.ID) {
 		return nil
 	}
@@ -373,10 +483,12 @@
 	if l.heard == nil {
 		l.heard = make(map[fleet.InstanceID]time.Time)
 		l.asked = make(map[fleet.InstanceID]time.Time)
-		l.silent = make(map[fleet.InstanceID]bool)
+		l.silent = make(map[fleet.InstanceID]time.Time)
+		l.gone = make(map[fleet.InstanceID]bool)
 		l.subscribers = make(map[fleet.InstanceID]heardMember)
 		l.others = make(map[fleet.InstanceID]heardMember)
 		l.views = make(map[fleet.InstanceID]view)
+		l.sizes = make(map[fleet.InstanceID]int)
 	}
 }
 
@@ -425,7 +537,7 @@
 	case !ok:
 		l.asked[id] = now
 	case now.Sub(since) > within:
-		l.silent[id] = true
+		l.silent[id] = now
 
 		delete(l.asked, id)
 	}
--- a/topology/topology.go
+++ b/topology/topology.go
@@ -8,6 +8,9 @@
 // all that know the same members name the same ones, and one that falls silent is
 // replaced by the next. A member whose relay is silent turns to another at once.
 //
+// The relays follow from the members where an instance knows them all, or are assigned to
+// it by a directory.
+//
 // Five of the relays lead: they read the platform's store for all, hold the duties and
 // keep the limits of client accounts.
 //
@@ -64,8 +67,8 @@
 	weight uint64
 }
 
-// rank orders members alike for all that know them: the larger first, then by hash.
-func rank(members []Member) []Member {
+// Rank orders members alike for all that know them: the larger first, then by hash.
+func Rank(members []Member) []Member {
 	ranked := make([]weighed, 0, len(members))
 	for _, m := range members {
 		ranked = append(ranked, weighed{Member: m, weight: xxhash.Sum64String(string(m.ID))})
@@ -83,8 +86,14 @@
 	return ordered
 }
 
-// relaysOf returns the relays of ranked members, in their order.
-func relaysOf(ranked []Member) []Member {
+// RelaysWanted is how many relays a failure domain of some instances should have, one of a
+// number of domains.
+func RelaysWanted(instances, domains int) int {
+	return max(relaysPerDomain, ceil(instances, membersPerRelay), ceil(leaders, max(domains, 1)))
+}
+
+// RelaysOf returns the relays of ranked members, in their order.
+func RelaysOf(ranked []Member) []Member {
 	if len(ranked) <= Few {
 		return ranked
 	}
@@ -99,8 +108,7 @@
 	var relays []Member
 
 	for _, m := range ranked {
-		wanted := max(relaysPerDomain, ceil(sizes[m.Domain], membersPerRelay), ceil(leaders, len(sizes)))
-		if chosen[m.Domain] < wanted {
+		if chosen[m.Domain] < RelaysWanted(sizes[m.Domain], len(sizes)) {
 			chosen[m.Domain]++
 			relays = append(relays, m)
 		}
