feat(entry): many instances read rules and backend servers from their relays

Cause: each instance read rules, register and the shared board from the store, at its start and again whenever something differed: instances times the whole set of servers, at 80 MB/s for all reads together. Reads that did not end within 1.5 s began anew, so that the overload kept itself up.

Now an instance reads one small record, the directory of relays, turns to a relay and reads rules, register and the directory's changes from it; relays read from those that lead, and only these read the store and write the board. The first one that starts names itself, counts the others and writes the first directory; it redirects those that turned to it. An instance that hears no relay reads the store by itself, at a pace that keeps all such reads below 100 a second.

--- a/board/board.go
+++ b/board/board.go
@@ -102,6 +102,8 @@
 	firstTimeout = 5 * time.Second
 	// maxReads bounds the reads of one round.
 	maxReads = 8
+	// inactivePause is how often an instance that takes no part looks whether it does.
+	inactivePause = 500 * time.Millisecond
 )
 
 // Board writes and reads. Its exported fields are set before Run.
@@ -116,6 +118,8 @@
 	// Begin ends before the first round, so that what callers wait for first is not
 	// held up by what is kept of the board; it may be nil.
 	Begin func(ctx context.Context)
+	// Active tells whether this instance writes and reads now; nil is always. A Nudge asks again.
+	Active func() bool
 	// Write makes the next record.
 	Write func(now time.Time) Record
 	// Receive takes a record in, also those of this instance.
@@ -138,6 +142,10 @@
 	}
 
 	for ctx.Err() == nil {
+		if !b.active(ctx) {
+			continue
+		}
+
 		began := b.Clock.Now()
 		err := b.write(ctx)
 
@@ -150,6 +158,21 @@
 	}
 }
 
+// active reports whether a round is to be made, and waits for a moment otherwise.
+func (b *Board) active(ctx context.Context) bool {
+	if b.Active == nil || b.Active() {
+		return true
+	}
+
+	select {
+	case <-b.Clock.After(inactivePause):
+	case <-b.nudge.C():
+	case <-ctx.Done():
+	}
+
+	return false
+}
+
 func (b *Board) readDue(now time.Time) bool {
 	return b.readAt.IsZero() || b.ReadEvery == nil || now.Sub(b.readAt) >= b.ReadEvery()
 }
--- a/entry/datagram.go
+++ b/entry/datagram.go
@@ -34,6 +34,9 @@
 	Trials *trialCounts `msgpack:"v,omitempty"`
 	// Losses are backend servers that ended under requests.
 	Losses []quarantine.Loss `msgpack:"q,omitempty"`
+	// Report is a relay's report to those that lead, and Redirect names relays to an instance.
+	Report   *reportMessage `msgpack:"o,omitempty"`
+	Redirect *redirect      `msgpack:"c,omitempty"`
 }
 
 // receiveDatagram takes any message of another instance in.
@@ -46,7 +49,7 @@
 	}
 
 	if d.Heartbeat != nil {
-		p.receiveHeartbeat(now, *d.Heartbeat)
+		p.receiveHeartbeat(now, from, *d.Heartbeat)
 	}
 
 	if d.Spent != nil {
@@ -73,6 +76,10 @@
 		p.receivePrompts(now, d.Prompts)
 	case len(d.Losses) > 0:
 		p.receiveLosses(now, d.Losses)
+	case d.Report != nil:
+		p.receiveReport(now, d.Report)
+	case d.Redirect != nil:
+		p.receiveRedirect(now, d.Redirect)
 	case d.Reply != nil:
 		p.loans.Answered(*d.Reply)
 	}
@@ -81,7 +88,7 @@
 // sendDatagram sends a message to one instance at once. What does not arrive is asked of
 // another one, or refused.
 func (p *parts) sendDatagram(to fleet.InstanceID, d datagram) {
-	if address, known := p.members.Address(to); known {
+	if address, known := p.addressOf(to); known {
 		p.sendAll(map[fleet.InstanceID]netip.AddrPort{to: address}, d)
 	}
 }
--- /dev/null
+++ b/entry/directory.go
@@ -0,0 +1,267 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"monsoonlever/clock"
+	"monsoonlever/directory"
+	"monsoonlever/feed"
+	"monsoonlever/fleet"
+	"monsoonlever/platform"
+	"monsoonlever/topology"
+)
+
+const (
+	// directoryEvery is how often those that lead look whether the directory is up to date.
+	directoryEvery = 500 * time.Millisecond
+	// directoryRefresh is how often the directory is written although it says nothing new, and
+	// directoryAbandoned how long one that was not written is believed by an instance that
+	// reaches none of its relays.
+	directoryRefresh   = 5 * time.Second
+	directoryAbandoned = 3 * directoryRefresh
+	// directorySettle is how long the directory has to be outdated: an instance that turns to
+	// another relay counts at both for a moment.
+	directorySettle = 3 * time.Second
+	// directoryYield is how much longer each further leader waits before it writes what is
+	// missing in place of those before it.
+	directoryYield = 2 * time.Second
+	// claimSpread is the time in which an instance with a whole core names itself where
+	// there is no directory; smaller instances take longer, so that a large one is first.
+	claimSpread = 200 * time.Millisecond
+	// formingSettle is how long no further instance has to come until the first directory
+	// names relays, and formingLimit bounds that.
+	formingSettle = 700 * time.Millisecond
+	formingLimit  = 4 * time.Second
+	// directoryTimeout bounds a write of the directory.
+	directoryTimeout = time.Second
+)
+
+// directoryView is the directory that this instance goes by.
+type directoryView struct {
+	directory.Directory
+
+	addresses map[fleet.InstanceID]netip.AddrPort
+	// at is when it was read, and position that of its record.
+	at       time.Time
+	position feed.Position
+}
+
+func newDirectoryView(d *directory.Directory, at time.Time, position feed.Position) *directoryView {
+	v := &directoryView{Directory: *d, at: at, position: position, addresses: make(map[fleet.InstanceID]netip.AddrPort)}
+	for _, m := range d.Relays {
+		v.addresses[m.ID] = m.Address
+	}
+
+	return v
+}
+
+// few tells whether the instances are known to be so few that each reads the store and hears
+// each other.
+func (p *parts) few() bool {
+	view := p.directory.Load()
+
+	return view != nil && view.Few()
+}
+
+// count returns how many instances there are, at least one. It rather counts instances that
+// are gone than misses some: each uses a part of what all may use together.
+func (p *parts) count() int {
+	view := p.directory.Load()
+	if view == nil || view.Few() {
+		return p.members.Count()
+	}
+
+	return max(p.plan.Load().Count, view.Count, 1)
+}
+
+// applyDirectory takes the newest directory in.
+func (p *parts) applyDirectory(entries []feed.Entry, whole bool) {
+	now := p.clock.Now()
+
+	if len(entries) == 0 {
+		if whole && p.directory.Load() == nil {
+			p.unclaimed.Store(true)
+		}
+
+		return
+	}
+
+	newest := entries[len(entries)-1]
+	p.store.Observe(newest.At.Era())
+
+	d, err := directory.Unmarshal(newest.Data)
+	if err != nil {
+		klog.ErrorS(err, "directory is not used", "offset", newest.At)
+
+		return
+	}
+
+	p.useDirectory(newDirectoryView(d, now, newest.At))
+}
+
+// useDirectory puts a directory in force.
+func (p *parts) useDirectory(view *directoryView) {
+	before := p.directory.Swap(view)
+
+	if view.Few() {
+		p.links.Assign(nil)
+	} else {
+		p.links.Assign(view.Relays)
+	}
+
+	if before == nil || before.Count != view.Count || len(before.Relays) != len(view.Relays) {
+		klog.InfoS("directory in force", "instances", view.Count, "relays", len(view.Relays), "forming", view.Forming,
+			"relay", view.Has(p.self()), "offset", view.position)
+	}
+
+	if before == nil || before.Few() != view.Few() {
+		p.nudgeFeeds()
+		p.board.Nudge()
+	}
+}
+
+func (p *parts) nudgeFeeds() {
+	p.rulesFeed.Nudge()
+	p.registerFeed.Nudge()
+	p.directoryFeed.Nudge()
+}
+
+// keepDirectory keeps the directory up to date while this instance leads, and begins one where
+// there is none.
+func (p *parts) keepDirectory(ctx context.Context) {
+	for ctx.Err() == nil {
+		clock.Sleep(ctx, p.clock, directoryEvery)
+
+		view := p.directory.Load()
+
+		switch {
+		case view == nil && p.unclaimed.Load():
+			p.claimDirectory(ctx, nil)
+		case view == nil:
+		case p.abandoned(view):
+			p.claimDirectory(ctx, view)
+		case p.leads():
+			p.updateDirectory(ctx, view)
+		default:
+			p.keeper.Reset()
+		}
+	}
+}
+
+// claimDirectory names this instance as the one that others turn to, unless the directory
+// changes before.
+func (p *parts) claimDirectory(ctx context.Context, before *directoryView) {
+	cores := max(p.settings.Limits.ProcessorCores, 0.1)
+	clock.Sleep(ctx, p.clock, rand.N(time.Duration(float64(claimSpread)/cores)))
+
+	if ctx.Err() != nil || p.directory.Load() != before {
+		return
+	}
+
+	p.writeDirectory(ctx, &directory.Directory{Relays: []topology.Member{p.links.Self}, Count: 1, Forming: true})
+}
+
+// abandoned tells whether nobody keeps the directory any more, as far as an instance can tell
+// that reaches none of its relays and reads the store by itself.
+func (p *parts) abandoned(view *directoryView) bool {
+	now := p.clock.Now()
+
+	return !view.Few() && !p.links.Linked(now) && !view.Has(p.self()) && now.Sub(view.at) > directoryAbandoned &&
+		now.Sub(p.directoryFeed.Reached()) < directoryRefresh
+}
+
+// updateDirectory writes the directory where it has to say something else, or was not written
+// for a while. The first of those that lead does so; the others only where it does not.
+func (p *parts) updateDirectory(ctx context.Context, view *directoryView) {
+	now := p.clock.Now()
+	next, changed := p.nextDirectory(now, view)
+
+	if !changed {
+		p.outdated = time.Time{}
+	} else if p.outdated.IsZero() {
+		p.outdated = now
+	}
+
+	rank := max(p.plan.Load().Rank(p.self()), 0)
+	yield := time.Duration(rank) * directoryYield
+	late := changed && (view.Forming || now.Sub(p.outdated) >= directorySettle+yield)
+	refresh := !view.Few() && now.Sub(view.at) >= directoryRefresh+yield
+
+	if late || refresh {
+		p.writeDirectory(ctx, next)
+	}
+}
+
+// nextDirectory returns the directory as it should be, and whether it says something else.
+func (p *parts) nextDirectory(now time.Time, view *directoryView) (*directory.Directory, bool) {
+	switch {
+	case view.Forming:
+		return p.formDirectory(now, view)
+	case view.Few():
+		return p.fewDirectory(view)
+	default:
+		p.keeper.Report(now, p.relayReport(now))
+
+		return p.keeper.Next(now, &view.Directory)
+	}
+}
+
+// formDirectory returns the first directory that counts all instances, once no more come.
+func (p *parts) formDirectory(now time.Time, view *directoryView) (*directory.Directory, bool) {
+	sizes, subscribers := p.links.Size(now)
+
+	if len(subscribers) != p.formed {
+		p.formed, p.formedAt = len(subscribers), now
+	}
+
+	if now.Sub(p.formedAt) < formingSettle && now.Sub(view.at) < formingLimit {
+		return &view.Directory, false
+	}
+
+	var keeper directory.Keeper
+
+	keeper.Report(now, directory.Report{Relay: p.links.Self, Sizes: sizes, Candidates: subscribers})
+
+	return keeper.Next(now, &directory.Directory{Relays: view.Relays, Count: 1, Forming: true})
+}
+
+// fewDirectory returns the directory of few instances, which know each other.
+func (p *parts) fewDirectory(view *directoryView) (*directory.Directory, bool) {
+	members := p.members.All()
+	next := &directory.Directory{Count: max(len(members), 1)}
+
+	if next.Few() {
+		return &view.Directory, false
+	}
+
+	next.Relays = topology.RelaysOf(topology.Rank(members))
+
+	return next, true
+}
+
+// writeDirectory writes the directory unless another instance has written one meanwhile.
+func (p *parts) writeDirectory(ctx context.Context, next *directory.Directory) {
+	data, err := next.Marshal()
+	if err != nil {
+		klog.ErrorS(err, "directory is not written")
+
+		return
+	}
+
+	call, cancel := context.WithTimeout(ctx, directoryTimeout)
+	defer cancel()
+
+	err = p.store.PutDirectory(call, data, p.directoryLog.End())
+	if err != nil && !errors.Is(err, platform.ErrChanged) {
+		klog.InfoS("directory is not written", "err", err.Error())
+	}
+
+	// What is in force now is read, whoever wrote it.
+	p.directoryFeed.Nudge()
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -13,6 +13,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"time"
@@ -73,6 +74,14 @@
 		return err
 	}
 
+	replicas, err := e.listenReplicas(opening)
+	if err != nil {
+		closeAll(listeners)
+		closeAll([]net.PacketConn{conn})
+
+		return err
+	}
+
 	p := e.build()
 	control, stopControl := context.WithCancel(context.WithoutCancel(ctx))
 
@@ -82,6 +91,7 @@
 
 	group.Go(func() { p.run(control) })
 	group.Go(func() { p.gossips(conn).Run(control) })
+	group.Go(func() { p.replicas.Run(control, replicas) })
 
 	servers := p.servers()
 	failed := make(chan error, len(servers))
@@ -191,7 +201,19 @@
 	return addresses
 }
 
-func closeAll(listeners []net.Listener) {
+// listenReplicas opens the port at which other instances read what this one has read: that of
+// gossip, over TCP.
+func (e *Entry) listenReplicas(ctx context.Context) (net.Listener, error) {
+	config := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: callerProbe, Interval: callerProbe, Count: callerProbes,
+	}}
+
+	l, err := config.Listen(ctx, "tcp4", e.Settings.Listen.Peers)
+
+	return l, merry.Prepend(err, "listen on "+e.Settings.Listen.Peers)
+}
+
+func closeAll[C io.Closer](listeners []C) {
 	for _, l := range listeners {
 		_ = l.Close()
 	}
--- a/entry/eras.go
+++ b/entry/eras.go
@@ -69,24 +69,33 @@
 	p.rulesFeed.Nudge()
 	p.registerFeed.Nudge()
 
-	if p.leads() {
+	if p.leads() || !p.few() {
 		p.board.Nudge()
 
 		return
 	}
 
 	go func() {
-		clock.Sleep(context.Background(), p.clock, rand.N(p.forEach(writeAgain)))
+		clock.Sleep(context.Background(), p.clock, rand.N(time.Duration(p.count())*writeAgain))
 		p.board.Nudge()
 	}()
 }
 
-// noteEra reads the store at once where another instance has seen a later era.
+// noteEra reads the store at once where another instance has seen a later era, or goes by what
+// that one says where this instance does not read the store.
 func (p *parts) noteEra(era uint64) {
-	if era > p.store.Era() {
-		p.rulesFeed.Nudge()
-		p.registerFeed.Nudge()
+	if era <= p.store.Era() {
+		return
+	}
+
+	if !p.direct() {
+		p.store.Observe(era)
+
+		return
 	}
+
+	p.rulesFeed.Nudge()
+	p.registerFeed.Nudge()
 }
 
 // confirmRules takes in that rules were read to the end by a call that was made at a time.
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -77,14 +77,13 @@
 		p.early = nil
 	}
 
-	for _, gone := range p.members.Expire(now, p.lapse()) {
+	for _, gone := range p.members.Expire(now, memberLapse) {
 		klog.InfoS("entry instance is silent", "instance", gone)
 	}
 
 	p.shareLimits(now)
 	p.limits.Reached(now)
-	p.retries.SetLeast(p.bounds.Load().Retries() / p.members.Count())
-	p.shareConnections()
+	p.shareBudgets()
 	p.duties.reached(now)
 }
 
--- a/entry/freshness.go
+++ b/entry/freshness.go
@@ -22,11 +22,8 @@
 	// that a storm of changes does not become one of reads. Operators expect a change to be
 	// in force within seconds.
 	relaxedPause = 500 * time.Millisecond
-	// relaxedRegister is the pause between reads of the register at such an instance, and
-	// relaxedShare what each instance adds to it: all together make five such reads a
-	// second, however many they are.
+	// relaxedRegister is the pause between reads of the register at such an instance.
 	relaxedRegister = 15 * time.Second
-	relaxedShare    = 200 * time.Millisecond
 	// staleShare is the part of the allowed age from which on an instance asks itself.
 	staleShare = 0.6
 	// registerAge is the allowed age of the register, as a share of the time that a
@@ -64,6 +61,13 @@
 
 // rulesPace is how the rules are read now.
 func (p *parts) rulesPace() feed.Pace {
+	switch few := p.few(); {
+	case !p.direct():
+		return relayedPace()
+	case !few && !p.leads():
+		return p.alonePace(0)
+	}
+
 	if !p.leads() && !p.rulesStale() {
 		return feed.Pace{Wait: relaxedWait, Every: relaxedPause}
 	}
@@ -79,8 +83,15 @@
 
 // registerPace is how the register is read now.
 func (p *parts) registerPace() feed.Pace {
+	switch few := p.few(); {
+	case !p.direct():
+		return relayedPace()
+	case !few && !p.leads():
+		return p.alonePace(0)
+	}
+
 	if !p.leads() && !p.registerStale() {
-		return feed.Pace{Every: max(relaxedRegister, p.forEach(relaxedShare))}
+		return feed.Pace{Every: relaxedRegister}
 	}
 
 	share := registerShare
@@ -95,7 +106,7 @@
 // others has read.
 func (p *parts) registerDue() time.Duration {
 	age, known := p.registered.Age()
-	if !known || !p.leads() {
+	if !known || !p.leads() || !p.direct() {
 		return 0
 	}
 
@@ -131,7 +142,10 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 
-	rules := p.rulesStale()
+	// What is read from another instance comes as soon as that has it.
+	direct := p.direct()
+
+	rules := direct && p.rulesStale()
 	if rules && !f.askedRules {
 		p.rulesFeed.Nudge()
 	}
@@ -139,7 +153,7 @@
 	f.askedRules = rules
 
 	differs := !f.differs.IsZero() && p.clock.Now().Sub(f.differs) > differing
-	stale := p.registerStale() || differs
+	stale := direct && (p.registerStale() || differs)
 
 	if stale && !f.askedRegister {
 		p.registerFeed.Nudge()
--- a/entry/heartbeat.go
+++ b/entry/heartbeat.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"net"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -32,8 +33,11 @@
 	Relation topology.Relation `msgpack:"u"`
 	// Leaders are those that lead, as the sender knows it.
 	Leaders []fleet.InstanceID `msgpack:"x,omitempty"`
-	// Members is how many instances the sender knows.
-	Members int `msgpack:"m"`
+	// Members is how many instances the sender knows, and Size how many it stands for as a
+	// relay. Forming is set while it knows no relays.
+	Members int  `msgpack:"m"`
+	Size    int  `msgpack:"z,omitempty"`
+	Forming bool `msgpack:"f2,omitempty"`
 	// At is the sender's clock, and Echo the newest At that it has from the receiver:
 	// what this heartbeat says was true after Echo, however long the heartbeat was on its way.
 	At   int64 `msgpack:"t"`
@@ -117,6 +121,14 @@
 		Era: p.store.Era(), Rollouts: p.rollouts.updates(now),
 	}
 
+	if view := p.directory.Load(); view != nil {
+		w.Forming = view.Forming
+	}
+
+	if plan.Relay && !plan.Few {
+		w.Size = 1 + len(plan.Subscribers)
+	}
+
 	if age, ok := p.registered.Age(); ok {
 		w.Register, w.RegisterAgo = p.register.Digest(), age
 	}
@@ -157,12 +169,17 @@
 }
 
 // receiveHeartbeat takes the heartbeat of another instance in.
-func (p *parts) receiveHeartbeat(now time.Time, w heartbeat) {
+func (p *parts) receiveHeartbeat(now time.Time, from netip.AddrPort, w heartbeat) {
 	if w.Instance == p.self() {
 		return
 	}
 
 	p.updateMember(now, w)
+
+	if from.IsValid() {
+		p.redirectMember(from, w)
+	}
+
 	p.echoes.heard(w.Instance, w.At)
 	p.noteEra(w.Era)
 
@@ -200,9 +217,16 @@
 		return
 	}
 
-	p.members.Met(now, member)
+	if p.few() {
+		p.members.Met(now, member)
+	}
+
 	p.links.Heard(now, member, w.Relation)
 	p.links.Told(now, w.Instance, w.Leaders, w.Members)
+
+	if w.Size > 0 {
+		p.links.Sized(w.Instance, w.Size)
+	}
 }
 
 // confirmBy takes over another instance's confirmation that the rules in force here
@@ -214,6 +238,7 @@
 	}
 
 	if w.Rules > rules.Version() {
+		p.confirmations.note(w.Instance, echo.Add(-w.ConfirmedAgo))
 		p.restored.noteVersion(w.Rules)
 		p.missedRules(w.Rules)
 
@@ -225,6 +250,7 @@
 	}
 
 	p.currency.Confirm(echo.Add(-w.ConfirmedAgo))
+	p.confirmations.note(w.Instance, echo.Add(-w.ConfirmedAgo))
 }
 
 // openGossip opens the socket for the others' heartbeats.
@@ -239,7 +265,8 @@
 // gossips returns the exchange of heartbeats over a socket.
 func (p *parts) gossips(conn net.PacketConn) *gossip.Exchange {
 	e := &gossip.Exchange{
-		Conn: conn, Clock: p.clock, Words: p.makeHeartbeats, Receive: p.receiveDatagram, Peers: p.peers,
+		Conn: conn, Clock: p.clock, Words: p.makeHeartbeats, Receive: p.receiveDatagram,
+		Peers: []func(time.Time) map[fleet.InstanceID]netip.AddrPort{p.relayPeers, p.subscribers},
 	}
 	p.gossip.Store(e)
 
--- a/entry/news.go
+++ b/entry/news.go
@@ -29,21 +29,16 @@
 // newsBytes is what news of a server takes beside its names.
 const newsBytes = 60
 
-// tellServers tells others what changed for backend servers: those that lead, which read
-// the register for all, tell all that they tell heartbeats to, and relays pass it on to those
-// that turned to them. What is lost on its way is noticed by the digest in the next heartbeat.
+// tellServers tells others what changed for backend servers: of few instances those that lead
+// read the register for all. What is lost on its way is noticed by the digest in the next
+// heartbeat. Many instances follow the register of their relays.
 func (p *parts) tellServers(now time.Time, before []register.Server, relayed bool) {
 	plan := p.plan.Load()
-	audience := plan.Subscribers
-
-	if !relayed {
-		if !plan.Leads(p.self()) {
-			return
-		}
-
-		audience = plan.Peers()
+	if relayed || !plan.Few || !plan.Leads(p.self()) {
+		return
 	}
 
+	audience := plan.Peers()
 	if len(audience) == 0 {
 		return
 	}
--- a/entry/pace.go
+++ b/entry/pace.go
@@ -22,14 +22,6 @@
 	// boardWrite is what each other instance adds to the least time between two records:
 	// six times what the store takes for an append.
 	boardWrite = 25 * time.Millisecond
-	// boardShareWrite and boardShareRead are what each instance adds to the time between
-	// two records, and two reads, of one that hears a relay: all together make 13 and 7
-	// such calls a second, however many they are.
-	boardShareWrite = 75 * time.Millisecond
-	boardShareRead  = 150 * time.Millisecond
-	// boardKept bounds the time between two records, as a share of the time for which the
-	// store keeps them: one that starts finds the others by their records.
-	boardKept = 0.75
 	// rulesPatience is how long the board waits for the rules, and rulesLook how often
 	// they are looked for.
 	rulesPatience = 1500 * time.Millisecond
@@ -44,11 +36,6 @@
 	}
 }
 
-// forEach returns a time that grows with the number of instances.
-func (p *parts) forEach(one time.Duration) time.Duration {
-	return time.Duration(p.members.Count()) * one
-}
-
 // boardPace is the time between two records. Those that may hold duties renew their
 // lease with them; what others have to say is in their heartbeats, and their records only
 // outlive a loss of all.
@@ -60,8 +47,6 @@
 		return boardEvery
 	case plan.Few && p.limits.Recorded(now):
 		return boardRelaxed
-	case !plan.Few && p.links.Linked(now):
-		return p.relayedPace()
 	default:
 		return boardEvery
 	}
@@ -76,36 +61,17 @@
 		return 0
 	case plan.Few && p.limits.Quick(now):
 		return boardReadRelaxed
-	case !plan.Few && p.links.Linked(now):
-		return max(boardReadRelaxed, p.forEach(boardShareRead))
 	default:
 		return 0
 	}
 }
 
-// boardSoon is the least time between two records: all instances together write no
-// more than the topic takes.
+// boardSoon is the least time between two records: those that write to the board write no
+// more than it takes.
 func (p *parts) boardSoon() time.Duration {
 	if p.plan.Load().Leads(p.self()) {
 		return boardSoonest
 	}
 
-	return max(boardSoonest, p.forEach(boardWrite))
-}
-
-// lapse is how long a silent instance counts. Those that lead, or are few, hear each of
-// the others several times in that time; the rest know most others by their records.
-func (p *parts) lapse() time.Duration {
-	if plan := p.plan.Load(); plan.Few || plan.Leads(p.self()) {
-		return memberLapse
-	}
-
-	return memberLapse + p.relayedPace() + max(boardReadRelaxed, p.forEach(boardShareRead))
-}
-
-// relayedPace is the time between two records of one that hears a relay.
-func (p *parts) relayedPace() time.Duration {
-	longest := time.Duration(boardKept * float64(p.settings.StoreKeeps))
-
-	return min(max(boardRelaxed, p.forEach(boardShareWrite)), longest)
+	return max(boardSoonest, time.Duration(p.members.Count())*boardWrite)
 }
--- a/entry/parts.go
+++ b/entry/parts.go
@@ -15,6 +15,7 @@
 	"monsoonlever/board"
 	"monsoonlever/clock"
 	"monsoonlever/currency"
+	"monsoonlever/directory"
 	"monsoonlever/feed"
 	"monsoonlever/fleet"
 	"monsoonlever/forward"
@@ -24,6 +25,7 @@
 	"monsoonlever/quota"
 	"monsoonlever/ratelimit"
 	"monsoonlever/register"
+	"monsoonlever/replica"
 	"monsoonlever/retry"
 	"monsoonlever/ruleset"
 	"monsoonlever/scheduling"
@@ -112,6 +114,33 @@
 	restored     restoration
 	rulesFeed    *feed.Follower
 	registerFeed *feed.Follower
+	// replicas answer other instances what this one has read, which kept holds for them.
+	replicas *replica.Server
+	kept     map[*feed.Follower]*replica.Log
+	// keeps is set while this instance keeps for others what it reads.
+	keeps atomic.Bool
+
+	// directory is the newest directory; nil is not known. unclaimed tells that there is none.
+	directory     atomic.Pointer[directoryView]
+	unclaimed     atomic.Bool
+	directoryFeed *feed.Follower
+	directoryLog  *replica.Log
+	// relaying tells that this instance is a relay of a directory that it has yet to read.
+	relaying atomic.Bool
+	// formingTurn counts rounds of heartbeats while there are no relays yet.
+	formingTurn atomic.Uint64
+	keeper      directory.Keeper
+	// outdated is since when the directory should say something else. formed is how many
+	// instances the first one has seen, and formedAt since when. They are used by the keeper's
+	// goroutine alone.
+	outdated, formedAt time.Time
+	formed             int
+	// unlinkedSince is when an instance without any other begins to read the store by itself,
+	// in Unix nanoseconds; zero is not set.
+	unlinkedSince atomic.Int64
+	// readsFrom is where feeds were last read from.
+	readsFrom     atomic.Pointer[replica.Upstream]
+	confirmations confirmations
 
 	// early holds what the records say of the time before, until the board was first
 	// read to its end; it is nil from then on.
@@ -161,7 +190,7 @@
 	p.bounds.Store(&s.Bounds)
 	self := board.MemberOf(s.Instance, s.FailureDomain, s.Listen.Peers, s.Limits.ProcessorCores)
 	p.links = &topology.Links{Self: self}
-	p.plan.Store(&topology.Plan{Relay: true, Few: true, Leaders: []fleet.InstanceID{s.Instance}, Count: 1})
+	p.plan.Store(&topology.Plan{Count: 1})
 	p.limits = quota.New(quota.Policy{
 		Self: s.Instance, Window: s.Bounds.LimitWindow, Spread: newsSpread, Quick: p.quickSpread,
 		Tell: func() { p.board.Nudge() },
@@ -182,27 +211,46 @@
 	p.handler = &platform.Handler{Clock: e.Clock, Serve: p.serve, BodyBytes: p.bodyBytes}
 	p.board = &board.Board{
 		Log: p.store.Board(), Clock: e.Clock, Every: p.boardPace, Soon: p.boardSoon, ReadEvery: p.boardReads,
-		Begin: p.awaitRules,
+		Begin: p.awaitRules, Active: func() bool { return p.few() || p.leads() },
 		Write: p.writeRecord, Receive: p.receiveRecord, Reached: p.boardReached,
 	}
 	p.duties = newDuties(p)
 	p.rollouts.start, p.rollouts.held = p.duties.incarnation, p.duties.held
 	p.gauges(set)
+	p.followFeeds()
+
+	return p
+}
+
+// followFeeds makes what keeps up with the store, or with what other instances have read of it.
+func (p *parts) followFeeds() {
+	rulesLog, registerLog := &replica.Log{Clock: p.clock}, &replica.Log{Clock: p.clock, Same: sameServerEntry}
+	p.directoryLog = &replica.Log{Clock: p.clock, Same: sameEntry}
+
+	rules := newSource(feedRules, p.store.Rules(), rulesLog, p.upstream, p.relays)
+	servers := newSource(feedRegister, p.store.Register(), registerLog, p.upstream, p.relays)
+	relays := newSource(feedDirectory, p.store.Directory(), p.directoryLog, p.directoryUpstream, nil)
+
 	p.rulesFeed = &feed.Follower{
-		Name: "rules", Source: p.store.Rules(), Clock: e.Clock, Pace: p.rulesPace,
-		Apply: p.applyRules, Confirm: p.confirmRules,
+		Name: feedRules, Source: rules, Clock: p.clock, Pace: p.rulesPace,
+		Apply: p.applyRules, Confirm: confirmDirect(rules, p.confirmRules),
 	}
 	p.registerFeed = &feed.Follower{
-		Name: "register", Source: p.store.Register(), Clock: e.Clock, Pace: p.registerPace, Due: p.registerDue,
-		Apply: p.applyRegister, Confirm: p.registered.Confirm,
+		Name: feedRegister, Source: servers, Clock: p.clock, Pace: p.registerPace, Due: p.registerDue,
+		Apply: p.applyRegister, Confirm: confirmDirect(servers, p.registered.Confirm),
 	}
-
-	return p
+	p.directoryFeed = &feed.Follower{
+		Name: feedDirectory, Source: relays, Clock: p.clock, Pace: p.directoryPace, Apply: p.applyDirectory,
+	}
+	p.kept = map[*feed.Follower]*replica.Log{p.rulesFeed: rulesLog, p.registerFeed: registerLog}
+	p.replicas = &replica.Server{Clock: p.clock, Feeds: map[string]*replica.Log{
+		feedRules: rulesLog, feedRegister: registerLog, feedDirectory: p.directoryLog,
+	}}
 }
 
 // gauges adds what this instance is and knows to the metrics.
 func (p *parts) gauges(set *metrics.Set) {
-	set.NewGauge("monsoonlever_entry_members", func() float64 { return float64(p.members.Count()) })
+	set.NewGauge("monsoonlever_entry_members", func() float64 { return float64(p.count()) })
 	set.NewGauge("monsoonlever_entry_relay", func() float64 { return gauge(p.plan.Load().Relay) })
 	set.NewGauge("monsoonlever_entry_leads", func() float64 { return gauge(p.leads()) })
 	set.NewGauge("monsoonlever_entry_subscribers", func() float64 { return float64(len(p.plan.Load().Subscribers)) })
@@ -250,8 +298,11 @@
 func (p *parts) run(ctx context.Context) {
 	var group conc.WaitGroup
 
+	group.Go(func() { p.directoryFeed.Run(ctx) })
 	group.Go(func() { p.rulesFeed.Run(ctx) })
 	group.Go(func() { p.registerFeed.Run(ctx) })
+	group.Go(func() { p.keepDirectory(ctx) })
+	group.Go(func() { p.reportToLeaders(ctx) })
 	group.Go(func() { p.watch(ctx) })
 	group.Go(func() { p.tellPrompts(ctx, scheduling.Upstream) })
 	group.Go(func() { p.tellPrompts(ctx, scheduling.Downstream) })
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -12,9 +12,17 @@
 	"monsoonlever/topology"
 )
 
+// formingTurns is how many rounds of heartbeats make one while there are no relays yet.
+const formingTurns = 4
+
 // replan finds anew whom this instance tells, and who leads. It is called in each round
 // of heartbeats.
 func (p *parts) replan(now time.Time) *topology.Plan {
+	view := p.directory.Load()
+	if view == nil {
+		return p.plan.Load()
+	}
+
 	plan := p.links.Plan(now, p.members.All())
 	before := p.plan.Swap(plan)
 	p.scheduler.SetRelay(plan.Relay)
@@ -29,14 +37,28 @@
 	case plan.Few:
 	case !leads:
 		p.limits.Keepers(now, plan.Leaders)
-	case !led:
-		// It keeps limits once it has read what was recorded.
+		// It asks the keepers for each request, and has nothing to read.
+		p.limits.Reached(now)
+	case !led || !slices.Equal(before.Leaders, plan.Leaders):
+		// It keeps limits with the others once it has read what was recorded.
 		p.board.Nudge()
 	}
 
+	p.upstreamChanged()
+
+	if before.Count != plan.Count {
+		p.shareBudgets()
+	}
+
 	return plan
 }
 
+// shareBudgets gives this instance its part of what all may use together.
+func (p *parts) shareBudgets() {
+	p.retries.SetLeast(p.bounds.Load().Retries() / p.count())
+	p.shareConnections()
+}
+
 // shareLimits sets who keeps the limits, once all records were read.
 func (p *parts) shareLimits(now time.Time) {
 	plan := p.replan(now)
@@ -48,10 +70,16 @@
 	}
 }
 
-// peers returns those that this instance sends heartbeats to.
-func (p *parts) peers(now time.Time) map[fleet.InstanceID]netip.AddrPort {
+// relayPeers returns the relays, and those that lead, that this instance sends heartbeats to.
+func (p *parts) relayPeers(now time.Time) map[fleet.InstanceID]netip.AddrPort {
 	plan := p.replan(now)
-	peers := addressesOf(plan.Peers())
+
+	if view := p.directory.Load(); view != nil && view.Forming && !plan.Leads(p.self()) && p.formingTurn.Add(1)%formingTurns != 1 {
+		// All others turn to the first instance at once.
+		return nil
+	}
+
+	peers := addressesOf(plan.Relays)
 
 	if plan.Leads(p.self()) {
 		// Those that keep limits tell each other, whether they are relays here or not.
@@ -61,12 +89,28 @@
 	return peers
 }
 
+// subscribers returns the instances that turned to this one.
+func (p *parts) subscribers(time.Time) map[fleet.InstanceID]netip.AddrPort {
+	return addressesOf(p.plan.Load().Subscribers)
+}
+
+// addressOf returns where an instance hears, if that is known.
+func (p *parts) addressOf(id fleet.InstanceID) (netip.AddrPort, bool) {
+	if view := p.directory.Load(); view != nil {
+		if address, ok := view.addresses[id]; ok {
+			return address, true
+		}
+	}
+
+	return p.members.Address(id)
+}
+
 // leaders returns where the others that lead hear this instance.
 func (p *parts) leaders(plan *topology.Plan) map[fleet.InstanceID]netip.AddrPort {
 	addresses := make(map[fleet.InstanceID]netip.AddrPort, len(plan.Leaders))
 
 	for _, id := range plan.Leaders {
-		if address, ok := p.members.Address(id); ok && id != p.self() {
+		if address, ok := p.addressOf(id); ok && id != p.self() {
 			addresses[id] = address
 		}
 	}
--- /dev/null
+++ b/entry/relays.go
@@ -0,0 +1,152 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"monsoonlever/clock"
+	"monsoonlever/directory"
+	"monsoonlever/fleet"
+	"monsoonlever/topology"
+)
+
+const (
+	// reportEvery is the pace at which relays report to those that lead.
+	reportEvery = time.Second
+	// maxCandidates bounds the candidates of a report to what a datagram holds.
+	maxCandidates = 8
+	// redirectAbove is the number of instances that turned to one relay above which it names
+	// others to them, and redirectBytes bounds what a redirect holds.
+	redirectAbove = 64
+	redirectBytes = 1100
+	memberBytes   = 24
+)
+
+// relayReport is what this relay says of the instances that turned to it.
+func (p *parts) relayReport(now time.Time) directory.Report {
+	sizes, subscribers := p.links.Size(now)
+	ranked := topology.Rank(subscribers)
+
+	return directory.Report{Relay: p.links.Self, Sizes: sizes, Candidates: ranked[:min(maxCandidates, len(ranked))]}
+}
+
+// reportMessage is a directory.Report in a datagram.
+type reportMessage struct {
+	Relay      directory.Member            `msgpack:"i"`
+	Sizes      map[fleet.FailureDomain]int `msgpack:"s"`
+	Candidates []directory.Member          `msgpack:"c"`
+}
+
+// reportToLeaders has a relay report to those that lead until ctx ends.
+func (p *parts) reportToLeaders(ctx context.Context) {
+	for ctx.Err() == nil {
+		clock.Sleep(ctx, p.clock, reportEvery)
+
+		plan := p.plan.Load()
+		if plan.Few || !plan.Relay || p.stopping.Load() {
+			continue
+		}
+
+		r := p.relayReport(p.clock.Now())
+		m := reportMessage{Relay: directory.MemberOf(r.Relay), Sizes: r.Sizes}
+
+		for _, c := range r.Candidates {
+			m.Candidates = append(m.Candidates, directory.MemberOf(c))
+		}
+
+		p.sendAll(p.leaders(plan), datagram{Report: &m})
+	}
+}
+
+// receiveReport takes a relay's report in.
+func (p *parts) receiveReport(now time.Time, m *reportMessage) {
+	r := directory.Report{Relay: m.Relay.Member(), Sizes: m.Sizes}
+	for _, c := range m.Candidates {
+		r.Candidates = append(r.Candidates, c.Member())
+	}
+
+	p.keeper.Report(now, r)
+}
+
+// redirect is what an instance is told that turned to one which is not the relay for it.
+type redirect struct {
+	// Count is how many instances there are, and Relays are some relays of the receiver's
+	// failure domain, where there are many.
+	Count  int                `msgpack:"c"`
+	Relays []directory.Member `msgpack:"r"`
+}
+
+// redirectMember answers a heartbeat of an instance that knows no relays yet, or has turned to
+// this one with far too many others, as all do with the first one when all start.
+func (p *parts) redirectMember(from netip.AddrPort, w heartbeat) {
+	view := p.directory.Load()
+	if view == nil || view.Forming {
+		return
+	}
+
+	crowded := w.Relation == topology.ToRelay && len(p.plan.Load().Subscribers) > redirectAbove
+	if !w.Forming && !crowded {
+		return
+	}
+
+	m := redirect{Count: view.Count}
+	if parts := packInto(p.relaysIn(w.Domain, view), redirectBytes, memberSize); len(parts) > 0 {
+		m.Relays = parts[0]
+	}
+
+	p.sendAll(map[fleet.InstanceID]netip.AddrPort{w.Instance: from}, datagram{Redirect: &m})
+}
+
+func memberSize(m directory.Member) int {
+	return memberBytes + len(m.ID) + len(m.Domain) + len(m.Address)
+}
+
+// relaysIn returns the relays of a failure domain in random order, or of all where it has none.
+func (p *parts) relaysIn(domain fleet.FailureDomain, view *directoryView) []directory.Member {
+	var own, all []directory.Member
+
+	for _, m := range view.Relays {
+		all = append(all, directory.MemberOf(m))
+
+		if m.Domain == domain {
+			own = append(own, directory.MemberOf(m))
+		}
+	}
+
+	relays := own
+	if len(own) == 0 {
+		relays = all
+	}
+
+	rand.Shuffle(len(relays), func(i, j int) { relays[i], relays[j] = relays[j], relays[i] })
+
+	return relays
+}
+
+// receiveRedirect has this instance go by relays that another one named, until it has the
+// directory that names them. One that is a relay itself reads that at once.
+func (p *parts) receiveRedirect(now time.Time, m *redirect) {
+	view := p.directory.Load()
+	if view == nil || !view.Forming {
+		return
+	}
+
+	next := &directory.Directory{Count: m.Count}
+
+	for _, relay := range m.Relays {
+		if relay.ID == p.self() {
+			p.relaying.Store(true)
+			p.directoryFeed.Nudge()
+
+			return
+		}
+
+		next.Relays = append(next.Relays, relay.Member())
+	}
+
+	if next.Few() || len(next.Relays) > 0 {
+		p.useDirectory(newDirectoryView(next, now, view.position))
+	}
+}
--- a/entry/servers.go
+++ b/entry/servers.go
@@ -69,7 +69,7 @@
 		return
 	}
 
-	n := p.members.Count()
+	n := p.count()
 
 	for _, s := range p.register.Servers() {
 		service := rules.Service(s.Service)
--- /dev/null
+++ b/entry/upstream.go
@@ -0,0 +1,215 @@
+package entry
+
+import (
+	"bytes"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"monsoonlever/feed"
+	"monsoonlever/fleet"
+	"monsoonlever/platform"
+	"monsoonlever/replica"
+	"monsoonlever/topology"
+	"monsoonlever/upstream"
+)
+
+// The feeds that instances read from each other.
+const (
+	feedDirectory = "directory"
+	feedRules     = "rules"
+	feedRegister  = "register"
+)
+
+const (
+	// relayedWait is how long a read from another instance waits for a change.
+	relayedWait = 10 * time.Second
+	// relayedPause keeps an instance that answers at once from being asked without a pause.
+	relayedPause = 20 * time.Millisecond
+	// unlinkedPatience is how long an instance that hears no relay waits before it reads the
+	// store by itself, and unlinkedShare what each instance adds to that time and to the pause
+	// between such reads: all together make 100 of them a second, however many they are.
+	unlinkedPatience = 2 * time.Second
+	unlinkedShare    = 10 * time.Millisecond
+	// relayDialTimeout bounds the opening of a connection to another instance.
+	relayDialTimeout = 500 * time.Millisecond
+	// fresher is by how much another leader's confirmation has to be newer for a relay to read
+	// from it.
+	fresher = time.Second
+)
+
+// newSource returns a source of a feed that reads from the store or from another instance.
+func newSource(name string, origin feed.Source, log *replica.Log, upstreamOf func() replica.Upstream, kept func() bool) *replica.Source {
+	return &replica.Source{
+		Feed: name, Origin: origin, Log: log, Upstream: upstreamOf, Kept: kept, Dialer: upstream.Dialer(relayDialTimeout),
+	}
+}
+
+// relays tells whether other instances may read from this one.
+func (p *parts) relays() bool {
+	plan := p.plan.Load()
+
+	return !plan.Few && plan.Relay
+}
+
+// keepForOthers has a relay read the whole of what it has not kept for others yet.
+func (p *parts) keepForOthers() {
+	if !p.relays() {
+		p.keeps.Store(false)
+
+		return
+	}
+
+	if p.keeps.Swap(true) {
+		return
+	}
+
+	for follower, log := range p.kept {
+		if !log.Loaded() && !follower.Reached().IsZero() {
+			follower.Reread()
+		}
+	}
+}
+
+// confirmDirect calls confirm for reads of the store alone: what another instance has read
+// may be older.
+func confirmDirect(s *replica.Source, confirm func(asked time.Time)) func(time.Time) {
+	return func(asked time.Time) {
+		if !s.Relayed() {
+			confirm(asked)
+		}
+	}
+}
+
+// sameServerEntry tells whether an entry of a backend server only counts on.
+func sameServerEntry(before, after feed.Entry) bool {
+	return platform.SameServerEntry(before.Data, after.Data)
+}
+
+// sameEntry tells whether an entry was only written again.
+func sameEntry(before, after feed.Entry) bool { return bytes.Equal(before.Data, after.Data) }
+
+// directoryPace is how the directory is read now.
+func (p *parts) directoryPace() feed.Pace {
+	switch view := p.directory.Load(); {
+	case view != nil && !p.direct():
+		return relayedPace()
+	case view != nil && !view.Few() && !p.leads():
+		return p.alonePace(0)
+	default:
+		return feed.Pace{Wait: relaxedWait, Every: rulesPause, MaxBackoff: p.unlinkedPause()}
+	}
+}
+
+// upstream returns where feeds are read now.
+func (p *parts) upstream() replica.Upstream {
+	view, plan := p.directory.Load(), p.plan.Load()
+
+	switch {
+	case view == nil:
+		return replica.Upstream{}
+	case view.Forming && !plan.Leads(p.self()) && !p.alone():
+		// The first instance would have to serve all others at once.
+		return replica.Upstream{}
+	case view.Few(), plan.Leads(p.self()), p.alone():
+		return replica.Upstream{Origin: true}
+	case plan.Relay:
+		return p.upstreamAt(p.chooseLeader(plan))
+	case len(plan.Relays) > 0 && p.links.Hears(p.clock.Now(), plan.Relays[0].ID):
+		return p.upstreamAt(plan.Relays[0].ID)
+	default:
+		return replica.Upstream{}
+	}
+}
+
+// directoryUpstream is upstream for the directory, without which no instance is known.
+func (p *parts) directoryUpstream() replica.Upstream {
+	view := p.directory.Load()
+	if view == nil || view.Forming && p.relaying.Load() {
+		return replica.Upstream{Origin: true}
+	}
+
+	return p.upstream()
+}
+
+func (p *parts) upstreamAt(id fleet.InstanceID) replica.Upstream {
+	address, _ := p.addressOf(id)
+
+	return replica.Upstream{Address: address}
+}
+
+// direct tells whether this instance reads the store by itself.
+func (p *parts) direct() bool { return p.upstream().Origin }
+
+// alone tells whether this instance has heard no other for so long that it reads the store by
+// itself.
+func (p *parts) alone() bool {
+	now := p.clock.Now()
+	view := p.directory.Load()
+	forming := view != nil && view.Forming && now.Sub(view.at) < directoryAbandoned
+
+	if forming || p.links.Linked(now) {
+		p.unlinkedSince.Store(0)
+
+		return false
+	}
+
+	if since := p.unlinkedSince.Load(); since == 0 {
+		// Those that lost their relays together turn to the store apart.
+		patience := unlinkedPatience + rand.N(p.unlinkedPause())
+		p.unlinkedSince.CompareAndSwap(0, now.Add(patience).UnixNano())
+	} else if now.UnixNano() > since {
+		return true
+	}
+
+	return false
+}
+
+// unlinkedPause is the pause between reads of the store by an instance that hears no other.
+func (p *parts) unlinkedPause() time.Duration {
+	return max(time.Duration(p.count())*unlinkedShare, time.Second)
+}
+
+// chooseLeader returns the leader that a relay reads from: of those that are heard and have
+// confirmed the rules lately, each relay prefers its own.
+func (p *parts) chooseLeader(plan *topology.Plan) fleet.InstanceID {
+	now := p.clock.Now()
+	newest := p.confirmations.newest(plan.Leaders)
+
+	var chosen fleet.InstanceID
+
+	var weight uint64
+
+	for _, id := range plan.Leaders {
+		if id == p.self() || !p.links.Hears(now, id) || newest.Sub(p.confirmations.of(id)) > fresher {
+			continue
+		}
+
+		if w := xxhash.Sum64String(string(p.self()) + "\x00" + string(id)); chosen == "" || w > weight {
+			chosen, weight = id, w
+		}
+	}
+
+	return chosen
+}
+
+// upstreamChanged has feeds read elsewhere at once.
+func (p *parts) upstreamChanged() {
+	p.keepForOthers()
+
+	next := p.upstream()
+	if before := p.readsFrom.Swap(&next); before == nil || *before != next {
+		p.nudgeFeeds()
+	}
+}
+
+// relayedPace is the pace of reads from another instance.
+func relayedPace() feed.Pace { return feed.Pace{Wait: relayedWait, Every: relayedPause} }
+
+// alonePace is the pace of reads of the store by an instance that hears no other.
+func (p *parts) alonePace(wait time.Duration) feed.Pace {
+	pause := p.unlinkedPause()
+
+	return feed.Pace{Wait: wait, Every: pause, MaxBackoff: pause}
+}
--- a/entry/usage_counts.go
+++ b/entry/usage_counts.go
@@ -9,6 +9,7 @@
 	"monsoonlever/fleet"
 	"monsoonlever/gossip"
 	"monsoonlever/scheduling"
+	"monsoonlever/topology"
 	"monsoonlever/usage"
 )
 
@@ -53,7 +54,7 @@
 }
 
 // countsPace is the time between two messages of an instance with its counts.
-func (p *parts) countsPace() time.Duration { return gossip.Every(p.members.Count() - 1) }
+func (p *parts) countsPace() time.Duration { return gossip.Every(p.count() - 1) }
 
 // counted is a count of usage, or what arrives at a service.
 type counted struct {
@@ -107,7 +108,12 @@
 
 // receiveCounts takes another instance's counts in.
 func (p *parts) receiveCounts(now time.Time, t *usageCounts) {
-	p.members.Seen(now, t.Instance)
+	if p.few() {
+		p.members.Seen(now, t.Instance)
+	} else {
+		p.members.Met(now, topology.Member{ID: t.Instance})
+	}
+
 	p.duties.count(t)
 	p.arrivals.Record(now, arrivals.Report{Instance: t.Instance, Incarnation: t.Incarnation, At: t.At, Work: t.Work})
 }
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -43,8 +43,9 @@
 type Exchange struct {
 	Conn  net.PacketConn
 	Clock clock.Clock
-	// Peers returns those that are told now and where they hear.
-	Peers func(now time.Time) map[fleet.InstanceID]netip.AddrPort
+	// Peers return those that are told now and where they hear, in groups. Each group has
+	// its own pace, which follows from its size.
+	Peers []func(now time.Time) map[fleet.InstanceID]netip.AddrPort
 	// Words prepares the newest words of a round, and returns what makes those for one
 	// instance, of at most MaxWord bytes each.
 	Words func(now time.Time) func(to fleet.InstanceID) ([][]byte, error)
@@ -61,13 +62,17 @@
 	defer stop()
 
 	group.Go(func() { e.receive(ctx) })
-	group.Go(func() { e.send(ctx) })
+
+	for _, peers := range e.Peers {
+		group.Go(func() { e.send(ctx, peers) })
+	}
+
 	group.Wait()
 }
 
-func (e *Exchange) send(ctx context.Context) {
+func (e *Exchange) send(ctx context.Context, peersOf func(time.Time) map[fleet.InstanceID]netip.AddrPort) {
 	for ctx.Err() == nil {
-		peers := e.Peers(e.Clock.Now())
+		peers := peersOf(e.Clock.Now())
 		e.sendAll(peers)
 		clock.Sleep(ctx, e.Clock, Every(len(peers)))
 	}
