fix(quota): a lender that no longer limits an account lends

Callers saw 429 for some milliseconds when operators had just lifted an account's limit: an instance that had yet to get the new rules asked those that keep limits, and these refused what they no longer count.

Cause: Lend refused an account without an allowance, where Take grants it. TestALenderThatNoLongerLimitsAnAccountLends failed first. What an account without a limit may use is not bounded by any rules in force.

--- a/quota/reserve.go
+++ b/quota/reserve.go
@@ -102,11 +102,16 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 
-	a := q.accounts[name]
-	if a == nil || a.allowance.Amount <= 0 || cost <= 0 || q.reached.IsZero() || !q.grants(now) {
+	if cost <= 0 || q.reached.IsZero() || !q.grants(now) {
 		return Decision{RetryAfter: firstRetry}
 	}
 
+	a := q.accounts[name]
+	if a == nil || a.allowance.Amount <= 0 {
+		// The borrower has yet to get the rules that limit the account no longer.
+		return Decision{Granted: true}
+	}
+
 	rest, part, recent := q.room(now, a)
 	part += q.held(a) * rest
 
--- a/quota/reserve_test.go
+++ b/quota/reserve_test.go
@@ -252,3 +252,21 @@
 		}
 	}
 }
+
+// An account whose limit was lifted must not be refused to borrowers that have yet to get the new rules.
+func TestALenderThatNoLongerLimitsAnAccountLends(t *testing.T) {
+	q := New(Policy{Self: "entry-1", Window: 8 * time.Second, Spread: time.Second})
+	q.Configure([]Allowance{{Account: "acme", Amount: 1000}})
+	q.Members([]fleet.InstanceID{"entry-1"}, nil)
+	q.Reached(start)
+
+	if got := q.LendTo(start, "entry-2", "acme", 5000); got.Granted {
+		t.Error("above the limit: got it granted, want it refused")
+	}
+
+	q.Configure(nil)
+
+	if got := q.LendTo(start, "entry-2", "acme", 5000); !got.Granted {
+		t.Error("once the limit is lifted: got it refused, want it granted")
+	}
+}
