--- a/topology/links.go
+++ b/topology/links.go
@@ -288,22 +288,27 @@
 		})
 	})
 	l.leading, l.count = plan.Leaders, count
+	plan.Relays = l.chooseRelays(now, plan, relays)
+	plan.Subscribers = l.current(now, l.subscribers, plan.Relays)
 
-	switch {
-	case few:
-		plan.Relays = slices.DeleteFunc(slices.Clone(relays), l.isSelf)
-	case plan.Relay:
-		l.uplink = ""
-		plan.Relays = slices.DeleteFunc(slices.Clone(relays), l.isSelf)
-		l.askAll(now, plan.Relays, relayPatience)
-		plan.Relays = append(plan.Relays, l.current(now, l.others, plan.Relays)...)
-	default:
-		plan.Relays = l.chooseUplink(now, preferredBy(l.Self, relays))
+	return plan
+}
+
+// chooseRelays returns the relays that this instance tells: the others where it is one.
+func (l *Links) chooseRelays(now time.Time, plan *Plan, relays []Member) []Member {
+	if !plan.Relay {
+		return l.chooseUplink(now, preferredBy(l.Self, relays))
 	}
 
-	plan.Subscribers = l.current(now, l.subscribers, plan.Relays)
+	others := slices.DeleteFunc(slices.Clone(relays), l.isSelf)
+	if plan.Few {
+		return others
+	}
 
-	return plan
+	l.uplink = ""
+	l.askAll(now, others, relayPatience)
+
+	return append(others, l.current(now, l.others, others)...)
 }
 
 // countOf returns how many instances there are: those that are known where an instance knows
