fix(entry): an instance is ready once most that lead grant, and few begin at once

Callers got 429 and refused streams for up to 2 s after a first start of one to twelve instances: while the first one counts the others it led many instances of one, whose limits need three that hear each other, and said it was ready.

The board and readiness now wait until the directory counts the instances. One that keeps no limits is ready once its relay says that most of those that lead grant; before, it was ready before they could.

--- a/entry/datagram.go
+++ b/entry/datagram.go
@@ -61,10 +61,6 @@
 	switch {
 	case d.Counts != nil:
 		p.receiveCounts(now, d.Counts)
-	case len(d.Forwarded) > 0:
-		for i := range d.Forwarded {
-			p.receiveCounts(now, &d.Forwarded[i])
-		}
 	case d.Trials != nil:
 		p.rollouts.table.Record(d.Trials.Instance, d.Trials.Incarnation, d.Trials.Counts)
 	case d.Ask != nil:
@@ -82,12 +78,24 @@
 		p.receivePrompts(now, d.Prompts)
 	case len(d.Losses) > 0:
 		p.receiveLosses(now, d.Losses)
+	case d.Reply != nil:
+		p.loans.Answered(*d.Reply)
+	default:
+		p.receiveRelayed(now, &d)
+	}
+}
+
+// receiveRelayed takes a message in by which relays are found and counts are passed on.
+func (p *parts) receiveRelayed(now time.Time, d *datagram) {
+	switch {
 	case d.Report != nil:
 		p.receiveReport(now, d.Report)
 	case d.Redirect != nil:
 		p.receiveRedirect(now, d.Redirect)
-	case d.Reply != nil:
-		p.loans.Answered(*d.Reply)
+	default:
+		for i := range d.Forwarded {
+			p.receiveCounts(now, &d.Forwarded[i])
+		}
 	}
 }
 
--- a/entry/directory.go
+++ b/entry/directory.go
@@ -80,6 +80,14 @@
 	return max(p.plan.Load().Count, view.Count, 1)
 }
 
+// usesBoard tells whether this instance writes and reads the board: the few that lead many do, and
+// each of few.
+func (p *parts) usesBoard() bool {
+	view := p.directory.Load()
+
+	return view != nil && !view.Forming && (view.Few() || p.leads())
+}
+
 // applyDirectory takes the newest directory in.
 func (p *parts) applyDirectory(entries []feed.Entry, whole bool) {
 	now := p.clock.Now()
@@ -120,7 +128,11 @@
 			"relay", view.Has(p.self()), "offset", view.position)
 	}
 
-	if before == nil || before.Few() != view.Few() {
+	if !view.Forming {
+		p.countedAt.CompareAndSwap(nil, &view.at)
+	}
+
+	if before == nil || before.Few() != view.Few() || before.Forming != view.Forming {
 		p.nudgeFeeds()
 		p.board.Nudge()
 	}
@@ -257,11 +269,10 @@
 	call, cancel := context.WithTimeout(ctx, directoryTimeout)
 	defer cancel()
 
+	// The reader of the directory waits for changes, and gets what is in force, whoever wrote it.
 	err = p.store.PutDirectory(call, data, p.directoryLog.End())
 	if err != nil && !errors.Is(err, platform.ErrChanged) {
 		klog.InfoS("directory is not written", "err", err.Error())
+		p.directoryFeed.Nudge()
 	}
-
-	// What is in force now is read, whoever wrote it.
-	p.directoryFeed.Nudge()
 }
--- a/entry/heartbeat.go
+++ b/entry/heartbeat.go
@@ -37,7 +37,11 @@
 	// relay. Forming is set while it knows no relays.
 	Members int  `msgpack:"m"`
 	Size    int  `msgpack:"z,omitempty"`
-	Forming bool `msgpack:"f2,omitempty"`
+	Forming bool `msgpack:"b2,omitempty"`
+	// Grants tells that the sender keeps the limits of client accounts and may grant something,
+	// and Kept that it knows most of those that lead to do so.
+	Grants bool `msgpack:"k,omitempty"`
+	Kept   bool `msgpack:"p,omitempty"`
 	// At is the sender's clock, and Echo the newest At that it has from the receiver:
 	// what this heartbeat says was true after Echo, however long the heartbeat was on its way.
 	At   int64 `msgpack:"t"`
@@ -125,6 +129,9 @@
 		w.Forming = view.Forming
 	}
 
+	w.Grants = plan.Leads(p.self()) && p.limits.Grants(now)
+	w.Kept = p.keepers.kept()
+
 	if plan.Relay && !plan.Few {
 		w.Size = 1 + len(plan.Subscribers)
 	}
@@ -175,6 +182,7 @@
 	}
 
 	p.updateMember(now, w)
+	p.keepers.receive(w, p.plan.Load())
 
 	if from.IsValid() {
 		p.redirectMember(from, w)
--- a/entry/parts.go
+++ b/entry/parts.go
@@ -121,8 +121,10 @@
 	keeps atomic.Bool
 
 	// directory is the newest directory; nil is not known. unclaimed tells that there is none.
-	directory     atomic.Pointer[directoryView]
-	unclaimed     atomic.Bool
+	directory atomic.Pointer[directoryView]
+	unclaimed atomic.Bool
+	// countedAt is when a directory first told how many instances there are.
+	countedAt     atomic.Pointer[time.Time]
 	directoryFeed *feed.Follower
 	directoryLog  *replica.Log
 	// relaying tells that this instance is a relay of a directory that it has yet to read.
@@ -138,6 +140,7 @@
 	// unlinkedSince is when an instance without any other begins to read the store by itself,
 	// in Unix nanoseconds; zero is not set.
 	unlinkedSince atomic.Int64
+	keepers       keepers
 	// readsFrom is where feeds were last read from.
 	readsFrom     atomic.Pointer[replica.Upstream]
 	confirmations confirmations
@@ -213,7 +216,7 @@
 	p.handler = &platform.Handler{Clock: e.Clock, Serve: p.serve, BodyBytes: p.bodyBytes}
 	p.board = &board.Board{
 		Log: p.store.Board(), Clock: e.Clock, Every: p.boardPace, Soon: p.boardSoon, ReadEvery: p.boardReads,
-		Begin: p.awaitRules, Active: func() bool { return p.few() || p.leads() },
+		Begin: p.awaitRules, Active: p.usesBoard,
 		Write: p.writeRecord, Receive: p.receiveRecord, Reached: p.boardReached,
 	}
 	p.duties = newDuties(p)
@@ -334,7 +337,12 @@
 // ready tells whether callers may be sent here: requests are allowed, placed and
 // counted. Limits are waited for only for a while, since a store may be away in part.
 func (p *parts) ready() bool {
-	limits := p.limits.Known() || p.clock.Now().Sub(p.built) > limitsPatience
+	counted := p.countedAt.Load()
+	if counted == nil {
+		return false
+	}
+
+	limits := p.limits.Known() || p.clock.Now().Sub(*counted) > limitsPatience
 
 	return !p.stopping.Load() && p.rules.Load() != nil && p.currency.Current() && p.scheduler.Known() && limits
 }
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -38,7 +38,9 @@
 	case !leads:
 		p.limits.Keepers(now, plan.Leaders)
 		// It asks the keepers for each request, and has nothing to read.
-		p.limits.Reached(now)
+		if p.keepers.kept() {
+			p.limits.Reached(now)
+		}
 	case !led || !slices.Equal(before.Leaders, plan.Leaders):
 		// It keeps limits with the others once it has read what was recorded.
 		p.board.Nudge()
--- a/quota/keepers.go
+++ b/quota/keepers.go
@@ -56,6 +56,14 @@
 	return q.Lend(now, name, cost)
 }
 
+// Grants tells whether this instance keeps limits and may grant something now.
+func (q *Quota) Grants(now time.Time) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	return !q.reached.IsZero() && q.grants(now)
+}
+
 // grants tells whether this instance may grant anything by itself.
 func (q *Quota) grants(now time.Time) bool {
 	if q.client {
