--- a/entry/directory.go
+++ b/entry/directory.go
@@ -61,8 +61,8 @@
 	return v
 }
 
-// few tells whether the instances are known to be so few that each reads the store and hears
-// each other.
+// few reports whether the instances are known to be so few that each reads the store and
+// exchanges messages with each other.
 func (p *parts) few() bool {
 	view := p.directory.Load()
 
--- a/entry/heartbeat.go
+++ b/entry/heartbeat.go
@@ -208,7 +208,7 @@
 	}
 }
 
-// updateMember takes in that another instance was heard. One that stops is replaced at once
+// updateMember records that another instance is alive. One that stops is replaced at once
 // where it relays or leads; one of few shares limits with the others until it has ended.
 func (p *parts) updateMember(now time.Time, w heartbeat) {
 	member := board.MemberOf(w.Instance, w.Domain, w.Address, w.Cores)
--- a/entry/news.go
+++ b/entry/news.go
@@ -47,7 +47,7 @@
 	return newsBytes + len(n.ID) + len(n.Program) + len(n.Service) + len(n.Address) + len(n.Domain)
 }
 
-// newsOf returns changes of servers as others are told of them.
+// newsOf returns changes of servers as messages to other instances.
 func (p *parts) newsOf(now time.Time, deltas []register.Delta) []serverNews {
 	news := make([]serverNews, 0, len(deltas))
 
--- a/entry/parts.go
+++ b/entry/parts.go
@@ -123,7 +123,7 @@
 	// directory is the newest directory; nil is not known. unclaimed tells that there is none.
 	directory atomic.Pointer[directoryView]
 	unclaimed atomic.Bool
-	// countedAt is when a directory first told how many instances there are.
+	// countedAt is when the number of instances was first known from a directory.
 	countedAt     atomic.Pointer[time.Time]
 	directoryFeed *feed.Follower
 	directoryLog  *replica.Log
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -96,7 +96,7 @@
 	return addressesOf(p.plan.Load().Subscribers)
 }
 
-// addressOf returns where an instance hears, if that is known.
+// addressOf returns the address of an instance for messages of others, if it is known.
 func (p *parts) addressOf(id fleet.InstanceID) (netip.AddrPort, bool) {
 	if view := p.directory.Load(); view != nil {
 		if address, ok := view.addresses[id]; ok {
--- a/entry/relays.go
+++ b/entry/relays.go
@@ -70,7 +70,7 @@
 	p.keeper.Report(now, r)
 }
 
-// redirect is what an instance is told that turned to one which is not the relay for it.
+// redirect names relays to an instance that turned to one which should not relay for it.
 type redirect struct {
 	// Count is how many instances there are, and Relays are some relays of the receiver's
 	// failure domain, where there are many.
--- a/entry/upstream.go
+++ b/entry/upstream.go
@@ -27,7 +27,7 @@
 	relayedWait = 10 * time.Second
 	// relayedPause keeps an instance that answers at once from being asked without a pause.
 	relayedPause = 20 * time.Millisecond
-	// unlinkedPatience is how long an instance that hears no relay waits before it reads the
+	// unlinkedPatience is how long an instance without a reachable relay waits before it reads the
 	// store by itself, and unlinkedShare what each instance adds to that time and to the pause
 	// between such reads: all together make 100 of them a second, however many they are.
 	unlinkedPatience = 2 * time.Second
@@ -116,7 +116,7 @@
 		return replica.Upstream{Origin: true}
 	case plan.Relay:
 		return p.upstreamAt(p.chooseLeader(plan))
-	case len(plan.Relays) > 0 && p.links.Hears(p.clock.Now(), plan.Relays[0].ID):
+	case len(plan.Relays) > 0 && p.links.Reachable(p.clock.Now(), plan.Relays[0].ID):
 		return p.upstreamAt(plan.Relays[0].ID)
 	default:
 		return replica.Upstream{}
@@ -142,8 +142,8 @@
 // direct tells whether this instance reads the store by itself.
 func (p *parts) direct() bool { return p.upstream().Origin }
 
-// alone tells whether this instance has heard no other for so long that it reads the store by
-// itself.
+// alone reports whether this instance reads the store by itself, since it has not received
+// anything from another one for too long.
 func (p *parts) alone() bool {
 	now := p.clock.Now()
 	view := p.directory.Load()
@@ -166,13 +166,13 @@
 	return false
 }
 
-// unlinkedPause is the pause between reads of the store by an instance that hears no other.
+// unlinkedPause is the pause between reads of the store by an instance without a reachable relay.
 func (p *parts) unlinkedPause() time.Duration {
 	return max(time.Duration(p.count())*unlinkedShare, time.Second)
 }
 
-// chooseLeader returns the leader that a relay reads from: of those that are heard and have
-// confirmed the rules lately, each relay prefers its own.
+// chooseLeader returns the leader that a relay reads from. Of those that are reachable and have
+// recently confirmed the rules, each relay prefers one by its own hash, which spreads the load.
 func (p *parts) chooseLeader(plan *topology.Plan) fleet.InstanceID {
 	now := p.clock.Now()
 	newest := p.confirmations.newest(plan.Leaders)
@@ -182,7 +182,7 @@
 	var weight uint64
 
 	for _, id := range plan.Leaders {
-		if id == p.self() || !p.links.Hears(now, id) || newest.Sub(p.confirmations.of(id)) > fresher {
+		if id == p.self() || !p.links.Reachable(now, id) || newest.Sub(p.confirmations.of(id)) > fresher {
 			continue
 		}
 
@@ -207,7 +207,7 @@
 // relayedPace is the pace of reads from another instance.
 func relayedPace() feed.Pace { return feed.Pace{Wait: relayedWait, Every: relayedPause} }
 
-// alonePace is the pace of reads of the store by an instance that hears no other.
+// alonePace is the pace of reads of the store by an instance without a reachable relay.
 func (p *parts) alonePace(wait time.Duration) feed.Pace {
 	pause := p.unlinkedPause()
 
--- a/entry/usage_counts.go
+++ b/entry/usage_counts.go
@@ -80,8 +80,8 @@
 	return countsEvery
 }
 
-// forwardCounts has a relay pass the counts of those that turned to it on, several in a
-// datagram: those that lead hear from each relay and not from each instance.
+// forwardCounts has a relay forward the counts of its subscribers, several in a datagram, so that
+// leaders receive messages of each relay and not of each instance.
 func (p *parts) forwardCounts(ctx context.Context) {
 	for ctx.Err() == nil {
 		clock.Sleep(ctx, p.clock, forwardEvery)
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -43,8 +43,8 @@
 type Exchange struct {
 	Conn  net.PacketConn
 	Clock clock.Clock
-	// Peers return those that are told now and where they hear, in groups. Each group has
-	// its own pace, which follows from its size.
+	// Peers return the current receivers and their addresses, in groups. Each group has its own
+	// pace, which follows from its size.
 	Peers []func(now time.Time) map[fleet.InstanceID]netip.AddrPort
 	// Words prepares the newest words of a round, and returns what makes those for one
 	// instance, of at most MaxWord bytes each.
--- a/topology/links.go
+++ b/topology/links.go
@@ -100,8 +100,8 @@
 	// heard is when each was last heard, and asked since when it has been told without
 	// being heard.
 	heard, asked map[fleet.InstanceID]time.Time
-	// silent are those that did not answer, and since when; they are heard of again, or
-	// forgotten. gone are those that have announced their stop.
+	// silent are those that did not answer, and since when. gone are those that have announced
+	// their stop.
 	silent map[fleet.InstanceID]time.Time
 	gone   map[fleet.InstanceID]bool
 	// subscribers are the members that turned to this instance, and others those that told
@@ -230,8 +230,9 @@
 	l.views[from] = view{leaders: leaders, at: now}
 }
 
-// Hears tells whether a relay was heard lately.
-func (l *Links) Hears(now time.Time, id fleet.InstanceID) bool {
+// Reachable reports whether a message of an instance was received within the patience between
+// relays.
+func (l *Links) Reachable(now time.Time, id fleet.InstanceID) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
