fix(entry): a leader that the store turns away reads from the others that lead

Cause: those that lead read only the store, and their subscribers read only from them. Heartbeats of the other leaders named newer rules, which nobody fetched. Relays that do not lead chose another leader already.

--- a/entry/parts.go
+++ b/entry/parts.go
@@ -144,6 +144,9 @@
 	// readsFrom is where feeds were last read from.
 	readsFrom     atomic.Pointer[replica.Upstream]
 	confirmations confirmations
+	// ownConfirmed is when this instance last asked the store for the rules and read them to
+	// their end, in Unix nanoseconds; zero is never.
+	ownConfirmed atomic.Int64
 	// forwarding holds the counts of others that a relay passes on.
 	forwarding countsQueue
 
@@ -238,7 +241,10 @@
 
 	p.rulesFeed = &feed.Follower{
 		Name: feedRules, Source: rules, Clock: p.clock, Pace: p.rulesPace,
-		Apply: p.applyRules, Confirm: confirmDirect(rules, p.confirmRules),
+		Apply: p.applyRules, Confirm: confirmDirect(rules, func(asked time.Time) {
+			p.ownConfirmed.Store(asked.UnixNano())
+			p.confirmRules(asked)
+		}),
 	}
 	p.registerFeed = &feed.Follower{
 		Name: feedRegister, Source: servers, Clock: p.clock, Pace: p.registerPace, Due: p.registerDue,
--- a/entry/upstream.go
+++ b/entry/upstream.go
@@ -37,6 +37,9 @@
 	// fresher is by how much another leader's confirmation has to be newer for a relay to read
 	// from it.
 	fresher = time.Second
+	// storeRegained is how long a leader that was behind reads at the store again after it has
+	// read the directory there.
+	storeRegained = 1500 * time.Millisecond
 )
 
 // newSource returns a source of a feed that reads from the store or from another instance.
@@ -112,7 +115,9 @@
 	case view.Forming && !plan.Leads(p.self()) && !p.alone():
 		// The first instance would have to serve all others at once.
 		return replica.Upstream{}
-	case view.Few(), plan.Leads(p.self()), p.alone():
+	case view.Few(), p.alone():
+		return replica.Upstream{Origin: true}
+	case plan.Leads(p.self()) && !p.behind(plan):
 		return replica.Upstream{Origin: true}
 	case plan.Relay:
 		return p.upstreamAt(p.chooseLeader(plan))
@@ -123,16 +128,28 @@
 	}
 }
 
-// directoryUpstream is upstream for the directory, without which no instance is known.
+// directoryUpstream is upstream for the directory, without which no instance is known. Those that
+// lead always read it at the store, which shows whether they reach that.
 func (p *parts) directoryUpstream() replica.Upstream {
 	view := p.directory.Load()
-	if view == nil || view.Forming && p.relaying.Load() {
+	if view == nil || view.Forming && p.relaying.Load() || p.leads() {
 		return replica.Upstream{Origin: true}
 	}
 
 	return p.upstream()
 }
 
+// behind reports whether the store turns this leader away while it serves others that lead: it
+// then reads from these, since its subscribers have no other source.
+func (p *parts) behind(plan *topology.Plan) bool {
+	own := p.ownConfirmed.Load()
+	if own == 0 || p.clock.Now().Sub(p.directoryFeed.Reached()) < storeRegained {
+		return false
+	}
+
+	return p.confirmations.newest(plan.Leaders).Sub(time.Unix(0, own)) > fresher
+}
+
 func (p *parts) upstreamAt(id fleet.InstanceID) replica.Upstream {
 	address, _ := p.addressOf(id)
 
