fix(entry): a relay always comes to keep what its subscribers read

Callers would find instances that never become ready: after a start under load, a relay that became one while its first read was under way kept nothing of that read and never read again, so that its subscribers were told that the feed was not read yet, for good.

Cause: the whole set was asked for once, and only where the feed had been read before. It is asked for again each second until it is there.

No test of its own: the window is some microseconds.

--- a/entry/directory.go
+++ b/entry/directory.go
@@ -232,7 +232,7 @@
 		p.formed, p.formedAt = len(subscribers), now
 	}
 
-	if now.Sub(p.formedAt) < formingSettle && now.Sub(view.at) < formingLimit {
+	if now.Sub(later(p.formedAt, view.at)) < formingSettle && now.Sub(view.at) < formingLimit {
 		return &view.Directory, false
 	}
 
@@ -243,6 +243,15 @@
 	return keeper.Next(now, &directory.Directory{Relays: view.Relays, Count: 1, Forming: true})
 }
 
+// later returns the later one of two times.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+
+	return b
+}
+
 // fewDirectory returns the directory of few instances, which know each other.
 func (p *parts) fewDirectory(view *directoryView) (*directory.Directory, bool) {
 	members := p.members.All()
--- a/entry/parts.go
+++ b/entry/parts.go
@@ -117,8 +117,8 @@
 	// replicas answer other instances what this one has read, which kept holds for them.
 	replicas *replica.Server
 	kept     map[*feed.Follower]*replica.Log
-	// keeps is set while this instance keeps for others what it reads.
-	keeps atomic.Bool
+	// keptAsked is when a relay last read anew what it had not kept, in Unix nanoseconds.
+	keptAsked atomic.Int64
 
 	// directory is the newest directory; nil is not known. unclaimed tells that there is none.
 	directory atomic.Pointer[directoryView]
--- a/entry/upstream.go
+++ b/entry/upstream.go
@@ -40,6 +40,8 @@
 	// storeRegained is how long a leader that was behind reads at the store again after it has
 	// read the directory there.
 	storeRegained = 1500 * time.Millisecond
+	// keptRetry is the least time between two attempts to read what others may ask for.
+	keptRetry = time.Second
 )
 
 // newSource returns a source of a feed that reads from the store or from another instance.
@@ -58,18 +60,13 @@
 
 // keepForOthers has a relay read the whole of what it has not kept for others yet.
 func (p *parts) keepForOthers() {
-	if !p.relays() {
-		p.keeps.Store(false)
-
-		return
-	}
-
-	if p.keeps.Swap(true) {
+	now := p.clock.Now().UnixNano()
+	if asked := p.keptAsked.Load(); !p.relays() || now-asked < int64(keptRetry) || !p.keptAsked.CompareAndSwap(asked, now) {
 		return
 	}
 
 	for follower, log := range p.kept {
-		if !log.Loaded() && !follower.Reached().IsZero() {
+		if !log.Loaded() {
 			follower.Reread()
 		}
 	}
