fix(entry): the directory is written on condition of the records it follows

Callers would find instances that never become ready after a first start: two instances named themselves one after the other, the first went by the record of the second, and the second waited for the first to name relays.

Cause: the write's condition was the end of the log when it was made, not of what the writer went by. A reader extends the log before the directory comes into force, so that a claim written in between overwrote the one just received. An update by one that leads had the same fault.

Ruled out: relays that keep nothing (mended before, seen after that too), limits (waited for 2 s only).

--- a/entry/directory.go
+++ b/entry/directory.go
@@ -47,13 +47,14 @@
 	directory.Directory
 
 	addresses map[fleet.InstanceID]netip.AddrPort
-	// at is when it was read, and position that of its record.
-	at       time.Time
-	position feed.Position
+	// at is when it was read, and end where the records ended that were applied by then. What
+	// follows it is written on condition of that end alone.
+	at  time.Time
+	end feed.Position
 }
 
-func newDirectoryView(d *directory.Directory, at time.Time, position feed.Position) *directoryView {
-	v := &directoryView{Directory: *d, at: at, position: position, addresses: make(map[fleet.InstanceID]netip.AddrPort)}
+func newDirectoryView(d *directory.Directory, at time.Time, end feed.Position) *directoryView {
+	v := &directoryView{Directory: *d, at: at, end: end, addresses: make(map[fleet.InstanceID]netip.AddrPort)}
 	for _, m := range d.Relays {
 		v.addresses[m.ID] = m.Address
 	}
@@ -91,10 +92,12 @@
 // applyDirectory takes the newest directory in.
 func (p *parts) applyDirectory(entries []feed.Entry, whole bool) {
 	now := p.clock.Now()
+	// The reader that calls this is the only one that extends the log.
+	end := p.directoryLog.End()
 
 	if len(entries) == 0 {
 		if whole && p.directory.Load() == nil {
-			p.unclaimed.Store(true)
+			p.unclaimed.Store(&end)
 		}
 
 		return
@@ -110,7 +113,7 @@
 		return
 	}
 
-	p.useDirectory(newDirectoryView(d, now, newest.At))
+	p.useDirectory(newDirectoryView(d, now, end))
 }
 
 // useDirectory puts a directory in force.
@@ -125,7 +128,7 @@
 
 	if before == nil || before.Count != view.Count || len(before.Relays) != len(view.Relays) {
 		klog.InfoS("directory in force", "instances", view.Count, "relays", len(view.Relays), "forming", view.Forming,
-			"relay", view.Has(p.self()), "offset", view.position)
+			"relay", view.Has(p.self()), "end", view.end)
 	}
 
 	if !view.Forming {
@@ -153,11 +156,12 @@
 		view := p.directory.Load()
 
 		switch {
-		case view == nil && p.unclaimed.Load():
-			p.claimDirectory(ctx, nil)
 		case view == nil:
+			if end := p.unclaimed.Load(); end != nil {
+				p.claimDirectory(ctx, nil, *end)
+			}
 		case p.abandoned(view):
-			p.claimDirectory(ctx, view)
+			p.claimDirectory(ctx, view, view.end)
 		case p.leads():
 			p.updateDirectory(ctx, view)
 		default:
@@ -167,8 +171,8 @@
 }
 
 // claimDirectory names this instance as the one that others turn to, unless the directory
-// changes before.
-func (p *parts) claimDirectory(ctx context.Context, before *directoryView) {
+// changed since its records ended at a position.
+func (p *parts) claimDirectory(ctx context.Context, before *directoryView, end feed.Position) {
 	cores := max(p.settings.Limits.ProcessorCores, 0.1)
 	clock.Sleep(ctx, p.clock, rand.N(time.Duration(float64(claimSpread)/cores)))
 
@@ -176,7 +180,7 @@
 		return
 	}
 
-	p.writeDirectory(ctx, &directory.Directory{Relays: []topology.Member{p.links.Self}, Count: 1, Forming: true})
+	p.writeDirectory(ctx, &directory.Directory{Relays: []topology.Member{p.links.Self}, Count: 1, Forming: true}, end)
 }
 
 // abandoned tells whether nobody keeps the directory any more, as far as an instance can tell
@@ -206,7 +210,7 @@
 	refresh := !view.Few() && now.Sub(view.at) >= directoryRefresh+yield
 
 	if late || refresh {
-		p.writeDirectory(ctx, next)
+		p.writeDirectory(ctx, next, view.end)
 	}
 }
 
@@ -266,8 +270,9 @@
 	return next, true
 }
 
-// writeDirectory writes the directory unless another instance has written one meanwhile.
-func (p *parts) writeDirectory(ctx context.Context, next *directory.Directory) {
+// writeDirectory writes the directory unless another instance has written one since the records
+// ended at a position.
+func (p *parts) writeDirectory(ctx context.Context, next *directory.Directory, end feed.Position) {
 	data, err := next.Marshal()
 	if err != nil {
 		klog.ErrorS(err, "directory is not written")
@@ -279,7 +284,7 @@
 	defer cancel()
 
 	// The reader of the directory waits for changes, and gets what is in force, whoever wrote it.
-	err = p.store.PutDirectory(call, data, p.directoryLog.End())
+	err = p.store.PutDirectory(call, data, end)
 	if err != nil && !errors.Is(err, platform.ErrChanged) {
 		klog.InfoS("directory is not written", "err", err.Error())
 		p.directoryFeed.Nudge()
--- a/entry/parts.go
+++ b/entry/parts.go
@@ -120,9 +120,10 @@
 	// keptAsked is when a relay last read anew what it had not kept, in Unix nanoseconds.
 	keptAsked atomic.Int64
 
-	// directory is the newest directory; nil is not known. unclaimed tells that there is none.
+	// directory is the newest directory; nil is not known. unclaimed is where its records ended
+	// when there was none.
 	directory atomic.Pointer[directoryView]
-	unclaimed atomic.Bool
+	unclaimed atomic.Pointer[feed.Position]
 	// countedAt is when the number of instances was first known from a directory.
 	countedAt     atomic.Pointer[time.Time]
 	directoryFeed *feed.Follower
--- a/entry/relays.go
+++ b/entry/relays.go
@@ -147,6 +147,6 @@
 	}
 
 	if next.Few() || len(next.Relays) > 0 {
-		p.useDirectory(newDirectoryView(next, now, view.position))
+		p.useDirectory(newDirectoryView(next, now, view.end))
 	}
 }
