refactor(entry,topology,directory): one hash, one order of relays, one pace for members

Read anew: chooseLeader had its own copy of the hash by which topology spreads instances over relays (PairWeight now serves both); a redirect shuffled relays of a domain where PreferredBy has the order in which the receiver turns to them; three paces began with the same switch; upstream asked twice whether the instance is alone; members were converted in four loops.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -82,14 +82,29 @@
 	return topology.Member{ID: m.ID, Domain: m.Domain, Address: address, Cores: m.Cores}
 }
 
-// Marshal encodes the directory.
-func (d *Directory) Marshal() ([]byte, error) {
-	r := record{Count: d.Count, Forming: d.Forming}
-	for _, m := range d.Relays {
-		r.Relays = append(r.Relays, MemberOf(m))
+// MembersOf returns members as they are written.
+func MembersOf(members []topology.Member) []Member {
+	written := make([]Member, 0, len(members))
+	for _, m := range members {
+		written = append(written, MemberOf(m))
+	}
+
+	return written
+}
+
+// TopologyMembers returns the members that were written.
+func TopologyMembers(written []Member) []topology.Member {
+	members := make([]topology.Member, 0, len(written))
+	for _, m := range written {
+		members = append(members, m.Member())
 	}
 
-	return msgpack.Marshal(&r)
+	return members
+}
+
+// Marshal encodes the directory.
+func (d *Directory) Marshal() ([]byte, error) {
+	return msgpack.Marshal(&record{Relays: MembersOf(d.Relays), Count: d.Count, Forming: d.Forming})
 }
 
 // Unmarshal decodes a directory.
@@ -103,10 +118,5 @@
 		return nil, merry.Errorf("directory of %d instances", r.Count)
 	}
 
-	d := &Directory{Count: r.Count, Forming: r.Forming}
-	for _, m := range r.Relays {
-		d.Relays = append(d.Relays, m.Member())
-	}
-
-	return d, nil
+	return &Directory{Relays: TopologyMembers(r.Relays), Count: r.Count, Forming: r.Forming}, nil
 }
--- a/entry/freshness.go
+++ b/entry/freshness.go
@@ -61,11 +61,8 @@
 
 // rulesPace is how the rules are read now.
 func (p *parts) rulesPace() feed.Pace {
-	switch few := p.few(); {
-	case !p.direct():
-		return relayedPace()
-	case !few && !p.leads():
-		return p.alonePace(0)
+	if pace, ok := p.memberPace(); ok {
+		return pace
 	}
 
 	if !p.leads() && !p.rulesStale() {
@@ -83,11 +80,8 @@
 
 // registerPace is how the register is read now.
 func (p *parts) registerPace() feed.Pace {
-	switch few := p.few(); {
-	case !p.direct():
-		return relayedPace()
-	case !few && !p.leads():
-		return p.alonePace(0)
+	if pace, ok := p.memberPace(); ok {
+		return pace
 	}
 
 	if !p.leads() && !p.registerStale() {
--- a/entry/relays.go
+++ b/entry/relays.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/netip"
 	"time"
 
@@ -50,30 +49,24 @@
 		}
 
 		r := p.relayReport(p.clock.Now())
-		m := reportMessage{Relay: directory.MemberOf(r.Relay), Sizes: r.Sizes}
-
-		for _, c := range r.Candidates {
-			m.Candidates = append(m.Candidates, directory.MemberOf(c))
+		m := reportMessage{
+			Relay: directory.MemberOf(r.Relay), Sizes: r.Sizes, Candidates: directory.MembersOf(r.Candidates),
 		}
-
 		p.sendAll(p.leaders(plan), datagram{Report: &m})
 	}
 }
 
 // receiveReport takes a relay's report in.
 func (p *parts) receiveReport(now time.Time, m *reportMessage) {
-	r := directory.Report{Relay: m.Relay.Member(), Sizes: m.Sizes}
-	for _, c := range m.Candidates {
-		r.Candidates = append(r.Candidates, c.Member())
-	}
-
-	p.keeper.Report(now, r)
+	p.keeper.Report(now, directory.Report{
+		Relay: m.Relay.Member(), Sizes: m.Sizes, Candidates: directory.TopologyMembers(m.Candidates),
+	})
 }
 
 // redirect names relays to an instance that turned to one which should not relay for it.
 type redirect struct {
-	// Count is how many instances there are, and Relays are some relays of the receiver's
-	// failure domain, where there are many.
+	// Count is how many instances there are, and Relays are the relays that the receiver would
+	// turn to first, where there are many.
 	Count  int                `msgpack:"c"`
 	Relays []directory.Member `msgpack:"r"`
 }
@@ -92,7 +85,9 @@
 	}
 
 	m := redirect{Count: view.Count}
-	if parts := packInto(p.relaysIn(w.Domain, view), redirectBytes, memberSize); len(parts) > 0 {
+	preferred := topology.PreferredBy(topology.Member{ID: w.Instance, Domain: w.Domain}, view.Relays)
+
+	if parts := packInto(directory.MembersOf(preferred), redirectBytes, memberSize); len(parts) > 0 {
 		m.Relays = parts[0]
 	}
 
@@ -103,28 +98,6 @@
 	return memberBytes + len(m.ID) + len(m.Domain) + len(m.Address)
 }
 
-// relaysIn returns the relays of a failure domain in random order, or of all where it has none.
-func (p *parts) relaysIn(domain fleet.FailureDomain, view *directoryView) []directory.Member {
-	var own, all []directory.Member
-
-	for _, m := range view.Relays {
-		all = append(all, directory.MemberOf(m))
-
-		if m.Domain == domain {
-			own = append(own, directory.MemberOf(m))
-		}
-	}
-
-	relays := own
-	if len(own) == 0 {
-		relays = all
-	}
-
-	rand.Shuffle(len(relays), func(i, j int) { relays[i], relays[j] = relays[j], relays[i] })
-
-	return relays
-}
-
 // receiveRedirect has this instance go by relays that another one named, until it has the
 // directory that names them. One that is a relay itself reads that at once.
 func (p *parts) receiveRedirect(now time.Time, m *redirect) {
@@ -133,17 +106,12 @@
 		return
 	}
 
-	next := &directory.Directory{Count: m.Count}
+	next := &directory.Directory{Count: m.Count, Relays: directory.TopologyMembers(m.Relays)}
+	if next.Has(p.self()) {
+		p.relaying.Store(true)
+		p.directoryFeed.Nudge()
 
-	for _, relay := range m.Relays {
-		if relay.ID == p.self() {
-			p.relaying.Store(true)
-			p.directoryFeed.Nudge()
-
-			return
-		}
-
-		next.Relays = append(next.Relays, relay.Member())
+		return
 	}
 
 	if next.Few() || len(next.Relays) > 0 {
--- a/entry/upstream.go
+++ b/entry/upstream.go
@@ -2,11 +2,11 @@
 
 import (
 	"bytes"
+	"cmp"
 	"math/rand/v2"
+	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"monsoonlever/feed"
 	"monsoonlever/fleet"
 	"monsoonlever/platform"
@@ -92,14 +92,11 @@
 
 // directoryPace is how the directory is read now.
 func (p *parts) directoryPace() feed.Pace {
-	switch view := p.directory.Load(); {
-	case view != nil && !p.direct():
-		return relayedPace()
-	case view != nil && !view.Few() && !p.leads():
-		return p.alonePace(0)
-	default:
-		return feed.Pace{Wait: relaxedWait, Every: rulesPause, MaxBackoff: p.unlinkedPause()}
+	if pace, ok := p.memberPace(); ok && p.directory.Load() != nil {
+		return pace
 	}
+
+	return feed.Pace{Wait: relaxedWait, Every: rulesPause, MaxBackoff: p.unlinkedPause()}
 }
 
 // upstream returns where feeds are read now.
@@ -109,13 +106,11 @@
 	switch {
 	case view == nil:
 		return replica.Upstream{}
-	case view.Forming && !plan.Leads(p.self()) && !p.alone():
+	case view.Few(), p.alone(), plan.Leads(p.self()) && !p.behind(plan):
+		return replica.Upstream{Origin: true}
+	case view.Forming:
 		// The first instance would have to serve all others at once.
 		return replica.Upstream{}
-	case view.Few(), p.alone():
-		return replica.Upstream{Origin: true}
-	case plan.Leads(p.self()) && !p.behind(plan):
-		return replica.Upstream{Origin: true}
 	case plan.Relay:
 		return p.upstreamAt(p.chooseLeader(plan))
 	case len(plan.Relays) > 0 && p.links.Reachable(p.clock.Now(), plan.Relays[0].ID):
@@ -191,21 +186,16 @@
 	now := p.clock.Now()
 	newest := p.confirmations.newest(plan.Leaders)
 
-	var chosen fleet.InstanceID
-
-	var weight uint64
-
-	for _, id := range plan.Leaders {
-		if id == p.self() || !p.links.Reachable(now, id) || newest.Sub(p.confirmations.of(id)) > fresher {
-			continue
-		}
-
-		if w := xxhash.Sum64String(string(p.self()) + "\x00" + string(id)); chosen == "" || w > weight {
-			chosen, weight = id, w
-		}
+	fresh := slices.DeleteFunc(slices.Clone(plan.Leaders), func(id fleet.InstanceID) bool {
+		return id == p.self() || !p.links.Reachable(now, id) || newest.Sub(p.confirmations.of(id)) > fresher
+	})
+	if len(fresh) == 0 {
+		return ""
 	}
 
-	return chosen
+	return slices.MaxFunc(fresh, func(a, b fleet.InstanceID) int {
+		return cmp.Compare(topology.PairWeight(p.self(), a), topology.PairWeight(p.self(), b))
+	})
 }
 
 // upstreamChanged has feeds read elsewhere at once.
@@ -218,12 +208,18 @@
 	}
 }
 
-// relayedPace is the pace of reads from another instance.
-func relayedPace() feed.Pace { return feed.Pace{Wait: relayedWait, Every: relayedPause} }
-
-// alonePace is the pace of reads of the store by an instance without a reachable relay.
-func (p *parts) alonePace(wait time.Duration) feed.Pace {
-	pause := p.unlinkedPause()
+// memberPace is the pace of any feed at one of many instances: of reads from another one, or of
+// the store where no relay is reachable. It returns false where an instance reads the store as one
+// of few, or as one that leads.
+func (p *parts) memberPace() (feed.Pace, bool) {
+	switch {
+	case !p.direct():
+		return feed.Pace{Wait: relayedWait, Every: relayedPause}, true
+	case !p.few() && !p.leads():
+		pause := p.unlinkedPause()
 
-	return feed.Pace{Wait: wait, Every: pause, MaxBackoff: pause}
+		return feed.Pace{Every: pause, MaxBackoff: pause}, true
+	default:
+		return feed.Pace{}, false
+	}
 }
--- a/topology/topology.go
+++ b/topology/topology.go
@@ -148,9 +148,9 @@
 	return ids
 }
 
-// preferredBy orders relays for a member that is none: those of its own domain first,
+// PreferredBy orders relays for a member that is none: those of its own domain first,
 // each member in an order of its own, so that they spread over the relays.
-func preferredBy(self Member, relays []Member) []Member {
+func PreferredBy(self Member, relays []Member) []Member {
 	ordered := slices.Clone(relays)
 	slices.SortStableFunc(ordered, func(a, b Member) int {
 		if own := a.Domain == self.Domain; own != (b.Domain == self.Domain) {
@@ -161,12 +161,14 @@
 			return 1
 		}
 
-		return cmp.Compare(pairWeight(self.ID, b.ID), pairWeight(self.ID, a.ID))
+		return cmp.Compare(PairWeight(self.ID, b.ID), PairWeight(self.ID, a.ID))
 	})
 
 	return ordered
 }
 
-func pairWeight(self, other fleet.InstanceID) uint64 {
+// PairWeight is the weight of one instance for another: of several instances each other one
+// prefers that of the greatest weight, so that they spread.
+func PairWeight(self, other fleet.InstanceID) uint64 {
 	return xxhash.Sum64String(string(self) + "\x00" + string(other))
 }
