--- a/board/board.go
+++ b/board/board.go
@@ -118,7 +118,7 @@
 	// Begin ends before the first round, so that what callers wait for first is not
 	// held up by what is kept of the board; it may be nil.
 	Begin func(ctx context.Context)
-	// Active tells whether this instance writes and reads now; nil is always. A Nudge asks again.
+	// Active reports whether this instance writes and reads now; nil is always.
 	Active func() bool
 	// Write makes the next record.
 	Write func(now time.Time) Record
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -34,15 +34,15 @@
 	Relays []topology.Member
 	// Count is how many instances there were when it was written.
 	Count int
-	// Forming tells that Count is not known yet: an instance that started first asks the
+	// Forming is set while Count is not known: an instance that started first asks the
 	// others to turn to it.
 	Forming bool
 }
 
-// Few tells that the instances are so few that they find each other by themselves.
+// Few reports whether the instances are so few that they find each other by themselves.
 func (d *Directory) Few() bool { return !d.Forming && d.Count <= topology.Few }
 
-// Has tells whether an instance is one of the relays.
+// Has reports whether an instance is one of the relays.
 func (d *Directory) Has(id fleet.InstanceID) bool {
 	for _, m := range d.Relays {
 		if m.ID == id {
--- a/directory/keeper.go
+++ b/directory/keeper.go
@@ -191,7 +191,7 @@
 	return append(others, own...)
 }
 
-// differs tells whether two directories differ by more than a few instances that came or went.
+// differs reports whether two directories differ by more than a few instances that came or went.
 func differs(a, b *Directory) bool {
 	if a.Forming != b.Forming || a.Few() != b.Few() || math.Abs(float64(a.Count-b.Count)) > countDrift*float64(a.Count) {
 		return true
--- a/entry/directory.go
+++ b/entry/directory.go
@@ -81,7 +81,7 @@
 	return max(p.plan.Load().Count, view.Count, 1)
 }
 
-// usesBoard tells whether this instance writes and reads the board: the few that lead many do, and
+// usesBoard reports whether this instance writes and reads the board: the few that lead many do, and
 // each of few.
 func (p *parts) usesBoard() bool {
 	view := p.directory.Load()
@@ -136,12 +136,12 @@
 	}
 
 	if before == nil || before.Few() != view.Few() || before.Forming != view.Forming {
-		p.nudgeFeeds()
+		p.wakeFeeds()
 		p.board.Nudge()
 	}
 }
 
-func (p *parts) nudgeFeeds() {
+func (p *parts) wakeFeeds() {
 	p.rulesFeed.Nudge()
 	p.registerFeed.Nudge()
 	p.directoryFeed.Nudge()
@@ -183,7 +183,7 @@
 	p.writeDirectory(ctx, &directory.Directory{Relays: []topology.Member{p.links.Self}, Count: 1, Forming: true}, end)
 }
 
-// abandoned tells whether nobody keeps the directory any more, as far as an instance can tell
+// abandoned reports whether nobody keeps the directory any more, as far as an instance can tell
 // that reaches none of its relays and reads the store by itself.
 func (p *parts) abandoned(view *directoryView) bool {
 	now := p.clock.Now()
--- a/entry/heartbeat.go
+++ b/entry/heartbeat.go
@@ -38,7 +38,7 @@
 	Members int  `msgpack:"m"`
 	Size    int  `msgpack:"z,omitempty"`
 	Forming bool `msgpack:"b2,omitempty"`
-	// Grants tells that the sender keeps the limits of client accounts and may grant something,
+	// Grants is set while the sender keeps the limits of client accounts and may grant something,
 	// and Kept that it knows most of those that lead to do so.
 	Grants bool `msgpack:"k,omitempty"`
 	Kept   bool `msgpack:"p,omitempty"`
--- a/entry/keepers.go
+++ b/entry/keepers.go
@@ -44,7 +44,7 @@
 	}
 }
 
-// kept tells whether most of those that lead were known to grant once.
+// kept reports whether most of those that lead were known to grant once.
 func (k *keepers) kept() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/entry/news.go
+++ b/entry/news.go
@@ -29,7 +29,7 @@
 // newsBytes is what news of a server takes beside its names.
 const newsBytes = 60
 
-// tellServers tells others what changed for backend servers: of few instances those that lead
+// tellServers sends others what changed for backend servers: of few instances those that lead
 // read the register for all. What is lost on its way is noticed by the digest in the next
 // heartbeat. Many instances follow the register of their relays.
 func (p *parts) tellServers(now time.Time, deltas []register.Delta) {
--- a/entry/parts.go
+++ b/entry/parts.go
@@ -128,7 +128,7 @@
 	countedAt     atomic.Pointer[time.Time]
 	directoryFeed *feed.Follower
 	directoryLog  *replica.Log
-	// relaying tells that this instance is a relay of a directory that it has yet to read.
+	// relaying is set while this instance is a relay of a directory that it has yet to read.
 	relaying atomic.Bool
 	// formingTurn counts rounds of heartbeats while there are no relays yet.
 	formingTurn atomic.Uint64
--- a/entry/servers.go
+++ b/entry/servers.go
@@ -9,7 +9,7 @@
 
 func id(key string) fleet.InstanceID { return fleet.InstanceID(key) }
 
-// sameServer tells whether two entries of a server mean the same. The time at which a
+// sameServer reports whether two entries of a server mean the same. The time at which a
 // reclaimed server leaves is estimated anew with each entry and does not count.
 func sameServer(a, b register.Server) bool {
 	a.Leaves = b.Leaves
--- a/entry/upstream.go
+++ b/entry/upstream.go
@@ -51,7 +51,7 @@
 	}
 }
 
-// relays tells whether other instances may read from this one.
+// relays reports whether other instances may read from this one.
 func (p *parts) relays() bool {
 	plan := p.plan.Load()
 
@@ -82,12 +82,12 @@
 	}
 }
 
-// sameServerEntry tells whether an entry of a backend server only counts on.
+// sameServerEntry reports whether an entry of a backend server only counts on.
 func sameServerEntry(before, after feed.Entry) bool {
 	return platform.SameServerEntry(before.Data, after.Data)
 }
 
-// sameEntry tells whether an entry was only written again.
+// sameEntry reports whether an entry was only written again.
 func sameEntry(before, after feed.Entry) bool { return bytes.Equal(before.Data, after.Data) }
 
 // directoryPace is how the directory is read now.
@@ -148,7 +148,7 @@
 	return replica.Upstream{Address: address}
 }
 
-// direct tells whether this instance reads the store by itself.
+// direct reports whether this instance reads the store by itself.
 func (p *parts) direct() bool { return p.upstream().Origin }
 
 // alone reports whether this instance reads the store by itself, since it has not received
@@ -204,7 +204,7 @@
 
 	next := p.upstream()
 	if before := p.readsFrom.Swap(&next); before == nil || *before != next {
-		p.nudgeFeeds()
+		p.wakeFeeds()
 	}
 }
 
--- a/entry/usage_counts.go
+++ b/entry/usage_counts.go
@@ -45,7 +45,7 @@
 	countsBytes = 40
 )
 
-// tellCounts tells those that may hold duties what this instance has counted, through its
+// tellCounts sends those that may hold duties what this instance has counted, through its
 // relay where it has one. It also shows them that the instance lives.
 func (p *parts) tellCounts(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -86,6 +86,10 @@
 }
 
 func (e *Exchange) sendAll(peers map[fleet.InstanceID]netip.AddrPort) {
+	if len(peers) == 0 {
+		return
+	}
+
 	wordsFor := e.Words(e.Clock.Now())
 
 	for id, address := range peers {
--- a/quota/keepers.go
+++ b/quota/keepers.go
@@ -56,7 +56,7 @@
 	return q.Lend(now, name, cost)
 }
 
-// Grants tells whether this instance keeps limits and may grant something now.
+// Grants reports whether this instance keeps limits and may grant something now.
 func (q *Quota) Grants(now time.Time) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
--- a/replica/log.go
+++ b/replica/log.go
@@ -29,7 +29,7 @@
 // use.
 type Log struct {
 	Clock clock.Clock
-	// Same tells whether an entry says nothing that the one before did not say. Such an
+	// Same reports whether an entry says nothing that the one before did not say. Such an
 	// entry is not passed on; nil passes all on.
 	Same func(before, after feed.Entry) bool
 
@@ -86,7 +86,7 @@
 	}
 }
 
-// Loaded tells whether the log has the feed.
+// Loaded reports whether the log has the feed.
 func (l *Log) Loaded() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/replica/source.go
+++ b/replica/source.go
@@ -20,7 +20,7 @@
 
 // Upstream is where a feed is read from.
 type Upstream struct {
-	// Origin tells that the feed is read from its origin.
+	// Origin is set where the feed is read from its origin.
 	Origin bool
 	// Address is the instance to read from otherwise; the zero value is none.
 	Address netip.AddrPort
@@ -35,7 +35,7 @@
 	Log    *Log
 	// Upstream is asked before each read.
 	Upstream func() Upstream
-	// Kept tells whether others read from this instance; without it the log stays empty. Nil is
+	// Kept reports whether others read from this instance; without it the log stays empty. Nil is
 	// always.
 	Kept   func() bool
 	Dialer *net.Dialer
@@ -46,7 +46,7 @@
 	reader  *bufio.Reader
 }
 
-// Relayed tells whether the newest read went to another instance. Such a read does not show
+// Relayed reports whether the newest read went to another instance. Such a read does not show
 // that its content is the newest of the origin.
 func (s *Source) Relayed() bool { return s.relayed.Load() }
 
@@ -108,7 +108,7 @@
 	return changes, nil
 }
 
-// kept tells whether the log is kept, and empties it otherwise. A log that is kept again has to
+// kept reports whether the log is kept, and empties it otherwise. A log that is kept again has to
 // begin with a whole set.
 func (s *Source) kept() bool {
 	if s.Kept == nil || s.Kept() {
--- a/topology/links.go
+++ b/topology/links.go
@@ -295,7 +295,7 @@
 	return plan
 }
 
-// chooseRelays returns the relays that this instance tells: the others where it is one.
+// chooseRelays returns the relays that this instance sends to: the others where it is one.
 func (l *Links) chooseRelays(now time.Time, plan *Plan, relays []Member) []Member {
 	if !plan.Relay {
 		return l.chooseUplink(now, PreferredBy(l.Self, relays))
