fix(rollout): evidence of all routes counts together against a new version

What callers saw: a new version that fails a fifth of its requests on every route may be completed by its deadline where there are many instances.

Cause: each route has a sequential test of its own. With 410 instances counts come 2.5 s late, so that the new version gets some 215 requests until the deadline, 43 a route; a test needs some 42 answers in the mean to alarm at a flaw of 0.2, so that one of five routes usually alarms, and now and then none.

Ruled out: the machine's load (the model has no clock of its own); counts that are lost (215 answers were known); a lower alarm for each route, which would raise false alarms on all.

Fix: the evidence of all routes is added up in one more test, with the same bound on false alarms. Each answer is still held against its own route's usual rate.

--- a/rollout/gate.go
+++ b/rollout/gate.go
@@ -27,6 +27,9 @@
 	// Life is how long a decision to send to a new version counts; it is set before the first
 	// use.
 	Life time.Duration
+	// Random draws from [0, 1) which requests are tried at the new version; nil draws from the
+	// default source.
+	Random func() float64
 
 	mu      sync.Mutex
 	current atomic.Pointer[map[fleet.Service]known]
@@ -139,13 +142,21 @@
 		return Choice{}
 	}
 
-	if !k.undecided() && k.state.Phase == Trial && now.Sub(k.at) < g.Life && rand.Float64() < k.state.Share {
+	if !k.undecided() && k.state.Phase == Trial && now.Sub(k.at) < g.Life && g.draw() < k.state.Share {
 		return Choice{Only: k.state.Target, Part: k.state.Share}
 	}
 
 	return k.rest()
 }
 
+func (g *Gate) draw() float64 {
+	if g.Random != nil {
+		return g.Random()
+	}
+
+	return rand.Float64()
+}
+
 // Further returns which versions a further send of a request may go to: a request that was
 // tried once is not tried at the new version again.
 func (g *Gate) Further(service fleet.Service) Choice {
--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -18,6 +18,8 @@
 	// leastRate is the least rate of bad answers that a version may have: no old version
 	// was seen often enough to show a lower one.
 	leastRate = 0.01
+	// allRoutes names all routes of a service together.
+	allRoutes = "all routes"
 )
 
 // alarm is the level at which the sum of a sequential test (Page's cumulative sum) tells a
@@ -29,6 +31,9 @@
 // value has seen nothing.
 type judge struct {
 	failures, paces map[string]*test
+	// allFailures and allPaces add up the evidence of all routes: a version that is bad on
+	// each of many routes shows it on none soon.
+	allFailures, allPaces sequence
 	// slow are the paces beyond which answers are slow on each route, once the old version has shown what
 	// is usual.
 	slow map[string]uint8
@@ -37,7 +42,29 @@
 // test is the sequential test of one route.
 type test struct {
 	n, bad uint32
-	sum    float64
+	sequence
+}
+
+// sequence is the cumulative sum of a sequential test.
+type sequence struct {
+	sum float64
+}
+
+// evidence is what answers add to a sequence: the logarithms of the likelihood ratios of
+// those that ended well, which lower it, and of the others.
+type evidence struct {
+	well, bad float64
+}
+
+func (e evidence) plus(other evidence) evidence {
+	return evidence{well: e.well + other.well, bad: e.bad + other.bad}
+}
+
+// add adds evidence and reports whether the sequence alarms.
+func (s *sequence) add(e evidence) bool {
+	s.sum = math.Max(s.sum+e.well, 0) + e.bad
+
+	return s.sum >= alarm
 }
 
 // verdict is what a judge says of the new version.
@@ -53,20 +80,49 @@
 		j.failures, j.paces, j.slow = make(map[string]*test), make(map[string]*test), make(map[string]uint8)
 	}
 
-	var v verdict
+	var (
+		v               verdict
+		failures, paces evidence
+	)
 
 	for route, c := range routes {
-		if step(j.failures, route, rateOf(c.Old.Failed, c.Old.Answered), c.New.Answered, c.New.Failed) {
+		seen, alarms := step(j.failures, route, rateOf(c.Old.Failed, c.Old.Answered), c.New.Answered, c.New.Failed)
+		failures = failures.plus(seen)
+
+		if alarms {
 			v = verdict{bad: true, route: route, why: "failures"}
 		}
 
-		if slow, known := j.slowPace(route, c.Old); known &&
-			step(j.paces, route, rateOf(c.Old.slower(slow), c.Old.timed()), c.New.timed(), c.New.slower(slow)) {
+		slow, known := j.slowPace(route, c.Old)
+		if !known {
+			continue
+		}
+
+		seen, alarms = step(j.paces, route, rateOf(c.Old.slower(slow), c.Old.timed()), c.New.timed(), c.New.slower(slow))
+		paces = paces.plus(seen)
+
+		if alarms {
 			v = verdict{bad: true, route: route, why: "slow answers"}
 		}
 	}
 
-	return v
+	return j.seeAll(v, failures, paces)
+}
+
+// seeAll adds the evidence of all routes and returns the verdict, which rather names one route.
+func (j *judge) seeAll(v verdict, failures, paces evidence) verdict {
+	failing, slow := j.allFailures.add(failures), j.allPaces.add(paces)
+
+	switch {
+	case v.bad:
+		return v
+	case failing:
+		return verdict{bad: true, route: allRoutes, why: "failures"}
+	case slow:
+		return verdict{bad: true, route: allRoutes, why: "slow answers"}
+	default:
+		return verdict{}
+	}
 }
 
 // slowPace returns the pace beyond which answers of a route are slow.
@@ -93,8 +149,9 @@
 	return math.Min(math.Max(seen+spread, leastRate), 1-worse)
 }
 
-// step adds what was answered since to a route's test and tells whether it alarms.
-func step(tests map[string]*test, route string, usual float64, n, bad uint32) bool {
+// step adds what was answered since to a route's test. It returns the evidence, and whether the
+// test alarms.
+func step(tests map[string]*test, route string, usual float64, n, bad uint32) (evidence, bool) {
 	t := tests[route]
 	if t == nil {
 		t = &test{}
@@ -105,8 +162,10 @@
 	newBad, newWell := float64(bad-t.bad), float64(n-t.n)-float64(bad-t.bad)
 	t.n, t.bad = n, bad
 
-	t.sum += newWell * math.Log((1-worseRate)/(1-usual))
-	t.sum = math.Max(t.sum, 0) + newBad*math.Log(worseRate/usual)
+	e := evidence{
+		well: newWell * math.Log((1-worseRate)/(1-usual)),
+		bad:  newBad * math.Log(worseRate/usual),
+	}
 
-	return t.sum >= alarm
+	return e, t.add(e)
 }
--- a/rollout/model_test.go
+++ b/rollout/model_test.go
@@ -92,7 +92,7 @@
 	}
 
 	for range n {
-		g := &Gate{Life: policy.GrantLife()}
+		g := &Gate{Life: policy.GrantLife(), Random: w.random.Float64}
 		g.AddOrder(begin, w.order)
 		w.gates = append(w.gates, g)
 		w.counters = append(w.counters, &Counter{})
@@ -364,3 +364,19 @@
 		}
 	}
 }
+
+// A version that fails on every route is reverted also where few of its answers are known of each.
+func TestAVersionThatFailsOnAllRoutesIsReverted(t *testing.T) {
+	for seed := range uint64(12) {
+		w := newWorld(seed, 410, 400, 20*time.Second, flaw{rate: 0.2})
+		w.lossy = 0.03
+
+		for !w.now.After(w.due()) {
+			w.step(t)
+		}
+
+		if got := w.planner.state.Phase; got != Reverted {
+			t.Errorf("seed %d: got %v (%s), want %v", seed, got, w.planner.Why(), Reverted)
+		}
+	}
+}
