feat(entry): requests wait while an instance starts

What callers saw: in the second after a start of all every request was refused (noRules 775, staleRules 96 of 195 instances), to come back after a second. Many have no further try, or less than three seconds left.

Cause: the platform sends callers to any instance that listens where too few are ready. An instance listens 30 ms after its process runs, and has rules, their confirmation and the backend servers 0.15 to 0.45 s later.

Change: requests wait until the instance can route, authorize and place them; 2 s from the start of the process at most, and half of the caller's own time. After that they are refused at once, since nobody knows until when.

--- a/entry/parts.go
+++ b/entry/parts.go
@@ -159,6 +159,7 @@
 	spentSeen spentSeen
 	// leavingTurn says which of the leaving servers the next heartbeat tells.
 	leavingTurn atomic.Uint64
+	startup     *startup
 	// built is when this instance began to start.
 	built    time.Time
 	stopping atomic.Bool
@@ -223,6 +224,7 @@
 		Begin: p.awaitRules, Active: p.usesBoard,
 		Write: p.writeRecord, Receive: p.receiveRecord, Reached: p.boardReached,
 	}
+	p.startup = newStartup(e.Clock)
 	p.duties = newDuties(p)
 	p.rollouts.start, p.rollouts.held = p.duties.incarnation, p.duties.held
 	p.gauges(set)
@@ -310,6 +312,7 @@
 func (p *parts) run(ctx context.Context) {
 	var group conc.WaitGroup
 
+	group.Go(func() { p.startup.run(ctx, p.serving) })
 	group.Go(func() { p.directoryFeed.Run(ctx) })
 	group.Go(func() { p.rulesFeed.Run(ctx) })
 	group.Go(func() { p.registerFeed.Run(ctx) })
@@ -330,6 +333,8 @@
 	p.open.Add(1)
 	defer p.open.Add(-1)
 
+	p.startup.wait(ctx, r.Timeout)
+
 	return p.forwarder.Serve(ctx, r, sink)
 }
 
@@ -351,7 +356,12 @@
 
 	limits := p.limits.Known() || p.clock.Now().Sub(*counted) > limitsPatience
 
-	return !p.stopping.Load() && p.rules.Load() != nil && p.currency.Current() && p.scheduler.Known() && limits
+	return !p.stopping.Load() && p.serving() && limits
+}
+
+// serving reports whether requests can be routed, authorized and placed.
+func (p *parts) serving() bool {
+	return p.rules.Load() != nil && p.currency.Current() && p.scheduler.Known()
 }
 
 // servers returns the servers of the addresses, in their order.
--- /dev/null
+++ b/entry/startup_test.go
@@ -0,0 +1,85 @@
+package entry
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"monsoonlever/clock"
+)
+
+// startsAfter runs a startup of an instance that can serve after some time.
+func startsAfter(ctx context.Context, took time.Duration) *startup {
+	s := newStartup(clock.System{})
+
+	var serving atomic.Bool
+
+	time.AfterFunc(took, func() { serving.Store(true) })
+
+	go s.run(ctx, serving.Load)
+
+	return s
+}
+
+func TestRequestsWaitWhileAnInstanceStarts(t *testing.T) {
+	tests := map[string]struct {
+		serving, timeout time.Duration
+		least, most      time.Duration
+	}{
+		"until it can serve":             {300 * time.Millisecond, 15 * time.Second, 300 * time.Millisecond, 310 * time.Millisecond},
+		"a caller without a time":        {300 * time.Millisecond, 0, 300 * time.Millisecond, 310 * time.Millisecond},
+		"half of the caller's time":      {time.Second, 600 * time.Millisecond, 300 * time.Millisecond, 300 * time.Millisecond},
+		"not for a start without end":    {time.Hour, time.Minute, startPatience, startPatience + 10*time.Millisecond},
+		"an instance that serves begins": {0, 15 * time.Second, 0, 10 * time.Millisecond},
+	}
+
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				begun := time.Now()
+				s := startsAfter(t.Context(), tt.serving)
+				s.wait(t.Context(), tt.timeout)
+
+				if got := time.Since(begun); got < tt.least || got > tt.most {
+					t.Errorf("waited: got %v, want %v to %v", got, tt.least, tt.most)
+				}
+
+				<-s.over
+			})
+		})
+	}
+}
+
+func TestRequestsAreRefusedAtOnceAfterAStartThatTookTooLong(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := startsAfter(t.Context(), time.Hour)
+		<-s.over
+
+		begun := time.Now()
+		s.wait(t.Context(), time.Minute)
+
+		if got := time.Since(begun); got != 0 {
+			t.Errorf("waited: got %v, want not at all", got)
+		}
+	})
+}
+
+func TestACallerThatLeavesIsNotWaitedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := startsAfter(t.Context(), time.Second)
+
+		ctx, leave := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		defer leave()
+
+		begun := time.Now()
+		s.wait(ctx, time.Minute)
+
+		if got, want := time.Since(begun), 50*time.Millisecond; got != want {
+			t.Errorf("waited: got %v, want %v", got, want)
+		}
+
+		<-s.over
+	})
+}
