fix(replica): a read that breaks off goes on where it stopped

Cause: an instance that reads many changes from its relay has 1.5 s for all of them; what had come by then was dropped, and the read began anew with more to read. Two instances kept a register of 3.75 s ago so: their logs say "i/o timeout" in the read of the register, and 4,630 changes once it ended. Reads get longer with the servers that change at one time and with the members of a relay, and kept the load up.

Ruled out: the relay, whose other members had the changes; the store.

Fix: changes that came before a read broke off are applied, and the next read goes on from the last of them. The entries at the last position are read again, since others at it may be missing. Nothing is confirmed by such a read.

--- a/replica/source.go
+++ b/replica/source.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -91,10 +92,7 @@
 	if up.Origin {
 		changes, err = s.Origin.Changes(ctx, from, wait)
 	} else {
-		changes.Entries, changes.Next, err = s.ask(ctx, up.Address, request{
-			Feed: s.Feed, From: from, WaitMilliseconds: wait.Milliseconds(),
-		})
-		changes.End = changes.Next
+		changes, err = s.askChanges(ctx, up.Address, from, wait)
 	}
 
 	if err != nil {
@@ -108,6 +106,29 @@
 	return changes, nil
 }
 
+// askChanges reads changes from another instance. What has come before the read broke off is kept,
+// so that a long read over a slow link goes on instead of beginning anew.
+func (s *Source) askChanges(ctx context.Context, to netip.AddrPort, from feed.Position, wait time.Duration) (feed.Changes, error) {
+	entries, next, err := s.ask(ctx, to, request{Feed: s.Feed, From: from, WaitMilliseconds: wait.Milliseconds()})
+	if err == nil {
+		return feed.Changes{Entries: entries, Next: next, End: next}, nil
+	}
+
+	if len(entries) == 0 {
+		return feed.Changes{}, err
+	}
+
+	// Others at the last position may be missing.
+	last := entries[len(entries)-1].At
+	entries = slices.DeleteFunc(entries, func(e feed.Entry) bool { return e.At == last })
+
+	if len(entries) == 0 {
+		return feed.Changes{}, err
+	}
+
+	return feed.Changes{Entries: entries, Next: last, End: last + 1}, nil
+}
+
 // kept reports whether the log is kept, and empties it otherwise. A log that is kept again has to
 // begin with a whole set.
 func (s *Source) kept() bool {
@@ -120,7 +141,8 @@
 	return false
 }
 
-// ask sends one request to another instance and collects its answer.
+// ask sends one request to another instance and collects its answer. With an error it returns the
+// entries that came before it.
 func (s *Source) ask(ctx context.Context, to netip.AddrPort, r request) ([]feed.Entry, feed.Position, error) {
 	if !to.IsValid() {
 		return nil, 0, feed.ErrNoSource
@@ -159,7 +181,7 @@
 	for {
 		var f frame
 		if err := readMessage(s.reader, &f); err != nil {
-			return nil, 0, err
+			return entries, 0, err
 		}
 
 		entries = append(entries, entriesOf(f.Entries)...)
@@ -175,7 +197,7 @@
 		}
 
 		if err := errors.Join(conn.SetDeadline(time.Now().Add(frameTimeout)), ctx.Err()); err != nil {
-			return nil, 0, err
+			return entries, 0, err
 		}
 	}
 }
