revert: a leader with an old register reads from one that has read since

They then read from each other, and but for the first none read the store any more.

A larger threshold is no mend: it has to be above 0.68 of the drain time and what a heartbeat takes, and the lag that it is to notice is 0.68 of it.

--- a/entry/confirmations.go
+++ b/entry/confirmations.go
@@ -7,14 +7,14 @@
 	"monsoonlever/fleet"
 )
 
-// confirmations are the times at which other instances last found what they have to be the
+// confirmations are the times at which other instances last found their rules to be the
 // newest, as they said in heartbeats. The zero value knows none.
 type confirmations struct {
 	mu sync.Mutex
 	at map[fleet.InstanceID]time.Time
 }
 
-// note takes in that an instance confirmed what it has at a time.
+// note takes in that an instance confirmed its rules at a time.
 func (c *confirmations) note(id fleet.InstanceID, at time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -26,7 +26,7 @@
 	c.at[id] = at
 }
 
-// of returns when an instance confirmed what it has last; the zero time is not known.
+// of returns when an instance confirmed its rules last; the zero time is not known.
 func (c *confirmations) of(id fleet.InstanceID) time.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/entry/heartbeat.go
+++ b/entry/heartbeat.go
@@ -204,13 +204,7 @@
 	p.confirmBy(echo, w)
 
 	if w.RegisterAgo >= 0 {
-		read := echo.Add(-w.RegisterAgo)
-
-		if p.leads() {
-			p.registersRead.note(w.Instance, read)
-		}
-
-		p.compareRegister(w.Register, read)
+		p.compareRegister(w.Register, echo.Add(-w.RegisterAgo))
 	}
 }
 
--- a/entry/parts.go
+++ b/entry/parts.go
@@ -145,8 +145,6 @@
 	// readsFrom is where feeds were last read from.
 	readsFrom     atomic.Pointer[replica.Upstream]
 	confirmations confirmations
-	// registersRead are the times at which other instances last read the register.
-	registersRead confirmations
 	// ownConfirmed is when this instance last asked the store for the rules and read them to
 	// their end, in Unix nanoseconds; zero is never.
 	ownConfirmed atomic.Int64
--- a/entry/upstream.go
+++ b/entry/upstream.go
@@ -37,10 +37,9 @@
 	// fresher is by how much another leader's confirmation has to be newer for a relay to read
 	// from it.
 	fresher = time.Second
-	// registerBehind is by how much another leader's read of the register has to be newer, as a
-	// share of the time that a leaving server goes on: more than registerFirst, the pace of the
-	// first leader, since the others learn of what it has read a moment later.
-	registerBehind = 0.6
+	// storeRegained is how long a leader that was behind reads at the store again after it has
+	// read the directory there.
+	storeRegained = 1500 * time.Millisecond
 	// keptRetry is the least time between two attempts to read what others may ask for.
 	keptRetry = time.Second
 )
@@ -133,32 +132,14 @@
 }
 
 // behind reports whether the store turns this leader away while it serves others that lead: it
-// then reads from these, since its subscribers have no other source. A read of the directory, which
-// those that lead always make at the store, shows that the store is back.
+// then reads from these, since its subscribers have no other source.
 func (p *parts) behind(plan *topology.Plan) bool {
-	return p.rulesBehind(plan) || p.registerBehind(plan)
-}
-
-func (p *parts) rulesBehind(plan *topology.Plan) bool {
 	own := p.ownConfirmed.Load()
-	if own == 0 {
+	if own == 0 || p.clock.Now().Sub(p.directoryFeed.Reached()) < storeRegained {
 		return false
 	}
 
-	reached := later(time.Unix(0, own), p.directoryFeed.Reached())
-
-	return p.confirmations.newest(plan.Leaders).Sub(reached) > fresher
-}
-
-func (p *parts) registerBehind(plan *topology.Plan) bool {
-	age, known := p.registered.Age()
-	if !known {
-		return false
-	}
-
-	lag := p.registersRead.newest(plan.Leaders).Sub(p.clock.Now().Add(-age))
-
-	return lag > time.Duration(float64(p.settings.Bounds.Drain)*registerBehind)
+	return p.confirmations.newest(plan.Leaders).Sub(time.Unix(0, own)) > fresher
 }
 
 func (p *parts) upstreamAt(id fleet.InstanceID) replica.Upstream {
