fix(replica): readers are not continued from what a whole set skipped

What callers may see: requests at a backend server that is gone, from an instance that keeps it for good.

Cause: a log that is replaced by a whole set knows which keys went since its own end, and not what came and went at other instances since. A reader whose position lies between that end and the set's (it read from another instance before) was continued all the same, and never got the removal. Only instances that read the store compare their register with others', so that nothing repaired it.

Fix: a log remembers the gap of each whole set, 32 at most, and has a reader within one read the whole set.

--- a/replica/log.go
+++ b/replica/log.go
@@ -21,6 +21,9 @@
 // missed older changes reads the whole set.
 const maxChangesBytes = 4 << 20
 
+// maxGaps bounds the gaps that are remembered.
+const maxGaps = 32
+
 // entryBytes is what an entry takes beside its key and data.
 const entryBytes = 64
 
@@ -40,11 +43,21 @@
 	bytes   int
 	// first is from where on all changes are kept, and next where the log ends.
 	first, next feed.Position
+	// gaps are the positions that whole sets have skipped: what came and went there is not known.
+	gaps []gap
 	// grown is closed and replaced with each change.
 	grown chan struct{}
 }
 
-// Replace puts a whole set in place of what was known. Changes are found from next on.
+// gap holds the positions between two others, without both.
+type gap struct {
+	from, to feed.Position
+}
+
+func (g gap) has(p feed.Position) bool { return g.from < p && p < g.to }
+
+// Replace puts a whole set in place of what was known. Changes are found from next on, and from
+// where the log ended before.
 func (l *Log) Replace(entries []feed.Entry, next feed.Position) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -52,7 +65,9 @@
 	if !l.loaded || next.Era() != l.next.Era() || next < l.next {
 		// No position of before leads to this set.
 		l.newest, l.changes, l.bytes = make(map[string]feed.Entry, len(entries)), nil, 0
-		l.first = next
+		l.first, l.gaps = next, nil
+	} else {
+		l.skip(gap{from: l.next, to: next})
 	}
 
 	removed := make(map[string]bool, len(l.newest))
@@ -82,7 +97,7 @@
 	defer l.mu.Unlock()
 
 	if l.loaded {
-		l.loaded, l.newest, l.changes, l.bytes = false, nil, nil, 0
+		l.loaded, l.newest, l.changes, l.bytes, l.gaps = false, nil, nil, 0, nil
 	}
 }
 
@@ -169,7 +184,24 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
-	return l.loaded && from >= l.first && from.Era() == l.next.Era()
+	return l.loaded && from.Era() == l.next.Era() && l.follows(from)
+}
+
+func (l *Log) follows(from feed.Position) bool {
+	return from >= l.first && !slices.ContainsFunc(l.gaps, func(g gap) bool { return g.has(from) })
+}
+
+// skip notes a gap. Gaps that no kept change follows are forgotten; of many, the oldest bounds
+// what is kept.
+func (l *Log) skip(g gap) {
+	l.gaps = slices.DeleteFunc(l.gaps, func(g gap) bool { return g.to <= l.first })
+
+	if len(l.gaps) == maxGaps {
+		l.first = l.gaps[0].to
+		l.gaps = slices.Delete(l.gaps, 0, 1)
+	}
+
+	l.gaps = append(l.gaps, g)
 }
 
 func (l *Log) snapshot() ([]feed.Entry, feed.Position, error) {
@@ -228,7 +260,7 @@
 		return feed.Changes{}, nil, ErrUnavailable
 	}
 
-	if from < l.first {
+	if !l.follows(from) {
 		return feed.Changes{}, nil, feed.ErrTrimmed
 	}
 
--- a/replica/log_test.go
+++ b/replica/log_test.go
@@ -80,6 +80,33 @@
 	}
 }
 
+// Guards against backend servers that are gone for all but those that read on from where a whole
+// set skipped their removal.
+func TestAReaderIsNotContinuedFromWhatAWholeSetSkipped(t *testing.T) {
+	l := &Log{Clock: clock.NewSteady()}
+	l.Replace(nil, feed.PositionOf(1, 0))
+	// Elsewhere, "gone" came at 1 and went at 3.
+	l.Replace([]feed.Entry{change("a", "x", 4)}, feed.PositionOf(1, 5))
+
+	for at, want := range map[uint64]error{0: nil, 1: feed.ErrTrimmed, 2: feed.ErrTrimmed, 4: feed.ErrTrimmed, 5: nil, 6: nil} {
+		if _, err := l.Changes(t.Context(), feed.PositionOf(1, at), 0); !errors.Is(err, want) {
+			t.Errorf("changes from %d: got %v, want %v", at, err, want)
+		}
+	}
+
+	for i := range uint64(2 * maxGaps) {
+		l.Replace([]feed.Entry{change("a", "x", 10*i+10)}, feed.PositionOf(1, 10*i+11))
+	}
+
+	if got := len(l.gaps); got > maxGaps {
+		t.Errorf("gaps: got %d, want at most %d", got, maxGaps)
+	}
+
+	if _, err := l.Changes(t.Context(), feed.PositionOf(1, 15), 0); !errors.Is(err, feed.ErrTrimmed) {
+		t.Errorf("changes from a forgotten gap: got %v, want ErrTrimmed", err)
+	}
+}
+
 func TestANewEraIsReadAsAWhole(t *testing.T) {
 	l := &Log{Clock: clock.NewSteady()}
 	l.Replace([]feed.Entry{change("a", "x", 8)}, feed.PositionOf(1, 9))
