fix(feed): a read ends when its source changes

The store falls silent for the first leader alone, whose read of the register hangs for its whole 1.5 s; it turns to another leader after that. Cause: a nudge ends only reads that wait for a change. Those that don't wait go on at a source that the instance has turned from already. Ruled out: ending each read with any nudge: nudges also come for what is read already, and a slow read would begin anew each time. Readers are redirected now when their source changes, which ends a read of changes under way but no whole set.

--- a/entry/upstream.go
+++ b/entry/upstream.go
@@ -204,7 +204,9 @@
 
 	next := p.upstream()
 	if before := p.readsFrom.Swap(&next); before == nil || *before != next {
-		p.wakeFeeds()
+		p.rulesFeed.Redirect()
+		p.registerFeed.Redirect()
+		p.directoryFeed.Nudge()
 	}
 }
 
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -106,7 +106,7 @@
 	// reached is when the last read succeeded, in Unix nanoseconds.
 	reached atomic.Int64
 
-	nudge Nudge
+	nudge, redirect Nudge
 	// nudged tells that the next read must not wait, and again that it has to be of the
 	// whole set.
 	nudged, again atomic.Bool
@@ -143,6 +143,10 @@
 // Nudge asks for a read at once, in place of a wait or a pause.
 func (f *Follower) Nudge() { f.nudge.Send() }
 
+// Redirect asks for a read at once because the source has changed. It also ends a read of changes
+// that is under way: the source before may not answer.
+func (f *Follower) Redirect() { f.redirect.Send() }
+
 func (f *Follower) pace() Pace {
 	if f.Pace == nil {
 		return Pace{}
@@ -159,18 +163,20 @@
 	}
 }
 
-// await waits for some time and reports whether it passed without a nudge.
+// await waits for some time and reports whether it passed without a request to read.
 func (f *Follower) await(ctx context.Context, wait time.Duration) bool {
 	select {
 	case <-f.Clock.After(wait):
 		return ctx.Err() == nil
 	case <-f.nudge.C():
-		f.nudged.Store(true)
-
-		return false
+	case <-f.redirect.C():
 	case <-ctx.Done():
 		return false
 	}
+
+	f.nudged.Store(true)
+
+	return false
 }
 
 func (f *Follower) due() time.Duration {
@@ -181,7 +187,8 @@
 	return f.Due()
 }
 
-// call returns the context of one read and how long it waits. A nudge ends the wait.
+// call returns the context of one read and how long it waits. A nudge ends the wait, a redirect the
+// read.
 func (f *Follower) call(ctx context.Context) (context.Context, context.CancelFunc, time.Duration) {
 	wait := f.pace().Wait
 	if nudged := f.nudged.Swap(false); nudged || f.backoff > 0 {
@@ -192,21 +199,28 @@
 
 	timeout := wait + callMargin
 	if !f.positioned || f.again.Load() {
-		wait, timeout = 0, snapshotTimeout
+		call, cancel := context.WithTimeout(ctx, snapshotTimeout)
+
+		return call, cancel, 0
 	}
 
 	call, cancel := context.WithTimeout(ctx, timeout)
-	if wait == 0 {
-		return call, cancel, wait
+
+	var nudged <-chan struct{}
+	if wait > 0 {
+		nudged = f.nudge.C()
 	}
 
 	go func() {
 		select {
-		case <-f.nudge.C():
-			f.nudged.Store(true)
-			cancel()
+		case <-nudged:
+		case <-f.redirect.C():
 		case <-call.Done():
+			return
 		}
+
+		f.nudged.Store(true)
+		cancel()
 	}()
 
 	return call, cancel, wait
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -132,6 +132,64 @@
 	<-done
 }
 
+// silent is a source whose first read of changes is not answered.
+type silent struct {
+	reads chan int
+	count int
+}
+
+func (s *silent) Snapshot(context.Context) ([]Entry, Position, error) { return nil, 1, nil }
+
+func (s *silent) Changes(ctx context.Context, from Position, _ time.Duration) (Changes, error) {
+	s.count++
+	s.reads <- s.count
+
+	if s.count == 1 {
+		<-ctx.Done()
+
+		return Changes{}, ctx.Err()
+	}
+
+	return Changes{Next: from, End: from}, nil
+}
+
+func TestAReadOfASourceThatIsSilentEndsWithARedirect(t *testing.T) {
+	source := &silent{reads: make(chan int)}
+	f := &Follower{
+		Name: "register", Source: source, Clock: clock.NewSteady(),
+		Pace: func() Pace { return Pace{} }, Apply: func([]Entry, bool) {},
+	}
+
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+
+	go func() {
+		defer close(done)
+		f.Run(ctx)
+	}()
+
+	<-source.reads
+
+	began := time.Now()
+
+	f.Redirect()
+	<-source.reads
+
+	if got, most := time.Since(began), callMargin/2; got > most {
+		t.Errorf("read at another source: got after %v, want within %v", got, most)
+	}
+
+	cancel()
+
+	for {
+		select {
+		case <-source.reads:
+		case <-done:
+			return
+		}
+	}
+}
+
 // A read is put off for as long as others keep what is known young, and made once they
 // stop.
 func TestAReadIsPutOffWhileOthersRead(t *testing.T) {
