fix(entry,replica): a leader catches up from a leader that has read a newer register

Cause: the store falls silent for the first leader alone, before its next read of the register. The other leaders read it once it is 2.04 s old, and their heartbeats show that it differs. The first leader then asks the store once more, which does not answer, and follows the others only after its rules are a second older than theirs. Until then its subscribers learn nothing. Ruled out: ending the hung read when the source changes is needed but not enough (1 or 2 requests too late in 4 of 4 runs of the new test). Following a leader whose register is newer was tried before: leaders then follow each other, and one alone reads the store. Why it works: a leader reads once, from its own position, what the other one has, and goes on with the store. Nobody follows anybody, and such a read confirms nothing. Its next read of the store is due as before, by the age of the register.

--- a/entry/freshness.go
+++ b/entry/freshness.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"net/netip"
 	"sync"
 	"time"
 
 	"monsoonlever/clock"
 	"monsoonlever/feed"
+	"monsoonlever/fleet"
 )
 
 // Few instances (topology.Plan.Leaders) read rules and register at full pace and tell
@@ -57,6 +59,10 @@
 	// for, and missedAt when.
 	missed   uint64
 	missedAt time.Time
+	// ahead is a leader that has read a newer register, until it is asked for it, and aheadAt when
+	// that was found.
+	ahead   fleet.InstanceID
+	aheadAt time.Time
 }
 
 // rulesPace is how the rules are read now.
@@ -93,7 +99,13 @@
 		share = registerFirst
 	}
 
-	return feed.Pace{Every: time.Duration(float64(p.settings.Bounds.Drain) * share)}
+	every := time.Duration(float64(p.settings.Bounds.Drain) * share)
+	if age, known := p.registered.Age(); known {
+		// The read before may have been at another leader.
+		every = max(every-age, 0)
+	}
+
+	return feed.Pace{Every: every}
 }
 
 // registerDue is how long those that lead may put the next read off, because one of the
@@ -183,7 +195,7 @@
 }
 
 // compareRegister takes in what another instance knew of the register at a time.
-func (p *parts) compareRegister(digest uint64, at time.Time) {
+func (p *parts) compareRegister(id fleet.InstanceID, digest uint64, at time.Time) {
 	f := &p.fresh
 
 	f.mu.Lock()
@@ -197,8 +209,48 @@
 		return
 	}
 
+	now := p.clock.Now()
+
 	age, known := p.registered.Age()
-	if known && f.differs.IsZero() && at.After(p.clock.Now().Add(-age)) {
-		f.differs = p.clock.Now()
+	if !known || !at.After(now.Add(-age)) {
+		return
+	}
+
+	if f.differs.IsZero() {
+		f.differs = now
+	}
+
+	plan := p.plan.Load()
+	if !plan.Few && plan.Leads(p.self()) && plan.Leads(id) && now.Sub(f.aheadAt) >= differing {
+		f.ahead, f.aheadAt = id, now
+		p.registerFeed.Redirect()
+	}
+}
+
+// registerAhead returns where a leader reads a newer register than its own, once for each time that
+// one was found.
+func (p *parts) registerAhead() (netip.AddrPort, bool) {
+	f := &p.fresh
+
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	id := f.ahead
+	f.ahead = ""
+
+	if id == "" {
+		return netip.AddrPort{}, false
 	}
+
+	return p.addressOf(id)
+}
+
+// registerCaughtUp ends the wait for a register that was newer elsewhere.
+func (p *parts) registerCaughtUp() {
+	f := &p.fresh
+
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	f.differs = time.Time{}
 }
--- a/entry/heartbeat.go
+++ b/entry/heartbeat.go
@@ -204,7 +204,7 @@
 	p.confirmBy(echo, w)
 
 	if w.RegisterAgo >= 0 {
-		p.compareRegister(w.Register, echo.Add(-w.RegisterAgo))
+		p.compareRegister(w.Instance, w.Register, echo.Add(-w.RegisterAgo))
 	}
 }
 
--- a/entry/rules.go
+++ b/entry/rules.go
@@ -115,6 +115,10 @@
 
 		return p.register.Apply(changes)
 	})
+	if len(entries) > 0 {
+		p.registerCaughtUp()
+	}
+
 	p.tellServers(now, deltas)
 }
 
--- a/replica/source.go
+++ b/replica/source.go
@@ -19,6 +19,10 @@
 // asked for. The whole answer may take longer on a slow link.
 const frameTimeout = 3 * time.Second
 
+// catchUpTimeout bounds a read at an instance in place of the origin, so that a read of the origin
+// is not put off for long.
+const catchUpTimeout = 500 * time.Millisecond
+
 // Upstream is where a feed is read from.
 type Upstream struct {
 	// Origin is set where the feed is read from its origin.
@@ -36,6 +40,9 @@
 	Log    *Log
 	// Upstream is asked before each read.
 	Upstream func() Upstream
+	// Ahead is asked before each read of changes at the origin: it returns an instance that is known
+	// to have read newer ones, if there is one. The read goes there instead. Nil is none.
+	Ahead func() (netip.AddrPort, bool)
 	// Kept reports whether others read from this instance; without it the log stays empty. Nil is
 	// always.
 	Kept   func() bool
@@ -82,16 +89,20 @@
 // Changes returns the changes from a position on, or waits for one.
 func (s *Source) Changes(ctx context.Context, from feed.Position, wait time.Duration) (feed.Changes, error) {
 	up := s.Upstream()
-	s.relayed.Store(!up.Origin)
+	ahead, catchUp := s.ahead(up)
+	s.relayed.Store(!up.Origin || catchUp)
 
 	var (
 		changes feed.Changes
 		err     error
 	)
 
-	if up.Origin {
+	switch {
+	case catchUp:
+		changes, err = s.catchUp(ctx, ahead, from)
+	case up.Origin:
 		changes, err = s.Origin.Changes(ctx, from, wait)
-	} else {
+	default:
 		changes, err = s.askChanges(ctx, up.Address, from, wait)
 	}
 
@@ -106,6 +117,28 @@
 	return changes, nil
 }
 
+func (s *Source) ahead(up Upstream) (netip.AddrPort, bool) {
+	if !up.Origin || s.Ahead == nil {
+		return netip.AddrPort{}, false
+	}
+
+	return s.Ahead()
+}
+
+// catchUp reads changes from an instance that has newer ones than this one. Where that fails, the
+// next read goes to the origin from the same position.
+func (s *Source) catchUp(ctx context.Context, from netip.AddrPort, position feed.Position) (feed.Changes, error) {
+	call, cancel := context.WithTimeout(ctx, catchUpTimeout)
+	defer cancel()
+
+	changes, err := s.askChanges(call, from, position, 0)
+	if errors.Is(err, feed.ErrTrimmed) {
+		return feed.Changes{}, ErrUnavailable
+	}
+
+	return changes, err
+}
+
 // askChanges reads changes from another instance. What has come before the read broke off is kept,
 // so that a long read over a slow link goes on instead of beginning anew.
 func (s *Source) askChanges(ctx context.Context, to netip.AddrPort, from feed.Position, wait time.Duration) (feed.Changes, error) {
--- a/replica/source_test.go
+++ b/replica/source_test.go
@@ -260,3 +260,74 @@
 		t.Errorf("changes: got %d, want at least %d", got, least)
 	}
 }
+
+// sourceAhead returns a source of an origin whose first read goes to another instance.
+func sourceAhead(origin *counted, ahead netip.AddrPort) *Source {
+	asked := false
+
+	return &Source{
+		Feed: "rules", Origin: origin, Log: &Log{Clock: clock.NewSteady()}, Dialer: &net.Dialer{},
+		Upstream: func() Upstream { return Upstream{Origin: true} },
+		Ahead: func() (netip.AddrPort, bool) {
+			if asked {
+				return netip.AddrPort{}, false
+			}
+
+			asked = true
+
+			return ahead, true
+		},
+	}
+}
+
+func TestNewerChangesComeFromTheInstanceThatHasThem(t *testing.T) {
+	origin := &counted{Log: newLog(change("a", "x", 0))}
+	other := newLog(change("a", "x", 0))
+	other.Append([]feed.Entry{change("b", "y", 1)}, feed.PositionOf(1, 2))
+
+	s := sourceAhead(origin, serveLog(t, other))
+
+	changes, err := s.Changes(t.Context(), feed.PositionOf(1, 1), 0)
+	if err != nil || !s.Relayed() || len(changes.Entries) != 1 || changes.Next != feed.PositionOf(1, 2) {
+		t.Errorf("ahead: got %v, %v, relayed %t, want b from the other instance", changes, err, s.Relayed())
+	}
+
+	if _, err := s.Changes(t.Context(), changes.Next, 0); err != nil || s.Relayed() {
+		t.Errorf("after it: got %v, relayed %t, want a read of the origin", err, s.Relayed())
+	}
+}
+
+// A whole set for one missed change would be read at the origin by each instance.
+func TestAnInstanceAheadWithoutTheChangesCausesNoWholeRead(t *testing.T) {
+	trimmed := &Log{Clock: clock.NewSteady()}
+	trimmed.Replace(nil, feed.PositionOf(1, 9))
+
+	s := sourceAhead(&counted{Log: newLog(change("a", "x", 0))}, serveLog(t, trimmed))
+
+	if _, err := s.Changes(t.Context(), feed.PositionOf(1, 1), 0); err == nil || errors.Is(err, feed.ErrTrimmed) {
+		t.Errorf("trimmed at the other: got %v, want an error that keeps the position", err)
+	}
+
+	if _, err := s.Changes(t.Context(), feed.PositionOf(1, 1), 0); err != nil || s.Relayed() {
+		t.Errorf("next read: got %v, relayed %t, want the origin", err, s.Relayed())
+	}
+}
+
+func TestAnInstanceAheadThatIsSilentHoldsUpNoReadOfTheOrigin(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close() //nolint:errcheck // nothing was sent
+
+	s := sourceAhead(&counted{Log: newLog(change("a", "x", 0))}, netip.MustParseAddrPort(listener.Addr().String()))
+	began := time.Now()
+
+	if _, err := s.Changes(t.Context(), feed.PositionOf(1, 1), 0); err == nil {
+		t.Error("silent: got no error, want one")
+	}
+
+	if got, most := time.Since(began), 2*catchUpTimeout; got > most {
+		t.Errorf("silent: got an end after %v, want within %v", got, most)
+	}
+}
