test(daemon): as many deployments run at once as the processor bears

Cause: up to 16 deployments of several instances and engines run at once in one process under the race detector, beside the other packages, as in package platform. No check and no bound is changed.

--- a/daemon/deployment_test.go
+++ b/daemon/deployment_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/sourcegraph/conc"
+	"golang.org/x/sync/semaphore"
 
 	"monsoonlever/clock"
 	"monsoonlever/fleet"
@@ -28,8 +29,14 @@
 	testAccount = "demo-key-nordhavn-engros"
 	// testPatience bounds every wait of a test; none of them sleeps.
 	testPatience = time.Minute
+	// deploymentsAtOnce bounds the deployments of all tests that run together.
+	deploymentsAtOnce = 4
 )
 
+// running holds the deployments that run. Tests of times fail if each gets too small a part of the
+// processor.
+var running = semaphore.NewWeighted(deploymentsAtOnce)
+
 var testDomains = []fleet.FailureDomain{"ballerup-a", "ballerup-b", "taastrup-1", "taastrup-2"}
 
 // deployment is the example deployment of Kronvig with its daemons and stand-ins
@@ -82,6 +89,12 @@
 func newPlatform(t *testing.T, tokenInterval time.Duration) *deployment {
 	t.Helper()
 
+	if err := running.Acquire(t.Context(), 1); err != nil {
+		t.Fatalf("start: got %v, want none", err)
+	}
+
+	t.Cleanup(func() { running.Release(1) })
+
 	ctx, cancel := context.WithTimeout(context.Background(), testPatience)
 	d := &deployment{
 		t: t, ctx: ctx, platform: standin.NewPlatform(clock.System{}), tokenInterval: tokenInterval,
