fix(gossip,replica): an exchange that has ended holds its address no more

Cause: the socket is closed by a function that runs after the end of the context, in a goroutine of its own that nobody waits for. Where a datagram comes with the stop, the loops end before it, and Run returns with the socket open. The server of replicas closed its listener in the same way. Ruled out: another listener at the address: it belongs to one instance of one process. Both close before Run returns. The server of replicas has no test of its own for it.

--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -68,6 +68,9 @@
 	}
 
 	group.Wait()
+
+	// The function after ctx may not have run yet.
+	_ = e.Conn.Close()
 }
 
 func (e *Exchange) send(ctx context.Context, peersOf func(time.Time) map[fleet.InstanceID]netip.AddrPort) {
--- a/replica/server.go
+++ b/replica/server.go
@@ -48,6 +48,9 @@
 	})
 	defer stop()
 
+	// The function after ctx may not have run yet.
+	defer l.Close() //nolint:errcheck // it is closed once
+
 	var group conc.WaitGroup
 	defer group.Wait()
 
