--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -58,8 +58,13 @@
 func (e *Exchange) Run(ctx context.Context) {
 	var group conc.WaitGroup
 
-	stop := context.AfterFunc(ctx, func() { _ = e.Conn.Close() })
-	defer stop()
+	closed := make(chan struct{})
+
+	context.AfterFunc(ctx, func() {
+		defer close(closed)
+
+		_ = e.Conn.Close()
+	})
 
 	group.Go(func() { e.receive(ctx) })
 
@@ -69,8 +74,8 @@
 
 	group.Wait()
 
-	// The function after ctx may not have run yet.
-	_ = e.Conn.Close()
+	// The loops end with ctx, and may end before the function after it.
+	<-closed
 }
 
 func (e *Exchange) send(ctx context.Context, peersOf func(time.Time) map[fleet.InstanceID]netip.AddrPort) {
