fix(gossip,replica,peer): what closes a listener is one of the tasks that Run waits for

Seen on reading: the three places that close a socket at the end of a context did so in a function that nobody waits for; gossip and replica had got a mend each, of different kinds, and peer none. Cause: context.AfterFunc runs in a goroutine of its own, and its stop does not wait for it. The close is now a task of the same group, which Run waits for.

--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -58,14 +58,11 @@
 func (e *Exchange) Run(ctx context.Context) {
 	var group conc.WaitGroup
 
-	closed := make(chan struct{})
-
-	context.AfterFunc(ctx, func() {
-		defer close(closed)
+	group.Go(func() {
+		<-ctx.Done()
 
 		_ = e.Conn.Close()
 	})
-
 	group.Go(func() { e.receive(ctx) })
 
 	for _, peers := range e.Peers {
@@ -73,9 +70,6 @@
 	}
 
 	group.Wait()
-
-	// The loops end with ctx, and may end before the function after it.
-	<-closed
 }
 
 func (e *Exchange) send(ctx context.Context, peersOf func(time.Time) map[fleet.InstanceID]netip.AddrPort) {
--- a/peer/node.go
+++ b/peer/node.go
@@ -96,8 +96,11 @@
 	tasks := conc.NewWaitGroup()
 	n.begin(ctx, tasks)
 
-	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
-	defer stop()
+	tasks.Go(func() {
+		<-ctx.Done()
+
+		_ = listener.Close()
+	})
 
 	err = n.accept(ctx, listener)
 
--- a/replica/server.go
+++ b/replica/server.go
@@ -42,17 +42,15 @@
 
 // Run serves until ctx ends, and closes the listener and all connections.
 func (s *Server) Run(ctx context.Context, l net.Listener) {
-	stop := context.AfterFunc(ctx, func() {
+	var group conc.WaitGroup
+	defer group.Wait()
+
+	group.Go(func() {
+		<-ctx.Done()
+
 		_ = l.Close()
 		s.closeAll()
 	})
-	defer stop()
-
-	// The function after ctx may not have run yet.
-	defer l.Close() //nolint:errcheck // it is closed once
-
-	var group conc.WaitGroup
-	defer group.Wait()
 
 	for ctx.Err() == nil {
 		conn, err := l.Accept()
--- a/replica/source_test.go
+++ b/replica/source_test.go
@@ -41,6 +41,37 @@
 	return netip.MustParseAddrPort(listener.Addr().String())
 }
 
+func TestTheListenerIsClosedOnceTheServerHasEnded(t *testing.T) {
+	const turns = 500
+
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	address := listener.Addr().String()
+
+	for turn := range turns {
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+
+		go func() {
+			defer close(done)
+
+			(&Server{Clock: clock.NewSteady()}).Run(ctx, listener)
+		}()
+
+		cancel()
+		<-done
+
+		if listener, err = net.Listen("tcp4", address); err != nil {
+			t.Fatalf("turn %d: got %v, want the address free", turn, err)
+		}
+	}
+
+	_ = listener.Close()
+}
+
 // counted is an origin that counts the reads of it.
 type counted struct {
 	*Log
