refactor(feed,board,entry): loops are woken

In Follower.call the time-out is made where it is used. Behaviour is the same; the test of a wait that ends is renamed, its assertions are not touched.

--- a/board/board.go
+++ b/board/board.go
@@ -127,7 +127,7 @@
 	// Reached is told when a round has read to the end.
 	Reached func(now time.Time)
 
-	nudge feed.Nudge
+	wake  feed.Signal
 	next  feed.Position
 	begun bool
 	lost  bool
@@ -166,7 +166,7 @@
 
 	select {
 	case <-b.Clock.After(inactivePause):
-	case <-b.nudge.C():
+	case <-b.wake.C():
 	case <-ctx.Done():
 	}
 
@@ -177,8 +177,8 @@
 	return b.readAt.IsZero() || b.ReadEvery == nil || now.Sub(b.readAt) >= b.ReadEvery()
 }
 
-// Nudge asks for the next round to be made soon.
-func (b *Board) Nudge() { b.nudge.Send() }
+// Wake asks for the next round to be made soon.
+func (b *Board) Wake() { b.wake.Send() }
 
 // pause waits for the next round, which is made sooner if it was asked for.
 func (b *Board) pause(ctx context.Context, began time.Time) {
@@ -186,7 +186,7 @@
 
 	select {
 	case <-b.Clock.After(max(b.Every()-b.Clock.Now().Sub(began), 0)):
-	case <-b.nudge.C():
+	case <-b.wake.C():
 	case <-ctx.Done():
 	}
 }
--- a/entry/directory.go
+++ b/entry/directory.go
@@ -137,14 +137,14 @@
 
 	if before == nil || before.Few() != view.Few() || before.Forming != view.Forming {
 		p.wakeFeeds()
-		p.board.Nudge()
+		p.board.Wake()
 	}
 }
 
 func (p *parts) wakeFeeds() {
-	p.rulesFeed.Nudge()
-	p.registerFeed.Nudge()
-	p.directoryFeed.Nudge()
+	p.rulesFeed.Wake()
+	p.registerFeed.Wake()
+	p.directoryFeed.Wake()
 }
 
 // keepDirectory keeps the directory up to date while this instance leads, and begins one where
@@ -287,6 +287,6 @@
 	err = p.store.PutDirectory(call, data, end)
 	if err != nil && !errors.Is(err, platform.ErrChanged) {
 		klog.InfoS("directory is not written", "err", err.Error())
-		p.directoryFeed.Nudge()
+		p.directoryFeed.Wake()
 	}
 }
--- a/entry/duties.go
+++ b/entry/duties.go
@@ -63,8 +63,8 @@
 	// taken returns the part of a service's places that is in use, if that is known.
 	taken func(now time.Time, service fleet.Service) (float64, bool)
 
-	// nudge asks for a round of the board.
-	nudge func()
+	// wake asks for a round of the board.
+	wake func()
 	// rollout takes a step of what is ordered for new versions, and inTrial returns the
 	// version of a service that is being tried.
 	rollout  func(ctx context.Context)
@@ -90,7 +90,7 @@
 	now := p.clock.Now()
 	d := &duties{
 		settings: p.settings, clock: p.clock, members: p.members, rules: &p.rules, register: p.register,
-		nudge:       func() { p.board.Nudge() },
+		wake:        func() { p.board.Wake() },
 		leads:       p.leads,
 		rollout:     p.rollouts.step,
 		inTrial:     p.rollouts.gate.InTrial,
@@ -268,7 +268,7 @@
 	d.mu.Unlock()
 
 	if open {
-		d.nudge()
+		d.wake()
 	}
 }
 
--- a/entry/eras.go
+++ b/entry/eras.go
@@ -66,18 +66,18 @@
 	klog.InfoS("store came back from an older copy", "era", era)
 
 	p.duties.lost(now, era)
-	p.rulesFeed.Nudge()
-	p.registerFeed.Nudge()
+	p.rulesFeed.Wake()
+	p.registerFeed.Wake()
 
 	if p.leads() || !p.few() {
-		p.board.Nudge()
+		p.board.Wake()
 
 		return
 	}
 
 	go func() {
 		clock.Sleep(context.Background(), p.clock, rand.N(time.Duration(p.count())*writeAgain))
-		p.board.Nudge()
+		p.board.Wake()
 	}()
 }
 
@@ -94,8 +94,8 @@
 		return
 	}
 
-	p.rulesFeed.Nudge()
-	p.registerFeed.Nudge()
+	p.rulesFeed.Wake()
+	p.registerFeed.Wake()
 }
 
 // confirmRules takes in that rules were read to the end by a call that was made at a time.
--- a/entry/freshness.go
+++ b/entry/freshness.go
@@ -153,7 +153,7 @@
 
 	rules := direct && p.rulesStale()
 	if rules && !f.askedRules {
-		p.rulesFeed.Nudge()
+		p.rulesFeed.Wake()
 	}
 
 	f.askedRules = rules
@@ -162,7 +162,7 @@
 	stale := direct && (p.registerStale() || differs)
 
 	if stale && !f.askedRegister {
-		p.registerFeed.Nudge()
+		p.registerFeed.Wake()
 	}
 
 	f.askedRegister = stale
@@ -191,7 +191,7 @@
 	}
 
 	f.missed, f.missedAt = version, now
-	p.rulesFeed.Nudge()
+	p.rulesFeed.Wake()
 }
 
 // compareRegister takes in what another instance knew of the register at a time.
--- a/entry/losses.go
+++ b/entry/losses.go
@@ -46,6 +46,6 @@
 // stays so if all instances are lost: those that lead write it for all.
 func (p *parts) recordHeld() {
 	if p.leads() {
-		p.board.Nudge()
+		p.board.Wake()
 	}
 }
--- a/entry/parts.go
+++ b/entry/parts.go
@@ -203,7 +203,7 @@
 	p.plan.Store(&topology.Plan{Count: 1})
 	p.limits = quota.New(quota.Policy{
 		Self: s.Instance, Window: s.Bounds.LimitWindow, Spread: newsSpread, Quick: p.quickSpread,
-		Tell: func() { p.board.Nudge() },
+		Tell: func() { p.board.Wake() },
 	})
 	p.loans = &quota.Loans{Quota: p.limits, Clock: e.Clock, Self: s.Instance, Current: p.currency.Current, Send: func(to fleet.InstanceID, ask quota.Ask) {
 		p.sendDatagram(to, datagram{Ask: &ask})
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -43,7 +43,7 @@
 		}
 	case !led || !slices.Equal(before.Leaders, plan.Leaders):
 		// It keeps limits with the others once it has read what was recorded.
-		p.board.Nudge()
+		p.board.Wake()
 	}
 
 	p.upstreamChanged()
--- a/entry/relays.go
+++ b/entry/relays.go
@@ -109,7 +109,7 @@
 	next := &directory.Directory{Count: m.Count, Relays: directory.TopologyMembers(m.Relays)}
 	if next.Has(p.self()) {
 		p.relaying.Store(true)
-		p.directoryFeed.Nudge()
+		p.directoryFeed.Wake()
 
 		return
 	}
--- a/entry/upstream.go
+++ b/entry/upstream.go
@@ -206,7 +206,7 @@
 	if before := p.readsFrom.Swap(&next); before == nil || *before != next {
 		p.rulesFeed.Redirect()
 		p.registerFeed.Redirect()
-		p.directoryFeed.Nudge()
+		p.directoryFeed.Wake()
 	}
 }
 
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -31,7 +31,7 @@
 // ErrTrimmed means that the changes asked for have been deleted.
 var ErrTrimmed = merry.Sentinel("changes are no longer kept")
 
-// ErrNoSource means that it is not known yet where to read from. The next Nudge ends the
+// ErrNoSource means that it is not known yet where to read from. The next Wake ends the
 // pause after it.
 var ErrNoSource = merry.Sentinel("no source to read from")
 
@@ -106,10 +106,10 @@
 	// reached is when the last read succeeded, in Unix nanoseconds.
 	reached atomic.Int64
 
-	nudge, redirect Nudge
-	// nudged tells that the next read must not wait, and again that it has to be of the
+	wake, redirect Signal
+	// woken is set when the next read must not wait, and again when it has to be of the
 	// whole set.
-	nudged, again atomic.Bool
+	woken, again atomic.Bool
 }
 
 // Run follows until ctx ends.
@@ -121,7 +121,7 @@
 		switch {
 		case errors.Is(err, ErrTrimmed):
 			f.positioned = false
-		case f.nudged.Load():
+		case f.woken.Load():
 		case errors.Is(err, ErrNoSource):
 			f.await(ctx, maxBackoff)
 		case err != nil:
@@ -137,11 +137,11 @@
 // Reread asks for the whole set at once, in place of changes.
 func (f *Follower) Reread() {
 	f.again.Store(true)
-	f.nudge.Send()
+	f.wake.Send()
 }
 
-// Nudge asks for a read at once, in place of a wait or a pause.
-func (f *Follower) Nudge() { f.nudge.Send() }
+// Wake asks for a read at once, in place of a wait or a pause.
+func (f *Follower) Wake() { f.wake.Send() }
 
 // Redirect asks for a read at once because the source has changed. It also ends a read of changes
 // that is under way: the source before may not answer.
@@ -168,13 +168,13 @@
 	select {
 	case <-f.Clock.After(wait):
 		return ctx.Err() == nil
-	case <-f.nudge.C():
+	case <-f.wake.C():
 	case <-f.redirect.C():
 	case <-ctx.Done():
 		return false
 	}
 
-	f.nudged.Store(true)
+	f.woken.Store(true)
 
 	return false
 }
@@ -187,39 +187,38 @@
 	return f.Due()
 }
 
-// call returns the context of one read and how long it waits. A nudge ends the wait, a redirect the
+// call returns the context of one read and how long it waits. A wake-up ends the wait, a redirect the
 // read.
 func (f *Follower) call(ctx context.Context) (context.Context, context.CancelFunc, time.Duration) {
 	wait := f.pace().Wait
-	if nudged := f.nudged.Swap(false); nudged || f.backoff > 0 {
+	if woken := f.woken.Swap(false); woken || f.backoff > 0 {
 		// After a failure the read that confirms what is known must not wait for news: a
 		// wait of 1.5 s at the return of a store was 1.5 s more of refusals.
 		wait = 0
 	}
 
-	timeout := wait + callMargin
 	if !f.positioned || f.again.Load() {
 		call, cancel := context.WithTimeout(ctx, snapshotTimeout)
 
 		return call, cancel, 0
 	}
 
-	call, cancel := context.WithTimeout(ctx, timeout)
+	call, cancel := context.WithTimeout(ctx, wait+callMargin)
 
-	var nudged <-chan struct{}
+	var wake <-chan struct{}
 	if wait > 0 {
-		nudged = f.nudge.C()
+		wake = f.wake.C()
 	}
 
 	go func() {
 		select {
-		case <-nudged:
+		case <-wake:
 		case <-f.redirect.C():
 		case <-call.Done():
 			return
 		}
 
-		f.nudged.Store(true)
+		f.woken.Store(true)
 		cancel()
 	}()
 
@@ -298,7 +297,7 @@
 		return
 	}
 
-	if !f.lost && !f.nudged.Load() && !errors.Is(err, context.Canceled) && !errors.Is(err, ErrNoSource) {
+	if !f.lost && !f.woken.Load() && !errors.Is(err, context.Canceled) && !errors.Is(err, ErrNoSource) {
 		f.lost = true
 		klog.InfoS("dependency lost", "dependency", f.Name, "err", err.Error())
 	}
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -95,8 +95,8 @@
 	return Changes{Next: from, End: from}, nil
 }
 
-// A nudge ends a long wait and asks again at once, without a wait.
-func TestANudgeEndsAWait(t *testing.T) {
+// A wake-up ends a long wait and asks again at once, without a wait.
+func TestAWakeUpEndsAWait(t *testing.T) {
 	source := &waiting{waits: make(chan time.Duration, 16)}
 	confirmed := make(chan time.Time, 16)
 	f := &Follower{
@@ -122,7 +122,7 @@
 		}
 
 		if want > 0 {
-			f.Nudge()
+			f.Wake()
 		} else {
 			<-confirmed
 		}
--- a/quarantine/news.go
+++ b/quarantine/news.go
@@ -39,7 +39,7 @@
 }
 
 // Ready returns a channel that is told when there is news.
-func (l *Ledger) Ready() <-chan struct{} { return l.nudge.C() }
+func (l *Ledger) Ready() <-chan struct{} { return l.wake.C() }
 
 // News returns what the others are to be told now. It is called again, at the pace of
 // messages, until nothing is left.
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -78,7 +78,7 @@
 	// with ends that count is held off, a time.Time by Fingerprint.
 	counted sync.Map
 
-	nudge feed.Nudge
+	wake feed.Signal
 }
 
 // Held tells whether a request is held off, and for how much longer.
@@ -186,7 +186,7 @@
 
 	if from != heard {
 		l.outbox.add(loss)
-		l.nudge.Send()
+		l.wake.Send()
 	}
 
 	l.show(loss.Request, one)
--- a/scheduling/news.go
+++ b/scheduling/news.go
@@ -125,8 +125,8 @@
 	gone     map[*server]bool
 	limits   map[*server]bool
 	holdings []Holding
-	// nudge tells that there is something.
-	nudge feed.Nudge
+	// wake tells that there is something.
+	wake feed.Signal
 }
 
 // changed notes that the backlog of a server changed, and parts that it now holds.
@@ -144,7 +144,7 @@
 	}
 
 	o.mu.Unlock()
-	o.nudge.Send()
+	o.wake.Send()
 }
 
 // loaded notes that a server told its load. That alone is no reason to tell at once.
@@ -170,7 +170,7 @@
 	o.gone[s] = true
 
 	o.mu.Unlock()
-	o.nudge.Send()
+	o.wake.Send()
 }
 
 // limited notes that a server announced a limit. One that changes nothing is no reason to
@@ -187,7 +187,7 @@
 	o.mu.Unlock()
 
 	if changed {
-		o.nudge.Send()
+		o.wake.Send()
 	}
 }
 
@@ -250,7 +250,7 @@
 func (s *Scheduler) SetRelay(relay bool) { s.relay.Store(relay) }
 
 // Ready returns a channel that is told when there is news for an audience.
-func (s *Scheduler) Ready(to Audience) <-chan struct{} { return s.outboxes[to].nudge.C() }
+func (s *Scheduler) Ready(to Audience) <-chan struct{} { return s.outboxes[to].wake.C() }
 
 func tokens(n int64) uint32 { return uint32(min(max(n, 0), math.MaxUint32)) }
 
