refactor(entry,replica): one place for the turn of a read, and for a whole set

Behaviour is the same: an age that is not known is zero, which leaves the whole pause as before. Packages entry and replica pass with the race detector.

--- a/entry/freshness.go
+++ b/entry/freshness.go
@@ -94,18 +94,21 @@
 		return feed.Pace{Every: relaxedRegister}
 	}
 
-	share := registerShare
+	// An age that is not known is zero. The read before may have been at another leader.
+	age, _ := p.registered.Age()
+
+	return feed.Pace{Every: max(p.registerTurn(registerShare)-age, 0)}
+}
+
+// registerTurn is the age of the register at which this instance reads it, where the first of those
+// that lead reads it sooner than the others.
+func (p *parts) registerTurn(others float64) time.Duration {
+	share := others
 	if p.plan.Load().First(p.self()) {
 		share = registerFirst
 	}
 
-	every := time.Duration(float64(p.settings.Bounds.Drain) * share)
-	if age, known := p.registered.Age(); known {
-		// The read before may have been at another leader.
-		every = max(every-age, 0)
-	}
-
-	return feed.Pace{Every: every}
+	return time.Duration(float64(p.settings.Bounds.Drain) * share)
 }
 
 // registerDue is how long those that lead may put the next read off, because one of the
@@ -116,12 +119,7 @@
 		return 0
 	}
 
-	share := registerYield
-	if p.plan.Load().First(p.self()) {
-		share = registerFirst
-	}
-
-	return time.Duration(float64(p.settings.Bounds.Drain)*share) - age
+	return p.registerTurn(registerYield) - age
 }
 
 func (p *parts) rulesStale() bool {
--- a/replica/log.go
+++ b/replica/log.go
@@ -176,7 +176,21 @@
 
 // Snapshot returns the newest entry of each key in the order of the keys.
 func (l *Log) Snapshot(context.Context) ([]feed.Entry, feed.Position, error) {
-	return l.snapshot()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	if !l.loaded {
+		return nil, 0, ErrUnavailable
+	}
+
+	entries := make([]feed.Entry, 0, len(l.newest))
+	for _, e := range l.newest {
+		entries = append(entries, e)
+	}
+
+	slices.SortFunc(entries, func(a, b feed.Entry) int { return cmp.Compare(a.Key, b.Key) })
+
+	return entries, l.next, nil
 }
 
 // Follows reports whether all changes since a position are kept.
@@ -204,24 +218,6 @@
 	l.gaps = append(l.gaps, g)
 }
 
-func (l *Log) snapshot() ([]feed.Entry, feed.Position, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-
-	if !l.loaded {
-		return nil, 0, ErrUnavailable
-	}
-
-	entries := make([]feed.Entry, 0, len(l.newest))
-	for _, e := range l.newest {
-		entries = append(entries, e)
-	}
-
-	slices.SortFunc(entries, func(a, b feed.Entry) int { return cmp.Compare(a.Key, b.Key) })
-
-	return entries, l.next, nil
-}
-
 // End returns where the log ends.
 func (l *Log) End() feed.Position {
 	l.mu.Lock()
--- a/replica/message_test.go
+++ b/replica/message_test.go
@@ -55,7 +55,7 @@
 	for _, n := range []int{3000, 6000} {
 		var whole wholeSet
 
-		frames, err := whole.read(time.Unix(1000, 0), serversOf(n))
+		frames, err := whole.read(t.Context(), time.Unix(1000, 0), serversOf(n))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -74,7 +74,7 @@
 
 	now := time.Unix(1000, 0)
 	read := func() *byte {
-		frames, err := whole.read(now, l)
+		frames, err := whole.read(t.Context(), now, l)
 		if err != nil || len(frames) == 0 {
 			t.Fatalf("got %d frames and %v, want some", len(frames), err)
 		}
@@ -97,7 +97,7 @@
 
 	l.Replace(nil, feed.PositionOf(2, 1))
 
-	if frames, err := whole.read(now, l); err != nil || bytes.Contains(frames[0], []byte("i-")) {
+	if frames, err := whole.read(t.Context(), now, l); err != nil || bytes.Contains(frames[0], []byte("i-")) {
 		t.Errorf("after a new era: got %q and %v, want its set", frames, err)
 	}
 }
@@ -161,7 +161,7 @@
 	for b.Loop() {
 		var whole wholeSet
 
-		frames, err := whole.read(time.Unix(1000, 0), l)
+		frames, err := whole.read(b.Context(), time.Unix(1000, 0), l)
 		if err != nil {
 			b.Fatal(err)
 		}
--- a/replica/server.go
+++ b/replica/server.go
@@ -162,7 +162,7 @@
 	}
 
 	if r.Whole {
-		frames, err := s.wholeOf(r.Feed).read(s.Clock.Now(), log)
+		frames, err := s.wholeOf(r.Feed).read(ctx, s.Clock.Now(), log)
 		if errors.Is(err, ErrUnavailable) {
 			return encodeAll([]frame{{Outcome: unavailable}})
 		}
--- a/replica/whole.go
+++ b/replica/whole.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -22,7 +23,7 @@
 
 // read returns the frames of a log's whole set, which may be up to wholeLife old as long as the
 // log keeps what followed.
-func (w *wholeSet) read(now time.Time, l *Log) ([][]byte, error) {
+func (w *wholeSet) read(ctx context.Context, now time.Time, l *Log) ([][]byte, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
@@ -30,7 +31,7 @@
 		return w.frames, nil
 	}
 
-	entries, next, err := l.snapshot()
+	entries, next, err := l.Snapshot(ctx)
 	if err != nil {
 		return nil, err
 	}
