fix(monsoonleverd): the flags of the log are not set while a stop is logged

Cause: a stop that comes while the settings are read is logged at once, and the flags of the log library, which it reads without a lock, are set after that. TestAStopIsNotLoggedWhileTheLogIsSetUp failed with the wait taken out: "got one, want none".

--- a/monsoonleverd/entry.go
+++ b/monsoonleverd/entry.go
@@ -24,7 +24,7 @@
 const memoryShare = 0.7
 
 // Run serves until ctx ends.
-func (c *entryCommand) Run(ctx context.Context, hangups hangups) error {
+func (c *entryCommand) Run(ctx context.Context, hangups hangups, ready logReady) error {
 	s, err := settings.LoadEntry(c.Settings)
 	if err != nil || c.Check {
 		return err
@@ -35,9 +35,10 @@
 	clk := clock.NewSteady()
 	pipe := &logpipe.Pipe{Out: os.Stdout, Clock: clk}
 	stop := logTo(pipe)
-
 	defer stop()
 
+	ready()
+
 	e := &entry.Entry{Settings: s, Clock: clk, Reload: c.reloads(ctx, hangups), Roomy: pipe.Roomy}
 
 	return e.Run(ctx)
--- a/monsoonleverd/main.go
+++ b/monsoonleverd/main.go
@@ -39,7 +39,7 @@
 }
 
 func main() {
-	ctx, hangups := takeSignals()
+	ctx, hangups, ready := takeSignals()
 
 	var line arguments
 
@@ -47,7 +47,7 @@
 	setLogFlags(map[string]string{"v": strconv.Itoa(line.Verbose)})
 
 	parsed.BindTo(ctx, (*context.Context)(nil))
-	parsed.Bind(hangups)
+	parsed.Bind(hangups, ready)
 	code := exitCode(parsed.Run())
 
 	klog.Flush()
--- a/monsoonleverd/serve.go
+++ b/monsoonleverd/serve.go
@@ -19,7 +19,9 @@
 }
 
 // Run serves until ctx ends.
-func (c *serveCommand) Run(ctx context.Context, hangups hangups) error {
+func (c *serveCommand) Run(ctx context.Context, hangups hangups, ready logReady) error {
+	ready()
+
 	s, err := settings.Load(c.Settings)
 	if err != nil || c.Check {
 		return err
--- a/monsoonleverd/signals.go
+++ b/monsoonleverd/signals.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"os/signal"
+	"sync"
 	"syscall"
 
 	"k8s.io/klog/v2"
@@ -12,11 +13,15 @@
 // hangups brings each SIGHUP, by which operators ask for the settings to be read again.
 type hangups <-chan os.Signal
 
+// logReady is called once the flags of the log are set: they must not be set while a line is written.
+type logReady func()
+
 // takeSignals takes the signals in that operators send, and returns a context that the
 // first SIGTERM, SIGINT or SIGQUIT ends. None is given back until the process exits: in any
 // phase, the default action of a signal that nobody expects would end the process and cut
-// the requests that it runs. So would SIGPIPE where standard output loses its reader.
-func takeSignals() (context.Context, hangups) {
+// the requests that it runs. So would SIGPIPE where standard output loses its reader. A stop
+// takes effect, and is logged, once the log is ready.
+func takeSignals() (context.Context, hangups, logReady) {
 	signal.Ignore(syscall.SIGPIPE)
 
 	hangups := make(chan os.Signal, 1)
@@ -26,8 +31,11 @@
 	signal.Notify(stops, syscall.SIGTERM, syscall.SIGINT, syscall.SIGQUIT)
 
 	ctx, cancel := context.WithCancel(context.Background())
+	ready := make(chan struct{})
 
 	go func() {
+		<-ready
+
 		got := <-stops
 		klog.InfoS("asked to stop", "signal", got.String())
 		cancel()
@@ -37,5 +45,5 @@
 		}
 	}()
 
-	return ctx, hangups
+	return ctx, hangups, sync.OnceFunc(func() { close(ready) })
 }
--- a/monsoonleverd/signals_test.go
+++ b/monsoonleverd/signals_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -70,6 +71,30 @@
 	}
 }
 
+func TestAStopIsNotLoggedWhileTheLogIsSetUp(t *testing.T) {
+	ctx, _, ready := takeSignals()
+
+	t.Cleanup(func() { signal.Reset() })
+
+	if err := syscall.Kill(os.Getpid(), syscall.SIGQUIT); err != nil {
+		t.Fatal(err)
+	}
+
+	select {
+	case <-ctx.Done():
+		t.Fatal("stop before the log is ready: got one, want none")
+	case <-time.After(100 * time.Millisecond):
+	}
+
+	ready()
+
+	select {
+	case <-ctx.Done():
+	case <-time.After(time.Second):
+		t.Error("stop once the log is ready: got none, want one")
+	}
+}
+
 // Standard output may lose its reader in any phase. What can't be written is lost, the
 // requests are not.
 func TestALogWithoutAReaderCutsNothing(t *testing.T) {
