fix(upstream): cut a connection that is dialled while its server restarts

Callers whose request was being connected to a backend server when its restart became known waited until their own deadline, and got the loss of a request that any other server could have taken.

Cause: Cut closed idle and busy connections and forgot the server's set. A connection in its dial was in neither; once dialled it was entered as busy in the forgotten set, which no later Cut reaches.

A cut now marks the set, and a connection that is dialled meanwhile is closed before a byte is sent. Ruled out: an answer of the server, or a limit of the test that is too short; the connection is open and idle when it fails.

--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -61,6 +61,9 @@
 	// removed is set once the server is no longer in the pool: a busy connection is then
 	// closed after its request.
 	removed bool
+	// cut is set once the process has terminated: a connection that is still being dialled
+	// then carries no request.
+	cut bool
 }
 
 // connection is used by one request at a time.
@@ -82,6 +85,10 @@
 // may open are in use.
 var ErrConnectionLimit = merry.Sentinel("connection limit of the backend server is reached")
 
+// ErrCut means that the connections to a backend server were cut before the request was
+// sent.
+var ErrCut = merry.Sentinel("connections to the backend server were cut")
+
 // SetLimit bounds the number of open connections to a server; zero is no limit.
 func (p *Pool) SetLimit(id fleet.InstanceID, limit int) {
 	p.mu.Lock()
@@ -100,15 +107,21 @@
 
 // Cut closes all connections to a server that was restarted, including those that carry
 // a request: the process that had the request has terminated, but a connection without
-// traffic does not show that.
+// traffic does not show that. A request whose connection is being dialled fails with
+// ErrCut, since the connection may have reached either process.
 func (p *Pool) Cut(id fleet.InstanceID) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
-	if c := p.removeServer(id); c != nil {
-		for conn := range c.busy {
-			_ = conn.Close()
-		}
+	c := p.removeServer(id)
+	if c == nil {
+		return
+	}
+
+	c.cut = true
+
+	for conn := range c.busy {
+		_ = conn.Close()
 	}
 }
 
@@ -253,11 +266,28 @@
 
 	conn.Conn, conn.reader = dialled, bufio.NewReaderSize(dialled, readBuffer)
 
+	if !p.markBusy(conn) {
+		p.closeConnection(conn)
+
+		return nil, merry.Prepend(backend.ErrNotSent, "dial "+s.Address, merry.WithCause(ErrCut))
+	}
+
+	return conn, nil
+}
+
+// markBusy adds a dialled connection to those that carry a request, so that Cut closes it. It
+// reports false if Cut was called during the dial.
+func (p *Pool) markBusy(conn *connection) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+
+	if conn.owner.cut {
+		return false
+	}
+
 	conn.owner.busy[conn] = struct{}{}
 
-	return conn, nil
+	return true
 }
 
 func (p *Pool) connect(ctx context.Context, address string) (net.Conn, error) {
--- a/upstream/pool_test.go
+++ b/upstream/pool_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"testing"
 	"time"
 
+	"monsoonlever/backend"
 	"monsoonlever/clock"
 )
 
@@ -75,6 +77,42 @@
 	<-ended
 }
 
+// Guards against a request whose connection is dialled while its server is cut: no later Cut
+// reaches that connection, so that the request would wait until its deadline.
+func TestCutEndsRequestsWhoseConnectionIsDialled(t *testing.T) {
+	server, _ := silent(t)
+	dialling, proceed := make(chan struct{}), make(chan struct{})
+	pool := &Pool{Clock: clock.NewSteady(), Dial: func(ctx context.Context, address string) (net.Conn, error) {
+		close(dialling)
+		<-proceed
+
+		return Dialer(DefaultDialTimeout).DialContext(ctx, "tcp4", address)
+	}}
+	failed := make(chan error, 1)
+
+	go func() {
+		_, err := pool.Send(context.Background(), server, &Request{Method: "GET", Target: "/", ID: "r", IDHeader: "Request-Id"})
+		failed <- err
+	}()
+
+	<-dialling
+	pool.Cut(server.ID)
+	close(proceed)
+
+	select {
+	case <-time.After(5 * time.Second):
+		t.Fatal("after the cut: the request still waits, want its error")
+	case err := <-failed:
+		if !errors.Is(err, ErrCut) || !errors.Is(err, backend.ErrNotSent) {
+			t.Errorf("got %v, want an error that wraps %v and %v", err, ErrCut, backend.ErrNotSent)
+		}
+	}
+
+	if got := pool.OpenConnections(server.ID); got != 0 {
+		t.Errorf("open connections: got %d, want 0", got)
+	}
+}
+
 // Guards against counting connections to the previous process of a server towards the
 // connection limit of its new process.
 func TestConnectionLimitExcludesPreviousProcess(t *testing.T) {
