fix(answer): keep a copy until its replacement has the answer

Callers of an accepted request, or of a stream that they resumed, got 404 after the instance that owned the answer had died, while the instance that had had the copy was alive.

Cause: a copy that did not acknowledge for a second, or whose instance was wrongly held dead, was told to drop the answer as soon as another instance was chosen in its place. Until that one had acknowledged, the owner alone had the answer.

A copy now keeps what it has, last in the order of takeover, until as many holders as there should be have all that callers may have seen.

--- a/answer/counters.go
+++ b/answer/counters.go
@@ -32,6 +32,7 @@
 	set.NewGauge(`monsoonlever_kept_answers`, func() float64 { return float64(r.Counts().Answers) })
 	set.NewGauge(`monsoonlever_kept_takeovers_total`, func() float64 { return float64(r.Counts().Takeovers) })
 	set.NewGauge(`monsoonlever_kept_superseded_total`, func() float64 { return float64(r.Counts().Superseded) })
+	set.NewGauge(`monsoonlever_kept_replaced_total`, func() float64 { return float64(r.Counts().Replaced) })
 	set.NewGauge(`monsoonlever_kept_unprotected_total`, func() float64 { return float64(r.Counts().Unprotected) })
 	set.NewGauge(`monsoonlever_kept_prefix_lost_total`, func() float64 { return float64(r.Counts().PrefixLost) })
 }
--- a/answer/kept_answer.go
+++ b/answer/kept_answer.go
@@ -21,7 +21,8 @@
 	endedAt time.Time
 	// holders are the copies in the order of takeover.
 	holders []holder
-	// former are instances that held an earlier epoch of it.
+	// former are instances that may have a copy, and are no holders: those of an
+	// earlier epoch, and those that were replaced.
 	former   []fleet.InstanceID
 	accepted bool
 	dirty    bool
@@ -75,6 +76,20 @@
 	return out
 }
 
+// successors returns the instances that may have a copy, in the order of
+// takeover: those that lack the least first.
+func (a *keptAnswer) successors() []fleet.InstanceID {
+	out := a.holderIDs()
+
+	for _, id := range a.former {
+		if !slices.Contains(out, id) {
+			out = append(out, id)
+		}
+	}
+
+	return out
+}
+
 func (a *keptAnswer) holderOf(id fleet.InstanceID) *holder {
 	i := slices.IndexFunc(a.holders, func(h holder) bool { return h.id == id })
 	if i < 0 {
@@ -84,6 +99,12 @@
 	return &a.holders[i]
 }
 
+func (a *keptAnswer) addFormer(id fleet.InstanceID) {
+	if !slices.Contains(a.former, id) {
+		a.former = append(a.former, id)
+	}
+}
+
 // expose moves visible to what every copy has acknowledged, and tells whether
 // it moved. Without a copy there is nobody to contradict the owner later.
 func (a *keptAnswer) expose() bool {
--- a/answer/store_counts.go
+++ b/answer/store_counts.go
@@ -8,6 +8,8 @@
 	Takeovers int
 	// Superseded counts requests given up to a newer owner.
 	Superseded int
+	// Replaced counts copies that were silent and gave their place to another.
+	Replaced int
 	// Unprotected counts tokens shown while there was no copy.
 	Unprotected int
 	// PrefixLost counts requests refused because the copy lacked tokens that a
--- a/answer/store_members.go
+++ b/answer/store_members.go
@@ -233,17 +233,21 @@
 	}
 }
 
-// releaseFormer makes the instances that held an earlier epoch, and hold none
-// of the present one, drop theirs.
+// releaseFormer makes the instances that may have a copy, and are no holders,
+// drop it. Those that are not live are told once they are.
 func (s *Store) releaseFormer(a *keptAnswer) {
-	for _, id := range a.former {
+	a.former = slices.DeleteFunc(a.former, func(id fleet.InstanceID) bool {
+		if id == s.Self.ID || a.holderOf(id) != nil {
+			return true
+		}
+
 		_, live := s.live[id]
-		if live && id != s.Self.ID && a.holderOf(id) == nil {
+		if live {
 			s.tellReleased(a, id)
 		}
-	}
 
-	a.former = nil
+		return live
+	})
 }
 
 // refusePrefix ends a request whose tokens a caller may have seen beyond what
--- a/answer/store_owner.go
+++ b/answer/store_owner.go
@@ -93,7 +93,7 @@
 	b.Begins = append(b.Begins, Begin{
 		Request: a.request,
 		Epoch:   a.epoch,
-		Holders: a.holderIDs(),
+		Holders: a.successors(),
 		Tokens:  slices.Clone(a.tokens),
 		Visible: a.floor,
 		End:     a.end,
@@ -109,11 +109,15 @@
 			continue
 		}
 
-		b := s.box.to(a.holders[i].id)
-		b.Holders = append(b.Holders, Holders{ID: a.request.ID, Epoch: a.epoch, Holders: a.holderIDs()})
+		s.tellSuccessors(a, a.holders[i].id)
 	}
 }
 
+func (s *Store) tellSuccessors(a *keptAnswer, id fleet.InstanceID) {
+	b := s.box.to(id)
+	b.Holders = append(b.Holders, Holders{ID: a.request.ID, Epoch: a.epoch, Holders: a.successors()})
+}
+
 // flush sends the copies what they lack.
 func (s *Store) flush(now time.Time) {
 	for _, id := range s.dirty {
@@ -172,7 +176,7 @@
 
 	h := a.holderOf(from)
 	if h == nil {
-		s.tellReleased(a, from)
+		s.onFormerAck(a, from)
 
 		return
 	}
@@ -208,6 +212,15 @@
 	s.tryHandOff(now, a)
 }
 
+// onFormerAck lets go of a copy that is no holder, or notes it until release can.
+func (s *Store) onFormerAck(a *keptAnswer, from fleet.InstanceID) {
+	if s.protected(a) {
+		s.tellReleased(a, from)
+	} else {
+		a.addFormer(from)
+	}
+}
+
 // onOldAck tells a copy of an earlier epoch that there is a newer one.
 func (s *Store) onOldAck(from fleet.InstanceID, m Ack) {
 	a, ok := s.answers[m.ID]
@@ -238,8 +251,10 @@
 	return h.sent < len(a.tokens) || (a.end != nil && !h.sentEnd)
 }
 
-// release lets holders go that are leaving once others have their place.
-func (s *Store) release(a *keptAnswer) {
+// protected tells whether as many holders as there should be have all that a
+// caller may have seen, and stay. Until then any other copy may be the only one
+// that could go on with the answer.
+func (s *Store) protected(a *keptAnswer) bool {
 	ready := 0
 
 	for i := range a.holders {
@@ -249,7 +264,13 @@
 		}
 	}
 
-	if ready < s.Policy.Copies {
+	return ready >= s.Policy.Copies
+}
+
+// release lets go of holders that are leaving, and of copies at instances that
+// are no holders, once the others protect the answer.
+func (s *Store) release(a *keptAnswer) {
+	if !s.protected(a) {
 		return
 	}
 
@@ -309,18 +330,21 @@
 
 // replace puts another peer in a silent holder's place, if there is one. The
 // holder stays otherwise: tokens that no copy has would be shown, and a holder
-// that comes back could contradict them.
+// that comes back could contradict them. It keeps its copy, and takes over last,
+// until release finds that the new holder has the answer.
 func (s *Store) replace(now time.Time, a *keptAnswer, h *holder) bool {
 	m, ok := s.candidate(a)
 	if !ok {
 		return false
 	}
 
+	s.counts.Replaced++
 	silent := h.id
+	a.addFormer(silent)
 	*h = newHolder(now, m)
 	s.sendBegin(now, a, h)
 	s.tellHolders(a)
-	s.tellReleased(a, silent)
+	s.tellSuccessors(a, silent)
 
 	return true
 }
