fix(answer): a superseded instance keeps the answer until the newer owner is protected

Callers got 404 for an accepted request after the instance that had taken it over had died, while its former owner, wrongly held dead and superseded since, was alive.

Cause: an instance that was told of a newer owner dropped its answer at once. The newer owner may have been the only other instance that had it.

The answer is now kept as a copy that is neither read nor extended, since its text may differ; it takes over only if the newer owner dies, and is dropped when that owner says so.

--- a/answer/store_copy.go
+++ b/answer/store_copy.go
@@ -264,14 +264,35 @@
 	s.emit(Visible{ID: a.request.ID})
 }
 
-// onSuperseded stops an owner that was replaced while it was paused or cut off.
+// onSuperseded stops an owner that was replaced while it was paused or cut off,
+// and a copy of its epoch. The newer owner may be the only other instance that has
+// the answer, so it is kept here until that owner lets go of it.
 func (s *Store) onSuperseded(m Superseded) {
 	a, ok := s.answers[m.ID]
 	if !ok || !m.Epoch.Newer(a.epoch) {
 		return
 	}
 
-	s.drop(a, m.Epoch)
+	if m.Epoch.Number == 0 {
+		s.drop(a, m.Epoch)
+
+		return
+	}
+
+	s.retire(a, m.Epoch)
+}
+
+// retire keeps an answer that a newer owner has as a copy of its that is not read
+// from and never extended: its text may differ from the owner's. It only takes over
+// when that owner dies.
+func (s *Store) retire(a *keptAnswer, by Epoch) {
+	s.stopOwning(a, by)
+
+	a.role = roleCopy
+	a.epoch = Epoch{Number: min(a.epoch.Number, by.Number-1), Owner: by.Owner, Incarnation: by.Incarnation}
+	a.stale, a.lost = true, true
+	a.takeoverAt = time.Time{}
+	a.former = nil
 }
 
 func (s *Store) onHandOff(now time.Time, from fleet.InstanceID, m HandOff) {
--- a/answer/store_owner.go
+++ b/answer/store_owner.go
@@ -221,12 +221,19 @@
 	}
 }
 
-// onOldAck tells a copy of an earlier epoch that there is a newer one.
+// onOldAck handles a copy of an earlier epoch: it is told of the newer one, and let
+// go of once that is protected.
 func (s *Store) onOldAck(from fleet.InstanceID, m Ack) {
 	a, ok := s.answers[m.ID]
-	if ok && m.Probe && a.epoch.Newer(m.Epoch) {
-		s.refuseOld(from, a)
+	if !ok || !m.Probe || !a.epoch.Newer(m.Epoch) {
+		return
 	}
+
+	if a.role == roleOwner && a.holderOf(from) == nil {
+		s.onFormerAck(a, from)
+	}
+
+	s.refuseOld(from, a)
 }
 
 func (s *Store) answerProbe(a *keptAnswer, to fleet.InstanceID) {
--- a/answer/store_replace_test.go
+++ b/answer/store_replace_test.go
@@ -122,3 +122,36 @@
 	r.killOwner()
 	r.checkCopyGoesOn(t)
 }
+
+// TestSupersededOwnerKeepsAnswerUntilReleased guards against an accepted request
+// that is lost with the instance that took it over: the former owner, wrongly held
+// dead, dropped it before any other instance had it.
+func TestSupersededOwnerKeepsAnswerUntilReleased(t *testing.T) {
+	r := newReplacedCopy()
+
+	// The copy holds the owner dead and takes over; what it sends is lost, but the
+	// news that there is a newer owner.
+	r.copy.SetMembers(r.now, []Member{r.replacement.Self})
+	r.owner.Token(r.now, "r0", Epoch{Owner: "a", Incarnation: 1}, 0, "x")
+	r.now = r.now.Add(time.Second)
+	r.deliver(r.copy, r.owner.Tick(r.now))
+
+	if got, want := r.owner.Owns("r0"), false; got != want {
+		t.Fatalf("the former owner still owns: got %v, want %v", got, want)
+	}
+
+	if got, want := r.owner.Read("", EventID{Request: "r0"}).State(), ReadUnknown; got != want {
+		t.Errorf("the former owner's text: got %v, want %v", got, want)
+	}
+
+	r.owner.SetMembers(r.now, []Member{r.replacement.Self})
+
+	for range 100 {
+		r.now = r.now.Add(100 * time.Millisecond)
+		r.owner.Tick(r.now)
+	}
+
+	if got, want := r.owner.Owns("r0"), true; got != want {
+		t.Errorf("the only instance that has the accepted request goes on with it: got %v, want %v", got, want)
+	}
+}
