fix(answer): a copy of the whole answer contradicts an outdated owner

Callers who read at an instance that had taken over with an old copy waited in vain until their deadline, while others had the whole answer.

Cause: instances whose callers have seen more than the newer owner's text did not become its copies, and said nothing unless they owned the answer. The outdated owner sent its text again and again and showed nothing.

A copy that has the whole answer, or whose owner is gone, now takes a newer epoch and says so. One whose owner lives and still works at the answer stays silent as before.

--- a/answer/store_copy.go
+++ b/answer/store_copy.go
@@ -102,14 +102,19 @@
 	return DigestOf(a.tokens[:n]) != DigestOf(m.Tokens[:n])
 }
 
-// defend keeps the text that callers have seen: its owner takes an epoch that
-// is newer still. A copy says nothing, so that it is not counted as one.
+// defend keeps the text that callers have seen: this instance takes an epoch that
+// is newer still, and the other one learns of it. A copy does so only if it has
+// the whole answer or its owner is gone, and says nothing otherwise, so that it is
+// not counted as a copy of the other text.
 func (s *Store) defend(now time.Time, from fleet.InstanceID, a *keptAnswer, against Epoch) {
-	if a.role != roleOwner {
+	if a.role != roleOwner && a.end == nil && s.isLive(a.epoch.Owner, a.epoch.Incarnation) {
 		return
 	}
 
-	s.emit(Stop{ID: a.request.ID, Epoch: a.epoch})
+	if a.role == roleOwner {
+		s.emit(Stop{ID: a.request.ID, Epoch: a.epoch})
+	}
+
 	a.epoch = against
 	s.takeOver(now, a)
 	s.refuseOld(from, a)
--- a/answer/store_replace_test.go
+++ b/answer/store_replace_test.go
@@ -155,3 +155,29 @@
 		t.Errorf("the only instance that has the accepted request goes on with it: got %v, want %v", got, want)
 	}
 }
+
+// TestCopyDefendsWholeAnswer guards against a caller who waits in vain at an
+// instance that took over with an old text: no instance with the whole answer
+// contradicted it.
+func TestCopyDefendsWholeAnswer(t *testing.T) {
+	r := newReplacedCopy()
+	epoch := Epoch{Owner: "a", Incarnation: 1}
+	r.owner.Token(r.now, "r0", epoch, 0, "x")
+	r.deliver(r.copy, r.owner.End(r.now, "r0", epoch, Ending{Finish: "stop"}))
+
+	// The replacement has an older copy, and took over under a newer epoch.
+	newer := Epoch{Number: 1, Owner: r.replacement.Self.ID, Incarnation: 1}
+	begin := Begin{Request: Request{ID: "r0"}, Epoch: newer, Holders: []fleet.InstanceID{r.copy.Self.ID}}
+
+	superseded := false
+
+	for _, c := range r.copy.Receive(r.now, &Batch{From: r.replacement.Self.ID, Begins: []Begin{begin}}) {
+		if send, ok := c.(Send); ok && send.To == r.replacement.Self.ID {
+			superseded = superseded || len(send.Batch.Superseded) > 0
+		}
+	}
+
+	if got, want := superseded, true; got != want {
+		t.Errorf("the instance with the old text is told of the whole one: got %v, want %v", got, want)
+	}
+}
