fix(answer,gateway): an instance that does not reply does not make an answer unknown

Pollers of an accepted answer, and callers who resumed a stream, got 404 while a live instance held it.

Cause: a question to another instance that got no reply within 100 ms counted like the reply that the answer is not known. A poller was told 404 after two seconds and a resumed stream after some five, also if nobody had replied.

A lookup now tells an answer unknown only once all live instances that it asked have replied. Else a resumed stream asks on until they reply or are held dead, and a poller gets 503 answerUnreachable with Retry-After after four seconds, below the five in which an unknown answer has to be refused.

--- a/answer/follow.go
+++ b/answer/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -17,17 +18,20 @@
 }
 
 // Follow passes an answer on to a caller, from right after an event id to the
-// end. It reads the answer here or, where another instance holds it, there. It
-// returns ErrNotFoundYet if ctx ends before an instance was found that has it.
+// end. It reads the answer here or, where another instance holds it, there. If
+// ctx ends before an instance was found that has it, it returns ErrNoReply where
+// an instance that may have it has not replied, and otherwise ErrNotFoundYet.
 func (r *Replicator) Follow(ctx context.Context, account fleet.Account, after EventID, caller Caller) error {
 	r.init()
 
-	f := &follower{replicator: r, account: account, at: after, caller: caller}
+	f := &follower{
+		replicator: r, account: account, at: after, caller: caller, replied: make(map[fleet.InstanceID]bool),
+	}
 
 	for {
 		ended, err := f.advance(ctx)
 		if err != nil && ctx.Err() != nil && !f.known {
-			return merry.Wrap(ErrNotFoundYet, merry.WithCause(ctx.Err()))
+			return merry.Wrap(f.notFound(ErrNotFoundYet), merry.WithCause(ctx.Err()))
 		}
 
 		if err != nil || ended {
@@ -42,11 +46,15 @@
 	account    fleet.Account
 	at         EventID
 	caller     Caller
-	// asked counts the questions to others that brought nothing to read; unknown
-	// and stale are those of them since the answer was last known and read.
-	asked   int
-	unknown int
-	stale   int
+	// asked counts the questions to others that brought nothing to read; unknown,
+	// stale and unanswered are those of them since the answer was last known and
+	// read.
+	asked      int
+	unknown    int
+	stale      int
+	unanswered int
+	// replied tells of each instance that was asked whether it has replied.
+	replied map[fleet.InstanceID]bool
 	// known tells whether anyone had the answer so far.
 	known bool
 }
@@ -89,7 +97,7 @@
 	}
 
 	f.known = true
-	f.unknown, f.stale = 0, 0
+	f.unknown, f.stale, f.unanswered = 0, 0, 0
 
 	for _, token := range reading.Tokens() {
 		f.at.Offset++
@@ -121,66 +129,124 @@
 
 	f.asked++
 
-	// Who knows of a copy waits for its owner, or for the copy to take over.
-	if here == ReadStale || reading.State() == ReadStale {
+	switch {
+	case here == ReadStale || reading.State() == ReadStale:
+		// Who knows of a copy waits for its owner, or for the copy to take over.
 		f.known = true
 		f.unknown = 0
 		f.stale++
-	} else {
+	case reading.State() == readUnanswered:
+		// An instance that is slow or gone may have the answer, until it replies or
+		// is no member any longer.
+		f.unanswered++
+	default:
 		f.unknown++
 	}
 
 	tries := f.replicator.FetchTries
-	if f.unknown > tries || f.stale > staleFactor*tries {
+	if f.unknown > tries && f.allReplied() {
 		return false, merry.Wrap(ErrUnknownAnswer)
 	}
 
+	if f.stale+f.unanswered > staleFactor*tries {
+		return false, merry.Wrap(f.notFound(ErrUnknownAnswer))
+	}
+
 	return false, nil
 }
 
-// fetch asks one instance. No reply in time counts as one that does not know.
+// notFound returns the error of an answer that was not found: the given one if
+// all instances that may have it have replied, else ErrNoReply.
+func (f *follower) notFound(err error) error {
+	if f.allReplied() {
+		return err
+	}
+
+	return ErrNoReply
+}
+
+// allReplied tells whether each live instance that was asked has replied.
+func (f *follower) allReplied() bool {
+	return !slices.ContainsFunc(f.replicator.candidates(f.at.Request), func(id fleet.InstanceID) bool {
+		replied, asked := f.replied[id]
+
+		return asked && !replied
+	})
+}
+
+// fetch asks one instance.
 func (f *follower) fetch(ctx context.Context) (Reading, error) {
 	r := f.replicator
 	question := Fetch{Account: f.account, After: f.at.String()}
-	ch := make(chan Fetched, 1)
-
-	r.mu.Lock()
-	candidates := r.Store.Candidates(f.at.Request)
+	ch := make(chan FetchReply, 1)
+	none := Reading{state: ReadUnknown}
 
-	if len(candidates) > 0 {
-		r.fetched[question] = append(r.fetched[question], ch)
-		to := candidates[f.asked%len(candidates)]
-		r.Sender.Send(to, &Batch{
-			From:    r.Store.Self.ID,
-			Fetches: []Fetch{question},
-		})
+	if to, ok := f.ask(question, ch); ok {
+		none = Reading{state: readUnanswered}
+		f.markAsked(to)
 	}
 
-	r.mu.Unlock()
-
 	defer r.forget(question, ch)
 
-	var got Fetched
+	var got FetchReply
 
 	waited := r.Clock.After(r.FetchEvery)
 
 	select {
 	case got = <-ch:
 	case <-waited:
-		return Reading{state: ReadUnknown}, nil
+		return none, nil
 	case <-ctx.Done():
 		return Reading{}, merry.Wrap(ctx.Err())
 	}
 
+	f.replied[got.From] = true
+
 	// An answer that has nothing new is not asked for again at once.
-	if len(got.Tokens) == 0 && got.End == nil {
+	if len(got.Fetched.Tokens) == 0 && got.Fetched.End == nil {
 		<-waited
 	}
 
-	return Reading{state: got.State, tokens: got.Tokens, end: got.End}, nil
+	return Reading{state: got.Fetched.State, tokens: got.Fetched.Tokens, end: got.Fetched.End}, nil
+}
+
+func (f *follower) markAsked(id fleet.InstanceID) {
+	if _, asked := f.replied[id]; !asked {
+		f.replied[id] = false
+	}
+}
+
+// ask sends a question to the next candidate, whose reply goes to ch. It reports
+// false if there is no other instance.
+func (f *follower) ask(question Fetch, ch chan FetchReply) (fleet.InstanceID, bool) {
+	r := f.replicator
+
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	candidates := r.Store.Candidates(f.at.Request)
+	if len(candidates) == 0 {
+		return "", false
+	}
+
+	r.fetched[question] = append(r.fetched[question], ch)
+	to := candidates[f.asked%len(candidates)]
+	r.Sender.Send(to, &Batch{
+		From:    r.Store.Self.ID,
+		Fetches: []Fetch{question},
+	})
+
+	return to, true
+}
+
+func (r *Replicator) candidates(id RequestID) []fleet.InstanceID {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	return r.Store.Candidates(id)
 }
 
-func (r *Replicator) forget(question Fetch, ch chan Fetched) {
+func (r *Replicator) forget(question Fetch, ch chan FetchReply) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 
--- a/answer/replicator.go
+++ b/answer/replicator.go
@@ -20,6 +20,9 @@
 	// ErrNotFoundYet means that the time was over before an instance was found
 	// that has the answer.
 	ErrNotFoundYet = merry.Sentinel("answer was not found yet")
+	// ErrNoReply means that the time was over before every instance that may have
+	// the answer had replied.
+	ErrNoReply = merry.Sentinel("an instance that may have the answer has not replied")
 	// ErrTextDiffers means that the caller has another text than is kept.
 	ErrTextDiffers = merry.Sentinel("the caller has another text than is kept")
 )
@@ -53,7 +56,7 @@
 	mu       sync.Mutex
 	changed  map[RequestID]chan struct{}
 	accepted map[RequestID]chan struct{}
-	fetched  map[Fetch][]chan Fetched
+	fetched  map[Fetch][]chan FetchReply
 	wake     chan struct{}
 	once     sync.Once
 }
@@ -163,7 +166,7 @@
 
 		r.changed = make(map[RequestID]chan struct{})
 		r.accepted = make(map[RequestID]chan struct{})
-		r.fetched = make(map[Fetch][]chan Fetched)
+		r.fetched = make(map[Fetch][]chan FetchReply)
 		r.wake = make(chan struct{}, 1)
 	})
 }
@@ -225,7 +228,7 @@
 		case Stop:
 			later = append(later, func() { r.Stop(c) })
 		case FetchReply:
-			r.passFetched(c.Fetched)
+			r.passFetched(c)
 		case FollowedElsewhere:
 			if r.Followed != nil {
 				later = append(later, func() { r.Followed(c.ID) })
@@ -250,10 +253,10 @@
 	}
 }
 
-func (r *Replicator) passFetched(f Fetched) {
-	for _, ch := range r.fetched[Fetch{Account: f.Account, After: f.After}] {
+func (r *Replicator) passFetched(reply FetchReply) {
+	for _, ch := range r.fetched[Fetch{Account: reply.Fetched.Account, After: reply.Fetched.After}] {
 		select {
-		case ch <- f:
+		case ch <- reply:
 		default:
 		}
 	}
--- a/answer/replicator_test.go
+++ b/answer/replicator_test.go
@@ -20,8 +20,24 @@
 	mu    sync.Mutex
 	peers map[fleet.InstanceID]*Replicator
 	links map[fleet.InstanceID]chan []byte
-	sent  int
-	bytes int
+	// stalled holds until when an instance handles nothing that it receives.
+	stalled map[fleet.InstanceID]time.Time
+	sent    int
+	bytes   int
+}
+
+func (n *network) stall(id fleet.InstanceID, d time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	n.stalled[id] = time.Now().Add(d)
+}
+
+func (n *network) stallLeft(id fleet.InstanceID) time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	return time.Until(n.stalled[id])
 }
 
 func (n *network) Send(to fleet.InstanceID, b *Batch) {
@@ -58,7 +74,7 @@
 		case <-ctx.Done():
 			return
 		case data := <-link:
-			time.Sleep(1500 * time.Microsecond)
+			time.Sleep(max(1500*time.Microsecond, n.stallLeft(id)))
 
 			var b Batch
 			if err := msgpack.Unmarshal(data, &b); err != nil {
@@ -86,7 +102,10 @@
 	t.Helper()
 
 	s := &site{
-		net:     &network{peers: map[fleet.InstanceID]*Replicator{}, links: map[fleet.InstanceID]chan []byte{}},
+		net: &network{
+			peers: map[fleet.InstanceID]*Replicator{}, links: map[fleet.InstanceID]chan []byte{},
+			stalled: map[fleet.InstanceID]time.Time{},
+		},
 		nodes:   map[fleet.InstanceID]*Replicator{},
 		cancel:  map[fleet.InstanceID]context.CancelFunc{},
 		ctx:     map[fleet.InstanceID]context.Context{},
--- a/answer/store_read.go
+++ b/answer/store_read.go
@@ -20,6 +20,8 @@
 	// ReadDiffers means that the caller has seen another text than the one
 	// that is kept here.
 	ReadDiffers ReadState = "differs"
+	// readUnanswered means that the instance that was asked has not replied.
+	readUnanswered ReadState = "unanswered"
 )
 
 // Reading is what follows in an answer.
@@ -36,7 +38,7 @@
 
 // readable tells whether the answer is held where it was read.
 func (r Reading) readable() bool {
-	return r.state != ReadUnknown && r.state != ReadStale
+	return r.state != ReadUnknown && r.state != ReadStale && r.state != readUnanswered
 }
 
 // Tokens returns the tokens that follow.
--- a/gateway/retained.go
+++ b/gateway/retained.go
@@ -123,7 +123,7 @@
 	account := call.caller.account.Name()
 
 	if err := g.Retained.Follow(r.Context(), account, after, &sinkCaller{sink: out, record: &answerRecord{}}); err != nil {
-		g.endFailedFollow(w, r, out, after.Request, refusal.New(refusal.UnknownAnswer, "%v", err))
+		g.endFailedFollow(w, r, out, after.Request, notFoundRefusal(err))
 	}
 }
 
--- a/gateway/retained_answer.go
+++ b/gateway/retained_answer.go
@@ -25,9 +25,14 @@
 // unless the request sets a deadline.
 const defaultAnswerWait = time.Second
 
-// minAnswerLookup is the minimum time to look for an answer before it is refused as
-// unknown, even if the deadline of the request is earlier.
-const minAnswerLookup = 2 * time.Second
+const (
+	// minAnswerLookup is the minimum time to look for an answer before it is refused as
+	// unknown, even if the deadline of the request is earlier.
+	minAnswerLookup = 2 * time.Second
+	// maxAnswerLookup is the time to look for an answer while an instance that may have
+	// it has not replied.
+	maxAnswerLookup = 4 * time.Second
+)
 
 // Progress is the JSON form of a retained answer.
 type Progress struct {
@@ -64,16 +69,44 @@
 		return
 	}
 
-	lookupDeadline := g.Clock.Now().Add(minAnswerLookup)
 	id := answer.RequestID(params.ByName("id"))
 	collector := &answerCollector{}
+	err := g.lookUp(r.Context(), deadline, c, id, collector)
+
+	g.writeRetained(w, id, collector, err)
+}
+
+// lookUp follows an answer until the deadline, or longer as long as it has not been
+// found.
+func (g *Gateway) lookUp(ctx context.Context, deadline time.Time, c caller, id answer.RequestID, collector *answerCollector) error {
+	began := g.Clock.Now()
+	err := g.followWithDeadline(ctx, deadline, c, id, collector)
 
-	err := g.followWithDeadline(r.Context(), deadline, c, id, collector)
-	if errors.Is(err, answer.ErrNotFoundYet) && deadline.Before(lookupDeadline) {
-		err = g.followWithDeadline(r.Context(), lookupDeadline, c, id, collector)
+	if end := began.Add(minAnswerLookup); isNotFound(err) && deadline.Before(end) {
+		deadline = end
+		err = g.followWithDeadline(ctx, deadline, c, id, collector)
 	}
 
-	g.writeRetained(w, id, collector, err)
+	if end := began.Add(maxAnswerLookup); errors.Is(err, answer.ErrNoReply) && deadline.Before(end) {
+		err = g.followWithDeadline(ctx, end, c, id, collector)
+	}
+
+	return err
+}
+
+// isNotFound reports whether the time was over before the answer was found.
+func isNotFound(err error) bool {
+	return errors.Is(err, answer.ErrNotFoundYet) || errors.Is(err, answer.ErrNoReply)
+}
+
+// notFoundRefusal returns the refusal of a request for an answer that was not found. It
+// is unknown only if all instances that may have it have said so.
+func notFoundRefusal(err error) *refusal.Refusal {
+	if errors.Is(err, answer.ErrNoReply) {
+		return refusal.New(refusal.AnswerUnreachable, "%v", err).WithRetryAfter(defaultRetryAfter)
+	}
+
+	return refusal.New(refusal.UnknownAnswer, "%v", err)
 }
 
 func (g *Gateway) followWithDeadline(
@@ -89,11 +122,11 @@
 	p := Progress{ID: id, Status: StatusRunning, Tokens: collector.tokens}
 
 	switch {
-	case errors.Is(err, context.DeadlineExceeded) && !errors.Is(err, answer.ErrNotFoundYet):
+	case errors.Is(err, context.DeadlineExceeded) && !isNotFound(err):
 		w.Header().Set("Retry-After", "1")
 		writeProgress(w, http.StatusAccepted, p)
 	case err != nil:
-		g.refuse(w, refusal.New(refusal.UnknownAnswer, "%v", err))
+		g.refuse(w, notFoundRefusal(err))
 	case collector.end.Refusal != nil:
 		g.refuse(w, refusalOfGiveUp(*collector.end.Refusal))
 	default:
