fix(daemon,membership): an instance that has reached no other takes no callers

Callers who came to an instance that had just started got 404 for accepted answers, and their streams had no copy, while it had not reached any other instance.

Cause: readiness did not wait for the member list, and a lookup without other members asks nobody, which counted as an answer that nobody knows.

Such an instance is not ready now, for at most 10 s, and calls answers that it does not hold unreachable (503 with Retry-After) until it has read the member list from another one. An instance without addresses of others is ready as before.

--- a/answer/follow.go
+++ b/answer/follow.go
@@ -135,7 +135,7 @@
 		f.known = true
 		f.unknown = 0
 		f.stale++
-	case reading.State() == readUnanswered:
+	case reading.State() == readUnanswered || !f.allReplied():
 		// An instance that is slow or gone may have the answer, until it replies or
 		// is no member any longer.
 		f.unanswered++
@@ -144,11 +144,7 @@
 	}
 
 	tries := f.replicator.FetchTries
-	if f.unknown > tries && f.allReplied() {
-		return false, merry.Wrap(ErrUnknownAnswer)
-	}
-
-	if f.stale+f.unanswered > staleFactor*tries {
+	if f.unknown > tries || f.stale+f.unanswered > staleFactor*tries {
 		return false, merry.Wrap(f.notFound(ErrUnknownAnswer))
 	}
 
@@ -167,6 +163,10 @@
 
 // allReplied tells whether each live instance that was asked has replied.
 func (f *follower) allReplied() bool {
+	if isolated := f.replicator.Isolated; isolated != nil && isolated() {
+		return false
+	}
+
 	return !slices.ContainsFunc(f.replicator.candidates(f.at.Request), func(id fleet.InstanceID) bool {
 		replied, asked := f.replied[id]
 
--- a/answer/replicator.go
+++ b/answer/replicator.go
@@ -46,6 +46,9 @@
 	// Followed is told that a caller reads an answer of this instance elsewhere;
 	// it may be nil.
 	Followed func(id RequestID)
+	// Isolated tells whether this instance has not reached any other yet, so that
+	// the members it was given lack those that have an answer; nil means never.
+	Isolated func() bool
 	// FetchEvery is the time between two questions to another instance for an
 	// answer that is not held here, and FetchTries how often none may know it;
 	// together they should outlast the time until a dead owner is noticed. They
--- a/daemon/build_peers.go
+++ b/daemon/build_peers.go
@@ -48,6 +48,7 @@
 		},
 	}
 	p.replicator.Sender = p.peers
+	p.replicator.Isolated = p.peers.group.Isolated
 
 	return merry.Prepend(p.peers.register(), "prepare peers")
 }
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -74,6 +74,10 @@
 
 	missing = append(missing, p.missingServers()...)
 
+	if p.peers != nil && p.peers.group.Isolated() && p.clock.Now().Sub(p.startedAt) < joinPatience {
+		missing = append(missing, "no other entry instance was reached yet")
+	}
+
 	if !p.admission.Ready(p.clock.Now()) {
 		missing = append(missing, "no share of the limits is held yet")
 	}
@@ -90,6 +94,10 @@
 // service. The list lags, but a service that is down must not keep others down.
 const serversPatience = 5 * time.Second
 
+// joinPatience is how long a new instance waits for another one: two handshakes
+// with a slow instance. Others that are all gone must not keep it from serving.
+const joinPatience = 10 * time.Second
+
 // missingServers returns the services without a backend server, while this
 // instance is new.
 func (p *parts) missingServers() []string {
--- a/daemon/parts.go
+++ b/daemon/parts.go
@@ -27,6 +27,7 @@
 type parts struct {
 	settings    settings.Daemon
 	clock       clock.Clock
+	startedAt   time.Time
 	incarnation fleet.Incarnation
 	metrics     *metrics.Set
 	follower    *publication.Follower
@@ -51,10 +52,12 @@
 }
 
 func (d *Daemon) build(l *Listeners) (*parts, error) {
+	now := d.Clock.Now()
 	p := &parts{
 		settings:    d.Settings,
 		clock:       d.Clock,
-		incarnation: fleet.Incarnation(d.Clock.Now().UnixNano()),
+		startedAt:   now,
+		incarnation: fleet.Incarnation(now.UnixNano()),
 		metrics:     metrics.NewSet(),
 		leaving:     &answer.Leaving{},
 		reclaimed:   make(chan time.Time, 1),
--- a/membership/group.go
+++ b/membership/group.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -92,6 +93,21 @@
 	return g.joined.Load()
 }
 
+// Isolated reports whether addresses of other members are configured or listed and
+// the node has not yet synced the member list with any of them.
+func (g *Group) Isolated() bool {
+	if g.Joined() {
+		return false
+	}
+
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	isOther := func(address string) bool { return address != g.Node.Advertise }
+
+	return slices.ContainsFunc(g.Seeds, isOther) || slices.ContainsFunc(g.listedAddresses, isOther)
+}
+
 // Run participates in the group until ctx ends, and then announces that the node
 // has left; the node must run until Run has returned. It returns ErrSuperseded
 // when a later incarnation of the instance exists.
