fix(upstream,entry): cut the requests to a process whose server lost its entry before

Callers whose request was at a backend server whose entry had lapsed, and that came back as another process, waited until their own deadline.

Cause: the pool forgot the connections of a server when its entry was removed, and nothing remembered the process, so that the server's return cut nothing.

The pool keeps the connections of a removed server until the last has ended, and a cut reaches them. The process is remembered as long. A server that returns as the same process keeps its requests.

--- a/entry/components.go
+++ b/entry/components.go
@@ -86,8 +86,10 @@
 	// serversMu is held while the register changes and the scheduler and the pool apply the
 	// change.
 	serversMu sync.Mutex
-	limits    *quota.Quota
-	loans     *quota.Limiter
+	// removedProcesses is guarded by serversMu.
+	removedProcesses removedProcesses
+	limits           *quota.Quota
+	loans            *quota.Limiter
 	// permits requests and grants permits for backend servers that limit their requests.
 	permits   *ratelimit.Limiter
 	retries   *retry.Budgets
--- a/entry/rules.go
+++ b/entry/rules.go
@@ -172,7 +172,8 @@
 		switch {
 		case d.After == nil:
 			p.pool.RemoveServer(d.Before.ID)
-		case d.Before != nil && d.Before.Process() != d.After.Process():
+			p.removedProcesses.add(d.Before.Process(), p.pool.Draining)
+		case p.removedProcesses.restarted(d):
 			// The requests of the previous process are lost.
 			p.pool.Cut(d.After.ID)
 		}
--- a/entry/servers.go
+++ b/entry/servers.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"maps"
+
 	"k8s.io/klog/v2"
 
 	"monsoonlever/fleet"
@@ -46,6 +48,34 @@
 	}
 }
 
+// removedProcesses holds the processes of servers that were removed from the register while they
+// had requests. The zero value is empty.
+type removedProcesses map[fleet.InstanceID]register.Process
+
+// add adds the process of a removed server, and discards those whose requests have ended.
+func (r *removedProcesses) add(process register.Process, draining func(fleet.InstanceID) bool) {
+	if *r == nil {
+		*r = make(removedProcesses)
+	}
+
+	(*r)[process.ID] = process
+
+	maps.DeleteFunc(*r, func(id fleet.InstanceID, _ register.Process) bool { return !draining(id) })
+}
+
+// restarted reports whether a server that is added or changed has another process than before, also
+// if it was removed in between.
+func (r *removedProcesses) restarted(d register.Delta) bool {
+	if d.Before != nil {
+		return d.Before.Process() != d.After.Process()
+	}
+
+	before, removed := (*r)[d.After.ID]
+	delete(*r, d.After.ID)
+
+	return removed && before != d.After.Process()
+}
+
 // sharedConnectionsShare is the fraction of a server's connections that the instances divide; the
 // rest is for instances that are no longer counted but still run.
 const sharedConnectionsShare = 0.8
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -47,10 +48,13 @@
 
 	mu      sync.Mutex
 	servers map[fleet.InstanceID]*serverConnections
+	// removed are the connections to servers that were removed while they carried requests.
+	removed map[fleet.InstanceID][]*serverConnections
 }
 
 // serverConnections are the connections to one process of a backend server.
 type serverConnections struct {
+	id   fleet.InstanceID
 	idle []*connection
 	// busy are the connections that carry a request.
 	busy map[*connection]struct{}
@@ -97,31 +101,49 @@
 }
 
 // RemoveServer removes a server from the pool: it closes the idle connections
-// immediately and the others once their requests have ended.
+// immediately and the others once their requests have ended, or when Cut is called.
 func (p *Pool) RemoveServer(id fleet.InstanceID) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
-	p.removeServer(id)
+	if c := p.removeServer(id); c != nil && c.open > 0 {
+		if p.removed == nil {
+			p.removed = make(map[fleet.InstanceID][]*serverConnections)
+		}
+
+		p.removed[id] = append(p.removed[id], c)
+	}
+}
+
+// Draining reports whether a server that was removed has requests that have not ended.
+func (p *Pool) Draining(id fleet.InstanceID) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	return len(p.removed[id]) > 0
 }
 
 // Cut closes all connections to a server that was restarted, including those that carry
-// a request: the process that had the request has terminated, but a connection without
+// a request, also if the server was removed from the pool since: the process that had the request has terminated, but a connection without
 // traffic does not show that. A request whose connection is being dialled fails with
 // ErrCut, since the connection may have reached either process.
 func (p *Pool) Cut(id fleet.InstanceID) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
-	c := p.removeServer(id)
-	if c == nil {
-		return
+	former := p.removed[id]
+	if c := p.removeServer(id); c != nil {
+		former = append(former, c)
 	}
 
-	c.cut = true
+	delete(p.removed, id)
 
-	for conn := range c.busy {
-		_ = conn.Close()
+	for _, c := range former {
+		c.cut = true
+
+		for conn := range c.busy {
+			_ = conn.Close()
+		}
 	}
 }
 
@@ -168,7 +190,7 @@
 
 	c := p.servers[id]
 	if c == nil {
-		c = &serverConnections{busy: make(map[*connection]struct{})}
+		c = &serverConnections{id: id, busy: make(map[*connection]struct{})}
 		p.servers[id] = c
 	}
 
@@ -319,7 +341,7 @@
 
 	if c.removed {
 		_ = conn.Close()
-		c.open--
+		p.uncount(c)
 
 		return
 	}
@@ -338,7 +360,24 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delete(conn.owner.busy, conn)
-	conn.owner.open--
+	p.uncount(conn.owner)
+}
+
+// uncount stops counting a connection as open, and forgets a removed server once it was the
+// last one. p.mu is held.
+func (p *Pool) uncount(c *serverConnections) {
+	c.open--
+
+	if !c.removed || c.open > 0 {
+		return
+	}
+
+	rest := slices.DeleteFunc(p.removed[c.id], func(other *serverConnections) bool { return other == c })
+	if len(rest) > 0 {
+		p.removed[c.id] = rest
+	} else {
+		delete(p.removed, c.id)
+	}
 }
 
 // alive reports whether an idle connection can be used: the server has neither closed
--- a/upstream/pool_test.go
+++ b/upstream/pool_test.go
@@ -113,6 +113,62 @@
 	}
 }
 
+// Guards against a request that waits until its deadline for a server whose entry was removed
+// before the server was found to have been restarted.
+func TestCutEndsRequestsToRemovedServer(t *testing.T) {
+	server, ended := silent(t)
+	pool := &Pool{Clock: clock.NewSteady()}
+
+	conn, err := pool.get(context.Background(), server, true)
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	pool.RemoveServer(server.ID)
+
+	if got, want := pool.Draining(server.ID), true; got != want {
+		t.Errorf("draining after the removal: got %v, want %v", got, want)
+	}
+
+	pool.Cut(server.ID)
+	<-ended
+	pool.closeConnection(conn)
+
+	if got, want := pool.Draining(server.ID), false; got != want {
+		t.Errorf("draining after the cut: got %v, want %v", got, want)
+	}
+}
+
+// Checks that a removed server is forgotten once its last request has ended.
+func TestRemovedServerIsForgottenAfterItsRequests(t *testing.T) {
+	server, _ := silent(t)
+	pool := &Pool{Clock: clock.NewSteady()}
+
+	var conns []*connection
+
+	for range 2 {
+		conn, err := pool.get(context.Background(), server, true)
+		if err != nil {
+			t.Fatal(err)
+		}
+
+		conns = append(conns, conn)
+	}
+
+	pool.RemoveServer(server.ID)
+	pool.putIdle(conns[0], time.Second)
+
+	if got, want := pool.Draining(server.ID), true; got != want {
+		t.Errorf("draining with one request: got %v, want %v", got, want)
+	}
+
+	pool.closeConnection(conns[1])
+
+	if got, want := len(pool.removed), 0; got != want {
+		t.Errorf("removed servers: got %d, want %d", got, want)
+	}
+}
+
 // Guards against counting connections to the previous process of a server towards the
 // connection limit of its new process.
 func TestConnectionLimitExcludesPreviousProcess(t *testing.T) {
