fix(entry): an instance that begins to lead reads at once

Instances that do not lead read the store for themselves, and their register was older than planned, so that requests could reach a server that leaves; seen beside load in TestFewInstancesReadTheStoreForAll.

When it began to lead, nothing ended either. In the traced window the first leader read nothing for 3.8 s; the register of four others was 0.77 to 0.82 s old, 0.75 allowed, and each read it.

TestInstanceReadsRegisterWhenItBeginsToLead failed before.

An instance that begins to lead, or to be the first leader, now ends its pauses. Ruled out: late heartbeats of the first leader; it had not read at all.

--- a/entry/peers.go
+++ b/entry/peers.go
@@ -30,6 +30,11 @@
 	p.permits.Granter.SetLeaders(now, plan.Leaders)
 
 	wasLeader, isLeader := before.IsLeader(p.self()), plan.IsLeader(p.self())
+	if p.takesOverReads(before, plan) {
+		p.rulesFeed.Wake()
+		p.registerFeed.Wake()
+	}
+
 	if wasLeader != isLeader || before.Relay != plan.Relay || !slices.Equal(before.Leaders, plan.Leaders) {
 		klog.InfoS("instances that lead", "leaders", plan.Leaders, "leads", isLeader, "relay", plan.Relay, "members", plan.InstanceCount)
 	}
@@ -56,6 +61,15 @@
 	return plan
 }
 
+// takesOverReads reports whether this instance has begun to lead, or to be the first of the leaders.
+// Its pauses between two reads are then those of an instance that others keep up to date, and the
+// others now rely on its reads.
+func (p *components) takesOverReads(before, after *topology.Plan) bool {
+	self := p.self()
+
+	return after.IsLeader(self) && !before.IsLeader(self) || after.IsFirstLeader(self) && !before.IsFirstLeader(self)
+}
+
 // splitBudgets limits this instance to its share of the budgets that all instances have in common.
 func (p *components) splitBudgets() {
 	p.retries.SetMinRetries(p.bounds.Load().Retries() / p.instanceCount())
