--- a/entry/components.go
+++ b/entry/components.go
@@ -37,9 +37,10 @@
 
 const (
 	// maxRulesWait bounds one long poll of the rules. Each completed read also confirms that the
-	// rules are current, so their age lies between one and two waits. rulesWaitShare is the
-	// largest wait as a fraction of the allowed age: two waits and their calls end before
-	// staleShare of it.
+	// rules are current, so that their age at one reader lies between one and two waits.
+	// rulesWaitShare is the largest wait as a fraction of the allowed age: two waits and their
+	// calls end before staleShare of it. Heartbeats to other instances come on top, which only
+	// leaders that read at different times leave room for.
 	maxRulesWait   = 1600 * time.Millisecond
 	rulesWaitShare = 0.28
 	// minReadInterval bounds the rate of reads during a burst of changes.
--- a/entry/refresh.go
+++ b/entry/refresh.go
@@ -82,7 +82,21 @@
 		wait /= 2
 	}
 
-	return feed.PollTiming{MaxWait: wait, Interval: minReadInterval}
+	return feed.PollTiming{MaxWait: wait, Interval: minReadInterval, FirstWait: p.leaderShare(wait)}
+}
+
+// leaderShare returns the part of an interval after which this leader reads for the first time, so
+// that the reads of all leaders, which wake each other, are spread evenly over the interval. The
+// age of the rules at any instance is then little more than one wait, in place of two.
+func (p *components) leaderShare(interval time.Duration) time.Duration {
+	plan := p.plan.Load()
+
+	rank := plan.LeaderRank(p.self())
+	if rank < 0 {
+		return interval
+	}
+
+	return interval * time.Duration(rank+1) / time.Duration(len(plan.Leaders))
 }
 
 // registerPace returns how the register is read.
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -80,6 +80,10 @@
 	// MaxWait is how long a read waits for a change; Interval is the delay between a read and
 	// the next.
 	MaxWait, Interval time.Duration
+	// FirstWait is how long the first read waits that follows one which ended early, because of a
+	// change or a request for a read. Readers that are woken together and have different values
+	// end their later reads at different times. Zero means MaxWait.
+	FirstWait time.Duration
 	// MaxBackoff bounds the delay after failed reads if it is longer than the default maximum.
 	// A source with many readers needs a longer delay to bound the rate of all their requests.
 	MaxBackoff time.Duration
@@ -106,6 +110,8 @@
 	hasPosition bool
 	backoff     time.Duration
 	sourceLost  bool
+	// endedEarly is set if the last read has not waited as long as it was to.
+	endedEarly bool
 	// lastRead is the time of the last successful read in Unix nanoseconds.
 	lastRead atomic.Int64
 
@@ -193,7 +199,7 @@
 // beginRead returns the context of the next read and how long that read waits for a change. Wake
 // cancels the context of a read that waits, SourceChanged that of any read of changes.
 func (f *Follower) beginRead(ctx context.Context) (context.Context, context.CancelFunc, time.Duration) {
-	wait := f.timing().MaxWait
+	wait := f.nextWait()
 	if skip := f.skipWait.Swap(false); skip || f.backoff > 0 {
 		// The first read after a failure confirms the known entries and must not wait for a
 		// change: a wait of 1.5 s after the recovery of the store prolonged the refusal of
@@ -229,6 +235,16 @@
 	return readCtx, cancel, wait
 }
 
+// nextWait returns how long the next read waits for a change, unless it must not wait.
+func (f *Follower) nextWait() time.Duration {
+	t := f.timing()
+	if f.endedEarly && t.FirstWait > 0 {
+		return min(t.FirstWait, t.MaxWait)
+	}
+
+	return t.MaxWait
+}
+
 // LastRead returns the time of the last successful read, or the zero time if there was none.
 func (f *Follower) LastRead() time.Time {
 	if at := f.lastRead.Load(); at != 0 {
@@ -257,7 +273,7 @@
 		}
 
 		f.Apply(entries, true)
-		f.next, f.hasPosition = next, true
+		f.next, f.hasPosition, f.endedEarly = next, true, true
 		f.confirm(startedAt)
 
 		return true, nil
@@ -272,7 +288,7 @@
 		f.Apply(changes.Entries, false)
 	}
 
-	f.next = changes.Next
+	f.next, f.endedEarly = changes.Next, wait == 0 || len(changes.Entries) > 0
 	more := changes.Next < changes.End
 
 	if !more {
