--- a/entry/refresh.go
+++ b/entry/refresh.go
@@ -82,17 +82,21 @@
 		wait /= 2
 	}
 
-	return feed.PollTiming{MaxWait: p.waitOfRank(wait), Interval: minReadInterval}
+	return feed.PollTiming{MaxWait: wait, Interval: minReadInterval, FirstWait: p.leaderShare(wait)}
 }
 
-// rankWaitStep is the part of a wait by which that of each leader is shorter than that of the leader
-// before it, so that the reads of leaders that were woken together drift apart.
-const rankWaitStep = 0.08
+// leaderShare returns the part of an interval after which this leader reads for the first time, so
+// that the reads of all leaders, which wake each other, are spread evenly over the interval. The
+// age of the rules at any instance is then little more than one wait, in place of two.
+func (p *components) leaderShare(interval time.Duration) time.Duration {
+	plan := p.plan.Load()
 
-func (p *components) waitOfRank(wait time.Duration) time.Duration {
-	rank := max(p.plan.Load().LeaderRank(p.self()), 0)
+	rank := plan.LeaderRank(p.self())
+	if rank < 0 {
+		return interval
+	}
 
-	return time.Duration(float64(wait) * (1 - rankWaitStep*float64(rank)))
+	return interval * time.Duration(rank+1) / time.Duration(len(plan.Leaders))
 }
 
 // registerPace returns how the register is read.
