--- a/daemon/join_test.go
+++ b/daemon/join_test.go
@@ -70,7 +70,7 @@
 	started := d.entries
 	d.entries = nil
 	e := d.start(i)
-	d.entries = append(started, e)
+	d.entries = slices.Concat(started, d.entries)
 
 	return e
 }
@@ -102,13 +102,11 @@
 
 	d := newPlatform(t, time.Millisecond)
 	d.writeSettings(3)
-	d.start(0)
-	d.start(1)
-	d.publish()
 
-	for _, e := range d.entries {
-		d.waitReady(e)
-	}
+	all := d.settings
+	d.settings = all[:2]
+	d.startAll()
+	d.settings = all
 
 	g := d.newGate(d.entries[0].addresses.Peers)
 	late := d.startBehindGate(g)
