--- a/answer/store_copy.go
+++ b/answer/store_copy.go
@@ -287,9 +287,9 @@
 	s.retire(a, m.Epoch)
 }
 
-// retire keeps an answer that a newer owner has as a copy of its that is not read
-// from and never extended: its text may differ from the owner's. It only takes over
-// when that owner dies.
+// retire turns an answer that a newer owner has into a copy that is neither read nor
+// extended, since its text may differ from that owner's. It takes over only when
+// the owner dies.
 func (s *Store) retire(a *keptAnswer, by Epoch) {
 	s.stopOwning(a, by)
 
