--- a/daemon/async_test.go
+++ b/daemon/async_test.go
@@ -80,6 +80,8 @@
 	return got
 }
 
+// TestAcceptedAnswerOutlivesItsAcceptor guards against 404 for an accepted answer
+// after the instance that accepted it has died.
 func TestAcceptedAnswerOutlivesItsAcceptor(t *testing.T) {
 	t.Parallel()
 
--- a/daemon/kept_test.go
+++ b/daemon/kept_test.go
@@ -84,6 +84,8 @@
 	}
 }
 
+// TestKilledEntryInstanceLosesNoStream guards against 404 for streams that their
+// callers resume elsewhere after their instance has died.
 func TestKilledEntryInstanceLosesNoStream(t *testing.T) {
 	t.Parallel()
 
