--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -124,9 +124,10 @@
 }
 
 // Cut closes all connections to a server that was restarted, including those that carry
-// a request, also if the server was removed from the pool since: the process that had the request has terminated, but a connection without
-// traffic does not show that. A request whose connection is being dialled fails with
-// ErrCut, since the connection may have reached either process.
+// a request, also if the server was removed from the pool since: the process that had the
+// request has terminated, but a connection without traffic does not show that. A request
+// whose connection is being dialled fails with ErrCut, since the connection may have
+// reached either process.
 func (p *Pool) Cut(id fleet.InstanceID) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
