feat(scheduling): report servers to which this instance lost its path

No decision uses it yet. A failed dial is logged with its cause, so that time-outs, resets and refusals can be told apart.

--- a/entry/components.go
+++ b/entry/components.go
@@ -192,7 +192,7 @@
 		},
 		retries: newRetryBudgets(s.Bounds),
 		scheduler: &scheduling.Scheduler{
-			Domain: s.FailureDomain, OnLimitChange: logLimitChange, OnBackoff: logBackoff,
+			Domain: s.FailureDomain, OnLimitChange: logLimitChange, OnBackoff: logBackoff, OnPathChange: logPathChange,
 			Resume: scheduling.DefaultResumePolicy, Counters: scheduling.NewCounters(set),
 		},
 		members:        &board.Members{},
@@ -218,7 +218,7 @@
 	p.permits = newPermits(p)
 	p.scheduler.Permits = p.permits
 	p.rollouts = newRollouts(p)
-	p.pool = &upstream.Pool{Clock: e.Clock, Counters: upstream.NewCounters(set)}
+	p.pool = &upstream.Pool{Clock: e.Clock, Counters: upstream.NewCounters(set), Dial: e.DialServer}
 	p.forwarder = &forward.Forwarder{
 		Clock: e.Clock, Rules: &p.rules, Currency: p.rulesCurrency, Limits: p.loans, Retries: p.retries,
 		Scheduler: p.scheduler, Pool: p.pool, Protocol: platform.Protocol{Fields: &p.unknownFields}, Usage: p.counter,
@@ -284,6 +284,7 @@
 	set.NewGauge("monsoonlever_entry_backoff_servers", func() float64 {
 		return float64(p.scheduler.BackoffServers(p.clock.Now()))
 	})
+	set.NewGauge("monsoonlever_entry_lost_paths", func() float64 { return float64(p.scheduler.LostPaths()) })
 	set.NewGauge("monsoonlever_entry_unknown_fields", func() float64 { return float64(p.unknownFields.Count()) })
 	set.NewGauge("monsoonlever_entry_rules_age_seconds", func() float64 {
 		age, _ := p.rulesCurrency.Age()
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -29,6 +29,8 @@
 type Entry struct {
 	Settings settings.Entry
 	Clock    clock.Clock
+	// DialServer opens a connection to a backend server; nil selects TCP over IPv4.
+	DialServer func(ctx context.Context, address string) (net.Conn, error)
 	// Reload delivers settings that were changed while the instance runs; it may be nil.
 	Reload <-chan settings.Entry
 	// LogHasRoom reports whether the log has room for successful requests; if it is nil, none of
--- a/scheduling/assignment.go
+++ b/scheduling/assignment.go
@@ -158,6 +158,14 @@
 		a.scheduler.publishBacklog(a.server, nil, true)
 	}
 
+	switch r {
+	case Served, Rejected:
+		a.scheduler.recordPath(now, a.server, true, false)
+	case Unreachable, Terminated:
+		a.scheduler.recordPath(now, a.server, false, r == Terminated)
+	case Failed, Cancelled:
+	}
+
 	switch r {
 	case Served:
 		a.server.recordOutcome(now, false)
--- a/scheduling/scheduling.go
+++ b/scheduling/scheduling.go
@@ -101,6 +101,9 @@
 	// Both may be nil.
 	OnLeaving func(register.Process)
 	OnBackoff func(server register.Process, backoff time.Duration)
+	// OnPathChange is called when this instance loses its network path to a server, and when it
+	// has it again; it may be nil.
+	OnPathChange func(PathChange)
 	// Resume is the policy for sending requests to a server again after its backoff.
 	Resume ResumePolicy
 	// Counters may be nil.
--- a/scheduling/server.go
+++ b/scheduling/server.go
@@ -84,6 +84,8 @@
 	// avoidUntil is until when requests avoid the server because it was unreachable, full or
 	// terminated.
 	avoidUntil time.Time
+	// path is this instance's network path to the server.
+	path path
 	// terminatedAt is when the server's process was last found to be terminated.
 	terminatedAt time.Time
 	// segments are the prompt segments that the server has read, and publishedSegments those
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -6,6 +6,7 @@
 	"net"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -43,7 +44,7 @@
 	DialTimeout time.Duration
 	// Counters may be nil.
 	Counters *Counters
-	// Dial opens a connection; nil selects Dialer over IPv4.
+	// Dial opens a connection until its context ends; nil selects Dialer over IPv4.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 
 	mu      sync.Mutex
@@ -282,7 +283,7 @@
 		p.release(conn)
 		p.Counters.dialFailed()
 
-		return nil, merry.Prepend(backend.ErrNotSent, "dial "+s.Address, merry.WithCause(err))
+		return nil, merry.Prependf(backend.ErrNotSent, "dial %s: %v", s.Address, err, merry.WithCause(err))
 	}
 
 	p.Counters.dialled()
@@ -314,15 +315,18 @@
 }
 
 func (p *Pool) connect(ctx context.Context, address string) (net.Conn, error) {
-	if p.Dial != nil {
-		return p.Dial(ctx, address)
-	}
-
 	timeout := p.DialTimeout
 	if timeout <= 0 {
 		timeout = DefaultDialTimeout
 	}
 
+	if p.Dial != nil {
+		ctx, cancel := context.WithTimeout(ctx, timeout)
+		defer cancel()
+
+		return p.Dial(ctx, address)
+	}
+
 	return Dialer(timeout).DialContext(ctx, "tcp4", address)
 }
 
@@ -388,12 +392,12 @@
 		return false
 	}
 
-	tcp, ok := c.Conn.(*net.TCPConn)
+	socket, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return true
 	}
 
-	raw, err := tcp.SyscallConn()
+	raw, err := socket.SyscallConn()
 	if err != nil {
 		return false
 	}
