fix(forward,detour): another instance sends what this one has no path for

Cause: an instance sent a request to a server by itself or not at all. Once its own paths were gone, it tried one server after the other, 400 ms each, and refused.

An instance now offers such a request to another one, which places and sends it under all that it knows of servers, keys and quarantine (package detour). The offer has to be confirmed, so that a request that was not is known not to have run. Which paths are lost is found by dials beside callers' requests (package pathprobe): a few after a failure, more while others fail too, and seldom while paths stay lost. Heartbeats name the services that an instance can't reach; of many instances, relays name some that help. A server that others reach costs one further hop, so that an instance with few paths left does not send all to these. Where nobody reaches a service, requests are rejected at once, with times to return that differ.

--- /dev/null
+++ b/detour/client.go
@@ -0,0 +1,239 @@
+package detour
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"golang.org/x/sys/unix"
+
+	"monsoonlever/clock"
+	"monsoonlever/fleet"
+	"monsoonlever/forward"
+	"monsoonlever/upstream"
+)
+
+const (
+	// maxOffers bounds the instances to which a request is offered.
+	maxOffers = 4
+	// offerTimeout bounds the time from the dial of a helping instance to its reply to an offer:
+	// about ten round trips across failure domains and a moment without the processor.
+	offerTimeout = 150 * time.Millisecond
+	// readBuffer is the size in bytes of a connection's read buffer.
+	readBuffer = 4 << 10
+)
+
+// Client has other instances serve requests. Its exported fields are set before its first use.
+type Client struct {
+	Clock   clock.Clock
+	Self    fleet.InstanceID
+	Helpers *Helpers
+	Dialer  *net.Dialer
+	// Counters may be nil.
+	Counters *Counters
+}
+
+var _ forward.Detour = (*Client)(nil)
+
+// Available reports whether an instance may help with a service.
+func (c *Client) Available(service fleet.Service) bool {
+	return c.Helpers.Available(c.Clock.Now(), service)
+}
+
+// Serve offers a request to one instance after another, and passes the response of the first that
+// takes it to the sink. The error wraps forward.ErrNoHelper if none takes it, and
+// upstream.ErrGarbled if the instance that took it closed the connection before the result.
+func (c *Client) Serve(ctx context.Context, r forward.DetourRequest, sink forward.Sink) (forward.DetourResult, error) {
+	var (
+		tried []fleet.InstanceID
+		last  error
+	)
+
+	for range maxOffers {
+		helper, address, ok := c.Helpers.choose(c.Clock.Now(), r.Service, tried)
+		if !ok || ctx.Err() != nil {
+			break
+		}
+
+		tried = append(tried, helper.ID)
+
+		conn, err := c.offer(ctx, address, r)
+		if err != nil {
+			c.Helpers.release(c.Clock.Now(), helper.ID, r.Service, ctx.Err() == nil)
+			c.Counters.declined()
+
+			last = merry.Prependf(err, "offer to %s", helper.ID)
+
+			continue
+		}
+
+		result, err := conn.confirm(ctx, sink)
+		_ = conn.Close()
+		noServer := err == nil && result.Refusal != nil && result.Refusal.Reason == forward.NoServer
+		c.Helpers.release(c.Clock.Now(), helper.ID, r.Service, noServer || err != nil && ctx.Err() == nil)
+		c.Counters.taken(err)
+
+		return result, merry.Prependf(err, "detour by %s", helper.ID)
+	}
+
+	if ctx.Err() != nil {
+		return forward.DetourResult{}, merry.Prepend(forward.ErrNoHelper, "offers", merry.WithCause(ctx.Err()))
+	}
+
+	return forward.DetourResult{}, merry.Prepend(forward.ErrNoHelper, "offers", merry.WithCause(last))
+}
+
+// connection is a connection to an instance that has offered to serve a request.
+type connection struct {
+	net.Conn
+
+	reader *bufio.Reader
+}
+
+// offer connects to an instance and returns once it is ready to serve the request.
+func (c *Client) offer(ctx context.Context, address netip.AddrPort, r forward.DetourRequest) (*connection, error) {
+	offerCtx, cancel := context.WithTimeout(ctx, offerTimeout)
+	defer cancel()
+
+	dialled, err := c.Dialer.DialContext(offerCtx, "tcp4", address.String())
+	if err != nil {
+		return nil, err
+	}
+
+	conn := &connection{Conn: dialled, reader: bufio.NewReaderSize(dialled, readBuffer)}
+
+	if err := c.exchangeOffer(offerCtx, conn, r); err != nil {
+		_ = conn.Close()
+
+		return nil, err
+	}
+
+	return conn, nil
+}
+
+func (c *Client) exchangeOffer(ctx context.Context, conn *connection, r forward.DetourRequest) error {
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+
+	if _, err := io.WriteString(conn, Preface); err != nil {
+		return err
+	}
+
+	if err := writeMessage(conn, c.makeOffer(r)); err != nil {
+		return err
+	}
+
+	var reply frame
+	if err := readMessage(conn.reader, &reply); err != nil {
+		return err
+	}
+
+	if !stop() {
+		return ctx.Err()
+	}
+
+	if reply.Kind != frameReady {
+		if reply.Result != nil {
+			return merry.Errorf("not taken: %s %s", reply.Result.Reason, reply.Result.Cause)
+		}
+
+		return merry.Prependf(ErrFrame, "kind %d instead of a reply", reply.Kind)
+	}
+
+	return nil
+}
+
+func (c *Client) makeOffer(r forward.DetourRequest) *offer {
+	o := &offer{
+		From: c.Self, ID: r.Request.ID, Method: r.Request.Method, Host: r.Request.Host, Target: r.Request.Target, Path: r.Request.Path,
+		Header: r.Request.Header, Body: r.Request.Body, APIKey: r.Request.APIKey, ResumeAfter: r.Request.ResumeAfter,
+		Service: r.Service, RulesVersion: r.RulesVersion, Attempts: r.Attempts,
+		Tokens: r.Request.Prompt.Tokens, MaxOutputTokens: r.Request.Prompt.MaxOutputTokens,
+		Elapsed: c.Clock.Now().Sub(r.Request.Arrived), Timeout: r.Request.Timeout,
+		StreamBegun: r.StreamBegun, UsageCounted: r.UsageCounted,
+	}
+
+	for _, segment := range r.Request.Prompt.Segments {
+		o.SegmentIDs = append(o.SegmentIDs, segment.ID)
+		o.SegmentTokens = append(o.SegmentTokens, segment.Tokens)
+	}
+
+	return o
+}
+
+// confirm has the instance serve the request, and passes its response to the sink.
+func (conn *connection) confirm(ctx context.Context, sink forward.Sink) (forward.DetourResult, error) {
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+
+	if _, err := conn.Write([]byte{confirmation}); err != nil {
+		return forward.DetourResult{}, connectionError(ctx, err)
+	}
+
+	for {
+		var f frame
+		if err := readMessage(conn.reader, &f); err != nil {
+			return forward.DetourResult{}, connectionError(ctx, err)
+		}
+
+		if f.Kind == frameResult {
+			return decodeResult(f.Result)
+		}
+
+		if err := pass(f, sink); err != nil {
+			return forward.DetourResult{MayHaveRun: true}, err
+		}
+	}
+}
+
+// pass passes a frame of a response to the sink.
+func pass(f frame, sink forward.Sink) error {
+	switch f.Kind {
+	case frameResponse:
+		return sink.WriteResponse(f.Status, http.Header(f.Header), f.Data)
+	case frameBegin:
+		return sink.BeginStream(f.Status, http.Header(f.Header))
+	case frameEvent:
+		return sink.WriteEvent(f.Data)
+	case frameReady, frameResult:
+	}
+
+	return merry.Prependf(ErrFrame, "kind %d in a response", f.Kind)
+}
+
+// connectionError returns the error for a connection that ended before the result. One that the
+// other instance closed or reset wraps upstream.ErrGarbled: it has cancelled the request.
+func connectionError(ctx context.Context, err error) error {
+	switch {
+	case ctx.Err() != nil:
+		return ctx.Err()
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, unix.ECONNRESET), errors.Is(err, unix.EPIPE):
+		return merry.Prepend(upstream.ErrGarbled, ErrBroken.Error(), merry.WithCause(err))
+	default:
+		return merry.Prepend(ErrBroken, "read", merry.WithCause(err))
+	}
+}
+
+func decodeResult(r *result) (forward.DetourResult, error) {
+	if r == nil {
+		return forward.DetourResult{}, merry.Prepend(ErrFrame, "no result")
+	}
+
+	decoded := forward.DetourResult{Servers: r.Servers, MayHaveRun: r.MayHaveRun, UsageCounted: r.UsageCounted}
+
+	if r.Refused {
+		if !r.Reason.Valid() {
+			return decoded, merry.Prependf(ErrFrame, "reason %d", int(r.Reason))
+		}
+
+		decoded.Refusal = &forward.Refusal{Reason: r.Reason, NotRun: r.NotRun, RetryAfter: max(r.RetryAfter, 0), Cause: r.Cause}
+	}
+
+	return decoded, nil
+}
--- a/entry/components.go
+++ b/entry/components.go
@@ -1,7 +1,9 @@
 package entry
 
 import (
+	"bufio"
 	"context"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -15,11 +17,13 @@
 	"monsoonlever/board"
 	"monsoonlever/clock"
 	"monsoonlever/currency"
+	"monsoonlever/detour"
 	"monsoonlever/directory"
 	"monsoonlever/feed"
 	"monsoonlever/fleet"
 	"monsoonlever/forward"
 	"monsoonlever/gossip"
+	"monsoonlever/pathprobe"
 	"monsoonlever/platform"
 	"monsoonlever/quarantine"
 	"monsoonlever/quota"
@@ -98,14 +102,20 @@
 	pool      *upstream.Pool
 	// quarantine tracks requests that crash backend servers.
 	quarantine *quarantine.Ledger
-	forwarder  *forward.Forwarder
-	handler    *platform.Handler
-	members    *board.Members
-	board      *board.Board
-	duties     *duties
-	rollouts   *rollouts
-	counter    *usage.Counter
-	gossip     atomic.Pointer[gossip.Exchange]
+	// helpers are the instances that serve requests of this one, helperRequests those that asked
+	// this one for helpers, and detours serves requests of other instances.
+	helpers        *detour.Helpers
+	helperRequests helperRequests
+	detours        *detour.Server
+	prober         *pathprobe.Prober
+	forwarder      *forward.Forwarder
+	handler        *platform.Handler
+	members        *board.Members
+	board          *board.Board
+	duties         *duties
+	rollouts       *rollouts
+	counter        *usage.Counter
+	gossip         atomic.Pointer[gossip.Exchange]
 	// links tracks connectivity to other instances, and plan is the newest plan derived from it:
 	// leaders, relays and subscribers.
 	links *topology.Links
@@ -192,7 +202,7 @@
 		},
 		retries: newRetryBudgets(s.Bounds),
 		scheduler: &scheduling.Scheduler{
-			Domain: s.FailureDomain, OnLimitChange: logLimitChange, OnBackoff: logBackoff, OnPathChange: logPathChange,
+			Domain: s.FailureDomain, OnLimitChange: logLimitChange, OnBackoff: logBackoff,
 			Resume: scheduling.DefaultResumePolicy, Counters: scheduling.NewCounters(set),
 		},
 		members:        &board.Members{},
@@ -200,7 +210,7 @@
 		earlierRecords: &quota.EarlierRecords{},
 		counter:        &usage.Counter{Width: s.Bounds.UsageWindow, Retention: usageRetention, Now: time.Now},
 	}
-	p.scheduler.OnLeaving = p.serverAnnouncedLeaving
+	p.scheduler.OnLeaving, p.scheduler.OnPathChange = p.serverAnnouncedLeaving, p.pathChanged
 	p.store = platform.NewStore(s.Store, p.storeRestored)
 	p.unusableServers = set.NewCounter("monsoonlever_entry_unusable_server_entries_total")
 	p.quarantine.OnQuarantined = p.quarantineStarted
@@ -223,8 +233,10 @@
 		Clock: e.Clock, Rules: &p.rules, Currency: p.rulesCurrency, Limits: p.loans, Retries: p.retries,
 		Scheduler: p.scheduler, Pool: p.pool, Protocol: platform.Protocol{Fields: &p.unknownFields}, Usage: p.counter,
 		Versions: &p.rollouts.gate, Trials: &p.rollouts.counter,
-		Quarantine: p.quarantine, Counters: forward.NewCounters(set), MaxResponseBytes: maxResponseBytes, Observe: e.logOutcome,
+		Detour: p.newDetourClient(set), Quarantine: p.quarantine, Counters: forward.NewCounters(set), MaxResponseBytes: maxResponseBytes, Observe: e.logOutcome,
 	}
+	p.detours = &detour.Server{Clock: e.Clock, Prepare: p.forwarder.PrepareDetour}
+	p.prober = p.newProber()
 	p.handler = &platform.Handler{Clock: e.Clock, Serve: p.serve, BodyBytes: p.maxBodyBytes}
 	p.board = &board.Board{
 		Log: p.store.Board(), Clock: e.Clock, Interval: p.boardWriteInterval, MinInterval: p.minBoardWriteInterval, ReadInterval: p.boardReadInterval,
@@ -267,7 +279,7 @@
 	p.relayLogs = map[*feed.Follower]*replica.Log{p.rulesFeed: rulesLog, p.registerFeed: registerLog}
 	p.replicas = &replica.Server{Clock: p.clock, Feeds: map[string]*replica.Log{
 		feedRules: rulesLog, feedRegister: registerLog, feedDirectory: p.directoryLog,
-	}}
+	}, Others: map[string]func(context.Context, net.Conn, *bufio.Reader){detour.Preface: p.detours.Handle}}
 }
 
 // addGauges registers the gauges of this instance.
@@ -284,7 +296,8 @@
 	set.NewGauge("monsoonlever_entry_backoff_servers", func() float64 {
 		return float64(p.scheduler.BackoffServers(p.clock.Now()))
 	})
-	set.NewGauge("monsoonlever_entry_lost_paths", func() float64 { return float64(p.scheduler.LostPaths()) })
+	set.NewGauge("monsoonlever_entry_detours_served", func() float64 { return float64(p.detours.Served()) })
+	set.NewGauge("monsoonlever_entry_lost_paths", func() float64 { return float64(p.scheduler.LostPaths(p.clock.Now())) })
 	set.NewGauge("monsoonlever_entry_unknown_fields", func() float64 { return float64(p.unknownFields.Count()) })
 	set.NewGauge("monsoonlever_entry_rules_age_seconds", func() float64 {
 		age, _ := p.rulesCurrency.Age()
@@ -333,6 +346,7 @@
 	group.Go(func() { p.sendCounts(ctx) })
 	group.Go(func() { p.forwardCounts(ctx) })
 	group.Go(func() { p.publishLosses(ctx) })
+	group.Go(func() { p.prober.Run(ctx) })
 	group.Go(func() { p.board.Run(ctx) })
 	group.Go(func() { p.duties.run(ctx) })
 	group.Wait()
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -52,6 +52,9 @@
 	lameDuckShare = 0.35
 	// drainShare is the fraction of the stop timeout after which running requests are aborted.
 	drainShare = 0.93
+	// detourDrainInterval is the time between two looks at the requests of other instances that
+	// are still served.
+	detourDrainInterval = 50 * time.Millisecond
 )
 
 // Run serves until ctx ends, and then stops gracefully.
@@ -158,11 +161,24 @@
 		klog.InfoS("running requests were aborted at the end of the stop timeout", "open", p.openRequests.Load(), "err", err.Error())
 	}
 
+	e.awaitDetours(ctx, p)
+
 	for _, s := range servers {
 		_ = s.Close()
 	}
 }
 
+// awaitDetours waits for the requests that this instance serves for others.
+func (e *Entry) awaitDetours(ctx context.Context, p *components) {
+	for ctx.Err() == nil && p.detours.Served() > 0 {
+		clock.Sleep(ctx, e.Clock, detourDrainInterval)
+	}
+
+	if n := p.detours.Served(); n > 0 {
+		klog.InfoS("requests of other instances were aborted at the end of the stop timeout", "open", n)
+	}
+}
+
 func (e *Entry) listen(ctx context.Context) ([]net.Listener, error) {
 	config := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveProbes,
--- a/entry/heartbeat.go
+++ b/entry/heartbeat.go
@@ -12,6 +12,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"monsoonlever/board"
+	"monsoonlever/detour"
 	"monsoonlever/fleet"
 	"monsoonlever/gossip"
 	"monsoonlever/register"
@@ -59,6 +60,14 @@
 	RegisterAgo time.Duration `msgpack:"g"`
 	// Era is the newest era of the store that the sender has seen.
 	Era uint64 `msgpack:"b,omitempty"`
+	// Detours is set if the sender serves requests of other instances, except for LostServices,
+	// to which it has no path itself.
+	Detours      bool            `msgpack:"h,omitempty"`
+	LostServices []fleet.Service `msgpack:"j,omitempty"`
+	// WantsHelpers is set if the sender, or one of its subscribers, needs other instances to serve
+	// its requests. Helpers are some that do.
+	WantsHelpers bool            `msgpack:"n,omitempty"`
+	Helpers      []detour.Helper `msgpack:"y,omitempty"`
 	// Rollouts are the duty holder's decisions on rollouts.
 	Rollouts []rollout.Update `msgpack:"v,omitempty"`
 }
@@ -106,6 +115,7 @@
 		h := base
 		h.Echo = echoes[to]
 		h.Relation = plan.Relation(to)
+		h.Helpers = p.helpersFor(now, to)
 
 		d := datagram{Heartbeat: &h}
 		if len(consumption) == 0 || !plan.FullMesh && !plan.IsLeader(to) {
@@ -123,8 +133,9 @@
 		Instance: p.self(), Address: p.settings.Listen.Peers,
 		Domain: p.settings.FailureDomain, Cores: p.settings.Limits.ProcessorCores, Stopping: p.stopping.Load(),
 		Leaders: plan.Leaders, InstanceCount: plan.InstanceCount, At: now.UnixNano(), ConfirmedAgo: -1, RegisterAgo: -1, Leaving: p.leavingServers(),
-		Era: p.store.Era(), Rollouts: p.rollouts.updates(now),
+		Era: p.store.Era(), Rollouts: p.rollouts.updates(now), Detours: true, LostServices: p.scheduler.LostServices(now),
 	}
+	h.WantsHelpers = !plan.FullMesh && (len(h.LostServices) > 0 || p.helperRequests.any(now))
 
 	if view := p.directory.Load(); view != nil {
 		h.Forming = view.Forming
@@ -184,6 +195,7 @@
 
 	p.updateMember(now, h)
 	p.coordinators.receive(h, p.plan.Load())
+	p.recordHelpers(now, &h)
 
 	if from.IsValid() {
 		p.sendRedirect(from, h)
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -30,6 +30,10 @@
 
 // attempt sends the request to one backend server and relays its response to the sink.
 func (f *Forwarder) attempt(ctx context.Context, j *job, sink Sink) error {
+	if j.prefersDetour() {
+		return f.detour(ctx, j, sink)
+	}
+
 	began := f.Clock.Now()
 	assignment, err := f.Scheduler.Place(ctx, f.Clock, j.schedulingRequest())
 	j.queued += f.Clock.Now().Sub(began)
@@ -38,6 +42,16 @@
 		return err
 	}
 
+	if assignment.PathLost(f.Clock.Now()) {
+		if j.detourPossible() {
+			return f.detour(ctx, j, sink)
+		}
+
+		if !f.Scheduler.Reaches(f.Clock.Now(), j.service) {
+			return merry.Prepend(scheduling.ErrNoServer, "no path to any server")
+		}
+	}
+
 	j.excluded = append(j.excluded, assignment.ID())
 
 	if !assignment.Start(f.Clock.Now()) {
@@ -77,6 +91,10 @@
 // returns err. If the request may have been sent, the server counts as used.
 func (j *job) recordSendFailure(server upstream.Server, err error) error {
 	if errors.Is(err, backend.ErrNotSent) {
+		if isTimeout(err) {
+			j.hungDials++
+		}
+
 		return err
 	}
 
@@ -93,6 +111,13 @@
 	return err
 }
 
+// isTimeout reports whether an error is that of a dial which nothing responded to.
+func isTimeout(err error) bool {
+	var timeout interface{ Timeout() bool }
+
+	return errors.As(err, &timeout) && timeout.Timeout() || errors.Is(err, context.DeadlineExceeded)
+}
+
 // countUsage counts the request as started in the usage of its client account, once.
 func (j *job) countUsage() {
 	if !j.usageCounted && j.account != nil {
--- a/forward/counters.go
+++ b/forward/counters.go
@@ -16,6 +16,8 @@
 	secondSends *metrics.Counter
 	duration    *metrics.Histogram
 	queued      *metrics.Histogram
+	// detours count the requests of other instances that this one served or refused.
+	detours, refusedDetours *metrics.Counter
 }
 
 // NewCounters registers the counters of a forwarder in a set.
@@ -24,6 +26,9 @@
 		secondSends: set.NewCounter("monsoonlever_forward_second_sends_total"),
 		duration:    set.NewHistogram("monsoonlever_forward_request_seconds"),
 		queued:      set.NewHistogram("monsoonlever_forward_held_seconds"),
+
+		detours:        set.NewCounter("monsoonlever_forward_detours_served_total"),
+		refusedDetours: set.NewCounter("monsoonlever_forward_detours_refused_total"),
 	}
 
 	for reason := range reasons {
@@ -49,3 +54,14 @@
 		c.secondSends.Add(len(o.Servers) - 1)
 	}
 }
+
+// recordDetour counts a request of another instance.
+func (c *Counters) recordDetour(refusal *Refusal) {
+	switch {
+	case c == nil:
+	case refusal == nil:
+		c.detours.Inc()
+	default:
+		c.refusedDetours.Inc()
+	}
+}
--- /dev/null
+++ b/forward/detour.go
@@ -0,0 +1,267 @@
+package forward
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net/http"
+
+	"github.com/ansel1/merry/v2"
+
+	"monsoonlever/backend"
+	"monsoonlever/fleet"
+	"monsoonlever/quarantine"
+	"monsoonlever/upstream"
+)
+
+// ErrNoHelper means that no other instance serves a request.
+var ErrNoHelper = merry.Sentinel("no other instance serves the request")
+
+// Detour has other instances serve requests for which this instance has no network path to a
+// backend server.
+type Detour interface {
+	// Available reports whether an instance may reach a service.
+	Available(service fleet.Service) bool
+	// Serve has another instance serve a request and passes its response to the sink, but no
+	// refusal. The error wraps ErrNoHelper if no instance takes the request, so that it has not
+	// run, and upstream.ErrGarbled if the other instance may have run it and closed the
+	// connection, so that it works on it no longer. After any other error it may still run.
+	Serve(ctx context.Context, r DetourRequest, sink Sink) (DetourResult, error)
+}
+
+// DetourRequest is a request that another instance serves.
+type DetourRequest struct {
+	Request *Request
+	Service fleet.Service
+	// RulesVersion is the version of the rules under which the request was accepted.
+	RulesVersion uint64
+	// Attempts is the number of backend servers to which it may be sent.
+	Attempts int
+	// StreamBegun is set if the caller has a part of the response.
+	StreamBegun bool
+	// UsageCounted is set if the request was counted in the usage of its client account.
+	UsageCounted bool
+}
+
+// DetourResult is how a request ended at another instance.
+type DetourResult struct {
+	// Refusal is nil if the sink has a response of a backend server.
+	Refusal *Refusal
+	// Servers are the backend servers to which the request was sent.
+	Servers                  []string
+	MayHaveRun, UsageCounted bool
+}
+
+// detourError is a refusal by another instance that is final.
+type detourError struct {
+	refusal Refusal
+}
+
+// Error includes the reason.
+func (e *detourError) Error() string {
+	return "another instance refused the request: " + e.refusal.Reason.String() + " " + e.refusal.Cause
+}
+
+// detourPossible reports whether another instance may serve the request.
+func (j *job) detourPossible() bool {
+	return j.forwarder.Detour != nil && !j.detoured && !j.noHelper && j.forwarder.Detour.Available(j.service)
+}
+
+// prefersDetour reports whether a dial of this request has hung. The next one would probably hang
+// as well.
+func (j *job) prefersDetour() bool { return j.hungDials > 0 && j.detourPossible() }
+
+// detour has another instance serve the request.
+func (f *Forwarder) detour(ctx context.Context, j *job, sink Sink) error {
+	request := *j.request
+	request.ResumeAfter = j.resumeAfter()
+
+	result, err := f.Detour.Serve(ctx, DetourRequest{
+		Request: &request, Service: j.service, RulesVersion: j.rules.Version(),
+		Attempts: max(j.attempts()-j.sent, 1), StreamBegun: j.stream.begun, UsageCounted: j.usageCounted,
+	}, &detourSink{Sink: sink, job: j})
+
+	if errors.Is(err, ErrNoHelper) {
+		j.noHelper = true
+
+		return merry.Prepend(backend.ErrNotSent, "detour", merry.WithCause(err))
+	}
+
+	j.sentTo = append(j.sentTo, result.Servers...)
+	j.mayHaveRun = j.mayHaveRun || result.MayHaveRun
+	j.usageCounted = j.usageCounted || result.UsageCounted
+
+	if err != nil {
+		j.sent++
+		j.mayHaveRun = true
+
+		if ctx.Err() == nil && !errors.Is(err, upstream.ErrGarbled) {
+			// The other instance may still work on the request.
+			return &detourError{refusal: Refusal{Reason: j.lossReason(), Cause: err.Error()}}
+		}
+
+		return err
+	}
+
+	j.sent += len(result.Servers)
+
+	if result.Refusal == nil {
+		return nil
+	}
+
+	if result.Refusal.NotRun && result.Refusal.Reason == NoServer {
+		return merry.Prepend(backend.ErrNotSent, "detour: "+result.Refusal.Cause)
+	}
+
+	return &detourError{refusal: *result.Refusal}
+}
+
+// detourRefusal returns the refusal for a request that another instance refused. The promise that
+// it has not run holds only if no attempt before may have.
+func (j *job) detourRefusal(refusal Refusal) *Refusal {
+	refusal.NotRun = refusal.NotRun && !j.mayHaveRun
+	if !refusal.NotRun && refusal.Reason != TimedOut {
+		refusal.Reason, refusal.RetryAfter = ResponseLost, 0
+	}
+
+	return &refusal
+}
+
+// lossReason is the reason for a request whose result is unknown.
+func (j *job) lossReason() Reason {
+	if j.stream.begun {
+		return StreamBroken
+	}
+
+	return ResponseLost
+}
+
+// detourSink records the progress of a stream that another instance relays.
+type detourSink struct {
+	Sink
+
+	job *job
+}
+
+// BeginStream writes the header unless the caller has it from an earlier attempt.
+func (s *detourSink) BeginStream(status int, header http.Header) error {
+	if s.job.stream.begun {
+		return nil
+	}
+
+	if err := s.Sink.BeginStream(status, header); err != nil {
+		return merry.Prepend(errCallerWrite, "write header", merry.WithCause(err))
+	}
+
+	s.job.stream.begun, s.job.mayHaveRun = true, true
+
+	return nil
+}
+
+// WriteEvent writes one event.
+func (s *detourSink) WriteEvent(event []byte) error {
+	if err := s.job.stream.accept(eventID(event)); err != nil {
+		return err
+	}
+
+	if err := s.Sink.WriteEvent(event); err != nil {
+		return merry.Prepend(errCallerWrite, "write event", merry.WithCause(err))
+	}
+
+	return nil
+}
+
+// WriteResponse writes a whole response.
+func (s *detourSink) WriteResponse(status int, header http.Header, body []byte) error {
+	if s.job.stream.begun {
+		return merry.Prependf(errServerFailed, "status %d instead of the rest of a stream", status)
+	}
+
+	if err := s.Sink.WriteResponse(status, header, body); err != nil {
+		return merry.Prepend(errCallerWrite, "write response", merry.WithCause(err))
+	}
+
+	return nil
+}
+
+// eventID returns the id of an event, or an empty text.
+func eventID(event []byte) string {
+	id := ""
+
+	for line := range bytes.Lines(event) {
+		if value, ok := bytes.CutPrefix(line, idField); ok {
+			id = string(bytes.TrimSpace(value))
+		}
+	}
+
+	return id
+}
+
+// PrepareDetour checks a request of another instance, which has found its route and taken its
+// cost from the account's limit. It returns the function that runs the request. A refusal means
+// that this instance does not serve it; another one may.
+func (f *Forwarder) PrepareDetour(r DetourRequest) (func(context.Context, Sink) DetourResult, *Refusal) {
+	rules := f.Rules.Load()
+	if rules == nil || rules.Version() < r.RulesVersion {
+		return nil, notRunRefusal(NoRules, startupRetryAfter)
+	}
+
+	route, ok := rules.Match(r.Request.Host, r.Request.Path)
+	if !ok {
+		return nil, &Refusal{Reason: NoRoute, NotRun: true}
+	}
+
+	j := &job{forwarder: f, request: r.Request, route: route, rules: rules, service: r.Service, detoured: true, maxAttempts: r.Attempts}
+	j.deadline = r.Request.Arrived.Add(j.timeout())
+	j.usageCounted, j.resumed = r.UsageCounted, r.StreamBegun
+
+	if !route.HasTarget(r.Service) {
+		// The route was moved to another service since the other instance read the rules.
+		return nil, notRunRefusal(NoRules, unavailableRetryAfter)
+	}
+
+	if refusal := f.authorize(j); refusal != nil {
+		return nil, refusal
+	}
+
+	j.fingerprint = quarantine.FingerprintOf(fleet.Account(j.accountName()), r.Request.Method, r.Request.Host, r.Request.Target, r.Request.Body)
+
+	if refusal := f.checkQuarantine(j); refusal != nil {
+		return nil, refusal
+	}
+
+	if !f.Scheduler.Reaches(f.Clock.Now(), r.Service) {
+		return nil, notRunRefusal(NoServer, unavailableRetryAfter)
+	}
+
+	return func(ctx context.Context, sink Sink) DetourResult { return f.runDetour(ctx, j, sink) }, nil
+}
+
+// runDetour runs a request of another instance.
+func (f *Forwarder) runDetour(ctx context.Context, j *job, sink Sink) DetourResult {
+	counted := j.usageCounted
+	refusal := f.run(ctx, j, sink)
+	f.Counters.recordDetour(refusal)
+
+	return DetourResult{
+		Refusal: refusal, Servers: j.sentTo, MayHaveRun: j.mayHaveRun, UsageCounted: j.usageCounted && !counted,
+	}
+}
+
+// attempts returns the number of backend servers to which the request may be sent.
+func (j *job) attempts() int {
+	if j.maxAttempts > 0 {
+		return min(j.maxAttempts, j.route.Attempts())
+	}
+
+	return j.route.Attempts()
+}
+
+// resumeAfter returns the id of the last event that the caller has, or an empty text.
+func (j *job) resumeAfter() string {
+	if j.stream.lastEventID != "" {
+		return j.stream.lastEventID
+	}
+
+	return j.request.ResumeAfter
+}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -114,6 +114,9 @@
 	// results while a new version is tried. Either may be nil.
 	Versions *rollout.Gate
 	Trials   *rollout.Counter
+	// Detour has other instances serve requests that this one can't send to a server; nil if
+	// there are none.
+	Detour Detour
 	// MaxResponseBytes bounds the body of a response that is not a stream.
 	MaxResponseBytes int64
 	// Observe is called with each request and its outcome; it may be nil.
--- a/forward/job.go
+++ b/forward/job.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -42,6 +43,16 @@
 	placed bool
 	// trial measures the current attempt for the trial of a new version.
 	trial trial
+	// detoured is set if another instance received the request from its caller, maxAttempts is
+	// then the number of servers to which it may be sent, and resumed is set if the caller has a
+	// part of the response.
+	detoured    bool
+	maxAttempts int
+	resumed     bool
+	// hungDials counts the dials of this request that nothing responded to. noHelper is set once
+	// no other instance was found to serve the request.
+	hungDials int
+	noHelper  bool
 	// queued is how long the request waited for the scheduler to place it.
 	queued time.Duration
 	// lastFailure is the latest response of status 500 or above. The caller gets it if all
@@ -133,8 +144,9 @@
 	var (
 		overload *scheduling.OverloadError
 		noRoom   *scheduling.NoRoomError
+		detour   *detourError
 	)
-	if errors.As(err, &overload) || errors.As(err, &noRoom) {
+	if errors.As(err, &overload) || errors.As(err, &noRoom) || errors.As(err, &detour) {
 		return false
 	}
 
@@ -145,7 +157,7 @@
 		return j.forwarder.Clock.Now().Before(j.abandonDeadline())
 	}
 
-	if j.sent >= j.route.Attempts() {
+	if j.sent >= j.attempts() {
 		return false
 	}
 
@@ -172,11 +184,14 @@
 	var (
 		overload *scheduling.OverloadError
 		noRoom   *scheduling.NoRoomError
+		detour   *detourError
 	)
 
 	switch {
 	case j.stream.begun:
 		return &Refusal{Reason: StreamBroken, Cause: err.Error()}
+	case errors.As(err, &detour):
+		return j.detourRefusal(detour.refusal)
 	case j.mayHaveRun:
 		return &Refusal{Reason: ResponseLost, Cause: err.Error()}
 	case errors.Is(err, errRevoked):
@@ -190,7 +205,9 @@
 	case errors.As(err, &noRoom):
 		return &Refusal{Reason: Overloaded, NotRun: true, RetryAfter: noRoom.RetryAfter, Cause: err.Error()}
 	case errors.Is(err, scheduling.ErrNoServer):
-		return &Refusal{Reason: NoServer, NotRun: true, RetryAfter: unavailableRetryAfter, Cause: err.Error()}
+		return &Refusal{
+			Reason: NoServer, NotRun: true, RetryAfter: unavailableRetryAfter + rand.N(unavailableRetryAfter), Cause: err.Error(),
+		}
 	default:
 		return &Refusal{Reason: Overloaded, NotRun: true, RetryAfter: j.retryAfter(), Cause: err.Error()}
 	}
@@ -266,7 +283,7 @@
 // abandonDeadline returns until when the caller waits for the first event of a stream, or the
 // deadline of a request that has no objective or whose stream has begun.
 func (j *job) abandonDeadline() time.Time {
-	if j.route.Objective <= 0 || j.stream.begun {
+	if j.route.Objective <= 0 || j.stream.begun || j.resumed {
 		return j.deadline
 	}
 
@@ -279,10 +296,11 @@
 	choice := j.chooseVersion()
 	r := scheduling.Request{
 		Service: j.service, Prompt: j.request.Prompt, Excluded: j.excluded,
-		OnlyVersion: choice.Only, VersionFraction: choice.ServerShare, AvoidVersions: choice.Avoid, Final: j.sent+1 >= j.route.Attempts(),
+		Detour:      j.detourPossible(),
+		OnlyVersion: choice.Only, VersionFraction: choice.ServerShare, AvoidVersions: choice.Avoid, Final: j.sent+1 >= j.attempts(),
 	}
 
-	if j.route.Objective > 0 && !j.stream.begun {
+	if j.route.Objective > 0 && !j.stream.begun && !j.resumed {
 		arrived := j.request.Arrived
 		hold := time.Duration(holdTimeoutShare * float64(j.timeout()))
 		r.Due, r.HoldUntil, r.CallerDeadline = arrived.Add(j.route.Objective), arrived.Add(hold), j.abandonDeadline()
@@ -303,7 +321,7 @@
 		Server:      a.ID(),
 		Remaining:   j.deadline.Sub(j.forwarder.Clock.Now()),
 		Priority:    j.priority(),
-		ResumeAfter: j.request.ResumeAfter,
+		ResumeAfter: j.resumeAfter(),
 		Generative:  j.route.Generative,
 	}
 
@@ -311,10 +329,6 @@
 		attempt.Account = j.account.Name
 	}
 
-	if j.stream.lastEventID != "" {
-		attempt.ResumeAfter = j.stream.lastEventID
-	}
-
 	m := j.forwarder.Protocol.Encode(j.request, attempt)
 	m.RequireFresh = !j.route.Idempotent()
 	m.BeforeSend = func() error { return j.checkBeforeSend(a) }
--- a/forward/outcome.go
+++ b/forward/outcome.go
@@ -50,7 +50,16 @@
 }
 
 // String returns the name of the reason in logs and metrics.
-func (r Reason) String() string { return reasonNames[r] }
+func (r Reason) String() string {
+	if !r.Valid() {
+		return "unknown"
+	}
+
+	return reasonNames[r]
+}
+
+// Valid reports whether r is one of the reasons.
+func (r Reason) Valid() bool { return r >= 0 && r < reasons }
 
 // Refusal is a final answer by this instance instead of a backend server's response.
 type Refusal struct {
--- /dev/null
+++ b/pathprobe/pathprobe.go
@@ -0,0 +1,141 @@
+// Package pathprobe finds out to which backend servers an instance has a network path, so that
+// callers' requests need not.
+//
+// After a connection to a server could not be opened, a few other servers of its service are
+// dialled, and more of them as long as one of these can't be reached either. If a whole service
+// can't be reached, the other services are checked as well. While nothing fails, nothing is
+// dialled. Lost paths are tried again with a growing delay, few at a time, and more at a time
+// once one is back, so that the end of a partition is found without a rush of dials.
+//
+// Policy decides what to dial, without a network; Prober dials.
+//
+// # Usage
+//
+//	p := &pathprobe.Prober{Clock: clk, Paths: scheduler.Paths, Dial: dial, Record: record}
+//	go p.Run(ctx)
+//	p.Suspect("payrun-api")
+package pathprobe
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"monsoonlever/clock"
+	"monsoonlever/feed"
+	"monsoonlever/fleet"
+	"monsoonlever/scheduling"
+)
+
+// tickInterval is the time between two looks at what is to be dialled while a path is lost or
+// suspected.
+const tickInterval = 50 * time.Millisecond
+
+// Prober dials backend servers. Its exported fields are set before Run.
+type Prober struct {
+	Clock clock.Clock
+	// Paths returns the state of the paths to all servers.
+	Paths func(now time.Time) map[fleet.Service][]scheduling.Path
+	// Dial opens a connection to a server.
+	Dial func(ctx context.Context, path scheduling.Path) error
+	// Record is called with the result of each dial.
+	Record func(path scheduling.Path, err error)
+	// StillLost is called when lost paths of a service were retried without success.
+	StillLost func(service fleet.Service)
+
+	wake feed.Signal
+	mu   sync.Mutex
+	// policy is guarded by mu.
+	policy Policy
+}
+
+// Suspect has the other servers of a service checked, since one of them could not be reached.
+func (p *Prober) Suspect(service fleet.Service) {
+	p.mu.Lock()
+	p.policy.Suspect(service)
+	p.mu.Unlock()
+	p.wake.Send()
+}
+
+// Run dials until ctx ends.
+func (p *Prober) Run(ctx context.Context) {
+	var group conc.WaitGroup
+	defer group.Wait()
+
+	for ctx.Err() == nil {
+		for service, targets := range p.next() {
+			group.Go(func() { p.probe(ctx, service, targets) })
+		}
+
+		if p.idle() {
+			select {
+			case <-p.wake.C():
+			case <-ctx.Done():
+			}
+
+			continue
+		}
+
+		clock.Sleep(ctx, p.Clock, tickInterval)
+	}
+}
+
+func (p *Prober) next() map[fleet.Service][]scheduling.Path {
+	now := p.Clock.Now()
+	paths := p.Paths(now)
+
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	return p.policy.Next(now, paths)
+}
+
+func (p *Prober) idle() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	return p.policy.Idle()
+}
+
+// probe dials servers of a service at the same time.
+func (p *Prober) probe(ctx context.Context, service fleet.Service, targets []scheduling.Path) {
+	var (
+		group  conc.WaitGroup
+		mu     sync.Mutex
+		failed int
+	)
+
+	for _, target := range targets {
+		group.Go(func() {
+			err := p.Dial(ctx, target)
+			if ctx.Err() != nil {
+				return
+			}
+
+			p.Record(target, err)
+
+			if err != nil {
+				mu.Lock()
+				defer mu.Unlock()
+
+				failed++
+			}
+		})
+	}
+
+	group.Wait()
+
+	if failed == len(targets) {
+		p.StillLost(service)
+	}
+
+	now := p.Clock.Now()
+	paths := p.Paths(now)
+
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	p.policy.Done(now, service, targets, failed, paths)
+}
--- a/replica/server.go
+++ b/replica/server.go
@@ -34,6 +34,9 @@
 	Clock clock.Clock
 	// Feeds are the logs by the name of their feed.
 	Feeds map[string]*Log
+	// Others handle the connections that begin with their preface of prefaceBytes bytes, which no
+	// request of a feed begins with. They close the connection.
+	Others map[string]func(ctx context.Context, conn net.Conn, reader *bufio.Reader)
 
 	mu    sync.Mutex
 	conns map[net.Conn]struct{}
@@ -119,6 +122,12 @@
 func (s *Server) serve(ctx context.Context, conn net.Conn) {
 	reader := bufio.NewReader(conn)
 
+	if handle := s.otherHandler(conn, reader); handle != nil {
+		handle(ctx, conn, reader)
+
+		return
+	}
+
 	for ctx.Err() == nil {
 		if err := conn.SetReadDeadline(time.Now().Add(idleTimeout)); err != nil {
 			return
@@ -137,6 +146,30 @@
 	}
 }
 
+// prefaceBytes is the length of the prefaces of other protocols.
+const prefaceBytes = 4
+
+// otherHandler returns the handler for the preface that a connection begins with, and removes the
+// preface from the reader. It returns nil if the connection begins with a request.
+func (s *Server) otherHandler(conn net.Conn, reader *bufio.Reader) func(context.Context, net.Conn, *bufio.Reader) {
+	if err := conn.SetReadDeadline(time.Now().Add(idleTimeout)); err != nil {
+		return nil
+	}
+
+	preface, err := reader.Peek(prefaceBytes)
+	if err != nil {
+		return nil
+	}
+
+	handle := s.Others[string(preface)]
+	if handle != nil {
+		// The bytes are in the buffer, so that this can't fail.
+		_, _ = reader.Discard(prefaceBytes)
+	}
+
+	return handle
+}
+
 // respond sends the response to a request.
 func (s *Server) respond(ctx context.Context, conn net.Conn, r request) error {
 	frames, err := s.responseFrames(ctx, r)
--- a/ruleset/route.go
+++ b/ruleset/route.go
@@ -1,6 +1,7 @@
 package ruleset
 
 import (
+	"slices"
 	"time"
 
 	"monsoonlever/fleet"
@@ -50,6 +51,11 @@
 	return max(r.MaxAttempts, 1)
 }
 
+// HasTarget reports whether requests of the route may be sent to a service.
+func (r *Route) HasTarget(service fleet.Service) bool {
+	return slices.ContainsFunc(r.Targets, func(t Target) bool { return t.Service == service })
+}
+
 // PickService selects the service of a request by the weights of the targets; draw is
 // a uniform random number in [0, 1).
 func (r *Route) PickService(draw float64) fleet.Service {
--- a/scheduling/assignment.go
+++ b/scheduling/assignment.go
@@ -158,13 +158,7 @@
 		a.scheduler.publishBacklog(a.server, nil, true)
 	}
 
-	switch r {
-	case Served, Rejected:
-		a.scheduler.recordPath(now, a.server, true, false)
-	case Unreachable, Terminated:
-		a.scheduler.recordPath(now, a.server, false, r == Terminated)
-	case Failed, Cancelled:
-	}
+	a.recordPath(now, r)
 
 	switch r {
 	case Served:
@@ -173,7 +167,6 @@
 		a.server.recordOutcome(now, true)
 	case Unreachable:
 		a.server.recordOutcome(now, true)
-		a.server.avoid(now.Add(unreachableAvoidance))
 	case Terminated:
 		a.server.recordOutcome(now, true)
 		a.scheduler.publishTerminated(now, a.server, true)
@@ -182,3 +175,14 @@
 	case Cancelled:
 	}
 }
+
+// recordPath records what a result shows of the path to the server.
+func (a *Assignment) recordPath(now time.Time, r Result) {
+	switch r {
+	case Served, Rejected:
+		a.Heard(now)
+	case Unreachable, Terminated:
+		a.scheduler.recordPath(now, a.server, false, r == Terminated)
+	case Failed, Cancelled:
+	}
+}
--- a/scheduling/place.go
+++ b/scheduling/place.go
@@ -49,7 +49,9 @@
 // Place chooses a server as Pick does. It holds a prompt that can't begin in time while servers
 // are busy with prompts that can, and returns an OverloadError once the prompt has to be refused.
 // A server with a limit is chosen only with a permit. If no other server is left, the request
-// waits for a permit, or Place returns a NoRoomError. Place returns at the latest when ctx ends.
+// waits for a permit, or Place returns a NoRoomError. It returns a server to which this instance
+// has no path if that is the best choice, or the only one. Place returns at the latest when ctx
+// ends.
 func (s *Scheduler) Place(ctx context.Context, clk clock.Clock, r Request) (*Assignment, error) {
 	permitRequests := 0
 
@@ -71,7 +73,7 @@
 
 		switch a.decide(now, r) {
 		case send:
-			if s.acquirePermit(ctx, clk, a) {
+			if a.PathLost(now) || s.acquirePermit(ctx, clk, a) {
 				return a, nil
 			}
 
@@ -115,9 +117,10 @@
 // handles overload: an engine reads prompts in order of arrival, so that each waits behind all
 // others and none begins in time. A prompt that is late in any case loses nothing if prompts that
 // can still be on time go first. If that takes until its caller disconnects, it is refused, since
-// sending it would only delay others.
+// sending it would only delay others. A server to which this instance has no path gets the prompt
+// from another instance, which decides by itself.
 func (a *Assignment) decide(now time.Time, r Request) decision {
-	if a.meter == nil || r.Due.IsZero() {
+	if a.meter == nil || r.Due.IsZero() || a.PathLost(now) {
 		return send
 	}
 
--- a/scheduling/scheduling.go
+++ b/scheduling/scheduling.go
@@ -75,6 +75,10 @@
 	// backoff, where no other server can take it.
 	WaitUntil time.Time
 
+	// Detour is set if another instance may serve the request. Servers to which this instance has
+	// no path, and that others reach, then cost a further hop.
+	Detour bool
+
 	// Final requests are not sent to another server if this one rejects them.
 	Final bool
 
@@ -233,7 +237,7 @@
 
 		uncached := r.Prompt.uncachedTokens(cached[i], srv == home)
 
-		cost := srv.cost(now, uncached, s.Domain, poolFailureRate)
+		cost := srv.cost(now, uncached, s.Domain, poolFailureRate) + srv.pathCost(now, &r)
 		if a.server == nil || cost < bestCost {
 			a.server, a.uncachedTokens, bestCost = srv, uncached, cost
 		}
--- a/scheduling/server.go
+++ b/scheduling/server.go
@@ -143,10 +143,6 @@
 
 	cost += failureCost * max(0, s.failureRate(now)-poolFailureRate)
 
-	if s.isAvoided(now) {
-		cost += failureCost
-	}
-
 	return cost
 }
 
@@ -360,7 +356,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
-	return now.Before(s.avoidUntil)
+	return now.Before(s.avoidUntil) || s.path.lost(now)
 }
 
 // meanFailureRate returns the mean failure rate of a pool. A service may fail a fraction of its
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -149,6 +149,56 @@
 	}
 }
 
+// CloseIdle closes the idle connections to a server.
+func (p *Pool) CloseIdle(id fleet.InstanceID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	c := p.servers[id]
+	if c == nil {
+		return
+	}
+
+	for _, conn := range c.idle {
+		_ = conn.Close()
+	}
+
+	c.open -= len(c.idle)
+	c.idle = nil
+}
+
+// Connect dials a new connection to a server and keeps it for a request. Its errors wrap
+// backend.ErrNotSent.
+func (p *Pool) Connect(ctx context.Context, s Server) error {
+	conn, err := p.reserveNew(s.ID)
+	if err != nil {
+		return err
+	}
+
+	if conn, err = p.dial(ctx, s, conn); err != nil {
+		return err
+	}
+
+	p.putIdle(conn, defaultIdleTimeout)
+
+	return nil
+}
+
+// reserveNew returns a new connection, already counted as open, that the caller has to dial.
+func (p *Pool) reserveNew(id fleet.InstanceID) (*connection, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	c := p.connectionsOf(id)
+	if c.limit > 0 && c.open >= c.limit {
+		return nil, merry.Prepend(backend.ErrNotSent, "reserve a connection", merry.WithCause(ErrConnectionLimit))
+	}
+
+	c.open++
+
+	return &connection{owner: c}, nil
+}
+
 // removeServer closes the idle connections to a server and removes it from the pool. It
 // returns the removed connections, or nil if the pool has none. A busy connection is
 // closed once its request has ended. p.mu is held.
