fix(scheduling,forward): a partitioned instance does not steer others

An instance whose connections are refused by its own cut told all others that the servers had terminated; they avoided servers that answered them. It also took requests that were lost then for the cause of a crash.

Others now ignore such a report of a server that they heard of within 300 ms, and drop it once they hear of it again. A loss counts as a crash only while most other paths are there. TestPartitionedInstanceDoesNotSteerOthers failed before: all three servers avoided.

--- a/forward/loss.go
+++ b/forward/loss.go
@@ -53,7 +53,8 @@
 
 // terminated reports whether the process of a server has terminated without announcing that
 // it would leave. Requests that are lost together share one check, and a loss that is
-// detected after the check uses the result that the scheduler has recorded.
+// detected after the check uses the result that the scheduler has recorded. While this instance
+// has lost its paths to most other servers, a refused connection shows nothing of the server.
 func (f *Forwarder) terminated(ctx context.Context, a *scheduling.Assignment) bool {
 	server := upstream.Server{ID: a.ID(), Address: a.Address()}
 
@@ -64,7 +65,7 @@
 
 		clock.Sleep(ctx, f.Clock, terminationDelay)
 
-		if a.Leaving() || !f.Pool.Terminated(ctx, server) || a.Leaving() {
+		if a.Leaving() || !f.Pool.Terminated(ctx, server) || a.Leaving() || a.MostPathsLost(f.Clock.Now()) {
 			return false, nil
 		}
 
--- a/scheduling/assignment.go
+++ b/scheduling/assignment.go
@@ -169,7 +169,10 @@
 		a.server.recordOutcome(now, true)
 	case Terminated:
 		a.server.recordOutcome(now, true)
-		a.scheduler.publishTerminated(now, a.server, true)
+
+		if !a.server.heardWithin(now, aliveTime) {
+			a.scheduler.publishTerminated(now, a.server, true)
+		}
 	case Rejected:
 		a.server.avoid(now.Add(fullAvoidance))
 	case Cancelled:
--- a/scheduling/path.go
+++ b/scheduling/path.go
@@ -24,6 +24,11 @@
 	// pathTTL is how long a path counts as lost after the last failure to open a connection. A
 	// prober tries again before.
 	pathTTL = 2 * time.Second
+	// aliveTime is how long after something was received from a server it can't have terminated: a
+	// connection that is refused in that time shows a lost path, here or at another instance.
+	aliveTime = 300 * time.Millisecond
+	// receiveDelay is how long after a process has terminated its last bytes may still be received.
+	receiveDelay = 50 * time.Millisecond
 	// detourCost is the cost of a further hop over another instance, in prompt tokens: about two
 	// round trips across domains.
 	detourCost = 400
@@ -68,6 +73,11 @@
 
 	s.path.heardAt = now
 
+	if !s.terminatedAt.IsZero() && now.Sub(s.terminatedAt) > receiveDelay {
+		// The process runs, whatever an instance that can't reach it has said.
+		s.terminatedAt, s.avoidUntil = time.Time{}, time.Time{}
+	}
+
 	if s.path.lostAt.IsZero() {
 		return 0
 	}
@@ -78,6 +88,14 @@
 	return lost
 }
 
+// heardWithin reports whether anything was received from the server within a time.
+func (s *server) heardWithin(now time.Time, d time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return !s.path.heardAt.IsZero() && now.Sub(s.path.heardAt) < d
+}
+
 // pathLost reports whether the path to the server is lost.
 func (s *server) pathLost(now time.Time) bool {
 	s.mu.Lock()
@@ -117,6 +135,28 @@
 // Heard records that something was received from the server.
 func (a *Assignment) Heard(now time.Time) { a.scheduler.recordPath(now, a.server, true, false) }
 
+// MostPathsLost reports whether this instance has lost its paths to most servers other than that
+// of the assignment.
+func (a *Assignment) MostPathsLost(now time.Time) bool {
+	lost, known := 0, 0
+
+	for _, paths := range a.scheduler.Paths(now) {
+		for _, path := range paths {
+			if path.ID == a.ID() {
+				continue
+			}
+
+			known++
+
+			if path.Lost {
+				lost++
+			}
+		}
+	}
+
+	return 2*lost > known
+}
+
 // Reaches reports whether this instance has a path to a server of a service, as far as it knows.
 func (s *Scheduler) Reaches(now time.Time, service fleet.Service) bool {
 	return len(s.serversFor(&Request{Service: service}, func(srv *server) bool {
--- a/scheduling/path_test.go
+++ b/scheduling/path_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"monsoonlever/fleet"
 	"monsoonlever/register"
 )
 
@@ -39,3 +40,53 @@
 		t.Errorf("path lost for: got %v, want %v", got, want)
 	}
 }
+
+// Guards against servers that all instances avoid because one that lost its paths, and whose
+// connections are refused, takes them for terminated.
+func TestPartitionedInstanceDoesNotSteerOthers(t *testing.T) {
+	now := time.Unix(1000, 0)
+	partitioned, other := poolOf(3), poolOf(3)
+
+	hear := func(s *Scheduler) {
+		for _, excludedIDs := range [][]fleet.InstanceID{{"s-1", "s-2"}, {"s-0", "s-2"}, {"s-0", "s-1"}} {
+			a, err := s.Pick(now, Request{Service: "llm", Excluded: excludedIDs})
+			if err != nil || !a.Start(now) {
+				t.Fatalf("pick: got %v, want a server", err)
+			}
+
+			a.End(now, Served)
+		}
+	}
+
+	hear(other)
+
+	for range 3 {
+		a, err := partitioned.Pick(now, Request{Service: "llm"})
+		if err != nil || !a.Start(now) {
+			t.Fatalf("pick: got %v, want a server", err)
+		}
+
+		a.End(now, Terminated)
+	}
+
+	update := partitioned.TakeUpdate(now, Upstream)
+	other.ApplyUpdate(now.Add(10*time.Millisecond), "partitioned", Peer, update)
+
+	for id, srv := range other.servers {
+		if srv.isAvoided(now.Add(10 * time.Millisecond)) {
+			t.Errorf("%s, heard of a moment ago: got it avoided, want it used", id)
+		}
+	}
+
+	now = now.Add(time.Second)
+	other.ApplyUpdate(now, "partitioned", Peer, update)
+
+	now = now.Add(100 * time.Millisecond)
+	hear(other)
+
+	for id, srv := range other.servers {
+		if srv.isAvoided(now) {
+			t.Errorf("%s, heard of since: got it avoided, want it used", id)
+		}
+	}
+}
--- a/scheduling/updates.go
+++ b/scheduling/updates.go
@@ -279,7 +279,7 @@
 	}
 
 	for _, key := range update.Ended {
-		if srv := (*byKey)[key]; srv != nil {
+		if srv := (*byKey)[key]; srv != nil && !srv.heardWithin(now, aliveTime) {
 			s.publishTerminated(now, srv, role == Subscriber)
 		}
 	}
