fix(upstream,pathprobe): a silent connection does not hold a request until its deadline

After a cut, the first request to a service that is seldom called went out on an open connection and waited for its whole deadline: only a dial shows that a path is lost.

A server that responds to none of the requests in progress for 300 ms (a model engine: 1 s) is now dialled, at most once a second. If nothing responds, requests that may be repeated are sent elsewhere within the budget of further sends; calls that may not, and streams, go on waiting, as the server may only be silent for a moment. A server counts as alive after a claim that it terminated only by a response to a request that was sent after it (a late response to an earlier one shows nothing).

TestSilentConnectionDoesNotHoldRequest failed before (504 after 1.5 s). TestSilentServerIsNotTakenForGone passed before and guards the other side: servers that are silent for 1.2 s lose no stream, get requests again, and nothing runs twice.

--- a/entry/paths.go
+++ b/entry/paths.go
@@ -45,8 +45,9 @@
 		Dial: func(ctx context.Context, path scheduling.Path) error {
 			return p.pool.Connect(ctx, upstream.Server{ID: path.ID, Address: path.Address})
 		},
+		Silent: p.scheduler.SilentPaths, SilentFailed: p.silentServerFailed,
 		Record: func(path scheduling.Path, err error) {
-			if errors.Is(err, upstream.ErrConnectionLimit) || errors.Is(err, upstream.ErrCut) {
+			if !showsPath(err) {
 				return
 			}
 
@@ -56,6 +57,19 @@
 	}
 }
 
+// showsPath reports whether the result of a dial shows whether there is a path.
+func showsPath(err error) bool {
+	return !errors.Is(err, upstream.ErrConnectionLimit) && !errors.Is(err, upstream.ErrCut)
+}
+
+// silentServerFailed interrupts the requests to a silent server that may be repeated, unless it has
+// responded to one since.
+func (p *components) silentServerFailed(path scheduling.Path, err error) {
+	if showsPath(err) && !p.scheduler.HeardSince(path.ID, path.HeardAt) {
+		p.pool.Interrupt(path.ID)
+	}
+}
+
 // newDetourClient returns the client by which other instances serve requests of this one.
 func (p *components) newDetourClient(set *metrics.Set) *detour.Client {
 	p.helpers = &detour.Helpers{Self: p.self()}
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -98,6 +98,10 @@
 		return err
 	}
 
+	if errors.Is(err, upstream.ErrInterrupted) {
+		j.hungDials++
+	}
+
 	j.sent++
 	j.sentTo = append(j.sentTo, string(server.ID))
 	j.mayHaveRun = true
@@ -138,6 +142,8 @@
 		return scheduling.Cancelled
 	case errors.Is(err, unix.ECONNREFUSED):
 		return scheduling.Terminated
+	case errors.Is(err, upstream.ErrInterrupted):
+		return scheduling.Unreachable
 	case errors.Is(err, backend.ErrNotSent) && ctx.Err() == nil:
 		return scheduling.Unreachable
 	case ctx.Err() != nil:
@@ -152,6 +158,7 @@
 	ctx context.Context, j *job, assignment *scheduling.Assignment, response *upstream.Response, sink Sink,
 ) error {
 	reading := f.Protocol.Inspect(response.Status(), response.Header())
+	assignment.Heard(f.Clock.Now())
 
 	if reading.Load != nil {
 		f.Scheduler.RecordLoad(f.Clock.Now(), assignment.ID(), *reading.Load)
--- a/forward/job.go
+++ b/forward/job.go
@@ -331,6 +331,8 @@
 
 	m := j.forwarder.Protocol.Encode(j.request, attempt)
 	m.RequireFresh = !j.route.Idempotent()
+	// A stream is not interrupted: its server would work on beside the next one.
+	m.Repeatable = j.route.Kind == ruleset.Safe
 	m.BeforeSend = func() error { return j.checkBeforeSend(a) }
 
 	return m
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -64,6 +64,7 @@
 		}
 
 		now := f.Clock.Now()
+		assignment.Heard(now)
 		assignment.FirstEventReceived(now)
 		j.trial.recordEvent(now)
 
--- a/pathprobe/pathprobe.go
+++ b/pathprobe/pathprobe.go
@@ -29,9 +29,16 @@
 	"monsoonlever/scheduling"
 )
 
-// tickInterval is the time between two looks at what is to be dialled while a path is lost or
-// suspected.
-const tickInterval = 50 * time.Millisecond
+const (
+	// tickInterval is the time between two looks at what is to be dialled while a path is lost or
+	// suspected.
+	tickInterval = 50 * time.Millisecond
+	// watchInterval is the time between two looks for silent servers.
+	watchInterval = 100 * time.Millisecond
+	// silentCheckInterval is the time between two checks of the same silent server: one that is
+	// only slow costs a connection each time.
+	silentCheckInterval = time.Second
+)
 
 // Prober dials backend servers. Its exported fields are set before Run.
 type Prober struct {
@@ -42,6 +49,10 @@
 	Dial func(ctx context.Context, path scheduling.Path) error
 	// Record is called with the result of each dial.
 	Record func(path scheduling.Path, err error)
+	// Silent returns the paths to servers that have not responded for longer than usual, and
+	// SilentFailed is called with the error if no connection to one can be opened either.
+	Silent       func(now time.Time) []scheduling.Path
+	SilentFailed func(path scheduling.Path, err error)
 	// StillLost is called when lost paths of a service were retried without success.
 	StillLost func(service fleet.Service)
 
@@ -49,6 +60,8 @@
 	mu   sync.Mutex
 	// policy is guarded by mu.
 	policy Policy
+	// checkedAt is when each silent server was last checked. Only watch uses it.
+	checkedAt map[fleet.InstanceID]time.Time
 }
 
 // Suspect has the other servers of a service checked, since one of them could not be reached.
@@ -64,6 +77,8 @@
 	var group conc.WaitGroup
 	defer group.Wait()
 
+	group.Go(func() { p.watch(ctx) })
+
 	for ctx.Err() == nil {
 		for service, targets := range p.next() {
 			group.Go(func() { p.probe(ctx, service, targets) })
@@ -139,3 +154,54 @@
 
 	p.policy.Done(now, service, targets, failed, paths)
 }
+
+// watch checks the paths to silent servers until ctx ends. A request on an open connection does not
+// show that its path is lost.
+func (p *Prober) watch(ctx context.Context) {
+	var group conc.WaitGroup
+	defer group.Wait()
+
+	for ; ctx.Err() == nil; clock.Sleep(ctx, p.Clock, watchInterval) {
+		for _, path := range p.dueChecks(p.Clock.Now()) {
+			group.Go(func() { p.checkSilent(ctx, path) })
+		}
+	}
+}
+
+// dueChecks returns the silent servers that were not checked within silentCheckInterval.
+func (p *Prober) dueChecks(now time.Time) []scheduling.Path {
+	if p.checkedAt == nil {
+		p.checkedAt = make(map[fleet.InstanceID]time.Time)
+	}
+
+	for id, at := range p.checkedAt {
+		if now.Sub(at) >= silentCheckInterval {
+			delete(p.checkedAt, id)
+		}
+	}
+
+	var due []scheduling.Path
+
+	for _, path := range p.Silent(now) {
+		if _, checked := p.checkedAt[path.ID]; !checked {
+			p.checkedAt[path.ID] = now
+			due = append(due, path)
+		}
+	}
+
+	return due
+}
+
+// checkSilent dials a silent server.
+func (p *Prober) checkSilent(ctx context.Context, path scheduling.Path) {
+	err := p.Dial(ctx, path)
+	if ctx.Err() != nil {
+		return
+	}
+
+	p.Record(path, err)
+
+	if err != nil {
+		p.SilentFailed(path, err)
+	}
+}
--- a/scheduling/assignment.go
+++ b/scheduling/assignment.go
@@ -103,7 +103,7 @@
 	a.trial = b
 
 	a.scheduler.countSend(now, a.server)
-	a.server.running.Add(1)
+	a.server.beginWait(now, a.server.running.Add(1) == 1, a.prompt.Tokens > 0)
 	a.server.pendingTokens.Add(int64(a.uncachedTokens))
 	a.started, a.startedAt = true, now
 
@@ -185,7 +185,7 @@
 	case Served, Rejected:
 		a.Heard(now)
 	case Unreachable, Terminated:
-		a.scheduler.recordPath(now, a.server, false, r == Terminated)
+		a.scheduler.pathFailed(now, a.server, r == Terminated)
 	case Failed, Cancelled:
 	}
 }
--- a/scheduling/path.go
+++ b/scheduling/path.go
@@ -24,11 +24,13 @@
 	// pathTTL is how long a path counts as lost after the last failure to open a connection. A
 	// prober tries again before.
 	pathTTL = 2 * time.Second
+	// plainSilence and engineSilence are how long a plain server or a model engine responds to
+	// none of the requests in progress there before its path is checked.
+	plainSilence  = 300 * time.Millisecond
+	engineSilence = time.Second
 	// aliveTime is how long after something was received from a server it can't have terminated: a
 	// connection that is refused in that time shows a lost path, here or at another instance.
 	aliveTime = 300 * time.Millisecond
-	// receiveDelay is how long after a process has terminated its last bytes may still be received.
-	receiveDelay = 50 * time.Millisecond
 	// detourCost is the cost of a further hop over another instance, in prompt tokens: about two
 	// round trips across domains.
 	detourCost = 400
@@ -43,6 +45,10 @@
 	refused bool
 	// heardAt is when anything was last received from the server.
 	heardAt time.Time
+	// waitingSince is when the first of the requests in progress was sent, and reads is set if one
+	// of them has a prompt, which an engine reads before it responds.
+	waitingSince time.Time
+	reads        bool
 }
 
 // lost reports whether the path is lost.
@@ -65,15 +71,16 @@
 	return !known
 }
 
-// markReached records that the server was reached, and returns for how long the path was lost
+// markReached records that the server was reached, by a connection or a response to a request that
+// was sent at the given time, and returns for how long the path was lost
 // before, or zero if it wasn't.
-func (s *server) markReached(now time.Time) time.Duration {
+func (s *server) markReached(now, sentAt time.Time) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
 	s.path.heardAt = now
 
-	if !s.terminatedAt.IsZero() && now.Sub(s.terminatedAt) > receiveDelay {
+	if !s.terminatedAt.IsZero() && sentAt.After(s.terminatedAt) {
 		// The process runs, whatever an instance that can't reach it has said.
 		s.terminatedAt, s.avoidUntil = time.Time{}, time.Time{}
 	}
@@ -133,7 +140,9 @@
 }
 
 // Heard records that something was received from the server.
-func (a *Assignment) Heard(now time.Time) { a.scheduler.recordPath(now, a.server, true, false) }
+func (a *Assignment) Heard(now time.Time) {
+	a.scheduler.pathReached(now, a.server, a.startedAt)
+}
 
 // MostPathsLost reports whether this instance has lost its paths to most servers other than that
 // of the assignment.
@@ -228,8 +237,12 @@
 	srv := s.servers[id]
 	s.mu.Unlock()
 
-	if srv != nil && srv.entry().Address == address {
-		s.recordPath(now, srv, reached, refused)
+	switch {
+	case srv == nil || srv.entry().Address != address:
+	case reached:
+		s.pathReached(now, srv, now)
+	default:
+		s.pathFailed(now, srv, refused)
 	}
 }
 
@@ -240,21 +253,88 @@
 	}
 }
 
-// recordPath records whether a server was reached, and reports a change.
-func (s *Scheduler) recordPath(now time.Time, srv *server, reached, refused bool) {
-	change := PathChange{Server: srv.entry().Process(), Service: srv.entry().Service, Lost: !reached, Refused: refused}
+// beginWait records that a request is sent to the server.
+func (s *server) beginWait(now time.Time, first, reads bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	if first {
+		s.path.waitingSince, s.path.reads = now, false
+	}
+
+	s.path.reads = s.path.reads || reads
+}
+
+// silent reports whether the server has responded to none of the requests in progress for so long
+// that its path should be checked.
+func (s *server) silent(now time.Time) bool {
+	if s.running.Load() == 0 {
+		return false
+	}
+
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	since, bound := s.path.waitingSince, plainSilence
+	if s.path.heardAt.After(since) {
+		since = s.path.heardAt
+	}
+
+	if s.path.reads {
+		bound = engineSilence
+	}
+
+	return !s.path.lost(now) && now.Sub(since) > bound
+}
+
+// SilentPaths returns the paths to servers that have requests of this instance in progress, and
+// respond to none of them for longer than usual.
+func (s *Scheduler) SilentPaths(now time.Time) []Path {
+	servers := s.byKey.Load()
+	if servers == nil {
+		return nil
+	}
 
-	if reached {
-		change.After = srv.markReached(now)
-		if change.After == 0 {
-			return
+	var silent []Path
+
+	for _, srv := range *servers {
+		if srv.silent(now) {
+			silent = append(silent, srv.pathState(now))
 		}
-	} else if !srv.markLost(now, refused) {
-		return
 	}
 
-	if s.OnPathChange != nil {
-		s.OnPathChange(change)
+	return silent
+}
+
+// HeardSince reports whether anything was received from a server after a time.
+func (s *Scheduler) HeardSince(id fleet.InstanceID, at time.Time) bool {
+	s.mu.Lock()
+	srv := s.servers[id]
+	s.mu.Unlock()
+
+	return srv != nil && srv.heardAfter(at)
+}
+
+func (s *server) heardAfter(at time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.path.heardAt.After(at)
+}
+
+// pathReached records that a server was reached, by a connection or by a response to a request that
+// was sent at the given time.
+func (s *Scheduler) pathReached(now time.Time, srv *server, sentAt time.Time) {
+	lost := srv.markReached(now, sentAt)
+	if lost > 0 && s.OnPathChange != nil {
+		s.OnPathChange(PathChange{Server: srv.entry().Process(), Service: srv.entry().Service, After: lost})
+	}
+}
+
+// pathFailed records that no connection to a server could be opened.
+func (s *Scheduler) pathFailed(now time.Time, srv *server, refused bool) {
+	if srv.markLost(now, refused) && s.OnPathChange != nil {
+		s.OnPathChange(PathChange{Server: srv.entry().Process(), Service: srv.entry().Service, Lost: true, Refused: refused})
 	}
 }
 
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -84,6 +84,9 @@
 	lastUsed time.Time
 	// kept is set once the connection has carried a request.
 	kept bool
+	// repeatable is set while the connection carries a request that may be repeated and of which
+	// nothing was received. interrupted is set by Interrupt. Both are guarded by Pool.mu.
+	repeatable, interrupted bool
 }
 
 // ErrConnectionLimit means that all connections to a backend server that this instance
@@ -94,6 +97,10 @@
 // sent.
 var ErrCut = merry.Sentinel("connections to the backend server were cut")
 
+// ErrInterrupted means that a request which may be repeated was interrupted because its server,
+// to which no connection can be opened either, was silent.
+var ErrInterrupted = merry.Sentinel("request was interrupted, its server is silent")
+
 // SetLimit bounds the number of open connections to a server; zero is no limit.
 func (p *Pool) SetLimit(id fleet.InstanceID, limit int) {
 	p.mu.Lock()
@@ -167,6 +174,40 @@
 	c.idle = nil
 }
 
+// Interrupt fails the requests to a server that may be repeated and of which nothing was received,
+// with ErrInterrupted.
+func (p *Pool) Interrupt(id fleet.InstanceID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	c := p.servers[id]
+	if c == nil {
+		return
+	}
+
+	for conn := range c.busy {
+		if conn.repeatable {
+			conn.interrupted = true
+
+			_ = conn.Close()
+		}
+	}
+}
+
+// setRepeatable sets whether a connection may be interrupted.
+func (p *Pool) setRepeatable(conn *connection, repeatable bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	conn.repeatable = repeatable
+}
+
+func (p *Pool) wasInterrupted(conn *connection) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	return conn.interrupted
+}
+
 // Connect dials a new connection to a server and keeps it for a request. Its errors wrap
 // backend.ErrNotSent.
 func (p *Pool) Connect(ctx context.Context, s Server) error {
--- a/upstream/request.go
+++ b/upstream/request.go
@@ -31,6 +31,9 @@
 	// that was idle for longer may be dead, which only a send shows, and a non-idempotent
 	// request sent on it is lost.
 	RequireFresh bool
+	// Repeatable is set if the request may run more than once. Only such a request is interrupted
+	// while its server is silent.
+	Repeatable bool
 	// BeforeSend, if not nil, is called right before the first byte is sent, after any
 	// wait for a connection. If it returns an error, the request is not sent.
 	BeforeSend func() error
--- a/upstream/send.go
+++ b/upstream/send.go
@@ -33,8 +33,8 @@
 
 // Send sends a request and returns its response once the header has been received.
 // Cancelling ctx closes the connection, so that the backend server stops its work. The
-// error wraps backend.ErrNotSent if no byte was sent, otherwise ErrGarbled or the error
-// of ctx. The caller must close the response.
+// error wraps backend.ErrNotSent if no byte was sent, otherwise ErrGarbled, ErrInterrupted or the
+// error of ctx. The caller must close the response.
 func (p *Pool) Send(ctx context.Context, s Server, r *Request) (*Response, error) {
 	message, err := r.encode()
 	if err != nil {
@@ -56,11 +56,21 @@
 
 	resp := &Response{pool: p, conn: conn}
 	resp.stop = context.AfterFunc(ctx, func() { _ = conn.Close() })
+
+	if r.Repeatable {
+		p.setRepeatable(conn, true)
+		defer p.setRepeatable(conn, false)
+	}
+
 	resp.write(message)
 
 	if err := resp.readHeader(r); err != nil {
 		resp.Close()
 
+		if p.wasInterrupted(conn) {
+			return nil, merry.Prepend(ErrInterrupted, "send to "+s.Address)
+		}
+
 		if ctx.Err() != nil {
 			return nil, merry.Prepend(ctx.Err(), "send to "+s.Address)
 		}
