fix(forward): an instance without a path does not offer to help

An instance that had lost its paths without noticing (nothing was sent since) took a request of another one and held it on a silent connection for 700 ms; the caller's deadline passed.

An instance that has heard nothing of a service for half a second now opens a connection before it takes a request.

--- a/detour/detour_test.go
+++ b/detour/detour_test.go
@@ -36,7 +36,7 @@
 	}
 
 	h := &helping{listener: l}
-	h.Server = &Server{Clock: clock.NewSteady(), Prepare: func(forward.DetourRequest) (func(context.Context, forward.Sink) forward.DetourResult, *forward.Refusal) {
+	h.Server = &Server{Clock: clock.NewSteady(), Prepare: func(context.Context, forward.DetourRequest) (func(context.Context, forward.Sink) forward.DetourResult, *forward.Refusal) {
 		return func(ctx context.Context, sink forward.Sink) forward.DetourResult {
 			h.mu.Lock()
 			h.ran++
--- a/detour/server.go
+++ b/detour/server.go
@@ -30,7 +30,7 @@
 	Clock clock.Clock
 	// Prepare checks a request and returns the function that runs it, or why this instance does
 	// not serve it.
-	Prepare func(forward.DetourRequest) (func(context.Context, forward.Sink) forward.DetourResult, *forward.Refusal)
+	Prepare func(context.Context, forward.DetourRequest) (func(context.Context, forward.Sink) forward.DetourResult, *forward.Refusal)
 
 	served atomic.Int64
 }
@@ -59,7 +59,7 @@
 
 	defer s.served.Add(-1)
 
-	run, refusal := s.Prepare(s.decode(&o))
+	run, refusal := s.Prepare(ctx, s.decode(&o))
 	if refusal != nil {
 		s.decline(conn, refusal)
 
--- a/forward/detour.go
+++ b/forward/detour.go
@@ -5,12 +5,15 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 
 	"monsoonlever/backend"
 	"monsoonlever/fleet"
 	"monsoonlever/quarantine"
+	"monsoonlever/scheduling"
 	"monsoonlever/upstream"
 )
 
@@ -200,7 +203,7 @@
 // PrepareDetour checks a request of another instance, which has found its route and taken its
 // cost from the account's limit. It returns the function that runs the request. A refusal means
 // that this instance does not serve it; another one may.
-func (f *Forwarder) PrepareDetour(r DetourRequest) (func(context.Context, Sink) DetourResult, *Refusal) {
+func (f *Forwarder) PrepareDetour(ctx context.Context, r DetourRequest) (func(context.Context, Sink) DetourResult, *Refusal) {
 	rules := f.Rules.Load()
 	if rules == nil || rules.Version() < r.RulesVersion {
 		return nil, notRunRefusal(NoRules, startupRetryAfter)
@@ -230,13 +233,42 @@
 		return nil, refusal
 	}
 
-	if !f.Scheduler.Reaches(f.Clock.Now(), r.Service) {
+	if !f.hasPath(ctx, r.Service) {
 		return nil, notRunRefusal(NoServer, unavailableRetryAfter)
 	}
 
 	return func(ctx context.Context, sink Sink) DetourResult { return f.runDetour(ctx, j, sink) }, nil
 }
 
+const (
+	// heardRecently is the time within which something received from a server shows that there
+	// is a path to its service.
+	heardRecently = 500 * time.Millisecond
+	// pathCheckTimeout bounds the dial that shows it otherwise. The other instance waits for it.
+	pathCheckTimeout = 100 * time.Millisecond
+)
+
+// hasPath reports whether this instance has a path to a server of a service. Where nothing was
+// heard of the service for a while, as after a cut that nobody has noticed, it opens a connection.
+func (f *Forwarder) hasPath(ctx context.Context, service fleet.Service) bool {
+	now := f.Clock.Now()
+	paths := slices.DeleteFunc(f.Scheduler.Paths(now)[service], func(path scheduling.Path) bool { return path.Lost })
+
+	if len(paths) == 0 {
+		return false
+	}
+
+	latest := slices.MaxFunc(paths, func(a, b scheduling.Path) int { return a.HeardAt.Compare(b.HeardAt) })
+	if now.Sub(latest.HeardAt) < heardRecently {
+		return true
+	}
+
+	checkCtx, cancel := context.WithTimeout(ctx, pathCheckTimeout)
+	defer cancel()
+
+	return f.Pool.Connect(checkCtx, upstream.Server{ID: latest.ID, Address: latest.Address}) == nil
+}
+
 // runDetour runs a request of another instance.
 func (f *Forwarder) runDetour(ctx context.Context, j *job, sink Sink) DetourResult {
 	counted := j.usageCounted
