fix(ratelimit,scheduling): brittle servers are not overrun

Servers that say how many rejections a second they bear (Server-Brittle) fell over again and again as soon as less room was left than was wanted: nothing read the field, each instance found out for itself that a server was full, and each found out anew every 250 ms.

While a server says that it is brittle, each request to it needs a permit of its granter, as with a rate limit, and instances report rejections to the granter. Hardly anything is reserved ahead. What the server does not take goes to others, or waits within its objective, or is rejected with when to return. Instances tell each other; what is known belongs to one start of the server.

--- a/entry/components.go
+++ b/entry/components.go
@@ -202,7 +202,7 @@
 		},
 		retries: newRetryBudgets(s.Bounds),
 		scheduler: &scheduling.Scheduler{
-			Domain: s.FailureDomain, OnLimitChange: logLimitChange, OnBackoff: logBackoff,
+			Domain: s.FailureDomain, OnLimitChange: logLimitChange, OnBackoff: logBackoff, OnBrittleChange: logBrittleChange,
 			Resume: scheduling.DefaultResumePolicy, Counters: scheduling.NewCounters(set),
 		},
 		members:        &board.Members{},
@@ -292,6 +292,7 @@
 		return float64(p.quarantine.QuarantinedCount(p.clock.Now()))
 	})
 	set.NewGauge("monsoonlever_entry_limited_servers", func() float64 { return float64(p.scheduler.LimitedServers()) })
+	set.NewGauge("monsoonlever_entry_brittle_servers", func() float64 { return float64(p.scheduler.BrittleServers()) })
 	set.NewGauge("monsoonlever_entry_leaving_servers", func() float64 { return float64(p.scheduler.LeavingServers()) })
 	set.NewGauge("monsoonlever_entry_backoff_servers", func() float64 {
 		return float64(p.scheduler.BackoffServers(p.clock.Now()))
--- a/entry/permits.go
+++ b/entry/permits.go
@@ -19,6 +19,11 @@
 	klog.InfoS("backend server limits its requests", "server", c.Server, "perSecond", c.After, "before", c.Before)
 }
 
+// logBrittleChange logs that a backend server became brittle, or no longer is.
+func logBrittleChange(c scheduling.BrittleChange) {
+	klog.InfoS("backend server announces how many rejections it bears", "server", c.Server, "perSecond", c.After, "before", c.Before)
+}
+
 // newPermits returns the limiter that requests permits for this instance and responds to requests
 // of others.
 func newPermits(p *components) *ratelimit.Limiter {
--- a/entry/prompts.go
+++ b/entry/prompts.go
@@ -110,6 +110,7 @@
 	cachedSegmentsBytes = 7
 	keyBytes            = 5
 	limitBytes          = 20
+	brittleBytes        = 16
 	// maxSegments bounds the segments of an entry: the first segments are those that prompts
 	// share.
 	maxSegments = 100
@@ -134,6 +135,11 @@
 		s.part.Limits = append(s.part.Limits, l)
 	}
 
+	for _, b := range update.Brittle {
+		s.reserve(brittleBytes)
+		s.part.Brittle = append(s.part.Brittle, b)
+	}
+
 	for _, l := range update.Loads {
 		s.reserve(loadBytes)
 		s.part.Loads = append(s.part.Loads, l)
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -168,6 +168,10 @@
 		assignment.AnnouncedLimit(f.Clock.Now(), *reading.Limit)
 	}
 
+	if reading.MaxRejections != nil {
+		assignment.AnnouncedBrittle(*reading.MaxRejections)
+	}
+
 	if reading.Leaving {
 		assignment.AnnouncedLeaving()
 	}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -78,6 +78,9 @@
 	// Limit is the rate of requests that the server accepts from all instances together,
 	// or nil if it announces none.
 	Limit *ratelimit.Rate
+	// MaxRejections is how many rejections a second the server bears before it falls over, zero
+	// is any number. It is nil if the response does not tell.
+	MaxRejections *int
 }
 
 // Usage counts the started requests of client accounts.
--- a/forward/limit_test.go
+++ b/forward/limit_test.go
@@ -120,3 +120,6 @@
 		t.Errorf("limited servers after it is lifted: got %d, want none", got)
 	}
 }
+
+// Rejected is not used: no server of these tests is brittle.
+func (p *fakePermits) Rejected(register.Process, int) {}
--- a/ratelimit/granter.go
+++ b/ratelimit/granter.go
@@ -61,6 +61,9 @@
 	lastRequest time.Time
 	// viewVersion is the version of the views at the last request.
 	viewVersion uint64
+	// room is what a brittle server has room for, and paced the bucket that spreads its requests.
+	room  room
+	paced bucket
 }
 
 // SetLeaders sets the current leaders.
@@ -117,6 +120,59 @@
 	return Permit{Granted: granted, Wait: wait}
 }
 
+// GrantBrittle is Grant for a server that falls over if it has to reject too many requests in a
+// second, at most maxRejections. rate may be Unlimited.
+func (g *Granter) GrantBrittle(now time.Time, server register.Process, rate Rate, maxRejections int, maxWait time.Duration) Permit {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	share := g.share(now, server)
+	if share == 0 {
+		return Permit{Wait: noGrantRetryDelay}
+	}
+
+	state := g.grantsFor(now, server)
+
+	adapted, pause := state.room.current(now)
+	if pause > 0 {
+		return Permit{Wait: pause}
+	}
+
+	if adapted == 0 || rate != Unlimited && rate < adapted {
+		adapted = rate
+	}
+
+	if adapted != Unlimited {
+		if share < 1 {
+			maxWait = 0
+		}
+
+		// What is reserved ahead is sent even if the server rejects a request meanwhile.
+		ahead := time.Duration(float64(maxRejections) * reservedShare / float64(adapted) * float64(time.Second))
+		wait, granted := state.paced.take(now, float64(adapted)*share, min(maxWait, ahead))
+		if !granted {
+			return Permit{Wait: wait}
+		}
+
+		state.room.granted(now)
+
+		return Permit{Granted: true, Wait: wait}
+	}
+
+	state.room.granted(now)
+
+	return Permit{Granted: true}
+}
+
+// Rejected records that a brittle server, which bears maxRejections a second, rejected a request
+// for lack of room.
+func (g *Granter) Rejected(now time.Time, server register.Process, maxRejections int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	g.grantsFor(now, server).room.rejected(now, maxRejections)
+}
+
 // share returns the share of a server's rate that this instance grants. It grants the full
 // rate only if it ranks first in the current view and in all views that other instances may
 // still use.
@@ -171,7 +227,7 @@
 
 	state := g.grants[server]
 	if state == nil {
-		state = &serverGrants{bucket: bucket{updatedAt: now}}
+		state = &serverGrants{bucket: bucket{updatedAt: now}, paced: bucket{updatedAt: now, paced: true}}
 		g.grants[server] = state
 	}
 
--- a/ratelimit/limiter.go
+++ b/ratelimit/limiter.go
@@ -30,6 +30,10 @@
 	Age  time.Duration
 	// Patience is how long the request can wait.
 	Patience time.Duration
+	// MaxRejections is how many rejections a second a brittle server bears. Rejected reports one
+	// of them, and requests no permit.
+	MaxRejections int
+	Rejected      bool
 }
 
 // PermitResponse is the response to a PermitRequest.
@@ -81,12 +85,13 @@
 
 	for _, granter := range ranked[:min(grantersPerServer, len(ranked))] {
 		if granter == l.Self {
-			return l.Granter.Grant(l.Clock.Now(), server, limit.Rate, maxWait), true
+			return l.grant(server, limit, maxWait), true
 		}
 
 		response, ok := l.requests.Do(ctx, l.Clock, granter, func(number uint64) {
 			l.Send(granter, PermitRequest{
 				From: l.Self, Number: number, Server: server, Rate: limit.Rate, Age: l.Clock.Now().Sub(limit.At), Patience: maxWait,
+				MaxRejections: limit.MaxRejections,
 			})
 		})
 		if ok {
@@ -103,14 +108,45 @@
 	return Permit{Wait: noGrantRetryDelay}, false
 }
 
+// grant grants a request to a server by this instance's own state.
+func (l *Limiter) grant(server register.Process, limit Announcement, maxWait time.Duration) Permit {
+	if limit.MaxRejections > 0 {
+		return l.Granter.GrantBrittle(l.Clock.Now(), server, limit.Rate, limit.MaxRejections, maxWait)
+	}
+
+	return l.Granter.Grant(l.Clock.Now(), server, limit.Rate, maxWait)
+}
+
+// Rejected reports to the granters of a brittle server that it rejected a request for lack of room.
+func (l *Limiter) Rejected(server register.Process, maxRejections int) {
+	ranked := RankLeaders(server, l.Leaders())
+
+	for _, granter := range ranked[:min(grantersPerServer, len(ranked))] {
+		if granter == l.Self {
+			l.Granter.Rejected(l.Clock.Now(), server, maxRejections)
+
+			continue
+		}
+
+		l.Send(granter, PermitRequest{From: l.Self, Server: server, MaxRejections: maxRejections, Rejected: true})
+	}
+}
+
 // HandleRequest handles the permit request of another instance.
 func (l *Limiter) HandleRequest(request PermitRequest) PermitResponse {
+	if request.Rejected {
+		l.Granter.Rejected(l.Clock.Now(), request.Server, max(request.MaxRejections, 1))
+
+		return PermitResponse{Number: request.Number}
+	}
+
 	newest := l.merge(request.Server, request.Rate, request.Age)
 	now := l.Clock.Now()
 	response := PermitResponse{Number: request.Number, Granted: true, Rate: newest.Rate, Age: now.Sub(newest.At)}
 
-	if newest.Rate != Unlimited {
-		permit := l.Granter.Grant(now, request.Server, newest.Rate, min(request.Patience, maxReservation))
+	if newest.Rate != Unlimited || request.MaxRejections > 0 {
+		newest.MaxRejections = request.MaxRejections
+		permit := l.grant(request.Server, newest, min(request.Patience, maxReservation))
 		response.Granted, response.Wait = permit.Granted, permit.Wait
 	}
 
--- a/ratelimit/ratelimit.go
+++ b/ratelimit/ratelimit.go
@@ -9,6 +9,10 @@
 // and a half times the limit. A leader that newly ranks first also grants at that lower
 // rate until all instances can be expected to know the change.
 //
+// A server may also be brittle: it falls over if it has to reject more than a number of requests
+// in a second for lack of room. The granter then adapts the rate of its requests to the
+// rejections that instances report.
+//
 // # Usage
 //
 //	limiter := &ratelimit.Limiter{Self: "entry-1", Clock: clk, Granter: granter, Announcements: store, Leaders: leaders, Send: send}
@@ -42,6 +46,8 @@
 type Announcement struct {
 	Rate Rate
 	At   time.Time
+	// MaxRejections is how many rejections a second a brittle server bears; zero is any number.
+	MaxRejections int
 }
 
 // Observed returns the announcement in force after a response with a rate arrived now to a
--- a/ratelimit/ratelimit_test.go
+++ b/ratelimit/ratelimit_test.go
@@ -16,13 +16,13 @@
 		sent time.Duration
 		want Announcement
 	}{
-		"a stricter limit of an earlier request":    {rate: 1, sent: -latency, want: Announcement{1, now.Add(latency)}},
-		"the same limit of an earlier request":      {rate: 2, sent: -latency, want: Announcement{2, now.Add(latency)}},
+		"a stricter limit of an earlier request":    {rate: 1, sent: -latency, want: Announcement{Rate: 1, At: now.Add(latency)}},
+		"the same limit of an earlier request":      {rate: 2, sent: -latency, want: Announcement{Rate: 2, At: now.Add(latency)}},
 		"a wider limit of an earlier request":       {rate: 3, sent: -latency, want: limited},
 		"no limit in response to an earlier one":    {rate: Unlimited, sent: -latency, want: limited},
 		"no limit in response to one sent together": {rate: Unlimited, want: limited},
-		"a wider limit of a later request":          {rate: 3, sent: time.Millisecond, want: Announcement{3, now.Add(time.Millisecond)}},
-		"no limit in response to a later request":   {rate: Unlimited, sent: time.Millisecond, want: Announcement{Unlimited, now.Add(time.Millisecond)}},
+		"a wider limit of a later request":          {rate: 3, sent: time.Millisecond, want: Announcement{Rate: 3, At: now.Add(time.Millisecond)}},
+		"no limit in response to a later request":   {rate: Unlimited, sent: time.Millisecond, want: Announcement{Rate: Unlimited, At: now.Add(time.Millisecond)}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			if got := limited.Observed(tt.rate, now.Add(tt.sent), now.Add(latency)); got != tt.want {
--- a/scheduling/announcements.go
+++ b/scheduling/announcements.go
@@ -14,6 +14,9 @@
 	// backoff is nil if the server never requested one, or has accepted a request since.
 	backoff atomic.Pointer[backoff]
 
+	// brittle is nil if the server never said that it is brittle.
+	brittle atomic.Pointer[brittleness]
+
 	mu sync.Mutex
 	// limit is nil until the server announces a limit. It is replaced under mu.
 	limit atomic.Pointer[limitState]
--- a/scheduling/assignment.go
+++ b/scheduling/assignment.go
@@ -175,6 +175,7 @@
 		}
 	case Rejected:
 		a.server.avoid(now.Add(fullAvoidance))
+		a.reportRejection()
 	case Cancelled:
 	}
 }
--- /dev/null
+++ b/scheduling/brittle.go
@@ -0,0 +1,108 @@
+package scheduling
+
+import (
+	"math"
+	"time"
+
+	"monsoonlever/ratelimit"
+)
+
+// brittleness is what a server announced of the rejections that it bears.
+type brittleness struct {
+	// maxRejections is the number of rejections a second; zero is any number.
+	maxRejections int
+	// at is when the request was sent whose response said so, or when another instance knew it.
+	at time.Time
+}
+
+// ServerBrittleness is the number of rejections a second that a brittle server bears, as another
+// instance knows it; zero is any number.
+type ServerBrittleness struct {
+	_msgpack      struct{} `msgpack:",as_array"` //nolint:unused // an option of the codec
+	Server        Key
+	MaxRejections uint32
+	// AgeMs is the age of the announcement in milliseconds.
+	AgeMs uint32
+}
+
+// maxRejections returns how many rejections a second the server bears; zero is any number.
+func (s *server) maxRejections() int {
+	if known := s.announcements.brittle.Load(); known != nil {
+		return known.maxRejections
+	}
+
+	return 0
+}
+
+// needsPermit reports whether requests to the server need a permit.
+func (s *server) needsPermit() bool {
+	return s.announcedLimit().Rate != ratelimit.Unlimited || s.maxRejections() > 0
+}
+
+// updateBrittle stores an announcement unless a newer one is known, and reports whether the number
+// changed. Responses may overtake each other.
+func (s *server) updateBrittle(next brittleness) bool {
+	for {
+		known := s.announcements.brittle.Load()
+
+		switch {
+		case known == nil && next.maxRejections == 0, known != nil && !next.at.After(known.at):
+			return false
+		case s.announcements.brittle.CompareAndSwap(known, &next):
+			return known == nil || known.maxRejections != next.maxRejections
+		}
+	}
+}
+
+// AnnouncedBrittle records how many rejections a second the server bears by the response to this
+// attempt; zero is any number.
+func (a *Assignment) AnnouncedBrittle(maxRejections int) {
+	a.scheduler.applyBrittle(a.server, brittleness{maxRejections: maxRejections, at: a.startedAt}, true)
+}
+
+func (s *Scheduler) applyBrittle(srv *server, next brittleness, upstream bool) {
+	before := srv.maxRejections()
+	if !srv.updateBrittle(next) {
+		return
+	}
+
+	if s.OnBrittleChange != nil {
+		s.OnBrittleChange(BrittleChange{Server: srv.entry().Process(), Before: before, After: next.maxRejections})
+	}
+
+	s.outboxes[Downstream].addBrittle(srv)
+
+	if upstream {
+		s.outboxes[Upstream].addBrittle(srv)
+	}
+}
+
+// receiveBrittle applies what another instance knows.
+func (s *Scheduler) receiveBrittle(now time.Time, srv *server, b ServerBrittleness, upstream bool) {
+	at := now.Add(-time.Duration(b.AgeMs) * time.Millisecond)
+	s.applyBrittle(srv, brittleness{maxRejections: int(min(b.MaxRejections, math.MaxInt32)), at: at}, upstream)
+}
+
+func (s *server) brittleUpdate(now time.Time) ServerBrittleness {
+	known := s.announcements.brittle.Load()
+	if known == nil {
+		known = &brittleness{at: now}
+	}
+
+	return ServerBrittleness{
+		Server: s.key, MaxRejections: uint32(known.maxRejections),
+		AgeMs: uint32(min(max(now.Sub(known.at), 0).Milliseconds(), math.MaxUint32)),
+	}
+}
+
+// reportRejection reports a rejection by a brittle server.
+func (a *Assignment) reportRejection() {
+	if n := a.server.maxRejections(); n > 0 && a.scheduler.Permits != nil {
+		a.scheduler.Permits.Rejected(a.Server(), n)
+	}
+}
+
+// BrittleServers returns how many known servers are brittle.
+func (s *Scheduler) BrittleServers() int {
+	return s.countServers(func(srv *server) bool { return !srv.isLeaving() && srv.maxRejections() > 0 })
+}
--- /dev/null
+++ b/scheduling/brittle_test.go
@@ -0,0 +1,74 @@
+package scheduling
+
+import (
+	"testing"
+	"time"
+
+	"monsoonlever/register"
+)
+
+// Guards against brittleness that outlives its server or its announcement, and against responses
+// that overtake each other.
+func TestBrittlenessEndsWithItsAnnouncement(t *testing.T) {
+	entry := register.Server{ID: "i-1", Incarnation: 1, Service: "llm", Address: "127.0.0.1:1"}
+	now := time.Unix(1000, 0)
+	s := &Scheduler{}
+	s.Update([]register.Server{entry})
+
+	attempt := func(at time.Time) *Assignment {
+		a, err := s.Pick(at, Request{Service: "llm"})
+		if err != nil || !a.Start(at) {
+			t.Fatalf("pick: got %v, want the server", err)
+		}
+
+		return a
+	}
+
+	first, second := attempt(now), attempt(now.Add(time.Second))
+
+	first.AnnouncedBrittle(0)
+
+	if got, want := s.BrittleServers(), 0; got != want {
+		t.Errorf("brittle servers at first: got %d, want %d", got, want)
+	}
+
+	second.AnnouncedBrittle(7)
+	first.AnnouncedBrittle(0)
+
+	if got, want := s.servers["i-1"].maxRejections(), 7; got != want {
+		t.Errorf("after a late response to an earlier request: got %d, want %d", got, want)
+	}
+
+	entry.Incarnation = 2
+	s.Update([]register.Server{entry})
+
+	if got, want := s.BrittleServers(), 0; got != want {
+		t.Errorf("brittle servers after its restart: got %d, want %d", got, want)
+	}
+
+	attempt(now.Add(2 * time.Second)).AnnouncedBrittle(7)
+	attempt(now.Add(3 * time.Second)).AnnouncedBrittle(0)
+
+	if got, want := s.BrittleServers(), 0; got != want {
+		t.Errorf("brittle servers after a response without it: got %d, want %d", got, want)
+	}
+}
+
+// Guards against instances that learn of a brittle server only by a request of their own.
+func TestBrittlenessIsToldToOthers(t *testing.T) {
+	now := time.Unix(1000, 0)
+	observer, relay, subscriber := poolOf(1), poolOf(1), poolOf(1)
+
+	a, err := observer.Pick(now, Request{Service: "llm"})
+	if err != nil || !a.Start(now) {
+		t.Fatalf("pick: got %v, want the server", err)
+	}
+
+	a.AnnouncedBrittle(3)
+	relay.ApplyUpdate(now, "observer", Subscriber, observer.TakeUpdate(now, Upstream))
+	subscriber.ApplyUpdate(now, "relay", Relay, relay.TakeUpdate(now, Downstream))
+
+	if got, want := subscriber.servers["s-0"].maxRejections(), 3; got != want {
+		t.Errorf("known at another instance: got %d, want %d", got, want)
+	}
+}
--- a/scheduling/candidates.go
+++ b/scheduling/candidates.go
@@ -4,8 +4,6 @@
 	"math/rand/v2"
 	"slices"
 	"time"
-
-	"monsoonlever/ratelimit"
 )
 
 const (
@@ -62,7 +60,7 @@
 
 // allowed reports whether a request may be sent to the server once it has room.
 func (s *server) allowed(r *Request) bool {
-	if r.onlyUnlimited && s.announcedLimit().Rate != ratelimit.Unlimited {
+	if r.onlyUnlimited && s.needsPermit() {
 		return false
 	}
 
--- a/scheduling/limit.go
+++ b/scheduling/limit.go
@@ -17,11 +17,16 @@
 type Permits interface {
 	// Acquire requests a permit for one request that can wait for at most maxWait.
 	Acquire(ctx context.Context, server register.Process, limit ratelimit.Announcement, maxWait time.Duration) ratelimit.Permit
+	// Rejected reports that a brittle server rejected a request for lack of room.
+	Rejected(server register.Process, maxRejections int)
 }
 
 const (
 	// minRetryAfter keeps refused callers from all retrying for the same next permit.
 	minRetryAfter = 300 * time.Millisecond
+	// brittleRetryDelay is the least delay after which a request that waits for a brittle server
+	// asks for a permit again.
+	brittleRetryDelay = 50 * time.Millisecond
 	// maxPermitRequests bounds how many servers' permits are requested for one request: each
 	// takes a round trip.
 	maxPermitRequests = 3
@@ -30,7 +35,7 @@
 // acquirePermit reports whether the server that was picked may get the request now. A server
 // without a free permit is skipped until it may have one.
 func (s *Scheduler) acquirePermit(ctx context.Context, clk clock.Clock, a *Assignment) bool {
-	if s.Permits == nil || a.server.announcedLimit().Rate == ratelimit.Unlimited {
+	if s.Permits == nil || !a.server.needsPermit() {
 		return true
 	}
 
@@ -40,7 +45,10 @@
 // requestPermit requests a permit and, if it is refused, records until when the server has no
 // room. A refusal after ctx ended is not recorded, since it may stem from the cancellation.
 func (s *Scheduler) requestPermit(ctx context.Context, clk clock.Clock, srv *server, maxWait time.Duration) ratelimit.Permit {
-	permit := s.Permits.Acquire(ctx, srv.entry().Process(), srv.announcedLimit(), max(maxWait, 0))
+	limit := srv.announcedLimit()
+	limit.MaxRejections = srv.maxRejections()
+
+	permit := s.Permits.Acquire(ctx, srv.entry().Process(), limit, max(maxWait, 0))
 	if !permit.Granted && ctx.Err() == nil {
 		srv.markFull(clk.Now().Add(permit.Wait))
 	}
@@ -85,6 +93,13 @@
 		if ctx.Err() != nil {
 			return nil, ctx.Err()
 		}
+
+		if wait := brittleRetryDelay + rand.N(brittleRetryDelay); srv.maxRejections() > 0 && !clk.Now().Add(wait).After(r.WaitUntil) {
+			// Little is reserved ahead at a brittle server, so that the request asks again.
+			clock.Sleep(ctx, clk, wait)
+
+			return nil, ctx.Err()
+		}
 	}
 
 	return nil, &NoRoomError{RetryAfter: retryAfter(clk.Now(), blocked)}
@@ -94,7 +109,7 @@
 // that they announced, in the order in which they may have room.
 func (s *Scheduler) blockedServers(now time.Time, r *Request) []*server {
 	blocked := s.serversFor(r, func(srv *server) bool {
-		limited := s.Permits != nil && srv.announcedLimit().Rate != ratelimit.Unlimited
+		limited := s.Permits != nil && srv.needsPermit()
 
 		return srv.allowed(r) && (limited || srv.announcements.backoff.Load().blocks(now, r))
 	})
@@ -177,6 +192,13 @@
 	Before, After ratelimit.Rate
 }
 
+// BrittleChange reports that a server announced another number of rejections a second that it
+// bears; zero is any number.
+type BrittleChange struct {
+	Server        register.Process
+	Before, After int
+}
+
 // AnnouncedLimit records the limit that an answer to this attempt announced. A rate of
 // ratelimit.Unlimited means that the server has no limit.
 func (a *Assignment) AnnouncedLimit(now time.Time, rate ratelimit.Rate) {
@@ -288,7 +310,7 @@
 	defer s.announcements.mu.Unlock()
 
 	known := s.limitState()
-	if known.announcement.Rate != ratelimit.Unlimited {
+	if known.announcement.Rate != ratelimit.Unlimited || s.maxRejections() > 0 {
 		known.fullUntil = until
 		s.announcements.limit.Store(&known)
 	}
--- a/scheduling/limit_test.go
+++ b/scheduling/limit_test.go
@@ -269,3 +269,6 @@
 		t.Errorf("limited servers after a restart: got %d, want none", got)
 	}
 }
+
+// Rejected is not used: no server of these tests is brittle.
+func (p *scriptedPermits) Rejected(register.Process, int) {}
--- a/scheduling/scheduling.go
+++ b/scheduling/scheduling.go
@@ -100,6 +100,9 @@
 	Permits Permits
 	// OnLimitChange is called when a server announces a different limit; it may be nil.
 	OnLimitChange func(LimitChange)
+	// OnBrittleChange is called when a server announces another number of rejections that it
+	// bears; it may be nil.
+	OnBrittleChange func(BrittleChange)
 	// OnLeaving is called once for each server process, when it first announces in an answer
 	// that it leaves. OnBackoff is called when a server that is not in backoff requests one.
 	// Both may be nil.
--- a/scheduling/updates.go
+++ b/scheduling/updates.go
@@ -29,12 +29,14 @@
 	Ended []Key
 	// Limits are the request limits that servers announced.
 	Limits []ServerLimit
+	// Brittle are servers that fall over if they have to reject too many requests.
+	Brittle []ServerBrittleness
 }
 
 // Empty reports whether the update holds nothing.
 func (u ServerUpdate) Empty() bool {
 	return len(u.Backlogs) == 0 && len(u.Holdings) == 0 && len(u.Loads) == 0 && len(u.Ended) == 0 &&
-		len(u.Limits) == 0
+		len(u.Limits) == 0 && len(u.Brittle) == 0
 }
 
 // Audience is the group of instances that an update is sent to.
@@ -126,6 +128,7 @@
 	loads      map[*server]bool
 	terminated map[*server]bool
 	limits     map[*server]bool
+	brittle    map[*server]bool
 	segments   []CachedSegments
 	// wake is sent when an update should be sent soon.
 	wake feed.Signal
@@ -194,10 +197,24 @@
 	}
 }
 
+// addBrittle queues that a server is brittle, or no longer is.
+func (o *outbox) addBrittle(s *server) {
+	o.mu.Lock()
+
+	if o.brittle == nil {
+		o.brittle = make(map[*server]bool)
+	}
+
+	o.brittle[s] = true
+
+	o.mu.Unlock()
+	o.wake.Send()
+}
+
 // outboxContent is the content of an outbox.
 type outboxContent struct {
-	backlogs, loads, terminated, limits []*server
-	segments                            []CachedSegments
+	backlogs, loads, terminated, limits, brittle []*server
+	segments                                     []CachedSegments
 }
 
 // take empties the outbox and returns its content.
@@ -207,13 +224,15 @@
 
 	content := outboxContent{
 		backlogs: slices.Collect(maps.Keys(o.backlogs)), loads: slices.Collect(maps.Keys(o.loads)),
-		terminated: slices.Collect(maps.Keys(o.terminated)), limits: slices.Collect(maps.Keys(o.limits)), segments: o.segments,
+		terminated: slices.Collect(maps.Keys(o.terminated)), limits: slices.Collect(maps.Keys(o.limits)),
+		brittle: slices.Collect(maps.Keys(o.brittle)), segments: o.segments,
 	}
 
 	clear(o.backlogs)
 	clear(o.loads)
 	clear(o.terminated)
 	clear(o.limits)
+	clear(o.brittle)
 
 	o.segments = nil
 
@@ -233,6 +252,10 @@
 		update.Limits = append(update.Limits, srv.limitUpdate(now))
 	}
 
+	for _, srv := range content.brittle {
+		update.Brittle = append(update.Brittle, srv.brittleUpdate(now))
+	}
+
 	for _, srv := range content.backlogs {
 		update.Backlogs = append(update.Backlogs, Backlog{Server: srv.key, Tokens: clampTokens(srv.backlogFor(now, to, s.isRelay.Load()))})
 	}
@@ -296,6 +319,16 @@
 			s.publishLoad(srv, role == Subscriber)
 		}
 	}
+
+	s.applyBrittleUpdates(now, *byKey, role, update.Brittle)
+}
+
+func (s *Scheduler) applyBrittleUpdates(now time.Time, byKey map[Key]*server, role SenderRole, updates []ServerBrittleness) {
+	for _, b := range updates {
+		if srv := byKey[b.Server]; srv != nil {
+			s.receiveBrittle(now, srv, b, role == Subscriber)
+		}
+	}
 }
 
 // publishBacklog queues the backlog of a server, and segments that the server has cached, for
