fix(upstream): one time decides when a silent connection fails

Keep-alive was set up to give up after four seconds, and TCP_USER_TIMEOUT after three; the latter decides for both, whatever the number of probes. Callers saw nothing of it: both are longer than the silence of a sound server and within what a cut may take. The settings now name one time.

Looked at elsewhere: connections that are accepted (callers, feeds, detours) and those between instances of the product's own interface set no user timeout, so that their probes decide; the store, the cloud API, feeds and detours dial with this one.

--- a/upstream/dialer.go
+++ b/upstream/dialer.go
@@ -9,12 +9,14 @@
 )
 
 const (
-	// unackedTimeout is how long sent bytes may stay unacknowledged before the connection
-	// fails: a peer behind a network cut sends no reset.
-	unackedTimeout = 3 * time.Second
-	// keepAliveInterval and keepAliveProbes detect a dead connection that only receives.
+	// silenceTimeout is how long sent bytes, or keep-alive probes, may stay unacknowledged before a
+	// connection fails: a peer behind a network cut sends no reset. It decides for both, whatever
+	// the number of probes, and lets a sound peer be silent for a second or so.
+	silenceTimeout = 3 * time.Second
+	// keepAliveInterval is the time without traffic until the first probe and between two probes.
 	keepAliveInterval = time.Second
-	keepAliveProbes   = 3
+	// keepAliveProbes make the probes alone give up after silenceTimeout.
+	keepAliveProbes = int(silenceTimeout/keepAliveInterval) - 1
 )
 
 // Dialer returns a TCP dialer with the given dial timeout. Its connections fail within
@@ -28,12 +30,12 @@
 }
 
 // setUnackedTimeout sets the socket option by which the kernel closes a connection whose
-// peer acknowledges nothing for unackedTimeout.
+// peer acknowledges nothing for silenceTimeout.
 func setUnackedTimeout(_, _ string, raw syscall.RawConn) error {
 	var optionErr error
 
 	err := raw.Control(func(fd uintptr) {
-		optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
+		optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silenceTimeout.Milliseconds()))
 	})
 	if err != nil {
 		return err
