--- a/detour/client.go
+++ b/detour/client.go
@@ -22,9 +22,12 @@
 const (
 	// maxOffers bounds the instances to which a request is offered.
 	maxOffers = 4
-	// offerTimeout bounds the time from the dial of a helping instance to its reply to an offer:
-	// about ten round trips across failure domains and a moment without the processor.
-	offerTimeout = 150 * time.Millisecond
+	// offerTimeout bounds the time from the dial of a helping instance to its reply to an offer,
+	// beside the time to transfer the body: some round trips across failure domains, the helping
+	// instance's look for a path and a moment without the processor.
+	offerTimeout = 250 * time.Millisecond
+	// transferTime is the time for each byte of a body on a small link.
+	transferTime = time.Microsecond
 	// readBuffer is the size in bytes of a connection's read buffer.
 	readBuffer = 4 << 10
 )
@@ -98,7 +101,7 @@
 
 // offer connects to an instance and returns once it is ready to serve the request.
 func (c *Client) offer(ctx context.Context, address netip.AddrPort, r forward.DetourRequest) (*connection, error) {
-	offerCtx, cancel := context.WithTimeout(ctx, offerTimeout)
+	offerCtx, cancel := context.WithTimeout(ctx, offerTimeout+time.Duration(len(r.Request.Body))*transferTime)
 	defer cancel()
 
 	dialled, err := c.Dialer.DialContext(offerCtx, "tcp4", address.String())
--- a/detour/detour_test.go
+++ b/detour/detour_test.go
@@ -247,3 +247,52 @@
 		t.Error("500 ms after the caller left: the request still runs, want it cancelled")
 	}
 }
+
+// Guards against the memory that requests of other instances take: those beyond the bound are
+// declined, and counted no more once they have ended.
+func TestServedRequestsAreBounded(t *testing.T) {
+	release := make(chan struct{})
+	h := startHelping(t, func(_ context.Context, sink forward.Sink) forward.DetourResult {
+		<-release
+		_ = sink.WriteResponse(http.StatusOK, nil, nil)
+
+		return forward.DetourResult{}
+	})
+
+	var (
+		group  sync.WaitGroup
+		mu     sync.Mutex
+		served int
+	)
+
+	for range maxServed + 20 {
+		group.Go(func() {
+			c := clientOf(h.listener.Addr().String())
+			if _, err := c.Serve(context.Background(), requestNow(c), &recorder{}); err == nil {
+				mu.Lock()
+				defer mu.Unlock()
+
+				served++
+			}
+		})
+	}
+
+	for deadline := time.Now().Add(5 * time.Second); h.runs() < maxServed && time.Now().Before(deadline); {
+		time.Sleep(5 * time.Millisecond)
+	}
+
+	close(release)
+	group.Wait()
+
+	if served > maxServed || served == 0 {
+		t.Errorf("served at a time: got %d, want some and at most %d", served, maxServed)
+	}
+
+	for deadline := time.Now().Add(2 * time.Second); h.Served() > 0 && time.Now().Before(deadline); {
+		time.Sleep(5 * time.Millisecond)
+	}
+
+	if got, want := h.Served(), 0; got != want {
+		t.Errorf("served afterwards: got %d, want %d", got, want)
+	}
+}
--- a/detour/message.go
+++ b/detour/message.go
@@ -34,25 +34,40 @@
 	return err
 }
 
-// readMessage reads a message. Memory grows with the bytes that arrive, whatever length is
-// declared.
+// readMessage reads a message.
 func readMessage(r io.Reader, into any) error {
+	length, err := readLength(r)
+	if err != nil {
+		return err
+	}
+
+	return readBody(r, length, into)
+}
+
+// readLength reads the length of a message in bytes.
+func readLength(r io.Reader) (int64, error) {
 	var header [lengthBytes]byte
 	if _, err := io.ReadFull(r, header[:]); err != nil {
-		return err
+		return 0, err
 	}
 
 	length := binary.BigEndian.Uint32(header[:])
 	if length > maxMessageBytes {
-		return merry.Prependf(ErrFrame, "%d bytes", length)
+		return 0, merry.Prependf(ErrFrame, "%d bytes", length)
 	}
 
-	data, err := io.ReadAll(io.LimitReader(r, int64(length)))
+	return int64(length), nil
+}
+
+// readBody reads a message after its length. Memory grows with the bytes that arrive, whatever
+// length is declared.
+func readBody(r io.Reader, length int64, into any) error {
+	data, err := io.ReadAll(io.LimitReader(r, length))
 	if err != nil {
 		return err
 	}
 
-	if len(data) < int(length) {
+	if int64(len(data)) < length {
 		return io.ErrUnexpectedEOF
 	}
 
--- a/detour/server.go
+++ b/detour/server.go
@@ -18,9 +18,10 @@
 )
 
 const (
-	// maxServed bounds the requests of other instances that this one serves at a time, by which
-	// it keeps its memory for its own callers.
-	maxServed = 128
+	// maxServed and maxServedBytes bound the requests of other instances that this one serves at a
+	// time, and their size, by which it keeps its memory for its own callers.
+	maxServed      = 128
+	maxServedBytes = 32 << 20
 	// confirmTimeout bounds the time until an offer that was taken is confirmed.
 	confirmTimeout = time.Second
 )
@@ -32,7 +33,7 @@
 	// not serve it.
 	Prepare func(context.Context, forward.DetourRequest) (func(context.Context, forward.Sink) forward.DetourResult, *forward.Refusal)
 
-	served atomic.Int64
+	served, servedBytes atomic.Int64
 }
 
 // Handle serves the one request of a connection whose preface was read, and closes the connection.
@@ -43,21 +44,28 @@
 		return
 	}
 
-	var o offer
-	if err := readMessage(reader, &o); err != nil {
+	length, err := readLength(reader)
+	if err != nil {
 		klog.V(1).InfoS("offer of another instance could not be read", "err", err.Error())
 
 		return
 	}
 
-	if s.served.Add(1); s.served.Load() > maxServed {
-		s.served.Add(-1)
+	defer s.served.Add(-1)
+	defer s.servedBytes.Add(-length)
+
+	if served, bytes := s.served.Add(1), s.servedBytes.Add(length); served > maxServed || bytes > maxServedBytes {
 		s.decline(conn, &forward.Refusal{Reason: forward.Overloaded, NotRun: true, Cause: "serves too many requests of other instances"})
 
 		return
 	}
 
-	defer s.served.Add(-1)
+	var o offer
+	if err := readBody(reader, length, &o); err != nil {
+		klog.V(1).InfoS("offer of another instance could not be read", "err", err.Error())
+
+		return
+	}
 
 	run, refusal := s.Prepare(ctx, s.decode(&o))
 	if refusal != nil {
--- a/forward/detour.go
+++ b/forward/detour.go
@@ -13,6 +13,7 @@
 	"monsoonlever/backend"
 	"monsoonlever/fleet"
 	"monsoonlever/quarantine"
+	"monsoonlever/ruleset"
 	"monsoonlever/scheduling"
 	"monsoonlever/upstream"
 )
@@ -98,7 +99,7 @@
 		j.sent++
 		j.mayHaveRun = true
 
-		if ctx.Err() == nil && !errors.Is(err, upstream.ErrGarbled) {
+		if ctx.Err() == nil && !errors.Is(err, upstream.ErrGarbled) && j.route.Kind != ruleset.Safe {
 			// The other instance may still work on the request.
 			return &detourError{refusal: Refusal{Reason: j.lossReason(), Cause: err.Error()}}
 		}
