fix(upstream,pathprobe): a path that accepts connections and resets them is lost

Where something on the path accepts connections and then resets them, each request was lost: the dial succeeded, so that nothing showed the cut, and a call that may not be repeated was answered 502.

A connection that ends without any response has its server checked; a check looks at the new connection for 20 ms. The case afterAccept of TestPartitionedInstancesServeCallers failed before (168 of 168 first attempts not served) and passes.

--- a/entry/components.go
+++ b/entry/components.go
@@ -237,6 +237,7 @@
 	}
 	p.detours = &detour.Server{Clock: e.Clock, Prepare: p.forwarder.PrepareDetour}
 	p.prober = p.newProber()
+	p.scheduler.OnPathSuspect = p.prober.Check
 	p.handler = &platform.Handler{Clock: e.Clock, Serve: p.serve, BodyBytes: p.maxBodyBytes}
 	p.board = &board.Board{
 		Log: p.store.Board(), Clock: e.Clock, Interval: p.boardWriteInterval, MinInterval: p.minBoardWriteInterval, ReadInterval: p.boardReadInterval,
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -63,6 +63,10 @@
 
 	response, err := f.Pool.Send(ctx, server, j.upstreamRequest(assignment))
 	if err != nil {
+		if errors.Is(err, upstream.ErrGarbled) && ctx.Err() == nil {
+			assignment.ConnectionLost(f.Clock.Now())
+		}
+
 		f.endAttempt(ctx, j, assignment, err)
 		f.recordLoss(ctx, j, assignment, false, err)
 
--- a/pathprobe/pathprobe.go
+++ b/pathprobe/pathprobe.go
@@ -18,6 +18,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -60,6 +62,8 @@
 	mu   sync.Mutex
 	// policy is guarded by mu.
 	policy Policy
+	// asked are the servers to check, guarded by mu.
+	asked map[fleet.InstanceID]scheduling.Path
 	// checkedAt is when each silent server was last checked. Only watch uses it.
 	checkedAt map[fleet.InstanceID]time.Time
 }
@@ -72,6 +76,29 @@
 	p.wake.Send()
 }
 
+// Check has a server checked whose connection ended without a response.
+func (p *Prober) Check(path scheduling.Path) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	if p.asked == nil {
+		p.asked = make(map[fleet.InstanceID]scheduling.Path)
+	}
+
+	p.asked[path.ID] = path
+}
+
+// takeAsked returns the servers that Check was called for.
+func (p *Prober) takeAsked() []scheduling.Path {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	asked := slices.Collect(maps.Values(p.asked))
+	clear(p.asked)
+
+	return asked
+}
+
 // Run dials until ctx ends.
 func (p *Prober) Run(ctx context.Context) {
 	var group conc.WaitGroup
@@ -168,7 +195,7 @@
 	}
 }
 
-// dueChecks returns the silent servers that were not checked within silentCheckInterval.
+// dueChecks returns the servers to check that were not checked within silentCheckInterval.
 func (p *Prober) dueChecks(now time.Time) []scheduling.Path {
 	if p.checkedAt == nil {
 		p.checkedAt = make(map[fleet.InstanceID]time.Time)
@@ -182,7 +209,7 @@
 
 	var due []scheduling.Path
 
-	for _, path := range p.Silent(now) {
+	for _, path := range append(p.takeAsked(), p.Silent(now)...) {
 		if _, checked := p.checkedAt[path.ID]; !checked {
 			p.checkedAt[path.ID] = now
 			due = append(due, path)
--- a/scheduling/path.go
+++ b/scheduling/path.go
@@ -139,6 +139,14 @@
 	return s.path.refused
 }
 
+// ConnectionLost records that the connection ended without any response. The server may have
+// terminated, or the path may be cut.
+func (a *Assignment) ConnectionLost(now time.Time) {
+	if suspect := a.scheduler.OnPathSuspect; suspect != nil && !a.server.pathLost(now) {
+		suspect(a.server.pathState(now))
+	}
+}
+
 // Heard records that something was received from the server.
 func (a *Assignment) Heard(now time.Time) {
 	a.scheduler.pathReached(now, a.server, a.startedAt)
--- a/scheduling/scheduling.go
+++ b/scheduling/scheduling.go
@@ -111,6 +111,9 @@
 	// OnPathChange is called when this instance loses its network path to a server, and when it
 	// has it again; it may be nil.
 	OnPathChange func(PathChange)
+	// OnPathSuspect is called when a connection to a server ended without any response; it may be
+	// nil.
+	OnPathSuspect func(Path)
 	// Resume is the policy for sending requests to a server again after its backoff.
 	Resume ResumePolicy
 	// Counters may be nil.
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -208,8 +208,12 @@
 	return conn.interrupted
 }
 
-// Connect dials a new connection to a server and keeps it for a request. Its errors wrap
-// backend.ErrNotSent.
+// settleTime is how long a new connection is looked at: something on the path may accept
+// connections and reset them.
+const settleTime = 20 * time.Millisecond
+
+// Connect dials a new connection to a server and keeps it for a request if it stays open. Its
+// errors wrap backend.ErrNotSent.
 func (p *Pool) Connect(ctx context.Context, s Server) error {
 	conn, err := p.reserveNew(s.ID)
 	if err != nil {
@@ -220,6 +224,14 @@
 		return err
 	}
 
+	clock.Sleep(ctx, p.Clock, settleTime)
+
+	if !conn.alive() {
+		p.closeConnection(conn)
+
+		return merry.Prependf(backend.ErrNotSent, "dial %s: closed after it was accepted", s.Address)
+	}
+
 	p.putIdle(conn, defaultIdleTimeout)
 
 	return nil
