fix(scheduling,pathprobe): an open connection shows no path; paths are checked at a start

Only a new connection shows a path now. TestOpenConnectionShowsNoPath failed before.

It now dials one server of each service as soon as it knows them.

The soak cuts paths by proxies that tell instances apart by their source address, for which there is a setting: resets, resets of new connections only, bytes held back in both directions or from servers.

--- a/entry/components.go
+++ b/entry/components.go
@@ -228,7 +228,7 @@
 	p.permits = newPermits(p)
 	p.scheduler.Permits = p.permits
 	p.rollouts = newRollouts(p)
-	p.pool = &upstream.Pool{Clock: e.Clock, Counters: upstream.NewCounters(set), Dial: e.DialServer}
+	p.pool = &upstream.Pool{Clock: e.Clock, Counters: upstream.NewCounters(set), Source: net.ParseIP(s.Source), Dial: e.DialServer}
 	p.forwarder = &forward.Forwarder{
 		Clock: e.Clock, Rules: &p.rules, Currency: p.rulesCurrency, Limits: p.loans, Retries: p.retries,
 		Scheduler: p.scheduler, Pool: p.pool, Protocol: platform.Protocol{Fields: &p.unknownFields}, Usage: p.counter,
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -164,6 +164,10 @@
 	reading := f.Protocol.Inspect(response.Status(), response.Header())
 	assignment.Heard(f.Clock.Now())
 
+	if response.OnNewConnection() {
+		assignment.Connected(f.Clock.Now())
+	}
+
 	if reading.Load != nil {
 		f.Scheduler.RecordLoad(f.Clock.Now(), assignment.ID(), *reading.Load)
 	}
--- a/pathprobe/pathprobe.go
+++ b/pathprobe/pathprobe.go
@@ -19,6 +19,7 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -104,6 +105,7 @@
 	var group conc.WaitGroup
 	defer group.Wait()
 
+	group.Go(func() { p.verify(ctx) })
 	group.Go(func() { p.watch(ctx) })
 
 	for ctx.Err() == nil {
@@ -182,6 +184,39 @@
 	p.policy.Done(now, service, targets, failed, paths)
 }
 
+// verify dials one server of each service as soon as servers are known: an instance may start while
+// its paths are cut, and the connection serves the first request otherwise.
+func (p *Prober) verify(ctx context.Context) {
+	var group conc.WaitGroup
+	defer group.Wait()
+
+	for ; ctx.Err() == nil; clock.Sleep(ctx, p.Clock, tickInterval) {
+		paths := p.Paths(p.Clock.Now())
+		if len(paths) == 0 {
+			continue
+		}
+
+		for _, known := range paths {
+			group.Go(func() {
+				// Record has the result.
+				_ = p.check(ctx, known[rand.IntN(len(known))])
+			})
+		}
+
+		return
+	}
+}
+
+// check dials a server and returns the error.
+func (p *Prober) check(ctx context.Context, path scheduling.Path) error {
+	err := p.Dial(ctx, path)
+	if ctx.Err() == nil {
+		p.Record(path, err)
+	}
+
+	return err
+}
+
 // watch checks the paths to silent servers until ctx ends. A request on an open connection does not
 // show that its path is lost.
 func (p *Prober) watch(ctx context.Context) {
@@ -221,14 +256,7 @@
 
 // checkSilent dials a silent server.
 func (p *Prober) checkSilent(ctx context.Context, path scheduling.Path) {
-	err := p.Dial(ctx, path)
-	if ctx.Err() != nil {
-		return
-	}
-
-	p.Record(path, err)
-
-	if err != nil {
+	if err := p.check(ctx, path); err != nil && ctx.Err() == nil {
 		p.SilentFailed(path, err)
 	}
 }
--- a/scheduling/path.go
+++ b/scheduling/path.go
@@ -71,10 +71,9 @@
 	return !known
 }
 
-// markReached records that the server was reached, by a connection or a response to a request that
-// was sent at the given time, and returns for how long the path was lost
-// before, or zero if it wasn't.
-func (s *server) markReached(now, sentAt time.Time) time.Duration {
+// markHeard records that something was received in response to a request that was sent at the given
+// time.
+func (s *server) markHeard(now, sentAt time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
@@ -84,7 +83,15 @@
 		// The process runs, whatever an instance that can't reach it has said.
 		s.terminatedAt, s.avoidUntil = time.Time{}, time.Time{}
 	}
+}
 
+// markReached records that a connection was opened, and returns for how long the path was lost
+// before, or zero if it wasn't.
+func (s *server) markReached(now time.Time) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.path.heardAt = now
 	if s.path.lostAt.IsZero() {
 		return 0
 	}
@@ -147,10 +154,12 @@
 	}
 }
 
-// Heard records that something was received from the server.
-func (a *Assignment) Heard(now time.Time) {
-	a.scheduler.pathReached(now, a.server, a.startedAt)
-}
+// Heard records that something was received from the server. It does not show that there is a path
+// again: open connections may live on while new ones fail.
+func (a *Assignment) Heard(now time.Time) { a.server.markHeard(now, a.startedAt) }
+
+// Connected records that a connection to the server was opened for this attempt.
+func (a *Assignment) Connected(now time.Time) { a.scheduler.pathReached(now, a.server) }
 
 // MostPathsLost reports whether this instance has lost its paths to most servers other than that
 // of the assignment.
@@ -248,7 +257,7 @@
 	switch {
 	case srv == nil || srv.entry().Address != address:
 	case reached:
-		s.pathReached(now, srv, now)
+		s.pathReached(now, srv)
 	default:
 		s.pathFailed(now, srv, refused)
 	}
@@ -330,10 +339,9 @@
 	return s.path.heardAt.After(at)
 }
 
-// pathReached records that a server was reached, by a connection or by a response to a request that
-// was sent at the given time.
-func (s *Scheduler) pathReached(now time.Time, srv *server, sentAt time.Time) {
-	lost := srv.markReached(now, sentAt)
+// pathReached records that a connection to a server was opened.
+func (s *Scheduler) pathReached(now time.Time, srv *server) {
+	lost := srv.markReached(now)
 	if lost > 0 && s.OnPathChange != nil {
 		s.OnPathChange(PathChange{Server: srv.entry().Process(), Service: srv.entry().Service, After: lost})
 	}
--- a/scheduling/path_test.go
+++ b/scheduling/path_test.go
@@ -25,6 +25,11 @@
 
 		a.Start(now)
 		now = now.Add(time.Second)
+
+		if result == Served {
+			a.Connected(now)
+		}
+
 		a.End(now, result)
 	}
 
@@ -90,3 +95,36 @@
 		}
 	}
 }
+
+// Guards against requests for which new connections are opened in vain because an open connection
+// lives on.
+func TestOpenConnectionShowsNoPath(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := poolOf(1)
+
+	attempts := make([]*Assignment, 0, 2)
+
+	for range 2 {
+		a, err := s.Pick(now, Request{Service: "llm"})
+		if err != nil || !a.Start(now) {
+			t.Fatalf("pick: got %v, want the server", err)
+		}
+
+		attempts = append(attempts, a)
+	}
+
+	attempts[0].End(now.Add(time.Millisecond), Unreachable)
+	now = now.Add(2 * time.Millisecond)
+	attempts[1].Heard(now)
+	attempts[1].End(now, Served)
+
+	if got, want := attempts[1].PathLost(now), true; got != want {
+		t.Errorf("path lost while an open connection lives on: got %v, want %v", got, want)
+	}
+
+	attempts[1].Connected(now)
+
+	if got, want := attempts[1].PathLost(now), false; got != want {
+		t.Errorf("path lost after a new connection: got %v, want %v", got, want)
+	}
+}
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -14,6 +14,9 @@
 	FailureDomain fleet.FailureDomain `json:"failureDomain"`
 	Region        fleet.Region        `json:"region"`
 	Listen        EntryListen         `json:"listen"`
+	// Source is the local IP address of connections to backend servers. If it is empty, the
+	// system chooses one.
+	Source string `json:"source"`
 	// Store is the IP:port of the platform's store, and Cloud that of its cloud API, which
 	// is required if there are duties.
 	Store string `json:"store"`
@@ -156,6 +159,10 @@
 	c.dialAddress("listen.peers", s.Listen.Peers)
 	c.dialAddress("store", s.Store)
 
+	if s.Source != "" && !isIP(s.Source) {
+		c.report("source", "must be an IP number, not %q", s.Source)
+	}
+
 	if len(s.Duties) > 0 {
 		c.dialAddress("cloud", s.Cloud)
 	}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -44,6 +44,8 @@
 	DialTimeout time.Duration
 	// Counters may be nil.
 	Counters *Counters
+	// Source is the local address of connections; nil lets the system choose it.
+	Source net.IP
 	// Dial opens a connection until its context ends; nil selects Dialer over IPv4.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 
@@ -430,7 +432,12 @@
 		return p.Dial(ctx, address)
 	}
 
-	return Dialer(timeout).DialContext(ctx, "tcp4", address)
+	dialer := Dialer(timeout)
+	if p.Source != nil {
+		dialer.LocalAddr = &net.TCPAddr{IP: p.Source}
+	}
+
+	return dialer.DialContext(ctx, "tcp4", address)
 }
 
 // putIdle keeps a connection for further requests until it has been idle for the given
--- a/upstream/send.go
+++ b/upstream/send.go
@@ -54,7 +54,7 @@
 		}
 	}
 
-	resp := &Response{pool: p, conn: conn}
+	resp := &Response{pool: p, conn: conn, newConnection: !conn.kept}
 	resp.stop = context.AfterFunc(ctx, func() { _ = conn.Close() })
 
 	if r.Repeatable {
@@ -91,6 +91,8 @@
 	response *http.Response
 	// written is set once the whole request was written to the connection.
 	written atomic.Bool
+	// newConnection is set if the connection has carried no request before.
+	newConnection bool
 	// bodyRead is set once the body was read to its end.
 	bodyRead bool
 	once     sync.Once
@@ -160,6 +162,9 @@
 	return nil
 }
 
+// OnNewConnection reports whether the connection was opened for this request.
+func (resp *Response) OnNewConnection() bool { return resp.newConnection }
+
 // Status returns the status code.
 func (resp *Response) Status() int { return resp.response.StatusCode }
 
