fix(forward,upstream): helping instances are not refused for a full pool of connections

Of 40 instances, callers of a partitioned failure domain were rejected (19 of 96 first attempts): instances that could help opened a connection to show that they have a path, at the limit of two connections to a server that each of many instances has, and took the limit for a lost path.

The oldest idle connection now makes room, and a pool whose connections all carry requests shows no loss. The case of 40 instances and a whole domain of TestPartitionedInstancesServeCallers failed before (19 of 96) and passes. Offers that are not taken are logged with their cause.

--- a/detour/client.go
+++ b/detour/client.go
@@ -12,6 +12,7 @@
 
 	"github.com/ansel1/merry/v2"
 	"golang.org/x/sys/unix"
+	"k8s.io/klog/v2"
 
 	"monsoonlever/clock"
 	"monsoonlever/fleet"
@@ -70,6 +71,7 @@
 		if err != nil {
 			c.Helpers.release(c.Clock.Now(), helper.ID, r.Service, ctx.Err() == nil)
 			c.Counters.declined()
+			klog.InfoS("another instance did not take a request", "id", r.Request.ID, "service", r.Service, "instance", helper.ID, "cause", err.Error())
 
 			last = merry.Prependf(err, "offer to %s", helper.ID)
 
--- a/forward/detour.go
+++ b/forward/detour.go
@@ -267,7 +267,10 @@
 	checkCtx, cancel := context.WithTimeout(ctx, pathCheckTimeout)
 	defer cancel()
 
-	return f.Pool.Connect(checkCtx, upstream.Server{ID: latest.ID, Address: latest.Address}) == nil
+	err := f.Pool.Connect(checkCtx, upstream.Server{ID: latest.ID, Address: latest.Address})
+
+	// At the limit all connections carry requests, none of which shows that they are lost.
+	return err == nil || errors.Is(err, upstream.ErrConnectionLimit)
 }
 
 // runDetour runs a request of another instance.
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -244,14 +244,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
-	c := p.connectionsOf(id)
-	if c.limit > 0 && c.open >= c.limit {
-		return nil, merry.Prepend(backend.ErrNotSent, "reserve a connection", merry.WithCause(ErrConnectionLimit))
-	}
-
-	c.open++
-
-	return &connection{owner: c}, nil
+	return p.connectionsOf(id).add()
 }
 
 // removeServer closes the idle connections to a server and removes it from the pool. It
@@ -347,12 +340,18 @@
 		}
 	}
 
+	return c.add()
+}
+
+// add returns a new connection, counted as open, that the caller has to dial. At the limit the
+// oldest idle connection is closed to make room; without one the error wraps ErrConnectionLimit.
+// Pool.mu is held.
+func (c *serverConnections) add() (*connection, error) {
 	if c.limit > 0 && c.open >= c.limit {
 		if len(c.idle) == 0 {
 			return nil, merry.Prepend(backend.ErrNotSent, "reserve a connection", merry.WithCause(ErrConnectionLimit))
 		}
 
-		// The oldest idle connection is closed to make room for a fresh one.
 		_ = c.idle[0].Close()
 		c.idle = c.idle[1:]
 		c.open--
