fix(pathprobe): a server is checked after each lost connection

It had been checked a moment before its path was cut, and was not checked again for a second. TestServerIsCheckedAgainAfterEachLostConnection failed before.

--- a/pathprobe/pathprobe.go
+++ b/pathprobe/pathprobe.go
@@ -230,27 +230,27 @@
 	}
 }
 
-// dueChecks returns the servers to check that were not checked within silentCheckInterval.
+// dueChecks returns the servers to check. One that is only silent is checked once in
+// silentCheckInterval, one whose connection ended without a response as soon as it is known.
 func (p *Prober) dueChecks(now time.Time) []scheduling.Path {
 	if p.checkedAt == nil {
 		p.checkedAt = make(map[fleet.InstanceID]time.Time)
 	}
 
-	for id, at := range p.checkedAt {
-		if now.Sub(at) >= silentCheckInterval {
-			delete(p.checkedAt, id)
-		}
-	}
+	maps.DeleteFunc(p.checkedAt, func(_ fleet.InstanceID, at time.Time) bool { return now.Sub(at) >= silentCheckInterval })
 
-	var due []scheduling.Path
+	due := p.takeAsked()
 
-	for _, path := range append(p.takeAsked(), p.Silent(now)...) {
+	for _, path := range p.Silent(now) {
 		if _, checked := p.checkedAt[path.ID]; !checked {
-			p.checkedAt[path.ID] = now
 			due = append(due, path)
 		}
 	}
 
+	for _, path := range due {
+		p.checkedAt[path.ID] = now
+	}
+
 	return due
 }
 
