--- a/entry/components.go
+++ b/entry/components.go
@@ -235,7 +235,7 @@
 		Versions: &p.rollouts.gate, Trials: &p.rollouts.counter,
 		Detour: p.newDetourClient(set), Quarantine: p.quarantine, Counters: forward.NewCounters(set), MaxResponseBytes: maxResponseBytes, Observe: e.logOutcome,
 	}
-	p.detours = &detour.Server{Clock: e.Clock, Prepare: p.forwarder.PrepareDetour}
+	p.detours = &detour.Server{Clock: e.Clock, Prepare: p.prepareDetour}
 	p.prober = p.newProber()
 	p.scheduler.OnPathSuspect = p.prober.Check
 	p.handler = &platform.Handler{Clock: e.Clock, Serve: p.serve, BodyBytes: p.maxBodyBytes}
--- a/entry/paths.go
+++ b/entry/paths.go
@@ -12,6 +12,7 @@
 
 	"monsoonlever/detour"
 	"monsoonlever/fleet"
+	"monsoonlever/forward"
 	"monsoonlever/pathprobe"
 	"monsoonlever/scheduling"
 	"monsoonlever/upstream"
@@ -79,6 +80,18 @@
 	}
 }
 
+// prepareDetour checks a request of another instance. An instance that stops takes none: it may end
+// before the request does.
+func (p *components) prepareDetour(
+	ctx context.Context, r forward.DetourRequest,
+) (func(context.Context, forward.Sink) forward.DetourResult, *forward.Refusal) {
+	if p.stopping.Load() {
+		return nil, &forward.Refusal{Reason: forward.NoServer, NotRun: true, Cause: "instance stops"}
+	}
+
+	return p.forwarder.PrepareDetour(ctx, r)
+}
+
 // recordHelpers records what a heartbeat says of helpers.
 func (p *components) recordHelpers(now time.Time, h *heartbeat) {
 	switch {
--- a/monsoonleverd/signals_test.go
+++ b/monsoonleverd/signals_test.go
@@ -413,3 +413,26 @@
 		t.Error(breach)
 	}
 }
+
+// Paths of instances to the backend servers are cut, in series that overlap, while callers send
+// requests to all instances.
+func TestCutSoakFindsNoBreach(t *testing.T) {
+	t.Parallel()
+
+	s := &soak.Soak{
+		Program: program(t), Dir: t.TempDir(), Seed: 1, Instances: 4, Callers: 3, Duration: 15 * time.Second, Cuts: true, NoSignals: true,
+	}
+
+	report, err := s.Run(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	if report.Completed == 0 || report.Cuts == 0 {
+		t.Errorf("got %d completed requests and %d cuts, want some", report.Completed, report.Cuts)
+	}
+
+	for _, breach := range report.Breaches {
+		t.Error(breach)
+	}
+}
