--- a/scheduling/brittle_test.go
+++ b/scheduling/brittle_test.go
@@ -72,3 +72,32 @@
 		t.Errorf("known at another instance: got %d, want %d", got, want)
 	}
 }
+
+// Guards against requests to a brittle server that no permit was granted for.
+func TestBrittleServerNeedsPermits(t *testing.T) {
+	permits := &scriptedPermits{}
+	s := limitedEngines(1, permits)
+
+	a, err := place(t, s, Request{Service: "llm"})
+	if err != nil {
+		t.Fatalf("place: got %v, want the server", err)
+	}
+
+	if got, want := len(permits.requested), 0; got != want {
+		t.Errorf("permits for a server that is not brittle: got %d, want %d", got, want)
+	}
+
+	if !a.Start(time.Now()) {
+		t.Fatal("start: got false, want true")
+	}
+
+	a.AnnouncedBrittle(3)
+
+	if _, err := place(t, s, Request{Service: "llm"}); err != nil {
+		t.Fatalf("place: got %v, want the server", err)
+	}
+
+	if got, want := len(permits.requested), 1; got != want {
+		t.Errorf("permits for a brittle server: got %d, want %d", got, want)
+	}
+}
