--- a/scheduling/path.go
+++ b/scheduling/path.go
@@ -1,7 +1,6 @@
 package scheduling
 
 import (
-	"slices"
 	"time"
 
 	"monsoonlever/fleet"
@@ -24,10 +23,6 @@
 	// pathTTL is how long a path counts as lost after the last failure to open a connection. A
 	// prober tries again before.
 	pathTTL = 2 * time.Second
-	// plainSilence and engineSilence are how long a plain server or a model engine responds to
-	// none of the requests in progress there before its path is checked.
-	plainSilence  = 300 * time.Millisecond
-	engineSilence = time.Second
 	// aliveTime is how long after something was received from a server it can't have terminated: a
 	// connection that is refused in that time shows a lost path, here or at another instance.
 	aliveTime = 300 * time.Millisecond
@@ -118,10 +113,10 @@
 	return s.path.lost(now)
 }
 
-// pathCost returns the cost of a server that was unreachable, full or terminated a moment ago. A
+// avoidanceCost returns the cost of a server that was unreachable, full or terminated a moment ago. A
 // server of which others told the load since this instance lost its path costs one further hop
 // if another instance may serve the request.
-func (s *server) pathCost(now time.Time, r *Request) float64 {
+func (s *server) avoidanceCost(now time.Time, r *Request) float64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
@@ -182,179 +177,3 @@
 
 	return 2*lost > known
 }
-
-// Reaches reports whether this instance has a path to a server of a service, as far as it knows.
-func (s *Scheduler) Reaches(now time.Time, service fleet.Service) bool {
-	return len(s.serversFor(&Request{Service: service}, func(srv *server) bool {
-		return !srv.isLeaving() && !srv.pathLost(now)
-	})) > 0
-}
-
-// LostServices returns the services that have servers, to none of which this instance has a path.
-func (s *Scheduler) LostServices(now time.Time) []fleet.Service {
-	pools := s.pools.Load()
-	if pools == nil {
-		return nil
-	}
-
-	var lost []fleet.Service
-
-	for service, pool := range *pools {
-		if len(pool) > 0 && !slices.ContainsFunc(pool, func(srv *server) bool { return !srv.isLeaving() && !srv.pathLost(now) }) {
-			lost = append(lost, service)
-		}
-	}
-
-	slices.Sort(lost)
-
-	return lost
-}
-
-// Path is the state of the network path to one server.
-type Path struct {
-	ID      fleet.InstanceID
-	Address string
-	Lost    bool
-	// HeardAt is when anything was last received from the server.
-	HeardAt time.Time
-}
-
-// Paths returns the state of the paths to all servers, by service.
-func (s *Scheduler) Paths(now time.Time) map[fleet.Service][]Path {
-	pools := s.pools.Load()
-	if pools == nil {
-		return nil
-	}
-
-	paths := make(map[fleet.Service][]Path, len(*pools))
-
-	for service, pool := range *pools {
-		for _, srv := range pool {
-			if !srv.isLeaving() {
-				paths[service] = append(paths[service], srv.pathState(now))
-			}
-		}
-	}
-
-	return paths
-}
-
-func (s *server) pathState(now time.Time) Path {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-
-	entry := s.entry()
-
-	return Path{ID: entry.ID, Address: entry.Address, Lost: s.path.lost(now), HeardAt: s.path.heardAt}
-}
-
-// RecordPath records whether a connection to a server at an address could be opened.
-func (s *Scheduler) RecordPath(now time.Time, id fleet.InstanceID, address string, reached, refused bool) {
-	s.mu.Lock()
-	srv := s.servers[id]
-	s.mu.Unlock()
-
-	switch {
-	case srv == nil || srv.entry().Address != address:
-	case reached:
-		s.pathReached(now, srv)
-	default:
-		s.pathFailed(now, srv, refused)
-	}
-}
-
-// StillLost records that lost paths to servers of a service were retried without success.
-func (s *Scheduler) StillLost(now time.Time, service fleet.Service) {
-	for _, srv := range s.serversFor(&Request{Service: service}, func(srv *server) bool { return srv.pathLost(now) }) {
-		srv.markLost(now, srv.pathRefused())
-	}
-}
-
-// beginWait records that a request is sent to the server.
-func (s *server) beginWait(now time.Time, first, reads bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-
-	if first {
-		s.path.waitingSince, s.path.reads = now, false
-	}
-
-	s.path.reads = s.path.reads || reads
-}
-
-// silent reports whether the server has responded to none of the requests in progress for so long
-// that its path should be checked.
-func (s *server) silent(now time.Time) bool {
-	if s.running.Load() == 0 {
-		return false
-	}
-
-	s.mu.Lock()
-	defer s.mu.Unlock()
-
-	since, bound := s.path.waitingSince, plainSilence
-	if s.path.heardAt.After(since) {
-		since = s.path.heardAt
-	}
-
-	if s.path.reads {
-		bound = engineSilence
-	}
-
-	return !s.path.lost(now) && now.Sub(since) > bound
-}
-
-// SilentPaths returns the paths to servers that have requests of this instance in progress, and
-// respond to none of them for longer than usual.
-func (s *Scheduler) SilentPaths(now time.Time) []Path {
-	servers := s.byKey.Load()
-	if servers == nil {
-		return nil
-	}
-
-	var silent []Path
-
-	for _, srv := range *servers {
-		if srv.silent(now) {
-			silent = append(silent, srv.pathState(now))
-		}
-	}
-
-	return silent
-}
-
-// HeardSince reports whether anything was received from a server after a time.
-func (s *Scheduler) HeardSince(id fleet.InstanceID, at time.Time) bool {
-	s.mu.Lock()
-	srv := s.servers[id]
-	s.mu.Unlock()
-
-	return srv != nil && srv.heardAfter(at)
-}
-
-func (s *server) heardAfter(at time.Time) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-
-	return s.path.heardAt.After(at)
-}
-
-// pathReached records that a connection to a server was opened.
-func (s *Scheduler) pathReached(now time.Time, srv *server) {
-	lost := srv.markReached(now)
-	if lost > 0 && s.OnPathChange != nil {
-		s.OnPathChange(PathChange{Server: srv.entry().Process(), Service: srv.entry().Service, After: lost})
-	}
-}
-
-// pathFailed records that no connection to a server could be opened.
-func (s *Scheduler) pathFailed(now time.Time, srv *server, refused bool) {
-	if srv.markLost(now, refused) && s.OnPathChange != nil {
-		s.OnPathChange(PathChange{Server: srv.entry().Process(), Service: srv.entry().Service, Lost: true, Refused: refused})
-	}
-}
-
-// LostPaths returns to how many known servers this instance has no network path.
-func (s *Scheduler) LostPaths(now time.Time) int {
-	return s.countServers(func(srv *server) bool { return !srv.isLeaving() && srv.pathLost(now) })
-}
--- a/scheduling/scheduling.go
+++ b/scheduling/scheduling.go
@@ -243,7 +243,7 @@
 
 		uncached := r.Prompt.uncachedTokens(cached[i], srv == home)
 
-		cost := srv.cost(now, uncached, s.Domain, poolFailureRate) + srv.pathCost(now, &r)
+		cost := srv.cost(now, uncached, s.Domain, poolFailureRate) + srv.avoidanceCost(now, &r)
 		if a.server == nil || cost < bestCost {
 			a.server, a.uncachedTokens, bestCost = srv, uncached, cost
 		}
