--- a/forward/detour_test.go
+++ b/forward/detour_test.go
@@ -39,9 +39,7 @@
 	f.Detour = detour
 	f.onDial = func(address string) { t.Errorf("connection to %s: got one, want none", address) }
 
-	for _, id := range []fleet.InstanceID{"api-1", "api-2", "llm-1", "llm-2"} {
-		f.Scheduler.RecordPath(f.clock.Now(), id, string(id), false, false)
-	}
+	f.losePaths()
 
 	return f, detour
 }
@@ -131,16 +129,8 @@
 		t.Run(name, func(t *testing.T) {
 			f := newFixture(t, 10)
 			f.respond = respondOK
-			r := DetourRequest{Service: "api", RulesVersion: 1, Attempts: 1, Request: &Request{
-				ID: "r", Method: http.MethodPost, Host: "a.example", Target: "/once/x", Path: "/once/x", APIKey: "key",
-				Header: http.Header{}, Arrived: f.clock.Now(),
-			}}
-			a, err := f.Scheduler.Pick(f.clock.Now(), scheduling.Request{Service: "api"})
-			if err != nil || !a.Start(f.clock.Now()) {
-				t.Fatalf("pick: got %v, want a server", err)
-			}
-
-			a.Heard(f.clock.Now())
+			r := f.requestOfOther()
+			f.hearFromServer()
 			tt.change(f, &r)
 
 			run, refusal := f.PrepareDetour(t.Context(), r)
@@ -166,6 +156,26 @@
 	}
 }
 
+// requestOfOther returns a request that another instance has received.
+func (s *fixture) requestOfOther() DetourRequest {
+	return DetourRequest{Service: "api", RulesVersion: 1, Attempts: 1, Request: &Request{
+		ID: "r", Method: http.MethodPost, Host: "a.example", Target: "/once/x", Path: "/once/x", APIKey: "key",
+		Header: http.Header{}, Arrived: s.clock.Now(),
+	}}
+}
+
+// hearFromServer has the fixture hear from a server of the plain service.
+func (s *fixture) hearFromServer() {
+	s.t.Helper()
+
+	a, err := s.Scheduler.Pick(s.clock.Now(), scheduling.Request{Service: "api"})
+	if err != nil || !a.Start(s.clock.Now()) {
+		s.t.Fatalf("pick: got %v, want a server", err)
+	}
+
+	a.Heard(s.clock.Now())
+}
+
 // losePaths has the fixture lose its paths to all servers.
 func (s *fixture) losePaths() {
 	for _, id := range []fleet.InstanceID{"api-1", "api-2", "llm-1", "llm-2"} {
@@ -187,17 +197,9 @@
 	f.respond = respondOK
 	f.onDial = func(string) { f.rules.Store(rulesWith(t, 2, "other")) }
 
-	r := DetourRequest{Service: "api", RulesVersion: 1, Attempts: 1, Request: &Request{
-		ID: "r", Method: http.MethodPost, Host: "a.example", Target: "/once/x", Path: "/once/x", APIKey: "key",
-		Header: http.Header{}, Arrived: f.clock.Now(),
-	}}
-
-	a, err := f.Scheduler.Pick(f.clock.Now(), scheduling.Request{Service: "api"})
-	if err != nil || !a.Start(f.clock.Now()) {
-		t.Fatalf("pick: got %v, want a server", err)
-	}
+	r := f.requestOfOther()
 
-	a.Heard(f.clock.Now())
+	f.hearFromServer()
 
 	run, refusal := f.PrepareDetour(t.Context(), r)
 	if refusal != nil {
@@ -216,17 +218,9 @@
 	detour := &fakeDetour{serve: func(int, DetourRequest, Sink) (DetourResult, error) { return DetourResult{}, nil }}
 	f.Detour = detour
 
-	a, err := f.Scheduler.Pick(f.clock.Now(), scheduling.Request{Service: "api"})
-	if err != nil || !a.Start(f.clock.Now()) {
-		t.Fatalf("pick: got %v, want a server", err)
-	}
+	f.hearFromServer()
 
-	a.Heard(f.clock.Now())
-
-	run, refusal := f.PrepareDetour(t.Context(), DetourRequest{Service: "api", RulesVersion: 1, Attempts: 1, Request: &Request{
-		ID: "r", Method: http.MethodPost, Host: "a.example", Target: "/once/x", Path: "/once/x", APIKey: "key",
-		Header: http.Header{}, Arrived: f.clock.Now(),
-	}})
+	run, refusal := f.PrepareDetour(t.Context(), f.requestOfOther())
 	if refusal != nil {
 		t.Fatalf("prepare: got %+v, want none", refusal)
 	}
