--- a/forward/detour.go
+++ b/forward/detour.go
@@ -68,7 +68,9 @@
 
 // detourPossible reports whether another instance may serve the request.
 func (j *job) detourPossible() bool {
-	return j.forwarder.Detour != nil && !j.detoured && !j.noHelper && j.forwarder.Detour.Available(j.service)
+	f := j.forwarder
+
+	return f.Detour != nil && !j.detoured && !j.noHelper && f.Scheduler.PathsFailing(f.Clock.Now()) && f.Detour.Available(j.service)
 }
 
 // prefersDetour reports whether a dial of this request has hung. The next one would probably hang
--- a/scheduling/paths.go
+++ b/scheduling/paths.go
@@ -14,10 +14,18 @@
 	})) > 0
 }
 
+// PathsFailing reports whether connections to servers could not be opened lately. It takes no lock;
+// while it returns false, no path is lost.
+func (s *Scheduler) PathsFailing(now time.Time) bool {
+	at := s.pathFailedAt.Load()
+
+	return at != nil && now.Sub(*at) < pathTTL
+}
+
 // LostServices returns the services that have servers, to none of which this instance has a path.
 func (s *Scheduler) LostServices(now time.Time) []fleet.Service {
 	pools := s.pools.Load()
-	if pools == nil {
+	if pools == nil || !s.PathsFailing(now) {
 		return nil
 	}
 
@@ -91,6 +99,7 @@
 func (s *Scheduler) StillLost(now time.Time, service fleet.Service) {
 	for _, srv := range s.serversFor(&Request{Service: service}, func(srv *server) bool { return srv.pathLost(now) }) {
 		srv.markLost(now, srv.pathRefused())
+		s.pathFailedAt.Store(&now)
 	}
 }
 
@@ -120,6 +129,8 @@
 
 // pathFailed records that no connection to a server could be opened.
 func (s *Scheduler) pathFailed(now time.Time, srv *server, refused bool) {
+	s.pathFailedAt.Store(&now)
+
 	if srv.markLost(now, refused) && s.OnPathChange != nil {
 		s.OnPathChange(PathChange{Server: srv.entry().Process(), Service: srv.entry().Service, Lost: true, Refused: refused})
 	}
--- a/scheduling/scheduling.go
+++ b/scheduling/scheduling.go
@@ -128,6 +128,9 @@
 	// isRelay is set while this instance is a relay.
 	isRelay atomic.Bool
 
+	// pathFailedAt is when a connection to a server could last not be opened.
+	pathFailedAt atomic.Pointer[time.Time]
+
 	mu      sync.Mutex
 	servers map[fleet.InstanceID]*server
 	// removed holds the announcements of servers that have no entry in the register now.
