fix(entry): a fleet near the bound of a full mesh keeps its directory

Cause, from the logs of all: during a rolling stop with the store turning calls away, the directory named 12 instances and hence a full mesh. As that grew again, the leader's planner, which had kept its start and lost its reports meanwhile, took its own group of two for the whole fleet, at once, since the directory had been outdated for long: a full mesh again, four directories a second, duties and orders from hand to hand.

The planner is reset while there is a full mesh, and the time for which a directory is outdated begins with each directory. TestDirectoryDoesNotShrinkBeforeRelaysReport failed before (1 of 16 instances).

--- a/entry/components.go
+++ b/entry/components.go
@@ -150,10 +150,12 @@
 	// formingRound counts rounds of heartbeats while the directory has no relays yet.
 	formingRound     atomic.Uint64
 	directoryPlanner directory.Planner
-	// directoryOutdatedSince is when the directory became outdated. formingCount is the number of
+	// directoryOutdatedSince is when the directory became outdated, and outdatedDirectory the end of
+	// its log. formingCount is the number of
 	// instances seen while the first directory forms, and formingCountChangedAt when it last
 	// changed. Only maintainDirectory uses them.
 	directoryOutdatedSince, formingCountChangedAt time.Time
+	outdatedDirectory                             feed.Position
 	formingCount                                  int
 	// storeFallbackAt is when an instance without a reachable relay begins to read the store
 	// itself, in Unix nanoseconds; zero is not set.
--- a/entry/directory.go
+++ b/entry/directory.go
@@ -199,15 +199,10 @@
 	now := p.clock.Now()
 	next, changed := p.nextDirectory(now, view)
 
-	if !changed {
-		p.directoryOutdatedSince = time.Time{}
-	} else if p.directoryOutdatedSince.IsZero() {
-		p.directoryOutdatedSince = now
-	}
-
+	outdated := p.outdatedFor(now, view, changed)
 	rank := max(p.plan.Load().LeaderRank(p.self()), 0)
 	rankDelay := time.Duration(rank) * directoryRankDelay
-	due := changed && (view.Forming || now.Sub(p.directoryOutdatedSince) >= directorySettleDelay+rankDelay)
+	due := changed && (view.Forming || outdated >= directorySettleDelay+rankDelay)
 	refresh := !view.FullMesh() && now.Sub(view.at) >= directoryRefreshInterval+rankDelay
 
 	if due || refresh {
@@ -215,12 +210,30 @@
 	}
 }
 
+// outdatedFor returns how long the directory in force has been outdated.
+func (p *components) outdatedFor(now time.Time, view *directoryView, outdated bool) time.Duration {
+	if !outdated {
+		p.directoryOutdatedSince = time.Time{}
+
+		return 0
+	}
+
+	if p.directoryOutdatedSince.IsZero() || p.outdatedDirectory != view.end {
+		p.directoryOutdatedSince, p.outdatedDirectory = now, view.end
+	}
+
+	return now.Sub(p.directoryOutdatedSince)
+}
+
 // nextDirectory returns the directory as it should be, and whether that is a change.
 func (p *components) nextDirectory(now time.Time, view *directoryView) (*directory.Directory, bool) {
 	switch {
 	case view.Forming:
 		return p.firstDirectory(now, view)
 	case view.FullMesh():
+		// Without relays there are no reports: those from before count no more.
+		p.directoryPlanner.Reset()
+
 		return p.fullMeshDirectory(view)
 	default:
 		p.directoryPlanner.AddReport(now, p.relayReport(now))
--- a/entry/directory_test.go
+++ b/entry/directory_test.go
@@ -10,6 +10,7 @@
 	"monsoonlever/clock"
 	"monsoonlever/directory"
 	"monsoonlever/feed"
+	"monsoonlever/fleet"
 	"monsoonlever/settings"
 	"monsoonlever/topology"
 )
@@ -69,3 +70,59 @@
 		t.Errorf("offsets of a claim of the empty log and of an update of the record that ends at 1: got %v, want %v", *offsets, want)
 	}
 }
+
+// viewOf returns a directory that is in force at a time, of instances of which some are relays.
+func viewOf(p *components, now time.Time, instances int, end uint64) *directoryView {
+	d := &directory.Directory{Count: instances}
+
+	if instances > topology.FullMeshMax {
+		d.Relays = []topology.Member{p.links.Self}
+		for _, id := range []string{"entry-2", "entry-3", "entry-4"} {
+			d.Relays = append(d.Relays, topology.Member{ID: fleet.InstanceID(id), Domain: "b"})
+		}
+	}
+
+	return newDirectoryView(d, now, feed.PositionOf(1, end))
+}
+
+// Guards against a directory that counts only a leader's own group right after a full mesh has grown
+// into a fleet with relays: it makes a full mesh again, and all instances change sides each time.
+func TestDirectoryDoesNotShrinkBeforeRelaysReport(t *testing.T) {
+	const (
+		instances     = 16
+		reportTimeout = 6 * time.Second
+	)
+
+	clk := clock.NewManual(time.Unix(1_790_000_000, 0))
+	p := newLargeComponents(clk, 1, 0)
+	p.links.Self = topology.Member{ID: "entry-1", Domain: "a"}
+
+	for _, view := range []*directoryView{
+		viewOf(p, clk.Now(), instances, 1), viewOf(p, clk.Now(), topology.FullMeshMax, 2), viewOf(p, clk.Now(), instances, 3),
+	} {
+		next, _ := p.nextDirectory(clk.Now(), view)
+		if next.Count < view.Count {
+			t.Errorf("directory after one of %d instances: got %d instances, want no fewer before the relays have reported", view.Count, next.Count)
+		}
+
+		clk.Advance(reportTimeout + time.Second)
+	}
+}
+
+// Guards against a directory that is written at once because the one before it was outdated.
+func TestOutdatedTimeBeginsWithEachDirectory(t *testing.T) {
+	clk := clock.NewManual(time.Unix(1_790_000_000, 0))
+	p := newLargeComponents(clk, 1, 0)
+	before, after := viewOf(p, clk.Now(), 16, 1), viewOf(p, clk.Now(), 16, 2)
+
+	p.outdatedFor(clk.Now(), before, true)
+	clk.Advance(directorySettleDelay)
+
+	if got, want := p.outdatedFor(clk.Now(), before, true), directorySettleDelay; got != want {
+		t.Errorf("the same directory: got outdated for %v, want %v", got, want)
+	}
+
+	if got, want := p.outdatedFor(clk.Now(), after, true), time.Duration(0); got != want {
+		t.Errorf("the next directory: got outdated for %v, want %v", got, want)
+	}
+}
--- a/monsoonleverd/signals_test.go
+++ b/monsoonleverd/signals_test.go
@@ -414,7 +414,7 @@
 	}
 }
 
-// Paths of instances to the backend servers are cut, in series that overlap, while callers send
+// Paths of instances to the backend servers are cut again and again while callers send
 // requests to all instances.
 func TestCutSoakFindsNoBreach(t *testing.T) {
 	t.Parallel()
