fix(detour): an offer has time that follows from what the caller has left

Two instances had not replied within 250 ms; both were passed over for a second then, and no other was left.

An offer has a fifth of the time that is left, a quarter of a second to a second, and an instance that failed is chosen where no other is left, as its comment said.

--- a/detour/client.go
+++ b/detour/client.go
@@ -23,10 +23,13 @@
 const (
 	// maxOffers bounds the instances to which a request is offered.
 	maxOffers = 4
-	// offerTimeout bounds the time from the dial of a helping instance to its reply to an offer,
-	// beside the time to transfer the body: some round trips across failure domains, the helping
-	// instance's look for a path and a moment without the processor.
-	offerTimeout = 250 * time.Millisecond
+	// minOfferTimeout and maxOfferTimeout bound the time from the dial of a helping instance to its
+	// reply to an offer, beside the time to transfer the body: some round trips across failure
+	// domains, the helping instance's look for a path and a moment without the processor. Between
+	// them it is offerShare of the time that the caller still waits.
+	minOfferTimeout = 250 * time.Millisecond
+	maxOfferTimeout = time.Second
+	offerShare      = 0.2
 	// transferTime is the time for each byte of a body on a small link.
 	transferTime = time.Microsecond
 	// readBuffer is the size in bytes of a connection's read buffer.
@@ -103,7 +106,7 @@
 
 // offer connects to an instance and returns once it is ready to serve the request.
 func (c *Client) offer(ctx context.Context, address netip.AddrPort, r forward.DetourRequest) (*connection, error) {
-	offerCtx, cancel := context.WithTimeout(ctx, offerTimeout+time.Duration(len(r.Request.Body))*transferTime)
+	offerCtx, cancel := context.WithTimeout(ctx, c.offerTimeout(r.Request))
 	defer cancel()
 
 	dialled, err := c.Dialer.DialContext(offerCtx, "tcp4", address.String())
@@ -122,6 +125,14 @@
 	return conn, nil
 }
 
+// offerTimeout returns how long an instance has for its reply to an offer.
+func (c *Client) offerTimeout(r *forward.Request) time.Duration {
+	left := r.Timeout - c.Clock.Now().Sub(r.Arrived)
+	share := time.Duration(offerShare * float64(left))
+
+	return min(max(share, minOfferTimeout), maxOfferTimeout) + time.Duration(len(r.Body))*transferTime
+}
+
 func (c *Client) exchangeOffer(ctx context.Context, conn *connection, r forward.DetourRequest) error {
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
--- a/detour/helpers.go
+++ b/detour/helpers.go
@@ -116,7 +116,7 @@
 	defer h.mu.Unlock()
 
 	for _, state := range h.known {
-		if state.reaches(now, service) && !state.failedRecently(now, service) {
+		if state.reaches(now, service) {
 			return true
 		}
 	}
@@ -125,20 +125,28 @@
 }
 
 // choose returns the one of two random helpers that serves fewer requests of this instance, and
-// counts a request there until release is called. Helpers that failed a moment ago are not
-// chosen.
+// counts a request there until release is called. Helpers that failed a moment ago are chosen only
+// if there is no other.
 func (h *Helpers) choose(now time.Time, service fleet.Service, excluded []fleet.InstanceID) (Helper, netip.AddrPort, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 
-	var candidates []*helperState
+	var candidates, failed []*helperState
 
 	for _, state := range h.known {
-		if state.reaches(now, service) && !state.failedRecently(now, service) && !slices.Contains(excluded, state.ID) {
+		switch {
+		case !state.reaches(now, service) || slices.Contains(excluded, state.ID):
+		case state.failedRecently(now, service):
+			failed = append(failed, state)
+		default:
 			candidates = append(candidates, state)
 		}
 	}
 
+	if len(candidates) == 0 {
+		candidates = failed
+	}
+
 	if len(candidates) == 0 {
 		return Helper{}, netip.AddrPort{}, false
 	}
