refactor(upstream,forward,scheduling,pathprobe): state that nothing reads, and what stood twice

Read again as a whole: why a path was refused was kept only to be written back; a count of hung dials was only held against zero; whether the caller has a part of the response was put together in four places; the prober's dial and the pool's closing of idle connections stood twice; two flags of a connection took the pool's lock twice for each call that may be repeated (no figure was taken). Behaviour is the same; the tests of these packages pass with the race detector, unchanged.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -96,14 +96,14 @@
 func (j *job) recordSendFailure(server upstream.Server, err error) error {
 	if errors.Is(err, backend.ErrNotSent) {
 		if isTimeout(err) {
-			j.hungDials++
+			j.silent = true
 		}
 
 		return err
 	}
 
 	if errors.Is(err, upstream.ErrInterrupted) {
-		j.hungDials++
+		j.silent = true
 	}
 
 	j.sent++
--- a/forward/detour.go
+++ b/forward/detour.go
@@ -73,9 +73,9 @@
 	return f.Detour != nil && !j.detoured && !j.noHelper && f.Scheduler.PathsFailing(f.Clock.Now()) && f.Detour.Available(j.service)
 }
 
-// prefersDetour reports whether a dial of this request has hung. The next one would probably hang
-// as well.
-func (j *job) prefersDetour() bool { return j.hungDials > 0 && j.detourPossible() }
+// prefersDetour reports whether nothing has responded to a dial of this request, or to the request.
+// The next server would probably be silent as well.
+func (j *job) prefersDetour() bool { return j.silent && j.detourPossible() }
 
 // detour has another instance serve the request.
 func (f *Forwarder) detour(ctx context.Context, j *job, sink Sink) error {
@@ -84,7 +84,7 @@
 
 	result, err := f.Detour.Serve(ctx, DetourRequest{
 		Request: &request, Service: j.service, RulesVersion: j.rules.Version(),
-		Attempts: max(j.attempts()-j.sent, 1), StreamBegun: j.stream.begun, UsageCounted: j.usageCounted,
+		Attempts: max(j.attempts()-j.sent, 1), StreamBegun: j.streamBegun(), UsageCounted: j.usageCounted,
 	}, &detourSink{Sink: sink, job: j})
 
 	if errors.Is(err, ErrNoHelper) {
@@ -295,6 +295,9 @@
 	return j.route.Attempts()
 }
 
+// streamBegun reports whether the caller has a part of the response.
+func (j *job) streamBegun() bool { return j.stream.begun || j.resumed }
+
 // resumeAfter returns the id of the last event that the caller has, or an empty text.
 func (j *job) resumeAfter() string {
 	if j.stream.lastEventID != "" {
--- a/forward/job.go
+++ b/forward/job.go
@@ -49,10 +49,10 @@
 	detoured    bool
 	maxAttempts int
 	resumed     bool
-	// hungDials counts the dials of this request that nothing responded to. noHelper is set once
-	// no other instance was found to serve the request.
-	hungDials int
-	noHelper  bool
+	// silent is set once nothing responded to a dial, or a server to the request. noHelper is set
+	// once no other instance was found to serve the request.
+	silent   bool
+	noHelper bool
 	// queued is how long the request waited for the scheduler to place it.
 	queued time.Duration
 	// lastFailure is the latest response of status 500 or above. The caller gets it if all
@@ -283,7 +283,7 @@
 // abandonDeadline returns until when the caller waits for the first event of a stream, or the
 // deadline of a request that has no objective or whose stream has begun.
 func (j *job) abandonDeadline() time.Time {
-	if j.route.Objective <= 0 || j.stream.begun || j.resumed {
+	if j.route.Objective <= 0 || j.streamBegun() {
 		return j.deadline
 	}
 
@@ -300,7 +300,7 @@
 		OnlyVersion: choice.Only, VersionFraction: choice.ServerShare, AvoidVersions: choice.Avoid, Final: j.sent+1 >= j.attempts(),
 	}
 
-	if j.route.Objective > 0 && !j.stream.begun && !j.resumed {
+	if j.route.Objective > 0 && !j.streamBegun() {
 		arrived := j.request.Arrived
 		hold := time.Duration(holdTimeoutShare * float64(j.timeout()))
 		r.Due, r.HoldUntil, r.CallerDeadline = arrived.Add(j.route.Objective), arrived.Add(hold), j.abandonDeadline()
--- a/pathprobe/pathprobe.go
+++ b/pathprobe/pathprobe.go
@@ -153,14 +153,7 @@
 
 	for _, target := range targets {
 		group.Go(func() {
-			err := p.Dial(ctx, target)
-			if ctx.Err() != nil {
-				return
-			}
-
-			p.Record(target, err)
-
-			if err != nil {
+			if err := p.check(ctx, target); err != nil && ctx.Err() == nil {
 				mu.Lock()
 				defer mu.Unlock()
 
--- a/scheduling/path.go
+++ b/scheduling/path.go
@@ -36,8 +36,6 @@
 	// lostAt is when the first connection since the server was last reached could not be opened,
 	// and failedAt when the last one could not.
 	lostAt, failedAt time.Time
-	// refused is set if the server's machine refused the last connection.
-	refused bool
 	// heardAt is when anything was last received from the server.
 	heardAt time.Time
 	// waitingSince is when the first of the requests in progress was sent, and reads is set if one
@@ -52,7 +50,7 @@
 }
 
 // markLost records that a connection could not be opened, and reports whether that is new.
-func (s *server) markLost(now time.Time, refused bool) bool {
+func (s *server) markLost(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
@@ -61,7 +59,7 @@
 		s.path.lostAt = now
 	}
 
-	s.path.failedAt, s.path.refused = now, refused
+	s.path.failedAt = now
 
 	return !known
 }
@@ -133,14 +131,6 @@
 // PathLost reports whether this instance has no network path to the server.
 func (a *Assignment) PathLost(now time.Time) bool { return a.server.pathLost(now) }
 
-// pathRefused reports whether the machine of the server refused the last connection.
-func (s *server) pathRefused() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-
-	return s.path.refused
-}
-
 // ConnectionLost records that the connection ended without any response. The server may have
 // terminated, or the path may be cut.
 func (a *Assignment) ConnectionLost(now time.Time) {
--- a/scheduling/paths.go
+++ b/scheduling/paths.go
@@ -98,7 +98,7 @@
 // StillLost records that lost paths to servers of a service were retried without success.
 func (s *Scheduler) StillLost(now time.Time, service fleet.Service) {
 	for _, srv := range s.serversFor(&Request{Service: service}, func(srv *server) bool { return srv.pathLost(now) }) {
-		srv.markLost(now, srv.pathRefused())
+		srv.markLost(now)
 		s.pathFailedAt.Store(&now)
 	}
 }
@@ -131,7 +131,7 @@
 func (s *Scheduler) pathFailed(now time.Time, srv *server, refused bool) {
 	s.pathFailedAt.Store(&now)
 
-	if srv.markLost(now, refused) && s.OnPathChange != nil {
+	if srv.markLost(now) && s.OnPathChange != nil {
 		s.OnPathChange(PathChange{Server: srv.entry().Process(), Service: srv.entry().Service, Lost: true, Refused: refused})
 	}
 }
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -6,6 +6,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -87,8 +88,8 @@
 	// kept is set once the connection has carried a request.
 	kept bool
 	// repeatable is set while the connection carries a request that may be repeated and of which
-	// nothing was received. interrupted is set by Interrupt. Both are guarded by Pool.mu.
-	repeatable, interrupted bool
+	// nothing was received. interrupted is set by Interrupt.
+	repeatable, interrupted atomic.Bool
 }
 
 // ErrConnectionLimit means that all connections to a backend server that this instance
@@ -163,11 +164,13 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
-	c := p.servers[id]
-	if c == nil {
-		return
+	if c := p.servers[id]; c != nil {
+		c.closeIdle()
 	}
+}
 
+// closeIdle closes the idle connections. Pool.mu is held.
+func (c *serverConnections) closeIdle() {
 	for _, conn := range c.idle {
 		_ = conn.Close()
 	}
@@ -188,28 +191,14 @@
 	}
 
 	for conn := range c.busy {
-		if conn.repeatable {
-			conn.interrupted = true
+		if conn.repeatable.Load() {
+			conn.interrupted.Store(true)
 
 			_ = conn.Close()
 		}
 	}
 }
 
-// setRepeatable sets whether a connection may be interrupted.
-func (p *Pool) setRepeatable(conn *connection, repeatable bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	conn.repeatable = repeatable
-}
-
-func (p *Pool) wasInterrupted(conn *connection) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-
-	return conn.interrupted
-}
-
 // settleTime is how long a new connection is looked at: something on the path may accept
 // connections and reset them.
 const settleTime = 20 * time.Millisecond
@@ -256,12 +245,7 @@
 		return nil
 	}
 
-	for _, conn := range c.idle {
-		_ = conn.Close()
-	}
-
-	c.open -= len(c.idle)
-	c.idle = nil
+	c.closeIdle()
 	c.removed = true
 	delete(p.servers, id)
 
--- a/upstream/send.go
+++ b/upstream/send.go
@@ -58,8 +58,8 @@
 	resp.stop = context.AfterFunc(ctx, func() { _ = conn.Close() })
 
 	if r.Repeatable {
-		p.setRepeatable(conn, true)
-		defer p.setRepeatable(conn, false)
+		conn.repeatable.Store(true)
+		defer conn.repeatable.Store(false)
 	}
 
 	resp.write(message)
@@ -67,7 +67,7 @@
 	if err := resp.readHeader(r); err != nil {
 		resp.Close()
 
-		if p.wasInterrupted(conn) {
+		if conn.interrupted.Load() {
 			return nil, merry.Prepend(ErrInterrupted, "send to "+s.Address)
 		}
 
