fix(pathprobe): other services are checked whoever finds the last lost path

Found by reading: the loss of a whole service had the others checked only if a dial of the prober found its last path lost. Where callers' requests did, a service that is seldom called went on unnoticed until its own first request hung for 400 ms.

The policy notices it where it takes over the state of paths, whoever found it. TestOtherServicesAreCheckedWhenRequestsFindTheLoss failed before (1 of 2 lost paths known after 3 s) and passes 50 of 50 times.

--- a/pathprobe/policy.go
+++ b/pathprobe/policy.go
@@ -87,7 +87,7 @@
 			continue
 		}
 
-		s.update(now, known)
+		p.update(now, service, paths)
 
 		if s.dialling {
 			continue
@@ -102,22 +102,34 @@
 	return next
 }
 
-// update takes over which paths of the service are lost.
-func (s *serviceState) update(now time.Time, paths []scheduling.Path) {
-	lost := 0
+// update takes over which paths of a service are lost. Once all are, the other services are checked.
+func (p *Policy) update(now time.Time, service fleet.Service, paths map[fleet.Service][]scheduling.Path) {
+	s := p.services[service]
+	known := paths[service]
+	lost, before := 0, s.wholly
 
-	for _, path := range paths {
+	for _, path := range known {
 		if path.Lost {
 			lost++
 		}
 	}
 
-	if s.wholly = lost > 0 && lost == len(paths); lost > 0 && !s.lost {
+	if lost > 0 && !s.lost {
 		s.width, s.delay = 1, minRetryDelay
 		s.retryAt = now.Add(s.jittered())
 	}
 
-	s.lost = lost > 0
+	s.lost, s.wholly = lost > 0, lost > 0 && lost == len(known)
+
+	if !s.wholly || before {
+		return
+	}
+
+	for other := range paths {
+		if other != service {
+			p.Suspect(other)
+		}
+	}
 }
 
 // targets returns the servers of the service to dial now.
@@ -165,16 +177,7 @@
 	}
 
 	s.dialling = false
-	before := s.wholly
-	s.update(now, paths[service])
-
-	if s.wholly && !before {
-		for other := range paths {
-			if other != service {
-				p.Suspect(other)
-			}
-		}
-	}
+	p.update(now, service, paths)
 
 	if !targets[0].Lost {
 		// A check without a failure ends the suspicion.
--- a/pathprobe/policy_test.go
+++ b/pathprobe/policy_test.go
@@ -177,3 +177,16 @@
 		t.Errorf("idle: got %v, want %v", got, want)
 	}
 }
+
+// Guards against services that are not checked because requests, and no dial, found the last path
+// of another service lost.
+func TestOtherServicesAreCheckedWhenRequestsFindTheLoss(t *testing.T) {
+	n := newNetwork(1)
+	n.cut = func(fleet.InstanceID) bool { return true }
+	n.fail()
+	n.run(3 * time.Second)
+
+	if got, want := n.lost(), 2; got != want {
+		t.Errorf("lost paths after 3 s: got %d, want %d", got, want)
+	}
+}
