feat(entry,forward): logs name the versions of servers and the attempt that a caller resumes

The request line has versions, resumes and after; lines of servers that come or start again have their version. Nothing is decided by it.

--- a/entry/components.go
+++ b/entry/components.go
@@ -424,7 +424,8 @@
 	}
 
 	klog.InfoS("request", "id", r.ID, "outcome", o.Reason.String(), "route", o.Route, "account", o.Account, "content", o.Fingerprint,
-		"rules", o.RulesVersion, "rulesAge", o.RulesAge, "notRun", o.NotRun, "servers", o.Servers, "events", o.Events,
+		"rules", o.RulesVersion, "rulesAge", o.RulesAge, "notRun", o.NotRun, "servers", o.Servers, "versions", o.Versions, "events", o.Events,
+		"resumes", r.Resumes, "after", r.ResumeAfter,
 		"held", o.Queued, "took", o.Duration, "cause", o.Cause)
 }
 
--- a/entry/servers.go
+++ b/entry/servers.go
@@ -38,10 +38,10 @@
 	case after == nil:
 		klog.InfoS("backend server is gone", "server", before.ID, "service", before.Service, "announced", before.Leaving)
 	case before == nil:
-		klog.InfoS("backend server was added", "server", after.ID, "service", after.Service, "address", after.Address,
+		klog.InfoS("backend server was added", "server", after.ID, "service", after.Service, "version", after.Version, "address", after.Address,
 			"failureDomain", after.Domain, "reclaimable", after.Reclaimable)
 	case before.Process() != after.Process():
-		klog.InfoS("backend server restarted", "server", after.ID, "service", after.Service,
+		klog.InfoS("backend server restarted", "server", after.ID, "service", after.Service, "version", after.Version,
 			"incarnation", after.Incarnation, "before", before.Incarnation)
 	case after.Leaving && !before.Leaving:
 		klog.InfoS("backend server leaves", "server", after.ID, "service", after.Service, "leaves", after.Leaves)
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -70,12 +70,11 @@
 		f.endAttempt(ctx, j, assignment, err)
 		f.recordLoss(ctx, j, assignment, false, err)
 
-		return j.recordSendFailure(server, err)
+		return j.recordSendFailure(assignment, err)
 	}
 	defer response.Close()
 
-	j.sent++
-	j.sentTo = append(j.sentTo, string(server.ID))
+	j.recordSent(assignment)
 	err = f.relayResponse(ctx, j, assignment, response, sink)
 	f.endAttempt(ctx, j, assignment, err)
 	f.recordLoss(ctx, j, assignment, true, err)
@@ -91,9 +90,16 @@
 	j.trial.end(now, result, err)
 }
 
+// recordSent records that bytes of the request may have reached the server of an attempt.
+func (j *job) recordSent(a *scheduling.Assignment) {
+	j.sent++
+	j.sentTo = append(j.sentTo, string(a.ID()))
+	j.sentVersions = append(j.sentVersions, a.Version())
+}
+
 // recordSendFailure records that no response header was received from a server, and
 // returns err. If the request may have been sent, the server counts as used.
-func (j *job) recordSendFailure(server upstream.Server, err error) error {
+func (j *job) recordSendFailure(a *scheduling.Assignment, err error) error {
 	if errors.Is(err, backend.ErrNotSent) {
 		if isTimeout(err) {
 			j.silent = true
@@ -106,8 +112,7 @@
 		j.silent = true
 	}
 
-	j.sent++
-	j.sentTo = append(j.sentTo, string(server.ID))
+	j.recordSent(a)
 	j.mayHaveRun = true
 
 	if !j.route.Generative {
--- a/forward/job.go
+++ b/forward/job.go
@@ -38,7 +38,9 @@
 	excluded []fleet.InstanceID
 	// sentTo are the servers of the attempts that sent counts.
 	sentTo []string
-	stream streamProgress
+	// sentVersions are the versions of those servers.
+	sentVersions []fleet.Version
+	stream       streamProgress
 	// placed is set once a server was picked for the request.
 	placed bool
 	// trial measures the current attempt for the trial of a new version.
--- a/forward/outcome.go
+++ b/forward/outcome.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"monsoonlever/fleet"
 	"monsoonlever/quarantine"
 )
 
@@ -94,6 +95,9 @@
 	RulesAge     time.Duration
 	// Servers are the backend servers to which the request was sent, in order.
 	Servers []string
+	// Versions are the versions of those servers, without those of servers to which another
+	// instance sent the request.
+	Versions []fleet.Version
 	// Events is the number of relayed events.
 	Events int
 	// Queued is how long the request waited for the scheduler to place it.
--- a/forward/request.go
+++ b/forward/request.go
@@ -26,5 +26,8 @@
 	Timeout time.Duration
 	// ResumeAfter is the id of the last event that the caller has, or empty.
 	ResumeAfter string
-	Prompt      scheduling.Prompt
+	// Resumes is the ID of the caller's attempt that brought the first event of a stream which
+	// this request resumes, or empty.
+	Resumes string
+	Prompt  scheduling.Prompt
 }
