fix(scheduling): an attempt keeps the version of the process that was picked

An attempt took its server's version from the newest entry under that ID, and an entry with another version, without a time of start, counted as the same process. A stream that began at one version would have been taken for one of the next.

TestAssignmentKeepsVersionOfItsProcess failed before: version v2 where v1 is wanted, and the process before still took requests.

--- a/scheduling/assignment.go
+++ b/scheduling/assignment.go
@@ -41,7 +41,9 @@
 type Assignment struct {
 	server    *server
 	scheduler *Scheduler
-	prompt    Prompt
+	// version is that of the server's entry when it was picked.
+	version fleet.Version
+	prompt  Prompt
 	// keys are the keys of the prompt's segments.
 	keys           []Key
 	uncachedTokens int
@@ -62,8 +64,8 @@
 // ID returns the instance ID of the server.
 func (a *Assignment) ID() fleet.InstanceID { return a.server.entry().ID }
 
-// Version returns the version that the server runs.
-func (a *Assignment) Version() fleet.Version { return a.server.entry().Version }
+// Version returns the version that the server ran when it was picked.
+func (a *Assignment) Version() fleet.Version { return a.version }
 
 // Address returns the server's address.
 func (a *Assignment) Address() string { return a.server.entry().Address }
--- a/scheduling/limit.go
+++ b/scheduling/limit.go
@@ -179,7 +179,7 @@
 // assign returns the assignment of a request to a server.
 func (s *Scheduler) assign(now time.Time, srv *server, r Request) *Assignment {
 	keys := r.Prompt.keys()
-	a := &Assignment{scheduler: s, server: srv, prompt: r.Prompt, keys: keys}
+	a := &Assignment{scheduler: s, server: srv, version: srv.entry().Version, prompt: r.Prompt, keys: keys}
 	a.uncachedTokens = r.Prompt.uncachedTokens(srv.cachedTokens(now, keys, r.Prompt), false)
 	s.attachMeter(now, a, r)
 
--- a/scheduling/processes_test.go
+++ b/scheduling/processes_test.go
@@ -74,3 +74,27 @@
 		t.Errorf("segments: got %d, want the 2 that the server has read", len(srv.segments))
 	}
 }
+
+// Guards against a stream that is taken for one of the version which its server's entry names later:
+// the version belongs to the process that was picked.
+func TestAssignmentKeepsVersionOfItsProcess(t *testing.T) {
+	s := &Scheduler{Domain: "a"}
+	before := processEntry(0)
+	before.Version = "v1"
+	s.Update([]register.Server{before})
+
+	a := pick(t, s, Request{Service: "llm"})
+	a.Start(now)
+
+	after := before
+	after.Version = "v2"
+	s.Update([]register.Server{after})
+
+	if got, want := a.Version(), fleet.Version("v1"); got != want {
+		t.Errorf("version: got %s, want %s", got, want)
+	}
+
+	if !a.Leaving() {
+		t.Error("process before: got one that takes requests, want one that is gone")
+	}
+}
--- a/scheduling/scheduling.go
+++ b/scheduling/scheduling.go
@@ -256,6 +256,7 @@
 		return nil, ErrNoServer
 	}
 
+	a.version = a.server.entry().Version
 	s.attachMeter(now, a, r)
 
 	return a, nil
--- a/scheduling/server.go
+++ b/scheduling/server.go
@@ -119,12 +119,13 @@
 // from the register.
 func (s *server) isLeaving() bool { return s.removed.Load() || s.announcements.leaving.Load() }
 
-// sameProcess reports whether a register entry describes this process at the same address and
-// for the same service, so that its state still applies.
+// sameProcess reports whether a register entry describes this process, of the same version, at the
+// same address and for the same service, so that its state still applies.
 func (s *server) sameProcess(entry register.Server) bool {
 	current := s.entry()
 
-	return current.Process() == entry.Process() && current.Address == entry.Address && current.Service == entry.Service
+	return current.Process() == entry.Process() && current.Address == entry.Address && current.Service == entry.Service &&
+		current.Version == entry.Version
 }
 
 // cost estimates the work before the first event of a request, in prompt tokens, where uncached
