fix(resumption): streams go on only at the server version that began them

Nothing tied a stream to a version: the rest of it was placed among all servers of the service, within an answer (five of the six resumptions that the logs show were mixed) and after a return of the caller at another instance alike. That ruled out that the version was only lost with killed instances; the servers had run for 5 s and more, which ruled out a wrong register.

Now the version of a stream is that of the server that sent its first event. The instance tells three holders, by rendezvous hashing of the content of the request and in different failure domains; one that a caller returns to asks them. What nobody remembers is refused as not run, with a time to return, and so is a stream of whose version no server is left. Further sends, detours and trials obey it; the preface of detours differs, since an older program would send the rest of a stream anywhere.

--- a/detour/client.go
+++ b/detour/client.go
@@ -169,6 +169,7 @@
 	o := &offer{
 		From: c.Self, ID: r.Request.ID, Method: r.Request.Method, Host: r.Request.Host, Target: r.Request.Target, Path: r.Request.Path,
 		Header: r.Request.Header, Body: r.Request.Body, APIKey: r.Request.APIKey, ResumeAfter: r.Request.ResumeAfter,
+		Resumes: r.Request.Resumes, Version: r.Version,
 		Service: r.Service, RulesVersion: r.RulesVersion, Attempts: r.Attempts,
 		Tokens: r.Request.Prompt.Tokens, MaxOutputTokens: r.Request.Prompt.MaxOutputTokens,
 		Elapsed: c.Clock.Now().Sub(r.Request.Arrived), Timeout: r.Request.Timeout,
@@ -214,6 +215,8 @@
 	case frameResponse:
 		return sink.WriteResponse(f.Status, http.Header(f.Header), f.Data)
 	case frameBegin:
+		sink.StreamVersion(f.Version)
+
 		return sink.BeginStream(f.Status, http.Header(f.Header))
 	case frameEvent:
 		return sink.WriteEvent(f.Data)
--- a/detour/detour.go
+++ b/detour/detour.go
@@ -38,22 +38,26 @@
 )
 
 // Preface is what a connection for a detour begins with. No other protocol between instances
-// begins with these bytes.
-const Preface = "DTR1"
+// begins with these bytes. They differ from those of programs that know no server versions, which
+// would send the rest of a stream to any version.
+const Preface = "DTR2"
 
 // offer is the request as the instance that received it describes it to the helping instance.
 type offer struct {
-	_msgpack     struct{} `msgpack:",as_array"` //nolint:unused // an option of the codec
-	From         fleet.InstanceID
-	ID           string
-	Method       string
-	Host         string
-	Target       string
-	Path         string
-	Header       map[string][]string
-	Body         []byte
-	APIKey       string
-	ResumeAfter  string
+	_msgpack    struct{} `msgpack:",as_array"` //nolint:unused // an option of the codec
+	From        fleet.InstanceID
+	ID          string
+	Method      string
+	Host        string
+	Target      string
+	Path        string
+	Header      map[string][]string
+	Body        []byte
+	APIKey      string
+	ResumeAfter string
+	Resumes     string
+	// Version is the server version at which alone a stream may go on, or empty.
+	Version      fleet.Version
 	Service      fleet.Service
 	RulesVersion uint64
 	Attempts     int
@@ -89,7 +93,9 @@
 	Status   int
 	Header   map[string][]string
 	Data     []byte
-	Result   *result
+	// Version is the version of the server that began a stream, with frameBegin.
+	Version fleet.Version
+	Result  *result
 }
 
 // result is how the request ended at the helping instance.
--- a/detour/detour_test.go
+++ b/detour/detour_test.go
@@ -95,9 +95,10 @@
 
 // recorder is a sink that keeps what it gets.
 type recorder struct {
-	mu     sync.Mutex
-	status int
-	events []string
+	version fleet.Version
+	mu      sync.Mutex
+	status  int
+	events  []string
 }
 
 func (r *recorder) WriteResponse(status int, _ http.Header, _ []byte) error {
@@ -108,6 +109,8 @@
 	return nil
 }
 
+func (r *recorder) StreamVersion(version fleet.Version) { r.version = version }
+
 func (r *recorder) BeginStream(status int, _ http.Header) error {
 	return r.WriteResponse(status, nil, nil)
 }
--- a/detour/server.go
+++ b/detour/server.go
@@ -13,6 +13,7 @@
 	"k8s.io/klog/v2"
 
 	"monsoonlever/clock"
+	"monsoonlever/fleet"
 	"monsoonlever/forward"
 	"monsoonlever/scheduling"
 )
@@ -147,7 +148,7 @@
 
 	request := &forward.Request{
 		ID: o.ID, Method: o.Method, Host: o.Host, Target: o.Target, Path: o.Path, Header: header, Body: o.Body,
-		APIKey: o.APIKey, Arrived: s.Clock.Now().Add(-max(o.Elapsed, 0)), Timeout: max(o.Timeout, 0), ResumeAfter: o.ResumeAfter,
+		APIKey: o.APIKey, Arrived: s.Clock.Now().Add(-max(o.Elapsed, 0)), Timeout: max(o.Timeout, 0), ResumeAfter: o.ResumeAfter, Resumes: o.Resumes,
 		Prompt: scheduling.Prompt{Tokens: o.Tokens, MaxOutputTokens: o.MaxOutputTokens},
 	}
 
@@ -157,7 +158,7 @@
 
 	return forward.DetourRequest{
 		Request: request, Service: o.Service, RulesVersion: o.RulesVersion, Attempts: max(o.Attempts, 1),
-		StreamBegun: o.StreamBegun, UsageCounted: o.UsageCounted,
+		StreamBegun: o.StreamBegun, UsageCounted: o.UsageCounted, Version: o.Version,
 	}
 }
 
@@ -174,7 +175,8 @@
 
 // frameSink writes the response to the other instance.
 type frameSink struct {
-	conn net.Conn
+	conn    net.Conn
+	version fleet.Version
 }
 
 var _ forward.Sink = (*frameSink)(nil)
@@ -184,9 +186,12 @@
 	return writeMessage(s.conn, &frame{Kind: frameResponse, Status: status, Header: header, Data: body})
 }
 
-// BeginStream writes the header of a stream.
+// StreamVersion keeps the version for the header of the stream.
+func (s *frameSink) StreamVersion(version fleet.Version) { s.version = version }
+
+// BeginStream writes the header of a stream, and its version.
 func (s *frameSink) BeginStream(status int, header http.Header) error {
-	return writeMessage(s.conn, &frame{Kind: frameBegin, Status: status, Header: header})
+	return writeMessage(s.conn, &frame{Kind: frameBegin, Status: status, Header: header, Version: s.version})
 }
 
 // WriteEvent writes one event of a stream.
--- a/entry/components.go
+++ b/entry/components.go
@@ -30,6 +30,7 @@
 	"monsoonlever/ratelimit"
 	"monsoonlever/register"
 	"monsoonlever/replica"
+	"monsoonlever/resumption"
 	"monsoonlever/retry"
 	"monsoonlever/ruleset"
 	"monsoonlever/scheduling"
@@ -108,14 +109,16 @@
 	helperRequests helperRequests
 	detours        *detour.Server
 	prober         *pathprobe.Prober
-	forwarder      *forward.Forwarder
-	handler        *platform.Handler
-	members        *board.Members
-	board          *board.Board
-	duties         *duties
-	rollouts       *rollouts
-	counter        *usage.Counter
-	gossip         atomic.Pointer[gossip.Exchange]
+	// streams remembers which server version began each stream.
+	streams   *resumption.Tracker
+	forwarder *forward.Forwarder
+	handler   *platform.Handler
+	members   *board.Members
+	board     *board.Board
+	duties    *duties
+	rollouts  *rollouts
+	counter   *usage.Counter
+	gossip    atomic.Pointer[gossip.Exchange]
 	// links tracks connectivity to other instances, and plan is the newest plan derived from it:
 	// leaders, relays and subscribers.
 	links *topology.Links
@@ -231,11 +234,12 @@
 	p.scheduler.Permits = p.permits
 	p.rollouts = newRollouts(p)
 	p.pool = &upstream.Pool{Clock: e.Clock, Counters: upstream.NewCounters(set), Source: net.ParseIP(s.Source), Dial: e.DialServer}
+	p.streams = newStreams(p)
 	p.forwarder = &forward.Forwarder{
 		Clock: e.Clock, Rules: &p.rules, Currency: p.rulesCurrency, Limits: p.loans, Retries: p.retries,
 		Scheduler: p.scheduler, Pool: p.pool, Protocol: platform.Protocol{Fields: &p.unknownFields}, Usage: p.counter,
 		Versions: &p.rollouts.gate, Trials: &p.rollouts.counter,
-		Detour: p.newDetourClient(set), Quarantine: p.quarantine, Counters: forward.NewCounters(set), MaxResponseBytes: maxResponseBytes, Observe: e.logOutcome,
+		Detour: p.newDetourClient(set), Origins: p.streams, Quarantine: p.quarantine, Counters: forward.NewCounters(set), MaxResponseBytes: maxResponseBytes, Observe: e.logOutcome,
 	}
 	p.detours = &detour.Server{Clock: e.Clock, Prepare: p.prepareDetour}
 	p.prober = p.newProber()
@@ -301,6 +305,7 @@
 		return float64(p.scheduler.BackoffServers(p.clock.Now()))
 	})
 	set.NewGauge("monsoonlever_entry_detours_served", func() float64 { return float64(p.detours.Served()) })
+	set.NewGauge("monsoonlever_entry_remembered_streams", func() float64 { return float64(p.streams.Len()) })
 	set.NewGauge("monsoonlever_entry_lost_paths", func() float64 { return float64(p.scheduler.LostPaths(p.clock.Now())) })
 	set.NewGauge("monsoonlever_entry_unknown_fields", func() float64 { return float64(p.unknownFields.Count()) })
 	set.NewGauge("monsoonlever_entry_rules_age_seconds", func() float64 {
@@ -350,6 +355,7 @@
 	group.Go(func() { p.sendCounts(ctx) })
 	group.Go(func() { p.forwardCounts(ctx) })
 	group.Go(func() { p.publishLosses(ctx) })
+	group.Go(func() { p.streams.Run(ctx) })
 	group.Go(func() { p.prober.Run(ctx) })
 	group.Go(func() { p.board.Run(ctx) })
 	group.Go(func() { p.duties.run(ctx) })
--- a/entry/datagram.go
+++ b/entry/datagram.go
@@ -13,6 +13,7 @@
 	"monsoonlever/quarantine"
 	"monsoonlever/quota"
 	"monsoonlever/ratelimit"
+	"monsoonlever/resumption"
 )
 
 // datagram is one message between instances. One of its fields is set, or Heartbeat and
@@ -37,6 +38,10 @@
 	Trials *trialCounts `msgpack:"v,omitempty"`
 	// Losses are crashes of backend servers during requests.
 	Losses []quarantine.Loss `msgpack:"q,omitempty"`
+	// Streams are records of where streams began. StreamQuery and StreamReply ask for one.
+	Streams     []resumption.Record `msgpack:"z,omitempty"`
+	StreamQuery *resumption.Query   `msgpack:"g,omitempty"`
+	StreamReply *resumption.Reply   `msgpack:"h,omitempty"`
 	// Report is a relay's report to the leaders, and Redirect names relays to an instance.
 	Report   *reportMessage `msgpack:"o,omitempty"`
 	Redirect *redirect      `msgpack:"c,omitempty"`
@@ -81,6 +86,8 @@
 		p.receiveLosses(now, d.Losses)
 	case d.LoanResponse != nil:
 		p.loans.HandleResponse(*d.LoanResponse)
+	case len(d.Streams) > 0, d.StreamQuery != nil, d.StreamReply != nil:
+		p.receiveStreamMessage(from, &d)
 	default:
 		p.receiveRelayMessage(now, &d)
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -149,6 +149,7 @@
 	p.stopping.Store(true)
 	p.links.StepDown()
 	p.handler.Stopping.Store(true)
+	p.streams.HandOver()
 	p.announceStop()
 	clock.Sleep(context.Background(), e.Clock, time.Duration(float64(stop)*lameDuckShare))
 
--- /dev/null
+++ b/entry/streams.go
@@ -0,0 +1,62 @@
+package entry
+
+import (
+	"net/netip"
+	"slices"
+
+	"monsoonlever/board"
+	"monsoonlever/fleet"
+	"monsoonlever/quarantine"
+	"monsoonlever/resumption"
+	"monsoonlever/topology"
+)
+
+// newStreams returns the tracker of the server versions that began streams.
+func newStreams(p *components) *resumption.Tracker {
+	return &resumption.Tracker{
+		Clock: p.clock, Self: p.self(), Holders: p.streamHolders, Counters: resumption.NewCounters(p.metrics),
+		Send: func(to fleet.InstanceID, records []resumption.Record) {
+			for _, batch := range pack(records, resumption.Record.Bytes) {
+				p.sendDatagram(to, datagram{Streams: batch})
+			}
+		},
+		Ask: func(to fleet.InstanceID, query resumption.Query) { p.sendDatagram(to, datagram{StreamQuery: &query}) },
+	}
+}
+
+// streamHolders returns the instances that remember streams of a request: of few instances all may,
+// of many the relays that the directory names.
+func (p *components) streamHolders(content quarantine.Fingerprint) []fleet.InstanceID {
+	var members []topology.Member
+
+	if view := p.directory.Load(); view != nil && !view.FullMesh() {
+		members = slices.Clone(view.Relays)
+	} else {
+		s := p.settings
+		members = append(p.members.All(), board.MemberOf(s.Instance, s.FailureDomain, s.Listen.Peers, s.Limits.ProcessorCores))
+	}
+
+	seen := make(map[fleet.InstanceID]bool, len(members))
+	members = slices.DeleteFunc(members, func(m topology.Member) bool {
+		repeated := seen[m.ID]
+		seen[m.ID] = true
+
+		return repeated || m.ID == p.self() && p.stopping.Load()
+	})
+
+	return topology.Holders(uint64(content), members, resumption.MaxHolders)
+}
+
+// receiveStreamMessage handles records of other instances, queries and replies.
+func (p *components) receiveStreamMessage(from netip.AddrPort, d *datagram) {
+	p.streams.Receive(d.Streams)
+
+	if d.StreamQuery != nil {
+		reply := p.streams.HandleQuery(*d.StreamQuery)
+		p.sendAll(map[fleet.InstanceID]netip.AddrPort{d.StreamQuery.From: from}, datagram{StreamReply: &reply})
+	}
+
+	if d.StreamReply != nil {
+		p.streams.HandleReply(*d.StreamReply)
+	}
+}
--- a/forward/detour.go
+++ b/forward/detour.go
@@ -43,6 +43,8 @@
 	Attempts int
 	// StreamBegun is set if the caller has a part of the response.
 	StreamBegun bool
+	// Version is the server version that a stream is bound to, or empty.
+	Version fleet.Version
 	// UsageCounted is set if the request was counted in the usage of its client account.
 	UsageCounted bool
 }
@@ -84,7 +86,7 @@
 
 	result, err := f.Detour.Serve(ctx, DetourRequest{
 		Request: &request, Service: j.service, RulesVersion: j.rules.Version(),
-		Attempts: max(j.attempts()-j.sent, 1), StreamBegun: j.streamBegun(), UsageCounted: j.usageCounted,
+		Attempts: max(j.attempts()-j.sent, 1), StreamBegun: j.streamBegun(), UsageCounted: j.usageCounted, Version: j.version,
 	}, &detourSink{Sink: sink, job: j})
 
 	if errors.Is(err, ErrNoHelper) {
@@ -149,6 +151,15 @@
 	job *job
 }
 
+// StreamVersion binds the stream to the version that began it.
+func (s *detourSink) StreamVersion(version fleet.Version) {
+	if !s.job.bound() {
+		s.job.version = version
+	}
+
+	s.Sink.StreamVersion(version)
+}
+
 // BeginStream writes the header unless the caller has it from an earlier attempt.
 func (s *detourSink) BeginStream(status int, header http.Header) error {
 	if s.job.stream.begun {
@@ -219,7 +230,11 @@
 
 	j := &job{forwarder: f, request: r.Request, route: route, rules: rules, service: r.Service, detoured: true, maxAttempts: r.Attempts}
 	j.deadline = r.Request.Arrived.Add(j.timeout())
-	j.usageCounted, j.resumed = r.UsageCounted, r.StreamBegun
+	j.usageCounted, j.resumed, j.version = r.UsageCounted, r.StreamBegun, r.Version
+
+	if route.Kind == ruleset.Streaming && r.Request.resumes() && !j.bound() {
+		return nil, notRunRefusal(UnknownStream, unavailableRetryAfter)
+	}
 
 	if !route.HasTarget(r.Service) {
 		// The route was moved to another service since the other instance read the rules.
--- a/forward/fixture_test.go
+++ b/forward/fixture_test.go
@@ -277,6 +277,7 @@
 
 // recordingSink is a Sink that records what is written to the caller.
 type recordingSink struct {
+	version  fleet.Version
 	status   int
 	begun    int
 	events   []string
@@ -289,6 +290,8 @@
 	return nil
 }
 
+func (c *recordingSink) StreamVersion(version fleet.Version) { c.version = version }
+
 func (c *recordingSink) BeginStream(status int, _ http.Header) error {
 	c.status = status
 	c.begun++
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -120,6 +120,8 @@
 	// Detour has other instances serve requests that this one can't send to a server; nil if
 	// there are none.
 	Detour Detour
+	// Origins remembers which server version began each stream; nil if versions don't differ.
+	Origins Origins
 	// MaxResponseBytes bounds the body of a response that is not a stream.
 	MaxResponseBytes int64
 	// Observe is called with each request and its outcome; it may be nil.
@@ -211,6 +213,11 @@
 	}
 
 	j.service = route.PickService(rand.Float64())
+
+	if refusal := f.bindVersion(ctx, j); refusal != nil {
+		return j, refusal
+	}
+
 	f.Retries.Of(retry.NewScope(j.service, "")).CountRequest(f.Clock.Now())
 
 	return j, f.takeLimit(ctx, j)
--- a/forward/job.go
+++ b/forward/job.go
@@ -45,12 +45,15 @@
 	placed bool
 	// trial measures the current attempt for the trial of a new version.
 	trial trial
-	// detoured is set if another instance received the request from its caller, maxAttempts is
-	// then the number of servers to which it may be sent, and resumed is set if the caller has a
-	// part of the response.
+	// detoured is set if another instance received the request from its caller, and maxAttempts is
+	// then the number of servers to which it may be sent. resumed is set if the caller has a part of
+	// the response from elsewhere.
 	detoured    bool
 	maxAttempts int
 	resumed     bool
+	// version is the version of the server that began the stream, at which alone it may go on;
+	// empty while there is none.
+	version fleet.Version
 	// silent is set once nothing responded to a dial, or a server to the request. noHelper is set
 	// once no other instance was found to serve the request.
 	silent   bool
@@ -208,13 +211,22 @@
 		return &Refusal{Reason: Overloaded, NotRun: true, RetryAfter: noRoom.RetryAfter, Cause: err.Error()}
 	case errors.Is(err, scheduling.ErrNoServer):
 		return &Refusal{
-			Reason: NoServer, NotRun: true, RetryAfter: unavailableRetryAfter + rand.N(unavailableRetryAfter), Cause: err.Error(),
+			Reason: NoServer, NotRun: true, RetryAfter: unavailableRetryAfter + rand.N(unavailableRetryAfter), Cause: j.noServerCause(err),
 		}
 	default:
 		return &Refusal{Reason: Overloaded, NotRun: true, RetryAfter: j.retryAfter(), Cause: err.Error()}
 	}
 }
 
+// noServerCause names the version that a stream is bound to.
+func (j *job) noServerCause(err error) string {
+	if j.bound() {
+		return err.Error() + ", of version " + string(j.version)
+	}
+
+	return err.Error()
+}
+
 // retryAfter returns the Retry-After of a request that the backend servers rejected.
 func (j *job) retryAfter() time.Duration {
 	if wait, full := j.forwarder.Scheduler.RetryAfter(j.forwarder.Clock.Now(), j.service); full {
--- a/forward/outcome.go
+++ b/forward/outcome.go
@@ -41,13 +41,16 @@
 	Quarantined
 	// CallerGone means that the caller disconnected.
 	CallerGone
+	// UnknownStream means that the caller resumes a stream of which no instance remembers the server
+	// version that began it.
+	UnknownStream
 
 	reasons
 )
 
 var reasonNames = [reasons]string{
 	"answered", "noRules", "staleRules", "noRoute", "unauthorized", "overLimit", "noServer", "overloaded",
-	"timedOut", "lost", "broken", "quarantined", "callerGone",
+	"timedOut", "lost", "broken", "quarantined", "callerGone", "unknownStream",
 }
 
 // String returns the name of the reason in logs and metrics.
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -72,6 +72,8 @@
 			return err
 		}
 
+		f.recordOrigin(j, assignment.Version(), sink)
+
 		if err := f.writeEvent(j, response, sink, event); err != nil {
 			return err
 		}
--- a/forward/trial.go
+++ b/forward/trial.go
@@ -31,6 +31,10 @@
 // is not sent to a new version after its first attempt, since the request itself may be what
 // fails there.
 func (j *job) chooseVersion() rollout.Choice {
+	if j.bound() {
+		return j.boundChoice()
+	}
+
 	if j.forwarder.Versions == nil {
 		return rollout.Choice{}
 	}
--- /dev/null
+++ b/resumption/tracker_test.go
@@ -0,0 +1,281 @@
+package resumption
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"monsoonlever/clock"
+	"monsoonlever/fleet"
+	"monsoonlever/quarantine"
+	"monsoonlever/topology"
+)
+
+// network connects the trackers of several instances. Messages to a dead instance are lost, and a
+// share of all others.
+type network struct {
+	mu       sync.Mutex
+	random   *rand.Rand
+	lost     float64
+	members  []topology.Member
+	trackers map[fleet.InstanceID]*Tracker
+	dead     map[fleet.InstanceID]bool
+	// messages counts the messages of each kind.
+	records, queries int
+}
+
+const failureDomains = 5
+
+func newNetwork(ctx context.Context, instances int, lost float64, seed uint64) *network {
+	n := &network{
+		random: rand.New(rand.NewPCG(seed, 1)), lost: lost,
+		trackers: make(map[fleet.InstanceID]*Tracker), dead: make(map[fleet.InstanceID]bool),
+	}
+
+	for i := range instances {
+		id := fleet.InstanceID(fmt.Sprint("entry-", i))
+		n.members = append(n.members, topology.Member{ID: id, Domain: fleet.FailureDomain(fmt.Sprint("d", i%failureDomains))})
+		n.start(ctx, id)
+	}
+
+	return n
+}
+
+// start starts a process of an instance, without any records.
+func (n *network) start(ctx context.Context, id fleet.InstanceID) {
+	t := &Tracker{Clock: clock.NewSteady(), Self: id, Holders: func(c quarantine.Fingerprint) []fleet.InstanceID {
+		return topology.Holders(uint64(c), n.knownMembers(), MaxHolders)
+	}}
+	t.Send = func(to fleet.InstanceID, records []Record) {
+		n.deliver(to, &n.records, func(other *Tracker) { other.Receive(records) })
+	}
+	t.Ask = func(to fleet.InstanceID, q Query) {
+		n.deliver(to, &n.queries, func(other *Tracker) {
+			reply := other.HandleQuery(q)
+			n.deliver(q.From, &n.queries, func(asking *Tracker) { asking.HandleReply(reply) })
+		})
+	}
+
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	n.trackers[id], n.dead[id] = t, false
+
+	go t.Run(ctx)
+}
+
+func (n *network) deliver(to fleet.InstanceID, count *int, receive func(*Tracker)) {
+	n.mu.Lock()
+	*count++
+	t, isLost := n.trackers[to], n.dead[to] || n.random.Float64() < n.lost
+	n.mu.Unlock()
+
+	if !isLost {
+		receive(t)
+	}
+}
+
+// knownMembers returns the members that all instances know.
+func (n *network) knownMembers() []topology.Member {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	return n.members
+}
+
+// setMembers sets them.
+func (n *network) setMembers(members []topology.Member) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	n.members = members
+}
+
+// kill has an instance neither send nor receive.
+func (n *network) kill(id fleet.InstanceID) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	n.dead[id] = true
+}
+
+// Guards against streams whose version is forgotten with the instances that began them: callers
+// return while a third of the instances, or a whole failure domain, is down or has just started
+// again.
+func TestOriginSurvivesKills(t *testing.T) {
+	const (
+		streams  = 300
+		lost     = 0.02
+		maxShare = 0.05
+	)
+
+	for _, instances := range []int{3, 9, 12, 50} {
+		for name, killed := range map[string]func(i int) bool{
+			"a third":          func(i int) bool { return i%3 == 0 },
+			"a failure domain": func(i int) bool { return i%failureDomains == 0 },
+		} {
+			t.Run(fmt.Sprint(instances, " holders, ", name), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					ctx, stop := context.WithCancel(t.Context())
+					defer stop()
+
+					n := newNetwork(ctx, instances, lost, uint64(instances))
+
+					for i := range streams {
+						began := n.members[i%instances].ID
+						n.trackers[began].Begun(stream(i), origin(i), time.Minute)
+					}
+
+					time.Sleep(time.Second)
+
+					for i, m := range n.members {
+						if killed(i) {
+							n.kill(m.ID)
+						}
+
+						if killed(i) && i%2 == 0 {
+							n.start(ctx, m.ID)
+						}
+					}
+
+					unknown := 0
+
+					for i := range streams {
+						at := n.members[(i+1)%instances].ID
+						if n.dead[at] {
+							at = n.members[1].ID
+						}
+
+						got, err := n.trackers[at].Origin(ctx, stream(i))
+
+						switch {
+						case errors.Is(err, ErrUnknown):
+							unknown++
+						case err != nil || got != origin(i):
+							t.Errorf("stream %d: got %v, %v, want %v", i, got, err, origin(i))
+						}
+					}
+
+					if float64(unknown) > maxShare*streams {
+						t.Errorf("streams of unknown version: got %d of %d, want at most 1 in 20", unknown, streams)
+					}
+
+					stop()
+					synctest.Wait()
+				})
+			})
+		}
+	}
+}
+
+// Guards against a rolling stop that takes one holder of a stream after the other: each hands its
+// records over.
+func TestOriginSurvivesRollingStop(t *testing.T) {
+	const instances, streams = 9, 100
+
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+
+		n := newNetwork(ctx, instances, 0, 1)
+
+		for i := range streams {
+			n.trackers[n.members[i%instances].ID].Begun(stream(i), origin(i), time.Minute)
+		}
+
+		all := n.members
+
+		for i, m := range all {
+			n.setMembers(slices.Concat(all[:i], all[i+1:]))
+			n.trackers[m.ID].HandOver()
+			time.Sleep(time.Second)
+			n.kill(m.ID)
+			n.start(ctx, m.ID)
+			n.setMembers(all)
+		}
+
+		for i := range streams {
+			if got, err := n.trackers[all[0].ID].Origin(ctx, stream(i)); err != nil || got != origin(i) {
+				t.Errorf("stream %d: got %v, %v, want %v", i, got, err, origin(i))
+			}
+		}
+
+		stop()
+		synctest.Wait()
+	})
+}
+
+// Guards against a return that waits for instances which don't reply, and against an answer where
+// none knows.
+func TestUnknownStreamIsFoundOutAtOnce(t *testing.T) {
+	const (
+		instances = 9
+		atOnce    = 100 * time.Millisecond
+	)
+
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+
+		n := newNetwork(ctx, instances, 0, 1)
+
+		for _, m := range n.members[1:] {
+			n.kill(m.ID)
+		}
+
+		began := time.Now()
+		_, err := n.trackers[n.members[0].ID].Origin(ctx, stream(1))
+
+		if !errors.Is(err, ErrUnknown) || time.Since(began) > atOnce {
+			t.Errorf("got %v after %v, want %v within %v", err, time.Since(began), ErrUnknown, atOnce)
+		}
+
+		stop()
+		synctest.Wait()
+	})
+}
+
+// Checks that each stream costs the same messages whatever the number of instances.
+func TestMessagesOfStreamsDoNotGrowWithInstances(t *testing.T) {
+	const streams = 100
+
+	for _, holders := range []int{9, 50, 200} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, stop := context.WithCancel(t.Context())
+			defer stop()
+
+			n := newNetwork(ctx, holders, 0, 1)
+
+			for i := range streams {
+				n.trackers[n.members[i%holders].ID].Begun(stream(i), origin(i), time.Minute)
+			}
+
+			time.Sleep(time.Second)
+
+			synctest.Wait()
+			n.mu.Lock()
+			defer n.mu.Unlock()
+
+			if got, want := n.records, streams*Copies*sendsPerRecord; got > want {
+				t.Errorf("%d holders: got %d messages, want at most %d", holders, got, want)
+			}
+		})
+	}
+}
+
+func stream(i int) Stream {
+	return Stream{
+		Content: quarantine.FingerprintOf("acme", "POST", "a.example", "/talk/", fmt.Append(nil, i)),
+		Attempt: AttemptOf(fmt.Sprint("attempt-", i)),
+	}
+}
+
+func origin(i int) Origin {
+	return Origin{Service: "llm", Version: fleet.Version(fmt.Sprint("v", i%2))}
+}
--- a/rollout/gate.go
+++ b/rollout/gate.go
@@ -171,6 +171,23 @@
 	return k.oldVersionChoice()
 }
 
+// Avoided returns the versions that a stream which began at a version must not go on at. The version
+// itself is among them once it was reverted, or while it is on trial and no request may begin
+// there.
+func (g *Gate) Avoided(now time.Time, service fleet.Service, version fleet.Version) []fleet.Version {
+	k, ok := g.lookup(service)
+	if !ok {
+		return nil
+	}
+
+	onTrial := !k.undecided() && k.state.Phase == Trial && k.state.Target == version
+	if onTrial && k.state.Share > 0 && now.Sub(k.decidedAt) < g.GrantTTL {
+		return nil
+	}
+
+	return k.oldVersionChoice().Avoid
+}
+
 // undecided reports whether no decision on the newest order has arrived yet.
 func (k serviceState) undecided() bool { return k.order.Place > k.state.Place }
 
--- a/rollout/gate_test.go
+++ b/rollout/gate_test.go
@@ -98,3 +98,38 @@
 		t.Errorf("got %+v, want it completed at its new place", tasks)
 	}
 }
+
+// Guards against streams that go on at a version which was reverted, or at one on trial for which no
+// request may begin there; and against streams of a trial that can go on nowhere.
+func TestStreamsGoOnAtVersionsThatMayServe(t *testing.T) {
+	const life = 2 * time.Second
+
+	trial := State{Service: service, Target: target, Place: 7, Fence: 1, Step: 1, Share: 0.2}
+	with := func(phase Phase, share float64) State {
+		s := trial
+		s.Phase, s.Share = phase, share
+
+		return s
+	}
+
+	for name, tt := range map[string]struct {
+		state   State
+		after   time.Duration
+		avoided bool
+	}{
+		"on trial":                      {state: trial},
+		"on trial, of an old decision":  {state: trial, after: life, avoided: true},
+		"on trial, without any share":   {state: with(Trial, 0), avoided: true},
+		"completed":                     {state: with(Completed, 1)},
+		"reverted":                      {state: with(Reverted, 0), avoided: true},
+		"reverted, of an old decision ": {state: with(Reverted, 0), after: time.Hour, avoided: true},
+	} {
+		g := &Gate{GrantTTL: life}
+		g.AddOrder(begin, Order{Service: service, Target: target, Duration: time.Minute, Place: 7})
+		g.Apply(begin, tt.state, begin)
+
+		if got := slices.Contains(g.Avoided(begin.Add(tt.after), service, target), target); got != tt.avoided {
+			t.Errorf("%s: got avoided %v, want %v", name, got, tt.avoided)
+		}
+	}
+}
--- a/topology/topology.go
+++ b/topology/topology.go
@@ -125,19 +125,50 @@
 // ceilDiv returns a divided by b, rounded up.
 func ceilDiv(a, b int) int { return (a + b - 1) / b }
 
-// leadersOf chooses the leaders among relays in rank order. It takes one relay of each failure
+// leadersOf chooses the leaders among relays in rank order.
+func leadersOf(relays []Member) []fleet.InstanceID { return spreadOverDomains(relays, maxLeaders) }
+
+// Holders returns up to n of the members that hold copies of what belongs to a key, in the order of
+// rendezvous hashing: members that come or go change few of the holders of a key.
+func Holders(key uint64, members []Member, n int) []fleet.InstanceID {
+	ranked := make([]hashedMember, 0, len(members))
+	for _, m := range members {
+		ranked = append(ranked, hashedMember{Member: m, hash: mixHash(xxhash.Sum64String(string(m.ID)) ^ key)})
+	}
+
+	slices.SortFunc(ranked, func(a, b hashedMember) int {
+		return cmp.Or(cmp.Compare(b.hash, a.hash), cmp.Compare(a.ID, b.ID))
+	})
+
+	ordered := make([]Member, 0, len(ranked))
+	for _, m := range ranked {
+		ordered = append(ordered, m.Member)
+	}
+
+	return spreadOverDomains(ordered, n)
+}
+
+// mixHash spreads each bit of a value over all bits of the result, as the finalizer of SplitMix64.
+func mixHash(v uint64) uint64 {
+	v = (v ^ v>>30) * 0xbf58476d1ce4e5b9
+	v = (v ^ v>>27) * 0x94d049bb133111eb
+
+	return v ^ v>>31
+}
+
+// spreadOverDomains returns the first n members of an order. It takes one member of each failure
 // domain in turn, because a whole domain may be lost.
-func leadersOf(relays []Member) []fleet.InstanceID {
+func spreadOverDomains(ordered []Member, n int) []fleet.InstanceID {
 	var ids []fleet.InstanceID
 
-	remaining := slices.Clone(relays)
+	remaining := slices.Clone(ordered)
 
-	for len(remaining) > 0 && len(ids) < maxLeaders {
+	for len(remaining) > 0 && len(ids) < n {
 		taken := make(map[fleet.FailureDomain]bool)
 		skipped := remaining[:0]
 
 		for _, m := range remaining {
-			if taken[m.Domain] || len(ids) == maxLeaders {
+			if taken[m.Domain] || len(ids) == n {
 				skipped = append(skipped, m)
 
 				continue
