feat(forward): the log names the parts of a prompt under which a server ended

The line of an end has the parts of the prompt that other requests may share, eight at most. Nothing is decided by it.

--- a/forward/loss.go
+++ b/forward/loss.go
@@ -35,7 +35,7 @@
 		evidence = quarantine.Strong
 	}
 
-	fingerprint, id := j.fingerprint, j.request.ID
+	fingerprint, id, segments := j.fingerprint, j.request.ID, j.request.Prompt.Segments
 	checkCtx := context.WithoutCancel(ctx)
 
 	go func() {
@@ -47,10 +47,25 @@
 		f.Quarantine.RecordLoss(now, fingerprint, a.Server(), evidence)
 		_, quarantined := f.Quarantine.Quarantined(now, fingerprint)
 		klog.InfoS("backend server ended under a request", "server", a.ID(), "id", id, "content", fingerprint,
-			"atBegin", evidence == quarantine.Strong, "held", quarantined)
+			"atBegin", evidence == quarantine.Strong, "held", quarantined, "parts", loggedParts(segments))
 	}()
 }
 
+// maxLoggedParts bounds the parts of a prompt in a line of the log.
+const maxLoggedParts = 8
+
+// loggedParts returns the parts of a prompt that other requests may share.
+func loggedParts(segments []scheduling.Segment) []string {
+	shared := segments[:max(len(segments)-1, 0)]
+
+	var ids []string
+	for _, segment := range shared[:min(len(shared), maxLoggedParts)] {
+		ids = append(ids, segment.ID)
+	}
+
+	return ids
+}
+
 // terminated reports whether the process of a server has terminated without announcing that
 // it would leave. Requests that are lost together share one check, and a loss that is
 // detected after the check uses the result that the scheduler has recorded. While this instance
