fix(quarantine): parts of prompts that crash backend servers are held off

The quarantine counts ends by account, method, host, target and body, and no two of these requests are alike: every one of the 14 ends in the logs had a suspect of another content. Evidence that comes too late was ruled out (each end is logged within 10 ms) and so were crashes that are not seen (each ended server has its lines).

Now each crash counts against the shared parts of the requests that were at the begin of their answers, and each answer that begins clears its parts, over all instances. A part is held off from the third moment of crashes on; the strongest first, then those whose crashes it does not explain. Checked at arrival and right before the send, also for requests of other instances; recorded on the board.

--- a/board/board.go
+++ b/board/board.go
@@ -69,6 +69,9 @@
 	// Losses are backend servers that crashed under quarantined requests, and those that this
 	// instance has just detected.
 	Losses []quarantine.Loss `msgpack:"z,omitempty"`
+	// Parts are crashes of backend servers under parts of prompts that are held off, and those that
+	// this instance has just detected.
+	Parts []quarantine.PartReport `msgpack:"b,omitempty"`
 	// Rollouts are the decisions on new versions, published by the leaders.
 	Rollouts []rollout.State `msgpack:"v,omitempty"`
 	// Lease is the state of the role's lease as this instance knows it, for instances that
--- a/entry/components.go
+++ b/entry/components.go
@@ -103,6 +103,8 @@
 	pool      *upstream.Pool
 	// quarantine tracks requests that crash backend servers.
 	quarantine *quarantine.Ledger
+	// parts tracks parts of prompts that crash backend servers.
+	parts quarantine.Parts
 	// helpers are the instances that serve requests of this one, helperRequests those that asked
 	// this one for helpers, and detours serves requests of other instances.
 	helpers        *detour.Helpers
@@ -218,7 +220,7 @@
 	p.scheduler.OnLeaving, p.scheduler.OnPathChange = p.serverAnnouncedLeaving, p.pathChanged
 	p.store = platform.NewStore(s.Store, p.storeRestored)
 	p.unusableServers = set.NewCounter("monsoonlever_entry_unusable_server_entries_total")
-	p.quarantine.OnQuarantined = p.quarantineStarted
+	p.quarantine.OnQuarantined, p.parts.OnHeld = p.quarantineStarted, p.partsHeld
 	p.bounds.Store(&s.Bounds)
 	self := board.MemberOf(s.Instance, s.FailureDomain, s.Listen.Peers, s.Limits.ProcessorCores)
 	p.links = &topology.Links{Self: self}
@@ -239,7 +241,7 @@
 		Clock: e.Clock, Rules: &p.rules, Currency: p.rulesCurrency, Limits: p.loans, Retries: p.retries,
 		Scheduler: p.scheduler, Pool: p.pool, Protocol: platform.Protocol{Fields: &p.unknownFields}, Usage: p.counter,
 		Versions: &p.rollouts.gate, Trials: &p.rollouts.counter,
-		Detour: p.newDetourClient(set), Origins: p.streams, Quarantine: p.quarantine, Counters: forward.NewCounters(set), MaxResponseBytes: maxResponseBytes, Observe: e.logOutcome,
+		Detour: p.newDetourClient(set), Origins: p.streams, Quarantine: p.quarantine, Parts: &p.parts, Counters: forward.NewCounters(set), MaxResponseBytes: maxResponseBytes, Observe: e.logOutcome,
 	}
 	p.detours = &detour.Server{Clock: e.Clock, Prepare: p.prepareDetour}
 	p.prober = p.newProber()
@@ -298,6 +300,7 @@
 	set.NewGauge("monsoonlever_entry_quarantined_requests", func() float64 {
 		return float64(p.quarantine.QuarantinedCount(p.clock.Now()))
 	})
+	set.NewGauge("monsoonlever_entry_held_parts", func() float64 { return float64(p.parts.HeldCount()) })
 	set.NewGauge("monsoonlever_entry_limited_servers", func() float64 { return float64(p.scheduler.LimitedServers()) })
 	set.NewGauge("monsoonlever_entry_brittle_servers", func() float64 { return float64(p.scheduler.BrittleServers()) })
 	set.NewGauge("monsoonlever_entry_leaving_servers", func() float64 { return float64(p.scheduler.LeavingServers()) })
@@ -355,6 +358,7 @@
 	group.Go(func() { p.sendCounts(ctx) })
 	group.Go(func() { p.forwardCounts(ctx) })
 	group.Go(func() { p.publishLosses(ctx) })
+	group.Go(func() { p.publishParts(ctx) })
 	group.Go(func() { p.streams.Run(ctx) })
 	group.Go(func() { p.prober.Run(ctx) })
 	group.Go(func() { p.board.Run(ctx) })
--- a/entry/datagram.go
+++ b/entry/datagram.go
@@ -38,6 +38,8 @@
 	Trials *trialCounts `msgpack:"v,omitempty"`
 	// Losses are crashes of backend servers during requests.
 	Losses []quarantine.Loss `msgpack:"q,omitempty"`
+	// Parts are reports on parts of prompts that may crash backend servers.
+	Parts []quarantine.PartReport `msgpack:"k,omitempty"`
 	// Streams are records of where streams began. StreamQuery and StreamReply ask for one.
 	Streams     []resumption.Record `msgpack:"z,omitempty"`
 	StreamQuery *resumption.Query   `msgpack:"g,omitempty"`
@@ -84,6 +86,8 @@
 		p.receivePrompts(now, d.Prompts)
 	case len(d.Losses) > 0:
 		p.receiveLosses(now, d.Losses)
+	case len(d.Parts) > 0:
+		p.receiveParts(now, d.Parts)
 	case d.LoanResponse != nil:
 		p.loans.HandleResponse(*d.LoanResponse)
 	case len(d.Streams) > 0, d.StreamQuery != nil, d.StreamReply != nil:
--- a/entry/losses.go
+++ b/entry/losses.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"monsoonlever/clock"
 	"monsoonlever/quarantine"
 )
@@ -12,11 +14,36 @@
 // which requests, since a request that crashes servers may reach any instance next. Each loss is
 // sent a few times, at the pace of other updates. Relays forward losses that are new to them.
 func (p *components) publishLosses(ctx context.Context) {
+	p.publishToPeers(ctx, p.quarantine.Ready(), func(now time.Time) []datagram {
+		var messages []datagram
+		for _, batch := range packLosses(p.quarantine.PendingLosses(now)) {
+			messages = append(messages, datagram{Losses: batch})
+		}
+
+		return messages
+	})
+}
+
+// publishParts sends the other instances in the same way which parts of prompts stood at the begin
+// of an answer when a server crashed, and which of these began answers.
+func (p *components) publishParts(ctx context.Context) {
+	p.publishToPeers(ctx, p.parts.Ready(), func(now time.Time) []datagram {
+		var messages []datagram
+		for _, batch := range pack(p.parts.PendingReports(now), func(quarantine.PartReport) int { return quarantine.MaxPartReportBytes }) {
+			messages = append(messages, datagram{Parts: batch})
+		}
+
+		return messages
+	})
+}
+
+// publishToPeers sends the pending messages to all peers, and waits for ready while there are none.
+func (p *components) publishToPeers(ctx context.Context, ready <-chan struct{}, pending func(time.Time) []datagram) {
 	for ctx.Err() == nil {
-		losses := p.quarantine.PendingLosses(p.clock.Now())
-		if len(losses) == 0 {
+		messages := pending(p.clock.Now())
+		if len(messages) == 0 {
 			select {
-			case <-p.quarantine.Ready():
+			case <-ready:
 			case <-ctx.Done():
 			}
 
@@ -24,8 +51,8 @@
 		}
 
 		peers := addressesOf(p.plan.Load().Peers())
-		for _, batch := range packLosses(losses) {
-			p.sendAll(peers, datagram{Losses: batch})
+		for _, message := range messages {
+			p.sendAll(peers, message)
 		}
 
 		clock.Sleep(ctx, p.clock, max(time.Duration(len(peers))*sendIntervalPerPeer, minSendInterval))
@@ -49,3 +76,16 @@
 		p.board.Wake()
 	}
 }
+
+// receiveParts records reports on parts of prompts that another instance sends.
+func (p *components) receiveParts(now time.Time, reports []quarantine.PartReport) {
+	plan := p.plan.Load()
+	p.parts.Merge(now, reports, plan.Relay && !plan.FullMesh)
+}
+
+// partsHeld logs parts of prompts that become held off, and requests a record on the board as
+// quarantineStarted does.
+func (p *components) partsHeld(parts []quarantine.PartKey) {
+	klog.InfoS("requests with parts of prompts that crash backend servers are held off", "parts", parts)
+	p.quarantineStarted()
+}
--- a/entry/losses_test.go
+++ b/entry/losses_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -63,6 +64,43 @@
 	}
 }
 
+// The records of an instance carry the parts of prompts that it holds off, and relays forward what
+// others report of parts.
+func TestRecordsCarryHeldParts(t *testing.T) {
+	clk := clock.NewManual(time.Unix(1_790_000_000, 0))
+	part := quarantine.PartKeys("llm", []string{"dead", "own"})
+	writer, reader := newRecordingComponents(clk), newRecordingComponents(clk)
+
+	for i := range 3 {
+		at := clk.Now().Add(-time.Duration(i) * time.Second)
+		writer.parts.RecordCrash(at, register.Process{ID: fleet.InstanceID(fmt.Sprint("i-", i))}, part)
+	}
+
+	record := writer.makeRecord(clk.Now())
+	reader.receiveRecord(clk.Now(), record)
+
+	if _, held := reader.parts.Held(part); !held {
+		t.Error("reader of the records: got the part served, want it held off")
+	}
+
+	for name, tt := range map[string]struct {
+		plan topology.Plan
+		want int
+	}{
+		"a relay":             {plan: topology.Plan{Relay: true}, want: 3},
+		"an instance of few":  {plan: topology.Plan{Relay: true, FullMesh: true}},
+		"an instance of many": {plan: topology.Plan{}},
+	} {
+		p := newLargeComponents(clk, 1, 0)
+		p.plan.Store(&tt.plan)
+		p.receiveParts(clk.Now(), record.Parts)
+
+		if got := len(p.parts.PendingReports(clk.Now())); got != tt.want {
+			t.Errorf("%s: got %d reports to forward, want %d", name, got, tt.want)
+		}
+	}
+}
+
 // newRecordingComponents returns the components of an instance that writes records and reads those
 // of others.
 func newRecordingComponents(clk clock.Clock) *components {
--- a/entry/records.go
+++ b/entry/records.go
@@ -28,6 +28,7 @@
 		GlobalConsumption: globalConsumption,
 		Usage:             p.counter.Recent(),
 		Losses:            p.quarantine.StoredLosses(now),
+		Parts:             p.parts.StoredReports(now),
 	}
 
 	if p.isLeader() {
@@ -53,6 +54,7 @@
 	p.receiveRecordedConsumption(now, r)
 	// All instances that use the board read it, so losses are not forwarded.
 	p.quarantine.Merge(now, r.Losses, false)
+	p.parts.Merge(now, r.Parts, false)
 	p.duties.receiveRecord(now, r)
 
 	for _, s := range r.Rollouts {
@@ -98,6 +100,7 @@
 	r := board.Record{
 		Instance: p.self(), Incarnation: p.duties.incarnation, Clock: now.UnixNano(), Leaving: true, Era: p.store.Era(),
 		Consumption: consumption, GlobalConsumption: globalConsumption, Usage: p.counter.Recent(), Losses: p.quarantine.StoredLosses(now),
+		Parts: p.parts.StoredReports(now),
 	}
 	p.duties.addRelease(now, &r)
 
--- a/forward/detour.go
+++ b/forward/detour.go
@@ -251,6 +251,12 @@
 		return nil, refusal
 	}
 
+	j.parts = j.partKeys()
+
+	if refusal := f.checkParts(j); refusal != nil {
+		return nil, refusal
+	}
+
 	if !f.hasPath(ctx, r.Service) {
 		return nil, notRunRefusal(NoServer, unavailableRetryAfter)
 	}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -113,6 +113,8 @@
 	Counters  *Counters
 	// Quarantine records the requests that crash backend servers.
 	Quarantine *quarantine.Ledger
+	// Parts records the parts of prompts that crash backend servers; it may be nil.
+	Parts *quarantine.Parts
 	// Versions selects the server versions to which requests are sent, and Trials counts the
 	// results while a new version is tried. Either may be nil.
 	Versions *rollout.Gate
@@ -218,6 +220,12 @@
 		return j, refusal
 	}
 
+	j.parts = j.partKeys()
+
+	if refusal := f.checkParts(j); refusal != nil {
+		return j, refusal
+	}
+
 	f.Retries.Of(retry.NewScope(j.service, "")).CountRequest(f.Clock.Now())
 
 	return j, f.takeLimit(ctx, j)
--- a/forward/job.go
+++ b/forward/job.go
@@ -26,7 +26,9 @@
 	account     *ruleset.Account
 	service     fleet.Service
 	fingerprint quarantine.Fingerprint
-	deadline    time.Time
+	// parts are the parts of the prompt that other requests may share.
+	parts    []quarantine.PartKey
+	deadline time.Time
 
 	// sent counts the attempts in which bytes of the request may have reached a server.
 	sent int
@@ -202,6 +204,10 @@
 	case errors.Is(err, errRevoked):
 		return &Refusal{Reason: StaleRules, NotRun: true, RetryAfter: unavailableRetryAfter, Cause: err.Error()}
 	case errors.Is(err, errQuarantined):
+		if refusal := j.forwarder.checkParts(j); refusal != nil {
+			return refusal
+		}
+
 		left, _ := j.forwarder.Quarantine.Quarantined(j.forwarder.Clock.Now(), j.fingerprint)
 
 		return notRunRefusal(Quarantined, left)
@@ -248,6 +254,10 @@
 		return errQuarantined
 	}
 
+	if j.forwarder.checkParts(j) != nil {
+		return errQuarantined
+	}
+
 	if j.account == nil {
 		return nil
 	}
--- a/forward/loss.go
+++ b/forward/loss.go
@@ -35,7 +35,7 @@
 		evidence = quarantine.Strong
 	}
 
-	fingerprint, id, segments := j.fingerprint, j.request.ID, j.request.Prompt.Segments
+	fingerprint, id, segments, parts := j.fingerprint, j.request.ID, j.request.Prompt.Segments, j.parts
 	checkCtx := context.WithoutCancel(ctx)
 
 	go func() {
@@ -45,6 +45,11 @@
 
 		now := f.Clock.Now()
 		f.Quarantine.RecordLoss(now, fingerprint, a.Server(), evidence)
+
+		if evidence == quarantine.Strong && len(parts) > 0 {
+			f.Parts.RecordCrash(now, a.Server(), parts)
+		}
+
 		_, quarantined := f.Quarantine.Quarantined(now, fingerprint)
 		klog.InfoS("backend server ended under a request", "server", a.ID(), "id", id, "content", fingerprint,
 			"atBegin", evidence == quarantine.Strong, "held", quarantined, "parts", loggedParts(segments))
--- /dev/null
+++ b/forward/parts.go
@@ -0,0 +1,48 @@
+package forward
+
+import (
+	"time"
+
+	"monsoonlever/quarantine"
+)
+
+// heldPartRetryAfter is the Retry-After of a request with a part that crashes servers, which is held
+// off for longer than any caller waits.
+const heldPartRetryAfter = 10 * time.Minute
+
+// partKeys returns the keys of the parts of a prompt for a model engine.
+func (j *job) partKeys() []quarantine.PartKey {
+	if !j.route.Generative || j.forwarder.Parts == nil {
+		return nil
+	}
+
+	segments := j.request.Prompt.Segments
+	ids := make([]string, 0, len(segments))
+
+	for _, segment := range segments {
+		ids = append(ids, segment.ID)
+	}
+
+	return quarantine.PartKeys(j.service, ids)
+}
+
+// checkParts refuses a request with a part that crashes servers.
+func (f *Forwarder) checkParts(j *job) *Refusal {
+	if f.Parts == nil {
+		return nil
+	}
+
+	part, held := f.Parts.Held(j.parts)
+	if !held {
+		return nil
+	}
+
+	return &Refusal{Reason: Quarantined, NotRun: true, RetryAfter: heldPartRetryAfter, Cause: "part " + part.String() + " of the prompt crashes servers"}
+}
+
+// recordPartsBegun records that the answer to the request began.
+func (f *Forwarder) recordPartsBegun(j *job) {
+	if f.Parts != nil && len(j.parts) > 0 {
+		f.Parts.RecordBegin(f.Clock.Now(), j.request.ID, j.parts)
+	}
+}
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -65,6 +65,11 @@
 
 		now := f.Clock.Now()
 		assignment.Heard(now)
+
+		if !assignment.AnswerBegun() {
+			f.recordPartsBegun(j)
+		}
+
 		assignment.FirstEventReceived(now)
 		j.trial.recordEvent(now)
 
--- /dev/null
+++ b/quarantine/parts.go
@@ -0,0 +1,278 @@
+package quarantine
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"monsoonlever/feed"
+	"monsoonlever/register"
+)
+
+const (
+	// holdDuration is how long a part is held off after its newest crash. A part that was let go
+	// could crash as many servers again.
+	holdDuration = 24 * time.Hour
+	// maxPartSuspects bounds the remembered suspects, to some 3 MB of memory.
+	maxPartSuspects = 1024
+	// maxStoredReports bounds the reports in a stored record, and storedCrashes those of one part,
+	// which are enough to hold it off.
+	maxStoredReports = 40
+	storedCrashes    = minPartCrashes + 2
+)
+
+// Parts finds out which parts of prompts crash servers, and holds requests with such a part off,
+// whatever else they hold. The zero value is empty; it is safe for concurrent use.
+//
+// A server that crashes takes all its requests along; those whose answer was about to begin are
+// suspects with all their shared parts. A part is held off once servers have crashed on it at three
+// moments, unless answers to requests with it begin about as often, or another part explains its
+// crashes better. Parts that nothing tells apart are held off together: a request has to hold all
+// of them.
+type Parts struct {
+	// OnHeld is called when parts become held off. It must not block, may be nil, and is set
+	// before the first use.
+	OnHeld func(parts []PartKey)
+
+	mu       sync.Mutex
+	suspects map[PartKey]*partSuspect
+	recent   recentBegins
+	sends    map[PartReport]int
+	wake     feed.Signal
+
+	// held are the groups of parts that are held off. The request path reads it without a lock.
+	held atomic.Pointer[[][]PartKey]
+}
+
+// Held returns a part by which a request with the parts is held off, and reports whether it is.
+func (p *Parts) Held(parts []PartKey) (PartKey, bool) {
+	groups := p.held.Load()
+	if groups == nil {
+		return 0, false
+	}
+
+	for _, group := range *groups {
+		if containsAll(parts, group) {
+			return group[0], true
+		}
+	}
+
+	return 0, false
+}
+
+func containsAll(parts, group []PartKey) bool {
+	for _, part := range group {
+		if !slices.Contains(parts, part) {
+			return false
+		}
+	}
+
+	return true
+}
+
+// HeldCount returns the number of parts, or groups of parts, that are held off.
+func (p *Parts) HeldCount() int {
+	if groups := p.held.Load(); groups != nil {
+		return len(*groups)
+	}
+
+	return 0
+}
+
+// RecordCrash records that a server process crashed while it began the answer to a request with the
+// parts. The caller has verified that the process has ended and had not announced to leave.
+func (p *Parts) RecordCrash(now time.Time, server register.Process, parts []PartKey) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	for _, part := range parts {
+		p.merge(now, PartReport{Part: part, Event: uint64(keyOf(server))}, observedHere)
+	}
+
+	p.decide(now)
+}
+
+// RecordBegin records that the answer to a request with the parts began.
+func (p *Parts) RecordBegin(now time.Time, requestID string, parts []PartKey) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	event, changed := beginOf(requestID), false
+
+	for _, part := range parts {
+		p.recent.add(now, part, event)
+
+		if p.suspects[part] != nil {
+			changed = p.merge(now, PartReport{Part: part, Event: event, Begun: true}, observedHere) || changed
+		}
+	}
+
+	if changed {
+		p.decide(now)
+	}
+}
+
+// Merge merges what another instance sent or stored. With forward set, this instance sends new
+// reports on to its own peers.
+func (p *Parts) Merge(now time.Time, reports []PartReport, forward bool) {
+	if len(reports) == 0 {
+		return
+	}
+
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	from := received
+	if forward {
+		from = receivedByRelay
+	}
+
+	for _, r := range reports {
+		p.merge(now, r, from)
+	}
+
+	p.decide(now)
+}
+
+// merge merges one report and reports whether it is new.
+func (p *Parts) merge(now time.Time, r PartReport, from origin) bool {
+	if p.suspects == nil {
+		p.suspects, p.sends = make(map[PartKey]*partSuspect), make(map[PartReport]int)
+	}
+
+	s, known := p.suspects[r.Part]
+	if !known {
+		s = &partSuspect{crashes: make(map[uint64]partCrash), begins: make(map[uint64]struct{}), lastCrash: now}
+		p.suspects[r.Part] = s
+	}
+
+	at := now.Add(-time.Duration(r.AgeMs) * time.Millisecond)
+	if !s.merge(at, r, from == observedHere) {
+		return false
+	}
+
+	if from != received {
+		p.send(r)
+	}
+
+	if !known {
+		p.reportRecentBegins(now, r.Part, s)
+		p.evict(now)
+	}
+
+	return true
+}
+
+// reportRecentBegins reports the answers that began here before a part became a suspect.
+func (p *Parts) reportRecentBegins(now time.Time, part PartKey, s *partSuspect) {
+	for _, event := range p.recent.of(now, part) {
+		r := PartReport{Part: part, Event: event, Begun: true}
+		if s.merge(now, r, true) {
+			p.send(r)
+		}
+	}
+}
+
+func (p *Parts) send(r PartReport) {
+	r.AgeMs = 0
+	p.sends[r] = sendsPerLoss
+	p.wake.Send()
+}
+
+// evict removes suspects that are over, and those with the fewest and oldest crashes if there are
+// too many.
+func (p *Parts) evict(now time.Time) {
+	if len(p.suspects) <= maxPartSuspects {
+		return
+	}
+
+	maps.DeleteFunc(p.suspects, func(_ PartKey, s *partSuspect) bool { return now.Sub(s.lastCrash) > holdDuration })
+
+	order := slices.SortedFunc(maps.Keys(p.suspects), func(a, b PartKey) int {
+		x, y := p.suspects[a], p.suspects[b]
+
+		return cmp.Or(cmp.Compare(len(x.crashes), len(y.crashes)), x.lastCrash.Compare(y.lastCrash), cmp.Compare(a, b))
+	})
+
+	for _, part := range order[:min(len(order), len(p.suspects)/evictionDivisor)] {
+		delete(p.suspects, part)
+	}
+}
+
+// decide determines the parts that are held off: the one for which there is most evidence, then
+// the next one for the crashes that the first does not explain, and so on.
+func (p *Parts) decide(now time.Time) {
+	var groups [][]PartKey
+
+	explained := make(map[uint64]bool)
+	left := make(map[PartKey]*partSuspect, len(p.suspects))
+
+	for part, s := range p.suspects {
+		if len(s.crashes) >= minPartCrashes && now.Sub(s.lastCrash) < holdDuration {
+			left[part] = s
+		}
+	}
+
+	for len(left) > 0 {
+		group, events := strongest(left, explained)
+		if len(group) == 0 {
+			break
+		}
+
+		groups = append(groups, group)
+
+		for _, part := range group {
+			delete(left, part)
+		}
+
+		for _, event := range events {
+			explained[event] = true
+		}
+	}
+
+	p.publish(groups)
+}
+
+// strongest returns the parts for which there is most evidence, and the crashes that they explain.
+// Several parts have the same evidence only if they stood at the same crashes.
+func strongest(left map[PartKey]*partSuspect, explained map[uint64]bool) ([]PartKey, []uint64) {
+	var (
+		group  []PartKey
+		events []uint64
+	)
+
+	best := float64(minEvidence)
+
+	for _, part := range slices.Sorted(maps.Keys(left)) {
+		s := left[part]
+		crashes := s.unexplained(explained)
+		evidence := s.evidence(crashes)
+
+		switch {
+		case evidence > best || evidence == best && len(group) == 0:
+			best, group, events = evidence, []PartKey{part}, crashes
+		case evidence == best && slices.Equal(crashes, events):
+			group = append(group, part)
+		}
+	}
+
+	return group, events
+}
+
+// publish puts the parts that are held off in force.
+func (p *Parts) publish(groups [][]PartKey) {
+	before := p.held.Swap(&groups)
+
+	if p.OnHeld == nil {
+		return
+	}
+
+	for _, group := range groups {
+		if before == nil || !slices.ContainsFunc(*before, func(g []PartKey) bool { return slices.Equal(g, group) }) {
+			p.OnHeld(group)
+		}
+	}
+}
--- /dev/null
+++ b/quarantine/parts_model_test.go
@@ -0,0 +1,303 @@
+package quarantine
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"monsoonlever/fleet"
+	"monsoonlever/register"
+)
+
+// Parameters of the model: its step, the time until a request's answer is about to begin, how long
+// it then takes until its first event, and the time until a crashed server is back.
+const (
+	partStep    = 10 * time.Millisecond
+	partPrefill = 200 * time.Millisecond
+	partBegin   = 60 * time.Millisecond
+	partReturn  = 2 * time.Second
+	// contactTime is the time within which all instances have to know, and allowedCrashes and
+	// allowedSends bound the crashes before and the sends after it.
+	contactTime    = 3 * time.Second
+	allowedCrashes = 5
+	allowedSends   = 3
+	// minSoundShare is the part of the sound requests that must not be held off.
+	minSoundShare = 0.5
+)
+
+// partModel is a service with instances that each have a Parts, and exchange reports which are late,
+// lost, and in any order.
+type partModel struct {
+	random    *rand.Rand
+	now       time.Time
+	instances []*Parts
+	servers   []*modelServer
+	requests  []*modelRequest
+	messages  []modelMessage
+	next      int
+	// crashProbability is that of a crash at the begin of an answer on a harmful part.
+	crashProbability float64
+	crashedAt        map[string][]time.Time
+	// sentLate counts the sends of each harmful part after it had to be known.
+	sentLate map[string]int
+	// sound and refused count the sound requests once parts had to be known.
+	sound, refused int
+}
+
+type modelServer struct {
+	generation int
+	downUntil  time.Time
+}
+
+type modelRequest struct {
+	id       string
+	instance *Parts
+	server   int
+	sent     time.Time
+	keys     []PartKey
+	harmful  string
+}
+
+type modelMessage struct {
+	at      time.Time
+	to      *Parts
+	reports []PartReport
+}
+
+func newPartModel(instances, servers int, crashProbability float64, seed uint64) *partModel {
+	m := &partModel{
+		random: rand.New(rand.NewPCG(seed, 7)), now: time.Unix(1000, 0), crashProbability: crashProbability,
+		crashedAt: make(map[string][]time.Time), sentLate: make(map[string]int),
+	}
+
+	for range instances {
+		m.instances = append(m.instances, &Parts{})
+	}
+
+	for range servers {
+		m.servers = append(m.servers, &modelServer{})
+	}
+
+	return m
+}
+
+// send sends a request with parts to a random server, unless it is held off.
+func (m *partModel) send(harmful string, parts ...string) {
+	m.next++
+	r := &modelRequest{
+		id: fmt.Sprint("r", m.next), instance: m.instances[m.random.IntN(len(m.instances))], server: m.random.IntN(len(m.servers)),
+		sent: m.now, harmful: harmful, keys: PartKeys("llm", append(parts, fmt.Sprint("own", m.next))),
+	}
+	_, held := r.instance.Held(r.keys)
+
+	if harmful == "" && m.settled() {
+		m.sound++
+
+		if held {
+			m.refused++
+		}
+	}
+
+	if held || m.servers[r.server].downUntil.After(m.now) {
+		return
+	}
+
+	if crashes := m.crashedAt[harmful]; harmful != "" && len(crashes) >= allowedCrashes && m.now.Sub(crashes[allowedCrashes-1]) > contactTime {
+		m.sentLate[harmful]++
+	}
+
+	m.requests = append(m.requests, r)
+}
+
+// settled reports whether all parts that crashed servers have to be known.
+func (m *partModel) settled() bool {
+	for _, crashes := range m.crashedAt {
+		if m.now.Sub(crashes[min(len(crashes), allowedCrashes)-1]) < 2*contactTime {
+			return false
+		}
+	}
+
+	return true
+}
+
+// step advances the time: answers begin, servers crash, messages arrive.
+func (m *partModel) step() {
+	m.now = m.now.Add(partStep)
+
+	for _, r := range m.requests {
+		if r.harmful != "" && m.now.Sub(r.sent) >= partPrefill+partBegin/2 && !m.servers[r.server].downUntil.After(m.now) &&
+			m.random.Float64() < m.crashProbability {
+			m.crashedAt[r.harmful] = append(m.crashedAt[r.harmful], m.now)
+			m.crash(r.server)
+		}
+	}
+
+	left := m.requests[:0]
+
+	for _, r := range m.requests {
+		switch begun := m.now.Sub(r.sent) >= partPrefill+partBegin/2 && r.harmful != "" || m.now.Sub(r.sent) >= partPrefill+partBegin; {
+		case m.servers[r.server].downUntil.After(m.now):
+		case begun:
+			r.instance.RecordBegin(m.now, r.id, r.keys)
+		default:
+			left = append(left, r)
+		}
+	}
+
+	m.requests = left
+	m.exchange()
+}
+
+// crash crashes a server with its requests. Those about to begin are suspects.
+func (m *partModel) crash(server int) {
+	s := m.servers[server]
+	process := register.Process{ID: fleet.InstanceID(fmt.Sprint("i-", server, "-", s.generation))}
+	s.generation++
+	s.downUntil = m.now.Add(partReturn)
+
+	for _, r := range m.requests {
+		if r.server == server && m.now.Sub(r.sent) >= partPrefill {
+			r.instance.RecordCrash(m.now, process, r.keys)
+		}
+	}
+}
+
+// exchange sends and delivers reports: up to half a second late, one in 50 lost.
+func (m *partModel) exchange() {
+	for _, from := range m.instances {
+		if len(from.sends) == 0 {
+			continue
+		}
+
+		reports := from.PendingReports(m.now)
+
+		for _, to := range m.instances {
+			if to != from && m.random.Float64() >= 0.02 {
+				m.messages = append(m.messages, modelMessage{at: m.now.Add(time.Duration(m.random.IntN(500)) * time.Millisecond), to: to, reports: reports})
+			}
+		}
+	}
+
+	left := m.messages[:0]
+
+	for _, message := range m.messages {
+		if message.at.After(m.now) {
+			left = append(left, message)
+		} else {
+			message.to.Merge(m.now, message.reports, false)
+		}
+	}
+
+	m.messages = left
+}
+
+// partScenario is what callers send in a second.
+type partScenario struct {
+	instances int
+	// sound and harmful are the rates of requests a second, and subjects the parts that both have
+	// beside the one that all have in common.
+	sound, harmful float64
+	subjects       int
+	parts          []string
+	// companion is a part of all harmful requests that one in 40 sound ones has.
+	companion        bool
+	crashProbability float64
+	// otherCrashes crashes a server each two seconds, and a quarter of all at once twice.
+	otherCrashes bool
+}
+
+func partScenarios() map[string]partScenario {
+	return map[string]partScenario{
+		"1 instance":                   {instances: 1, sound: 20, harmful: 2, subjects: 5, parts: []string{"dead"}, crashProbability: 1},
+		"9 instances":                  {instances: 9, sound: 20, harmful: 2, subjects: 5, parts: []string{"dead"}, crashProbability: 1},
+		"9 instances, many harmful":    {instances: 9, sound: 20, harmful: 10, subjects: 5, parts: []string{"dead"}, crashProbability: 1},
+		"9 instances, two parts":       {instances: 9, sound: 20, harmful: 2, subjects: 5, parts: []string{"dead", "dread"}, crashProbability: 1},
+		"9 instances, a companion":     {instances: 9, sound: 20, harmful: 2, subjects: 5, parts: []string{"dead"}, companion: true, crashProbability: 1},
+		"9 instances, may crash":       {instances: 9, sound: 20, harmful: 2, subjects: 5, parts: []string{"dead"}, crashProbability: 0.8},
+		"9 instances, other crashes":   {instances: 9, sound: 20, harmful: 2, subjects: 5, parts: []string{"dead"}, crashProbability: 1, otherCrashes: true},
+		"9 instances, nothing harmful": {instances: 9, sound: 40, subjects: 5, otherCrashes: true},
+		"195 instances":                {instances: 195, sound: 60, harmful: 2, subjects: 20, parts: []string{"dead"}, crashProbability: 1, otherCrashes: true},
+		"986 instances":                {instances: 986, sound: 60, harmful: 2, subjects: 20, parts: []string{"dead"}, crashProbability: 1},
+	}
+}
+
+// play plays a scenario for a time.
+func (s partScenario) play(seed uint64, duration time.Duration) *partModel {
+	const servers = 20
+
+	m := newPartModel(s.instances, servers, s.crashProbability, seed)
+	chance := func(perSecond float64) bool { return m.random.Float64() < perSecond*partStep.Seconds() }
+
+	for i := range int(duration / partStep) {
+		if chance(s.sound) {
+			parts := []string{"all", fmt.Sprint("subject", m.random.IntN(s.subjects))}
+			if s.companion && m.random.IntN(40) == 0 {
+				parts = append(parts, "companion")
+			}
+
+			m.send("", parts...)
+		}
+
+		for _, harmful := range s.parts {
+			// Calm comes first, as before any incident.
+			if i > 200 && chance(s.harmful) {
+				parts := []string{"all", fmt.Sprint("subject", m.random.IntN(s.subjects))}
+				if s.companion {
+					parts = append(parts, "companion")
+				}
+
+				m.send(harmful, append(parts, harmful)...)
+			}
+		}
+
+		if s.otherCrashes && i%200 == 199 {
+			m.crash(m.random.IntN(servers))
+		}
+
+		if s.otherCrashes && (i == 300 || i == 900) {
+			for server := range servers / 4 {
+				m.crash(server)
+			}
+		}
+
+		m.step()
+	}
+
+	return m
+}
+
+// Guards against parts that crash servers and are found out too late, or not at all, and against
+// sound requests that are held off for parts which stand beside them.
+func TestHarmfulPartsAreToldFromOthers(t *testing.T) {
+	const (
+		seeds    = 6
+		duration = 20 * time.Second
+	)
+
+	for name, s := range partScenarios() {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+
+			plays := seeds
+			if s.instances > 100 {
+				plays = 1
+			}
+
+			for seed := range uint64(plays) {
+				m := s.play(seed, duration)
+
+				for _, part := range s.parts {
+					if got := m.sentLate[part]; got > allowedSends {
+						t.Errorf("seed %d: part %s was sent %d times after its fifth crash of %d and %v, want at most %d",
+							seed, part, got, len(m.crashedAt[part]), contactTime, allowedSends)
+					}
+				}
+
+				if got := 1 - float64(m.refused)/float64(max(m.sound, 1)); got < minSoundShare || m.sound == 0 {
+					t.Errorf("seed %d: %.2f of %d sound requests were sent, want at least %.2f", seed, got, m.sound, minSoundShare)
+				}
+			}
+		})
+	}
+}
