fix(forward): an answer without length that its server's crash ended is not complete

An answer with neither a length nor chunks ends with its connection, and the kernel closes the connections of a process that crashes in the same way. Callers got the beginning of a call's answer as the whole one, and a stream that broke off between two events as complete. Such an answer counts as whole only if its server still accepts connections; else it is lost, sent again or resumed where that is allowed.

TestAnswersWithoutLengthEndWithTheirConnection failed before in 8 of its 24 cases, each with a crash: calls and streams, with and without another instance between; those that end or are reset passed. Streams of the test fixture that end as complete have a length now, since nothing advances its clock for the check; cut ones have none, as before.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -211,18 +211,24 @@
 		return f.relayStream(ctx, j, assignment, response, sink)
 	}
 
-	return f.relayBuffered(j, response, reading, sink)
+	return f.relayBuffered(ctx, j, assignment, response, reading, sink)
 }
 
 // relayBuffered reads a response that is not a stream and writes it to the sink once it is
 // complete. A response of status 500 or above is kept as lastFailure instead, unless the
 // caller has events of a stream already.
-func (f *Forwarder) relayBuffered(j *job, response *upstream.Response, reading Reading, sink Sink) error {
+func (f *Forwarder) relayBuffered(
+	ctx context.Context, j *job, assignment *scheduling.Assignment, response *upstream.Response, reading Reading, sink Sink,
+) error {
 	body, err := response.ReadAll(f.MaxResponseBytes)
 	if err != nil {
 		return err
 	}
 
+	if err := f.checkEnd(ctx, assignment, response); err != nil {
+		return err
+	}
+
 	// Close first: other requests can use the connection while this response is written.
 	response.Close()
 
--- a/forward/fixture_test.go
+++ b/forward/fixture_test.go
@@ -321,10 +321,14 @@
 		fmt.Fprintf(&body, "id: %d\ndata: x\n\n", id)
 	}
 
+	length := fmt.Sprintf("Content-Length: %d\r\n", body.Len())
+
 	if cut {
 		fmt.Fprintf(&body, "id: %d\nda", to+1)
+
+		length = ""
 	}
 
-	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: yes\r\nConnection: close\r\n\r\n%s",
-		idHeader, r.Header.Get(idHeader), signHeader, body.String())
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: yes\r\n%sConnection: close\r\n\r\n%s",
+		idHeader, r.Header.Get(idHeader), signHeader, length, body.String())
 }
--- a/forward/loss.go
+++ b/forward/loss.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"k8s.io/klog/v2"
 
 	"monsoonlever/clock"
@@ -71,6 +72,16 @@
 	return ids
 }
 
+// checkEnd returns an error if a response that ends with its connection was ended by the crash of its
+// server, which closes connections as well. The error wraps upstream.ErrGarbled.
+func (f *Forwarder) checkEnd(ctx context.Context, a *scheduling.Assignment, response *upstream.Response) error {
+	if !response.EndsWithConnection() || !f.terminated(ctx, a) {
+		return nil
+	}
+
+	return merry.Prepend(upstream.ErrGarbled, "server has ended with its response")
+}
+
 // terminated reports whether the process of a server has terminated without announcing that
 // it would leave. Requests that are lost together share one check, and a loss that is
 // detected after the check uses the result that the scheduler has recorded. While this instance
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -56,6 +56,10 @@
 	for {
 		event, id, err := events.next()
 		if errors.Is(err, io.EOF) {
+			if err := f.checkEnd(ctx, assignment, response); err != nil {
+				return err
+			}
+
 			return f.endStream(j, response, sink)
 		}
 
--- a/upstream/send.go
+++ b/upstream/send.go
@@ -174,6 +174,12 @@
 // ContentLength returns the length of the body, or -1 where it is not known.
 func (resp *Response) ContentLength() int64 { return resp.response.ContentLength }
 
+// EndsWithConnection reports whether the body has neither a length nor chunks: its end then looks
+// like that of its server's process.
+func (resp *Response) EndsWithConnection() bool {
+	return resp.response.ContentLength < 0 && len(resp.response.TransferEncoding) == 0
+}
+
 // Read reads the body. It returns io.EOF only if the body is complete.
 func (resp *Response) Read(b []byte) (int, error) {
 	n, err := resp.response.Body.Read(b)
