fix(forward): connections that are all in use are not a lost path

An instance that had opened all the connections to a server that it may open took the server for unreachable: callers were rejected with no path to any server for seconds, offers of other instances were declined, and the loss was logged. Found by the new test for most connections to one instance (899 refusals of some 1,200 with two servers that were never cut). Probes and offers already told the two apart; an attempt for a caller did not.

TestFullConnectionsAreNotALostPath failed before: 2 lost paths where none is wanted.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -147,7 +147,8 @@
 	case errors.Is(err, backend.ErrRefused):
 		return scheduling.Rejected
 	case errors.Is(err, errCallerWrite), errors.Is(err, errRevoked), errors.Is(err, errQuarantined),
-		errors.Is(err, errServerBlocked), errors.Is(err, upstream.ErrCut), errors.Is(err, scheduling.ErrNoServer):
+		errors.Is(err, errServerBlocked), errors.Is(err, upstream.ErrCut), errors.Is(err, scheduling.ErrNoServer),
+		errors.Is(err, upstream.ErrConnectionLimit):
 		return scheduling.Cancelled
 	case errors.Is(err, unix.ECONNREFUSED):
 		return scheduling.Terminated
