fix(forward): a request goes to another instance where connections are used up

While the platform hands most new connections to one instance, callers there were refused although servers had room: each instance may open its part of a server's connections alone, and the others did not use theirs. Ruled out: shares that follow the load, which take a message's time to move and may add up to more than a server takes.

--- a/entry/heartbeat.go
+++ b/entry/heartbeat.go
@@ -135,7 +135,7 @@
 		Leaders: plan.Leaders, InstanceCount: plan.InstanceCount, At: now.UnixNano(), ConfirmedAgo: -1, RegisterAgo: -1, Leaving: p.leavingServers(),
 		Era: p.store.Era(), Rollouts: p.rollouts.updates(now), Detours: true, LostServices: p.scheduler.LostServices(now),
 	}
-	h.WantsHelpers = !plan.FullMesh && (len(h.LostServices) > 0 || p.helperRequests.any(now))
+	h.WantsHelpers = !plan.FullMesh && (len(h.LostServices) > 0 || p.forwarder.LacksConnections() || p.helperRequests.any(now))
 
 	if view := p.directory.Load(); view != nil {
 		h.Forming = view.Forming
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -38,6 +38,10 @@
 	assignment, err := f.Scheduler.Place(ctx, f.Clock, j.schedulingRequest())
 	j.queued += f.Clock.Now().Sub(began)
 
+	if errors.Is(err, scheduling.ErrNoServer) && j.fullServers > 0 && j.detourPossible() {
+		return f.detour(ctx, j, sink)
+	}
+
 	if err != nil {
 		return err
 	}
@@ -105,6 +109,11 @@
 			j.silent = true
 		}
 
+		if errors.Is(err, upstream.ErrConnectionLimit) {
+			j.fullServers++
+			j.forwarder.fullAt.Store(j.forwarder.Clock.Now().UnixNano())
+		}
+
 		return err
 	}
 
--- a/forward/detour.go
+++ b/forward/detour.go
@@ -68,19 +68,50 @@
 	return "another instance refused the request: " + e.refusal.Reason.String() + " " + e.refusal.Cause
 }
 
-// detourPossible reports whether another instance may serve the request.
+const (
+	// maxFullServers is the number of servers without a free connection after which a request goes
+	// to another instance: the next server would probably have none either.
+	maxFullServers = 2
+	// maxFullDetours bounds how often a request goes to other instances for lack of connections. They
+	// may lack them too.
+	maxFullDetours = 2
+	// fullTTL is how long an instance wants helpers after it lacked a connection.
+	fullTTL = 5 * time.Second
+)
+
+// detourPossible reports whether another instance may serve the request, since this one fails to
+// reach servers or has no free connection to them.
 func (j *job) detourPossible() bool {
 	f := j.forwarder
+	if f.Detour == nil || j.detoured || j.noHelper {
+		return false
+	}
+
+	lacksConnections := j.fullServers > 0 && j.fullDetours < maxFullDetours
 
-	return f.Detour != nil && !j.detoured && !j.noHelper && f.Scheduler.PathsFailing(f.Clock.Now()) && f.Detour.Available(j.service)
+	return (lacksConnections || f.Scheduler.PathsFailing(f.Clock.Now())) && f.Detour.Available(j.service)
 }
 
-// prefersDetour reports whether nothing has responded to a dial of this request, or to the request.
-// The next server would probably be silent as well.
-func (j *job) prefersDetour() bool { return j.silent && j.detourPossible() }
+// prefersDetour reports whether nothing has responded to a dial of this request, or to the request,
+// or whether servers had no free connection. The next server would probably be the same.
+func (j *job) prefersDetour() bool {
+	return (j.silent || j.fullServers >= maxFullServers) && j.detourPossible()
+}
+
+// LacksConnections reports whether requests have lately found no free connection to servers. Other
+// instances hold the rest of the servers' connections.
+func (f *Forwarder) LacksConnections() bool {
+	at := f.fullAt.Load()
+
+	return at != 0 && f.Clock.Now().Sub(time.Unix(0, at)) < fullTTL
+}
 
 // detour has another instance serve the request.
 func (f *Forwarder) detour(ctx context.Context, j *job, sink Sink) error {
+	if j.fullServers > 0 {
+		j.fullDetours++
+	}
+
 	request := *j.request
 	request.ResumeAfter = j.resumeAfter()
 
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -129,6 +129,9 @@
 	// Observe is called with each request and its outcome; it may be nil.
 	Observe func(*Request, Outcome)
 
+	// fullAt is when a request last found no free connection to a server, in Unix nanoseconds.
+	fullAt atomic.Int64
+
 	// terminationChecks holds the running checks for terminated servers, by server id.
 	terminationChecks singleflight.Group
 }
--- a/forward/job.go
+++ b/forward/job.go
@@ -60,6 +60,9 @@
 	// once no other instance was found to serve the request.
 	silent   bool
 	noHelper bool
+	// fullServers counts the servers to which this instance may open no further connection, and
+	// fullDetours the requests to other instances for that reason.
+	fullServers, fullDetours int
 	// queued is how long the request waited for the scheduler to place it.
 	queued time.Duration
 	// lastFailure is the latest response of status 500 or above. The caller gets it if all
