fix(ratelimit): a rejection right after a pause does not collapse a brittle server's rate

Beside load, callers of brittle services were refused far more than the servers' room required (595 of 1,600 served where half is wanted). Nothing is granted in the pause after a rejection, and the measured rate of grants decayed meanwhile: the next rejection, a few grants after the pause, took it for the rate that the server had no room for, and the rate fell to almost nothing and rose slowly from there.

--- a/ratelimit/room.go
+++ b/ratelimit/room.go
@@ -78,8 +78,8 @@
 	pause := time.Duration(float64(time.Second) / max(float64(maxRejections)*rejectionShare, 1))
 	if until := now.Add(pause); until.After(r.pausedUntil) {
 		r.pausedUntil = until
-		// The rate rises from the end of the pause on.
-		r.adaptedAt = until
+		// The rate rises from the end of the pause on, and grants are measured again.
+		r.adaptedAt, r.measuredAt = until, until
 	}
 }
 
--- a/ratelimit/room_test.go
+++ b/ratelimit/room_test.go
@@ -104,3 +104,37 @@
 		}
 	}
 }
+
+// Guards against a server that hardly gets requests any more since it rejected one right after a
+// pause, in which nothing was granted: that is no sign of little room.
+func TestRejectionAfterPauseLowersRateOnce(t *testing.T) {
+	const (
+		maxRejections = 2
+		interval      = 8 * time.Millisecond
+	)
+
+	var r room
+
+	now := time.Unix(1000, 0)
+	grant := func(n int) {
+		for range n {
+			now = now.Add(interval)
+			r.granted(now)
+		}
+	}
+
+	grant(200)
+	r.rejected(now, maxRejections)
+
+	first := r.rate
+	_, pause := r.current(now)
+	now = now.Add(pause)
+
+	grant(4)
+	r.current(now)
+	r.rejected(now, maxRejections)
+
+	if want := first * decrease * decrease; r.rate < want {
+		t.Errorf("rate after a second rejection: got %.1f, want at least %.1f of %.1f before", r.rate, want, first)
+	}
+}
