--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -169,3 +169,25 @@
 		t.Errorf("crashes: got %d, want at most %d", got, maxCrashesPerPart)
 	}
 }
+
+// Guards against a sound part that is held off since it stands beside a harmful one in each crash.
+func TestCompanionOfHarmfulPartIsNotHeldOff(t *testing.T) {
+	harmful := PartKeys("llm", []string{"companion", "dead", "own"})
+	sound := PartKeys("llm", []string{"companion", "own"})
+
+	var p Parts
+
+	p.RecordBegin(partsNow, "sound", sound)
+
+	for i := range 4 {
+		p.RecordCrash(partsNow.Add(time.Duration(i)*time.Second), crashed(i), harmful)
+	}
+
+	if _, held := p.Held(harmful); !held {
+		t.Error("harmful request: got it sent, want it held off")
+	}
+
+	if part, held := p.Held(sound); held {
+		t.Errorf("sound request: got it held off for %v, want it sent", part)
+	}
+}
