refactor(quarantine): one outbox, one hash of fields and one origin for requests and parts

The ledger of parts had written again what the ledger of requests has: the count of sends that remain, the length-prefixed hash, and how a message was received. One generic outbox and two functions serve both; keys and messages are the same bytes. Parts of a prompt that come twice are found among the keys, without a map for each request. Behaviour is unchanged; the tests of the package pass with their assertions as they were.

--- a/quarantine/part.go
+++ b/quarantine/part.go
@@ -1,10 +1,8 @@
 package quarantine
 
 import (
-	"crypto/sha256"
-	"encoding/binary"
 	"fmt"
-	"strconv"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -28,13 +26,10 @@
 
 	shared := ids[:min(len(ids)-1, maxPartKeys)]
 	keys := make([]PartKey, 0, len(shared))
-	seen := make(map[string]bool, len(shared))
 
 	for _, id := range shared {
-		if !seen[id] {
-			seen[id] = true
-
-			keys = append(keys, partKeyOf(service, id))
+		if key := partKeyOf(service, id); !slices.Contains(keys, key) {
+			keys = append(keys, key)
 		}
 	}
 
@@ -42,9 +37,7 @@
 }
 
 func partKeyOf(service fleet.Service, id string) PartKey {
-	sum := sha256.Sum256([]byte(strconv.Itoa(len(service)) + ":" + string(service) + id))
-
-	return PartKey(binary.BigEndian.Uint64(sum[:]))
+	return PartKey(hashFields([]string{string(service)}, []byte(id)))
 }
 
 // String returns the key as logged.
--- a/quarantine/part_updates.go
+++ b/quarantine/part_updates.go
@@ -15,15 +15,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
-	pending := make([]PartReport, 0, len(p.sends))
-
-	for r, left := range p.sends {
-		if left == 1 {
-			delete(p.sends, r)
-		} else {
-			p.sends[r] = left - 1
-		}
+	reports := p.outbox.take()
+	pending := make([]PartReport, 0, len(reports))
 
+	for _, r := range reports {
 		if s := p.suspects[r.Part]; s != nil {
 			pending = append(pending, s.withAge(now, r))
 		}
--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -40,7 +40,7 @@
 	mu       sync.Mutex
 	suspects map[PartKey]*partSuspect
 	recent   recentBegins
-	sends    map[PartReport]int
+	outbox   outbox[PartReport]
 	wake     feed.Signal
 
 	// held are the groups of parts that are held off. The request path reads it without a lock.
@@ -125,13 +125,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
-	from := received
-	if forward {
-		from = receivedByRelay
-	}
-
 	for _, r := range reports {
-		p.merge(now, r, from)
+		p.merge(now, r, originOf(forward))
 	}
 
 	p.decide(now)
@@ -140,7 +135,7 @@
 // merge merges one report and reports whether it is new.
 func (p *Parts) merge(now time.Time, r PartReport, from origin) bool {
 	if p.suspects == nil {
-		p.suspects, p.sends = make(map[PartKey]*partSuspect), make(map[PartReport]int)
+		p.suspects = make(map[PartKey]*partSuspect)
 	}
 
 	s, known := p.suspects[r.Part]
@@ -178,7 +173,7 @@
 
 func (p *Parts) send(r PartReport) {
 	r.AgeMs = 0
-	p.sends[r] = sendsPerLoss
+	p.outbox.add(r)
 	p.wake.Send()
 }
 
--- a/quarantine/parts_model_test.go
+++ b/quarantine/parts_model_test.go
@@ -166,7 +166,7 @@
 // exchange sends and delivers reports: up to half a second late, one in 50 lost.
 func (m *partModel) exchange() {
 	for _, from := range m.instances {
-		if len(from.sends) == 0 {
+		if from.outbox.empty() {
 			continue
 		}
 
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -73,7 +73,7 @@
 
 	mu       sync.Mutex
 	suspects map[Fingerprint]*suspect
-	outbox   outbox
+	outbox   outbox[lossKey]
 	// lastSweep is when expired suspects were last removed.
 	lastSweep time.Time
 
@@ -149,13 +149,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
-	from := received
-	if forward {
-		from = receivedByRelay
-	}
-
 	for _, loss := range losses {
-		l.merge(now, loss, from)
+		l.merge(now, loss, originOf(forward))
 	}
 }
 
@@ -171,6 +166,15 @@
 	observedHere
 )
 
+// originOf returns the origin of what another instance sent.
+func originOf(forward bool) origin {
+	if forward {
+		return receivedByRelay
+	}
+
+	return received
+}
+
 // merge merges one loss.
 func (l *Ledger) merge(now time.Time, loss Loss, from origin) {
 	if l.suspects == nil {
@@ -189,7 +193,7 @@
 	}
 
 	if from != received {
-		l.outbox.add(loss)
+		l.outbox.add(lossKey{loss.Request, loss.Server, loss.Cleared})
 		l.wake.Send()
 	}
 
--- a/quarantine/updates.go
+++ b/quarantine/updates.go
@@ -8,9 +8,6 @@
 )
 
 const (
-	// sendsPerLoss is how often each loss is sent to the peers: a few of 100 datagrams are
-	// lost, but hardly ever three in a row.
-	sendsPerLoss = 3
 	// maxStoredLosses bounds the losses in a stored record, to a kilobyte.
 	maxStoredLosses = 40
 	// storedLossTTL is how long a loss that this instance observed stays in its stored
@@ -26,19 +23,6 @@
 	cleared bool
 }
 
-// outbox holds the losses still to be sent. The zero value is empty.
-type outbox struct {
-	remainingSends map[lossKey]int
-}
-
-func (o *outbox) add(l Loss) {
-	if o.remainingSends == nil {
-		o.remainingSends = make(map[lossKey]int)
-	}
-
-	o.remainingSends[lossKey{l.Request, l.Server, l.Cleared}] = sendsPerLoss
-}
-
 // Ready returns a channel that receives a value when there are losses to send.
 func (l *Ledger) Ready() <-chan struct{} { return l.wake.C() }
 
@@ -48,15 +32,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
-	pending := make([]Loss, 0, len(l.outbox.remainingSends))
-
-	for key, left := range l.outbox.remainingSends {
-		if left == 1 {
-			delete(l.outbox.remainingSends, key)
-		} else {
-			l.outbox.remainingSends[key] = left - 1
-		}
+	keys := l.outbox.take()
+	pending := make([]Loss, 0, len(keys))
 
+	for _, key := range keys {
 		if s := l.suspects[key.request]; s != nil {
 			e := s.losses[key.server]
 			loss := Loss{Request: key.request, Server: key.server, Evidence: e.evidence, Cleared: key.cleared}
