fix(quarantine): suspects are evicted only if expired ones left no room

With more than 1,024 suspected parts, expired ones were removed and then a quarter of the rest as well, parts that are held off among them. Found by reading. TestExpiredSuspectsMakeRoom failed before: 7 of 8 new suspects left.

--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -186,13 +186,17 @@
 
 	maps.DeleteFunc(p.suspects, func(_ PartKey, s *partSuspect) bool { return now.Sub(s.lastCrash) > holdDuration })
 
+	if len(p.suspects) <= maxPartSuspects {
+		return
+	}
+
 	order := slices.SortedFunc(maps.Keys(p.suspects), func(a, b PartKey) int {
 		x, y := p.suspects[a], p.suspects[b]
 
 		return cmp.Or(cmp.Compare(len(x.crashes), len(y.crashes)), x.lastCrash.Compare(y.lastCrash), cmp.Compare(a, b))
 	})
 
-	for _, part := range order[:min(len(order), len(p.suspects)/evictionDivisor)] {
+	for _, part := range order[:len(order)/evictionDivisor] {
 		delete(p.suspects, part)
 	}
 }
--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -191,3 +191,23 @@
 		t.Errorf("sound request: got it held off for %v, want it sent", part)
 	}
 }
+
+// Guards against parts that are forgotten although expired ones have left room.
+func TestExpiredSuspectsMakeRoom(t *testing.T) {
+	var p Parts
+
+	for i := range maxPartSuspects - 4 {
+		p.RecordCrash(partsNow, crashed(i), PartKeys("llm", []string{fmt.Sprint("old", i), "own"}))
+	}
+
+	later := partsNow.Add(holdDuration + time.Hour)
+	kept := 8
+
+	for i := range kept {
+		p.RecordCrash(later, crashed(i), PartKeys("llm", []string{fmt.Sprint("new", i), "own"}))
+	}
+
+	if got := len(p.suspects); got != kept {
+		t.Errorf("suspects: got %d, want the %d new ones", got, kept)
+	}
+}
