refactor(gossip,resumption): queries of streams use the requests of gossip

The tracker matched replies to queries by a type of its own beside gossip.Requests, since Do skips an instance that failed to reply a moment ago and sends once. Times, number of sends and results are as before; the tests pass with their assertions as they were.

--- a/gossip/requests.go
+++ b/gossip/requests.go
@@ -32,24 +32,42 @@
 // the reply. It returns false if no reply arrives within ReplyTimeout, if the instance failed
 // to reply less than silentRetryDelay ago, or if ctx ends.
 func (r *Requests[T]) Do(ctx context.Context, clk clock.Clock, to fleet.InstanceID, send func(number uint64)) (T, bool) {
-	var none T
+	if r.isSilent(clk.Now(), to) {
+		var none T
 
-	number, replies, ok := r.open(clk.Now(), to)
-	if !ok {
 		return none, false
 	}
-	defer r.close(number)
 
-	send(number)
+	reply, ok := r.Ask(ctx, clk, ReplyTimeout, 1, send)
 
-	select {
-	case reply := <-replies:
+	switch {
+	case ok:
 		r.markResponsive(to)
-
-		return reply, true
-	case <-clk.After(ReplyTimeout):
+	case ctx.Err() == nil:
 		r.markSilent(clk.Now(), to)
-	case <-ctx.Done():
+	}
+
+	return reply, ok
+}
+
+// Ask is Do for a request that may be sent several times, also to an instance that failed to reply
+// before. It calls send up to the given number of times and waits for a timeout after each.
+func (r *Requests[T]) Ask(ctx context.Context, clk clock.Clock, timeout time.Duration, sends int, send func(number uint64)) (T, bool) {
+	var none T
+
+	number, replies := r.open()
+	defer r.close(number)
+
+	for range sends {
+		send(number)
+
+		select {
+		case reply := <-replies:
+			return reply, true
+		case <-clk.After(timeout):
+		case <-ctx.Done():
+			return none, false
+		}
 	}
 
 	return none, false
@@ -67,13 +85,19 @@
 	}
 }
 
-func (r *Requests[T]) open(now time.Time, to fleet.InstanceID) (uint64, <-chan T, bool) {
+// isSilent reports whether an instance failed to reply a moment ago.
+func (r *Requests[T]) isSilent(now time.Time, to fleet.InstanceID) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 
-	if at, ok := r.silentSince[to]; ok && now.Sub(at) < silentRetryDelay {
-		return 0, nil, false
-	}
+	at, ok := r.silentSince[to]
+
+	return ok && now.Sub(at) < silentRetryDelay
+}
+
+func (r *Requests[T]) open() (uint64, <-chan T) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 
 	if r.pending == nil {
 		r.pending = make(map[uint64]chan T)
@@ -85,7 +109,7 @@
 	replies := make(chan T, 1)
 	r.pending[r.number] = replies
 
-	return r.number, replies, true
+	return r.number, replies
 }
 
 func (r *Requests[T]) close(number uint64) {
--- a/resumption/resumption.go
+++ b/resumption/resumption.go
@@ -120,7 +120,6 @@
 // Reply is the reply to a Query.
 type Reply struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // an option of the codec
-	From     fleet.InstanceID
 	Number   uint64
 	Result   Result
 	Service  fleet.Service
--- a/resumption/tracker.go
+++ b/resumption/tracker.go
@@ -6,19 +6,21 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+	"github.com/sourcegraph/conc"
 
 	"monsoonlever/clock"
 	"monsoonlever/fleet"
+	"monsoonlever/gossip"
 	"monsoonlever/quarantine"
 )
 
 const (
 	// sendInterval is the minimum time between two rounds of records.
 	sendInterval = 20 * time.Millisecond
-	// queryTimeout is how long a round of queries waits for replies: some round trips between
-	// failure domains. queryRounds is the number of rounds, since datagrams are lost.
+	// queryTimeout is how long a query waits for its reply: some round trips between failure
+	// domains. maxQueries is how often it is sent, since datagrams are lost.
 	queryTimeout = 35 * time.Millisecond
-	queryRounds  = 2
+	maxQueries   = 2
 )
 
 // Tracker records the streams that this instance relays, holds records of others, and finds out
@@ -37,7 +39,7 @@
 
 	table   table
 	outbox  outbox
-	queries queries
+	queries gossip.Requests[Reply]
 }
 
 // Begun records that a stream began, or goes on, at the version of its origin, and that it may be
@@ -96,31 +98,24 @@
 	return origin, nil
 }
 
-// ask asks all holders at once, and again those that don't reply. It returns the first origin that
-// one of them knows.
+// ask asks all holders at once and returns the first origin that one of them knows.
 func (t *Tracker) ask(ctx context.Context, s Stream) (Origin, error) {
+	askCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+
 	holders := t.Holders(s.Content)
 	asked := slices.DeleteFunc(slices.Clone(holders[:min(MaxHolders, len(holders))]), func(id fleet.InstanceID) bool { return id == t.Self })
-	q, number := t.queries.open(asked)
-
-	defer t.queries.close(number)
-
-	result := Unknown
+	replies := t.askEach(askCtx, asked, s)
+	replied, result := 0, Unknown
 
-	for range queryRounds {
-		for _, id := range t.queries.unanswered(number) {
-			t.Ask(id, Query{From: t.Self, Number: number, Content: s.Content, Attempt: s.Attempt})
-		}
+	for reply := range replies {
+		replied++
+		result = max(result, reply.Result)
 
-		origin, known := t.await(ctx, q, &result)
-		if known {
+		if reply.Result == Known {
 			t.Counters.record(Known, false)
 
-			return origin, nil
-		}
-
-		if ctx.Err() != nil || len(t.queries.unanswered(number)) == 0 {
-			break
+			return Origin{Service: reply.Service, Version: reply.Version}, nil
 		}
 	}
 
@@ -130,46 +125,44 @@
 		return Origin{}, ErrAmbiguous
 	}
 
-	silent := len(t.queries.unanswered(number))
-
-	return Origin{}, merry.Appendf(ErrUnknown, "%d of %d instances replied", len(asked)-silent, len(asked))
+	return Origin{}, merry.Appendf(ErrUnknown, "%d of %d instances replied", replied, len(asked))
 }
 
-// await waits for one round of replies, and returns the first origin that one of them knows. Without
-// any, it adds to what the replies say.
-func (t *Tracker) await(ctx context.Context, q *query, result *Result) (Origin, bool) {
-	timeout := t.Clock.After(queryTimeout)
+// askEach asks instances at the same time. The channel is closed once each has replied, or has had
+// its time.
+func (t *Tracker) askEach(ctx context.Context, holders []fleet.InstanceID, s Stream) <-chan Reply {
+	replies := make(chan Reply, len(holders))
 
-	for {
-		select {
-		case reply := <-q.replies:
-			if reply.Result == Known {
-				return Origin{Service: reply.Service, Version: reply.Version}, true
-			}
+	var group conc.WaitGroup
 
-			*result = max(*result, reply.Result)
-		case <-q.complete:
-			// All have replied; what is known may be among the replies still to be read.
-			if len(q.replies) == 0 {
-				return Origin{}, false
+	for _, id := range holders {
+		group.Go(func() {
+			reply, ok := t.queries.Ask(ctx, t.Clock, queryTimeout, maxQueries, func(number uint64) {
+				t.Ask(id, Query{From: t.Self, Number: number, Content: s.Content, Attempt: s.Attempt})
+			})
+			if ok {
+				replies <- reply
 			}
-		case <-timeout:
-			return Origin{}, false
-		case <-ctx.Done():
-			return Origin{}, false
-		}
+		})
 	}
+
+	go func() {
+		group.Wait()
+		close(replies)
+	}()
+
+	return replies
 }
 
 // HandleQuery returns the reply to a query of another instance.
 func (t *Tracker) HandleQuery(q Query) Reply {
 	origin, result := t.table.find(t.Clock.Now(), Stream{Content: q.Content, Attempt: q.Attempt})
 
-	return Reply{From: t.Self, Number: q.Number, Result: result, Service: origin.Service, Version: origin.Version}
+	return Reply{Number: q.Number, Result: result, Service: origin.Service, Version: origin.Version}
 }
 
 // HandleReply delivers a reply to its query. One that comes too late is discarded.
-func (t *Tracker) HandleReply(r Reply) { t.queries.reply(r) }
+func (t *Tracker) HandleReply(r Reply) { t.queries.Reply(r.Number, r) }
 
 // Run sends records to their holders until ctx ends.
 func (t *Tracker) Run(ctx context.Context) {
