test(resumption): kills among 195 and 986 instances whose relays hold the records

The model had holders alone; most instances of a large fleet hold nothing and ask the relays. At 195 instances with 12 holders and 986 with 50, with a third or a failure domain killed and half of these back without memory, at most 1 in 20 streams are unknown, and none is taken for another version.

--- a/resumption/tracker_test.go
+++ b/resumption/tracker_test.go
@@ -20,10 +20,12 @@
 // network connects the trackers of several instances. Messages to a dead instance are lost, and a
 // share of all others.
 type network struct {
-	mu       sync.Mutex
-	random   *rand.Rand
-	lost     float64
-	members  []topology.Member
+	mu      sync.Mutex
+	random  *rand.Rand
+	lost    float64
+	members []topology.Member
+	// holders are the members that may hold records.
+	holders  []topology.Member
 	trackers map[fleet.InstanceID]*Tracker
 	dead     map[fleet.InstanceID]bool
 	// messages counts the messages of each kind.
@@ -32,7 +34,8 @@
 
 const failureDomains = 5
 
-func newNetwork(ctx context.Context, instances int, lost float64, seed uint64) *network {
+// newNetwork starts instances, of which the first ones may hold records.
+func newNetwork(ctx context.Context, instances, holders int, lost float64, seed uint64) *network {
 	n := &network{
 		random: rand.New(rand.NewPCG(seed, 1)), lost: lost,
 		trackers: make(map[fleet.InstanceID]*Tracker), dead: make(map[fleet.InstanceID]bool),
@@ -44,13 +47,15 @@
 		n.start(ctx, id)
 	}
 
+	n.setHolders(n.members[:holders])
+
 	return n
 }
 
 // start starts a process of an instance, without any records.
 func (n *network) start(ctx context.Context, id fleet.InstanceID) {
 	t := &Tracker{Clock: clock.NewSteady(), Self: id, Holders: func(c quarantine.Fingerprint) []fleet.InstanceID {
-		return topology.Holders(uint64(c), n.knownMembers(), MaxHolders)
+		return topology.Holders(uint64(c), n.knownHolders(), MaxHolders)
 	}}
 	t.Send = func(to fleet.InstanceID, records []Record) {
 		n.deliver(to, &n.records, func(other *Tracker) { other.Receive(records) })
@@ -81,20 +86,20 @@
 	}
 }
 
-// knownMembers returns the members that all instances know.
-func (n *network) knownMembers() []topology.Member {
+// knownHolders returns the members that may hold records, as all instances know them.
+func (n *network) knownHolders() []topology.Member {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 
-	return n.members
+	return n.holders
 }
 
-// setMembers sets them.
-func (n *network) setMembers(members []topology.Member) {
+// setHolders sets them.
+func (n *network) setHolders(members []topology.Member) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 
-	n.members = members
+	n.holders = members
 }
 
 // kill has an instance neither send nor receive.
@@ -115,20 +120,20 @@
 		maxShare = 0.05
 	)
 
-	for _, instances := range []int{3, 9, 12, 50} {
+	for _, size := range []struct{ instances, holders int }{{3, 3}, {9, 9}, {12, 12}, {50, 50}, {195, 12}, {986, 50}} {
 		for name, killed := range map[string]func(i int) bool{
 			"a third":          func(i int) bool { return i%3 == 0 },
 			"a failure domain": func(i int) bool { return i%failureDomains == 0 },
 		} {
-			t.Run(fmt.Sprint(instances, " holders, ", name), func(t *testing.T) {
+			t.Run(fmt.Sprint(size.instances, " instances, ", size.holders, " holders, ", name), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
 					ctx, stop := context.WithCancel(t.Context())
 					defer stop()
 
-					n := newNetwork(ctx, instances, lost, uint64(instances))
+					n := newNetwork(ctx, size.instances, size.holders, lost, uint64(size.instances))
 
 					for i := range streams {
-						began := n.members[i%instances].ID
+						began := n.members[i%size.instances].ID
 						n.trackers[began].Begun(stream(i), origin(i), time.Minute)
 					}
 
@@ -147,7 +152,7 @@
 					unknown := 0
 
 					for i := range streams {
-						at := n.members[(i+1)%instances].ID
+						at := n.members[(i+1)%size.instances].ID
 						if n.dead[at] {
 							at = n.members[1].ID
 						}
@@ -183,7 +188,7 @@
 		ctx, stop := context.WithCancel(t.Context())
 		defer stop()
 
-		n := newNetwork(ctx, instances, 0, 1)
+		n := newNetwork(ctx, instances, instances, 0, 1)
 
 		for i := range streams {
 			n.trackers[n.members[i%instances].ID].Begun(stream(i), origin(i), time.Minute)
@@ -192,12 +197,12 @@
 		all := n.members
 
 		for i, m := range all {
-			n.setMembers(slices.Concat(all[:i], all[i+1:]))
+			n.setHolders(slices.Concat(all[:i], all[i+1:]))
 			n.trackers[m.ID].HandOver()
 			time.Sleep(time.Second)
 			n.kill(m.ID)
 			n.start(ctx, m.ID)
-			n.setMembers(all)
+			n.setHolders(all)
 		}
 
 		for i := range streams {
@@ -223,7 +228,7 @@
 		ctx, stop := context.WithCancel(t.Context())
 		defer stop()
 
-		n := newNetwork(ctx, instances, 0, 1)
+		n := newNetwork(ctx, instances, instances, 0, 1)
 
 		for _, m := range n.members[1:] {
 			n.kill(m.ID)
@@ -250,7 +255,7 @@
 			ctx, stop := context.WithCancel(t.Context())
 			defer stop()
 
-			n := newNetwork(ctx, holders, 0, 1)
+			n := newNetwork(ctx, holders, holders, 0, 1)
 
 			for i := range streams {
 				n.trackers[n.members[i%holders].ID].Begun(stream(i), origin(i), time.Minute)
