refactor(forward,rollout,scheduling): one check of harmful requests, one rule of a trial's grant

A request was checked for its content and for its parts one after the other in three places, its fingerprint was made in two, the rule of when a decision lets requests to a version on trial stood in two conditions, and which parts of a prompt others may share in three. Each has one place now.

--- a/forward/detour.go
+++ b/forward/detour.go
@@ -12,7 +12,6 @@
 
 	"monsoonlever/backend"
 	"monsoonlever/fleet"
-	"monsoonlever/quarantine"
 	"monsoonlever/ruleset"
 	"monsoonlever/scheduling"
 	"monsoonlever/upstream"
@@ -276,15 +275,10 @@
 		return nil, refusal
 	}
 
-	j.fingerprint = quarantine.FingerprintOf(fleet.Account(j.accountName()), r.Request.Method, r.Request.Host, r.Request.Target, r.Request.Body)
-
-	if refusal := f.checkQuarantine(j); refusal != nil {
-		return nil, refusal
-	}
-
+	j.identify()
 	j.parts = j.partKeys()
 
-	if refusal := f.checkParts(j); refusal != nil {
+	if refusal := f.checkHarmful(j); refusal != nil {
 		return nil, refusal
 	}
 
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -211,7 +211,7 @@
 		return j, refusal
 	}
 
-	j.fingerprint = quarantine.FingerprintOf(fleet.Account(j.accountName()), r.Method, r.Host, r.Target, r.Body)
+	j.identify()
 
 	if refusal := f.checkQuarantine(j); refusal != nil {
 		return j, refusal
--- a/forward/job.go
+++ b/forward/job.go
@@ -131,6 +131,12 @@
 	}
 }
 
+// identify sets the fingerprint of the request's content, once its account is known.
+func (j *job) identify() {
+	r := j.request
+	j.fingerprint = quarantine.FingerprintOf(fleet.Account(j.accountName()), r.Method, r.Host, r.Target, r.Body)
+}
+
 // cost returns the cost of the request, in tokens or requests as the account's limit.
 func (j *job) cost() float64 {
 	if !j.account.InTokens {
@@ -207,13 +213,11 @@
 	case errors.Is(err, errRevoked):
 		return &Refusal{Reason: StaleRules, NotRun: true, RetryAfter: unavailableRetryAfter, Cause: err.Error()}
 	case errors.Is(err, errQuarantined):
-		if refusal := j.forwarder.checkParts(j); refusal != nil {
+		if refusal := j.forwarder.checkHarmful(j); refusal != nil {
 			return refusal
 		}
 
-		left, _ := j.forwarder.Quarantine.Quarantined(j.forwarder.Clock.Now(), j.fingerprint)
-
-		return notRunRefusal(Quarantined, left)
+		return notRunRefusal(Quarantined, 0)
 	case errors.As(err, &overload):
 		return &Refusal{Reason: Overloaded, NotRun: true, RetryAfter: overload.RetryAfter, Cause: err.Error()}
 	case errors.As(err, &noRoom):
@@ -253,11 +257,7 @@
 		return errServerBlocked
 	}
 
-	if _, quarantined := j.forwarder.Quarantine.Quarantined(j.forwarder.Clock.Now(), j.fingerprint); quarantined {
-		return errQuarantined
-	}
-
-	if j.forwarder.checkParts(j) != nil {
+	if j.forwarder.checkHarmful(j) != nil {
 		return errQuarantined
 	}
 
--- a/forward/loss.go
+++ b/forward/loss.go
@@ -36,7 +36,7 @@
 		evidence = quarantine.Strong
 	}
 
-	fingerprint, id, segments, parts := j.fingerprint, j.request.ID, j.request.Prompt.Segments, j.parts
+	fingerprint, id, prompt, parts := j.fingerprint, j.request.ID, j.request.Prompt, j.parts
 	checkCtx := context.WithoutCancel(ctx)
 
 	go func() {
@@ -53,7 +53,7 @@
 
 		_, quarantined := f.Quarantine.Quarantined(now, fingerprint)
 		klog.InfoS("backend server ended under a request", "server", a.ID(), "id", id, "content", fingerprint,
-			"atBegin", evidence == quarantine.Strong, "held", quarantined, "parts", loggedParts(segments))
+			"atBegin", evidence == quarantine.Strong, "held", quarantined, "parts", loggedParts(prompt))
 	}()
 }
 
@@ -61,8 +61,8 @@
 const maxLoggedParts = 8
 
 // loggedParts returns the parts of a prompt that other requests may share.
-func loggedParts(segments []scheduling.Segment) []string {
-	shared := segments[:max(len(segments)-1, 0)]
+func loggedParts(p scheduling.Prompt) []string {
+	shared := p.SharedSegments()
 
 	var ids []string
 	for _, segment := range shared[:min(len(shared), maxLoggedParts)] {
--- a/forward/parts.go
+++ b/forward/parts.go
@@ -26,6 +26,15 @@
 	return quarantine.PartKeys(j.service, ids)
 }
 
+// checkHarmful refuses a request that crashes servers, by its content or by a part of its prompt.
+func (f *Forwarder) checkHarmful(j *job) *Refusal {
+	if refusal := f.checkQuarantine(j); refusal != nil {
+		return refusal
+	}
+
+	return f.checkParts(j)
+}
+
 // checkParts refuses a request with a part that crashes servers.
 func (f *Forwarder) checkParts(j *job) *Refusal {
 	if f.Parts == nil {
--- a/rollout/gate.go
+++ b/rollout/gate.go
@@ -145,7 +145,7 @@
 		return Choice{}
 	}
 
-	if !k.undecided() && k.state.Phase == Trial && now.Sub(k.decidedAt) < g.GrantTTL && g.draw() < k.state.Share {
+	if k.grantsTrial(now, g.GrantTTL) && g.draw() < k.state.Share {
 		return Choice{Only: k.state.Target, ServerShare: k.state.Share}
 	}
 
@@ -180,14 +180,18 @@
 		return nil
 	}
 
-	onTrial := !k.undecided() && k.state.Phase == Trial && k.state.Target == version
-	if onTrial && k.state.Share > 0 && now.Sub(k.decidedAt) < g.GrantTTL {
+	if version == k.state.Target && k.state.Share > 0 && k.grantsTrial(now, g.GrantTTL) {
 		return nil
 	}
 
 	return k.oldVersionChoice().Avoid
 }
 
+// grantsTrial reports whether the newest decision allows requests to the new version on trial.
+func (k serviceState) grantsTrial(now time.Time, ttl time.Duration) bool {
+	return !k.undecided() && k.state.Phase == Trial && now.Sub(k.decidedAt) < ttl
+}
+
 // undecided reports whether no decision on the newest order has arrived yet.
 func (k serviceState) undecided() bool { return k.order.Place > k.state.Place }
 
--- a/scheduling/home.go
+++ b/scheduling/home.go
@@ -2,12 +2,15 @@
 
 import "github.com/cespare/xxhash/v2"
 
+// SharedSegments returns the segments that other requests may share.
+func (p Prompt) SharedSegments() []Segment { return p.Segments[:max(len(p.Segments)-1, 0)] }
+
 // sharedTokens returns the tokens of the segments that other requests may share: all
 // but the last one, which belongs to the request alone.
 func (p Prompt) sharedTokens() int {
 	sum := 0
 
-	for _, segment := range p.Segments[:max(len(p.Segments)-1, 0)] {
+	for _, segment := range p.SharedSegments() {
 		sum += segment.Tokens
 	}
 
