refactor(scheduling): one way to queue a change of a server

Each of the five kinds of change had a set, a method to add to it and two calls of that method, of the same shape, and a brittle server had added the fifth. The kind is a value now, and one method queues any of them for both audiences. Messages and wake-ups are as before.

--- a/scheduling/brittle.go
+++ b/scheduling/brittle.go
@@ -70,11 +70,7 @@
 		s.OnBrittleChange(BrittleChange{Server: srv.entry().Process(), Before: before, After: next.maxRejections})
 	}
 
-	s.outboxes[Downstream].addBrittle(srv)
-
-	if upstream {
-		s.outboxes[Upstream].addBrittle(srv)
-	}
+	s.publish(brittleAnnounced, srv, nil, upstream, true)
 }
 
 // receiveBrittle applies what another instance knows.
--- a/scheduling/limit.go
+++ b/scheduling/limit.go
@@ -256,11 +256,7 @@
 		s.OnLimitChange(LimitChange{Server: srv.entry().Process(), Before: before.Rate, After: next.Rate})
 	}
 
-	s.outboxes[Downstream].addLimit(srv, changed)
-
-	if upstream {
-		s.outboxes[Upstream].addLimit(srv, changed)
-	}
+	s.publish(limitAnnounced, srv, nil, upstream, changed)
 }
 
 // limitState is the limit that a server announced, and whether it is used up.
--- a/scheduling/updates.go
+++ b/scheduling/updates.go
@@ -121,100 +121,54 @@
 	segmentUpdateInterval = segmentTTL / 3
 )
 
+// change is a kind of change of a server that other instances are told.
+type change int
+
+const (
+	backlogChanged change = iota
+	loadReported
+	processTerminated
+	limitAnnounced
+	brittleAnnounced
+
+	changes
+)
+
 // outbox collects changes until the next update to one audience. The zero value is empty.
 type outbox struct {
-	mu         sync.Mutex
-	backlogs   map[*server]bool
-	loads      map[*server]bool
-	terminated map[*server]bool
-	limits     map[*server]bool
-	brittle    map[*server]bool
-	segments   []CachedSegments
+	mu       sync.Mutex
+	servers  [changes]map[*server]bool
+	segments []CachedSegments
 	// wake is sent when an update should be sent soon.
 	wake feed.Signal
 }
 
-// addBacklog queues the backlog of a server, and segments that the server has cached.
-func (o *outbox) addBacklog(s *server, segments []Key) {
+// add queues a change of a server, and segments that the server has cached. Without wake it is part
+// of the next update that is sent for another reason.
+func (o *outbox) add(kind change, s *server, segments []Key, wake bool) {
 	o.mu.Lock()
 
-	if o.backlogs == nil {
-		o.backlogs = make(map[*server]bool)
+	if o.servers[kind] == nil {
+		o.servers[kind] = make(map[*server]bool)
 	}
 
-	o.backlogs[s] = true
+	o.servers[kind][s] = true
 
 	if len(segments) > 0 && len(o.segments) < maxQueuedSegments {
 		o.segments = append(o.segments, CachedSegments{Server: s.key, Parts: segments})
 	}
 
-	o.mu.Unlock()
-	o.wake.Send()
-}
-
-// addLoad queues the load of a server. A load alone doesn't wake the sender; it is part of the
-// next update.
-func (o *outbox) addLoad(s *server) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-
-	if o.loads == nil {
-		o.loads = make(map[*server]bool)
-	}
-
-	o.loads[s] = true
-}
-
-// addTerminated queues that the process of a server terminated.
-func (o *outbox) addTerminated(s *server) {
-	o.mu.Lock()
-
-	if o.terminated == nil {
-		o.terminated = make(map[*server]bool)
-	}
-
-	o.terminated[s] = true
-
-	o.mu.Unlock()
-	o.wake.Send()
-}
-
-// addLimit queues the limit that a server announced. It wakes the sender only if the limit
-// changed.
-func (o *outbox) addLimit(s *server, changed bool) {
-	o.mu.Lock()
-
-	if o.limits == nil {
-		o.limits = make(map[*server]bool)
-	}
-
-	o.limits[s] = true
-
 	o.mu.Unlock()
 
-	if changed {
+	if wake {
 		o.wake.Send()
 	}
 }
 
-// addBrittle queues that a server is brittle, or no longer is.
-func (o *outbox) addBrittle(s *server) {
-	o.mu.Lock()
-
-	if o.brittle == nil {
-		o.brittle = make(map[*server]bool)
-	}
-
-	o.brittle[s] = true
-
-	o.mu.Unlock()
-	o.wake.Send()
-}
-
 // outboxContent is the content of an outbox.
 type outboxContent struct {
-	backlogs, loads, terminated, limits, brittle []*server
-	segments                                     []CachedSegments
+	servers  [changes][]*server
+	segments []CachedSegments
 }
 
 // take empties the outbox and returns its content.
@@ -222,45 +176,50 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 
-	content := outboxContent{
-		backlogs: slices.Collect(maps.Keys(o.backlogs)), loads: slices.Collect(maps.Keys(o.loads)),
-		terminated: slices.Collect(maps.Keys(o.terminated)), limits: slices.Collect(maps.Keys(o.limits)),
-		brittle: slices.Collect(maps.Keys(o.brittle)), segments: o.segments,
-	}
+	content := outboxContent{segments: o.segments}
 
-	clear(o.backlogs)
-	clear(o.loads)
-	clear(o.terminated)
-	clear(o.limits)
-	clear(o.brittle)
+	for kind, servers := range o.servers {
+		content.servers[kind] = slices.Collect(maps.Keys(servers))
+		clear(servers)
+	}
 
 	o.segments = nil
 
 	return content
 }
 
+// publish queues a change of a server for the subscribers and, with upstream set, for the relays.
+// Changes that relays and peers told are not sent back upstream.
+func (s *Scheduler) publish(kind change, srv *server, segments []Key, upstream, wake bool) {
+	s.outboxes[Downstream].add(kind, srv, segments, wake)
+
+	if upstream {
+		s.outboxes[Upstream].add(kind, srv, segments, wake)
+	}
+}
+
 // TakeUpdate returns what has changed for an audience since the last call.
 func (s *Scheduler) TakeUpdate(now time.Time, to Audience) ServerUpdate {
 	content := s.outboxes[to].take()
 	update := ServerUpdate{Holdings: content.segments}
 
-	for _, srv := range content.terminated {
+	for _, srv := range content.servers[processTerminated] {
 		update.Ended = append(update.Ended, srv.key)
 	}
 
-	for _, srv := range content.limits {
+	for _, srv := range content.servers[limitAnnounced] {
 		update.Limits = append(update.Limits, srv.limitUpdate(now))
 	}
 
-	for _, srv := range content.brittle {
+	for _, srv := range content.servers[brittleAnnounced] {
 		update.Brittle = append(update.Brittle, srv.brittleUpdate(now))
 	}
 
-	for _, srv := range content.backlogs {
+	for _, srv := range content.servers[backlogChanged] {
 		update.Backlogs = append(update.Backlogs, Backlog{Server: srv.key, Tokens: clampTokens(srv.backlogFor(now, to, s.isRelay.Load()))})
 	}
 
-	for _, srv := range content.loads {
+	for _, srv := range content.servers[loadReported] {
 		if requests, age, ok := srv.lastLoad(now); ok {
 			update.Loads = append(update.Loads, ServerLoad{
 				Server: srv.key, Requests: uint16(min(requests, math.MaxUint16)), AgeMs: uint16(age.Milliseconds()),
@@ -334,11 +293,7 @@
 // publishBacklog queues the backlog of a server, and segments that the server has cached, for
 // other instances. Updates of relays and peers are not forwarded upstream.
 func (s *Scheduler) publishBacklog(srv *server, segments []Key, upstream bool) {
-	s.outboxes[Downstream].addBacklog(srv, segments)
-
-	if upstream {
-		s.outboxes[Upstream].addBacklog(srv, segments)
-	}
+	s.publish(backlogChanged, srv, segments, upstream, true)
 }
 
 // publishSegments records that a server has cached segments, and queues them for other instances
@@ -352,23 +307,14 @@
 // publishTerminated keeps requests away from a server whose process terminated, and queues that
 // for other instances unless it was already known.
 func (s *Scheduler) publishTerminated(now time.Time, srv *server, upstream bool) {
-	if !srv.markTerminated(now) {
-		return
-	}
-
-	s.outboxes[Downstream].addTerminated(srv)
-
-	if upstream {
-		s.outboxes[Upstream].addTerminated(srv)
+	if srv.markTerminated(now) {
+		s.publish(processTerminated, srv, nil, upstream, true)
 	}
 }
 
+// publishLoad queues the load of a server. A load alone is not worth an update.
 func (s *Scheduler) publishLoad(srv *server, upstream bool) {
-	s.outboxes[Downstream].addLoad(srv)
-
-	if upstream {
-		s.outboxes[Upstream].addLoad(srv)
-	}
+	s.publish(loadReported, srv, nil, upstream, false)
 }
 
 // backlogs are the backlogs of other instances at one server.
