test: guards of remembered streams, used-up connections, ends of servers and parts

Four tests without a network are new (an offer names a stream's version, a stream of another instance needs one, used-up connections lead to other instances, the end of a server is not the end of its answer), which only tests with sockets had covered, and one of quarantine: that a part whose answers begin as often as servers crash is cleared was missed by all tests.

--- a/forward/connections_test.go
+++ b/forward/connections_test.go
@@ -56,3 +56,35 @@
 		t.Errorf("with free connections again: got %v, want %v", outcome.Reason, Answered)
 	}
 }
+
+// Guards against requests that are refused although other instances have free connections, and
+// against requests that go from one instance to the next where none has any.
+func TestUsedUpConnectionsLeadToOtherInstances(t *testing.T) {
+	full := DetourResult{Refusal: &Refusal{Reason: NoServer, NotRun: true}}
+
+	for name, tt := range map[string]struct {
+		result  DetourResult
+		want    Reason
+		offered int
+	}{
+		"another has some": {result: DetourResult{Servers: []string{"api-1"}}, want: Answered, offered: 1},
+		"none has any":     {result: full, want: NoServer, offered: maxFullDetours},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newFixture(t, 10)
+			detour := &fakeDetour{serve: func(int, DetourRequest, Sink) (DetourResult, error) { return tt.result, nil }}
+			s.Detour = detour
+
+			defer s.fillConnections()()
+
+			outcome, _ := s.call("once", "r-1")
+			if outcome.Reason != tt.want || len(detour.requests) != tt.offered {
+				t.Errorf("got %v after %d offers, want %v after %d", outcome.Reason, len(detour.requests), tt.want, tt.offered)
+			}
+
+			if !s.LacksConnections() {
+				t.Error("instance: got one with free connections, want one that lacks them")
+			}
+		})
+	}
+}
--- a/forward/quarantine_test.go
+++ b/forward/quarantine_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -424,3 +425,39 @@
 		t.Errorf("refused: got after %v, want within %v", outcome.Duration, most)
 	}
 }
+
+// Guards against the end of a crashed server that is taken for the end of its answer, which has
+// neither a length nor chunks.
+func TestEndOfServerIsNotEndOfItsAnswer(t *testing.T) {
+	f := newCrashFixture(t)
+	f.respond = func(address string, n int, r *http.Request) string {
+		f.crashed[address].Store(n == 1)
+
+		whole := signedStream(r, 3, 4, false)
+		if n == 1 {
+			whole = strings.Replace(signedStream(r, 1, 2, false), "Content-Length", "Ignored", 1)
+		}
+
+		return whole
+	}
+
+	done := make(chan Outcome, 1)
+
+	go func() {
+		outcome, _ := f.call("talk", "r")
+		done <- outcome
+	}()
+
+	for {
+		select {
+		case outcome := <-done:
+			if outcome.Reason != Answered || outcome.Events != 4 || len(f.arrivals()) != 2 {
+				t.Errorf("got %v with %d events of %d servers, want %v with 4 of 2", outcome.Reason, outcome.Events, len(f.arrivals()), Answered)
+			}
+
+			return
+		default:
+			f.runTerminationChecks()
+		}
+	}
+}
--- a/forward/version_test.go
+++ b/forward/version_test.go
@@ -10,6 +10,7 @@
 	"monsoonlever/fleet"
 	"monsoonlever/register"
 	"monsoonlever/resumption"
+	"monsoonlever/upstream"
 )
 
 // knownOrigins is an Origins of one instance.
@@ -135,3 +136,43 @@
 		t.Errorf("version of an unknown stream: got %q, want none", got)
 	}
 }
+
+// Guards against a stream that goes on at any version by way of other instances: the one that lost
+// it told the version of its server, which the next one has to obey.
+func TestDetourNamesVersionOfStream(t *testing.T) {
+	f, detour := newCutFixture(t, func(n int, _ DetourRequest, sink Sink) (DetourResult, error) {
+		sink.StreamVersion("v2")
+		streamEvents(sink, 2*n-1, 2*n)
+
+		if n == 1 {
+			return DetourResult{}, fmt.Errorf("broke: %w", upstream.ErrGarbled)
+		}
+
+		return DetourResult{}, nil
+	})
+
+	f.Scheduler.Update([]register.Server{
+		{ID: "llm-1", Service: "llm", Version: "v1", Address: "llm-1", Domain: "a", Slots: 8},
+		{ID: "llm-2", Service: "llm", Version: "v2", Address: "llm-2", Domain: "a", Slots: 8},
+	})
+	f.losePaths()
+
+	if outcome, _ := f.call("talk", "r"); outcome.Reason != Answered || len(detour.requests) != 2 {
+		t.Fatalf("got %v after %d offers, want %v after 2", outcome.Reason, len(detour.requests), Answered)
+	}
+
+	if first, second := detour.requests[0].Version, detour.requests[1].Version; first != "" || second != "v2" {
+		t.Errorf("versions of the offers: got %q and %q, want none and v2", first, second)
+	}
+}
+
+// Guards against an instance that sends the rest of another one's stream to any version.
+func TestStreamOfOtherInstanceNeedsVersion(t *testing.T) {
+	s := newVersionsFixture(t, map[string]fleet.Version{"a-1": "v1"})
+	r := s.requestOfOther()
+	r.Service, r.Request.Target, r.Request.Path, r.Request.ResumeAfter = "llm", "/talk/x", "/talk/x", "3"
+
+	if _, refusal := s.PrepareDetour(t.Context(), r); refusal == nil || refusal.Reason != UnknownStream || !refusal.NotRun {
+		t.Errorf("got %+v, want %v, not run", refusal, UnknownStream)
+	}
+}
--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -211,3 +211,21 @@
 		t.Errorf("suspects: got %d, want the %d new ones", got, kept)
 	}
 }
+
+// Guards against a part that is held off although answers on it begin as often as servers crash.
+func TestPartThatBeginsAsOftenIsNotHeldOff(t *testing.T) {
+	const times = 8
+
+	part := PartKeys("llm", []string{"all", "own"})
+
+	var p Parts
+
+	for i := range times {
+		p.RecordBegin(partsNow, fmt.Sprint("r", i), part)
+		p.RecordCrash(partsNow.Add(time.Duration(i)*time.Second), crashed(i), part)
+	}
+
+	if _, held := p.Held(part); held {
+		t.Error("got a part that is held off, want none")
+	}
+}
