feat(retry,forward): logs and counters tell which part of a budget granted a retry

The line of a request names the retries that the budget granted, a line the fixed part of an instance and its count of instances, and a counter the grants by part.

--- a/entry/components.go
+++ b/entry/components.go
@@ -232,6 +232,7 @@
 	p.loans = &quota.Limiter{Quota: p.limits, Clock: e.Clock, Self: s.Instance, Current: p.rulesCurrency.Current, Send: func(to fleet.InstanceID, request quota.LoanRequest) {
 		p.sendDatagram(to, datagram{LoanRequest: &request})
 	}}
+	p.retries.Counters = retry.NewCounters(set)
 	p.permits = newPermits(p)
 	p.scheduler.Permits = p.permits
 	p.rollouts = newRollouts(p)
@@ -434,7 +435,7 @@
 	}
 
 	klog.InfoS("request", "id", r.ID, "outcome", o.Reason.String(), "route", o.Route, "account", o.Account, "content", o.Fingerprint,
-		"rules", o.RulesVersion, "rulesAge", o.RulesAge, "notRun", o.NotRun, "servers", o.Servers, "versions", o.Versions, "events", o.Events,
+		"rules", o.RulesVersion, "rulesAge", o.RulesAge, "notRun", o.NotRun, "servers", o.Servers, "retries", o.Retries, "versions", o.Versions, "events", o.Events,
 		"resumes", r.Resumes, "after", r.ResumeAfter,
 		"held", o.Queued, "took", o.Duration, "cause", o.Cause)
 }
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -72,7 +72,10 @@
 
 // splitBudgets limits this instance to its share of the budgets that all instances have in common.
 func (p *components) splitBudgets() {
-	p.retries.SetMinRetries(p.bounds.Load().Retries() / p.instanceCount())
+	n := p.instanceCount()
+	part := p.bounds.Load().Retries() / n
+	p.retries.SetMinRetries(part)
+	klog.InfoS("fixed part of the retry budget changed", "retries", part, "instances", n)
 	p.setConnectionLimits()
 }
 
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -167,6 +167,7 @@
 	if j != nil {
 		outcome.Route, outcome.Account, outcome.Servers = j.route.Name, j.accountName(), j.sentTo
 		outcome.Events, outcome.RulesVersion, outcome.Queued = j.stream.events, j.rules.Version(), j.queued
+		outcome.Retries = j.retries
 		outcome.Fingerprint, outcome.Versions = j.fingerprint, j.sentVersions
 	}
 
--- a/forward/job.go
+++ b/forward/job.go
@@ -32,6 +32,8 @@
 
 	// sent counts the attempts in which bytes of the request may have reached a server.
 	sent int
+	// retries counts the attempts that the budget of retries granted.
+	retries int
 	// mayHaveRun is set once a server may have run the request.
 	mayHaveRun bool
 	// usageCounted is set once the request is counted in the usage of its client account.
@@ -183,7 +185,13 @@
 
 	scope := retry.NewScope(j.service, "")
 
-	return j.forwarder.Retries.Of(scope).Take(j.forwarder.Clock.Now())
+	if !j.forwarder.Retries.Of(scope).Take(j.forwarder.Clock.Now()) {
+		return false
+	}
+
+	j.retries++
+
+	return true
 }
 
 // finalAnswer returns the refusal after the last attempt failed with err. It returns nil if
--- a/forward/outcome.go
+++ b/forward/outcome.go
@@ -101,6 +101,8 @@
 	// Versions are the versions of those servers, without those of servers to which another
 	// instance sent the request.
 	Versions []fleet.Version
+	// Retries is the number of attempts that the budget of retries granted.
+	Retries int
 	// Events is the number of relayed events.
 	Events int
 	// Queued is how long the request waited for the scheduler to place it.
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -24,6 +24,7 @@
 	// the window, and no retry within the window is missed.
 	sentRetries   *window.Counter
 	unsentRetries *window.Counter
+	counters      *Counters
 }
 
 func newBudget(p BudgetPolicy) *Budget {
@@ -61,15 +62,19 @@
 // Of two concurrent calls for the last retry both may be refused, but never both
 // granted.
 func (b *Budget) take(now time.Time, retries *window.Counter, share float64) bool {
-	limit := int64(share*float64(b.requests.Sum(now, windowBuckets))) + b.minRetries.Load()
+	ofRequests := int64(share * float64(b.requests.Sum(now, windowBuckets)))
 
 	retries.Add(now, 1)
 
-	if retries.Sum(now, retryBuckets) > limit {
+	sum := retries.Sum(now, retryBuckets)
+	if sum > ofRequests+b.minRetries.Load() {
 		retries.Add(now, -1)
+		b.counters.refuse()
 
 		return false
 	}
 
+	b.counters.granted(sum > ofRequests)
+
 	return true
 }
--- a/retry/budgets.go
+++ b/retry/budgets.go
@@ -12,6 +12,9 @@
 // Budgets holds the budget of each scope. Looking up the budget of a known scope
 // takes no lock. Budgets is safe for concurrent use.
 type Budgets struct {
+	// Counters is set before the first use; nil counts nothing.
+	Counters *Counters
+
 	policy BudgetPolicy
 	// minRetries is BudgetPolicy.MinRetries until SetMinRetries changes it for all
 	// scopes.
@@ -73,7 +76,7 @@
 // newBudget returns a budget of one scope. Later calls of SetMinRetries apply to it.
 func (b *Budgets) newBudget() *Budget {
 	budget := newBudget(b.policy)
-	budget.minRetries = &b.minRetries
+	budget.minRetries, budget.counters = &b.minRetries, b.Counters
 
 	return budget
 }
