--- a/forward/detour_test.go
+++ b/forward/detour_test.go
@@ -11,6 +11,7 @@
 	"monsoonlever/fleet"
 	"monsoonlever/quarantine"
 	"monsoonlever/register"
+	"monsoonlever/retry"
 	"monsoonlever/scheduling"
 	"monsoonlever/upstream"
 )
@@ -111,6 +112,33 @@
 	}
 }
 
+// Guards against further sends that no budget counts: servers rejected the request at one helping
+// instance, and the next one sends it as if it had never been sent.
+func TestSendsAfterRejectionElsewhereTakeBudget(t *testing.T) {
+	const budget = 2
+
+	rejected := DetourResult{Refusal: &Refusal{Reason: NoServer, NotRun: true}, Servers: []string{"i-1"}}
+
+	f, detour := newCutFixture(t, func(n int, _ DetourRequest, _ Sink) (DetourResult, error) {
+		if n > 100 {
+			return DetourResult{}, ErrNoHelper
+		}
+
+		return rejected, nil
+	})
+	f.Retries = retry.NewBudgets(retry.BudgetPolicy{Window: 10 * time.Second, Share: 1e-9, MinRetries: budget})
+
+	const requests = 10
+
+	for i := range requests {
+		f.call("safe", fmt.Sprint("r-", i))
+	}
+
+	if got, want := len(detour.requests), requests+budget; got > want {
+		t.Errorf("sends of %d requests by way of others: got %d, want at most %d", requests, got, want)
+	}
+}
+
 // Guards against serving a request of another instance that this one may not send.
 func TestInstanceDeclinesRequestsOfOthers(t *testing.T) {
 	for name, tt := range map[string]struct {
