fix(retry,entry): instances that start or lose others do not spend the budget of retries again

Callers' requests were sent on to further servers beyond the bound on retries of all instances together, while servers failed and instances were restarted.

Cause: the fixed part of the budget (the bound divided by the instances) was kept by each process for itself. The bound is a sum over all processes of a window.

The part now is the least one of the last window, and none before the start: a larger part takes effect once it has held for a window, a smaller one at once. It is computed in each round of heartbeats, not only when the plan's count changes.

Ruled out: clocks that are set (the instance's clock is steady, by reading).

--- a/entry/components.go
+++ b/entry/components.go
@@ -145,6 +145,8 @@
 	// when it held no directory.
 	directory         atomic.Pointer[directoryView]
 	emptyDirectoryEnd atomic.Pointer[feed.Position]
+	// budgetSplit is how the budgets that all instances have in common were last split.
+	budgetSplit budgetSplit
 	// countKnownAt is when the number of instances was first known from a directory.
 	countKnownAt  atomic.Pointer[time.Time]
 	directoryFeed *feed.Follower
@@ -207,7 +209,7 @@
 		registerCurrency: &currency.Tracker{
 			Clock: e.Clock, MaxAge: time.Duration(float64(s.Bounds.Drain) * maxRegisterAgeShare),
 		},
-		retries: newRetryBudgets(s.Bounds),
+		retries: newRetryBudgets(s.Bounds, e.Clock.Now()),
 		scheduler: &scheduling.Scheduler{
 			Domain: s.FailureDomain, OnLimitChange: logLimitChange, OnBackoff: logBackoff, OnBrittleChange: logBrittleChange,
 			Resume: scheduling.DefaultResumePolicy, Counters: scheduling.NewCounters(set),
@@ -337,10 +339,8 @@
 	return max(b.Revocation-currencyMargin, b.Revocation/2)
 }
 
-func newRetryBudgets(b settings.Bounds) *retry.Budgets {
-	return retry.NewBudgets(retry.BudgetPolicy{
-		Window: b.RetryWindow, Share: b.RetryShare * retryMargin, MinRetries: b.Retries(),
-	})
+func newRetryBudgets(b settings.Bounds, startedAt time.Time) *retry.Budgets {
+	return retry.NewSharedBudgets(retry.BudgetPolicy{Window: b.RetryWindow, Share: b.RetryShare * retryMargin}, startedAt)
 }
 
 // run runs the background work of the instance until ctx ends.
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -4,6 +4,7 @@
 	"maps"
 	"net/netip"
 	"slices"
+	"sync"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -54,9 +55,7 @@
 
 	p.updateUpstream()
 
-	if before.InstanceCount != plan.InstanceCount {
-		p.splitBudgets()
-	}
+	p.splitBudgets()
 
 	return plan
 }
@@ -70,13 +69,32 @@
 	return after.IsLeader(self) && !before.IsLeader(self) || after.IsFirstLeader(self) && !before.IsFirstLeader(self)
 }
 
-// splitBudgets limits this instance to its share of the budgets that all instances have in common.
+// budgetSplit is the number of instances that share budgets, and this instance's part of the retries
+// beside the share of the requests.
+type budgetSplit struct {
+	mu                 sync.Mutex
+	instances, retries int
+}
+
+// splitBudgets limits this instance to its share of the budgets that all instances have in common,
+// if that share has changed.
 func (p *components) splitBudgets() {
+	p.budgetSplit.mu.Lock()
+	defer p.budgetSplit.mu.Unlock()
+
 	n := p.instanceCount()
 	part := p.bounds.Load().Retries() / n
-	p.retries.SetMinRetries(part)
-	klog.InfoS("fixed part of the retry budget changed", "retries", part, "instances", n)
-	p.setConnectionLimits()
+
+	if part != p.budgetSplit.retries {
+		p.retries.SetMinRetries(p.clock.Now(), part)
+		klog.InfoS("fixed part of the retry budget changed", "retries", part, "instances", n)
+	}
+
+	if n != p.budgetSplit.instances {
+		p.setConnectionLimits()
+	}
+
+	p.budgetSplit.instances, p.budgetSplit.retries = n, part
 }
 
 // setLimitMembers sets the instances that share or coordinate the limits, once all records were
--- a/entry/reload.go
+++ b/entry/reload.go
@@ -15,7 +15,7 @@
 		p.limits.Configure(p.allowances(rules))
 	}
 
-	p.retries.SetMinRetries(s.Bounds.Retries() / p.instanceCount())
+	p.splitBudgets()
 
 	updated := s
 	updated.Bounds, updated.Duties = p.settings.Bounds, p.settings.Duties
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -1,7 +1,6 @@
 package retry
 
 import (
-	"sync/atomic"
 	"time"
 
 	"monsoonlever/window"
@@ -16,9 +15,9 @@
 // Budget limits the retries and hedges of one scope to a share of its requests
 // in a sliding window. It is safe for concurrent use.
 type Budget struct {
-	policy     BudgetPolicy
-	minRetries *atomic.Int64
-	requests   *window.Counter
+	policy   BudgetPolicy
+	fixed    *fixedPart
+	requests *window.Counter
 	// sentRetries and unsentRetries cover one bucket more than requests, because
 	// the newest bucket is only partly elapsed: every counted request lies within
 	// the window, and no retry within the window is missed.
@@ -28,14 +27,14 @@
 }
 
 func newBudget(p BudgetPolicy) *Budget {
-	minRetries := new(atomic.Int64)
-	minRetries.Store(int64(p.MinRetries))
+	fixed := &fixedPart{}
+	fixed.set(time.Time{}, int64(p.MinRetries))
 
 	width := p.Window / windowBuckets
 
 	return &Budget{
 		policy:        p,
-		minRetries:    minRetries,
+		fixed:         fixed,
 		requests:      window.NewCounter(width, windowBuckets),
 		sentRetries:   window.NewCounter(width, retryBuckets),
 		unsentRetries: window.NewCounter(width, retryBuckets),
@@ -67,7 +66,7 @@
 	retries.Add(now, 1)
 
 	sum := retries.Sum(now, retryBuckets)
-	if sum > ofRequests+b.minRetries.Load() {
+	if sum > ofRequests+b.fixed.inForce(now) {
 		retries.Add(now, -1)
 		b.counters.refuse()
 
--- a/retry/budgets.go
+++ b/retry/budgets.go
@@ -4,6 +4,7 @@
 	"maps"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // maxScopes bounds the memory of Budgets; all further scopes share one budget.
@@ -16,9 +17,8 @@
 	Counters *Counters
 
 	policy BudgetPolicy
-	// minRetries is BudgetPolicy.MinRetries until SetMinRetries changes it for all
-	// scopes.
-	minRetries atomic.Int64
+	// fixed is BudgetPolicy.MinRetries until SetMinRetries changes it for all scopes.
+	fixed fixedPart
 	// overflow is shared by the scopes beyond maxScopes.
 	overflow *Budget
 
@@ -31,13 +31,26 @@
 func NewBudgets(p BudgetPolicy) *Budgets {
 	p = p.withDefaults()
 	b := &Budgets{policy: p}
-	b.minRetries.Store(int64(p.MinRetries))
+	b.fixed.set(time.Time{}, int64(p.MinRetries))
 	b.overflow = b.newBudget()
 	b.byScope.Store(&map[Scope]*Budget{})
 
 	return b
 }
 
+// NewSharedBudgets returns Budgets whose MinRetries, set by SetMinRetries, is the part of this
+// process in a bound on the retries of several processes. There is none until a window has passed
+// since the process started at startedAt: an earlier process may have spent the part, or the
+// others may have had it among them.
+func NewSharedBudgets(p BudgetPolicy, startedAt time.Time) *Budgets {
+	b := NewBudgets(p)
+	// Retries are counted over one bucket more than the window.
+	b.fixed.span = b.policy.Window / windowBuckets * retryBuckets
+	b.fixed.steps.Store(&[]fixedStep{{until: startedAt}})
+
+	return b
+}
+
 // Of returns the budget of a scope.
 func (b *Budgets) Of(s Scope) *Budget {
 	if budget, ok := (*b.byScope.Load())[s]; ok {
@@ -67,16 +80,22 @@
 	return next[s]
 }
 
-// SetMinRetries sets BudgetPolicy.MinRetries of all scopes, for example when the
-// number of instances that share a bound on retries changes.
-func (b *Budgets) SetMinRetries(n int) {
-	b.minRetries.Store(int64(n))
+// SetMinRetries sets BudgetPolicy.MinRetries of all scopes, for example when the number of
+// processes that share a bound on retries changes. A larger number takes effect once it has held
+// for a window if the budgets are shared.
+func (b *Budgets) SetMinRetries(now time.Time, n int) {
+	b.fixed.set(now, int64(n))
+}
+
+// MinRetries returns the number of retries allowed on top of the share of the requests.
+func (b *Budgets) MinRetries(now time.Time) int {
+	return int(b.fixed.inForce(now))
 }
 
 // newBudget returns a budget of one scope. Later calls of SetMinRetries apply to it.
 func (b *Budgets) newBudget() *Budget {
 	budget := newBudget(b.policy)
-	budget.minRetries, budget.counters = &b.minRetries, b.Counters
+	budget.fixed, budget.counters = &b.fixed, b.Counters
 
 	return budget
 }
