fix(forward): a request that servers rejected elsewhere is sent again only within the budget

A request that another instance served for this one, and that servers rejected there, was offered to the next instance as if it had never been sent: without end until its deadline, beyond its route's attempts, and charged to no budget.

Cause: a refusal for want of a server was taken for one of an instance without a path, whether servers had got the request or not.

--- a/forward/detour.go
+++ b/forward/detour.go
@@ -148,6 +148,10 @@
 	}
 
 	if result.Refusal.NotRun && result.Refusal.Reason == NoServer {
+		if len(result.Servers) > 0 {
+			return merry.Prepend(backend.ErrRefused, "detour: "+result.Refusal.Cause)
+		}
+
 		return merry.Prepend(backend.ErrNotSent, "detour: "+result.Refusal.Cause)
 	}
 
