feat(scheduling): rejections by brittle servers are counted with whether they had a permit

The counter tells requests to servers that are not known to be brittle from those for which too much was granted.

--- a/scheduling/assignment.go
+++ b/scheduling/assignment.go
@@ -55,6 +55,9 @@
 	// trial is the backoff for which this attempt is the trial, or nil.
 	trial *backoff
 
+	// permitted is set if a permit was granted for the attempt.
+	permitted bool
+
 	startedAt   time.Time
 	started     bool
 	answerBegun bool
--- a/scheduling/brittle.go
+++ b/scheduling/brittle.go
@@ -93,7 +93,14 @@
 
 // reportRejection reports a rejection by a brittle server.
 func (a *Assignment) reportRejection() {
-	if n := a.server.maxRejections(); n > 0 && a.scheduler.Permits != nil {
+	n := a.server.maxRejections()
+	if n == 0 {
+		return
+	}
+
+	a.scheduler.Counters.rejectedByBrittle(a.permitted)
+
+	if a.scheduler.Permits != nil {
 		a.scheduler.Permits.Rejected(a.Server(), n)
 	}
 }
--- a/scheduling/counters.go
+++ b/scheduling/counters.go
@@ -2,10 +2,13 @@
 
 import "github.com/VictoriaMetrics/metrics"
 
-// Counters count requests that were sent contrary to what their server announced. A nil pointer
-// counts nothing.
+// Counters count requests that were sent contrary to what their server announced, and those that
+// brittle servers rejected. A nil pointer counts nothing.
 type Counters struct {
 	toLeaving, inBackoff *metrics.Counter
+	// rejectedPermitted and rejectedUnpermitted are rejections by brittle servers of requests with a
+	// permit, and of those that were sent without.
+	rejectedPermitted, rejectedUnpermitted *metrics.Counter
 }
 
 // NewCounters registers counters in a set.
@@ -13,6 +16,9 @@
 	return &Counters{
 		toLeaving: set.NewCounter("monsoonlever_scheduling_sends_to_leaving_total"),
 		inBackoff: set.NewCounter("monsoonlever_scheduling_sends_in_backoff_total"),
+
+		rejectedPermitted:   set.NewCounter(`monsoonlever_scheduling_brittle_rejections_total{permit="yes"}`),
+		rejectedUnpermitted: set.NewCounter(`monsoonlever_scheduling_brittle_rejections_total{permit="no"}`),
 	}
 }
 
@@ -27,3 +33,13 @@
 		c.inBackoff.Inc()
 	}
 }
+
+func (c *Counters) rejectedByBrittle(permitted bool) {
+	switch {
+	case c == nil:
+	case permitted:
+		c.rejectedPermitted.Inc()
+	default:
+		c.rejectedUnpermitted.Inc()
+	}
+}
--- a/scheduling/limit.go
+++ b/scheduling/limit.go
@@ -39,7 +39,9 @@
 		return true
 	}
 
-	return s.requestPermit(ctx, clk, a.server, 0).Granted
+	a.permitted = s.requestPermit(ctx, clk, a.server, 0).Granted
+
+	return a.permitted
 }
 
 // requestPermit requests a permit and, if it is refused, records until when the server has no
@@ -87,7 +89,10 @@
 		if permit.Granted {
 			clock.Sleep(ctx, clk, permit.Wait)
 
-			return s.assign(clk.Now(), srv, r), ctx.Err()
+			a := s.assign(clk.Now(), srv, r)
+			a.permitted = true
+
+			return a, ctx.Err()
 		}
 
 		if ctx.Err() != nil {
