fix(ratelimit,scheduling): requests at brittle servers are bounded by number, not by rate

Cause: what was granted was bounded by a rate that is learned from rejections. Until the first one there was none, and where a request lasts seconds a rate says nothing of the room: the queue is full until one ends.

The granter now counts the requests at each server by what instances report (begun, ended, rejected, with the load of that response) and keeps them within its slots, or the room of a rejection. What the server was not seen to hold is tried by so few requests at a time that it bears the rejection of all. A refused request is told its turn instead of asking every 75 ms; a permit that arrives late is given back.

Engines that come back unknown still fall: listed.

The rate for brittle servers is gone (one of each). Its two tests play the new bound with the same checks and limits: what is rejected in the worst second, what is served, and that a rejection after a pause does not collapse it.

--- a/entry/datagram.go
+++ b/entry/datagram.go
@@ -30,6 +30,8 @@
 	// PermitRequest and PermitResponse grant requests to backend servers that limit them.
 	PermitRequest  *ratelimit.PermitRequest  `msgpack:"l,omitempty"`
 	PermitResponse *ratelimit.PermitResponse `msgpack:"m,omitempty"`
+	// PermitReport tells what happened to a request at a brittle backend server.
+	PermitReport *ratelimit.PermitReport `msgpack:"b,omitempty"`
 	// Servers are changes of backend servers.
 	Servers []serverChange `msgpack:"s,omitempty"`
 	// Prompts is what the sender knows of the prompts at model engines.
@@ -75,11 +77,8 @@
 		// A requester that has just started, or stops, has no known address here.
 		response := p.loans.HandleRequest(*d.LoanRequest)
 		p.sendAll(map[fleet.InstanceID]netip.AddrPort{d.LoanRequest.From: from}, datagram{LoanResponse: &response})
-	case d.PermitRequest != nil:
-		response := p.permits.HandleRequest(*d.PermitRequest)
-		p.sendAll(map[fleet.InstanceID]netip.AddrPort{d.PermitRequest.From: from}, datagram{PermitResponse: &response})
-	case d.PermitResponse != nil:
-		p.permits.HandleResponse(*d.PermitResponse)
+	case d.PermitRequest != nil, d.PermitResponse != nil, d.PermitReport != nil:
+		p.receivePermitMessage(from, &d)
 	case len(d.Servers) > 0:
 		p.receiveServerChanges(now, d.Servers)
 	case d.Prompts != nil:
@@ -97,6 +96,19 @@
 	}
 }
 
+// receivePermitMessage handles messages about permits for backend servers.
+func (p *components) receivePermitMessage(from netip.AddrPort, d *datagram) {
+	switch {
+	case d.PermitRequest != nil:
+		response := p.permits.HandleRequest(*d.PermitRequest)
+		p.sendAll(map[fleet.InstanceID]netip.AddrPort{d.PermitRequest.From: from}, datagram{PermitResponse: &response})
+	case d.PermitResponse != nil:
+		p.permits.HandleResponse(*d.PermitResponse)
+	case d.PermitReport != nil:
+		p.permits.HandleReport(*d.PermitReport)
+	}
+}
+
 // receiveRelayMessage handles messages by which relays are found, and counts that a relay
 // forwards.
 func (p *components) receiveRelayMessage(now time.Time, d *datagram) {
--- a/entry/permits.go
+++ b/entry/permits.go
@@ -34,5 +34,8 @@
 		Send: func(to fleet.InstanceID, request ratelimit.PermitRequest) {
 			p.sendDatagram(to, datagram{PermitRequest: &request})
 		},
+		SendReport: func(to fleet.InstanceID, report ratelimit.PermitReport) {
+			p.sendDatagram(to, datagram{PermitReport: &report})
+		},
 	}
 }
--- a/forward/limit_test.go
+++ b/forward/limit_test.go
@@ -122,4 +122,4 @@
 }
 
 // Rejected is not used: no server of these tests is brittle.
-func (p *fakePermits) Rejected(register.Process, int) {}
+func (p *fakePermits) Report(ratelimit.PermitReport) {}
--- a/gossip/requests.go
+++ b/gossip/requests.go
@@ -74,15 +74,20 @@
 }
 
 // Reply delivers the reply to the request with the given number. A late or repeated reply is
-// discarded.
-func (r *Requests[T]) Reply(number uint64, reply T) {
+// discarded, and Reply then returns false.
+func (r *Requests[T]) Reply(number uint64, reply T) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 
-	if replies := r.pending[number]; replies != nil {
-		delete(r.pending, number)
-		replies <- reply
+	replies := r.pending[number]
+	if replies == nil {
+		return false
 	}
+
+	delete(r.pending, number)
+	replies <- reply
+
+	return true
 }
 
 // isSilent reports whether an instance failed to reply a moment ago.
--- a/ratelimit/bucket.go
+++ b/ratelimit/bucket.go
@@ -19,8 +19,6 @@
 type bucket struct {
 	tokens    float64
 	updatedAt time.Time
-	// paced limits the burst to one request, whatever the rate.
-	paced bool
 }
 
 // take takes a token and returns how long the request has to wait for it. If that exceeds
@@ -46,10 +44,6 @@
 
 func (b *bucket) refill(now time.Time, rate float64) {
 	burst := max(rate*burstWindow.Seconds(), minBurst)
-	if b.paced {
-		burst = minBurst
-	}
-
 	elapsed := max(now.Sub(b.updatedAt), 0)
 	b.tokens = min(b.tokens+rate*elapsed.Seconds(), burst)
 	b.updatedAt = now
--- a/ratelimit/granter.go
+++ b/ratelimit/granter.go
@@ -31,6 +31,11 @@
 	// Wait is the delay before the request may be sent or, if it is not granted, before the
 	// server may have capacity.
 	Wait time.Duration
+	// Granter is the instance that granted it. Level is the number of requests at a brittle server,
+	// this one included, and Probe is set if the server was not seen to hold so many.
+	Granter fleet.InstanceID
+	Level   int
+	Probe   bool
 }
 
 // Granter grants requests to limited servers on behalf of all instances. Its exported field is
@@ -61,9 +66,8 @@
 	lastRequest time.Time
 	// viewVersion is the version of the views at the last request.
 	viewVersion uint64
-	// room is what a brittle server has room for, and paced the bucket that spreads its requests.
-	room  room
-	paced bucket
+	// occupancy bounds the requests at a brittle server.
+	occupancy occupancy
 }
 
 // SetLeaders sets the current leaders.
@@ -121,8 +125,9 @@
 }
 
 // GrantBrittle is Grant for a server that falls over if it has to reject too many requests in a
-// second, at most maxRejections. rate may be Unlimited.
-func (g *Granter) GrantBrittle(now time.Time, server register.Process, rate Rate, maxRejections int, maxWait time.Duration) Permit {
+// second, at most maxRejections. rate may be Unlimited. slots is the number of requests that the
+// server runs at a time, zero if it is not known.
+func (g *Granter) GrantBrittle(now time.Time, server register.Process, rate Rate, maxRejections, slots int, maxWait time.Duration) Permit {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 
@@ -133,44 +138,51 @@
 
 	state := g.grantsFor(now, server)
 
-	adapted, pause := state.room.current(now)
-	if pause > 0 {
-		return Permit{Wait: pause}
+	permit := state.occupancy.grant(now, maxRejections, slots, g.limitShare(server, share), maxWait)
+	if !permit.Granted || rate == Unlimited {
+		return permit
 	}
 
-	if adapted == 0 || rate != Unlimited && rate < adapted {
-		adapted = rate
-	}
+	wait, granted := state.bucket.take(now, float64(rate)*share, maxWait)
+	if !granted {
+		state.occupancy.ended(now, PermitReport{Probe: permit.Probe, Requests: unknownRequests}, true)
 
-	if adapted != Unlimited {
-		if share < 1 {
-			maxWait = 0
-		}
+		return Permit{Wait: wait}
+	}
 
-		// What is reserved ahead is sent even if the server rejects a request meanwhile.
-		ahead := time.Duration(float64(maxRejections) * reservedShare / float64(adapted) * float64(time.Second))
-		wait, granted := state.paced.take(now, float64(adapted)*share, min(maxWait, ahead))
-		if !granted {
-			return Permit{Wait: wait}
-		}
+	permit.Wait = wait
 
-		state.room.granted(now)
+	return permit
+}
 
-		return Permit{Granted: true, Wait: wait}
+// limitShare returns the share of a brittle server's limit that this instance uses while its share
+// of the rate is as given.
+func (g *Granter) limitShare(server register.Process, share float64) float64 {
+	switch {
+	case share == 1:
+		return 1
+	case g.views[len(g.views)-1].ranksFirst(server, g.Self):
+		return handoverLimitShare
+	default:
+		return standbyShare
 	}
-
-	state.room.granted(now)
-
-	return Permit{Granted: true}
 }
 
-// Rejected records that a brittle server, which bears maxRejections a second, rejected a request
-// for lack of room.
-func (g *Granter) Rejected(now time.Time, server register.Process, maxRejections int) {
+// Report records what happened to a request at a brittle server.
+func (g *Granter) Report(now time.Time, r PermitReport) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 
-	g.grantsFor(now, server).room.rejected(now, maxRejections)
+	state, own := g.grantsFor(now, r.Server), r.Granter == g.Self
+
+	switch r.Kind {
+	case Began:
+		state.occupancy.began(now, r, own)
+	case Ended:
+		state.occupancy.ended(now, r, own)
+	case Rejected:
+		state.occupancy.rejected(now, r, own)
+	}
 }
 
 // share returns the share of a server's rate that this instance grants. It grants the full
@@ -227,7 +239,7 @@
 
 	state := g.grants[server]
 	if state == nil {
-		state = &serverGrants{bucket: bucket{updatedAt: now}, paced: bucket{updatedAt: now, paced: true}}
+		state = &serverGrants{bucket: bucket{updatedAt: now}}
 		g.grants[server] = state
 	}
 
--- a/ratelimit/limiter.go
+++ b/ratelimit/limiter.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"monsoonlever/clock"
@@ -30,10 +31,12 @@
 	Age  time.Duration
 	// Patience is how long the request can wait.
 	Patience time.Duration
-	// MaxRejections is how many rejections a second a brittle server bears. Rejected reports one
-	// of them, and requests no permit.
+	// MaxRejections is how many rejections a second a brittle server bears.
 	MaxRejections int
-	Rejected      bool
+	// Rejected is set in reports of instances of an earlier version, which request no permit.
+	Rejected bool
+	// Slots is how many requests the server runs at a time, zero if it is not known.
+	Slots int
 }
 
 // PermitResponse is the response to a PermitRequest.
@@ -45,6 +48,11 @@
 	// Rate and Age are the server's announcement as the granter knows it.
 	Rate Rate
 	Age  time.Duration
+	// Level and Probe are those of the permit, which Granter granted for Server.
+	Level   int
+	Probe   bool
+	Server  register.Process
+	Granter fleet.InstanceID
 }
 
 // Announcements stores the newest announcement of each server.
@@ -64,6 +72,8 @@
 	Leaders func() []fleet.InstanceID
 	// Send sends a permit request to another instance.
 	Send func(to fleet.InstanceID, request PermitRequest)
+	// SendReport sends a report to another instance.
+	SendReport func(to fleet.InstanceID, report PermitReport)
 	// Counters count the permit requests by outcome; nil counts none.
 	Counters *Counters
 
@@ -85,19 +95,24 @@
 
 	for _, granter := range ranked[:min(grantersPerServer, len(ranked))] {
 		if granter == l.Self {
-			return l.grant(server, limit, maxWait), true
+			permit := l.grant(server, limit, maxWait)
+			permit.Granter = l.Self
+
+			return permit, true
 		}
 
 		response, ok := l.requests.Do(ctx, l.Clock, granter, func(number uint64) {
 			l.Send(granter, PermitRequest{
 				From: l.Self, Number: number, Server: server, Rate: limit.Rate, Age: l.Clock.Now().Sub(limit.At), Patience: maxWait,
-				MaxRejections: limit.MaxRejections,
+				MaxRejections: limit.MaxRejections, Slots: limit.Slots,
 			})
 		})
 		if ok {
 			l.merge(server, response.Rate, response.Age)
 
-			return Permit{Granted: response.Granted, Wait: min(max(response.Wait, 0), maxReservation)}, true
+			return Permit{
+				Granted: response.Granted, Wait: min(max(response.Wait, 0), maxReservation), Granter: granter, Level: response.Level, Probe: response.Probe,
+			}, true
 		}
 
 		if ctx.Err() != nil {
@@ -111,31 +126,52 @@
 // grant grants a request to a server by this instance's own state.
 func (l *Limiter) grant(server register.Process, limit Announcement, maxWait time.Duration) Permit {
 	if limit.MaxRejections > 0 {
-		return l.Granter.GrantBrittle(l.Clock.Now(), server, limit.Rate, limit.MaxRejections, maxWait)
+		return l.Granter.GrantBrittle(l.Clock.Now(), server, limit.Rate, limit.MaxRejections, limit.Slots, maxWait)
 	}
 
 	return l.Granter.Grant(l.Clock.Now(), server, limit.Rate, maxWait)
 }
 
-// Rejected reports to the granters of a brittle server that it rejected a request for lack of room.
-func (l *Limiter) Rejected(server register.Process, maxRejections int) {
-	ranked := RankLeaders(server, l.Leaders())
+// Report reports what happened to a request at a brittle server: to the instance that granted it and
+// the first granter, and rejections to both granters.
+func (l *Limiter) Report(r PermitReport) {
+	ranked := RankLeaders(r.Server, l.Leaders())
 
-	for _, granter := range ranked[:min(grantersPerServer, len(ranked))] {
-		if granter == l.Self {
-			l.Granter.Rejected(l.Clock.Now(), server, maxRejections)
+	told := ranked[:min(1, len(ranked))]
+	if r.Kind == Rejected {
+		told = ranked[:min(grantersPerServer, len(ranked))]
+	}
 
-			continue
-		}
+	for _, granter := range told {
+		l.report(granter, r)
+	}
+
+	if r.Granter != "" && !slices.Contains(told, r.Granter) {
+		l.report(r.Granter, r)
+	}
+}
 
-		l.Send(granter, PermitRequest{From: l.Self, Server: server, MaxRejections: maxRejections, Rejected: true})
+func (l *Limiter) report(granter fleet.InstanceID, r PermitReport) {
+	if granter == l.Self {
+		l.Granter.Report(l.Clock.Now(), r)
+
+		return
 	}
+
+	l.SendReport(granter, r)
+}
+
+// HandleReport handles the report of another instance.
+func (l *Limiter) HandleReport(r PermitReport) {
+	r.MaxRejections = max(r.MaxRejections, 1)
+	r.Requests = max(r.Requests, unknownRequests)
+	l.Granter.Report(l.Clock.Now(), r)
 }
 
 // HandleRequest handles the permit request of another instance.
 func (l *Limiter) HandleRequest(request PermitRequest) PermitResponse {
 	if request.Rejected {
-		l.Granter.Rejected(l.Clock.Now(), request.Server, max(request.MaxRejections, 1))
+		l.HandleReport(PermitReport{Server: request.Server, Kind: Rejected, Requests: unknownRequests, MaxRejections: request.MaxRejections})
 
 		return PermitResponse{Number: request.Number}
 	}
@@ -145,9 +181,10 @@
 	response := PermitResponse{Number: request.Number, Granted: true, Rate: newest.Rate, Age: now.Sub(newest.At)}
 
 	if newest.Rate != Unlimited || request.MaxRejections > 0 {
-		newest.MaxRejections = request.MaxRejections
+		newest.MaxRejections, newest.Slots = request.MaxRejections, max(request.Slots, 0)
 		permit := l.grant(request.Server, newest, min(request.Patience, maxReservation))
-		response.Granted, response.Wait = permit.Granted, permit.Wait
+		response.Granted, response.Wait, response.Level, response.Probe = permit.Granted, permit.Wait, permit.Level, permit.Probe
+		response.Server, response.Granter = request.Server, l.Self
 	}
 
 	return response
@@ -163,8 +200,14 @@
 	return l.Announcements.Merge(server, Announcement{Rate: rate, At: l.Clock.Now().Add(-age)})
 }
 
-// HandleResponse delivers the response to a pending permit request. A response after the
-// timeout is discarded.
+// HandleResponse delivers the response to a pending permit request. A permit for a brittle server
+// that arrives after the timeout is given back.
 func (l *Limiter) HandleResponse(response PermitResponse) {
-	l.requests.Reply(response.Number, response)
+	if l.requests.Reply(response.Number, response) || !response.Granted || response.Level == 0 {
+		return
+	}
+
+	l.report(response.Granter, PermitReport{
+		Server: response.Server, Kind: Ended, Granter: response.Granter, Level: response.Level, Probe: response.Probe, Requests: unknownRequests,
+	})
 }
--- a/ratelimit/limiter_test.go
+++ b/ratelimit/limiter_test.go
@@ -284,3 +284,26 @@
 		}
 	})
 }
+
+// Guards against room at a brittle server that is lost with each permit whose response comes late.
+func TestLatePermitIsGivenBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const slots = 2
+
+		d, ranked := newLimiterGroup("a", "b", "c", "d")
+
+		time.Sleep(2 * handoverPeriod)
+
+		granter, asker := d.limiters[ranked[0]], d.limiters[ranked[3]]
+		asker.SendReport = func(to fleet.InstanceID, r PermitReport) { d.limiters[to].HandleReport(r) }
+
+		for range 10 * slots {
+			asker.HandleResponse(granter.HandleRequest(PermitRequest{From: asker.Self, Number: 999, Server: limited, MaxRejections: 4, Slots: slots}))
+		}
+
+		got := asker.Acquire(t.Context(), limited, Announcement{MaxRejections: 4, Slots: slots, At: time.Now()}, 0)
+		if !got.Granted {
+			t.Errorf("after permits that came late: got %+v, want one granted", got)
+		}
+	})
+}
--- a/ratelimit/room_test.go
+++ b/ratelimit/occupancy_test.go
@@ -3,10 +3,17 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 )
 
+// pendingReport is a report on its way to the granter.
+type pendingReport struct {
+	at     time.Time
+	report PermitReport
+}
+
 // overrun plays a brittle server with room for some requests, from which more are wanted than it
 // serves, and returns how many requests it rejected in its worst second and how many it served.
 func overrun(perSecond float64, maxRejections int, delay time.Duration, random *rand.Rand) (worst, served int) {
@@ -17,44 +24,46 @@
 	)
 
 	var (
-		r                room
-		paced            = bucket{paced: true}
-		now              = time.Unix(1000, 0)
-		begun            = now
-		work             = time.Duration(slots / perSecond * float64(time.Second))
-		ends             []time.Time
-		reports, rejects []time.Time
+		o       occupancy
+		now     = time.Unix(1000, 0)
+		begun   = now
+		work    = time.Duration(slots / perSecond * float64(time.Second))
+		ends    []time.Time
+		reports []pendingReport
+		rejects []time.Time
 	)
 
-	paced.updatedAt = now
+	send := func(at time.Time, permit Permit, r PermitReport) {
+		r.Level, r.Probe, r.Requests, r.MaxRejections = permit.Level, permit.Probe, unknownRequests, maxRejections
+		reports = append(reports, pendingReport{at.Add(delay), r})
+		slices.SortStableFunc(reports, func(a, b pendingReport) int { return a.at.Compare(b.at) })
+	}
 
 	for now.Sub(begun) < duration {
 		now = now.Add(time.Duration(random.ExpFloat64() / (demand * perSecond) * float64(time.Second)))
 
-		for len(reports) > 0 && reports[0].Before(now) {
-			r.rejected(reports[0], maxRejections)
+		for len(reports) > 0 && reports[0].at.Before(now) {
+			if next := reports[0]; next.report.Kind == Rejected {
+				o.rejected(next.at, next.report, true)
+			} else {
+				o.ended(next.at, next.report, true)
+			}
+
 			reports = reports[1:]
 		}
 
-		rate, pause := r.current(now)
-		if pause > 0 {
+		permit := o.grant(now, maxRejections, 0, 1, 0)
+		if !permit.Granted {
 			continue
 		}
 
-		if rate > 0 {
-			if _, granted := paced.take(now, float64(rate), 0); !granted {
-				continue
-			}
-		}
-
-		r.granted(now)
-
 		for len(ends) > 0 && ends[0].Before(now) {
 			ends = ends[1:]
 		}
 
 		if len(ends) >= slots+waiting {
-			rejects, reports = append(rejects, now), append(reports, now.Add(delay))
+			rejects = append(rejects, now)
+			send(now, permit, PermitReport{Kind: Rejected})
 
 			continue
 		}
@@ -66,6 +75,8 @@
 
 		ends = append(ends, start.Add(work))
 		served++
+
+		send(start.Add(work), permit, PermitReport{Kind: Ended, Accepted: true})
 	}
 
 	for i, at := range rejects {
@@ -110,31 +121,28 @@
 func TestRejectionAfterPauseLowersRateOnce(t *testing.T) {
 	const (
 		maxRejections = 2
-		interval      = 8 * time.Millisecond
+		room          = 20
+		leastShare    = 0.49
 	)
 
-	var r room
+	var o occupancy
 
 	now := time.Unix(1000, 0)
-	grant := func(n int) {
-		for range n {
-			now = now.Add(interval)
-			r.granted(now)
-		}
-	}
+	o.present, o.proven = room, room
+	o.rejected(now, PermitReport{Level: room, Requests: unknownRequests, MaxRejections: maxRejections}, true)
 
-	grant(200)
-	r.rejected(now, maxRejections)
+	first := o.limit
+	now = now.Add(o.grant(now, maxRejections, 0, 1, 0).Wait)
+	o.present = 0
 
-	first := r.rate
-	_, pause := r.current(now)
-	now = now.Add(pause)
+	var last Permit
+	for range 4 {
+		last = o.grant(now, maxRejections, 0, 1, 0)
+	}
 
-	grant(4)
-	r.current(now)
-	r.rejected(now, maxRejections)
+	o.rejected(now, PermitReport{Level: last.Level, Probe: last.Probe, Requests: unknownRequests, MaxRejections: maxRejections}, true)
 
-	if want := first * decrease * decrease; r.rate < want {
-		t.Errorf("rate after a second rejection: got %.1f, want at least %.1f of %.1f before", r.rate, want, first)
+	if want := int(leastShare * float64(first)); o.limit < want {
+		t.Errorf("limit after a second rejection: got %d, want at least %d of %d before", o.limit, want, first)
 	}
 }
--- a/ratelimit/ratelimit.go
+++ b/ratelimit/ratelimit.go
@@ -10,8 +10,8 @@
 // rate until all instances can be expected to know the change.
 //
 // A server may also be brittle: it falls over if it has to reject more than a number of requests
-// in a second for lack of room. The granter then adapts the rate of its requests to the
-// rejections that instances report.
+// in a second for lack of room. The granter then bounds the requests in progress at the server by
+// the room that it has shown. Instances report when a request begins, ends or is rejected.
 //
 // # Usage
 //
@@ -48,6 +48,8 @@
 	At   time.Time
 	// MaxRejections is how many rejections a second a brittle server bears; zero is any number.
 	MaxRejections int
+	// Slots is how many requests the server runs at a time, zero if it is not known.
+	Slots int
 }
 
 // Observed returns the announcement in force after a response with a rate arrived now to a
--- a/scheduling/assignment.go
+++ b/scheduling/assignment.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"monsoonlever/fleet"
+	"monsoonlever/ratelimit"
 	"monsoonlever/register"
 )
 
@@ -55,8 +56,8 @@
 	// trial is the backoff for which this attempt is the trial, or nil.
 	trial *backoff
 
-	// permitted is set if a permit was granted for the attempt.
-	permitted bool
+	// permit is the permit that was granted for the attempt, or nil.
+	permit *ratelimit.Permit
 
 	startedAt   time.Time
 	started     bool
@@ -102,6 +103,8 @@
 func (a *Assignment) Start(now time.Time) bool {
 	b := a.server.announcements.backoff.Load()
 	if a.server.isLeaving() || !b.begin(now) {
+		a.releasePermit()
+
 		return false
 	}
 
@@ -133,6 +136,7 @@
 	}
 
 	a.answerBegun = true
+	a.reportPermit(now, ratelimit.Began, true)
 	a.server.pendingTokens.Add(-int64(a.uncachedTokens))
 
 	if a.uncachedTokens > 0 {
@@ -180,9 +184,11 @@
 		}
 	case Rejected:
 		a.server.avoid(now.Add(fullAvoidance))
-		a.reportRejection()
+		a.scheduler.Counters.rejectedByBrittle(a.server.maxRejections(), a.permit != nil)
 	case Cancelled:
 	}
+
+	a.reportEnd(now, r)
 }
 
 // recordPath records what a result shows of the path to the server.
--- a/scheduling/backoff_test.go
+++ b/scheduling/backoff_test.go
@@ -294,7 +294,7 @@
 func TestAwaitRoomRetriesAfterBackoffEnds(t *testing.T) {
 	s := engines(1, 64)
 
-	if a, err := s.awaitRoom(t.Context(), clock.System{}, Request{Service: "llm"}); a != nil || err != nil {
+	if a, err := s.awaitRoom(t.Context(), clock.System{}, &Request{Service: "llm"}); a != nil || err != nil {
 		t.Errorf("a server accepts requests by now: got %v, %v, want neither, so that Place picks again", a, err)
 	}
 }
--- a/scheduling/brittle.go
+++ b/scheduling/brittle.go
@@ -91,18 +91,50 @@
 	}
 }
 
-// reportRejection reports a rejection by a brittle server.
-func (a *Assignment) reportRejection() {
-	n := a.server.maxRejections()
-	if n == 0 {
+// freshLoad is the age up to which the load that a server reported is that of the response at hand.
+const freshLoad = 20 * time.Millisecond
+
+// reportPermit reports what happened to the attempt to those that grant requests to its server, if
+// that is brittle.
+func (a *Assignment) reportPermit(now time.Time, kind ratelimit.ReportKind, accepted bool) {
+	maxRejections := a.server.maxRejections()
+	if maxRejections == 0 || a.scheduler.Permits == nil {
 		return
 	}
 
-	a.scheduler.Counters.rejectedByBrittle(a.permitted)
+	report := ratelimit.PermitReport{Server: a.Server(), Kind: kind, Accepted: accepted, Requests: -1, MaxRejections: maxRejections}
+	if a.permit != nil {
+		report.Granter, report.Level, report.Probe = a.permit.Granter, a.permit.Level, a.permit.Probe
+	}
+
+	if requests, age, ok := a.server.lastLoad(now); ok && age < freshLoad {
+		report.Requests = requests
+	}
 
-	if a.scheduler.Permits != nil {
-		a.scheduler.Permits.Rejected(a.Server(), n)
+	a.scheduler.Permits.Report(report)
+}
+
+// reportEnd reports the end of the attempt.
+func (a *Assignment) reportEnd(now time.Time, r Result) {
+	if r == Rejected {
+		a.reportPermit(now, ratelimit.Rejected, false)
+
+		return
 	}
+
+	a.reportPermit(now, ratelimit.Ended, r == Served || a.answerBegun)
+}
+
+// releasePermit gives back the permit of an attempt that is not sent.
+func (a *Assignment) releasePermit() {
+	if a.permit == nil || a.permit.Level == 0 || a.scheduler.Permits == nil {
+		return
+	}
+
+	a.scheduler.Permits.Report(ratelimit.PermitReport{
+		Server: a.Server(), Kind: ratelimit.Ended, Granter: a.permit.Granter, Level: a.permit.Level, Probe: a.permit.Probe,
+		Requests: -1, MaxRejections: a.server.maxRejections(),
+	})
 }
 
 // BrittleServers returns how many known servers are brittle.
--- a/scheduling/brittle_model_test.go
+++ b/scheduling/brittle_model_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"os"
 	"sync"
@@ -89,12 +90,14 @@
 
 // brittleEngine is one process of an engine.
 type brittleEngine struct {
-	play      *brittlePlay
-	entry     register.Server
-	running   int
-	queue     []chan bool
-	rejects   []time.Time
-	fallen    bool
+	play    *brittlePlay
+	entry   register.Server
+	running int
+	queue   []chan bool
+	rejects []time.Time
+	fallen  bool
+	// readUntil is when the engine has read all prompts that it runs.
+	readUntil time.Time
 	fallenCh  chan struct{}
 	startedAt time.Time
 }
@@ -213,6 +216,33 @@
 	e.running--
 }
 
+// tokens draws the length of a prompt.
+func (p *brittlePlay) tokens() float64 {
+	const least, longest = 200, 12_000
+
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	return least * math.Pow(longest/least, p.random.Float64())
+}
+
+// read returns how long it takes until a prompt is read, after those before it.
+func (e *brittleEngine) read(tokens float64) time.Duration {
+	const tokensPerMillisecond = 56.6
+
+	e.play.mu.Lock()
+	defer e.play.mu.Unlock()
+
+	now := time.Now()
+	if e.readUntil.Before(now) {
+		e.readUntil = now
+	}
+
+	e.readUntil = e.readUntil.Add(time.Duration(tokens / tokensPerMillisecond * float64(time.Millisecond)))
+
+	return e.readUntil.Sub(now)
+}
+
 func (e *brittleEngine) load() Load {
 	e.play.mu.Lock()
 	defer e.play.mu.Unlock()
@@ -258,7 +288,7 @@
 		}
 
 		p.mu.Lock()
-		if a.permitted {
+		if a.permit != nil {
 			p.result.permitted++
 		}
 		p.mu.Unlock()
@@ -279,8 +309,18 @@
 		return false, false
 	}
 
+	select {
+	case <-time.After(e.read(p.tokens())):
+	case <-e.fallenCh:
+		a.End(time.Now(), Failed)
+		a.ReportTerminated(time.Now())
+
+		return false, false
+	}
+
 	s.RecordLoad(time.Now(), a.ID(), e.load())
 	a.AnnouncedBrittle(p.maxRejections)
+	a.Accepted()
 	a.FirstEventReceived(time.Now())
 
 	select {
@@ -406,6 +446,17 @@
 			return p.leaders
 		},
 		Send: func(to fleet.InstanceID, request ratelimit.PermitRequest) { p.deliver(to, request) },
+		SendReport: func(to fleet.InstanceID, report ratelimit.PermitReport) {
+			time.AfterFunc(brittleLatency, func() {
+				p.mu.Lock()
+				granter, lost := p.limiters[to], p.down[to]
+				p.mu.Unlock()
+
+				if !lost {
+					granter.HandleReport(report)
+				}
+			})
+		},
 	}
 
 	p.mu.Lock()
@@ -427,10 +478,7 @@
 		}
 
 		response := granter.HandleRequest(request)
-
-		if !request.Rejected {
-			time.AfterFunc(brittleLatency, func() { asker.HandleResponse(response) })
-		}
+		time.AfterFunc(brittleLatency, func() { asker.HandleResponse(response) })
 	})
 }
 
@@ -498,7 +546,9 @@
 			"no room to wait":   {demand: 1.2, maxRejections: 4},
 			"single rejection":  {demand: 1.2, maxRejections: 1, waitingAfter: 1},
 			"leaders change":    {demand: 1.2, maxRejections: 4, waitingAfter: 2, disturb: func(p *brittlePlay) { time.Sleep(10 * time.Second); p.changeLeaders() }},
-			"an engine is lost": {demand: 1.2, maxRejections: 4, waitingAfter: 2, disturb: func(p *brittlePlay) { time.Sleep(10 * time.Second); p.crashEngine() }},
+			"an engine is lost": {demand: 1.2, maxRejections: 4, waitingAfter: 2, disturb: func(p *brittlePlay) { time.Sleep(10 * time.Second); p.crashEngines(1) }},
+			"half are lost":     {demand: 0.6, maxRejections: 4, waitingAfter: 2, disturb: func(p *brittlePlay) { time.Sleep(10 * time.Second); p.crashEngines(p.engines / 2) }},
+			"half, single":      {demand: 0.95, maxRejections: 1, waitingAfter: 1, disturb: func(p *brittlePlay) { time.Sleep(10 * time.Second); p.crashEngines(p.engines / 2) }},
 		} {
 			m.instances, m.engines, m.slots, m.waitingBefore = size.instances, size.engines, 16, 33
 
@@ -522,19 +572,21 @@
 	}
 }
 
-// crashEngine ends an engine for another reason than its rejections.
-func (p *brittlePlay) crashEngine() {
+// crashEngines ends the first engines for another reason than their rejections.
+func (p *brittlePlay) crashEngines(n int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
-	e := p.engineOf[p.entries[0].ID]
-	if e.fallen {
-		return
-	}
+	for _, entry := range p.entries[:n] {
+		e := p.engineOf[entry.ID]
+		if e.fallen {
+			continue
+		}
 
-	e.fallen = true
-	close(e.fallenCh)
+		e.fallen = true
+		close(e.fallenCh)
 
-	time.AfterFunc(brittleDown, p.startEngine)
-	time.AfterFunc(brittleDown+500*time.Millisecond, func() { p.removeEngine(e.entry.ID) })
+		time.AfterFunc(brittleDown, p.startEngine)
+		time.AfterFunc(brittleDown+500*time.Millisecond, func() { p.removeEngine(entry.ID) })
+	}
 }
--- a/scheduling/counters.go
+++ b/scheduling/counters.go
@@ -34,9 +34,9 @@
 	}
 }
 
-func (c *Counters) rejectedByBrittle(permitted bool) {
+func (c *Counters) rejectedByBrittle(maxRejections int, permitted bool) {
 	switch {
-	case c == nil:
+	case c == nil || maxRejections == 0:
 	case permitted:
 		c.rejectedPermitted.Inc()
 	default:
--- a/scheduling/limit.go
+++ b/scheduling/limit.go
@@ -17,8 +17,8 @@
 type Permits interface {
 	// Acquire requests a permit for one request that can wait for at most maxWait.
 	Acquire(ctx context.Context, server register.Process, limit ratelimit.Announcement, maxWait time.Duration) ratelimit.Permit
-	// Rejected reports that a brittle server rejected a request for lack of room.
-	Rejected(server register.Process, maxRejections int)
+	// Report reports what happened to a request at a brittle server.
+	Report(r ratelimit.PermitReport)
 }
 
 const (
@@ -39,16 +39,19 @@
 		return true
 	}
 
-	a.permitted = s.requestPermit(ctx, clk, a.server, 0).Granted
+	permit := s.requestPermit(ctx, clk, a.server, 0)
+	if permit.Granted {
+		a.permit = &permit
+	}
 
-	return a.permitted
+	return permit.Granted
 }
 
 // requestPermit requests a permit and, if it is refused, records until when the server has no
 // room. A refusal after ctx ended is not recorded, since it may stem from the cancellation.
 func (s *Scheduler) requestPermit(ctx context.Context, clk clock.Clock, srv *server, maxWait time.Duration) ratelimit.Permit {
 	limit := srv.announcedLimit()
-	limit.MaxRejections = srv.maxRejections()
+	limit.MaxRejections, limit.Slots = srv.maxRejections(), srv.entry().Slots
 
 	permit := s.Permits.Acquire(ctx, srv.entry().Process(), limit, max(maxWait, 0))
 	if !permit.Granted && ctx.Err() == nil {
@@ -62,15 +65,15 @@
 // server that may have it first. It returns a NoRoomError immediately if none will have room by
 // WaitUntil. If it returns neither an assignment nor an error, a server may have room by now and
 // the caller picks again.
-func (s *Scheduler) awaitRoom(ctx context.Context, clk clock.Clock, r Request) (*Assignment, error) {
-	blocked := s.blockedServers(clk.Now(), &r)
+func (s *Scheduler) awaitRoom(ctx context.Context, clk clock.Clock, r *Request) (*Assignment, error) {
+	blocked := s.blockedServers(clk.Now(), r)
 	if len(blocked) == 0 {
-		return nil, s.noServerError(clk.Now(), &r)
+		return nil, s.noServerError(clk.Now(), r)
 	}
 
 	for _, srv := range blocked[:min(len(blocked), maxPermitRequests)] {
 		now := clk.Now()
-		if srv.announcements.backoff.Load().blocks(now, &r) {
+		if srv.announcements.backoff.Load().blocks(now, r) {
 			wait := max(srv.roomAt().Sub(now), holdInterval)
 			if now.Add(wait).After(r.WaitUntil) {
 				break
@@ -89,20 +92,23 @@
 		if permit.Granted {
 			clock.Sleep(ctx, clk, permit.Wait)
 
-			a := s.assign(clk.Now(), srv, r)
-			a.permitted = true
+			a := s.assign(clk.Now(), srv, *r)
+			a.permit = &permit
+
+			if err := ctx.Err(); err != nil {
+				a.releasePermit()
+
+				return nil, err
+			}
 
-			return a, ctx.Err()
+			return a, nil
 		}
 
 		if ctx.Err() != nil {
 			return nil, ctx.Err()
 		}
 
-		if wait := brittleRetryDelay + rand.N(brittleRetryDelay); srv.maxRejections() > 0 && !clk.Now().Add(wait).After(r.WaitUntil) {
-			// Little is reserved ahead at a brittle server, so that the request asks again.
-			clock.Sleep(ctx, clk, wait)
-
+		if srv.maxRejections() > 0 && awaitTurn(ctx, clk, permit.Wait, r) {
 			return nil, ctx.Err()
 		}
 	}
@@ -110,6 +116,25 @@
 	return nil, &NoRoomError{RetryAfter: retryAfter(clk.Now(), blocked)}
 }
 
+// awaitTurn waits until the request may ask a brittle server again, at which nothing is reserved
+// ahead: in its turn at first, and more often once that has passed. It returns false if that is too
+// late for the request.
+func awaitTurn(ctx context.Context, clk clock.Clock, wait time.Duration, r *Request) bool {
+	if r.awaitedTurn {
+		wait = min(wait, brittleRetryDelay+rand.N(brittleRetryDelay))
+	}
+
+	if clk.Now().Add(wait).After(r.WaitUntil) {
+		return false
+	}
+
+	r.awaitedTurn = true
+
+	clock.Sleep(ctx, clk, wait)
+
+	return true
+}
+
 // blockedServers returns the servers that could take a request except for the limit or backoff
 // that they announced, in the order in which they may have room.
 func (s *Scheduler) blockedServers(now time.Time, r *Request) []*server {
--- a/scheduling/limit_test.go
+++ b/scheduling/limit_test.go
@@ -271,4 +271,4 @@
 }
 
 // Rejected is not used: no server of these tests is brittle.
-func (p *scriptedPermits) Rejected(register.Process, int) {}
+func (p *scriptedPermits) Report(ratelimit.PermitReport) {}
--- a/scheduling/place.go
+++ b/scheduling/place.go
@@ -110,7 +110,7 @@
 
 	r.onlyUnlimited = false
 
-	return s.awaitRoom(ctx, clk, *r)
+	return s.awaitRoom(ctx, clk, r)
 }
 
 // decide decides whether a prompt is sent to the server of the assignment, held or refused. It
--- a/scheduling/scheduling.go
+++ b/scheduling/scheduling.go
@@ -85,6 +85,8 @@
 	// allowTrial lets a final request be the trial that shows whether a server accepts requests
 	// again after its backoff. It is set once no other server is left.
 	allowTrial bool
+	// awaitedTurn is set once the request has waited for its turn at a brittle server.
+	awaitedTurn bool
 	// onlyUnlimited restricts the request to servers without a limit. It is set after
 	// maxPermitRequests servers have refused a permit.
 	onlyUnlimited bool
