fix(scheduling): a server that is new in a brittle service needs permits from its start

Brittle servers that were back after a fall fell again at once: 43 of 53 falls of a model within 100 ms of the start, all of requests without a permit.

Cause: that servers are brittle was kept by process. One that is back under another id, or is added, was the best choice of all instances, unknown until its first response, which a model engine sends when it begins to write.

A server that has not said anything takes over the least number that a known server of its service announced; its first response replaces it. The count of servers that announced it leaves these out.

TestNewServerOfBrittleServiceNeedsPermits failed before (0 for 5).

--- a/scheduling/brittle.go
+++ b/scheduling/brittle.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"monsoonlever/fleet"
 	"monsoonlever/ratelimit"
 )
 
@@ -11,10 +12,13 @@
 type brittleness struct {
 	// maxRejections is the number of rejections a second; zero is any number.
 	maxRejections int
-	// at is when the request was sent whose response said so, or when another instance knew it.
+	// at is when the request was sent whose response said so, or when another instance knew it. It is
+	// zero if another server of the service announced it.
 	at time.Time
 }
 
+func (b *brittleness) inherited() bool { return b.at.IsZero() }
+
 // ServerBrittleness is the number of rejections a second that a brittle server bears, as another
 // instance knows it; zero is any number.
 type ServerBrittleness struct {
@@ -54,6 +58,28 @@
 	}
 }
 
+// inheritBrittle assumes the number for a server that has not said anything yet: the servers of a
+// service are brittle together. Its first response replaces it.
+func (s *server) inheritBrittle(maxRejections int) {
+	if maxRejections > 0 {
+		s.announcements.brittle.CompareAndSwap(nil, &brittleness{maxRejections: maxRejections})
+	}
+}
+
+// serviceMaxRejections returns the least number that a known server of a service announced; zero if
+// none is brittle. The caller holds s.mu.
+func (s *Scheduler) serviceMaxRejections(service fleet.Service) int {
+	least := 0
+
+	for _, srv := range s.servers {
+		if n := srv.maxRejections(); srv.entry().Service == service && n > 0 && (least == 0 || n < least) {
+			least = n
+		}
+	}
+
+	return least
+}
+
 // AnnouncedBrittle records how many rejections a second the server bears by the response to this
 // attempt; zero is any number.
 func (a *Assignment) AnnouncedBrittle(maxRejections int) {
@@ -66,6 +92,12 @@
 		return
 	}
 
+	if pools := s.pools.Load(); pools != nil {
+		for _, other := range (*pools)[srv.entry().Service] {
+			other.inheritBrittle(next.maxRejections)
+		}
+	}
+
 	if s.OnBrittleChange != nil {
 		s.OnBrittleChange(BrittleChange{Server: srv.entry().Process(), Before: before, After: next.maxRejections})
 	}
@@ -137,7 +169,11 @@
 	})
 }
 
-// BrittleServers returns how many known servers are brittle.
+// BrittleServers returns how many known servers announced that they are brittle.
 func (s *Scheduler) BrittleServers() int {
-	return s.countServers(func(srv *server) bool { return !srv.isLeaving() && srv.maxRejections() > 0 })
+	return s.countServers(func(srv *server) bool {
+		known := srv.announcements.brittle.Load()
+
+		return !srv.isLeaving() && known != nil && known.maxRejections > 0 && !known.inherited()
+	})
 }
--- a/scheduling/brittle_test.go
+++ b/scheduling/brittle_test.go
@@ -101,3 +101,37 @@
 		t.Errorf("permits for a brittle server: got %d, want %d", got, want)
 	}
 }
+
+// Guards against servers that get requests without permits since they are back as another process, or
+// are added, while their service is brittle.
+func TestNewServerOfBrittleServiceNeedsPermits(t *testing.T) {
+	permits := &scriptedPermits{}
+	s := limitedEngines(1, permits)
+	entries := []register.Server{*s.servers["i-0"].entry()}
+
+	a, err := place(t, s, Request{Service: "llm"})
+	if err != nil || !a.Start(time.Now()) {
+		t.Fatalf("place: got %v, want the server", err)
+	}
+
+	a.AnnouncedBrittle(5)
+
+	added, other := entries[0], entries[0]
+	added.ID, other.ID, other.Service = "i-1", "api-1", "api"
+	s.Update(append(entries, added, other))
+
+	if got, want := s.servers["i-1"].maxRejections(), 5; got != want {
+		t.Errorf("added server: got %d rejections, want %d", got, want)
+	}
+
+	if got, want := s.servers["api-1"].maxRejections(), 0; got != want {
+		t.Errorf("server of another service: got %d rejections, want %d", got, want)
+	}
+
+	s.servers["i-1"].updateBrittle(brittleness{at: time.Now()})
+	s.servers["i-0"].updateBrittle(brittleness{maxRejections: 3, at: time.Now().Add(time.Second)})
+
+	if got, want := s.servers["i-1"].maxRejections(), 0; got != want {
+		t.Errorf("added server after its first response without it: got %d rejections, want %d", got, want)
+	}
+}
--- a/scheduling/scheduling.go
+++ b/scheduling/scheduling.go
@@ -158,6 +158,7 @@
 
 			srv = newServer(entry, s.removed.take(entry.Process()))
 			srv.restarted = existed
+			srv.inheritBrittle(s.serviceMaxRejections(entry.Service))
 		}
 
 		srv.registered.Store(&entry)
