fix(entry): a system that starts for the first time has its whole budget of retries

Since a process has no fixed part of the retries for one window after its start, also where nobody ran before: six tests of package platform failed, among them TestRetriesFollowRouteKind and TestBrokenStreamIsResumed (requests that one server failed were not sent to another).

An instance that sees the first record of the directory being formed has its part once the directory is complete. Nobody has one before, so that nothing can have been spent. Until as many members are known as the directory counts, the part is divided by that count: the members are known a moment later.

The six tests pass, unchanged; TestRetryBudgetHoldsOverRestarts as well.

--- a/entry/components.go
+++ b/entry/components.go
@@ -147,6 +147,8 @@
 	emptyDirectoryEnd atomic.Pointer[feed.Position]
 	// budgetSplit is how the budgets that all instances have in common were last split.
 	budgetSplit budgetSplit
+	// inFirstFormation is set from the first record of the directory on until it is complete.
+	inFirstFormation atomic.Bool
 	// countKnownAt is when the number of instances was first known from a directory.
 	countKnownAt  atomic.Pointer[time.Time]
 	directoryFeed *feed.Follower
--- a/entry/directory.go
+++ b/entry/directory.go
@@ -132,6 +132,8 @@
 			"relay", view.HasRelay(p.self()), "end", view.end)
 	}
 
+	p.checkFirstFormation(view)
+
 	if !view.Forming {
 		p.countKnownAt.CompareAndSwap(nil, &view.at)
 	}
@@ -142,6 +144,21 @@
 	}
 }
 
+// firstDirectoryEnd is the offset at which the log of directories ends after its first record.
+const firstDirectoryEnd = 1
+
+// checkFirstFormation notices whether this instance has started while the first of all directories was
+// formed. No instance uses a budget that all have in common before a directory is complete, so that
+// none of it is spent then.
+func (p *components) checkFirstFormation(view *directoryView) {
+	switch {
+	case view.Forming && view.end.Offset() == firstDirectoryEnd:
+		p.inFirstFormation.Store(true)
+	case !view.Forming && p.inFirstFormation.CompareAndSwap(true, false):
+		p.retries.MarkUnspent()
+	}
+}
+
 func (p *components) wakeFeeds() {
 	p.rulesFeed.Wake()
 	p.registerFeed.Wake()
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -74,6 +74,8 @@
 type budgetSplit struct {
 	mu                 sync.Mutex
 	instances, retries int
+	// membersKnown is set once as many instances are known as the directory counts.
+	membersKnown bool
 }
 
 // splitBudgets limits this instance to its share of the budgets that all instances have in common,
@@ -83,7 +85,7 @@
 	defer p.budgetSplit.mu.Unlock()
 
 	n := p.instanceCount()
-	part := p.bounds.Load().Retries() / n
+	part := p.bounds.Load().Retries() / p.budgetedInstances(n)
 
 	if part != p.budgetSplit.retries {
 		p.retries.SetMinRetries(p.clock.Now(), part)
@@ -97,6 +99,19 @@
 	p.budgetSplit.instances, p.budgetSplit.retries = n, part
 }
 
+// budgetedInstances returns the number of instances by which a budget is divided, of which n are known:
+// no fewer than the directory counts until so many were known. The caller holds budgetSplit.mu.
+func (p *components) budgetedInstances(n int) int {
+	view := p.directory.Load()
+	if view == nil || p.budgetSplit.membersKnown {
+		return n
+	}
+
+	p.budgetSplit.membersKnown = !view.Forming && n >= view.Count
+
+	return max(n, view.Count)
+}
+
 // setLimitMembers sets the instances that share or coordinate the limits, once all records were
 // read.
 func (p *components) setLimitMembers(now time.Time) {
--- a/retry/budgets.go
+++ b/retry/budgets.go
@@ -46,11 +46,17 @@
 	b := NewBudgets(p)
 	// Retries are counted over one bucket more than the window.
 	b.fixed.span = b.policy.Window / windowBuckets * retryBuckets
-	b.fixed.steps.Store(&[]fixedStep{{until: startedAt}})
+	b.fixed.steps.Store(&[]fixedStep{{until: startedAt, beforeStart: true}})
 
 	return b
 }
 
+// MarkUnspent records that no process spent anything of the bound before this one started, so that it
+// has its part at once.
+func (b *Budgets) MarkUnspent() {
+	b.fixed.dropStart()
+}
+
 // Of returns the budget of a scope.
 func (b *Budgets) Of(s Scope) *Budget {
 	if budget, ok := (*b.byScope.Load())[s]; ok {
--- a/retry/fixedpart.go
+++ b/retry/fixedpart.go
@@ -1,6 +1,7 @@
 package retry
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -25,6 +26,8 @@
 type fixedStep struct {
 	value int64
 	until time.Time
+	// beforeStart is set for the time before the start of the process.
+	beforeStart bool
 }
 
 // set sets the value.
@@ -50,6 +53,15 @@
 	f.steps.Store(&next)
 }
 
+// dropStart drops the time before the start, in which the value was unknown.
+func (f *fixedPart) dropStart() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	steps := slices.DeleteFunc(slices.Clone(*f.steps.Load()), func(s fixedStep) bool { return s.beforeStart })
+	f.steps.Store(&steps)
+}
+
 // inForce returns the least value of the last span.
 func (f *fixedPart) inForce(now time.Time) int64 {
 	for _, s := range *f.steps.Load() {
