fix(detour,forward): an instance without a free connection declines, and is asked again at once

Cause: an instance took a request of another, found all its connections in use, and refused it; that counted as a failure to help, so that it was avoided for a second. The others got its share, ran out of connections too, and after two such detours the caller was refused. 60 ms of use made a second of avoidance.

An instance whose connections to a service are all in use declines the offer, which is not a failure: the next of four is asked.

--- a/detour/client.go
+++ b/detour/client.go
@@ -36,6 +36,9 @@
 	readBuffer = 4 << 10
 )
 
+// errBusy means that an instance has no room for a request at the moment.
+var errBusy = merry.Sentinel("not taken: instance is busy")
+
 // Client has other instances serve requests. Its exported fields are set before its first use.
 type Client struct {
 	Clock   clock.Clock
@@ -72,7 +75,7 @@
 
 		conn, err := c.offer(ctx, address, r)
 		if err != nil {
-			c.Helpers.release(c.Clock.Now(), helper.ID, r.Service, ctx.Err() == nil)
+			c.Helpers.release(c.Clock.Now(), helper.ID, r.Service, ctx.Err() == nil && !errors.Is(err, errBusy))
 			c.Counters.declined()
 			klog.InfoS("another instance did not take a request", "id", r.Request.ID, "service", r.Service, "instance", helper.ID, "cause", err.Error())
 
@@ -155,6 +158,10 @@
 	}
 
 	if reply.Kind != frameReady {
+		if reply.Result != nil && reply.Result.Reason == forward.Overloaded {
+			return merry.Prepend(errBusy, reply.Result.Cause)
+		}
+
 		if reply.Result != nil {
 			return merry.Errorf("not taken: %s %s", reply.Result.Reason, reply.Result.Cause)
 		}
--- a/detour/detour_test.go
+++ b/detour/detour_test.go
@@ -299,3 +299,33 @@
 		t.Errorf("served afterwards: got %d, want %d", got, want)
 	}
 }
+
+// Guards against instances that are avoided for long since all their connections were in use for a
+// moment, so that the few others get all requests until theirs are used up too.
+func TestBusyHelperIsAskedAgain(t *testing.T) {
+	h := startHelping(t, func(_ context.Context, sink forward.Sink) forward.DetourResult {
+		_ = sink.WriteResponse(http.StatusOK, nil, nil)
+
+		return forward.DetourResult{}
+	})
+	run := h.Prepare
+	h.Prepare = func(context.Context, forward.DetourRequest) (func(context.Context, forward.Sink) forward.DetourResult, *forward.Refusal) {
+		return nil, &forward.Refusal{Reason: forward.Overloaded, NotRun: true}
+	}
+
+	c := clientOf(h.listener.Addr().String())
+
+	if _, err := c.Serve(t.Context(), requestNow(c), &recorder{}); !errors.Is(err, forward.ErrNoHelper) {
+		t.Fatalf("while it is busy: got %v, want no helper", err)
+	}
+
+	if got := c.Helpers.known["a"].failedRecently(c.Clock.Now(), "api"); got {
+		t.Errorf("helper that was busy: got it avoided, want it asked again")
+	}
+
+	h.Prepare = run
+
+	if _, err := c.Serve(t.Context(), requestNow(c), &recorder{}); err != nil {
+		t.Errorf("a moment later: got %v, want none", err)
+	}
+}
--- a/forward/detour.go
+++ b/forward/detour.go
@@ -290,6 +290,13 @@
 		return nil, notRunRefusal(NoServer, unavailableRetryAfter)
 	}
 
+	if !f.hasConnection(r.Service) {
+		refusal := notRunRefusal(Overloaded, unavailableRetryAfter)
+		refusal.Cause = upstream.ErrConnectionLimit.Error()
+
+		return nil, refusal
+	}
+
 	return func(ctx context.Context, sink Sink) DetourResult { return f.runDetour(ctx, j, sink) }, nil
 }
 
@@ -325,6 +332,14 @@
 	return err == nil || errors.Is(err, upstream.ErrConnectionLimit)
 }
 
+// hasConnection reports whether this instance has or may open a connection to a server of a service
+// that it reaches. It has no more than its part of them.
+func (f *Forwarder) hasConnection(service fleet.Service) bool {
+	return slices.ContainsFunc(f.Scheduler.Paths(f.Clock.Now())[service], func(path scheduling.Path) bool {
+		return !path.Lost && f.Pool.HasRoom(path.ID)
+	})
+}
+
 // runDetour runs a request of another instance.
 func (f *Forwarder) runDetour(ctx context.Context, j *job, sink Sink) DetourResult {
 	counted := j.usageCounted
--- a/forward/detour_test.go
+++ b/forward/detour_test.go
@@ -152,6 +152,7 @@
 		"the route is gone":         {change: func(_ *fixture, r *DetourRequest) { r.Request.Path = "/gone/x" }, want: NoRoute},
 		"the route was moved":       {change: func(_ *fixture, r *DetourRequest) { r.Service = "llm" }, want: NoRules},
 		"it has no path either":     {change: func(f *fixture, _ *DetourRequest) { f.losePaths() }, want: NoServer},
+		"its connections are used":  {change: func(f *fixture, _ *DetourRequest) { f.useConnections("api") }, want: Overloaded},
 		"the request crashed three": {change: func(f *fixture, _ *DetourRequest) { f.quarantine("once") }, want: Quarantined},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -204,6 +205,27 @@
 	a.Heard(s.clock.Now())
 }
 
+// useConnections has the fixture use all its connections to two servers of a service.
+func (s *fixture) useConnections(service string) {
+	s.t.Helper()
+
+	for _, name := range []string{service + "-1", service + "-2"} {
+		id := fleet.InstanceID(name)
+		s.Pool.SetLimit(id, 1)
+
+		if !s.Pool.HasRoom(id) {
+			continue
+		}
+
+		response, err := s.Pool.Send(s.t.Context(), upstream.Server{ID: id, Address: name}, &upstream.Request{Method: http.MethodGet, Target: "/", Host: "a.example", Header: http.Header{idHeader: {"busy-" + name}}, ID: "busy-" + name, IDHeader: idHeader})
+		if err != nil {
+			s.t.Fatalf("use a connection: got %v, want none", err)
+		}
+
+		s.t.Cleanup(response.Close)
+	}
+}
+
 // losePaths has the fixture lose its paths to all servers.
 func (s *fixture) losePaths() {
 	for _, id := range []fleet.InstanceID{"api-1", "api-2", "llm-1", "llm-2"} {
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -111,6 +111,16 @@
 	p.connectionsOf(id).limit = limit
 }
 
+// HasRoom reports whether a connection to a server is idle or may be opened.
+func (p *Pool) HasRoom(id fleet.InstanceID) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	c := p.servers[id]
+
+	return c == nil || c.limit <= 0 || c.open < c.limit || len(c.idle) > 0
+}
+
 // RemoveServer removes a server from the pool: it closes the idle connections
 // immediately and the others once their requests have ended, or when Cut is called.
 func (p *Pool) RemoveServer(id fleet.InstanceID) {
