fix(entry): all of a server's shared connections may be used by some instance

With few connections for each instance, callers of one that gets most connections were still refused: in a failing run beside load 2,117 offers were declined since all connections were in use, and 957 of those taken found none left.

Cause: a server's shared connections divided by the instances, rounded down: 9 of 16 are used by nine instances, one each.

Where all instances know each other, as many as the remainder get one more, others for each server. The limits are set again when one instance replaces another.

TestSplitUsesAllConnections.

--- a/entry/peers.go
+++ b/entry/peers.go
@@ -74,6 +74,8 @@
 type budgetSplit struct {
 	mu                 sync.Mutex
 	instances, retries int
+	// members are the known instances if they are few enough to know each other.
+	members []fleet.InstanceID
 	// membersKnown is set once as many instances are known as the directory counts.
 	membersKnown bool
 }
@@ -92,11 +94,16 @@
 		klog.InfoS("fixed part of the retry budget changed", "retries", part, "instances", n)
 	}
 
-	if n != p.budgetSplit.instances {
+	var members []fleet.InstanceID
+	if p.fullMesh() {
+		members = p.sortedMembers()
+	}
+
+	if n != p.budgetSplit.instances || !slices.Equal(members, p.budgetSplit.members) {
 		p.setConnectionLimits()
 	}
 
-	p.budgetSplit.instances, p.budgetSplit.retries = n, part
+	p.budgetSplit.instances, p.budgetSplit.retries, p.budgetSplit.members = n, part, members
 }
 
 // budgetedInstances returns the number of instances by which a budget is divided, of which n are known:
--- a/entry/servers.go
+++ b/entry/servers.go
@@ -2,7 +2,9 @@
 
 import (
 	"maps"
+	"slices"
 
+	"github.com/cespare/xxhash/v2"
 	"k8s.io/klog/v2"
 
 	"monsoonlever/fleet"
@@ -95,6 +97,40 @@
 	}
 
 	if service := rules.Service(s.Service); service != nil && service.MaxConnections > 0 {
-		p.pool.SetLimit(s.ID, max(int(float64(service.MaxConnections)*sharedConnectionsShare)/p.instanceCount(), 1))
+		p.pool.SetLimit(s.ID, p.connectionShare(s.ID, service.MaxConnections))
 	}
 }
+
+// connectionShare returns how many of a server's connections this instance may use, one at least.
+// Where all instances know each other, some get one more than others, so that all are used.
+func (p *components) connectionShare(server fleet.InstanceID, maxConnections int) int {
+	shared, n := int(float64(maxConnections)*sharedConnectionsShare), p.instanceCount()
+
+	if view := p.directory.Load(); view == nil || !view.FullMesh() {
+		return max(shared/n, 1)
+	}
+
+	members := p.sortedMembers()
+
+	return splitEvenly(shared, len(members), slices.Index(members, p.self()), xxhash.Sum64String(string(server)))
+}
+
+// sortedMembers returns the known instances in an order that all of them have in common.
+func (p *components) sortedMembers() []fleet.InstanceID {
+	return slices.Sorted(slices.Values(p.members.IDs()))
+}
+
+// splitEvenly returns the part of a total that the member at an index gets, one at least. The members
+// that get the remainder begin at an offset, so that they differ from total to total.
+func splitEvenly(total, members, index int, offset uint64) int {
+	if members == 0 || index < 0 {
+		return 1
+	}
+
+	part := total / members
+	if (uint64(index)+offset)%uint64(members) < uint64(total%members) {
+		part++
+	}
+
+	return max(part, 1)
+}
--- a/entry/servers_test.go
+++ b/entry/servers_test.go
@@ -99,3 +99,25 @@
 		})
 	}
 }
+
+// Guards against connections of a server that no instance may use, and against more than there are.
+func TestSplitUsesAllConnections(t *testing.T) {
+	for _, tt := range []struct{ total, members, want int }{{16, 9, 16}, {16, 8, 16}, {7, 3, 7}, {96, 12, 96}, {5, 9, 9}} {
+		for offset := range uint64(20) {
+			sum, least, most := 0, tt.total, 0
+
+			for i := range tt.members {
+				part := splitEvenly(tt.total, tt.members, i, offset)
+				sum, least, most = sum+part, min(least, part), max(most, part)
+			}
+
+			if sum != tt.want || most-least > 1 {
+				t.Errorf("%d among %d: got %d in all, %d to %d each, want %d, evenly", tt.total, tt.members, sum, least, most, tt.want)
+			}
+		}
+	}
+
+	if got := splitEvenly(16, 9, -1, 0); got != 1 {
+		t.Errorf("instance that is not among the members: got %d, want 1", got)
+	}
+}
