--- a/ratelimit/occupancy_test.go
+++ b/ratelimit/occupancy_test.go
@@ -146,3 +146,43 @@
 		t.Errorf("limit after a second rejection: got %d, want at least %d of %d before", o.limit, want, first)
 	}
 }
+
+// Guards against a server of which nothing is known and that gets more requests at a time than it
+// bears rejections.
+func TestUnknownServerGetsFewAtATime(t *testing.T) {
+	const (
+		maxRejections = 4
+		slots         = 16
+	)
+
+	var o occupancy
+
+	now := time.Unix(1000, 0)
+
+	var granted []Permit
+
+	take := func() {
+		for range slots {
+			if permit := o.grant(now, maxRejections, slots, 1, 0); permit.Granted {
+				granted = append(granted, permit)
+			}
+		}
+	}
+
+	take()
+
+	if got, want := len(granted), maxProbes(maxRejections); got != want {
+		t.Errorf("granted at once: got %d, want %d", got, want)
+	}
+
+	o.began(now, PermitReport{Level: granted[0].Level, Probe: true, Requests: unknownRequests}, true)
+	o.rejected(now, PermitReport{Level: granted[1].Level, Probe: true, Requests: unknownRequests, MaxRejections: maxRejections}, true)
+
+	granted = nil
+
+	take()
+
+	if got, want := len(granted), maxProbes(maxRejections)-1; got != want {
+		t.Errorf("granted after a rejection: got %d, want %d", got, want)
+	}
+}
--- a/retry/fixedpart_test.go
+++ b/retry/fixedpart_test.go
@@ -141,3 +141,22 @@
 		t.Errorf("smaller part: got %d at once, want 1", got)
 	}
 }
+
+// Guards against a system that starts for the first time and has no fixed part of its retries.
+func TestFirstStartHasItsPartAtOnce(t *testing.T) {
+	const part = 7
+
+	b := NewSharedBudgets(BudgetPolicy{}, testStart)
+	b.SetMinRetries(testStart, 4*part)
+
+	if got := b.MinRetries(testStart.Add(time.Second)); got != 0 {
+		t.Errorf("part before it is known that nobody ran before: got %d, want 0", got)
+	}
+
+	b.SetMinRetries(testStart.Add(time.Second), part)
+	b.MarkUnspent()
+
+	if got := b.MinRetries(testStart.Add(time.Second)); got != part {
+		t.Errorf("part of a first start: got %d, want %d", got, part)
+	}
+}
