fix(forward,scheduling): a permit is given back where its request goes by way of another instance

A request with a permit for a brittle server whose path was lost meanwhile went to another instance, or was refused; its permit counted as a request at the server until the server's load corrected it, or for 30 s where it tells none. Found by reading.

TestUnusedPermitIsGivenBack covers permits that are not started, no longer accepted and sent; the first has no caller before this commit.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -48,10 +48,14 @@
 
 	if assignment.PathLost(f.Clock.Now()) {
 		if j.detourPossible() {
+			assignment.Release()
+
 			return f.detour(ctx, j, sink)
 		}
 
 		if !f.Scheduler.Reaches(f.Clock.Now(), j.service) {
+			assignment.Release()
+
 			return merry.Prepend(scheduling.ErrNoServer, "no path to any server")
 		}
 	}
--- a/scheduling/assignment.go
+++ b/scheduling/assignment.go
@@ -103,7 +103,7 @@
 func (a *Assignment) Start(now time.Time) bool {
 	b := a.server.announcements.backoff.Load()
 	if a.server.isLeaving() || !b.begin(now) {
-		a.releasePermit()
+		a.Release()
 
 		return false
 	}
--- a/scheduling/brittle.go
+++ b/scheduling/brittle.go
@@ -157,8 +157,9 @@
 	a.reportPermit(now, ratelimit.Ended, r == Served || a.answerBegun)
 }
 
-// releasePermit gives back the permit of an attempt that is not sent.
-func (a *Assignment) releasePermit() {
+// Release gives back the permit of an attempt that is not started. An attempt whose Start returned
+// false has given it back.
+func (a *Assignment) Release() {
 	if a.permit == nil || a.permit.Level == 0 || a.scheduler.Permits == nil {
 		return
 	}
--- a/scheduling/brittle_test.go
+++ b/scheduling/brittle_test.go
@@ -135,3 +135,33 @@
 		t.Errorf("added server after its first response without it: got %d rejections, want %d", got, want)
 	}
 }
+
+// Guards against room at a brittle server that is lost with each permit of a request that is not sent.
+func TestUnusedPermitIsGivenBack(t *testing.T) {
+	permits := &scriptedPermits{level: 1}
+	s := limitedEngines(1, permits)
+	s.servers["i-0"].updateBrittle(brittleness{maxRejections: 3, at: time.Now()})
+
+	for name, drop := range map[string]func(a *Assignment){
+		"not started": (*Assignment).Release,
+		"no longer accepted": func(a *Assignment) {
+			a.server.announcements.leaving.Store(true)
+			a.Start(time.Now())
+			a.server.announcements.leaving.Store(false)
+		},
+		"sent": func(a *Assignment) { a.Start(time.Now()); a.End(time.Now(), Served) },
+	} {
+		a, err := place(t, s, Request{Service: "llm"})
+		if err != nil {
+			t.Fatalf("%s: got %v, want the server", name, err)
+		}
+
+		permits.reports = nil
+
+		drop(a)
+
+		if got, want := len(permits.reports), 1; got != want {
+			t.Errorf("%s: got %d reports, want %d", name, got, want)
+		}
+	}
+}
--- a/scheduling/limit.go
+++ b/scheduling/limit.go
@@ -96,7 +96,7 @@
 			a.permit = &permit
 
 			if err := ctx.Err(); err != nil {
-				a.releasePermit()
+				a.Release()
 
 				return nil, err
 			}
--- a/scheduling/limit_test.go
+++ b/scheduling/limit_test.go
@@ -19,6 +19,9 @@
 	// roomAt is when each server has room for the next request.
 	roomAt    map[fleet.InstanceID]time.Time
 	requested []fleet.InstanceID
+	// level is the level of permits, and reports are those that were received.
+	level   int
+	reports []ratelimit.PermitReport
 }
 
 func (p *scriptedPermits) Acquire(
@@ -27,7 +30,7 @@
 	p.requested = append(p.requested, server.ID)
 	wait := max(time.Until(p.roomAt[server.ID]), 0)
 
-	return ratelimit.Permit{Granted: wait <= maxWait, Wait: wait}
+	return ratelimit.Permit{Granted: wait <= maxWait, Wait: wait, Level: p.level}
 }
 
 // limitedEngines returns a scheduler with n servers, some of which announce a limit.
@@ -271,4 +274,4 @@
 }
 
 // Rejected is not used: no server of these tests is brittle.
-func (p *scriptedPermits) Report(ratelimit.PermitReport) {}
+func (p *scriptedPermits) Report(r ratelimit.PermitReport) { p.reports = append(p.reports, r) }
