fix(ratelimit,entry): permit messages keep the format that earlier versions decode

During a roll-out, instances of this and of the earlier version could not decode each other's questions and answers about permits, so that servers with a limit would have got nothing by way of the other version: the codec rejects an array with another number of fields ("number of fields in array-encoded struct has changed").

What brittle servers need travels beside the two messages, in fields that earlier versions skip.

--- a/entry/datagram.go
+++ b/entry/datagram.go
@@ -30,6 +30,9 @@
 	// PermitRequest and PermitResponse grant requests to backend servers that limit them.
 	PermitRequest  *ratelimit.PermitRequest  `msgpack:"l,omitempty"`
 	PermitResponse *ratelimit.PermitResponse `msgpack:"m,omitempty"`
+	// PermitSlots belongs to a PermitRequest, and BrittleGrant to a PermitResponse.
+	PermitSlots  int                     `msgpack:"i,omitempty"`
+	BrittleGrant *ratelimit.BrittleGrant `msgpack:"e,omitempty"`
 	// PermitReport tells what happened to a request at a brittle backend server.
 	PermitReport *ratelimit.PermitReport `msgpack:"b,omitempty"`
 	// Servers are changes of backend servers.
@@ -100,9 +103,20 @@
 func (p *components) receivePermitMessage(from netip.AddrPort, d *datagram) {
 	switch {
 	case d.PermitRequest != nil:
+		d.PermitRequest.Slots = d.PermitSlots
 		response := p.permits.HandleRequest(*d.PermitRequest)
-		p.sendAll(map[fleet.InstanceID]netip.AddrPort{d.PermitRequest.From: from}, datagram{PermitResponse: &response})
+		reply := datagram{PermitResponse: &response}
+
+		if response.BrittleGrant.Level > 0 {
+			reply.BrittleGrant = &response.BrittleGrant
+		}
+
+		p.sendAll(map[fleet.InstanceID]netip.AddrPort{d.PermitRequest.From: from}, reply)
 	case d.PermitResponse != nil:
+		if d.BrittleGrant != nil {
+			d.PermitResponse.BrittleGrant = *d.BrittleGrant
+		}
+
 		p.permits.HandleResponse(*d.PermitResponse)
 	case d.PermitReport != nil:
 		p.permits.HandleReport(*d.PermitReport)
--- a/entry/permits.go
+++ b/entry/permits.go
@@ -32,7 +32,7 @@
 		Counters: ratelimit.NewCounters(p.metrics),
 		Leaders:  func() []fleet.InstanceID { return p.plan.Load().Leaders },
 		Send: func(to fleet.InstanceID, request ratelimit.PermitRequest) {
-			p.sendDatagram(to, datagram{PermitRequest: &request})
+			p.sendDatagram(to, datagram{PermitRequest: &request, PermitSlots: request.Slots})
 		},
 		SendReport: func(to fleet.InstanceID, report ratelimit.PermitReport) {
 			p.sendDatagram(to, datagram{PermitReport: &report})
--- a/ratelimit/limiter.go
+++ b/ratelimit/limiter.go
@@ -35,8 +35,9 @@
 	MaxRejections int
 	// Rejected is set in reports of instances of an earlier version, which request no permit.
 	Rejected bool
-	// Slots is how many requests the server runs at a time, zero if it is not known.
-	Slots int
+	// Slots is how many requests the server runs at a time, zero if it is not known. It is sent beside
+	// the request, whose format earlier versions know.
+	Slots int `msgpack:"-"`
 }
 
 // PermitResponse is the response to a PermitRequest.
@@ -48,6 +49,14 @@
 	// Rate and Age are the server's announcement as the granter knows it.
 	Rate Rate
 	Age  time.Duration
+	// BrittleGrant is sent beside the response, whose format earlier versions know.
+	BrittleGrant BrittleGrant `msgpack:"-"`
+}
+
+// BrittleGrant is what the holder of a permit for a brittle server reports with it. The zero value
+// stands for other servers.
+type BrittleGrant struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // an option of the codec
 	// Level and Probe are those of the permit, which Granter granted for Server.
 	Level   int
 	Probe   bool
@@ -111,7 +120,8 @@
 			l.merge(server, response.Rate, response.Age)
 
 			return Permit{
-				Granted: response.Granted, Wait: min(max(response.Wait, 0), maxReservation), Granter: granter, Level: response.Level, Probe: response.Probe,
+				Granted: response.Granted, Wait: min(max(response.Wait, 0), maxReservation), Granter: granter,
+				Level: response.BrittleGrant.Level, Probe: response.BrittleGrant.Probe,
 			}, true
 		}
 
@@ -183,8 +193,8 @@
 	if newest.Rate != Unlimited || request.MaxRejections > 0 {
 		newest.MaxRejections, newest.Slots = request.MaxRejections, max(request.Slots, 0)
 		permit := l.grant(request.Server, newest, min(request.Patience, maxReservation))
-		response.Granted, response.Wait, response.Level, response.Probe = permit.Granted, permit.Wait, permit.Level, permit.Probe
-		response.Server, response.Granter = request.Server, l.Self
+		response.Granted, response.Wait = permit.Granted, permit.Wait
+		response.BrittleGrant = BrittleGrant{Level: permit.Level, Probe: permit.Probe, Server: request.Server, Granter: l.Self}
 	}
 
 	return response
@@ -203,11 +213,12 @@
 // HandleResponse delivers the response to a pending permit request. A permit for a brittle server
 // that arrives after the timeout is given back.
 func (l *Limiter) HandleResponse(response PermitResponse) {
-	if l.requests.Reply(response.Number, response) || !response.Granted || response.Level == 0 {
+	grant := response.BrittleGrant
+	if l.requests.Reply(response.Number, response) || !response.Granted || grant.Level == 0 {
 		return
 	}
 
-	l.report(response.Granter, PermitReport{
-		Server: response.Server, Kind: Ended, Granter: response.Granter, Level: response.Level, Probe: response.Probe, Requests: unknownRequests,
+	l.report(grant.Granter, PermitReport{
+		Server: grant.Server, Kind: Ended, Granter: grant.Granter, Level: grant.Level, Probe: grant.Probe, Requests: unknownRequests,
 	})
 }
--- a/ratelimit/limiter_test.go
+++ b/ratelimit/limiter_test.go
@@ -6,6 +6,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/vmihailenco/msgpack/v5"
+
 	"monsoonlever/clock"
 	"monsoonlever/fleet"
 	"monsoonlever/register"
@@ -307,3 +309,44 @@
 		}
 	})
 }
+
+// Guards against instances of an earlier version that can't decode permit messages during a roll-out:
+// the codec rejects an array with another number of fields.
+func TestPermitMessagesKeepTheirFormat(t *testing.T) {
+	type request struct {
+		_msgpack      struct{} `msgpack:",as_array"` //nolint:unused // an option of the codec
+		From          fleet.InstanceID
+		Number        uint64
+		Server        register.Process
+		Rate          Rate
+		Age           time.Duration
+		Patience      time.Duration
+		MaxRejections int
+		Rejected      bool
+	}
+
+	type response struct {
+		_msgpack struct{} `msgpack:",as_array"` //nolint:unused // an option of the codec
+		Number   uint64
+		Granted  bool
+		Wait     time.Duration
+		Rate     Rate
+		Age      time.Duration
+	}
+
+	for name, c := range map[string]struct{ from, to any }{
+		"request":          {&PermitRequest{From: "a", Slots: 16}, &request{}},
+		"earlier request":  {&request{From: "a"}, &PermitRequest{}},
+		"response":         {&PermitResponse{Number: 1, BrittleGrant: BrittleGrant{Level: 3}}, &response{}},
+		"earlier response": {&response{Number: 1}, &PermitResponse{}},
+	} {
+		data, err := msgpack.Marshal(c.from)
+		if err != nil {
+			t.Fatalf("%s: encode: got %v, want none", name, err)
+		}
+
+		if err := msgpack.Unmarshal(data, c.to); err != nil {
+			t.Errorf("%s: decode: got %v, want none", name, err)
+		}
+	}
+}
