--- a/capacity/capacity.go
+++ b/capacity/capacity.go
@@ -57,6 +57,11 @@
 	// server processes per second. Zero means unknown.
 	ArrivalRate float64
 	ServerRate  float64
+	// ReadRate is the sustained rate at which a server of usual pace processes work, and Pace the
+	// sum of the paces of the present servers, where 1 is usual. Both are zero where servers don't
+	// tell their pace; ServerRate then counts alone.
+	ReadRate float64
+	Pace     float64
 	// Occupancy is the fraction of the servers' request slots that is in use or waited for, as
 	// most servers reported recently. It is valid if OccupancyKnown is set.
 	Occupancy      float64
--- a/entry/rules.go
+++ b/entry/rules.go
@@ -92,7 +92,7 @@
 
 		// The slack has the unit of the account's limit.
 		amount := (a.Rate*b.LimitWindow.Seconds()+a.Burst)*(1+b.LimitOvershoot) + b.LimitSlack
-		all = append(all, quota.Allowance{Account: a.Name, Amount: amount, Rate: a.Rate})
+		all = append(all, quota.Allowance{Account: a.Name, Amount: amount, Rate: a.Rate, Burst: a.Burst})
 	}
 
 	return all
--- a/forward/fixture_test.go
+++ b/forward/fixture_test.go
@@ -69,7 +69,7 @@
 // unlimited grants every request.
 type unlimited struct{}
 
-func (unlimited) Take(context.Context, fleet.Account, float64) quota.Decision {
+func (unlimited) Take(context.Context, quota.Charge) quota.Decision {
 	return quota.Decision{Granted: true}
 }
 
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -90,9 +90,9 @@
 
 // Limits enforces the rate limits of client accounts.
 type Limits interface {
-	// Take takes cost from the limit of an account, if enough remains. It may request
+	// Take takes a charge from the limit of its account, if enough remains. It may request
 	// more from other instances, which takes a few milliseconds.
-	Take(ctx context.Context, account fleet.Account, cost float64) quota.Decision
+	Take(ctx context.Context, charge quota.Charge) quota.Decision
 }
 
 // Forwarder runs the requests of one entry instance. Its exported fields are set
@@ -271,7 +271,7 @@
 		return nil
 	}
 
-	decision := f.Limits.Take(ctx, j.account.Name, j.cost())
+	decision := f.Limits.Take(ctx, quota.Charge{Account: j.account.Name, Cost: j.cost(), Priority: j.route.Priority})
 	if decision.Granted {
 		return nil
 	}
--- a/forward/quarantine_test.go
+++ b/forward/quarantine_test.go
@@ -124,7 +124,7 @@
 // limitCounter is a Limits that counts its calls.
 type limitCounter struct{ calls int }
 
-func (l *limitCounter) Take(context.Context, fleet.Account, float64) quota.Decision {
+func (l *limitCounter) Take(context.Context, quota.Charge) quota.Decision {
 	l.calls++
 
 	return quota.Decision{Granted: true}
--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -67,17 +67,17 @@
 	cost float64
 }
 
-// Take consumes cost of an account's allowance, from the share of this instance or as a loan.
-func (l *Limiter) Take(ctx context.Context, name fleet.Account, cost float64) Decision {
+// Take consumes a charge of its account's allowance, from the share of this instance or as a loan.
+func (l *Limiter) Take(ctx context.Context, charge Charge) Decision {
 	l.awaitSync(ctx)
 
-	decision := l.Quota.Take(l.Clock.Now(), name, cost)
+	decision := l.Quota.Take(l.Clock.Now(), charge.Account, charge.Cost)
 	if decision.Granted {
 		return decision
 	}
 
-	for _, lender := range l.Quota.Lenders(name) {
-		if l.borrow(ctx, lender, name, cost) {
+	for _, lender := range l.Quota.Lenders(charge.Account) {
+		if l.borrow(ctx, lender, charge.Account, charge.Cost) {
 			return Decision{Granted: true, Remaining: decision.Remaining, Share: decision.Share, Lender: lender}
 		}
 	}
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -25,7 +25,7 @@
 //	decision := q.Take(now, "wholesale-1", 12_000)
 //
 //	limiter := &quota.Limiter{Quota: q, Clock: clk, Self: "entry-1", Send: send}
-//	decision = limiter.Take(ctx, "wholesale-1", 54_000)
+//	decision = limiter.Take(ctx, quota.Charge{Account: "wholesale-1", Cost: 54_000})
 package quota
 
 import (
@@ -62,8 +62,9 @@
 	Account fleet.Account
 	// Amount is in the unit of the account's limit.
 	Amount float64
-	// Rate is how much of the allowance is refilled per second. It is used for Retry-After.
-	Rate float64
+	// Rate is the operators' rate per second, and Burst how much the account may consume at once
+	// beyond it. Neither contains a tolerance.
+	Rate, Burst float64
 }
 
 // Consumption is what one instance has consumed of an account's limit since it started.
--- a/quota/reserve_test.go
+++ b/quota/reserve_test.go
@@ -144,7 +144,7 @@
 	clk := clock.NewSteady()
 	d := newLoanPair(clk)
 
-	got := d.borrower.Take(context.Background(), "a", amount/5)
+	got := d.borrower.Take(context.Background(), Charge{Account: "a", Cost: amount / 5})
 	if !got.Granted || got.Lender != d.lender.Self {
 		t.Fatalf("large request: got %+v, want it borrowed from %s", got, d.lender.Self)
 	}
@@ -183,7 +183,7 @@
 	d.dropRequests = true
 	started := time.Now()
 
-	if got := d.borrower.Take(context.Background(), "a", amount/5); got.Granted || got.RetryAfter <= 0 {
+	if got := d.borrower.Take(context.Background(), Charge{Account: "a", Cost: amount / 5}); got.Granted || got.RetryAfter <= 0 {
 		t.Errorf("no response: got %+v, want a refusal with RetryAfter", got)
 	}
 
@@ -193,7 +193,7 @@
 
 	sent := d.requests
 
-	if got := d.borrower.Take(context.Background(), "a", amount/5); got.Granted || d.requests != sent {
+	if got := d.borrower.Take(context.Background(), Charge{Account: "a", Cost: amount / 5}); got.Granted || d.requests != sent {
 		t.Errorf("right after: got %+v and %d requests, want a refusal without one", got, d.requests-sent)
 	}
 }
@@ -207,7 +207,7 @@
 
 	loans := &Limiter{Quota: q, Clock: clk, Self: "entry-1", Send: func(fleet.InstanceID, LoanRequest) {}}
 	decided := make(chan Decision)
-	take := func() { decided <- loans.Take(t.Context(), "acme", 100) }
+	take := func() { decided <- loans.Take(t.Context(), Charge{Account: "acme", Cost: 100}) }
 
 	go take()
 
@@ -234,7 +234,7 @@
 	loans := &Limiter{Quota: q, Clock: clk, Self: "entry-1", Send: func(fleet.InstanceID, LoanRequest) {}}
 	decided := make(chan Decision, 1)
 
-	go func() { decided <- loans.Take(t.Context(), "acme", 100) }()
+	go func() { decided <- loans.Take(t.Context(), Charge{Account: "acme", Cost: 100}) }()
 
 	for waited := time.Duration(0); ; waited += firstSyncTimeout / 10 {
 		select {
--- a/scheduling/meter.go
+++ b/scheduling/meter.go
@@ -36,6 +36,10 @@
 	Service  fleet.Service
 	Arriving float64
 	Speed    float64
+	// ReadRate is the rate in tokens a second at which a server of usual pace reads prompts, without
+	// the delays that don't depend on their length. Zero means unknown, and that servers are planned
+	// by Speed.
+	ReadRate float64
 }
 
 // samples is a ring of the newest speedSamples numbers.
--- a/scheduling/scheduling.go
+++ b/scheduling/scheduling.go
@@ -59,6 +59,13 @@
 	Service  fleet.Service
 	Prompt   Prompt
 	Excluded []fleet.InstanceID
+	// Account is the client account of the request, and Priority its rank over accounts and
+	// routes; 0 is the most urgent.
+	Account  fleet.Account
+	Priority int
+	// GapObjective is the longest pause between two events of a stream that is in time; zero is
+	// unknown.
+	GapObjective time.Duration
 	// OnlyVersion restricts the request to servers of one version, while that version takes a
 	// share of the requests for a trial; VersionFraction is the fraction of its servers that
 	// may be used. Servers of AvoidVersions are not used.
--- a/scheduling/server.go
+++ b/scheduling/server.go
@@ -50,6 +50,9 @@
 // Load is the load that a server reported: running and waiting requests, and slots.
 type Load struct {
 	Running, Waiting, Slots int
+	// Slowness is how long work takes on the server's machine at the moment, relative to usual:
+	// 2 means twice as long. Zero means that the server does not tell.
+	Slowness float64
 }
 
 // server is the state of one process of a backend server. Snapshots share it.
