--- a/scheduling/meter.go
+++ b/scheduling/meter.go
@@ -38,8 +38,8 @@
 	Speed    float64
 	// ReadRate is the rate in tokens a second at which a server of usual pace reads prompts, without
 	// the delays that don't depend on their length. Zero means unknown, and that servers are planned
-	// by Speed.
-	ReadRate float64
+	// by Speed. It is not part of the encoding, whose number of fields earlier versions check.
+	ReadRate float64 `msgpack:"-"`
 }
 
 // samples is a ring of the newest speedSamples numbers.
