--- a/scheduling/place.go
+++ b/scheduling/place.go
@@ -124,12 +124,11 @@
 		return send
 	}
 
-	rate := a.meter.medianReadRate()
-	if rate == 0 || readTime(a.backlog, rate) <= shortBacklog {
+	if a.timeToRead(a.backlog) <= shortBacklog {
 		return send
 	}
 
-	begin := now.Add(readTime(a.backlog+int64(a.uncachedTokens), rate))
+	begin := now.Add(a.timeToRead(a.backlog + int64(a.uncachedTokens)))
 
 	switch {
 	case !begin.After(r.Due):
@@ -145,7 +144,7 @@
 // backlog is read by then, and a random time keeps callers that are refused together from
 // returning together.
 func (a *Assignment) retryAfter() time.Duration {
-	backlog := max(readTime(a.backlog, a.meter.medianReadRate()), shortBacklog)
+	backlog := max(a.timeToRead(a.backlog), shortBacklog)
 
 	return backlog/2 + rand.N(backlog)
 }
