--- a/entry/components.go
+++ b/entry/components.go
@@ -234,7 +234,7 @@
 		RequestRecord: func() { p.board.Wake() },
 	})
 	p.loans = &quota.Limiter{Quota: p.limits, Clock: e.Clock, Self: s.Instance, Current: p.rulesCurrency.Current, Send: func(to fleet.InstanceID, request quota.LoanRequest) {
-		p.sendDatagram(to, datagram{LoanRequest: &request})
+		p.sendDatagram(to, datagram{LoanRequest: &request, LoanPriority: request.Priority})
 	}}
 	p.retries.Counters = retry.NewCounters(set)
 	p.permits = newPermits(p)
--- a/quota/coordinators.go
+++ b/quota/coordinators.go
@@ -47,16 +47,16 @@
 
 // LendTo decides a loan request of another instance. A request from an instance that is not a
 // member counts as demand of this one.
-func (q *Quota) LendTo(now time.Time, from fleet.InstanceID, name fleet.Account, cost float64) Decision {
+func (q *Quota) LendTo(now time.Time, from fleet.InstanceID, charge Charge) Decision {
 	q.mu.Lock()
 
-	if a := q.accounts[name]; a != nil && !q.members[from] && !q.delegated {
-		a.demand.add(now, cost)
+	if a := q.accounts[charge.Account]; a != nil && !q.members[from] && !q.delegated {
+		a.demand.add(now, charge.Cost)
 	}
 
 	q.mu.Unlock()
 
-	return q.Lend(now, name, cost)
+	return q.Lend(now, charge)
 }
 
 // CanGrant reports whether this instance may grant anything now: it has read the records and,
--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -28,6 +29,9 @@
 	Number   uint64
 	Account  fleet.Account
 	Cost     float64
+	// Priority ranks the requests of the account. It is not part of the encoding, whose number of
+	// fields earlier versions check.
+	Priority int `msgpack:"-"`
 }
 
 // LoanResponse is the response to a LoanRequest.
@@ -35,6 +39,9 @@
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // an option of the codec
 	Number   uint64
 	Granted  bool
+	// PacedFor is how long the account has to wait for its rate, if that is why nothing was granted.
+	// It is not part of the encoding either.
+	PacedFor time.Duration `msgpack:"-"`
 }
 
 // Limiter takes from a Quota, and requests a loan from the lenders if this instance's share
@@ -51,7 +58,7 @@
 	// nothing, since others may have replaced it. Nil means always.
 	Current func() bool
 
-	requests gossip.Requests[bool]
+	requests gossip.Requests[LoanResponse]
 
 	mu      sync.Mutex
 	refused map[loanKey]refusedLoan
@@ -77,9 +84,16 @@
 	}
 
 	for _, lender := range l.Quota.Lenders(charge.Account) {
-		if l.borrow(ctx, lender, charge.Account, charge.Cost) {
+		loan := l.borrow(ctx, lender, charge)
+		if loan.Granted {
 			return Decision{Granted: true, Remaining: decision.Remaining, Share: decision.Share, Lender: lender}
 		}
+
+		if loan.PacedFor > 0 {
+			decision.Paced, decision.RetryAfter = true, pacedRetryAfter(loan.PacedFor)
+
+			return decision
+		}
 	}
 
 	return decision
@@ -107,33 +121,51 @@
 		return LoanResponse{Number: request.Number}
 	}
 
-	return LoanResponse{Number: request.Number, Granted: l.Quota.LendTo(l.Clock.Now(), request.From, request.Account, request.Cost).Granted}
+	decision := l.Quota.LendTo(l.Clock.Now(), request.From, Charge{Account: request.Account, Cost: request.Cost, Priority: request.Priority})
+
+	return loanResponse(request.Number, decision)
 }
 
 // HandleResponse delivers the response to a pending loan request. A response after the timeout
 // is discarded.
 func (l *Limiter) HandleResponse(response LoanResponse) {
-	l.requests.Reply(response.Number, response.Granted)
+	l.requests.Reply(response.Number, response)
 }
 
-func (l *Limiter) borrow(ctx context.Context, lender fleet.InstanceID, name fleet.Account, cost float64) bool {
+func (l *Limiter) borrow(ctx context.Context, lender fleet.InstanceID, charge Charge) LoanResponse {
 	if lender == l.Self {
-		return l.Quota.Lend(l.Clock.Now(), name, cost).Granted
+		return loanResponse(0, l.Quota.Lend(l.Clock.Now(), charge))
 	}
 
-	key := loanKey{lender: lender, account: name}
-	if l.refusedRecently(key, cost) {
-		return false
+	key := loanKey{lender: lender, account: charge.Account}
+	if l.refusedRecently(key, charge.Cost) {
+		return LoanResponse{}
 	}
 
-	granted, responded := l.requests.Do(ctx, l.Clock, lender, func(number uint64) {
-		l.Send(lender, LoanRequest{From: l.Self, Number: number, Account: name, Cost: cost})
+	response, responded := l.requests.Do(ctx, l.Clock, lender, func(number uint64) {
+		l.Send(lender, LoanRequest{From: l.Self, Number: number, Account: charge.Account, Cost: charge.Cost, Priority: charge.Priority})
 	})
-	if responded {
-		l.recordOutcome(key, cost, granted)
+	if responded && response.PacedFor == 0 {
+		l.recordOutcome(key, charge.Cost, response.Granted)
 	}
 
-	return granted
+	return response
+}
+
+func loanResponse(number uint64, d Decision) LoanResponse {
+	response := LoanResponse{Number: number, Granted: d.Granted}
+	if d.Paced {
+		response.PacedFor = d.RetryAfter
+	}
+
+	return response
+}
+
+// pacedRetryAfter spreads the callers that an account's rate turned away.
+func pacedRetryAfter(wait time.Duration) time.Duration {
+	wait = max(wait, minRetryAfter)
+
+	return min(wait+rand.N(wait), maxRetryAfter)
 }
 
 // refusedRecently reports whether a lender refused the same or a smaller cost within
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -159,6 +159,7 @@
 	// globalTotal is what all instances have consumed, as far as this one knows.
 	// globalRecorded is the part of it that is in a record of this instance.
 	globalTotal, globalRecorded float64
+	bucket                      bucket
 }
 
 // remote is the consumption and demand that another instance published.
@@ -208,6 +209,8 @@
 	Remaining, Share float64
 	// Lender is the instance that granted a loan, or empty.
 	Lender fleet.InstanceID
+	// Paced is set if the account has consumed its rate and burst, so that no lender grants more.
+	Paced bool
 }
 
 // Take consumes cost of an account's allowance if this instance's share covers it. An account
@@ -225,6 +228,11 @@
 		return Decision{RetryAfter: minRetryAfter}
 	}
 
+	if q.quorum > 0 && a.paced() {
+		// Among coordinators, too, the first lender of an account paces all of its consumption.
+		return Decision{RetryAfter: minRetryAfter}
+	}
+
 	a.demand.add(now, cost)
 
 	if !q.canGrant(now) {
--- a/quota/reserve.go
+++ b/quota/reserve.go
@@ -99,20 +99,27 @@
 //
 // The unrecorded part of loans is bounded, since one lender may lend within moments what
 // many other instances together would consume.
-func (q *Quota) Lend(now time.Time, name fleet.Account, cost float64) Decision {
+func (q *Quota) Lend(now time.Time, charge Charge) Decision {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 
+	cost := charge.Cost
 	if cost <= 0 || q.syncedAt.IsZero() || !q.canGrant(now) {
 		return Decision{RetryAfter: minRetryAfter}
 	}
 
-	a := q.accounts[name]
+	a := q.accounts[charge.Account]
 	if a == nil || a.allowance.Amount <= 0 {
 		// The borrower has not yet received the rules that lift the limit of the account.
 		return Decision{Granted: true}
 	}
 
+	if q.quorum > 0 && a.paced() {
+		if wait := a.paceWait(now, cost, charge.Priority); wait > 0 {
+			return Decision{RetryAfter: wait, Paced: true}
+		}
+	}
+
 	remaining, limit, recent := q.budget(now, a)
 	limit += q.reserveShare(a) * remaining
 
