feat(quota): the first lender of an account paces it by rate and burst

The allowance of a window contains the whole tolerance. An account at six times its usual used it up within some 1.5 s and was refused what it is owed until the window had moved on.

Where coordinators grant the loans and an account has a burst, its first lender keeps a token bucket of what all instances consume, below the bound of the window, which stays. A refusal by the bucket is final. Other coordinators keep the bucket up to date from the updates they get, so that the next lender goes on where the first one stopped. An unknown level is estimated from what is consumed in the window.

Consumption of others leaves no debt: an update after a partition states at once what was consumed over seconds, and would refuse an account at its usual load.

--- a/entry/components.go
+++ b/entry/components.go
@@ -233,9 +233,12 @@
 		Self: s.Instance, Window: s.Bounds.LimitWindow, PropagationDelay: boardPropagationDelay, DirectDelay: p.heartbeatDelay,
 		RequestRecord: func() { p.board.Wake() },
 	})
-	p.loans = &quota.Limiter{Quota: p.limits, Clock: e.Clock, Self: s.Instance, Current: p.rulesCurrency.Current, Send: func(to fleet.InstanceID, request quota.LoanRequest) {
-		p.sendDatagram(to, datagram{LoanRequest: &request, LoanPriority: request.Priority})
-	}}
+	p.loans = &quota.Limiter{
+		Quota: p.limits, Clock: e.Clock, Self: s.Instance, Current: p.rulesCurrency.Current,
+		Send: func(to fleet.InstanceID, request quota.LoanRequest) {
+			p.sendDatagram(to, datagram{LoanRequest: &request, LoanPriority: request.Priority})
+		},
+	}
 	p.retries.Counters = retry.NewCounters(set)
 	p.permits = newPermits(p)
 	p.scheduler.Permits = p.permits
--- a/entry/datagram.go
+++ b/entry/datagram.go
@@ -27,9 +27,9 @@
 	// LoanRequest and LoanResponse lend limits of client accounts.
 	LoanRequest  *quota.LoanRequest  `msgpack:"a,omitempty"`
 	LoanResponse *quota.LoanResponse `msgpack:"r,omitempty"`
-	// LoanPriority belongs to a LoanRequest, and PacedFor to a LoanResponse.
+	// LoanPriority belongs to a LoanRequest, and LoanPacedFor to a LoanResponse.
 	LoanPriority int           `msgpack:"j,omitempty"`
-	PacedFor     time.Duration `msgpack:"f,omitempty"`
+	LoanPacedFor time.Duration `msgpack:"f,omitempty"`
 	// PermitRequest and PermitResponse grant requests to backend servers that limit them.
 	PermitRequest  *ratelimit.PermitRequest  `msgpack:"l,omitempty"`
 	PermitResponse *ratelimit.PermitResponse `msgpack:"m,omitempty"`
@@ -83,7 +83,7 @@
 		// A requester that has just started, or stops, has no known address here.
 		d.LoanRequest.Priority = d.LoanPriority
 		response := p.loans.HandleRequest(*d.LoanRequest)
-		p.sendAll(map[fleet.InstanceID]netip.AddrPort{d.LoanRequest.From: from}, datagram{LoanResponse: &response, PacedFor: response.PacedFor})
+		p.sendAll(map[fleet.InstanceID]netip.AddrPort{d.LoanRequest.From: from}, datagram{LoanResponse: &response, LoanPacedFor: response.PacedFor})
 	case d.PermitRequest != nil, d.PermitResponse != nil, d.PermitReport != nil:
 		p.receivePermitMessage(from, &d)
 	case len(d.Servers) > 0:
@@ -95,7 +95,7 @@
 	case len(d.Parts) > 0:
 		p.receiveParts(now, d.Parts)
 	case d.LoanResponse != nil:
-		d.LoanResponse.PacedFor = d.PacedFor
+		d.LoanResponse.PacedFor = d.LoanPacedFor
 		p.loans.HandleResponse(*d.LoanResponse)
 	case len(d.Streams) > 0, d.StreamQuery != nil, d.StreamReply != nil:
 		p.receiveStreamMessage(from, &d)
--- a/quota/coordinators.go
+++ b/quota/coordinators.go
@@ -39,18 +39,19 @@
 	coordinates := slices.Contains(ids, q.policy.Self)
 	if coordinates && (q.delegated || q.quorum == 0) {
 		q.coordinatorSince = now
+		q.resetBuckets()
 	}
 
 	q.quorum, q.delegated = coordinatorQuorum, !coordinates
 	q.applyMembers(ids, sorted)
 }
 
-// LendTo decides a loan request of another instance. A request from an instance that is not a
-// member counts as demand of this one.
+// LendTo decides a loan request of an instance. A request from an instance that is not a member
+// counts as demand of this one, and so does any request for a paced account.
 func (q *Quota) LendTo(now time.Time, from fleet.InstanceID, charge Charge) Decision {
 	q.mu.Lock()
 
-	if a := q.accounts[charge.Account]; a != nil && !q.members[from] && !q.delegated {
+	if a := q.accounts[charge.Account]; a != nil && !q.delegated && (!q.members[from] || q.paces(a)) {
 		a.demand.add(now, charge.Cost)
 	}
 
--- a/quota/coordinators_test.go
+++ b/quota/coordinators_test.go
@@ -21,6 +21,12 @@
 	rulesTimeout  = 4750 * time.Millisecond
 )
 
+// windowAllowance is limited by the window alone, and pacedAllowance also by the second.
+var (
+	windowAllowance = Allowance{Account: "a", Amount: amount, Rate: 36_000}
+	pacedAllowance  = Allowance{Account: "a", Amount: amount, Rate: 36_000, Burst: 72_000}
+)
+
 // coordinatedFleet simulates instances of which the first five live ones are the coordinators.
 // Instances are killed, and cut off from each other and from the store.
 type coordinatedFleet struct {
@@ -50,7 +56,7 @@
 	consumption []Consumption
 }
 
-func newCoordinatedFleet(n int, seed uint64) *coordinatedFleet {
+func newCoordinatedFleet(n int, seed uint64, allowance Allowance) *coordinatedFleet {
 	f := &coordinatedFleet{random: rand.New(rand.NewPCG(seed, 11))}
 
 	for i := range n {
@@ -59,7 +65,7 @@
 			Self: id, Window: 8 * time.Second, PropagationDelay: 4500 * time.Millisecond,
 			DirectDelay: func(int) time.Duration { return 600 * time.Millisecond },
 		})
-		q.Configure([]Allowance{{Account: "a", Amount: amount, Rate: 36_000}})
+		q.Configure([]Allowance{allowance})
 
 		f.nodes = append(f.nodes, &coordinatedNode{
 			id: id, quota: q, lastSeen: slices.Repeat([]time.Time{start}, n), receivedAt: make([]time.Time, n), confirmed: start,
@@ -155,13 +161,19 @@
 
 // take requests cost from an instance, and then from its lenders.
 func (f *coordinatedFleet) take(now time.Time, i int, cost float64) bool {
+	return f.decide(now, i, Charge{Account: "a", Cost: cost}).Granted
+}
+
+// decide decides a charge at an instance, and then at its lenders.
+func (f *coordinatedFleet) decide(now time.Time, i int, charge Charge) Decision {
 	node := f.nodes[i]
 	if node.killed || now.Sub(node.confirmed) > rulesTimeout {
-		return false
+		return Decision{}
 	}
 
-	if node.quota.Take(now, "a", cost).Granted {
-		return true
+	decision := node.quota.Take(now, charge.Account, charge.Cost)
+	if decision.Granted {
+		return decision
 	}
 
 	for _, id := range node.quota.Lenders("a") {
@@ -172,21 +184,32 @@
 			continue
 		}
 
-		if lender.quota.LendTo(now, node.id, "a", cost).Granted {
-			return true
+		if loan := lender.quota.LendTo(now, node.id, charge); loan.Granted || loan.Paced {
+			return loan
 		}
 	}
 
-	return false
+	return decision
 }
 
 // Whichever coordinators are killed, partitioned or cut off from the store, and whichever
 // instances replace them, no window exceeds the allowance.
 func TestHoldsAllowanceWhenCoordinatorsChange(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
+	rapid.Check(t, holdsWhenCoordinatorsChange(windowAllowance))
+}
+
+// The same holds where the lenders also pace the account.
+func TestHoldsPacedAllowanceWhenCoordinatorsChange(t *testing.T) {
+	rapid.Check(t, holdsWhenCoordinatorsChange(pacedAllowance))
+}
+
+// holdsWhenCoordinatorsChange returns a check of an allowance while coordinators are killed,
+// partitioned and cut off from the store.
+func holdsWhenCoordinatorsChange(allowance Allowance) func(*rapid.T) {
+	return func(t *rapid.T) {
 		n := rapid.IntRange(6, 16).Draw(t, "instances")
 		load := rapid.Float64Range(0.5, 8).Draw(t, "heat")
-		f := newCoordinatedFleet(n, rapid.Uint64().Draw(t, "seed"))
+		f := newCoordinatedFleet(n, rapid.Uint64().Draw(t, "seed"), allowance)
 		at := func(tick int) time.Time { return start.Add(time.Duration(tick) * 100 * time.Millisecond) }
 
 		var grants []increment
@@ -223,7 +246,7 @@
 		if got := maxInWindow(grants); got > amount {
 			t.Fatalf("granted in a window: got %.0f, want at most %d", got, amount)
 		}
-	})
+	}
 }
 
 // Five of 195 instances coordinate the limit of an account that demands nine tenths of it.
@@ -270,7 +293,7 @@
 		return count
 	}
 
-	coordinated := newCoordinatedFleet(instances, 5)
+	coordinated := newCoordinatedFleet(instances, 5, windowAllowance)
 	got := refused(coordinated.step, coordinated.take)
 
 	shared := newLendingGroup(instances, Policy{
@@ -315,7 +338,7 @@
 	now := start.Add(2 * time.Second)
 
 	granted := func() bool {
-		return q.Take(now, "a", 100).Granted || q.LendTo(now, "entry-9", "a", 100).Granted
+		return q.Take(now, "a", 100).Granted || q.LendTo(now, "entry-9", Charge{Account: "a", Cost: 100}).Granted
 	}
 
 	q.Acknowledged(now, "entry-2")
--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -29,8 +29,8 @@
 	Number   uint64
 	Account  fleet.Account
 	Cost     float64
-	// Priority ranks the requests of the account. It is not part of the encoding, whose number of
-	// fields earlier versions check.
+	// Priority is that of the Charge. It is not part of the encoding, whose number of fields
+	// earlier versions check.
 	Priority int `msgpack:"-"`
 }
 
@@ -39,8 +39,8 @@
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // an option of the codec
 	Number   uint64
 	Granted  bool
-	// PacedFor is how long the account has to wait for its rate, if that is why nothing was granted.
-	// It is not part of the encoding either.
+	// PacedFor is how long the account's bucket takes to refill, if nothing was granted because of
+	// it. It is not part of the encoding, like LoanRequest.Priority.
 	PacedFor time.Duration `msgpack:"-"`
 }
 
@@ -90,9 +90,7 @@
 		}
 
 		if loan.PacedFor > 0 {
-			decision.Paced, decision.RetryAfter = true, pacedRetryAfter(loan.PacedFor)
-
-			return decision
+			return Decision{Paced: true, RetryAfter: pacedRetryAfter(loan.PacedFor), Lender: lender}
 		}
 	}
 
@@ -134,7 +132,7 @@
 
 func (l *Limiter) borrow(ctx context.Context, lender fleet.InstanceID, charge Charge) LoanResponse {
 	if lender == l.Self {
-		return loanResponse(0, l.Quota.Lend(l.Clock.Now(), charge))
+		return loanResponse(0, l.Quota.LendTo(l.Clock.Now(), l.Self, charge))
 	}
 
 	key := loanKey{lender: lender, account: charge.Account}
--- a/quota/pace.go
+++ b/quota/pace.go
@@ -6,58 +6,62 @@
 )
 
 const (
-	// priorityShare is the share of an account's bucket that one request may take for each step of
-	// its priority: all of it, half, a third. One large request of little urgency then leaves enough for
-	// urgent ones, and a small one finds enough at any priority.
-	largestPriority = 2
-	// typicalShare of the burst bounds how much of the bucket a request needs to find, so that a
-	// large request is granted as readily as one of usual size. What it takes beyond that is owed
-	// until the bucket has refilled.
-	typicalShare = 0.01
+	// leastPriority bounds how much of a bucket less urgent requests leave to urgent ones.
+	leastPriority = 2
+	// typicalFraction of the burst bounds the level that a request needs, so that a large request
+	// is granted as readily as one of usual size. The rest of its cost becomes a debt.
+	typicalFraction = 0.01
 )
 
-// bucket paces the consumption of one account over all instances: it refills at the account's
-// rate up to its burst. It may be in debt. The zero value is full.
-type bucket struct {
-	known bool
-	level float64
-	at    time.Time
-	// total is the consumption of all instances that the level takes into account.
-	total float64
-}
+// paced reports whether the account is limited by the second, not only by the window.
+func (a Allowance) paced() bool { return a.Burst > 0 && a.Rate > 0 }
 
-// update refills the bucket and takes what has been consumed since the last update.
-func (b *bucket) update(now time.Time, rate, burst, total float64) {
-	if !b.known {
-		b.known, b.level, b.at, b.total = true, burst, now, total
+// paces reports whether the lenders of an account pace it. Where all members share an allowance,
+// none of them decides on all requests.
+func (q *Quota) paces(a *account) bool { return q.quorum > 0 && a.allowance.paced() }
 
-		return
-	}
+// paceWait returns how long a charge has to wait for the account's bucket, or zero if it may be
+// granted now.
+func (q *Quota) paceWait(now time.Time, a *account, charge Charge) time.Duration {
+	a.bucket.start(now, a.allowance, q.policy.Window, q.consumedByAll(now, a))
+	a.bucket.refill(now, a.allowance)
 
-	if elapsed := now.Sub(b.at); elapsed > 0 {
-		b.level = min(b.level+rate*elapsed.Seconds(), burst)
-		b.at = now
+	missing := neededLevel(a.allowance, charge) - a.bucket.level
+	if missing <= 0 {
+		return 0
 	}
 
-	// Beyond one burst, debts of other coordinators' loans are forgotten.
-	b.level = max(b.level-(total-b.total), -burst)
-	b.total = total
+	return time.Duration(math.Ceil(missing / a.allowance.Rate * float64(time.Second)))
 }
 
-// paced reports whether the loans of an account are paced.
-func (a *account) paced() bool { return a.allowance.Burst > 0 && a.allowance.Rate > 0 }
+// neededLevel returns the level at which a charge is granted. A request may take all of the level,
+// half or a third of it, by its priority, so that small and urgent requests are granted first.
+func neededLevel(allowance Allowance, charge Charge) float64 {
+	divisor := 1 + min(max(charge.Priority, 0), leastPriority)
 
-// paceWait returns how long a charge has to wait for the account's bucket, zero if it may be granted now.
-func (a *account) paceWait(now time.Time, cost float64, priority int) time.Duration {
-	rate, burst := a.allowance.Rate, a.allowance.Burst
-	a.bucket.update(now, rate, burst, a.globalTotal)
+	return min(charge.Cost, typicalFraction*allowance.Burst) * float64(divisor)
+}
 
-	share := 1 / float64(1+min(max(priority, 0), largestPriority))
-	needed := math.Min(cost, typicalShare*burst) / share
+// paceRemote takes what other instances granted from the account's bucket.
+func (q *Quota) paceRemote(now time.Time, a *account, cost float64) {
+	if q.paces(a) && cost > 0 {
+		a.bucket.refill(now, a.allowance)
+		a.bucket.takeRemote(cost)
+	}
+}
 
-	if needed <= a.bucket.level {
-		return 0
+// resetBuckets forgets the levels, which do not contain what was consumed while other instances
+// were the coordinators.
+func (q *Quota) resetBuckets() {
+	for _, a := range q.accounts {
+		a.bucket = bucket{}
 	}
+}
+
+// consumedByAll returns what all instances have consumed within the window, as far as this one
+// knows.
+func (q *Quota) consumedByAll(now time.Time, a *account) float64 {
+	window := now.Add(-q.policy.Window)
 
-	return time.Duration((needed - a.bucket.level) / rate * float64(time.Second))
+	return a.consumed.since(window) + a.consumedElsewhere(window)
 }
--- /dev/null
+++ b/quota/pace_test.go
@@ -0,0 +1,62 @@
+package quota
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// An account that asks for six times its rate gets its burst and its rate in each second, whatever
+// instances it asks, instead of the whole window at once and then nothing.
+func TestPacedAccountIsServedInEachSecond(t *testing.T) {
+	const seconds = 12
+
+	random := rand.New(rand.NewPCG(1, 1))
+	f := newCoordinatedFleet(72, 1, pacedAllowance)
+	perSecond := make([]float64, seconds+2)
+
+	for tick := 1; tick < (seconds+2)*10; tick++ {
+		now := start.Add(time.Duration(tick) * 100 * time.Millisecond)
+		f.step(now, tick)
+
+		for range 20 {
+			if cost := 1080 * random.ExpFloat64(); tick >= 20 && f.take(now, random.IntN(72), cost) {
+				perSecond[tick/10] += cost
+			}
+		}
+	}
+
+	rate, burst := pacedAllowance.Rate, pacedAllowance.Burst
+	if got := perSecond[2]; got < burst || got > burst+1.1*rate {
+		t.Errorf("granted in the first second: got %.0f, want the burst of %.0f and at most the rate of %.0f more", got, burst, rate)
+	}
+
+	for second, got := range perSecond[4:] {
+		if got < 0.9*rate || got > 1.1*rate {
+			t.Errorf("granted in second %d: got %.0f, want about %.0f", second+2, got, rate)
+		}
+	}
+}
+
+// Where all members share an allowance, and where it has no burst, lenders pace nothing.
+func TestOnlyAllowancesWithBurstArePacedByCoordinators(t *testing.T) {
+	for _, tc := range []struct {
+		name      string
+		allowance Allowance
+		quorum    int
+		want      bool
+	}{
+		{"coordinators", pacedAllowance, coordinatorQuorum, true},
+		{"members that share", pacedAllowance, 0, false},
+		{"no burst", windowAllowance, coordinatorQuorum, false},
+		{"no rate", Allowance{Account: "a", Amount: amount, Burst: 72_000}, coordinatorQuorum, false},
+		{"negative burst", Allowance{Account: "a", Amount: amount, Rate: 36_000, Burst: -1}, coordinatorQuorum, false},
+	} {
+		q := New(Policy{})
+		q.quorum = tc.quorum
+
+		if got := q.paces(&account{allowance: tc.allowance}); got != tc.want {
+			t.Errorf("%s: paces: got %t, want %t", tc.name, got, tc.want)
+		}
+	}
+}
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -159,7 +159,8 @@
 	// globalTotal is what all instances have consumed, as far as this one knows.
 	// globalRecorded is the part of it that is in a record of this instance.
 	globalTotal, globalRecorded float64
-	bucket                      bucket
+	// bucket paces the account where coordinators grant its loans.
+	bucket bucket
 }
 
 // remote is the consumption and demand that another instance published.
@@ -191,6 +192,10 @@
 			entry = &account{remotes: make(map[fleet.InstanceID]*remote)}
 		}
 
+		if !a.paced() {
+			entry.bucket = bucket{}
+		}
+
 		entry.allowance = a
 		next[a.Account] = entry
 	}
@@ -207,9 +212,10 @@
 	// Remaining is what was left of the allowance, and Share how much of it this instance
 	// could consume. Both are for logs.
 	Remaining, Share float64
-	// Lender is the instance that granted a loan, or empty.
+	// Lender is the instance that granted a loan, or refused it for Paced. Otherwise it is empty.
 	Lender fleet.InstanceID
-	// Paced is set if the account has consumed its rate and burst, so that no lender grants more.
+	// Paced is set if the account has used up its burst. The decision is final: no other lender
+	// grants more.
 	Paced bool
 }
 
@@ -224,12 +230,8 @@
 		return Decision{Granted: true}
 	}
 
-	if q.delegated {
-		return Decision{RetryAfter: minRetryAfter}
-	}
-
-	if q.quorum > 0 && a.paced() {
-		// Among coordinators, too, the first lender of an account paces all of its consumption.
+	if q.delegated || q.paces(a) {
+		// The first lender decides, which knows the level of a paced account.
 		return Decision{RetryAfter: minRetryAfter}
 	}
 
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -56,7 +56,7 @@
 			break
 		}
 
-		d.Granted = g.quotas[slices.Index(g.ids, lender)].Lend(now, "a", cost).Granted
+		d.Granted = g.quotas[slices.Index(g.ids, lender)].Lend(now, Charge{Account: "a", Cost: cost}).Granted
 	}
 
 	return d
--- a/quota/reserve.go
+++ b/quota/reserve.go
@@ -93,7 +93,7 @@
 	return reserveFraction / float64(len(a.holders))
 }
 
-// Lend consumes cost of the reserve that this instance holds, for another instance or for
+// Lend consumes a charge of the reserve that this instance holds, for another instance or for
 // itself. The borrower does not count it: to all other instances this instance has consumed
 // it.
 //
@@ -104,6 +104,7 @@
 	defer q.mu.Unlock()
 
 	cost := charge.Cost
+
 	if cost <= 0 || q.syncedAt.IsZero() || !q.canGrant(now) {
 		return Decision{RetryAfter: minRetryAfter}
 	}
@@ -114,9 +115,9 @@
 		return Decision{Granted: true}
 	}
 
-	if q.quorum > 0 && a.paced() {
-		if wait := a.paceWait(now, cost, charge.Priority); wait > 0 {
-			return Decision{RetryAfter: wait, Paced: true}
+	if q.paces(a) {
+		if wait := q.paceWait(now, a, charge); wait > 0 {
+			return Decision{RetryAfter: wait, Paced: true, Lender: q.policy.Self}
 		}
 	}
 
--- a/quota/reserve_test.go
+++ b/quota/reserve_test.go
@@ -262,13 +262,13 @@
 	q.SetMembers([]fleet.InstanceID{"entry-1"}, nil)
 	q.MarkSynced(start)
 
-	if got := q.LendTo(start, "entry-2", "acme", 5000); got.Granted {
+	if got := q.LendTo(start, "entry-2", Charge{Account: "acme", Cost: 5000}); got.Granted {
 		t.Error("above the limit: got it granted, want it refused")
 	}
 
 	q.Configure(nil)
 
-	if got := q.LendTo(start, "entry-2", "acme", 5000); !got.Granted {
+	if got := q.LendTo(start, "entry-2", Charge{Account: "acme", Cost: 5000}); !got.Granted {
 		t.Error("once the limit is lifted: got it refused, want it granted")
 	}
 }
--- a/quota/updates.go
+++ b/quota/updates.go
@@ -43,7 +43,9 @@
 			o.demand.total = s.Asked - s.Recent
 		}
 
-		a.globalTotal += max(o.baseConsumed+s.Total-o.consumed.total, 0)
+		consumed := max(o.baseConsumed+s.Total-o.consumed.total, 0)
+		a.globalTotal += consumed
+		q.paceRemote(now, a, consumed)
 		o.consumed.raiseTo(now, o.baseConsumed+s.Total)
 		q.requestRecord(now, a)
 		o.demand.raiseTo(now, o.baseDemand+s.Asked)
