feat(quota): paced requests need a part of the level, and refused ones are booked

Requests beyond the longest Retry-After are not booked. Each priority gets at least 2% of the rate for requests that the level refuses, whatever their size.

--- a/entry/components.go
+++ b/entry/components.go
@@ -3,6 +3,8 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -231,7 +233,7 @@
 	p.plan.Store(&topology.Plan{InstanceCount: 1})
 	p.limits = quota.New(quota.Policy{
 		Self: s.Instance, Window: s.Bounds.LimitWindow, PropagationDelay: boardPropagationDelay, DirectDelay: p.heartbeatDelay,
-		RequestRecord: func() { p.board.Wake() },
+		RequestRecord: func() { p.board.Wake() }, Counters: quota.NewCounters(set),
 	})
 	p.loans = &quota.Limiter{
 		Quota: p.limits, Clock: e.Clock, Self: s.Instance, Current: p.rulesCurrency.Current,
@@ -324,6 +326,11 @@
 
 		return age.Seconds()
 	})
+	set.RegisterMetricsWriter(func(w io.Writer) {
+		for _, l := range p.limits.PacedLevels(p.clock.Now()) {
+			metrics.WriteGaugeFloat64(w, fmt.Sprintf("monsoonlever_quota_paced_level{account=%q}", l.Account()), l.Level())
+		}
+	})
 	set.NewGauge("monsoonlever_entry_rollouts", func() float64 { return float64(len(p.rollouts.gate.Tasks())) })
 }
 
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -282,7 +282,7 @@
 // limitCause states what decided the refusal of a request over its account's limit.
 func limitCause(j *job, decision quota.Decision) string {
 	if decision.Paced {
-		return fmt.Sprintf("cost %.0f, priority %d, paced by %s", j.cost(), j.route.Priority, decision.Lender)
+		return fmt.Sprintf("cost %.0f, priority %d, paced by %s for %v", j.cost(), j.route.Priority, decision.Lender, decision.RetryAfter)
 	}
 
 	return fmt.Sprintf("cost %.0f, part %.0f of %.0f left", j.cost(), decision.Share, decision.Remaining)
--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -2,13 +2,33 @@
 
 import "time"
 
+const (
+	// priorities is how many priorities a bucket tells apart. Less urgent ones count as the last.
+	priorities = 3
+	// largestNeed is the fraction of the burst that a request of the highest priority needs at
+	// most. A bucket that is nearly full, as at usual load, then grants any request of any
+	// priority; what it costs beyond the level is owed until the bucket has refilled. A smaller
+	// fraction lets few large requests block the small ones of the next second.
+	largestNeed = 0.1
+	// overdueShare is the fraction of the rate that each priority gets for requests that the level
+	// refuses, so that no priority or size waits without end.
+	overdueShare = 0.02
+)
+
 // bucket is a token bucket of the consumption of one account over all instances. It refills at the
 // account's rate up to its burst. The zero value has an unknown level.
 type bucket struct {
 	known bool
-	// level is what may be consumed now. A grant may exceed it, which leaves it negative.
+	// level is what may be consumed now. It is negative while a grant is owed.
 	level float64
 	at    time.Time
+	// overdue is the credit of each priority for requests that the level refuses. One is granted
+	// once the credit is full.
+	overdue [priorities]float64
+	// booked is the cost of refused requests of each priority that are expected to return.
+	booked [priorities]float64
+	// refusedAt is when a request was last refused.
+	refusedAt time.Time
 }
 
 // start sets the level if it is unknown. Within a window an account may consume its burst and what
@@ -24,23 +44,75 @@
 
 // refill adds what has refilled since the last call.
 func (b *bucket) refill(now time.Time, allowance Allowance) {
-	if !b.known {
+	elapsed := now.Sub(b.at)
+	if !b.known || elapsed <= 0 {
 		return
 	}
 
-	if elapsed := now.Sub(b.at); elapsed > 0 {
-		b.level += allowance.Rate * elapsed.Seconds()
-		b.at = now
+	refilled := allowance.Rate * elapsed.Seconds()
+	b.at = now
+	b.level = min(b.level+refilled, allowance.Burst)
+
+	for i := range b.overdue {
+		b.overdue[i] = min(b.overdue[i]+overdueShare*refilled, largestNeed*allowance.Burst)
 	}
 
-	b.level = min(b.level, allowance.Burst)
+	for i, booked := range b.booked {
+		returned := min(booked, refilled)
+		b.booked[i] -= returned
+		refilled -= returned
+	}
 }
 
-// take takes what this instance granted.
-func (b *bucket) take(cost float64) { b.level -= cost }
+// grants reports whether a charge may be granted now. overdue is set if it is by the credit of its
+// priority.
+func (b *bucket) grants(allowance Allowance, charge Charge) (granted, overdue bool) {
+	if neededLevel(allowance, charge) <= b.level {
+		return true, false
+	}
+
+	overdue = b.level >= 0 && b.overdue[charge.rank()] >= largestNeed*allowance.Burst
+
+	return overdue, overdue
+}
+
+// take takes a charge that was granted.
+func (b *bucket) take(charge Charge, overdue bool) {
+	b.level -= charge.Cost
+
+	if overdue {
+		b.overdue[charge.rank()] -= charge.Cost
+	}
+}
 
 // takeRemote takes what other instances granted. It leaves no debt: an update that was delayed
 // states at once what was consumed over a long time.
 func (b *bucket) takeRemote(cost float64) {
 	b.level = max(b.level-cost, min(b.level, 0))
 }
+
+// book returns after which time a refused charge is likely to be granted, behind those that are
+// booked and no less urgent. It is booked itself unless callers do not wait that long.
+func (b *bucket) book(now time.Time, allowance Allowance, charge Charge) time.Duration {
+	b.refusedAt = now
+	ahead := neededLevel(allowance, charge) - b.level
+
+	for _, booked := range b.booked[:charge.rank()+1] {
+		ahead += booked
+	}
+
+	seconds := ahead / allowance.Rate
+	if seconds >= maxRetryAfter.Seconds() {
+		return maxRetryAfter
+	}
+
+	b.booked[charge.rank()] += charge.Cost
+
+	return max(time.Duration(seconds*float64(time.Second)), minRetryAfter)
+}
+
+// neededLevel returns the level at which a charge is granted. A request may take all of the level,
+// half or a third of it, by its priority, so that small and urgent requests are granted first.
+func neededLevel(allowance Allowance, charge Charge) float64 {
+	return min(charge.Cost, largestNeed*allowance.Burst) * float64(1+charge.rank())
+}
--- a/quota/charge.go
+++ b/quota/charge.go
@@ -10,3 +10,6 @@
 	// Priority ranks the requests of one account; 0 is the most urgent.
 	Priority int
 }
+
+// rank is the priority among those that a bucket tells apart.
+func (c Charge) rank() int { return min(max(c.Priority, 0), priorities-1) }
--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -39,8 +38,8 @@
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // an option of the codec
 	Number   uint64
 	Granted  bool
-	// PacedFor is how long the account's bucket takes to refill, if nothing was granted because of
-	// it. It is not part of the encoding, like LoanRequest.Priority.
+	// PacedFor is after which time the account's bucket is likely to grant the charge, if it did
+	// not. It is not part of the encoding, like LoanRequest.Priority.
 	PacedFor time.Duration `msgpack:"-"`
 }
 
@@ -90,7 +89,7 @@
 		}
 
 		if loan.PacedFor > 0 {
-			return Decision{Paced: true, RetryAfter: pacedRetryAfter(loan.PacedFor), Lender: lender}
+			return Decision{Paced: true, RetryAfter: min(max(loan.PacedFor, minRetryAfter), maxRetryAfter), Lender: lender}
 		}
 	}
 
@@ -159,13 +158,6 @@
 	return response
 }
 
-// pacedRetryAfter spreads the callers that an account's rate turned away.
-func pacedRetryAfter(wait time.Duration) time.Duration {
-	wait = max(wait, minRetryAfter)
-
-	return min(wait+rand.N(wait), maxRetryAfter)
-}
-
 // refusedRecently reports whether a lender refused the same or a smaller cost within
 // refusedLoanBackoff.
 func (l *Limiter) refusedRecently(key loanKey, cost float64) bool {
--- a/quota/pace.go
+++ b/quota/pace.go
@@ -1,17 +1,6 @@
 package quota
 
-import (
-	"math"
-	"time"
-)
-
-const (
-	// leastPriority bounds how much of a bucket less urgent requests leave to urgent ones.
-	leastPriority = 2
-	// typicalFraction of the burst bounds the level that a request needs, so that a large request
-	// is granted as readily as one of usual size. The rest of its cost becomes a debt.
-	typicalFraction = 0.01
-)
+import "time"
 
 // paced reports whether the account is limited by the second, not only by the window.
 func (a Allowance) paced() bool { return a.Burst > 0 && a.Rate > 0 }
@@ -20,29 +9,18 @@
 // none of them decides on all requests.
 func (q *Quota) paces(a *account) bool { return q.quorum > 0 && a.allowance.paced() }
 
-// paceWait returns how long a charge has to wait for the account's bucket, or zero if it may be
-// granted now.
-func (q *Quota) paceWait(now time.Time, a *account, charge Charge) time.Duration {
-	a.bucket.start(now, a.allowance, q.policy.Window, q.consumedByAll(now, a))
-	a.bucket.refill(now, a.allowance)
-
-	missing := neededLevel(a.allowance, charge) - a.bucket.level
-	if missing <= 0 {
-		return 0
+// updateBucket refills the account's bucket, and estimates its level if that is unknown.
+func (q *Quota) updateBucket(now time.Time, a *account) {
+	window := now.Add(-q.policy.Window)
+	if !a.bucket.known {
+		a.bucket.start(now, a.allowance, q.policy.Window, a.consumed.since(window)+a.consumedElsewhere(window))
 	}
 
-	return time.Duration(math.Ceil(missing / a.allowance.Rate * float64(time.Second)))
-}
-
-// neededLevel returns the level at which a charge is granted. A request may take all of the level,
-// half or a third of it, by its priority, so that small and urgent requests are granted first.
-func neededLevel(allowance Allowance, charge Charge) float64 {
-	divisor := 1 + min(max(charge.Priority, 0), leastPriority)
-
-	return min(charge.Cost, typicalFraction*allowance.Burst) * float64(divisor)
+	a.bucket.refill(now, a.allowance)
 }
 
-// paceRemote takes what other instances granted from the account's bucket.
+// paceRemote takes what other instances granted from the account's bucket, so that this one goes on
+// from the same level when it becomes the first lender.
 func (q *Quota) paceRemote(now time.Time, a *account, cost float64) {
 	if q.paces(a) && cost > 0 {
 		a.bucket.refill(now, a.allowance)
@@ -50,6 +28,14 @@
 	}
 }
 
+// refusePaced refuses a charge that the account's bucket does not grant.
+func (q *Quota) refusePaced(now time.Time, a *account, charge Charge) Decision {
+	wait := a.bucket.book(now, a.allowance, charge)
+	q.policy.Counters.pacedRefused(wait)
+
+	return Decision{RetryAfter: wait, Lender: q.policy.Self, Paced: true}
+}
+
 // resetBuckets forgets the levels, which do not contain what was consumed while other instances
 // were the coordinators.
 func (q *Quota) resetBuckets() {
@@ -57,11 +43,3 @@
 		a.bucket = bucket{}
 	}
 }
-
-// consumedByAll returns what all instances have consumed within the window, as far as this one
-// knows.
-func (q *Quota) consumedByAll(now time.Time, a *account) float64 {
-	window := now.Add(-q.policy.Window)
-
-	return a.consumed.since(window) + a.consumedElsewhere(window)
-}
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -51,6 +51,8 @@
 	// requests nothing. At any time, all instances together have consumed at most
 	// UnrecordedFraction of an allowance, plus one request each, that no record contains.
 	RequestRecord func()
+	// Counters count the loans of paced accounts. Nil counts nothing.
+	Counters *Counters
 }
 
 // UnrecordedFraction is the fraction of an allowance that may be consumed before it is
--- a/quota/record.go
+++ b/quota/record.go
@@ -9,7 +9,6 @@
 func (q *Quota) consume(now time.Time, a *account, cost float64) {
 	a.consumed.add(now, cost)
 	a.globalTotal += cost
-	a.bucket.take(cost)
 	q.requestRecord(now, a)
 }
 
--- a/quota/reserve.go
+++ b/quota/reserve.go
@@ -103,9 +103,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 
-	cost := charge.Cost
-
-	if cost <= 0 || q.syncedAt.IsZero() || !q.canGrant(now) {
+	if charge.Cost <= 0 || q.syncedAt.IsZero() || !q.canGrant(now) {
 		return Decision{RetryAfter: minRetryAfter}
 	}
 
@@ -116,11 +114,32 @@
 	}
 
 	if q.paces(a) {
-		if wait := q.paceWait(now, a, charge); wait > 0 {
-			return Decision{RetryAfter: wait, Paced: true, Lender: q.policy.Self}
-		}
+		return q.lendPaced(now, a, charge)
 	}
 
+	return q.lendWithinWindow(now, a, charge.Cost)
+}
+
+// lendPaced lends to a paced account what its bucket and the window allow.
+func (q *Quota) lendPaced(now time.Time, a *account, charge Charge) Decision {
+	q.updateBucket(now, a)
+
+	granted, overdue := a.bucket.grants(a.allowance, charge)
+	if !granted {
+		return q.refusePaced(now, a, charge)
+	}
+
+	decision := q.lendWithinWindow(now, a, charge.Cost)
+	if decision.Granted {
+		a.bucket.take(charge, overdue)
+		q.policy.Counters.pacedGranted(overdue)
+	}
+
+	return decision
+}
+
+// lendWithinWindow lends what the window allows.
+func (q *Quota) lendWithinWindow(now time.Time, a *account, cost float64) Decision {
 	remaining, limit, recent := q.budget(now, a)
 	limit += q.reserveShare(a) * remaining
 
