feat(quota): requests granted by the credit of their priority do not block urgent ones

What such a request costs is repaid from the share of the rate that its priority has, not from the level: a draft of 54,600 took the level of the next 1.5 s.

--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -12,7 +12,7 @@
 	largestNeed = 0.1
 	// overdueShare is the fraction of the rate that each priority gets for requests that the level
 	// refuses, so that no priority or size waits without end.
-	overdueShare = 0.02
+	overdueShare = 0.03
 )
 
 // bucket is a token bucket of the consumption of one account over all instances. It refills at the
@@ -23,7 +23,7 @@
 	level float64
 	at    time.Time
 	// overdue is the credit of each priority for requests that the level refuses. One is granted
-	// once the credit is full.
+	// once the credit is full, and may leave it negative.
 	overdue [priorities]float64
 	// booked is the cost of refused requests of each priority that are expected to return.
 	booked [priorities]float64
@@ -51,12 +51,19 @@
 
 	refilled := allowance.Rate * elapsed.Seconds()
 	b.at = now
-	b.level = min(b.level+refilled, allowance.Burst)
+	b.refillBooked(refilled)
 
-	for i := range b.overdue {
-		b.overdue[i] = min(b.overdue[i]+overdueShare*refilled, largestNeed*allowance.Burst)
+	for i, credit := range b.overdue {
+		added := min(overdueShare*refilled, largestNeed*allowance.Burst-credit)
+		b.overdue[i] += added
+		refilled -= added
 	}
 
+	b.level = min(b.level+refilled, allowance.Burst)
+}
+
+// refillBooked takes what has refilled from the booked cost, the most urgent first.
+func (b *bucket) refillBooked(refilled float64) {
 	for i, booked := range b.booked {
 		returned := min(booked, refilled)
 		b.booked[i] -= returned
@@ -71,18 +78,21 @@
 		return true, false
 	}
 
-	overdue = b.level >= 0 && b.overdue[charge.rank()] >= largestNeed*allowance.Burst
+	overdue = b.overdue[charge.rank()] >= largestNeed*allowance.Burst
 
 	return overdue, overdue
 }
 
-// take takes a charge that was granted.
+// take takes a charge that was granted. One that was granted by the credit of its priority is not
+// taken from the level, so that it blocks no urgent requests.
 func (b *bucket) take(charge Charge, overdue bool) {
-	b.level -= charge.Cost
-
 	if overdue {
 		b.overdue[charge.rank()] -= charge.Cost
+
+		return
 	}
+
+	b.level -= charge.Cost
 }
 
 // takeRemote takes what other instances granted. It leaves no debt: an update that was delayed
--- a/quota/coordinators_test.go
+++ b/quota/coordinators_test.go
@@ -56,7 +56,7 @@
 	consumption []Consumption
 }
 
-func newCoordinatedFleet(n int, seed uint64, allowance Allowance) *coordinatedFleet {
+func newCoordinatedFleet(n int, seed uint64, allowances ...Allowance) *coordinatedFleet {
 	f := &coordinatedFleet{random: rand.New(rand.NewPCG(seed, 11))}
 
 	for i := range n {
@@ -65,7 +65,7 @@
 			Self: id, Window: 8 * time.Second, PropagationDelay: 4500 * time.Millisecond,
 			DirectDelay: func(int) time.Duration { return 600 * time.Millisecond },
 		})
-		q.Configure([]Allowance{allowance})
+		q.Configure(allowances)
 
 		f.nodes = append(f.nodes, &coordinatedNode{
 			id: id, quota: q, lastSeen: slices.Repeat([]time.Time{start}, n), receivedAt: make([]time.Time, n), confirmed: start,
@@ -176,7 +176,7 @@
 		return decision
 	}
 
-	for _, id := range node.quota.Lenders("a") {
+	for _, id := range node.quota.Lenders(charge.Account) {
 		j := slices.IndexFunc(f.nodes, func(n *coordinatedNode) bool { return n.id == id })
 		lender := f.nodes[j]
 
