test(quota): paced loans under failure, over versions and with bad input

A coordinator knows the level of a paced account as soon as another one tells that it consumes. A smaller burst takes the level down at once.

--- a/entry/components.go
+++ b/entry/components.go
@@ -326,12 +326,17 @@
 
 		return age.Seconds()
 	})
+	p.addLevels(set)
+	set.NewGauge("monsoonlever_entry_rollouts", func() float64 { return float64(len(p.rollouts.gate.Tasks())) })
+}
+
+// addLevels registers the levels of the accounts that this instance paced lately.
+func (p *components) addLevels(set *metrics.Set) {
 	set.RegisterMetricsWriter(func(w io.Writer) {
 		for _, l := range p.limits.PacedLevels(p.clock.Now()) {
 			metrics.WriteGaugeFloat64(w, fmt.Sprintf("monsoonlever_quota_paced_level{account=%q}", l.Account()), l.Level())
 		}
 	})
-	set.NewGauge("monsoonlever_entry_rollouts", func() float64 { return float64(len(p.rollouts.gate.Tasks())) })
 }
 
 // boolGauge returns 1 if holds is true, else 0.
--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -44,13 +44,13 @@
 
 // refill adds what has refilled since the last call.
 func (b *bucket) refill(now time.Time, allowance Allowance) {
-	elapsed := now.Sub(b.at)
-	if !b.known || elapsed <= 0 {
+	if !b.known {
 		return
 	}
 
+	elapsed := max(now.Sub(b.at), 0)
 	refilled := allowance.Rate * elapsed.Seconds()
-	b.at = now
+	b.at = b.at.Add(elapsed)
 	b.refillBooked(refilled)
 
 	for i, credit := range b.overdue {
--- a/quota/coordinators_test.go
+++ b/quota/coordinators_test.go
@@ -203,13 +203,20 @@
 	rapid.Check(t, holdsWhenCoordinatorsChange(pacedAllowance))
 }
 
-// holdsWhenCoordinatorsChange returns a check of an allowance while coordinators are killed,
-// partitioned and cut off from the store.
-func holdsWhenCoordinatorsChange(allowance Allowance) func(*rapid.T) {
+// The same holds while new rules, which reach the instances one after the other, change the rate
+// and the burst, and whether lenders pace at all.
+func TestHoldsPacedAllowanceWhenRulesChange(t *testing.T) {
+	faster := Allowance{Account: "a", Amount: amount, Rate: 48_000, Burst: 20_000}
+	rapid.Check(t, holdsWhenCoordinatorsChange(pacedAllowance, faster, windowAllowance))
+}
+
+// holdsWhenCoordinatorsChange returns a check of allowances of the same amount, of which each
+// instance has one at a time, while coordinators are killed, partitioned and cut off from the store.
+func holdsWhenCoordinatorsChange(allowances ...Allowance) func(*rapid.T) {
 	return func(t *rapid.T) {
 		n := rapid.IntRange(6, 16).Draw(t, "instances")
 		load := rapid.Float64Range(0.5, 8).Draw(t, "heat")
-		f := newCoordinatedFleet(n, rapid.Uint64().Draw(t, "seed"), allowance)
+		f := newCoordinatedFleet(n, rapid.Uint64().Draw(t, "seed"), allowances[0])
 		at := func(tick int) time.Time { return start.Add(time.Duration(tick) * 100 * time.Millisecond) }
 
 		var grants []increment
@@ -233,6 +240,10 @@
 				}
 			}
 
+			if len(allowances) > 1 && f.random.IntN(5) == 0 {
+				f.nodes[f.random.IntN(n)].quota.Configure([]Allowance{allowances[f.random.IntN(len(allowances))]})
+			}
+
 			f.step(now, tick)
 
 			for range f.random.IntN(int(2*load) + 1) {
--- a/quota/pace.go
+++ b/quota/pace.go
@@ -22,10 +22,12 @@
 // paceRemote takes what other instances granted from the account's bucket, so that this one goes on
 // from the same level when it becomes the first lender.
 func (q *Quota) paceRemote(now time.Time, a *account, cost float64) {
-	if q.paces(a) && cost > 0 {
-		a.bucket.refill(now, a.allowance)
-		a.bucket.takeRemote(cost)
+	if !q.paces(a) || cost == 0 || q.syncedAt.IsZero() || q.syncedAt.Before(q.coordinatorSince) {
+		return
 	}
+
+	q.updateBucket(now, a)
+	a.bucket.takeRemote(cost)
 }
 
 // refusePaced refuses a charge that the account's bucket does not grant.
--- a/quota/pace_test.go
+++ b/quota/pace_test.go
@@ -4,6 +4,8 @@
 	"math/rand/v2"
 	"testing"
 	"time"
+
+	"pgregory.net/rapid"
 )
 
 // An account that asks for six times its rate gets its burst and its rate in each second, whatever
@@ -38,6 +40,39 @@
 	}
 }
 
+// Without a burst, decisions are those of the window alone: the priority decides nothing, and nothing
+// is paced.
+func TestHoldsDecisionsOfWindowWithoutBurst(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		instances := rapid.IntRange(6, 16).Draw(t, "instances")
+		seed := rapid.Uint64().Draw(t, "seed")
+		ranked, unranked := newCoordinatedFleet(instances, seed, windowAllowance), newCoordinatedFleet(instances, seed, windowAllowance)
+
+		for tick := 1; tick < 120; tick++ {
+			now := start.Add(time.Duration(tick) * 100 * time.Millisecond)
+			ranked.step(now, tick)
+			unranked.step(now, tick)
+
+			i := rapid.IntRange(0, instances-1).Draw(t, "instance")
+			charge := Charge{Account: "a", Cost: rapid.Float64Range(1, 60_000).Draw(t, "cost")}
+			want := unranked.decide(now, i, charge)
+			charge.Priority = rapid.IntRange(0, 5).Draw(t, "priority")
+
+			// Sums over instances differ in their last digits, by the order of a map.
+			got := ranked.decide(now, i, charge)
+			if got.Granted != want.Granted || got.Paced || (got.RetryAfter - want.RetryAfter).Abs() > time.Millisecond {
+				t.Fatalf("decision at priority %d: got %+v, want %+v", charge.Priority, got, want)
+			}
+		}
+
+		for _, node := range ranked.nodes {
+			if got := node.quota.accounts["a"].bucket; got != (bucket{}) {
+				t.Fatalf("bucket: got %+v, want none", got)
+			}
+		}
+	})
+}
+
 // Where all members share an allowance, and where it has no burst, lenders pace nothing.
 func TestOnlyAllowancesWithBurstArePacedByCoordinators(t *testing.T) {
 	for _, tc := range []struct {
