--- a/quota/hot_account_test.go
+++ b/quota/hot_account_test.go
@@ -25,7 +25,7 @@
 	}
 
 	f := newCoordinatedFleet(instances, 1, allowances...)
-	m.step, m.decide = f.step, f.decide
+	m.step, m.decide, m.fleet = f.step, f.decide, f
 
 	return m
 }
@@ -33,6 +33,8 @@
 // playHot plays an account at six times its usual load, which is a fraction of its rate, and returns
 // what its callers get over five seeds.
 func playHot(t *testing.T, instances int, usual float64, name string, allowance Allowance, change func(*callModel)) callResult {
+	t.Helper()
+
 	var calls []*call
 
 	for seed := range uint64(5) {
@@ -82,6 +84,52 @@
 	}
 }
 
+// forgetBookings lets lenders tell each refused caller the time in which the bucket refills for it
+// alone, as if no others waited for the same.
+func forgetBookings(m *callModel) {
+	m.decide = func(now time.Time, instance int, charge Charge) Decision {
+		for _, node := range m.fleet.nodes {
+			node.quota.accounts[charge.Account].bucket.booked = [priorities]float64{}
+		}
+
+		return m.fleet.decide(now, instance, charge)
+	}
+}
+
+// Callers who honour a Retry-After behind those that were refused before them find room more often
+// than callers who return when the bucket has refilled for one of them.
+func TestBookedCallersReturnToRoom(t *testing.T) {
+	for _, usual := range []float64{0.5, 0.75, 0.95} {
+		booked := playHot(t, 72, usual, "booked", pacedAllowance, func(*callModel) {})
+		alone := playHot(t, 72, usual, "refill time alone", pacedAllowance, forgetBookings)
+		playHot(t, 72, usual, "refill time once or twice", pacedAllowance, func(m *callModel) {
+			forgetBookings(m)
+
+			random, decide := rand.New(rand.NewPCG(6, 6)), m.decide
+			m.decide = func(now time.Time, instance int, charge Charge) Decision {
+				d := decide(now, instance, charge)
+				if d.RetryAfter > 0 {
+					d.RetryAfter = min(d.RetryAfter+time.Duration(random.Int64N(int64(d.RetryAfter))), maxRetryAfter)
+				}
+
+				return d
+			}
+		})
+		playHot(t, 72, usual, "always 4 s", pacedAllowance, func(m *callModel) {
+			m.decide = func(now time.Time, instance int, charge Charge) Decision {
+				d := m.fleet.decide(now, instance, charge)
+				d.RetryAfter = maxRetryAfter
+
+				return d
+			}
+		})
+
+		if got, want := booked.returns.ratio(), 1.5*alone.returns.ratio(); got < want {
+			t.Errorf("returning drafts that were granted: got %.3f, want at least %.3f", got, want)
+		}
+	}
+}
+
 // What callers get does not depend on how many instances they ask.
 func TestHotAccountAtOneInstanceIsServedAlike(t *testing.T) {
 	spread := playHot(t, 72, 0.75, "at all instances", pacedAllowance, func(*callModel) {})
--- a/quota/pace_model_test.go
+++ b/quota/pace_model_test.go
@@ -112,6 +112,8 @@
 	// step exchanges messages each 100 ms.
 	step   func(now time.Time, tick int)
 	decide func(now time.Time, instance int, charge Charge) Decision
+	// fleet holds the instances if there are coordinators.
+	fleet *coordinatedFleet
 	// instance chooses the instance that a call arrives at.
 	instance func(random *rand.Rand) int
 	// unranked calls all have the same priority.
--- a/quota/pace_test.go
+++ b/quota/pace_test.go
@@ -60,7 +60,7 @@
 
 			// Sums over instances differ in their last digits, by the order of a map.
 			got := ranked.decide(now, i, charge)
-			if got.Granted != want.Granted || got.Paced || (got.RetryAfter - want.RetryAfter).Abs() > time.Millisecond {
+			if got.Granted != want.Granted || got.Paced || (got.RetryAfter-want.RetryAfter).Abs() > time.Millisecond {
 				t.Fatalf("decision at priority %d: got %+v, want %+v", charge.Priority, got, want)
 			}
 		}
