--- a/forward/forward.go
+++ b/forward/forward.go
@@ -285,5 +285,10 @@
 		return fmt.Sprintf("cost %.0f, priority %d, paced by %s for %v", j.cost(), j.route.Priority, decision.Lender, decision.RetryAfter)
 	}
 
+	if decision.Remaining == 0 && decision.Share == 0 {
+		// The instance holds no share of the limit, or nothing is left of it.
+		return fmt.Sprintf("cost %.0f, priority %d, no lender granted it", j.cost(), j.route.Priority)
+	}
+
 	return fmt.Sprintf("cost %.0f, part %.0f of %.0f left", j.cost(), decision.Share, decision.Remaining)
 }
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -13,6 +13,11 @@
 // a few coordinators enforce the limits for all other instances, which request a loan from
 // them for each request (SetCoordinators).
 //
+// Where coordinators enforce the limits, the first lender of an account that has a burst also
+// paces it: a token bucket of its rate and burst decides which requests are granted within the
+// window's allowance, small and urgent ones first. Callers that are refused are told to return one
+// after the other.
+//
 // Dividing the rate would be simpler, but a large request costs many times what a share of
 // the rate refills in a second: most large requests of accounts far below their limit would
 // be refused.
