--- a/entry/components.go
+++ b/entry/components.go
@@ -3,6 +3,8 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -231,11 +233,14 @@
 	p.plan.Store(&topology.Plan{InstanceCount: 1})
 	p.limits = quota.New(quota.Policy{
 		Self: s.Instance, Window: s.Bounds.LimitWindow, PropagationDelay: boardPropagationDelay, DirectDelay: p.heartbeatDelay,
-		RequestRecord: func() { p.board.Wake() },
+		RequestRecord: func() { p.board.Wake() }, Counters: quota.NewCounters(set),
 	})
-	p.loans = &quota.Limiter{Quota: p.limits, Clock: e.Clock, Self: s.Instance, Current: p.rulesCurrency.Current, Send: func(to fleet.InstanceID, request quota.LoanRequest) {
-		p.sendDatagram(to, datagram{LoanRequest: &request})
-	}}
+	p.loans = &quota.Limiter{
+		Quota: p.limits, Clock: e.Clock, Self: s.Instance, Current: p.rulesCurrency.Current,
+		Send: func(to fleet.InstanceID, request quota.LoanRequest) {
+			p.sendDatagram(to, datagram{LoanRequest: &request, LoanPriority: request.Priority})
+		},
+	}
 	p.retries.Counters = retry.NewCounters(set)
 	p.permits = newPermits(p)
 	p.scheduler.Permits = p.permits
@@ -321,9 +326,19 @@
 
 		return age.Seconds()
 	})
+	p.addLevels(set)
 	set.NewGauge("monsoonlever_entry_rollouts", func() float64 { return float64(len(p.rollouts.gate.Tasks())) })
 }
 
+// addLevels registers the levels of the accounts that this instance paced lately.
+func (p *components) addLevels(set *metrics.Set) {
+	set.RegisterMetricsWriter(func(w io.Writer) {
+		for _, l := range p.limits.PacedLevels(p.clock.Now()) {
+			metrics.WriteGaugeFloat64(w, fmt.Sprintf("monsoonlever_quota_paced_level{account=%q}", l.Account()), l.Level())
+		}
+	})
+}
+
 // boolGauge returns 1 if holds is true, else 0.
 func boolGauge(holds bool) float64 {
 	if holds {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -276,8 +276,19 @@
 		return nil
 	}
 
-	return &Refusal{
-		Reason: OverLimit, NotRun: true, RetryAfter: decision.RetryAfter,
-		Cause: fmt.Sprintf("cost %.0f, part %.0f of %.0f left", j.cost(), decision.Share, decision.Remaining),
+	return &Refusal{Reason: OverLimit, NotRun: true, RetryAfter: decision.RetryAfter, Cause: limitCause(j, decision)}
+}
+
+// limitCause states what decided the refusal of a request over its account's limit.
+func limitCause(j *job, decision quota.Decision) string {
+	if decision.Paced {
+		return fmt.Sprintf("cost %.0f, priority %d, paced by %s for %v", j.cost(), j.route.Priority, decision.Lender, decision.RetryAfter)
 	}
+
+	if decision.Remaining == 0 && decision.Share == 0 {
+		// The instance holds no share of the limit, or nothing is left of it.
+		return fmt.Sprintf("cost %.0f, priority %d, no lender granted it", j.cost(), j.route.Priority)
+	}
+
+	return fmt.Sprintf("cost %.0f, part %.0f of %.0f left", j.cost(), decision.Share, decision.Remaining)
 }
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -13,6 +13,11 @@
 // a few coordinators enforce the limits for all other instances, which request a loan from
 // them for each request (SetCoordinators).
 //
+// Where coordinators enforce the limits, the first lender of an account that has a burst also
+// paces it: a token bucket of its rate and burst decides which requests are granted within the
+// window's allowance, small and urgent ones first. Callers that are refused are told to return one
+// after the other.
+//
 // Dividing the rate would be simpler, but a large request costs many times what a share of
 // the rate refills in a second: most large requests of accounts far below their limit would
 // be refused.
@@ -51,6 +56,8 @@
 	// requests nothing. At any time, all instances together have consumed at most
 	// UnrecordedFraction of an allowance, plus one request each, that no record contains.
 	RequestRecord func()
+	// Counters count the loans of paced accounts. Nil counts nothing.
+	Counters *Counters
 }
 
 // UnrecordedFraction is the fraction of an allowance that may be consumed before it is
@@ -159,6 +166,8 @@
 	// globalTotal is what all instances have consumed, as far as this one knows.
 	// globalRecorded is the part of it that is in a record of this instance.
 	globalTotal, globalRecorded float64
+	// bucket paces the account where coordinators grant its loans.
+	bucket bucket
 }
 
 // remote is the consumption and demand that another instance published.
@@ -190,6 +199,10 @@
 			entry = &account{remotes: make(map[fleet.InstanceID]*remote)}
 		}
 
+		if !a.paced() {
+			entry.bucket = bucket{}
+		}
+
 		entry.allowance = a
 		next[a.Account] = entry
 	}
@@ -206,8 +219,11 @@
 	// Remaining is what was left of the allowance, and Share how much of it this instance
 	// could consume. Both are for logs.
 	Remaining, Share float64
-	// Lender is the instance that granted a loan, or empty.
+	// Lender is the instance that granted a loan, or refused it for Paced. Otherwise it is empty.
 	Lender fleet.InstanceID
+	// Paced is set if the account has used up its burst. The decision is final: no other lender
+	// grants more.
+	Paced bool
 }
 
 // Take consumes cost of an account's allowance if this instance's share covers it. An account
@@ -221,7 +237,8 @@
 		return Decision{Granted: true}
 	}
 
-	if q.delegated {
+	if q.delegated || q.paces(a) {
+		// The first lender decides, which knows the level of a paced account.
 		return Decision{RetryAfter: minRetryAfter}
 	}
 
--- a/quota/reserve.go
+++ b/quota/reserve.go
@@ -93,26 +93,53 @@
 	return reserveFraction / float64(len(a.holders))
 }
 
-// Lend consumes cost of the reserve that this instance holds, for another instance or for
+// Lend consumes a charge of the reserve that this instance holds, for another instance or for
 // itself. The borrower does not count it: to all other instances this instance has consumed
 // it.
 //
 // The unrecorded part of loans is bounded, since one lender may lend within moments what
 // many other instances together would consume.
-func (q *Quota) Lend(now time.Time, name fleet.Account, cost float64) Decision {
+func (q *Quota) Lend(now time.Time, charge Charge) Decision {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 
-	if cost <= 0 || q.syncedAt.IsZero() || !q.canGrant(now) {
+	if charge.Cost <= 0 || q.syncedAt.IsZero() || !q.canGrant(now) {
 		return Decision{RetryAfter: minRetryAfter}
 	}
 
-	a := q.accounts[name]
+	a := q.accounts[charge.Account]
 	if a == nil || a.allowance.Amount <= 0 {
 		// The borrower has not yet received the rules that lift the limit of the account.
 		return Decision{Granted: true}
 	}
 
+	if q.paces(a) {
+		return q.lendPaced(now, a, charge)
+	}
+
+	return q.lendWithinWindow(now, a, charge.Cost)
+}
+
+// lendPaced lends to a paced account what its bucket and the window allow.
+func (q *Quota) lendPaced(now time.Time, a *account, charge Charge) Decision {
+	q.updateBucket(now, a)
+
+	granted, overdue := a.bucket.grants(a.allowance, charge)
+	if !granted {
+		return q.refusePaced(now, a, charge)
+	}
+
+	decision := q.lendWithinWindow(now, a, charge.Cost)
+	if decision.Granted {
+		a.bucket.take(charge, overdue)
+		q.policy.Counters.pacedGranted(overdue)
+	}
+
+	return decision
+}
+
+// lendWithinWindow lends what the window allows.
+func (q *Quota) lendWithinWindow(now time.Time, a *account, cost float64) Decision {
 	remaining, limit, recent := q.budget(now, a)
 	limit += q.reserveShare(a) * remaining
 
