fix(retry,entry): the parts of the retry budget are fractions that are rounded together

Callers of calls that may run twice got failures although the budget of all instances was not used up.

Cause, in part: each instance rounded its share of the requests and its part of the fixed number down, one by one. Of 172 retries in 10 s, 66 instances had 2 each, and 0 as the share of 0.6 requests a second.

Change: the fixed part is a fraction, and both are rounded down together. The sum of the parts stays within the bound. With one instance, or parts that are whole numbers and no share, decisions are as before.

No send above the bound (TestManyInstancesUseMostOfSharedBudgetModel). TestFractionsOfBudgetAddUp gets 2 of 3 where the parts are rounded one by one.

--- a/entry/peers.go
+++ b/entry/peers.go
@@ -72,8 +72,9 @@
 // budgetSplit is the number of instances that share budgets, and this instance's part of the retries
 // beside the share of the requests.
 type budgetSplit struct {
-	mu                 sync.Mutex
-	instances, retries int
+	mu        sync.Mutex
+	instances int
+	retries   float64
 	// members are the known instances if they are few enough to know each other.
 	members []fleet.InstanceID
 	// membersKnown is set once as many instances are known as the directory counts.
@@ -87,7 +88,7 @@
 	defer p.budgetSplit.mu.Unlock()
 
 	n := p.instanceCount()
-	part := p.bounds.Load().Retries() / p.budgetedInstances(n)
+	part := float64(p.bounds.Load().Retries()) / float64(p.budgetedInstances(n))
 
 	if part != p.budgetSplit.retries {
 		p.retries.SetMinRetries(p.clock.Now(), part)
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -28,7 +28,7 @@
 
 func newBudget(p BudgetPolicy) *Budget {
 	fixed := &fixedPart{}
-	fixed.set(time.Time{}, int64(p.MinRetries))
+	fixed.set(time.Time{}, float64(p.MinRetries))
 
 	width := p.Window / windowBuckets
 
@@ -57,15 +57,17 @@
 	return b.take(now, b.unsentRetries, b.policy.UnsentShare)
 }
 
-// take counts the retry first and subtracts it again if that exceeds the limit.
+// take counts the retry first and subtracts it again if that exceeds the limit. The fractions of
+// the share of the requests and of the fixed part are rounded down together: rounded one by one,
+// processes with few requests each would lose most of what all together may use.
 // Of two concurrent calls for the last retry both may be refused, but never both
 // granted.
 func (b *Budget) take(now time.Time, retries *window.Counter, share float64) bool {
-	ofRequests := int64(share * float64(b.requests.Sum(now, windowBuckets)))
+	ofRequests := share * float64(b.requests.Sum(now, windowBuckets))
 
 	retries.Add(now, 1)
 
-	sum := retries.Sum(now, retryBuckets)
+	sum := float64(retries.Sum(now, retryBuckets))
 	if sum > ofRequests+b.fixed.inForce(now) {
 		retries.Add(now, -1)
 		b.counters.refuse()
--- a/retry/budgets.go
+++ b/retry/budgets.go
@@ -31,7 +31,7 @@
 func NewBudgets(p BudgetPolicy) *Budgets {
 	p = p.withDefaults()
 	b := &Budgets{policy: p}
-	b.fixed.set(time.Time{}, int64(p.MinRetries))
+	b.fixed.set(time.Time{}, float64(p.MinRetries))
 	b.overflow = b.newBudget()
 	b.byScope.Store(&map[Scope]*Budget{})
 
@@ -87,15 +87,16 @@
 }
 
 // SetMinRetries sets BudgetPolicy.MinRetries of all scopes, for example when the number of
-// processes that share a bound on retries changes. A larger number takes effect once it has held
-// for a window if the budgets are shared.
-func (b *Budgets) SetMinRetries(now time.Time, n int) {
-	b.fixed.set(now, int64(n))
+// processes that share a bound on retries changes. It may be a fraction, which adds to that of the
+// share of the requests. A larger number takes effect once it has held for a window if the budgets
+// are shared.
+func (b *Budgets) SetMinRetries(now time.Time, n float64) {
+	b.fixed.set(now, n)
 }
 
 // MinRetries returns the number of retries allowed on top of the share of the requests.
-func (b *Budgets) MinRetries(now time.Time) int {
-	return int(b.fixed.inForce(now))
+func (b *Budgets) MinRetries(now time.Time) float64 {
+	return b.fixed.inForce(now)
 }
 
 // newBudget returns a budget of one scope. Later calls of SetMinRetries apply to it.
--- a/retry/fixedpart.go
+++ b/retry/fixedpart.go
@@ -7,8 +7,8 @@
 	"time"
 )
 
-// fixedPart is the number of retries that a budget allows beside the share of its requests. If it is
-// a part of a bound that several processes have in common, a larger value takes effect only once it
+// fixedPart is the number of retries that a budget allows beside the share of its requests, which
+// may be a fraction. If it is a part of a bound that several processes have in common, a larger value takes effect only once it
 // has held for a window: until then, what others spent of the bound still counts. It is safe for
 // concurrent use, and reading it takes no lock.
 type fixedPart struct {
@@ -24,14 +24,14 @@
 
 // fixedStep is a value and until when it was set; zero for the current one.
 type fixedStep struct {
-	value int64
+	value float64
 	until time.Time
 	// beforeStart is set for the time before the start of the process.
 	beforeStart bool
 }
 
 // set sets the value.
-func (f *fixedPart) set(now time.Time, value int64) {
+func (f *fixedPart) set(now time.Time, value float64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 
@@ -63,7 +63,7 @@
 }
 
 // inForce returns the least value of the last span.
-func (f *fixedPart) inForce(now time.Time) int64 {
+func (f *fixedPart) inForce(now time.Time) float64 {
 	for _, s := range *f.steps.Load() {
 		if f.applies(now, s) {
 			return s.value
--- a/retry/fixedpart_test.go
+++ b/retry/fixedpart_test.go
@@ -18,7 +18,7 @@
 
 type sharedSplit struct {
 	at   time.Time
-	part int
+	part float64
 }
 
 func (p *sharedProcess) advance(now time.Time) {
@@ -47,7 +47,7 @@
 		)
 
 		split := func() {
-			part := bound / max(len(processes), 1)
+			part := bound / float64(max(len(processes), 1))
 
 			for _, p := range processes {
 				// News of an earlier change does not arrive after that of a later one.
@@ -117,10 +117,10 @@
 
 	for _, tt := range []struct {
 		after time.Duration
-		want  int
+		want  float64
 	}{{time.Second, 0}, {10 * time.Second, 0}, {11 * time.Second, part}} {
 		if got := b.MinRetries(testStart.Add(tt.after)); got != tt.want {
-			t.Errorf("part %v after the start: got %d, want %d", tt.after, got, tt.want)
+			t.Errorf("part %v after the start: got %v, want %v", tt.after, got, tt.want)
 		}
 	}
 
@@ -128,17 +128,17 @@
 	b.SetMinRetries(now, 2*part)
 
 	if got := b.MinRetries(now.Add(10 * time.Second)); got != part {
-		t.Errorf("larger part within the window: got %d, want %d", got, part)
+		t.Errorf("larger part within the window: got %v, want %v", got, part)
 	}
 
-	if got, want := b.MinRetries(now.Add(11*time.Second)), 2*part; got != want {
-		t.Errorf("larger part after the window: got %d, want %d", got, want)
+	if got, want := b.MinRetries(now.Add(11*time.Second)), float64(2*part); got != want {
+		t.Errorf("larger part after the window: got %v, want %v", got, want)
 	}
 
 	b.SetMinRetries(now.Add(12*time.Second), 1)
 
 	if got := b.MinRetries(now.Add(12 * time.Second)); got != 1 {
-		t.Errorf("smaller part: got %d at once, want 1", got)
+		t.Errorf("smaller part: got %v at once, want 1", got)
 	}
 }
 
@@ -150,13 +150,34 @@
 	b.SetMinRetries(testStart, 4*part)
 
 	if got := b.MinRetries(testStart.Add(time.Second)); got != 0 {
-		t.Errorf("part before it is known that nobody ran before: got %d, want 0", got)
+		t.Errorf("part before it is known that nobody ran before: got %v, want 0", got)
 	}
 
 	b.SetMinRetries(testStart.Add(time.Second), part)
 	b.MarkUnspent()
 
 	if got := b.MinRetries(testStart.Add(time.Second)); got != part {
-		t.Errorf("part of a first start: got %d, want %d", got, part)
+		t.Errorf("part of a first start: got %v, want %v", got, part)
+	}
+}
+
+// Guards against processes with few requests each that lose their part of a bound by rounding.
+func TestFractionsOfBudgetAddUp(t *testing.T) {
+	b := NewBudgets(BudgetPolicy{Share: 0.16})
+	b.SetMinRetries(testStart, 2.6)
+
+	budget := b.Of(testScope)
+	for range 6 {
+		budget.CountRequest(testStart)
+	}
+
+	got := 0
+	for budget.Take(testStart) {
+		got++
+	}
+
+	// 0.96 as a share of the requests and 2.6 beside.
+	if want := 3; got != want {
+		t.Errorf("retries: got %d, want %d", got, want)
 	}
 }
--- a/retry/restart_model_test.go
+++ b/retry/restart_model_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"os"
 	"testing"
@@ -14,8 +15,10 @@
 const (
 	// partAtOnce gives each process its part when it starts, partAfterWindow a window later, and
 	// lentParts lets all processes use what any of those has left that have run for a window.
+	// wholeParts rounds each part down, and then the share of the requests.
 	partAtOnce      budgetWay = "part at once"
 	partAfterWindow budgetWay = "part after a window"
+	wholeParts      budgetWay = "whole parts after a window"
 	lentParts       budgetWay = "lent parts"
 )
 
@@ -48,10 +51,15 @@
 
 	random := rand.New(rand.NewPCG(seed, 1))
 	policy := BudgetPolicy{Window: window, Share: 0.16}
+	part := float64(p.bound) / float64(p.instances)
+	if way == wholeParts {
+		part = math.Floor(part)
+	}
+
 	start := func(now time.Time, old bool) *Budgets {
 		if way == partAtOnce {
 			b := NewBudgets(policy)
-			b.SetMinRetries(now, p.bound/p.instances)
+			b.SetMinRetries(now, part)
 
 			return b
 		}
@@ -61,7 +69,7 @@
 		}
 
 		b := NewSharedBudgets(policy, now)
-		b.SetMinRetries(now, p.bound/p.instances)
+		b.SetMinRetries(now, part)
 
 		return b
 	}
@@ -78,7 +86,12 @@
 	)
 
 	take := func(now time.Time, i int) bool {
-		if budgets[i].Of(testScope).Take(now) {
+		own := budgets[i].Of(testScope)
+		if way == wholeParts && own.sentRetries.Sum(now, retryBuckets) >= int64(policy.Share*float64(own.requests.Sum(now, windowBuckets)))+int64(budgets[i].MinRetries(now)) {
+			return false
+		}
+
+		if own.Take(now) {
 			return true
 		}
 
@@ -89,7 +102,7 @@
 		for k := range budgets {
 			lender := budgets[(i+k)%p.instances].Of(testScope)
 			// Only the fixed part is lent.
-			if lender.sentRetries.Sum(now, retryBuckets) < int64(budgets[(i+k)%p.instances].MinRetries(now)) && lender.Take(now) {
+			if float64(lender.sentRetries.Sum(now, retryBuckets)) < math.Floor(budgets[(i+k)%p.instances].MinRetries(now)) && lender.Take(now) {
 				return true
 			}
 		}
@@ -175,7 +188,7 @@
 			p.failTo = p.failFrom + 16*time.Second
 
 			t.Run(fmt.Sprint(size.instances, " instances, ", name), func(t *testing.T) {
-				for _, way := range []budgetWay{partAtOnce, partAfterWindow, lentParts} {
+				for _, way := range []budgetWay{partAtOnce, wholeParts, partAfterWindow, lentParts} {
 					const seeds = 10
 
 					sum, excess := 0.0, 0
@@ -195,3 +208,28 @@
 		}
 	}
 }
+
+// At a part of failures that lasts, callers lose little to the division of the bound among many
+// instances with few requests each.
+func TestManyInstancesUseMostOfSharedBudgetModel(t *testing.T) {
+	for _, rate := range []float64{0.6, 1.2, 2.7} {
+		p := restartPlay{instances: 66, bound: 172, rate: rate, failing: 0.14, failTo: 40 * time.Second}
+
+		for _, way := range []budgetWay{wholeParts, partAfterWindow, lentParts} {
+			const seeds = 10
+
+			sum, excess := 0.0, 0
+
+			for seed := range uint64(seeds) {
+				got := p.run(way, seed)
+				sum, excess = sum+got.failed, max(excess, got.excess)
+			}
+
+			t.Logf("%v requests a second, %s: %.4f of the requests fail, %d retries above the bound", rate, way, sum/seeds, excess)
+
+			if excess > 0 {
+				t.Errorf("%v requests a second, %s: got %d retries above the bound, want none", rate, way, excess)
+			}
+		}
+	}
+}
