feat(pace,scheduling): work is placed by the pace of each backend server

Servers of one service differ in speed, and tell how long work takes at the moment; all were taken as equal, and the told figure was dropped.

Each server process has a learned pace for reading, writing and calls, shared between instances in a new keyed field of prompt messages. Costs, homes and candidates follow it.

--- a/entry/prompts.go
+++ b/entry/prompts.go
@@ -19,6 +19,8 @@
 	FromRelay      bool                    `msgpack:"d,omitempty"`
 	FromSubscriber bool                    `msgpack:"u,omitempty"`
 	Update         scheduling.ServerUpdate `msgpack:"n"`
+	// Paces belongs to Update, whose encoding does not include it.
+	Paces []scheduling.ServerPace `msgpack:"c,omitempty"`
 }
 
 const (
@@ -52,7 +54,7 @@
 
 		for _, part := range splitUpdate(update) {
 			p.sendAll(audience, datagram{Prompts: &promptMessage{
-				Instance: p.self(), FromRelay: to == scheduling.Downstream, FromSubscriber: fromSubscriber, Update: part,
+				Instance: p.self(), FromRelay: to == scheduling.Downstream, FromSubscriber: fromSubscriber, Update: part, Paces: part.Paces,
 			}})
 		}
 
@@ -100,7 +102,9 @@
 		role = scheduling.Subscriber
 	}
 
-	p.scheduler.ApplyUpdate(now, m.Instance, role, m.Update)
+	update := m.Update
+	update.Paces = m.Paces
+	p.scheduler.ApplyUpdate(now, m.Instance, role, update)
 }
 
 // Encoded sizes of the entries of an update; that of cached segments is without the segments.
@@ -111,6 +115,8 @@
 	keyBytes            = 5
 	limitBytes          = 20
 	brittleBytes        = 16
+	paceBytes           = 14
+	paceSampleBytes     = 12
 	// maxSegments bounds the segments of an entry: the first segments are those that prompts
 	// share.
 	maxSegments = 100
@@ -140,6 +146,11 @@
 		s.part.Brittle = append(s.part.Brittle, b)
 	}
 
+	for _, pace := range update.Paces {
+		s.reserve(paceBytes + paceSampleBytes*len(pace.Samples))
+		s.part.Paces = append(s.part.Paces, pace)
+	}
+
 	for _, l := range update.Loads {
 		s.reserve(loadBytes)
 		s.part.Loads = append(s.part.Loads, l)
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -74,7 +74,7 @@
 			f.recordPartsBegun(j)
 		}
 
-		assignment.FirstEventReceived(now)
+		assignment.EventReceived(now)
 		j.trial.recordEvent(now)
 
 		if err := j.stream.accept(id); err != nil {
--- a/scheduling/assignment.go
+++ b/scheduling/assignment.go
@@ -59,7 +59,12 @@
 	// permit is the permit that was granted for the attempt, or nil.
 	permit *ratelimit.Permit
 
-	startedAt   time.Time
+	pickedAt, startedAt time.Time
+	// startSlowness and startLoad are the expected slowness and the requests in progress of the
+	// server at the start.
+	startSlowness, startLoad float64
+	pauses                   eventPauses
+
 	started     bool
 	answerBegun bool
 	ended       atomic.Bool
@@ -109,6 +114,7 @@
 	}
 
 	a.trial = b
+	a.recordStart(now)
 
 	a.scheduler.countSend(now, a.server)
 	a.server.beginWait(now, a.server.running.Add(1) == 1, a.prompt.Tokens > 0)
@@ -147,6 +153,7 @@
 	if a.meter != nil {
 		a.meter.recordSpeed(a.prompt.ownTokens(), now.Sub(a.startedAt))
 		a.meter.recordReadRate(a.backlog+int64(a.uncachedTokens), now.Sub(a.startedAt))
+		a.recordReading(now)
 	}
 }
 
@@ -172,6 +179,7 @@
 	switch r {
 	case Served:
 		a.server.recordOutcome(now, false)
+		a.recordAnswer(now)
 	case Failed:
 		a.server.recordOutcome(now, true)
 	case Unreachable:
--- a/scheduling/candidates.go
+++ b/scheduling/candidates.go
@@ -18,7 +18,7 @@
 )
 
 // candidates returns the servers among which a request is placed.
-func candidates(now time.Time, pool []*server, preferred [homeCount]*server, r *Request) []*server {
+func candidates(now time.Time, pool []*server, preferred [homeCount]*server, paces *servicePace, r *Request) []*server {
 	if len(pool) <= maxFullComparison {
 		return pool
 	}
@@ -33,9 +33,9 @@
 
 	maxChosen := len(chosen) + sampledServers
 
-	for range maxDraws {
+	for range maxDraws * paces.maxDrawFactor() {
 		srv := pool[rand.IntN(len(pool))]
-		if !srv.eligible(now, r) || srv.isAvoided(now) {
+		if !paces.accepted(srv) || !srv.eligible(now, r) || srv.isAvoided(now) {
 			continue
 		}
 
--- a/scheduling/home.go
+++ b/scheduling/home.go
@@ -68,6 +68,15 @@
 // overflow of the first home always goes to the same second one and finds its cache.
 const homeCount = 3
 
+// homesAmong returns the homes of a prompt's shared prefix, weighted by pace where paces are known.
+func homesAmong(pool []*server, p Prompt, paces *servicePace) [homeCount]*server {
+	if paces == nil {
+		return homesOf(pool, p)
+	}
+
+	return weightedHomesOf(pool, p, paces.fastest.load())
+}
+
 // homesOf returns the servers that every instance prefers for the shared prefix of a prompt,
 // most preferred first: those with the highest rendezvous hash of prefix and server. A server
 // that is added or removed moves only the prefixes that are its own. If there are fewer servers,
--- a/scheduling/scheduling.go
+++ b/scheduling/scheduling.go
@@ -33,6 +33,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"monsoonlever/fleet"
+	"monsoonlever/pace"
 	"monsoonlever/register"
 )
 
@@ -145,6 +146,7 @@
 	// removed holds the announcements of servers that have no entry in the register now.
 	removed removedServers
 	meters  map[fleet.Service]*meter
+	paces   map[fleet.Service]*servicePace
 }
 
 // Update replaces the set of servers. The state of a server is kept while its process, address
@@ -163,7 +165,7 @@
 				s.removed.add(srv.entry().Process(), srv.announcements)
 			}
 
-			srv = newServer(entry, s.removed.take(entry.Process()))
+			srv = newServer(entry, s.removed.take(entry.Process()), s.servicePace(entry.Service))
 			srv.restarted = existed
 			srv.inheritBrittle(s.serviceMaxRejections(entry.Service))
 		}
@@ -217,6 +219,10 @@
 	if srv != nil {
 		srv.recordLoad(now, load.Running+load.Waiting)
 		s.publishLoad(srv, true)
+
+		if srv.pace.tell(pace.Slowness{Value: load.Slowness, At: now}) {
+			s.publishPace(srv, true)
+		}
 	}
 }
 
@@ -229,9 +235,10 @@
 	}
 
 	pool := r.matchVersions((*pools)[r.Service])
-	preferred := homesOf(pool, r.Prompt)
+	paces := pacesOf(now, pool)
+	preferred := homesAmong(pool, r.Prompt, paces)
 	poolFailureRate := meanFailureRate(now, pool)
-	compared := candidates(now, pool, preferred, &r)
+	compared := candidates(now, pool, preferred, paces, &r)
 	keys := r.Prompt.keys()
 	cached := cachedBy(now, compared, keys, r.Prompt)
 	home := preferred[0]
@@ -245,7 +252,7 @@
 		home = nil
 	}
 
-	a := &Assignment{scheduler: s, prompt: r.Prompt, keys: keys}
+	a := &Assignment{scheduler: s, prompt: r.Prompt, keys: keys, pickedAt: now}
 
 	var bestCost float64
 
@@ -256,7 +263,7 @@
 
 		uncached := r.Prompt.uncachedTokens(cached[i], srv == home)
 
-		cost := srv.cost(now, uncached, s.Domain, poolFailureRate) + srv.avoidanceCost(now, &r)
+		cost := srv.cost(now, uncached, s.Domain, poolFailureRate) + srv.avoidanceCost(now, &r) + srv.pauseCost(now, &r)
 		if a.server == nil || cost < bestCost {
 			a.server, a.uncachedTokens, bestCost = srv, uncached, cost
 		}
--- a/scheduling/server.go
+++ b/scheduling/server.go
@@ -98,9 +98,11 @@
 	// this instance and its subscribers that was last sent to relays.
 	remoteBacklogs backlogs
 	sentUpstream   int64
+
+	pace serverPace
 }
 
-func newServer(entry register.Server, known *announcements) *server {
+func newServer(entry register.Server, known *announcements, paces *servicePace) *server {
 	if known == nil {
 		known = &announcements{}
 	}
@@ -110,6 +112,7 @@
 		hash:          xxhash.Sum64String(string(entry.ID)), key: keyOfProcess(entry.Process()), segments: make(map[Key]time.Time),
 		publishedSegments: make(map[Key]time.Time),
 	}
+	s.pace.service = paces
 	s.registered.Store(&entry)
 
 	return s
@@ -141,6 +144,8 @@
 		cost += queuedRequestCost * max(0, load+1-slots)
 	}
 
+	cost = (cost + s.ownCallCost(now, uncached > 0)) * s.timeFactor(now, uncached > 0)
+
 	if s.entry().Domain != domain {
 		cost += otherDomainCost
 	}
--- /dev/null
+++ b/scheduling/server_pace.go
@@ -0,0 +1,146 @@
+package scheduling
+
+import (
+	"math"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"monsoonlever/pace"
+)
+
+const (
+	// weightTolerance is the ratio to its pace up to which the weight of a server stays as it is.
+	// Homes move with each change of a weight, and their caches with them.
+	weightTolerance = 1.3
+	// minWeightFraction is the least weight of a server relative to the fastest one: the slowest
+	// servers are still compared now and then, which shows when they become faster.
+	minWeightFraction = 1.0 / 8
+	// toldTolerance is the difference between two figures of slowness that other instances are told.
+	toldTolerance = 0.05
+)
+
+// serverPace is what is known of the pace of one server process.
+type serverPace struct {
+	service *servicePace
+	// slowness is the last figure that the server told, or nil.
+	slowness atomic.Pointer[pace.Slowness]
+	// relative are the paces that decisions use; zero is not known.
+	relative [paceKinds]atomicFloat
+	// weight is the pace by which homes and candidates are drawn; zero is not known.
+	weight atomicFloat
+
+	mu         sync.Mutex
+	estimators [paceKinds]pace.Estimator
+	// untold are the samples that the instances of an audience have not been told yet.
+	untold [audienceCount][paceKinds]pace.Sample
+	// published is the last figure that other instances were told.
+	published pace.Slowness
+}
+
+func (p *serverPace) estimator(kind paceKind) pace.Estimator {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	return p.estimators[kind]
+}
+
+// of returns the learned pace for a kind of work, where 1 is usual.
+func (p *serverPace) of(kind paceKind) float64 {
+	if relative := p.relative[kind].load(); relative > 0 {
+		return relative
+	}
+
+	return 1
+}
+
+// expectedSlowness returns the slowness that is expected now, 1 if the server never told it.
+func (p *serverPace) expectedSlowness(now time.Time) float64 {
+	told := p.slowness.Load()
+	if told == nil {
+		return 1
+	}
+
+	return told.Expected(now, p.service.persistenceTime())
+}
+
+// timeFactor returns how long work takes on the server now, relative to a usual one.
+func (p *serverPace) timeFactor(now time.Time, kind paceKind) float64 {
+	return p.expectedSlowness(now) / p.of(kind)
+}
+
+// tell records a told figure unless a newer one is known, and reports whether other instances should
+// be told.
+func (p *serverPace) tell(next pace.Slowness) bool {
+	next.Value = pace.BoundSlowness(next.Value)
+	if next.Value == 0 {
+		return false
+	}
+
+	before := p.slowness.Load()
+	if before != nil && !next.At.After(before.At) {
+		return false
+	}
+
+	if before == nil {
+		before = &pace.Slowness{}
+	}
+
+	p.slowness.Store(&next)
+	p.service.observe(*before, next)
+
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	// Others expect what was published, decayed. A repeated figure renews it.
+	age := next.At.Sub(p.published.At)
+	if math.Abs(p.published.Value-next.Value) <= toldTolerance && (next.Value == 1 || age < p.service.persistenceTime()/2) {
+		return false
+	}
+
+	p.published = next
+
+	return true
+}
+
+// add adds samples, and queues them for the instances of an audience.
+func (p *serverPace) add(now time.Time, kind paceKind, sample pace.Sample, upstream bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	p.estimators[kind].Add(now, sample)
+	p.untold[Downstream][kind] = p.untold[Downstream][kind].Plus(sample)
+
+	if upstream {
+		p.untold[Upstream][kind] = p.untold[Upstream][kind].Plus(sample)
+	}
+}
+
+// takeUntold returns the samples that an audience has not been told yet, and clears them.
+func (p *serverPace) takeUntold(to Audience) [paceKinds]pace.Sample {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	samples := p.untold[to]
+	p.untold[to] = [paceKinds]pace.Sample{}
+
+	return samples
+}
+
+// updateWeight returns the weight by which homes and candidates are drawn, after adapting it to the
+// server's pace where that differs by more than weightTolerance.
+func (p *serverPace) updateWeight() float64 {
+	current := p.overall()
+	if weight := p.weight.load(); weight > 0 && current < weight*weightTolerance && weight < current*weightTolerance {
+		return weight
+	}
+
+	p.weight.store(current)
+
+	return current
+}
+
+// drawWeight returns the weight by which homes and candidates are drawn.
+func (p *serverPace) drawWeight(fastest float64) float64 {
+	return max(p.weight.load(), minWeightFraction*fastest)
+}
--- a/scheduling/updates.go
+++ b/scheduling/updates.go
@@ -31,12 +31,15 @@
 	Limits []ServerLimit
 	// Brittle are servers that fall over if they have to reject too many requests.
 	Brittle []ServerBrittleness
+	// Paces are what was learned and told of the paces of servers. They are not part of this
+	// encoding, whose number of fields earlier versions check.
+	Paces []ServerPace `msgpack:"-"`
 }
 
 // Empty reports whether the update holds nothing.
 func (u ServerUpdate) Empty() bool {
 	return len(u.Backlogs) == 0 && len(u.Holdings) == 0 && len(u.Loads) == 0 && len(u.Ended) == 0 &&
-		len(u.Limits) == 0 && len(u.Brittle) == 0
+		len(u.Limits) == 0 && len(u.Brittle) == 0 && len(u.Paces) == 0
 }
 
 // Audience is the group of instances that an update is sent to.
@@ -130,6 +133,7 @@
 	processTerminated
 	limitAnnounced
 	brittleAnnounced
+	paceChanged
 
 	changes
 )
@@ -215,6 +219,10 @@
 		update.Brittle = append(update.Brittle, srv.brittleUpdate(now))
 	}
 
+	for _, srv := range content.servers[paceChanged] {
+		update.Paces = append(update.Paces, srv.pace.paceUpdate(now, srv.key, to))
+	}
+
 	for _, srv := range content.servers[backlogChanged] {
 		update.Backlogs = append(update.Backlogs, Backlog{Server: srv.key, Tokens: clampTokens(srv.backlogFor(now, to, s.isRelay.Load()))})
 	}
@@ -280,6 +288,7 @@
 	}
 
 	s.applyBrittleUpdates(now, *byKey, role, update.Brittle)
+	s.applyPaces(now, *byKey, role, update.Paces)
 }
 
 func (s *Scheduler) applyBrittleUpdates(now time.Time, byKey map[Key]*server, role SenderRole, updates []ServerBrittleness) {
