--- a/pace/pace.go
+++ b/pace/pace.go
@@ -21,6 +21,7 @@
 	"time"
 )
 
+// Bounds of paces and weights of samples.
 const (
 	// Min and Max bound the pace of a server relative to its service. They limit the damage of wrong
 	// measurements.
@@ -117,9 +118,22 @@
 	long := e.long.decayed(now, longHalfLife).shrink(prior)
 	recent := e.recent.decayed(now, recentHalfLife).shrink(long)
 
-	return min(max(math.Exp(recent-prior), Min), Max)
+	return bound(math.Exp(recent - prior))
 }
 
+// LongTerm returns the pace of the server as Relative does, by its long-term average alone.
+func (e *Estimator) LongTerm(now time.Time, usual float64) float64 {
+	if !(usual > 0) {
+		return 1
+	}
+
+	prior := math.Log(usual)
+
+	return bound(math.Exp(e.long.decayed(now, longHalfLife).shrink(prior) - prior))
+}
+
+func bound(relative float64) float64 { return min(max(relative, Min), Max) }
+
 // Usual returns the geometric mean of the rates of servers that have samples, or zero if none has.
 // Each server counts by how sure its rate is, and at most once: those that get more requests count
 // no more.
--- a/pace/slowness.go
+++ b/pace/slowness.go
@@ -5,6 +5,7 @@
 	"time"
 )
 
+// Bounds of told figures, and how long they hold.
 const (
 	// MinSlowness and MaxSlowness bound the figures that servers tell.
 	MinSlowness = 0.1
--- a/scheduling/pace.go
+++ b/scheduling/pace.go
@@ -48,12 +48,14 @@
 	return p.service.usual[reading].load() / p.timeFactor(now, reading)
 }
 
-// overall returns the pace of the kind of work that is known of the server: engines that have read
+// overall returns the pace over a longer time of the kind of work that is known of the server: engines that have read
 // no long prompt yet may have written events, and plain servers only answer requests.
 func (p *serverPace) overall() float64 {
-	if relative := p.relative[reading].load(); relative > 0 && relative != 1 {
-		return relative
+	for _, kind := range []paceKind{reading, calling, writing} {
+		if relative := p.longTerm[kind].load(); relative > 0 && relative != 1 {
+			return relative
+		}
 	}
 
-	return p.of(writing) * p.of(calling)
+	return 1
 }
--- a/scheduling/pace_cost.go
+++ b/scheduling/pace_cost.go
@@ -6,6 +6,8 @@
 )
 
 const (
+	// laterCost is the part of uncachedTokenCost that stands for the delay of later requests.
+	laterCost = uncachedTokenCost - 1
 	// latePauseCost is the cost of a server whose pauses between events reach the objective of a
 	// stream, in prompt tokens: more than any prompt, so that another one is used unless all are busy.
 	latePauseCost = 20_000
@@ -17,28 +19,24 @@
 	maxPauses = 3
 )
 
-// timeFactor returns how long the work of a request takes on the server now, relative to a usual one.
-// It is 1 where the servers of the service don't tell their slowness.
-func (s *server) timeFactor(now time.Time, hasPrompt bool) float64 {
+// pacedCost returns the cost of work in the time that it takes on the server now, in units of a usual
+// server. It returns the same cost where the servers of the service don't tell their slowness.
+//
+// The delay of later requests, which uncachedTokenCost includes, is not less on a fast server: it
+// reads the tokens sooner, but gets more requests in that time.
+func (s *server) pacedCost(now time.Time, cost float64, uncached int) float64 {
 	if !s.pace.service.told(now) {
-		return 1
+		return cost
 	}
 
-	if hasPrompt {
-		return s.pace.timeFactor(now, reading)
+	if uncached == 0 {
+		// The work of the request itself takes longer on a slower server, too.
+		return (cost + requestCost) * s.pace.timeFactor(now, calling)
 	}
 
-	return s.pace.timeFactor(now, calling)
-}
-
-// ownCallCost returns the cost of the work of a request without a prompt itself, which differs only
-// where servers have different paces.
-func (s *server) ownCallCost(now time.Time, hasPrompt bool) float64 {
-	if hasPrompt || !s.pace.service.told(now) {
-		return 0
-	}
+	later := laterCost * float64(uncached)
 
-	return requestCost
+	return later + (cost-later)*s.pace.timeFactor(now, reading)
 }
 
 // pauseCost returns the cost of the pauses between events that a stream is expected to have at the
--- a/scheduling/server.go
+++ b/scheduling/server.go
@@ -144,7 +144,7 @@
 		cost += queuedRequestCost * max(0, load+1-slots)
 	}
 
-	cost = (cost + s.ownCallCost(now, uncached > 0)) * s.timeFactor(now, uncached > 0)
+	cost = s.pacedCost(now, cost, uncached)
 
 	if s.entry().Domain != domain {
 		cost += otherDomainCost
--- a/scheduling/server_pace.go
+++ b/scheduling/server_pace.go
@@ -27,6 +27,8 @@
 	slowness atomic.Pointer[pace.Slowness]
 	// relative are the paces that decisions use; zero is not known.
 	relative [paceKinds]atomicFloat
+	// longTerm are the paces over a longer time.
+	longTerm [paceKinds]atomicFloat
 	// weight is the pace by which homes and candidates are drawn; zero is not known.
 	weight atomicFloat
 
--- a/scheduling/service_pace.go
+++ b/scheduling/service_pace.go
@@ -106,6 +106,7 @@
 
 		for i, srv := range pool {
 			srv.pace.relative[kind].store(estimators[i].Relative(now, usual))
+			srv.pace.longTerm[kind].store(estimators[i].LongTerm(now, usual))
 		}
 	}
 
