--- a/pace/pace.go
+++ b/pace/pace.go
@@ -35,7 +35,7 @@
 	recentHalfLife = time.Second
 	// longHalfLife is that of samples in the long-term average, so that differences between servers
 	// are kept while few requests arrive.
-	longHalfLife = 30 * time.Second
+	longHalfLife = 10 * time.Second
 )
 
 // Sample is the sum of the logarithms of rates, and their number.
--- a/pace/slowness.go
+++ b/pace/slowness.go
@@ -8,7 +8,7 @@
 // Bounds of told figures, and how long they hold.
 const (
 	// MinSlowness and MaxSlowness bound the figures that servers tell.
-	MinSlowness = 0.1
+	MinSlowness = 0.25
 	MaxSlowness = 10.0
 	// unusual is the difference from 1 above which a figure counts as unusual.
 	unusual = 0.1
--- a/scheduling/pace_updates.go
+++ b/scheduling/pace_updates.go
@@ -40,7 +40,7 @@
 func (p *serverPace) paceUpdate(now time.Time, server Key, to Audience) ServerPace {
 	update := ServerPace{Server: server}
 
-	if told := p.slowness.Load(); told != nil {
+	if told := p.lastTold(); told.Value > 0 {
 		update.SlownessPercent = uint16(math.Round(100 * told.Value))
 		update.AgeMs = uint16(min(max(now.Sub(told.At), 0).Milliseconds(), math.MaxUint16))
 	}
@@ -57,6 +57,14 @@
 	return update
 }
 
+// lastTold returns the last figure as the server told it.
+func (p *serverPace) lastTold() pace.Slowness {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	return p.told
+}
+
 // applyPaces applies what other instances told of the paces of servers.
 func (s *Scheduler) applyPaces(now time.Time, byKey map[Key]*server, role SenderRole, updates []ServerPace) {
 	for _, update := range updates {
--- a/scheduling/server_pace.go
+++ b/scheduling/server_pace.go
@@ -23,7 +23,7 @@
 // serverPace is what is known of the pace of one server process.
 type serverPace struct {
 	service *servicePace
-	// slowness is the last figure that the server told, or nil.
+	// slowness is the last figure that the server told, relative to its baseline, or nil.
 	slowness atomic.Pointer[pace.Slowness]
 	// relative are the paces that decisions use; zero is not known.
 	relative [paceKinds]atomicFloat
@@ -36,8 +36,10 @@
 	estimators [paceKinds]pace.Estimator
 	// untold are the samples that the instances of an audience have not been told yet.
 	untold [audienceCount][paceKinds]pace.Sample
-	// published is the last figure that other instances were told.
-	published pace.Slowness
+	// told is the last figure as the server told it, and published the last one that other
+	// instances were told.
+	told, published pace.Slowness
+	baseline        pace.Baseline
 }
 
 func (p *serverPace) estimator(kind paceKind) pace.Estimator {
@@ -79,20 +81,19 @@
 		return false
 	}
 
-	before := p.slowness.Load()
-	if before != nil && !next.At.After(before.At) {
-		return false
-	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
 
-	if before == nil {
-		before = &pace.Slowness{}
+	if !next.At.After(p.told.At) {
+		return false
 	}
 
-	p.slowness.Store(&next)
-	p.service.observe(*before, next)
+	p.baseline.Observe(p.told, next)
+	p.service.observe(p.told, next)
+	p.told = next
 
-	p.mu.Lock()
-	defer p.mu.Unlock()
+	relative := p.baseline.Relative(next)
+	p.slowness.Store(&relative)
 
 	// Others expect what was published, decayed. A repeated figure renews it.
 	age := next.At.Sub(p.published.At)
