--- a/scheduling/pace_cost.go
+++ b/scheduling/pace_cost.go
@@ -8,6 +8,9 @@
 const (
 	// laterCost is the part of uncachedTokenCost that stands for the delay of later requests.
 	laterCost = uncachedTokenCost - 1
+	// fullCost is the cost of a server without a free slot, in prompt tokens: more than a prompt at the
+	// slowest server. When an answer ends there is not known, so that no pace makes up for it.
+	fullCost = 200_000
 	// latePauseCost is the cost of a server whose pauses between events reach the objective of a
 	// stream, in prompt tokens: more than any prompt, so that another one is used unless all are busy.
 	latePauseCost = 20_000
@@ -24,11 +27,15 @@
 //
 // The delay of later requests, which uncachedTokenCost includes, is not less on a fast server: it
 // reads the tokens sooner, but gets more requests in that time.
-func (s *server) pacedCost(now time.Time, cost float64, uncached int) float64 {
+func (s *server) pacedCost(now time.Time, cost float64, uncached int, full bool) float64 {
 	if !s.pace.service.told(now) {
 		return cost
 	}
 
+	if full {
+		cost += fullCost
+	}
+
 	if uncached == 0 {
 		// The work of the request itself takes longer on a slower server, too.
 		return (cost + requestCost) * s.pace.placingFactor(now, calling)
--- a/scheduling/pace_test.go
+++ b/scheduling/pace_test.go
@@ -300,6 +300,37 @@
 	}
 }
 
+// No server gets more requests than it has slots while another one has free ones, whatever their paces.
+func TestHoldsNoServerIsOverfullWhileOthersHaveSlots(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const servers, slots = 6, 4
+
+		s := engines(servers, slots)
+		factor := rapid.SliceOfN(rapid.Float64Range(0.5, 2), servers, servers).Draw(t, "paces")
+		tellPaces(s, servers, func(i int) float64 { return 40_000 * factor[i] })
+
+		r := promptRequest("session")
+		if rapid.Bool().Draw(t, "plain") {
+			r.Prompt = Prompt{}
+		}
+
+		running := make(map[fleet.InstanceID]int)
+
+		for i := range servers * slots {
+			a, err := s.Pick(now, r)
+			if err != nil {
+				t.Fatal(err)
+			}
+
+			a.Start(now)
+
+			if running[a.ID()]++; running[a.ID()] > slots {
+				t.Fatalf("request %d: got %d at %s, want at most %d while others have slots", i, running[a.ID()], a.ID(), slots)
+			}
+		}
+	})
+}
+
 func BenchmarkPick(b *testing.B) {
 	for _, servers := range []int{60, 3000} {
 		for _, told := range []bool{false, true} {
--- a/scheduling/server.go
+++ b/scheduling/server.go
@@ -140,11 +140,14 @@
 	load := s.load(now)
 	cost := float64(s.pendingTokens.Load()+s.remotePending(now)) + requestCost*load + uncachedTokenCost*float64(uncached)
 
+	full := false
+
 	if slots := float64(s.entry().Slots); slots > 0 {
 		cost += queuedRequestCost * max(0, load+1-slots)
+		full = load+1 > slots
 	}
 
-	cost = s.pacedCost(now, cost, uncached)
+	cost = s.pacedCost(now, cost, uncached, full)
 
 	if s.entry().Domain != domain {
 		cost += otherDomainCost
--- a/scheduling/weighted_homes.go
+++ b/scheduling/weighted_homes.go
@@ -18,7 +18,8 @@
 
 	key := xxhash.Sum64String(affinity)
 	scores := [homeCount]float64{math.Inf(1), math.Inf(1), math.Inf(1)}
-	// A hash below least can't reach the scores of the homes so far with any weight.
+	// A hash below least, which is below e to the power of -score × weight, can't reach the scores of the
+	// homes so far with any weight.
 	least := 0.0
 
 	for _, srv := range pool {
@@ -37,7 +38,7 @@
 			copy(homes[i+1:], homes[i:homeCount-1])
 			copy(scores[i+1:], scores[i:homeCount-1])
 			homes[i], scores[i] = srv, score
-			least = math.Exp(-scores[homeCount-1] * fastest)
+			least = 1 - scores[homeCount-1]*fastest
 
 			break
 		}
