--- a/scheduling/server.go
+++ b/scheduling/server.go
@@ -98,9 +98,11 @@
 	// this instance and its subscribers that was last sent to relays.
 	remoteBacklogs backlogs
 	sentUpstream   int64
+
+	pace serverPace
 }
 
-func newServer(entry register.Server, known *announcements) *server {
+func newServer(entry register.Server, known *announcements, paces *servicePace) *server {
 	if known == nil {
 		known = &announcements{}
 	}
@@ -110,6 +112,7 @@
 		hash:          xxhash.Sum64String(string(entry.ID)), key: keyOfProcess(entry.Process()), segments: make(map[Key]time.Time),
 		publishedSegments: make(map[Key]time.Time),
 	}
+	s.pace.service = paces
 	s.registered.Store(&entry)
 
 	return s
@@ -137,10 +140,15 @@
 	load := s.load(now)
 	cost := float64(s.pendingTokens.Load()+s.remotePending(now)) + requestCost*load + uncachedTokenCost*float64(uncached)
 
+	full := false
+
 	if slots := float64(s.entry().Slots); slots > 0 {
 		cost += queuedRequestCost * max(0, load+1-slots)
+		full = load+1 > slots
 	}
 
+	cost = s.pacedCost(now, cost, uncached, full)
+
 	if s.entry().Domain != domain {
 		cost += otherDomainCost
 	}
