--- a/scheduling/readrate.go
+++ b/scheduling/readrate.go
@@ -7,9 +7,14 @@
 	"time"
 )
 
-// minRateSamples is the least number of answers from which a read rate is computed. With fewer, two
-// answers of a server that was slow for a moment decide it.
-const minRateSamples = 12
+const (
+	// minRateSamples is the least number of answers from which a read rate is computed. With fewer,
+	// two answers of a server that was slow for a moment decide it.
+	minRateSamples = 12
+	// maxSlopeWeight bounds the tokens by which a pair of answers counts: a server that tells an
+	// absurd pace must not outweigh all others.
+	maxSlopeWeight = 4 * minSpeedTokens
+)
 
 // readSample is how long a server took until the first event of a prompt that found no backlog.
 type readSample struct {
@@ -50,12 +55,13 @@
 // slope is the time per token that two answers show.
 type slope struct {
 	perToken float64
-	// weight is the difference of their tokens: the larger it is, the less other delays count.
+	// weight is the difference of their tokens: the larger it is, the less other delays count. It
+	// is at most maxSlopeWeight.
 	weight float64
 }
 
 // fitReadRate returns the inverse of the weighted median of the slopes between all answers
-// (Theil-Sen), which three answers in ten may be off without effect, or zero if it is unknown.
+// (Theil-Sen), on which a few answers that are far off have little effect, or zero if it is unknown.
 func fitReadRate(samples []readSample) float64 {
 	if len(samples) < minRateSamples {
 		return 0
@@ -71,7 +77,7 @@
 				continue
 			}
 
-			s := slope{perToken: (a.seconds - b.seconds) / difference, weight: math.Abs(difference)}
+			s := slope{perToken: (a.seconds - b.seconds) / difference, weight: min(math.Abs(difference), maxSlopeWeight)}
 			slopes = append(slopes, s)
 			total += s.weight
 		}
