--- a/arrivals/arrivals_test.go
+++ b/arrivals/arrivals_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -164,3 +165,70 @@
 		m.inFlight = append(m.inFlight[:k], m.inFlight[k+1:]...)
 	}
 }
+
+// Read rates are medians over the instances that know one. What has to be read is summed; an
+// instance of an earlier version, which doesn't tell it, counts with what arrives.
+func TestTotalOfReadLoads(t *testing.T) {
+	var table Table
+
+	for i, rate := range []float64{95_000, 1e12, 0, 90_000, 100_000} {
+		w := report(fleet.InstanceID(fmt.Sprint(i)), 1, 1, 10)
+		w.Work[0].ReadRate, w.Work[0].Reading = rate, 30
+		table.Record(begin, w)
+	}
+
+	table.Record(begin, report("earlier", 1, 1, 10))
+
+	got := table.Total(begin, reportTTL, nil)[0]
+	if want := 100_000.0; got.ReadRate != want {
+		t.Errorf("read rate: got %v, want the median %v", got.ReadRate, want)
+	}
+
+	if want := 160.0; got.Reading != want || got.Arriving != 60 {
+		t.Errorf("tokens to read: got %v of %v arriving, want %v of 60", got.Reading, got.Arriving, want)
+	}
+}
+
+// Where no instance knows a read rate, totals have no read load.
+func TestTotalWithoutReadRate(t *testing.T) {
+	var table Table
+
+	table.Record(begin, report("a", 1, 1, 10))
+
+	if got := table.Total(begin, reportTTL, nil)[0]; got.ReadRate != 0 || got.Reading != 0 {
+		t.Errorf("read load: got %v and %v, want none", got.ReadRate, got.Reading)
+	}
+}
+
+// Half of the reports are lost: while each instance reports four times within the time to live, the
+// total stays above four fifths of what arrives.
+func TestTotalWithHalfOfReportsLost(t *testing.T) {
+	const instances = 72
+
+	random := rand.New(rand.NewPCG(1, 1)) //nolint:gosec // a fixed seed
+
+	var table Table
+
+	for step := range 200 {
+		now := begin.Add(time.Duration(step) * reportTTL / 4)
+
+		for i := range instances {
+			if random.IntN(2) == 0 {
+				continue
+			}
+
+			w := report(fleet.InstanceID(fmt.Sprint(i)), 1, int64(step), 10)
+			w.Work[0].ReadRate, w.Work[0].Reading = 95_000, 30
+			table.Record(now, w)
+		}
+
+		if step < 8 {
+			continue
+		}
+
+		got := table.Total(now, reportTTL, nil)[0]
+		if least := 0.8 * 30 * instances; got.Reading < least || got.ReadRate != 95_000 {
+			t.Fatalf("step %d: got %v tokens to read at a rate of %v, want at least %v at 95000", step, got.Reading, got.ReadRate, least)
+		}
+	}
+}
--- a/board/board.go
+++ b/board/board.go
@@ -65,7 +65,7 @@
 	// leaders.
 	Work []scheduling.Work `msgpack:"w,omitempty"`
 	// ReadLoads belong to Work, for services whose servers tell their pace.
-	ReadLoads []scheduling.ReadLoad `msgpack:"n,omitempty"`
+	ReadLoads []scheduling.ReadLoad `msgpack:"m,omitempty"`
 	// Usage are this instance's counts of the newest windows.
 	Usage []usage.Count `msgpack:"u,omitempty"`
 	// Losses are backend servers that crashed under quarantined requests, and those that this
