--- a/capacity/capacity.go
+++ b/capacity/capacity.go
@@ -110,6 +110,10 @@
 	// ordered for. It is shorter than peakWindow because on-demand servers cost many times
 	// as much as reclaimable ones and are always available.
 	recentWindow = 12 * time.Second
+	// knownLoadTime is how long reading has to be measured before servers are released that a
+	// planner found without knowing the load they were ordered for: three times the window over
+	// which arrivals are averaged.
+	knownLoadTime = 12 * time.Second
 )
 
 // Planner plans orders and remembers the last ones. It is not safe for concurrent use.
@@ -119,6 +123,8 @@
 	peaks map[fleet.Service]*peaks
 	// sustained holds the needs of the last boot time by service.
 	sustained map[fleet.Service]*sustained
+	// measuredSince is since when the reading of a service has been measured without a break.
+	measuredSince map[fleet.Service]time.Time
 }
 
 type orderKey struct {
--- a/capacity/need_test.go
+++ b/capacity/need_test.go
@@ -219,6 +219,44 @@
 	})
 }
 
+// A planner without plans doesn't know what the existing servers were ordered for. It keeps them
+// until reading was measured for knownLoadTime without a break.
+func TestFoundServersAreReleasedOnceLoadIsKnown(t *testing.T) {
+	for _, tt := range []struct {
+		desc string
+		gaps bool
+		want int
+	}{
+		{desc: "measured all the time", want: 31},
+		{desc: "not measured now and then", gaps: true, want: 60},
+	} {
+		m, p := newFakeCloud(), &Planner{}
+		for i := range 60 {
+			k := orderKey{service, domains[i%4], true}
+			m.servers[k] = append(m.servers[k], begin)
+		}
+
+		at := func(at time.Time) ServiceState {
+			s := measuredState(m, at, 900_000)
+			if tt.gaps && at.Sub(begin)%(4*time.Second) == 0 {
+				s.ReadArrivalRate, s.ReadRate, s.ServerRate = 0, 0, 0
+			}
+
+			return s
+		}
+
+		now := simulateMeasured(m, p, begin, knownLoadTime, at)
+		if got, _ := p.Wanted(now, service); got != 60 {
+			t.Errorf("%s: got %d servers wanted after %v, want the 60 found", tt.desc, got, knownLoadTime)
+		}
+
+		now = simulateMeasured(m, p, now, 4*tick, at)
+		if got, _ := p.Wanted(now, service); got != tt.want {
+			t.Errorf("%s: got %d servers wanted after a further second, want %d", tt.desc, got, tt.want)
+		}
+	}
+}
+
 // Whatever servers and instances tell, the number of servers is within its bounds, and a false
 // total pace changes it by a factor of two at most.
 func TestHoldsServersWithAbsurdFigures(t *testing.T) {
--- a/entry/duties.go
+++ b/entry/duties.go
@@ -88,6 +88,7 @@
 	planner      capacity.Planner
 	// lastLogged is the plan that was logged last, by service.
 	lastLogged map[fleet.Service]loggedPlan
+	planGauges *planGauges
 }
 
 func newDuties(p *components) *duties {
@@ -102,6 +103,7 @@
 		utilization:  p.scheduler.Utilization,
 		totalPace:    p.scheduler.TotalPace,
 		lastLogged:   make(map[fleet.Service]loggedPlan),
+		planGauges:   newPlanGauges(p.metrics),
 		cloud:        platform.NewCloud(p.settings.Cloud, p.settings.Instance),
 		incarnation:  fleet.Incarnation(now.UnixNano()),
 		ledger: usage.NewLedger(usage.Policy{
--- a/entry/orders.go
+++ b/entry/orders.go
@@ -36,6 +36,8 @@
 
 	now := d.clock.Now()
 	if _, err := d.core.Check(now); err != nil {
+		d.planGauges.withdraw()
+
 		return nil
 	}
 
@@ -45,7 +47,7 @@
 		if service := rules.Service(name); service.Scaling != nil {
 			state := d.serviceState(service)
 			orders = append(orders, d.planner.Plan(now, state)...)
-			d.logPlan(now, state)
+			d.publishPlan(now, state)
 		}
 	}
 
@@ -59,10 +61,12 @@
 	contradicted   bool
 }
 
-// logPlan logs the number of wanted servers and the load they are wanted for, if that changed.
-func (d *duties) logPlan(now time.Time, s capacity.ServiceState) {
+// publishPlan sets the metrics of a plan, and logs the number of wanted servers and the load that
+// they are wanted for, if that changed.
+func (d *duties) publishPlan(now time.Time, s capacity.ServiceState) {
 	wanted, recent := d.planner.Wanted(now, s.Service)
 	logged := loggedPlan{wanted: wanted, recent: recent, bound: d.planner.Bound(now, s.Service), contradicted: s.Contradicted()}
+	d.planGauges.publish(s, logged.wanted, logged.bound)
 
 	if d.lastLogged[s.Service] == logged {
 		return
