--- a/scheduling/readrate_test.go
+++ b/scheduling/readrate_test.go
@@ -116,14 +116,15 @@
 	s.paceSource = func(time.Time, fleet.Service) (float64, bool) { return 1, true }
 	at := now
 
-	for range 2 * minRateSamples {
+	for i := range 2 * minRateSamples {
 		first := pick(t, s, Request{Service: "llm", Prompt: Prompt{Tokens: 9000}})
 		first.Start(at)
 
-		second := pick(t, s, Request{Service: "llm", Prompt: Prompt{Tokens: 20_000}})
+		tokens := 2000 * (i + 1)
+		second := pick(t, s, Request{Service: "llm", Prompt: Prompt{Tokens: tokens}})
 		second.Start(at)
 
-		at = at.Add(time.Second)
+		at = at.Add(readTimeAt(9000+tokens, 1))
 		second.FirstEventReceived(at)
 		second.End(at, Served)
 		first.End(at, Cancelled)
