--- a/scheduling/scheduling.go
+++ b/scheduling/scheduling.go
@@ -226,7 +226,6 @@
 
 		if load.Slowness > 0 {
 			trialTold.Store(true)
-			srv.trialSlowness.Store(int64(load.Slowness * 100))
 		}
 		s.publishLoad(srv, true)
 	}
--- a/scheduling/server.go
+++ b/scheduling/server.go
@@ -68,7 +68,6 @@
 
 	// removed is set once the register has no entry for this process.
 	removed       atomic.Bool
-	trialSlowness atomic.Int64
 	announcements *announcements
 	// running counts the requests of this instance in progress. pendingTokens are the uncached
 	// tokens of those whose answer has not begun.
