--- a/scheduling/pace.go
+++ b/scheduling/pace.go
@@ -10,7 +10,7 @@
 // usual pace of the service. It reports false if they don't tell how long work takes at the moment;
 // their paces are then taken as equal.
 func (s *Scheduler) TotalPace(_ time.Time, service fleet.Service) (float64, bool) {
-	return float64(len(s.serversFor(&Request{Service: service}, func(srv *server) bool { return !srv.isLeaving() }))), trialTold.Load()
+	return float64(len(s.serversFor(&Request{Service: service}, func(srv *server) bool { return !srv.isLeaving() }))), false
 }
 
 // timeToRead returns the expected time in which the server of the assignment reads tokens, or zero
--- a/scheduling/scheduling.go
+++ b/scheduling/scheduling.go
@@ -208,8 +208,6 @@
 	s.pools.Store(&pools)
 }
 
-var trialTold atomic.Bool
-
 // Initialized reports whether Update was called, so that requests can be placed.
 func (s *Scheduler) Initialized() bool {
 	return s.pools.Load() != nil
@@ -223,10 +221,6 @@
 
 	if srv != nil {
 		srv.recordLoad(now, load.Running+load.Waiting)
-
-		if load.Slowness > 0 {
-			trialTold.Store(true)
-		}
 		s.publishLoad(srv, true)
 	}
 }
