--- a/scheduling/readrate.go
+++ b/scheduling/readrate.go
@@ -1,7 +1,6 @@
 package scheduling
 
 import (
-	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -11,21 +10,23 @@
 	// minRateSamples is the least number of answers from which a read rate is computed. With fewer,
 	// two answers of a server that was slow for a moment decide it.
 	minRateSamples = 12
-	// maxSlopeWeight bounds the tokens by which a pair of answers counts: a server that tells an
-	// absurd pace must not outweigh all others.
-	maxSlopeWeight = 4 * minSpeedTokens
+	// maxSlowness bounds how much longer than usual an answer counts as having taken. Servers whose
+	// machines are shared take two to three times as long at moments; what took longer waited.
+	maxSlowness = 4
 )
 
-// readSample is how long a server took until the first event of a prompt that found no backlog.
+// readSample is an answer to a prompt that found no backlog.
 type readSample struct {
-	// tokens are those that it had to read, divided by the server's pace.
-	tokens  float64
+	// tokens are those that the server had to read.
+	tokens float64
+	// seconds is how long it took until the first event, multiplied by the server's pace.
 	seconds float64
 }
 
-// readRate measures the rate at which a server of usual pace reads prompts, without the delays
-// that don't depend on their length: those are the same for a short prompt and a long one, and
-// cancel in the difference of two answers. The zero value has no samples.
+// readRate measures the sustained rate at which a server of usual pace reads prompts, without the
+// delays that don't depend on their length: those are the same for a short prompt and a long one,
+// and cancel in the difference of two answers. Moments in which servers are slow count by their
+// share of the answers. The zero value has no samples.
 type readRate struct {
 	samples ring[readSample]
 	rate    float64
@@ -39,7 +40,7 @@
 		return
 	}
 
-	r.samples.add(readSample{tokens: float64(tokens) / pace, seconds: took.Seconds()})
+	r.samples.add(readSample{tokens: float64(tokens), seconds: took.Seconds() * pace})
 	r.outdated = true
 }
 
@@ -52,61 +53,61 @@
 	return r.rate
 }
 
-// slope is the time per token that two answers show.
-type slope struct {
-	perToken float64
-	// weight is the difference of their tokens: the larger it is, the less other delays count. It
-	// is at most maxSlopeWeight.
-	weight float64
-}
-
-// fitReadRate returns the inverse of the weighted median of the slopes between all answers
-// (Theil-Sen), on which a few answers that are far off have little effect, or zero if it is unknown.
+// fitReadRate returns the sustained rate that the answers show, or zero if it is unknown.
 func fitReadRate(samples []readSample) float64 {
-	if len(samples) < minRateSamples {
+	perToken := medianSlope(samples)
+	if len(samples) < minRateSamples || !(perToken > 0) {
 		return 0
 	}
 
-	slopes := make([]slope, 0, len(samples)*(len(samples)-1)/2)
-	total := 0.0
+	return 1 / (perToken * meanSlowness(samples, perToken))
+}
+
+// medianSlope returns the median of the times per token that pairs of answers show (Theil-Sen), on
+// which a few answers that are far off have little effect, or zero if it is unknown.
+func medianSlope(samples []readSample) float64 {
+	slopes := make([]float64, 0, len(samples)*len(samples)/2)
 
 	for i, a := range samples {
 		for _, b := range samples[:i] {
-			difference := a.tokens - b.tokens
-			if math.Abs(difference) < minSpeedTokens {
-				continue
+			// In smaller differences the variation of other delays dominates.
+			if difference := a.tokens - b.tokens; math.Abs(difference) >= minSpeedTokens {
+				slopes = append(slopes, (a.seconds-b.seconds)/difference)
 			}
-
-			s := slope{perToken: (a.seconds - b.seconds) / difference, weight: min(math.Abs(difference), maxSlopeWeight)}
-			slopes = append(slopes, s)
-			total += s.weight
 		}
 	}
 
-	slices.SortFunc(slopes, func(a, b slope) int { return cmp.Compare(a.perToken, b.perToken) })
+	if len(slopes) == 0 {
+		return 0
+	}
+
+	slices.Sort(slopes)
 
-	below := 0.0
+	return slopes[len(slopes)/2]
+}
 
-	for _, s := range slopes {
-		below += s.weight
-		if below < total/2 {
-			continue
-		}
+// meanSlowness returns how long the answers took in the mean, relative to the time that the median
+// slope and delay give.
+func meanSlowness(samples []readSample, perToken float64) float64 {
+	delays := make([]float64, 0, len(samples))
+	for _, s := range samples {
+		delays = append(delays, s.seconds-perToken*s.tokens)
+	}
 
-		if s.perToken <= 0 {
-			return 0
-		}
+	slices.Sort(delays)
 
-		return 1 / s.perToken
+	delay, sum := max(delays[len(delays)/2], 0), 0.0
+	for _, s := range samples {
+		sum += min(s.seconds/(delay+perToken*s.tokens), maxSlowness)
 	}
 
-	return 0
+	return max(sum/float64(len(samples)), 1)
 }
 
 // paceOf returns the pace of a server, where 1 is the usual pace of its service.
 func (s *Scheduler) paceOf(now time.Time, srv *server) float64 {
-	if s.serverPace != nil {
-		return s.serverPace(now, srv)
+	if s.paceOfServer != nil {
+		return s.paceOfServer(now, srv)
 	}
 
 	return 1
