--- a/scheduling/assignment.go
+++ b/scheduling/assignment.go
@@ -125,7 +125,7 @@
 
 	if a.meter != nil {
 		a.meter.addArrival(now, a.prompt.ownTokens(), a.uncachedTokens)
-		a.pace = a.scheduler.paceOf(now, a.server)
+		a.pace = a.server.longTermPace()
 	}
 
 	return true
--- a/scheduling/readrate.go
+++ b/scheduling/readrate.go
@@ -104,11 +104,6 @@
 	return max(sum/float64(len(samples)), 1)
 }
 
-// paceOf returns the pace of a server, where 1 is the usual pace of its service.
-func (s *Scheduler) paceOf(now time.Time, srv *server) float64 {
-	if s.paceOfServer != nil {
-		return s.paceOfServer(now, srv)
-	}
-
-	return 1
-}
+// longTermPace returns the pace of a server over a longer time, where 1 is the usual pace of its
+// service. Paces of single servers are not learned yet.
+func (s *server) longTermPace() float64 { return 1 }
--- a/scheduling/scheduling.go
+++ b/scheduling/scheduling.go
@@ -146,10 +146,8 @@
 	removed removedServers
 	meters  map[fleet.Service]*meter
 
-	// paceSource replaces TotalPace in tests, and paceOfServer the paces of single servers; nil are
-	// the measured ones.
-	paceSource   func(time.Time, fleet.Service) (float64, bool)
-	paceOfServer func(time.Time, *server) float64
+	// paceSource replaces TotalPace in tests; it may be nil.
+	paceSource func(time.Time, fleet.Service) (float64, bool)
 }
 
 // Update replaces the set of servers. The state of a server is kept while its process, address
