--- a/scheduling/scheduling.go
+++ b/scheduling/scheduling.go
@@ -147,6 +147,9 @@
 	removed removedServers
 	meters  map[fleet.Service]*meter
 	paces   map[fleet.Service]*servicePace
+
+	// paceSource replaces TotalPace in tests; it may be nil.
+	paceSource func(time.Time, fleet.Service) (float64, bool)
 }
 
 // Update replaces the set of servers. The state of a server is kept while its process, address
