--- a/entry/readloads_test.go
+++ b/entry/readloads_test.go
@@ -28,35 +28,24 @@
 	Forwarded   bool              `msgpack:"f,omitempty"`
 }
 
-func encodeReadLoads(t *testing.T, message any) []byte {
-	t.Helper()
-
-	data, err := msgpack.Marshal(message)
-	if err != nil {
-		t.Fatal(err)
-	}
-
-	return data
-}
-
 func TestEarlierVersionsReadCountsWithReadLoads(t *testing.T) {
 	work := []scheduling.Work{{Service: "llm", Arriving: 5, Speed: 7}}
 	counts := usageCounts{Instance: "entry-1", Incarnation: 2, At: 3, Work: work, Forwarded: true}
 	earlier := earlierCounts{Instance: "entry-1", Incarnation: 2, At: 3, Work: work, Forwarded: true}
 
-	if got, want := encodeReadLoads(t, &counts), encodeReadLoads(t, &earlier); !bytes.Equal(got, want) {
+	if got, want := encode(t, &counts), encode(t, &earlier); !bytes.Equal(got, want) {
 		t.Errorf("message without read loads: got %x, want %x", got, want)
 	}
 
 	counts.ReadLoads = []scheduling.ReadLoad{{Service: "llm", Reading: 9, Rate: 95_000}}
 
 	var got earlierCounts
-	if err := codec.Unmarshal(encodeReadLoads(t, &counts), &got); err != nil || len(got.Work) != 1 || got.Work[0] != work[0] || !got.Forwarded {
+	if err := codec.Unmarshal(encode(t, &counts), &got); err != nil || len(got.Work) != 1 || got.Work[0] != work[0] || !got.Forwarded {
 		t.Errorf("message with read loads, read by an earlier version: got %+v and %v, want %+v", got, err, earlier)
 	}
 
 	var back usageCounts
-	if err := codec.Unmarshal(encodeReadLoads(t, &earlier), &back); err != nil || len(back.ReadLoads) != 0 {
+	if err := codec.Unmarshal(encode(t, &earlier), &back); err != nil || len(back.ReadLoads) != 0 {
 		t.Errorf("message of an earlier version: got %+v and %v, want no read loads", back, err)
 	}
 }
@@ -141,7 +130,7 @@
 // A leader's record carries what all instances read, and the holder of the duties reads it.
 func TestRecordsCarryReadLoads(t *testing.T) {
 	work := []scheduling.Work{{Service: "llm", Arriving: 5, Speed: 7, Reading: 9, ReadRate: 95_000}}
-	data := encodeReadLoads(t, &board.Record{Instance: "entry-1", Work: work, ReadLoads: scheduling.ReadLoads(work)})
+	data := encode(t, &board.Record{Instance: "entry-1", Work: work, ReadLoads: scheduling.ReadLoads(work)})
 
 	var r board.Record
 	if err := codec.Unmarshal(data, &r); err != nil {
