--- a/entry/readloads_test.go
+++ b/entry/readloads_test.go
@@ -5,8 +5,6 @@
 	"testing"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	"monsoonlever/board"
 	"monsoonlever/capacity"
 	"monsoonlever/clock"
