fix(scheduling): only very slow servers are tried as usual ones

One request in four took any server below the usual pace for a usual one if it was not measured for half a second, as most were: prompts of 6,000 tokens and more are few.

--- a/scheduling/server_pace.go
+++ b/scheduling/server_pace.go
@@ -22,6 +22,8 @@
 	// which a server that became faster is to be used again.
 	probeAfter   = 500 * time.Millisecond
 	probeInverse = 4
+	// probePace is the pace up to which that is done. Faster servers get enough work to be measured.
+	probePace = 0.5
 	// toldTolerance is the difference between two figures of slowness that other instances are told.
 	toldTolerance = 0.05
 )
@@ -83,10 +85,10 @@
 }
 
 // placingFactor returns timeFactor, or for a small part of the requests that of a usual pace if the
-// server is taken for a slow one and was not measured recently: it may have become faster.
+// server is taken for a very slow one and was not measured recently: it may have become faster.
 func (p *serverPace) placingFactor(now time.Time, kind paceKind) float64 {
 	factor := p.timeFactor(now, kind)
-	if factor <= 1 || now.UnixNano()-p.sampledAt.Load() < int64(probeAfter) || rand.IntN(probeInverse) > 0 {
+	if p.of(kind) > probePace || now.UnixNano()-p.sampledAt.Load() < int64(probeAfter) || rand.IntN(probeInverse) > 0 {
 		return factor
 	}
 
