refactor(fairqueue): the fair queue of admission is a package of its own

The queue moves out of admission and is generic over the owner of requests and their values, so that scheduling can use it too. Requests of a flow are in a tree with sums, and flows in heaps by virtual start and by load: adding, removing, evicting and estimating the work ahead take O(log n), where removing one took O(n) of its account before.

Ruled out: an interface that requests implement, which would add exported methods to Ticket.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"monsoonlever/clock"
+	"monsoonlever/fairqueue"
 	"monsoonlever/fleet"
 )
 
@@ -122,6 +123,10 @@
 		jitter:   &c.jitter,
 		counters: c.counters,
 		queue:    c.newQueue(),
+		deadlines: fairqueue.NewHeap(
+			func(a, b *Ticket) bool { return a.latestStart.Before(b.latestStart) },
+			func(t *Ticket) *int { return &t.deadlinePosition },
+		),
 	}
 	s.configure(config)
 
@@ -160,7 +165,7 @@
 
 // Admit admits, queues or refuses a request.
 func (c *Controller) Admit(now time.Time, r Request) *Ticket {
-	t := &Ticket{request: r, arrivedAt: now, heapIndex: notInHeap}
+	t := &Ticket{request: r, arrivedAt: now}
 	snapshot := c.table.Load()
 
 	if snapshot == nil || snapshot.services[r.Service] == nil {
--- a/admission/service.go
+++ b/admission/service.go
@@ -1,11 +1,11 @@
 package admission
 
 import (
-	"container/heap"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"monsoonlever/fairqueue"
 	"monsoonlever/fleet"
 )
 
@@ -22,7 +22,7 @@
 
 	mu        sync.Mutex
 	queue     queue
-	deadlines deadlineHeap
+	deadlines *fairqueue.Heap[*Ticket]
 	withdrawn bool
 }
 
@@ -112,7 +112,7 @@
 // shed refuses queued requests that can no longer meet their deadline, because the service became
 // slower or other requests were queued ahead of them.
 func (s *service) shed(now time.Time) {
-	if len(s.deadlines) == 0 {
+	if s.deadlines.Count() == 0 {
 		return
 	}
 
@@ -132,7 +132,7 @@
 	s.queued.Add(1)
 
 	if !t.latestStart.IsZero() {
-		heap.Push(&s.deadlines, t)
+		s.deadlines.Add(t)
 	}
 }
 
@@ -140,10 +140,7 @@
 func (s *service) unmarkQueued(t *Ticket) {
 	t.queued = false
 	s.queued.Add(-1)
-
-	if t.heapIndex != notInHeap {
-		heap.Remove(&s.deadlines, t.heapIndex)
-	}
+	s.deadlines.Remove(t)
 }
 
 // dispatch refuses queued requests whose latest start has passed, and starts others while slots
@@ -161,8 +158,8 @@
 
 // expire refuses every queued request whose latest start has passed.
 func (s *service) expire(now time.Time) {
-	for len(s.deadlines) > 0 && !s.deadlines[0].latestStart.After(now) {
-		t := s.deadlines[0]
+	for s.deadlines.Count() > 0 && !s.deadlines.First().latestStart.After(now) {
+		t := s.deadlines.First()
 		s.queue.remove(t)
 		s.unmarkQueued(t)
 		s.refuse(now, t, DeadlineTooShort)
--- a/admission/ticket.go
+++ b/admission/ticket.go
@@ -19,14 +19,14 @@
 	// done is closed when a queued request is decided; it is nil if the request was decided on
 	// arrival.
 	done chan struct{}
-	// heapIndex is the index in the deadline heap, or notInHeap.
-	heapIndex int
+	// deadlinePosition belongs to the deadline heap.
+	deadlinePosition int
+	// entry is nil until the request is queued.
+	entry *entry
 	queued    bool
 	finished  atomic.Bool
 }
 
-const notInHeap = -1
-
 // Account returns the client account of the request.
 func (t *Ticket) Account() fleet.Account {
 	return t.request.Account
