feat(scheduling): prompts that wait for the same servers are queued by priority and account

A prompt that could not begin in time looked for room every 20 to 40 ms, so that chance decided which one went next. Prompts now wait in the queue of their service. They are woken when a server may have room, and by a timer for room that no event tells of. The order is by priority, then by whether the prompt can still begin in time, then between accounts by start-time fair queueing in uncached tokens. What the queue releases counts at its server at once. Without prompts that wait, a request pays one atomic load; a single prompt is decided about as before.

An overload error holds what the decision is based on.

--- a/forward/job.go
+++ b/forward/job.go
@@ -331,6 +331,7 @@
 	choice := j.chooseVersion()
 	r := scheduling.Request{
 		Service: j.service, Prompt: j.request.Prompt, Excluded: j.excluded,
+		Arrived: j.request.Arrived, Bytes: int64(len(j.request.Body)),
 		Account: fleet.Account(j.accountName()), Priority: j.priority(), GapObjective: j.route.GapObjective,
 		Detour:      j.detourPossible(),
 		OnlyVersion: choice.Only, VersionFraction: choice.ServerShare, AvoidVersions: choice.Avoid, Final: j.sent+1 >= j.attempts(),
--- a/scheduling/assignment.go
+++ b/scheduling/assignment.go
@@ -59,6 +59,10 @@
 	// permit is the permit that was granted for the attempt, or nil.
 	permit *ratelimit.Permit
 
+	// reserved is set while the tokens of a prompt that waited count at the server, although the
+	// attempt has not started.
+	reserved bool
+
 	startedAt   time.Time
 	started     bool
 	answerBegun bool
@@ -112,8 +116,8 @@
 
 	a.scheduler.countSend(now, a.server)
 	a.server.beginWait(now, a.server.running.Add(1) == 1, a.prompt.Tokens > 0)
-	a.server.pendingTokens.Add(int64(a.uncachedTokens))
-	a.started, a.startedAt = true, now
+	a.reserve()
+	a.reserved, a.started, a.startedAt = false, true, now
 
 	if a.uncachedTokens > 0 {
 		// The shared segments are read before any prompt that arrives after this one.
@@ -128,6 +132,26 @@
 	return true
 }
 
+// reserve counts the tokens of the prompt at the server, once.
+func (a *Assignment) reserve() {
+	if !a.reserved {
+		a.server.pendingTokens.Add(int64(a.uncachedTokens))
+		a.reserved = true
+	}
+}
+
+// cancelReservation undoes reserve for an attempt that doesn't start.
+func (a *Assignment) cancelReservation() {
+	if a.reserved {
+		a.server.pendingTokens.Add(-int64(a.uncachedTokens))
+		a.reserved = false
+		a.roomChanged()
+	}
+}
+
+// roomChanged wakes the prompts that may wait for the server.
+func (a *Assignment) roomChanged() { a.scheduler.roomChanged(a.server.entry().Service) }
+
 // FirstEventReceived records that the first event was received, so that the server has read the
 // prompt.
 func (a *Assignment) FirstEventReceived(now time.Time) {
@@ -142,6 +166,7 @@
 	if a.uncachedTokens > 0 {
 		a.scheduler.publishBacklog(a.server, nil, true)
 		a.scheduler.publishSegments(now, a.server, a.keys, true)
+		a.roomChanged()
 	}
 
 	if a.meter != nil {
@@ -189,6 +214,7 @@
 	}
 
 	a.reportEnd(now, r)
+	a.roomChanged()
 }
 
 // recordPath records what a result shows of the path to the server.
--- a/scheduling/brittle.go
+++ b/scheduling/brittle.go
@@ -160,6 +160,8 @@
 // Release gives back the permit of an attempt that is not started. An attempt whose Start returned
 // false has given it back.
 func (a *Assignment) Release() {
+	a.cancelReservation()
+
 	if a.permit == nil || a.permit.Level == 0 || a.scheduler.Permits == nil {
 		return
 	}
--- a/scheduling/place.go
+++ b/scheduling/place.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"math/rand/v2"
 	"time"
 
 	"monsoonlever/clock"
+	"monsoonlever/fleet"
 )
 
 const (
@@ -16,8 +18,7 @@
 	// refuseMargin is the time before its caller's deadline by which a held prompt must be expected
 	// to begin; otherwise it is refused. Estimates from the read rate are off by a tenth.
 	refuseMargin = 300 * time.Millisecond
-	// holdInterval is how often a held prompt is checked again: half the interval at which few
-	// instances send each other their backlogs.
+	// holdInterval is half the interval at which few instances send each other their backlogs.
 	holdInterval = 20 * time.Millisecond
 )
 
@@ -33,21 +34,9 @@
 	refuse
 )
 
-// OverloadError means that no server can begin a prompt in time and that the prompt can't be
-// held any longer.
-type OverloadError struct {
-	// RetryAfter is the time until the caller should retry. By then the servers will have read
-	// at least about half of their current backlog.
-	RetryAfter time.Duration
-}
-
-// Error includes RetryAfter.
-func (e *OverloadError) Error() string {
-	return "servers are busy for longer than the caller waits, try again in " + e.RetryAfter.String()
-}
-
-// Place chooses a server as Pick does. It holds a prompt that can't begin in time while servers
-// are busy with prompts that can, and returns an OverloadError once the prompt has to be refused.
+// Place chooses a server as Pick does. A prompt that can't begin in time while servers are busy with
+// prompts that can waits in the queue of its service, as do prompts that arrive while others wait.
+// Place returns an OverloadError once the prompt has to be refused.
 // A server with a limit is chosen only with a permit. If no other server is left, the request
 // waits for a permit, or Place returns a NoRoomError. It returns a server to which this instance
 // has no path if that is the best choice, or the only one. Place returns at the latest when ctx
@@ -71,31 +60,121 @@
 			return nil, err
 		}
 
-		switch a.decide(now, r) {
-		case send:
-			if a.PathLost(now) || s.acquirePermit(ctx, clk, a) {
-				return a, nil
-			}
+		verdict := a.decide(now, r)
+		if verdict == refuse {
+			return nil, s.rejected(a.overload(now, r, LateAtServers))
+		}
 
-			if ctx.Err() != nil {
-				return nil, ctx.Err()
+		if verdict == hold || s.mustQueue(now, a, r) {
+			a, err = s.await(ctx, clk, a, &r)
+			if a == nil && err == nil {
+				continue
 			}
 
-			permitRequests++
-			r.onlyUnlimited = permitRequests >= maxPermitRequests
+			if err != nil {
+				return nil, err
+			}
+		}
 
-			continue
-		case refuse:
-			return nil, &OverloadError{RetryAfter: a.retryAfter()}
-		case hold:
+		if a.PathLost(now) || s.acquirePermit(ctx, clk, a) {
+			return a, nil
 		}
 
-		select {
-		case <-clk.After(holdInterval + rand.N(holdInterval)):
-		case <-ctx.Done():
+		a.Release()
+
+		if ctx.Err() != nil {
 			return nil, ctx.Err()
 		}
+
+		permitRequests++
+		r.onlyUnlimited = permitRequests >= maxPermitRequests
+	}
+}
+
+// mustQueue reports whether a prompt that could be sent has to queue because others wait.
+func (s *Scheduler) mustQueue(now time.Time, a *Assignment, r Request) bool {
+	if s.waiting.Load() == 0 || !a.mayWait(now, r) {
+		return false
+	}
+
+	q := (*s.queues.Load())[r.Service]
+
+	return q != nil && q.waiting.Load() > 0
+}
+
+// await waits for the turn of a prompt. If it returns neither an assignment nor an error, the
+// prompt should be placed anew.
+func (s *Scheduler) await(ctx context.Context, clk clock.Clock, a *Assignment, r *Request) (*Assignment, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
+
+	now := clk.Now()
+	q, w := s.queue(r.Service), newWaiter(now, a, *r)
+	r.requeued = true
+
+	q.add(now, a, w)
+	q.ensureRunning(clk)
+
+	select {
+	case p := <-w.done:
+		return p.assignment, s.rejected(p.err)
+	case <-ctx.Done():
+		if placed := q.remove(w); placed != nil {
+			placed.Release()
+		}
+
+		return nil, ctx.Err()
+	}
+}
+
+// queue returns the queue of a service, and creates it on first use.
+func (s *Scheduler) queue(service fleet.Service) *requestQueue {
+	if queues := s.queues.Load(); queues != nil && (*queues)[service] != nil {
+		return (*queues)[service]
+	}
+
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	next := make(map[fleet.Service]*requestQueue)
+	if queues := s.queues.Load(); queues != nil {
+		maps.Copy(next, *queues)
+	}
+
+	if next[service] == nil {
+		next[service] = newRequestQueue(s, service)
+		s.queues.Store(&next)
 	}
+
+	return next[service]
+}
+
+// roomChanged wakes the queue of a service, whose servers may have room.
+func (s *Scheduler) roomChanged(service fleet.Service) {
+	if s.waiting.Load() == 0 {
+		return
+	}
+
+	if q := (*s.queues.Load())[service]; q != nil && q.waiting.Load() > 0 {
+		q.wake.Send()
+	}
+}
+
+// wakeAll wakes all queues.
+func (s *Scheduler) wakeAll() {
+	if s.waiting.Load() == 0 {
+		return
+	}
+
+	for _, q := range *s.queues.Load() {
+		q.wake.Send()
+	}
+}
+
+// mayWait reports whether a prompt may be held for its server.
+func (a *Assignment) mayWait(now time.Time, r Request) bool {
+	return a.meter != nil && !r.Due.IsZero() && !a.PathLost(now)
 }
 
 // placeWithoutServer handles a request for which Pick found no server. A final request first gets
@@ -120,7 +199,7 @@
 // sending it would only delay others. A server to which this instance has no path gets the prompt
 // from another instance, which decides by itself.
 func (a *Assignment) decide(now time.Time, r Request) decision {
-	if a.meter == nil || r.Due.IsZero() || a.PathLost(now) {
+	if !a.mayWait(now, r) {
 		return send
 	}
 
--- /dev/null
+++ b/scheduling/requestqueue.go
@@ -0,0 +1,444 @@
+package scheduling
+
+import (
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"monsoonlever/clock"
+	"monsoonlever/fairqueue"
+	"monsoonlever/feed"
+	"monsoonlever/fleet"
+)
+
+const (
+	// maxWaiting and maxWaitingBytes bound the prompts that wait on this instance for the servers
+	// of one service. One account has at most half of both.
+	maxWaiting      = 8192
+	maxWaitingBytes = 32 << 20
+	// maxTried bounds how many prompts that can't be sent are looked at in a row. Each of them
+	// waits for another server.
+	maxTried = 8
+	// recheckInterval is how often the queue looks for room that no event tells of: servers are
+	// avoided and back off for a time, and backlogs of instances that ended lapse.
+	recheckInterval = 250 * time.Millisecond
+	// wakeJitter spreads the instances that learn of the same room over the time that updates
+	// between them take.
+	wakeJitter = holdInterval
+)
+
+// contender is what prompts are ordered by: prompts of one contender are in order of arrival.
+type contender struct {
+	account  fleet.Account
+	priority int
+}
+
+// accountFlow is a client account in the queue.
+type accountFlow fleet.Account
+
+// Name returns the name of the account.
+func (f accountFlow) Name() string { return string(f) }
+
+// Weight returns 1: all accounts are equal.
+func (f accountFlow) Weight() float64 { return 1 }
+
+// placement is the end of a wait: an assignment, an error, or neither if the prompt should be
+// placed anew.
+type placement struct {
+	assignment *Assignment
+	err        error
+}
+
+// waiter is a prompt that waits.
+type waiter struct {
+	request Request
+	entry   fairqueue.Entry[accountFlow, *waiter]
+	since   time.Time
+	// turnsLate is when the prompt can no longer begin in time, and givesUp when it can no longer
+	// begin before its caller leaves, both if it is sent to an idle server.
+	turnsLate, givesUp                time.Time
+	turnsLatePosition, givesUpPositon int
+	// done receives the placement.
+	done chan placement
+}
+
+func (w *waiter) contender() contender {
+	return contender{account: w.request.Account, priority: w.request.Priority}
+}
+
+// requestQueue holds the prompts of this instance that wait for the servers of one service.
+type requestQueue struct {
+	scheduler *Scheduler
+	service   fleet.Service
+	// waiting is the number of prompts, for checks without the lock.
+	waiting atomic.Int64
+	wake    feed.Signal
+
+	mu    sync.Mutex
+	queue *fairqueue.Queue[accountFlow, *waiter]
+	// turnLate and giveUp hold the prompts by the times of the same name. Prompts that are late
+	// are only in giveUp.
+	turnLate, giveUp *fairqueue.Heap[*waiter]
+	contenders       map[contender]int
+	// running is set while run runs.
+	running bool
+}
+
+func newRequestQueue(s *Scheduler, service fleet.Service) *requestQueue {
+	q := &requestQueue{
+		scheduler: s, service: service, queue: fairqueue.New[accountFlow, *waiter](), contenders: make(map[contender]int),
+		turnLate: fairqueue.NewHeap(
+			func(a, b *waiter) bool { return a.turnsLate.Before(b.turnsLate) }, func(w *waiter) *int { return &w.turnsLatePosition }),
+		giveUp: fairqueue.NewHeap(
+			func(a, b *waiter) bool { return a.givesUp.Before(b.givesUp) }, func(w *waiter) *int { return &w.givesUpPositon }),
+	}
+	q.queue.SetLimits(fairqueue.Limits{
+		Requests: maxWaiting, Bytes: maxWaitingBytes, FlowRequests: maxWaiting / 2, FlowBytes: maxWaitingBytes / 2,
+	})
+
+	return q
+}
+
+// newWaiter returns a waiter for a prompt whose best server was picked.
+func newWaiter(now time.Time, a *Assignment, r Request) *waiter {
+	if r.Arrived.IsZero() {
+		r.Arrived = now
+	}
+
+	own := a.timeToRead(int64(a.uncachedTokens))
+	w := &waiter{
+		request: r, since: now, done: make(chan placement, 1),
+		turnsLate: r.Due.Add(-own - shortBacklog),
+		givesUp:   r.CallerDeadline.Add(-own - refuseMargin),
+	}
+
+	if r.HoldUntil.Before(w.givesUp) {
+		w.givesUp = r.HoldUntil
+	}
+
+	w.entry = fairqueue.Entry[accountFlow, *waiter]{
+		Value: w, Flow: accountFlow(r.Account), Rank: rank(r.Priority, !w.turnsLate.After(now)),
+		Cost: float64(a.uncachedTokens), Bytes: r.Bytes, ArrivedAt: r.Arrived,
+	}
+
+	if r.requeued {
+		// Its work was counted when it was first released.
+		w.entry.Cost = 0
+	}
+
+	return w
+}
+
+// rank orders prompts by priority, and those of one priority that can begin in time before those
+// that are late in any case.
+func rank(priority int, late bool) int {
+	if late {
+		return 2*priority + 1
+	}
+
+	return 2 * priority
+}
+
+// add adds a prompt whose best server was picked. It rejects the prompt if too much work is queued
+// ahead of it.
+func (q *requestQueue) add(now time.Time, a *Assignment, w *waiter) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	if begin := q.earliestBegin(now, a, w); begin.Add(refuseMargin).After(w.request.CallerDeadline) {
+		q.reject(now, a, w, LateInQueue)
+
+		return
+	}
+
+	for _, out := range q.queue.Push(&w.entry) {
+		if out != &w.entry {
+			q.forget(out.Value)
+		}
+
+		q.reject(now, a, out.Value, QueueFull)
+	}
+
+	if !w.entry.Queued() {
+		return
+	}
+
+	q.contenders[w.contender()]++
+	q.giveUp.Add(w)
+
+	if w.turnsLate.After(now) {
+		q.turnLate.Add(w)
+	}
+
+	q.waiting.Add(1)
+	q.scheduler.waiting.Add(1)
+	q.scheduler.Counters.waiting(w.request.Priority, 1)
+
+	if q.queue.First() == &w.entry {
+		q.dispatchLocked(now)
+	}
+}
+
+// earliestBegin returns when a prompt begins if all servers work for the prompts of this instance
+// alone. Work that other instances hold back is not known, so that no prompt is rejected that could
+// be on time.
+func (q *requestQueue) earliestBegin(now time.Time, a *Assignment, w *waiter) time.Time {
+	ahead := int64(q.queue.CostAhead(&w.entry))
+	if ahead == 0 {
+		return now
+	}
+
+	pace, _ := q.scheduler.TotalPace(now, q.service)
+	work := q.scheduler.totalBacklog(now, q.service) + ahead
+
+	return now.Add(a.timeToRead(int64(float64(work)/max(pace, 1)) + int64(a.uncachedTokens)))
+}
+
+// totalBacklog returns the tokens that wait at the servers of a service.
+func (s *Scheduler) totalBacklog(now time.Time, service fleet.Service) int64 {
+	sum := int64(0)
+	for _, srv := range s.serversFor(&Request{Service: service}, func(srv *server) bool { return !srv.isLeaving() }) {
+		sum += srv.pendingTokens.Load() + srv.remotePending(now)
+	}
+
+	return sum
+}
+
+// forget updates what is stored about a prompt that was removed from the queue.
+func (q *requestQueue) forget(w *waiter) {
+	q.turnLate.Remove(w)
+	q.giveUp.Remove(w)
+
+	if q.contenders[w.contender()]--; q.contenders[w.contender()] == 0 {
+		delete(q.contenders, w.contender())
+	}
+
+	q.waiting.Add(-1)
+	q.scheduler.waiting.Add(-1)
+	q.scheduler.Counters.waiting(w.request.Priority, -1)
+}
+
+// remove removes a prompt whose caller left. It returns the assignment if the prompt was placed at
+// the same time.
+func (q *requestQueue) remove(w *waiter) *Assignment {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	if w.entry.Queued() {
+		q.queue.Remove(&w.entry)
+		q.forget(w)
+		q.wake.Send()
+
+		return nil
+	}
+
+	select {
+	case p := <-w.done:
+		return p.assignment
+	default:
+		return nil
+	}
+}
+
+// reject ends the wait of a prompt that is not queued any more with an OverloadError.
+func (q *requestQueue) reject(now time.Time, a *Assignment, w *waiter, reason OverloadReason) {
+	w.done <- placement{err: q.overload(now, a, w.request, reason)}
+}
+
+// overload returns the error for a prompt that is rejected with the lock held.
+func (q *requestQueue) overload(now time.Time, a *Assignment, r Request, reason OverloadReason) error {
+	e := a.overload(now, r, reason)
+	e.Waiting, e.WorkAhead = q.queue.Len(), int64(q.queue.CostAhead(&fairqueue.Entry[accountFlow, *waiter]{
+		Flow: accountFlow(r.Account), Rank: rank(r.Priority, false), ArrivedAt: r.Arrived,
+	}))
+
+	if pace, _ := q.scheduler.TotalPace(now, q.service); e.WorkAhead > 0 {
+		e.RetryAfter += a.timeToRead(int64(float64(e.WorkAhead) / max(pace, 1)))
+	}
+
+	return e
+}
+
+// dispatch releases the prompts for which there is room and rejects those that are too late. It
+// returns after how long it should be called again at the latest, and false if no prompt is left.
+func (q *requestQueue) dispatch(now time.Time) (time.Duration, bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	q.dispatchLocked(now)
+
+	if q.queue.Len() == 0 {
+		q.running = false
+
+		return 0, false
+	}
+
+	wait := min(recheckInterval, q.giveUp.First().givesUp.Sub(now))
+	if q.turnLate.Count() > 0 {
+		wait = min(wait, q.turnLate.First().turnsLate.Sub(now))
+	}
+
+	return max(wait, time.Millisecond), true
+}
+
+func (q *requestQueue) dispatchLocked(now time.Time) {
+	for q.turnLate.Count() > 0 && !q.turnLate.First().turnsLate.After(now) {
+		w := q.turnLate.First()
+		q.turnLate.Remove(w)
+		q.queue.SetRank(&w.entry, rank(w.request.Priority, true))
+	}
+
+	p := pass{queue: q, now: now, claimed: make(map[*server]bool), tried: make(map[*waiter]bool)}
+	for p.releaseNext() {
+	}
+
+	q.rejectLate(now)
+}
+
+// rejectLate rejects the prompts that give up first, as long as their time has come.
+func (q *requestQueue) rejectLate(now time.Time) {
+	for q.giveUp.Count() > 0 {
+		w := q.giveUp.First()
+
+		a, err := q.scheduler.Pick(now, w.request)
+		if err != nil {
+			q.end(w, placement{})
+
+			continue
+		}
+
+		if a.decide(now, w.request) != refuse && w.givesUp.After(now) {
+			return
+		}
+
+		q.queue.Remove(&w.entry)
+		q.forget(w)
+		q.reject(now, a, w, LateAtServers)
+	}
+}
+
+// end removes a prompt without counting its work, and ends its wait.
+func (q *requestQueue) end(w *waiter, p placement) {
+	q.queue.Remove(&w.entry)
+	q.forget(w)
+	w.done <- p
+}
+
+// release sends a prompt on its way. Its work counts at the server from now on.
+func (q *requestQueue) release(now time.Time, w *waiter, a *Assignment) {
+	q.queue.Start(&w.entry)
+	q.forget(w)
+	a.reserve()
+	q.scheduler.Counters.waited(now.Sub(w.since))
+	w.done <- placement{assignment: a}
+}
+
+// run dispatches when there may be room, until no prompt is left.
+func (q *requestQueue) run(clk clock.Clock) {
+	wait := recheckInterval
+
+	for {
+		select {
+		case <-q.wake.C():
+			<-clk.After(rand.N(wakeJitter))
+		case <-clk.After(wait):
+		}
+
+		next, more := q.dispatch(clk.Now())
+		if !more {
+			return
+		}
+
+		wait = next
+	}
+}
+
+// ensureRunning starts run unless it runs.
+func (q *requestQueue) ensureRunning(clk clock.Clock) {
+	q.mu.Lock()
+	start := !q.running && q.queue.Len() > 0
+	q.running = q.running || start
+	q.mu.Unlock()
+
+	if start {
+		go q.run(clk)
+	}
+
+	q.wake.Send()
+}
+
+// pass is one look at the prompts that wait, in order.
+type pass struct {
+	queue *requestQueue
+	now   time.Time
+	// claimed are the servers that a prompt waits for, or was just sent to. Prompts behind it don't
+	// overtake it there.
+	claimed map[*server]bool
+	// tried are the prompts that wait for one of these servers.
+	tried map[*waiter]bool
+}
+
+// releaseNext releases or rejects the first prompt for which that is possible, and reports whether
+// there was one.
+func (p *pass) releaseNext() bool {
+	q := p.queue
+
+	for e := range q.queue.All() {
+		w := e.Value
+		if p.tried[w] {
+			continue
+		}
+
+		if len(p.tried) >= maxTried {
+			return false
+		}
+
+		a, err := q.scheduler.Pick(p.now, w.request)
+		if err != nil {
+			q.end(w, placement{})
+
+			return true
+		}
+
+		switch p.decide(a, w) {
+		case send:
+			if a.meter != nil {
+				p.claimed[a.server] = true
+			}
+
+			q.release(p.now, w, a)
+			q.wake.Send()
+
+			return true
+		case refuse:
+			q.queue.Remove(&w.entry)
+			q.forget(w)
+			q.reject(p.now, a, w, LateAtServers)
+
+			return true
+		case hold:
+			p.claimed[a.server] = true
+			p.tried[w] = true
+		}
+	}
+
+	return false
+}
+
+// decide decides about a prompt that waits. A single one is decided about like one that has just
+// arrived. While prompts compete, the backlog of servers is kept short, so that the order in which
+// they are read is that of the queue.
+func (p *pass) decide(a *Assignment, w *waiter) decision {
+	verdict := a.decide(p.now, w.request)
+	if verdict != send || a.PathLost(p.now) {
+		return verdict
+	}
+
+	competing := len(p.queue.contenders) > 1
+	if p.claimed[a.server] || competing && a.timeToRead(a.backlog) > shortBacklog {
+		return hold
+	}
+
+	return send
+}
--- a/scheduling/scheduling.go
+++ b/scheduling/scheduling.go
@@ -82,6 +82,11 @@
 	// backoff, where no other server can take it.
 	WaitUntil time.Time
 
+	// Arrived orders the prompts of an account that wait for the same servers; the zero time is
+	// the time of the call. Bytes is the memory that the request holds while it waits.
+	Arrived time.Time
+	Bytes   int64
+
 	// Detour is set if another instance may serve the request. Servers to which this instance has
 	// no path, and that others reach, then cost a further hop.
 	Detour bool
@@ -92,6 +97,8 @@
 	// allowTrial lets a final request be the trial that shows whether a server accepts requests
 	// again after its backoff. It is set once no other server is left.
 	allowTrial bool
+	// requeued is set once the request has waited in the queue of its service.
+	requeued bool
 	// awaitedTurn is set once the request has waited for its turn at a brittle server.
 	awaitedTurn bool
 	// onlyUnlimited restricts the request to servers without a limit. It is set after
@@ -133,6 +140,11 @@
 	// byKey holds all known servers by the keys that updates of other instances use.
 	byKey atomic.Pointer[map[Key]*server]
 
+	// queues holds the prompts that wait, by service. It is copied on write. waiting is the number
+	// of prompts in all of them.
+	queues  atomic.Pointer[map[fleet.Service]*requestQueue]
+	waiting atomic.Int64
+
 	outboxes [audienceCount]outbox
 	// isRelay is set while this instance is a relay.
 	isRelay atomic.Bool
@@ -201,6 +213,7 @@
 	s.servers = byID
 	s.byKey.Store(&byKey)
 	s.pools.Store(&pools)
+	s.wakeAll()
 }
 
 // Initialized reports whether Update was called, so that requests can be placed.
--- a/scheduling/updates.go
+++ b/scheduling/updates.go
@@ -250,6 +250,7 @@
 	for _, b := range update.Backlogs {
 		if srv := (*byKey)[b.Server]; srv != nil {
 			srv.recordBacklog(now, from, role, int64(b.Tokens))
+			s.roomChanged(srv.entry().Service)
 			s.publishBacklog(srv, nil, role == Subscriber)
 		}
 	}
