feat(scheduling): prompts compete with those that waited recently, late ones yield

While prompts of several accounts or priorities wait, or waited within the last second, the backlog of servers is kept short for all but the most urgent, so that the order of the queue is that in which they are read. A prompt that can't begin in time goes behind those of its priority that can.

--- a/fairqueue/fairqueue.go
+++ b/fairqueue/fairqueue.go
@@ -22,6 +22,7 @@
 package fairqueue
 
 import (
+	"cmp"
 	"iter"
 	"slices"
 )
@@ -50,8 +51,13 @@
 	FlowBytes    int64
 }
 
-// Queue is a queue of requests with values of type T.
+// Queue is a queue of requests with values of type T. Its exported field is set before its first
+// use.
 type Queue[F Flow, T any] struct {
+	// NoTurn reports whether the requests of a rank start only when no lower rank is left. If it is
+	// nil, every tenth start goes to any rank above the lowest.
+	NoTurn func(rank int) bool
+
 	limits Limits
 	// classes holds the ranks that have requests, the lowest first.
 	classes []*class[F, T]
@@ -212,10 +218,8 @@
 	switch {
 	case len(q.classes) == 0:
 		return nil
-	case q.higherRankIsNext():
-		return q.longestWaiting().first()
 	default:
-		return q.classes[0].first()
+		return q.next().first()
 	}
 }
 
@@ -250,28 +254,35 @@
 	q.add(e)
 }
 
-func (q *Queue[F, T]) higherRankIsNext() bool {
-	return len(q.classes) > 1 && (q.starts+1)%higherRankInterval == 0
-}
+// next returns the class whose turn it is. The queue must not be empty.
+func (q *Queue[F, T]) next() *class[F, T] {
+	next := q.classes[0]
+	if (q.starts+1)%higherRankInterval != 0 {
+		return next
+	}
+
+	var longest *class[F, T]
+
+	for _, c := range q.classes[1:] {
+		if q.NoTurn != nil && q.NoTurn(c.rank) {
+			continue
+		}
 
-// longestWaiting returns the class above the lowest rank whose next request arrived first.
-func (q *Queue[F, T]) longestWaiting() *class[F, T] {
-	return slices.MinFunc(q.classes[1:], func(a, b *class[F, T]) int {
-		return a.first().ArrivedAt.Compare(b.first().ArrivedAt)
-	})
+		if longest == nil || c.first().ArrivedAt.Before(longest.first().ArrivedAt) {
+			longest = c
+		}
+	}
+
+	return cmp.Or(longest, next)
 }
 
 // All returns the requests in the order in which they would start. The queue must not be changed
 // meanwhile. The first k requests take O(k log n).
 func (q *Queue[F, T]) All() iter.Seq[*Entry[F, T]] {
 	return func(yield func(*Entry[F, T]) bool) {
-		var ahead *Entry[F, T]
-
-		if q.higherRankIsNext() {
-			ahead = q.First()
-			if !yield(ahead) {
-				return
-			}
+		ahead := q.First()
+		if ahead == nil || !yield(ahead) {
+			return
 		}
 
 		for _, c := range q.classes {
--- a/scheduling/place.go
+++ b/scheduling/place.go
@@ -91,15 +91,16 @@
 	}
 }
 
-// mustQueue reports whether a prompt that could be sent has to queue because others wait.
+// mustQueue reports whether a prompt that could be sent has to queue because others wait or waited recently.
 func (s *Scheduler) mustQueue(now time.Time, a *Assignment, r Request) bool {
-	if s.waiting.Load() == 0 || !a.mayWait(now, r) {
+	queues := s.queues.Load()
+	if queues == nil || !a.mayWait(now, r) {
 		return false
 	}
 
-	q := (*s.queues.Load())[r.Service]
+	q := (*queues)[r.Service]
 
-	return q != nil && q.waiting.Load() > 0
+	return q != nil && q.mustWait(now, a, r)
 }
 
 // await waits for the turn of a prompt. If it returns neither an assignment nor an error, the
@@ -120,7 +121,7 @@
 	case p := <-w.done:
 		return p.assignment, s.rejected(p.err)
 	case <-ctx.Done():
-		if placed := q.remove(w); placed != nil {
+		if placed := q.remove(clk.Now(), w); placed != nil {
 			placed.Release()
 		}
 
--- a/scheduling/requestqueue.go
+++ b/scheduling/requestqueue.go
@@ -28,12 +28,6 @@
 	wakeJitter = holdInterval
 )
 
-// contender is what prompts are ordered by: prompts of one contender are in order of arrival.
-type contender struct {
-	account  fleet.Account
-	priority int
-}
-
 // accountFlow is a client account in the queue.
 type accountFlow fleet.Account
 
@@ -59,14 +53,12 @@
 	// begin before its caller leaves, both if it is sent to an idle server.
 	turnsLate, givesUp                time.Time
 	turnsLatePosition, givesUpPositon int
+	// late is set once the prompt can't begin in time.
+	late bool
 	// done receives the placement.
 	done chan placement
 }
 
-func (w *waiter) contender() contender {
-	return contender{account: w.request.Account, priority: w.request.Priority}
-}
-
 // requestQueue holds the prompts of this instance that wait for the servers of one service.
 type requestQueue struct {
 	scheduler *Scheduler
@@ -74,25 +66,31 @@
 	// waiting is the number of prompts, for checks without the lock.
 	waiting atomic.Int64
 	wake    feed.Signal
+	// contendedUntil is until when prompts that arrive may compete with ones that waited, in Unix
+	// nanoseconds.
+	contendedUntil atomic.Int64
 
 	mu    sync.Mutex
 	queue *fairqueue.Queue[accountFlow, *waiter]
 	// turnLate and giveUp hold the prompts by the times of the same name. Prompts that are late
 	// are only in giveUp.
 	turnLate, giveUp *fairqueue.Heap[*waiter]
-	contenders       map[contender]int
+	// contentions holds the priorities of prompts that wait or waited.
+	contentions map[int]*contention
 	// running is set while run runs.
 	running bool
 }
 
 func newRequestQueue(s *Scheduler, service fleet.Service) *requestQueue {
 	q := &requestQueue{
-		scheduler: s, service: service, queue: fairqueue.New[accountFlow, *waiter](), contenders: make(map[contender]int),
+		scheduler: s, service: service, queue: fairqueue.New[accountFlow, *waiter](), contentions: make(map[int]*contention),
 		turnLate: fairqueue.NewHeap(
 			func(a, b *waiter) bool { return a.turnsLate.Before(b.turnsLate) }, func(w *waiter) *int { return &w.turnsLatePosition }),
 		giveUp: fairqueue.NewHeap(
 			func(a, b *waiter) bool { return a.givesUp.Before(b.givesUp) }, func(w *waiter) *int { return &w.givesUpPositon }),
 	}
+	// Prompts that are late in any case don't delay those that can begin in time.
+	q.queue.NoTurn = isLateRank
 	q.queue.SetLimits(fairqueue.Limits{
 		Requests: maxWaiting, Bytes: maxWaitingBytes, FlowRequests: maxWaiting / 2, FlowBytes: maxWaitingBytes / 2,
 	})
@@ -109,16 +107,18 @@
 	own := a.timeToRead(int64(a.uncachedTokens))
 	w := &waiter{
 		request: r, since: now, done: make(chan placement, 1),
-		turnsLate: r.Due.Add(-own - shortBacklog),
-		givesUp:   r.CallerDeadline.Add(-own - refuseMargin),
+		turnsLate: r.Due.Add(-own - shortBacklog), late: a.decide(now, r) == hold,
+		givesUp: r.CallerDeadline.Add(-own - refuseMargin),
 	}
 
+	w.late = w.late || !w.turnsLate.After(now)
+
 	if r.HoldUntil.Before(w.givesUp) {
 		w.givesUp = r.HoldUntil
 	}
 
 	w.entry = fairqueue.Entry[accountFlow, *waiter]{
-		Value: w, Flow: accountFlow(r.Account), Rank: rank(r.Priority, !w.turnsLate.After(now)),
+		Value: w, Flow: accountFlow(r.Account), Rank: rank(r.Priority, w.late),
 		Cost: float64(a.uncachedTokens), Bytes: r.Bytes, ArrivedAt: r.Arrived,
 	}
 
@@ -140,6 +140,8 @@
 	return 2 * priority
 }
 
+func isLateRank(rank int) bool { return rank%2 == 1 }
+
 // add adds a prompt whose best server was picked. It rejects the prompt if too much work is queued
 // ahead of it.
 func (q *requestQueue) add(now time.Time, a *Assignment, w *waiter) {
@@ -154,7 +156,7 @@
 
 	for _, out := range q.queue.Push(&w.entry) {
 		if out != &w.entry {
-			q.forget(out.Value)
+			q.forget(now, out.Value)
 		}
 
 		q.reject(now, a, out.Value, QueueFull)
@@ -164,10 +166,10 @@
 		return
 	}
 
-	q.contenders[w.contender()]++
+	q.contention(w.request.Priority).add(w.request.Account)
 	q.giveUp.Add(w)
 
-	if w.turnsLate.After(now) {
+	if !w.late {
 		q.turnLate.Add(w)
 	}
 
@@ -180,6 +182,45 @@
 	}
 }
 
+func (q *requestQueue) contention(priority int) *contention {
+	c := q.contentions[priority]
+	if c == nil {
+		c = newContention()
+		q.contentions[priority] = c
+	}
+
+	return c
+}
+
+// competes reports whether prompts that are more urgent, or as urgent and of other accounts, wait
+// or waited recently.
+func (q *requestQueue) competes(now time.Time, r Request) bool {
+	for priority, c := range q.contentions {
+		if priority < r.Priority && c.any(now) || priority == r.Priority && c.other(now, r.Account) {
+			return true
+		}
+	}
+
+	return false
+}
+
+// mustWait reports whether a prompt that could be sent has to wait, because others do or because
+// it competes with ones that did.
+func (q *requestQueue) mustWait(now time.Time, a *Assignment, r Request) bool {
+	if q.waiting.Load() > 0 {
+		return true
+	}
+
+	if now.UnixNano() >= q.contendedUntil.Load() || a.timeToRead(a.backlog) <= shortBacklog {
+		return false
+	}
+
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	return q.competes(now, r)
+}
+
 // earliestBegin returns when a prompt begins if all servers work for the prompts of this instance
 // alone. Work that other instances hold back is not known, so that no prompt is rejected that could
 // be on time.
@@ -206,14 +247,12 @@
 }
 
 // forget updates what is stored about a prompt that was removed from the queue.
-func (q *requestQueue) forget(w *waiter) {
+func (q *requestQueue) forget(now time.Time, w *waiter) {
 	q.turnLate.Remove(w)
 	q.giveUp.Remove(w)
 
-	if q.contenders[w.contender()]--; q.contenders[w.contender()] == 0 {
-		delete(q.contenders, w.contender())
-	}
-
+	q.contention(w.request.Priority).remove(now, w.request.Account)
+	q.contendedUntil.Store(now.Add(contentionTime).UnixNano())
 	q.waiting.Add(-1)
 	q.scheduler.waiting.Add(-1)
 	q.scheduler.Counters.waiting(w.request.Priority, -1)
@@ -221,13 +260,13 @@
 
 // remove removes a prompt whose caller left. It returns the assignment if the prompt was placed at
 // the same time.
-func (q *requestQueue) remove(w *waiter) *Assignment {
+func (q *requestQueue) remove(now time.Time, w *waiter) *Assignment {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 
 	if w.entry.Queued() {
 		q.queue.Remove(&w.entry)
-		q.forget(w)
+		q.forget(now, w)
 		q.wake.Send()
 
 		return nil
@@ -284,9 +323,7 @@
 
 func (q *requestQueue) dispatchLocked(now time.Time) {
 	for q.turnLate.Count() > 0 && !q.turnLate.First().turnsLate.After(now) {
-		w := q.turnLate.First()
-		q.turnLate.Remove(w)
-		q.queue.SetRank(&w.entry, rank(w.request.Priority, true))
+		q.markLate(q.turnLate.First())
 	}
 
 	p := pass{queue: q, now: now, claimed: make(map[*server]bool), tried: make(map[*waiter]bool)}
@@ -296,6 +333,13 @@
 	q.rejectLate(now)
 }
 
+// markLate puts a prompt behind those of its priority that can begin in time.
+func (q *requestQueue) markLate(w *waiter) {
+	w.late = true
+	q.turnLate.Remove(w)
+	q.queue.SetRank(&w.entry, rank(w.request.Priority, true))
+}
+
 // rejectLate rejects the prompts that give up first, as long as their time has come.
 func (q *requestQueue) rejectLate(now time.Time) {
 	for q.giveUp.Count() > 0 {
@@ -303,7 +347,7 @@
 
 		a, err := q.scheduler.Pick(now, w.request)
 		if err != nil {
-			q.end(w, placement{})
+			q.end(now, w, placement{})
 
 			continue
 		}
@@ -313,22 +357,22 @@
 		}
 
 		q.queue.Remove(&w.entry)
-		q.forget(w)
+		q.forget(now, w)
 		q.reject(now, a, w, LateAtServers)
 	}
 }
 
 // end removes a prompt without counting its work, and ends its wait.
-func (q *requestQueue) end(w *waiter, p placement) {
+func (q *requestQueue) end(now time.Time, w *waiter, p placement) {
 	q.queue.Remove(&w.entry)
-	q.forget(w)
+	q.forget(now, w)
 	w.done <- p
 }
 
 // release sends a prompt on its way. Its work counts at the server from now on.
 func (q *requestQueue) release(now time.Time, w *waiter, a *Assignment) {
 	q.queue.Start(&w.entry)
-	q.forget(w)
+	q.forget(now, w)
 	a.reserve()
 	q.scheduler.Counters.waited(now.Sub(w.since))
 	w.done <- placement{assignment: a}
@@ -396,7 +440,7 @@
 
 		a, err := q.scheduler.Pick(p.now, w.request)
 		if err != nil {
-			q.end(w, placement{})
+			q.end(p.now, w, placement{})
 
 			return true
 		}
@@ -413,11 +457,17 @@
 			return true
 		case refuse:
 			q.queue.Remove(&w.entry)
-			q.forget(w)
+			q.forget(p.now, w)
 			q.reject(p.now, a, w, LateAtServers)
 
 			return true
 		case hold:
+			if !w.late && a.decide(p.now, w.request) == hold {
+				q.markLate(w)
+
+				return true
+			}
+
 			p.claimed[a.server] = true
 			p.tried[w] = true
 		}
@@ -435,8 +485,7 @@
 		return verdict
 	}
 
-	competing := len(p.queue.contenders) > 1
-	if p.claimed[a.server] || competing && a.timeToRead(a.backlog) > shortBacklog {
+	if p.claimed[a.server] || a.timeToRead(a.backlog) > shortBacklog && p.queue.competes(p.now, w.request) {
 		return hold
 	}
 
