--- a/fairqueue/class.go
+++ b/fairqueue/class.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"iter"
+	"math"
 )
 
 // class holds the queued requests of one rank and serves their flows by start-time fair queueing.
@@ -41,7 +42,7 @@
 
 // weightOf returns the weight that counts for an owner.
 func weightOf[F Flow](owner F) float64 {
-	if w := owner.Weight(); w > 0 {
+	if w := owner.Weight(); w > 0 && !math.IsInf(w, 0) {
 		return w
 	}
 
--- a/fairqueue/entry.go
+++ b/fairqueue/entry.go
@@ -31,7 +31,13 @@
 func (e *Entry[F, T]) Queued() bool { return e.queued }
 
 // work returns the cost that is counted.
-func (e *Entry[F, T]) work() float64 { return max(1, e.Cost) }
+func (e *Entry[F, T]) work() float64 {
+	if e.Cost > 1 {
+		return e.Cost
+	}
+
+	return 1
+}
 
 // before reports whether e precedes other in its flow. A request that was not added yet follows
 // those of the same time.
