--- a/scheduling/place.go
+++ b/scheduling/place.go
@@ -94,13 +94,13 @@
 // mustQueue reports whether a prompt that could be sent has to queue because others wait or waited recently.
 func (s *Scheduler) mustQueue(now time.Time, a *Assignment, r Request) bool {
 	queues := s.queues.Load()
-	if queues == nil || !a.mayWait(now, r) {
+	if queues == nil {
 		return false
 	}
 
 	q := (*queues)[r.Service]
 
-	return q != nil && q.mustWait(now, a, r)
+	return q != nil && q.contended(now) && a.mayWait(now, r) && q.mustWait(now, a, r)
 }
 
 // await waits for the turn of a prompt. If it returns neither an assignment nor an error, the
--- a/scheduling/queue_model_test.go
+++ b/scheduling/queue_model_test.go
@@ -339,6 +339,26 @@
 	return float64(good) / float64(max(n, 1))
 }
 
+// begun returns the fraction of the prompts that arrived in the burst and began before their caller
+// left.
+func (m *queueModel) begun() float64 {
+	n, begun := 0, 0
+
+	for _, r := range m.requests {
+		if since := r.arrivedAt.Sub(now); since < burstStart || since >= burstStart+burstLength {
+			continue
+		}
+
+		n++
+
+		if !r.begunAt.IsZero() {
+			begun++
+		}
+	}
+
+	return float64(begun) / float64(max(n, 1))
+}
+
 // goodput returns the fraction of the tokens that arrived in the burst whose prompts began within
 // their objective.
 func (m *queueModel) goodput() float64 {
--- a/scheduling/requestqueue.go
+++ b/scheduling/requestqueue.go
@@ -130,6 +130,13 @@
 	return w
 }
 
+// expired returns the error for a prompt whose caller has left.
+func (w *waiter) expired() error {
+	return &OverloadError{
+		Reason: LateInQueue, RetryAfter: shortBacklog, Priority: w.request.Priority, Tokens: int(w.entry.Cost),
+	}
+}
+
 // rank orders prompts by priority, and those of one priority that can begin in time before those
 // that are late in any case.
 func rank(priority int, late bool) int {
@@ -148,7 +155,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 
-	if begin := q.earliestBegin(now, a, w); begin.Add(refuseMargin).After(w.request.CallerDeadline) {
+	if ahead := int64(q.queue.CostAhead(&w.entry)); ahead > 0 && q.earliestBegin(now, a, ahead).Add(refuseMargin).After(w.request.CallerDeadline) {
 		q.reject(now, a, w, LateInQueue)
 
 		return
@@ -204,6 +211,11 @@
 	return false
 }
 
+// contended reports whether prompts wait or waited recently. It takes no lock.
+func (q *requestQueue) contended(now time.Time) bool {
+	return q.waiting.Load() > 0 || now.UnixNano() < q.contendedUntil.Load()
+}
+
 // mustWait reports whether a prompt that could be sent has to wait, because others do or because
 // it competes with ones that did.
 func (q *requestQueue) mustWait(now time.Time, a *Assignment, r Request) bool {
@@ -211,7 +223,7 @@
 		return true
 	}
 
-	if now.UnixNano() >= q.contendedUntil.Load() || a.timeToRead(a.backlog) <= shortBacklog {
+	if a.timeToRead(a.backlog) <= shortBacklog {
 		return false
 	}
 
@@ -221,15 +233,10 @@
 	return q.competes(now, r)
 }
 
-// earliestBegin returns when a prompt begins if all servers work for the prompts of this instance
-// alone. Work that other instances hold back is not known, so that no prompt is rejected that could
-// be on time.
-func (q *requestQueue) earliestBegin(now time.Time, a *Assignment, w *waiter) time.Time {
-	ahead := int64(q.queue.CostAhead(&w.entry))
-	if ahead == 0 {
-		return now
-	}
-
+// earliestBegin returns when a prompt begins behind tokens that are queued ahead of it, if all servers
+// work for the prompts of this instance alone. Work that other instances hold back is not known, so
+// that no prompt is rejected that could be on time.
+func (q *requestQueue) earliestBegin(now time.Time, a *Assignment, ahead int64) time.Time {
 	pace, _ := q.scheduler.TotalPace(now, q.service)
 	work := q.scheduler.totalBacklog(now, q.service) + ahead
 
@@ -322,6 +329,8 @@
 }
 
 func (q *requestQueue) dispatchLocked(now time.Time) {
+	q.expire(now)
+
 	for q.turnLate.Count() > 0 && !q.turnLate.First().turnsLate.After(now) {
 		q.markLate(q.turnLate.First())
 	}
@@ -333,6 +342,15 @@
 	q.rejectLate(now)
 }
 
+// expire rejects prompts whose callers have left, as after a pause of this instance. No work is spent
+// on them.
+func (q *requestQueue) expire(now time.Time) {
+	for q.giveUp.Count() > 0 && q.giveUp.First().request.CallerDeadline.Before(now) {
+		w := q.giveUp.First()
+		q.end(now, w, placement{err: w.expired()})
+	}
+}
+
 // markLate puts a prompt behind those of its priority that can begin in time.
 func (q *requestQueue) markLate(w *waiter) {
 	w.late = true
@@ -352,7 +370,7 @@
 			continue
 		}
 
-		if a.decide(now, w.request) != refuse && w.givesUp.After(now) {
+		if a.decide(now, w.request) != refuse && !w.givesUp.Before(now) {
 			return
 		}
 
