feat(scheduling): a window bounds what an instance has at servers while prompts compete

All instances sent to a server as soon as they learned that it had room. An instance now keeps its share of a short backlog of all servers.

--- a/admission/ticket.go
+++ b/admission/ticket.go
@@ -22,9 +22,9 @@
 	// deadlinePosition belongs to the deadline heap.
 	deadlinePosition int
 	// entry is nil until the request is queued.
-	entry *entry
-	queued    bool
-	finished  atomic.Bool
+	entry    *entry
+	queued   bool
+	finished atomic.Bool
 }
 
 // Account returns the client account of the request.
--- a/fairqueue/fairqueue_test.go
+++ b/fairqueue/fairqueue_test.go
@@ -22,10 +22,7 @@
 func (o owner) Name() string    { return o.name }
 func (o owner) Weight() float64 { return o.weight }
 
-type (
-	testQueue = Queue[owner, int]
-	testEntry = Entry[owner, int]
-)
+type testEntry = Entry[owner, int]
 
 func drawEntry(t *rapid.T, number int) *testEntry {
 	return &testEntry{
--- a/scheduling/queue_model_test.go
+++ b/scheduling/queue_model_test.go
@@ -83,7 +83,6 @@
 	begunAt   time.Time
 	sent      int
 	rejected  int
-	longest   time.Duration
 }
 
 func (m *queueModel) run(t *testing.T) *queueModel {
--- a/scheduling/requestqueue.go
+++ b/scheduling/requestqueue.go
@@ -1,6 +1,7 @@
 package scheduling
 
 import (
+	"math"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -77,6 +78,7 @@
 	turnLate, giveUp *fairqueue.Heap[*waiter]
 	// contentions holds the priorities of prompts that wait or waited.
 	contentions map[int]*contention
+	window      window
 	// running is set while run runs.
 	running bool
 }
@@ -223,10 +225,6 @@
 		return true
 	}
 
-	if a.timeToRead(a.backlog) <= shortBacklog {
-		return false
-	}
-
 	q.mu.Lock()
 	defer q.mu.Unlock()
 
@@ -238,19 +236,9 @@
 // that no prompt is rejected that could be on time.
 func (q *requestQueue) earliestBegin(now time.Time, a *Assignment, ahead int64) time.Time {
 	pace, _ := q.scheduler.TotalPace(now, q.service)
-	work := q.scheduler.totalBacklog(now, q.service) + ahead
-
-	return now.Add(a.timeToRead(int64(float64(work)/max(pace, 1)) + int64(a.uncachedTokens)))
-}
+	_, backlog := q.scheduler.serviceBacklog(now, &Request{Service: q.service})
 
-// totalBacklog returns the tokens that wait at the servers of a service.
-func (s *Scheduler) totalBacklog(now time.Time, service fleet.Service) int64 {
-	sum := int64(0)
-	for _, srv := range s.serversFor(&Request{Service: service}, func(srv *server) bool { return !srv.isLeaving() }) {
-		sum += srv.pendingTokens.Load() + srv.remotePending(now)
-	}
-
-	return sum
+	return now.Add(a.timeToRead(int64(float64(backlog+ahead)/max(pace, 1)) + int64(a.uncachedTokens)))
 }
 
 // forget updates what is stored about a prompt that was removed from the queue.
@@ -439,6 +427,10 @@
 	claimed map[*server]bool
 	// tried are the prompts that wait for one of these servers.
 	tried map[*waiter]bool
+	// own are the tokens of this instance at the servers, and window is the bound for them. They are
+	// valid once measured is set.
+	own, window int64
+	measured    bool
 }
 
 // releaseNext releases or rejects the first prompt for which that is possible, and reports whether
@@ -469,6 +461,7 @@
 				p.claimed[a.server] = true
 			}
 
+			p.own += int64(a.uncachedTokens)
 			q.release(p.now, w, a)
 			q.wake.Send()
 
@@ -503,9 +496,38 @@
 		return verdict
 	}
 
-	if p.claimed[a.server] || a.timeToRead(a.backlog) > shortBacklog && p.queue.competes(p.now, w.request) {
+	if p.claimed[a.server] || p.queue.competes(p.now, w.request) && !p.hasRoom(a) {
 		return hold
 	}
 
 	return send
 }
+
+// hasRoom reports whether a competing prompt may be sent to the server of an assignment.
+func (p *pass) hasRoom(a *Assignment) bool {
+	if a.timeToRead(a.backlog) > shortBacklog {
+		return false
+	}
+
+	if !p.measured {
+		p.measured = true
+		p.measure(a)
+	}
+
+	return p.own == 0 || p.own < p.window
+}
+
+// measure computes the tokens of this instance at the servers, and the bound for them.
+func (p *pass) measure(a *Assignment) {
+	q := p.queue
+	own, total := q.scheduler.serviceBacklog(p.now, &Request{Service: q.service})
+	pace, _ := q.scheduler.TotalPace(p.now, q.service)
+
+	q.window.update(p.now, own, total)
+	p.own = own
+	p.window = math.MaxInt64
+
+	if rate := a.meter.medianReadRate(); rate > 0 {
+		p.window = int64(q.window.tokens(pace * rate * windowBacklog.Seconds()))
+	}
+}
--- a/scheduling/requestqueue_test.go
+++ b/scheduling/requestqueue_test.go
@@ -132,7 +132,8 @@
 		{"one account and priority", []Request{heldRequest("a", 1), heldRequest("a", 1), heldRequest("a", 1)}, []int{0, 1, 2}},
 		{"priorities", []Request{heldRequest("a", 2), heldRequest("a", 0), heldRequest("a", 1)}, []int{1, 2, 0}},
 		{
-			"accounts", []Request{heldRequest("a", 1), heldRequest("a", 1), heldRequest("a", 1), heldRequest("b", 1), heldRequest("b", 1)},
+			"accounts",
+			[]Request{heldRequest("a", 1), heldRequest("a", 1), heldRequest("a", 1), heldRequest("b", 1), heldRequest("b", 1)},
 			[]int{0, 3, 1, 4, 2},
 		},
 	}
