--- a/entry/prompts.go
+++ b/entry/prompts.go
@@ -19,6 +19,8 @@
 	FromRelay      bool                    `msgpack:"d,omitempty"`
 	FromSubscriber bool                    `msgpack:"u,omitempty"`
 	Update         scheduling.ServerUpdate `msgpack:"n"`
+	// Contentions belong to Update.
+	Contentions []scheduling.Contention `msgpack:"c,omitempty"`
 }
 
 const (
@@ -52,7 +54,7 @@
 
 		for _, part := range splitUpdate(update) {
 			p.sendAll(audience, datagram{Prompts: &promptMessage{
-				Instance: p.self(), FromRelay: to == scheduling.Downstream, FromSubscriber: fromSubscriber, Update: part,
+				Instance: p.self(), FromRelay: to == scheduling.Downstream, FromSubscriber: fromSubscriber, Update: part, Contentions: part.Contentions,
 			}})
 		}
 
@@ -100,7 +102,9 @@
 		role = scheduling.Subscriber
 	}
 
-	p.scheduler.ApplyUpdate(now, m.Instance, role, m.Update)
+	update := m.Update
+	update.Contentions = m.Contentions
+	p.scheduler.ApplyUpdate(now, m.Instance, role, update)
 }
 
 // Encoded sizes of the entries of an update; that of cached segments is without the segments.
@@ -111,6 +115,8 @@
 	keyBytes            = 5
 	limitBytes          = 20
 	brittleBytes        = 16
+	// contentionBytes is without the name of the service.
+	contentionBytes = 10
 	// maxSegments bounds the segments of an entry: the first segments are those that prompts
 	// share.
 	maxSegments = 100
@@ -151,6 +157,11 @@
 		s.part.Holdings = append(s.part.Holdings, c)
 	}
 
+	for _, c := range update.Contentions {
+		s.reserve(contentionBytes + len(c.Service))
+		s.part.Contentions = append(s.part.Contentions, c)
+	}
+
 	return s.flush()
 }
 
--- a/scheduling/contention.go
+++ b/scheduling/contention.go
@@ -1,11 +1,74 @@
 package scheduling
 
 import (
+	"sync"
 	"time"
 
 	"monsoonlever/fleet"
 )
 
+// Contention tells other instances that a prompt of an account waits for the servers of a service.
+type Contention struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // an option of the codec
+	Service  fleet.Service
+	Priority uint8
+	Account  Key
+}
+
+const (
+	// contentionInterval is how often instances tell each other of the same contention.
+	contentionInterval = contentionTime / 2
+	// maxContentions bounds the contentions that are remembered as told, and those in an update.
+	maxContentions = 64
+)
+
+// contentionLog remembers which contentions were told, and when. It is safe for concurrent use.
+type contentionLog struct {
+	mu   sync.Mutex
+	told map[Contention]time.Time
+}
+
+// due reports whether a contention should be told again, and records that it is.
+func (l *contentionLog) due(now time.Time, c Contention) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	if at, ok := l.told[c]; ok && now.Sub(at) < contentionInterval {
+		return false
+	}
+
+	if l.told == nil || len(l.told) >= maxContentions {
+		l.told = make(map[Contention]time.Time)
+	}
+
+	l.told[c] = now
+
+	return true
+}
+
+// publishContention queues a contention for other instances, unless it was told recently.
+func (s *Scheduler) publishContention(now time.Time, c Contention, upstream bool) {
+	if !s.contentions.due(now, c) {
+		return
+	}
+
+	s.outboxes[Downstream].addContention(c)
+
+	if upstream {
+		s.outboxes[Upstream].addContention(c)
+	}
+}
+
+// receiveContention applies a contention of another instance. Those of unknown services are ignored.
+func (s *Scheduler) receiveContention(now time.Time, c Contention, upstream bool) {
+	if pools := s.pools.Load(); pools == nil || len((*pools)[c.Service]) == 0 {
+		return
+	}
+
+	s.queue(c.Service).noteRemote(now, c)
+	s.publishContention(now, c, upstream)
+}
+
 // contentionTime is how long prompts compete with one that waited. Within it, an account or route
 // whose prompts wait sends its next one.
 const contentionTime = time.Second
@@ -14,8 +77,9 @@
 type contention struct {
 	// waiting is the number of prompts that wait, by account.
 	waiting map[fleet.Account]int
-	// last is the account that last stopped waiting, at lastAt, and otherAt when any other one did.
-	last            fleet.Account
+	// last is the account of which a prompt was last known to wait, at lastAt, and otherAt when one
+	// of any other account was.
+	last            Key
 	lastAt, otherAt time.Time
 }
 
@@ -28,6 +92,11 @@
 		delete(c.waiting, account)
 	}
 
+	c.note(now, keyOf(string(account)))
+}
+
+// note records that a prompt of an account waited, here or on another instance.
+func (c *contention) note(now time.Time, account Key) {
 	if account != c.last {
 		c.last, c.otherAt = account, c.lastAt
 	}
@@ -47,7 +116,7 @@
 	}
 
 	at := c.lastAt
-	if c.last == account {
+	if c.last == keyOf(string(account)) {
 		at = c.otherAt
 	}
 
--- a/scheduling/requestqueue.go
+++ b/scheduling/requestqueue.go
@@ -177,6 +177,9 @@
 
 	q.contention(w.request.Priority).add(w.request.Account)
 	q.giveUp.Add(w)
+	q.scheduler.publishContention(now, Contention{
+		Service: q.service, Priority: clampPriority(w.request.Priority), Account: keyOf(string(w.request.Account)),
+	}, true)
 
 	if !w.late {
 		q.turnLate.Add(w)
@@ -201,6 +204,17 @@
 	return c
 }
 
+// noteRemote records that a prompt waits on another instance.
+func (q *requestQueue) noteRemote(now time.Time, c Contention) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	q.contention(int(c.Priority)).note(now, c.Account)
+	q.contendedUntil.Store(now.Add(contentionTime).UnixNano())
+}
+
+func clampPriority(priority int) uint8 { return uint8(min(max(priority, 0), math.MaxUint8)) }
+
 // competes reports whether prompts that are more urgent, or as urgent and of other accounts, wait
 // or waited recently.
 func (q *requestQueue) competes(now time.Time, r Request) bool {
--- a/scheduling/scheduling.go
+++ b/scheduling/scheduling.go
@@ -144,6 +144,8 @@
 	// of prompts in all of them.
 	queues  atomic.Pointer[map[fleet.Service]*requestQueue]
 	waiting atomic.Int64
+	// contentions are those that other instances were told of.
+	contentions contentionLog
 
 	outboxes [audienceCount]outbox
 	// isRelay is set while this instance is a relay.
--- a/scheduling/updates.go
+++ b/scheduling/updates.go
@@ -31,12 +31,15 @@
 	Limits []ServerLimit
 	// Brittle are servers that fall over if they have to reject too many requests.
 	Brittle []ServerBrittleness
+	// Contentions are accounts whose prompts wait. They are not part of the encoding, whose number of
+	// fields earlier versions check.
+	Contentions []Contention `msgpack:"-"`
 }
 
 // Empty reports whether the update holds nothing.
 func (u ServerUpdate) Empty() bool {
 	return len(u.Backlogs) == 0 && len(u.Holdings) == 0 && len(u.Loads) == 0 && len(u.Ended) == 0 &&
-		len(u.Limits) == 0 && len(u.Brittle) == 0
+		len(u.Limits) == 0 && len(u.Brittle) == 0 && len(u.Contentions) == 0
 }
 
 // Audience is the group of instances that an update is sent to.
@@ -136,9 +139,10 @@
 
 // outbox collects changes until the next update to one audience. The zero value is empty.
 type outbox struct {
-	mu       sync.Mutex
-	servers  [changes]map[*server]bool
-	segments []CachedSegments
+	mu          sync.Mutex
+	servers     [changes]map[*server]bool
+	segments    []CachedSegments
+	contentions []Contention
 	// wake is sent when an update should be sent soon.
 	wake feed.Signal
 }
@@ -165,10 +169,23 @@
 	}
 }
 
+// addContention queues a contention.
+func (o *outbox) addContention(c Contention) {
+	o.mu.Lock()
+
+	if len(o.contentions) < maxContentions {
+		o.contentions = append(o.contentions, c)
+	}
+
+	o.mu.Unlock()
+	o.wake.Send()
+}
+
 // outboxContent is the content of an outbox.
 type outboxContent struct {
-	servers  [changes][]*server
-	segments []CachedSegments
+	servers     [changes][]*server
+	segments    []CachedSegments
+	contentions []Contention
 }
 
 // take empties the outbox and returns its content.
@@ -176,14 +193,14 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 
-	content := outboxContent{segments: o.segments}
+	content := outboxContent{segments: o.segments, contentions: o.contentions}
 
 	for kind, servers := range o.servers {
 		content.servers[kind] = slices.Collect(maps.Keys(servers))
 		clear(servers)
 	}
 
-	o.segments = nil
+	o.segments, o.contentions = nil, nil
 
 	return content
 }
@@ -201,7 +218,7 @@
 // TakeUpdate returns what has changed for an audience since the last call.
 func (s *Scheduler) TakeUpdate(now time.Time, to Audience) ServerUpdate {
 	content := s.outboxes[to].take()
-	update := ServerUpdate{Holdings: content.segments}
+	update := ServerUpdate{Holdings: content.segments, Contentions: content.contentions}
 
 	for _, srv := range content.servers[processTerminated] {
 		update.Ended = append(update.Ended, srv.key)
@@ -281,6 +298,10 @@
 	}
 
 	s.applyBrittleUpdates(now, *byKey, role, update.Brittle)
+
+	for _, c := range update.Contentions {
+		s.receiveContention(now, c, role == Subscriber)
+	}
 }
 
 func (s *Scheduler) applyBrittleUpdates(now time.Time, byKey map[Key]*server, role SenderRole, updates []ServerBrittleness) {
