--- a/entry/prompts_test.go
+++ b/entry/prompts_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"math"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"monsoonlever/codec"
+	"monsoonlever/fleet"
 	"monsoonlever/gossip"
 	"monsoonlever/register"
 	"monsoonlever/scheduling"
@@ -107,3 +110,33 @@
 		t.Errorf("empty update: got %d parts, want none", len(got))
 	}
 }
+
+// Contentions are a field of their own, which earlier versions ignore.
+func TestEarlierVersionsReadMessagesWithContentions(t *testing.T) {
+	update := scheduling.ServerUpdate{
+		Backlogs: []scheduling.Backlog{{Server: 3, Tokens: 900}}, Contentions: []scheduling.Contention{{Service: "llm", Priority: 2, Account: 7}},
+	}
+	parts := splitUpdate(update)
+
+	if got := len(parts); got != 1 {
+		t.Fatalf("parts: got %d, want 1", got)
+	}
+
+	data, err := msgpack.Marshal(&promptMessage{Instance: "entry-1", Update: parts[0], Contentions: parts[0].Contentions})
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	var earlier struct {
+		Instance fleet.InstanceID        `msgpack:"i"`
+		Update   scheduling.ServerUpdate `msgpack:"n"`
+	}
+	if err := codec.Unmarshal(data, &earlier); err != nil || !slices.Equal(earlier.Update.Backlogs, update.Backlogs) {
+		t.Errorf("message at an earlier version: got %v, %v, want the backlogs", earlier.Update.Backlogs, err)
+	}
+
+	var current promptMessage
+	if err := codec.Unmarshal(data, &current); err != nil || !slices.Equal(current.Contentions, update.Contentions) {
+		t.Errorf("message: got %v, %v, want the contentions", current.Contentions, err)
+	}
+}
--- a/scheduling/contention.go
+++ b/scheduling/contention.go
@@ -18,30 +18,56 @@
 const (
 	// contentionInterval is how often instances tell each other of the same contention.
 	contentionInterval = contentionTime / 2
-	// maxContentions bounds the contentions that are remembered as told, and those in an update.
+	// maxContentions bounds the contentions in an update.
 	maxContentions = 64
+	// toldAccounts is how many accounts of one priority are told: with two, each account competes with
+	// another one.
+	toldAccounts = 2
 )
 
 // contentionLog remembers which contentions were told, and when. It is safe for concurrent use.
 type contentionLog struct {
 	mu   sync.Mutex
-	told map[Contention]time.Time
+	told map[contentionGroup][toldAccounts]toldContention
 }
 
-// due reports whether a contention should be told again, and records that it is.
+type contentionGroup struct {
+	service  fleet.Service
+	priority uint8
+}
+
+type toldContention struct {
+	account Key
+	at      time.Time
+}
+
+// due reports whether a contention should be told, and records that it is.
 func (l *contentionLog) due(now time.Time, c Contention) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
-	if at, ok := l.told[c]; ok && now.Sub(at) < contentionInterval {
+	group := contentionGroup{service: c.Service, priority: c.Priority}
+	told, free := l.told[group], -1
+
+	for i, t := range told {
+		switch {
+		case now.Sub(t.at) >= contentionInterval:
+			free = i
+		case t.account == c.Account:
+			return false
+		}
+	}
+
+	if free < 0 {
 		return false
 	}
 
-	if l.told == nil || len(l.told) >= maxContentions {
-		l.told = make(map[Contention]time.Time)
+	if l.told == nil {
+		l.told = make(map[contentionGroup][toldAccounts]toldContention)
 	}
 
-	l.told[c] = now
+	told[free] = toldContention{account: c.Account, at: now}
+	l.told[group] = told
 
 	return true
 }
--- a/scheduling/place.go
+++ b/scheduling/place.go
@@ -102,7 +102,7 @@
 
 	q := (*queues)[r.Service]
 
-	return q != nil && q.contended(now) && a.mayWait(now, r) && q.mustWait(now, a, r)
+	return q != nil && q.contended(now) && a.mayWait(now, r) && q.mustWait(now, r)
 }
 
 // await waits for the turn of a prompt. If it returns neither an assignment nor an error, the
--- a/scheduling/queue_model_test.go
+++ b/scheduling/queue_model_test.go
@@ -396,7 +396,9 @@
 }
 
 // hogging is one account at six times its usual load beside others, all alike.
-func hogging(engines, others int, burst float64) []stream {
+func hogging(engines int, burst float64) []stream {
+	const others = 15
+
 	room := float64(engines) * tokensPerMillisecond * 1000
 	streams := []stream{{
 		account: "large", tokens: 4000, objective: 800 * time.Millisecond, timeout: 3200 * time.Millisecond,
@@ -406,7 +408,7 @@
 	for i := range others {
 		streams = append(streams, stream{
 			account: fleet.Account(fmt.Sprint("small-", i)), tokens: 4000, objective: 800 * time.Millisecond, timeout: 3200 * time.Millisecond,
-			interval: every(0.4*room/float64(others), 4000),
+			interval: every(0.4*room/others, 4000),
 		})
 	}
 
@@ -470,10 +472,10 @@
 }
 
 func TestLargeAccountTakesNothingFromOthers(t *testing.T) {
-	usual := averaged(t, queueModel{way: fair, instances: 1, engines: 8, streams: hogging(8, 15, 1)}, othersInTime)
+	usual := averaged(t, queueModel{way: fair, instances: 1, engines: 8, streams: hogging(8, 1)}, othersInTime)
 
 	for name, repeats := range map[string]bool{"callers that wait": false, "callers that repeat at once": true} {
-		streams := hogging(8, 15, 6)
+		streams := hogging(8, 6)
 		streams[0].repeats = repeats
 
 		got := averaged(t, queueModel{way: fair, instances: 1, engines: 8, streams: streams}, othersInTime)
@@ -485,7 +487,7 @@
 
 // Over several instances more is in time than if prompts look for room by themselves.
 func TestQueuesOfInstancesServeMoreInTimeThanPolling(t *testing.T) {
-	atOneInstance := hogging(12, 15, 6)
+	atOneInstance := hogging(12, 6)
 	atOneInstance[0].instance = 1
 
 	for name, test := range map[string]struct {
@@ -493,7 +495,7 @@
 		figure  func(*queueModel) float64
 	}{
 		"urgent":                               {longBurst(12), urgentInTime},
-		"other accounts":                       {hogging(12, 15, 6), othersInTime},
+		"other accounts":                       {hogging(12, 6), othersInTime},
 		"other accounts, large at an instance": {atOneInstance, othersInTime},
 	} {
 		m := queueModel{way: fair, instances: 9, engines: 12, streams: test.streams}
@@ -515,9 +517,9 @@
 		t.Errorf("urgent prompts in time: got %.3f, want at least %v", got, urgentTarget)
 	}
 
-	usual := averaged(t, queueModel{way: fair, instances: 9, engines: 12, streams: hogging(12, 15, 1)}, othersInTime)
+	usual := averaged(t, queueModel{way: fair, instances: 9, engines: 12, streams: hogging(12, 1)}, othersInTime)
 
-	got := averaged(t, queueModel{way: fair, instances: 9, engines: 12, streams: hogging(12, 15, 6)}, othersInTime)
+	got := averaged(t, queueModel{way: fair, instances: 9, engines: 12, streams: hogging(12, 6)}, othersInTime)
 	if want := usual - othersMaxLoss; got < want {
 		t.Errorf("prompts of other accounts in time: got %.3f, want at least %.3f", got, want)
 	}
@@ -531,7 +533,7 @@
 
 	for w := polling; w <= fair; w++ {
 		m := (&queueModel{way: w, instances: 9, engines: 24, streams: longBurst(24)}).run(t)
-		h := (&queueModel{way: w, instances: 9, engines: 24, streams: hogging(24, 15, 6)}).run(t)
+		h := (&queueModel{way: w, instances: 9, engines: 24, streams: hogging(24, 6)}).run(t)
 		t.Logf("%s: urgent %.3f, long %.3f, tokens %.3f; others %.3f, large %.3f, tokens %.3f, begun %.3f",
 			ways[w], urgentInTime(m), m.inTime(1), m.goodput(), othersInTime(h), h.inTime(0), h.goodput(), h.begun())
 	}
--- a/scheduling/requestqueue.go
+++ b/scheduling/requestqueue.go
@@ -234,7 +234,7 @@
 
 // mustWait reports whether a prompt that could be sent has to wait, because others do or because
 // it competes with ones that did.
-func (q *requestQueue) mustWait(now time.Time, a *Assignment, r Request) bool {
+func (q *requestQueue) mustWait(now time.Time, r Request) bool {
 	if q.waiting.Load() > 0 {
 		return true
 	}
--- a/scheduling/requestqueue_test.go
+++ b/scheduling/requestqueue_test.go
@@ -381,6 +381,10 @@
 			t.Errorf("caller that left: got %v after %v, want %v at once", err, time.Since(begin), context.Canceled)
 		}
 
+		if got := s.waiting.Load(); got != 1 {
+			t.Errorf("prompts that wait once it left: got %d, want 1", got)
+		}
+
 		blocking.End(time.Now(), Cancelled)
 
 		if err := <-second; err != nil {
@@ -454,3 +458,45 @@
 		})
 	}
 }
+
+// Instances learn of prompts that wait elsewhere, and tell each other of at most two accounts of a
+// priority in some time.
+func TestContentionIsTold(t *testing.T) {
+	here, there := busyEngine(1200*time.Millisecond), busyEngine(300*time.Millisecond)
+
+	for _, account := range []fleet.Account{"a", "a", "b", "c"} {
+		enqueue(t, here, now, heldRequest(account, 1))
+	}
+
+	update := here.TakeUpdate(now, Upstream)
+	if got, want := len(update.Contentions), toldAccounts; got != want {
+		t.Errorf("contentions that are told: got %d, want %d", got, want)
+	}
+
+	for _, test := range []struct {
+		account  fleet.Account
+		priority int
+		after    time.Duration
+		want     bool
+	}{
+		{"a", 1, 0, true}, {"d", 1, 0, true}, {"d", 2, 0, true}, {"d", 0, 0, false}, {"a", 1, contentionTime, false},
+	} {
+		r := heldRequest(test.account, test.priority)
+		there.ApplyUpdate(now, "entry-3", Peer, ServerUpdate{Contentions: update.Contentions})
+
+		a, err := there.Pick(now, r)
+		if err != nil {
+			t.Fatal(err)
+		}
+
+		if got := there.mustQueue(now.Add(test.after), a, r); got != test.want {
+			t.Errorf("account %s of priority %d after %v must queue: got %t, want %t", test.account, test.priority, test.after, got, test.want)
+		}
+	}
+
+	there.ApplyUpdate(now, "entry-3", Peer, ServerUpdate{Contentions: []Contention{{Service: "unknown"}}})
+
+	if got := len(*there.queues.Load()); got != 1 {
+		t.Errorf("queues after contention of an unknown service: got %d, want 1", got)
+	}
+}
