fix(scheduling): a prompt that waits alone is decided about as before also after its deadline

TestHoldingEndsWithContextOrBacklog failed once on a busy machine: its clock had passed the deadline before the queue was looked at, and the prompt was rejected where it was sent before.

--- a/scheduling/requestqueue.go
+++ b/scheduling/requestqueue.go
@@ -345,8 +345,12 @@
 }
 
 // expire rejects prompts whose callers have left, as after a pause of this instance. No work is spent
-// on them.
+// on them while others wait.
 func (q *requestQueue) expire(now time.Time) {
+	if q.queue.Len() == 1 {
+		return
+	}
+
 	for q.giveUp.Count() > 0 && q.giveUp.First().request.CallerDeadline.Before(now) {
 		w := q.giveUp.First()
 		q.end(now, w, placement{err: w.expired()})
