fix(quota): relayed consumption contains what an earlier process consumed

A coordinator that was cut off from another one, which restarts, and then learns of the new process from a third one, counted the total of the new process only. What the earlier one had consumed since the cut was lost, although the third one knows it: its Recent contains both. The difference is added once, with the change of the incarnation.

TestRelayedConsumptionContainsEarlierIncarnations failed before (60,000 of 110,000 known).

--- a/quota/relayed.go
+++ b/quota/relayed.go
@@ -86,10 +86,28 @@
 			continue
 		}
 
-		if o := a.remotes[r.Instance]; o != nil && o.incarnation > r.Incarnation {
+		o := a.remotes[r.Instance]
+		if o != nil && o.incarnation > r.Incarnation {
 			continue
 		}
 
+		if o != nil && o.incarnation < r.Incarnation {
+			q.receiveEarlier(now, a, o, r.Consumption)
+		}
+
 		q.receive(now, a, r.Instance, r.Incarnation, r.Consumption)
 	}
 }
+
+// receiveEarlier adds what earlier incarnations of an instance consumed in the window beyond what is
+// known here. Recent contains that, and Total does not.
+func (q *Quota) receiveEarlier(now time.Time, a *account, o *remote, s Consumption) {
+	missing := s.Recent - s.Total - o.consumed.since(now.Add(-q.policy.Window))
+	if missing <= 0 {
+		return
+	}
+
+	a.globalTotal += missing
+	q.paceRemote(now, a, missing)
+	o.consumed.add(now, missing)
+}
--- a/quota/relayed_test.go
+++ b/quota/relayed_test.go
@@ -62,6 +62,30 @@
 	}
 }
 
+// A coordinator that is cut off from another one before that restarts learns of the rest that its
+// earlier process consumed, and counts it once.
+func TestRelayedConsumptionContainsEarlierIncarnations(t *testing.T) {
+	returning, connected := newRelayCoordinator("entry-1"), newRelayCoordinator("entry-2")
+	earlier := func(total float64) []Consumption {
+		return []Consumption{{Account: "a", Total: total, Recent: total, Asked: total}}
+	}
+
+	returning.Receive(start, "entry-3", 1, earlier(50_000))
+	connected.Receive(start, "entry-3", 1, earlier(100_000))
+
+	now := start.Add(time.Second)
+	connected.Receive(now, "entry-3", 2, earlier(10_000))
+
+	for range 2 {
+		returning.ReceiveRelayed(now, connected.RelayConsumption(now, []fleet.InstanceID{"entry-3"}))
+	}
+
+	got := returning.RelayConsumption(now, []fleet.InstanceID{"entry-3"})
+	if len(got) != 1 || got[0].Consumption.Recent != 110_000 || got[0].Consumption.Total != 10_000 {
+		t.Errorf("known consumption: got %v, want 110,000 in the window and 10,000 of the second incarnation", got)
+	}
+}
+
 // Instances that share the allowances, or leave them to coordinators, relay nothing.
 func TestOnlyCoordinatorsReportSilentOnes(t *testing.T) {
 	q := newRelayCoordinator("entry-9")
