fix(quota): a request above its account's allowance is not booked

The cost follows from the output tokens that a caller asks for. One request of a cost without bound was booked when the bucket refused it, and all later ones of its priority and less urgent were told 4 s until the rate had paid for it. No window grants such a request, so it is told the longest wait and booked for nobody to wait behind.

TestRequestAboveAllowanceIsNotBooked failed before (4 s for the next request of 600).

--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -102,7 +102,8 @@
 }
 
 // book returns after which time a refused charge is likely to be granted, behind those that are
-// booked and no less urgent. It is booked itself unless callers do not wait that long.
+// booked and no less urgent. It is booked itself unless callers do not wait that long, or it costs
+// more than any window allows: others would wait behind what is never granted.
 func (b *bucket) book(now time.Time, allowance Allowance, charge Charge) time.Duration {
 	b.refusedAt = now
 	ahead := neededLevel(allowance, charge) - b.level
@@ -112,7 +113,7 @@
 	}
 
 	seconds := ahead / allowance.Rate
-	if seconds >= maxRetryAfter.Seconds() {
+	if seconds >= maxRetryAfter.Seconds() || charge.Cost > allowance.Amount {
 		return maxRetryAfter
 	}
 
--- a/quota/bucket_test.go
+++ b/quota/bucket_test.go
@@ -191,3 +191,17 @@
 		}
 	}
 }
+
+// A request that no window allows is not booked, so that others do not wait behind it.
+func TestRequestAboveAllowanceIsNotBooked(t *testing.T) {
+	b := newFullBucket()
+	b.take(Charge{Cost: 72_000}, false)
+
+	if got := b.book(start, pacedAllowance, Charge{Cost: 1e12}); got != maxRetryAfter {
+		t.Errorf("wait of a request above the allowance: got %v, want %v", got, maxRetryAfter)
+	}
+
+	if got := b.book(start, pacedAllowance, Charge{Cost: 600}); got != minRetryAfter {
+		t.Errorf("wait of the next request: got %v, want %v", got, minRetryAfter)
+	}
+}
