--- a/retry/fixedpart.go
+++ b/retry/fixedpart.go
@@ -8,9 +8,9 @@
 )
 
 // fixedPart is the number of retries that a budget allows beside the share of its requests, which
-// may be a fraction. If it is a part of a bound that several processes have in common, a larger value takes effect only once it
-// has held for a window: until then, what others spent of the bound still counts. It is safe for
-// concurrent use, and reading it takes no lock.
+// may be a fraction. If it is a part of a bound that several processes have in common, a larger
+// value takes effect only once it has held for a window: until then, what others spent of the bound
+// still counts. It is safe for concurrent use, and reading it takes no lock.
 type fixedPart struct {
 	// span is how long a smaller value stays in force; zero if the part is not shared.
 	span time.Duration
