--- a/entry/relayed_test.go
+++ b/entry/relayed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -16,9 +17,14 @@
 // A coordinator that hears from one other receives, in messages of one datagram each, what that
 // one knows of the consumption of all others.
 func TestHoldsRelayedConsumptionToDatagramSize(t *testing.T) {
-	ids := []fleet.InstanceID{"edge-ballerup-a-12", "edge-ballerup-b-1", "edge-taastrup-1-1", "edge-taastrup-2-1", "edge-hvidovre-1-1"}
-
 	rapid.Check(t, func(t *rapid.T) {
+		suffix := strings.Repeat("x", rapid.IntRange(0, 45).Draw(t, "suffix of names"))
+		ids := []fleet.InstanceID{"edge-ballerup-a-12"}
+
+		for _, name := range []string{"edge-ballerup-b-1", "edge-taastrup-1-1", "edge-taastrup-2-1", "edge-hvidovre-1-1"} {
+			ids = append(ids, fleet.InstanceID(name+suffix))
+		}
+
 		accounts := rapid.IntRange(0, 150).Draw(t, "accounts")
 		clk := clock.NewManual(time.Unix(1_790_000_000, 0))
 		p := newLargeComponents(clk, accounts, 0)
