--- a/quota/bucket_test.go
+++ b/quota/bucket_test.go
@@ -77,7 +77,8 @@
 func TestHoldsBucketToRateAndBurst(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		rate := rapid.Float64Range(1, 1e6).Draw(t, "rate")
-		allowance := Allowance{Rate: rate, Burst: rapid.Float64Range(0.01, 10).Draw(t, "burst") * rate}
+		burst := rapid.Float64Range(0.01, 10).Draw(t, "burst") * rate
+		allowance := Allowance{Amount: 8*rate + burst, Rate: rate, Burst: burst}
 		largest := rapid.Float64Range(0.001, 2).Draw(t, "largest") * allowance.Burst
 		b := &bucket{}
 		b.start(start, allowance, 8*time.Second, 0)
