fix(scheduling): servers of unknown pace are drawn as usual ones

Until the paces were first derived, and while another request derived them, prompts had no homes and no candidate was drawn, so that whole pools were compared; a server that was added was drawn as the slowest one until the next derivation. An unknown weight now counts as that of a usual server. TestUnknownServersAreDrawnAsUsual failed before (no homes, no draw accepted).

--- a/scheduling/pace_test.go
+++ b/scheduling/pace_test.go
@@ -292,6 +292,33 @@
 	}
 }
 
+// A server that is not known yet, or none of which is while the paces are first derived, is drawn as a
+// usual one.
+func TestUnknownServersAreDrawnAsUsual(t *testing.T) {
+	s := engines(60, 64)
+	p := promptRequest("session").Prompt
+	pool := (*s.pools.Load())["llm"]
+	paces := s.paces["llm"]
+
+	if got, want := weightedHomesOf(pool, p, paces.fastest.load()), homesOf(pool, p); got != want {
+		t.Errorf("homes before paces are derived: got %v, want those of equal servers", got)
+	}
+
+	for _, srv := range pool {
+		if !paces.accepted(srv) {
+			t.Fatal("draw before paces are derived: got one that is not accepted")
+		}
+	}
+
+	tellPaces(s, 60, uneven)
+	s.pacesOf(now, "llm")
+
+	fresh := newServer(register.Server{ID: "fresh", Service: "llm"}, nil, paces)
+	if got, want := fresh.pace.drawWeight(paces.fastest.load()), 1.0; got != want {
+		t.Errorf("weight of a new server: got %.2f, want %v", got, want)
+	}
+}
+
 // Requests that may use only one version leave the paces as they are: these are relative to all
 // servers of the service.
 func TestPacesAreRelativeToAllVersions(t *testing.T) {
--- a/scheduling/server_pace.go
+++ b/scheduling/server_pace.go
@@ -164,7 +164,13 @@
 	return current
 }
 
-// drawWeight returns the weight by which homes and candidates are drawn.
+// drawWeight returns the weight by which homes and candidates are drawn. A server whose weight is not
+// known yet counts as a usual one.
 func (p *serverPace) drawWeight(fastest float64) float64 {
-	return max(p.weight.load(), minWeightFraction*fastest)
+	weight := p.weight.load()
+	if weight == 0 {
+		weight = min(1, fastest)
+	}
+
+	return max(weight, minWeightFraction*fastest)
 }
--- a/scheduling/service_pace.go
+++ b/scheduling/service_pace.go
@@ -156,6 +156,8 @@
 		p = &servicePace{}
 		p.persistence.Store(int64(p.observed.Time()))
 		p.ratio.store(usualPauseRatio)
+		// While the first refresh is under way, other requests are placed by equal weights.
+		p.fastest.store(1)
 		s.paces[service] = p
 	}
 
