test(entry): arrays keep the number of fields that earlier versions check

TestPacesTravelBesideTheUpdate decodes the update into today's type, so that a field added to its encoding passed. The new test counts the fields of work (3) and of an update (6), as encoded before paces and read loads; it fails with ReadRate encoded.

--- a/entry/paces_test.go
+++ b/entry/paces_test.go
@@ -60,3 +60,28 @@
 		t.Errorf("got %d paces and %d backlogs, want 300 of each", paces, backlogs)
 	}
 }
+
+// Earlier versions refuse an array of another length.
+func TestArraysHaveTheFieldsThatEarlierVersionsKnow(t *testing.T) {
+	work := scheduling.Work{Service: "llm", Arriving: 1, Speed: 1, Reading: 1, ReadRate: 1}
+	update := scheduling.ServerUpdate{Paces: []scheduling.ServerPace{{Server: 1, SlownessPercent: 100}}}
+
+	for _, c := range []struct {
+		value any
+		want  int
+	}{{work, 3}, {update, 6}} {
+		data, err := msgpack.Marshal(c.value)
+		if err != nil {
+			t.Fatal(err)
+		}
+
+		var fields []msgpack.RawMessage
+		if err := msgpack.Unmarshal(data, &fields); err != nil {
+			t.Fatal(err)
+		}
+
+		if got := len(fields); got != c.want {
+			t.Errorf("fields of %T: got %d, want %d", c.value, got, c.want)
+		}
+	}
+}
