perf(scheduling): deriving paces allocates twice, not three times a server

One request in each refresh interval derives the paces of all servers, which the benchmark of Pick leaves out: its clock stands still. The estimators are copied into one slice.

--- a/scheduling/pace_test.go
+++ b/scheduling/pace_test.go
@@ -451,3 +451,20 @@
 		}
 	}
 }
+
+// One request in each refresh interval takes this time in addition.
+func BenchmarkRefreshPaces(b *testing.B) {
+	for _, servers := range []int{60, 3000} {
+		b.Run(fmt.Sprint("servers=", servers), func(b *testing.B) {
+			s := engines(servers, 64)
+			tellPaces(s, servers, uneven)
+
+			at := now
+
+			for b.Loop() {
+				at = at.Add(time.Second)
+				s.paces["llm"].refresh(at, (*s.pools.Load())["llm"])
+			}
+		})
+	}
+}
--- a/scheduling/service_pace.go
+++ b/scheduling/service_pace.go
@@ -94,12 +94,13 @@
 		return
 	}
 
-	for kind := range paceKinds {
-		estimators := make([]*pace.Estimator, 0, len(pool))
+	copies := make([]pace.Estimator, len(pool))
+	estimators := make([]*pace.Estimator, len(pool))
 
-		for _, srv := range pool {
-			estimator := srv.pace.estimator(kind)
-			estimators = append(estimators, &estimator)
+	for kind := range paceKinds {
+		for i, srv := range pool {
+			copies[i] = srv.pace.estimator(kind)
+			estimators[i] = &copies[i]
 		}
 
 		usual := pace.Usual(now, estimators)
