fix(pace): a server that always tells an unusual figure does not make the others' last

Persistence counted its unchanged figure for ever while few figures ended, so that a moment's slowness of any server of the service would have counted as told for minutes (until it expires). Its time is now at most a second, beyond which figures are not compared.

--- a/pace/pace_test.go
+++ b/pace/pace_test.go
@@ -112,3 +112,17 @@
 		}
 	}
 }
+
+func TestServerThatAlwaysTellsAnUnusualFigureKeepsPersistenceBounded(t *testing.T) {
+	var p Persistence
+
+	start := time.Unix(1_700_000_000, 0)
+	for i := range 10_000 {
+		before := Slowness{Value: 2.5, At: start.Add(time.Duration(i) * 100 * time.Millisecond)}
+		p.Observe(before, Slowness{Value: 2.5, At: before.At.Add(100 * time.Millisecond)})
+	}
+
+	if got, want := p.Time(), time.Second; got > want {
+		t.Errorf("persistence: got %v, want at most %v", got, want)
+	}
+}
--- a/pace/slowness.go
+++ b/pace/slowness.go
@@ -84,7 +84,11 @@
 	}
 }
 
-// Time returns the mean time for which an unusual figure holds.
+// Time returns the mean time for which an unusual figure holds, one second at most: figures that are
+// further apart are not compared, and a server that always tells an unusual one must not make those of
+// all others last.
 func (p *Persistence) Time() time.Duration {
-	return time.Duration(float64(p.observed+priorChanges*priorPersistence) / (p.ended + priorChanges))
+	mean := float64(p.observed+priorChanges*priorPersistence) / (p.ended + priorChanges)
+
+	return min(time.Duration(mean), maxObservedGap)
 }
