refactor(scheduling,forward): without fields, a wrapper and a test hook that nothing needs

Request.Account and Priority were for the queue that was not taken: nothing read them. longTermPace only called overall. paceSource stood in for paces that are learned now: its tests have the servers tell their slowness, as in use, with the same assertions. Behaviour is the same; tests of both packages pass.

--- a/forward/job.go
+++ b/forward/job.go
@@ -331,9 +331,9 @@
 	choice := j.chooseVersion()
 	r := scheduling.Request{
 		Service: j.service, Prompt: j.request.Prompt, Excluded: j.excluded,
-		Account: fleet.Account(j.accountName()), Priority: j.priority(), GapObjective: j.route.GapObjective,
-		Detour:      j.detourPossible(),
-		OnlyVersion: choice.Only, VersionFraction: choice.ServerShare, AvoidVersions: choice.Avoid, Final: j.sent+1 >= j.attempts(),
+		GapObjective: j.route.GapObjective,
+		Detour:       j.detourPossible(),
+		OnlyVersion:  choice.Only, VersionFraction: choice.ServerShare, AvoidVersions: choice.Avoid, Final: j.sent+1 >= j.attempts(),
 	}
 
 	if j.route.Objective > 0 && !j.streamBegun() {
--- a/scheduling/assignment.go
+++ b/scheduling/assignment.go
@@ -131,7 +131,7 @@
 
 	if a.meter != nil {
 		a.meter.addArrival(now, a.prompt.ownTokens(), a.uncachedTokens)
-		a.pace = a.server.longTermPace()
+		a.pace = a.server.pace.overall()
 	}
 
 	return true
--- a/scheduling/meter.go
+++ b/scheduling/meter.go
@@ -186,22 +186,13 @@
 
 	work := make([]Work, 0, len(meters))
 	for service, m := range meters {
-		_, told := s.totalPace(now, service)
+		_, told := s.TotalPace(now, service)
 		work = append(work, m.work(now, service, told))
 	}
 
 	return work
 }
 
-// totalPace returns the total pace of a service's servers, as TotalPace does.
-func (s *Scheduler) totalPace(now time.Time, service fleet.Service) (float64, bool) {
-	if s.paceSource != nil {
-		return s.paceSource(now, service)
-	}
-
-	return s.TotalPace(now, service)
-}
-
 // meter returns the meter of a service, and creates it on first use.
 func (s *Scheduler) meter(service fleet.Service) *meter {
 	s.mu.Lock()
--- a/scheduling/readrate.go
+++ b/scheduling/readrate.go
@@ -103,7 +103,3 @@
 
 	return max(sum/float64(len(samples)), 1)
 }
-
-// longTermPace returns the pace of a server over a longer time, where 1 is the usual pace of its
-// service.
-func (s *server) longTermPace() float64 { return s.pace.overall() }
--- a/scheduling/readrate_test.go
+++ b/scheduling/readrate_test.go
@@ -7,8 +7,6 @@
 	"time"
 
 	"pgregory.net/rapid"
-
-	"monsoonlever/fleet"
 )
 
 const (
@@ -111,11 +109,18 @@
 	})
 }
 
+// tellUsualPace has all servers tell that work takes as long as usual.
+func tellUsualPace(s *Scheduler, at time.Time) {
+	for id := range s.servers {
+		s.RecordLoad(at, id, Load{Slots: 64, Slowness: 1})
+	}
+}
+
 // Prompts that found a backlog are not counted: they show the rate of those before them.
 func TestReadRateLeavesOutQueuedPrompts(t *testing.T) {
 	s := engines(1, 64)
-	s.paceSource = func(time.Time, fleet.Service) (float64, bool) { return 1, true }
 	at := now
+	tellUsualPace(s, at)
 
 	for i := range 2 * minRateSamples {
 		first := pick(t, s, Request{Service: "llm", Prompt: Prompt{Tokens: 9000}})
@@ -159,7 +164,7 @@
 		t.Errorf("read loads: got %v, want none", got)
 	}
 
-	s.paceSource = func(time.Time, fleet.Service) (float64, bool) { return 1, true }
+	tellUsualPace(s, at)
 
 	got := ReadLoads(s.Work(at))
 	if len(got) != 1 || math.Abs(got[0].Rate-trueReadRate) > 0.01*trueReadRate {
--- a/scheduling/scheduling.go
+++ b/scheduling/scheduling.go
@@ -60,10 +60,6 @@
 	Service  fleet.Service
 	Prompt   Prompt
 	Excluded []fleet.InstanceID
-	// Account is the client account of the request, and Priority its rank over accounts and
-	// routes; 0 is the most urgent.
-	Account  fleet.Account
-	Priority int
 	// GapObjective is the longest pause between two events of a stream that is in time; zero is
 	// unknown.
 	GapObjective time.Duration
@@ -147,9 +143,6 @@
 	removed removedServers
 	meters  map[fleet.Service]*meter
 	paces   map[fleet.Service]*servicePace
-
-	// paceSource replaces TotalPace in tests; it may be nil.
-	paceSource func(time.Time, fleet.Service) (float64, bool)
 }
 
 // Update replaces the set of servers. The state of a server is kept while its process, address
