refactor(quota): a charge says itself whether its cost is an amount

HandleRequest checked the cost beside the check in Lend, and loans of the instance itself passed only the weaker one. bucket.start repeated the check of its only caller.

--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -31,13 +31,9 @@
 	refusedAt time.Time
 }
 
-// start sets the level if it is unknown. Within a window an account may consume its burst and what
+// start sets the level while it is unknown. Within a window an account may consume its burst and what
 // refills, so that the rest of that is an estimate of the level.
 func (b *bucket) start(now time.Time, allowance Allowance, window time.Duration, consumed float64) {
-	if b.known {
-		return
-	}
-
 	level := allowance.Burst + allowance.Rate*window.Seconds() - consumed
 	b.known, b.level, b.at = true, min(max(level, 0), allowance.Burst), now
 }
--- a/quota/charge.go
+++ b/quota/charge.go
@@ -1,6 +1,10 @@
 package quota
 
-import "monsoonlever/fleet"
+import (
+	"math"
+
+	"monsoonlever/fleet"
+)
 
 // Charge is what one request takes from the limit of its client account.
 type Charge struct {
@@ -11,5 +15,8 @@
 	Priority int
 }
 
+// valid reports whether the cost is an amount. Any other would leave the account's totals undefined.
+func (c Charge) valid() bool { return c.Cost > 0 && !math.IsInf(c.Cost, 1) }
+
 // rank is the priority among those that a bucket tells apart.
 func (c Charge) rank() int { return min(max(c.Priority, 0), priorities-1) }
--- a/quota/coordinators.go
+++ b/quota/coordinators.go
@@ -51,7 +51,7 @@
 func (q *Quota) LendTo(now time.Time, from fleet.InstanceID, charge Charge) Decision {
 	q.mu.Lock()
 
-	if a := q.accounts[charge.Account]; a != nil && !q.delegated && (!q.members[from] || q.paces(a)) {
+	if a := q.accounts[charge.Account]; a != nil && charge.valid() && !q.delegated && (!q.members[from] || q.paces(a)) {
 		a.demand.add(now, charge.Cost)
 	}
 
--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"sync"
 	"time"
 
@@ -119,11 +118,6 @@
 		return LoanResponse{Number: request.Number}
 	}
 
-	// Other costs would leave the account's totals undefined.
-	if !(request.Cost > 0) || math.IsInf(request.Cost, 0) {
-		return LoanResponse{Number: request.Number}
-	}
-
 	decision := l.Quota.LendTo(l.Clock.Now(), request.From, Charge{Account: request.Account, Cost: request.Cost, Priority: request.Priority})
 
 	return loanResponse(request.Number, decision)
--- a/quota/pace.go
+++ b/quota/pace.go
@@ -11,8 +11,8 @@
 
 // updateBucket refills the account's bucket, and estimates its level if that is unknown.
 func (q *Quota) updateBucket(now time.Time, a *account) {
-	window := now.Add(-q.policy.Window)
 	if !a.bucket.known {
+		window := now.Add(-q.policy.Window)
 		a.bucket.start(now, a.allowance, q.policy.Window, a.consumed.since(window)+a.consumedElsewhere(window))
 	}
 
--- a/quota/reserve.go
+++ b/quota/reserve.go
@@ -103,7 +103,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 
-	if charge.Cost <= 0 || q.syncedAt.IsZero() || !q.canGrant(now) {
+	if !charge.valid() || q.syncedAt.IsZero() || !q.canGrant(now) {
 		return Decision{RetryAfter: minRetryAfter}
 	}
 
