--- a/ratelimit/occupancy_test.go
+++ b/ratelimit/occupancy_test.go
@@ -79,18 +79,25 @@
 		send(start.Add(work), permit, PermitReport{Kind: Ended, Accepted: true})
 	}
 
-	for i, at := range rejects {
+	return mostWithinSecond(rejects), served
+}
+
+// mostWithinSecond returns how many of the times, in their order, are within a second at most.
+func mostWithinSecond(times []time.Time) int {
+	most := 0
+
+	for i, at := range times {
 		n := 1
-		for _, other := range rejects[i+1:] {
+		for _, other := range times[i+1:] {
 			if other.Sub(at) <= time.Second {
 				n++
 			}
 		}
 
-		worst = max(worst, n)
+		most = max(most, n)
 	}
 
-	return worst, served
+	return most
 }
 
 // Guards against servers that fall over, and against servers that hardly get requests any more, at
--- a/ratelimit/standby_test.go
+++ b/ratelimit/standby_test.go
@@ -116,18 +116,7 @@
 		e.do(now)
 	}
 
-	for i, at := range rejects {
-		n := 1
-		for _, other := range rejects[i+1:] {
-			if other.Sub(at) <= time.Second {
-				n++
-			}
-		}
-
-		worst = max(worst, n)
-	}
-
-	return worst, served
+	return mostWithinSecond(rejects), served
 }
 
 // Guards against a server that hardly gets requests any more, and one that falls over, while replies
