--- a/capacity/wanted.go
+++ b/capacity/wanted.go
@@ -78,30 +78,25 @@
 
 // sustainedOf returns the needs of the last boot time of a service.
 func (p *Planner) sustainedOf(service fleet.Service) *sustained {
-	if p.sustained == nil {
-		p.sustained = make(map[fleet.Service]*sustained)
-	}
-
-	if p.sustained[service] == nil {
-		p.sustained[service] = &sustained{}
-	}
-
-	return p.sustained[service]
+	return stateOf(&p.sustained, service)
 }
 
 // peaksOf returns the peaks of a service.
-func (p *Planner) peaksOf(service fleet.Service) *peaks {
-	if p.peaks == nil {
-		p.peaks = make(map[fleet.Service]*peaks)
+func (p *Planner) peaksOf(service fleet.Service) *peaks { return stateOf(&p.peaks, service) }
+
+// stateOf returns the state of a service, and creates it on first use.
+func stateOf[T any](states *map[fleet.Service]*T, service fleet.Service) *T {
+	if *states == nil {
+		*states = make(map[fleet.Service]*T)
 	}
 
-	servicePeaks := p.peaks[service]
-	if servicePeaks == nil {
-		servicePeaks = &peaks{}
-		p.peaks[service] = servicePeaks
+	state := (*states)[service]
+	if state == nil {
+		state = new(T)
+		(*states)[service] = state
 	}
 
-	return servicePeaks
+	return state
 }
 
 // Wanted returns the number of wanted servers of a service, and the number wanted within
