review: keep the reclaimed server's case within the share of garble

Cause: all responses of case 1 had no length, while the site file sets a share of 0.05 of the responses of half of the servers for that; the claim named one disruption where there are two.

--- a/review/standins/endless.go
+++ b/review/standins/endless.go
@@ -42,7 +42,7 @@
 
 	for n, domain := range []string{"ballerup-a", "ballerup-b", "taastrup-1", "taastrup-2"} {
 		for service, id := range map[string]string{"payrun-api": fmt.Sprintf("i-51c4e0a%d", n), "ledger-llm": fmt.Sprintf("i-7f3a91c%d", n)} {
-			r := &runner{id: id, framed: true, received: func(request string) { ran.Store(request, id) }}
+			r := &runner{id: id, received: func(request string) { ran.Store(request, id) }}
 
 			if service == "ledger-llm" {
 				r.faulty = func(conn net.Conn, request string) bool {
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -6,7 +6,7 @@
 // # Usage
 //
 //	standins endless DIRECTORY     # case with a server whose response does not end its first line
-//	standins reclaimed DIRECTORY   # case with a reclaimed server whose responses have no length
+//	standins reclaimed DIRECTORY   # case with a reclaimed server some of whose responses have no length
 //	standins runner ID             # the process of one backend server
 //
 // A case writes record.txt into the directory. It exits with 1 if the rule was broken, 0 if it held
