fix(upstream): a response header without an end is cut at 16 KiB

Cause: http.ReadResponse reads the status line and the header from the connection's buffered reader, and nothing bounded either. Evidence: a heap profile of Pool.Send after 150 MB of bytes without a line has 183.6 of 183.7 MB in textproto.(*Reader).readLineSlice. Ruled out by it: bodies, responses to other requests, the text of the error and the log.

While a header is read, the connection's reader gives out 16 KiB at most; headers of backend servers take less than one. The connection is closed there and not drained. The request may have run: one that may be repeated goes to another server at once, any other is answered as lost.

New: a counter of cut responses by bound, and a line of the log with request and server, without which another server's answer hid the case.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -93,6 +93,8 @@
 // endAttempt reports the result of an attempt to the scheduler and to the trial of a new
 // version.
 func (f *Forwarder) endAttempt(ctx context.Context, j *job, a *scheduling.Assignment, err error) {
+	f.recordCut(j, a, err)
+
 	now, result := f.Clock.Now(), resultOf(ctx, err)
 	a.End(now, result)
 	j.trial.end(now, result, err)
--- a/forward/counters.go
+++ b/forward/counters.go
@@ -18,6 +18,8 @@
 	queued      *metrics.Histogram
 	// detours count the requests of other instances that this one served or refused.
 	detours, refusedDetours *metrics.Counter
+	// cuts count the responses that exceeded a bound.
+	cuts map[cutCause]*metrics.Counter
 }
 
 // NewCounters registers the counters of a forwarder in a set.
@@ -29,6 +31,11 @@
 
 		detours:        set.NewCounter("monsoonlever_forward_detours_served_total"),
 		refusedDetours: set.NewCounter("monsoonlever_forward_detours_refused_total"),
+		cuts:           make(map[cutCause]*metrics.Counter),
+	}
+
+	for _, cause := range cutCauses {
+		c.cuts[cause] = set.NewCounter(`monsoonlever_forward_cut_responses_total{bound="` + string(cause) + `"}`)
 	}
 
 	for reason := range reasons {
@@ -65,3 +72,10 @@
 		c.refusedDetours.Inc()
 	}
 }
+
+// recordCut counts a response that was cut.
+func (c *Counters) recordCut(cause cutCause) {
+	if c != nil {
+		c.cuts[cause].Inc()
+	}
+}
--- /dev/null
+++ b/upstream/endless_test.go
@@ -0,0 +1,127 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"monsoonlever/backend"
+	"monsoonlever/clock"
+)
+
+// endlessBytes is how much the servers of these tests send if nobody closes the connection.
+const endlessBytes = 4 << 20
+
+// endlessServer answers each request with begin, and then with repeated until the connection is
+// closed or endlessBytes are sent.
+type endlessServer struct {
+	begin, repeated string
+	// sent counts the bytes that the other end has read.
+	sent atomic.Int64
+}
+
+func (s *endlessServer) dial(context.Context, string) (net.Conn, error) {
+	near, far := net.Pipe()
+
+	go s.serve(far)
+
+	return near, nil
+}
+
+func (s *endlessServer) serve(conn net.Conn) {
+	defer conn.Close()
+
+	if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+		return
+	}
+
+	for text := s.begin; s.sent.Load() < endlessBytes; text = s.repeated {
+		n, err := conn.Write([]byte(text))
+		s.sent.Add(int64(n))
+
+		if err != nil {
+			return
+		}
+	}
+}
+
+// Guards against a response header without an end, which an instance kept in memory until it was
+// killed together with all requests of its other callers.
+func TestEndlessHeaderIsCut(t *testing.T) {
+	block := strings.Repeat("x", 4<<10)
+
+	for name, s := range map[string]*endlessServer{
+		"status line":           {begin: "HTTP/1.1 200 ", repeated: block},
+		"bytes without a line":  {begin: block, repeated: block},
+		"header field":          {begin: "HTTP/1.1 200 OK\r\nA: ", repeated: block},
+		"many header fields":    {begin: "HTTP/1.1 200 OK\r\n", repeated: strings.Repeat("a:\r\n", 1<<10)},
+		"continued field":       {begin: "HTTP/1.1 200 OK\r\nA: b\r\n", repeated: strings.Repeat(" c\r\n", 1<<10)},
+		"informational":         {begin: "", repeated: "HTTP/1.1 100 Continue\r\nA: " + block + "\r\n\r\n"},
+		"after informational":   {begin: "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 ", repeated: block},
+		"after another request": {begin: "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 0\r\n\r\n", repeated: block},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+
+			pool := &Pool{Clock: clock.NewSteady(), Dial: s.dial}
+			_, err := pool.Send(t.Context(), Server{ID: "a"}, &Request{Method: http.MethodGet, Target: "/", ID: "r", IDHeader: "Id"})
+
+			if !errors.Is(err, ErrGarbled) || errors.Is(err, backend.ErrNotSent) {
+				t.Errorf("got %v, want an error that wraps %v: the request may have run", err, ErrGarbled)
+			}
+
+			const headers = maxStrayResponses + 1
+			if got, want := s.sent.Load(), int64(headers*maxHeaderBytes); got > want {
+				t.Errorf("bytes read: got %d, want at most %d", got, want)
+			}
+
+			if got, want := pool.OpenConnections("a"), 0; got != want {
+				t.Errorf("open connections: got %d, want %d", got, want)
+			}
+		})
+	}
+}
+
+// Checks that the bound of a header concerns neither a long valid header nor the body after it.
+func TestHeaderBoundEndsWithHeader(t *testing.T) {
+	field := "A: " + strings.Repeat("x", maxHeaderBytes/2) + "\r\n"
+	body := strings.Repeat("y", 4*maxHeaderBytes)
+
+	pool := &Pool{Clock: clock.NewSteady(), Dial: func(context.Context, string) (net.Conn, error) {
+		near, far := net.Pipe()
+
+		go func() {
+			reader := bufio.NewReader(far)
+
+			for range 2 {
+				if _, err := http.ReadRequest(reader); err != nil {
+					return
+				}
+
+				_, _ = far.Write([]byte("HTTP/1.1 200 OK\r\nId: r\r\nContent-Length: 65536\r\n"))
+				_, _ = far.Write([]byte(field + "\r\n" + body))
+			}
+		}()
+
+		return near, nil
+	}}
+
+	for range 2 {
+		response, err := pool.Send(t.Context(), Server{ID: "a"}, &Request{Method: http.MethodGet, Target: "/", ID: "r", IDHeader: "Id"})
+		if err != nil {
+			t.Fatal(err)
+		}
+
+		got, err := response.ReadAll(endlessBytes)
+		if err != nil || string(got) != body {
+			t.Errorf("got %d bytes, %v, want %d", len(got), err, len(body))
+		}
+
+		response.Close()
+	}
+}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -79,8 +79,10 @@
 	net.Conn
 	// owner counts this connection. Pool.servers may no longer have it: the server may
 	// have been removed or restarted since.
-	owner  *serverConnections
+	owner *serverConnections
+	// reader reads from input.
 	reader *bufio.Reader
+	input  *input
 	// reuseUntil is when the connection may last be used for a further request.
 	reuseUntil time.Time
 	// lastUsed is when the last request on the connection ended.
@@ -386,7 +388,8 @@
 
 	p.Counters.dialled()
 
-	conn.Conn, conn.reader = dialled, bufio.NewReaderSize(dialled, readBuffer)
+	conn.Conn, conn.input = dialled, &input{conn: dialled}
+	conn.reader = bufio.NewReaderSize(conn.input, readBuffer)
 
 	if !p.markBusy(conn) {
 		p.closeConnection(conn)
--- a/upstream/send.go
+++ b/upstream/send.go
@@ -120,7 +120,12 @@
 	request := &http.Request{Method: r.Method}
 
 	for range maxStrayResponses + 1 {
+		resp.conn.input.beginHeader()
+
 		response, err := http.ReadResponse(resp.conn.reader, request)
+
+		resp.conn.input.endHeader()
+
 		if err != nil {
 			resp.pool.Counters.garbledResponse()
 
