fix(upstream): a header that trickles in is cut a second after its first bytes

A caller waited until its deadline for a server whose header never ended because its bytes came slowly, although another server could have answered. The bound on the size of a header does not end it: at a byte each 10 ms it takes 160 s. Servers write a header at once, so that only a lost packet separates its parts.

TestTricklingHeaderIsCut failed before (context deadline exceeded after 4 s). The deadline is set with the second read of a header only, so that it costs nothing where a header comes in one piece, and is lifted for the body, which may be slow (TestHeaderBoundsEndWithHeader).

--- a/forward/cut.go
+++ b/forward/cut.go
@@ -14,18 +14,22 @@
 
 // The bounds.
 const (
-	cutHeader cutCause = "header"
+	cutHeader     cutCause = "header"
+	cutHeaderTime cutCause = "headerTime"
 )
 
-var cutCauses = []cutCause{cutHeader}
+var cutCauses = []cutCause{cutHeader, cutHeaderTime}
 
 // cutCauseOf returns the bound that ended an attempt with err, or an empty text.
 func cutCauseOf(err error) cutCause {
-	if errors.Is(err, upstream.ErrHeaderTooLong) {
+	switch {
+	case errors.Is(err, upstream.ErrHeaderTooLong):
 		return cutHeader
+	case errors.Is(err, upstream.ErrHeaderTooSlow):
+		return cutHeaderTime
+	default:
+		return ""
 	}
-
-	return ""
 }
 
 // recordCut logs and counts a response that exceeded a bound. The request may be answered by another
--- a/upstream/endless_test.go
+++ b/upstream/endless_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"monsoonlever/backend"
 	"monsoonlever/clock"
@@ -21,6 +22,8 @@
 // closed or endlessBytes are sent.
 type endlessServer struct {
 	begin, repeated string
+	// pause is the time between two writes.
+	pause time.Duration
 	// sent counts the bytes that the other end has read.
 	sent atomic.Int64
 }
@@ -47,6 +50,8 @@
 		if err != nil {
 			return
 		}
+
+		time.Sleep(s.pause)
 	}
 }
 
@@ -87,8 +92,24 @@
 	}
 }
 
-// Checks that the bound of a header concerns neither a long valid header nor the body after it.
-func TestHeaderBoundEndsWithHeader(t *testing.T) {
+// Guards against a header that never ends because its bytes come slowly, by which a request was held
+// until its deadline although another server could take it.
+func TestTricklingHeaderIsCut(t *testing.T) {
+	s := &endlessServer{begin: "HTTP/1.1 200 OK\r\nA: ", repeated: "x", pause: 10 * time.Millisecond}
+	pool := &Pool{Clock: clock.NewSteady(), Dial: s.dial}
+
+	ctx, cancel := context.WithTimeout(t.Context(), 4*headerTimeout)
+	defer cancel()
+
+	_, err := pool.Send(ctx, Server{ID: "a"}, &Request{Method: http.MethodGet, Target: "/", ID: "r", IDHeader: "Id"})
+	if !errors.Is(err, ErrGarbled) || !errors.Is(err, ErrHeaderTooSlow) {
+		t.Errorf("got %v, want an error that wraps %v and %v", err, ErrGarbled, ErrHeaderTooSlow)
+	}
+}
+
+// Checks that the bounds of a header concern neither a long valid header nor the body after it, which
+// may be longer and come later.
+func TestHeaderBoundsEndWithHeader(t *testing.T) {
 	field := "A: " + strings.Repeat("x", maxHeaderBytes/2) + "\r\n"
 	body := strings.Repeat("y", 4*maxHeaderBytes)
 
@@ -103,8 +124,11 @@
 					return
 				}
 
+				// Two writes of the header set the deadline for its end.
 				_, _ = far.Write([]byte("HTTP/1.1 200 OK\r\nId: r\r\nContent-Length: 65536\r\n"))
-				_, _ = far.Write([]byte(field + "\r\n" + body))
+				_, _ = far.Write([]byte(field + "\r\n" + body[:100]))
+				time.Sleep(headerTimeout + 200*time.Millisecond)
+				_, _ = far.Write([]byte(body[100:]))
 			}
 		}()
 
