fix(upstream): the body of a rejection is read for 100 ms and 64 KiB at most

A caller whose request a server had rejected waited until its deadline, or for 8 MiB, while the body of the rejection came: it is read only so that its connection can be used again, and the next server is asked after it. Beyond the new bounds the connection is closed, which costs less. A response to another request that is skipped had a bound on its length alone and now has the same time.

TestEndlessBodyIsNotDiscardedToItsEnd failed before (no end within 20 s for the slow form).

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -224,11 +224,7 @@
 	}
 
 	if reading.NotRun {
-		// The body is read only so that the connection can be reused.
-		memory := f.Buffers.Reserve()
-		_, _ = response.ReadAll(memory, f.MaxResponseBytes)
-
-		memory.Release()
+		response.Discard()
 
 		return merry.Prepend(backend.ErrRefused, string(assignment.ID()))
 	}
--- a/upstream/endless_test.go
+++ b/upstream/endless_test.go
@@ -150,3 +150,49 @@
 		response.Close()
 	}
 }
+
+// Guards against the body of a rejection without an end, which is read only so that its connection can
+// be reused, while the request could go to another server.
+func TestEndlessBodyIsNotDiscardedToItsEnd(t *testing.T) {
+	block := strings.Repeat("x", 4<<10)
+	header := "HTTP/1.1 503 X\r\nId: r\r\n"
+
+	for name, s := range map[string]*endlessServer{
+		"with a length":    {begin: header + "Content-Length: 1099511627776\r\n\r\n", repeated: block},
+		"in chunks":        {begin: header + "Transfer-Encoding: chunked\r\n\r\n", repeated: "1000\r\n" + block + "\r\n"},
+		"with neither":     {begin: header + "\r\n", repeated: block},
+		"chunk extensions": {begin: header + "Transfer-Encoding: chunked\r\n\r\n", repeated: "1;" + block[:1000] + "\r\nx\r\n"},
+		"trailer":          {begin: header + "Transfer-Encoding: chunked\r\nTrailer: A\r\n\r\n0\r\nA: ", repeated: block},
+		"slowly":           {begin: header + "\r\n", repeated: "x", pause: 10 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+
+			pool := &Pool{Clock: clock.NewSteady(), Dial: s.dial}
+
+			response, err := pool.Send(t.Context(), Server{ID: "a"}, &Request{Method: http.MethodGet, Target: "/", ID: "r", IDHeader: "Id"})
+			if err != nil {
+				t.Fatal(err)
+			}
+
+			began := time.Now()
+
+			response.Discard()
+
+			if got, want := time.Since(began), time.Second; got > want {
+				t.Errorf("time to discard: got %v, want at most %v", got, want)
+			}
+
+			// Chunks carry bytes beside the body, by which they may be up to twice as long.
+			if got, want := s.sent.Load(), int64(2*maxDiscardedBytes); got > want {
+				t.Errorf("bytes read: got %d, want at most %d", got, want)
+			}
+
+			response.Close()
+
+			if got, want := pool.OpenConnections("a"), 0; got != want {
+				t.Errorf("open connections: got %d, want %d", got, want)
+			}
+		})
+	}
+}
--- a/upstream/send.go
+++ b/upstream/send.go
@@ -25,8 +25,10 @@
 	// maxStrayResponses bounds the responses to other requests and the informational
 	// responses (1xx) that are skipped on a connection.
 	maxStrayResponses = 2
-	// maxStrayBytes bounds the body of a response that is skipped.
-	maxStrayBytes = 64 << 10
+	// maxDiscardedBytes and discardTimeout bound a body that is read only so that its connection can
+	// be used again: beyond them a new connection costs less.
+	maxDiscardedBytes = 64 << 10
+	discardTimeout    = 100 * time.Millisecond
 	// maxInlineMessage is the size in bytes up to which a request is written before its
 	// response is read; it fits into the send buffer of a connection.
 	maxInlineMessage = 2 << 10
@@ -145,7 +147,7 @@
 
 		resp.pool.Counters.strayResponse()
 
-		if err := discardResponse(response); err != nil {
+		if err := resp.conn.discard(response); err != nil {
 			return err
 		}
 	}
@@ -153,21 +155,32 @@
 	return merry.Prepend(ErrGarbled, "too many responses to other requests")
 }
 
-// discardResponse reads a response to another request to its end.
-func discardResponse(response *http.Response) error {
+// discard reads a response to another request to its end.
+func (c *connection) discard(response *http.Response) error {
 	defer response.Body.Close() //nolint:errcheck // it was read to its end or fails below
 
-	if response.ContentLength < 0 || response.ContentLength > maxStrayBytes {
+	if response.ContentLength < 0 || response.ContentLength > maxDiscardedBytes {
 		return merry.Prepend(ErrGarbled, "response to another request is too long or has no length")
 	}
 
-	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+	if err := c.discardBody(response.Body); err != nil {
 		return merry.Prepend(ErrGarbled, "read response to another request", merry.WithCause(err))
 	}
 
 	return nil
 }
 
+// discardBody reads up to maxDiscardedBytes of a body within discardTimeout.
+func (c *connection) discardBody(body io.Reader) error {
+	if err := c.SetReadDeadline(time.Now().Add(discardTimeout)); err != nil {
+		return err
+	}
+
+	_, err := io.Copy(io.Discard, io.LimitReader(body, maxDiscardedBytes))
+
+	return errors.Join(err, c.SetReadDeadline(time.Time{}))
+}
+
 // OnNewConnection reports whether the connection was opened for this request.
 func (resp *Response) OnNewConnection() bool { return resp.newConnection }
 
@@ -207,6 +220,14 @@
 	return body, nil
 }
 
+// Discard reads the rest of a body that nobody needs, so that its connection can be reused. A long or
+// slow one is left unread, and Close then closes the connection.
+func (resp *Response) Discard() {
+	if err := resp.conn.discardBody(resp); err != nil {
+		resp.bodyRead = false
+	}
+}
+
 // Close releases the connection. It is kept for further requests if the body was read to
 // its end and no other bytes were received; otherwise it is closed, which makes the
 // backend server stop its work.
