--- a/daemon/clients.go
+++ b/daemon/clients.go
@@ -13,6 +13,9 @@
 	idleServerConnections = 64
 	// dialTimeout bounds a connection to a backend server or the platform.
 	dialTimeout = time.Second
+	// maxResponseHeaderBytes bounds the header of a response, which would be kept in memory as long as
+	// it goes on.
+	maxResponseHeaderBytes = 64 << 10
 )
 
 func newClient() *http.Client {
@@ -21,6 +24,8 @@
 		MaxIdleConnsPerHost: idleServerConnections,
 		IdleConnTimeout:     time.Minute,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 	}}
 }
 
--- a/detour/client.go
+++ b/detour/client.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sys/unix"
 	"k8s.io/klog/v2"
 
+	"monsoonlever/buffer"
 	"monsoonlever/clock"
 	"monsoonlever/fleet"
 	"monsoonlever/forward"
@@ -47,6 +48,8 @@
 	Dialer  *net.Dialer
 	// Counters may be nil.
 	Counters *Counters
+	// Buffers bounds the memory of responses; nil is no bound.
+	Buffers *buffer.Budget
 }
 
 var _ forward.Detour = (*Client)(nil)
@@ -105,6 +108,15 @@
 	net.Conn
 
 	reader *bufio.Reader
+	// memory holds the message that is read.
+	memory *buffer.Reservation
+}
+
+// Close closes the connection and releases its memory.
+func (conn *connection) Close() error {
+	conn.memory.Release()
+
+	return conn.Conn.Close()
 }
 
 // offer connects to an instance and returns once it is ready to serve the request.
@@ -117,7 +129,7 @@
 		return nil, err
 	}
 
-	conn := &connection{Conn: dialled, reader: bufio.NewReaderSize(dialled, readBuffer)}
+	conn := &connection{Conn: dialled, reader: bufio.NewReaderSize(dialled, readBuffer), memory: c.Buffers.Reserve()}
 
 	if err := c.exchangeOffer(offerCtx, conn, r); err != nil {
 		_ = conn.Close()
@@ -137,7 +149,7 @@
 }
 
 func (c *Client) exchangeOffer(ctx context.Context, conn *connection, r forward.DetourRequest) error {
-	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	stop := context.AfterFunc(ctx, func() { _ = conn.Conn.Close() })
 	defer stop()
 
 	if _, err := io.WriteString(conn, Preface); err != nil {
@@ -149,7 +161,7 @@
 	}
 
 	var reply frame
-	if err := readMessage(conn.reader, &reply); err != nil {
+	if err := readMessage(conn.reader, conn.memory, &reply); err != nil {
 		return err
 	}
 
@@ -193,7 +205,7 @@
 
 // confirm has the instance serve the request, and passes its response to the sink.
 func (conn *connection) confirm(ctx context.Context, sink forward.Sink) (forward.DetourResult, error) {
-	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	stop := context.AfterFunc(ctx, func() { _ = conn.Conn.Close() })
 	defer stop()
 
 	if _, err := conn.Write([]byte{confirmation}); err != nil {
@@ -202,7 +214,7 @@
 
 	for {
 		var f frame
-		if err := readMessage(conn.reader, &f); err != nil {
+		if err := readMessage(conn.reader, conn.memory, &f); err != nil {
 			return forward.DetourResult{}, connectionError(ctx, err)
 		}
 
--- a/detour/detour_test.go
+++ b/detour/detour_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"monsoonlever/buffer"
 	"monsoonlever/clock"
 	"monsoonlever/fleet"
 	"monsoonlever/forward"
@@ -166,7 +167,7 @@
 	}
 
 	var reply frame
-	if err := readMessage(conn, &reply); err != nil || reply.Kind != frameReady {
+	if err := readMessage(conn, (*buffer.Budget)(nil).Reserve(), &reply); err != nil || reply.Kind != frameReady {
 		t.Fatalf("reply: got %+v, %v, want ready", reply, err)
 	}
 
--- a/detour/message.go
+++ b/detour/message.go
@@ -7,6 +7,7 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"monsoonlever/buffer"
 	"monsoonlever/codec"
 )
 
@@ -34,14 +35,14 @@
 	return err
 }
 
-// readMessage reads a message.
-func readMessage(r io.Reader, into any) error {
+// readMessage reads a message into memory that is reserved.
+func readMessage(r io.Reader, memory *buffer.Reservation, into any) error {
 	length, err := readLength(r)
 	if err != nil {
 		return err
 	}
 
-	return readBody(r, length, into)
+	return readBody(r, memory, length, into)
 }
 
 // readLength reads the length of a message in bytes.
@@ -61,8 +62,8 @@
 
 // readBody reads a message after its length. Memory grows with the bytes that arrive, whatever
 // length is declared.
-func readBody(r io.Reader, length int64, into any) error {
-	data, err := io.ReadAll(io.LimitReader(r, length))
+func readBody(r io.Reader, memory *buffer.Reservation, length int64, into any) error {
+	data, err := memory.ReadAll(io.LimitReader(r, length), length)
 	if err != nil {
 		return err
 	}
--- a/detour/server.go
+++ b/detour/server.go
@@ -12,6 +12,7 @@
 	"github.com/ansel1/merry/v2"
 	"k8s.io/klog/v2"
 
+	"monsoonlever/buffer"
 	"monsoonlever/clock"
 	"monsoonlever/fleet"
 	"monsoonlever/forward"
@@ -30,6 +31,8 @@
 // Server serves requests of other instances. Its exported fields are set before its first use.
 type Server struct {
 	Clock clock.Clock
+	// Buffers bounds the memory of requests, beside maxServedBytes; nil is no bound.
+	Buffers *buffer.Budget
 	// Prepare checks a request and returns the function that runs it, or why this instance does
 	// not serve it.
 	Prepare func(context.Context, forward.DetourRequest) (func(context.Context, forward.Sink) forward.DetourResult, *forward.Refusal)
@@ -61,8 +64,11 @@
 		return
 	}
 
+	memory := s.Buffers.Reserve()
+	defer memory.Release()
+
 	var o offer
-	if err := readBody(reader, length, &o); err != nil {
+	if err := readBody(reader, memory, length, &o); err != nil {
 		klog.V(1).InfoS("offer of another instance could not be read", "err", err.Error())
 
 		return
--- a/entry/components.go
+++ b/entry/components.go
@@ -230,6 +230,7 @@
 		counter:        &usage.Counter{Width: s.Bounds.UsageWindow, Retention: usageRetention, Now: time.Now},
 	}
 	p.buffers = newBuffers(s.Limits, set)
+	p.store.Buffers = p.buffers
 	p.scheduler.OnLeaving, p.scheduler.OnPathChange = p.serverAnnouncedLeaving, p.pathChanged
 	p.store = platform.NewStore(s.Store, p.storeRestored)
 	p.unusableServers = set.NewCounter("monsoonlever_entry_unusable_server_entries_total")
@@ -260,10 +261,10 @@
 		Versions: &p.rollouts.gate, Trials: &p.rollouts.counter,
 		Detour: p.newDetourClient(set), Origins: p.streams, Quarantine: p.quarantine, Parts: &p.parts, Counters: forward.NewCounters(set), MaxResponseBytes: maxResponseBytes, Buffers: p.buffers, Observe: e.logOutcome,
 	}
-	p.detours = &detour.Server{Clock: e.Clock, Prepare: p.prepareDetour}
+	p.detours = &detour.Server{Clock: e.Clock, Buffers: p.buffers, Prepare: p.prepareDetour}
 	p.prober = p.newProber()
 	p.scheduler.OnPathSuspect = p.prober.Check
-	p.handler = &platform.Handler{Clock: e.Clock, Serve: p.serve, BodyBytes: p.maxBodyBytes}
+	p.handler = &platform.Handler{Clock: e.Clock, Serve: p.serve, BodyBytes: p.maxBodyBytes, Buffers: p.buffers}
 	p.board = &board.Board{
 		Log: p.store.Board(), Clock: e.Clock, Interval: p.boardWriteInterval, MinInterval: p.minBoardWriteInterval, ReadInterval: p.boardReadInterval,
 		BeforeFirstRound: p.awaitRules, Active: p.usesBoard,
--- a/httpclient/client.go
+++ b/httpclient/client.go
@@ -14,7 +14,11 @@
 	"github.com/ansel1/merry/v2"
 )
 
-const maxResponseBytes = 64 << 20
+const (
+	maxResponseBytes = 64 << 20
+	// maxDiscardedBytes bounds a body that is read only so that its connection can be reused.
+	maxDiscardedBytes = 64 << 10
+)
 
 var (
 	// ErrNotSent means that no byte of the request left this process.
@@ -133,13 +137,15 @@
 		return merry.Wrap(NewStatusError(resp))
 	}
 
-	body, err := ReadBody(resp.Body, maxResponseBytes)
-	if err != nil {
+	if result == nil {
+		_, err := ReadBody(resp.Body, maxDiscardedBytes)
+
 		return merry.Prepend(err, "read response")
 	}
 
-	if result == nil {
-		return nil
+	body, err := ReadBody(resp.Body, maxResponseBytes)
+	if err != nil {
+		return merry.Prepend(err, "read response")
 	}
 
 	if err := json.Unmarshal(body, result); err != nil {
