fix(forward): the id of an event that is out of order is cut in the error

An event of up to 1 MiB may be one id. Its error quoted it whole, up to four times as long, and went into the log as the cause of a broken stream: memory that no bound counts. Errors of malformed headers don't have the same fault: their text leaves out its cause.

--- a/forward/cut_test.go
+++ b/forward/cut_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"net/http"
 	"strings"
 	"testing"
@@ -58,3 +59,14 @@
 		})
 	}
 }
+
+// Guards against an id that is as long as an event may be, in an error that is logged.
+func TestErrorOfLongEventIDIsShort(t *testing.T) {
+	progress := streamProgress{lastEventID: "1"}
+
+	for _, id := range []string{strings.Repeat("x", maxEventBytes), strings.Repeat("9", maxEventBytes)} {
+		if err := progress.accept(id); !errors.Is(err, ErrOutOfOrder) || len(err.Error()) > 200 {
+			t.Errorf("got %d bytes, want a short error that wraps %v", len(err.Error()), ErrOutOfOrder)
+		}
+	}
+}
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -23,6 +23,9 @@
 	events int
 }
 
+// maxLoggedID bounds the characters of an event's id in an error. Valid ids are numbers.
+const maxLoggedID = 40
+
 // ErrOutOfOrder means that an event is missing or repeated, or that its id is not a number.
 var ErrOutOfOrder = merry.Sentinel("event is out of order")
 
@@ -31,13 +34,13 @@
 func (r *streamProgress) accept(id string) error {
 	number, err := strconv.ParseUint(id, 10, 64)
 	if err != nil {
-		return merry.Prependf(ErrOutOfOrder, "id %q", id)
+		return merry.Prependf(ErrOutOfOrder, "id %.*q", maxLoggedID, id)
 	}
 
 	if r.lastEventID != "" {
 		last, err := strconv.ParseUint(r.lastEventID, 10, 64)
 		if err != nil || number != last+1 {
-			return merry.Prependf(ErrOutOfOrder, "id %q after %q", id, r.lastEventID)
+			return merry.Prependf(ErrOutOfOrder, "id %.*q after %q", maxLoggedID, id, r.lastEventID)
 		}
 	}
 
