--- a/entry/components.go
+++ b/entry/components.go
@@ -230,9 +230,9 @@
 		counter:        &usage.Counter{Width: s.Bounds.UsageWindow, Retention: usageRetention, Now: time.Now},
 	}
 	p.buffers = newBuffers(s.Limits, set)
-	p.store.Buffers = p.buffers
 	p.scheduler.OnLeaving, p.scheduler.OnPathChange = p.serverAnnouncedLeaving, p.pathChanged
 	p.store = platform.NewStore(s.Store, p.storeRestored)
+	p.store.Buffers = p.buffers
 	p.unusableServers = set.NewCounter("monsoonlever_entry_unusable_server_entries_total")
 	p.quarantine.OnQuarantined, p.parts.OnHeld = p.quarantineStarted, p.partsHeld
 	p.bounds.Store(&s.Bounds)
