fix(forward): a response without a length is whole only if its server is shown to run after it

Cause: the end of such a response looks like that of its server's process. checkEnd asked the quarantine whether the process had terminated, and that answers no for a server that is known to leave, while most paths are lost, and when the caller that asked first has gone. The question is turned round: whole is what a server ends that accepts a connection after it. Each response asks for itself, since a check that began before its end says nothing of the time after.

Cost: as before a connection for each response without a length.

--- a/forward/loss.go
+++ b/forward/loss.go
@@ -72,14 +72,28 @@
 	return ids
 }
 
-// checkEnd returns an error if a response that ends with its connection was ended by the crash of its
-// server, which closes connections as well. The error wraps upstream.ErrGarbled.
+// checkEnd returns an error if a response that ends with its connection may have been ended by the end of
+// its server's process, which closes connections as well. The response counts as whole only if the server
+// accepts a connection after it: a server that has left, or to which there is no path, shows nothing. The
+// error wraps upstream.ErrGarbled.
 func (f *Forwarder) checkEnd(ctx context.Context, a *scheduling.Assignment, response *upstream.Response) error {
-	if !response.EndsWithConnection() || !f.terminated(ctx, a) {
+	if !response.EndsWithConnection() || f.running(ctx, a) {
 		return nil
 	}
 
-	return merry.Prepend(upstream.ErrGarbled, "server has ended with its response")
+	return merry.Prepend(upstream.ErrGarbled, "server may have ended with its response")
+}
+
+// running reports whether the process of a server is shown to run. Requests don't share the check: one
+// that began before a response ended says nothing of the time after it.
+func (f *Forwarder) running(ctx context.Context, a *scheduling.Assignment) bool {
+	if a.KnownTerminated(f.Clock.Now()) {
+		return false
+	}
+
+	clock.Sleep(ctx, f.Clock, terminationDelay)
+
+	return f.Pool.Accepts(ctx, upstream.Server{ID: a.ID(), Address: a.Address()})
 }
 
 // terminated reports whether the process of a server has terminated without announcing that
--- a/upstream/terminated.go
+++ b/upstream/terminated.go
@@ -1,10 +1,13 @@
 package upstream
 
 import (
+	"bufio"
 	"context"
 	"errors"
 
 	"golang.org/x/sys/unix"
+
+	"monsoonlever/clock"
 )
 
 // Terminated reports whether the process of a server has terminated: its machine refuses
@@ -20,3 +23,19 @@
 
 	return false
 }
+
+// Accepts reports whether a server accepts a connection and keeps it open for a moment: something on the
+// path may accept connections and reset them. The connection is closed and not added to the pool.
+func (p *Pool) Accepts(ctx context.Context, s Server) bool {
+	dialled, err := p.connect(ctx, s.Address)
+	if err != nil {
+		return false
+	}
+	defer dialled.Close() //nolint:errcheck // nothing was sent on it
+
+	clock.Sleep(ctx, p.Clock, settleTime)
+
+	conn := &connection{Conn: dialled, reader: bufio.NewReader(dialled)}
+
+	return conn.alive()
+}
