fix(quota): a start of all counts what could not be recorded while the store was away

What is consumed is known after a loss of all from records, and a quarter of each limit is assumed for the time after the newest one. In an outage none is written, while instances go on granting.

The clock readings of the records tell how long none was written. Beyond the 3 s that a loss of all takes by itself, each second counts as one at the full limit, and is part of the records of those that start. An account without any record is no longer taken for idle after such a gap.

TestLossOfAllAfterOutageHoldsAllowance failed before (556,000 and 660,000 where 500,000 are allowed).

--- a/quota/global.go
+++ b/quota/global.go
@@ -48,13 +48,13 @@
 }
 
 // restoreGlobal restores what all instances had consumed at a time before this instance
-// started. Receive does not count again the consumption of incarnations that were recorded by
-// then.
-func (q *Quota) restoreGlobal(now, at time.Time, global []GlobalConsumption, incarnations []incarnationRecord) {
+// started, and the lost fraction of each allowance that no record contains. Receive does not count
+// again the consumption of incarnations that were recorded by then.
+func (q *Quota) restoreGlobal(now, at time.Time, records *EarlierRecords, lost float64) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 
-	for _, k := range global {
+	for _, k := range records.global {
 		a := q.accounts[k.Account]
 		if a == nil {
 			continue
@@ -64,14 +64,18 @@
 			a.restored.add(q.bucketEnd(at, i, len(k.Ages)), float64(amount))
 		}
 
+		// Records of this instance contain it: those who start later find newer records, and no
+		// gap.
+		a.restored.add(now, lost*a.allowance.Amount)
+
 		// Nothing states what was consumed after the record. The assumed amount is not part of
 		// the records of this instance: instances that start one after the other would add it
 		// up.
 		a.assumed.add(now, UnrecordedFraction*a.allowance.Amount)
 	}
 
-	q.restored = make(map[fleet.InstanceID]fleet.Incarnation, len(incarnations))
-	for _, r := range incarnations {
+	q.restored = make(map[fleet.InstanceID]fleet.Incarnation, len(records.incarnations))
+	for _, r := range records.incarnations {
 		q.restored[r.instance] = r.incarnation
 	}
 }
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -422,6 +422,94 @@
 	})
 }
 
+// Guards against an account that gets most of its limit again after all instances were killed during an
+// outage of the store, in which what it consumed could not be recorded.
+func TestLossOfAllAfterOutageHoldsAllowance(t *testing.T) {
+	const (
+		n = 6
+		// The instances are killed outage after the last record, and their successors have read the
+		// records restart after that.
+		outage, restart = 4 * time.Second, 1500 * time.Millisecond
+		// consumedShare of the allowance is consumed in the outage.
+		consumedShare = 0.45
+	)
+
+	for _, newGroup := range []func(int, Policy) *group{newGroup, newLendingGroup} {
+		g := newGroup(n, directPolicy)
+		now := start
+
+		var (
+			earlier EarlierRecords
+			grants  []increment
+			sum     float64
+		)
+
+		for tick := 0; now.Sub(start) < 2*time.Second; tick++ {
+			now = now.Add(100 * time.Millisecond)
+			g.exchange(now, tick)
+		}
+
+		for i, q := range g.quotas {
+			consumption, global := q.Record(now)
+			earlier.Add(g.ids[i], 1, now, consumption, global)
+		}
+
+		killed := now.Add(outage)
+
+		for tick := 0; now.Before(killed); tick++ {
+			now = now.Add(100 * time.Millisecond)
+			g.exchange(now, tick)
+
+			for i := 0; i < n && sum < consumedShare*amount; i++ {
+				if g.take(now, i, 4000).Granted {
+					sum += 4000
+					grants = append(grants, increment{at: now, amount: 4000})
+				}
+			}
+		}
+
+		now = killed.Add(restart)
+		next := newGroup(n, directPolicy)
+		next.incarnation = 2
+
+		for _, q := range next.quotas {
+			snapshot := earlier
+			snapshot.incarnations = slices.Clone(snapshot.incarnations)
+			q.Restore(now, &snapshot)
+			q.MarkSynced(now)
+		}
+
+		for tick := range 100 {
+			later := now.Add(time.Duration(tick) * 100 * time.Millisecond)
+			next.exchange(later, tick)
+
+			for i := range n {
+				if next.take(later, i, 4000).Granted {
+					grants = append(grants, increment{at: later, amount: 4000})
+				}
+			}
+		}
+
+		if sum < consumedShare*amount {
+			t.Errorf("consumed in the outage: got %.0f, want %.0f", sum, consumedShare*amount)
+		}
+
+		if got := maxInWindow(grants); got > amount {
+			t.Errorf("granted in a window: got %.0f, want at most %d", got, amount)
+		}
+	}
+}
+
+// Checks that the start of all after losses of a moment counts no more than what instances consume
+// between two records.
+func TestLossOfAllWithoutOutageLeavesAllowance(t *testing.T) {
+	for gap, want := range map[time.Duration]float64{0: 0, restartTime: 0, -time.Second: 0, time.Minute: usableFraction - UnrecordedFraction} {
+		if got := New(policy).lostFraction(gap); got != want {
+			t.Errorf("gap of %v: got %.2f, want %.2f", gap, got, want)
+		}
+	}
+}
+
 func TestRefusalSetsRetryAfter(t *testing.T) {
 	g := newGroup(1, policy)
 
--- a/quota/restore.go
+++ b/quota/restore.go
@@ -23,8 +23,15 @@
 	// was written, on the time scale of elapsed.
 	global   []GlobalConsumption
 	globalAt time.Duration
+	// globalClock and newestClock are what the clocks of their writers showed at that record and at
+	// the newest of all.
+	globalClock, newestClock time.Time
 }
 
+// restartTime is the time from the last record of instances that were all killed until their
+// successors have read the records, if the records could be written.
+const restartTime = 3 * time.Second
+
 // globalRecordTTL is the age up to which a record of the consumption of all instances is used
 // instead of the records of each instance. Recorders write one every two seconds, and sooner
 // when much is consumed.
@@ -47,8 +54,10 @@
 ) {
 	p.addIncarnation(id, incarnation, at, consumption)
 
+	p.newestClock = at
+
 	if len(global) > 0 {
-		p.global, p.globalAt = global, p.elapsed
+		p.global, p.globalAt, p.globalClock = global, p.elapsed, at
 	}
 }
 
@@ -70,10 +79,10 @@
 
 // Restore restores the consumption that was recorded before this instance started. All
 // instances may have terminated since, each after it consumed its share of the unrecorded
-// fraction.
+// fraction, and more if records could not be written for some time.
 func (q *Quota) Restore(now time.Time, records *EarlierRecords) {
 	if len(records.global) > 0 && records.elapsed-records.globalAt <= globalRecordTTL {
-		q.restoreGlobal(now, now.Add(records.globalAt-records.elapsed), records.global, records.incarnations)
+		q.restoreGlobal(now, now.Add(records.globalAt-records.elapsed), records, q.lostFraction(now.Sub(records.globalClock)))
 
 		return
 	}
@@ -83,11 +92,48 @@
 		instances[r.instance] = true
 	}
 
+	lost := q.lostFraction(now.Sub(records.newestClock))
+	unrecorded := UnrecordedFraction + lost
+
+	for _, r := range records.incarnations {
+		q.RestoreInstance(r.instance, r.incarnation, now.Add(r.elapsed-records.elapsed), r.consumption, unrecorded/float64(len(instances)))
+	}
+
+	if lost > 0 && len(records.incarnations) > 0 {
+		q.assumeOfIdle(now, records, unrecorded)
+	}
+}
+
+// assumeOfIdle adds the unrecorded fraction of accounts that no record contains: they had consumed
+// nothing when the records were written.
+func (q *Quota) assumeOfIdle(now time.Time, records *EarlierRecords, unrecorded float64) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	recorded := make(map[fleet.Account]bool)
+
 	for _, r := range records.incarnations {
-		q.RestoreInstance(r.instance, r.incarnation, now.Add(r.elapsed-records.elapsed), r.consumption, UnrecordedFraction/float64(len(instances)))
+		for _, s := range r.consumption {
+			recorded[s.Account] = true
+		}
+	}
+
+	for name, a := range q.accounts {
+		if !recorded[name] {
+			a.assumed.add(now, unrecorded*a.allowance.Amount)
+		}
 	}
 }
 
+// lostFraction returns the fraction of an allowance, beyond UnrecordedFraction, that may have been
+// consumed without a record when none was written for the time gap. The clocks of two machines decide
+// it: while one of them is wrong it is too large or too small.
+func (q *Quota) lostFraction(gap time.Duration) float64 {
+	lost := float64(gap-restartTime) / float64(q.policy.Window)
+
+	return min(max(lost, 0), usableFraction-UnrecordedFraction)
+}
+
 // RestoreInstance restores what an instance had recorded at a time before this one
 // started. That instance may have terminated since; unrecordedFraction is the fraction of each
 // allowance that it may have consumed afterwards without recording it.
