fix(standin): an engine's answer is cached before the finish event

TestPrefixIsCachedInBoundedMemory failed now and then: the stand-in cached the decoded prefix in a deferred call, after the finish event had gone out, so that the caller's next request could come first. TestDecodedPrefixIsCachedBeforeFinish asks from within the write of that event and failed before (0 of 3 blocks cached). 200 runs of both with the race detector pass.

--- a/standin/engine_generate.go
+++ b/standin/engine_generate.go
@@ -115,16 +115,16 @@
 		return err
 	}
 
-	// What is decoded stays cached, however the attempt ends.
-	defer func() { e.cache.add(a.request.Model, a.words()) }()
-
 	r := a.request
 	end := answerTokens(string(r.Model), r.Prompt, r.MaxTokens)
+	err := e.decodeUntil(ctx, a, end, out)
 
-	for offset := len(r.Generated); offset < end; offset++ {
-		if err := e.decode(ctx, a, offset, out); err != nil {
-			return err
-		}
+	// What is decoded stays cached, however the attempt ends. The caller's next request, which it may
+	// send as soon as it has the finish event, finds it.
+	e.cache.add(r.Model, a.words())
+
+	if err != nil {
+		return err
 	}
 
 	return out.finish(end, ExpectedFinish(string(r.Model), r.Prompt, r.MaxTokens), a.usage)
@@ -151,6 +151,17 @@
 	return nil
 }
 
+// decodeUntil streams the tokens of an attempt before the offset end.
+func (e *Engine) decodeUntil(ctx context.Context, a *attempt, end int, out *eventWriter) error {
+	for offset := len(a.request.Generated); offset < end; offset++ {
+		if err := e.decode(ctx, a, offset, out); err != nil {
+			return err
+		}
+	}
+
+	return nil
+}
+
 func (e *Engine) decode(ctx context.Context, a *attempt, offset int, out *eventWriter) error {
 	if err := sleep(ctx, e.Clock, e.interval()); err != nil {
 		return err
--- a/standin/engine_test.go
+++ b/standin/engine_test.go
@@ -1,9 +1,12 @@
 package standin_test
 
 import (
+	"bytes"
+	"encoding/json"
 	"errors"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 
@@ -301,6 +304,56 @@
 	}
 }
 
+// finishWriter calls onFinish before it writes the finish event of a stream.
+type finishWriter struct {
+	*httptest.ResponseRecorder
+
+	onFinish func()
+}
+
+func (w *finishWriter) Write(data []byte) (int, error) {
+	if bytes.Contains(data, []byte(`"finish"`)) {
+		w.onFinish()
+	}
+
+	return w.ResponseRecorder.Write(data)
+}
+
+// Guards against a caller whose next request overtakes the caching of the answer that it has read to its
+// end, and finds less cached than the prompt and the answer have.
+func TestDecodedPrefixIsCachedBeforeFinish(t *testing.T) {
+	fake := standin.NewEngine(clock.NewManual(start))
+	fake.Model = model
+
+	handler := fake.Handler()
+	cachedBlocks := func() int {
+		w := httptest.NewRecorder()
+		handler.ServeHTTP(w, httptest.NewRequest(http.MethodGet, backend.CacheEventsPath+"?"+backend.AfterParam+"=0", nil))
+
+		var events []backend.CacheEvent
+		if err := json.Unmarshal(w.Body.Bytes(), &events); err != nil {
+			t.Errorf("cache events: got %q, %v, want a list", w.Body, err)
+		}
+
+		return len(events)
+	}
+
+	// The prompt has less than a block. The answer fills one or more.
+	request, err := json.Marshal(backend.GenerateRequest{Attempt: "a", Model: model, Prompt: "word", MaxTokens: 100})
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	got := 0
+
+	w := &finishWriter{ResponseRecorder: httptest.NewRecorder(), onFinish: func() { got = cachedBlocks() }}
+	handler.ServeHTTP(w, httptest.NewRequest(http.MethodPost, backend.GeneratePath, bytes.NewReader(request)))
+
+	if want := cachedBlocks(); w.Code != http.StatusOK || got != want || want == 0 {
+		t.Errorf("got status %d, %d blocks cached before the finish event, want %d as after it", w.Code, got, want)
+	}
+}
+
 // cachedBy returns how many tokens the cache spared an attempt.
 func cachedBy(t *testing.T, e backend.Engine, r backend.GenerateRequest) int {
 	t.Helper()
