--- a/forward/cut_test.go
+++ b/forward/cut_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 )
@@ -70,3 +71,37 @@
 		}
 	}
 }
+
+// Guards against a server that keeps its share of the requests although it answers none of them.
+func TestServerOfEndlessHeadersLosesItsShare(t *testing.T) {
+	const calls = 60
+
+	s := newFixture(t, calls)
+	s.respond = func(address string, _ int, r *http.Request) string {
+		if address == "api-1" {
+			return "HTTP/1.1 200 OK\r\nA: " + strings.Repeat("x", 1<<20)
+		}
+
+		return signedResponse(r, http.StatusOK)
+	}
+
+	for range calls {
+		if outcome, sink := s.call("safe", "r1"); sink.status != http.StatusOK {
+			t.Errorf("got %v, want an answer", outcome.Reason)
+		}
+
+		s.clock.Advance(20 * time.Millisecond)
+	}
+
+	sent := 0
+
+	for _, a := range s.arrivals() {
+		if a.address == "api-1" {
+			sent++
+		}
+	}
+
+	if want := calls / 4; sent == 0 || sent > want {
+		t.Errorf("sent to the faulty server: got %d of %d, want some and at most %d, half of its share", sent, calls, want)
+	}
+}
