fix(quota): the time to read the records counts as none in which they could not be written

After a loss of all, the time since the newest record tells what may have been consumed without one. It ran until an instance had read the records, which takes seconds in a large fleet: there an account was assumed to have spent most of its limit although the store was never away. It ends at the start of the process now, before which its predecessors had ended.

--- a/entry/records.go
+++ b/entry/records.go
@@ -78,7 +78,7 @@
 // boardCaughtUp is called when the board has been read to its end.
 func (p *components) boardCaughtUp(now time.Time) {
 	if p.earlierRecords != nil {
-		p.limits.Restore(now, p.earlierRecords)
+		p.limits.Restore(now, p.startedAt, p.earlierRecords)
 		p.earlierRecords = nil
 	}
 
--- a/quota/restore.go
+++ b/quota/restore.go
@@ -29,7 +29,7 @@
 }
 
 // restartTime is the time from the last record of instances that were all killed until their
-// successors have read the records, if the records could be written.
+// successors start, if the records could be written.
 const restartTime = 3 * time.Second
 
 // globalRecordTTL is the age up to which a record of the consumption of all instances is used
@@ -79,10 +79,11 @@
 
 // Restore restores the consumption that was recorded before this instance started. All
 // instances may have terminated since, each after it consumed its share of the unrecorded
-// fraction, and more if records could not be written for some time.
-func (q *Quota) Restore(now time.Time, records *EarlierRecords) {
+// fraction, and more if records could not be written for some time before startedAt, when this
+// instance started.
+func (q *Quota) Restore(now, startedAt time.Time, records *EarlierRecords) {
 	if len(records.global) > 0 && records.elapsed-records.globalAt <= globalRecordTTL {
-		q.restoreGlobal(now, now.Add(records.globalAt-records.elapsed), records, q.lostFraction(now.Sub(records.globalClock)))
+		q.restoreGlobal(now, now.Add(records.globalAt-records.elapsed), records, q.lostFraction(startedAt.Sub(records.globalClock)))
 
 		return
 	}
@@ -92,7 +93,7 @@
 		instances[r.instance] = true
 	}
 
-	lost := q.lostFraction(now.Sub(records.newestClock))
+	lost := q.lostFraction(startedAt.Sub(records.newestClock))
 	unrecorded := UnrecordedFraction + lost
 
 	for _, r := range records.incarnations {
