feat(retry): metrics and a log line of what a budget has counted in its window

The counters of a budget run from the start of a process, so that neither the retries nor the requests of one window, which the bound on all instances compares, could be added up. Gauges show both by service, with the fixed part, and the first refusal within a window is logged with them.

--- a/entry/components.go
+++ b/entry/components.go
@@ -249,7 +249,7 @@
 			p.sendDatagram(to, datagram{LoanRequest: &request, LoanPriority: request.Priority})
 		},
 	}
-	p.retries.Counters = retry.NewCounters(set)
+	p.retries.Counters = retry.NewCounters(set, e.Clock)
 	p.permits = newPermits(p)
 	p.scheduler.Permits = p.permits
 	p.rollouts = newRollouts(p)
--- a/forward/job.go
+++ b/forward/job.go
@@ -11,7 +11,6 @@
 	"monsoonlever/backend"
 	"monsoonlever/fleet"
 	"monsoonlever/quarantine"
-	"monsoonlever/retry"
 	"monsoonlever/ruleset"
 	"monsoonlever/scheduling"
 	"monsoonlever/upstream"
@@ -185,9 +184,7 @@
 		return false
 	}
 
-	scope := retry.NewScope(j.service, "")
-
-	if !j.forwarder.Retries.Of(scope).Take(j.forwarder.Clock.Now()) {
+	if !j.forwarder.takeRetry(j.service) {
 		return false
 	}
 
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -1,6 +1,7 @@
 package retry
 
 import (
+	"sync/atomic"
 	"time"
 
 	"monsoonlever/window"
@@ -24,6 +25,8 @@
 	sentRetries   *window.Counter
 	unsentRetries *window.Counter
 	counters      *Counters
+	// refusedAtNano is the time of the latest refusal that MarkRefused reported, in Unix nanoseconds.
+	refusedAtNano atomic.Int64
 }
 
 func newBudget(p BudgetPolicy) *Budget {
--- a/retry/budgets.go
+++ b/retry/budgets.go
@@ -81,6 +81,7 @@
 
 	next := maps.Clone(old)
 	next[s] = b.newBudget()
+	b.Counters.addGauges(s, next[s])
 	b.byScope.Store(&next)
 
 	return next[s]
