test(retry,platform): retries of all instances exceed their bound when requests reach others than before

The bound is the one that the users state: a fifth of the requests of a service in 10 s, of those before or half before, whichever is most, and a fixed number.

--- /dev/null
+++ b/retry/total_model_test.go
@@ -0,0 +1,237 @@
+package retry
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"testing"
+	"time"
+)
+
+const (
+	// totalShare and totalWindow are the bound on the retries of all instances together, and
+	// instanceShare the share of its requests that each of them uses.
+	totalShare    = 0.2
+	totalWindow   = 10 * time.Second
+	instanceShare = 0.16
+
+	totalStep = 50 * time.Millisecond
+)
+
+// totalPlay is a load on instances while servers fail, and instances are killed or requests move
+// to other instances.
+type totalPlay struct {
+	instances, extra int
+	// rate is the number of requests a second at all instances, of which repeatable may be sent
+	// again, up to attempts times in all.
+	rate, repeatable float64
+	attempts         int
+	// failing is the part of sends that fail between failFrom and failTo.
+	failing          float64
+	failFrom, failTo time.Duration
+	kills            []totalKill
+	// burst multiplies the rate of requests between burstFrom and burstTo.
+	burst              float64
+	burstFrom, burstTo time.Duration
+	// movedAt is when the requests to half of the instances move to the other half.
+	movedAt time.Duration
+}
+
+// totalKill is the end of a part of the instances, which start again after a while.
+type totalKill struct {
+	at, downFor time.Duration
+	part        float64
+}
+
+// totalResult is what callers and the bound see.
+type totalResult struct {
+	// failed is the part of the requests that were not served in the time of failures, and excess
+	// the largest number of retries in a window above the bound.
+	failed float64
+	excess int
+}
+
+// totalRun is the state of one play.
+type totalRun struct {
+	totalPlay
+
+	random  *rand.Rand
+	budgets []*Budgets
+	// downUntil is when an instance that was killed is back.
+	downUntil         []time.Duration
+	requests, retries []int
+	wanted, failed    int
+}
+
+func (p totalPlay) run(seed uint64) totalResult {
+	steps := int(p.failTo / totalStep)
+	r := &totalRun{
+		totalPlay: p, random: rand.New(rand.NewPCG(seed, 1)), budgets: make([]*Budgets, p.instances), downUntil: make([]time.Duration, p.instances),
+		requests: make([]int, steps), retries: make([]int, steps),
+	}
+
+	for i := range r.budgets {
+		r.start(i, -2*totalWindow)
+	}
+
+	for step := range steps {
+		r.advance(step)
+	}
+
+	return totalResult{failed: float64(r.failed) / float64(max(r.wanted, 1)), excess: r.excess()}
+}
+
+func (r *totalRun) start(i int, at time.Duration) {
+	now := testStart.Add(at)
+	r.budgets[i] = NewSharedBudgets(BudgetPolicy{Window: totalWindow, Share: instanceShare}, now)
+	r.budgets[i].SetMinRetries(now, float64(r.extra)/float64(r.instances))
+}
+
+func (r *totalRun) advance(step int) {
+	at := time.Duration(step) * totalStep
+
+	for len(r.kills) > 0 && at >= r.kills[0].at {
+		for _, i := range r.random.Perm(r.instances)[:int(r.kills[0].part*float64(r.instances))] {
+			r.downUntil[i] = at + r.kills[0].downFor
+			r.start(i, r.downUntil[i])
+		}
+
+		r.kills = r.kills[1:]
+	}
+
+	rate := r.rate
+	if r.burst > 0 && at >= r.burstFrom && at < r.burstTo {
+		rate *= r.burst
+	}
+
+	// The number of requests is that of a Poisson process.
+	for left := rate * totalStep.Seconds(); ; {
+		left -= r.random.ExpFloat64()
+		if left < 0 {
+			return
+		}
+
+		r.request(step, at)
+	}
+}
+
+// request plays one request to an instance that is up.
+func (r *totalRun) request(step int, at time.Duration) {
+	r.requests[step]++
+
+	among := r.instances
+	if r.movedAt > 0 && at >= r.movedAt {
+		among /= 2
+	}
+
+	i := r.random.IntN(among)
+	if at < r.downUntil[i] {
+		// The caller meets another instance, if one is up.
+		i = r.random.IntN(among)
+	}
+
+	if at < r.downUntil[i] {
+		return
+	}
+
+	now := testStart.Add(at)
+	budget := r.budgets[i].Of(testScope)
+	budget.CountRequest(now)
+
+	if at < r.failFrom || r.random.Float64() >= r.repeatable {
+		return
+	}
+
+	r.wanted++
+
+	for attempt := 1; r.random.Float64() < r.failing; attempt++ {
+		if attempt >= r.attempts || !budget.Take(now) {
+			r.failed++
+
+			return
+		}
+
+		r.retries[step]++
+	}
+}
+
+// excess returns the largest number of retries in a window above the bound: the share of the
+// requests in that window, the one before or the one half a window before, whichever has most, and
+// the extra ones.
+func (r *totalRun) excess() int {
+	const window = int(totalWindow / totalStep)
+
+	within := func(counts []int, end int) (sum int) {
+		for i := max(end-window, 0); i < end; i++ {
+			sum += counts[i]
+		}
+
+		return sum
+	}
+
+	excess := 0
+
+	for end := range len(r.retries) + 1 {
+		requests := max(within(r.requests, end), within(r.requests, end-window/2), within(r.requests, end-window))
+		excess = max(excess, within(r.retries, end)-r.extra-int(totalShare*float64(requests)))
+	}
+
+	return excess
+}
+
+// Guards against retries of all instances together that exceed their bound since instances that
+// were killed, or that requests have left, spent a share of the same window.
+func TestTotalRetriesStayWithinBoundModel(t *testing.T) {
+	const (
+		failFrom = 20 * time.Second
+		seeds    = 5
+	)
+
+	plays := map[string]totalPlay{
+		"nothing else":   {},
+		"all are killed": {kills: []totalKill{{at: failFrom + 2600*time.Millisecond, part: 1, downFor: 500 * time.Millisecond}}},
+		"most are killed each second": {kills: []totalKill{
+			{at: failFrom + 1500*time.Millisecond, part: 0.6},
+			{at: failFrom + 2500*time.Millisecond, part: 0.6},
+			{at: failFrom + 3500*time.Millisecond, part: 0.6},
+			{at: failFrom + 4500*time.Millisecond, part: 0.6},
+			{at: failFrom + 5500*time.Millisecond, part: 0.6},
+		}},
+		"half are killed and do not return": {kills: []totalKill{{at: failFrom + 2*time.Second, part: 0.5, downFor: time.Minute}}},
+		"all are killed within a burst": {
+			kills: []totalKill{{at: failFrom + 3*time.Second, part: 1, downFor: 500 * time.Millisecond}},
+			burst: 3, burstFrom: failFrom - 11*time.Second, burstTo: failFrom + 20*time.Second,
+		},
+		"requests move to half of the instances": {movedAt: failFrom + 3*time.Second},
+	}
+
+	for _, size := range []struct {
+		instances, extra int
+		rate             float64
+	}{{9, 58, 54}, {66, 172, 515}, {72, 184, 470}, {195, 430, 640}, {986, 1040, 540}} {
+		if size.instances > 72 && os.Getenv("SIZES") != "all" {
+			continue
+		}
+
+		for name, p := range plays {
+			p.instances, p.extra, p.rate = size.instances, size.extra, size.rate
+			p.repeatable, p.attempts, p.failing = 1, 2, 0.9
+			p.failFrom, p.failTo = failFrom, failFrom+16*time.Second
+
+			t.Run(fmt.Sprint(size.instances, " instances, ", name), func(t *testing.T) {
+				sum, excess := 0.0, 0
+
+				for seed := range uint64(seeds) {
+					got := p.run(seed)
+					sum, excess = sum+got.failed, max(excess, got.excess)
+				}
+
+				t.Logf("%.3f of the requests fail, %d retries above the bound", sum/seeds, excess)
+
+				if excess > 0 {
+					t.Errorf("retries above the bound: got %d, want none", excess)
+				}
+			})
+		}
+	}
+}
