--- a/scheduling/server_pace.go
+++ b/scheduling/server_pace.go
@@ -17,13 +17,11 @@
 	// minWeightFraction is the least weight of a server relative to the fastest one: the slowest
 	// servers are still compared now and then, which shows when they become faster.
 	minWeightFraction = 1.0 / 8
-	// probeAfter is the time without a sample after which one of probeInverse requests takes a server
-	// for a usual one: half a second leaves time for several samples in the three seconds within
-	// which a server that became faster is to be used again.
+	// probeAfter is the time without a sample after which one of probeInverse requests takes a slow
+	// server for a usual one: half a second leaves time for several samples in the three seconds
+	// within which a server that became faster is to be used again.
 	probeAfter   = 500 * time.Millisecond
 	probeInverse = 4
-	// probePace is the pace up to which that is done. Faster servers get enough work to be measured.
-	probePace = 0.5
 	// toldTolerance is the difference between two figures of slowness that other instances are told.
 	toldTolerance = 0.05
 )
@@ -85,10 +83,11 @@
 }
 
 // placingFactor returns timeFactor, or for a small part of the requests that of a usual pace if the
-// server is taken for a very slow one and was not measured recently: it may have become faster.
+// server is taken for a slow one and was not measured recently: it may have become faster, and where
+// others have room, also one that is a little slower gets too few requests to show it.
 func (p *serverPace) placingFactor(now time.Time, kind paceKind) float64 {
 	factor := p.timeFactor(now, kind)
-	if p.of(kind) > probePace || now.UnixNano()-p.sampledAt.Load() < int64(probeAfter) || rand.IntN(probeInverse) > 0 {
+	if p.of(kind) >= 1 || now.UnixNano()-p.sampledAt.Load() < int64(probeAfter) || rand.IntN(probeInverse) > 0 {
 		return factor
 	}
 
