--- a/retry/budget_test.go
+++ b/retry/budget_test.go
@@ -120,3 +120,12 @@
 		t.Errorf("budget of another account: got it exhausted, want a separate one")
 	}
 }
+
+func BenchmarkTake(b *testing.B) {
+	budget := NewSharedBudgets(BudgetPolicy{}, testStart).Of(testScope)
+	budget.CountRequest(testStart)
+
+	for b.Loop() {
+		budget.Take(testStart)
+	}
+}
--- a/retry/budgets.go
+++ b/retry/budgets.go
@@ -39,13 +39,14 @@
 	return b
 }
 
-// NewSharedBudgets returns Budgets whose MinRetries, set by SetMinRetries, is the part of this
-// process in a bound on the retries of several processes. There is none until a window has passed
+// NewSharedBudgets returns Budgets of one of several processes that have a bound on retries in
+// common. What they grant as a share of the requests adds up, whichever process counts a request.
+// MinRetries, set by SetMinRetries, is the part of this process in the rest of the bound. There is none until a window has passed
 // since the process started at startedAt: an earlier process may have spent the part, or the
 // others may have had it among them.
 func NewSharedBudgets(p BudgetPolicy, startedAt time.Time) *Budgets {
 	b := NewBudgets(p)
-	b.share = commonShare{before: defaultBefore}
+	b.share = commonShare{earlier: earlierPart}
 	b.overflow = b.newBudget()
 	b.fixed.span = b.policy.Window / budgetBuckets * retryBuckets
 	b.fixed.steps.Store(&[]fixedStep{{until: startedAt, beforeStart: true}})
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -29,6 +29,12 @@
 //		// Wait for decision.Delay() and pick another server.
 //	}
 //
+// Processes that have a bound on the retries of a service in common use shared budgets, and tell
+// them their part of the retries beside the share of the requests:
+//
+//	budgets := retry.NewSharedBudgets(retry.BudgetPolicy{Share: 0.18}, startedAt)
+//	budgets.SetMinRetries(now, 58.0/processes)
+//
 // DrainEstimator derives a Retry-After from the rate at which a service finishes
 // requests:
 //
--- a/retry/share.go
+++ b/retry/share.go
@@ -20,20 +20,20 @@
 	return float64(retries.Sum(now, retryBuckets)) - share*float64(requests.Sum(now, budgetBuckets))
 }
 
-// defaultBefore is the part of a common share that is granted for the requests before a moment.
-const defaultBefore = 0.5
+// earlierPart is the part of a common share that is granted for earlier requests.
+const earlierPart = 0.5
 
-// commonShare is the share of one of several processes that have the bound in common. Requests
-// reach other processes when one starts again or is lost, or when callers move: a share of the
-// requests of each process's own window would be granted twice then, by the process that counted the
-// requests before and by the one that counts those after.
+// commonShare is the share of one of several processes that have the bound in common. Shares of each
+// process's own requests in the last window would not add up: when callers move to another process,
+// or one starts again, the requests of two successive windows are counted by different processes, and
+// each of them would spend a share within one window.
 //
-// Since any moment on, a process grants no more than a part of the share of the requests in the window
-// before that moment, and the rest of the share of the requests since. Both add up over processes,
-// whichever of them counted a request.
+// Instead, from any moment on, a process grants at most a part of the share for the requests in the
+// window before that moment, and the rest of the share for the requests after it. Summed over
+// processes, this does not depend on which of them counts a request.
 type commonShare struct {
-	// before is the part of the share that is granted for the requests before that moment.
-	before float64
+	// earlier is the part of the share for the requests before the moment.
+	earlier float64
 }
 
 func (c commonShare) beyond(now time.Time, requests, retries *window.Counter, share float64) float64 {
@@ -45,9 +45,9 @@
 	requests.Newest(now, counted[:])
 	retries.Newest(now, granted[:])
 
-	// The moment lies in the bucket of age k, whose retries count and whose requests don't: some of
-	// them came before it and some after.
-	before, since, sent := int64(0), int64(0), int64(0)
+	// The moment lies in the bucket of age k. All retries of that bucket count, and none of its
+	// requests, since some of them came before the moment and some after.
+	before, after, sent := int64(0), int64(0), int64(0)
 	for _, n := range counted[1:budgetBuckets] {
 		before += n
 	}
@@ -56,9 +56,9 @@
 
 	for k, n := range granted {
 		sent += n
-		most = max(most, float64(sent)-share*(c.before*float64(before)+(1-c.before)*float64(since)))
+		most = max(most, float64(sent)-share*(c.earlier*float64(before)+(1-c.earlier)*float64(after)))
 
-		since += counted[k]
+		after += counted[k]
 		before += counted[k+budgetBuckets] - counted[k+1]
 	}
 
--- a/retry/total_model_test.go
+++ b/retry/total_model_test.go
@@ -222,7 +222,7 @@
 			p.instances, p.extra, p.rate = size.instances, size.extra, size.rate
 			p.repeatable, p.attempts, p.failing = 1, 2, 0.9
 			p.failFrom, p.failTo = failFrom, failFrom+16*time.Second
-			p.way = totalWay{share: instanceShare, rule: commonShare{defaultBefore}}
+			p.way = totalWay{share: instanceShare, rule: commonShare{earlierPart}}
 
 			t.Run(fmt.Sprint(size.instances, " instances, ", name), func(t *testing.T) {
 				sum, excess := 0.0, 0
--- a/retry/total_test.go
+++ b/retry/total_test.go
@@ -126,7 +126,7 @@
 		got++
 	}
 
-	if want := int(rate * (seconds - 1) * instanceShare * defaultBefore); got < want {
+	if want := int(rate * (seconds - 1) * instanceShare * earlierPart); got < want {
 		t.Errorf("retries at the begin of a failure: got %d, want at least %d", got, want)
 	}
 }
