fix(entry): the fixed part of the retries is divided before the first directory grants it

While the first directory forms, an instance may know of no other, so that its part is the whole fixed number; the part is not granted then. Once the directory is complete it was granted at once, and divided with the next round of heartbeats only: until then each of 72 instances had 184 retries, where 2.56 are its part.

Whether real processes that start over seconds showed it is suspected, not known.

The split runs before the part is marked as unspent, under the lock of all splits, so that none that began with the forming directory comes after it.

--- a/entry/directory.go
+++ b/entry/directory.go
@@ -155,6 +155,8 @@
 	case view.Forming && view.end.Offset() == firstDirectoryEnd:
 		p.inFirstFormation.Store(true)
 	case !view.Forming && p.inFirstFormation.CompareAndSwap(true, false):
+		// Until the first directory is complete, each instance may take itself for the only one.
+		p.splitBudgets()
 		p.retries.MarkUnspent()
 	}
 }
