--- a/retry/budget.go
+++ b/retry/budget.go
@@ -31,22 +31,6 @@
 	refusedAtNano atomic.Int64
 }
 
-func newBudget(p BudgetPolicy) *Budget {
-	fixed := &fixedPart{}
-	fixed.set(time.Time{}, float64(p.MinRetries))
-
-	width := p.Window / budgetBuckets
-
-	return &Budget{
-		policy:        p,
-		share:         ownShare{},
-		fixed:         fixed,
-		requests:      window.NewCounter(width, retryBuckets+budgetBuckets),
-		sentRetries:   window.NewCounter(width, retryBuckets),
-		unsentRetries: window.NewCounter(width, retryBuckets),
-	}
-}
-
 // CountRequest counts a request. It is called once, at the first attempt.
 func (b *Budget) CountRequest(now time.Time) {
 	b.requests.Add(now, 1)
--- a/retry/budget_test.go
+++ b/retry/budget_test.go
@@ -18,7 +18,7 @@
 			Share:      rapid.Float64Range(0.01, 1).Draw(t, "share"),
 			MinRetries: rapid.IntRange(1, 5).Draw(t, "least"),
 		}
-		b := newBudget(policy.withDefaults())
+		b := NewBudgets(policy).Of(testScope)
 		now := testStart
 
 		var requests, retries []time.Time
@@ -59,7 +59,7 @@
 // TestBudgetGrantsItsShare guards against a budget that holds because it refuses
 // every retry.
 func TestBudgetGrantsItsShare(t *testing.T) {
-	b := newBudget(BudgetPolicy{}.withDefaults())
+	b := NewBudgets(BudgetPolicy{}).Of(testScope)
 	now := testStart
 	taken := 0
 
@@ -84,7 +84,7 @@
 	const workers, tries, want = 8, 2000, 50
 
 	for range 20 {
-		b := newBudget(BudgetPolicy{MinRetries: want}.withDefaults())
+		b := NewBudgets(BudgetPolicy{MinRetries: want}).Of(testScope)
 
 		var (
 			taken atomic.Int64
--- a/retry/budgets.go
+++ b/retry/budgets.go
@@ -5,6 +5,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"monsoonlever/window"
 )
 
 // maxScopes bounds the memory of Budgets; all further scopes share one budget.
@@ -30,30 +32,33 @@
 
 // NewBudgets returns Budgets that create the budget of a scope at its first use.
 func NewBudgets(p BudgetPolicy) *Budgets {
-	p = p.withDefaults()
-	b := &Budgets{policy: p, share: ownShare{}}
-	b.fixed.set(time.Time{}, float64(p.MinRetries))
-	b.overflow = b.newBudget()
-	b.byScope.Store(&map[Scope]*Budget{})
+	b := newBudgets(p, ownShare{})
+	b.fixed.set(time.Time{}, float64(b.policy.MinRetries))
 
 	return b
 }
 
 // NewSharedBudgets returns Budgets of one of several processes that have a bound on retries in
 // common. What they grant as a share of the requests adds up, whichever process counts a request.
-// MinRetries, set by SetMinRetries, is the part of this process in the rest of the bound. There is none until a window has passed
-// since the process started at startedAt: an earlier process may have spent the part, or the
-// others may have had it among them.
+// MinRetries, set by SetMinRetries, is the part of this process in the rest of the bound. There is
+// none until a window has passed since the process started at startedAt: an earlier process may have
+// spent the part, or the others may have had it among them.
 func NewSharedBudgets(p BudgetPolicy, startedAt time.Time) *Budgets {
-	b := NewBudgets(p)
-	b.share = commonShare{earlier: earlierPart}
-	b.overflow = b.newBudget()
+	b := newBudgets(p, commonShare{earlier: earlierPart})
 	b.fixed.span = b.policy.Window / budgetBuckets * retryBuckets
 	b.fixed.steps.Store(&[]fixedStep{{until: startedAt, beforeStart: true}})
 
 	return b
 }
 
+func newBudgets(p BudgetPolicy, share requestShare) *Budgets {
+	b := &Budgets{policy: p.withDefaults(), share: share}
+	b.overflow = b.newBudget()
+	b.byScope.Store(&map[Scope]*Budget{})
+
+	return b
+}
+
 // MarkUnspent records that no process spent anything of the bound before this one started, so that it
 // has its part at once.
 func (b *Budgets) MarkUnspent() {
@@ -105,8 +110,15 @@
 
 // newBudget returns a budget of one scope. Later calls of SetMinRetries apply to it.
 func (b *Budgets) newBudget() *Budget {
-	budget := newBudget(b.policy)
-	budget.share, budget.fixed, budget.counters = b.share, &b.fixed, b.Counters
-
-	return budget
+	width := b.policy.Window / budgetBuckets
+
+	return &Budget{
+		policy:        b.policy,
+		share:         b.share,
+		fixed:         &b.fixed,
+		requests:      window.NewCounter(width, retryBuckets+budgetBuckets),
+		sentRetries:   window.NewCounter(width, retryBuckets),
+		unsentRetries: window.NewCounter(width, retryBuckets),
+		counters:      b.Counters,
+	}
 }
--- a/retry/total_model_test.go
+++ b/retry/total_model_test.go
@@ -68,8 +68,9 @@
 	random  *rand.Rand
 	budgets []*Budgets
 	// downUntil is when an instance that was killed is back.
-	downUntil         []time.Duration
-	requests, retries []int
+	downUntil []time.Duration
+	// requests and retries are counted by step.
+	requests, retries []countAt
 	wanted, failed    int
 }
 
@@ -77,7 +78,12 @@
 	steps := int(p.failTo / totalStep)
 	r := &totalRun{
 		totalPlay: p, random: rand.New(rand.NewPCG(seed, 1)), budgets: make([]*Budgets, p.instances), downUntil: make([]time.Duration, p.instances),
-		requests: make([]int, steps), retries: make([]int, steps),
+		requests: make([]countAt, steps), retries: make([]countAt, steps),
+	}
+
+	for step := range steps {
+		at := testStart.Add(time.Duration(step) * totalStep)
+		r.requests[step].at, r.retries[step].at = at, at
 	}
 
 	for i := range r.budgets {
@@ -128,7 +134,7 @@
 
 // request plays one request to an instance that is up.
 func (r *totalRun) request(step int, at time.Duration) {
-	r.requests[step]++
+	r.requests[step].n++
 
 	among := r.instances
 	if r.movedAt > 0 && at >= r.movedAt {
@@ -163,45 +169,49 @@
 		}
 
 		arrives := step + int(r.random.Float64()*float64(r.maxDelay/totalStep))
-		r.retries[min(arrives, len(r.retries)-1)]++
+		r.retries[min(arrives, len(r.retries)-1)].n++
 	}
 }
 
-// excess returns the largest number of retries in a window above the bound: the share of the
-// requests in that window, the one before or the one half a window before, whichever has most, and
-// the extra ones.
+// excess returns the largest number of retries in a window above the bound.
 func (r *totalRun) excess() int {
-	const window = int(totalWindow / totalStep)
-
-	within := func(counts []int, end int) (sum int) {
-		for i := max(end-window, 0); i < end; i++ {
-			sum += counts[i]
-		}
+	excess := 0
 
-		return sum
+	for _, last := range r.retries {
+		excess = max(excess, sumWithin(r.retries, last.at)-r.extra-boundOn(r.requests, last.at))
 	}
 
-	excess := 0
+	return excess
+}
+
+// totalSeeds is the number of seeds that a model is run with.
+const totalSeeds = 5
 
-	for end := range len(r.retries) + 1 {
-		requests := max(within(r.requests, end), within(r.requests, end-window/2), within(r.requests, end-window))
-		excess = max(excess, within(r.retries, end)-r.extra-int(totalShare*float64(requests)))
+// runs returns the mean of what callers lose over the seeds, and the most of what exceeds the bound.
+func (p totalPlay) runs() totalResult {
+	var all totalResult
+
+	for seed := range uint64(totalSeeds) {
+		got := p.run(seed)
+		all.failed, all.excess = all.failed+got.failed/totalSeeds, max(all.excess, got.excess)
 	}
 
-	return excess
+	return all
+}
+
+// killAllAt ends all instances at a time, for half a second.
+func killAllAt(at time.Duration) []totalKill {
+	return []totalKill{{at: at, part: 1, downFor: 500 * time.Millisecond}}
 }
 
 // Guards against retries of all instances together that exceed their bound since instances that
 // were killed, or that requests have left, spent a share of the same window.
 func TestTotalRetriesStayWithinBoundModel(t *testing.T) {
-	const (
-		failFrom = 20 * time.Second
-		seeds    = 5
-	)
+	const failFrom = 20 * time.Second
 
 	plays := map[string]totalPlay{
 		"nothing else":   {},
-		"all are killed": {kills: []totalKill{{at: failFrom + 2600*time.Millisecond, part: 1, downFor: 500 * time.Millisecond}}},
+		"all are killed": {kills: killAllAt(failFrom + 2600*time.Millisecond)},
 		"most are killed each second": {kills: []totalKill{
 			{at: failFrom + 1500*time.Millisecond, part: 0.6},
 			{at: failFrom + 2500*time.Millisecond, part: 0.6},
@@ -211,7 +221,7 @@
 		}},
 		"half are killed and do not return": {kills: []totalKill{{at: failFrom + 2*time.Second, part: 0.5, downFor: time.Minute}}},
 		"all are killed within a burst": {
-			kills: []totalKill{{at: failFrom + 3*time.Second, part: 1, downFor: 500 * time.Millisecond}},
+			kills: killAllAt(failFrom + 3*time.Second),
 			burst: 3, burstFrom: failFrom - 11*time.Second, burstTo: failFrom + 20*time.Second,
 		},
 		"requests move to half of the instances": {movedAt: failFrom + 3*time.Second},
@@ -225,17 +235,11 @@
 			p.way = totalWay{share: instanceShare, rule: commonShare{earlierPart}}
 
 			t.Run(fmt.Sprint(size.instances, " instances, ", name), func(t *testing.T) {
-				sum, excess := 0.0, 0
-
-				for seed := range uint64(seeds) {
-					got := p.run(seed)
-					sum, excess = sum+got.failed, max(excess, got.excess)
-				}
-
-				t.Logf("%.3f of the requests fail, %d retries above the bound", sum/seeds, excess)
+				got := p.runs()
+				t.Logf("%.3f of the requests fail, %d retries above the bound", got.failed, got.excess)
 
-				if excess > 0 {
-					t.Errorf("retries above the bound: got %d, want none", excess)
+				if got.excess > 0 {
+					t.Errorf("retries above the bound: got %d, want none", got.excess)
 				}
 			})
 		}
@@ -249,9 +253,9 @@
 		t.Skip("compares ways; run with WAYS=all")
 	}
 
-	const failFrom, seeds = 20 * time.Second, 5
+	const failFrom = 20 * time.Second
 
-	killAll := []totalKill{{at: failFrom + 2600*time.Millisecond, part: 1, downFor: 500 * time.Millisecond}}
+	killAll := killAllAt(failFrom + 2600*time.Millisecond)
 	loads := []struct {
 		name string
 		totalPlay
@@ -287,14 +291,8 @@
 				p.failFrom, p.failTo, p.way = failFrom, failFrom+p.failTo, way
 				p.maxDelay = 700 * time.Millisecond
 
-				sum, excess := 0.0, 0
-
-				for seed := range uint64(seeds) {
-					got := p.run(seed)
-					sum, excess = sum+got.failed, max(excess, got.excess)
-				}
-
-				t.Logf("%d instances, %s, %s: %.3f fail, %d above the bound", size.instances, load.name, way.name, sum/seeds, excess)
+				got := p.runs()
+				t.Logf("%d instances, %s, %s: %.3f fail, %d above the bound", size.instances, load.name, way.name, got.failed, got.excess)
 			}
 		}
 	}
--- a/retry/total_test.go
+++ b/retry/total_test.go
@@ -31,6 +31,15 @@
 	return sum
 }
 
+// boundOn returns how many retries the share of the requests allows in the window that ends at a
+// time: that of the requests in the window, the one before or the one half a window before, whichever
+// has most.
+func boundOn(requests []countAt, end time.Time) int {
+	most := max(sumWithin(requests, end), sumWithin(requests, end.Add(-totalWindow/2)), sumWithin(requests, end.Add(-totalWindow)))
+
+	return int(totalShare * float64(most))
+}
+
 // Guards against a share of the requests that is spent again by other processes within a window.
 func TestHoldsTotalRetriesOverProcesses(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -74,11 +83,8 @@
 				processes[i] = start()
 			}
 
-			got := sumWithin(retries, now)
-			most := max(sumWithin(requests, now), sumWithin(requests, now.Add(-totalWindow/2)), sumWithin(requests, now.Add(-totalWindow)))
-
-			if want := int(totalShare * float64(most)); got > want {
-				t.Fatalf("retries in the last %v: got %d, want at most %d for %d requests", totalWindow, got, want, most)
+			if got, want := sumWithin(retries, now), boundOn(requests, now); got > want {
+				t.Fatalf("retries in the last %v: got %d, want at most %d", totalWindow, got, want)
 			}
 		}
 	})
--- a/window/counter.go
+++ b/window/counter.go
@@ -52,11 +52,8 @@
 	sum := int64(0)
 
 	for i := range c.buckets {
-		word := c.buckets[i].Load()
-		age := int32(number - uint32(word>>bucketValueBits))
-
-		if age >= 0 && int(age) < n {
-			sum += int64(int32(uint32(word)))
+		if age, value := c.bucket(i, number); age >= 0 && age < n {
+			sum += value
 		}
 	}
 
@@ -71,15 +68,20 @@
 	number := uint32(c.bucketNumber(now))
 
 	for i := range c.buckets {
-		word := c.buckets[i].Load()
-		age := int32(number - uint32(word>>bucketValueBits))
-
-		if age >= 0 && int(age) < len(values) {
-			values[age] += int64(int32(uint32(word)))
+		if age, value := c.bucket(i, number); age >= 0 && age < len(values) {
+			values[age] += value
 		}
 	}
 }
 
+// bucket returns by how many buckets an element of the ring is older than the bucket of a number, and
+// its value.
+func (c *Counter) bucket(i int, number uint32) (age int, value int64) {
+	word := c.buckets[i].Load()
+
+	return int(int32(number - uint32(word>>bucketValueBits))), int64(int32(uint32(word)))
+}
+
 // Since returns the sum of the buckets from that of t to that of now. If t is older
 // than the ring, it returns the sum of the whole ring.
 func (c *Counter) Since(now, t time.Time) int64 {
