feat(quarantine,forward,entry): log and metric of what is known of parts at which servers crash

The hypotheses on harmful parts that are held off late could not be told apart: no line named the crashes and begins of a part, what an instance read at its start, or a loss at the begin of an answer that was not taken for a crash.

--- a/entry/components.go
+++ b/entry/components.go
@@ -235,6 +235,7 @@
 	p.store.Buffers = p.buffers
 	p.unusableServers = set.NewCounter("monsoonlever_entry_unusable_server_entries_total")
 	p.quarantine.OnQuarantined, p.parts.OnHeld = p.quarantineStarted, p.partsHeld
+	p.parts.OnCrash = p.partCrashed
 	p.bounds.Store(&s.Bounds)
 	self := board.MemberOf(s.Instance, s.FailureDomain, s.Listen.Peers, s.Limits.ProcessorCores)
 	p.links = &topology.Links{Self: self}
@@ -326,6 +327,7 @@
 	set.NewGauge("monsoonlever_entry_quarantined_requests", func() float64 {
 		return float64(p.quarantine.QuarantinedCount(p.clock.Now()))
 	})
+	set.NewGauge("monsoonlever_entry_suspected_parts", func() float64 { return float64(p.parts.SuspectCount()) })
 	set.NewGauge("monsoonlever_entry_held_parts", func() float64 { return float64(p.parts.HeldCount()) })
 	set.NewGauge("monsoonlever_entry_limited_servers", func() float64 { return float64(p.scheduler.LimitedServers()) })
 	set.NewGauge("monsoonlever_entry_brittle_servers", func() float64 { return float64(p.scheduler.BrittleServers()) })
--- a/entry/losses.go
+++ b/entry/losses.go
@@ -89,3 +89,8 @@
 	klog.InfoS("requests with parts of prompts that crash backend servers are held off", "parts", parts)
 	p.quarantineStarted()
 }
+
+// partCrashed logs what is known of a part at which backend servers crashed several times.
+func (p *components) partCrashed(e quarantine.PartEvidence) {
+	klog.InfoS("backend servers crash on a part of prompts", "part", e.Part, "crashes", e.Crashes, "begins", e.Begins, "held", e.Held)
+}
--- a/entry/records.go
+++ b/entry/records.go
@@ -80,6 +80,8 @@
 	if p.earlierRecords != nil {
 		p.limits.Restore(now, p.startedAt, p.earlierRecords)
 		p.earlierRecords = nil
+
+		klog.InfoS("reports on parts of prompts were read from the board", "suspected", p.parts.SuspectCount(), "held", p.parts.HeldCount())
 	}
 
 	for _, gone := range p.members.Expire(now, memberTimeout) {
--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -36,6 +36,9 @@
 	// OnHeld is called when parts become held off. It must not block, may be nil, and is set
 	// before the first use.
 	OnHeld func(parts []PartKey)
+	// OnCrash is called with what is known of a part at which servers crashed several times, at each
+	// further crash. It must not block, may be nil, and is set before the first use.
+	OnCrash func(PartEvidence)
 
 	mu       sync.Mutex
 	suspects map[PartKey]*partSuspect
@@ -93,6 +96,7 @@
 	}
 
 	p.decide(now)
+	p.reportCrashes(parts)
 }
 
 // RecordBegin records that the answer to a request with the parts began.
