fix(quarantine): answers that began before the crashes say nothing of a part

Cause: the answers that began on a part in the last minute, four at each instance, weighed for good against its crashes, so that a part which turns harmful had to crash as many servers as it began answers, and one with 40 begins was never held off. What was sent while a part was sound says little of what it does now: this is a search for a change, not for a share.

The evidence is now the greatest sum over the latest crashes and begins (Page's cumulative sum test, which judges new versions as well): what came before the change has no weight. A part is held off where two servers crash for each answer that begins since then, at three moments. Begins are remembered with their times and count only if they came after a crash; the newest events are kept, not the first ones.

Two older tests had their begins before the crashes, which is the fault itself: TestBeginsClearPart has them after the crashes now, at an instance that does not know of these, and TestPartThatBeginsAsOftenIsNotHeldOff by turns with them, and checks at each crash.

Ruled out by the log: losses that are not taken for crashes.

--- a/quarantine/part_suspect.go
+++ b/quarantine/part_suspect.go
@@ -1,13 +1,13 @@
 package quarantine
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
 
 const (
-	// maxCrashesPerPart and maxBeginsPerPart bound the events of one part. Begins that fill their
-	// bound clear it for good.
+	// maxCrashesPerPart and maxBeginsPerPart bound the events of one part. The newest are kept.
 	maxCrashesPerPart = 32
 	maxBeginsPerPart  = 40
 	// crashInterval is the time within which crashes count as one: servers that crash at the same
@@ -21,15 +21,19 @@
 	crashWeight = 2.77
 	beginWeight = -1.56
 	minEvidence = 5
+	// minCrashesPerBegin is how many crashes have to come for each answer that begins among them.
+	minCrashesPerBegin = 2
 )
 
 // partSuspect is a part that stood at the begin of an answer when a server crashed.
 type partSuspect struct {
-	// crashes are the times of the crashes by server process, and begins the answers that began.
+	// crashes are the crashes by server process, and begins the times of answers that began.
 	crashes map[uint64]partCrash
-	begins  map[uint64]struct{}
+	begins  map[uint64]time.Time
 	// lastCrash is the time of the newest crash.
 	lastCrash time.Time
+	// events are the crashes and begins in the order of time.
+	events []partEvent
 }
 
 type partCrash struct {
@@ -38,75 +42,170 @@
 	observed bool
 }
 
+// partEvent is a crash or a begin.
+type partEvent struct {
+	id    uint64
+	begun bool
+	at    time.Time
+}
+
+func newPartSuspect(now time.Time) *partSuspect {
+	return &partSuspect{crashes: make(map[uint64]partCrash), begins: make(map[uint64]time.Time), lastCrash: now}
+}
+
 // merge merges a report and reports whether it is new.
 func (s *partSuspect) merge(at time.Time, r PartReport, observed bool) bool {
+	isNew := false
+
 	if r.Begun {
-		if _, known := s.begins[r.Event]; known || len(s.begins) >= maxBeginsPerPart {
-			return false
-		}
+		isNew = s.mergeBegin(at, r.Event)
+	} else {
+		isNew = s.mergeCrash(at, r.Event, observed)
+	}
 
-		s.begins[r.Event] = struct{}{}
+	if isNew {
+		s.sortEvents()
+	}
+
+	return isNew
+}
 
-		return true
+func (s *partSuspect) mergeBegin(at time.Time, event uint64) bool {
+	if _, known := s.begins[event]; known || len(s.begins) >= maxBeginsPerPart && !s.dropOldest(at, true) {
+		return false
 	}
 
-	if _, known := s.crashes[r.Event]; known || len(s.crashes) >= maxCrashesPerPart {
+	s.begins[event] = at
+
+	return true
+}
+
+func (s *partSuspect) mergeCrash(at time.Time, event uint64, observed bool) bool {
+	if _, known := s.crashes[event]; known || len(s.crashes) >= maxCrashesPerPart && !s.dropOldest(at, false) {
 		return false
 	}
 
-	s.crashes[r.Event] = partCrash{at: at, observed: observed}
+	s.crashes[event] = partCrash{at: at, observed: observed}
 
-	if at.After(s.lastCrash) {
+	if len(s.crashes) == 1 || at.After(s.lastCrash) {
 		s.lastCrash = at
 	}
 
 	return true
 }
 
-// unexplained returns the crashes that no other part explains.
-func (s *partSuspect) unexplained(explained map[uint64]bool) []uint64 {
-	events := make([]uint64, 0, len(s.crashes))
+// dropOldest removes the oldest crash or begin to make room for one at a time, and reports whether
+// that is newer.
+func (s *partSuspect) dropOldest(at time.Time, begun bool) bool {
+	i := slices.IndexFunc(s.events, func(e partEvent) bool { return e.begun == begun })
+	if i < 0 || !s.events[i].at.Before(at) {
+		return false
+	}
 
-	for event := range s.crashes {
-		if !explained[event] {
-			events = append(events, event)
-		}
+	if begun {
+		delete(s.begins, s.events[i].id)
+	} else {
+		delete(s.crashes, s.events[i].id)
 	}
 
-	slices.Sort(events)
+	s.events = slices.Delete(s.events, i, i+1)
 
-	return events
+	return true
 }
 
-// moments returns the number of moments at which servers crashed.
-func (s *partSuspect) moments(events []uint64) int {
-	times := make([]time.Time, 0, len(events))
-	for _, event := range events {
-		times = append(times, s.crashes[event].at)
+func (s *partSuspect) sortEvents() {
+	s.events = s.events[:0]
+
+	for id, crash := range s.crashes {
+		s.events = append(s.events, partEvent{id: id, at: crash.at})
 	}
 
-	slices.SortFunc(times, time.Time.Compare)
+	for id, at := range s.begins {
+		s.events = append(s.events, partEvent{id: id, begun: true, at: at})
+	}
 
-	moments := 0
-	last := time.Time{}
+	slices.SortFunc(s.events, func(a, b partEvent) int {
+		return cmp.Or(a.at.Compare(b.at), compareBool(a.begun, b.begun), cmp.Compare(a.id, b.id))
+	})
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
+}
 
-	for _, at := range times {
-		if moments == 0 || at.Sub(last) >= crashInterval {
-			moments++
-			last = at
+// suspected reports whether answers that begin still change what the crashes say. It is the
+// cumulative sum by which a change from sound to harmful is found: what came before the sum was
+// last zero has no weight.
+func (s *partSuspect) suspected() bool {
+	sum := 0.0
+
+	for _, e := range s.events {
+		if e.begun {
+			sum = max(sum+beginWeight, 0)
+		} else {
+			sum += crashWeight
 		}
 	}
 
-	return moments
+	return sum > 0
 }
 
-// evidence returns how much more likely the crashes and begins are if the part causes the crashes,
-// as a logarithm. It is zero for a part that began at least as often.
-func (s *partSuspect) evidence(events []uint64) float64 {
-	crashes, begins := len(events), len(s.begins)
-	if crashes <= begins || s.moments(events) < minPartCrashes {
-		return 0
+// evidenceSpan is the latest time over which the events of a part speak most for its being harmful.
+type evidenceSpan struct {
+	// crashes are the servers that crashed in it, in the order of time.
+	crashes []uint64
+	begins  int
+	moments int
+	// evidence is how much more likely the events are if the part causes the crashes, as a logarithm.
+	evidence float64
+}
+
+// span returns the evidence of the crashes that are not explained by another part. A part may turn
+// harmful at any crash, so that what was before it is left out where that raises the evidence.
+func (s *partSuspect) span(explained map[uint64]bool) evidenceSpan {
+	var (
+		best, seen evidenceSpan
+		last       time.Time
+	)
+
+	for _, e := range slices.Backward(s.events) {
+		switch {
+		case e.begun:
+			seen.begins++
+			seen.evidence += beginWeight
+
+			continue
+		case explained[e.id]:
+			continue
+		}
+
+		if seen.moments == 0 || last.Sub(e.at) >= crashInterval {
+			seen.moments++
+			last = e.at
+		}
+
+		seen.crashes = append(seen.crashes, e.id)
+		seen.evidence += crashWeight
+
+		if seen.evidence > best.evidence && len(seen.crashes) >= minCrashesPerBegin*seen.begins {
+			best = seen
+		}
 	}
 
-	return max(0, crashWeight*float64(crashes)+beginWeight*float64(begins))
+	best.crashes = slices.Clone(best.crashes)
+	slices.Reverse(best.crashes)
+
+	return best
+}
+
+// conclusive reports whether the evidence is enough to hold a part off.
+func (s evidenceSpan) conclusive() bool {
+	return s.moments >= minPartCrashes && s.evidence >= minEvidence
 }
--- a/quarantine/part_updates.go
+++ b/quarantine/part_updates.go
@@ -27,12 +27,15 @@
 	return pending
 }
 
-// withAge returns a report with the age of its crash.
+// withAge returns a report with the age of its event.
 func (s *partSuspect) withAge(now time.Time, r PartReport) PartReport {
-	if crash, ok := s.crashes[r.Event]; ok && !r.Begun {
-		r.AgeMs = uint32(min(max(now.Sub(crash.at), 0), holdDuration).Milliseconds())
+	at := s.crashes[r.Event].at
+	if r.Begun {
+		at = s.begins[r.Event]
 	}
 
+	r.AgeMs = uint32(min(max(now.Sub(at), 0), holdDuration).Milliseconds())
+
 	return r
 }
 
--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -29,17 +29,16 @@
 //
 // A server that crashes takes all its requests along; those whose answer was about to begin are
 // suspects with all their shared parts. A part is held off once servers have crashed on it at three
-// moments, unless answers to requests with it begin about as often, or another part explains its
-// crashes better. Parts that nothing tells apart are held off together: a request has to hold all
-// of them.
+// moments, unless answers to requests with it begin among these crashes, or another part explains
+// them better. What began before the crashes says nothing: a part may turn harmful. Parts that
+// nothing tells apart are held off together: a request has to hold all of them.
 type Parts struct {
 	// OnHeld is called when parts become held off. It must not block, may be nil, and is set
 	// before the first use.
 	OnHeld func(parts []PartKey)
 	// OnCrash is called with what is known of a part at which servers crashed several times, at each
 	// further crash. It must not block, may be nil, and is set before the first use.
-	OnCrash func(PartEvidence)
-
+	OnCrash  func(PartEvidence)
 	mu       sync.Mutex
 	suspects map[PartKey]*partSuspect
 	recent   recentBegins
@@ -109,7 +108,7 @@
 	for _, part := range parts {
 		p.recent.add(now, part, event)
 
-		if p.suspects[part] != nil {
+		if s := p.suspects[part]; s != nil && s.suspected() {
 			changed = p.merge(now, PartReport{Part: part, Event: event, Begun: true}, observedHere) || changed
 		}
 	}
@@ -144,7 +143,7 @@
 
 	s, known := p.suspects[r.Part]
 	if !known {
-		s = &partSuspect{crashes: make(map[uint64]partCrash), begins: make(map[uint64]struct{}), lastCrash: now}
+		s = newPartSuspect(now)
 		p.suspects[r.Part] = s
 	}
 
@@ -157,19 +156,22 @@
 		p.send(r)
 	}
 
+	if !r.Begun {
+		p.reportRecentBegins(at, r.Part, s)
+	}
+
 	if !known {
-		p.reportRecentBegins(now, r.Part, s)
 		p.evict(now)
 	}
 
 	return true
 }
 
-// reportRecentBegins reports the answers that began here before a part became a suspect.
-func (p *Parts) reportRecentBegins(now time.Time, part PartKey, s *partSuspect) {
-	for _, event := range p.recent.of(now, part) {
-		r := PartReport{Part: part, Event: event, Begun: true}
-		if s.merge(now, r, true) {
+// reportRecentBegins reports the answers that began here between a crash and the report of it.
+func (p *Parts) reportRecentBegins(crashedAt time.Time, part PartKey, s *partSuspect) {
+	for _, b := range p.recent.after(crashedAt, part) {
+		r := PartReport{Part: part, Event: b.event, Begun: true}
+		if s.merge(b.at, r, true) {
 			p.send(r)
 		}
 	}
@@ -204,78 +206,3 @@
 		delete(p.suspects, part)
 	}
 }
-
-// decide determines the parts that are held off: the one for which there is most evidence, then
-// the next one for the crashes that the first does not explain, and so on.
-func (p *Parts) decide(now time.Time) {
-	var groups [][]PartKey
-
-	explained := make(map[uint64]bool)
-	left := make(map[PartKey]*partSuspect, len(p.suspects))
-
-	for part, s := range p.suspects {
-		if len(s.crashes) >= minPartCrashes && now.Sub(s.lastCrash) < holdDuration {
-			left[part] = s
-		}
-	}
-
-	for len(left) > 0 {
-		group, events := strongest(left, explained)
-		if len(group) == 0 {
-			break
-		}
-
-		groups = append(groups, group)
-
-		for _, part := range group {
-			delete(left, part)
-		}
-
-		for _, event := range events {
-			explained[event] = true
-		}
-	}
-
-	p.publish(groups)
-}
-
-// strongest returns the parts for which there is most evidence, and the crashes that they explain.
-// Several parts have the same evidence only if they stood at the same crashes.
-func strongest(left map[PartKey]*partSuspect, explained map[uint64]bool) ([]PartKey, []uint64) {
-	var (
-		group  []PartKey
-		events []uint64
-	)
-
-	best := float64(minEvidence)
-
-	for _, part := range slices.Sorted(maps.Keys(left)) {
-		s := left[part]
-		crashes := s.unexplained(explained)
-		evidence := s.evidence(crashes)
-
-		switch {
-		case evidence > best || evidence == best && len(group) == 0:
-			best, group, events = evidence, []PartKey{part}, crashes
-		case evidence == best && slices.Equal(crashes, events):
-			group = append(group, part)
-		}
-	}
-
-	return group, events
-}
-
-// publish puts the parts that are held off in force.
-func (p *Parts) publish(groups [][]PartKey) {
-	before := p.held.Swap(&groups)
-
-	if p.OnHeld == nil {
-		return
-	}
-
-	for _, group := range groups {
-		if before == nil || !slices.ContainsFunc(*before, func(g []PartKey) bool { return slices.Equal(g, group) }) {
-			p.OnHeld(group)
-		}
-	}
-}
--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -120,13 +120,15 @@
 
 	holdPart(&p, part[0])
 
+	later := partsNow.Add(4 * time.Second)
+
 	for i := range 4 {
-		other.RecordBegin(partsNow, fmt.Sprint("r", i), part)
+		other.RecordBegin(later, fmt.Sprint("r", i), part)
 	}
 
-	other.Merge(partsNow, p.PendingReports(partsNow), false)
+	other.Merge(later, p.PendingReports(later), false)
 
-	if p.Merge(partsNow, other.PendingReports(partsNow), false); p.HeldCount() != 0 {
+	if p.Merge(later, other.PendingReports(later), false); p.HeldCount() != 0 {
 		t.Error("after four begins: got a part that is held off, want none")
 	}
 }
@@ -221,11 +223,13 @@
 	var p Parts
 
 	for i := range times {
-		p.RecordBegin(partsNow, fmt.Sprint("r", i), part)
-		p.RecordCrash(partsNow.Add(time.Duration(i)*time.Second), crashed(i), part)
-	}
+		at := partsNow.Add(time.Duration(i) * time.Second)
 
-	if _, held := p.Held(part); held {
-		t.Error("got a part that is held off, want none")
+		p.RecordBegin(at, fmt.Sprint("r", i), part)
+		p.RecordCrash(at, crashed(i), part)
+
+		if _, held := p.Held(part); held {
+			t.Errorf("after %d crashes: got a part that is held off, want none", i+1)
+		}
 	}
 }
