--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -44,6 +44,7 @@
 	recent   recentBegins
 	outbox   outbox[PartReport]
 	wake     feed.Signal
+	groups   []heldGroup
 
 	// held are the groups of parts that are held off. The request path reads it without a lock.
 	held atomic.Pointer[[][]PartKey]
