fix(quarantine,entry): what is recorded is what parts were judged by

What callers saw: after a start of all instances parts were held off that were not before, or no longer held off. The record on the board had, for each part that is held off, its five oldest crashes and no begin, so that a reader judged a common part by crashes that others explain; of other parts, crashes that the instance itself had seen in the last ten seconds, in the order of their keys, so that three crashes ten seconds apart were forgotten by a start of all and many sound companions could take the room of the harmful part.

A record now holds the crashes that each group explains, the same for all of its parts; then, the strongest first, those of parts that may yet be held off, for ten minutes, with the begins among them. Leaders write it at once when several servers have crashed on a part, not only when it is held off.

--- a/entry/losses.go
+++ b/entry/losses.go
@@ -69,9 +69,9 @@
 	p.quarantine.Merge(now, losses, plan.Relay && !plan.FullMesh)
 }
 
-// quarantineStarted requests a record on the board when a request is quarantined, so that the
-// quarantine survives a loss of all instances. Leaders write the record for all.
-func (p *components) quarantineStarted() {
+// recordSoon requests a record on the board when there is more to record of requests and parts that
+// crash servers, so that it survives a loss of all instances. Leaders write the record for all.
+func (p *components) recordSoon() {
 	if p.isLeader() {
 		p.board.Wake()
 	}
@@ -83,11 +83,15 @@
 	p.parts.Merge(now, reports, plan.Relay && !plan.FullMesh)
 }
 
-// partsHeld logs parts of prompts that become held off, and requests a record on the board as
-// quarantineStarted does.
+// partsHeld logs parts of prompts that become held off, and requests a record on the board.
 func (p *components) partsHeld(parts []quarantine.PartKey) {
-	klog.InfoS("requests with parts of prompts that crash backend servers are held off", "parts", parts)
-	p.quarantineStarted()
+	keys := make([]string, 0, len(parts))
+	for _, part := range parts {
+		keys = append(keys, part.String())
+	}
+
+	klog.InfoS("requests with parts of prompts that crash backend servers are held off", "parts", keys)
+	p.recordSoon()
 }
 
 // partCrashed logs what is known of a part at which backend servers crashed several times.
--- a/quarantine/part_updates.go
+++ b/quarantine/part_updates.go
@@ -1,11 +1,14 @@
 package quarantine
 
 import (
-	"maps"
+	"cmp"
 	"slices"
 	"time"
 )
 
+// storedSuspectTTL is how long the evidence on a part that isn't held off is stored.
+const storedSuspectTTL = 10 * time.Minute
+
 // Ready returns a channel that receives a value when there are reports to send.
 func (p *Parts) Ready() <-chan struct{} { return p.wake.C() }
 
@@ -40,49 +43,100 @@
 }
 
 // StoredReports returns the reports for the stored record, which survives a failure of all
-// instances and reaches instances that receive no messages: those of parts that are held off, and
-// crashes that this instance observed recently.
+// instances and reaches instances that receive no messages: those by which parts are held off, and
+// those that may hold further parts off, the strongest first.
 func (p *Parts) StoredReports(now time.Time) []PartReport {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
 	var stored []PartReport
 
-	if groups := p.held.Load(); groups != nil {
-		for _, part := range slices.Concat(*groups...) {
-			stored = append(stored, p.storedCrashes(now, part, func(partCrash) bool { return true })...)
+	grouped := make(map[PartKey]bool)
+
+	for _, group := range p.groups {
+		for _, part := range group.parts {
+			grouped[part] = true
+			stored = append(stored, p.storedEvents(now, part, group.crashes)...)
 		}
 	}
 
-	for _, part := range slices.Sorted(maps.Keys(p.suspects)) {
-		stored = append(stored, p.storedCrashes(now, part, func(c partCrash) bool {
-			return c.observed && now.Sub(c.at) <= storedLossTTL
-		})...)
+	for _, candidate := range p.storedSuspects(now) {
+		if !grouped[candidate.part] {
+			stored = append(stored, p.storedEvents(now, candidate.part, candidate.span.crashes)...)
+		}
 	}
 
 	return stored[:min(len(stored), maxStoredReports)]
 }
 
-// storedCrashes returns reports of the oldest crashes of a part that are to be stored, each of
-// another moment.
-func (p *Parts) storedCrashes(now time.Time, part PartKey, include func(partCrash) bool) []PartReport {
+type storedSuspect struct {
+	part PartKey
+	span evidenceSpan
+}
+
+// storedSuspects returns the parts that aren't held off and whose evidence is to be stored: that of
+// several crashes, or of one that this instance observed recently.
+func (p *Parts) storedSuspects(now time.Time) []storedSuspect {
+	var suspects []storedSuspect
+
+	for part, s := range p.suspects {
+		age := now.Sub(s.lastCrash)
+		if age > storedSuspectTTL {
+			continue
+		}
+
+		span := s.span(nil)
+		observed := age <= storedLossTTL && slices.ContainsFunc(span.crashes, func(event uint64) bool { return s.crashes[event].observed })
+
+		if len(span.crashes) > 1 || observed {
+			suspects = append(suspects, storedSuspect{part: part, span: span})
+		}
+	}
+
+	slices.SortFunc(suspects, func(a, b storedSuspect) int {
+		return cmp.Or(cmp.Compare(b.span.evidence, a.span.evidence), cmp.Compare(a.part, b.part))
+	})
+
+	return suspects
+}
+
+// storedEvents returns reports of crashes of a part that are to be stored, those of different moments
+// first, and of the answers that began among them.
+func (p *Parts) storedEvents(now time.Time, part PartKey, crashes []uint64) []PartReport {
 	s := p.suspects[part]
 	if s == nil {
 		return nil
 	}
 
-	events := slices.SortedFunc(maps.Keys(s.crashes), func(a, b uint64) int { return s.crashes[a].at.Compare(s.crashes[b].at) })
+	var apart, together, reports []PartReport
+
+	last := time.Time{}
+
+	for _, e := range s.events {
+		r := s.withAge(now, PartReport{Part: part, Event: e.id, Begun: e.begun})
+
+		switch {
+		case e.begun || !slices.Contains(crashes, e.id):
+		case e.at.Sub(last) >= crashInterval:
+			apart, last = append(apart, r), e.at
+		default:
+			together = append(together, r)
+		}
+	}
+
+	reports = append(apart, together...)
+	reports = reports[:min(len(reports), storedCrashes)]
+
+	return append(reports, s.storedBegins(now, part, len(reports)/minCrashesPerBegin)...)
+}
 
-	var (
-		reports []PartReport
-		last    time.Time
-	)
+// storedBegins returns reports of the newest begins of a part since it was sound, at most n.
+func (s *partSuspect) storedBegins(now time.Time, part PartKey, n int) []PartReport {
+	var reports []PartReport
 
-	for _, event := range events {
-		crash := s.crashes[event]
-		if include(crash) && len(reports) < storedCrashes && crash.at.Sub(last) >= crashInterval {
-			reports = append(reports, s.withAge(now, PartReport{Part: part, Event: event}))
-			last = crash.at
+	for _, e := range slices.Backward(s.events) {
+		if e.begun && len(reports) < min(n, s.span(nil).begins) {
+			reports = append(reports, s.withAge(now, PartReport{Part: part, Event: e.id, Begun: true}))
 		}
 	}
 
--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -38,7 +38,11 @@
 	OnHeld func(parts []PartKey)
 	// OnCrash is called with what is known of a part at which servers crashed several times, at each
 	// further crash. It must not block, may be nil, and is set before the first use.
-	OnCrash  func(PartEvidence)
+	OnCrash func(PartEvidence)
+	// OnEvidence is called when there is more evidence to store: several servers crashed on a part. It
+	// must not block, may be nil, and is set before the first use.
+	OnEvidence func()
+
 	mu       sync.Mutex
 	suspects map[PartKey]*partSuspect
 	recent   recentBegins
@@ -159,6 +163,10 @@
 
 	if !r.Begun {
 		p.reportRecentBegins(at, r.Part, s)
+
+		if len(s.crashes) > 1 && p.OnEvidence != nil {
+			p.OnEvidence()
+		}
 	}
 
 	if !known {
--- a/quarantine/parts_model_test.go
+++ b/quarantine/parts_model_test.go
@@ -106,6 +106,7 @@
 	p := &Parts{}
 	if i < leadingCount {
 		p.OnHeld = func([]PartKey) { m.toRecord[p] = true }
+		p.OnEvidence = func() { m.toRecord[p] = true }
 	}
 
 	return p
