fix(quarantine,entry): crashes that were recorded keep their times when records are read

What callers saw: after a start of all, parts that had crashed three servers were not held off, and crashed more. An instance that reads the records took the ages of crashes from the moment of the read, though each record was written at another time: crashes of several records seemed to be one moment, which counts once. The age of the record, by its own clock, is added now, 30 s at most, since clocks differ.

--- a/entry/records.go
+++ b/entry/records.go
@@ -56,7 +56,7 @@
 	p.receiveRecordedConsumption(now, r)
 	// All instances that use the board read it, so losses are not forwarded.
 	p.quarantine.Merge(now, r.Losses, false)
-	p.parts.Merge(now, r.Parts, false)
+	p.parts.MergeRecorded(now, time.Unix(0, r.Clock), r.Parts)
 	p.duties.receiveRecord(now, r)
 
 	for _, s := range r.Rollouts {
--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -22,6 +22,9 @@
 	// which are enough to hold it off.
 	maxStoredReports = 40
 	storedCrashes    = minPartCrashes + 2
+	// maxRecordAge bounds the age of a stored record, since clocks differ. The store keeps none for
+	// longer.
+	maxRecordAge = 30 * time.Second
 )
 
 // Parts finds out which parts of prompts crash servers, and holds requests with such a part off,
@@ -140,6 +143,18 @@
 	p.decide(now)
 }
 
+// MergeRecorded merges what an instance stored at a time by its own clock.
+func (p *Parts) MergeRecorded(now, recordedAt time.Time, reports []PartReport) {
+	age := min(max(now.Sub(recordedAt), 0), maxRecordAge)
+
+	aged := slices.Clone(reports)
+	for i := range aged {
+		aged[i].AgeMs = uint32(min(time.Duration(aged[i].AgeMs)*time.Millisecond+age, holdDuration).Milliseconds())
+	}
+
+	p.Merge(now, aged, false)
+}
+
 // merge merges one report and reports whether it is new.
 func (p *Parts) merge(now time.Time, r PartReport, from origin) bool {
 	if p.suspects == nil {
--- a/quarantine/parts_change_test.go
+++ b/quarantine/parts_change_test.go
@@ -149,3 +149,25 @@
 		t.Error("third crash, after a start of all: got a part that is not held off, want it held off")
 	}
 }
+
+// Guards against crashes of several records that seem to be at one moment, since all are read at once.
+func TestCrashesOfSeveralRecordsKeepTheirTimes(t *testing.T) {
+	const interval = 4 * time.Second
+
+	part := PartKeys("llm", []string{"dead", "own"})
+	read := partsNow.Add(3 * interval)
+
+	var after Parts
+
+	for i := range 3 {
+		var observer Parts
+
+		at := partsNow.Add(time.Duration(i) * interval)
+		observer.RecordCrash(at, crashed(i), part)
+		after.MergeRecorded(read, at, observer.StoredReports(at))
+	}
+
+	if _, held := after.Held(part); !held {
+		t.Error("three crashes, each in a record of its own: got a part that is not held off, want it held off")
+	}
+}
--- a/quarantine/parts_model_test.go
+++ b/quarantine/parts_model_test.go
@@ -223,7 +223,7 @@
 
 		for _, r := range m.records {
 			if age := m.now.Sub(r.at); age >= lost && age <= recordRetention {
-				p.Merge(m.now, r.reports, false)
+				p.MergeRecorded(m.now, r.at, r.reports)
 			}
 		}
 
