--- a/quarantine/part_decision.go
+++ b/quarantine/part_decision.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 )
@@ -26,10 +25,20 @@
 
 // decision finds the parts that explain the crashes.
 type decision struct {
-	suspects  map[PartKey]*partSuspect
-	order     []PartKey
+	suspects map[PartKey]*partSuspect
+	// candidates are the parts with enough evidence by themselves.
+	candidates []candidate
+	// byCrash has the suspects that stood at each crash.
+	byCrash   map[uint64][]PartKey
 	explained map[uint64]bool
-	groups    []heldGroup
+	// reduced are the spans of parts some of whose crashes are explained.
+	reduced map[PartKey]evidenceSpan
+	groups  []heldGroup
+}
+
+type candidate struct {
+	part PartKey
+	span evidenceSpan
 }
 
 // decide determines the parts that are held off: the one for which there is most evidence, then
@@ -39,33 +48,88 @@
 // have most evidence. While other parts explain its crashes about as well, it is held off only in
 // requests with one of them, so that others go on and tell the explanations apart.
 func (p *Parts) decide(now time.Time) {
-	d := decision{suspects: make(map[PartKey]*partSuspect, len(p.suspects)), explained: make(map[uint64]bool)}
+	d := newDecision(p.suspects, now)
+
+	for len(d.candidates) > 0 {
+		group, span := d.strongest()
+		d.hold(group, span)
+		d.explain(span.crashes)
+	}
 
-	for part, s := range p.suspects {
-		if len(s.crashes) > 0 && now.Sub(s.lastCrash) < holdDuration {
-			d.suspects[part] = s
+	p.publish(d.groups)
+}
+
+func newDecision(suspects map[PartKey]*partSuspect, now time.Time) *decision {
+	d := &decision{suspects: suspects}
+
+	for part, s := range suspects {
+		if s.isCurrent(now) && s.whole().conclusive() {
+			d.candidates = append(d.candidates, candidate{part: part, span: s.whole()})
 		}
 	}
 
-	d.order = slices.Sorted(maps.Keys(d.suspects))
+	if len(d.candidates) == 0 {
+		return d
+	}
 
-	for {
-		group, span := d.strongest()
-		if len(group) == 0 {
-			break
+	slices.SortFunc(d.candidates, func(a, b candidate) int { return cmp.Compare(a.part, b.part) })
+
+	d.byCrash, d.explained, d.reduced = make(map[uint64][]PartKey), make(map[uint64]bool), make(map[PartKey]evidenceSpan)
+
+	for part, s := range suspects {
+		if !s.isCurrent(now) {
+			continue
 		}
 
-		d.hold(group, span)
+		for event := range s.crashes {
+			d.byCrash[event] = append(d.byCrash[event], part)
+		}
+	}
 
-		for _, event := range span.crashes {
-			d.explained[event] = true
+	return d
+}
+
+// span returns the evidence of the crashes of a part that are not explained.
+func (d *decision) span(part PartKey) evidenceSpan {
+	if span, ok := d.reduced[part]; ok {
+		return span
+	}
+
+	return d.suspects[part].whole()
+}
+
+// explain takes crashes out of the evidence of all parts.
+func (d *decision) explain(crashes []uint64) {
+	affected := make(map[PartKey]struct{})
+
+	for _, event := range crashes {
+		d.explained[event] = true
+
+		for _, part := range d.byCrash[event] {
+			affected[part] = struct{}{}
 		}
 	}
 
-	p.publish(d.groups)
+	for part := range affected {
+		d.reduced[part] = d.suspects[part].span(d.explained)
+	}
+
+	left := d.candidates[:0]
+
+	for _, c := range d.candidates {
+		if _, ok := affected[c.part]; ok {
+			c.span = d.reduced[c.part]
+		}
+
+		if c.span.conclusive() {
+			left = append(left, c)
+		}
+	}
+
+	d.candidates = left
 }
 
-// strongest returns the parts for which there is most evidence. Several parts have the same evidence
+// strongest returns the candidates for which there is most evidence. Several have the same evidence
 // only if they stood at the same crashes.
 func (d *decision) strongest() ([]PartKey, evidenceSpan) {
 	var (
@@ -73,19 +137,12 @@
 		best  evidenceSpan
 	)
 
-	for _, part := range d.order {
-		if len(d.suspects[part].crashes) < minPartCrashes {
-			continue
-		}
-
-		span := d.suspects[part].span(d.explained)
-
+	for _, c := range d.candidates {
 		switch {
-		case !span.conclusive():
-		case span.evidence > best.evidence:
-			best, group = span, []PartKey{part}
-		case span.evidence == best.evidence && sameEvents(span.crashes, best.crashes):
-			group = append(group, part)
+		case c.span.evidence > best.evidence:
+			best, group = c.span, []PartKey{c.part}
+		case c.span.evidence == best.evidence && sameEvents(c.span.crashes, best.crashes):
+			group = append(group, c.part)
 		}
 	}
 
@@ -142,19 +199,25 @@
 func (d *decision) explainingParts(group []PartKey, span evidenceSpan) []explainingPart {
 	var parts []explainingPart
 
-	for _, part := range d.order {
-		if slices.Contains(group, part) {
-			continue
-		}
+	seen := make(map[PartKey]struct{})
+
+	for _, event := range span.crashes {
+		for _, part := range d.byCrash[event] {
+			if _, known := seen[part]; known || slices.Contains(group, part) {
+				continue
+			}
+
+			seen[part] = struct{}{}
 
-		other := d.suspects[part].span(d.explained)
-		if common := commonEvents(span.crashes, other.crashes); len(common) > 0 {
-			parts = append(parts, explainingPart{part: part, crashes: common, cost: costOf(other)})
+			other := d.span(part)
+			if common := commonEvents(span.crashes, other.crashes); len(common) > 0 {
+				parts = append(parts, explainingPart{part: part, crashes: common, cost: costOf(other)})
+			}
 		}
 	}
 
-	slices.SortStableFunc(parts, func(a, b explainingPart) int {
-		return cmp.Or(cmp.Compare(len(b.crashes), len(a.crashes)), cmp.Compare(a.cost, b.cost))
+	slices.SortFunc(parts, func(a, b explainingPart) int {
+		return cmp.Or(cmp.Compare(len(b.crashes), len(a.crashes)), cmp.Compare(a.cost, b.cost), cmp.Compare(a.part, b.part))
 	})
 
 	return parts
@@ -216,9 +279,15 @@
 		return
 	}
 
-	for _, group := range held {
-		if before == nil || !slices.ContainsFunc(*before, func(g []PartKey) bool { return slices.Equal(g, group) }) {
+	for i, group := range held {
+		if before == nil || !containsGroup(*before, i, group) {
 			p.OnHeld(group)
 		}
 	}
 }
+
+// containsGroup reports whether groups contain one, which is most often at the index.
+func containsGroup(groups [][]PartKey, index int, group []PartKey) bool {
+	return index < len(groups) && slices.Equal(groups[index], group) ||
+		slices.ContainsFunc(groups, func(g []PartKey) bool { return slices.Equal(g, group) })
+}
--- a/quarantine/part_suspect.go
+++ b/quarantine/part_suspect.go
@@ -32,8 +32,10 @@
 	begins  map[uint64]time.Time
 	// lastCrash is the time of the newest crash.
 	lastCrash time.Time
-	// events are the crashes and begins in the order of time.
-	events []partEvent
+	// events are the crashes and begins in the order of time, and wholeSpan is their evidence once it
+	// was asked for.
+	events    []partEvent
+	wholeSpan *evidenceSpan
 }
 
 type partCrash struct {
@@ -114,7 +116,7 @@
 }
 
 func (s *partSuspect) sortEvents() {
-	s.events = s.events[:0]
+	s.events, s.wholeSpan = s.events[:0], nil
 
 	for id, crash := range s.crashes {
 		s.events = append(s.events, partEvent{id: id, at: crash.at})
@@ -167,6 +169,19 @@
 	evidence float64
 }
 
+// isCurrent reports whether a server crashed on the part recently enough for it to be held off.
+func (s *partSuspect) isCurrent(now time.Time) bool { return now.Sub(s.lastCrash) < holdDuration }
+
+// whole returns the evidence of all crashes.
+func (s *partSuspect) whole() evidenceSpan {
+	if s.wholeSpan == nil {
+		span := s.span(nil)
+		s.wholeSpan = &span
+	}
+
+	return *s.wholeSpan
+}
+
 // span returns the evidence of the crashes that are not explained by another part. A part may turn
 // harmful at any crash, so that what was before it is left out where that raises the evidence.
 func (s *partSuspect) span(explained map[uint64]bool) evidenceSpan {
--- a/quarantine/part_updates.go
+++ b/quarantine/part_updates.go
@@ -85,7 +85,7 @@
 			continue
 		}
 
-		span := s.span(nil)
+		span := s.whole()
 		observed := age <= storedLossTTL && slices.ContainsFunc(span.crashes, func(event uint64) bool { return s.crashes[event].observed })
 
 		if len(span.crashes) > 1 || observed {
@@ -135,7 +135,7 @@
 	var reports []PartReport
 
 	for _, e := range slices.Backward(s.events) {
-		if e.begun && len(reports) < min(n, s.span(nil).begins) {
+		if e.begun && len(reports) < min(n, s.whole().begins) {
 			reports = append(reports, s.withAge(now, PartReport{Part: part, Event: e.id, Begun: true}))
 		}
 	}
