--- a/quarantine/part_decision.go
+++ b/quarantine/part_decision.go
@@ -81,8 +81,10 @@
 			continue
 		}
 
-		for event := range s.crashes {
-			d.byCrash[event] = append(d.byCrash[event], part)
+		for _, e := range s.events {
+			if !e.begun {
+				d.byCrash[e.id] = append(d.byCrash[e.id], part)
+			}
 		}
 	}
 
--- a/quarantine/part_evidence.go
+++ b/quarantine/part_evidence.go
@@ -26,8 +26,8 @@
 	}
 
 	for _, part := range parts {
-		if s := p.suspects[part]; s != nil && len(s.crashes) >= minPartCrashes {
-			p.OnCrash(PartEvidence{Part: part, Crashes: len(s.crashes), Begins: len(s.begins), Held: p.inHeldGroup(part)})
+		if s := p.suspects[part]; s != nil && s.crashes >= minPartCrashes {
+			p.OnCrash(PartEvidence{Part: part, Crashes: s.crashes, Begins: s.begins, Held: p.inHeldGroup(part)})
 		}
 	}
 }
--- a/quarantine/part_suspect.go
+++ b/quarantine/part_suspect.go
@@ -27,73 +27,73 @@
 
 // partSuspect is a part that stood at the begin of an answer when a server crashed.
 type partSuspect struct {
-	// crashes are the crashes by server process, and begins the times of answers that began.
-	crashes map[uint64]partCrash
-	begins  map[uint64]time.Time
+	// events are the crashes, by server process, and the answers that began, in the order of time.
+	events []partEvent
+	// crashes and begins count them.
+	crashes, begins int
 	// lastCrash is the time of the newest crash.
 	lastCrash time.Time
-	// events are the crashes and begins in the order of time, and wholeSpan is their evidence once it
-	// was asked for.
-	events    []partEvent
+	// wholeSpan is the evidence of all events, once it was asked for.
 	wholeSpan *evidenceSpan
 }
 
-type partCrash struct {
+// partEvent is a crash or a begin.
+type partEvent struct {
+	id uint64
 	at time.Time
-	// observed is set if this instance observed the crash.
-	observed bool
+	// begun is set for a begin, and observed for a crash that this instance observed.
+	begun, observed bool
 }
 
-// partEvent is a crash or a begin.
-type partEvent struct {
-	id    uint64
-	begun bool
-	at    time.Time
+func (e partEvent) compare(other partEvent) int {
+	return cmp.Or(e.at.Compare(other.at), compareBool(e.begun, other.begun), cmp.Compare(e.id, other.id))
 }
 
-func newPartSuspect(now time.Time) *partSuspect {
-	return &partSuspect{crashes: make(map[uint64]partCrash), begins: make(map[uint64]time.Time), lastCrash: now}
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
 }
 
-// merge merges a report and reports whether it is new.
+// merge merges a report of an event at a time and reports whether it is new.
 func (s *partSuspect) merge(at time.Time, r PartReport, observed bool) bool {
-	isNew := false
-
-	if r.Begun {
-		isNew = s.mergeBegin(at, r.Event)
-	} else {
-		isNew = s.mergeCrash(at, r.Event, observed)
+	if s.find(r.Event, r.Begun) >= 0 || s.full(r.Begun) && !s.dropOldest(at, r.Begun) {
+		return false
 	}
 
-	if isNew {
-		s.sortEvents()
-	}
+	e := partEvent{id: r.Event, at: at, begun: r.Begun, observed: observed && !r.Begun}
+	i, _ := slices.BinarySearchFunc(s.events, e, partEvent.compare)
+	s.events, s.wholeSpan = slices.Insert(s.events, i, e), nil
 
-	return isNew
-}
+	if r.Begun {
+		s.begins++
 
-func (s *partSuspect) mergeBegin(at time.Time, event uint64) bool {
-	if _, known := s.begins[event]; known || len(s.begins) >= maxBeginsPerPart && !s.dropOldest(at, true) {
-		return false
+		return true
 	}
 
-	s.begins[event] = at
+	if s.crashes++; s.crashes == 1 || at.After(s.lastCrash) {
+		s.lastCrash = at
+	}
 
 	return true
 }
 
-func (s *partSuspect) mergeCrash(at time.Time, event uint64, observed bool) bool {
-	if _, known := s.crashes[event]; known || len(s.crashes) >= maxCrashesPerPart && !s.dropOldest(at, false) {
-		return false
-	}
-
-	s.crashes[event] = partCrash{at: at, observed: observed}
+// find returns the index of a crash or begin, or -1 if it is not known.
+func (s *partSuspect) find(id uint64, begun bool) int {
+	return slices.IndexFunc(s.events, func(e partEvent) bool { return e.id == id && e.begun == begun })
+}
 
-	if len(s.crashes) == 1 || at.After(s.lastCrash) {
-		s.lastCrash = at
+func (s *partSuspect) full(begun bool) bool {
+	if begun {
+		return s.begins >= maxBeginsPerPart
 	}
 
-	return true
+	return s.crashes >= maxCrashesPerPart
 }
 
 // dropOldest removes the oldest crash or begin to make room for one at a time, and reports whether
@@ -104,44 +104,17 @@
 		return false
 	}
 
+	s.events = slices.Delete(s.events, i, i+1)
+
 	if begun {
-		delete(s.begins, s.events[i].id)
+		s.begins--
 	} else {
-		delete(s.crashes, s.events[i].id)
+		s.crashes--
 	}
 
-	s.events = slices.Delete(s.events, i, i+1)
-
 	return true
 }
 
-func (s *partSuspect) sortEvents() {
-	s.events, s.wholeSpan = s.events[:0], nil
-
-	for id, crash := range s.crashes {
-		s.events = append(s.events, partEvent{id: id, at: crash.at})
-	}
-
-	for id, at := range s.begins {
-		s.events = append(s.events, partEvent{id: id, begun: true, at: at})
-	}
-
-	slices.SortFunc(s.events, func(a, b partEvent) int {
-		return cmp.Or(a.at.Compare(b.at), compareBool(a.begun, b.begun), cmp.Compare(a.id, b.id))
-	})
-}
-
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case b:
-		return -1
-	default:
-		return 1
-	}
-}
-
 // suspected reports whether answers that begin still change what the crashes say. It is the
 // cumulative sum by which a change from sound to harmful is found: what came before the sum was
 // last zero has no weight.
--- a/quarantine/part_updates.go
+++ b/quarantine/part_updates.go
@@ -22,24 +22,24 @@
 	pending := make([]PartReport, 0, len(reports))
 
 	for _, r := range reports {
-		if s := p.suspects[r.Part]; s != nil {
-			pending = append(pending, s.withAge(now, r))
+		s := p.suspects[r.Part]
+		if s == nil {
+			continue
+		}
+
+		if i := s.find(r.Event, r.Begun); i >= 0 {
+			pending = append(pending, s.events[i].report(now, r.Part))
 		}
 	}
 
 	return pending
 }
 
-// withAge returns a report with the age of its event.
-func (s *partSuspect) withAge(now time.Time, r PartReport) PartReport {
-	at := s.crashes[r.Event].at
-	if r.Begun {
-		at = s.begins[r.Event]
-	}
-
-	r.AgeMs = uint32(min(max(now.Sub(at), 0), holdDuration).Milliseconds())
+// report returns a report of an event of a part, with its age.
+func (e partEvent) report(now time.Time, part PartKey) PartReport {
+	age := min(max(now.Sub(e.at), 0), holdDuration)
 
-	return r
+	return PartReport{Part: part, Event: e.id, Begun: e.begun, AgeMs: uint32(age.Milliseconds())}
 }
 
 // StoredReports returns the reports for the stored record, which survives a failure of all
@@ -86,7 +86,7 @@
 		}
 
 		span := s.whole()
-		observed := age <= storedLossTTL && slices.ContainsFunc(span.crashes, func(event uint64) bool { return s.crashes[event].observed })
+		observed := age <= storedLossTTL && slices.ContainsFunc(s.events, func(e partEvent) bool { return e.observed && slices.Contains(span.crashes, e.id) })
 
 		if len(span.crashes) > 1 || observed {
 			suspects = append(suspects, storedSuspect{part: part, span: span})
@@ -113,14 +113,12 @@
 	last := time.Time{}
 
 	for _, e := range s.events {
-		r := s.withAge(now, PartReport{Part: part, Event: e.id, Begun: e.begun})
-
 		switch {
 		case e.begun || !slices.Contains(crashes, e.id):
 		case e.at.Sub(last) >= crashInterval:
-			apart, last = append(apart, r), e.at
+			apart, last = append(apart, e.report(now, part)), e.at
 		default:
-			together = append(together, r)
+			together = append(together, e.report(now, part))
 		}
 	}
 
@@ -136,7 +134,7 @@
 
 	for _, e := range slices.Backward(s.events) {
 		if e.begun && len(reports) < min(n, s.whole().begins) {
-			reports = append(reports, s.withAge(now, PartReport{Part: part, Event: e.id, Begun: true}))
+			reports = append(reports, e.report(now, part))
 		}
 	}
 
--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -16,7 +16,7 @@
 	// holdDuration is how long a part is held off after its newest crash. A part that was let go
 	// could crash as many servers again.
 	holdDuration = 24 * time.Hour
-	// maxPartSuspects bounds the remembered suspects, to some 3 MB of memory.
+	// maxPartSuspects bounds the remembered suspects, to some 4 MB of memory.
 	maxPartSuspects = 1024
 	// maxStoredReports bounds the reports in a stored record, and storedCrashes those of one part,
 	// which are enough to hold it off.
@@ -163,7 +163,7 @@
 
 	s, known := p.suspects[r.Part]
 	if !known {
-		s = newPartSuspect(now)
+		s = &partSuspect{lastCrash: now}
 		p.suspects[r.Part] = s
 	}
 
@@ -179,7 +179,7 @@
 	if !r.Begun {
 		p.reportRecentBegins(at, r.Part, s)
 
-		if len(s.crashes) > 1 && p.OnEvidence != nil {
+		if s.crashes > 1 && p.OnEvidence != nil {
 			p.OnEvidence()
 		}
 	}
@@ -223,7 +223,7 @@
 	order := slices.SortedFunc(maps.Keys(p.suspects), func(a, b PartKey) int {
 		x, y := p.suspects[a], p.suspects[b]
 
-		return cmp.Or(cmp.Compare(len(x.crashes), len(y.crashes)), x.lastCrash.Compare(y.lastCrash), cmp.Compare(a, b))
+		return cmp.Or(cmp.Compare(x.crashes, y.crashes), x.lastCrash.Compare(y.lastCrash), cmp.Compare(a, b))
 	})
 
 	for _, part := range order[:len(order)/evictionDivisor] {
--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -167,9 +167,13 @@
 		p.RecordBegin(partsNow, fmt.Sprint("b", i), PartKeys("llm", []string{"part0", "own"}))
 	}
 
-	if got := len(p.suspects[held[0]].crashes); got > maxCrashesPerPart {
+	if got := p.suspects[held[0]].crashes; got > maxCrashesPerPart {
 		t.Errorf("crashes: got %d, want at most %d", got, maxCrashesPerPart)
 	}
+
+	if got := len(p.suspects[held[0]].events); got > maxCrashesPerPart+maxBeginsPerPart {
+		t.Errorf("events: got %d, want at most %d", got, maxCrashesPerPart+maxBeginsPerPart)
+	}
 }
 
 // Guards against a sound part that is held off since it stands beside a harmful one in each crash.
