--- a/quarantine/part_updates.go
+++ b/quarantine/part_updates.go
@@ -108,7 +108,7 @@
 		return nil
 	}
 
-	var apart, together, reports []PartReport
+	var apart, together []PartReport
 
 	last := time.Time{}
 
@@ -122,7 +122,7 @@
 		}
 	}
 
-	reports = append(apart, together...)
+	reports := slices.Concat(apart, together)
 	reports = reports[:min(len(reports), storedCrashes)]
 
 	return append(reports, s.storedBegins(now, part, len(reports)/minCrashesPerBegin)...)
