--- a/quarantine/part_updates.go
+++ b/quarantine/part_updates.go
@@ -128,7 +128,7 @@
 	return append(reports, s.storedBegins(now, part, len(reports)/minCrashesPerBegin)...)
 }
 
-// storedBegins returns reports of the newest begins of a part since it was sound, at most n.
+// storedBegins returns reports of the newest begins among the crashes of a part, at most n.
 func (s *partSuspect) storedBegins(now time.Time, part PartKey, n int) []PartReport {
 	var reports []PartReport
 
