fix(quota): what is left of an allowance is the same on all processors

Not load: the machine is an arm64 one, where the compiler fuses the product of an allowance and the part of it that is granted into the subtraction of what was consumed, without rounding in between. What is granted differs in the last digit only, but two instances on other processors do not agree on a request that just fits. A conversion rounds the product.

--- a/quota/budget.go
+++ b/quota/budget.go
@@ -17,7 +17,8 @@
 // budget returns the remainder of the allowance, how much of it this instance may consume, and
 // what it has consumed of that so far.
 func (q *Quota) budget(now time.Time, a *account) (remaining, limit, recent float64) {
-	amount := a.allowance.Amount * usableFraction
+	// The conversion rounds, so that all processors find the same amount: some fuse a product into a sum.
+	amount := float64(a.allowance.Amount * usableFraction)
 	delay := q.propagationDelay(now)
 	share := q.share(now, a, delay)
 	window := now.Add(-q.policy.Window)
