--- a/quarantine/parts_change_test.go
+++ b/quarantine/parts_change_test.go
@@ -53,8 +53,11 @@
 		"two parts":                 turning(9, 2, 2, "dead", "dread"),
 		"a companion":               companion,
 		"crashes of other causes":   otherCrashes,
+		"1 instance":                turning(1, 2, 2, "dead"),
 		"8 instances":               turning(8, 2, 2, "dead"),
 		"72 instances":              turning(72, 2, 2, "dead"),
+		"195 instances":             turning(195, 2, 2, "dead"),
+		"986 instances":             turning(986, 2, 2, "dead"),
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
