feat(forward): log losses that are not taken for crashes for all requests

An answer that broke off at its begin, at a server that was not found to have ended, had a line only if its prompt has parts. For a request that crashes servers by its content nothing showed why it was not counted.

--- a/forward/loss.go
+++ b/forward/loss.go
@@ -41,9 +41,9 @@
 
 	go func() {
 		if !f.terminated(checkCtx, a) {
-			if evidence == quarantine.Strong && len(parts) > 0 {
+			if evidence == quarantine.Strong {
 				klog.InfoS("answer broke off at its begin and its backend server was not found to have ended", "server", a.ID(),
-					"id", id, "leaving", a.Leaving(), "mostPathsLost", a.MostPathsLost(f.Clock.Now()), "parts", loggedParts(prompt))
+					"id", id, "content", fingerprint, "leaving", a.Leaving(), "mostPathsLost", a.MostPathsLost(f.Clock.Now()), "parts", loggedParts(prompt))
 			}
 
 			return
