fix(forward): a server that refuses connections has ended if others of its service accept them

Cause: a loss counts as a crash only while this instance reaches most other servers, since a refused connection may be a lost path. The entry of a server that ended stays for three heartbeats and counts as a lost path for that time.

Now a connection to another server of the service is opened in that case. If that works and the server still refuses, it has ended; so it has if another process is registered at its address. While no server of the service is reached, the check is repeated for five seconds, the time in which servers that crashed together come back. A server that this instance or another one hears from runs. The loss counts at the time at which it came. While most servers are reached nothing changes: one dial for each server.

Ruled out: counting without the check, since an instance whose paths are refused would take all servers for crashed (TestEndIsToldFromLostPathsBesideOthers); other instances' word alone, since all may see the same.

--- a/forward/loss.go
+++ b/forward/loss.go
@@ -37,10 +37,10 @@
 	}
 
 	fingerprint, id, prompt, parts := j.fingerprint, j.request.ID, j.request.Prompt, j.parts
-	checkCtx := context.WithoutCancel(ctx)
+	checkCtx, lostAt := context.WithoutCancel(ctx), f.Clock.Now()
 
 	go func() {
-		if !f.terminated(checkCtx, a) {
+		if !f.terminated(checkCtx, a, lostAt) {
 			if evidence == quarantine.Strong {
 				klog.InfoS("answer broke off at its begin and its backend server was not found to have ended", "server", a.ID(),
 					"id", id, "content", fingerprint, "leaving", a.Leaving(), "mostPathsLost", a.MostPathsLost(f.Clock.Now()), "parts", loggedParts(prompt))
@@ -49,14 +49,13 @@
 			return
 		}
 
-		now := f.Clock.Now()
-		f.Quarantine.RecordLoss(now, fingerprint, a.Server(), evidence)
+		f.Quarantine.RecordLoss(lostAt, fingerprint, a.Server(), evidence)
 
 		if evidence == quarantine.Strong && len(parts) > 0 {
-			f.Parts.RecordCrash(now, a.Server(), parts)
+			f.Parts.RecordCrash(lostAt, a.Server(), parts)
 		}
 
-		_, quarantined := f.Quarantine.Quarantined(now, fingerprint)
+		_, quarantined := f.Quarantine.Quarantined(f.Clock.Now(), fingerprint)
 		klog.InfoS("backend server ended under a request", "server", a.ID(), "id", id, "content", fingerprint,
 			"atBegin", evidence == quarantine.Strong, "held", quarantined, "parts", loggedParts(prompt))
 	}()
@@ -101,21 +100,24 @@
 	return f.Pool.Accepts(ctx, upstream.Server{ID: a.ID(), Address: a.Address()})
 }
 
-// terminated reports whether the process of a server has terminated without announcing that
-// it would leave. Requests that are lost together share one check, and a loss that is
-// detected after the check uses the result that the scheduler has recorded. While this instance
-// has lost its paths to most other servers, a refused connection shows nothing of the server.
-func (f *Forwarder) terminated(ctx context.Context, a *scheduling.Assignment) bool {
+// terminated reports whether the process of a server that lost a request has terminated without
+// announcing that it would leave. Requests that are lost together share one check, and a loss that is
+// detected after the check uses the result that the scheduler has recorded.
+func (f *Forwarder) terminated(ctx context.Context, a *scheduling.Assignment, lostAt time.Time) bool {
 	server := upstream.Server{ID: a.ID(), Address: a.Address()}
 
-	terminated, _, _ := f.terminationChecks.Do(string(server.ID), func() (any, error) {
+	terminated, _, _ := f.terminationChecks.Do(a.Server().String(), func() (any, error) {
 		if a.KnownTerminated(f.Clock.Now()) {
 			return !a.Leaving(), nil
 		}
 
 		clock.Sleep(ctx, f.Clock, terminationDelay)
 
-		if a.Leaving() || !f.Pool.Terminated(ctx, server) || a.Leaving() || a.MostPathsLost(f.Clock.Now()) {
+		if a.Leaving() || !f.Pool.Terminated(ctx, server) || a.Leaving() {
+			return false, nil
+		}
+
+		if a.MostPathsLost(f.Clock.Now()) && !f.endedBesideOthers(ctx, a, lostAt) {
 			return false, nil
 		}
 
--- /dev/null
+++ b/forward/lostpaths.go
@@ -0,0 +1,72 @@
+package forward
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"monsoonlever/clock"
+	"monsoonlever/scheduling"
+	"monsoonlever/upstream"
+)
+
+const (
+	// maxWitnesses bounds the servers to which connections are opened at a time to find out whether
+	// this instance has paths to any.
+	maxWitnesses = 3
+	// endCheckInterval is the time between two checks of a server that refuses connections while
+	// most others can't be reached either, and endCheckTimeout bounds all of them: by then servers
+	// that crashed together are back, and the entry of one that ended is gone.
+	endCheckInterval = 250 * time.Millisecond
+	endCheckTimeout  = 5 * time.Second
+)
+
+// endedBesideOthers reports whether a server that refuses connections has ended, while this instance
+// reaches few other servers: these may have ended as well, or the paths to all of them are lost. It has
+// ended if it still refuses connections after another server of its service has accepted one, or if
+// another process has its address. A server of which this instance or another one hears runs.
+func (f *Forwarder) endedBesideOthers(ctx context.Context, a *scheduling.Assignment, lostAt time.Time) bool {
+	server := upstream.Server{ID: a.ID(), Address: a.Address()}
+
+	for f.Clock.Now().Sub(lostAt) < endCheckTimeout {
+		// By then other instances have said if they hear from the server.
+		clock.Sleep(ctx, f.Clock, endCheckInterval)
+
+		if a.HeardAfter(lostAt) {
+			return false
+		}
+
+		if a.AddressTaken() || f.reachesAnother(ctx, a) && f.Pool.Terminated(ctx, server) {
+			return true
+		}
+	}
+
+	return false
+}
+
+// reachesAnother reports whether another server of the service accepts a connection. Those that were
+// heard of last are tried.
+func (f *Forwarder) reachesAnother(ctx context.Context, a *scheduling.Assignment) bool {
+	checkCtx, cancel := context.WithTimeout(ctx, pathCheckTimeout)
+	defer cancel()
+
+	others := slices.Clone(f.Scheduler.Paths(f.Clock.Now())[a.Service()])
+	others = slices.DeleteFunc(others, func(p scheduling.Path) bool { return p.ID == a.ID() })
+
+	slices.SortFunc(others, func(x, y scheduling.Path) int {
+		return cmp.Or(cmp.Compare(boolRank(x.Lost), boolRank(y.Lost)), y.HeardAt.Compare(x.HeardAt))
+	})
+
+	return slices.ContainsFunc(others[:min(len(others), maxWitnesses)], func(p scheduling.Path) bool {
+		return f.Pool.Connect(checkCtx, upstream.Server{ID: p.ID, Address: p.Address}) == nil
+	})
+}
+
+func boolRank(b bool) int {
+	if b {
+		return 1
+	}
+
+	return 0
+}
--- a/scheduling/assignment.go
+++ b/scheduling/assignment.go
@@ -75,6 +75,9 @@
 // ID returns the instance ID of the server.
 func (a *Assignment) ID() fleet.InstanceID { return a.server.entry().ID }
 
+// Service returns the service of the server.
+func (a *Assignment) Service() fleet.Service { return a.server.entry().Service }
+
 // Version returns the version that the server ran when it was picked.
 func (a *Assignment) Version() fleet.Version { return a.version }
 
--- a/scheduling/path.go
+++ b/scheduling/path.go
@@ -146,6 +146,36 @@
 // Connected records that a connection to the server was opened for this attempt.
 func (a *Assignment) Connected(now time.Time) { a.scheduler.pathReached(now, a.server) }
 
+// HeardAfter reports whether anything was received from the server's process after a time, here or by
+// another instance that tells its load.
+func (a *Assignment) HeardAfter(at time.Time) bool {
+	a.server.mu.Lock()
+	defer a.server.mu.Unlock()
+
+	return a.server.path.heardAt.After(at) || a.server.reportedAt.After(at)
+}
+
+// AddressTaken reports whether another process is registered at the address of the server's process,
+// which has therefore ended.
+func (a *Assignment) AddressTaken() bool {
+	pools := a.scheduler.pools.Load()
+	if pools == nil {
+		return false
+	}
+
+	address, process := a.Address(), a.Server()
+
+	for _, pool := range *pools {
+		for _, other := range pool {
+			if entry := other.entry(); entry.Address == address && entry.Process() != process {
+				return true
+			}
+		}
+	}
+
+	return false
+}
+
 // MostPathsLost reports whether this instance has lost its paths to most servers other than that
 // of the assignment.
 func (a *Assignment) MostPathsLost(now time.Time) bool {
