fix(quarantine): of several reports of a crash the earliest time holds

Cause: records are read one after the other, and the age of each is known only from 0 to 30 seconds. Where the writer's clock is ahead, or the store keeps records for longer, several records have the same age, and crashes that each brings first fall into one moment; a part is held off for three moments. Later records that hold these crashes with their distances did not count, since what was merged first stayed.

Now the earliest time that any report gives holds: a report can only have taken longer than its age says. The record that held the part off restores the distances by itself.

Ruled out: no bound on the age, since clocks may differ by seconds; reading the newest record alone, since each instance records what it observed.

TestRecordedCrashesStayApartWhateverTheAgeOfRecords failed in both cases before.

--- a/quarantine/part_suspect.go
+++ b/quarantine/part_suspect.go
@@ -47,15 +47,21 @@
 	}
 }
 
-// merge merges a report of an event at a time and reports whether it is new.
+// merge merges a report of an event at a time and reports whether it is new. Of several reports of an
+// event the one with the earliest time is right: the way of a report takes time, and the age of a record
+// may be known only in part.
 func (s *partSuspect) merge(at time.Time, r PartReport, observed bool) bool {
-	if s.find(r.Event, r.Begun) >= 0 || s.full(r.Begun) && !s.dropOldest(at, r.Begun) {
+	if i := s.find(r.Event, r.Begun); i >= 0 {
+		s.moveBack(i, at)
+
 		return false
 	}
 
-	e := partEvent{id: r.Event, at: at, begun: r.Begun, observed: observed && !r.Begun}
-	i, _ := slices.BinarySearchFunc(s.events, e, partEvent.compare)
-	s.events, s.wholeSpan = slices.Insert(s.events, i, e), nil
+	if s.full(r.Begun) && !s.dropOldest(at, r.Begun) {
+		return false
+	}
+
+	s.insert(partEvent{id: r.Event, at: at, begun: r.Begun, observed: observed && !r.Begun})
 
 	if r.Begun {
 		s.begins++
@@ -70,6 +76,23 @@
 	return true
 }
 
+func (s *partSuspect) insert(e partEvent) {
+	i, _ := slices.BinarySearchFunc(s.events, e, partEvent.compare)
+	s.events, s.wholeSpan = slices.Insert(s.events, i, e), nil
+}
+
+// moveBack gives an event an earlier time.
+func (s *partSuspect) moveBack(i int, at time.Time) {
+	e := s.events[i]
+	if !at.Before(e.at) {
+		return
+	}
+
+	s.events = slices.Delete(s.events, i, i+1)
+	e.at = at
+	s.insert(e)
+}
+
 // find returns the index of a crash or begin, or -1 if it is not known.
 func (s *partSuspect) find(id uint64, begun bool) int {
 	return slices.IndexFunc(s.events, func(e partEvent) bool { return e.id == id && e.begun == begun })
--- a/quarantine/parts_change_test.go
+++ b/quarantine/parts_change_test.go
@@ -176,6 +176,39 @@
 	}
 }
 
+// Guards against a part that is let go in a start of all since its crashes seem to be at one moment: the
+// clock of the instance that recorded them is ahead, or the records are older than any should be.
+func TestRecordedCrashesStayApartWhateverTheAgeOfRecords(t *testing.T) {
+	const interval = 1500 * time.Millisecond
+
+	part := PartKeys("llm", []string{"dead", "own"})
+
+	for name, c := range map[string]struct{ ahead, after time.Duration }{
+		"clock ahead": {ahead: 5 * time.Second, after: time.Second},
+		"old records": {after: maxRecordAge + 10*time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var before, after Parts
+
+			read := partsNow.Add(2*interval + c.after)
+
+			for i := range 3 {
+				at := partsNow.Add(time.Duration(i) * interval)
+				before.RecordCrash(at, crashed(i), part)
+				after.MergeRecorded(read, at.Add(c.ahead), before.StoredReports(at))
+			}
+
+			if _, held := before.Held(part); !held {
+				t.Fatal("before: got a part that is not held off, want it held off")
+			}
+
+			if _, held := after.Held(part); !held {
+				t.Error("after the records were read: got a part that is not held off, want it held off")
+			}
+		})
+	}
+}
+
 // Guards against a part that is never held off by itself since each of its requests has other parts
 // beside it.
 func TestPartWhoseCompanionsAllDifferIsHeldOff(t *testing.T) {
