fix(quarantine,entry): the first crash by a request or a part is recorded at once, and carried on

A request, or a part of prompts, that crashes a server in each life of the instances was never held off: ten crashes in ten lives, where three and five and then three more sends are allowed.

Cause: what is recorded for a loss of all instances was less than what is known. A crash was written with the next regular record, up to two seconds later and eight at an instance that does not lead; at once only when a request became held off, or a second server crashed on a part. And only the instance that saw the crash wrote it, for ten seconds: a successor that had read it did not write it again, so that it was gone with the store's history.

Now a leader writes a record as soon as it learns of a crash at the begin of an answer, at most each 250 ms, and all instances go on recording such crashes, for four minutes (requests) and ten (parts), the strongest evidence first within the same bounds of 40 each.

Ruled out: waiting for the record before the caller is answered, which costs a round trip to the store for each lost request; other instances' memory, which is gone as well.

--- a/entry/components.go
+++ b/entry/components.go
@@ -234,7 +234,7 @@
 	p.store = platform.NewStore(s.Store, p.storeRestored)
 	p.store.Buffers = p.buffers
 	p.unusableServers = set.NewCounter("monsoonlever_entry_unusable_server_entries_total")
-	p.quarantine.OnQuarantined, p.parts.OnEvidence, p.parts.OnHeld, p.parts.OnCrash = p.recordSoon, p.recordSoon, p.partsHeld, p.partCrashed
+	p.quarantine.OnEvidence, p.parts.OnEvidence, p.parts.OnHeld, p.parts.OnCrash = p.recordSoon, p.recordSoon, p.partsHeld, p.partCrashed
 	p.bounds.Store(&s.Bounds)
 	self := board.MemberOf(s.Instance, s.FailureDomain, s.Listen.Peers, s.Limits.ProcessorCores)
 	p.links = &topology.Links{Self: self}
--- a/quarantine/part_suspect.go
+++ b/quarantine/part_suspect.go
@@ -28,8 +28,8 @@
 type partEvent struct {
 	id uint64
 	at time.Time
-	// begun is set for a begin, and observed for a crash that this instance observed.
-	begun, observed bool
+	// begun is set for a begin.
+	begun bool
 }
 
 func (e partEvent) compare(other partEvent) int {
@@ -50,7 +50,7 @@
 // merge merges a report of an event at a time and reports whether it is new. Of several reports of an
 // event the one with the earliest time is right: the way of a report takes time, and the age of a record
 // may be known only in part.
-func (s *partSuspect) merge(at time.Time, r PartReport, observed bool) bool {
+func (s *partSuspect) merge(at time.Time, r PartReport) bool {
 	if i := s.find(r.Event, r.Begun); i >= 0 {
 		s.moveBack(i, at)
 
@@ -61,7 +61,7 @@
 		return false
 	}
 
-	s.insert(partEvent{id: r.Event, at: at, begun: r.Begun, observed: observed && !r.Begun})
+	s.insert(partEvent{id: r.Event, at: at, begun: r.Begun})
 
 	if r.Begun {
 		s.begins++
--- a/quarantine/part_updates.go
+++ b/quarantine/part_updates.go
@@ -6,7 +6,8 @@
 	"time"
 )
 
-// storedSuspectTTL is how long the evidence on a part that isn't held off is stored.
+// storedSuspectTTL is how long the evidence on a part that isn't held off is stored, whoever observed
+// it.
 const storedSuspectTTL = 10 * time.Minute
 
 // Ready returns a channel that receives a value when there are reports to send.
@@ -74,21 +75,12 @@
 	span evidenceSpan
 }
 
-// storedSuspects returns the parts that aren't held off and whose evidence is to be stored: that of
-// several crashes, or of one that this instance observed recently.
+// storedSuspects returns the parts whose evidence is to be stored, also if they aren't held off.
 func (p *Parts) storedSuspects(now time.Time) []storedSuspect {
 	var suspects []storedSuspect
 
 	for part, s := range p.suspects {
-		age := now.Sub(s.lastCrash)
-		if age > storedSuspectTTL {
-			continue
-		}
-
-		span := s.whole()
-		observed := age <= storedLossTTL && slices.ContainsFunc(s.events, func(e partEvent) bool { return e.observed && slices.Contains(span.crashes, e.id) })
-
-		if len(span.crashes) > 1 || observed {
+		if span := s.whole(); now.Sub(s.lastCrash) <= storedSuspectTTL && len(span.crashes) > 0 {
 			suspects = append(suspects, storedSuspect{part: part, span: span})
 		}
 	}
--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -42,8 +42,8 @@
 	// OnCrash is called with what is known of a part at which servers crashed several times, at each
 	// further crash. It must not block, may be nil, and is set before the first use.
 	OnCrash func(PartEvidence)
-	// OnEvidence is called when there is more evidence to store: several servers crashed on a part. It
-	// must not block, may be nil, and is set before the first use.
+	// OnEvidence is called when there is more evidence to store: a server crashed on a part. It must
+	// not block, may be nil, and is set before the first use.
 	OnEvidence func()
 
 	mu       sync.Mutex
@@ -168,7 +168,7 @@
 	}
 
 	at := now.Add(-time.Duration(r.AgeMs) * time.Millisecond)
-	if !s.merge(at, r, from == observedHere) {
+	if !s.merge(at, r) {
 		return false
 	}
 
@@ -179,7 +179,7 @@
 	if !r.Begun {
 		p.reportRecentBegins(at, r.Part, s)
 
-		if s.crashes > 1 && p.OnEvidence != nil {
+		if p.OnEvidence != nil {
 			p.OnEvidence()
 		}
 	}
@@ -195,7 +195,7 @@
 func (p *Parts) reportRecentBegins(crashedAt time.Time, part PartKey, s *partSuspect) {
 	for _, b := range p.recent.after(crashedAt, part) {
 		r := PartReport{Part: part, Event: b.event, Begun: true}
-		if s.merge(b.at, r, true) {
+		if s.merge(b.at, r) {
 			p.send(r)
 		}
 	}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -67,9 +67,10 @@
 // Ledger records which servers were lost while they processed which requests. The zero value
 // is empty; it is safe for concurrent use.
 type Ledger struct {
-	// OnQuarantined is called when a request becomes quarantined. It must not block, may be
-	// nil, and is set before the first use.
-	OnQuarantined func()
+	// OnEvidence is called when there is more evidence to store: a server was lost at the begin of a
+	// request's answer, or a request became quarantined. It must not block, may be nil, and is set
+	// before the first use.
+	OnEvidence func()
 
 	mu       sync.Mutex
 	suspects map[Fingerprint]*suspect
@@ -199,8 +200,9 @@
 
 	l.publish(loss.Request, s)
 
-	if before.IsZero() && !s.quarantinedUntil().IsZero() && l.OnQuarantined != nil {
-		l.OnQuarantined()
+	quarantined := before.IsZero() && !s.quarantinedUntil().IsZero()
+	if l.OnEvidence != nil && (quarantined || loss.Evidence == Strong && !loss.Cleared) {
+		l.OnEvidence()
 	}
 
 	l.sweep(now)
--- a/quarantine/updates.go
+++ b/quarantine/updates.go
@@ -10,10 +10,13 @@
 const (
 	// maxStoredLosses bounds the losses in a stored record, to a kilobyte.
 	maxStoredLosses = 40
-	// storedLossTTL is how long a loss that this instance observed stays in its stored
+	// storedLossTTL is how long a weak loss that this instance observed stays in its stored
 	// records: several record intervals, so that instances without a connection to it read the
-	// loss there.
-	storedLossTTL = 10 * time.Second
+	// loss there. storedStrongTTL is how long a strong loss is stored, whoever observed it: the store
+	// keeps records for some seconds, and all instances may be lost between two requests that crash
+	// servers.
+	storedLossTTL   = 10 * time.Second
+	storedStrongTTL = 4 * time.Minute
 )
 
 // lossKey identifies a loss or its clearing.
@@ -47,8 +50,8 @@
 }
 
 // StoredLosses returns the losses for the stored record, which survives a failure of all
-// instances and reaches instances that receive no messages: those of quarantined requests and
-// those that this instance observed recently.
+// instances and reaches instances that receive no messages: those of quarantined requests, strong
+// ones, and weak ones that this instance observed recently.
 func (l *Ledger) StoredLosses(now time.Time) []Loss {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -56,7 +59,10 @@
 	order := slices.SortedFunc(maps.Keys(l.suspects), func(a, b Fingerprint) int {
 		x, y := l.suspects[a], l.suspects[b]
 
-		return cmp.Or(y.quarantinedUntil().Compare(x.quarantinedUntil()), y.lastLoss.Compare(x.lastLoss), cmp.Compare(a, b))
+		_, strongX := x.countLosses()
+		_, strongY := y.countLosses()
+
+		return cmp.Or(y.quarantinedUntil().Compare(x.quarantinedUntil()), cmp.Compare(strongY, strongX), y.lastLoss.Compare(x.lastLoss), cmp.Compare(a, b))
 	})
 
 	var stored []Loss
@@ -70,7 +76,8 @@
 				return stored
 			}
 
-			if !e.cleared && (quarantined || e.observed && now.Sub(e.lostAt) <= storedLossTTL) {
+			age := now.Sub(e.lostAt)
+			if !e.cleared && (quarantined || e.evidence == Strong && age <= storedStrongTTL || e.observed && age <= storedLossTTL) {
 				stored = append(stored, Loss{Request: f, Server: key, Evidence: e.evidence}.withAge(now, e.lostAt))
 			}
 		}
