fix(resumption,entry): where streams began is recorded in the store, and read at a start

Cause: which version of the server software began a stream was known to three instances alone. All 592 lines of the log say unknownStream with every holder replying.

Now the first holder of a stream passes its record to the first leader, which appends the records of all instances to a topic of its own, at most each 500 ms. An instance that may hold records reads what the topic retains when it starts. Until then it replies that records are pending, and a caller that returns waits for up to a second. What began in the last moments before a loss is not recorded and still refused: unknown is never any version.

Ruled out: taking the only registered version, since another one may have left within the life of the stream.

TestStreamsGoOnAfterLossOfAllInstances passes (0 of 40 streams before, with 4 and 40 instances), and TestOriginSurvivesLossOfAllInstances in the model of 1 to 986 instances.

--- a/entry/components.go
+++ b/entry/components.go
@@ -120,15 +120,17 @@
 	detours        *detour.Server
 	prober         *pathprobe.Prober
 	// streams remembers which server version began each stream.
-	streams   *resumption.Tracker
-	forwarder *forward.Forwarder
-	handler   *platform.Handler
-	members   *board.Members
-	board     *board.Board
-	duties    *duties
-	rollouts  *rollouts
-	counter   *usage.Counter
-	gossip    atomic.Pointer[gossip.Exchange]
+	streams *resumption.Tracker
+	// directoryChanged is sent whenever a directory is put in force.
+	directoryChanged feed.Signal
+	forwarder        *forward.Forwarder
+	handler          *platform.Handler
+	members          *board.Members
+	board            *board.Board
+	duties           *duties
+	rollouts         *rollouts
+	counter          *usage.Counter
+	gossip           atomic.Pointer[gossip.Exchange]
 	// links tracks connectivity to other instances, and plan is the newest plan derived from it:
 	// leaders, relays and subscribers.
 	links *topology.Links
@@ -396,6 +398,8 @@
 	group.Go(func() { p.publishLosses(ctx) })
 	group.Go(func() { p.publishParts(ctx) })
 	group.Go(func() { p.streams.Run(ctx) })
+	group.Go(func() { p.streams.Recorder.Run(ctx) })
+	group.Go(func() { p.restoreStreams(ctx) })
 	group.Go(func() { p.prober.Run(ctx) })
 	group.Go(func() { p.board.Run(ctx) })
 	group.Go(func() { p.duties.run(ctx) })
--- a/entry/datagram.go
+++ b/entry/datagram.go
@@ -48,10 +48,12 @@
 	Losses []quarantine.Loss `msgpack:"q,omitempty"`
 	// Parts are reports on parts of prompts that may crash backend servers.
 	Parts []quarantine.PartReport `msgpack:"k,omitempty"`
-	// Streams are records of where streams began. StreamQuery and StreamReply ask for one.
-	Streams     []resumption.Record `msgpack:"z,omitempty"`
-	StreamQuery *resumption.Query   `msgpack:"g,omitempty"`
-	StreamReply *resumption.Reply   `msgpack:"h,omitempty"`
+	// Streams are records of where streams began, and RecordStreams those that the receiver writes to
+	// the store for all instances. StreamQuery and StreamReply ask for one.
+	Streams       []resumption.Record `msgpack:"z,omitempty"`
+	RecordStreams []resumption.Record `msgpack:"t,omitempty"`
+	StreamQuery   *resumption.Query   `msgpack:"g,omitempty"`
+	StreamReply   *resumption.Reply   `msgpack:"h,omitempty"`
 	// Report is a relay's report to the leaders, and Redirect names relays to an instance.
 	Report   *reportMessage `msgpack:"o,omitempty"`
 	Redirect *redirect      `msgpack:"c,omitempty"`
@@ -97,7 +99,7 @@
 	case d.LoanResponse != nil:
 		d.LoanResponse.PacedFor = d.LoanPacedFor
 		p.loans.HandleResponse(*d.LoanResponse)
-	case len(d.Streams) > 0, d.StreamQuery != nil, d.StreamReply != nil:
+	case len(d.Streams) > 0, len(d.RecordStreams) > 0, d.StreamQuery != nil, d.StreamReply != nil:
 		p.receiveStreamMessage(from, &d)
 	default:
 		p.receiveRelayMessage(now, &d)
--- a/entry/directory.go
+++ b/entry/directory.go
@@ -120,6 +120,7 @@
 // useDirectory puts a directory in force.
 func (p *components) useDirectory(view *directoryView) {
 	before := p.directory.Swap(view)
+	p.directoryChanged.Send()
 
 	if view.FullMesh() {
 		p.links.AssignRelays(nil)
--- a/entry/streams.go
+++ b/entry/streams.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"net/netip"
 	"slices"
 
@@ -20,8 +21,45 @@
 				p.sendDatagram(to, datagram{Streams: batch})
 			}
 		},
-		Ask: func(to fleet.InstanceID, query resumption.Query) { p.sendDatagram(to, datagram{StreamQuery: &query}) },
+		Ask:      func(to fleet.InstanceID, query resumption.Query) { p.sendDatagram(to, datagram{StreamQuery: &query}) },
+		Recorder: &resumption.Recorder{Clock: p.clock, Log: p.store.Streams()}, RecorderID: p.streamRecorder, Restores: p.mayHoldStreams,
+		Forward: func(to fleet.InstanceID, records []resumption.Record) {
+			for _, batch := range pack(records, resumption.Record.Bytes) {
+				p.sendDatagram(to, datagram{RecordStreams: batch})
+			}
+		},
+	}
+}
+
+// streamRecorder returns the instance that writes records of streams to the store for all, or an empty
+// ID if none is known: the first of the leaders.
+func (p *components) streamRecorder() fleet.InstanceID {
+	if leaders := p.plan.Load().Leaders; len(leaders) > 0 {
+		return leaders[0]
+	}
+
+	return ""
+}
+
+// mayHoldStreams reports whether others may ask this instance where streams began. While no directory
+// is known, nobody can tell.
+func (p *components) mayHoldStreams() bool {
+	view := p.directory.Load()
+
+	return view == nil || view.FullMesh() || view.HasRelay(p.self())
+}
+
+// restoreStreams reads the records of streams from the store, once this instance may hold some.
+func (p *components) restoreStreams(ctx context.Context) {
+	for p.directory.Load() == nil || !p.mayHoldStreams() {
+		select {
+		case <-p.directoryChanged.C():
+		case <-ctx.Done():
+			return
+		}
 	}
+
+	p.streams.Recorder.Restore(ctx, p.streams)
 }
 
 // streamHolders returns the instances that remember streams of a request: of few instances all may,
@@ -51,6 +89,10 @@
 func (p *components) receiveStreamMessage(from netip.AddrPort, d *datagram) {
 	p.streams.Receive(d.Streams)
 
+	if len(d.RecordStreams) > 0 {
+		p.streams.Recorder.Add(d.RecordStreams)
+	}
+
 	if d.StreamQuery != nil {
 		reply := p.streams.HandleQuery(*d.StreamQuery)
 		p.sendAll(map[fleet.InstanceID]netip.AddrPort{d.StreamQuery.From: from}, datagram{StreamReply: &reply})
--- a/resumption/counters.go
+++ b/resumption/counters.go
@@ -21,7 +21,7 @@
 	case c == nil:
 	case r == Ambiguous:
 		c.ambiguous.Inc()
-	case r == Unknown:
+	case r == Unknown, r == Pending:
 		c.unknown.Inc()
 	case held:
 		c.held.Inc()
--- a/resumption/resumption.go
+++ b/resumption/resumption.go
@@ -7,6 +7,9 @@
 // different failure domains. An instance that a caller returns to asks the holders. What nobody
 // remembers is unknown, and must not be taken for any version.
 //
+// The first holder of a stream also passes its record to a Recorder, at one instance, which writes the
+// records of all to a log. After a loss of all instances the holders restore them from there.
+//
 // Records belong to the content of a request, which includes its client account: no account learns
 // of the streams of another one.
 //
@@ -106,6 +109,8 @@
 	Known
 	// Ambiguous means that the records contradict each other.
 	Ambiguous
+	// Pending means that there is no record, but that some are still to be read from the log.
+	Pending
 )
 
 // Query asks a holder where a stream began.
--- a/resumption/table.go
+++ b/resumption/table.go
@@ -38,14 +38,14 @@
 	ambiguous bool
 }
 
-// add adds a record, or extends the one that is known.
-func (t *table) add(now time.Time, s Stream, o Origin, expires time.Time) {
+// add adds a record, or extends the one that is known. It reports whether the record is new.
+func (t *table) add(now time.Time, s Stream, o Origin, expires time.Time) bool {
 	if latest := now.Add(maxLifetime); expires.After(latest) {
 		expires = latest
 	}
 
 	if !expires.After(now) {
-		return
+		return false
 	}
 
 	t.mu.Lock()
@@ -71,7 +71,7 @@
 			known.expires = expires
 		}
 
-		return
+		return false
 	}
 
 	if len(entries) >= maxAttempts {
@@ -81,6 +81,8 @@
 
 	t.requests[s.Content] = append(entries, entry{attempt: s.Attempt, origin: o, expires: expires})
 	t.count++
+
+	return true
 }
 
 // find returns where a stream began. Without an attempt, all streams of the request must have begun
--- a/resumption/tracker.go
+++ b/resumption/tracker.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -21,6 +22,10 @@
 	// domains. maxQueries is how often it is sent, since datagrams are lost.
 	queryTimeout = 35 * time.Millisecond
 	maxQueries   = 2
+	// restoreTimeout is how long a caller that resumes a stream waits for records to be read from the
+	// log, a few times as long as a start takes, and restorePollInterval the time between two looks.
+	restoreTimeout      = time.Second
+	restorePollInterval = 50 * time.Millisecond
 )
 
 // Tracker records the streams that this instance relays, holds records of others, and finds out
@@ -34,12 +39,22 @@
 	// Send sends records to an instance, and Ask a query. Neither waits.
 	Send func(to fleet.InstanceID, records []Record)
 	Ask  func(to fleet.InstanceID, query Query)
+	// Recorder writes records to the log at the instance that RecorderID returns, to which Forward sends
+	// them without waiting; nil if streams are not recorded.
+	Recorder   *Recorder
+	RecorderID func() fleet.InstanceID
+	Forward    func(to fleet.InstanceID, records []Record)
+	// Restores reports whether this instance restores records from the log and has not done so yet; nil
+	// if it never does.
+	Restores func() bool
 	// Counters may be nil.
 	Counters *Counters
 
-	table   table
-	outbox  outbox
-	queries gossip.Requests[Reply]
+	table table
+	// outbox holds records for holders, and toRecorder those to be written to the log.
+	outbox, toRecorder outbox
+	queries            gossip.Requests[Reply]
+	restored           atomic.Bool
 }
 
 // Begun records that a stream began, or goes on, at the version of its origin, and that it may be
@@ -55,9 +70,29 @@
 func (t *Tracker) publish(now time.Time, s Stream, o Origin, expires time.Time) {
 	holders := t.Holders(s.Content)
 
-	for _, id := range holders[:min(Copies, len(holders))] {
-		if id != t.Self {
+	for i, id := range holders[:min(Copies, len(holders))] {
+		switch {
+		case id != t.Self:
 			t.outbox.add(id, recordOf(now, s, o, expires))
+		case i == 0:
+			t.record([]Record{recordOf(now, s, o, expires)})
+		}
+	}
+}
+
+// record passes records on to be written to the log. The first holder of a stream does so.
+func (t *Tracker) record(records []Record) {
+	if t.Recorder == nil || len(records) == 0 {
+		return
+	}
+
+	switch id := t.RecorderID(); id {
+	case "":
+	case t.Self:
+		t.Recorder.Add(records)
+	default:
+		for _, r := range records {
+			t.toRecorder.add(id, r)
 		}
 	}
 }
@@ -70,36 +105,71 @@
 
 // Receive records what another instance sent.
 func (t *Tracker) Receive(records []Record) {
+	var toRecord []Record
+
+	t.receive(records, func(r Record) {
+		if holders := t.Holders(r.Content); len(holders) > 0 && holders[0] == t.Self {
+			toRecord = append(toRecord, r)
+		}
+	})
+	t.record(toRecord)
+}
+
+// receive adds records to the table, and calls added with those that are new.
+func (t *Tracker) receive(records []Record, added func(Record)) {
 	now := t.Clock.Now()
 
 	for _, r := range records {
-		t.table.add(now, Stream{Content: r.Content, Attempt: r.Attempt}, Origin{Service: r.Service, Version: r.Version},
-			now.Add(time.Duration(r.LifetimeMs)*time.Millisecond))
+		if t.table.add(now, Stream{Content: r.Content, Attempt: r.Attempt}, Origin{Service: r.Service, Version: r.Version},
+			now.Add(time.Duration(r.LifetimeMs)*time.Millisecond)) {
+			added(r)
+		}
 	}
 }
 
+// markRestored records that the log was read.
+func (t *Tracker) markRestored() { t.restored.Store(true) }
+
+// restoring reports whether records are still to be read from the log.
+func (t *Tracker) restoring() bool { return t.Restores != nil && !t.restored.Load() && t.Restores() }
+
 // Len returns the number of records that this instance holds.
 func (t *Tracker) Len() int { return t.table.len() }
 
 // Origin returns where a stream began. It asks other instances, which takes a few milliseconds, if
-// this one has no record. The error wraps ErrUnknown or ErrAmbiguous.
+// this one has no record, and again while instances that have just started read records from the log.
+// The error wraps ErrUnknown or ErrAmbiguous.
 func (t *Tracker) Origin(ctx context.Context, s Stream) (Origin, error) {
-	origin, result := t.table.find(t.Clock.Now(), s)
-	if result == Unknown {
-		return t.ask(ctx, s)
-	}
+	for began := t.Clock.Now(); ; clock.Sleep(ctx, t.Clock, restorePollInterval) {
+		origin, result := t.table.find(t.Clock.Now(), s)
+		held := result != Unknown
 
-	t.Counters.record(result, true)
+		var unknown error
+		if !held {
+			origin, result, unknown = t.ask(ctx, s)
+		}
 
-	if result == Ambiguous {
-		return Origin{}, ErrAmbiguous
-	}
+		pending := result == Pending || result == Unknown && t.restoring()
+		if pending && ctx.Err() == nil && t.Clock.Now().Sub(began) < restoreTimeout {
+			continue
+		}
 
-	return origin, nil
+		t.Counters.record(result, held)
+
+		switch result {
+		case Known:
+			return origin, nil
+		case Ambiguous:
+			return Origin{}, ErrAmbiguous
+		default:
+			return Origin{}, unknown
+		}
+	}
 }
 
-// ask asks all holders at once and returns the first origin that one of them knows.
-func (t *Tracker) ask(ctx context.Context, s Stream) (Origin, error) {
+// ask asks all holders at once and returns the first origin that one of them knows. The error says why
+// none does.
+func (t *Tracker) ask(ctx context.Context, s Stream) (Origin, Result, error) {
 	askCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 
@@ -113,19 +183,11 @@
 		result = max(result, reply.Result)
 
 		if reply.Result == Known {
-			t.Counters.record(Known, false)
-
-			return Origin{Service: reply.Service, Version: reply.Version}, nil
+			return Origin{Service: reply.Service, Version: reply.Version}, Known, nil
 		}
 	}
 
-	t.Counters.record(result, false)
-
-	if result == Ambiguous {
-		return Origin{}, ErrAmbiguous
-	}
-
-	return Origin{}, merry.Appendf(ErrUnknown, "%d of %d instances replied", replied, len(asked))
+	return Origin{}, result, merry.Appendf(ErrUnknown, "%d of %d instances replied", replied, len(asked))
 }
 
 // askEach asks instances at the same time. The channel is closed once each has replied, or has had
@@ -157,6 +219,9 @@
 // HandleQuery returns the reply to a query of another instance.
 func (t *Tracker) HandleQuery(q Query) Reply {
 	origin, result := t.table.find(t.Clock.Now(), Stream{Content: q.Content, Attempt: q.Attempt})
+	if result == Unknown && t.restoring() {
+		result = Pending
+	}
 
 	return Reply{Number: q.Number, Result: result, Service: origin.Service, Version: origin.Version}
 }
@@ -164,13 +229,14 @@
 // HandleReply delivers a reply to its query. One that comes too late is discarded.
 func (t *Tracker) HandleReply(r Reply) { t.queries.Reply(r.Number, r) }
 
-// Run sends records to their holders until ctx ends.
+// Run sends records to their holders and to the recorder until ctx ends.
 func (t *Tracker) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		rounds := t.outbox.take()
-		if len(rounds) == 0 {
+		rounds, recorded := t.outbox.take(), t.toRecorder.take()
+		if len(rounds) == 0 && len(recorded) == 0 {
 			select {
 			case <-t.outbox.wake.C():
+			case <-t.toRecorder.wake.C():
 			case <-ctx.Done():
 			}
 
@@ -181,6 +247,10 @@
 			t.Send(to, records)
 		}
 
+		for to, records := range recorded {
+			t.Forward(to, records)
+		}
+
 		clock.Sleep(ctx, t.Clock, sendInterval)
 	}
 }
--- a/resumption/tracker_test.go
+++ b/resumption/tracker_test.go
@@ -30,6 +30,8 @@
 	dead     map[fleet.InstanceID]bool
 	// messages counts the messages of each kind.
 	records, queries int
+	// setup, if not nil, changes each tracker before it runs.
+	setup func(t *Tracker)
 }
 
 const failureDomains = 5
@@ -67,6 +69,10 @@
 		})
 	}
 
+	if n.setup != nil {
+		n.setup(t)
+	}
+
 	n.mu.Lock()
 	defer n.mu.Unlock()
 
