fix(entry): an instance that starts learns what crashes servers before it serves

Cause: what is held off is recorded on the board, which only the leaders read where instances are many. What a leader reads there it does not send on, since all instances that use the board read it; and other instances send new reports alone. So an instance that does not lead started with nothing, and learned of a request or part by three or five more crashes.

Now such an instance asks its relay, and a relay the leaders, each 100 ms until it has a whole reply: the losses and reports that a record on the board has, in up to three datagrams. An instance replies once it knows itself. Every five seconds it asks again, since an instance that was frozen or cut off has missed reports.

Ruled out: all instances read the board, which costs the store a read of each; leaders send what they read to all, which is lost at an instance that starts later.

--- a/entry/components.go
+++ b/entry/components.go
@@ -121,6 +121,8 @@
 	prober         *pathprobe.Prober
 	// streams remembers which server version began each stream.
 	streams *resumption.Tracker
+	// evidence tells whether this instance knows which requests and parts crash servers.
+	evidence evidenceSync
 	// directoryChanged is sent whenever a directory is put in force.
 	directoryChanged feed.Signal
 	forwarder        *forward.Forwarder
@@ -384,7 +386,7 @@
 func (p *components) run(ctx context.Context) {
 	var group conc.WaitGroup
 
-	group.Go(func() { p.startup.run(ctx, p.serving) })
+	group.Go(func() { p.startup.run(ctx, func() bool { return p.serving() && p.evidence.known.Load() }) })
 	group.Go(func() { p.directoryFeed.Run(ctx) })
 	group.Go(func() { p.rulesFeed.Run(ctx) })
 	group.Go(func() { p.registerFeed.Run(ctx) })
@@ -397,6 +399,7 @@
 	group.Go(func() { p.forwardCounts(ctx) })
 	group.Go(func() { p.publishLosses(ctx) })
 	group.Go(func() { p.publishParts(ctx) })
+	group.Go(func() { p.learnEvidence(ctx) })
 	group.Go(func() { p.streams.Run(ctx) })
 	group.Go(func() { p.streams.Recorder.Run(ctx) })
 	group.Go(func() { p.restoreStreams(ctx) })
@@ -424,17 +427,17 @@
 }
 
 // ready reports whether callers may be sent to this instance: requests can be served and the
-// instances are counted. It waits for the limits only for limitsSyncTimeout, since a part of the
-// store may be unavailable.
+// instances are counted. It waits for the limits, and for what crashes servers, only for
+// limitsSyncTimeout, since a part of the store may be unavailable.
 func (p *components) ready() bool {
 	countKnownAt := p.countKnownAt.Load()
 	if countKnownAt == nil {
 		return false
 	}
 
-	limits := p.limits.HasSynced() || p.clock.Now().Sub(*countKnownAt) > limitsSyncTimeout
+	synced := p.limits.HasSynced() && p.evidence.known.Load() || p.clock.Now().Sub(*countKnownAt) > limitsSyncTimeout
 
-	return !p.stopping.Load() && p.serving() && limits
+	return !p.stopping.Load() && p.serving() && synced
 }
 
 // serving reports whether requests can be routed, authorized and placed.
--- a/entry/datagram.go
+++ b/entry/datagram.go
@@ -54,6 +54,9 @@
 	RecordStreams []resumption.Record `msgpack:"t,omitempty"`
 	StreamQuery   *resumption.Query   `msgpack:"g,omitempty"`
 	StreamReply   *resumption.Reply   `msgpack:"h,omitempty"`
+	// EvidenceQuery asks which requests and parts of prompts crash backend servers.
+	EvidenceQuery *evidenceQuery `msgpack:"n,omitempty"`
+	EvidenceReply *evidenceReply `msgpack:"x,omitempty"`
 	// Report is a relay's report to the leaders, and Redirect names relays to an instance.
 	Report   *reportMessage `msgpack:"o,omitempty"`
 	Redirect *redirect      `msgpack:"c,omitempty"`
@@ -101,6 +104,8 @@
 		p.loans.HandleResponse(*d.LoanResponse)
 	case len(d.Streams) > 0, len(d.RecordStreams) > 0, d.StreamQuery != nil, d.StreamReply != nil:
 		p.receiveStreamMessage(from, &d)
+	case d.EvidenceQuery != nil, d.EvidenceReply != nil:
+		p.receiveEvidenceMessage(now, from, &d)
 	default:
 		p.receiveRelayMessage(now, &d)
 	}
--- a/entry/losses.go
+++ b/entry/losses.go
@@ -29,7 +29,7 @@
 func (p *components) publishParts(ctx context.Context) {
 	p.publishToPeers(ctx, p.parts.Ready(), func(now time.Time) []datagram {
 		var messages []datagram
-		for _, batch := range pack(p.parts.PendingReports(now), func(quarantine.PartReport) int { return quarantine.MaxPartReportBytes }) {
+		for _, batch := range packParts(p.parts.PendingReports(now)) {
 			messages = append(messages, datagram{Parts: batch})
 		}
 
@@ -63,6 +63,10 @@
 	return pack(losses, func(quarantine.Loss) int { return quarantine.MaxLossBytes })
 }
 
+func packParts(reports []quarantine.PartReport) [][]quarantine.PartReport {
+	return pack(reports, func(quarantine.PartReport) int { return quarantine.MaxPartReportBytes })
+}
+
 // receiveLosses records losses that another instance reports.
 func (p *components) receiveLosses(now time.Time, losses []quarantine.Loss) {
 	plan := p.plan.Load()
--- a/entry/records.go
+++ b/entry/records.go
@@ -90,6 +90,7 @@
 
 	p.setLimitMembers(now)
 	p.limits.MarkSynced(now)
+	p.evidence.known.Store(true)
 	p.splitBudgets()
 	p.duties.caughtUp(now)
 }
