fix(quota): streams that go on have what lenders may lend before new requests

Cause: lenders lend only so much until it is recorded, some 300 ms later. All callers return in the same second, and new requests of the same accounts use up what may be lent each time; the rest of a stream costs its whole prompt, and the long ones are those that break off.

Now a lender keeps free what streams that go on were refused, for the 1.5 s in which their callers return, and they wait for a loan for up to a second. Nothing changes where nobody returns.

--- a/entry/components.go
+++ b/entry/components.go
@@ -250,7 +250,7 @@
 	p.loans = &quota.Limiter{
 		Quota: p.limits, Clock: e.Clock, Self: s.Instance, Current: p.rulesCurrency.Current,
 		Send: func(to fleet.InstanceID, request quota.LoanRequest) {
-			p.sendDatagram(to, datagram{LoanRequest: &request, LoanPriority: request.Priority})
+			p.sendDatagram(to, datagram{LoanRequest: &request, LoanPriority: request.Priority, LoanContinues: request.Continues})
 		},
 	}
 	p.retries.Counters = retry.NewCounters(set, e.Clock)
--- a/entry/datagram.go
+++ b/entry/datagram.go
@@ -27,9 +27,10 @@
 	// LoanRequest and LoanResponse lend limits of client accounts.
 	LoanRequest  *quota.LoanRequest  `msgpack:"a,omitempty"`
 	LoanResponse *quota.LoanResponse `msgpack:"r,omitempty"`
-	// LoanPriority belongs to a LoanRequest, and LoanPacedFor to a LoanResponse.
-	LoanPriority int           `msgpack:"j,omitempty"`
-	LoanPacedFor time.Duration `msgpack:"f,omitempty"`
+	// LoanPriority and LoanContinues belong to a LoanRequest, and LoanPacedFor to a LoanResponse.
+	LoanPriority  int           `msgpack:"j,omitempty"`
+	LoanContinues bool          `msgpack:"lc,omitempty"`
+	LoanPacedFor  time.Duration `msgpack:"f,omitempty"`
 	// PermitRequest and PermitResponse grant requests to backend servers that limit them.
 	PermitRequest  *ratelimit.PermitRequest  `msgpack:"l,omitempty"`
 	PermitResponse *ratelimit.PermitResponse `msgpack:"m,omitempty"`
@@ -86,7 +87,7 @@
 		p.rollouts.table.Record(d.Trials.Instance, d.Trials.Incarnation, d.Trials.Counts)
 	case d.LoanRequest != nil:
 		// A requester that has just started, or stops, has no known address here.
-		d.LoanRequest.Priority = d.LoanPriority
+		d.LoanRequest.Priority, d.LoanRequest.Continues = d.LoanPriority, d.LoanContinues
 		response := p.loans.HandleRequest(*d.LoanRequest)
 		p.sendAll(map[fleet.InstanceID]netip.AddrPort{d.LoanRequest.From: from}, datagram{LoanResponse: &response, LoanPacedFor: response.PacedFor})
 	case d.PermitRequest != nil, d.PermitResponse != nil, d.PermitReport != nil:
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -274,7 +274,9 @@
 		return nil
 	}
 
-	decision := f.Limits.Take(ctx, quota.Charge{Account: j.account.Name, Cost: j.cost(), Priority: j.route.Priority})
+	decision := f.Limits.Take(ctx, quota.Charge{
+		Account: j.account.Name, Cost: j.cost(), Priority: j.route.Priority, Continues: j.resumed,
+	})
 	if decision.Granted {
 		return nil
 	}
--- a/quota/charge.go
+++ b/quota/charge.go
@@ -13,6 +13,9 @@
 	Cost float64
 	// Priority ranks the requests of one account; 0 is the most urgent.
 	Priority int
+	// Continues is set for the rest of a stream whose begin its caller has. Lenders keep their reserve
+	// for such requests while some are refused.
+	Continues bool
 }
 
 // valid reports whether the cost is an amount. Any other would leave the account's totals undefined.
--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -19,6 +19,11 @@
 	// again. Otherwise accounts far beyond their limit would cause a loan request for each of
 	// their requests.
 	refusedLoanBackoff = 200 * time.Millisecond
+	// continuationTimeout is how long the rest of a stream waits for a loan: lenders lend only so much
+	// until it is recorded, which takes some 300 ms, and callers abandon a stream after two seconds.
+	// continuationInterval is the time between two attempts.
+	continuationTimeout  = time.Second
+	continuationInterval = refusedLoanBackoff
 )
 
 // LoanRequest asks another instance to consume cost on behalf of the sender.
@@ -31,6 +36,8 @@
 	// Priority is that of the Charge. It is not part of the encoding, whose number of fields
 	// earlier versions check.
 	Priority int `msgpack:"-"`
+	// Continues is that of the Charge, and not part of the encoding either.
+	Continues bool `msgpack:"-"`
 }
 
 // LoanResponse is the response to a LoanRequest.
@@ -64,8 +71,9 @@
 }
 
 type loanKey struct {
-	lender  fleet.InstanceID
-	account fleet.Account
+	lender    fleet.InstanceID
+	account   fleet.Account
+	continues bool
 }
 
 type refusedLoan struct {
@@ -73,10 +81,24 @@
 	cost float64
 }
 
-// Take consumes a charge of its account's allowance, from the share of this instance or as a loan.
+// Take consumes a charge of its account's allowance, from the share of this instance or as a loan. The
+// rest of a stream waits for it for a while.
 func (l *Limiter) Take(ctx context.Context, charge Charge) Decision {
 	l.awaitSync(ctx)
 
+	began := l.Clock.Now()
+	decision := l.take(ctx, charge)
+
+	for charge.Continues && !decision.Granted && !decision.Paced && l.Clock.Now().Sub(began) < continuationTimeout && ctx.Err() == nil {
+		clock.Sleep(ctx, l.Clock, continuationInterval)
+
+		decision = l.take(ctx, charge)
+	}
+
+	return decision
+}
+
+func (l *Limiter) take(ctx context.Context, charge Charge) Decision {
 	decision := l.Quota.Take(l.Clock.Now(), charge.Account, charge.Cost)
 	if decision.Granted {
 		return decision
@@ -118,7 +140,9 @@
 		return LoanResponse{Number: request.Number}
 	}
 
-	decision := l.Quota.LendTo(l.Clock.Now(), request.From, Charge{Account: request.Account, Cost: request.Cost, Priority: request.Priority})
+	decision := l.Quota.LendTo(l.Clock.Now(), request.From, Charge{
+		Account: request.Account, Cost: request.Cost, Priority: request.Priority, Continues: request.Continues,
+	})
 
 	return loanResponse(request.Number, decision)
 }
@@ -134,13 +158,15 @@
 		return loanResponse(0, l.Quota.LendTo(l.Clock.Now(), l.Self, charge))
 	}
 
-	key := loanKey{lender: lender, account: charge.Account}
+	key := loanKey{lender: lender, account: charge.Account, continues: charge.Continues}
 	if l.refusedRecently(key, charge.Cost) {
 		return LoanResponse{}
 	}
 
 	response, responded := l.requests.Do(ctx, l.Clock, lender, func(number uint64) {
-		l.Send(lender, LoanRequest{From: l.Self, Number: number, Account: charge.Account, Cost: charge.Cost, Priority: charge.Priority})
+		l.Send(lender, LoanRequest{
+			From: l.Self, Number: number, Account: charge.Account, Cost: charge.Cost, Priority: charge.Priority, Continues: charge.Continues,
+		})
 	})
 	if responded && response.PacedFor == 0 {
 		l.recordOutcome(key, charge.Cost, response.Granted)
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -153,6 +153,8 @@
 	allowance Allowance
 	consumed  history
 	demand    history
+	// continuing is the cost of streams that go on and were refused.
+	continuing history
 	// recordedTotal is the part of consumed that is in a durable record.
 	recordedTotal float64
 	remotes       map[fleet.InstanceID]*remote
--- a/quota/reserve.go
+++ b/quota/reserve.go
@@ -21,6 +21,9 @@
 	// minReserveMembers is the smallest number of instances for which a reserve is worth its
 	// messages.
 	minReserveMembers = 4
+	// continuationTTL is how long the cost of a stream that goes on is kept free after it was refused:
+	// its caller returns after the Retry-After of the refusal.
+	continuationTTL = 1500 * time.Millisecond
 )
 
 // Lenders returns the instances to request a loan of an account's limit from, in order: the
@@ -117,7 +120,7 @@
 		return q.lendPaced(now, a, charge)
 	}
 
-	return q.lendWithinWindow(now, a, charge.Cost)
+	return q.lendWithinWindow(now, a, charge)
 }
 
 // lendPaced lends to a paced account what its bucket and the window allow.
@@ -129,7 +132,7 @@
 		return q.refusePaced(now, a, charge)
 	}
 
-	decision := q.lendWithinWindow(now, a, charge.Cost)
+	decision := q.lendWithinWindow(now, a, charge)
 	if decision.Granted {
 		a.bucket.take(charge, overdue)
 		q.policy.Counters.pacedGranted(overdue)
@@ -138,16 +141,31 @@
 	return decision
 }
 
-// lendWithinWindow lends what the window allows.
-func (q *Quota) lendWithinWindow(now time.Time, a *account, cost float64) Decision {
+// lendWithinWindow lends what the window allows, less what streams that go on are waiting for.
+func (q *Quota) lendWithinWindow(now time.Time, a *account, charge Charge) Decision {
+	kept := 0.0
+	if !charge.Continues {
+		kept = a.continuing.since(now.Add(-continuationTTL))
+	}
+
+	decision := q.lendExcept(now, a, charge.Cost, kept)
+	if charge.Continues && !decision.Granted {
+		a.continuing.add(now, charge.Cost)
+	}
+
+	return decision
+}
+
+// lendExcept lends what the window allows, except for an amount that is kept.
+func (q *Quota) lendExcept(now time.Time, a *account, cost, kept float64) Decision {
 	remaining, limit, recent := q.budget(now, a)
-	limit += q.reserveShare(a) * remaining
+	limit += q.reserveShare(a)*remaining - kept
 
 	if recent+cost > limit {
 		return Decision{RetryAfter: q.retryAfter(a, recent+cost-limit), Remaining: remaining, Share: limit}
 	}
 
-	if unrecorded := a.consumed.total - a.recordedTotal; unrecorded > 0 && unrecorded+cost > q.unrecordedLimit(a) {
+	if unrecorded := a.consumed.total - a.recordedTotal; unrecorded > 0 && unrecorded+cost+kept > q.unrecordedLimit(a) {
 		q.requestRecord(now, a)
 
 		return Decision{RetryAfter: minRetryAfter, Remaining: remaining, Share: limit}
--- a/quota/updates.go
+++ b/quota/updates.go
@@ -111,6 +111,7 @@
 	for _, a := range q.accounts {
 		a.consumed.trim(oldest)
 		a.demand.trim(oldest)
+		a.continuing.trim(now.Add(-continuationTTL))
 		a.restored.trim(oldest)
 		a.assumed.trim(oldest)
 
