--- a/monsoonleverd/signals_test.go
+++ b/monsoonleverd/signals_test.go
@@ -443,3 +443,27 @@
 		t.Error(breach)
 	}
 }
+
+// Backend servers fail, and crash under some requests, while instances are killed, all at once or some.
+func TestOutageSoakFindsNoBreach(t *testing.T) {
+	t.Parallel()
+
+	s := &soak.Soak{
+		Program: program(t), Dir: t.TempDir(), Seed: 1, Instances: 4, Duration: 15 * time.Second,
+		Outages: true, PerSecond: 60, HarmfulPerSecond: 2,
+	}
+
+	report, err := s.Run(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	if report.Completed == 0 || report.Kills == 0 || report.Crashes == 0 || report.Repeats == 0 {
+		t.Errorf("got %d completed requests, %d kills, %d crashes and %d repeats, want some of each",
+			report.Completed, report.Kills, report.Crashes, report.Repeats)
+	}
+
+	for _, breach := range report.Breaches {
+		t.Error(breach)
+	}
+}
