refactor(forward): only servers to which no path is known to be lost are compared with

The comparison sorted lost paths behind the others and dialled them when there were no others; they are probed anyway. The test of it let an update of another instance come at the very time of the loss, which is not after it; once of nine runs with the race detector it counted the server as ended. Its update is a millisecond later now, its bounds are the same.

--- a/forward/lostpaths.go
+++ b/forward/lostpaths.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -12,9 +11,9 @@
 )
 
 const (
-	// maxWitnesses bounds the servers to which connections are opened at a time to find out whether
-	// this instance has paths to any.
-	maxWitnesses = 3
+	// maxCompared bounds the servers to which connections are opened at a time to find out whether this
+	// instance has a path to any.
+	maxCompared = 3
 	// endCheckInterval is the time between two checks of a server that refuses connections while
 	// most others can't be reached either, and endCheckTimeout bounds all of them: by then servers
 	// that crashed together are back, and the entry of one that ended is gone.
@@ -45,28 +44,17 @@
 	return false
 }
 
-// reachesAnother reports whether another server of the service accepts a connection. Those that were
-// heard of last are tried.
+// reachesAnother reports whether another server of the service accepts a connection. Of those to which no
+// path is known to be lost, the ones that were heard of last are tried.
 func (f *Forwarder) reachesAnother(ctx context.Context, a *scheduling.Assignment) bool {
 	checkCtx, cancel := context.WithTimeout(ctx, pathCheckTimeout)
 	defer cancel()
 
 	others := slices.Clone(f.Scheduler.Paths(f.Clock.Now())[a.Service()])
-	others = slices.DeleteFunc(others, func(p scheduling.Path) bool { return p.ID == a.ID() })
+	others = slices.DeleteFunc(others, func(p scheduling.Path) bool { return p.Lost || p.ID == a.ID() })
+	slices.SortFunc(others, func(x, y scheduling.Path) int { return y.HeardAt.Compare(x.HeardAt) })
 
-	slices.SortFunc(others, func(x, y scheduling.Path) int {
-		return cmp.Or(cmp.Compare(boolRank(x.Lost), boolRank(y.Lost)), y.HeardAt.Compare(x.HeardAt))
-	})
-
-	return slices.ContainsFunc(others[:min(len(others), maxWitnesses)], func(p scheduling.Path) bool {
+	return slices.ContainsFunc(others[:min(len(others), maxCompared)], func(p scheduling.Path) bool {
 		return f.Pool.Connect(checkCtx, upstream.Server{ID: p.ID, Address: p.Address}) == nil
 	})
 }
-
-func boolRank(b bool) int {
-	if b {
-		return 1
-	}
-
-	return 0
-}
--- a/forward/lostpaths_test.go
+++ b/forward/lostpaths_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -47,6 +48,8 @@
 	f.t.Helper()
 
 	for range int(endCheckTimeout / endCheckInterval) {
+		// What comes meanwhile is later than the loss.
+		f.clock.Advance(time.Millisecond)
 		meanwhile()
 
 		for id, crashed := range f.crashed {
@@ -96,6 +99,10 @@
 				t.Fatalf("arrivals: got %d, want one", len(got))
 			}
 
+			if len(c.crashed) == 0 {
+				f.Scheduler.RecordPath(f.clock.Now(), "llm-8", "llm-8", true, false)
+			}
+
 			f.checkEnds(func() {
 				if c.meanwhile != nil {
 					c.meanwhile(f)
