--- a/resumption/recorder_test.go
+++ b/resumption/recorder_test.go
@@ -248,7 +248,11 @@
 			r.Add([]Record{{Content: quarantine.Fingerprint(1<<32 + i), Service: "llm", Version: "v1", LifetimeMs: 1000}})
 		}
 
-		if got := r.waiting(); got > maxUnrecorded {
+		r.mu.Lock()
+		indexed := len(r.queued)
+		r.mu.Unlock()
+
+		if got := r.waiting(); got > maxUnrecorded || indexed > maxUnrecorded {
 			t.Errorf("records that wait: got %d, want at most %d", got, maxUnrecorded)
 		}
 
