perf(resumption,entry): streams are recorded each second while one version serves

Each append has a price. A stream may go on at its own version alone, so that the record matters most while there are several. Now streams are recorded each 200 ms while servers of several versions of a service are registered or were within a minute, and each second otherwise.

--- a/entry/streams.go
+++ b/entry/streams.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/netip"
 	"slices"
+	"time"
 
 	"monsoonlever/board"
 	"monsoonlever/fleet"
@@ -21,8 +22,9 @@
 				p.sendDatagram(to, datagram{Streams: batch})
 			}
 		},
-		Ask:      func(to fleet.InstanceID, query resumption.Query) { p.sendDatagram(to, datagram{StreamQuery: &query}) },
-		Recorder: &resumption.Recorder{Clock: p.clock, Log: p.store.Streams()}, RecorderID: p.streamRecorder, Restores: p.mayHoldStreams,
+		Ask:        func(to fleet.InstanceID, query resumption.Query) { p.sendDatagram(to, datagram{StreamQuery: &query}) },
+		Recorder:   &resumption.Recorder{Clock: p.clock, Log: p.store.Streams(), SeveralVersions: newVersionWatch(p)},
+		RecorderID: p.streamRecorder, Restores: p.mayHoldStreams,
 		Forward: func(to fleet.InstanceID, records []resumption.Record) {
 			for _, batch := range pack(records, resumption.Record.Bytes) {
 				p.sendDatagram(to, datagram{RecordStreams: batch})
@@ -31,6 +33,31 @@
 	}
 }
 
+// severalVersionsTTL is how long after a version has left its streams may still be resumed.
+const severalVersionsTTL = time.Minute
+
+// newVersionWatch returns a function that reports whether servers of several versions of a service are
+// registered, or were within severalVersionsTTL. One goroutine calls it.
+func newVersionWatch(p *components) func() bool {
+	var seenAt time.Time
+
+	return func() bool {
+		now, versions := p.clock.Now(), make(map[fleet.Service]fleet.Version)
+
+		for _, s := range p.register.Servers() {
+			if v, known := versions[s.Service]; known && v != s.Version {
+				seenAt = now
+
+				break
+			}
+
+			versions[s.Service] = s.Version
+		}
+
+		return !seenAt.IsZero() && now.Sub(seenAt) < severalVersionsTTL
+	}
+}
+
 // streamRecorder returns the instance that writes records of streams to the store for all, or an empty
 // ID if none is known: the first of the leaders.
 func (p *components) streamRecorder() fleet.InstanceID {
--- a/resumption/recorder.go
+++ b/resumption/recorder.go
@@ -15,9 +15,11 @@
 )
 
 const (
-	// recordInterval is the minimum time between two appends. The streams that began since the last
-	// one are lost with all instances.
-	recordInterval = 200 * time.Millisecond
+	// recordInterval is the minimum time between two appends while servers of several versions serve,
+	// and relaxedRecordInterval that while they don't. The streams that began since the last append
+	// are lost with all instances, and each append has a price.
+	recordInterval        = 200 * time.Millisecond
+	relaxedRecordInterval = time.Second
 	// recordTimeout bounds a call of the log, which takes a few milliseconds.
 	recordTimeout = time.Second
 	// maxBatch bounds the records of one append, to some 40 KB, and maxUnrecorded those that wait
@@ -45,6 +47,9 @@
 type Recorder struct {
 	Clock clock.Clock
 	Log   Log
+	// SeveralVersions reports whether servers of several versions serve, or did while streams that
+	// callers may resume began; nil means always.
+	SeveralVersions func() bool
 
 	mu     sync.Mutex
 	queue  []Record
@@ -108,10 +113,18 @@
 			r.wake.Send()
 		}
 
-		clock.Sleep(ctx, r.Clock, recordInterval)
+		clock.Sleep(ctx, r.Clock, r.interval())
 	}
 }
 
+func (r *Recorder) interval() time.Duration {
+	if r.SeveralVersions == nil || r.SeveralVersions() {
+		return recordInterval
+	}
+
+	return relaxedRecordInterval
+}
+
 // write appends the next records and reports whether some are left.
 func (r *Recorder) write(ctx context.Context) bool {
 	batch := r.next()
--- a/resumption/recorder_test.go
+++ b/resumption/recorder_test.go
@@ -267,3 +267,13 @@
 		synctest.Wait()
 	})
 }
+
+// Checks that appends, which have a price, are rarer while all servers have one version.
+func TestRecorderWritesSeldomWhileOneVersionServes(t *testing.T) {
+	for several, want := range map[bool]time.Duration{true: recordInterval, false: relaxedRecordInterval} {
+		r := &Recorder{SeveralVersions: func() bool { return several }}
+		if got := r.interval(); got != want {
+			t.Errorf("several versions %t: got an append each %v, want each %v", several, got, want)
+		}
+	}
+}
