refactor(resumption): what can't be appended waits again, a start reads the newest appends alone

Found by reading the change once more: - After an append the recorder removed as many records as it had written from the front of its queue; where some of these had been dropped meanwhile for lack of room, others that were not written went with them. It takes a batch out and puts it back if the append fails. The read skips to the newest ones, and each call has a time of its own. - Records that found no room are counted in the line of the log. - Two tests had the same loop over returning callers: one function, the same bound.

--- a/resumption/recorder.go
+++ b/resumption/recorder.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"time"
 
@@ -55,6 +54,8 @@
 	queue  []Record
 	queued map[recordKey]struct{}
 	wake   feed.Signal
+	// dropped counts the records that found no room in the queue.
+	dropped int
 	// unavailable is set while the log can't be written.
 	unavailable bool
 }
@@ -86,21 +87,11 @@
 		r.queue = append(r.queue, record)
 	}
 
-	r.dropOldest()
+	r.dropped += len(r.dequeue(max(len(r.queue)-maxUnrecorded, 0)))
 	r.mu.Unlock()
 	r.wake.Send()
 }
 
-// dropOldest keeps the queue within maxUnrecorded. r.mu is held.
-func (r *Recorder) dropOldest() {
-	excess := max(len(r.queue)-maxUnrecorded, 0)
-	for _, record := range r.queue[:excess] {
-		delete(r.queued, keyOf(record))
-	}
-
-	r.queue = r.queue[excess:]
-}
-
 // Run writes queued records until ctx ends, and then those that are left.
 func (r *Recorder) Run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -125,9 +116,10 @@
 	return relaxedRecordInterval
 }
 
-// write appends the next records and reports whether some are left.
+// write appends the next records and reports whether some are left. What could not be appended waits
+// again.
 func (r *Recorder) write(ctx context.Context) bool {
-	batch := r.next()
+	batch := r.take()
 	if len(batch) == 0 {
 		return false
 	}
@@ -135,42 +127,41 @@
 	data, err := msgpack.Marshal(batch)
 	if err != nil {
 		klog.ErrorS(err, "records of streams could not be encoded", "records", len(batch))
-		r.done(len(batch))
 
-		return false
+		return r.waiting() > 0
 	}
 
 	call, cancel := context.WithTimeout(ctx, recordTimeout)
 	defer cancel()
 
 	err = r.Log.Append(call, data)
-	r.logAvailability(err)
-
-	if err == nil {
-		r.done(len(batch))
+	if err != nil {
+		r.Add(batch)
 	}
 
+	r.logAvailability(err)
+
 	return r.waiting() > 0
 }
 
-func (r *Recorder) next() []Record {
+// take takes the next records out of the queue.
+func (r *Recorder) take() []Record {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 
-	return append([]Record(nil), r.queue[:min(len(r.queue), maxBatch)]...)
+	return r.dequeue(min(len(r.queue), maxBatch))
 }
 
-// done removes the oldest records from the queue. Some may have been dropped meanwhile.
-func (r *Recorder) done(n int) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-
-	n = min(n, len(r.queue))
-	for _, record := range r.queue[:n] {
+// dequeue takes the oldest records out of the queue. r.mu is held.
+func (r *Recorder) dequeue(n int) []Record {
+	oldest := r.queue[:n]
+	for _, record := range oldest {
 		delete(r.queued, keyOf(record))
 	}
 
 	r.queue = r.queue[n:]
+
+	return oldest
 }
 
 func (r *Recorder) waiting() int {
@@ -185,11 +176,15 @@
 		return
 	}
 
+	r.mu.Lock()
+	waiting, dropped := len(r.queue), r.dropped
+	r.mu.Unlock()
+
 	r.unavailable = err != nil
 	if r.unavailable {
-		klog.InfoS("dependency lost", "dependency", "log of streams", "waiting", r.waiting(), "err", err.Error())
+		klog.InfoS("dependency lost", "dependency", "log of streams", "waiting", waiting, "err", err.Error())
 	} else {
-		klog.InfoS("dependency regained", "dependency", "log of streams", "waiting", r.waiting())
+		klog.InfoS("dependency regained", "dependency", "log of streams", "waiting", waiting, "droppedInAll", dropped)
 	}
 }
 
@@ -213,34 +208,26 @@
 	}
 }
 
-// read reads the newest records of the log and returns their number.
+// read reads the newest appends of the log and returns the number of their records.
 func (r *Recorder) read(ctx context.Context, t *Tracker) (int, error) {
-	call, cancel := context.WithTimeout(ctx, recordTimeout)
-	defer cancel()
-
-	from, err := r.Log.First(call)
+	from, err := r.first(ctx)
 	if err != nil {
 		return 0, err
 	}
 
-	records := 0
+	for records := 0; ; {
+		changes, err := r.changes(ctx, from)
+		if err != nil {
+			return records, err
+		}
 
-	for {
-		changes, err := r.Log.Changes(call, from, 0)
-		if errors.Is(err, feed.ErrTrimmed) {
-			from, err = r.Log.First(call)
-			if err != nil {
-				return records, err
-			}
+		if skipped := int64(changes.End.Offset()) - int64(from.Offset()) - maxRestoredBatches; skipped > 0 { //nolint:gosec // offsets count appends
+			from = feed.PositionOf(from.Era(), from.Offset()+uint64(skipped))
 
 			continue
 		}
 
-		if err != nil {
-			return records, err
-		}
-
-		for _, e := range changes.Entries[max(len(changes.Entries)-maxRestoredBatches, 0):] {
+		for _, e := range changes.Entries {
 			records += t.restoreBatch(e)
 		}
 
@@ -252,6 +239,20 @@
 	}
 }
 
+func (r *Recorder) first(ctx context.Context) (feed.Position, error) {
+	call, cancel := context.WithTimeout(ctx, recordTimeout)
+	defer cancel()
+
+	return r.Log.First(call)
+}
+
+func (r *Recorder) changes(ctx context.Context, from feed.Position) (feed.Changes, error) {
+	call, cancel := context.WithTimeout(ctx, recordTimeout)
+	defer cancel()
+
+	return r.Log.Changes(call, from, 0)
+}
+
 // restoreBatch adds the records of one entry of the log and returns their number.
 func (t *Tracker) restoreBatch(e feed.Entry) int {
 	var batch []Record
--- a/resumption/recorder_test.go
+++ b/resumption/recorder_test.go
@@ -135,10 +135,7 @@
 
 // Guards against streams that nobody can join after a loss of all instances.
 func TestOriginSurvivesLossOfAllInstances(t *testing.T) {
-	const (
-		streams  = 300
-		maxShare = 0.05
-	)
+	const streams = 300
 
 	for _, size := range []struct{ instances, holders int }{{1, 1}, {3, 3}, {9, 9}, {72, 12}, {195, 12}, {986, 50}} {
 		t.Run(fmt.Sprint(size.instances, " instances"), func(t *testing.T) {
@@ -155,23 +152,7 @@
 				time.Sleep(2 * recordInterval)
 				n.restart(ctx)
 
-				unknown := 0
-
-				for i := range streams {
-					got, err := n.trackers[n.members[(i+1)%size.instances].ID].Origin(ctx, stream(i))
-
-					switch {
-					case errors.Is(err, ErrUnknown):
-						unknown++
-					case err != nil || got != origin(i):
-						t.Errorf("stream %d: got %v, %v, want %v", i, got, err, origin(i))
-					}
-				}
-
-				if float64(unknown) > maxShare*streams {
-					t.Errorf("streams of unknown version: got %d of %d, want at most 1 in 20", unknown, streams)
-				}
-
+				n.checkOrigins(ctx, t, streams)
 				stop()
 				synctest.Wait()
 			})
@@ -277,3 +258,45 @@
 		}
 	}
 }
+
+// Guards against records that are lost with a failed append, and against a start that reads all that a
+// log retains.
+func TestRecorderLosesNoRecordAndReadsNewest(t *testing.T) {
+	log := &memoryLog{}
+	log.away.Store(true)
+
+	r := &Recorder{Clock: clock.System{}, Log: log}
+	record := func(i int) Record {
+		return Record{Content: quarantine.Fingerprint(i), Attempt: 1, Service: "llm", Version: "v1", LifetimeMs: 60_000}
+	}
+
+	for i := range maxUnrecorded {
+		r.Add([]Record{record(i)})
+	}
+
+	r.write(t.Context())
+
+	if got, want := r.waiting(), maxUnrecorded; got != want {
+		t.Errorf("records that wait after a failed append: got %d, want %d", got, want)
+	}
+
+	log.away.Store(false)
+
+	for r.write(t.Context()) {
+	}
+
+	tracker := &Tracker{Clock: clock.System{}, Self: "a"}
+
+	if got, err := r.read(t.Context(), tracker); err != nil || got != maxUnrecorded {
+		t.Errorf("records that were written: got %d, %v, want %d", got, err, maxUnrecorded)
+	}
+
+	for i := range 2 * maxRestoredBatches {
+		r.Add([]Record{record(maxUnrecorded + i)})
+		r.write(t.Context())
+	}
+
+	if got, err := r.read(t.Context(), tracker); err != nil || got != maxRestoredBatches {
+		t.Errorf("records of a long log: got %d, %v, want those of the newest %d appends", got, err, maxRestoredBatches)
+	}
+}
--- a/resumption/tracker.go
+++ b/resumption/tracker.go
@@ -44,8 +44,8 @@
 	Recorder   *Recorder
 	RecorderID func() fleet.InstanceID
 	Forward    func(to fleet.InstanceID, records []Record)
-	// Restores reports whether this instance restores records from the log and has not done so yet; nil
-	// if it never does.
+	// Restores reports whether this instance may hold records, and so restores those in the log; nil if
+	// it never does.
 	Restores func() bool
 	// Counters may be nil.
 	Counters *Counters
--- a/resumption/tracker_test.go
+++ b/resumption/tracker_test.go
@@ -116,14 +116,44 @@
 	n.dead[id] = true
 }
 
+// maxUnknownShare is the part of the streams whose version may be unknown after a loss of instances.
+const maxUnknownShare = 0.05
+
+// checkOrigins has the caller of each stream return at the instance after the one that began it, or at
+// the second one if that is dead.
+func (n *network) checkOrigins(ctx context.Context, t *testing.T, streams int) {
+	t.Helper()
+
+	unknown := 0
+
+	for i := range streams {
+		at := n.members[(i+1)%len(n.members)].ID
+		if n.dead[at] {
+			at = n.members[1].ID
+		}
+
+		got, err := n.trackers[at].Origin(ctx, stream(i))
+
+		switch {
+		case errors.Is(err, ErrUnknown):
+			unknown++
+		case err != nil || got != origin(i):
+			t.Errorf("stream %d: got %v, %v, want %v", i, got, err, origin(i))
+		}
+	}
+
+	if float64(unknown) > maxUnknownShare*float64(streams) {
+		t.Errorf("streams of unknown version: got %d of %d, want at most 1 in 20", unknown, streams)
+	}
+}
+
 // Guards against streams whose version is forgotten with the instances that began them: callers
 // return while a third of the instances, or a whole failure domain, is down or has just started
 // again.
 func TestOriginSurvivesKills(t *testing.T) {
 	const (
-		streams  = 300
-		lost     = 0.02
-		maxShare = 0.05
+		streams = 300
+		lost    = 0.02
 	)
 
 	for _, size := range []struct{ instances, holders int }{{3, 3}, {9, 9}, {12, 12}, {50, 50}, {195, 12}, {986, 50}} {
@@ -155,28 +185,7 @@
 						}
 					}
 
-					unknown := 0
-
-					for i := range streams {
-						at := n.members[(i+1)%size.instances].ID
-						if n.dead[at] {
-							at = n.members[1].ID
-						}
-
-						got, err := n.trackers[at].Origin(ctx, stream(i))
-
-						switch {
-						case errors.Is(err, ErrUnknown):
-							unknown++
-						case err != nil || got != origin(i):
-							t.Errorf("stream %d: got %v, %v, want %v", i, got, err, origin(i))
-						}
-					}
-
-					if float64(unknown) > maxShare*streams {
-						t.Errorf("streams of unknown version: got %d of %d, want at most 1 in 20", unknown, streams)
-					}
-
+					n.checkOrigins(ctx, t, streams)
 					stop()
 					synctest.Wait()
 				})
