perf(quarantine): only losses that are to be stored are ordered

The order of the stored losses counted those of each suspect anew at each comparison, of up to 2,048 suspects, nearly all of which have nothing to store. It is asked for by each query of an instance that starts. The losses to store are found first and ordered then; the order is the same.

--- a/quarantine/updates.go
+++ b/quarantine/updates.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 )
@@ -56,32 +55,47 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
-	order := slices.SortedFunc(maps.Keys(l.suspects), func(a, b Fingerprint) int {
-		x, y := l.suspects[a], l.suspects[b]
+	var candidates []storedLosses
 
-		_, strongX := x.countLosses()
-		_, strongY := y.countLosses()
+	for f, s := range l.suspects {
+		if losses := s.storedLosses(now, f); len(losses) > 0 {
+			_, strong := s.countLosses()
+			candidates = append(candidates, storedLosses{losses: losses, strong: strong, until: s.quarantinedUntil(), lastLoss: s.lastLoss})
+		}
+	}
 
-		return cmp.Or(y.quarantinedUntil().Compare(x.quarantinedUntil()), cmp.Compare(strongY, strongX), y.lastLoss.Compare(x.lastLoss), cmp.Compare(a, b))
+	slices.SortFunc(candidates, func(a, b storedLosses) int {
+		return cmp.Or(b.until.Compare(a.until), cmp.Compare(b.strong, a.strong), b.lastLoss.Compare(a.lastLoss),
+			cmp.Compare(a.losses[0].Request, b.losses[0].Request))
 	})
 
 	var stored []Loss
+	for _, c := range candidates {
+		stored = append(stored, c.losses...)
+	}
+
+	return stored[:min(len(stored), maxStoredLosses)]
+}
+
+// storedLosses are the losses of one request that are to be stored, with what they are ordered by.
+type storedLosses struct {
+	losses          []Loss
+	strong          int
+	until, lastLoss time.Time
+}
 
-	for _, f := range order {
-		s := l.suspects[f]
-		quarantined := s.quarantinedUntil().After(now)
+// storedLosses returns the losses of the request that are to be stored.
+func (s *suspect) storedLosses(now time.Time, f Fingerprint) []Loss {
+	var losses []Loss
 
-		for key, e := range s.losses {
-			if len(stored) == maxStoredLosses {
-				return stored
-			}
+	quarantined := s.quarantinedUntil().After(now)
 
-			age := now.Sub(e.lostAt)
-			if !e.cleared && (quarantined || e.evidence == Strong && age <= storedStrongTTL || e.observed && age <= storedLossTTL) {
-				stored = append(stored, Loss{Request: f, Server: key, Evidence: e.evidence}.withAge(now, e.lostAt))
-			}
+	for key, e := range s.losses {
+		age := now.Sub(e.lostAt)
+		if !e.cleared && (quarantined || e.evidence == Strong && age <= storedStrongTTL || e.observed && age <= storedLossTTL) {
+			losses = append(losses, Loss{Request: f, Server: key, Evidence: e.evidence}.withAge(now, e.lostAt))
 		}
 	}
 
-	return stored
+	return losses
 }
