fix(forward): waits before a request is placed end with its caller's time

By reading: a returning stream waits for up to a second for records that are being read, and as long for a loan, also where its caller has less time left. The context that ends before the deadline held from the first attempt on alone; it holds for these steps as well now, by the same function. TestWaitForOriginEndsBeforeDeadline: without the change it waits until the test ends.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -215,6 +215,9 @@
 		return j, refusal
 	}
 
+	ctx, cancel := f.untilDeadline(ctx, j)
+	defer cancel()
+
 	j.identify()
 
 	if refusal := f.checkQuarantine(j); refusal != nil {
--- a/forward/job.go
+++ b/forward/job.go
@@ -107,7 +107,7 @@
 // run sends the request to one backend server after another until one responds or no further
 // attempt is allowed. It returns nil if the sink has the complete response.
 func (f *Forwarder) run(ctx context.Context, j *job, sink Sink) *Refusal {
-	limited, cancel := context.WithTimeout(ctx, j.deadline.Sub(f.Clock.Now())-refusalMargin)
+	limited, cancel := f.untilDeadline(ctx, j)
 	defer cancel()
 
 	defer func() { j.lastFailure.release() }()
@@ -134,6 +134,11 @@
 	}
 }
 
+// untilDeadline returns a context that ends shortly before the deadline of the request.
+func (f *Forwarder) untilDeadline(ctx context.Context, j *job) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(ctx, j.deadline.Sub(f.Clock.Now())-refusalMargin)
+}
+
 // identify sets the fingerprint of the request's content, once its account is known.
 func (j *job) identify() {
 	r := j.request
--- a/forward/version_test.go
+++ b/forward/version_test.go
@@ -176,3 +176,30 @@
 		t.Errorf("got %+v, want %v, not run", refusal, UnknownStream)
 	}
 }
+
+// waitingOrigins is an Origins that waits for its context.
+type waitingOrigins struct{ knownOrigins }
+
+func (waitingOrigins) Origin(ctx context.Context, _ resumption.Stream) (resumption.Origin, error) {
+	<-ctx.Done()
+
+	return resumption.Origin{}, resumption.ErrUnknown
+}
+
+// Guards against a caller that is kept waiting beyond its time until it is known where its stream began.
+func TestWaitForOriginEndsBeforeDeadline(t *testing.T) {
+	const timeout = 200 * time.Millisecond
+
+	s := newVersionsFixture(t, map[string]fleet.Version{"a-1": "v1"})
+	s.Origins = waitingOrigins{}
+	began := time.Now()
+
+	outcome := s.Serve(t.Context(), &Request{
+		ID: "r", Method: http.MethodPost, Host: "a.example", Target: "/talk/x", Path: "/talk/x", APIKey: "key",
+		Arrived: s.clock.Now(), Timeout: timeout, ResumeAfter: "4", Resumes: "first",
+	}, &recordingSink{})
+
+	if took := time.Since(began); outcome.Reason != UnknownStream || took > timeout {
+		t.Errorf("got %v after %v, want %v within %v", outcome.Reason, took, UnknownStream, timeout)
+	}
+}
