--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -274,3 +274,42 @@
 	fmt.Println(quarantined)
 	// Output: true
 }
+
+// Guards against a crash that no record holds until another one follows, or that only the instance which
+// saw it records: all instances may be lost in between.
+func TestFirstCrashIsRecordedByAll(t *testing.T) {
+	part := PartKeys("llm", []string{"dead", "own"})
+	requests, parts := 0, 0
+	observer, observerParts := Ledger{OnEvidence: func() { requests++ }}, Parts{OnEvidence: func() { parts++ }}
+
+	observer.RecordLoss(begin, 1, process(0), Weak)
+	observerParts.RecordBegin(begin, "r", part)
+
+	if requests != 0 || parts != 0 {
+		t.Errorf("before a crash at the begin of an answer: got %d and %d records asked for, want none", requests, parts)
+	}
+
+	observer.RecordLoss(begin, 2, process(0), Strong)
+	observerParts.RecordCrash(begin, process(0), part)
+
+	if requests != 1 || parts != 1 {
+		t.Errorf("after the first crash: got %d and %d records asked for, want one of each", requests, parts)
+	}
+
+	var reader Ledger
+
+	var readerParts Parts
+
+	reader.Merge(begin, observer.StoredLosses(begin), false)
+	readerParts.Merge(begin, observerParts.StoredReports(begin), false)
+
+	later := begin.Add(2 * storedLossTTL)
+
+	if got := reader.StoredLosses(later); len(got) != 1 || got[0].Request != 2 {
+		t.Errorf("losses that a reader stores: got %v, want the strong one", got)
+	}
+
+	if got := readerParts.StoredReports(later); len(got) != 1 {
+		t.Errorf("reports that a reader stores: got %v, want one", got)
+	}
+}
