fix(listener): clients that hold connections leave descriptors to others

Callers saw no answer, or one after 8 s, while clients held connections: kept idle, silent, with a body that comes byte by byte, with an expected 100-continue, or with answers that they don't read. Nothing bounded the connections that an instance accepts, so accepting took every descriptor, also those for backend servers, the store and other instances; neither were the connections to all servers together bounded, each within its own limit.

listener.Guard bounds the connections of each port. A new connection takes the place of the one that has waited longest without a complete request, or whose client doesn't read; one whose request is being served is never closed for it. To refuse the newest instead would let a crowd that only holds connections keep everybody else out. Connections to backend servers, and to other instances in their place, share slots; an idle one makes room.

--- a/detour/client.go
+++ b/detour/client.go
@@ -46,6 +46,8 @@
 	Self    fleet.InstanceID
 	Helpers *Helpers
 	Dialer  *net.Dialer
+	// Slots bounds the connections to other instances; it may be nil.
+	Slots *upstream.Slots
 	// Counters may be nil.
 	Counters *Counters
 	// Buffers bounds the memory of responses; nil is no bound.
@@ -110,11 +112,13 @@
 	reader *bufio.Reader
 	// memory holds the message that is read.
 	memory *buffer.Reservation
+	slots  *upstream.Slots
 }
 
-// Close closes the connection and releases its memory.
+// Close closes the connection and releases its memory and its slot. It is called once.
 func (conn *connection) Close() error {
 	conn.memory.Release()
+	conn.slots.Release(1)
 
 	return conn.Conn.Close()
 }
@@ -124,12 +128,18 @@
 	offerCtx, cancel := context.WithTimeout(ctx, c.offerTimeout(r.Request))
 	defer cancel()
 
+	if !c.Slots.Take() {
+		return nil, merry.Prepend(errBusy, "no connection is free")
+	}
+
 	dialled, err := c.Dialer.DialContext(offerCtx, "tcp4", address.String())
 	if err != nil {
+		c.Slots.Release(1)
+
 		return nil, err
 	}
 
-	conn := &connection{Conn: dialled, reader: bufio.NewReaderSize(dialled, readBuffer), memory: c.Buffers.Reserve()}
+	conn := &connection{Conn: dialled, reader: bufio.NewReaderSize(dialled, readBuffer), memory: c.Buffers.Reserve(), slots: c.Slots}
 
 	if err := c.exchangeOffer(offerCtx, conn, r); err != nil {
 		_ = conn.Close()
--- a/entry/components.go
+++ b/entry/components.go
@@ -26,6 +26,7 @@
 	"monsoonlever/fleet"
 	"monsoonlever/forward"
 	"monsoonlever/gossip"
+	"monsoonlever/listener"
 	"monsoonlever/pathprobe"
 	"monsoonlever/platform"
 	"monsoonlever/quarantine"
@@ -109,6 +110,8 @@
 	retries   *retry.Budgets
 	scheduler *scheduling.Scheduler
 	pool      *upstream.Pool
+	// serverSlots bounds the connections to backend servers, also by way of other instances.
+	serverSlots *upstream.Slots
 	// quarantine tracks requests that crash backend servers.
 	quarantine *quarantine.Ledger
 	// parts tracks parts of prompts that crash backend servers.
@@ -257,7 +260,7 @@
 	p.permits = newPermits(p)
 	p.scheduler.Permits = p.permits
 	p.rollouts = newRollouts(p)
-	p.pool = &upstream.Pool{Clock: e.Clock, Counters: upstream.NewCounters(set), Source: net.ParseIP(s.Source), Dial: e.DialServer}
+	p.pool = e.newPool(p)
 	p.streams = newStreams(p)
 	p.forwarder = &forward.Forwarder{
 		Clock: e.Clock, Rules: &p.rules, Currency: p.rulesCurrency, Limits: p.loans, Retries: p.retries,
@@ -283,6 +286,15 @@
 	return p
 }
 
+func (e *Entry) newPool(p *components) *upstream.Pool {
+	p.serverSlots = &upstream.Slots{Max: int64(descriptors(e.Settings.Limits, serverShare))}
+
+	return &upstream.Pool{
+		Clock: e.Clock, Counters: upstream.NewCounters(p.metrics), Slots: p.serverSlots,
+		Source: net.ParseIP(e.Settings.Source), Dial: e.DialServer,
+	}
+}
+
 func newBuffers(limits settings.MachineLimits, set *metrics.Set) *buffer.Budget {
 	return &buffer.Budget{
 		Size:     int64(float64(limits.MemoryBytes()) * bufferShare),
@@ -445,8 +457,9 @@
 	return p.rules.Load() != nil && p.rulesCurrency.Current() && p.scheduler.Initialized()
 }
 
-// httpServers returns the servers of the addresses, in the order of Entry.addresses.
-func (p *components) httpServers() []*http.Server {
+// httpServers returns the servers of the addresses, in the order of Entry.addresses, with guards in
+// place of their listeners.
+func (p *components) httpServers(listeners []net.Listener) ([]*http.Server, []net.Listener) {
 	readiness := http.NewServeMux()
 	readiness.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
 		if !p.ready() {
@@ -459,7 +472,7 @@
 		p.metrics.WritePrometheus(w)
 	})
 
-	return []*http.Server{
+	servers := []*http.Server{
 		{
 			Handler: p.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 			MaxHeaderBytes: maxHeaderBytes, ErrorLog: discardLog,
@@ -467,6 +480,28 @@
 		{Handler: readiness, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: discardLog},
 		{Handler: operators, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: discardLog},
 	}
+	guards := p.guards()
+	guarded := make([]net.Listener, len(listeners))
+
+	for i, l := range listeners {
+		guarded[i] = guards[i].Protect(servers[i], l)
+	}
+
+	return servers[:len(listeners)], guarded
+}
+
+// guards returns the guards of the addresses, in the order of Entry.addresses.
+func (p *components) guards() []*listener.Guard {
+	limits := p.settings.Limits
+	guard := func(port string, most int) *listener.Guard {
+		return &listener.Guard{Clock: p.clock, Max: most, Counters: listener.NewCounters(p.metrics, port)}
+	}
+
+	return []*listener.Guard{
+		guard("callers", maxCallers(limits)),
+		guard("readiness", descriptors(limits, readinessShare)),
+		guard("operators", descriptors(limits, operatorShare)),
+	}
 }
 
 // logOutcome logs a completed request in one line. Requests that the first server answered are
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -97,10 +97,10 @@
 	group.Go(func() { p.newGossip(conn).Run(control) })
 	group.Go(func() { p.replicas.Run(control, replicas) })
 
-	servers := p.httpServers()
+	servers, guarded := p.httpServers(listeners)
 	failed := make(chan error, len(servers))
 
-	for i, l := range listeners {
+	for i, l := range guarded {
 		group.Go(func() { failed <- serve(servers[i], l) })
 	}
 
--- a/entry/paths.go
+++ b/entry/paths.go
@@ -76,7 +76,8 @@
 	p.helpers = &detour.Helpers{Self: p.self()}
 
 	return &detour.Client{
-		Clock: p.clock, Self: p.self(), Helpers: p.helpers, Dialer: upstream.Dialer(relayDialTimeout), Counters: detour.NewCounters(set), Buffers: p.buffers,
+		Clock: p.clock, Self: p.self(), Helpers: p.helpers, Dialer: upstream.Dialer(relayDialTimeout), Slots: p.serverSlots,
+		Counters: detour.NewCounters(set), Buffers: p.buffers,
 	}
 }
 
--- a/listener/limit.go
+++ b/listener/limit.go
@@ -1,12 +1,18 @@
-// Package listener limits the number of open connections of a listener.
+// Package listener limits what the clients of an HTTP server can hold.
 //
-// A connection over the limit receives a short HTTP response and is closed, so that
-// the caller learns the reason instead of waiting in a queue.
+// Limit bounds the number of open connections. A connection over the limit receives a short HTTP
+// response and is closed, so that the caller learns the reason instead of waiting in a queue.
+//
+// Guard does the same for clients that don't behave: a connection that carries no request makes room
+// for a new one, so that clients that only hold connections keep nobody else out.
 //
 // # Usage
 //
 //	l := &listener.Limit{Listener: inner, Max: 4096, Refusal: response}
 //	server.Serve(l)
+//
+//	g := &listener.Guard{Clock: clk, Max: 4096}
+//	server.Serve(g.Protect(server, inner))
 package listener
 
 import (
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -47,6 +47,8 @@
 	Counters *Counters
 	// Source is the local address of connections; nil lets the system choose it.
 	Source net.IP
+	// Slots bounds the connections to all servers; it may be nil.
+	Slots *Slots
 	// Dial opens a connection until its context ends; nil selects Dialer over IPv4.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 
@@ -177,17 +179,18 @@
 	defer p.mu.Unlock()
 
 	if c := p.servers[id]; c != nil {
-		c.closeIdle()
+		p.closeIdle(c)
 	}
 }
 
-// closeIdle closes the idle connections. Pool.mu is held.
-func (c *serverConnections) closeIdle() {
+// closeIdle closes the idle connections to a server. p.mu is held.
+func (p *Pool) closeIdle(c *serverConnections) {
 	for _, conn := range c.idle {
 		_ = conn.Close()
 	}
 
 	c.open -= len(c.idle)
+	p.Slots.Release(len(c.idle))
 	c.idle = nil
 }
 
@@ -245,7 +248,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
-	return p.connectionsOf(id).add()
+	return p.add(p.connectionsOf(id))
 }
 
 // removeServer closes the idle connections to a server and removes it from the pool. It
@@ -257,7 +260,7 @@
 		return nil
 	}
 
-	c.closeIdle()
+	p.closeIdle(c)
 	c.removed = true
 	delete(p.servers, id)
 
@@ -336,21 +339,15 @@
 		}
 	}
 
-	return c.add()
+	return p.add(c)
 }
 
-// add returns a new connection, counted as open, that the caller has to dial. At the limit the
-// oldest idle connection is closed to make room; without one the error wraps ErrConnectionLimit.
-// Pool.mu is held.
-func (c *serverConnections) add() (*connection, error) {
-	if c.limit > 0 && c.open >= c.limit {
-		if len(c.idle) == 0 {
-			return nil, merry.Prepend(backend.ErrNotSent, "reserve a connection", merry.WithCause(ErrConnectionLimit))
-		}
-
-		_ = c.idle[0].Close()
-		c.idle = c.idle[1:]
-		c.open--
+// add returns a new connection, counted as open, that the caller has to dial. At the server's limit,
+// and where no slot is free, an idle connection is closed to make room; without one the error wraps
+// ErrConnectionLimit. p.mu is held.
+func (p *Pool) add(c *serverConnections) (*connection, error) {
+	if c.limit > 0 && c.open >= c.limit && !p.closeOldestIdle(c) || !p.takeSlot() {
+		return nil, merry.Prepend(backend.ErrNotSent, "reserve a connection", merry.WithCause(ErrConnectionLimit))
 	}
 
 	c.open++
@@ -358,6 +355,36 @@
 	return &connection{owner: c}, nil
 }
 
+// takeSlot takes a slot, for which an idle connection to any server may be closed. p.mu is held.
+func (p *Pool) takeSlot() bool {
+	if p.Slots.Take() {
+		return true
+	}
+
+	for _, c := range p.servers {
+		if p.closeOldestIdle(c) {
+			return p.Slots.Take()
+		}
+	}
+
+	return false
+}
+
+// closeOldestIdle closes the idle connection to a server that was used least recently, and reports
+// whether there is one. p.mu is held.
+func (p *Pool) closeOldestIdle(c *serverConnections) bool {
+	if len(c.idle) == 0 {
+		return false
+	}
+
+	_ = c.idle[0].Close()
+	c.idle = c.idle[1:]
+	c.open--
+	p.Slots.Release(1)
+
+	return true
+}
+
 // expire closes the idle connections that the server may soon close. p.mu is held.
 func (p *Pool) expire(c *serverConnections, now time.Time) {
 	kept := c.idle[:0]
@@ -371,6 +398,7 @@
 
 		_ = conn.Close()
 		c.open--
+		p.Slots.Release(1)
 	}
 
 	c.idle = kept
@@ -478,6 +506,7 @@
 // last one. p.mu is held.
 func (p *Pool) uncount(c *serverConnections) {
 	c.open--
+	p.Slots.Release(1)
 
 	if !c.removed || c.open > 0 {
 		return
