fix(entry): ports for readiness and operators take small headers only

Clients of these two ports ended an instance for lack of memory: both took net/http's own limit of 1 MB for a header, of which the parsed form takes several times as much, from any number of connections.

A readiness check and a request for metrics need no more than 4 KiB.

--- a/entry/components.go
+++ b/entry/components.go
@@ -477,8 +477,8 @@
 			Handler: p.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 			MaxHeaderBytes: maxHeaderBytes, ErrorLog: discardLog,
 		},
-		{Handler: readiness, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: discardLog},
-		{Handler: operators, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: discardLog},
+		newControlServer(readiness),
+		newControlServer(operators),
 	}
 	guards := p.guards()
 	guarded := make([]net.Listener, len(listeners))
@@ -490,6 +490,12 @@
 	return servers[:len(listeners)], guarded
 }
 
+func newControlServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxControlHeaderBytes, ErrorLog: discardLog,
+	}
+}
+
 // guards returns the guards of the addresses, in the order of Entry.addresses.
 func (p *components) guards() []*listener.Guard {
 	limits := p.settings.Limits
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -47,6 +47,8 @@
 	idleTimeout = 60 * time.Second
 	// maxHeaderBytes bounds a caller's header.
 	maxHeaderBytes = 64 << 10
+	// maxControlHeaderBytes bounds the header of a readiness check or of a request for metrics.
+	maxControlHeaderBytes = 4 << 10
 	// lameDuckShare is the fraction of the stop timeout during which new connections are still
 	// accepted: the load balancer checks readiness once a second and acts on the second result.
 	lameDuckShare = 0.35
--- /dev/null
+++ b/monsoonleverd/abuse_ports_test.go
@@ -0,0 +1,40 @@
+package main
+
+import (
+	"testing"
+
+	"monsoonlever/platform/soak"
+)
+
+func TestAbuseOfReadinessPort(t *testing.T) {
+	for name, size := range map[string]int{"few fields": 16, "most of a megabyte": 900 << 10} {
+		t.Run(name, func(t *testing.T) {
+			fields := shortFields(size)
+
+			withstand(t, crowd{
+				clients: crowdAboveDescriptors, hold: true, address: func(a soak.Addresses) string { return a.Readiness },
+				run: func(a *abuser) { a.send("GET /readyz HTTP/1.1\r\nHost: a\r\n" + fields) },
+			})
+		})
+	}
+}
+
+func TestAbuseOfOperatorsPort(t *testing.T) {
+	for name, size := range map[string]int{"few fields": 16, "most of a megabyte": 900 << 10} {
+		t.Run(name, func(t *testing.T) {
+			fields := shortFields(size)
+
+			withstand(t, crowd{
+				clients: crowdAboveDescriptors, hold: true, address: func(a soak.Addresses) string { return a.Operators },
+				run: func(a *abuser) { a.send("GET /metrics HTTP/1.1\r\nHost: a\r\n" + fields) },
+			})
+		})
+	}
+}
+
+func TestAbuseByUnreadMetrics(t *testing.T) {
+	withstand(t, crowd{
+		clients: crowdAboveDescriptors, address: func(a soak.Addresses) string { return a.Operators },
+		run: func(a *abuser) { a.sendEndlessly("GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n") },
+	})
+}
