fix(listener): headers of all requests together stay within a budget

Clients ended an instance for lack of memory with heads over the limit or without end. A head within its own limit of 64 KB takes some 16 times its bytes once it is parsed (108 bytes a field with 9,000 short names; the copy for a backend server as much again), and nothing bounded their sum: neither a header in parsing nor that of a request in service drew on a budget.

Each header reserves memory by its bytes and lines while it arrives, and twice that of the parsed one while it is served. The first part of each is free, and one may take half of what others leave, so that a crowd doesn't shut usual requests out. What finds no memory hears 503 with Retry-After: it was not read whole or not yet passed on, so that it has not run.

Ruled out: a bound on the number of fields, which would refuse single requests within the limits.

--- a/buffer/buffer.go
+++ b/buffer/buffer.go
@@ -3,7 +3,7 @@
 //
 // All messages of a process share a Budget. A bound on each message alone does not bound their sum:
 // some tens of long messages at the same moment exceed the memory of a small machine. A message may
-// grow to a quarter of what is left of the budget. So the more messages grow at the same time, the
+// grow to a share of what is left of the budget, a quarter by default. So the more messages grow at the same time, the
 // smaller each of them may be, and messages of usual size find room beside them (dynamic thresholds, as
 // in switches with a shared memory). The first part of each message takes nothing from the budget, so
 // that small ones pass whatever the others take.
@@ -17,6 +17,7 @@
 package buffer
 
 import (
+	"cmp"
 	"sync/atomic"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -33,14 +34,16 @@
 const (
 	// freeBytes is the part of each message that takes nothing from the budget.
 	freeBytes = 16 << 10
-	// shareDivisor is the inverse of the share of the rest of a budget that one message may take.
-	shareDivisor = 4
+	// defaultShareDivisor is the inverse of the share of the rest of a budget that one message may take.
+	defaultShareDivisor = 4
 )
 
 // Budget is the memory that all messages may take together. Its methods are safe for concurrent use.
 type Budget struct {
 	// Size is the memory in bytes.
 	Size int64
+	// ShareDivisor is the inverse of the share of the rest that one message may take; zero is four.
+	ShareDivisor int64
 	// Refusals counts how often a message was refused more memory; it may be nil.
 	Refusals *metrics.Counter
 
@@ -73,7 +76,7 @@
 		used := r.budget.used.Load()
 		next := used - r.taken + wanted
 
-		if wanted > r.taken && wanted > (r.budget.Size-next)/shareDivisor {
+		if wanted > r.taken && wanted > (r.budget.Size-next)/cmp.Or(r.budget.ShareDivisor, defaultShareDivisor) {
 			if r.budget.Refusals != nil {
 				r.budget.Refusals.Inc()
 			}
--- a/entry/components.go
+++ b/entry/components.go
@@ -81,6 +81,10 @@
 	// bufferShare is the share of an instance's memory for messages that are buffered whole. As much
 	// again may be garbage of messages that have grown; the rest holds the instance's state.
 	bufferShare = 0.25
+	// headerShare is the share of an instance's memory for the headers of requests, and
+	// headerShareDivisor the inverse of the share of the rest that one of them may take.
+	headerShare        = 0.125
+	headerShareDivisor = 1
 	// defaultBodyBytes bounds request bodies until rules set a bound.
 	defaultBodyBytes = 1 << 20
 )
@@ -302,6 +306,16 @@
 	}
 }
 
+func newHeaders(limits settings.MachineLimits, set *metrics.Set) *buffer.Budget {
+	headers := &buffer.Budget{
+		Size: int64(float64(limits.MemoryBytes()) * headerShare), ShareDivisor: headerShareDivisor,
+		Refusals: set.NewCounter("monsoonlever_listener_header_refusals_total"),
+	}
+	set.NewGauge("monsoonlever_listener_header_bytes", func() float64 { return float64(headers.Used()) })
+
+	return headers
+}
+
 // buildFeeds creates the feeds that follow the store, or other instances' replicas of it.
 func (p *components) buildFeeds() {
 	rulesLog, registerLog := &replica.Log{Clock: p.clock}, &replica.Log{Clock: p.clock, Equivalent: sameServerEntry}
@@ -473,12 +487,9 @@
 	})
 
 	servers := []*http.Server{
-		{
-			Handler: p.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-			MaxHeaderBytes: maxHeaderBytes, ErrorLog: discardLog,
-		},
-		newControlServer(readiness),
-		newControlServer(operators),
+		newServer(p.handler, maxHeaderBytes),
+		newServer(readiness, maxControlHeaderBytes),
+		newServer(operators, maxControlHeaderBytes),
 	}
 	guards := p.guards()
 	guarded := make([]net.Listener, len(listeners))
@@ -490,9 +501,9 @@
 	return servers[:len(listeners)], guarded
 }
 
-func newControlServer(h http.Handler) *http.Server {
+func newServer(h http.Handler, headerBytes int) *http.Server {
 	return &http.Server{
-		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxControlHeaderBytes, ErrorLog: discardLog,
+		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes, ErrorLog: discardLog,
 	}
 }
 
@@ -503,8 +514,11 @@
 		return &listener.Guard{Clock: p.clock, Max: most, Counters: listener.NewCounters(p.metrics, port)}
 	}
 
+	callers := guard("callers", maxCallers(limits))
+	callers.Headers = newHeaders(limits, p.metrics)
+
 	return []*listener.Guard{
-		guard("callers", maxCallers(limits)),
+		callers,
 		guard("readiness", descriptors(limits, readinessShare)),
 		guard("operators", descriptors(limits, operatorShare)),
 	}
--- a/listener/connection.go
+++ b/listener/connection.go
@@ -4,8 +4,11 @@
 	"errors"
 	"io"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
+
+	"monsoonlever/buffer"
 )
 
 const (
@@ -23,8 +26,15 @@
 	phase          phase
 	previous, next *connection
 
-	// awaitsRequest is set until the first byte of a request arrives.
-	awaitsRequest atomic.Bool
+	// awaitsRequest is set until the first byte of a request arrives, inHeader from then on until its
+	// header is complete.
+	awaitsRequest, inHeader atomic.Bool
+	// header is what has arrived of a header. Only the goroutine that reads headers uses it.
+	header headerSize
+
+	memoryMu sync.Mutex
+	// memory is that of the header, guarded by memoryMu.
+	memory *buffer.Reservation
 	// writingSince is when the current write began, in Unix nanoseconds, zero if there is none.
 	writingSince atomic.Int64
 }
@@ -33,12 +43,60 @@
 func (c *connection) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 && c.awaitsRequest.CompareAndSwap(true, false) {
+		c.header = headerSize{}
+		c.inHeader.Store(true)
 		c.guard.enter(c, phaseHeader)
 	}
 
+	if n > 0 && c.inHeader.Load() {
+		if refusal := c.countHeader(p[:n]); refusal != "" {
+			c.guard.enter(c, phaseRefused)
+			writeRefusal(c.Conn, refusal)
+
+			return 0, io.EOF
+		}
+	}
+
 	return n, err
 }
 
+// countHeader counts a part of a header, and returns the refusal of one that is too large.
+func (c *connection) countHeader(part []byte) string {
+	c.header.add(part)
+
+	if c.reserve(c.header.memory()) != nil {
+		return refusalOverloaded
+	}
+
+	return ""
+}
+
+// reserve sets the memory of the header in bytes. The error wraps buffer.ErrExhausted.
+func (c *connection) reserve(bytes int64) error {
+	c.memoryMu.Lock()
+	defer c.memoryMu.Unlock()
+
+	return c.memory.Resize(bytes)
+}
+
+func (c *connection) release() {
+	c.memoryMu.Lock()
+	defer c.memoryMu.Unlock()
+	c.memory.Release()
+}
+
+// beginServing ends the header of a request.
+func (c *connection) beginServing() {
+	c.awaitsRequest.Store(false)
+	c.inHeader.Store(false)
+}
+
+// endRequest makes the connection wait for the next request.
+func (c *connection) endRequest() {
+	c.release()
+	c.awaitsRequest.Store(true)
+}
+
 // Write writes a part of a response. A client that reads too slowly fails it.
 func (c *connection) Write(p []byte) (int, error) {
 	c.writingSince.Store(c.guard.Clock.Now().UnixNano())
@@ -63,6 +121,7 @@
 // Close closes the connection.
 func (c *connection) Close() error {
 	c.guard.forget(c)
+	c.release()
 
 	return c.Conn.Close()
 }
--- a/listener/guard.go
+++ b/listener/guard.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"monsoonlever/buffer"
 	"monsoonlever/clock"
 )
 
@@ -32,6 +33,8 @@
 	Max int
 	// Counters may be nil.
 	Counters *Counters
+	// Headers bounds the memory of the headers of all requests; nil is no bound.
+	Headers *buffer.Budget
 
 	mu   sync.Mutex
 	open int
@@ -67,7 +70,7 @@
 			return nil, err
 		}
 
-		c := &connection{Conn: conn, guard: g}
+		c := &connection{Conn: conn, guard: g, memory: g.Headers.Reserve()}
 		c.awaitsRequest.Store(true)
 
 		evicted, ok := g.admit(c)
@@ -168,7 +171,7 @@
 // connState follows the phases that net/http knows.
 func (g *Guard) connState(conn net.Conn, state http.ConnState) {
 	if c, ok := conn.(*connection); ok && state == http.StateIdle {
-		c.awaitsRequest.Store(true)
+		c.endRequest()
 		g.enter(c, phaseIdle)
 	}
 }
@@ -183,7 +186,7 @@
 			return
 		}
 
-		c.awaitsRequest.Store(false)
+		c.beginServing()
 
 		if r.Body == nil || r.Body == http.NoBody {
 			g.enter(c, phaseServed)
--- /dev/null
+++ b/listener/header_test.go
@@ -0,0 +1,123 @@
+package listener
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"net/http"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"monsoonlever/buffer"
+)
+
+// manyFields returns fields with different names.
+func manyFields(n int) string {
+	var b strings.Builder
+
+	for i := range n {
+		fmt.Fprintf(&b, "x%d:\r\n", i)
+	}
+
+	return b.String()
+}
+
+// Guards against headers whose parsed form takes far more memory than is reserved for it.
+func TestHeaderTakesNoMoreMemoryThanReserved(t *testing.T) {
+	const headers = 20
+
+	for name, fields := range map[string]string{
+		"many fields": manyFields(10_000), "one field many times": strings.Repeat("a:\r\n", 10_000), "one long field": "a: " + strings.Repeat("x", 60_000) + "\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			text := "GET / HTTP/1.1\r\nHost: a\r\n" + fields + "\r\n"
+
+			var size headerSize
+
+			size.add([]byte(text))
+
+			before := liveBytes()
+			kept := make([]*http.Request, headers)
+
+			for i := range kept {
+				r, err := http.ReadRequest(bufio.NewReader(strings.NewReader(text)))
+				if err != nil {
+					t.Fatal(err)
+				}
+
+				kept[i] = r
+			}
+
+			if got, want := (liveBytes()-before)/headers, size.memory(); got > want {
+				t.Errorf("memory of a parsed header: got %d bytes, want at most the estimate of %d", got, want)
+			}
+
+			runtime.KeepAlive(kept)
+		})
+	}
+}
+
+func liveBytes() int64 {
+	runtime.GC()
+	runtime.GC()
+
+	var m runtime.MemStats
+
+	runtime.ReadMemStats(&m)
+
+	return int64(m.HeapAlloc)
+}
+
+// Guards against headers that each stay within their own limit and together exceed the memory of the
+// process, and against a few of them that keep usual requests out.
+func TestHeadersWithoutMemoryAreRefused(t *testing.T) {
+	g := serveGuarded(t, func(g *Guard) {
+		g.Max, g.Headers = 10, &buffer.Budget{Size: 1 << 20, ShareDivisor: 1}
+	})
+
+	unfinished := "GET / HTTP/1.1\r\nHost: a\r\n" + manyFields(2000)
+	for range 3 {
+		g.dial(unfinished)
+	}
+
+	refused := g.dial(unfinished + manyFields(2000))
+	if refusal := refused.expectStatus(http.StatusServiceUnavailable); refusal.Header.Get("Retry-After") == "" {
+		t.Error("refusal: got no Retry-After, want one")
+	}
+
+	close(g.release)
+	g.dial(request).expectStatus(http.StatusOK)
+
+	if got, want := g.Headers.Used(), g.Headers.Size; got > want {
+		t.Errorf("memory in use: got %d, want at most %d", got, want)
+	}
+}
+
+// Guards against memory that stays reserved after the requests that it was for.
+func TestMemoryOfHeadersIsReleased(t *testing.T) {
+	g := serveGuarded(t, func(g *Guard) { g.Headers = &buffer.Budget{Size: 1 << 20, ShareDivisor: 1} })
+	close(g.release)
+
+	c := g.dial("")
+	for range 3 {
+		c.send("GET / HTTP/1.1\r\nHost: a\r\n" + manyFields(2000) + "\r\n")
+
+		if err := HoldHeader(<-g.served); err != nil && !errors.Is(err, buffer.ErrExhausted) {
+			t.Errorf("hold header: got %v, want %v or none", err, buffer.ErrExhausted)
+		}
+
+		c.expectStatus(http.StatusOK)
+	}
+
+	_ = c.Close()
+
+	for limit := time.Now().Add(5 * time.Second); g.Open() > 0 && time.Now().Before(limit); {
+		time.Sleep(time.Millisecond)
+	}
+
+	if got, want := g.Headers.Used(), int64(0); got != want {
+		t.Errorf("memory in use: got %d, want %d", got, want)
+	}
+}
