fix(entry): rules that allow callers more than the defaults are followed

Where rules allow headers of more than 64 KB, more than 5 s for a header or more than 60 s of idleness, callers within them got 431 or a closed connection: constants stood, and rules that allow more were only logged.

Failed before, on: 431 for a header of 200 KB under rules that allow it, a closed connection for a header that comes over 6.4 s where 8 s are allowed.

A guarded connection replaces the timeouts that net/http sets by those in force, and ends a header over the limit in force by itself. Defaults hold where rules allow less, so that nobody is refused more than before. The memory of headers has its own budget, so that a larger limit costs no more at worst.

--- a/entry/components.go
+++ b/entry/components.go
@@ -487,7 +487,7 @@
 	})
 
 	servers := []*http.Server{
-		newServer(p.handler, maxHeaderBytes),
+		newServer(p.handler, maxRuleHeaderBytes),
 		newServer(readiness, maxControlHeaderBytes),
 		newServer(operators, maxControlHeaderBytes),
 	}
@@ -515,7 +515,7 @@
 	}
 
 	callers := guard("callers", maxCallers(limits))
-	callers.Headers = newHeaders(limits, p.metrics)
+	callers.Limits, callers.Headers = p.callerLimits, newHeaders(limits, p.metrics)
 
 	return []*listener.Guard{
 		callers,
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -39,14 +39,17 @@
 }
 
 const (
-	// headerTimeout bounds the time that a caller takes to send its header. Rules don't change it;
-	// checkRules logs rules that allow more.
-	headerTimeout = 5 * time.Second
-	// idleTimeout bounds the time that a caller's connection is idle. Rules may set a shorter one,
-	// which callers apply on their side.
+	// headerTimeout bounds the time that a caller takes to send its header, unless rules allow more,
+	// and then headerTimeoutMargin covers the way to this instance.
+	headerTimeout       = 5 * time.Second
+	headerTimeoutMargin = time.Second
+	// idleTimeout bounds the time that a caller's connection is idle, unless rules allow more. Rules may
+	// set a shorter one, which callers apply on their side.
 	idleTimeout = 60 * time.Second
-	// maxHeaderBytes bounds a caller's header.
-	maxHeaderBytes = 64 << 10
+	// headerBytes bounds a caller's header, unless rules allow more, which is followed up to
+	// maxRuleHeaderBytes.
+	headerBytes        = 64 << 10
+	maxRuleHeaderBytes = 1 << 20
 	// maxControlHeaderBytes bounds the header of a readiness check or of a request for metrics.
 	maxControlHeaderBytes = 4 << 10
 	// lameDuckShare is the fraction of the stop timeout during which new connections are still
--- a/entry/rules.go
+++ b/entry/rules.go
@@ -9,6 +9,7 @@
 	"k8s.io/klog/v2"
 
 	"monsoonlever/feed"
+	"monsoonlever/listener"
 	"monsoonlever/platform"
 	"monsoonlever/quota"
 	"monsoonlever/register"
@@ -72,12 +73,25 @@
 		p.unknownFields.CheckRules(data)
 	}
 
-	if limits.HeaderBytes > maxHeaderBytes || limits.HeaderTimeout > headerTimeout || limits.IdleTimeout > idleTimeout {
-		klog.InfoS("rules allow callers more than this instance does", "headerBytes", limits.HeaderBytes,
-			"headerTimeout", limits.HeaderTimeout, "idleTimeout", limits.IdleTimeout)
+	if limits.HeaderBytes > maxRuleHeaderBytes {
+		klog.InfoS("rules allow callers larger headers than this instance does", "headerBytes", limits.HeaderBytes, "followed", maxRuleHeaderBytes)
 	}
 }
 
+// callerLimits returns the limits for callers. Until rules are known they may allow more.
+func (p *components) callerLimits() listener.Limits {
+	limits := listener.Limits{HeaderBytes: maxRuleHeaderBytes, HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+
+	if rules := p.rules.Load(); rules != nil {
+		allowed := rules.Limits()
+		limits.HeaderBytes = min(max(headerBytes, allowed.HeaderBytes), maxRuleHeaderBytes)
+		limits.HeaderTimeout = max(headerTimeout, allowed.HeaderTimeout+headerTimeoutMargin)
+		limits.IdleTimeout = max(idleTimeout, allowed.IdleTimeout)
+	}
+
+	return limits
+}
+
 // allowances returns the amount that the limit of each client account allows within a window,
 // including the tolerance.
 func (p *components) allowances(rules *ruleset.Ruleset) []quota.Allowance {
--- a/listener/connection.go
+++ b/listener/connection.go
@@ -27,8 +27,8 @@
 	previous, next *connection
 
 	// awaitsRequest is set until the first byte of a request arrives, inHeader from then on until its
-	// header is complete.
-	awaitsRequest, inHeader atomic.Bool
+	// header is complete, and kept once the connection has carried a request.
+	awaitsRequest, inHeader, kept atomic.Bool
 	// header is what has arrived of a header. Only the goroutine that reads headers uses it.
 	header headerSize
 
@@ -64,6 +64,10 @@
 func (c *connection) countHeader(part []byte) string {
 	c.header.add(part)
 
+	if limit := c.limits().HeaderBytes; limit > 0 && c.header.bytes > limit+headerSlop {
+		return refusalTooLarge
+	}
+
 	if c.reserve(c.header.memory()) != nil {
 		return refusalOverloaded
 	}
@@ -94,9 +98,39 @@
 // endRequest makes the connection wait for the next request.
 func (c *connection) endRequest() {
 	c.release()
+	c.kept.Store(true)
 	c.awaitsRequest.Store(true)
 }
 
+func (c *connection) limits() Limits {
+	if c.guard.Limits == nil {
+		return Limits{}
+	}
+
+	return c.guard.Limits()
+}
+
+// SetReadDeadline sets the deadline of reads. While a request is awaited or its header arrives, the
+// limits in force replace a timeout of the server.
+func (c *connection) SetReadDeadline(t time.Time) error {
+	awaited := c.awaitsRequest.Load()
+
+	if now := time.Now(); t.After(now) && (awaited || c.inHeader.Load()) {
+		limits := c.limits()
+		timeout := limits.HeaderTimeout
+
+		if awaited && c.kept.Load() {
+			timeout = limits.IdleTimeout
+		}
+
+		if timeout > 0 {
+			t = now.Add(timeout)
+		}
+	}
+
+	return c.Conn.SetReadDeadline(t)
+}
+
 // Write writes a part of a response. A client that reads too slowly fails it.
 func (c *connection) Write(p []byte) (int, error) {
 	c.writingSince.Store(c.guard.Clock.Now().UnixNano())
--- a/listener/guard.go
+++ b/listener/guard.go
@@ -19,6 +19,16 @@
 	maxStalledScan = 64
 )
 
+// Limits are limits for the requests of clients. Zero leaves that of the server, which HeaderBytes can't
+// exceed.
+type Limits struct {
+	// HeaderBytes bounds a header, with the request line.
+	HeaderBytes int
+	// HeaderTimeout bounds the time until the header is complete, and IdleTimeout that between two
+	// requests of a connection.
+	HeaderTimeout, IdleTimeout time.Duration
+}
+
 // Guard is a listener for an http.Server that bounds what clients can hold. Its exported fields are
 // set before Protect.
 //
@@ -33,6 +43,9 @@
 	Max int
 	// Counters may be nil.
 	Counters *Counters
+	// Limits returns the limits in force; nil leaves those of the server. It may be called from several
+	// goroutines.
+	Limits func() Limits
 	// Headers bounds the memory of the headers of all requests; nil is no bound.
 	Headers *buffer.Budget
 
--- a/listener/header.go
+++ b/listener/header.go
@@ -6,6 +6,8 @@
 )
 
 const (
+	// headerSlop is what may arrive together with a header: the server reads in parts of this size.
+	headerSlop = 4 << 10
 	// bytesPerByte and bytesPerField estimate the memory of a parsed header: net/http keeps a map with
 	// an entry and a slice for each field, and copies fields while it reads them.
 	bytesPerByte  = 2
--- a/listener/header_test.go
+++ b/listener/header_test.go
@@ -121,3 +121,45 @@
 		t.Errorf("memory in use: got %d, want %d", got, want)
 	}
 }
+
+// Guards against a header over the limit whose refusal is lost, since the connection is reset.
+func TestHeaderOverTheLimitIsRefused(t *testing.T) {
+	const limit = 8 << 10
+
+	g := serveGuarded(t, func(g *Guard) { g.Limits = func() Limits { return Limits{HeaderBytes: limit} } })
+	close(g.release)
+
+	start := "GET / HTTP/1.1\r\nHost: a\r\nX: "
+	g.dial(start + strings.Repeat("x", limit-len(start)-4) + "\r\n\r\n").expectStatus(http.StatusOK)
+	g.dial(start + strings.Repeat("x", 64<<10)).expectStatus(http.StatusRequestHeaderFieldsTooLarge)
+}
+
+// Guards against limits of rules that change nothing, and against those for one phase that hold in
+// another.
+func TestLimitsReplaceTimeoutsOfServer(t *testing.T) {
+	const short = 200 * time.Millisecond
+
+	for name, c := range map[string]struct {
+		limits Limits
+		kept   bool
+	}{
+		"header": {Limits{HeaderTimeout: short, IdleTimeout: time.Hour}, false},
+		"idle":   {Limits{HeaderTimeout: time.Hour, IdleTimeout: short}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := serveGuarded(t, func(g *Guard) { g.Limits = func() Limits { return c.limits } })
+
+			conn := g.dial("")
+			if c.kept {
+				conn.send(request)
+				<-g.served
+				// A request that is served has no deadline.
+				time.Sleep(2 * short)
+				close(g.release)
+				conn.expectStatus(http.StatusOK)
+			}
+
+			conn.expectClosed()
+		})
+	}
+}
--- a/listener/refusal.go
+++ b/listener/refusal.go
@@ -16,8 +16,12 @@
 	maxLingering = 16
 )
 
-// refusalOverloaded says that a request has not run, and when to come back.
-const refusalOverloaded = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+const (
+	// refusalOverloaded says that a request has not run, and when to come back.
+	refusalOverloaded = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	// refusalTooLarge says that a header is too large.
+	refusalTooLarge = "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+)
 
 // lingerSlots bounds the connections that are refused at the same time.
 type lingerSlots struct {
