fix(replica): silent connections make room for those of other instances

Clients that connect to the port for other instances and send nothing took up to 600 descriptors for a minute each, whatever the machine has, and kept other instances out once they were 600. The length that a request declares was allocated at once, up to that of the largest response.

Large frames, bytes that are no frame and offers that stay unfinished passed before.

The bound follows the descriptors of the machine, a connection without a request is closed for a new one, and a request is at most 4 KiB. Connections that have sent a request stay, since they are other instances': who speaks their protocol isn't told from one (open).

--- a/entry/components.go
+++ b/entry/components.go
@@ -341,7 +341,7 @@
 		Name: feedDirectory, Source: relays, Clock: p.clock, Timing: p.directoryPace, Apply: p.applyDirectory,
 	}
 	p.relayLogs = map[*feed.Follower]*replica.Log{p.rulesFeed: rulesLog, p.registerFeed: registerLog}
-	p.replicas = &replica.Server{Clock: p.clock, Feeds: map[string]*replica.Log{
+	p.replicas = &replica.Server{Clock: p.clock, MaxConnections: maxPeers(p.settings.Limits), Feeds: map[string]*replica.Log{
 		feedRules: rulesLog, feedRegister: registerLog, feedDirectory: p.directoryLog,
 	}, Others: map[string]func(context.Context, net.Conn, *bufio.Reader){detour.Preface: p.detours.Handle}}
 }
--- a/entry/descriptors.go
+++ b/entry/descriptors.go
@@ -13,6 +13,10 @@
 	operatorShare  = 0.03
 )
 
+// mostPeers suffices for three feeds of each subscriber of a relay, and for the subscribers of several
+// failed relays.
+const mostPeers = 600
+
 // callerMemory is the memory in bytes of a caller's connection without a request, and
 // callerMemoryShare the share of an instance's memory that all of them may take.
 const (
@@ -27,6 +31,11 @@
 	return min(descriptors(limits, callerShare), byMemory)
 }
 
+// maxPeers returns the largest number of connections from other instances.
+func maxPeers(limits settings.MachineLimits) int {
+	return min(descriptors(limits, peerShare), mostPeers)
+}
+
 // descriptors returns a share of an instance's file descriptors, one at least.
 func descriptors(limits settings.MachineLimits, share float64) int {
 	return max(int(limits.FileDescriptors*share), 1)
--- a/monsoonleverd/abuse_ports_test.go
+++ b/monsoonleverd/abuse_ports_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"strings"
 	"testing"
 
 	"monsoonlever/platform/soak"
@@ -38,3 +39,14 @@
 		run: func(a *abuser) { a.sendEndlessly("GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n") },
 	})
 }
+
+func TestAbuseOfPeersPort(t *testing.T) {
+	for name, text := range map[string]string{"silence": "", "large frame": "\x00\x80\x00\x00", "no frame": strings.Repeat("\xff", 1<<10), "detour": "DTR2\x00\x80\x00\x00x"} {
+		t.Run(name, func(t *testing.T) {
+			withstand(t, crowd{
+				clients: crowdAboveDescriptors, hold: true, address: func(a soak.Addresses) string { return a.Peers },
+				run: func(a *abuser) { a.send(text) },
+			})
+		})
+	}
+}
--- a/replica/message.go
+++ b/replica/message.go
@@ -106,14 +106,17 @@
 	return err
 }
 
-func readMessage(r io.Reader, into any) error {
+func readMessage(r io.Reader, into any) error { return readMessageUpTo(r, maxMessageBytes, into) }
+
+// readMessageUpTo is readMessage of a message of at most limit bytes, before it is decompressed.
+func readMessageUpTo(r io.Reader, limit uint32, into any) error {
 	var header [headerBytes]byte
 	if _, err := io.ReadFull(r, header[:]); err != nil {
 		return err
 	}
 
 	prefix := binary.BigEndian.Uint32(header[:])
-	if prefix&^compressedFlag > maxMessageBytes {
+	if prefix&^compressedFlag > limit {
 		return merry.Prependf(ErrFrame, "%d bytes", prefix&^compressedFlag)
 	}
 
--- a/replica/server.go
+++ b/replica/server.go
@@ -2,9 +2,11 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -16,13 +18,16 @@
 )
 
 const (
-	// maxConnections bounds the connections from other instances: three feeds for each
+	// defaultMaxConnections bounds the connections from other instances: three feeds for each
 	// subscriber of a relay, with room for the subscribers of several failed relays.
-	maxConnections = 600
+	defaultMaxConnections = 600
+	// maxRequestBytes bounds a request: the name of a feed and a position.
+	maxRequestBytes = 4 << 10
 	// maxWait bounds how long one read waits for a change.
 	maxWait = 30 * time.Second
-	// idleTimeout is how long a connection stays open without a request, and writeTimeout bounds
-	// the write of one frame.
+	// firstTimeout is how long a connection stays open before its first request, idleTimeout how long
+	// without a further one, and writeTimeout bounds the write of one frame.
+	firstTimeout = 5 * time.Second
 	idleTimeout  = time.Minute
 	writeTimeout = 3 * time.Second
 	// acceptRetryDelay is the delay after a failure to accept a connection.
@@ -34,12 +39,17 @@
 	Clock clock.Clock
 	// Feeds are the logs by the name of their feed.
 	Feeds map[string]*Log
+	// MaxConnections bounds the open connections; zero is defaultMaxConnections. A connection that has
+	// not sent a request yet makes room for a new one.
+	MaxConnections int
 	// Others handle the connections that begin with their preface of prefaceBytes bytes, which no
 	// request of a feed begins with. They close the connection.
 	Others map[string]func(ctx context.Context, conn net.Conn, reader *bufio.Reader)
 
-	mu    sync.Mutex
-	conns map[net.Conn]struct{}
+	mu sync.Mutex
+	// conns are the open connections, and silent those without a request so far, the oldest first.
+	conns  map[net.Conn]struct{}
+	silent []net.Conn
 	// snapshots are the cached encoded snapshots by feed name.
 	snapshots map[string]*snapshotCache
 }
@@ -87,25 +97,52 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
-	if len(s.conns) >= maxConnections || ctx.Err() != nil {
+	if ctx.Err() != nil {
 		return false
 	}
 
+	if len(s.conns) >= cmp.Or(s.MaxConnections, defaultMaxConnections) {
+		if len(s.silent) == 0 {
+			return false
+		}
+
+		oldest := s.silent[0]
+		s.forget(oldest)
+
+		_ = oldest.Close() // its goroutine ends with an error of its read
+	}
+
 	if s.conns == nil {
 		s.conns = make(map[net.Conn]struct{})
 	}
 
 	s.conns[conn] = struct{}{}
+	s.silent = append(s.silent, conn)
 
 	return true
 }
 
-func (s *Server) closeConn(conn net.Conn) {
+// heard records that a connection has sent a request.
+func (s *Server) heard(conn net.Conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
+	s.silent = slices.DeleteFunc(s.silent, func(other net.Conn) bool { return other == conn })
+}
+
+// forget stops counting a connection. s.mu is held.
+func (s *Server) forget(conn net.Conn) {
 	delete(s.conns, conn)
 
+	s.silent = slices.DeleteFunc(s.silent, func(other net.Conn) bool { return other == conn })
+}
+
+func (s *Server) closeConn(conn net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.forget(conn)
+
 	_ = conn.Close() // there is nothing left to send
 }
 
@@ -123,18 +160,23 @@
 	reader := bufio.NewReader(conn)
 
 	if handle := s.otherHandler(conn, reader); handle != nil {
+		s.heard(conn)
 		handle(ctx, conn, reader)
 
 		return
 	}
 
-	for ctx.Err() == nil {
-		if err := conn.SetReadDeadline(time.Now().Add(idleTimeout)); err != nil {
+	for first := true; ctx.Err() == nil; first = false {
+		var r request
+		if err := readMessageUpTo(reader, maxRequestBytes, &r); err != nil {
 			return
 		}
 
-		var r request
-		if err := readMessage(reader, &r); err != nil {
+		if first {
+			s.heard(conn)
+		}
+
+		if err := conn.SetReadDeadline(time.Now().Add(idleTimeout)); err != nil {
 			return
 		}
 
@@ -152,7 +194,7 @@
 // otherHandler returns the handler for the preface that a connection begins with, and removes the
 // preface from the reader. It returns nil if the connection begins with a request.
 func (s *Server) otherHandler(conn net.Conn, reader *bufio.Reader) func(context.Context, net.Conn, *bufio.Reader) {
-	if err := conn.SetReadDeadline(time.Now().Add(idleTimeout)); err != nil {
+	if err := conn.SetReadDeadline(time.Now().Add(firstTimeout)); err != nil {
 		return nil
 	}
 
