fix(platform): a request whose body does not arrive ends with its caller's time

Callers whose body comes byte by byte, or not at all behind an expected 100-continue, had no answer for as long as they liked, past their own deadline and the route's timeout, and held a connection and the memory of what had come: reading a body had no bound in time.

Failed before, on: no response within 20 s to a request with a deadline of 500 ms whose body stays unfinished. Since: 408 and a closed connection, which promises that the request has not run.

The body may take as long as the caller waits or the route allows, so that no caller who would still take an answer is met.

--- a/entry/components.go
+++ b/entry/components.go
@@ -275,7 +275,7 @@
 	p.detours = &detour.Server{Clock: e.Clock, Buffers: p.buffers, Prepare: p.prepareDetour}
 	p.prober = p.newProber()
 	p.scheduler.OnPathSuspect = p.prober.Check
-	p.handler = &platform.Handler{Clock: e.Clock, Serve: p.serve, BodyBytes: p.maxBodyBytes, Buffers: p.buffers}
+	p.handler = &platform.Handler{Clock: e.Clock, Serve: p.serve, BodyBytes: p.maxBodyBytes, BodyTimeout: p.bodyTimeout, Buffers: p.buffers}
 	p.board = &board.Board{
 		Log: p.store.Board(), Clock: e.Clock, Interval: p.boardWriteInterval, MinInterval: p.minBoardWriteInterval, ReadInterval: p.boardReadInterval,
 		BeforeFirstRound: p.awaitRules, Active: p.usesBoard,
@@ -452,6 +452,23 @@
 	return defaultBodyBytes
 }
 
+// bodyTimeout returns how long a request may take: as long as its caller waits and its route allows.
+func (p *components) bodyTimeout(host, path string, wait time.Duration) time.Duration {
+	timeout := forward.DefaultTimeout
+
+	if rules := p.rules.Load(); rules != nil {
+		if route, ok := rules.Match(host, path); ok && route.Timeout > 0 {
+			timeout = route.Timeout
+		}
+	}
+
+	if wait > 0 {
+		timeout = min(timeout, wait)
+	}
+
+	return timeout
+}
+
 // ready reports whether callers may be sent to this instance: requests can be served and the
 // instances are counted. It waits for the limits, and for what crashes servers, only for
 // limitsSyncTimeout, since a part of the store may be unavailable.
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -140,9 +140,9 @@
 }
 
 const (
-	// defaultTimeout bounds requests for which neither the caller nor the route sets a
+	// DefaultTimeout bounds requests for which neither the caller nor the route sets a
 	// timeout.
-	defaultTimeout = 30 * time.Second
+	DefaultTimeout = 30 * time.Second
 	// refusalMargin is the part of a timeout that is reserved for writing a refusal to the
 	// caller.
 	refusalMargin = 20 * time.Millisecond
--- a/forward/job.go
+++ b/forward/job.go
@@ -90,7 +90,7 @@
 	}
 
 	if timeout <= 0 {
-		timeout = defaultTimeout
+		timeout = DefaultTimeout
 	}
 
 	return timeout
--- a/monsoonleverd/abuse_bodies_test.go
+++ b/monsoonleverd/abuse_bodies_test.go
@@ -1,9 +1,15 @@
 package main
 
 import (
+	"bufio"
 	"fmt"
+	"net"
+	"net/http"
 	"strings"
 	"testing"
+	"time"
+
+	"monsoonlever/platform/soak"
 )
 
 func TestAbuseByEndlessChunks(t *testing.T) {
@@ -37,3 +43,39 @@
 		a.send(head(fmt.Sprint("a-", a.number), "Expect: 100-continue\r\nContent-Length: 1000\r\n\r\n"))
 	}})
 }
+
+// Guards against bodies that come so slowly that their requests have no end.
+func TestBodyThatNeverEndsIsRefused(t *testing.T) {
+	t.Parallel()
+
+	p := soak.NewPlatform()
+	defer p.Close()
+
+	e := start(t, p)
+
+	conn, err := net.Dial("tcp4", e.addresses.Callers)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+
+	unfinished := strings.Replace(head("drip", "Content-Length: 1000000\r\n\r\n"), "Deadline-Ms: 10000", "Deadline-Ms: 500", 1)
+	if err := sendParts(0, unfinished, "x")(conn); err != nil {
+		t.Fatal(err)
+	}
+
+	if err := conn.SetReadDeadline(time.Now().Add(eventTimeout)); err != nil {
+		t.Fatal(err)
+	}
+
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatalf("got %v, want a response", err)
+	}
+	defer response.Body.Close()
+
+	// The status promises that the request has not run.
+	if got, want := response.StatusCode, http.StatusRequestTimeout; got != want {
+		t.Errorf("status: got %d, want %d", got, want)
+	}
+}
