fix(entry): other instances keep 600 connections on usual machines

The shares of descriptors left other instances 410 connections of a machine with 4,100, fewer than the 600 that a relay took before.

A stalled write is told by each 32 KiB, so that a client which reads a long answer slowly isn't taken for one that doesn't read.

--- a/entry/descriptors.go
+++ b/entry/descriptors.go
@@ -6,9 +6,9 @@
 
 // Shares of an instance's file descriptors. The rest is for files, the store and the cloud API.
 const (
-	callerShare    = 0.45
+	callerShare    = 0.42
 	serverShare    = 0.3
-	peerShare      = 0.1
+	peerShare      = 0.15
 	readinessShare = 0.03
 	operatorShare  = 0.03
 )
--- a/listener/connection.go
+++ b/listener/connection.go
@@ -35,7 +35,7 @@
 	memoryMu sync.Mutex
 	// memory is that of the header, guarded by memoryMu.
 	memory *buffer.Reservation
-	// writingSince is when the current write began, in Unix nanoseconds, zero if there is none.
+	// writingSince is when the write of the current chunk began, in Unix nanoseconds, zero if there is none.
 	writingSince atomic.Int64
 }
 
@@ -133,12 +133,13 @@
 
 // Write writes a part of a response. A client that reads too slowly fails it.
 func (c *connection) Write(p []byte) (int, error) {
-	c.writingSince.Store(c.guard.Clock.Now().UnixNano())
 	defer c.writingSince.Store(0)
 
 	written := 0
 
 	for {
+		c.writingSince.Store(c.guard.Clock.Now().UnixNano())
+
 		if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 			return written, err
 		}
--- a/listener/guard.go
+++ b/listener/guard.go
@@ -57,7 +57,7 @@
 }
 
 // Protect makes a server accept its connections from a listener by way of the guard, and returns the
-// listener to pass to Serve.
+// listener to pass to Serve. It replaces the hooks of the server and wraps its handler.
 func (g *Guard) Protect(s *http.Server, l net.Listener) net.Listener {
 	g.Listener = l
 	s.ConnState = g.connState
