fix(listener): a request with a complete header is not refused by its connection

Between the end of a header and its handler, net/http already reads on in the background. A byte of the next request that came then counted as part of the header: where other headers had filled the budget, the caller would have heard 503, which promises that the request has not run, while it ran; or its connection would have counted as one without a request. Found by reading; the test failed before (EOF).

net/http clears the read deadline once it has the whole header and before it reads on, which now ends the header for the guard too.

--- a/listener/connection.go
+++ b/listener/connection.go
@@ -113,6 +113,11 @@
 // SetReadDeadline sets the deadline of reads. While a request is awaited or its header arrives, the
 // limits in force replace a timeout of the server.
 func (c *connection) SetReadDeadline(t time.Time) error {
+	if t.IsZero() {
+		// net/http has a whole header. Before the handler begins, it already reads on in the background.
+		c.beginServing()
+	}
+
 	awaited := c.awaitsRequest.Load()
 
 	if now := time.Now(); t.After(now) && (awaited || c.inHeader.Load()) {
--- a/listener/guard.go
+++ b/listener/guard.go
@@ -57,7 +57,8 @@
 }
 
 // Protect makes a server accept its connections from a listener by way of the guard, and returns the
-// listener to pass to Serve. It replaces the hooks of the server and wraps its handler.
+// listener to pass to Serve. The server needs a ReadHeaderTimeout and an
+// IdleTimeout, and no ReadTimeout. Its hooks are replaced and its handler is wrapped.
 func (g *Guard) Protect(s *http.Server, l net.Listener) net.Listener {
 	g.Listener = l
 	s.ConnState = g.connState
--- a/listener/header_test.go
+++ b/listener/header_test.go
@@ -4,6 +4,8 @@
 	"bufio"
 	"errors"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"runtime"
 	"strings"
@@ -11,6 +13,7 @@
 	"time"
 
 	"monsoonlever/buffer"
+	"monsoonlever/clock"
 )
 
 // manyFields returns fields with different names.
@@ -163,3 +166,39 @@
 		})
 	}
 }
+
+// Guards against a request that is refused for lack of memory and runs as well: bytes of the next one
+// may arrive between the end of its header and its handler.
+func TestCompleteHeaderIsNotRefused(t *testing.T) {
+	server, far := net.Pipe()
+
+	defer server.Close()
+	defer far.Close()
+
+	g := &Guard{Clock: clock.NewManual(time.Unix(0, 0)), Max: 1, Headers: &buffer.Budget{Size: 1 << 20, ShareDivisor: 1}}
+	c := &connection{Conn: server, guard: g, memory: g.Headers.Reserve()}
+	c.awaitsRequest.Store(true)
+	g.admit(c)
+
+	read := func(text string) {
+		t.Helper()
+
+		go func() { _, _ = io.WriteString(far, text) }()
+
+		if _, err := io.ReadFull(c, make([]byte, len(text))); err != nil {
+			t.Fatalf("read: got %v, want no error", err)
+		}
+	}
+
+	read(manyFields(1000))
+
+	if err := c.SetReadDeadline(time.Time{}); err != nil {
+		t.Fatal(err)
+	}
+
+	// Other requests take the rest of the budget.
+	for g.Headers.Reserve().Resize(32<<10) == nil {
+	}
+
+	read("GET / HTTP/1.1\r\n" + manyFields(2000))
+}
