fix(replica): the idle time of another instance counts from its last response

Found by reading; reads between instances follow each other at once, so that no instance would have noticed.

--- a/replica/server.go
+++ b/replica/server.go
@@ -176,15 +176,15 @@
 			s.heard(conn)
 		}
 
-		if err := conn.SetReadDeadline(time.Now().Add(idleTimeout)); err != nil {
-			return
-		}
-
 		if err := s.respond(ctx, conn, r); err != nil {
 			klog.V(1).InfoS("read of another instance ended", "feed", r.Feed, "err", err.Error())
 
 			return
 		}
+
+		if err := conn.SetReadDeadline(time.Now().Add(idleTimeout)); err != nil {
+			return
+		}
 	}
 }
 
