--- a/monsoonleverd/abuse_bodies_test.go
+++ b/monsoonleverd/abuse_bodies_test.go
@@ -12,6 +12,7 @@
 	"monsoonlever/platform/soak"
 )
 
+// Guards against chunked bodies without an end.
 func TestAbuseByEndlessChunks(t *testing.T) {
 	for name, text := range map[string]string{
 		"extension": "1;" + strings.Repeat("x", 16<<10), "trailer": "0\r\n" + strings.Repeat("a: b\r\n", 1<<12), "chunks of a byte": strings.Repeat("1\r\nx\r\n", 1<<12),
@@ -25,12 +26,14 @@
 	}
 }
 
+// Guards against bodies that lack their last byte and together exceed the memory.
 func TestAbuseByUnfinishedBodies(t *testing.T) {
 	withstand(t, crowd{clients: crowdBelowDescriptors, hold: true, run: func(a *abuser) {
 		a.send(head(fmt.Sprint("a-", a.number), "Content-Length: 100000\r\n\r\n"+strings.Repeat("x", 99_999)))
 	}})
 }
 
+// Guards against bodies that come byte by byte and hold every descriptor.
 func TestAbuseByBodiesThatDrip(t *testing.T) {
 	withstand(t, crowd{clients: crowdAboveDescriptors, run: func(a *abuser) {
 		a.send(head(fmt.Sprint("a-", a.number), "Content-Length: 1000\r\n\r\n"))
@@ -38,6 +41,7 @@
 	}})
 }
 
+// Guards against clients that wait for 100 (Continue) and send no body.
 func TestAbuseByExpectedContinue(t *testing.T) {
 	withstand(t, crowd{clients: crowdAboveDescriptors, hold: true, run: func(a *abuser) {
 		a.send(head(fmt.Sprint("a-", a.number), "Expect: 100-continue\r\nContent-Length: 1000\r\n\r\n"))
--- a/monsoonleverd/abuse_headers_test.go
+++ b/monsoonleverd/abuse_headers_test.go
@@ -7,6 +7,7 @@
 	"time"
 )
 
+// Guards against headers within their limit whose parsed forms, as received and as sent on, together exceed the memory.
 func TestAbuseByHeadersOfManyFields(t *testing.T) {
 	fields := shortFields(abuseHeaderBytes)
 
@@ -18,6 +19,7 @@
 	}})
 }
 
+// Guards against the same headers of requests that no rule routes.
 func TestAbuseByHeadersOfManyFieldsForNoRoute(t *testing.T) {
 	fields := shortFields(abuseHeaderBytes)
 
@@ -29,6 +31,7 @@
 	}})
 }
 
+// Guards against complete headers that are held while their bodies never arrive.
 func TestAbuseByWithheldBodies(t *testing.T) {
 	fields := shortFields(abuseHeaderBytes)
 
@@ -37,6 +40,7 @@
 	}})
 }
 
+// Guards against headers in parsing that together exceed the memory.
 func TestAbuseByUnfinishedHeaders(t *testing.T) {
 	fields := shortFields(abuseHeaderBytes)
 
@@ -45,6 +49,7 @@
 	}})
 }
 
+// Guards against headers over the limit that are parsed up to it.
 func TestAbuseByHeadersOverTheLimit(t *testing.T) {
 	fields := shortFields(256 << 10)
 
@@ -53,6 +58,7 @@
 	}})
 }
 
+// Guards against headers without an end.
 func TestAbuseByEndlessHeaders(t *testing.T) {
 	fields := shortFields(abuseHeaderBytes)
 
@@ -68,6 +74,7 @@
 	}
 }
 
+// Guards against request lines without an end.
 func TestAbuseByEndlessRequestLines(t *testing.T) {
 	withstand(t, crowd{clients: crowdBelowDescriptors, run: func(a *abuser) {
 		a.send("POST /safe/")
@@ -75,6 +82,7 @@
 	}})
 }
 
+// Guards against empty lines without an end before a request.
 func TestAbuseByEmptyLinesBeforeRequests(t *testing.T) {
 	for name, text := range map[string]string{"CRLF": strings.Repeat("\r\n", 8<<10), "LF": strings.Repeat("\n", 16<<10)} {
 		t.Run(name, func(t *testing.T) {
@@ -89,6 +97,7 @@
 	}
 }
 
+// Guards against empty lines that keep connections open.
 func TestAbuseByEmptyLinesThatDrip(t *testing.T) {
 	withstand(t, crowd{clients: crowdAboveDescriptors, run: func(a *abuser) {
 		for a.send("\r\n") {
--- a/monsoonleverd/abuse_ports_test.go
+++ b/monsoonleverd/abuse_ports_test.go
@@ -7,6 +7,7 @@
 	"monsoonlever/platform/soak"
 )
 
+// Guards against large headers and idle connections at the port of readiness checks.
 func TestAbuseOfReadinessPort(t *testing.T) {
 	for name, size := range map[string]int{"few fields": 16, "most of a megabyte": 900 << 10} {
 		t.Run(name, func(t *testing.T) {
@@ -20,6 +21,7 @@
 	}
 }
 
+// Guards against large headers and idle connections at the port of metrics.
 func TestAbuseOfOperatorsPort(t *testing.T) {
 	for name, size := range map[string]int{"few fields": 16, "most of a megabyte": 900 << 10} {
 		t.Run(name, func(t *testing.T) {
@@ -33,6 +35,7 @@
 	}
 }
 
+// Guards against metrics that are requested and not read.
 func TestAbuseByUnreadMetrics(t *testing.T) {
 	withstand(t, crowd{
 		clients: crowdAboveDescriptors, address: func(a soak.Addresses) string { return a.Operators },
@@ -40,6 +43,7 @@
 	})
 }
 
+// Guards against clients that hold connections at the port of other instances.
 func TestAbuseOfPeersPort(t *testing.T) {
 	for name, text := range map[string]string{"silence": "", "large frame": "\x00\x80\x00\x00", "no frame": strings.Repeat("\xff", 1<<10), "detour": "DTR2\x00\x80\x00\x00x"} {
 		t.Run(name, func(t *testing.T) {
