feat(forward): log the moments of crashes, record how long retries wait

The logs could not tell how many moments a part's crashes count as, nor how long after its grant a retry reaches a server. Nothing is decided by it.

--- a/entry/losses.go
+++ b/entry/losses.go
@@ -100,5 +100,5 @@
 
 // partCrashed logs what is known of a part at which backend servers crashed several times.
 func (p *components) partCrashed(e quarantine.PartEvidence) {
-	klog.InfoS("backend servers crash on a part of prompts", "part", e.Part, "crashes", e.Crashes, "begins", e.Begins, "held", e.Held)
+	klog.InfoS("backend servers crash on a part of prompts", "part", e.Part, "crashes", e.Crashes, "begins", e.Begins, "moments", e.Moments, "held", e.Held)
 }
--- a/forward/counters.go
+++ b/forward/counters.go
@@ -16,6 +16,7 @@
 	secondSends *metrics.Counter
 	duration    *metrics.Histogram
 	queued      *metrics.Histogram
+	retryWait   *metrics.Histogram
 	// detours count the requests of other instances that this one served or refused.
 	detours, refusedDetours *metrics.Counter
 	// cuts count the responses that exceeded a bound.
@@ -28,6 +29,7 @@
 		secondSends: set.NewCounter("monsoonlever_forward_second_sends_total"),
 		duration:    set.NewHistogram("monsoonlever_forward_request_seconds"),
 		queued:      set.NewHistogram("monsoonlever_forward_held_seconds"),
+		retryWait:   set.NewHistogram("monsoonlever_forward_retry_wait_seconds"),
 
 		detours:        set.NewCounter("monsoonlever_forward_detours_served_total"),
 		refusedDetours: set.NewCounter("monsoonlever_forward_detours_refused_total"),
@@ -62,6 +64,13 @@
 	}
 }
 
+// recordRetryWait records the time from the grant of a retry until it was sent.
+func (c *Counters) recordRetryWait(wait time.Duration) {
+	if c != nil {
+		c.retryWait.Update(wait.Seconds())
+	}
+}
+
 // recordDetour counts a request of another instance.
 func (c *Counters) recordDetour(refusal *Refusal) {
 	switch {
--- a/forward/job.go
+++ b/forward/job.go
@@ -31,8 +31,10 @@
 
 	// sent counts the attempts in which bytes of the request may have reached a server.
 	sent int
-	// retries counts the attempts that the budget of retries granted.
-	retries int
+	// retries counts the attempts that the budget of retries granted, and grantedAt is when it granted
+	// one that was not sent yet.
+	retries   int
+	grantedAt time.Time
 	// mayHaveRun is set once a server may have run the request.
 	mayHaveRun bool
 	// usageCounted is set once the request is counted in the usage of its client account.
@@ -194,6 +196,7 @@
 	}
 
 	j.retries++
+	j.grantedAt = j.forwarder.Clock.Now()
 
 	return true
 }
@@ -273,6 +276,20 @@
 		return errQuarantined
 	}
 
+	if err := j.checkRules(); err != nil {
+		return err
+	}
+
+	if !j.grantedAt.IsZero() {
+		j.forwarder.Counters.recordRetryWait(j.forwarder.Clock.Now().Sub(j.grantedAt))
+		j.grantedAt = time.Time{}
+	}
+
+	return nil
+}
+
+// checkRules returns an error if the rules no longer allow the request, or can't be confirmed as current.
+func (j *job) checkRules() error {
 	if j.account == nil {
 		return nil
 	}
--- a/quarantine/part_evidence.go
+++ b/quarantine/part_evidence.go
@@ -7,6 +7,8 @@
 	Part PartKey
 	// Crashes and Begins are the servers that crashed and the answers that began.
 	Crashes, Begins int
+	// Moments are the different moments of these crashes.
+	Moments int
 	// Held reports whether the part is held off, alone or with others.
 	Held bool
 }
@@ -27,7 +29,7 @@
 
 	for _, part := range parts {
 		if s := p.suspects[part]; s != nil && s.crashes >= minPartCrashes {
-			p.OnCrash(PartEvidence{Part: part, Crashes: s.crashes, Begins: s.begins, Held: p.inHeldGroup(part)})
+			p.OnCrash(PartEvidence{Part: part, Crashes: s.crashes, Begins: s.begins, Moments: s.whole().moments, Held: p.inHeldGroup(part)})
 		}
 	}
 }
