test: repeats at servers beyond what is allowed, and streams at an instance out of step

- a request that is sent on before its server is known to have ended
- a retry that waits for a server and is counted when it was granted
- a helping instance that is lost and counts as one server

--- a/forward/detour_test.go
+++ b/forward/detour_test.go
@@ -112,6 +112,33 @@
 	}
 }
 
+// Guards against requests that run at more servers than their route allows: a helping instance that was
+// lost may have sent them to as many as were left.
+func TestLostHelperUsesAllServersItWasAllowed(t *testing.T) {
+	lost := fmt.Errorf("broke: %w", upstream.ErrGarbled)
+	allowed, attempts := 0, 0
+
+	f, detour := newCutFixture(t, func(n int, r DetourRequest, _ Sink) (DetourResult, error) {
+		allowed += r.Attempts
+
+		if n < 3 {
+			return DetourResult{}, lost
+		}
+
+		return DetourResult{Servers: []string{"i-1"}}, nil
+	})
+
+	if route, ok := f.rules.Load().Match("a.example", "/safe/x"); ok {
+		attempts = route.Attempts()
+	}
+
+	f.call("safe", "r")
+
+	if allowed > attempts {
+		t.Errorf("servers allowed to %d helping instances: got %d, want at most %d", len(detour.requests), allowed, attempts)
+	}
+}
+
 // Guards against further sends that no budget counts: servers rejected the request at one helping
 // instance, and the next one sends it as if it had never been sent.
 func TestSendsAfterRejectionElsewhereTakeBudget(t *testing.T) {
--- /dev/null
+++ b/forward/sendon_test.go
@@ -0,0 +1,132 @@
+package forward
+
+import (
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"monsoonlever/retry"
+	"monsoonlever/scheduling"
+)
+
+// Guards against a request that goes on from server to server, and crashes each, before this instance
+// knows of the first crash.
+func TestRequestIsSentOnOnceItsServerIsKnownToHaveEnded(t *testing.T) {
+	f := newCrashFixture(t)
+
+	var unknown atomic.Int64
+
+	f.respond = func(address string, n int, r *http.Request) string {
+		if known := len(f.Quarantine.StoredLosses(f.clock.Now())); known < n-1 {
+			unknown.Add(1)
+		}
+
+		f.crashed[address].Store(true)
+
+		return signedStream(r, 1, 0, true)
+	}
+
+	done := make(chan struct{})
+
+	go func() {
+		defer close(done)
+
+		f.call("talk", "r")
+	}()
+
+	for running := true; running; {
+		select {
+		case <-done:
+			running = false
+		case <-time.After(time.Millisecond):
+			f.clock.Advance(terminationDelay)
+		}
+	}
+
+	if got := len(f.arrivals()); got != 2 {
+		t.Errorf("arrivals: got %d, want 2", got)
+	}
+
+	if got := unknown.Load(); got > 0 {
+		t.Errorf("sends before the crash of the server before was known: got %d, want none", got)
+	}
+}
+
+// Guards against retries that wait for a server and reach it together with those granted by then, more
+// than the budget allows in one window.
+func TestRetryThatWaitedCountsWhenItIsSent(t *testing.T) {
+	const (
+		window = 10 * time.Second
+		waited = 6 * time.Second
+	)
+
+	f := newFixture(t, 0)
+	f.Retries = retry.NewBudgets(retry.BudgetPolicy{Window: window, Share: 1e-9, MinRetries: 1})
+
+	var (
+		sent       = make(map[string]int)
+		repeatedAt []time.Time
+		wait       atomic.Bool
+	)
+
+	f.respond = func(_ string, _ int, r *http.Request) string {
+		id := r.Header.Get(idHeader)
+		if sent[id]++; sent[id] > 1 {
+			repeatedAt = append(repeatedAt, f.clock.Now())
+		}
+
+		return ""
+	}
+	// The second connection takes as long as a request may wait for a server.
+	f.onDial = func(string) {
+		if wait.CompareAndSwap(true, false) {
+			f.clock.Advance(waited)
+			f.confirmRules()
+		}
+	}
+
+	call := func(id string) {
+		f.Pool.CloseIdle("api-1")
+		f.Pool.CloseIdle("api-2")
+		f.Serve(t.Context(), &Request{
+			ID: id, Method: http.MethodPost, Host: "a.example", Target: "/safe/x", Path: "/safe/x", APIKey: "key",
+			Arrived: f.clock.Now(), Timeout: time.Minute, Prompt: scheduling.Prompt{Tokens: 100},
+		}, &recordingSink{})
+	}
+
+	f.respondBefore(func() { wait.Store(sent["waits"] == 1) })
+	call("waits")
+	f.clock.Advance(window - waited + 2*time.Second)
+	f.confirmRules()
+
+	for i := range 3 {
+		call(fmt.Sprint("later-", i))
+	}
+
+	for i := 1; i < len(repeatedAt); i++ {
+		if apart := repeatedAt[i].Sub(repeatedAt[i-1]); apart < window {
+			t.Errorf("repeats at servers: got two within %v, want one in %v", apart, window)
+		}
+	}
+
+	if len(repeatedAt) == 0 {
+		t.Error("repeats at servers: got none, want one")
+	}
+}
+
+// respondBefore has a function called before each response.
+func (s *fixture) respondBefore(f func()) {
+	respond := s.respond
+	s.respond = func(address string, n int, r *http.Request) string {
+		text := respond(address, n, r)
+
+		f()
+
+		return text
+	}
+}
+
+// confirmRules confirms that the rules are current.
+func (s *fixture) confirmRules() { s.Currency.Confirm(s.clock.Now()) }
--- a/quarantine/parts_model_test.go
+++ b/quarantine/parts_model_test.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -17,6 +18,10 @@
 	partPrefill = 200 * time.Millisecond
 	partBegin   = 60 * time.Millisecond
 	partReturn  = 2 * time.Second
+	// partDelay bounds the time that a message takes.
+	partDelay = 500 * time.Millisecond
+	// sendsOfInstance is how often an instance sends a request.
+	sendsOfInstance = 2
 	// contactTime is the time within which all instances have to know, and allowedCrashes and
 	// allowedSends bound the crashes before and the sends after it.
 	contactTime    = 3 * time.Second
@@ -51,6 +56,14 @@
 	// recordedAt is when each instance recorded last, and toRecord has those that have more to record.
 	recordedAt map[*Parts]time.Time
 	toRecord   map[*Parts]bool
+	// prefill is the time until a request's answer is about to begin, and begin how long it then takes
+	// until its first event.
+	prefill, begin time.Duration
+	// delay bounds the time that a message takes.
+	delay time.Duration
+	// sends is how often a request that is lost with its server is sent in all: at once by its instance
+	// and by its caller, who reaches any instance. Zero is once.
+	sends int
 	// sentLate counts the sends of each harmful part after it had to be known.
 	sentLate map[string]int
 	// sound and refused count the sound requests once parts had to be known.
@@ -69,6 +82,8 @@
 	sent     time.Time
 	keys     []PartKey
 	harmful  string
+	// sends counts how often it was sent.
+	sends int
 }
 
 // modelRecord is what an instance has written to the store.
@@ -87,7 +102,7 @@
 	m := &partModel{
 		random: rand.New(rand.NewPCG(seed, 7)), now: time.Unix(1000, 0), crashProbability: crashProbability,
 		crashedAt: make(map[string][]time.Time), sentLate: make(map[string]int),
-		recordedAt: make(map[*Parts]time.Time), toRecord: make(map[*Parts]bool),
+		recordedAt: make(map[*Parts]time.Time), toRecord: make(map[*Parts]bool), prefill: partPrefill, begin: partBegin, delay: partDelay,
 	}
 
 	for i := range instances {
@@ -116,8 +131,8 @@
 func (m *partModel) send(harmful string, parts ...string) {
 	m.next++
 	r := &modelRequest{
-		id: fmt.Sprint("r", m.next), instance: m.instances[m.random.IntN(len(m.instances))], server: m.random.IntN(len(m.servers)),
-		sent: m.now, harmful: harmful, keys: PartKeys("llm", append(parts, fmt.Sprint("own", m.next))),
+		id: fmt.Sprint("r", m.next), instance: m.instances[m.random.IntN(len(m.instances))],
+		harmful: harmful, keys: PartKeys("llm", append(parts, fmt.Sprint("own", m.next))),
 	}
 	_, held := r.instance.Held(r.keys)
 
@@ -129,17 +144,42 @@
 		}
 	}
 
-	if held || m.servers[r.server].downUntil.After(m.now) {
+	m.place(r)
+}
+
+// place sends a request to a random server that is up, unless it is held off.
+func (m *partModel) place(r *modelRequest) {
+	r.server, r.sent = m.random.IntN(len(m.servers)), m.now
+
+	if _, held := r.instance.Held(r.keys); held || m.servers[r.server].downUntil.After(m.now) {
 		return
 	}
 
-	if crashes := m.crashedAt[harmful]; harmful != "" && len(crashes) >= allowedCrashes && m.now.Sub(crashes[allowedCrashes-1]) > contactTime {
-		m.sentLate[harmful]++
+	if crashes := m.crashedAt[r.harmful]; r.harmful != "" && len(crashes) >= allowedCrashes && m.now.Sub(crashes[allowedCrashes-1]) > contactTime {
+		m.sentLate[r.harmful]++
 	}
 
+	r.sends++
 	m.requests = append(m.requests, r)
 }
 
+// sendAgain sends requests that were lost with their server again, by their instance or by their caller,
+// who reaches any instance.
+func (m *partModel) sendAgain(lost []*modelRequest) {
+	for _, r := range lost {
+		if r.sends >= m.sends {
+			continue
+		}
+
+		again := *r
+		if r.sends%sendsOfInstance == 0 {
+			again.instance = m.instances[m.random.IntN(len(m.instances))]
+		}
+
+		m.place(&again)
+	}
+}
+
 // settled reports whether all parts that crashed servers have to be known.
 func (m *partModel) settled() bool {
 	for _, crashes := range m.crashedAt {
@@ -156,18 +196,21 @@
 	m.now = m.now.Add(partStep)
 
 	for _, r := range m.requests {
-		if r.harmful != "" && m.now.Sub(r.sent) >= partPrefill+partBegin/2 && !m.servers[r.server].downUntil.After(m.now) &&
+		if r.harmful != "" && m.now.Sub(r.sent) >= m.prefill+m.begin/2 && !m.servers[r.server].downUntil.After(m.now) &&
 			m.random.Float64() < m.crashProbability {
 			m.crashedAt[r.harmful] = append(m.crashedAt[r.harmful], m.now)
 			m.crash(r.server)
 		}
 	}
 
+	var lost []*modelRequest
+
 	left := m.requests[:0]
 
 	for _, r := range m.requests {
-		switch begun := m.now.Sub(r.sent) >= partPrefill+partBegin/2 && r.harmful != "" || m.now.Sub(r.sent) >= partPrefill+partBegin; {
+		switch begun := m.now.Sub(r.sent) >= m.prefill+m.begin/2 && r.harmful != "" || m.now.Sub(r.sent) >= m.prefill+m.begin; {
 		case m.servers[r.server].downUntil.After(m.now):
+			lost = append(lost, r)
 		case begun:
 			r.instance.RecordBegin(m.now, r.id, r.keys)
 		default:
@@ -176,6 +219,7 @@
 	}
 
 	m.requests = left
+	m.sendAgain(lost)
 	m.exchange()
 	m.record()
 }
@@ -188,7 +232,7 @@
 	s.downUntil = m.now.Add(partReturn)
 
 	for _, r := range m.requests {
-		if r.server == server && m.now.Sub(r.sent) >= partPrefill {
+		if r.server == server && m.now.Sub(r.sent) >= m.prefill {
 			r.instance.RecordCrash(m.now, process, r.keys)
 		}
 	}
@@ -232,7 +276,7 @@
 	}
 }
 
-// exchange sends and delivers reports: up to half a second late, one in 50 lost.
+// exchange sends and delivers reports: late, one in 50 lost.
 func (m *partModel) exchange() {
 	for _, from := range m.instances {
 		if from.outbox.empty() {
@@ -243,7 +287,7 @@
 
 		for _, to := range m.instances {
 			if to != from && m.random.Float64() >= 0.02 {
-				m.messages = append(m.messages, modelMessage{at: m.now.Add(time.Duration(m.random.IntN(500)) * time.Millisecond), to: to, reports: reports})
+				m.messages = append(m.messages, modelMessage{at: m.now.Add(time.Duration(m.random.Int64N(int64(m.delay)))), to: to, reports: reports})
 			}
 		}
 	}
@@ -274,12 +318,23 @@
 	crashProbability float64
 	// otherCrashes crashes a server each two seconds, and a quarter of all at once twice.
 	otherCrashes bool
+	// lost servers end within lostWithin at lossesAt, for a reason that lies in no request.
+	lost       int
+	lostWithin time.Duration
+	lossesAt   []time.Duration
+	// startsAt is when all instances start again without any records; zero is never.
+	startsAt time.Duration
 	// The parts are sound until soundFor, in soundRate requests a second.
 	soundFor  time.Duration
 	soundRate float64
 	// All instances are killed restartAfter their fifth crash, if that is not zero. What was
 	// recorded in the last recordsLost is lost.
 	restartAfter, recordsLost time.Duration
+	// sends is how often a request is sent in all where each of its servers crashes, and short has
+	// prompts that are read at once. delay bounds the time that a message takes; zero is partDelay.
+	sends int
+	short bool
+	delay time.Duration
 }
 
 func partScenarios() map[string]partScenario {
@@ -302,6 +357,14 @@
 	const servers = 20
 
 	m := newPartModel(s.instances, servers, s.crashProbability, seed)
+	m.sends = s.sends
+
+	if s.short {
+		m.prefill, m.begin = 0, partStep
+	}
+
+	m.delay = cmp.Or(s.delay, m.delay)
+
 	chance := func(perSecond float64) bool { return m.random.Float64() < perSecond*partStep.Seconds() }
 
 	restarted := false
@@ -326,6 +389,12 @@
 			m.restartAll(s.recordsLost)
 		}
 
+		if at := time.Duration(i) * partStep; s.startsAt > 0 && at == s.startsAt {
+			m.restartAll(recordRetention)
+		}
+
+		s.lose(m, time.Duration(i)*partStep)
+
 		if s.otherCrashes && i%200 == 199 {
 			m.crash(m.random.IntN(servers))
 		}
@@ -342,6 +411,17 @@
 	return m
 }
 
+// lose ends the servers that are due to be lost at a time.
+func (s partScenario) lose(m *partModel, at time.Duration) {
+	for _, began := range s.lossesAt {
+		for server := range s.lost {
+			if due := began + s.lostWithin*time.Duration(server)/time.Duration(s.lost); due <= at && at < due+partStep {
+				m.crash(server)
+			}
+		}
+	}
+}
+
 // sendHarmful sends a request with a harmful part, which crashes no server until soundFor. Calm comes
 // first, as before any incident.
 func (s partScenario) sendHarmful(m *partModel, harmful string, at time.Duration, chance func(float64) bool) {
--- a/resumption/recorder_test.go
+++ b/resumption/recorder_test.go
@@ -106,7 +106,7 @@
 		t.RecorderID = func() fleet.InstanceID { return n.members[0].ID }
 		t.Restores = func() bool { return true }
 		t.Forward = func(to fleet.InstanceID, records []Record) {
-			n.deliver(to, &n.records, func(other *Tracker) { other.Recorder.Add(records) })
+			n.deliver(t.Self, to, &n.records, func(other *Tracker) { other.Recorder.Add(records) })
 		}
 	}
 
--- a/resumption/tracker_test.go
+++ b/resumption/tracker_test.go
@@ -28,6 +28,8 @@
 	holders  []topology.Member
 	trackers map[fleet.InstanceID]*Tracker
 	dead     map[fleet.InstanceID]bool
+	// apart is an instance whose messages are lost, or empty.
+	apart fleet.InstanceID
 	// messages counts the messages of each kind.
 	records, queries int
 	// setup, if not nil, changes each tracker before it runs.
@@ -60,12 +62,12 @@
 		return topology.Holders(uint64(c), n.knownHolders(), MaxHolders)
 	}}
 	t.Send = func(to fleet.InstanceID, records []Record) {
-		n.deliver(to, &n.records, func(other *Tracker) { other.Receive(records) })
+		n.deliver(id, to, &n.records, func(other *Tracker) { other.Receive(records) })
 	}
 	t.Ask = func(to fleet.InstanceID, q Query) {
-		n.deliver(to, &n.queries, func(other *Tracker) {
+		n.deliver(id, to, &n.queries, func(other *Tracker) {
 			reply := other.HandleQuery(q)
-			n.deliver(q.From, &n.queries, func(asking *Tracker) { asking.HandleReply(reply) })
+			n.deliver(to, q.From, &n.queries, func(asking *Tracker) { asking.HandleReply(reply) })
 		})
 	}
 
@@ -81,10 +83,11 @@
 	go t.Run(ctx)
 }
 
-func (n *network) deliver(to fleet.InstanceID, count *int, receive func(*Tracker)) {
+func (n *network) deliver(from, to fleet.InstanceID, count *int, receive func(*Tracker)) {
 	n.mu.Lock()
 	*count++
-	t, isLost := n.trackers[to], n.dead[to] || n.random.Float64() < n.lost
+	isApart := n.apart != "" && (from == n.apart || to == n.apart)
+	t, isLost := n.trackers[to], isApart || n.dead[to] || n.random.Float64() < n.lost
 	n.mu.Unlock()
 
 	if !isLost {
@@ -116,6 +119,17 @@
 	n.dead[id] = true
 }
 
+// setApart has the messages of an instance lost, or no longer.
+func (n *network) setApart(id fleet.InstanceID, apart bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	n.apart = ""
+	if apart {
+		n.apart = id
+	}
+}
+
 // maxUnknownShare is the part of the streams whose version may be unknown after a loss of instances.
 const maxUnknownShare = 0.05
 
