fix(quarantine): servers that a part crashes at one moment count one by one

Cause: the bound is one in servers, and was kept by a measure in moments. Crashes within 100 ms count as one, since servers that end together may have a cause in common, and three such moments are needed. A request that is lost goes on to the next server within milliseconds and its caller sends it again: one caller crashed five engines within 42 ms, which was one moment; two more callers, seconds apart, were needed.

From five crashes on, a part is now held off at whatever moments they were, if it stands at four of five servers that crashed at these moments, and answers begin again on its companions and not on it. A cause in common takes servers without the part as well, and what all requests hold begins again. Reports of begins were sent already, so that no message is added, and each instance decides alike, after a start as well.

--- a/quarantine/part_decision.go
+++ b/quarantine/part_decision.go
@@ -24,6 +24,8 @@
 	// reduced are the spans of parts some of whose crashes are explained.
 	reduced map[PartKey]evidenceSpan
 	groups  []heldGroup
+	// crashes are the times of all crashes, once they were asked for.
+	crashes map[uint64]time.Time
 }
 
 type candidate struct {
@@ -53,7 +55,7 @@
 	d := &decision{suspects: suspects}
 
 	for part, s := range suspects {
-		if s.isCurrent(now) && s.whole().conclusive() {
+		if s.isCurrent(now) && d.conclusive(s, s.whole()) {
 			d.candidates = append(d.candidates, candidate{part: part, span: s.whole()})
 		}
 	}
@@ -113,7 +115,7 @@
 			c.span = d.reduced[c.part]
 		}
 
-		if c.span.conclusive() {
+		if d.conclusive(d.suspects[c.part], c.span) {
 			left = append(left, c)
 		}
 	}
--- a/quarantine/part_span.go
+++ b/quarantine/part_span.go
@@ -11,6 +11,9 @@
 	crashInterval = 100 * time.Millisecond
 	// minPartCrashes is the number of moments of crashes from which on a part may be held off.
 	minPartCrashes = 3
+	// maxPartCrashes is the number of crashes that operators tolerate of a part, from which on one that
+	// is seldom sent may be held off, at whatever moments they were.
+	maxPartCrashes = 5
 	// crashWeight and beginWeight are the natural logarithms of the likelihood ratios of a crash
 	// and a begin, between a part that crashes four of five servers and one that stands beside a
 	// crash by chance one in twenty times. minEvidence is the least sum.
@@ -78,8 +81,3 @@
 
 	return best
 }
-
-// conclusive reports whether the evidence is enough to hold a part off.
-func (s evidenceSpan) conclusive() bool {
-	return s.moments >= minPartCrashes && s.evidence >= minEvidence
-}
--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -33,8 +33,11 @@
 // A server that crashes takes all its requests along; those whose answer was about to begin are
 // suspects with all their shared parts. A part is held off once servers have crashed on it at three
 // moments, unless answers to requests with it begin among these crashes, or another part explains
-// them better. What began before the crashes says nothing: a part may turn harmful. Parts that
-// nothing tells apart are held off together: a request has to hold all of them.
+// them better. Servers that crash at one moment may have a cause in common that lies in no request, and
+// all parts that are often sent stand at their crashes. A part that stands at nearly all of them, and is
+// seldom sent, is held off after five crashes at any moments. What began before the crashes says nothing:
+// a part may turn harmful. Parts that nothing tells apart are held off together: a request has to hold
+// all of them.
 type Parts struct {
 	// OnHeld is called when parts become held off. It must not block, may be nil, and is set
 	// before the first use.
