fix(forward): a request that lost servers waits until these are known to have ended

Cause: the check whether a lost server has ended takes 20 ms, and both the next send and the answer to the caller went out before it. Each attempt so began with no more known than the first.

The answer to a request that was lost at its begin, its third send, and its second if the request or one of its parts is suspected, wait for the checks, 100 ms at most. The loss is recorded and sent to the others before anyone can send the request again. The second send of a request that is not suspected still goes out at once.

--- a/forward/job.go
+++ b/forward/job.go
@@ -68,6 +68,9 @@
 	fullServers, fullDetours int
 	// queued is how long the request waited for the scheduler to place it.
 	queued time.Duration
+	// lossChecks are closed once it is known whether a server that lost the request at the begin of its
+	// answer has crashed.
+	lossChecks []<-chan struct{}
 	// lastFailure is the latest response of status 500 or above. The caller gets it if all
 	// further attempts fail.
 	lastFailure *bufferedResponse
@@ -131,8 +134,15 @@
 		}
 
 		if !j.shouldRetry(err) {
+			// The caller may send the request again as soon as it has an answer.
+			j.awaitLossChecks(limited)
+
 			return j.finalAnswer(err, sink)
 		}
+
+		if len(j.lossChecks) > 1 || j.suspected() {
+			j.awaitLossChecks(limited)
+		}
 	}
 }
 
--- a/forward/loss.go
+++ b/forward/loss.go
@@ -25,7 +25,7 @@
 // about the request. A crash counts however long the response has been streamed. It is
 // strong evidence at the start of a response, when few other requests are in the same state,
 // and weak evidence otherwise. headerReceived reports whether the header of the response was
-// received.
+// received. A check of strong evidence is added to those that the request waits for.
 func (f *Forwarder) recordLoss(ctx context.Context, j *job, a *scheduling.Assignment, headerReceived bool, err error) {
 	if !errors.Is(err, upstream.ErrGarbled) || ctx.Err() != nil || a.Leaving() {
 		return
@@ -38,8 +38,15 @@
 
 	fingerprint, id, prompt, parts := j.fingerprint, j.request.ID, j.request.Prompt, j.parts
 	checkCtx, lostAt := context.WithoutCancel(ctx), f.Clock.Now()
+	checked := make(chan struct{})
+
+	if evidence == quarantine.Strong {
+		j.lossChecks = append(j.lossChecks, checked)
+	}
 
 	go func() {
+		defer close(checked)
+
 		if !f.terminated(checkCtx, a, lostAt) {
 			if evidence == quarantine.Strong {
 				klog.InfoS("answer broke off at its begin and its backend server was not found to have ended", "server", a.ID(),
@@ -61,6 +68,30 @@
 	}()
 }
 
+// maxLossWait bounds the time that a request waits for the checks of its lost servers: that of a check and
+// of some round trips.
+const maxLossWait = 100 * time.Millisecond
+
+// awaitLossChecks waits until it is known whether servers that lost the request at the begin of its answer
+// have crashed. Otherwise a request that crashes servers would go on from one to the next, by this instance
+// or by its caller, faster than any instance finds out.
+func (j *job) awaitLossChecks(ctx context.Context) {
+	if len(j.lossChecks) == 0 {
+		return
+	}
+
+	ctx, cancel := context.WithTimeout(ctx, maxLossWait)
+	defer cancel()
+
+	for _, checked := range j.lossChecks {
+		select {
+		case <-checked:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // maxLoggedParts bounds the parts of a prompt in a line of the log.
 const maxLoggedParts = 8
 
--- a/forward/parts.go
+++ b/forward/parts.go
@@ -35,6 +35,14 @@
 	return f.checkParts(j)
 }
 
+// suspected reports whether servers were lost under requests with the same content, or with a part of the
+// prompt.
+func (j *job) suspected() bool {
+	f := j.forwarder
+
+	return f.Quarantine.Suspected(j.fingerprint) || f.Parts != nil && len(j.parts) > 0 && f.Parts.Suspected(j.parts)
+}
+
 // checkParts refuses a request with a part that crashes servers.
 func (f *Forwarder) checkParts(j *job) *Refusal {
 	if f.Parts == nil {
--- a/quarantine/part_evidence.go
+++ b/quarantine/part_evidence.go
@@ -21,6 +21,19 @@
 	return len(p.suspects)
 }
 
+// Suspected reports whether servers crashed at the begin of answers on one of some parts, and few have begun
+// since.
+func (p *Parts) Suspected(parts []PartKey) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	return slices.ContainsFunc(parts, func(part PartKey) bool {
+		s := p.suspects[part]
+
+		return s != nil && s.suspected()
+	})
+}
+
 // reportCrashes reports the evidence of parts at which a server crashed again.
 func (p *Parts) reportCrashes(parts []PartKey) {
 	if p.OnCrash == nil {
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -98,6 +98,14 @@
 	return until.Sub(now), until.After(now)
 }
 
+// Suspected reports whether a server was lost while it processed a request, and no complete answer has
+// cleared that.
+func (l *Ledger) Suspected(f Fingerprint) bool {
+	_, suspected := l.quarantineEnds.Load(f)
+
+	return suspected
+}
+
 // QuarantinedCount returns the number of quarantined requests.
 func (l *Ledger) QuarantinedCount(now time.Time) int {
 	l.mu.Lock()
