fix(forward): a retry that waited counts when it is sent

What callers saw: nothing; servers got more arrivals beyond the first of a request in a window than the budget allows.

Cause: a retry counts in the window of its grant. Until it is sent it may wait for an engine for two fifths of its time, for a permit for a second, for the offers of other instances for seconds. TestRetryThatWaitedCountsWhenItIsSent failed: two repeats within 6 s, where one in 10 s is allowed; so did TestRetryThatWaitedElsewhereCountsWhenItIsSent.

A grant covers a send within a bucket of the window, half a second by default. A later send returns it and takes another one, right before the bytes go out, or before another instance is told to serve the request. An instance that serves the repeat of another one takes it from its own budget if it waits there. The messages between instances stay as they are. TestHoldsTotalRetriesThatWait fails without the second grant.

docs/design/retry-budget.md has the ways that were compared.

--- a/detour/client.go
+++ b/detour/client.go
@@ -89,6 +89,13 @@
 			continue
 		}
 
+		if err := beforeConfirm(r); err != nil {
+			_ = conn.Close() // the other instance forgets what is not confirmed
+			c.Helpers.release(c.Clock.Now(), helper.ID, r.Service, false)
+
+			return forward.DetourResult{}, merry.Prependf(err, "detour by %s", helper.ID)
+		}
+
 		result, err := conn.confirm(ctx, sink)
 		_ = conn.Close()
 		noServer := err == nil && result.Refusal != nil && result.Refusal.Reason == forward.NoServer
@@ -105,6 +112,14 @@
 	return forward.DetourResult{}, merry.Prepend(forward.ErrNoHelper, "offers", merry.WithCause(last))
 }
 
+func beforeConfirm(r forward.DetourRequest) error {
+	if r.BeforeConfirm == nil {
+		return nil
+	}
+
+	return r.BeforeConfirm()
+}
+
 // connection is a connection to an instance that has offered to serve a request.
 type connection struct {
 	net.Conn
--- a/detour/detour_test.go
+++ b/detour/detour_test.go
@@ -182,6 +182,28 @@
 	}
 }
 
+// Guards against a request that runs elsewhere although it may no longer be sent once an instance is ready
+// to serve it.
+func TestOfferThatMayNoLongerBeSentIsNotConfirmed(t *testing.T) {
+	errSpent := errors.New("budget is spent")
+	h := startHelping(t, func(context.Context, forward.Sink) forward.DetourResult { return forward.DetourResult{} })
+	c := clientOf(h.listener.Addr().String())
+	r := requestNow(c)
+	r.BeforeConfirm = func() error { return errSpent }
+
+	if _, err := c.Serve(t.Context(), r, &recorder{}); !errors.Is(err, errSpent) {
+		t.Errorf("got %v, want %v", err, errSpent)
+	}
+
+	for h.Served() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+
+	if got := h.runs(); got != 0 {
+		t.Errorf("runs: got %d, want none", got)
+	}
+}
+
 // Guards against requests that wait for an instance which accepts connections and does not reply.
 func TestSilentHelperIsPassedOver(t *testing.T) {
 	hanging, err := net.Listen("tcp4", "127.0.0.1:0")
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -171,7 +171,7 @@
 		return scheduling.Served
 	case errors.Is(err, backend.ErrRefused):
 		return scheduling.Rejected
-	case errors.Is(err, errCallerWrite), errors.Is(err, errRevoked), errors.Is(err, errQuarantined),
+	case errors.Is(err, errCallerWrite), errors.Is(err, errRevoked), errors.Is(err, errQuarantined), errors.Is(err, errRetryBudget),
 		errors.Is(err, errServerBlocked), errors.Is(err, upstream.ErrCut), errors.Is(err, scheduling.ErrNoServer),
 		errors.Is(err, upstream.ErrConnectionLimit):
 		return scheduling.Cancelled
--- a/forward/detour.go
+++ b/forward/detour.go
@@ -46,6 +46,9 @@
 	Version fleet.Version
 	// UsageCounted is set if the request was counted in the usage of its client account.
 	UsageCounted bool
+	// BeforeConfirm is called when an instance is ready to serve the request, before it may send it. If
+	// it returns an error, the request is not served there; it may be nil.
+	BeforeConfirm func() error
 }
 
 // DetourResult is how a request ended at another instance.
@@ -117,14 +120,23 @@
 	result, err := f.Detour.Serve(ctx, DetourRequest{
 		Request: &request, Service: j.service, RulesVersion: j.rules.Version(),
 		Attempts: max(j.attempts()-j.sent, 1), StreamBegun: j.streamBegun(), UsageCounted: j.usageCounted, Version: j.version,
+		BeforeConfirm: j.renewRetry,
 	}, &detourSink{Sink: sink, job: j})
 
+	if errors.Is(err, errRetryBudget) {
+		return merry.Prepend(backend.ErrNotSent, "detour", merry.WithCause(err))
+	}
+
 	if errors.Is(err, ErrNoHelper) {
 		j.noHelper = true
 
 		return merry.Prepend(backend.ErrNotSent, "detour", merry.WithCause(err))
 	}
 
+	if err != nil || len(result.Servers) > 0 {
+		j.grant = retryGrant{}
+	}
+
 	j.sentTo = append(j.sentTo, result.Servers...)
 	j.mayHaveRun = j.mayHaveRun || result.MayHaveRun
 	j.usageCounted = j.usageCounted || result.UsageCounted
@@ -266,6 +278,11 @@
 	j.deadline = r.Request.Arrived.Add(j.timeout())
 	j.usageCounted, j.resumed, j.version = r.UsageCounted, r.StreamBegun, r.Version
 
+	if r.Attempts < route.Attempts() {
+		// The other instance has sent the request before, and this one sends it again.
+		j.grant = retryGrant{at: f.Clock.Now(), elsewhere: true}
+	}
+
 	if route.Kind == ruleset.Streaming && r.Request.resumes() && !j.bound() {
 		return nil, notRunRefusal(UnknownStream, unavailableRetryAfter)
 	}
--- a/forward/job.go
+++ b/forward/job.go
@@ -31,10 +31,10 @@
 
 	// sent counts the attempts in which bytes of the request may have reached a server.
 	sent int
-	// retries counts the attempts that the budget of retries granted, and grantedAt is when it granted
-	// one that was not sent yet.
-	retries   int
-	grantedAt time.Time
+	// retries counts the attempts that the budget of retries granted, and grant is the one that was not
+	// sent yet.
+	retries int
+	grant   retryGrant
 	// mayHaveRun is set once a server may have run the request.
 	mayHaveRun bool
 	// usageCounted is set once the request is counted in the usage of its client account.
@@ -173,7 +173,7 @@
 // shouldRetry reports whether another server is tried after an attempt failed with err.
 func (j *job) shouldRetry(err error) bool {
 	if errors.Is(err, errRevoked) || errors.Is(err, scheduling.ErrNoServer) || errors.Is(err, errCallerWrite) ||
-		errors.Is(err, errQuarantined) {
+		errors.Is(err, errQuarantined) || errors.Is(err, errRetryBudget) {
 		return false
 	}
 
@@ -206,7 +206,7 @@
 	}
 
 	j.retries++
-	j.grantedAt = j.forwarder.Clock.Now()
+	j.grant = retryGrant{at: j.forwarder.Clock.Now()}
 
 	return true
 }
@@ -290,11 +290,12 @@
 		return err
 	}
 
-	if !j.grantedAt.IsZero() {
-		j.forwarder.Counters.recordRetryWait(j.forwarder.Clock.Now().Sub(j.grantedAt))
-		j.grantedAt = time.Time{}
+	if err := j.renewRetry(); err != nil {
+		return err
 	}
 
+	j.grant = retryGrant{}
+
 	return nil
 }
 
--- a/forward/sendon_test.go
+++ b/forward/sendon_test.go
@@ -105,6 +105,46 @@
 	}
 }
 
+// Guards against the same where another instance sends the request again: only the budget of the instance
+// that sends it can count it when it does.
+func TestRetryThatWaitedElsewhereCountsWhenItIsSent(t *testing.T) {
+	for name, c := range map[string]struct {
+		attempts int
+		waited   time.Duration
+		want     int
+	}{
+		"first send, waited":   {attempts: 2, waited: 2 * time.Second, want: 1},
+		"repeat, sent at once": {attempts: 1, want: 1},
+		"repeat, waited":       {attempts: 1, waited: 2 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, 0)
+			f.Retries = retry.NewSharedBudgets(retry.BudgetPolicy{Window: 10 * time.Second, Share: 1e-9}, f.clock.Now())
+			f.respond = respondOK
+			f.onDial = func(string) {
+				f.clock.Advance(c.waited)
+				f.confirmRules()
+			}
+
+			r := f.requestOfOther()
+			r.Request.Target, r.Request.Path, r.Attempts = "/safe/x", "/safe/x", c.attempts
+
+			f.hearFromServer()
+
+			run, refusal := f.PrepareDetour(t.Context(), r)
+			if refusal != nil {
+				t.Fatalf("prepare: got %+v, want none", refusal)
+			}
+
+			run(t.Context(), &recordingSink{})
+
+			if got := len(f.arrivals()); got != c.want {
+				t.Errorf("arrivals: got %d, want %d", got, c.want)
+			}
+		})
+	}
+}
+
 // respondBefore has a function called before each response.
 func (s *fixture) respondBefore(f func()) {
 	respond := s.respond
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -41,6 +41,17 @@
 	return b.take(now, b.sentRetries, b.policy.Share)
 }
 
+// Covers reports whether a retry that was granted earlier counts in the window in which it is sent now.
+// One that is sent later than that could arrive together with all that are granted by then.
+func (b *Budget) Covers(now, grantedAt time.Time) bool {
+	return now.Sub(grantedAt) < b.policy.Window/budgetBuckets
+}
+
+// Return returns a retry that was granted and not sent.
+func (b *Budget) Return(grantedAt time.Time) {
+	b.sentRetries.Add(grantedAt, -1)
+}
+
 // TakeUnsent reports whether the budget allows a retry of an attempt that was
 // never sent, and counts it if so.
 func (b *Budget) TakeUnsent(now time.Time) bool {
