fix(resumption): a stream without a named attempt needs the records of others

What callers saw, as another operator reports it: streams that were taken up during a release, at an instance that had been cut off or had stood still, went on at another version of the servers' software.

Cause: an instance with one record of a request took it for all records there are. A caller that names no attempt got the version of that record, though a later stream of the same request had begun at another version while the instance was out of step.

The holders are always asked for such a return, all records have to agree, and one of the first two holders has to reply. A named attempt is looked up as before: its record never changes. Ruled out by reading: addresses that another server took.

--- a/resumption/tracker.go
+++ b/resumption/tracker.go
@@ -137,15 +137,21 @@
 func (t *Tracker) Len() int { return t.table.len() }
 
 // Origin returns where a stream began. It asks other instances, which takes a few milliseconds, if
-// this one has no record, and again while instances that have just started read records from the log.
-// The error wraps ErrUnknown or ErrAmbiguous.
+// this one has no record, or if the caller names no attempt: others may hold records of further streams of
+// the request. It asks again while instances that have just started read records from the log. The error
+// wraps ErrUnknown or ErrAmbiguous.
 func (t *Tracker) Origin(ctx context.Context, s Stream) (Origin, error) {
 	for began := t.Clock.Now(); ; clock.Sleep(ctx, t.Clock, restorePollInterval) {
 		origin, result := t.table.find(t.Clock.Now(), s)
-		held := result != Unknown
+		held := result != Unknown && s.Attempt != 0
 
 		var unknown error
-		if !held {
+
+		switch {
+		case held:
+		case s.Attempt == 0:
+			origin, result, unknown = t.askAll(ctx, s, origin, result)
+		default:
 			origin, result, unknown = t.ask(ctx, s)
 		}
 
@@ -173,27 +179,74 @@
 	askCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 
-	holders := t.Holders(s.Content)
-	asked := slices.DeleteFunc(slices.Clone(holders[:min(MaxHolders, len(holders))]), func(id fleet.InstanceID) bool { return id == t.Self })
-	replies := t.askEach(askCtx, asked, s)
+	asked := t.others(s)
 	replied, result := 0, Unknown
 
-	for reply := range replies {
+	for reply := range t.askEach(askCtx, asked, s) {
 		replied++
 		result = max(result, reply.Result)
 
 		if reply.Result == Known {
-			return Origin{Service: reply.Service, Version: reply.Version}, Known, nil
+			return reply.origin(), Known, nil
+		}
+	}
+
+	return Origin{}, result, errUnknown(replied, asked)
+}
+
+// askAll asks all holders at once and returns the origin that all records agree on, those of this instance
+// among them. A holder that this instance knows for one of the first has to reply: this instance may have
+// been out of step when another stream of the request began.
+func (t *Tracker) askAll(ctx context.Context, s Stream, origin Origin, result Result) (Origin, Result, error) {
+	asked := t.others(s)
+	first := asked[:min(Copies-1, len(asked))]
+	replied, firstReplied := 0, len(asked) == 0
+
+	for reply := range t.askEach(ctx, asked, s) {
+		replied++
+		firstReplied = firstReplied || slices.Contains(first, reply.from)
+
+		switch {
+		case reply.Result == Known && result == Known && reply.origin() != origin:
+			result = Ambiguous
+		case reply.Result == Known && result == Unknown:
+			origin, result = reply.origin(), Known
+		default:
+			result = max(result, reply.Result)
 		}
 	}
 
-	return Origin{}, result, merry.Appendf(ErrUnknown, "%d of %d instances replied", replied, len(asked))
+	if result == Known && !firstReplied {
+		return Origin{}, Unknown, errUnknown(replied, asked)
+	}
+
+	return origin, result, errUnknown(replied, asked)
+}
+
+// others returns the holders of a stream beside this instance.
+func (t *Tracker) others(s Stream) []fleet.InstanceID {
+	holders := t.Holders(s.Content)
+
+	return slices.DeleteFunc(slices.Clone(holders[:min(MaxHolders, len(holders))]), func(id fleet.InstanceID) bool { return id == t.Self })
 }
 
+func errUnknown(replied int, asked []fleet.InstanceID) error {
+	return merry.Appendf(ErrUnknown, "%d of %d instances replied", replied, len(asked))
+}
+
+// holderReply is the reply of a holder.
+type holderReply struct {
+	Reply
+
+	from fleet.InstanceID
+}
+
+func (r holderReply) origin() Origin { return Origin{Service: r.Service, Version: r.Version} }
+
 // askEach asks instances at the same time. The channel is closed once each has replied, or has had
 // its time.
-func (t *Tracker) askEach(ctx context.Context, holders []fleet.InstanceID, s Stream) <-chan Reply {
-	replies := make(chan Reply, len(holders))
+func (t *Tracker) askEach(ctx context.Context, holders []fleet.InstanceID, s Stream) <-chan holderReply {
+	replies := make(chan holderReply, len(holders))
 
 	var group conc.WaitGroup
 
@@ -203,7 +256,7 @@
 				t.Ask(id, Query{From: t.Self, Number: number, Content: s.Content, Attempt: s.Attempt})
 			})
 			if ok {
-				replies <- reply
+				replies <- holderReply{Reply: reply, from: id}
 			}
 		})
 	}
