fix(forward): an instance that helps sends a request to one server

What callers saw: nothing; requests ran at more servers than their route allows, beside cuts and kills of instances.

Cause: an instance that took a request of another one could send it to as many servers as were left. If it was lost, that counted as one send, and the request went on from there: 3 sends where 2 are allowed (TestLostHelpersSendToNoMoreServersThanAllowed, calls and streams).

An instance that helps now sends to one server and says what came of it. The one that has the caller decides whether the request goes on, by its own count and budget, and keeps a failed response for the caller (TestFailedDetourGoesOnElsewhere; rejected, lost and failed requests of one helping instance were final before the change if the budget there was one). The messages between instances stay as they are.

Ruled out: to count all servers that it was allowed, since then a request that may be repeated ends with the instance that helps (TestDetourOutcomes); to be told of each send, since instances of the version before would break off on the new message.

The test replaces TestLostHelperUsesAllServersItWasAllowed, which counted what helping instances were allowed and not what they send.

--- a/forward/detour.go
+++ b/forward/detour.go
@@ -38,7 +38,8 @@
 	Service fleet.Service
 	// RulesVersion is the version of the rules under which the request was accepted.
 	RulesVersion uint64
-	// Attempts is the number of backend servers to which it may be sent.
+	// Attempts is the number of backend servers to which the request may still be sent. The instance that
+	// serves it sends it to one of them: if it is lost, nobody knows to how many it sent the request.
 	Attempts int
 	// StreamBegun is set if the caller has a part of the response.
 	StreamBegun bool
@@ -117,11 +118,13 @@
 	request := *j.request
 	request.ResumeAfter = j.resumeAfter()
 
+	helped := &detourSink{Sink: sink, job: j}
+
 	result, err := f.Detour.Serve(ctx, DetourRequest{
 		Request: &request, Service: j.service, RulesVersion: j.rules.Version(),
 		Attempts: max(j.attempts()-j.sent, 1), StreamBegun: j.streamBegun(), UsageCounted: j.usageCounted, Version: j.version,
 		BeforeConfirm: j.renewRetry,
-	}, &detourSink{Sink: sink, job: j})
+	}, helped)
 
 	if errors.Is(err, errRetryBudget) {
 		return merry.Prepend(backend.ErrNotSent, "detour", merry.WithCause(err))
@@ -155,19 +158,29 @@
 
 	j.sent += len(result.Servers)
 
-	if result.Refusal == nil {
+	switch {
+	case result.Refusal != nil:
+		return j.detourFailure(*result.Refusal, len(result.Servers) > 0)
+	case helped.failed:
+		return merry.Prependf(errServerFailed, "detour: status %d", j.lastFailure.status)
+	default:
 		return nil
 	}
+}
 
-	if result.Refusal.NotRun && result.Refusal.Reason == NoServer {
-		if len(result.Servers) > 0 {
-			return merry.Prepend(backend.ErrRefused, "detour: "+result.Refusal.Cause)
-		}
-
-		return merry.Prepend(backend.ErrNotSent, "detour: "+result.Refusal.Cause)
+// detourFailure returns the error for a refusal by another instance, which had sent the request to a server
+// if sent is set. The refusal is final unless another server may serve the request.
+func (j *job) detourFailure(refusal Refusal, sent bool) error {
+	switch {
+	case refusal.NotRun && sent && (refusal.Reason == NoServer || refusal.Reason == Overloaded):
+		return merry.Prepend(backend.ErrRefused, "detour: "+refusal.Cause)
+	case refusal.NotRun && refusal.Reason == NoServer:
+		return merry.Prepend(backend.ErrNotSent, "detour: "+refusal.Cause)
+	case sent && j.route.Idempotent() && (refusal.Reason == ResponseLost || refusal.Reason == StreamBroken):
+		return merry.Prepend(upstream.ErrGarbled, "detour: "+refusal.Cause)
+	default:
+		return &detourError{refusal: refusal}
 	}
-
-	return &detourError{refusal: *result.Refusal}
 }
 
 // detourRefusal returns the refusal for a request that another instance refused. The promise that
@@ -195,6 +208,9 @@
 	Sink
 
 	job *job
+	// failed is set if the response is a failure, which the caller gets if no other server may serve the
+	// request.
+	failed bool
 }
 
 // StreamVersion binds the stream to the version that began it.
@@ -240,6 +256,14 @@
 		return merry.Prependf(errServerFailed, "status %d instead of the rest of a stream", status)
 	}
 
+	if status >= http.StatusInternalServerError {
+		s.failed = true
+		s.job.lastFailure.release()
+		s.job.lastFailure = &bufferedResponse{status: status, header: header, body: body, memory: s.job.forwarder.Buffers.Reserve()}
+
+		return nil
+	}
+
 	if err := s.Sink.WriteResponse(status, header, body); err != nil {
 		return merry.Prepend(errCallerWrite, "write response", merry.WithCause(err))
 	}
@@ -274,7 +298,7 @@
 		return nil, &Refusal{Reason: NoRoute, NotRun: true}
 	}
 
-	j := &job{forwarder: f, request: r.Request, route: route, rules: rules, service: r.Service, detoured: true, maxAttempts: r.Attempts}
+	j := &job{forwarder: f, request: r.Request, route: route, rules: rules, service: r.Service, detoured: true, maxAttempts: 1}
 	j.deadline = r.Request.Arrived.Add(j.timeout())
 	j.usageCounted, j.resumed, j.version = r.UsageCounted, r.StreamBegun, r.Version
 
--- a/forward/detour_test.go
+++ b/forward/detour_test.go
@@ -112,31 +112,87 @@
 	}
 }
 
-// Guards against requests that run at more servers than their route allows: a helping instance that was
-// lost may have sent them to as many as were left.
-func TestLostHelperUsesAllServersItWasAllowed(t *testing.T) {
+// Guards against requests that run at more servers than their route allows, since helping instances are lost
+// that sent them on before.
+func TestLostHelpersSendToNoMoreServersThanAllowed(t *testing.T) {
 	lost := fmt.Errorf("broke: %w", upstream.ErrGarbled)
-	allowed, attempts := 0, 0
 
-	f, detour := newCutFixture(t, func(n int, r DetourRequest, _ Sink) (DetourResult, error) {
-		allowed += r.Attempts
+	for _, name := range []string{"safe", "talk"} {
+		helper := newFixture(t, 10)
+		helper.respond = func(string, int, *http.Request) string { return "" }
+
+		f, _ := newCutFixture(t, func(_ int, r DetourRequest, _ Sink) (DetourResult, error) {
+			helper.hearFromServer()
+
+			run, refusal := helper.PrepareDetour(t.Context(), r)
+			if refusal != nil {
+				return DetourResult{}, ErrNoHelper
+			}
+
+			run(t.Context(), &recordingSink{})
 
-		if n < 3 {
 			return DetourResult{}, lost
+		})
+
+		f.call(name, "r")
+
+		if got, want := len(helper.arrivals()), f.attemptsOf(name); got != want {
+			t.Errorf("%s: sends by helping instances that are lost: got %d, want %d", name, got, want)
 		}
+	}
+}
 
-		return DetourResult{Servers: []string{"i-1"}}, nil
-	})
+// Guards against requests that fail at the first server which a helping instance sends them to, though their
+// route allows another one.
+func TestFailedDetourGoesOnElsewhere(t *testing.T) {
+	for name, c := range map[string]struct {
+		route  string
+		refuse Refusal
+		// status is that of a response which the server of the first instance gave, if it gave one.
+		status, calls int
+		want          Reason
+	}{
+		"rejected":                {route: "once", refuse: Refusal{Reason: Overloaded, NotRun: true}, calls: 2, want: Answered},
+		"lost, may be repeated":   {route: "safe", refuse: Refusal{Reason: ResponseLost}, calls: 2, want: Answered},
+		"lost, may not":           {route: "once", refuse: Refusal{Reason: ResponseLost}, calls: 1, want: ResponseLost},
+		"failed, may be repeated": {route: "safe", status: http.StatusInternalServerError, calls: 2, want: Answered},
+		"failed, may not":         {route: "once", status: http.StatusInternalServerError, calls: 1, want: Answered},
+		"no time left":            {route: "safe", refuse: Refusal{Reason: TimedOut}, calls: 1, want: TimedOut},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f, detour := newCutFixture(t, func(n int, _ DetourRequest, sink Sink) (DetourResult, error) {
+				switch {
+				case n > 1:
+					return DetourResult{Servers: []string{"i-2"}, MayHaveRun: true}, sink.WriteResponse(http.StatusOK, nil, nil)
+				case c.status > 0:
+					return DetourResult{Servers: []string{"i-1"}, MayHaveRun: true}, sink.WriteResponse(c.status, nil, nil)
+				default:
+					return DetourResult{Servers: []string{"i-1"}, MayHaveRun: !c.refuse.NotRun, Refusal: &c.refuse}, nil
+				}
+			})
+
+			outcome, got := f.call(c.route, "r")
+			if outcome.Reason != c.want || len(detour.requests) != c.calls {
+				t.Errorf("got %v after %d offers, want %v after %d", outcome.Reason, len(detour.requests), c.want, c.calls)
+			}
 
-	if route, ok := f.rules.Load().Match("a.example", "/safe/x"); ok {
-		attempts = route.Attempts()
+			if c.calls == 1 && c.status > 0 && got.status != c.status {
+				t.Errorf("status: got %d, want %d", got.status, c.status)
+			}
+		})
 	}
+}
 
-	f.call("safe", "r")
+// attemptsOf returns to how many servers a request of a route may be sent.
+func (s *fixture) attemptsOf(name string) int {
+	s.t.Helper()
 
-	if allowed > attempts {
-		t.Errorf("servers allowed to %d helping instances: got %d, want at most %d", len(detour.requests), allowed, attempts)
+	route, ok := s.rules.Load().Match("a.example", "/"+name+"/x")
+	if !ok {
+		s.t.Fatalf("route %s: got none, want one", name)
 	}
+
+	return route.Attempts()
 }
 
 // Guards against further sends that no budget counts: servers rejected the request at one helping
