fix(forward): what was in flight as a server ended shows no sign of life

What callers saw: engines went on to crash under a part of prompts, since crashes were not counted where most other engines had ended as well.

Cause: a server that refuses connections beside few reachable ones counts as ended unless something is heard of it after the loss. Events of its other streams that were in flight, and the loads that others read from them, are heard milliseconds after the first stream breaks.

TestEndIsToldFromLostPathsBesideOthers/events_were_in_flight failed.

What is heard within the first interval no longer counts, and the server is judged after the second: it refuses twice, and nothing is heard in between.

--- a/forward/lostpaths.go
+++ b/forward/lostpaths.go
@@ -24,15 +24,19 @@
 // endedBesideOthers reports whether a server that refuses connections has ended, while this instance
 // reaches few other servers: these may have ended as well, or the paths to all of them are lost. It has
 // ended if it still refuses connections after another server of its service has accepted one, or if
-// another process has its address. A server of which this instance or another one hears runs.
+// another process has its address. A server of which this instance or another one hears runs; what they
+// hear within the first interval was in flight when the server ended.
 func (f *Forwarder) endedBesideOthers(ctx context.Context, a *scheduling.Assignment, lostAt time.Time) bool {
 	server := upstream.Server{ID: a.ID(), Address: a.Address()}
+	settledAt := lostAt.Add(endCheckInterval)
+
+	clock.Sleep(ctx, f.Clock, endCheckInterval)
 
 	for f.Clock.Now().Sub(lostAt) < endCheckTimeout {
 		// By then other instances have said if they hear from the server.
 		clock.Sleep(ctx, f.Clock, endCheckInterval)
 
-		if a.HeardAfter(lostAt) {
+		if a.HeardAfter(settledAt) {
 			return false
 		}
 
--- a/forward/lostpaths_test.go
+++ b/forward/lostpaths_test.go
@@ -69,9 +69,13 @@
 		// crashed are further servers that have ended, or whose paths are lost.
 		crashed   []string
 		meanwhile func(f *crashFixture)
-		want      int
+		// inFlight has events of another stream of the server, and reports of other instances on it, arrive
+		// for a moment after the loss.
+		inFlight bool
+		want     int
 	}{
 		"another server of the service is reached": {want: 1},
+		"events were in flight":                    {inFlight: true, want: 1},
 		"no server of the service is reached":      {crashed: []string{"llm-8"}},
 		"another process has the address": {crashed: []string{"llm-8"}, want: 1, meanwhile: func(f *crashFixture) {
 			f.Scheduler.Update(append(f.servers(), register.Server{ID: "llm-9", Service: "llm", Address: "llm-7", Domain: "a", Slots: 8}))
@@ -93,8 +97,18 @@
 				f.crashed[id].Store(true)
 			}
 
+			other := f.pickServer("llm", "llm-7")
+			other.Start(f.clock.Now())
 			f.call("tell", "r")
 
+			if c.inFlight {
+				f.clock.Advance(time.Millisecond)
+				other.Heard(f.clock.Now())
+				f.Scheduler.ApplyUpdate(f.clock.Now(), "other", scheduling.Peer, scheduling.ServerUpdate{Loads: []scheduling.ServerLoad{
+					{Server: scheduling.Key(xxhash.Sum64String("llm-7"))},
+				}})
+			}
+
 			if got := f.arrivals(); len(got) != 1 {
 				t.Fatalf("arrivals: got %d, want one", len(got))
 			}
