perf(forward): requests wait 40 ms at most for the checks of their lost servers

While most paths are lost a check takes half a second and more, so that the wait always ran to its bound of 100 ms, as long as calls may take in all. The check of a server whose connections are refused takes 20 ms.

--- a/forward/loss.go
+++ b/forward/loss.go
@@ -69,8 +69,8 @@
 }
 
 // maxLossWait bounds the time that a request waits for the checks of its lost servers: that of a check and
-// of some round trips.
-const maxLossWait = 100 * time.Millisecond
+// of some round trips. While most paths are lost, checks take seconds.
+const maxLossWait = 2 * terminationDelay
 
 // awaitLossChecks waits until it is known whether servers that lost the request at the begin of its answer
 // have crashed. Otherwise a request that crashes servers would go on from one to the next, by this instance
