--- a/quarantine/part_conclusion.go
+++ b/quarantine/part_conclusion.go
@@ -29,10 +29,10 @@
 // explainsMoments reports whether hardly any server crashed without a part at the moments of its crashes.
 // Servers that lose their power, for example, crash with all parts that are sent.
 func (d *decision) explainsMoments(s *partSuspect, span evidenceSpan) bool {
-	all := len(span.crashes)
+	all, times := len(span.crashes), s.timesOf(span.crashes)
 
 	for event, at := range d.crashTimes() {
-		if !d.explained[event] && s.find(event, false) < 0 && s.crashedNear(at, span.crashes) {
+		if isNear(at, times) && !d.explained[event] && s.find(event, false) < 0 {
 			all++
 		}
 	}
@@ -59,17 +59,25 @@
 	return d.crashes
 }
 
-// crashedNear reports whether one of some crashes of the part was at the same moment as another crash.
-func (s *partSuspect) crashedNear(at time.Time, crashes []uint64) bool {
-	return slices.ContainsFunc(s.events, func(e partEvent) bool {
-		return !e.begun && e.at.Sub(at).Abs() < crashInterval && slices.Contains(crashes, e.id)
-	})
+// timesOf returns the times of some crashes of the part.
+func (s *partSuspect) timesOf(crashes []uint64) []time.Time {
+	times := make([]time.Time, 0, len(crashes))
+	for _, event := range crashes {
+		times = append(times, s.events[s.find(event, false)].at)
+	}
+
+	return times
+}
+
+// isNear reports whether a time is at the same moment as one of others.
+func isNear(at time.Time, others []time.Time) bool {
+	return slices.ContainsFunc(others, func(other time.Time) bool { return other.Sub(at).Abs() < crashInterval })
 }
 
 // seldomSent reports whether answers have begun since the crashes on another part that stood at them,
 // and hardly any on the part itself.
 func (d *decision) seldomSent(s *partSuspect, span evidenceSpan) bool {
-	first := s.events[s.find(span.crashes[0], false)].at
+	first := s.timesOf(span.crashes[:1])[0]
 	least := minCompanionBegins * (1 + s.beginsAfter(first))
 
 	for _, other := range d.suspects {
