fix(forward): a server that crashes before it sends a header counts against parts

Cause: only requests with a header and no event were suspects. Nothing in what is asked for says that a server sends its header before it crashes, and one whose library sends the header with the first event never does.

All requests of a crashed server whose answer had not begun are suspects with their parts. The evidence against the request itself stays weak, as before.

--- a/forward/job.go
+++ b/forward/job.go
@@ -68,8 +68,8 @@
 	fullServers, fullDetours int
 	// queued is how long the request waited for the scheduler to place it.
 	queued time.Duration
-	// lossChecks are closed once it is known whether a server that lost the request at the begin of its
-	// answer has crashed.
+	// lossChecks are closed once it is known whether a server that lost the request before the first event
+	// of its answer has crashed.
 	lossChecks []<-chan struct{}
 	// lastFailure is the latest response of status 500 or above. The caller gets it if all
 	// further attempts fail.
--- a/forward/loss.go
+++ b/forward/loss.go
@@ -25,14 +25,16 @@
 // about the request. A crash counts however long the response has been streamed. It is
 // strong evidence at the start of a response, when few other requests are in the same state,
 // and weak evidence otherwise. headerReceived reports whether the header of the response was
-// received. A check of strong evidence is added to those that the request waits for.
+// received. A loss before the first event of a response counts against the parts of the prompt as well:
+// an engine may crash before it has sent the header. Checks of losses that may quarantine something are
+// added to those that the request waits for.
 func (f *Forwarder) recordLoss(ctx context.Context, j *job, a *scheduling.Assignment, headerReceived bool, err error) {
 	if !errors.Is(err, upstream.ErrGarbled) || ctx.Err() != nil || a.Leaving() {
 		return
 	}
 
-	evidence := quarantine.Weak
-	if j.route.Kind != ruleset.Streaming || headerReceived && !a.AnswerBegun() {
+	evidence, begun := quarantine.Weak, headerReceived && a.AnswerBegun()
+	if j.route.Kind != ruleset.Streaming || headerReceived && !begun {
 		evidence = quarantine.Strong
 	}
 
@@ -40,7 +42,7 @@
 	checkCtx, lostAt := context.WithoutCancel(ctx), f.Clock.Now()
 	checked := make(chan struct{})
 
-	if evidence == quarantine.Strong {
+	if !begun {
 		j.lossChecks = append(j.lossChecks, checked)
 	}
 
@@ -58,7 +60,7 @@
 
 		f.Quarantine.RecordLoss(lostAt, fingerprint, a.Server(), evidence)
 
-		if evidence == quarantine.Strong && len(parts) > 0 {
+		if !begun && len(parts) > 0 {
 			f.Parts.RecordCrash(lostAt, a.Server(), parts)
 		}
 
@@ -72,8 +74,8 @@
 // of some round trips. While most paths are lost, checks take seconds.
 const maxLossWait = 2 * terminationDelay
 
-// awaitLossChecks waits until it is known whether servers that lost the request at the begin of its answer
-// have crashed. Otherwise a request that crashes servers would go on from one to the next, by this instance
+// awaitLossChecks waits until it is known whether servers that lost the request before the first event of its
+// answer have crashed. Otherwise a request that crashes servers would go on from one to the next, by this instance
 // or by its caller, faster than any instance finds out.
 func (j *job) awaitLossChecks(ctx context.Context) {
 	if len(j.lossChecks) == 0 {
--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -30,8 +30,8 @@
 // Parts finds out which parts of prompts crash servers, and holds requests with such a part off,
 // whatever else they hold. The zero value is empty; it is safe for concurrent use.
 //
-// A server that crashes takes all its requests along; those whose answer was about to begin are
-// suspects with all their shared parts. A part is held off once servers have crashed on it at three
+// A server that crashes takes all its requests along; those whose answer had not begun are suspects
+// with all their shared parts. A part is held off once servers have crashed on it at three
 // moments, unless answers to requests with it begin among these crashes, or another part explains
 // them better. Servers that crash at one moment may have a cause in common that lies in no request, and
 // all parts that are often sent stand at their crashes. A part that stands at nearly all of them, and is
@@ -95,7 +95,7 @@
 	return 0
 }
 
-// RecordCrash records that a server process crashed while it began the answer to a request with the
+// RecordCrash records that a server process crashed before it had begun the answer to a request with the
 // parts. The caller has verified that the process has ended and had not announced to leave.
 func (p *Parts) RecordCrash(now time.Time, server register.Process, parts []PartKey) {
 	p.mu.Lock()
--- a/quarantine/parts_cascade_test.go
+++ b/quarantine/parts_cascade_test.go
@@ -36,15 +36,37 @@
 		"72 instances":          cascading(72, 0.5, 6, "dead"),
 		"195 instances":         cascading(195, 0.5, 6, "dead"),
 	} {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
+		for _, unanswered := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, unanswered %t", name, unanswered), func(t *testing.T) {
+				t.Parallel()
 
-			seeds := uint64(20)
-			if s.instances > 9 {
-				seeds = 4
-			}
+				s := s
+				s.unanswered = unanswered
+
+				seeds := uint64(20)
+				if s.instances > 9 {
+					seeds = 4
+				}
 
-			s.check(t, seeds, 40*time.Second)
+				s.check(t, seeds, 40*time.Second)
+			})
+		}
+	}
+}
+
+// Guards against a part that is not held off, and against sound ones that are, since all requests of a
+// server that crashes before it sends a header are suspects.
+func TestHarmfulPartsAreToldFromAllThatWaited(t *testing.T) {
+	for name, s := range partScenarios() {
+		if s.instances > 100 {
+			continue
+		}
+
+		s.unanswered = true
+
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s.check(t, 6, 20*time.Second)
 		})
 	}
 }
@@ -74,6 +96,8 @@
 								t.Parallel()
 
 								for seed := range uint64(seeds) {
+									s.unanswered = seed%2 == 1
+
 									if n := s.play(seed, loss+6*time.Second).heldCount(); n > 0 {
 										t.Errorf("seed %d: got %d parts held off, want none", seed, n)
 									}
--- a/quarantine/parts_model_test.go
+++ b/quarantine/parts_model_test.go
@@ -61,6 +61,8 @@
 	prefill, begin time.Duration
 	// delay bounds the time that a message takes.
 	delay time.Duration
+	// unanswered has servers crash before they send a header, so that all their requests are suspects.
+	unanswered bool
 	// sends is how often a request that is lost with its server is sent in all: at once by its instance
 	// and by its caller, who reaches any instance. Zero is once.
 	sends int
@@ -232,7 +234,7 @@
 	s.downUntil = m.now.Add(partReturn)
 
 	for _, r := range m.requests {
-		if r.server == server && m.now.Sub(r.sent) >= m.prefill {
+		if r.server == server && (m.unanswered || m.now.Sub(r.sent) >= m.prefill) {
 			r.instance.RecordCrash(m.now, process, r.keys)
 		}
 	}
@@ -335,6 +337,8 @@
 	sends int
 	short bool
 	delay time.Duration
+	// unanswered has servers crash before they send a header.
+	unanswered bool
 }
 
 func partScenarios() map[string]partScenario {
@@ -357,7 +361,7 @@
 	const servers = 20
 
 	m := newPartModel(s.instances, servers, s.crashProbability, seed)
-	m.sends = s.sends
+	m.sends, m.unanswered = s.sends, s.unanswered
 
 	if s.short {
 		m.prefill, m.begin = 0, partStep
