--- a/forward/parts_test.go
+++ b/forward/parts_test.go
@@ -42,3 +42,25 @@
 		}
 	}
 }
+
+// Guards against a part that crashes engines before they send a header, and so counts against nothing.
+func TestCrashBeforeHeaderCountsAgainstParts(t *testing.T) {
+	f := newCrashFixture(t)
+	f.Parts = &quarantine.Parts{}
+	f.respond = func(address string, _ int, _ *http.Request) string {
+		f.crashed[address].Store(true)
+
+		return ""
+	}
+
+	f.Serve(t.Context(), &Request{
+		ID: "r", Method: http.MethodPost, Host: "a.example", Target: "/tell/x", Path: "/tell/x", APIKey: "key", Arrived: f.clock.Now(),
+		Prompt: scheduling.Prompt{Tokens: 100, Segments: []scheduling.Segment{{ID: "all", Tokens: 50}, {ID: "dead", Tokens: 40}, {ID: "own", Tokens: 10}}},
+	}, &recordingSink{})
+
+	for limit := time.Now().Add(10 * time.Second); f.Parts.SuspectCount() < 2; f.runTerminationChecks() {
+		if time.Now().After(limit) {
+			t.Fatalf("suspected parts: got %d, want 2", f.Parts.SuspectCount())
+		}
+	}
+}
