test(resumption): streams at an instance that stood still, and callers that name the attempt

TestStreamAtInstanceOutOfStepKeepsItsVersion takes the place of the test of unnamed streams and keeps its cases: cut off while the other stream began, and still cut off. It adds an instance that stands still, whose messages come 50 ms after it goes on, and checks callers that name the attempt at each.

--- a/resumption/tracker_test.go
+++ b/resumption/tracker_test.go
@@ -28,8 +28,11 @@
 	holders  []topology.Member
 	trackers map[fleet.InstanceID]*Tracker
 	dead     map[fleet.InstanceID]bool
-	// apart is an instance whose messages are lost, or empty.
-	apart fleet.InstanceID
+	// outOfStep is an instance that is out of step, and reach how. held are the messages to it while it
+	// stands still.
+	outOfStep fleet.InstanceID
+	reach     reach
+	held      []func()
 	// messages counts the messages of each kind.
 	records, queries int
 	// setup, if not nil, changes each tracker before it runs.
@@ -86,11 +89,16 @@
 func (n *network) deliver(from, to fleet.InstanceID, count *int, receive func(*Tracker)) {
 	n.mu.Lock()
 	*count++
-	isApart := n.apart != "" && (from == n.apart || to == n.apart)
-	t, isLost := n.trackers[to], isApart || n.dead[to] || n.random.Float64() < n.lost
+	isCutOff := n.reach == cutOff && (from == n.outOfStep || to == n.outOfStep)
+	t, isLost := n.trackers[to], isCutOff || n.dead[to] || n.random.Float64() < n.lost
+	isHeld := n.reach == standsStill && to == n.outOfStep
+
+	if isHeld && !isLost {
+		n.held = append(n.held, func() { receive(t) })
+	}
 	n.mu.Unlock()
 
-	if !isLost {
+	if !isLost && !isHeld {
 		receive(t)
 	}
 }
@@ -119,15 +127,33 @@
 	n.dead[id] = true
 }
 
-// setApart has the messages of an instance lost, or no longer.
-func (n *network) setApart(id fleet.InstanceID, apart bool) {
+// reach is how an instance is in step with the others, or out of it.
+type reach int
+
+const (
+	inStep reach = iota
+	// cutOff loses all messages from and to the instance.
+	cutOff
+	// standsStill holds messages to the instance until wakeTime after it goes on.
+	standsStill
+)
+
+// wakeTime is the time from when an instance goes on until it has read what was sent to it meanwhile.
+const wakeTime = 50 * time.Millisecond
+
+// setReach sets how an instance is in step.
+func (n *network) setReach(id fleet.InstanceID, r reach) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 
-	n.apart = ""
-	if apart {
-		n.apart = id
-	}
+	held := n.held
+	n.outOfStep, n.reach, n.held = id, r, nil
+
+	time.AfterFunc(wakeTime, func() {
+		for _, deliver := range held {
+			deliver()
+		}
+	})
 }
 
 // maxUnknownShare is the part of the streams whose version may be unknown after a loss of instances.
