refactor: one retry budget lookup, one check of suspects, one bound on connections

What stood twice: the budget of a service in package forward, the look-up of suspected requests in package quarantine, and the bound on connections of other instances in packages entry and replica. Behaviour stays.

--- a/entry/descriptors.go
+++ b/entry/descriptors.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"monsoonlever/replica"
 	"monsoonlever/settings"
 )
 
@@ -13,10 +14,6 @@
 	operatorShare  = 0.03
 )
 
-// mostPeers suffices for three feeds of each subscriber of a relay, and for the subscribers of several
-// failed relays.
-const mostPeers = 600
-
 // callerMemory is the memory in bytes of a caller's connection without a request, and
 // callerMemoryShare the share of an instance's memory that all of them may take.
 const (
@@ -33,7 +30,7 @@
 
 // maxPeers returns the largest number of connections from other instances.
 func maxPeers(limits settings.MachineLimits) int {
-	return min(descriptors(limits, peerShare), mostPeers)
+	return min(descriptors(limits, peerShare), replica.DefaultMaxConnections)
 }
 
 // descriptors returns a share of an instance's file descriptors, one at least.
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -236,7 +236,7 @@
 		return j, refusal
 	}
 
-	f.Retries.Of(retry.NewScope(j.service, "")).CountRequest(f.Clock.Now())
+	f.retryBudget(j.service).CountRequest(f.Clock.Now())
 
 	return j, f.takeLimit(ctx, j)
 }
--- a/forward/retry.go
+++ b/forward/retry.go
@@ -29,8 +29,7 @@
 	}
 
 	f, now := j.forwarder, j.forwarder.Clock.Now()
-	budget := f.Retries.Of(retry.NewScope(j.service, ""))
-	wait := now.Sub(j.grant.at)
+	budget, wait := f.retryBudget(j.service), now.Sub(j.grant.at)
 	f.Counters.recordRetryWait(wait)
 
 	if budget.Covers(now, j.grant.at) {
@@ -52,10 +51,14 @@
 	return nil
 }
 
+// retryBudget returns the retry budget of a service.
+func (f *Forwarder) retryBudget(service fleet.Service) *retry.Budget {
+	return f.Retries.Of(retry.NewScope(service, ""))
+}
+
 // takeRetry takes a further attempt from the retry budget of a service.
 func (f *Forwarder) takeRetry(service fleet.Service) bool {
-	now := f.Clock.Now()
-	budget := f.Retries.Of(retry.NewScope(service, ""))
+	now, budget := f.Clock.Now(), f.retryBudget(service)
 
 	if budget.Take(now) {
 		return true
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -133,7 +133,7 @@
 
 // RecordAnswer records that a request was answered completely, which clears all its losses.
 func (l *Ledger) RecordAnswer(now time.Time, f Fingerprint) {
-	if _, suspected := l.quarantineEnds.Load(f); !suspected {
+	if !l.Suspected(f) {
 		return
 	}
 
--- a/replica/server.go
+++ b/replica/server.go
@@ -17,10 +17,11 @@
 	"monsoonlever/feed"
 )
 
+// DefaultMaxConnections bounds the connections from other instances: three feeds for each subscriber of a
+// relay, with room for the subscribers of several failed relays.
+const DefaultMaxConnections = 600
+
 const (
-	// defaultMaxConnections bounds the connections from other instances: three feeds for each
-	// subscriber of a relay, with room for the subscribers of several failed relays.
-	defaultMaxConnections = 600
 	// maxRequestBytes bounds a request: the name of a feed and a position.
 	maxRequestBytes = 4 << 10
 	// maxWait bounds how long one read waits for a change.
@@ -39,7 +40,7 @@
 	Clock clock.Clock
 	// Feeds are the logs by the name of their feed.
 	Feeds map[string]*Log
-	// MaxConnections bounds the open connections; zero is defaultMaxConnections. A connection that has
+	// MaxConnections bounds the open connections; zero is DefaultMaxConnections. A connection that has
 	// not sent a request yet makes room for a new one.
 	MaxConnections int
 	// Others handle the connections that begin with their preface of prefaceBytes bytes, which no
@@ -101,7 +102,7 @@
 		return false
 	}
 
-	if len(s.conns) >= cmp.Or(s.MaxConnections, defaultMaxConnections) {
+	if len(s.conns) >= cmp.Or(s.MaxConnections, DefaultMaxConnections) {
 		if len(s.silent) == 0 {
 			return false
 		}
