--- a/resumption/outofstep_test.go
+++ b/resumption/outofstep_test.go
@@ -49,7 +49,7 @@
 
 					out.Begun(first, Origin{Service: "llm", Version: "v1"}, lifetime)
 					time.Sleep(time.Second)
-					out.checkOrigin(ctx, t, unnamed, "v1", nil)
+					checkOrigin(ctx, t, out, unnamed, "v1", nil)
 
 					n.setReach(out.Self, c.while)
 					other.Begun(second, Origin{Service: "llm", Version: "v2"}, lifetime)
@@ -61,13 +61,13 @@
 						want = ErrAmbiguous
 					}
 
-					out.checkOrigin(ctx, t, unnamed, "", want)
+					checkOrigin(ctx, t, out, unnamed, "", want)
 
 					if want = c.named; out.holds(second) {
 						want = nil
 					}
 
-					out.checkOrigin(ctx, t, second, "v2", want)
+					checkOrigin(ctx, t, out, second, "v2", want)
 
 					n.setReach(out.Self, inStep)
 				}
@@ -76,13 +76,13 @@
 	}
 }
 
-// checkOrigin checks where a stream began, or why that is not known.
-func (t *Tracker) checkOrigin(ctx context.Context, test *testing.T, s Stream, want fleet.Version, wantErr error) {
-	test.Helper()
+// checkOrigin checks where a stream began by what an instance finds out, or why it does not.
+func checkOrigin(ctx context.Context, t *testing.T, at *Tracker, s Stream, want fleet.Version, wantErr error) {
+	t.Helper()
 
-	got, err := t.Origin(ctx, s)
+	got, err := at.Origin(ctx, s)
 	if !errors.Is(err, wantErr) || err == nil && got.Version != want {
-		test.Errorf("attempt %d of %v: got %v, %v, want %q, %v", s.Attempt, s.Content, got, err, want, wantErr)
+		t.Errorf("attempt %d of %v: got %v, %v, want %q, %v", s.Attempt, s.Content, got, err, want, wantErr)
 	}
 }
 
