review: case 6, a member keeps to a relay that the store turns away

Cause: an instance that has not read the directory which names it as a relay serves nobody, and its heartbeats keep its members from looking elsewhere.

--- a/review/6/standin/main.go
+++ b/review/6/standin/main.go
@@ -35,9 +35,9 @@
 	// settle is the time from the start of the first instances until more come, turnedAfter that from then until the store
 	// turns some away, turnedFor how long, and movedAfter the time until the route is moved.
 	settle      = 6 * time.Second
-	turnedAfter = 2800 * time.Millisecond
+	turnedAfter = 1500 * time.Millisecond
 	turnedFor   = 9 * time.Second
-	movedAfter  = 5500 * time.Millisecond
+	movedAfter  = 6500 * time.Millisecond
 	watched     = 8 * time.Second
 	pause       = 100 * time.Millisecond
 )
@@ -50,8 +50,8 @@
 	n    int
 }{{"bole", 3}, {"piassa", 2}, {"kazanchis", 2}, {"megenagna", 2}}
 
-// turnedAway are the instances that the store turns away: 4 of 13.
-var turnedAway = []string{"edge-bole-1", "edge-bole-2", "edge-piassa-1", "edge-megenagna-1"}
+// maxTurnedAway is the share of 0.33 of 13 instances.
+const maxTurnedAway = 4
 
 type record struct {
 	mu    sync.Mutex
@@ -81,6 +81,8 @@
 	cloud           *standin.Cloud
 	mu              sync.Mutex
 	instances       []*instance
+	// turnedAway are the instances that the store turns away.
+	turnedAway []string
 }
 
 func rules(version int, service string) object {
@@ -306,6 +308,11 @@
 
 	if trouble {
 		time.Sleep(time.Until(added.Add(turnedAfter)))
+
+		if err := p.choose(); err != nil {
+			return notRun, err
+		}
+
 		p.turn(true)
 		time.AfterFunc(turnedFor, func() { p.turn(false) })
 	}
@@ -319,10 +326,57 @@
 	return p.watch(moved), nil
 }
 
+// gauges returns the gauges of an instance whose names begin with a prefix.
+func (i *instance) gauges(prefix string) (map[string]string, error) {
+	response, err := http.Get("http://" + i.addresses[3] + "/metrics")
+	if err != nil {
+		return nil, err
+	}
+	defer response.Body.Close()
+
+	text, err := io.ReadAll(response.Body)
+	gauges := make(map[string]string)
+
+	for line := range strings.SplitSeq(string(text), "\n") {
+		if name, value, ok := strings.Cut(line, " "); ok && strings.HasPrefix(name, prefix) {
+			gauges[strings.TrimPrefix(name, prefix)] = value
+		}
+	}
+
+	return gauges, err
+}
+
+// choose chooses whom the store turns away: first instances that others turn to and that don't lead, as far as their
+// metrics tell.
+func (p *platform) choose() error {
+	var others []string
+
+	for _, i := range p.all() {
+		gauges, err := i.gauges("monsoonlever_entry_")
+		if err != nil {
+			return err
+		}
+
+		p.add("%s: leads %s, relay %s, subscribers %s", i.name, gauges["leads"], gauges["relay"], gauges["subscribers"])
+
+		if gauges["leads"] == "0" && gauges["subscribers"] != "0" && len(p.turnedAway) < maxTurnedAway {
+			p.turnedAway = append(p.turnedAway, i.name)
+		} else if gauges["leads"] == "0" && gauges["relay"] == "1" {
+			others = append(others, i.name)
+		}
+	}
+
+	if len(p.turnedAway) == 0 {
+		p.turnedAway = others[:min(len(others), maxTurnedAway)]
+	}
+
+	return nil
+}
+
 // turn sets whether the store turns instances away.
 func (p *platform) turn(away bool) {
 	for _, i := range p.all() {
-		if slices.Contains(turnedAway, i.name) {
+		if slices.Contains(p.turnedAway, i.name) {
 			i.store.SetUnavailable(away)
 
 			if away {
@@ -331,7 +385,7 @@
 		}
 	}
 
-	p.add("the store turns %s away: %t", strings.Join(turnedAway, ", "), away)
+	p.add("the store turns %s away: %t", strings.Join(p.turnedAway, ", "), away)
 }
 
 // watch sends requests to all instances, and judges those that the store serves.
@@ -343,7 +397,7 @@
 	)
 
 	for _, i := range p.all() {
-		judged := !slices.Contains(turnedAway, i.name)
+		judged := !slices.Contains(p.turnedAway, i.name)
 
 		group.Go(func() {
 			late, ran, refused := 0, 0, 0
