--- a/review/5/case_test.go
+++ b/review/7/case_test.go
@@ -1,6 +1,6 @@
 //go:build review
 
-package case5
+package case7
 
 import (
 	"os/exec"
@@ -9,7 +9,7 @@
 
 // Runs the script of the case, which shows requests that are handled by an old version of the configuration. It needs
 // what the deploy file and review/build-2.sh build.
-func TestAbuseReviewCase5(t *testing.T) {
+func TestAbuseReviewCase7(t *testing.T) {
 	command := exec.CommandContext(t.Context(), "./run.sh")
 
 	output, err := command.CombinedOutput()
--- a/review/5/standin/main.go
+++ b/review/7/standin/main.go
@@ -1,6 +1,6 @@
 //go:build review
 
-// Command case5 is the platform, the runners and the clients of case 5. It starts nine entry instances and then four
+// Command case7 is the platform, the runners and the clients of case 7. It starts nine entry instances and then four
 // more, and moves a route. Where TROUBLE isn't 0, the store turns up to four away meanwhile that relay for others. It
 // does so several times, each with a deployment of its own, until the rule is broken.
 package main
