--- a/entry/components.go
+++ b/entry/components.go
@@ -215,6 +215,10 @@
 	unknownFields platform.UnknownFields
 	// unusableServers counts register entries that don't describe a backend server.
 	unusableServers *metrics.Counter
+	// foreignEchoes counts echoes that are not of this process, and foreignEchoLogged is set once one
+	// was logged.
+	foreignEchoes     *metrics.Counter
+	foreignEchoLogged atomic.Bool
 }
 
 func (e *Entry) build() *components {
@@ -244,7 +248,7 @@
 	p.scheduler.OnLeaving, p.scheduler.OnPathChange = p.serverAnnouncedLeaving, p.pathChanged
 	p.store = platform.NewStore(s.Store, p.storeRestored)
 	p.store.Buffers = p.buffers
-	p.unusableServers = set.NewCounter("monsoonlever_entry_unusable_server_entries_total")
+	p.addCounters(set)
 	p.quarantine.OnEvidence, p.parts.OnEvidence, p.parts.OnHeld, p.parts.OnCrash = p.recordSoon, p.recordSoon, p.partsHeld, p.partCrashed
 	p.bounds.Store(&s.Bounds)
 	self := board.MemberOf(s.Instance, s.FailureDomain, s.Listen.Peers, s.Limits.ProcessorCores)
@@ -346,6 +350,12 @@
 	}, Others: map[string]func(context.Context, net.Conn, *bufio.Reader){detour.Preface: p.detours.Handle}}
 }
 
+// addCounters registers the counters of this instance.
+func (p *components) addCounters(set *metrics.Set) {
+	p.unusableServers = set.NewCounter("monsoonlever_entry_unusable_server_entries_total")
+	p.foreignEchoes = set.NewCounter("monsoonlever_entry_foreign_echoes_total")
+}
+
 // addGauges registers the gauges of this instance.
 func (p *components) addGauges(set *metrics.Set) {
 	set.NewGauge("monsoonlever_entry_members", func() float64 { return float64(p.instanceCount()) })
--- a/entry/consumption.go
+++ b/entry/consumption.go
@@ -100,7 +100,9 @@
 	p.limits.ReceiveRelayed(now, m.Relayed)
 
 	if p.consumptionSeen.record(m) && m.Echo != 0 {
-		p.limits.Acknowledged(time.Unix(0, m.Echo), m.Instance)
+		echo := time.Unix(0, m.Echo)
+		p.observeEcho(now, m.Instance, echo)
+		p.limits.Acknowledged(echo, m.Instance)
 	}
 }
 
--- a/entry/heartbeat.go
+++ b/entry/heartbeat.go
@@ -213,6 +213,7 @@
 	}
 
 	echo := time.Unix(0, h.Echo)
+	p.observeEcho(now, h.Instance, echo)
 	p.rollouts.receive(now, h.Rollouts, echo)
 	p.confirmFromPeer(echo, h)
 
