fix(entry): ignore echoes of an earlier process

What callers saw: nothing. Keys were used for up to two seconds longer than the bound after operators had revoked them, at an instance that was restarted while the system time was set back and then cut off.

Cause: the clock of a process starts at the system time, and other instances send the last reading of an instance's clock to its next process too. After a step back that reading lies in the future.

The new test failed before with an age of -2.3 s, also for the register and the acknowledgement of consumption.

Change: readings in messages carry a random offset of the process; an echo counts if it lies between the start and now. Messages keep their format. Ruled out: a read of the store, whose time is read here; a comparison with the clock alone, which fails once the process has run for as long as the step. The test and a row of the guards cover both.

--- a/entry/components.go
+++ b/entry/components.go
@@ -209,6 +209,7 @@
 	startup      *startup
 	// startedAt is when this instance began to start.
 	startedAt    time.Time
+	stamps       stamps
 	stopping     atomic.Bool
 	openRequests atomic.Int64
 	// unknownFields reports fields in stored data that nothing reads.
@@ -222,12 +223,13 @@
 }
 
 func (e *Entry) build() *components {
-	s := e.Settings
+	s, startedAt := e.Settings, e.Clock.Now()
 	set := metrics.NewSet()
 	p := &components{
 		settings:      s,
 		clock:         e.Clock,
-		startedAt:     e.Clock.Now(),
+		startedAt:     startedAt,
+		stamps:        newStamps(startedAt),
 		metrics:       set,
 		rulesCurrency: &currency.Tracker{Clock: e.Clock, MaxAge: maxRulesAge(s.Bounds)},
 		register:      &register.Register{},
@@ -280,11 +282,7 @@
 	p.prober = p.newProber()
 	p.scheduler.OnPathSuspect = p.prober.Check
 	p.handler = &platform.Handler{Clock: e.Clock, Serve: p.serve, BodyBytes: p.maxBodyBytes, BodyTimeout: p.bodyTimeout, Buffers: p.buffers}
-	p.board = &board.Board{
-		Log: p.store.Board(), Clock: e.Clock, Interval: p.boardWriteInterval, MinInterval: p.minBoardWriteInterval, ReadInterval: p.boardReadInterval,
-		BeforeFirstRound: p.awaitRules, Active: p.usesBoard,
-		Write: p.makeRecord, Receive: p.receiveRecord, CaughtUp: p.boardCaughtUp,
-	}
+	p.board = newBoard(p)
 	p.startup = newStartup(e.Clock)
 	p.duties = newDuties(p)
 	p.rollouts.incarnation, p.rollouts.heldFence = p.duties.incarnation, p.duties.heldFence
@@ -294,6 +292,14 @@
 	return p
 }
 
+func newBoard(p *components) *board.Board {
+	return &board.Board{
+		Log: p.store.Board(), Clock: p.clock, Interval: p.boardWriteInterval, MinInterval: p.minBoardWriteInterval, ReadInterval: p.boardReadInterval,
+		BeforeFirstRound: p.awaitRules, Active: p.usesBoard,
+		Write: p.makeRecord, Receive: p.receiveRecord, CaughtUp: p.boardCaughtUp,
+	}
+}
+
 func (e *Entry) newPool(p *components) *upstream.Pool {
 	p.serverSlots = &upstream.Slots{Max: int64(descriptors(e.Settings.Limits, serverShare))}
 
--- a/entry/consumption.go
+++ b/entry/consumption.go
@@ -15,8 +15,8 @@
 type consumptionMessage struct {
 	Instance    fleet.InstanceID  `msgpack:"i"`
 	Incarnation fleet.Incarnation `msgpack:"n"`
-	// At is the sender's clock. Echo is the newest At of the receiver of which the sender has
-	// received all parts.
+	// At is the sender's time as one of its stamps. Echo is the newest At of the receiver of which the
+	// sender has received all parts.
 	At   int64 `msgpack:"t"`
 	Echo int64 `msgpack:"e"`
 	// Part is the index of this message among Parts.
@@ -51,7 +51,7 @@
 
 	for _, batch := range batches {
 		messages = append(messages, consumptionMessage{
-			Instance: p.self(), Incarnation: p.duties.incarnation, At: now.UnixNano(), Consumption: batch, Silent: silent,
+			Instance: p.self(), Incarnation: p.duties.incarnation, At: p.stamps.at(now), Consumption: batch, Silent: silent,
 		})
 	}
 
@@ -99,9 +99,11 @@
 	p.limits.Receive(now, m.Instance, m.Incarnation, m.Consumption)
 	p.limits.ReceiveRelayed(now, m.Relayed)
 
-	if p.consumptionSeen.record(m) && m.Echo != 0 {
-		echo := time.Unix(0, m.Echo)
-		p.observeEcho(now, m.Instance, echo)
+	if !p.consumptionSeen.record(m) {
+		return
+	}
+
+	if echo, ok := p.echoedAt(now, m.Instance, m.Echo); ok {
 		p.limits.Acknowledged(echo, m.Instance)
 	}
 }
--- a/entry/heartbeat.go
+++ b/entry/heartbeat.go
@@ -44,8 +44,9 @@
 	// consumption, and CoordinatorsReady if it knows that most leaders have been able to.
 	CanGrant          bool `msgpack:"k,omitempty"`
 	CoordinatorsReady bool `msgpack:"p,omitempty"`
-	// At is the sender's clock, and Echo the newest At that it received from the receiver. The
-	// content of this heartbeat was valid after Echo, however long the heartbeat took to arrive.
+	// At is the sender's time as one of its stamps, and Echo the newest At that it received from the
+	// receiver. The content of this heartbeat was valid after Echo, however long the heartbeat took to
+	// arrive.
 	At   int64 `msgpack:"t"`
 	Echo int64 `msgpack:"e"`
 	// Leaving are processes of backend servers that are known to leave.
@@ -132,7 +133,7 @@
 	h := heartbeat{
 		Instance: p.self(), Address: p.settings.Listen.Peers,
 		Domain: p.settings.FailureDomain, Cores: p.settings.Limits.ProcessorCores, Stopping: p.stopping.Load(),
-		Leaders: plan.Leaders, InstanceCount: plan.InstanceCount, At: now.UnixNano(), ConfirmedAgo: -1, RegisterAgo: -1, Leaving: p.leavingServers(),
+		Leaders: plan.Leaders, InstanceCount: plan.InstanceCount, At: p.stamps.at(now), ConfirmedAgo: -1, RegisterAgo: -1, Leaving: p.leavingServers(),
 		Era: p.store.Era(), Rollouts: p.rollouts.updates(now), Detours: true, LostServices: p.scheduler.LostServices(now),
 	}
 	h.WantsHelpers = !plan.FullMesh && (len(h.LostServices) > 0 || p.forwarder.LacksConnections() || p.helperRequests.any(now))
@@ -206,15 +207,13 @@
 
 	p.markLeaving(h.Leaving)
 
-	if h.Echo == 0 {
-		p.rollouts.receive(now, h.Rollouts, time.Time{})
+	echo, ok := p.echoedAt(now, h.Instance, h.Echo)
+	p.rollouts.receive(now, h.Rollouts, echo)
 
+	if !ok {
 		return
 	}
 
-	echo := time.Unix(0, h.Echo)
-	p.observeEcho(now, h.Instance, echo)
-	p.rollouts.receive(now, h.Rollouts, echo)
 	p.confirmFromPeer(echo, h)
 
 	if h.RegisterAgo >= 0 {
