fix(entry): read the directory of a leader while the store rejects an instance

Cause: the store rejects an instance before it reads the directory that makes it a relay. It goes on reading rules and register from the store, in vain, and serves its members a log that was complete once and gets nothing new.

Change: a leader's heartbeat says how far it has read the directory; an instance that the store does not serve reads it there.

--- a/entry/components.go
+++ b/entry/components.go
@@ -195,6 +195,9 @@
 	// ownConfirmedAt is when this instance last requested the rules from the store in a read that
 	// reached their end, in Unix nanoseconds; zero is never.
 	ownConfirmedAt atomic.Int64
+	// storeDirectoryReadAt is when the store last served the directory to this instance, in Unix
+	// nanoseconds; zero is never.
+	storeDirectoryReadAt atomic.Int64
 	// forwardQueue holds the counts of subscribers that a relay forwards.
 	forwardQueue countsQueue
 
@@ -335,6 +338,7 @@
 	servers := newSource(feedRegister, p.store.Register(), registerLog, p.upstream, p.servesSubscribers)
 	servers.NewerInstance = p.takeNewerLeader
 	relays := newSource(feedDirectory, p.store.Directory(), p.directoryLog, p.directoryUpstream, nil)
+	relays.NewerInstance = p.takeNewerDirectory
 
 	p.rulesFeed = &feed.Follower{
 		Name: feedRules, Source: rules, Clock: p.clock, Timing: p.rulesPace,
@@ -349,6 +353,7 @@
 	}
 	p.directoryFeed = &feed.Follower{
 		Name: feedDirectory, Source: relays, Clock: p.clock, Timing: p.directoryPace, Apply: p.applyDirectory,
+		Confirm: confirmStoreReads(relays, func(time.Time) { p.storeDirectoryReadAt.Store(p.clock.Now().UnixNano()) }),
 	}
 	p.relayLogs = map[*feed.Follower]*replica.Log{p.rulesFeed: rulesLog, p.registerFeed: registerLog}
 	p.replicas = &replica.Server{Clock: p.clock, MaxConnections: maxPeers(p.settings.Limits), Feeds: map[string]*replica.Log{
--- a/entry/datagram_test.go
+++ b/entry/datagram_test.go
@@ -22,6 +22,7 @@
 	"monsoonlever/quota"
 	"monsoonlever/ratelimit"
 	"monsoonlever/register"
+	"monsoonlever/replica"
 	"monsoonlever/rollout"
 	"monsoonlever/scheduling"
 	"monsoonlever/settings"
@@ -44,6 +45,7 @@
 		counter:       &usage.Counter{Width: 5 * time.Second, Retention: 15 * time.Second, Now: clk.Now},
 		rulesCurrency: &currency.Tracker{Clock: clk}, registerCurrency: &currency.Tracker{Clock: clk},
 		register: &register.Register{}, scheduler: &scheduling.Scheduler{}, rollouts: &rollouts{}, store: platform.NewStore("127.0.0.1:1", nil), quarantine: &quarantine.Ledger{},
+		directoryLog: &replica.Log{Clock: clk},
 	}
 	p.permits = newPermits(p)
 	p.rulesFeed, p.registerFeed = &feed.Follower{}, &feed.Follower{}
--- a/entry/heartbeat.go
+++ b/entry/heartbeat.go
@@ -13,6 +13,7 @@
 
 	"monsoonlever/board"
 	"monsoonlever/detour"
+	"monsoonlever/feed"
 	"monsoonlever/fleet"
 	"monsoonlever/gossip"
 	"monsoonlever/register"
@@ -40,6 +41,8 @@
 	InstanceCount int  `msgpack:"m"`
 	GroupSize     int  `msgpack:"z,omitempty"`
 	Forming       bool `msgpack:"b2,omitempty"`
+	// DirectoryEnd is where the log of the directory ended that a leader has read; zero is unknown.
+	DirectoryEnd feed.Position `msgpack:"s,omitempty"`
 	// CanGrant is set while the sender coordinates the limits of client accounts and can grant
 	// consumption, and CoordinatorsReady if it knows that most leaders have been able to.
 	CanGrant          bool `msgpack:"k,omitempty"`
@@ -142,6 +145,10 @@
 		h.Forming = view.Forming
 	}
 
+	if plan.IsLeader(p.self()) {
+		h.DirectoryEnd = p.directoryLog.End()
+	}
+
 	h.CanGrant = plan.IsLeader(p.self()) && p.limits.CanGrant(now)
 	h.CoordinatorsReady = p.coordinators.isReady()
 
@@ -196,6 +203,7 @@
 
 	p.updateMember(now, h)
 	p.coordinators.receive(h, p.plan.Load())
+	p.compareDirectory(h.Instance, h.DirectoryEnd)
 	p.recordHelpers(now, &h)
 
 	if from.IsValid() {
--- a/entry/refresh.go
+++ b/entry/refresh.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"monsoonlever/clock"
 	"monsoonlever/feed"
 	"monsoonlever/fleet"
@@ -44,6 +46,8 @@
 	maxRegisterDivergence = 250 * time.Millisecond
 	// missedRulesInterval is the minimum time between two requests for the same newer rules.
 	missedRulesInterval = 500 * time.Millisecond
+	// directoryCatchUpInterval is the minimum time between two reads of another leader's directory.
+	directoryCatchUpInterval = 500 * time.Millisecond
 	// watchInterval is the time between two checks of the ages.
 	watchInterval = 200 * time.Millisecond
 )
@@ -64,6 +68,10 @@
 	// when that was found.
 	newerLeader   fleet.InstanceID
 	newerLeaderAt time.Time
+	// newerDirectory is a leader with a newer directory, until it is taken, and newerDirectoryReadAt
+	// when such a leader was last taken.
+	newerDirectory       fleet.InstanceID
+	newerDirectoryReadAt time.Time
 }
 
 // rulesPace returns how the rules are read.
@@ -257,6 +265,43 @@
 	return p.addressOf(id)
 }
 
+// compareDirectory compares the end of the directory's log with the end that a leader knows.
+func (p *components) compareDirectory(leader fleet.InstanceID, end feed.Position) {
+	f := &p.refresh
+
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	switch {
+	case end > p.directoryLog.End():
+		f.newerDirectory = leader
+	case f.newerDirectory == leader:
+		f.newerDirectory = ""
+	}
+}
+
+// takeNewerDirectory returns the address of a leader with a newer directory, if the store does not
+// serve the directory to this instance. Others may already use this instance as a relay, whose
+// rules and register depend on the directory.
+func (p *components) takeNewerDirectory() (netip.AddrPort, bool) {
+	f := &p.refresh
+
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	now := p.clock.Now()
+	if f.newerDirectory == "" || !p.directoryFeed.SourceLost() || now.Sub(f.newerDirectoryReadAt) < directoryCatchUpInterval {
+		return netip.AddrPort{}, false
+	}
+
+	id := f.newerDirectory
+	f.newerDirectory, f.newerDirectoryReadAt = "", now
+
+	klog.InfoS("directory is read from a leader, since the store does not serve it", "leader", id)
+
+	return p.addressOf(id)
+}
+
 // clearRegisterDivergence records that the register is no longer known to differ from a newer one.
 func (p *components) clearRegisterDivergence() {
 	f := &p.refresh
--- a/entry/upstream.go
+++ b/entry/upstream.go
@@ -140,7 +140,7 @@
 // reads from those, since its subscribers have no other source.
 func (p *components) lagsBehind(plan *topology.Plan) bool {
 	own := p.ownConfirmedAt.Load()
-	if own == 0 || p.clock.Now().Sub(p.directoryFeed.LastRead()) < storeRecoveryWindow {
+	if own == 0 || p.clock.Now().Sub(time.Unix(0, p.storeDirectoryReadAt.Load())) < storeRecoveryWindow {
 		return false
 	}
 
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -109,7 +109,7 @@
 	next        Position
 	hasPosition bool
 	backoff     time.Duration
-	sourceLost  bool
+	sourceLost  atomic.Bool
 	// endedEarly is set if the last read has not waited as long as it was to.
 	endedEarly bool
 	// lastRead is the time of the last successful read in Unix nanoseconds.
@@ -254,6 +254,9 @@
 	return time.Time{}
 }
 
+// SourceLost reports whether the last read of the source failed.
+func (f *Follower) SourceLost() bool { return f.sourceLost.Load() }
+
 // readOnce reads a snapshot or changes once and reports whether more changes can be read
 // immediately. It also returns true after a snapshot.
 func (f *Follower) readOnce(ctx context.Context) (bool, error) {
@@ -311,16 +314,14 @@
 		f.backoff = 0
 		f.lastRead.Store(f.Clock.Now().UnixNano())
 
-		if f.sourceLost {
-			f.sourceLost = false
+		if f.sourceLost.Swap(false) {
 			klog.InfoS("dependency regained", "dependency", f.Name)
 		}
 
 		return
 	}
 
-	if !f.sourceLost && !f.skipWait.Load() && !errors.Is(err, context.Canceled) && !errors.Is(err, ErrNoSource) {
-		f.sourceLost = true
+	if !f.skipWait.Load() && !errors.Is(err, context.Canceled) && !errors.Is(err, ErrNoSource) && f.sourceLost.CompareAndSwap(false, true) {
 		klog.InfoS("dependency lost", "dependency", f.Name, "err", err.Error())
 	}
 }
