fix(upstream): end no response by a reset that the write of its request took

What callers saw: as reported by another operator, a part of an answer as a complete one. The server answers an upload early without a length and resets the connection while the upload is written.

Cause: the system reports a reset once, to the write or to the read. If the write takes it, the read finds a regular end.

Uploads that fit into the connection's buffers do not show it.

Change: such a response is whole only if all of its request was written.

--- a/upstream/send.go
+++ b/upstream/send.go
@@ -29,6 +29,9 @@
 	// be used again: beyond them a new connection costs less.
 	maxDiscardedBytes = 64 << 10
 	discardTimeout    = 100 * time.Millisecond
+	// writeEndTimeout bounds the wait for the rest of a request whose response has ended with its
+	// connection.
+	writeEndTimeout = time.Second
 	// maxInlineMessage is the size in bytes up to which a request is written before its
 	// response is read; it fits into the send buffer of a connection.
 	maxInlineMessage = 2 << 10
@@ -57,7 +60,7 @@
 		}
 	}
 
-	resp := &Response{pool: p, conn: conn, newConnection: !conn.kept}
+	resp := &Response{pool: p, conn: conn, newConnection: !conn.kept, writeEnded: make(chan struct{})}
 	resp.stop = context.AfterFunc(ctx, func() { _ = conn.Close() })
 
 	if r.Repeatable {
@@ -92,8 +95,9 @@
 	stop func() bool
 
 	response *http.Response
-	// written is set once the whole request was written to the connection.
-	written atomic.Bool
+	// writeEnded is closed once no more of the request is written, and written set if all of it was.
+	writeEnded chan struct{}
+	written    atomic.Bool
 	// newConnection is set if the connection has carried no request before.
 	newConnection bool
 	// bodyRead is set once the body was read to its end.
@@ -114,6 +118,8 @@
 }
 
 func (resp *Response) writeAll(message []byte) {
+	defer close(resp.writeEnded)
+
 	if _, err := resp.conn.Write(message); err == nil {
 		resp.written.Store(true)
 	}
@@ -202,13 +208,31 @@
 // Read reads the body. It returns io.EOF only if the body is complete.
 func (resp *Response) Read(b []byte) (int, error) {
 	n, err := resp.response.Body.Read(b)
-	if errors.Is(err, io.EOF) {
-		resp.bodyRead = true
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+
+	if resp.EndsWithConnection() && !resp.wroteRequest() {
+		return n, merry.Prepend(ErrGarbled, "connection ended before the request was written")
 	}
 
+	resp.bodyRead = true
+
 	return n, err
 }
 
+// wroteRequest waits for the end of the write and reports whether the whole request was written. A
+// connection that is reset reports that to a write or a read, whichever comes first, and the other finds a
+// regular end.
+func (resp *Response) wroteRequest() bool {
+	select {
+	case <-resp.writeEnded:
+	case <-resp.pool.Clock.After(writeEndTimeout):
+	}
+
+	return resp.written.Load()
+}
+
 // ReadAll reads the whole body, of at most limit bytes, into memory that is reserved. Its errors wrap
 // ErrGarbled.
 func (resp *Response) ReadAll(memory *buffer.Reservation, limit int64) ([]byte, error) {
