fix(upstream): refuse a status that HTTP does not know

What callers saw: an answer with status 600 as it came; 000 and 099 were refused as informational responses without an end.

Cause: the parser takes any three digits.

Evidence: the new test failed before for 600 and 999; 200 and 599 pass.

--- a/upstream/reset_test.go
+++ b/upstream/reset_test.go
@@ -83,3 +83,27 @@
 		}
 	}
 }
+
+// Guards against a status that HTTP doesn't know, which callers got as an answer.
+func TestResponseWithUnknownStatusIsGarbled(t *testing.T) {
+	for status, want := range map[string]bool{"000": true, "099": true, "200": false, "599": false, "600": true, "999": true} {
+		server := serveRaw(t, func(conn *net.TCPConn) {
+			defer conn.Close()
+
+			if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+				return
+			}
+
+			_, _ = conn.Write([]byte("HTTP/1.1 " + status + " X\r\nId: r\r\nContent-Length: 2\r\n\r\nok"))
+		})
+
+		response, err := (&Pool{Clock: clock.NewSteady()}).Send(t.Context(), server, &Request{Method: http.MethodGet, Target: "/", ID: "r", IDHeader: "Id"})
+		if err == nil {
+			response.Close()
+		}
+
+		if got := errors.Is(err, ErrGarbled); got != want {
+			t.Errorf("status %s is garbled: got %v (%v), want %v", status, got, err, want)
+		}
+	}
+}
--- a/upstream/send.go
+++ b/upstream/send.go
@@ -29,6 +29,8 @@
 	// be used again: beyond them a new connection costs less.
 	maxDiscardedBytes = 64 << 10
 	discardTimeout    = 100 * time.Millisecond
+	// maxStatus is the largest status code of HTTP.
+	maxStatus = 599
 	// writeEndTimeout bounds the wait for the rest of a request whose response has ended with its
 	// connection.
 	writeEndTimeout = time.Second
@@ -141,6 +143,12 @@
 			return merry.Prepend(ErrGarbled, "read response", merry.WithCause(err))
 		}
 
+		if response.StatusCode < http.StatusContinue || response.StatusCode > maxStatus {
+			resp.pool.Counters.garbledResponse()
+
+			return merry.Prependf(ErrGarbled, "status %03d", response.StatusCode)
+		}
+
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
