fix(forward): look for blank lines and IDs in whole lines

Cause: a line longer than the read buffer comes in parts. A last part that is the line feed alone was taken for the blank line that ends an event.

Change: the text that is looked at begins where the line begins.

--- a/forward/events.go
+++ b/forward/events.go
@@ -38,7 +38,7 @@
 // events; any other error wraps upstream.ErrGarbled.
 func (e *eventReader) next() ([]byte, string, error) {
 	e.event = e.event[:0]
-	id := ""
+	id, lineStart := "", 0
 
 	for {
 		line, err := e.reader.ReadSlice('\n')
@@ -54,7 +54,10 @@
 			return nil, "", e.readError(err)
 		}
 
-		text := bytes.TrimRight(line, "\r\n")
+		// A long line comes in parts, of which the last may hold nothing but its line feed.
+		text := bytes.TrimRight(e.event[lineStart:], "\r\n")
+		lineStart = len(e.event)
+
 		if len(text) == 0 && len(bytes.TrimRight(e.event, "\r\n")) > 0 {
 			return e.event, id, nil
 		}
