fix(quota): grant no more in an outage than a start of all assumes

What callers saw: nothing.

Cause: a start assumes a quarter of the limit, and a second at the full limit for each second without records beyond the third. Nothing held the processes before to that while no record could be written.

Change: leaders tell the age of their newest durable record once its append has succeeded; more than a start would assume is not granted after it. What only some records contain is assumed for all instances after an outage.

Ruled out: to assume the whole limit, or to refuse what can't be recorded.

--- a/board/board.go
+++ b/board/board.go
@@ -131,6 +131,8 @@
 	Active func() bool
 	// Write returns the next record.
 	Write func(now time.Time) Record
+	// Written is called after a record of a round was appended; it may be nil.
+	Written func(r Record)
 	// Receive handles a record that was read, including those of this instance.
 	Receive func(now time.Time, r Record)
 	// CaughtUp is called when a round has read to the end.
@@ -208,7 +210,14 @@
 }
 
 func (b *Board) write(ctx context.Context) error {
-	return b.append(ctx, b.Write(b.Clock.Now()))
+	r := b.Write(b.Clock.Now())
+
+	err := b.append(ctx, r)
+	if err == nil && b.Written != nil {
+		b.Written(r)
+	}
+
+	return err
 }
 
 func (b *Board) append(ctx context.Context, r Record) error {
--- a/entry/components.go
+++ b/entry/components.go
@@ -205,6 +205,9 @@
 	// end; nil from then on.
 	earlierRecords *quota.EarlierRecords
 	echoes         echoes
+	// ownRecordAt is when the content of this instance's newest durable record of the consumption of
+	// all instances was collected, in Unix nanoseconds; zero is never.
+	ownRecordAt atomic.Int64
 	// consumptionSeen holds the echoes for consumption messages.
 	consumptionSeen consumptionTracker
 	// leavingRound selects which of the leaving servers the next heartbeat reports.
@@ -299,7 +302,7 @@
 	return &board.Board{
 		Log: p.store.Board(), Clock: p.clock, Interval: p.boardWriteInterval, MinInterval: p.minBoardWriteInterval, ReadInterval: p.boardReadInterval,
 		BeforeFirstRound: p.awaitRules, Active: p.usesBoard,
-		Write: p.makeRecord, Receive: p.receiveRecord, CaughtUp: p.boardCaughtUp,
+		Write: p.makeRecord, Written: p.recordWritten, Receive: p.receiveRecord, CaughtUp: p.boardCaughtUp,
 	}
 }
 
--- a/entry/consumption.go
+++ b/entry/consumption.go
@@ -23,6 +23,9 @@
 	Part        int                 `msgpack:"p"`
 	Parts       int                 `msgpack:"k"`
 	Consumption []quota.Consumption `msgpack:"s"`
+	// RecordAge is the age of the sender's newest durable record of the consumption of all instances;
+	// zero is none.
+	RecordAge time.Duration `msgpack:"g,omitempty"`
 	// Silent are the coordinators that the sender does not hear from. The receiver adds what it
 	// knows of their consumption to its own messages to the sender, as Relayed.
 	Silent  []fleet.InstanceID         `msgpack:"w,omitempty"`
@@ -47,11 +50,12 @@
 
 	messages := make([]consumptionMessage, 0, len(batches))
 
-	silent := p.limits.SilentCoordinators(now)
+	silent, recordAge := p.limits.SilentCoordinators(now), p.ownRecordAge(now)
 
 	for _, batch := range batches {
 		messages = append(messages, consumptionMessage{
 			Instance: p.self(), Incarnation: p.duties.incarnation, At: p.stamps.at(now), Consumption: batch, Silent: silent,
+			RecordAge: recordAge,
 		})
 	}
 
@@ -103,8 +107,15 @@
 		return
 	}
 
-	if echo, ok := p.echoedAt(now, m.Instance, m.Echo); ok {
-		p.limits.Acknowledged(echo, m.Instance)
+	echo, ok := p.echoedAt(now, m.Instance, m.Echo)
+	if !ok {
+		return
+	}
+
+	p.limits.Acknowledged(echo, m.Instance)
+
+	if m.RecordAge > 0 {
+		p.limits.Recorded(echo.Add(-m.RecordAge))
 	}
 }
 
--- a/entry/records.go
+++ b/entry/records.go
@@ -43,6 +43,27 @@
 	return r
 }
 
+// recordWritten is called once a record of this instance is durable.
+func (p *components) recordWritten(r board.Record) {
+	if r.GlobalConsumption == nil {
+		return
+	}
+
+	p.ownRecordAt.Store(r.Clock)
+	p.limits.Recorded(time.Unix(0, r.Clock))
+}
+
+// ownRecordAge returns the age of this instance's newest durable record of the consumption of all
+// instances, or zero if it has written none.
+func (p *components) ownRecordAge(now time.Time) time.Duration {
+	at := p.ownRecordAt.Load()
+	if at == 0 {
+		return 0
+	}
+
+	return max(now.Sub(time.Unix(0, at)), time.Nanosecond)
+}
+
 // receiveRecord applies the record of any instance. Records arrive in the order of the log.
 func (p *components) receiveRecord(now time.Time, r board.Record) {
 	p.members.ReceiveRecord(now, r)
--- /dev/null
+++ b/quota/durable_test.go
@@ -0,0 +1,89 @@
+package quota
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+)
+
+// Guards against an account that passes its limit when all instances are lost in an outage of the
+// store, in which none of what it consumed is recorded: an account that was idle before has its whole
+// burst, and spends it within seconds.
+func TestLossOfAllInOutageHoldsWholeBurst(t *testing.T) {
+	const (
+		n    = 9
+		tick = 100 * time.Millisecond
+		cost = 2500
+		// recordAge is the age of the newest record when the outage begins, restart the time from the
+		// loss of all until their successors start, and restored how long after that the store serves
+		// them what was recorded.
+		recordAge, restart, restored = 1500 * time.Millisecond, 300 * time.Millisecond, 500 * time.Millisecond
+		// lossDelay is the longest time from the begin of the outage until the loss of all.
+		lossDelay = 8 * time.Second
+	)
+
+	for _, perSecond := range []int{20_000, 84_000, 120_000, 400_000} {
+		for lostAfter := time.Second; lostAfter <= lossDelay; lostAfter += time.Second {
+			t.Run(fmt.Sprintf("%d a second, lost after %v", perSecond, lostAfter), func(t *testing.T) {
+				g := newLendingGroup(n, directPolicy)
+				now := start
+
+				var (
+					earlier EarlierRecords
+					grants  []increment
+					asked   float64
+				)
+
+				for i, q := range g.quotas {
+					consumption, global := q.Record(now)
+					earlier.Add(g.ids[i], 1, now, consumption, global)
+				}
+
+				for _, q := range g.quotas {
+					q.Recorded(now)
+				}
+
+				// request plays one tick in which the account asks for perSecond.
+				request := func() {
+					for i := range g.quotas {
+						g.broadcast(now, i, g.quotas[i].Consumption(now))
+					}
+
+					for asked += float64(perSecond) * tick.Seconds(); asked >= cost; asked -= cost {
+						if g.take(now, g.random.IntN(n), cost).Granted {
+							grants = append(grants, increment{at: now, amount: cost})
+						}
+					}
+
+					now = now.Add(tick)
+				}
+
+				now = now.Add(recordAge)
+				for end := now.Add(lostAfter); now.Before(end); {
+					request()
+				}
+
+				startedAt := now.Add(restart)
+				now = startedAt.Add(restored)
+				g = newLendingGroup(n, directPolicy)
+				g.incarnation = 2
+
+				for _, q := range g.quotas {
+					snapshot := earlier
+					snapshot.incarnations = slices.Clone(snapshot.incarnations)
+					q.Restore(now, startedAt, &snapshot)
+					q.MarkSynced(now)
+				}
+
+				for end := now.Add(policy.Window); now.Before(end); {
+					request()
+				}
+
+				if got := maxInWindow(grants); got > amount {
+					t.Errorf("granted in a window: got %.0f, want at most %d", got, amount)
+				}
+			})
+		}
+	}
+}
--- a/quota/global.go
+++ b/quota/global.go
@@ -63,7 +63,9 @@
 		for i, amount := range k.Ages {
 			a.restored.add(q.bucketEnd(at, i, len(k.Ages)), float64(amount))
 		}
+	}
 
+	for _, a := range q.accounts {
 		// Records of this instance contain it: those who start later find newer records, and no
 		// gap.
 		a.restored.add(now, lost*a.allowance.Amount)
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -53,15 +53,15 @@
 	// updates directly (Acknowledged). If it is nil, PropagationDelay always applies.
 	DirectDelay func(members int) time.Duration
 	// RequestRecord requests that the next durable record of consumption is written soon; nil
-	// requests nothing. At any time, all instances together have consumed at most
-	// UnrecordedFraction of an allowance, plus one request each, that no record contains.
+	// requests nothing.
 	RequestRecord func()
 	// Counters count the loans of paced accounts. Nil counts nothing.
 	Counters *Counters
 }
 
 // UnrecordedFraction is the fraction of an allowance that may be consumed before it is
-// recorded.
+// recorded. Once records are overdue (Quota.Recorded), more may be consumed at the rate of the
+// whole allowance in a window.
 const UnrecordedFraction = 0.25
 
 // Allowance is what an account may consume in a window, over all instances.
@@ -138,6 +138,9 @@
 	// consumption of this one.
 	syncedAt     time.Time
 	acknowledged map[fleet.InstanceID]time.Time
+	// recordedAt is the time until which a durable record contains the consumption of all instances;
+	// the zero time is unknown.
+	recordedAt time.Time
 	// synced is closed once the records of the other instances were read to the end.
 	synced chan struct{}
 	// quorum is how many coordinators must be connected before one grants; it is zero where
@@ -259,6 +262,10 @@
 	}
 
 	remaining, limit, recent := q.budget(now, a)
+	if wait := q.unrecordedWait(now, a); wait > 0 {
+		return Decision{RetryAfter: wait, Remaining: remaining, Share: limit}
+	}
+
 	if recent+cost <= limit || recent == 0 && cost <= q.largeRequestShare(a)*remaining && recent+cost <= remaining {
 		q.consume(now, a, cost)
 
--- a/quota/reserve.go
+++ b/quota/reserve.go
@@ -165,6 +165,10 @@
 		return Decision{RetryAfter: q.retryAfter(a, recent+cost-limit), Remaining: remaining, Share: limit}
 	}
 
+	if wait := q.unrecordedWait(now, a); wait > 0 {
+		return Decision{RetryAfter: wait, Remaining: remaining, Share: limit}
+	}
+
 	if unrecorded := a.consumed.total - a.recordedTotal; unrecorded > 0 && unrecorded+cost+kept > q.unrecordedLimit(a) {
 		q.requestRecord(now, a)
 
--- a/quota/restore.go
+++ b/quota/restore.go
@@ -100,28 +100,34 @@
 		q.RestoreInstance(r.instance, r.incarnation, now.Add(r.elapsed-records.elapsed), r.consumption, unrecorded/float64(len(instances)))
 	}
 
-	if lost > 0 && len(records.incarnations) > 0 {
-		q.assumeOfIdle(now, records, unrecorded)
+	if lost > 0 && len(instances) > 0 {
+		q.assumeOfIdle(now, records, unrecorded/float64(len(instances)))
 	}
 }
 
-// assumeOfIdle adds the unrecorded fraction of accounts that no record contains: they had consumed
-// nothing when the records were written.
-func (q *Quota) assumeOfIdle(now time.Time, records *EarlierRecords, unrecorded float64) {
+// assumeOfIdle adds the unrecorded fraction of each instance for the accounts of which it had consumed
+// nothing when its records were written.
+func (q *Quota) assumeOfIdle(now time.Time, records *EarlierRecords, unrecordedFraction float64) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 
-	recorded := make(map[fleet.Account]bool)
+	recorded := make(map[fleet.InstanceID]map[fleet.Account]bool)
 
 	for _, r := range records.incarnations {
+		if recorded[r.instance] == nil {
+			recorded[r.instance] = make(map[fleet.Account]bool)
+		}
+
 		for _, s := range r.consumption {
-			recorded[s.Account] = true
+			recorded[r.instance][s.Account] = true
 		}
 	}
 
 	for name, a := range q.accounts {
-		if !recorded[name] {
-			a.assumed.add(now, unrecorded*a.allowance.Amount)
+		for _, accounts := range recorded {
+			if !accounts[name] {
+				a.assumed.add(now, unrecordedFraction*a.allowance.Amount)
+			}
 		}
 	}
 }
