fix(entry): answer each request that a planned stop ends

Cause: requests are taken for a third of the stop timeout, however long they take, and what runs at 93 % of it got its connection closed.

Change: what is expected to outlast the stop is rejected as not run, with a Retry-After. Ruled out: to refuse all new requests from the signal on, which callers of load balancers that have not noticed the stop would pay for.

--- a/entry/components.go
+++ b/entry/components.go
@@ -282,7 +282,7 @@
 		Clock: e.Clock, Rules: &p.rules, Currency: p.rulesCurrency, Limits: p.loans, Retries: p.retries,
 		Scheduler: p.scheduler, Pool: p.pool, Protocol: platform.Protocol{Fields: &p.unknownFields}, Usage: p.counter,
 		Versions: &p.rollouts.gate, Trials: &p.rollouts.counter,
-		Detour: p.newDetourClient(set), Origins: p.streams, Quarantine: p.quarantine, Parts: &p.parts, Counters: forward.NewCounters(set), MaxResponseBytes: maxResponseBytes, Buffers: p.buffers, Observe: e.logOutcome,
+		Drain: forward.NewDrain(), Detour: p.newDetourClient(set), Origins: p.streams, Quarantine: p.quarantine, Parts: &p.parts, Counters: forward.NewCounters(set), MaxResponseBytes: maxResponseBytes, Buffers: p.buffers, Observe: e.logOutcome,
 	}
 	p.detours = &detour.Server{Clock: e.Clock, Buffers: p.buffers, Prepare: p.prepareDetour}
 	p.prober = p.newProber()
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -55,8 +55,10 @@
 	// lameDuckShare is the fraction of the stop timeout during which new connections are still
 	// accepted: the load balancer checks readiness once a second and acts on the second result.
 	lameDuckShare = 0.35
-	// drainShare is the fraction of the stop timeout after which running requests are aborted.
+	// drainShare is the fraction of the stop timeout after which running requests are aborted, and
+	// abortShare the fraction until which their callers are told.
 	drainShare = 0.93
+	abortShare = 0.98
 	// detourDrainInterval is the time between two looks at the requests of other instances that
 	// are still served.
 	detourDrainInterval = 50 * time.Millisecond
@@ -152,28 +154,43 @@
 
 	klog.InfoS("instance stops", "instance", e.Settings.Instance, "open", p.openRequests.Load())
 	p.stopping.Store(true)
+	p.forwarder.Drain.Begin(begun.Add(share(stop, drainShare)))
 	p.links.StepDown()
 	p.handler.Stopping.Store(true)
 	p.streams.HandOver()
 	p.announceStop()
-	clock.Sleep(context.Background(), e.Clock, time.Duration(float64(stop)*lameDuckShare))
+	clock.Sleep(context.Background(), e.Clock, share(stop, lameDuckShare))
 
-	left := time.Duration(float64(stop)*drainShare) - e.Clock.Now().Sub(begun)
+	until := func(fraction float64) (context.Context, context.CancelFunc) {
+		return context.WithTimeout(context.Background(), max(share(stop, fraction)-e.Clock.Now().Sub(begun), 0))
+	}
 
-	ctx, cancel := context.WithTimeout(context.Background(), max(left, 0))
+	ctx, cancel := until(drainShare)
 	defer cancel()
 
-	if err := servers[callersServerIndex].Shutdown(ctx); err != nil && p.openRequests.Load() > 0 {
+	err := servers[callersServerIndex].Shutdown(ctx)
+	e.awaitDetours(ctx, p)
+
+	if err != nil && p.openRequests.Load() > 0 {
 		klog.InfoS("running requests were aborted at the end of the stop timeout", "open", p.openRequests.Load(), "err", err.Error())
-	}
+		p.forwarder.Drain.Abort()
 
-	e.awaitDetours(ctx, p)
+		ctx, cancel := until(abortShare)
+		defer cancel()
+
+		_ = servers[callersServerIndex].Shutdown(ctx) // the servers are closed in any case
+	}
 
 	for _, s := range servers {
 		_ = s.Close()
 	}
 }
 
+// share returns a fraction of a duration.
+func share(d time.Duration, fraction float64) time.Duration {
+	return time.Duration(float64(d) * fraction)
+}
+
 // awaitDetours waits for the requests that this instance serves for others.
 func (e *Entry) awaitDetours(ctx context.Context, p *components) {
 	for ctx.Err() == nil && p.detours.Served() > 0 {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -129,6 +129,8 @@
 	// all of them and of long events; nil is no bound.
 	MaxResponseBytes int64
 	Buffers          *buffer.Budget
+	// Drain is the stop of this instance; nil if it never stops.
+	Drain *Drain
 	// Observe is called with each request and its outcome; it may be nil.
 	Observe func(*Request, Outcome)
 
@@ -181,6 +183,10 @@
 		sink.Refuse(*refusal)
 	}
 
+	if outcome.Reason == Answered {
+		f.Drain.recordDuration(outcome.Route, outcome.Duration)
+	}
+
 	f.Counters.record(outcome)
 
 	if f.Observe != nil {
@@ -211,6 +217,10 @@
 	j := &job{forwarder: f, request: r, route: route, rules: rules}
 	j.deadline = r.Arrived.Add(j.timeout())
 
+	if !f.Drain.allows(f.Clock.Now(), route.Name) {
+		return j, notRunRefusal(Stopping, drainRetryAfter)
+	}
+
 	if refusal := f.authorize(j); refusal != nil {
 		return j, refusal
 	}
--- a/forward/job.go
+++ b/forward/job.go
@@ -129,6 +129,10 @@
 			return &Refusal{Reason: CallerGone, NotRun: !j.mayHaveRun}
 		}
 
+		if f.Drain.aborted() {
+			return j.stopRefusal(err)
+		}
+
 		if limited.Err() != nil {
 			return &Refusal{Reason: TimedOut, NotRun: !j.mayHaveRun, Cause: err.Error()}
 		}
@@ -146,9 +150,26 @@
 	}
 }
 
-// untilDeadline returns a context that ends shortly before the deadline of the request.
+// untilDeadline returns a context that ends shortly before the deadline of the request, or when this
+// instance aborts its requests.
 func (f *Forwarder) untilDeadline(ctx context.Context, j *job) (context.Context, context.CancelFunc) {
-	return context.WithTimeout(ctx, j.deadline.Sub(f.Clock.Now())-refusalMargin)
+	limited, cancel := context.WithTimeout(ctx, j.deadline.Sub(f.Clock.Now())-refusalMargin)
+	stop := f.Drain.abortWith(cancel)
+
+	return limited, func() {
+		stop()
+		cancel()
+	}
+}
+
+// stopRefusal returns the refusal of a request that ended with err since this instance stops.
+func (j *job) stopRefusal(err error) *Refusal {
+	refusal := &Refusal{Reason: Stopping, NotRun: !j.mayHaveRun, Cause: err.Error()}
+	if refusal.NotRun {
+		refusal.RetryAfter = drainRetryAfter
+	}
+
+	return refusal
 }
 
 // identify sets the fingerprint of the request's content, once its account is known.
--- a/forward/outcome.go
+++ b/forward/outcome.go
@@ -44,13 +44,15 @@
 	// UnknownStream means that the caller resumes a stream of which no instance remembers the server
 	// version that began it.
 	UnknownStream
+	// Stopping means that this instance stops before the request could end.
+	Stopping
 
 	reasons
 )
 
 var reasonNames = [reasons]string{
 	"answered", "noRules", "staleRules", "noRoute", "unauthorized", "overLimit", "noServer", "overloaded",
-	"timedOut", "lost", "broken", "quarantined", "callerGone", "unknownStream",
+	"timedOut", "lost", "broken", "quarantined", "callerGone", "unknownStream", "stopping",
 }
 
 // String returns the name of the reason in logs and metrics.
