fix(forward): ask a server who it is after an answer without a length

Their server crashed behind a cut and was back at its address when the end of its connection arrived.

Cause: any process that accepts a connection at the address was taken for the server.

Change: a request to the service's health path names the expected server; the answer shows who listens there. Ruled out: the register alone, which the restarted server reaches too late.

--- a/forward/fixture_test.go
+++ b/forward/fixture_test.go
@@ -41,6 +41,14 @@
 // plainProtocol is a minimal Protocol.
 type plainProtocol struct{}
 
+func (plainProtocol) EncodeIdentityCheck(s upstream.Server, id, path string) *upstream.Request {
+	return &upstream.Request{Method: http.MethodGet, Target: path, Host: s.Address, ID: id, Header: http.Header{}}
+}
+
+func (plainProtocol) Identifies(_ upstream.Server, _ string, status int, _ http.Header) bool {
+	return status == http.StatusOK
+}
+
 func (plainProtocol) Encode(r *Request, a Attempt) *upstream.Request {
 	header := http.Header{idHeader: {r.ID}}
 	if a.ResumeAfter != "" {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -44,6 +44,10 @@
 type Protocol interface {
 	// Encode returns the message of an attempt.
 	Encode(r *Request, a Attempt) *upstream.Request
+	// EncodeIdentityCheck returns a request with an ID to the health path of a server, and Identifies
+	// reports whether the response to it is that of the server.
+	EncodeIdentityCheck(s upstream.Server, id, path string) *upstream.Request
+	Identifies(s upstream.Server, id string, status int, header http.Header) bool
 	// Inspect decodes the status and header of a response.
 	Inspect(status int, header http.Header) Reading
 }
--- a/forward/loss.go
+++ b/forward/loss.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
+	"strconv"
 	"time"
 
 	"github.com/ansel1/merry/v2"
 	"k8s.io/klog/v2"
 
 	"monsoonlever/clock"
+	"monsoonlever/fleet"
 	"monsoonlever/quarantine"
 	"monsoonlever/ruleset"
 	"monsoonlever/scheduling"
@@ -130,7 +133,47 @@
 
 	clock.Sleep(ctx, f.Clock, terminationDelay)
 
-	return f.Pool.Accepts(ctx, upstream.Server{ID: a.ID(), Address: a.Address()})
+	server := upstream.Server{ID: a.ID(), Address: a.Address()}
+	if path := f.healthPath(a.Service()); path != "" {
+		return f.identifies(ctx, server, path)
+	}
+
+	return !a.AddressTaken() && f.Pool.Accepts(ctx, server)
+}
+
+// healthPath returns the path at which servers of a service tell their health, if they do.
+func (f *Forwarder) healthPath(service fleet.Service) string {
+	rules := f.Rules.Load()
+	if rules == nil {
+		return ""
+	}
+
+	if known := rules.Service(service); known != nil {
+		return known.HealthPath
+	}
+
+	return ""
+}
+
+// identityTimeout bounds the wait for a server that is asked who it is.
+const identityTimeout = time.Second
+
+// identifies reports whether the process at the address of a server is that server. Another one accepts
+// connections there as well.
+func (f *Forwarder) identifies(ctx context.Context, server upstream.Server, path string) bool {
+	ctx, cancel := context.WithTimeout(ctx, identityTimeout)
+	defer cancel()
+
+	id := "health-" + strconv.FormatUint(rand.Uint64(), 16) //nolint:gosec // not used for security
+
+	status, header, err := f.Pool.Ask(ctx, server, f.Protocol.EncodeIdentityCheck(server, id, path))
+	if err != nil || !f.Protocol.Identifies(server, id, status, header) {
+		klog.InfoS("backend server is not shown to run after a response without a length", "server", server.ID, "status", status, "err", err)
+
+		return false
+	}
+
+	return true
 }
 
 // terminated reports whether the process of a server that lost a request has terminated without
--- a/ruleset/service.go
+++ b/ruleset/service.go
@@ -12,6 +12,8 @@
 	// MaxConnections is the number of connections that a backend server accepts
 	// from all entry instances together; zero means unknown.
 	MaxConnections int
+	// HealthPath is the path at which backend servers tell that they are healthy; it may be empty.
+	HealthPath string
 	// Engine is set for services of model engines.
 	Engine *Engine
 	// Scaling is set if the number of backend servers can be changed by orders.
