--- a/forward/drain.go
+++ b/forward/drain.go
@@ -24,8 +24,8 @@
 	// endsAt is when Abort will be called; nil until the stop begins.
 	endsAt atomic.Pointer[time.Time]
 
-	mu     sync.Mutex
-	routes map[string]*duration
+	// routes holds an *atomic.Pointer[duration] for each route's name.
+	routes sync.Map
 }
 
 // duration is the smoothed duration of a route's requests, and how far they deviate from it.
@@ -35,7 +35,7 @@
 
 // NewDrain returns a stop that has not begun.
 func NewDrain() *Drain {
-	d := &Drain{routes: make(map[string]*duration)}
+	d := &Drain{}
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 
 	return d
@@ -65,38 +65,57 @@
 		return
 	}
 
-	d.mu.Lock()
-	defer d.mu.Unlock()
-
-	known := d.routes[route]
-	if known == nil {
-		d.routes[route] = &duration{mean: took}
+	stored, _ := d.routes.LoadOrStore(route, &atomic.Pointer[duration]{})
 
+	known, ok := stored.(*atomic.Pointer[duration])
+	if !ok {
 		return
 	}
 
-	known.deviation += time.Duration(durationWeight * float64((took-known.mean).Abs()-known.deviation))
-	known.mean += time.Duration(durationWeight * float64(took-known.mean))
+	for {
+		before := known.Load()
+		if known.CompareAndSwap(before, before.with(took)) {
+			return
+		}
+	}
 }
 
-// allows reports whether a request of a route is expected to end before requests are aborted.
-func (d *Drain) allows(now time.Time, route string) bool {
+// with returns the duration once a request took some time; a nil duration is unknown.
+func (d *duration) with(took time.Duration) *duration {
 	if d == nil {
-		return true
+		return &duration{mean: took}
 	}
 
-	endsAt := d.endsAt.Load()
-	if endsAt == nil {
-		return true
+	return &duration{
+		mean:      d.mean + time.Duration(durationWeight*float64(took-d.mean)),
+		deviation: d.deviation + time.Duration(durationWeight*float64((took-d.mean).Abs()-d.deviation)),
+	}
+}
+
+// expected returns how long a request of a route is expected to take, or zero if that is unknown.
+func (d *Drain) expected(route string) time.Duration {
+	stored, _ := d.routes.Load(route)
+
+	known, ok := stored.(*atomic.Pointer[duration])
+	if !ok {
+		return 0
 	}
 
-	d.mu.Lock()
-	defer d.mu.Unlock()
+	last := known.Load()
+	if last == nil {
+		return 0
+	}
 
-	expected := time.Duration(0)
-	if known := d.routes[route]; known != nil {
-		expected = known.mean + deviationFactor*known.deviation
+	return last.mean + deviationFactor*last.deviation
+}
+
+// allows reports whether a request of a route is expected to end before requests are aborted.
+func (d *Drain) allows(now time.Time, route string) bool {
+	if d == nil {
+		return true
 	}
 
-	return now.Add(expected).Before(*endsAt)
+	endsAt := d.endsAt.Load()
+
+	return endsAt == nil || now.Add(d.expected(route)).Before(*endsAt)
 }
