--- a/quota/durable.go
+++ b/quota/durable.go
@@ -2,6 +2,10 @@
 
 import "time"
 
+// grantedUnrecordedFraction is the part of UnrecordedFraction that is granted without a record. The rest
+// covers what instances grant before they learn of each other's consumption.
+const grantedUnrecordedFraction = 0.2
+
 // Recorded records that a durable record contains what all instances had consumed until a time, as
 // far as its writer knew. Earlier times have no effect.
 func (q *Quota) Recorded(at time.Time) {
@@ -16,8 +20,8 @@
 // unrecordedWait returns how long to wait until more of an account may be granted, because too much
 // of what was consumed is in no durable record, or zero.
 //
-// Instances that start after a loss of all assume that unrecordedBound was consumed since the newest
-// record (Restore). While none can be written, no more than that is granted.
+// Instances that start after a loss of all assume that a part of the allowance was consumed since the
+// newest record (Restore). While none can be written, no more than that is granted.
 func (q *Quota) unrecordedWait(now time.Time, a *account) time.Duration {
 	if q.recordedAt.IsZero() {
 		return 0
@@ -43,7 +47,7 @@
 }
 
 // unrecordedBound returns what of an account may be consumed in the time since the newest durable
-// record.
+// record: less than what a start after the same time assumes.
 func (q *Quota) unrecordedBound(a *account, sinceRecord time.Duration) float64 {
-	return (UnrecordedFraction + q.lostFraction(sinceRecord)) * a.allowance.Amount
+	return (grantedUnrecordedFraction + q.lostFraction(sinceRecord)) * a.allowance.Amount
 }
