fix(quota): have a burst wait for the record that is due

An account within its limit spent a fifth of it faster than a record is written, and was refused.

Cause: the bound on what no record contains holds from the first moment, and a record takes up to 250 ms and a message to the other instances.

Change: a request waits for the record for up to 1.5 s; once none has come in that time, requests are refused at once. The new test plays a burst within the limit, which waits 250 ms and is granted, and an outage.

--- a/quota/durable.go
+++ b/quota/durable.go
@@ -6,6 +6,10 @@
 // covers what instances grant before they learn of each other's consumption.
 const grantedUnrecordedFraction = 0.2
 
+// recordTimeout is how long a record that is due may take until requests no longer wait for it: the
+// least time between two records, the longest call of the store, and a message to the other instances.
+const recordTimeout = 1500 * time.Millisecond
+
 // Recorded records that a durable record contains what all instances had consumed until a time, as
 // far as its writer knew. Earlier times have no effect.
 func (q *Quota) Recorded(at time.Time) {
@@ -46,6 +50,15 @@
 	return q.retryAfter(a, excess)
 }
 
+// awaitsRecord reports whether a record is expected soon, after which more of an account may be granted.
+func (q *Quota) awaitsRecord(now time.Time, a *account) bool {
+	if a.unrecordedSince.IsZero() {
+		a.unrecordedSince = now
+	}
+
+	return now.Sub(a.unrecordedSince) < recordTimeout
+}
+
 // unrecordedBound returns what of an account may be consumed in the time since the newest durable
 // record: less than what a start after the same time assumes.
 func (q *Quota) unrecordedBound(a *account, sinceRecord time.Duration) float64 {
--- a/quota/durable_test.go
+++ b/quota/durable_test.go
@@ -4,7 +4,11 @@
 	"fmt"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
+
+	"monsoonlever/clock"
+	"monsoonlever/fleet"
 )
 
 // Guards against an account that passes its limit when all instances are lost in an outage of the
@@ -87,3 +91,47 @@
 		}
 	}
 }
+
+// Guards against refusals of an account within its limit that spends a burst faster than a record is
+// written, while the store is available.
+func TestBurstWaitsForRecord(t *testing.T) {
+	const (
+		cost        = 2500
+		recordDelay = 250 * time.Millisecond
+	)
+
+	synctest.Test(t, func(t *testing.T) {
+		clk := clock.System{}
+		q := New(policy)
+		q.Configure([]Allowance{{Account: "a", Amount: amount, Rate: 36_000}})
+		q.SetMembers([]fleet.InstanceID{"entry-1"}, nil)
+		q.MarkSynced(clk.Now())
+		q.Recorded(clk.Now())
+
+		time.Sleep(time.Millisecond)
+
+		l := &Limiter{Quota: q, Clock: clk, Self: "entry-1"}
+		began := clk.Now()
+
+		time.AfterFunc(recordDelay, func() { q.Recorded(clk.Now()) })
+
+		for spent := 0.0; spent+cost < 2*grantedUnrecordedFraction*amount; spent += cost {
+			if d := l.Take(t.Context(), Charge{Account: "a", Cost: cost}); !d.Granted {
+				t.Fatalf("after %.0f of %d: got a refusal, want a grant", spent, amount)
+			}
+		}
+
+		if got := clk.Now().Sub(began); got < recordDelay || got > recordDelay+recordPollInterval {
+			t.Errorf("waited: got %v, want %v and at most %v more", got, recordDelay, recordPollInterval)
+		}
+
+		// No further record is written: after one request has waited, others are refused at once.
+		for l.Take(t.Context(), Charge{Account: "a", Cost: cost}).Granted {
+		}
+
+		refusedAt := clk.Now()
+		if d := l.Take(t.Context(), Charge{Account: "a", Cost: cost}); d.Granted || clk.Now() != refusedAt {
+			t.Errorf("without a record: got granted %v after %v, want a refusal at once", d.Granted, clk.Now().Sub(refusedAt))
+		}
+	})
+}
--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -19,6 +19,8 @@
 	// again. Otherwise accounts far beyond their limit would cause a loan request for each of
 	// their requests.
 	refusedLoanBackoff = 200 * time.Millisecond
+	// recordPollInterval is the time between two attempts of a request that waits for a record.
+	recordPollInterval = 50 * time.Millisecond
 	// continuationTimeout is how long the rest of a stream waits for a loan: lenders lend only so much
 	// until it is recorded, which takes some 300 ms, and callers abandon a stream after two seconds.
 	// continuationInterval is the time between two attempts.
@@ -82,13 +84,19 @@
 }
 
 // Take consumes a charge of its account's allowance, from the share of this instance or as a loan. The
-// rest of a stream waits for it for a while.
+// rest of a stream waits for it for a while, and any request for a durable record that is due.
 func (l *Limiter) Take(ctx context.Context, charge Charge) Decision {
 	l.awaitSync(ctx)
 
 	began := l.Clock.Now()
 	decision := l.take(ctx, charge)
 
+	for decision.AwaitsRecord && ctx.Err() == nil {
+		clock.Sleep(ctx, l.Clock, recordPollInterval)
+
+		decision = l.take(ctx, charge)
+	}
+
 	for charge.Continues && !decision.Granted && !decision.Paced && l.Clock.Now().Sub(began) < continuationTimeout && ctx.Err() == nil {
 		clock.Sleep(ctx, l.Clock, continuationInterval)
 
@@ -100,7 +108,7 @@
 
 func (l *Limiter) take(ctx context.Context, charge Charge) Decision {
 	decision := l.Quota.Take(l.Clock.Now(), charge.Account, charge.Cost)
-	if decision.Granted {
+	if decision.Granted || decision.AwaitsRecord {
 		return decision
 	}
 
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -171,6 +171,8 @@
 	// globalTotal is what all instances have consumed, as far as this one knows.
 	// globalRecorded is the part of it that is in a record of this instance.
 	globalTotal, globalRecorded float64
+	// unrecordedSince is since when too much is in no durable record to grant more; zero if it is not.
+	unrecordedSince time.Time
 	// bucket paces the account where coordinators grant its loans.
 	bucket bucket
 }
@@ -226,6 +228,9 @@
 	Remaining, Share float64
 	// Lender is the instance that granted a loan, or refused it for Paced. Otherwise it is empty.
 	Lender fleet.InstanceID
+	// AwaitsRecord is set if more is likely to be granted once a durable record is written, within
+	// recordTimeout.
+	AwaitsRecord bool
 	// Paced is set if the account has used up its burst. The decision is final: no other lender
 	// grants more.
 	Paced bool
@@ -263,9 +268,11 @@
 
 	remaining, limit, recent := q.budget(now, a)
 	if wait := q.unrecordedWait(now, a); wait > 0 {
-		return Decision{RetryAfter: wait, Remaining: remaining, Share: limit}
+		return Decision{RetryAfter: wait, Remaining: remaining, Share: limit, AwaitsRecord: q.awaitsRecord(now, a)}
 	}
 
+	a.unrecordedSince = time.Time{}
+
 	if recent+cost <= limit || recent == 0 && cost <= q.largeRequestShare(a)*remaining && recent+cost <= remaining {
 		q.consume(now, a, cost)
 
