fix(quota): merge increments over 50 ms at most

Cause: increments closer than 50 ms were merged, each at the time of the later one, without an end: a stream of more than 20 requests a second counted as consumed at this moment, after any record.

Change: the first of the merged increments bounds what is merged.

--- a/quota/history.go
+++ b/quota/history.go
@@ -8,13 +8,14 @@
 	increments []increment
 }
 
+// increment is what was added from a time on until at.
 type increment struct {
-	at     time.Time
-	amount float64
+	from, at time.Time
+	amount   float64
 }
 
-// mergeInterval bounds the memory of a history: increments that are closer than this are
-// merged, at the time of the later one.
+// mergeInterval bounds the memory of a history: increments within it are merged, at the time of the
+// latest one.
 const mergeInterval = 50 * time.Millisecond
 
 func (h *history) add(now time.Time, amount float64) {
@@ -30,14 +31,14 @@
 		now = h.increments[n-1].at
 	}
 
-	if n := len(h.increments); n > 0 && now.Sub(h.increments[n-1].at) < mergeInterval {
+	if n := len(h.increments); n > 0 && now.Sub(h.increments[n-1].from) < mergeInterval {
 		h.increments[n-1].amount += amount
 		h.increments[n-1].at = now
 
 		return
 	}
 
-	h.increments = append(h.increments, increment{at: now, amount: amount})
+	h.increments = append(h.increments, increment{from: now, at: now, amount: amount})
 }
 
 // raiseTo raises the total to a value. A lower value is ignored.
