fix(quota): assume a tenth more after an outage

Cause: processes that start together share what is left unevenly until they know of each other.

Change: a start after an outage, and it alone, assumes a tenth of the limit on top. A loss of all without an outage is as before.

--- a/quota/restore.go
+++ b/quota/restore.go
@@ -83,7 +83,7 @@
 // instance started.
 func (q *Quota) Restore(now, startedAt time.Time, records *EarlierRecords) {
 	if len(records.global) > 0 && records.elapsed-records.globalAt <= globalRecordTTL {
-		q.restoreGlobal(now, now.Add(records.globalAt-records.elapsed), records, q.lostFraction(startedAt.Sub(records.globalClock)))
+		q.restoreGlobal(now, now.Add(records.globalAt-records.elapsed), records, q.lostAtStart(startedAt.Sub(records.globalClock)))
 
 		return
 	}
@@ -93,7 +93,7 @@
 		instances[r.instance] = true
 	}
 
-	lost := q.lostFraction(startedAt.Sub(records.newestClock))
+	lost := q.lostAtStart(startedAt.Sub(records.newestClock))
 	unrecorded := UnrecordedFraction + lost
 
 	for _, r := range records.incarnations {
@@ -132,6 +132,20 @@
 	}
 }
 
+// outageMargin is the fraction of an allowance that a start after an outage assumes as consumed on top:
+// instances that start together share what is left unevenly until they know of each other.
+const outageMargin = 0.1
+
+// lostAtStart is lostFraction, with the margin of an outage.
+func (q *Quota) lostAtStart(gap time.Duration) float64 {
+	lost := q.lostFraction(gap)
+	if lost <= 0 {
+		return 0
+	}
+
+	return min(lost+outageMargin, usableFraction-UnrecordedFraction)
+}
+
 // lostFraction returns the fraction of an allowance, beyond UnrecordedFraction, that may have been
 // consumed without a record when none was written for the time gap. The clocks of two machines decide
 // it: while one of them is wrong it is too large or too small.
