--- a/quota/durable_test.go
+++ b/quota/durable_test.go
@@ -135,3 +135,21 @@
 		}
 	})
 }
+
+// Guards against a lender that knows of no earlier consumption, since it read the records a moment before
+// the rules that name the accounts.
+func TestRecordsReadBeforeRulesAreRestored(t *testing.T) {
+	q := New(policy)
+
+	var earlier EarlierRecords
+
+	earlier.Add("entry-1", 1, start, nil, []GlobalConsumption{{Account: "a", Ages: []uint32{0, 0, 0, 0, 0, 0, 0, amount}}})
+	q.Restore(start.Add(time.Second), start.Add(time.Second), &earlier)
+	q.MarkSynced(start.Add(time.Second))
+	q.Configure([]Allowance{{Account: "a", Amount: amount, Rate: 36_000}})
+	q.SetMembers([]fleet.InstanceID{"entry-2"}, nil)
+
+	if q.Take(start.Add(2*time.Second), "a", 1000).Granted {
+		t.Error("granted: got true, want false: the allowance was consumed before the start")
+	}
+}
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -125,7 +125,10 @@
 
 	mu       sync.Mutex
 	accounts map[fleet.Account]*account
-	members  map[fleet.InstanceID]bool
+	// configured is set by the first Configure, and pendingRestore restores what was read before it.
+	configured     bool
+	pendingRestore func()
+	members        map[fleet.InstanceID]bool
 	// recorders are the members that record the consumption of all instances.
 	recorders []fleet.InstanceID
 	// restored holds, for each instance, the incarnation whose consumption before this
@@ -195,6 +198,13 @@
 
 // Configure replaces the allowances. The state of accounts that remain is kept.
 func (q *Quota) Configure(allowances []Allowance) {
+	if pending := q.replaceAllowances(allowances); pending != nil {
+		pending()
+	}
+}
+
+// replaceAllowances returns what is still to be restored.
+func (q *Quota) replaceAllowances(allowances []Allowance) (pending func()) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 
@@ -214,8 +224,12 @@
 		next[a.Account] = entry
 	}
 
-	q.accounts = next
+	q.accounts, q.configured = next, true
 	q.assignReserves()
+
+	pending, q.pendingRestore = q.pendingRestore, nil
+
+	return pending
 }
 
 // Decision is the result of Take and Lend.
--- a/quota/restore.go
+++ b/quota/restore.go
@@ -81,7 +81,23 @@
 // instances may have terminated since, each after it consumed its share of the unrecorded
 // fraction, and more if records could not be written for some time before startedAt, when this
 // instance started.
+//
+// Before the first Configure no account is known; what the records hold is restored with it.
 func (q *Quota) Restore(now, startedAt time.Time, records *EarlierRecords) {
+	q.mu.Lock()
+
+	if !q.configured {
+		q.pendingRestore = func() { q.restore(now, startedAt, records) }
+		q.mu.Unlock()
+
+		return
+	}
+
+	q.mu.Unlock()
+	q.restore(now, startedAt, records)
+}
+
+func (q *Quota) restore(now, startedAt time.Time, records *EarlierRecords) {
 	if len(records.global) > 0 && records.elapsed-records.globalAt <= globalRecordTTL {
 		q.restoreGlobal(now, now.Add(records.globalAt-records.elapsed), records, q.lostAtStart(startedAt.Sub(records.globalClock)))
 
